Prove the memory ledger under any interleaving, and each guard by taking it out

Cause: the ledger and the stewards were written, not proved. A state machine by hypothesis now drives two stewards, a platform and two engines through plans, take-overs, lost, late, doubled and unanswered orders, lost and late writes, and restarts.

Ruled out: the first version of the machine passed and proved little.

Change: tests, the contract of the platform with its faults, leases, and 'make mutants', which takes out one guard at a time. The hand-back of quarantine at take-over was removed: the new steward waits out the whole bound anyway, and no test could tell the difference.

--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,6 @@
 
 clean:
 	rm -rf $(VENV) build *.egg-info .hypothesis
+
+mutants: $(STAMP)
+	$(BIN)/python -m extras.mutants $(ARGS)
--- a/peridotdock/ledger.py
+++ b/peridotdock/ledger.py
@@ -110,14 +110,10 @@
 def take_over(ledger: Ledger, steward: str) -> Ledger:
     """Return the ledger under a new steward.
 
-    Whatever the old one had under way stays charged. Its orders may still arrive, so an item in
-    quarantine goes back to being unloaded: the new steward waits out the whole bound itself.
+    Whatever the old one had under way stays charged, since its orders may still arrive. What is in
+    quarantine stays there, and the new steward waits out the whole bound on its own clock.
     """
-    rows = tuple(
-        replace(row, state=State.UNLOADING) if row.state is State.QUARANTINE else row
-        for row in ledger.reservations
-    )
-    return replace(ledger, steward=steward, term=ledger.term + 1, reservations=rows)
+    return replace(ledger, steward=steward, term=ledger.term + 1)
 
 
 def reserve(
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,222 @@
+"""Small fakes at the interfaces: clock, platform, engine. No network and no real time."""
+
+import asyncio
+import heapq
+import itertools
+from datetime import UTC, datetime, timedelta
+
+from peridotdock.clients.endpoint import EngineLoad, HeldItem, Report
+from peridotdock.clients.platform import Committed, Row
+from peridotdock.errors import Failure, Kind
+from peridotdock.ledger import KEY_PREFIX
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+class FakeClock:
+    """Time that passes only when told to."""
+
+    def __init__(self):
+        self.time = 1000.0
+        self._sleepers = []
+        self._order = itertools.count()
+
+    def monotonic(self):
+        return self.time
+
+    def now(self):
+        return START + timedelta(seconds=self.time)
+
+    async def sleep(self, seconds):
+        woken = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._sleepers, (self.time + seconds, next(self._order), woken))
+        await woken
+
+    def advance(self, seconds):
+        self.time += seconds
+        while self._sleepers and self._sleepers[0][0] <= self.time:
+            woken = heapq.heappop(self._sleepers)[2]
+            if not woken.done():
+                woken.set_result(None)
+
+
+class FakePlatform:
+    """The platform in memory. ``faults`` is a queue of what happens to the next commits:
+    ``down`` (nothing done), ``lost`` (done, answer lost), ``late`` (done only by
+    :meth:`land_late`, answer lost), ``ok``."""
+
+    def __init__(self):
+        self.rows = {}
+        self.objects = {}
+        self.version = 0
+        self.down = False
+        self.faults = []
+        self.late = []
+        self.writes = 0
+
+    async def read(self, keys):
+        if self.down:
+            return Failure(Kind.PLATFORM_DOWN)
+        return {key: self.rows[key] for key in keys if key in self.rows}
+
+    async def scan(self, prefix):
+        if self.down:
+            return Failure(Kind.PLATFORM_DOWN)
+        return {key: row for key, row in self.rows.items() if key.startswith(prefix)}
+
+    async def commit(self, tx):
+        fault = self.faults.pop(0) if self.faults else "ok"
+        if self.down or fault == "down":
+            return Failure(Kind.PLATFORM_DOWN)
+        if fault == "late":
+            self.late.append(tx)
+            return Failure(Kind.OUTCOME_UNKNOWN)
+        outcome = self._apply(tx)
+        return Failure(Kind.OUTCOME_UNKNOWN) if fault == "lost" else outcome
+
+    def land_late(self):
+        """Let the writes arrive that were on their way."""
+        late, self.late = self.late, []
+        return [self._apply(tx) for tx in late]
+
+    def _apply(self, tx):
+        self.writes += 1
+        for key, version in tx.checks.items():
+            found = self.rows.get(key)
+            if (found.version if found else 0) != version:
+                return Failure(Kind.CONFLICT)
+        self.version += 1
+        for key, value in tx.writes.items():
+            if value is None:
+                self.rows.pop(key, None)
+            else:
+                self.rows[key] = Row({**value, "write": tx.id}, self.version)
+        return Committed(self.version)
+
+    async def get_object(self, name):
+        return Failure(Kind.PLATFORM_DOWN) if self.down else self.objects.get(name)
+
+    async def put_object(self, name, body):
+        if self.down:
+            return Failure(Kind.PLATFORM_DOWN)
+        self.objects[name] = body
+        return None
+
+    async def list_hosts(self):
+        return Failure(Kind.PLATFORM_DOWN) if self.down else []
+
+    async def register_host(self, host, peer, leaving):
+        return Failure(Kind.PLATFORM_DOWN) if self.down else None
+
+    def ledger_rows(self):
+        return {
+            key.removeprefix(KEY_PREFIX): row
+            for key, row in self.rows.items()
+            if key.startswith(KEY_PREFIX)
+        }
+
+
+class FakeEngine:
+    """An engine's memory and its rule for orders. It checks at each change that it fits."""
+
+    def __init__(self, capacity, fencing):
+        self.capacity = list(capacity)
+        self.fencing = fencing
+        self.boots = 1
+        self.items = {}
+        self.highest = 0
+        self.done = set()
+        self.down = False
+
+    def used(self):
+        used = [0] * len(self.capacity)
+        for held in self.items.values():
+            for place in held.accelerators:
+                used[place] += held.bytes
+        return used
+
+    def fits(self):
+        return all(use <= room for use, room in zip(self.used(), self.capacity, strict=True))
+
+    def restart(self):
+        self.boots += 1
+        self.items.clear()
+        self.highest = 0
+        self.done.clear()
+
+    def carry_out(self, order):
+        """Do an order; None when done, else the failure it is answered with."""
+        if self.fencing:
+            if order.number in self.done:
+                return None
+            if order.number < self.highest:
+                return Failure(Kind.FENCED)
+            self.highest = order.number
+        if order.action == "load":
+            self.items[order.item] = HeldItem(list(order.accelerators), order.bytes, True)
+        else:
+            self.items.pop(order.item, None)
+        self.done.add(order.number)
+        return None
+
+    def report(self):
+        load = EngineLoad(0, 0, 0, 8, 1e4, 5000)
+        return Report(str(self.boots), dict(self.items), load)
+
+
+class FakeEndpoints:
+    """Endpoints by URL. ``fates`` says what happens to the next orders: ``now``, ``lost`` (never
+    arrives), ``late`` (arrives when :meth:`deliver` is called), ``unanswered`` (done, no answer),
+    ``twice`` (done, and arrives again by :meth:`deliver`)."""
+
+    def __init__(self, engines, clock):
+        self.engines = engines
+        self.clock = clock
+        self.fates = []
+        self.flying = []
+
+    async def report(self, url, since):
+        engine = self.engines[url]
+        return Failure(Kind.ENDPOINT_LOST) if engine.down else engine.report()
+
+    async def order(self, url, order, timeout):
+        fate = self.fates.pop(0) if self.fates else "now"
+        if fate in ("late", "twice"):
+            self.flying.append((self.clock.monotonic(), url, order))
+        if fate in ("lost", "late"):
+            return Failure(Kind.ENDPOINT_LOST)
+        outcome = self.engines[url].carry_out(order)
+        return Failure(Kind.ENDPOINT_LOST) if fate == "unanswered" else outcome
+
+    def deliver(self, place, bound):
+        """Let an order arrive that was under way, unless it is later than an engine that ignores
+        numbers is stated to get it."""
+        sent, url, order = self.flying.pop(place % len(self.flying))
+        engine = self.engines[url]
+        if engine.fencing or self.clock.monotonic() - sent <= bound:
+            engine.carry_out(order)
+
+
+class FakeLease:
+    def __init__(self):
+        self.is_valid = True
+
+    def valid(self, margin=0.0):
+        return self.is_valid
+
+
+class FakeBook:
+    """Says which lives' leases have lapsed."""
+
+    def __init__(self):
+        self.gone = set()
+        self.loaded = True
+
+    def lapsed(self, incarnation):
+        return {} if incarnation in self.gone else None
+
+
+async def settle():
+    """Let tasks that wait for nothing real run to their end."""
+    for _ in range(10):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,397 @@
+"""No accelerator is ever committed beyond its capacity, in any order of events."""
+
+import asyncio
+import unittest
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from nose2.tools import params
+
+from peridotdock import ledger as ledgers
+from peridotdock.clients.endpoint import HeldItem
+from peridotdock.errors import Kind, failed
+from peridotdock.ledger import Ledger, State
+from peridotdock.placement import Move
+from peridotdock.stewards import DRAIN_SECONDS, RESEND_SECONDS, Steward, Ward
+from tests import builders
+from tests.fakes import (
+    FakeBook,
+    FakeClock,
+    FakeEndpoints,
+    FakeEngine,
+    FakeLease,
+    FakePlatform,
+    settle,
+)
+
+BOUND = 30.0
+CAPACITY = (100, 60)
+SIZES = {"m0": 60, "m1": 50, "m2": 40}
+HOSTS = st.sampled_from(["h0", "h1"])
+PAUSES = st.sampled_from([0.1, DRAIN_SECONDS, RESEND_SECONDS, BOUND, BOUND + 1])
+MOVES = st.builds(
+    lambda action, engine, item, place: Move(action, engine, f"{item}@1", (place,)),
+    st.sampled_from(["load", "load", "unload"]),
+    st.sampled_from(["e0", "e1"]),
+    st.sampled_from(sorted(SIZES)),
+    st.sampled_from([0, 0, 1]),
+)
+FATES = st.sampled_from(["now", "now", "lost", "late", "unanswered", "twice"])
+COMMITS = st.sampled_from(["ok", "ok", "down", "lost", "late"])
+
+
+class World:
+    """Two engines, a platform, and stewards of two hosts, all in memory."""
+
+    def __init__(self, fencing):
+        self.clock = FakeClock()
+        self.platform = FakePlatform()
+        rows = [builders.engine(name, CAPACITY, fencing=fencing) for name in ("e0", "e1")]
+        self.accepted = builders.accepted(
+            engines=rows, models=[builders.model(n, size) for n, size in SIZES.items()]
+        )
+        self.engines = {row["url"]: FakeEngine(CAPACITY, fencing) for row in rows}
+        self.endpoints = FakeEndpoints(self.engines, self.clock)
+        self.book = FakeBook()
+        self.leases = {}
+        self.stewards = {}
+        self.loop = asyncio.new_event_loop()
+        for name in ("h0", "h1"):
+            self.add_host(name)
+
+    def add_host(self, name):
+        ctx = builders.make_ctx(self.clock, name, lateness_seconds=BOUND)
+        self.leases[name] = FakeLease()
+        self.stewards[name] = Steward(
+            ctx, self.platform, self.endpoints, self.leases[name], self.book
+        )
+        self.incarnation = ctx.incarnation
+        return ctx.incarnation
+
+    def engine(self, name):
+        return self.engines[self.accepted.engines[name].url]
+
+    def tend(self, host, moves=()):
+        """One round of a host's steward for both engines, with these moves in its plan."""
+        steward = self.stewards[host]
+        steward.moves = {}
+        for move in moves:
+            steward.moves.setdefault(move.endpoint, []).append(move)
+
+        async def work():
+            steward.read_rows(self.platform.ledger_rows())
+            for row in self.accepted.engines.values():
+                await steward.tend(row, True, self.accepted)
+                await settle()
+
+        self.loop.run_until_complete(work())
+
+    def close(self):
+        self.loop.run_until_complete(settle())
+        self.loop.close()
+
+
+class MemoryMachine(RuleBasedStateMachine):
+    """Any interleaving of plans, rounds, faults, pauses, late orders and restarts."""
+
+    fencing = True
+
+    @initialize(fates=st.lists(FATES, max_size=2))
+    def begin(self, fates):
+        self.world = World(self.fencing)
+        copies = [Move("load", engine, "m0@1", (0,)) for engine in ("e0", "e1")]
+        self.world.endpoints.fates = fates
+        for _ in range(4):
+            self.world.tend("h0", copies)
+            self.world.clock.advance(RESEND_SECONDS)
+        self.lives = {name: s._ctx.incarnation for name, s in self.world.stewards.items()}
+
+    def teardown(self):
+        if hasattr(self, "world"):
+            self.world.close()
+
+    @rule(
+        host=HOSTS,
+        moves=st.lists(MOVES, min_size=1, max_size=3),
+        pauses=st.lists(PAUSES, min_size=1, max_size=4),
+    )
+    def work(self, host, moves, pauses):
+        """A host works by a plan for some rounds."""
+        self.plan(host, moves, pauses)
+
+    def plan(self, host, moves, pauses):
+        for seconds in pauses:
+            self.world.tend(host, moves)
+            self.world.clock.advance(seconds)
+            self.every_engine_fits()
+
+    @rule(seconds=PAUSES)
+    def wait(self, seconds):
+        self.world.clock.advance(seconds)
+
+    @rule(fates=st.lists(FATES, min_size=1, max_size=4))
+    def trouble_orders(self, fates):
+        self.world.endpoints.fates = fates
+
+    @rule(commits=st.lists(COMMITS, min_size=1, max_size=4))
+    def trouble_platform(self, commits):
+        self.world.platform.faults = commits
+
+    @rule()
+    def land_late_writes(self):
+        self.world.platform.land_late()
+
+    @rule(place=st.integers(0, 5))
+    def deliver_late_order(self, place):
+        if self.world.endpoints.flying:
+            self.world.endpoints.deliver(place, BOUND)
+
+    @rule(host=HOSTS, moves=st.lists(MOVES, max_size=2), pauses=st.lists(PAUSES, max_size=3))
+    def hand_over(self, host, moves, pauses):
+        """A host is paused, the other one takes over and works; the paused one wakes later."""
+        other = "h1" if host == "h0" else "h0"
+        self.world.book.gone.add(self.lives[host])
+        self.world.book.gone.discard(self.lives[other])
+        self.plan(other, moves, [0.1, *pauses])
+
+    @rule(engine=st.sampled_from(["e0", "e1"]))
+    def restart_engine(self, engine):
+        url = self.world.accepted.engines[engine].url
+        self.world.engine(engine).restart()
+        # A restart closes the engine's connections: what was under way to it is gone.
+        flying = self.world.endpoints.flying
+        self.world.endpoints.flying = [row for row in flying if row[1] != url]
+
+    @invariant()
+    def every_engine_fits(self):
+        if hasattr(self, "world"):
+            for engine in self.world.engines.values():
+                assert engine.fits(), (engine.used(), engine.capacity)
+
+
+class MemoryMachineIgnoring(MemoryMachine):
+    fencing = False
+
+
+QUICK = settings(
+    max_examples=300,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class NeverBeyondCapacity(unittest.TestCase):
+    def test_any_interleaving_with_engines_that_fence(self):
+        run_state_machine_as_test(MemoryMachine, settings=QUICK)
+
+    def test_any_interleaving_with_engines_that_ignore_numbers(self):
+        run_state_machine_as_test(MemoryMachineIgnoring, settings=QUICK)
+
+
+class LateOrders(unittest.TestCase):
+    def setUp(self):
+        self.world = World(fencing=False)
+        self.addCleanup(self.world.close)
+
+    def load(self, item, engine="e0", place=0):
+        self.world.tend("h0", [Move("load", engine, item, (place,))])
+        self.world.tend("h0")
+
+    def test_bytes_wait_for_a_late_load_on_an_engine_that_ignores_numbers(self):
+        """
+        A load order is lost on the way and sent again; the item is loaded, then unloaded.
+        Another item wants the room. Then the first send of the load arrives after all. Were
+        the bytes given away at once, the accelerator would hold both.
+        """
+        world = self.world
+        world.tend("h0")
+        world.endpoints.fates = ["late"]
+        self.load("m0@1")
+        world.clock.advance(RESEND_SECONDS)
+        self.load("m0@1")
+        self.load("m0@1", "e1")
+        world.tend("h0", [Move("unload", "e0", "m0@1")])
+        world.clock.advance(DRAIN_SECONDS)
+        world.tend("h0")
+        world.tend("h0")
+        self.assertNotIn("m0@1", world.engine("e0").items)
+        self.load("m1@1")
+        self.assertNotIn("m1@1", world.engine("e0").items)
+        world.endpoints.deliver(0, BOUND)
+        self.assertTrue(world.engine("e0").fits())
+
+    def test_a_load_taken_back_before_it_arrived_keeps_its_bytes_until_it_is_fenced(self):
+        """
+        A load is on its way when the plan changes. The engine's list does not show the item, but
+        the load can still arrive, until the engine has answered an order with a newer number.
+        Were the bytes free before, the late load and the next item would both be there.
+        """
+        world = World(fencing=True)
+        self.addCleanup(world.close)
+        self.world = world
+        world.tend("h0")
+        self.load("m0@1", "e1")
+        world.endpoints.fates = ["late"]
+        world.tend("h0", [Move("load", "e0", "m0@1", (0,))])
+        for _ in range(3):
+            world.tend("h0", [Move("unload", "e0", "m0@1")])
+        world.endpoints.fates = ["late"]
+        world.tend("h0", [Move("load", "e0", "m1@1", (0,))])
+        while world.endpoints.flying:
+            world.endpoints.deliver(0, BOUND)
+        self.assertTrue(world.engine("e0").fits(), world.engine("e0").items)
+
+    def test_bytes_are_given_away_once_the_bound_has_passed(self):
+        world = self.world
+        world.tend("h0")
+        self.load("m0@1")
+        self.load("m0@1", "e1")
+        world.tend("h0", [Move("unload", "e0", "m0@1")])
+        world.clock.advance(DRAIN_SECONDS)
+        for seconds in (0, 0, BOUND, 0):
+            world.clock.advance(seconds)
+            world.tend("h0")
+        self.load("m1@1")
+        self.assertIn("m1@1", world.engine("e0").items)
+
+    def test_an_item_nobody_ordered_is_charged(self):
+        world = self.world
+        world.engine("e0").items["stray@1"] = HeldItem([0], 70, True)
+        world.tend("h0")
+        self.load("m1@1")
+        self.assertNotIn("m1@1", world.engine("e0").items)
+
+    def test_an_engine_that_restarts_empty_gets_its_items_back_in_place(self):
+        world = self.world
+        world.tend("h0")
+        self.load("m0@1")
+        world.engine("e0").restart()
+        for _ in range(3):
+            world.tend("h0")
+        self.assertIn("m0@1", world.engine("e0").items)
+
+    def test_nothing_is_sent_while_the_platform_is_down(self):
+        world = self.world
+        world.tend("h0")
+        world.platform.down = True
+        self.load("m0@1")
+        self.assertEqual(world.engine("e0").items, {})
+
+    def test_a_lost_answer_of_the_reservation_does_not_reserve_twice(self):
+        """
+        The row is written but the answer is lost. Sent again it conflicts, and the row read back
+        says that the first write was ours: the load goes on, once.
+        """
+        world = self.world
+        world.tend("h0")
+        world.platform.faults = ["lost"]
+        self.load("m0@1")
+        self.assertEqual(world.engine("e0").used(), [60, 0])
+        row = world.platform.ledger_rows()["e0"]
+        self.assertEqual(len(ledgers.read_ledger(row.value).reservations), 1)
+
+    def test_a_woken_steward_changes_nothing_under_an_old_term(self):
+        """
+        A host is paused; its lease lapses and another host becomes steward and fills the engine.
+        The paused one wakes and still believes in its lease. Its write must not go through.
+        """
+        world = self.world
+        world.tend("h0")
+        world.book.gone.add(world.stewards["h0"]._ctx.incarnation)
+        world.tend("h1")
+        world.tend("h1", [Move("load", "e0", "m0@1", (0,))])
+        world.tend("h0", [Move("load", "e0", "m1@1", (0,))])
+        self.assertEqual(set(world.engine("e0").items), {"m0@1"})
+        self.assertNotIn("e0", world.stewards["h0"].wards)
+
+
+class LastCopy(unittest.TestCase):
+    def setUp(self):
+        self.world = World(fencing=True)
+        self.addCleanup(self.world.close)
+
+    def run_rounds(self, host, moves=(), count=4):
+        self.world.tend(host, moves)
+        for _ in range(count):
+            self.world.clock.advance(DRAIN_SECONDS)
+            self.world.tend(host)
+
+    def test_the_only_copy_is_not_unloaded_whatever_the_plan_says(self):
+        self.world.tend("h0")
+        self.run_rounds("h0", [Move("load", "e0", "m0@1", (0,))])
+        self.run_rounds("h0", [Move("unload", "e0", "m0@1")])
+        self.assertIn("m0@1", self.world.engine("e0").items)
+
+    def test_two_stewards_do_not_unload_the_last_two_copies(self):
+        """
+        Two copies stand on two engines with different stewards. Two plans of racing planners say
+        to unload one each; each steward has seen the other's copy. One copy must stay.
+        """
+        world = self.world
+        world.tend("h0")
+        self.run_rounds("h0", [Move("load", e, "m0@1", (0,)) for e in ("e0", "e1")])
+        rows = world.platform.ledger_rows()
+        taken = world.stewards["h0"].wards.pop("e1")
+        ledger = ledgers.take_over(taken.ledger, world.stewards["h1"]._ctx.incarnation)
+        key = ledgers.row_key("e1")
+        world.platform.rows[key] = type(rows["e1"])(ledger.to_value(), rows["e1"].version)
+        other = world.stewards["h1"]
+        other.wards["e1"] = Ward(taken.endpoint, ledger, rows["e1"].version)
+
+        async def both():
+            for host, engine in (("h0", "e0"), ("h1", "e1")):
+                steward = world.stewards[host]
+                steward.read_rows(rows)
+                steward.moves = {engine: [Move("unload", engine, "m0@1")]}
+                await steward.tend(world.accepted.engines[engine], True, world.accepted)
+
+        world.loop.run_until_complete(both())
+        for _ in range(4):
+            world.clock.advance(DRAIN_SECONDS)
+            world.tend("h0")
+            world.tend("h1")
+        held = ["m0@1" in world.engine(name).items for name in ("e0", "e1")]
+        self.assertIn(True, held)
+
+
+class LedgerTables(unittest.TestCase):
+    @params(
+        ("fits", "m0@1", 60, (0,), None),
+        ("too large", "m0@1", 101, (0,), Kind.NO_ROOM),
+        ("no such accelerator", "m0@1", 10, (7,), Kind.NO_ROOM),
+        ("no accelerator", "m0@1", 10, (), Kind.NO_ROOM),
+        ("one accelerator twice", "m0@1", 10, (0, 0), Kind.NO_ROOM),
+        ("held already", "there@1", 10, (0,), Kind.CONFLICT),
+        ("beside another", "m0@1", 61, (1,), Kind.NO_ROOM),
+    )
+    def test_reserve(self, _, item, size, places, expected):
+        ledger = ledgers.reserve(Ledger("e0"), (100, 60), "there@1", 40, (0,))
+        outcome = ledgers.reserve(ledger, (100, 60), item, size, places)
+        self.assertEqual(outcome.kind if failed(outcome) else None, expected)
+
+    @params(*ledgers.SEEN)
+    def test_no_sight_alone_frees_bytes(self, state, sight):
+        row = ledgers.Reservation("m0@1", state, 40, (0,), 1)
+        ledger = Ledger("e0", reservations=(row,), order=1)
+        held = {ledgers.Sight.READY: True, ledgers.Sight.PARTIAL: False}
+        items = {"m0@1": HeldItem([0], 40, held[sight])} if sight in held else {}
+        report = FakeEngine((100,), True).report()
+        report.items.update(items)
+        after = ledgers.observe(ledger, report)
+        self.assertEqual(after.used(1), [40])
+
+    def test_only_quarantine_is_released(self):
+        report = FakeEngine((100,), True).report()
+        for state in State:
+            row = ledgers.Reservation("m0@1", state, 40, (0,), 1)
+            outcome = ledgers.release(Ledger("e0", reservations=(row,)), "m0@1", report)
+            self.assertEqual(failed(outcome), state is not State.QUARANTINE)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,198 @@
+"""The contract of the platform, for the fake and for the HTTP adapter, with its faults."""
+
+import asyncio
+import unittest
+
+from nose2.tools import params
+
+from peridotdock.clients.platform import (
+    Committed,
+    HttpPlatform,
+    Transaction,
+    commit_surely,
+)
+from peridotdock.errors import Kind, failed
+from peridotdock.leases import HostLease, LeaseBook
+from tests.fakes import FakeClock, FakePlatform
+from tests.standins.platform import PlatformStandin
+
+
+class Contract:
+    """What every platform must do; run for each below."""
+
+    async def test_a_write_is_read_back(self):
+        await self.platform.commit(Transaction({"a": 0}, {"a": {"n": 1}}))
+        rows = await self.platform.read(["a", "b"])
+        self.assertEqual(list(rows), ["a"])
+        self.assertEqual(rows["a"].value["n"], 1)
+
+    async def test_a_transaction_is_all_or_nothing(self):
+        first = await self.platform.commit(Transaction({"a": 0}, {"a": {"n": 1}}))
+        tx = Transaction({"a": first.version + 5, "b": 0}, {"a": {"n": 2}, "b": {"n": 2}})
+        outcome = await self.platform.commit(tx)
+        self.assertEqual(outcome.kind, Kind.CONFLICT)
+        rows = await self.platform.read(["a", "b"])
+        self.assertEqual({key: row.value["n"] for key, row in rows.items()}, {"a": 1})
+
+    async def test_a_version_is_never_used_twice(self):
+        seen = set()
+        for _ in range(3):
+            made = await self.platform.commit(Transaction({"a": 0}, {"a": {"n": 1}}))
+            self.assertNotIn(made.version, seen)
+            seen.add(made.version)
+            await self.platform.commit(Transaction({"a": made.version}, {"a": None}))
+
+    async def test_scan_gives_a_prefix(self):
+        for key in ("x/1", "x/2", "y/1"):
+            await self.platform.commit(Transaction({key: 0}, {key: {}}))
+        self.assertEqual(sorted(await self.platform.scan("x/")), ["x/1", "x/2"])
+
+    async def test_objects(self):
+        self.assertIsNone(await self.platform.get_object("none"))
+        await self.platform.put_object("some/name", b"\x00body")
+        self.assertEqual(await self.platform.get_object("some/name"), b"\x00body")
+
+    async def test_of_two_inserts_one_wins(self):
+        txs = [Transaction({"a": 0}, {"a": {"n": n}}) for n in range(2)]
+        outcomes = await asyncio.gather(*(commit_surely(self.platform, tx) for tx in txs))
+        self.assertEqual(sum(not failed(outcome) for outcome in outcomes), 1)
+
+
+class FakeContract(Contract, unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.platform = FakePlatform()
+
+
+class HttpContract(Contract, unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.standin = await PlatformStandin().start()
+        self.platform = HttpPlatform(self.standin.url, timeout=0.2)
+
+    async def asyncTearDown(self):
+        await self.platform.close()
+        await self.standin.stop()
+
+    async def test_down_is_not_done(self):
+        self.standin.faults["down"] = True
+        outcome = await self.platform.commit(Transaction({"a": 0}, {"a": {}}))
+        self.assertEqual(outcome.kind, Kind.PLATFORM_DOWN)
+        self.assertEqual(self.standin.rows, {})
+
+    async def test_silence_is_unknown_and_a_new_connection_is_taken_after_it(self):
+        """
+        The connection goes silent. The write's outcome is unknown, and later calls must not be
+        put on the same dead connections.
+        """
+        self.standin.faults["hang"] = True
+        outcome = await self.platform.commit(Transaction({"a": 0}, {"a": {}}))
+        self.assertEqual(outcome.kind, Kind.OUTCOME_UNKNOWN)
+        self.standin.faults["hang"] = False
+        self.assertEqual(await self.platform.read(["a"]), {})
+
+    async def test_nobody_listens(self):
+        nobody = HttpPlatform("http://127.0.0.1:9", timeout=0.2)
+        outcome = await nobody.commit(Transaction({"a": 0}, {"a": {}}))
+        self.assertEqual(outcome.kind, Kind.PLATFORM_DOWN)
+        await nobody.close()
+
+    async def test_a_lost_answer_is_made_good(self):
+        self.standin.faults["lose"] = 1
+        outcome = await commit_surely(self.platform, Transaction({"a": 0}, {"a": {}}))
+        self.assertIsInstance(outcome, Committed)
+
+
+class LostAnswers(unittest.TestCase):
+    """``commit_surely`` against every short series of faults: what it says is true."""
+
+    @params(
+        (["ok"], Committed),
+        (["lost"], Committed),
+        (["late"], Committed),
+        (["lost", "lost"], Committed),
+        (["late", "lost"], Committed),
+        (["lost", "down"], Committed),
+        (["late", "down"], Committed),
+        (["down"], Kind.PLATFORM_DOWN),
+        (["late", "late", "late", "late"], Kind.OUTCOME_UNKNOWN),
+        (["lost", "down", "down", "down"], Kind.OUTCOME_UNKNOWN),
+    )
+    def test_series(self, faults, expected):
+        platform = FakePlatform()
+        platform.faults = list(faults)
+        outcome = asyncio.run(commit_surely(platform, Transaction({"a": 0}, {"a": {"n": 1}})))
+        self.assertEqual(outcome.kind if failed(outcome) else type(outcome), expected)
+
+    def test_a_late_write_after_a_sure_one_does_nothing(self):
+        platform = FakePlatform()
+        platform.faults = ["late"]
+        asyncio.run(commit_surely(platform, Transaction({"a": 0}, {"a": {"n": 1}})))
+        before = platform.rows["a"].version
+        self.assertTrue(all(failed(outcome) for outcome in platform.land_late()))
+        self.assertEqual(platform.rows["a"].version, before)
+
+
+class Leases(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = FakeClock()
+        self.platform = FakePlatform()
+        self.lease = HostLease("h0", "h0-life1", 6.0, self.clock)
+        self.book = LeaseBook(6.0, self.clock)
+
+    async def look(self):
+        self.book.update(await self.platform.scan("hosts/"))
+
+    async def test_a_lease_counts_from_before_the_renewal_was_sent(self):
+        """
+        The renewal takes long. A holder that counted from the answer would act after the others
+        may already have taken over.
+        """
+
+        async def slow_commit(tx):
+            self.clock.advance(5.0)
+            return await FakePlatform.commit(self.platform, tx)
+
+        self.platform.commit = slow_commit
+        await self.lease.renew(self.platform)
+        self.assertTrue(self.lease.valid())
+        self.clock.advance(1.5)
+        self.assertFalse(self.lease.valid())
+
+    async def test_it_lapses_for_its_holder_before_it_does_for_others(self):
+        await self.lease.renew(self.platform)
+        await self.look()
+        for _ in range(100):
+            self.clock.advance(0.1)
+            if self.book.lapsed("h0-life1") is not None:
+                self.assertFalse(self.lease.valid())
+                return
+        self.fail("never lapsed")
+
+    async def test_a_renewal_between_look_and_write_stops_a_take_over(self):
+        """
+        A holder was paused until just before others take over, then renews. The take-over was
+        decided on the old row; its transaction must fail.
+        """
+        await self.lease.renew(self.platform)
+        await self.look()
+        self.clock.advance(10)
+        checks = self.book.lapsed("h0-life1")
+        self.assertIsNotNone(checks)
+        await self.lease.renew(self.platform)
+        outcome = await self.platform.commit(Transaction(checks, {"ledger/e0": {}}))
+        self.assertEqual(outcome.kind, Kind.CONFLICT)
+
+    async def test_an_earlier_life_of_a_host_is_over_at_once(self):
+        await HostLease("h0", "h0-life2", 6.0, self.clock).renew(self.platform)
+        await self.look()
+        self.assertIsNotNone(self.book.lapsed("h0-life1"))
+        self.assertIsNone(self.book.lapsed("h0-life2"))
+
+    async def test_nothing_has_lapsed_before_the_first_look(self):
+        self.assertIsNone(self.book.lapsed("h9-life1"))
+
+    async def test_a_lease_given_up_needs_no_waiting(self):
+        await self.lease.renew(self.platform)
+        await self.lease.give_up(self.platform)
+        await self.look()
+        self.assertIsNotNone(self.book.lapsed("h0-life1"))
+        self.assertFalse(self.lease.valid())
