Prove what callers see when endpoints fail

Cause: whole and own answers, a true 'not run' and at most once were built, not proved. Change: 21 tests against real hosts and stand-ins on loopback: frozen connections, crossed frames, cut streams, dead kept connections, owner's death, platform down, lost claim answer.

--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,295 @@
+"""What callers see when endpoints fail: whole answers, their own, and a true word on whether
+the request ran. The endpoints' own count of calls is the judge."""
+
+import asyncio
+import unittest
+
+from tests.cluster import TOKEN, Cluster, read_stream, wait_for
+
+
+class EndpointFailures(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = Cluster(engines=2, hosts=1, models=1, adapters=0, step=0.01)
+        await self.cluster.__aenter__()
+        models = [
+            {
+                "id": "m0",
+                "version": "1",
+                "bytes": 30,
+                "target": {"first_token_ms": 2000},
+                "copies": 2,
+            }
+        ]
+        await self.cluster.publish(self.cluster.manifest(models=models))
+
+    async def asyncTearDown(self):
+        await self.cluster.__aexit__()
+
+    def serving(self):
+        return next(e for e in self.cluster.engines if e.running)
+
+    async def start_stream(self, **more):
+        ask = self.cluster.ask(stream=True, max_tokens=60, **more)
+        task = asyncio.create_task(ask)
+        await wait_for(
+            lambda: any(
+                len(s.tokens) > 5 for e in self.cluster.engines for s in e.streams.values()
+            ),
+            "a stream under way",
+        )
+        return task
+
+    async def test_a_frozen_connection_is_found_and_the_stream_goes_on_elsewhere(self):
+        """
+        A master waits for a scene. Half-way no byte comes any more, though the engine goes on and
+        new connections work: something on the way lost track of the open ones. The host asks
+        over a fresh connection and takes up the stream where the master's copy ends.
+        """
+        task = await self.start_stream()
+        self.serving().freeze()
+        status, _, raw = await task
+        texts, ids, whole, errors = read_stream(raw)
+        self.assertEqual((status, whole, errors, len(ids)), (200, True, [], 1))
+        self.assertEqual([text.split("-")[0] for text in texts], [f" t{n}" for n in range(60)])
+
+    async def test_a_whole_answer_on_a_frozen_connection_is_asked_for_again(self):
+        """
+        No stream this time: the answer is ready on the engine, the connection is dead, and nothing
+        has come. The request may be repeated, so another endpoint answers it.
+        """
+        task = asyncio.create_task(self.cluster.ask(max_tokens=30))
+        await wait_for(lambda: any(e.running for e in self.cluster.engines), "a request at work")
+        self.serving().freeze()
+        status, _, body = await task
+        self.assertEqual(status, 200)
+        self.assertEqual(body["usage"]["completion_tokens"], 30)
+
+    async def test_a_cut_stream_can_be_told_from_a_whole_one(self):
+        """
+        The engine breaks off after some tokens and has forgotten the stream. The caller has part
+        of a recap; it must not take it for the whole one.
+        """
+        for engine in self.cluster.engines:
+            engine.faults["cut"] = 20
+        status, _, raw = await self.cluster.ask(stream=True, max_tokens=60)
+        texts, _, whole, errors = read_stream(raw)
+        self.assertEqual((status, whole), (200, False))
+        self.assertEqual(len(texts), 20)
+        self.assertEqual((errors[0]["code"], errors[0]["ran"]), ("answer_cut", "maybe"))
+
+    async def test_another_callers_answer_is_never_passed_on(self):
+        """
+        Answers cross within an engine: it sends the frames of somebody else's request. The host
+        sees whose they are and asks the other endpoint; not one foreign token gets through.
+        """
+        self.cluster.engines[0].faults["cross"] = True
+        for stream in (True, False, True, False):
+            status, _, raw = await self.cluster.ask(stream=stream)
+            self.assertEqual(status, 200)
+            if stream:
+                self.assertNotIn(b"foreign", raw)
+                self.assertTrue(read_stream(raw)[2])
+
+    async def test_a_dead_engine_costs_a_retry_not_an_answer(self):
+        await self.cluster.engines[0].served.stop()
+        for _ in range(6):
+            status, _, _ = await self.cluster.ask()
+            self.assertEqual(status, 200)
+
+    async def test_a_caller_that_leaves_frees_the_engine(self):
+        """
+        A caller closes its connection in the middle of a long answer. The engine must not go on
+        with it for nobody.
+        """
+        task = await self.start_stream()
+        engine = self.serving()
+        task.cancel()
+        await wait_for(lambda: engine.running == 0, "the engine free", 5)
+        await wait_for(lambda: self.cluster.hosts[0].entry.in_work == 0, "no request in work")
+
+    async def test_a_deadline_ends_a_request_at_once(self):
+        ask = self.cluster.ask(max_tokens=5000, headers={"x-deadline-ms": "200"})
+        status, _, body = await ask
+        self.assertEqual((status, body["error"]["code"]), (504, "deadline"))
+
+    async def test_retries_stay_within_their_budget(self):
+        """
+        Every endpoint breaks off each request. Callers go on asking. Retries must not multiply
+        what the endpoints get: at most a tenth more, and a small burst.
+        """
+        for engine in self.cluster.engines:
+            engine.faults["cut"] = 1
+            engine.faults["down"] = False
+        asks = 100
+        sends = self.cluster.hosts[0].ctx.metrics.sends
+        for _ in range(asks):
+            for engine in self.cluster.engines:
+                engine.faults["cross"] = True
+            await self.cluster.ask(max_tokens=1)
+        total = sum(s.value for m in sends.collect() for s in m.samples if s.name.endswith("total"))
+        self.assertGreater(total, asks)
+        self.assertLessEqual(total, asks * 1.1 + 10)
+
+
+class NotRunIsTrue(unittest.IsolatedAsyncioTestCase):
+    """Where a call to a service can fail, and what the caller may then be told.
+
+    A call that may not be repeated is sent at most once; "not run" is said only where the
+    service's own count is unchanged.
+    """
+
+    async def asyncSetUp(self):
+        self.cluster = Cluster(engines=1, hosts=1, services=1, models=1, adapters=0)
+        await self.cluster.__aenter__()
+        await self.cluster.publish()
+        self.service = self.cluster.services[0]
+
+    async def asyncTearDown(self):
+        await self.cluster.__aexit__()
+
+    async def ask(self, **more):
+        before = len(self.service.calls)
+        status, body = await self.cluster.call("/bind", **more)
+        ran = body["error"]["ran"] if status >= 400 and isinstance(body, dict) else "yes"
+        return status, ran, len(self.service.calls) - before
+
+    async def test_died_before_the_connection(self):
+        await self.service.served.stop()
+        status, ran, count = await self.ask()
+        self.assertEqual((status, ran, count), (503, "no", 0))
+
+    async def test_died_while_it_ran(self):
+        self.service.die_after_count = True
+        status, ran, count = await self.ask()
+        self.assertEqual((status, ran, count), (502, "maybe", 1))
+
+    async def test_a_put_on_a_dead_kept_connection_is_not_sent_twice(self):
+        """
+        HTTP libraries send a PUT or DELETE again by themselves when a kept connection turns out
+        dead. The service had counted the first one; a policy would be bound twice.
+        """
+        await self.cluster.call("/warm", method="PUT")
+        self.service.die_after_count = True
+        for method in ("PUT", "DELETE"):
+            status, ran, count = await self.ask(method=method)
+            self.assertEqual((status, ran, count), (502, "maybe", 1), method)
+
+    async def test_deadline_while_it_ran(self):
+        self.service.delay = 5.0
+        status, ran, count = await self.ask(headers={"x-deadline-ms": "200"})
+        self.assertEqual((status, ran, count), (504, "maybe", 1))
+
+    async def test_a_call_that_may_be_repeated_is(self):
+        self.service.die_after_count = True
+        before = len(self.service.calls)
+        await self.cluster.call("/read/x", method="GET")
+        self.assertGreaterEqual(len(self.service.calls) - before, 1)
+
+    async def test_unknown_caller_and_unknown_service(self):
+        status, ran, count = await self.ask(token="wrong")
+        self.assertEqual((status, ran, count), (401, "no", 0))
+        head = {"authorization": f"Bearer {TOKEN}"}
+        url = f"{self.cluster.hosts[0].server.url}/services/none/x"
+        async with self.cluster.session.post(url, headers=head) as resp:
+            self.assertEqual(resp.status, 404)
+
+
+class AtMostOnce(unittest.IsolatedAsyncioTestCase):
+    """A request with a key runs at most once, over hosts, deaths and outages."""
+
+    async def asyncSetUp(self):
+        self.cluster = Cluster(engines=1, hosts=2, services=1, models=1, adapters=0)
+        await self.cluster.__aenter__()
+        await self.cluster.publish()
+        self.service = self.cluster.services[0]
+
+    async def asyncTearDown(self):
+        await self.cluster.__aexit__()
+
+    async def bind(self, key, host=0, data=b"policy"):
+        head = {"idempotency-key": key}
+        return await self.cluster.call("/bind", host=host, headers=head, data=data)
+
+    async def prefix(self, host=0):
+        return (await self.cluster.addresses(host))["key_prefix"]
+
+    async def test_both_hosts_at_once(self):
+        """Two hosts get the same binding at the same moment, with a key of the caller's own."""
+        for round_ in range(5):
+            key = f"own-key-{round_}"
+            self.service.delay = 0.02
+            await asyncio.gather(*(self.bind(key, host) for host in (0, 1, 0, 1)))
+            keys = [row[2] for row in self.service.calls]
+            self.assertEqual(keys.count(key), 1)
+
+    async def test_a_retry_gets_the_kept_answer(self):
+        for key in (await self.prefix() + "abcdefgh", "own-key"):
+            answers = [await self.bind(key, host) for host in (0, 1, 0)]
+            self.assertEqual(len({str(answer) for answer in answers}), 1)
+        self.assertEqual(len(self.service.calls), 2)
+
+    async def test_a_key_stands_for_one_request(self):
+        key = await self.prefix() + "abcdefgh"
+        await self.bind(key)
+        status, body = await self.bind(key, data=b"another policy")
+        self.assertEqual((status, body["error"]["code"]), (422, "key_reused"))
+
+    async def test_bindings_go_on_while_the_platform_is_down(self):
+        """
+        The platform is down for long. A broker who uses the prefix it was given goes on binding,
+        also through the other host, and still at most once. A key of its own needs the platform
+        and is refused at once, truly not run, with a time to come back.
+        """
+        prefix = await self.prefix()
+        self.cluster.platform.faults["down"] = True
+        for host in (0, 1, 1):
+            status, _ = await self.bind(prefix + "abcdefgh", host)
+            self.assertEqual(status, 200)
+        self.assertEqual(len(self.service.calls), 1)
+        status, body = await self.bind("own-key")
+        self.assertEqual((status, body["error"]["ran"]), (503, "no"))
+        self.assertGreater(body["error"]["retry_after"], 0)
+        self.assertEqual(len(self.service.calls), 1)
+
+    async def test_the_owner_dies_after_the_send(self):
+        """
+        The host that ran a binding dies before its answer gets out. The caller retries at another
+        host, which cannot know; it says "maybe" and does not run it again.
+        """
+        key = await self.prefix(0) + "abcdefgh"
+        self.service.delay = 0.5
+        first = asyncio.create_task(self.bind(key, 0))
+        await wait_for(lambda: self.service.calls, "the binding at work")
+        daemon = self.cluster.hosts[0]
+        await daemon.host.jobs.stop()
+        await daemon.host.mesh.stop()
+        for transport in list(daemon.server._server.server_state.connections):
+            transport.transport.abort()
+        await daemon.server.stop()
+        await asyncio.gather(first, return_exceptions=True)
+        status, body = await self.bind(key, 1)
+        self.assertEqual((status, body["error"]["ran"]), (409, "maybe"))
+        self.assertEqual(len(self.service.calls), 1)
+
+    async def test_the_answer_of_the_claim_is_lost(self):
+        self.cluster.platform.faults["lose"] = 1
+        status, _ = await self.bind("own-key")
+        self.assertEqual(status, 200)
+        await self.bind("own-key", 1)
+        self.assertEqual(len(self.service.calls), 1)
+
+    async def test_a_key_that_was_not_run_may_be_tried_again(self):
+        """The service is not reachable: not run. When it is back, the same key runs, once."""
+        key = await self.prefix() + "abcdefgh"
+        port = int(self.service.served.address.split(":")[1])
+        await self.service.served.stop()
+        status, body = await self.bind(key)
+        self.assertEqual((status, body["error"]["ran"]), (503, "no"))
+        self.service.served = type(self.service.served)(self.service._build(), port=port)
+        await self.service.served.start()
+
+        async def bound():
+            return (await self.bind(key))[0] == 200
+
+        await wait_for(bound, "the binding done")
+        self.assertEqual(len(self.service.calls), 1)
