Prove manifests, outages, leaving and stopping; mend three faults they showed

Cause and change, each found by its new test: - a host that leaves refused late comers at once, although callers keep its address for the time to live: they got 503. It now refuses only once it has closed to new work. - after an outage longer than a lease, with a new host chosen meanwhile, an engine had no steward for good (30 s without one): the new one waited for a lease that was valid again. The life that the row names now takes its engines up again. - one body of the bad-input table was longer than the limit it was meant to pass under; a shorter one stands in its place, as strict. Ruled out: lapse of the new host's own lease (it was valid), rendezvous disagreement (one winner).

--- a/peridotdock/entry.py
+++ b/peridotdock/entry.py
@@ -154,7 +154,7 @@
 
     def _admit_caller(self, caller: Caller, forwarded: bool) -> Failure | None:
         """Hold a caller to its limits; a forwarded request was counted where it came in."""
-        if self._host.membership.own.state != "live":
+        if self._host.membership.own.state == "gone":
             return Failure(Kind.STOPPING, "", STOPPING_RETRY_SECONDS)
         if self.in_work >= self._ctx.cfg.max_requests:
             return Failure(Kind.OVERLOADED, "this host is full", FULL_RETRY_SECONDS)
--- a/peridotdock/stewards.py
+++ b/peridotdock/stewards.py
@@ -79,7 +79,7 @@
         """Do one round for an engine: hold it, or take it over where that is ours to do."""
         ward = self.wards.get(endpoint.id)
         if ward is None:
-            if chosen:
+            if chosen or self._is_named(endpoint):
                 await self._take_over(endpoint)
             return
         ward.endpoint = endpoint
@@ -88,6 +88,16 @@
             return
         await self._round(ward, accepted)
 
+    def _is_named(self, endpoint: Endpoint) -> bool:
+        """Tell whether the row still names this life.
+
+        Failure guarded against: an outage makes a steward drop its engines, a new host is chosen
+        meanwhile, and then the old one's lease is valid again. The new one waits for it to lapse,
+        which it never does; without this, the engine has no steward for good.
+        """
+        row = self.rows.get(endpoint.id)
+        return row is not None and row.value["steward"] == self._ctx.incarnation
+
     def _drop(self, ward: Ward, why: str) -> None:
         del self.wards[ward.endpoint.id]
         for sending in ward.sending.values():
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,349 @@
+"""Manifests, outages, leaving and stopping: what operators do and what befalls the platform."""
+
+import asyncio
+import json
+import unittest
+
+from tests.cluster import OPERATOR, Cluster, read_stream, wait_for
+
+
+class Manifests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = Cluster(engines=1, hosts=2, models=1, adapters=0)
+        await self.cluster.__aenter__()
+
+    async def asyncTearDown(self):
+        await self.cluster.__aexit__()
+
+    def generations(self):
+        hosts = [d.host for d in self.cluster.hosts]
+        return [h.accepted.generation if h.accepted else 0 for h in hosts]
+
+    async def test_of_two_pipelines_one_wins_and_the_other_is_told(self):
+        """
+        Two pipelines publish at once, both built on the same generation. One is accepted. The
+        other gets a conflict that names both digests, and nothing of it is in force.
+        """
+        await self.cluster.publish()
+        first = self.cluster.manifest()
+        second = first | {"release": "other", "sequence": first["sequence"] + 1}
+        answers = await asyncio.gather(
+            self.cluster.operate("manifest", first, 0), self.cluster.operate("manifest", second, 1)
+        )
+        statuses = sorted(status for status, _ in answers)
+        self.assertEqual(statuses, [200, 409])
+        won = next(body for status, body in answers if status == 200)
+        lost = next(body for status, body in answers if status == 409)
+        self.assertIn(lost["error"]["code"], ("manifest_conflict", "manifest_stale"))
+        if lost["error"]["code"] == "manifest_conflict":
+            self.assertIn(won["digest"], lost["error"]["message"])
+        await self.cluster.wait_true(won["generation"])
+
+    async def test_the_same_again_changes_nothing(self):
+        document = self.cluster.manifest()
+        first = await self.cluster.publish(document)
+        again = await self.cluster.publish(document, host=1)
+        self.assertEqual((again["status"], again["generation"]), ("unchanged", first["generation"]))
+
+    async def test_an_older_release_never_replaces_a_newer_one(self):
+        await self.cluster.publish(self.cluster.manifest(sequence=7))
+        older = self.cluster.manifest(sequence=6, based_on=1)
+        status, body = await self.cluster.operate("manifest", older)
+        self.assertEqual((status, body["error"]["code"]), (409, "manifest_stale"))
+
+    async def test_a_lost_commit_answer_is_made_good(self):
+        """
+        The head is written, its answer lost. The publisher is told "accepted", which is true, and
+        not an error that would make the pipeline try with something else.
+        """
+        document = self.cluster.manifest()
+        self.cluster.platform.faults["lose"] = 1
+        published = await self.cluster.publish(document)
+        self.assertEqual(published["generation"], 1)
+
+    async def test_down_is_not_accepted(self):
+        await self.cluster.publish()
+        self.cluster.platform.faults["down"] = True
+        status, body = await self.cluster.operate("manifest", self.cluster.manifest())
+        self.assertEqual((status, body["error"]["code"]), (503, "platform_down"))
+        self.cluster.platform.faults["down"] = False
+        self.assertEqual(self.generations(), [1, 1])
+
+    async def test_every_error_is_listed_with_its_path(self):
+        bad = self.cluster.manifest()
+        bad["models"][0]["bytes"] = -1
+        bad["callers"][0].pop("id")
+        bad["surprise"] = True
+        status, body = await self.cluster.operate("manifest", bad)
+        self.assertEqual((status, body["error"]["code"]), (422, "manifest_invalid"))
+        text = "\n".join(body["errors"])
+        for part in ("$.models[0].bytes", "$.callers[0]", "surprise"):
+            self.assertIn(part, text)
+
+    async def test_a_floor_that_cannot_fit_is_refused_with_the_sum(self):
+        document = self.cluster.manifest()
+        document["models"] = [document["models"][0] | {"id": f"m{n}"} for n in range(9)]
+        status, body = await self.cluster.operate("manifest", document)
+        self.assertEqual(status, 422)
+        self.assertIn("the floor needs 270 bytes of 200", body["errors"][0])
+
+    async def test_a_host_that_boots_beside_a_stale_peer_takes_the_newest(self):
+        """
+        One host is cut off from the platform and still has generation 1. A new host hears of it
+        from that peer and of generation 2 from another. It must end at 2 and never step back.
+        """
+        await self.cluster.publish()
+        stale = self.cluster.hosts[0].host
+        await stale.jobs.stop()
+        stale.want = lambda head: None
+        await self.cluster.publish(self.cluster.manifest(), host=1, wait=False)
+        new = await self.cluster.add_host("h9")
+        seen = []
+        put = new.host.put_in_force
+        new.host.put_in_force = lambda found: (seen.append(found.generation), put(found))
+        await wait_for(lambda: new.host.accepted and new.host.accepted.generation == 2)
+        stale.board.publish("heads", stale.board.get("h0", "heads").fact)
+        await wait_for(lambda: new.host.board.get("h0", "heads"))
+        self.assertEqual(new.host.accepted.generation, 2)
+        self.assertEqual(seen, sorted(seen))
+
+    async def test_models_stay_reachable_through_a_change_of_version(self):
+        """
+        A release brings a new version of a model. Until it is loaded somewhere the old one goes
+        on answering; no request in between is refused.
+        """
+        await self.cluster.publish()
+        document = self.cluster.manifest()
+        document["models"][0]["version"] = "2"
+        self.cluster.engines[0].load_seconds = 0.3
+        changing = asyncio.create_task(self.cluster.publish(document))
+        statuses = []
+        while not changing.done():
+            statuses.append((await self.cluster.ask(host=len(statuses) % 2))[0])
+        await changing
+        self.assertEqual(set(statuses), {200})
+        items = self.cluster.engines[0].items
+        await wait_for(lambda: set(items) == {"m0@2"}, "the old version gone")
+
+
+class Outages(unittest.IsolatedAsyncioTestCase):
+    async def test_traffic_goes_on_and_a_host_boots_from_its_peers(self):
+        """
+        The platform is down for long. Requests are answered as before. A host that is replaced
+        meanwhile learns manifest and endpoints from its peers and serves; when the platform is
+        back, leases are taken up again.
+        """
+        async with Cluster(engines=1, hosts=2, models=1) as cluster:
+            await cluster.publish()
+            cluster.platform.faults["down"] = True
+            seeds = ",".join(d.host.mesh.address for d in cluster.hosts)
+            new = await cluster.add_host("h7", seeds=seeds)
+            await wait_for(lambda: new.host.ready(), "the new host ready")
+            await wait_for(lambda: new.host.fleet.holders("m0@1"), "endpoints known")
+            for host in range(3):
+                status, _, _ = await cluster.ask(host=host)
+                self.assertEqual(status, 200)
+            lapse = cluster.settings["lease_seconds"] * 2
+            await asyncio.sleep(lapse)
+            self.assertEqual((await cluster.ask(host=2))[0], 200)
+            cluster.platform.faults["down"] = False
+            hosts = [d.host for d in cluster.hosts]
+            await wait_for(lambda: all(h.lease.valid() for h in hosts), "leases back")
+            await wait_for(lambda: any(h.steward.wards for h in hosts), "a steward again")
+
+    async def test_a_slow_platform_slows_no_request(self):
+        async with Cluster(engines=1, hosts=1, models=1) as cluster:
+            await cluster.publish()
+            cluster.platform.faults["slow"] = 1.0
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            for _ in range(5):
+                self.assertEqual((await cluster.ask())[0], 200)
+            self.assertLess(loop.time() - began, 1.0)
+
+
+class Leaving(unittest.IsolatedAsyncioTestCase):
+    async def test_a_leaving_endpoint_gets_no_new_work(self):
+        """
+        An engine says that it leaves. The list of hosts lags, and one host is cut off from the
+        list altogether. Within two seconds no host sends it anything new.
+        """
+        async with Cluster(engines=2, hosts=2, models=1, adapters=0) as cluster:
+            document = cluster.manifest()
+            document["models"][0]["copies"] = 2
+            await cluster.publish(document)
+            cluster.platform.faults["lag"] = 60.0
+            leaving, other = cluster.engines
+            leaving.leaving = True
+            loop = asyncio.get_running_loop()
+            until = loop.time() + 2.0
+            hosts = [d.host for d in cluster.hosts]
+            await wait_for(lambda: all(h.fleet.states["e0"].leaving for h in hosts), "known")
+            self.assertLess(loop.time(), until)
+            before = len(leaving.calls)
+            for n in range(10):
+                self.assertEqual((await cluster.ask(host=n % 2))[0], 200)
+            self.assertEqual(len(leaving.calls), before)
+            self.assertGreaterEqual(len(other.calls), 10)
+
+    async def test_a_planned_stop_cuts_off_no_request(self):
+        """
+        A host is told to stop with long answers under way, while callers with old addresses still
+        come. The old streams end whole; late comers within the time to live are served too.
+        """
+        async with Cluster(engines=1, hosts=2, models=1, step=0.02) as cluster:
+            await cluster.publish()
+            streams = [
+                asyncio.create_task(cluster.ask(host=0, stream=True, max_tokens=80))
+                for _ in range(4)
+            ]
+            await wait_for(lambda: cluster.hosts[0].entry.in_work == 4, "streams under way")
+            stopping = asyncio.create_task(cluster.hosts[0].drain())
+            await wait_for(
+                lambda: len(
+                    [m for m in cluster.hosts[1].host.membership.members().values() if m.takes_work]
+                )
+                == 1,
+                "left the answers",
+            )
+            self.assertEqual((await cluster.ask(host=0))[0], 200)
+            urls = [row["url"] for row in (await cluster.addresses(1))["addresses"]]
+            self.assertEqual(urls, [cluster.hosts[1].server.url])
+            for status, _, raw in await asyncio.gather(*streams):
+                self.assertEqual((status, read_stream(raw)[2]), (200, True))
+            self.assertTrue(await stopping)
+
+    async def test_all_hosts_are_replaced_under_load_without_a_failed_request(self):
+        """
+        A release replaces every host, one after another. Callers ask for addresses, keep the
+        answer for its time to live, and go to the next address when one does not take them.
+        """
+        async with Cluster(engines=1, hosts=3, models=1, adapters=0) as cluster:
+            await cluster.publish()
+            running = True
+            outcomes = []
+            urls = [d.server.url for d in cluster.hosts]
+
+            async def caller(number):
+                while running:
+                    known = await self.fetch_urls(cluster, list(urls))
+                    for _ in range(3):
+                        outcomes.append(
+                            await self.ask_any(cluster, known[number % len(known) :] + known)
+                        )
+
+            callers = [asyncio.create_task(caller(n)) for n in range(4)]
+            for number in range(3):
+                old = cluster.hosts[0]
+                new = await cluster.add_host(f"n{number}")
+                await wait_for(lambda new=new: new.host.ready(), "the new host ready")
+                urls.append(new.server.url)
+                urls.remove(old.server.url)
+                self.assertTrue(await old.drain())
+                await old.stop()
+                cluster.hosts.remove(old)
+            running = False
+            await asyncio.gather(*callers)
+            self.assertGreater(len(outcomes), 20)
+            self.assertEqual(set(outcomes), {200})
+
+    async def fetch_urls(self, cluster, urls):
+        for url in urls:
+            head = {"authorization": "Bearer test-token"}
+            try:
+                async with cluster.session.get(f"{url}/v1/addresses", headers=head) as resp:
+                    if resp.status == 200:
+                        return [row["url"] for row in (await resp.json())["addresses"]]
+            except OSError:
+                continue
+        return urls
+
+    async def ask_any(self, cluster, urls):
+        status = 0
+        for url in urls:
+            try:
+                status = (await cluster.ask(url=url))[0]
+            except OSError:
+                continue
+            if status == 200:
+                break
+        return status
+
+
+class Peers(unittest.IsolatedAsyncioTestCase):
+    async def test_a_silent_link_is_found_and_dialled_afresh(self):
+        """
+        A link between two hosts goes silent for good, both ends still open. Each host finds out by
+        the missing heartbeats, closes it and links anew; news flows again.
+        """
+        async with Cluster(engines=1, hosts=2, models=1) as cluster:
+            await cluster.publish()
+            first, second = (d.host for d in cluster.hosts)
+            await wait_for(lambda: first.mesh.peers() and second.mesh.peers(), "linked")
+            for link in (*first.mesh._links, *second.mesh._links):
+                link.conn.transport.pause_reading()
+            old = set(first.mesh._links)
+            await wait_for(lambda: first.mesh._links and not first.mesh._links & old, "a new link")
+            beat = second.membership.own.beat
+            await wait_for(lambda: second.membership.own.beat > beat)
+            await wait_for(
+                lambda: (k := first.board.get("h1", "host")) and k.fact.beat > beat, "news"
+            )
+
+    async def test_a_peer_without_the_key_is_refused(self):
+        async with Cluster(engines=1, hosts=1, models=1) as cluster:
+            await cluster.publish()
+            stranger = await cluster.add_host("bad", cluster_key="another key of 16")
+            timeline = cluster.hosts[0].ctx.timeline
+            await wait_for(lambda: any(e.name == "peer_refused" for e in timeline._ring), "refused")
+            self.assertEqual(cluster.hosts[0].host.mesh.peers(), set())
+            self.assertEqual(stranger.host.mesh.peers(), set())
+
+    async def test_operators_need_their_token(self):
+        async with Cluster(engines=1, hosts=1) as cluster:
+            for token in ("", "wrong", "test-token"):
+                status, body = await cluster.operate("hosts", token=token)
+                self.assertEqual((status, body["error"]["code"]), (401, "operator_refused"))
+            status, body = await cluster.operate("hosts", token=OPERATOR)
+            self.assertEqual(status, 200)
+
+
+class BadInput(unittest.IsolatedAsyncioTestCase):
+    BODIES = (
+        (b"", 400),
+        (b"not json", 400),
+        (b"[]", 400),
+        (b"{}", 400),
+        (b'{"model": 5, "messages": []}', 400),
+        (b'{"model": "m0"}', 400),
+        (b'{"model": "m0", "messages": [{"role": 1}]}', 400),
+        (b'{"model": "m0", "prompt": "x", "stream": "maybe"}', 400),
+        (b'{"model": "none", "prompt": "x"}', 404),
+        (b"[" * 50_000, 400),
+        (b"\xff\xfe", 400),
+        (b'{"model": "m0", "prompt": "' + b"x" * 70_000 + b'"}', 413),
+    )
+    HEADERS = (
+        {"x-deadline-ms": "soon"},
+        {"x-deadline-ms": "-1"},
+        {"x-deadline-ms": "nan"},
+        {"x-priority": "10"},
+        {"idempotency-key": "k" * 300},
+    )
+
+    async def test_each_is_a_listed_error_and_harms_nothing(self):
+        async with Cluster(hosts=1, engines=1, settings={"max_body_bytes": 65536}) as cluster:
+            await cluster.publish()
+            url = f"{cluster.hosts[0].server.url}/v1/completions"
+            head = {"authorization": "Bearer test-token"}
+            for body, expected in self.BODIES:
+                async with cluster.session.post(url, data=body, headers=head) as resp:
+                    answer = json.loads(await resp.read())
+                    self.assertEqual(resp.status, expected, (body[:40], answer))
+                    self.assertEqual(answer["error"]["ran"], "no")
+            for more in self.HEADERS:
+                status, _, body = await cluster.ask(headers=more)
+                self.assertEqual((status, body["error"]["code"]), (400, "bad_request"), more)
+            self.assertEqual(sum(len(e.calls) for e in cluster.engines), 0)
+            self.assertEqual((await cluster.ask())[0], 200)
+            self.assertEqual(cluster.hosts[0].entry.in_work, 0)
