Measure attainment per accelerator and moves against the naive version

Cause: no figure said whether the decisions earn anything. Change: 'make bench' drives real host processes and stand-in engines with seeded bursts in both shapes, and counts every offered request that missed. 'naive' in a host's policy switches every decision off; each can be switched off alone.

--- /dev/null
+++ b/extras/bench.py
@@ -0,0 +1,309 @@
+"""``make bench``: target attainment per accelerator and moves, ours against naive and switched off.
+
+Real host processes serve seeded, bursty callers from stand-in engines, in the shapes of the two
+first deployments. One JSON line a run, then a table. A miss is any request offered that did not
+get its first token within its target and then its whole answer, shed ones included.
+"""
+
+import argparse
+import asyncio
+import json
+import random
+import re
+import signal
+import statistics
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+
+from extras.fleet_processes import Deployment
+from extras.samples import ACCELERATORS, LIVE_TOKEN, SHAPES, TOKEN, Shape
+from peridotdock.output.formats import format_table
+
+ENGINES = 5
+HOSTS = 3
+TARGET_SECONDS = 0.49
+LOAD_SECONDS = 0.3
+ENGINE_OPTIONS = ["--prefill-rate", "8000", "--step", "0.01", "--batch-limit", "8", "--knee", "6"]
+ENGINE_OPTIONS += ["--cache-blocks", "160", "--load-seconds", str(LOAD_SECONDS)]
+ENGINE_OPTIONS += ["--report-lag", "0.1"]
+HOST_OPTIONS = ["--poll-seconds", "0.5", "--watch-seconds", "0.25", "--lateness-seconds", "5"]
+HOST_OPTIONS += ["--address-seconds", "0.2", "--stop-seconds", "5", "--log-level", "ERROR"]
+SWITCHES = ("admission", "affinity", "correction", "prediction", "spread", "planner_copies")
+WORDS = ("dragon", "ledger", "convoy", "river", "policy", "market", "lantern", "bridge")
+
+
+@dataclass(frozen=True)
+class Load:
+    """How callers of a shape behave: requests a second, and what they send."""
+
+    base_rate: float
+    burst_rate: float
+    groups: int
+    prefix_chars: int
+    suffix_chars: int
+    live_share: float
+
+
+LOADS = {
+    # Bursts before and during evening sessions; long shared notes, short live prompts.
+    "kahini-ghar": Load(8.0, 26.0, 12, 6000, 400, 0.5),
+    # Renewal bursts; long inputs of their own, little shared.
+    "haneul": Load(5.0, 15.0, 6, 1500, 4500, 0.2),
+}
+
+
+@dataclass(frozen=True)
+class Request:
+    """One request to come: when (seconds from the start), for what, and its prompt."""
+
+    at: float
+    model: str
+    prompt: str
+    tokens: int
+    live: bool
+
+
+@dataclass
+class Outcome:
+    """What became of the requests of a run."""
+
+    offered: int = 0
+    met: int = 0
+    misses: Counter = field(default_factory=Counter)
+    first: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 60_000, 3))
+    between: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 60_000, 3))
+    tokens: int = 0
+
+
+def make_text(rng: random.Random, chars: int) -> str:
+    """Return text of about ``chars`` characters."""
+    return " ".join(rng.choice(WORDS) for _ in range(chars // 6))
+
+
+def make_requests(shape: Shape, seconds: float, seed: int) -> list[Request]:
+    """Return the requests of a run: a third at the base rate, then a burst on a few models."""
+    rng = random.Random(seed)
+    load = LOADS[shape.name]
+    names = [f"{shape.name}-model-{n}" for n in range(shape.models)]
+    names += [f"{shape.name}-adapter-{n}" for n in range(shape.adapters)]
+    hot = rng.sample(names[: shape.models], 2) + rng.sample(names[shape.models :], 2)
+    prefixes = [make_text(rng, load.prefix_chars) for _ in range(load.groups)]
+    found, at = [], 0.0
+    while at < seconds:
+        bursting = at > seconds / 3
+        at += rng.expovariate(load.burst_rate if bursting else load.base_rate)
+        model = rng.choice(hot) if bursting and rng.random() < 0.7 else rng.choice(names)
+        live = rng.random() < load.live_share
+        group = rng.randrange(load.groups)
+        prefix = prefixes[group][: load.prefix_chars // (3 if live else 1)]
+        prompt = prefix + make_text(rng, load.suffix_chars // (3 if live else 1))
+        found.append(Request(at, model, prompt, 10 if live else 25, live))
+    return found
+
+
+async def send(session: aiohttp.ClientSession, url: str, req: Request, out: Outcome) -> None:
+    """Send one request and judge its answer."""
+    head = {"authorization": f"Bearer {LIVE_TOKEN if req.live else TOKEN}"}
+    head["x-priority"] = "8" if req.live else "5"
+    body = {"model": req.model, "prompt": req.prompt, "stream": True, "max_tokens": req.tokens}
+    out.offered += 1
+    began = last = time.monotonic()
+    first = None
+    whole = False
+    try:
+        async with session.post(f"{url}/v1/completions", json=body, headers=head) as resp:
+            if resp.status != 200:
+                out.misses[json.loads(await resp.read())["error"]["code"]] += 1
+                return
+            async for line in resp.content:
+                if not line.startswith(b"data: "):
+                    continue
+                now = time.monotonic()
+                if first is None:
+                    first = now - began
+                    out.first.record_value(max(1, int(first * 1000)))
+                else:
+                    out.between.record_value(max(1, int((now - last) * 1000)))
+                last = now
+                out.tokens += 1
+                whole = line.startswith(b"data: [DONE]")
+    except aiohttp.ClientError as exc:
+        out.misses[type(exc).__name__] += 1
+        return
+    if not whole:
+        out.misses["cut"] += 1
+    elif first is None or first > TARGET_SECONDS:
+        out.misses["late"] += 1
+    else:
+        out.met += 1
+
+
+async def drive(deployment: Deployment, requests: list[Request], chaos) -> Outcome:
+    """Send all requests at their times, spread over the hosts."""
+    out = Outcome()
+    urls = [host.url for host in deployment.hosts.values()]
+    timeout = aiohttp.ClientTimeout(total=60)
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+        began = time.monotonic()
+        tasks = [asyncio.create_task(chaos(deployment))] if chaos else []
+        for place, req in enumerate(requests):
+            await asyncio.sleep(max(0.0, began + req.at - time.monotonic()))
+            tasks.append(asyncio.create_task(send(session, urls[place % len(urls)], req, out)))
+        await asyncio.gather(*tasks)
+    return out
+
+
+async def scrape(deployment: Deployment) -> Counter:
+    """Sum the hosts' metrics that the measures are made of."""
+    total: Counter = Counter()
+    async with aiohttp.ClientSession() as session:
+        for host in deployment.hosts.values():
+            async with session.get(f"{host.url}/metrics") as resp:
+                text = await resp.text()
+            for name, label, value in re.findall(
+                r"^peridotdock_(orders|sends)_total\{([^}]*)\} (\S+)", text, re.MULTILINE
+            ):
+                key = "retries" if name == "sends" and '"1"' not in label else name
+                if name == "sends" or 'outcome="done"' in label:
+                    total[key] += float(value)
+        async with session.get(f"{deployment.platform.url}/counts") as resp:
+            total.update(await resp.json(content_type=None))
+    return total
+
+
+async def lose_engine(deployment: Deployment) -> None:
+    """Freeze one engine's process in the middle of the burst and let it go on later."""
+    process = deployment.engines["engine-1"]
+    await asyncio.sleep(10)
+    process.signal(signal.SIGSTOP)
+    await asyncio.sleep(5)
+    process.signal(signal.SIGCONT)
+
+
+async def fail_platform(deployment: Deployment) -> None:
+    """Take the platform down over the shift of demand."""
+    async with aiohttp.ClientSession() as session:
+        await asyncio.sleep(5)
+        await session.post(f"{deployment.platform.url}/faults", json={"down": True})
+        await asyncio.sleep(8)
+        await session.post(f"{deployment.platform.url}/faults", json={"down": False})
+
+
+FAULTS = {"none": None, "engine": lose_engine, "platform": fail_platform}
+
+
+def run(shape: Shape, variant: str, seed: int, seconds: float, fault: str) -> dict:
+    """Run one variant and return its measures."""
+    policy = "" if variant == "ours" else variant.removeprefix("no ").strip()
+    options = [*HOST_OPTIONS, "--policy", policy] if policy else HOST_OPTIONS
+    deployment = Deployment(
+        shape,
+        ENGINES,
+        1,
+        HOSTS,
+        engine_options=ENGINE_OPTIONS,
+        host_options=options,
+        platform_options=["--parallel", str(shape.parallel_loads)],
+    )
+    try:
+        deployment.start()
+        deployment.wait_true(deployment.publish(deployment.manifest())["generation"])
+        return asyncio.run(measure(deployment, shape, variant, seed, seconds, fault))
+    finally:
+        deployment.stop()
+
+
+async def measure(
+    deployment: Deployment, shape: Shape, variant: str, seed: int, seconds: float, fault: str
+) -> dict:
+    """Drive a started deployment. From here on the weight store gives one load a second."""
+    async with aiohttp.ClientSession() as session:
+        await session.post(f"{deployment.platform.url}/faults", json={"load_gap": 1.0})
+    before = await scrape(deployment)
+    requests = make_requests(shape, seconds, seed)
+    out = await drive(deployment, requests, FAULTS[fault])
+    spent = await scrape(deployment)
+    spent.subtract(before)
+    return {
+        "shape": shape.name,
+        "variant": variant,
+        "fault": fault,
+        "seed": seed,
+        "offered": out.offered,
+        "attained": round(out.met / max(1, out.offered), 4),
+        "met_per_accelerator_s": round(out.met / seconds / (ENGINES * ACCELERATORS), 3),
+        "moves": int(spent["orders"]),
+        "retries": int(spent["retries"]),
+        "misses": dict(out.misses),
+        "tokens_s": round(out.tokens / seconds, 1),
+        "first_ms": quantiles(out.first),
+        "between_ms": quantiles(out.between),
+        "platform_reads_s": round(spent["read"] / seconds, 1),
+        "platform_writes_s": round(spent["write"] / seconds, 2),
+    }
+
+
+def quantiles(histogram: HdrHistogram) -> list[int]:
+    """Return the 50th, 95th and 99th percentile."""
+    return [int(histogram.get_value_at_percentile(p)) for p in (50, 95, 99)]
+
+
+def summarise(rows: list[dict]) -> list[dict]:
+    """Return one row for each shape, fault and variant, with the spread over the seeds."""
+    groups: dict[tuple, list[dict]] = {}
+    for row in rows:
+        groups.setdefault((row["shape"], row["fault"], row["variant"]), []).append(row)
+    table = []
+    for (shape, fault, variant), found in groups.items():
+        attained = [row["attained"] for row in found]
+        table.append(
+            {
+                "shape": shape,
+                "fault": fault,
+                "variant": variant,
+                "attained": round(statistics.mean(attained), 3),
+                "least": min(attained),
+                "most": max(attained),
+                "met/accelerator/s": round(
+                    statistics.mean(row["met_per_accelerator_s"] for row in found), 3
+                ),
+                "moves": statistics.mean(row["moves"] for row in found),
+                "first p95 ms": statistics.mean(row["first_ms"][1] for row in found),
+            }
+        )
+    return table
+
+
+def main() -> int:
+    """Run the variants asked for, all in one call."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--shape", choices=[*SHAPES, "both"], default="both")
+    parser.add_argument("--seeds", type=int, default=2)
+    parser.add_argument("--seconds", type=float, default=24.0)
+    parser.add_argument("--fault", choices=[*FAULTS, "all"], default="none")
+    parser.add_argument("--switches", action="store_true", help="also switch each decision off")
+    options = parser.parse_args()
+    shapes = list(SHAPES) if options.shape == "both" else [options.shape]
+    faults = list(FAULTS) if options.fault == "all" else [options.fault]
+    variants = ["naive", "ours"]
+    variants += [f"no {name}" for name in SWITCHES] if options.switches else []
+    rows = []
+    for shape in shapes:
+        for fault in faults:
+            for seed in range(1, options.seeds + 1):
+                for variant in variants:
+                    row = run(SHAPES[shape], variant, seed, options.seconds, fault)
+                    rows.append(row)
+                    print(json.dumps(row), flush=True)
+    print(format_table(summarise(rows)))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/extras/fleet_processes.py
+++ b/extras/fleet_processes.py
@@ -71,12 +71,14 @@
         log: str = os.devnull,
         engine_options: Sequence[str] = (),
         host_options: Sequence[str] = (),
+        platform_options: Sequence[str] = (),
     ):
         self.shape = shape
         self._counts = (engines, services, hosts)
         self._log = log
         self._engine_options = list(engine_options)
         self._host_options = list(host_options)
+        self._platform_options = list(platform_options)
         self.platform: Process | None = None
         self.engines: dict[str, Process] = {}
         self.services: dict[str, Process] = {}
@@ -85,7 +87,9 @@
     def start(self) -> "Deployment":
         """Start everything and wait until each process serves."""
         engines, services, hosts = self._counts
-        self.platform = self._spawn("tests.standins", "platform").wait_ready()
+        self.platform = self._spawn(
+            "tests.standins", "platform", *self._platform_options
+        ).wait_ready()
         sizes = [str(ACCELERATOR_BYTES)] * ACCELERATORS
         for number in range(engines):
             fencing = ["--fencing"] if number % 2 == 0 else []
--- a/peridotdock/config.py
+++ b/peridotdock/config.py
@@ -11,6 +11,17 @@
 from peridotdock.schema.settings import Settings
 
 ENV_PREFIX = "PERIDOTDOCK_"
+DECISIONS = frozenset(
+    {
+        "admission",
+        "affinity",
+        "correction",
+        "planner_copies",
+        "prediction",
+        "retries",
+        "spread",
+    }
+)
 CONVERTERS = {"string": str, "integer": int, "number": float}
 
 
@@ -62,5 +73,6 @@
 
 
 def parse_policy(text: str) -> frozenset[str]:
-    """Return the decisions that are switched off."""
-    return frozenset(part for part in text.split(",") if part)
+    """Return the decisions that are switched off; ``naive`` stands for all of them."""
+    parts = frozenset(part for part in text.split(",") if part)
+    return parts | DECISIONS if "naive" in parts else parts
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -140,7 +140,9 @@
         return reply({})
 
     async def set_faults(self, request: Request):
-        self.faults.update(await read_json(request))
+        body = await read_json(request)
+        self._load_gap = body.pop("load_gap", self._load_gap)
+        self.faults.update(body)
         return reply(self.faults)
 
     async def get_counts(self, request: Request):
