--- a/Makefile
+++ b/Makefile
@@ -23,9 +23,11 @@
 
 generate: $(STAMP)
 	$(BIN)/python extras/generate.py
+	$(BIN)/python -m extras.write_docs
 
 check-generated: $(STAMP)
 	$(BIN)/python extras/generate.py --check
+	$(BIN)/python -m extras.write_docs --check
 
 bench: $(STAMP)
 	$(BIN)/python -m extras.bench $(ARGS)
--- /dev/null
+++ b/extras/bench_capacity.py
@@ -0,0 +1,308 @@
+"""``make bench-capacity``: the slopes from which docs/CAPACITY.md is worked out, as JSON lines."""
+
+import asyncio
+import json
+import os
+import random
+import statistics
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import cbor2
+import msgspec
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import serve
+
+from extras.samples import HANEUL, make_manifest
+from peridotdock import manifest as manifests
+from peridotdock.board import Board
+from peridotdock.clients.endpoint import EngineLoad
+from peridotdock.clock import SystemClock
+from peridotdock.fleet import EndpointState, Fleet, pack
+from peridotdock.frames import decode, encode
+from peridotdock.ledger import Ledger, Reservation, State, observe, read_ledger
+from peridotdock.membership import Membership
+from peridotdock.placement import Copy, EngineView, make_plan
+from peridotdock.prefix import hash_blocks
+from peridotdock.publishing import check_all
+from peridotdock.rendezvous import Assignment
+from peridotdock.routing import Wish, choose
+from peridotdock.schema.messages import Entry, HeldFact, HostFact, LoadFact, Ping, Update
+from tests.fakes import FakeEngine
+
+SIZES = (9, 100, 350, 940)
+
+
+def say(name: str, **figures: object) -> None:
+    """Print one measurement."""
+    print(json.dumps({"measure": name} | figures), flush=True)
+
+
+def clock_us(work: Callable[[], object], repeats: int = 200) -> dict[str, float]:
+    """Return the time of one call in microseconds: median and 99th percentile."""
+    times = []
+    for _ in range(repeats):
+        began = time.perf_counter()
+        work()
+        times.append((time.perf_counter() - began) * 1e6)
+    times.sort()
+    return {"p50_us": round(statistics.median(times), 1), "p99_us": round(times[-2], 1)}
+
+
+def rss_mb() -> float:
+    """Return this process's resident memory."""
+    with open("/proc/self/statm") as statm:
+        return int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def make_load_fact(count: int) -> LoadFact:
+    """Return the load fact of a watcher with ``count`` endpoints."""
+    names = [f"runner-{n:04}" for n in range(count)]
+    small, large = pack("H", [7] * count), pack("I", [8000] * count)
+    return LoadFact(names, small, small, small, small, small, large, large)
+
+
+def measure_frames() -> None:
+    """Cost and size of the facts that change each second."""
+    for count in (1, 3, 27, 940):
+        fact = make_load_fact(count)
+        body = cbor2.dumps(msgspec.to_builtins(fact, builtin_types=(bytes,)))
+        entry = Entry("host-000", "load", 1, 1, body)
+        raw = encode(Update("update", [entry], 1))
+        say("load fact", endpoints=count, bytes=len(raw), **clock_us(lambda raw=raw: decode(raw)))
+    life = "host-000-" + "0" * 16
+    host = HostFact("host-000", life, "zone", "10.0.0.1:1", "10.0.0.1:2", "live", 9)
+    body = cbor2.dumps(msgspec.to_builtins(host))
+    for count in (1, 9, 350):
+        entries = [Entry(f"host-{n:03}", "host", 1, 1, body) for n in range(count)]
+        frame = Update("update", entries, 1)
+        raw = encode(frame)
+        say("heartbeats", hosts=count, bytes=len(raw), **clock_us(lambda raw=raw: decode(raw)))
+        say("heartbeats sent", hosts=count, **clock_us(lambda frame=frame: encode(frame)))
+    raw = encode(Ping("ping", 1, 1))
+    say("ping", bytes=len(raw), **clock_us(lambda: decode(raw)))
+
+
+def measure_merge() -> None:
+    """Cost of taking a fact into the board and the fleet, and what they weigh."""
+    for endpoints, hosts in ((9, 9), (940, 350)):
+        before = rss_mb()
+        board = Board("me", 1, SystemClock())
+        fleet = Fleet(board, SystemClock())
+        fleet.states = {
+            f"runner-{n:04}": EndpointState(f"runner-{n:04}", "", "") for n in range(endpoints)
+        }
+        held = {f"runner-{n:04}": [f"m{i}@1" for i in range(4)] for n in range(endpoints)}
+        share = max(1, endpoints // hosts)
+        names = sorted(held)
+        for n in range(hosts):
+            part = {name: held[name] for name in names[n * share : (n + 1) * share]}
+            fact = HeldFact(part, [], [])
+            board.merge([make_entry(f"h{n}", "held", 1, fact)])
+        fact = make_load_fact(share)
+        version = iter(range(2, 10**9))
+        say(
+            "merge load fact",
+            endpoints=endpoints,
+            hosts=hosts,
+            **clock_us(
+                lambda board=board, fact=fact, version=version: board.merge(
+                    [make_entry("h1", "load", next(version), fact)]
+                )
+            ),
+        )
+        say("index holders", endpoints=endpoints, **clock_us(fleet._index, 50))
+        say("board and fleet", endpoints=endpoints, hosts=hosts, mb=round(rss_mb() - before, 2))
+
+
+def make_entry(origin: str, topic: str, version: int, fact: object) -> Entry:
+    """Return a fact as it travels."""
+    return Entry(
+        origin, topic, 1, version, cbor2.dumps(msgspec.to_builtins(fact, builtin_types=(bytes,)))
+    )
+
+
+def measure_membership() -> None:
+    """Cost of looking at all hosts and of the rounds over all endpoints."""
+    for hosts in (9, 350):
+        board = Board("h0", 1, SystemClock())
+        own = HostFact("h0", "h0-1", "zone", "", "", "live", 0)
+        membership = Membership(board, own, SystemClock())
+        facts = [HostFact(f"h{n}", f"h{n}-1", "zone", "", "", "live", 0) for n in range(hosts)]
+        board.merge([make_entry(f.host, "host", 1, f) for f in facts])
+        say("look at all hosts", hosts=hosts, **clock_us(membership.live, 50))
+        live = membership.live()
+        assignment = Assignment("h0")
+        count = 9 if hosts == 9 else 940
+        names = [f"runner-{n:04}" for n in range(count)]
+        began = time.perf_counter()
+        assignment.mine(names, live)
+        first = round((time.perf_counter() - began) * 1e3, 2)
+
+        def again(assignment=assignment, names=names, live=live) -> None:
+            assignment.mine(names, live)
+
+        spent = clock_us(again, 50)
+        say("assign endpoints", hosts=hosts, endpoints=count, first_ms=first, **spent)
+
+
+def measure_routing() -> None:
+    """The decision for one request, by the number of endpoints that hold its model."""
+    rng = random.Random(1)
+    text = "lorem ipsum " * 700
+    blocks = hash_blocks("m@1", text)
+    say("hash a prompt", chars=len(text), **clock_us(lambda: hash_blocks("m@1", text)))
+    for count in SIZES:
+        states = [EndpointState(f"e{n}", "", f"d{n % 4}") for n in range(count)]
+        now = time.monotonic()
+        for state in states:
+            state.load, state.load_at = EngineLoad(3, 1, 900, 8, 8000, 10000), now
+            state.remember(blocks[:5])
+            for n in range(20):
+                state.began(f"r{n}", now, 500)
+        wish = Wish("m@1", 2000, blocks, 5, 0.49, "d0")
+        say(
+            "routing decision",
+            candidates=count,
+            **clock_us(lambda s=states, w=wish, n=now: choose(s, w, n, rng), 2000),
+        )
+
+
+def make_views(engines: int, models: int, per_engine: int) -> tuple[list[EngineView], list[str]]:
+    """Return engines that hold ``per_engine`` models each, and the models' keys."""
+    names = [f"m{n}@1" for n in range(models)]
+    views = []
+    for n in range(engines):
+        copies = tuple(
+            Copy(names[(n * per_engine + i) % models], State.HELD, 30, (i % 8,))
+            for i in range(per_engine)
+        )
+        views.append(EngineView(f"runner-{n:04}", f"d{n % 4}", (100,) * 8, True, copies))
+    return views, names
+
+
+def measure_planning() -> None:
+    """One plan, by engines and models; the floor is met and demand has shifted."""
+    for engines, models in ((5, 13), (100, 50), (400, 200), (940, 440)):
+        views, names = make_views(engines, models, 4)
+        document = make_manifest(HANEUL, [(v.name, "http://127.0.0.1:1") for v in views], [])
+        document["models"] = [
+            document["models"][0] | {"id": name.split("@")[0], "bytes": 30} for name in names
+        ]
+        document["adapters"], document["services"] = [], []
+        manifest = manifests.check(manifests.canonical(document)).manifest
+        accepted = manifests.Accepted(1, "", document, manifest)
+        rng = random.Random(3)
+        demand = {name: rng.expovariate(0.4) for name in names}
+        tracemalloc.start()
+        make_plan(accepted, views, demand)
+        peak = tracemalloc.get_traced_memory()[1] / 1e6
+        tracemalloc.stop()
+        began = time.perf_counter()
+        plan = make_plan(accepted, views, demand)
+        spent = (time.perf_counter() - began) * 1e3
+        say(
+            "plan",
+            engines=engines,
+            models=models,
+            ms=round(spent, 1),
+            peak_mb=round(peak, 2),
+            moves=len(plan.moves),
+        )
+
+
+def measure_ledger() -> None:
+    """One steward's round on one engine, without the network."""
+    for count in (5, 20, 80):
+        rows = tuple(Reservation(f"m{n}@1", State.HELD, 1, (n % 8,), n) for n in range(count))
+        ledger = Ledger("e0", "h0-1", 1, count, "1", rows)
+        value = ledger.to_value()
+        report = FakeEngine((100,) * 8, True).report()
+        say(
+            "ledger round",
+            items=count,
+            bytes=len(json.dumps(value)),
+            **clock_us(lambda v=value, r=report: observe(read_ledger(v), r)),
+        )
+
+
+def measure_manifest() -> None:
+    """Checking a manifest and sending it on, whole and as a difference."""
+    for engines, models, adapters in ((9, 13, 55), (940, 440, 2000)):
+        ends = [(f"runner-{n:04}", f"http://10.0.{n // 250}.{n % 250}:80") for n in range(engines)]
+        document = make_manifest(HANEUL, ends, [])
+        document["services"] = []
+        base = document["models"][0]
+        document["models"] = [base | {"id": f"m{n}"} for n in range(models)]
+        document["adapters"] = [
+            {"id": f"a{n}", "base": f"m{n % models}", "version": "1", "bytes": 1}
+            for n in range(adapters)
+        ]
+        raw = manifests.canonical(document)
+        changed = json.loads(raw)
+        changed["models"][1]["version"] = "2"
+        changed["sequence"] += 1
+        changes = manifests.diff(document, changed)
+        began = time.perf_counter()
+        checked = check_all(raw) if engines < 100 else manifests.check(raw)
+        spent = (time.perf_counter() - began) * 1e3
+        began = time.perf_counter()
+        manifests.digest(manifests.apply_diff(document, changes))
+        applied = (time.perf_counter() - began) * 1e3
+        say(
+            "manifest",
+            engines=engines,
+            models=models,
+            adapters=adapters,
+            bytes=len(raw),
+            check_ms=round(spent, 1),
+            valid=checked.manifest is not None,
+            diff_bytes=len(json.dumps(changes)),
+            apply_ms=round(applied, 2),
+        )
+
+
+async def measure_link() -> None:
+    """One websockets link on loopback: messages and memory."""
+
+    async def echo(conn) -> None:
+        async for raw in conn:
+            await conn.send(raw)
+
+    async with serve(echo, "127.0.0.1", 0, compression=None) as server:
+        port = next(iter(server.sockets)).getsockname()[1]
+        url = f"ws://127.0.0.1:{port}"
+        before = rss_mb()
+        conns = [await connect(url, compression=None, proxy=None) for _ in range(100)]
+        say("idle links", links=100, kb_each_end=round((rss_mb() - before) * 1000 / 200, 1))
+        raw = encode(Ping("ping", 1, 1))
+        count = 3000
+        began, used = time.perf_counter(), time.process_time()
+        for _ in range(count):
+            await conns[0].send(raw)
+            decode(await conns[0].recv())
+        spent = (time.process_time() - used) / count / 2 * 1e6
+        wall = (time.perf_counter() - began) / count * 1e6
+        say("small message, both ends", cpu_us=round(spent, 1), round_trip_us=round(wall, 1))
+        for conn in conns:
+            await conn.close()
+
+
+def main() -> int:
+    """Run all measurements."""
+    say("memory at import", mb=round(rss_mb(), 1))
+    measure_frames()
+    measure_merge()
+    measure_membership()
+    measure_routing()
+    measure_planning()
+    measure_ledger()
+    measure_manifest()
+    asyncio.run(measure_link())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/peridotdock/fleet.py
+++ b/peridotdock/fleet.py
@@ -57,9 +57,11 @@
         self.load = DEFAULT_LOAD
         self.load_at = float("-inf")
         self.own: dict[str, Running] = {}
-        self.unfilled: dict[str, Running] = {}
-        self.sent: deque[Running] = deque(maxlen=4096)
-        self.ended: deque[float] = deque(maxlen=4096)
+        self._unfilled: dict[str, Running] = {}
+        self._sent: deque[Running] = deque()
+        self._ended: deque[float] = deque()
+        self.unfilled_tokens = 0
+        self.sent_tokens = 0
         self.blocks: OrderedDict[int, None] = OrderedDict()
         self.trust = 1.0
         self.mean_seconds = 0.3
@@ -68,24 +70,42 @@
         self.limit = 0.0
         self.limit_at = 0.0
 
+    def take_load(self, load: EngineLoad, at: float) -> None:
+        """Take in a report that was true at ``at``; what happened up to then is in it."""
+        self.load = load
+        self.load_at = at
+        while self._sent and self._sent[0].at <= at:
+            self.sent_tokens -= self._sent.popleft().tokens
+        while self._ended and self._ended[0] <= at:
+            self._ended.popleft()
+
+    @property
+    def changed_since(self) -> int:
+        """Return the requests this host sent since the report, less those it saw end."""
+        return len(self._sent) - len(self._ended)
+
     def began(self, request_id: str, at: float, tokens: int) -> None:
         """Count a request the moment it is sent, before any report can show it."""
         run = Running(at, tokens)
         self.own[request_id] = run
-        self.unfilled[request_id] = run
-        self.sent.append(run)
+        self._unfilled[request_id] = run
+        self._sent.append(run)
+        self.unfilled_tokens += tokens
+        self.sent_tokens += tokens
 
     def filled(self, request_id: str) -> None:
         """Note that a request's first token came."""
-        self.unfilled.pop(request_id, None)
+        run = self._unfilled.pop(request_id, None)
+        if run is not None:
+            self.unfilled_tokens -= run.tokens
 
     def finished(self, request_id: str, now: float, whole: bool) -> None:
         """Note that a request ended; whole answers teach how long one takes."""
-        self.unfilled.pop(request_id, None)
+        self.filled(request_id)
         run = self.own.pop(request_id, None)
         if run is None:
             return
-        self.ended.append(now)
+        self._ended.append(now)
         if whole:
             self.mean_seconds += MEAN_GAIN * (now - run.at - self.mean_seconds)
 
@@ -197,10 +217,10 @@
             taken_at = at - age * AGE_UNIT
             if taken_at < state.load_at:
                 continue
-            state.load = EngineLoad(
+            load = EngineLoad(
                 running, waiting, prefill * PREFILL_UNIT, limits[place], rates[place], steps[place]
             )
-            state.load_at = taken_at
+            state.take_load(load, taken_at)
 
     def _take_held(self, origin: str, fact: HeldFact) -> None:
         down = set(fact.down)
--- a/peridotdock/host.py
+++ b/peridotdock/host.py
@@ -22,7 +22,7 @@
 from peridotdock.mesh import Mesh
 from peridotdock.planner import PLAN_KEY, Planner
 from peridotdock.publishing import HEAD_KEY, fetch_from_store
-from peridotdock.rendezvous import choose
+from peridotdock.rendezvous import Assignment
 from peridotdock.schema.messages import DemandFact, HeadsFact, HostFact, LedgerFact, Reserved
 from peridotdock.stewards import Steward
 from peridotdock.watch import Watcher
@@ -60,6 +60,8 @@
         self._fetching = asyncio.Lock()
         self._tasks: set[asyncio.Task[None]] = set()
         self._polls = 0
+        self._stewardships = Assignment(cfg.host_id)
+        self._planning = Assignment(cfg.host_id)
         self._nudge = asyncio.Event()
         self.steward.on_answer = self._nudge.set
         self.board.listen(self._changed)
@@ -245,9 +247,9 @@
         for name in set(self.steward.wards) - set(accepted.engines):
             del self.steward.wards[name]
         tend = partial(self.steward.tend, accepted=accepted)
+        mine = self._stewardships.mine((f"steward|{name}" for name in accepted.engines), live)
         rounds = [
-            tend(row, chosen=choose(f"steward|{name}", live) == [host])
-            for name, row in accepted.engines.items()
+            tend(row, chosen=f"steward|{name}" in mine) for name, row in accepted.engines.items()
         ]
         await asyncio.gather(*rounds)
         rows = {
@@ -262,7 +264,7 @@
             self._nudge.set()
 
     async def _plan(self, live: list[str]) -> None:
-        chosen = choose("planner", live) == [self.ctx.cfg.host_id]
+        chosen = bool(self._planning.mine(("planner",), live))
         if not chosen and self.planner.holder != self.ctx.incarnation:
             return
         down = {name for name, state in self.fleet.states.items() if state.down or state.leaving}
--- a/peridotdock/manifest.py
+++ b/peridotdock/manifest.py
@@ -169,8 +169,14 @@
 
 
 def accept(generation: int, raw: bytes) -> Accepted | None:
-    """Build the accepted form of a stored body; None when this version cannot read it."""
-    checked = check(raw)
-    if checked.manifest is None:
+    """Build the accepted form of a stored body; None when this version cannot read it.
+
+    The schema was checked when it was published, and the digest proves that this is that body.
+    Checking it again on every host would hold up its streams, at full size for 0.4 s.
+    """
+    try:
+        document = json.loads(raw)
+        manifest = msgspec.convert(document, Manifest)
+    except (ValueError, msgspec.ValidationError):
         return None
-    return Accepted(generation, digest(checked.document), checked.document, checked.manifest)
+    return Accepted(generation, digest(document), document, manifest)
--- a/peridotdock/output/formats.py
+++ b/peridotdock/output/formats.py
@@ -11,8 +11,8 @@
 def format_json(document: Any) -> str:
     """Return a document as JSON, one line for each row of a list."""
     if isinstance(document, list):
-        return "\n".join(json.dumps(row, sort_keys=True) for row in document)
-    return json.dumps(document, indent=2, sort_keys=True)
+        return "\n".join(json.dumps(row) for row in document)
+    return json.dumps(document, indent=2)
 
 
 def format_cell(value: Any) -> str:
--- a/peridotdock/rendezvous.py
+++ b/peridotdock/rendezvous.py
@@ -22,3 +22,24 @@
         return weigh("link", "|".join(sorted((host, other))))
 
     return sorted((other for other in others if other != host), key=weight, reverse=True)[:degree]
+
+
+class Assignment:
+    """Remembers which keys fall to a host while keys and members stay the same.
+
+    At 940 endpoints and 350 hosts a round would hash 329,000 pairs, for 141 ms; the members
+    change rarely.
+    """
+
+    def __init__(self, host: str):
+        self._host = host
+        self._seen: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())
+        self._mine: frozenset[str] = frozenset()
+
+    def mine(self, keys: Iterable[str], members: Iterable[str]) -> frozenset[str]:
+        """Return the keys for which this host is the heaviest of ``members``."""
+        seen = (tuple(keys), tuple(members))
+        if seen != self._seen:
+            self._seen = seen
+            self._mine = frozenset(key for key in seen[0] if choose(key, seen[1]) == [self._host])
+        return self._mine
--- a/peridotdock/routing.py
+++ b/peridotdock/routing.py
@@ -17,8 +17,10 @@
 NEAR_SECONDS = 0.0002
 FAR_SECONDS = 0.002
 STALE_PENALTY_SECONDS = 0.2
+FRESH_SECONDS = 1.0
 SAMPLE = 3
 SAMPLE_ABOVE = 9
+SCAN_MOST = 64
 TIE_SECONDS = 0.01
 TIE_SHARE = 0.1
 UNLOADED_RETRY_SECONDS = 2.0
@@ -40,7 +42,7 @@
     domain: str
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Choice:
     """An endpoint and what was predicted for it: seconds to the first token, cached tokens."""
 
@@ -82,15 +84,11 @@
     load = state.load
     if not corrected:
         return load.running + load.waiting, float(load.prefill)
-    since = state.load_at
-    sent = [run for run in reversed(state.sent) if run.at > since] if state.sent else []
-    ended = sum(1 for at in state.ended if at > since) if state.ended else 0
-    in_system = max(len(state.own), load.running + load.waiting + len(sent) - ended)
-    elapsed = max(0.0, now - since)
-    brought = sum(run.tokens for run in sent)
-    left = max(0.0, load.prefill + brought - elapsed * load.prefill_rate)
-    own = sum(run.tokens for run in state.unfilled.values())
-    return in_system, max(left, float(own) if elapsed < 1.0 else min(float(own), left))
+    in_system = max(len(state.own), load.running + load.waiting + state.changed_since)
+    elapsed = max(0.0, now - state.load_at)
+    left = max(0.0, load.prefill + state.sent_tokens - elapsed * load.prefill_rate)
+    own = float(state.unfilled_tokens)
+    return in_system, max(left, own if elapsed < FRESH_SECONDS else min(own, left))
 
 
 def choose(
@@ -101,7 +99,10 @@
     using: frozenset[str] = EVERY_DECISION,
 ) -> Choice | Failure:
     """Choose among the endpoints that hold the item."""
-    open_ones = [state for state in candidates if usable(state, now)]
+    near_ones = sample(candidates, wish, rng) if len(candidates) > SAMPLE_ABOVE else candidates
+    open_ones = [state for state in near_ones if usable(state, now)]
+    if not open_ones and near_ones is not candidates:
+        open_ones = [state for state in candidates if usable(state, now)][:SAMPLE_ABOVE]
     if not open_ones:
         # Ejecting all would turn a shared fault into an outage of our own making: when none is
         # left, those that only failed lately are tried again.
@@ -110,8 +111,6 @@
         return Failure(Kind.NO_ENDPOINT, wish.item, UNLOADED_RETRY_SECONDS)
     if "prediction" not in using:
         return predict(rng.choice(open_ones), wish, now, using)
-    if len(open_ones) > SAMPLE_ABOVE:
-        open_ones = sample(open_ones, wish, rng)
     choices = [predict(state, wish, now, using) for state in open_ones]
     best = min(choices, key=lambda choice: choice.predicted)
     if "spread" not in using:
@@ -126,7 +125,7 @@
 def sample(states: Sequence[EndpointState], wish: Wish, rng: random.Random) -> list[EndpointState]:
     """Return a few at random and the one that seems to hold most of the prefix."""
     few = rng.sample(states, SAMPLE)
-    if wish.blocks:
+    if wish.blocks and len(states) <= SCAN_MOST:
         first = wish.blocks[0]
         few += [state for state in states if first in state.blocks][:SAMPLE]
     return list(dict.fromkeys(few))
--- a/peridotdock/watch.py
+++ b/peridotdock/watch.py
@@ -13,7 +13,7 @@
 from peridotdock.errors import failed
 from peridotdock.fleet import AGE_UNIT, PREFILL_UNIT, Fleet, pack
 from peridotdock.manifest import Accepted
-from peridotdock.rendezvous import choose
+from peridotdock.rendezvous import Assignment
 from peridotdock.schema.manifest import Endpoint
 from peridotdock.schema.messages import HeldFact, LoadFact
 
@@ -39,15 +39,14 @@
         self._endpoints = endpoints
         self._fleet = fleet
         self._watched: dict[str, Watched] = {}
+        self._assignment = Assignment(ctx.cfg.host_id)
         self.listed_leaving: set[str] = set()
 
     async def round(self, accepted: Accepted, live: list[str]) -> None:
         """Read all endpoints that are ours, then publish."""
-        host = self._ctx.cfg.host_id
-        mine = [row for name, row in accepted.engines.items() if choose(name, live) == [host]]
-        names = {row.id for row in mine}
-        self._watched = {name: seen for name, seen in self._watched.items() if name in names}
-        await asyncio.gather(*(self._read(row) for row in mine))
+        mine = self._assignment.mine(accepted.engines, live)
+        self._watched = {name: seen for name, seen in self._watched.items() if name in mine}
+        await asyncio.gather(*(self._read(accepted.engines[name]) for name in mine))
         self._publish()
 
     async def _read(self, endpoint: Endpoint) -> None:
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,253 @@
+"""Frames between hosts, the board, the time line, settings: good and bad input."""
+
+import asyncio
+import io
+import logging
+import unittest
+from contextlib import suppress
+
+import cbor2
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from nose2.tools import params
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
+
+from peridotdock import logs
+from peridotdock import manifest as manifests
+from peridotdock.board import Board
+from peridotdock.config import load_settings
+from peridotdock.errors import ANSWERS, Failure, Kind, Ran, failed
+from peridotdock.events import Filter, HybridClock, Timeline
+from peridotdock.frames import decode, encode, proves, sign
+from peridotdock.requests import OUTCOMES, State, admit_maybe
+from peridotdock.schema.messages import Entry, HeadsFact, Hello, Ping, Update
+from tests import builders
+from tests.cluster import Cluster, wait_for
+from tests.fakes import FakeClock
+
+LIMITED = settings(max_examples=200, deadline=None, derandomize=True)
+ENTRY = Entry("h0", "heads", 1, 1, b"")
+
+
+def heads_entry(origin="h1", epoch=1, version=1, generation=1):
+    body = cbor2.dumps(msgspec.to_builtins(HeadsFact(generation, "d")))
+    return Entry(origin, "heads", epoch, version, body)
+
+
+class Frames(unittest.TestCase):
+    @params(
+        Hello("hello", "h0", "h0-1", b"n", b"p"),
+        Update("update", [ENTRY], 5),
+        Ping("ping", 3, 4),
+    )
+    def test_round_trip(self, frame):
+        self.assertEqual(decode(encode(frame)), frame)
+
+    @params(
+        ("text", "text"),
+        ("empty", b""),
+        ("not CBOR", b"\xff\xff"),
+        ("no map", cbor2.dumps([1, 2])),
+        ("no kind", cbor2.dumps({"a": 1})),
+        ("kind unknown", cbor2.dumps({"kind": "later"})),
+        ("kind no text", cbor2.dumps({"kind": [1]})),
+        ("wrong type", cbor2.dumps({"kind": "ping", "sequence": "x"})),
+        ("field missing", cbor2.dumps({"kind": "ping"})),
+        ("truncated", encode(Update("update", [ENTRY], 5))[:-3]),
+        ("deep", b"\x81" * 5000 + b"\x00"),
+        ("too many entries", encode(Update("update", [ENTRY] * 5000))),
+    )
+    def test_bad_frames_are_failures(self, _, raw):
+        self.assertTrue(failed(decode(raw)))
+
+    @LIMITED
+    @given(st.binary(max_size=200))
+    def test_any_bytes(self, raw):
+        decode(raw)
+
+    def test_fields_of_a_later_version_are_passed_over(self):
+        raw = cbor2.dumps({"kind": "ping", "sequence": 1, "stamp": 2, "new": [1, {"x": 2}]})
+        self.assertEqual(decode(raw), Ping("ping", 1, 2))
+
+    def test_fields_of_an_earlier_version_may_be_missing(self):
+        raw = cbor2.dumps({"kind": "ping", "sequence": 1})
+        self.assertEqual(decode(raw), Ping("ping", 1))
+
+    def test_a_proof_is_for_one_nonce_and_one_host(self):
+        hello = Hello("hello", "h0", "h0-1", b"", sign("key", b"nonce", "h0"))
+        self.assertTrue(proves("key", b"nonce", hello))
+        self.assertFalse(proves("key", b"other", hello))
+        self.assertFalse(proves("other", b"nonce", hello))
+        other = Hello("hello", "h1", "h1-1", b"", hello.proof)
+        self.assertFalse(proves("key", b"nonce", other))
+
+
+class Boards(unittest.TestCase):
+    def setUp(self):
+        self.board = Board("h0", 1, FakeClock())
+
+    @params(
+        ("newer version", (1, 2), True),
+        ("same", (1, 1), False),
+        ("older", (1, 0), False),
+        ("a new life, counting from the start", (2, 0), True),
+        ("an old life, far on", (0, 99), False),
+    )
+    def test_which_fact_is_newer(self, _, stamp, taken):
+        self.board.merge([heads_entry()])
+        changed = self.board.merge([heads_entry("h1", *stamp)])
+        self.assertEqual(bool(changed), taken)
+
+    def test_nobody_states_our_own_facts(self):
+        self.assertEqual(self.board.merge([heads_entry("h0", 99, 99)]), [])
+
+    @LIMITED
+    @given(st.permutations([(1, 1), (1, 2), (2, 1), (2, 5), (3, 0)]))
+    def test_any_order_ends_the_same(self, stamps):
+        for stamp in stamps:
+            self.board.merge([heads_entry("h1", *stamp)])
+        entry = self.board.get("h1", "heads").entry
+        self.assertEqual((entry.epoch, entry.version), (3, 0))
+
+
+class WildPeers(unittest.IsolatedAsyncioTestCase):
+    async def test_bad_frames_close_their_link_and_harm_nothing_else(self):
+        """
+        Something that is no host connects and sends rubbish, too much, or nothing. Its connection
+        is closed; callers and the other hosts notice nothing.
+        """
+        async with Cluster(hosts=2, engines=1) as cluster:
+            await cluster.publish()
+            host = cluster.hosts[0].host
+            await wait_for(lambda: host.mesh.peers() == {"h1"}, "linked")
+            for raw in (b"\xff", "text", encode(Ping("ping", 1)), b"x" * (21 * 1024 * 1024)):
+                # The client library itself can fail with AttributeError while it closes a
+                # connection that was aborted under a large send; it is not what is tested.
+                with suppress(WebSocketException, OSError, AttributeError):
+                    async with connect(f"ws://{host.mesh.address}", max_size=None) as conn:
+                        await conn.recv()
+                        await conn.send(raw)
+                        async with asyncio.timeout(10):
+                            await conn.recv()
+                            self.fail("an answer to rubbish")
+            self.assertEqual(host.mesh.peers(), {"h1"})
+            self.assertEqual((await cluster.ask())[0], 200)
+            names = [event.name for event in cluster.hosts[0].ctx.timeline.select(Filter())]
+            self.assertIn("peer_refused", names)
+
+
+class Errors(unittest.TestCase):
+    def test_every_kind_has_an_answer(self):
+        self.assertEqual(set(ANSWERS), set(Kind))
+
+    @params(*OUTCOMES.items())
+    def test_not_run_is_never_said_after_a_send(self, key, kind):
+        state, _ = key
+        sent = state in (State.SENT, State.FIRST_BYTE)
+        self.assertEqual(ANSWERS[kind].ran is not Ran.NO, sent)
+
+    @params((Kind.ENDPOINT_REFUSED, "maybe"), (Kind.ENDPOINT_LOST, "maybe"), (Kind.KEY_RAN, "yes"))
+    def test_an_earlier_send_is_not_forgotten(self, kind, ran):
+        """The first send is lost, the retry refused: "not run" would be a lie."""
+        body = admit_maybe(Failure(kind), earlier_send=True).describe("r")
+        self.assertEqual(body["error"]["ran"], ran)
+
+
+class TimeLines(unittest.TestCase):
+    def test_effect_sorts_after_cause_across_hosts_with_clocks_apart(self):
+        """Host b's clock is half a minute behind; its answer to a's message must still be later."""
+        ahead, behind = FakeClock(), FakeClock()
+        ahead.time += 30
+        first, second = HybridClock(ahead), HybridClock(behind)
+        sent = first.tick()
+        second.witness(sent)
+        self.assertGreater(second.tick(), sent)
+
+    def test_a_wild_clock_does_not_drag_ours_along(self):
+        clock = FakeClock()
+        ours = HybridClock(clock)
+        before = ours.tick()
+        ours.witness(before + (10**9 << 16))
+        self.assertLess(ours.tick(), before + (10**6 << 16))
+
+    def test_the_ring_is_bounded_and_filtered(self):
+        timeline = Timeline("h0", FakeClock(), 10)
+        for number in range(30):
+            timeline.add("seen", "DEBUG", request=f"r{number % 3}")
+        self.assertEqual(len(timeline.select(Filter())), 10)
+        found = timeline.select(Filter(request="r1"))
+        self.assertEqual({event.request for event in found}, {"r1"})
+
+    def test_logs_are_json_lines(self):
+        stream = io.StringIO()
+        root = logging.getLogger()
+        old = root.handlers[:], root.level
+        logs.set_up("INFO", stream, "h0")
+        self.addCleanup(root.setLevel, old[1])
+        self.addCleanup(setattr, root, "handlers", old[0])
+        logging.getLogger("other").warning("hello")
+        row = msgspec.json.decode(stream.getvalue())
+        self.assertEqual((row["event"], row["host"], row["level"]), ("hello", "h0", "WARNING"))
+
+
+NEEDED = {
+    "host_id": "h0",
+    "domain": "north",
+    "platform_url": "http://127.0.0.1:1",
+    "cluster_key": "0123456789abcdef",
+}
+
+
+class SettingsTable(unittest.TestCase):
+    def test_flags_go_before_variables(self):
+        environ = {"PERIDOTDOCK_DOMAIN": "south", "PERIDOTDOCK_ENTRY_PORT": "81"}
+        cfg, errors = load_settings(NEEDED | {"entry_port": "80"}, environ)
+        self.assertEqual((errors, cfg.entry_port, cfg.domain), ([], 80, "north"))
+
+    @params(
+        ({"entry_port": "70000"}, "entry_port"),
+        ({"entry_port": "many"}, "entry_port"),
+        ({"lease_seconds": "-1"}, "lease_seconds"),
+        ({"host_id": "a b"}, "host_id"),
+        ({"cluster_key": "short"}, "cluster_key"),
+        ({"log_level": "LOUD"}, "log_level"),
+    )
+    def test_bad_values_name_their_setting(self, bad, name):
+        cfg, errors = load_settings(NEEDED | bad, {})
+        self.assertIsNone(cfg)
+        self.assertIn(name, errors[0])
+
+    def test_all_errors_at_once(self):
+        _, errors = load_settings({"entry_port": "x", "max_keys": "1"}, {})
+        self.assertEqual(len(errors), 6)
+
+
+class Differences(unittest.TestCase):
+    NAMES = st.lists(st.sampled_from("abcdef"), unique=True, max_size=6)
+
+    @LIMITED
+    @given(NAMES, NAMES, st.integers(1, 3), st.integers(1, 3))
+    def test_a_difference_makes_the_very_same_document(self, old, new, size, other):
+        def make(names, bytes_):
+            models = [builders.model(name, bytes_) for name in names]
+            return builders.document(engines=[builders.engine("e0")], models=models)
+
+        before, after = make(old, size), make(new, other) | {"sequence": 2}
+        changes = manifests.diff(before, after)
+        found = manifests.apply_diff(before, changes)
+        self.assertEqual(manifests.digest(found), manifests.digest(after))
+
+    @params(
+        (b"", "not JSON"),
+        (b"[1", "not JSON"),
+        (b"[]", "object"),
+        (b"{}", "required"),
+        (b'{"format": 2}', "required"),
+        (b"[" * 100_000, "not JSON"),
+    )
+    def test_bad_documents(self, raw, part):
+        checked = manifests.check(raw)
+        self.assertIsNone(checked.manifest)
+        self.assertIn(part, " ".join(checked.errors))
