--- a/extras/bench_capacity.py
+++ b/extras/bench_capacity.py
@@ -159,7 +159,7 @@
         now = time.monotonic()
         for state in states:
             state.load, state.load_at = EngineLoad(3, 1, 900, 8, 8000, 10000), now
-            state.remember(blocks[:5])
+            state.remember(blocks[:5], now)
             for n in range(20):
                 state.began(f"r{n}", now, 500)
         wish = Wish("m@1", 2000, blocks, 5, 0.49, "d0")
--- a/peridotdock/dispatch.py
+++ b/peridotdock/dispatch.py
@@ -135,7 +135,7 @@
         state = choice.state
         now = self._ctx.clock.monotonic()
         state.began(ask.request_id, now, ask.wish.tokens - choice.cached)
-        state.remember(ask.wish.blocks)
+        state.remember(ask.wish.blocks, now)
         relay = Relay(self._ctx, self._endpoints, state, ask, caller)
         handed_on = False
         try:
--- a/peridotdock/fleet.py
+++ b/peridotdock/fleet.py
@@ -19,6 +19,11 @@
 PREFILL_UNIT = 16
 AGE_UNIT = 0.01
 TRUST_GAIN = 0.1
+HINT_SECONDS = 60.0
+HINT_LEAST = 0.5
+HINT_GROWTH = 1.1
+HINT_CUT = 0.6
+NEVER = float("-inf")
 MEAN_GAIN = 0.05
 DEFAULT_LOAD = EngineLoad(0, 0, 0, 8, 10_000.0, 20_000)
 
@@ -62,7 +67,8 @@
         self._ended: deque[float] = deque()
         self.unfilled_tokens = 0
         self.sent_tokens = 0
-        self.blocks: OrderedDict[int, None] = OrderedDict()
+        self.blocks: OrderedDict[int, float] = OrderedDict()
+        self.hint_seconds = HINT_SECONDS
         self.trust = 1.0
         self.mean_seconds = 0.3
         self.bad_until = 0.0
@@ -109,10 +115,10 @@
         if whole:
             self.mean_seconds += MEAN_GAIN * (now - run.at - self.mean_seconds)
 
-    def remember(self, blocks: Iterable[int]) -> None:
-        """Take the blocks as cached there."""
+    def remember(self, blocks: Iterable[int], now: float) -> None:
+        """Take the blocks as cached there since ``now``."""
         for block in blocks:
-            self.blocks[block] = None
+            self.blocks[block] = now
             self.blocks.move_to_end(block)
         while len(self.blocks) > MAX_HINTS:
             self.blocks.popitem(last=False)
@@ -121,21 +127,28 @@
         """Take a block as no longer cached there."""
         self.blocks.pop(block, None)
 
-    def hit_blocks(self, blocks: Sequence[int]) -> int:
-        """Return how many leading blocks are thought to be cached."""
+    def hit_blocks(self, blocks: Sequence[int], now: float) -> int:
+        """Return how many leading blocks are thought to be cached still."""
+        oldest = now - self.hint_seconds
         count = 0
         for block in blocks:
-            if block not in self.blocks:
+            if self.blocks.get(block, NEVER) < oldest:
                 break
             count += 1
         return count
 
     def learn_hits(self, expected: int, found: int) -> None:
-        """Correct the trust in hints by what a request really hit, both in tokens."""
+        """Correct the trust in hints by what a request really hit, both in tokens.
+
+        Evictions are heard of late, with gaps, or by another host. So a hint is held to last only
+        as long as hints on this endpoint have proved to: hits lengthen that time, misses cut it.
+        """
         if expected <= 0:
             return
         share = min(1.0, found / expected)
         self.trust += TRUST_GAIN * (share - self.trust)
+        factor = HINT_GROWTH if share > 0.9 else HINT_CUT if share < 0.5 else 1.0
+        self.hint_seconds = min(HINT_SECONDS, max(HINT_LEAST, self.hint_seconds * factor))
         if self.trust < TRUST_GAIN:
             # The picture has come apart from the engine's cache; start again from evidence.
             self.blocks.clear()
--- a/peridotdock/routing.py
+++ b/peridotdock/routing.py
@@ -56,15 +56,15 @@
     return not state.down and not state.leaving and state.bad_until <= now
 
 
-def expect_cached(state: EndpointState, wish: Wish) -> int:
+def expect_cached(state: EndpointState, wish: Wish, now: float) -> int:
     """Return the prompt tokens thought to be cached there, cut by the trust in the hints."""
-    hits = state.hit_blocks(wish.blocks) * BLOCK_TOKENS
+    hits = state.hit_blocks(wish.blocks, now) * BLOCK_TOKENS
     return min(wish.tokens, int(hits * state.trust))
 
 
 def predict(state: EndpointState, wish: Wish, now: float, using: frozenset[str]) -> Choice:
     """Predict the time to the first token on one endpoint."""
-    cached = expect_cached(state, wish) if "affinity" in using else 0
+    cached = expect_cached(state, wish, now) if "affinity" in using else 0
     in_system, prefill = estimate_load(state, now, "correction" in using)
     load = state.load
     over = max(0, in_system + 1 - load.batch_limit)
--- a/peridotdock/watch.py
+++ b/peridotdock/watch.py
@@ -72,7 +72,7 @@
                 state.trust *= 0.7
             seen.last_event = sequence
             if what == "add":
-                state.remember((block,))
+                state.remember((block,), self._ctx.clock.monotonic())
             else:
                 state.drop(block)
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -86,11 +86,21 @@
         text = "x" * BLOCK_CHARS * 8
         blocks = hash_blocks("m0@1", text)
         warm, cold = state("a"), state("b")
-        warm.remember(blocks)
+        warm.remember(blocks, NOW)
         self.assertEqual(self.pick(cold, warm, tokens=1024, blocks=blocks).state.name, "a")
         for _ in range(60):
             warm.learn_hits(1024, 0)
-        self.assertEqual(warm.hit_blocks(blocks), 0)
+        self.assertEqual(warm.hit_blocks(blocks, NOW), 0)
+
+    def test_hints_last_as_long_as_they_have_proved_to(self):
+        """Evictions that nobody told of: after a few misses an old hint counts no more."""
+        blocks = hash_blocks("m0@1", "x" * BLOCK_CHARS * 4)
+        warm = state("a")
+        warm.remember(blocks, NOW - 20)
+        self.assertEqual(warm.hit_blocks(blocks, NOW), 4)
+        for _ in range(3):
+            warm.learn_hits(500, 0)
+        self.assertEqual(warm.hit_blocks(blocks, NOW), 0)
 
     def test_all_ejected_is_not_an_outage(self):
         found = self.pick(state("a", bad_until=NOW + 9))
