Stop on the engine what was given up on; prove the planner's role

Cause: a whole answer that ran into its deadline went on at the engine for nobody until the engine's own limit, and stopping a cut stream waited up to a second for a dead engine before the caller's next try. Change: giving up sends a stop that nobody waits for. Calls to plain services moved into a module of their own, reading a bounded body into one place. The planner's race, take-over and a planner that wakes late have tests; a line without effect in it is gone. Ruled out: leaving it to the closed connection, which an engine that is to resume streams ignores. Conclusion: holds for the stand-in's form of cancelling.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -206,6 +206,20 @@
         "if not isinstance(hello, Hello):",
         "tests.test_operations.Peers.test_a_peer_without_the_key_is_refused",
     ),
+    Mutant(
+        "a plan is written only over the one it was made from",
+        "planner.py",
+        "checks = {PLAN_KEY: self._row.version if self._row else 0}",
+        "checks = {}",
+        "tests.test_planner",
+    ),
+    Mutant(
+        "a request given up on is stopped on its engine",
+        "dispatch.py",
+        "if opened.may_have_run:",
+        "if False:",
+        "tests.test_failures.EndpointFailures.test_a_deadline_ends_a_request_at_once",
+    ),
     Mutant(
         "a lease counts from before its renewal was sent",
         "leases.py",
--- a/peridotdock/admin.py
+++ b/peridotdock/admin.py
@@ -13,7 +13,7 @@
 from peridotdock.leases import KEY_PREFIX as LEASE_PREFIX
 from peridotdock.manifest import MAX_BYTES
 from peridotdock.publishing import check_all, publish
-from peridotdock.serving import Handler, add_route
+from peridotdock.serving import Handler, add_route, read_body
 
 
 class Admin:
@@ -49,18 +49,9 @@
 
         return guarded
 
-    async def _body(self, request: Request) -> bytes | Failure:
-        parts, size = [], 0
-        async for part in request.stream():
-            size += len(part)
-            if size > MAX_BYTES:
-                return Failure(Kind.TOO_LARGE, f"at most {MAX_BYTES} bytes")
-            parts.append(part)
-        return b"".join(parts)
-
     async def check(self, request: Request) -> Response:
         """Check a manifest and change nothing."""
-        raw = await self._body(request)
+        raw = await read_body(request, MAX_BYTES)
         if failed(raw):
             return answer_failure(raw, "")
         checked = check_all(raw)
@@ -74,7 +65,7 @@
 
     async def publish(self, request: Request) -> Response:
         """Check a manifest and make it the one in force."""
-        raw = await self._body(request)
+        raw = await read_body(request, MAX_BYTES)
         if failed(raw):
             return answer_failure(raw, "")
         checked = check_all(raw)
--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -126,8 +126,8 @@
     async def probe(self, url: str, stream: str) -> StreamState | None | Failure:
         """Ask over a fresh connection how far a stream is; None when it is unknown there."""
 
-    async def cancel(self, url: str, stream: str) -> None:
-        """Stop a stream."""
+    def cancel(self, url: str, stream: str) -> None:
+        """Stop a stream, without waiting for it."""
 
 
 class HttpEndpoints:
@@ -136,6 +136,7 @@
     def __init__(self) -> None:
         self._pools: dict[str, Pool] = {}
         self._control: dict[str, Pool] = {}
+        self._cancels: set[asyncio.Future[Any]] = set()
 
     def _pool(self, url: str) -> Pool:
         return self._pools.setdefault(url, Pool())
@@ -145,6 +146,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        await asyncio.gather(*self._cancels, return_exceptions=True)
         for pool in (*self._pools.values(), *self._control.values()):
             await pool.close()
 
@@ -230,9 +232,15 @@
             return outcome
         return None if outcome[0] == 404 else read_as(outcome, StreamState)
 
-    async def cancel(self, url: str, stream: str) -> None:
-        """Stop a stream; when the word is lost, the engine's own limit stops it later."""
-        await self._control_call("DELETE", url, f"/v1/streams/{stream}", PROBE_SECONDS)
+    def cancel(self, url: str, stream: str) -> None:
+        """Stop a stream; when the word is lost, the engine's own limit stops it later.
+
+        It is not waited for: the caller's final answer must not be held up by a dead engine.
+        """
+        work = self._control_call("DELETE", url, f"/v1/streams/{stream}", PROBE_SECONDS)
+        task = asyncio.ensure_future(work)
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
 
 
 def read_as(outcome: tuple[int, bytes], shape: type[T]) -> T | Failure:
--- a/peridotdock/entry.py
+++ b/peridotdock/entry.py
@@ -20,13 +20,13 @@
 from peridotdock.claims import find_owner
 from peridotdock.clients.endpoint import Call, read_all
 from peridotdock.discovery import describe_addresses
-from peridotdock.dispatch import HOP_HEADERS, MAX_ANSWER_BYTES, pass_headers
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.host import Host
 from peridotdock.keys import Record, fingerprint
 from peridotdock.requests import Ask, Reply, ServiceAsk
 from peridotdock.schema.manifest import Caller
-from peridotdock.serving import add_route
+from peridotdock.service_calls import HOP_HEADERS, MAX_ANSWER_BYTES, pass_headers
+from peridotdock.serving import add_route, read_body
 
 METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD")
 SERVICE_PREFIX = "/services/"
@@ -184,20 +184,6 @@
         finally:
             self._leave(caller)
 
-    async def _read_body(self, request: Request) -> bytes | Failure:
-        most = self._ctx.cfg.max_body_bytes
-        length = request.get_first_header(b"content-length")
-        if length is not None and length.isdigit() and int(length) > most:
-            return Failure(Kind.TOO_LARGE, f"at most {most} bytes")
-        parts: list[bytes] = []
-        size = 0
-        async for part in request.stream():
-            size += len(part)
-            if size > most:
-                return Failure(Kind.TOO_LARGE, f"at most {most} bytes")
-            parts.append(part)
-        return b"".join(parts)
-
     async def _work(
         self,
         request: Request,
@@ -206,7 +192,7 @@
         head: dict[str, str],
         headers: Headers,
     ) -> Reply | Failure:
-        body = await self._read_body(request)
+        body = await read_body(request, self._ctx.cfg.max_body_bytes)
         if failed(body):
             return body
         ask = self._read(request, path, caller, head, headers, body)
@@ -242,7 +228,7 @@
     async def _dispatch(self, ask: Ask | ServiceAsk, caller: Connection) -> Reply | Failure:
         if isinstance(ask, Ask):
             return await self._host.dispatcher.run(ask, caller)
-        return await self._host.dispatcher.call_service(ask, caller)
+        return await self._host.service_caller.run(ask, caller)
 
     async def _run_keyed(
         self,
--- a/peridotdock/host.py
+++ b/peridotdock/host.py
@@ -25,6 +25,7 @@
 from peridotdock.publishing import HEAD_KEY, fetch_from_store
 from peridotdock.rendezvous import Assignment
 from peridotdock.schema.messages import DemandFact, HeadsFact, HostFact, LedgerFact, Reserved
+from peridotdock.service_calls import ServiceCaller
 from peridotdock.stewards import Steward
 from peridotdock.watch import Watcher
 
@@ -48,6 +49,7 @@
         self.membership = Membership(self.board, own, clock)
         self.fleet = Fleet(self.board, clock)
         self.dispatcher = Dispatcher(ctx, self.fleet, self.endpoints)
+        self.service_caller = ServiceCaller(ctx, self.fleet, self.endpoints, self.dispatcher.budget)
         self.keys = KeyTable(ctx.incarnation, clock, cfg.max_keys)
         self.limits = CallerLimits(cfg.host_id, self.membership.when_beat)
         self.lease = HostLease(cfg.host_id, ctx.incarnation, cfg.lease_seconds, clock)
@@ -190,7 +192,7 @@
             return
         self.accepted = accepted
         self.fleet.follow(accepted)
-        self.dispatcher.services = {
+        self.service_caller.services = {
             name: frozenset(row.endpoints) for name, row in accepted.services.items()
         }
         if self.membership.own.state == "starting":
--- a/peridotdock/planner.py
+++ b/peridotdock/planner.py
@@ -10,7 +10,7 @@
 
 from peridotdock.clients.platform import Platform, Row, Transaction, commit_surely
 from peridotdock.context import Context
-from peridotdock.errors import Kind, failed
+from peridotdock.errors import failed
 from peridotdock.leases import HostLease, LeaseBook
 from peridotdock.ledger import read_ledger
 from peridotdock.manifest import Accepted
@@ -80,8 +80,6 @@
         }
         outcome = await commit_surely(self._platform, Transaction(checks, {PLAN_KEY: value}))
         if failed(outcome):
-            if outcome.kind is not Kind.PLATFORM_DOWN:
-                self._row = None if self._row is None else self._row
             return
         self.read_row(Row(value, outcome.version))
         for move in plan.moves:
--- a/peridotdock/requests.py
+++ b/peridotdock/requests.py
@@ -51,6 +51,19 @@
 }
 
 
+# Failures of one endpoint, after which another one may be asked.
+RETRY_KINDS = frozenset(
+    {
+        Kind.ENDPOINT_REFUSED,
+        Kind.ENDPOINT_UNREACHABLE,
+        Kind.ENDPOINT_LOST,
+        Kind.ENDPOINT_ERROR,
+        Kind.ANSWER_CUT,
+        Kind.WRONG_ANSWER,
+    }
+)
+
+
 def lose(state: State, loss: Loss, reason: str = "") -> Failure:
     """Return what a loss in a state means to the caller."""
     return Failure(OUTCOMES[(state, loss)], reason or loss.value)
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -9,6 +9,8 @@
 import uvicorn
 from blacksheep import Application, Request, Response, Router
 
+from peridotdock.errors import Failure, Kind
+
 BACKLOG = 1024
 KEEP_ALIVE_SECONDS = 30
 MAX_HEADER_BYTES = 32 * 1024
@@ -41,6 +43,22 @@
     app.router.add(method, path, handle)
 
 
+async def read_body(request: Request, most: int) -> bytes | Failure:
+    """Read a body of at most ``most`` bytes; a longer one is refused before it is held whole."""
+    too_large = Failure(Kind.TOO_LARGE, f"at most {most} bytes")
+    length = request.get_first_header(b"content-length")
+    if length is not None and length.isdigit() and int(length) > most:
+        return too_large
+    parts: list[bytes] = []
+    size = 0
+    async for part in request.stream():
+        size += len(part)
+        if size > most:
+            return too_large
+        parts.append(part)
+    return b"".join(parts)
+
+
 class _QuietServer(uvicorn.Server):
     """A server that leaves signals to the daemon."""
 
--- a/peridotdock/streams.py
+++ b/peridotdock/streams.py
@@ -92,7 +92,7 @@
             return
         await opened.release()
         if not self.whole:
-            await self._endpoints.cancel(self._state.url, self._ask.request_id)
+            self._endpoints.cancel(self._state.url, self._ask.request_id)
 
     async def frames(self) -> AsyncIterator[bytes | Failure]:
         """Give each frame once; a failure is the last thing given."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -111,6 +111,8 @@
         ask = self.cluster.ask(max_tokens=5000, headers={"x-deadline-ms": "200"})
         status, _, body = await ask
         self.assertEqual((status, body["error"]["code"]), (504, "deadline"))
+        engines = self.cluster.engines
+        await wait_for(lambda: not any(e.running for e in engines), "the engine free", 3)
 
     async def test_retries_stay_within_their_budget(self):
         """
