Check whose a whole answer is, too

Cause: taking the frame check out was not caught, since the header check came first. With the header right and the content foreign, streams were stopped by the frame check, and a whole answer of another request went through to the caller: its body was never looked at. Ruled out: trusting the header, which an engine can set right while its content crossed. Change: one function reads the head of a frame or of a whole answer and compares its id; the stand-in can cross the content alone. A bad stored difference of a manifest falls back to the whole body. A host registers on the platform's list once for each state, not each second (at 350 hosts that was 350 writes a second). Conclusion: own answers hold for streams and whole answers.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -109,7 +109,7 @@
     Mutant(
         "each frame is checked for whose it is",
         "streams.py",
-        "if head.id != self._ask.request_id:",
+        "if head.id != request_id:",
         "if False:",
         "tests.test_failures.EndpointFailures.test_another_callers_answer_is_never_passed_on",
     ),
--- a/peridotdock/dispatch.py
+++ b/peridotdock/dispatch.py
@@ -23,7 +23,7 @@
 )
 from peridotdock.retries import MAX_SENDS, RetryBudget
 from peridotdock.routing import EVERY_DECISION, Choice, admit, choose
-from peridotdock.streams import SLICE_SECONDS, Relay
+from peridotdock.streams import SLICE_SECONDS, FrameUsage, Relay, read_head
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 EVENT_STREAM = "text/event-stream"
@@ -211,6 +211,11 @@
             await opened.release()
         if failed(body):
             return body
+        if opened.status == 200:
+            checked = read_head(body, ask.request_id)
+            if failed(checked):
+                return checked
+            self._learn(ask, choice, checked.usage)
         now = self._ctx.clock.monotonic()
         state.succeeded()
         state.finished(ask.request_id, now, whole=True)
@@ -218,6 +223,11 @@
         head = (("x-request-id", ask.request_id), ("x-endpoint", state.name))
         return Reply(opened.status, head, body, content_type)
 
+    def _learn(self, ask: Ask, choice: Choice, usage: FrameUsage | None) -> None:
+        """Compare what was thought to be cached with what the request found cached."""
+        if usage is not None and ask.wish.blocks:
+            choice.state.learn_hits(choice.cached, usage.prompt_tokens_details.cached_tokens)
+
     def _note_first(self, ask: Ask, choice: Choice, began: float) -> None:
         choice.state.filled(ask.request_id)
         choice.state.succeeded()
@@ -250,9 +260,7 @@
         finally:
             self._ctx.metrics.tokens.inc(count)
             state.finished(ask.request_id, self._ctx.clock.monotonic(), relay.whole)
-            if relay.usage is not None and ask.wish.blocks:
-                expected = choice.cached
-                state.learn_hits(expected, relay.usage.prompt_tokens_details.cached_tokens)
+            self._learn(ask, choice, relay.usage)
             self._ctx.timeline.add(
                 "stream_ended",
                 "DEBUG",
--- a/peridotdock/host.py
+++ b/peridotdock/host.py
@@ -29,7 +29,7 @@
 from peridotdock.stewards import Steward
 from peridotdock.watch import Watcher
 
-LIST_SECONDS = 1.0
+LIST_SECONDS = 2.0
 DEMAND_SECONDS = 1.0
 LEASE_PARTS = 3
 SCAN_PERIODS = 3
@@ -63,6 +63,7 @@
         self._fetching = asyncio.Lock()
         self._tasks: set[asyncio.Task[None]] = set()
         self._polls = 0
+        self._registered_leaving: bool | None = None
         self._stewardships = Assignment(cfg.host_id)
         self._planning = Assignment(cfg.host_id)
         self._nudge = asyncio.Event()
@@ -93,7 +94,7 @@
         self.membership.become("gone")
         await self.ctx.clock.sleep(0.05)
         await self.lease.give_up(self.platform)
-        await self.platform.register_host(self.ctx.cfg.host_id, self.mesh.address, True)
+        await self._register()
         await self.mesh.stop()
         await self.endpoints.close()
         if isinstance(self.platform, HttpPlatform):
@@ -120,8 +121,7 @@
         for address in filter(None, cfg.seeds.split(",")):
             if not self.mesh.peers():
                 self.mesh.connect_to_seed(address)
-        leaving = self.membership.own.state in ("leaving", "gone")
-        await self.platform.register_host(cfg.host_id, self.mesh.address, leaving)
+        await self._register()
         listed = await self.platform.list_hosts()
         if failed(listed):
             return
@@ -130,6 +130,15 @@
         self.mesh.connect_to(unknown)
         self.watcher.listed_leaving = {h.id for h in listed if h.leaving and h.id not in members}
 
+    async def _register(self) -> None:
+        """Put this host on the platform's list, once for each state, as each is a write."""
+        wanted = self.membership.own.state in ("leaving", "gone")
+        if self._registered_leaving is wanted:
+            return
+        cfg, address = self.ctx.cfg, self.mesh.address
+        if not failed(await self.platform.register_host(cfg.host_id, address, wanted)):
+            self._registered_leaving = wanted
+
     async def _renew(self) -> None:
         if self.membership.own.state in ("leaving", "gone"):
             return
--- a/peridotdock/publishing.py
+++ b/peridotdock/publishing.py
@@ -145,9 +145,16 @@
     """Fetch a body from the object store: by difference where possible, else whole."""
     if current is not None:
         raw = await platform.get_object(diff_name(current.digest, digest))
-        if isinstance(raw, bytes):
-            document = manifests.apply_diff(current.document, json.loads(raw))
-            if manifests.digest(document) == digest:
-                return manifests.canonical(document)
+        document = read_difference(raw, current) if isinstance(raw, bytes) else None
+        if document is not None and manifests.digest(document) == digest:
+            return manifests.canonical(document)
     raw = await platform.get_object(object_name(digest))
     return raw if isinstance(raw, bytes) else None
+
+
+def read_difference(raw: bytes, current: Accepted) -> dict[str, Any] | None:
+    """Return what a stored difference makes of ``current``; None when it cannot be read."""
+    try:
+        return manifests.apply_diff(current.document, json.loads(raw))
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
--- a/peridotdock/streams.py
+++ b/peridotdock/streams.py
@@ -53,6 +53,21 @@
 HEAD = msgspec.json.Decoder(FrameHead)
 
 
+def read_head(data: bytes, request_id: str) -> FrameHead | Failure:
+    """Read a frame or a whole answer as far as it is checked.
+
+    Failure guarded against: answers cross within an engine or on the way, and a caller gets part of
+    another's. The engine names the request in each frame; any other name ends the attempt.
+    """
+    try:
+        head = HEAD.decode(data)
+    except msgspec.MsgspecError as exc:
+        return Failure(Kind.ENDPOINT_ERROR, f"unreadable answer: {exc}")
+    if head.id != request_id:
+        return Failure(Kind.WRONG_ANSWER, f"answer to {head.id!r}")
+    return head
+
+
 class Silent(Exception):
     """No byte came for the time allowed."""
 
@@ -121,12 +136,9 @@
             return frame + SEPARATOR
         if not data:
             return b""
-        try:
-            head = HEAD.decode(data)
-        except msgspec.MsgspecError as exc:
-            return Failure(Kind.ENDPOINT_ERROR, f"unreadable frame: {exc}")
-        if head.id != self._ask.request_id:
-            return Failure(Kind.WRONG_ANSWER, f"frame of {head.id!r}")
+        head = read_head(data, self._ask.request_id)
+        if failed(head):
+            return head
         if head.usage is not None:
             if self.usage is not None:
                 # The closing frame comes again when only the end of a stream was resumed.
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -7,7 +7,7 @@
 ``freeze``  connections open now give no further byte; new ones work
 ``down``    every call is cut off without an answer
 ``refuse``  requests get 503 with the sign that they did not run
-``cross``   the answer carries another request's id
+``cross``   the answer carries another request's id, ``cross_frames``: only its frames do
 ``cut``     streams break off after so many tokens and cannot be resumed
 """
 
@@ -107,6 +107,7 @@
             "down": False,
             "refuse": False,
             "cross": False,
+            "cross_frames": False,
             "cut": 0,
             "event_gap": False,
         }
@@ -367,7 +368,13 @@
 
     def _frame(self, stream, kind, choices, **more):
         model = name_of(stream.item)
-        base = {"id": self._id(stream), "object": kind, "created": 1, "model": model}
+        crossed = self.faults["cross"] or self.faults["cross_frames"]
+        base = {
+            "id": "foreign" if crossed else stream.id,
+            "object": kind,
+            "created": 1,
+            "model": model,
+        }
         return base | {"choices": choices} | more
 
     def _respond(self, stream, form, offset, abort):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -82,13 +82,15 @@
         Answers cross within an engine: it sends the frames of somebody else's request. The host
         sees whose they are and asks the other endpoint; not one foreign token gets through.
         """
-        self.cluster.engines[0].faults["cross"] = True
-        for stream in (True, False, True, False):
-            status, _, raw = await self.cluster.ask(stream=stream)
-            self.assertEqual(status, 200)
-            if stream:
-                self.assertNotIn(b"foreign", raw)
-                self.assertTrue(read_stream(raw)[2])
+        for fault in ("cross", "cross_frames"):
+            self.cluster.engines[0].faults[fault] = True
+            for stream in (True, False, True, False, True, True):
+                status, _, raw = await self.cluster.ask(stream=stream)
+                self.assertEqual(status, 200)
+                self.assertNotIn("foreign", str(raw))
+                self.assertTrue(not stream or read_stream(raw)[2])
+            self.cluster.engines[0].faults[fault] = False
+            self.cluster.hosts[0].host.fleet.states["e0"].succeeded()
 
     async def test_a_dead_engine_costs_a_retry_not_an_answer(self):
         await self.cluster.engines[0].served.stop()
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -14,7 +14,7 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import WebSocketException
 
-from peridotdock import logs
+from peridotdock import logs, publishing
 from peridotdock import manifest as manifests
 from peridotdock.board import Board
 from peridotdock.config import load_settings
@@ -25,7 +25,7 @@
 from peridotdock.schema.messages import Entry, HeadsFact, Hello, Ping, Update
 from tests import builders
 from tests.cluster import Cluster, wait_for
-from tests.fakes import FakeClock
+from tests.fakes import FakeClock, FakePlatform
 
 LIMITED = settings(max_examples=200, deadline=None, derandomize=True)
 ENTRY = Entry("h0", "heads", 1, 1, b"")
@@ -239,6 +239,17 @@
         found = manifests.apply_diff(before, changes)
         self.assertEqual(manifests.digest(found), manifests.digest(after))
 
+    @params(b"", b"[]", b"{}", b'{"set": 1}', b"\xff", b'{"set": {}, "removed": {}, "fields": []}')
+    def test_a_bad_difference_falls_back_to_the_whole_body(self, raw):
+        """The store gives rubbish for the difference: the host must still get the release."""
+        old, new = (builders.accepted(engines=[builders.engine(n)]) for n in ("e0", "e1"))
+        platform = FakePlatform()
+        body = manifests.canonical(new.document)
+        platform.objects[publishing.diff_name(old.digest, new.digest)] = raw
+        platform.objects[publishing.object_name(new.digest)] = body
+        found = asyncio.run(publishing.fetch_from_store(platform, new.digest, old))
+        self.assertEqual(found, body)
+
     @params(
         (b"", "not JSON"),
         (b"[1", "not JSON"),
