Pass a fact on only where its origin has no link

Ruled out: a smaller degree at today's size, which makes news slower; asking before sending, a round trip for each fact. Change: each host states its links; a fact is not passed to a peer that says it is linked to the fact's origin. When it says it lost that link, it gets all facts of that origin. At 350 hosts the mesh is not full and this saves little; see CAPACITY.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/installed
 
 .PHONY: run test lint generate check-generated mutants clean \
-	bench bench-path bench-capacity bench-clients
+	bench bench-path bench-capacity bench-clients bench-idle
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -47,3 +47,6 @@
 
 bench-clients: $(STAMP)
 	$(BIN)/python -m extras.bench_clients
+
+bench-idle: $(STAMP)
+	$(BIN)/python -m extras.bench_idle $(ARGS)
--- a/peridotdock/board.py
+++ b/peridotdock/board.py
@@ -19,11 +19,13 @@
     HeldFact,
     HostFact,
     LedgerFact,
+    LinksFact,
     LoadFact,
 )
 
 TOPICS: dict[str, type] = {
     "host": HostFact,
+    "links": LinksFact,
     "load": LoadFact,
     "held": HeldFact,
     "ledger": LedgerFact,
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -19,7 +19,7 @@
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.frames import MAX_FRAME_BYTES, Frame, decode, encode, proves, sign
 from peridotdock.rendezvous import neighbours
-from peridotdock.schema.messages import Body, Fetch, Hello, Ping, Update
+from peridotdock.schema.messages import Body, Fetch, Hello, LinksFact, Ping, Update
 
 PING_SECONDS = 1.0
 SILENT_PERIODS = 3
@@ -158,6 +158,7 @@
         link = Link(conn, peer)
         link.heard_at = self._ctx.clock.monotonic()
         self._links.add(link)
+        self._tell_links()
         self._ctx.timeline.add("link_up", "DEBUG", detail=peer.host)
         link.dirty.update((entry.origin, entry.topic) for entry in self._board.entries())
         link.wake.set()
@@ -166,6 +167,7 @@
             await self._read(link)
         finally:
             self._links.discard(link)
+            self._tell_links()
             for job in jobs:
                 job.cancel()
             conn.transport.abort()
@@ -207,9 +209,29 @@
             return []
 
     def _mark(self, slots: list[Slot]) -> None:
+        """Note for each link what its peer may not have yet.
+
+        A fact is not passed on to a peer that says it has a link to the fact's origin. When it
+        says that it lost that link, it gets all of that origin's facts again.
+        """
+        said = {origin for origin, topic in slots if topic == "links"}
         for link in self._links:
-            link.dirty.update(slots)
-            link.wake.set()
+            direct = self._linked_to(link.peer.host)
+            wanted = [slot for slot in slots if slot[0] not in direct]
+            if link.peer.host in said:
+                known = [(entry.origin, entry.topic) for entry in self._board.entries()]
+                wanted += [slot for slot in known if slot[0] not in direct]
+            if wanted:
+                link.dirty.update(wanted)
+                link.wake.set()
+
+    def _linked_to(self, host: str) -> frozenset[str]:
+        known = self._board.get(host, "links")
+        own = self._ctx.cfg.host_id
+        return frozenset(known.fact.peers) - {own} if known else frozenset()
+
+    def _tell_links(self) -> None:
+        self._board.publish("links", LinksFact(sorted(self.peers())))
 
     async def _write(self, link: Link) -> None:
         while True:
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -54,7 +54,7 @@
     """
     topic: str
     """
-    Which fact: host, load, held, ledger, demand, usage or heads.
+    Which fact: host, links, load, held, ledger, demand or heads.
     """
     epoch: int
     """
@@ -298,6 +298,18 @@
     """
 
 
+@dataclass(frozen=True)
+class LinksFact:
+    """
+    Body of topic links: the hosts the origin has a link to.
+    """
+
+    peers: list[str]
+    """
+    Names of hosts.
+    """
+
+
 @dataclass(frozen=True)
 class LedgerFact:
     """
