Bound cache hints and keys by the size designed for

Cause: 20,000 hints for each endpoint would be 18.8 million at 940 endpoints, and 200,000 keys about 80 MB, against 32 MB for control. Ruled out: hints by time alone, which a burst outruns. Change: 100,000 hints over all endpoints, at least 64 for each; 20,000 keys by default (two hours at 20 requests a second with one in seven keyed). Figures: none measured yet for memory at that size; the bounds are counts.

--- a/peridotdock/fleet.py
+++ b/peridotdock/fleet.py
@@ -13,7 +13,8 @@
 from peridotdock.manifest import Accepted
 from peridotdock.schema.messages import HeldFact, LedgerFact, LoadFact
 
-MAX_HINTS = 20_000
+TOTAL_HINTS = 100_000
+LEAST_HINTS = 64
 STALE_SECONDS = 5.0
 DOWN_SECONDS = 2.0
 PREFILL_UNIT = 16
@@ -69,6 +70,7 @@
         self.sent_tokens = 0
         self.blocks: OrderedDict[int, float] = OrderedDict()
         self.hint_seconds = HINT_SECONDS
+        self.hint_limit = TOTAL_HINTS
         self.trust = 1.0
         self.mean_seconds = 0.3
         self.bad_until = 0.0
@@ -120,7 +122,7 @@
         for block in blocks:
             self.blocks[block] = now
             self.blocks.move_to_end(block)
-        while len(self.blocks) > MAX_HINTS:
+        while len(self.blocks) > self.hint_limit:
             self.blocks.popitem(last=False)
 
     def drop(self, block: int) -> None:
@@ -187,6 +189,7 @@
             if state is None or state.url != row.url:
                 state = EndpointState(name, row.url, row.domain)
             state.domain = row.domain
+            state.hint_limit = max(LEAST_HINTS, TOTAL_HINTS // len(accepted.endpoints))
             self.states[name] = state
         for origin, known in self._board.on("held").items():
             self._take_held(origin, known.fact)
--- a/peridotdock/schema/settings.py
+++ b/peridotdock/schema/settings.py
@@ -92,7 +92,7 @@
     """
     Largest number of requests in work on this host at once.
     """
-    max_keys: int = 200000
+    max_keys: int = 20000
     """
     Largest number of idempotency keys remembered on this host.
     """
