--- a/peridotdock/stewards.py
+++ b/peridotdock/stewards.py
@@ -24,6 +24,7 @@
 RESEND_SECONDS = 3.0
 SEND_MARGIN_SECONDS = 0.5
 DRAIN_SECONDS = 1.0
+IDLE_SECONDS = 3.0
 ACTIONS = {State.LOADING: "load", State.UNLOADING: "unload"}
 
 
@@ -48,6 +49,7 @@
     quiet_since: dict[str, float] = field(default_factory=dict)
     resend: set[str] = field(default_factory=set)
     unload_since: dict[str, float] = field(default_factory=dict)
+    looked_at: float = float("-inf")
 
 
 class Steward:
@@ -86,7 +88,17 @@
         if not self._lease.valid():
             self._drop(ward, "lease lapsed")
             return
-        await self._round(ward, accepted)
+        if self._has_work(ward):
+            ward.looked_at = self._ctx.clock.monotonic()
+            await self._round(ward, accepted)
+
+    def _has_work(self, ward: Ward) -> bool:
+        """Tell whether a round is due: something is under way, or the last look is long ago."""
+        if ward.endpoint.id in self.moves or ward.resend:
+            return True
+        if any(row.state is not State.HELD for row in ward.ledger.reservations):
+            return True
+        return self._ctx.clock.monotonic() - ward.looked_at >= IDLE_SECONDS
 
     def _is_named(self, endpoint: Endpoint) -> bool:
         """Tell whether the row still names this life.
