Split placement into floor, growth and the draft both work on

Change: drafts.py (engines as they stand, what is free, where an item could go), growth.py (which copies to add), placement.py (floor, retiring, the plan). No behaviour changes; tests keep their assertions, only their imports moved. Ruled out: a subpackage, for three modules.

--- a/extras/bench_capacity.py
+++ b/extras/bench_capacity.py
@@ -20,11 +20,12 @@
 from peridotdock.board import Board
 from peridotdock.clients.endpoint import EngineLoad
 from peridotdock.clock import SystemClock
+from peridotdock.drafts import Copy, EngineView
 from peridotdock.fleet import EndpointState, Fleet, pack
 from peridotdock.frames import decode, encode
 from peridotdock.ledger import Ledger, Reservation, State, observe, read_ledger
 from peridotdock.membership import Membership
-from peridotdock.placement import Copy, EngineView, make_plan
+from peridotdock.placement import make_plan
 from peridotdock.prefix import hash_blocks
 from peridotdock.publishing import check_all
 from peridotdock.rendezvous import Assignment
--- /dev/null
+++ b/peridotdock/drafts.py
@@ -0,0 +1,172 @@
+"""The draft of a plan: engines as they stand, what is free, and where an item could go."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from peridotdock.items import Item
+from peridotdock.ledger import COPY_STATES, State
+from peridotdock.manifest import Accepted
+
+
+@dataclass(frozen=True)
+class Copy:
+    """One reservation, as the planner sees it."""
+
+    item: str
+    state: State
+    bytes: int
+    places: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class EngineView:
+    """One engine: its accelerators' bytes, its reservations, and whether it can be used."""
+
+    name: str
+    domain: str
+    capacity: tuple[int, ...]
+    alive: bool
+    copies: tuple[Copy, ...] = ()
+
+
+@dataclass(frozen=True)
+class Move:
+    """A load or unload of an item on an endpoint, and why it is worth it."""
+
+    action: str
+    endpoint: str
+    item: str
+    places: tuple[int, ...] = ()
+    reason: str = ""
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What to do next, most urgent first; ``unmet`` names items below their floor."""
+
+    moves: tuple[Move, ...]
+    unmet: tuple[str, ...] = ()
+
+
+@dataclass
+class Draft:
+    """The state that a plan is worked out on: free bytes and copies after the moves so far."""
+
+    accepted: Accepted
+    engines: dict[str, EngineView]
+    free: dict[str, list[int]]
+    copies: dict[str, dict[str, Copy]]
+    moves: list[Move] = field(default_factory=list)
+    loading: int = 0
+
+    def holders(self, item: str, states: frozenset[State] = COPY_STATES) -> list[str]:
+        """Return the live engines with a copy of ``item`` in one of ``states``."""
+        found = self.copies.get(item, {})
+        return [n for n, copy in found.items() if copy.state in states and self.engines[n].alive]
+
+    def load(self, item: Item, engine: str, places: tuple[int, ...], reason: str) -> None:
+        """Add a load to the plan."""
+        self.copies.setdefault(item.key, {})[engine] = Copy(
+            item.key, State.LOADING, item.bytes, places
+        )
+        for place in places:
+            self.free[engine][place] -= item.bytes
+        self.loading += 1
+        self.moves.append(Move("load", engine, item.key, places, reason))
+
+    def unload(self, item: str, engine: str, reason: str) -> None:
+        """Add an unload to the plan; its bytes are not free before it is done."""
+        copy = self.copies[item][engine]
+        self.copies[item][engine] = Copy(item, State.UNLOADING, copy.bytes, copy.places)
+        self.moves.append(Move("unload", engine, item, copy.places, reason))
+
+
+def make_draft(accepted: Accepted, engines: Iterable[EngineView]) -> Draft:
+    """Return the draft of a plan in which nothing is moved yet."""
+    by_name = {engine.name: engine for engine in engines}
+    free = {name: list(engine.capacity) for name, engine in by_name.items()}
+    copies: dict[str, dict[str, Copy]] = {}
+    loading = 0
+    for name, engine in by_name.items():
+        for copy in engine.copies:
+            copies.setdefault(copy.item, {})[name] = copy
+            loading += engine.alive and copy.state is State.LOADING
+            for place in copy.places:
+                if place < len(free[name]):
+                    free[name][place] -= copy.bytes
+    return Draft(accepted, by_name, free, copies, loading=loading)
+
+
+def find_copies(draft: Draft, item: Item) -> list[str]:
+    """Return the live engines that have the item, for an adapter with its base beside it."""
+    holders = draft.holders(item.key)
+    if not item.is_adapter:
+        return holders
+    return [name for name in holders if name in draft.holders(item.base)]
+
+
+def allowed_engines(draft: Draft, item: Item) -> list[str]:
+    """Return the live engines that could take the item: an adapter goes where its base is."""
+    names = draft.holders(item.base) if item.is_adapter else list(draft.engines)
+    present = draft.copies.get(item.key, {})
+    return [name for name in names if draft.engines[name].alive and name not in present]
+
+
+def base_places(draft: Draft, item: Item, engine: str) -> tuple[int, ...] | None:
+    """Return the accelerators an adapter must take, which are those of its base."""
+    return draft.copies[item.base][engine].places if item.is_adapter else None
+
+
+def find_places(
+    free: Sequence[int], item: Item, wanted: tuple[int, ...] | None
+) -> tuple[int, ...] | None:
+    """Return accelerators with room: the wanted ones, or those with most free."""
+    if wanted is not None:
+        return wanted if all(free[place] >= item.bytes for place in wanted) else None
+    order = sorted(range(len(free)), key=lambda place: free[place], reverse=True)[: item.span]
+    if len(order) < item.span or free[order[-1]] < item.bytes:
+        return None
+    return tuple(sorted(order))
+
+
+def find_victims(
+    draft: Draft, item: Item, engine: str, demand: Mapping[str, float]
+) -> list[str] | None:
+    """Return extra copies whose unloading makes room on an engine; none when room is coming."""
+    free = list(draft.free[engine])
+    wanted = base_places(draft, item, engine)
+    coming = [c for copies in draft.copies.values() if (c := copies.get(engine))]
+    for copy in coming:
+        if copy.state not in COPY_STATES:
+            add_back(free, copy)
+    victims: list[str] = []
+    extras = [c for c in coming if c.state is State.HELD and is_extra(draft, c.item, engine)]
+    extras = [c for c in extras if c.item != item.base]
+    for copy in sorted(extras, key=lambda c: (demand.get(c.item, 0.0), c.bytes)):
+        if find_places(free, item, wanted) is not None:
+            break
+        add_back(free, copy)
+        victims.append(copy.item)
+    return victims if find_places(free, item, wanted) is not None else None
+
+
+def add_back(free: list[int], copy: Copy) -> None:
+    """Count a copy's bytes as free."""
+    for place in copy.places:
+        if place < len(free):
+            free[place] += copy.bytes
+
+
+def is_extra(draft: Draft, key: str, engine: str) -> bool:
+    """Tell whether a copy can go: enough others are ready, and no adapter needs it as its base."""
+    item = draft.accepted.by_key.get(key)
+    if item is None:
+        return False
+    others = [n for n in draft.holders(key, frozenset({State.HELD})) if n != engine]
+    if len(others) < item.copies:
+        return False
+    return all(
+        len([n for n in find_copies(draft, adapter) if n != engine]) >= adapter.copies
+        for adapter in draft.accepted.items.values()
+        if adapter.base == key and engine in draft.copies.get(adapter.key, {})
+    )
--- a/peridotdock/planner.py
+++ b/peridotdock/planner.py
@@ -10,11 +10,12 @@
 
 from peridotdock.clients.platform import Platform, Row, Transaction, commit_surely
 from peridotdock.context import Context
+from peridotdock.drafts import Copy, EngineView, Move, Plan
 from peridotdock.errors import failed
 from peridotdock.leases import HostLease, LeaseBook
 from peridotdock.ledger import read_ledger
 from peridotdock.manifest import Accepted
-from peridotdock.placement import Copy, EngineView, Move, Plan, make_plan
+from peridotdock.placement import make_plan
 
 PLAN_KEY = "plan/head"
 DEAD_SECONDS = 4.0
--- a/peridotdock/stewards.py
+++ b/peridotdock/stewards.py
@@ -12,12 +12,12 @@
 from peridotdock.clients.endpoint import HttpEndpoints, Order, Report
 from peridotdock.clients.platform import Platform, Row, Transaction, commit_surely
 from peridotdock.context import Context
+from peridotdock.drafts import Move
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.items import Item, name_of
 from peridotdock.leases import HostLease, LeaseBook
 from peridotdock.ledger import Ledger, Reservation, State
 from peridotdock.manifest import Accepted
-from peridotdock.placement import Move
 from peridotdock.schema.manifest import Endpoint
 
 ORDER_SECONDS = 120.0
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -10,21 +10,15 @@
 
 from peridotdock.clients.endpoint import EngineLoad
 from peridotdock.discovery import order_addresses
+from peridotdock.drafts import Copy, EngineView, make_draft
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.fleet import EndpointState, pack, unpack
+from peridotdock.growth import queue_cost, spread_load
 from peridotdock.keys import KEPT_PERIODS, PERIOD_SECONDS, KeyTable, Owner, Record, read_owner
 from peridotdock.ledger import State
 from peridotdock.limits import GRANT_SECONDS, CallerLimits
 from peridotdock.membership import Member
-from peridotdock.placement import (
-    Copy,
-    EngineView,
-    find_floor_errors,
-    make_draft,
-    make_plan,
-    queue_cost,
-    spread_load,
-)
+from peridotdock.placement import find_floor_errors, make_plan
 from peridotdock.prefix import BLOCK_CHARS, hash_blocks
 from peridotdock.requests import Reply
 from peridotdock.retries import RetryBudget
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -16,9 +16,9 @@
 
 from peridotdock import ledger as ledgers
 from peridotdock.clients.endpoint import HeldItem
+from peridotdock.drafts import Move
 from peridotdock.errors import Kind, failed
 from peridotdock.ledger import Ledger, State
-from peridotdock.placement import Move
 from peridotdock.stewards import DRAIN_SECONDS, IDLE_SECONDS, RESEND_SECONDS, Steward, Ward
 from tests import builders
 from tests.fakes import (
