Hold a caller to its limit whatever header it sends

Cause: a request that another host forwarded was not counted again, and the sign of it was a plain header that any caller could set: 6 of 6 requests passed a limit of 2 a second. Ruled out: counting forwarded requests twice, which would halve the limit of callers with keys. Change: the header carries a proof by the cluster key over the owner's life and the caller's token; it is not passed on to services. Conclusion: mended; links between hosts are still not encrypted.

--- a/peridotdock/entry.py
+++ b/peridotdock/entry.py
@@ -1,5 +1,7 @@
 """The callers' side of a host: HTTP in, checks and limits, then dispatch, then the answer."""
 
+import hashlib
+import hmac
 import uuid
 from collections.abc import AsyncIterator
 from dataclasses import replace
@@ -124,7 +126,7 @@
         headers = read_headers(head)
         if failed(headers):
             return self._refuse(headers)
-        refusal = self._admit_caller(caller, forwarded=FORWARDED_HEADER in head)
+        refusal = self._admit_caller(caller, self._was_forwarded(head))
         if refusal is not None:
             return self._refuse(refusal)
         handed_on = False
@@ -142,6 +144,19 @@
             if not handed_on:
                 self._leave(caller)
 
+    def _was_forwarded(self, head: dict[str, str]) -> bool:
+        """Tell whether another host forwarded this, and so counted it.
+
+        Failure guarded against: a caller sets the header itself and passes its limit. Only a host
+        can make the proof.
+        """
+        proof = self._prove_forward(self._ctx.incarnation, head.get("authorization", ""))
+        return hmac.compare_digest(head.get(FORWARDED_HEADER, "").encode(), proof.encode())
+
+    def _prove_forward(self, owner: str, authorization: str) -> str:
+        text = f"{owner}|{authorization}".encode()
+        return hmac.new(self._ctx.cfg.cluster_key.encode(), text, hashlib.sha256).hexdigest()
+
     def _refuse(self, failure: Failure, keyed: bool = False) -> Response:
         request_id = uuid.uuid4().hex
         self._ctx.metrics.requests.labels(failure.kind.value).inc()
@@ -300,7 +315,9 @@
         if member is None or not member.alive or FORWARDED_HEADER in head:
             return Failure(Kind.KEY_OWNER_GONE)
         headers = {k: v for k, v in head.items() if k not in HOP_HEADERS}
-        headers |= {"authorization": head.get("authorization", ""), FORWARDED_HEADER: "1"}
+        authorization = head.get("authorization", "")
+        proof = self._prove_forward(incarnation, authorization)
+        headers |= {"authorization": authorization, FORWARDED_HEADER: proof}
         path = request.url.value.decode("latin-1")
         call = Call(request.method, path, headers, body, once=True)
         opened = await self._host.endpoints.open(f"http://{member.fact.entry}", call)
--- a/peridotdock/service_calls.py
+++ b/peridotdock/service_calls.py
@@ -35,6 +35,7 @@
         "authorization",
         "proxy-authorization",
         "expect",
+        "x-peridotdock-forwarded",
     }
 )
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -299,3 +299,15 @@
 
         await wait_for(bound, "the binding done")
         self.assertEqual(len(self.service.calls), 1)
+
+    async def test_a_caller_cannot_pass_its_limit_as_if_forwarded(self):
+        """
+        Requests that another host forwarded were counted there. A caller that sets the header
+        itself must not get past its limit by it.
+        """
+        document = self.cluster.manifest()
+        document["callers"][0]["requests_per_second"] = 2
+        await self.cluster.publish(document)
+        head = {"x-peridotdock-forwarded": "1"}
+        statuses = [(await self.cluster.call("/bind", headers=head))[0] for _ in range(6)]
+        self.assertIn(429, statuses)
