Bound what is kept of an endpoint that sends no reports

Cause: when the sums of sends and ends replaced walks over them, their queues lost the bound of 4096 and were only cut by a report. A plain service sends none, so both grew with every call for good. Ruled out: not counting services, whose running requests choose between them. Change: the queues hold 4096 entries again, and the running sum follows. Before: the new test failed, 8192 entries kept for 4096. After: it passes, 59 passed, 0 failed. Conclusion: mended; found by reading the change, not by a test that was there.

--- a/peridotdock/fleet.py
+++ b/peridotdock/fleet.py
@@ -13,6 +13,7 @@
 from peridotdock.manifest import Accepted
 from peridotdock.schema.messages import HeldFact, LedgerFact, LoadFact
 
+MOST_SENT = 4096
 TOTAL_HINTS = 100_000
 LEAST_HINTS = 64
 STALE_SECONDS = 5.0
@@ -65,7 +66,7 @@
         self.own: dict[str, Running] = {}
         self._unfilled: dict[str, Running] = {}
         self._sent: deque[Running] = deque()
-        self._ended: deque[float] = deque()
+        self._ended: deque[float] = deque(maxlen=MOST_SENT)
         self.unfilled_tokens = 0
         self.sent_tokens = 0
         self.blocks: OrderedDict[int, float] = OrderedDict()
@@ -100,6 +101,9 @@
         self._sent.append(run)
         self.unfilled_tokens += tokens
         self.sent_tokens += tokens
+        if len(self._sent) > MOST_SENT:
+            # A plain service sends no reports that would say which of these are old news.
+            self.sent_tokens -= self._sent.popleft().tokens
 
     def filled(self, request_id: str) -> None:
         """Note that a request's first token came."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -12,7 +12,7 @@
 from peridotdock.discovery import order_addresses
 from peridotdock.drafts import Copy, EngineView, make_draft
 from peridotdock.errors import Failure, Kind, failed
-from peridotdock.fleet import EndpointState, pack, unpack
+from peridotdock.fleet import MOST_SENT, EndpointState, pack, unpack
 from peridotdock.growth import queue_cost, spread_load
 from peridotdock.keys import KEPT_PERIODS, PERIOD_SECONDS, KeyTable, Owner, Record, read_owner
 from peridotdock.ledger import State
@@ -96,6 +96,16 @@
             warm.learn_hits(500, 0)
         self.assertEqual(warm.hit_blocks(blocks, NOW), 0)
 
+    def test_what_is_kept_of_an_endpoint_without_reports_is_bounded(self):
+        """A plain service sends no reports, so nothing ever says which sends are old news."""
+        service = EndpointState("s", "", "north")
+        for number in range(MOST_SENT * 2):
+            service.began(f"r{number}", NOW, 3)
+            service.finished(f"r{number}", NOW, True)
+        self.assertEqual(len(service._sent), MOST_SENT)
+        self.assertEqual(len(service._ended), MOST_SENT)
+        self.assertEqual((service.sent_tokens, service.unfilled_tokens), (MOST_SENT * 3, 0))
+
     def test_all_ejected_is_not_an_outage(self):
         found = self.pick(state("a", bad_until=NOW + 9))
         self.assertFalse(failed(found))
