Say the longest answer in one place; drop state that nothing reads

Cause: the same limit of 64 MiB stood in two modules beside the one function that applies it, and an endpoint's state kept two fields and a constant of a concurrency limit that was never built. Change: the limit stands beside read_all, as its default; the dead names are gone. Figures: tests of decisions and of plain services pass; the linter is clean. Conclusion: behaviour is as it was.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -19,6 +19,7 @@
 REPORT_SECONDS = 1.0
 PROBE_SECONDS = 1.0
 NOT_RUN_HEADER = "x-not-run"
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 MAX_REPORT_BYTES = 4 * 1024 * 1024
 
 T = TypeVar("T")
@@ -254,7 +255,7 @@
         return Failure(Kind.ENDPOINT_ERROR, str(exc))
 
 
-async def read_all(opened: Opened, limit: int) -> bytes | Failure:
+async def read_all(opened: Opened, limit: int = MAX_ANSWER_BYTES) -> bytes | Failure:
     """Read an answer to its end; one that breaks off or is too long is a failure."""
     parts: list[bytes] = []
     size = 0
--- a/peridotdock/dispatch.py
+++ b/peridotdock/dispatch.py
@@ -25,7 +25,6 @@
 from peridotdock.routing import EVERY_DECISION, Choice, admit, choose
 from peridotdock.streams import SLICE_SECONDS, FrameUsage, Relay, read_head
 
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
 EVENT_STREAM = "text/event-stream"
 TAKE_UP_SECONDS = 2.0
 READY = "the answer stands ready on the engine"
@@ -228,7 +227,7 @@
             await opened.release()
             return Failure(Kind.WRONG_ANSWER, "head of another request")
         try:
-            body = await read_all(opened, MAX_ANSWER_BYTES)
+            body = await read_all(opened)
         finally:
             await opened.release()
         if failed(body):
--- a/peridotdock/entry.py
+++ b/peridotdock/entry.py
@@ -27,7 +27,7 @@
 from peridotdock.keys import Record, fingerprint
 from peridotdock.requests import Ask, Reply, ServiceAsk
 from peridotdock.schema.manifest import Caller
-from peridotdock.service_calls import HOP_HEADERS, MAX_ANSWER_BYTES, pass_headers
+from peridotdock.service_calls import HOP_HEADERS, pass_headers
 from peridotdock.serving import add_route, read_body
 
 METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD")
@@ -324,7 +324,7 @@
         if failed(opened):
             return Failure(Kind.KEY_OWNER_GONE, opened.reason)
         try:
-            answer = await read_all(opened, MAX_ANSWER_BYTES)
+            answer = await read_all(opened)
         finally:
             await opened.release()
         if failed(answer):
--- a/peridotdock/fleet.py
+++ b/peridotdock/fleet.py
@@ -17,7 +17,6 @@
 TOTAL_HINTS = 100_000
 LEAST_HINTS = 64
 STALE_SECONDS = 5.0
-DOWN_SECONDS = 2.0
 PREFILL_UNIT = 16
 AGE_UNIT = 0.01
 TRUST_GAIN = 0.1
@@ -76,8 +75,6 @@
         self.mean_seconds = 0.3
         self.bad_until = 0.0
         self.bad_count = 0
-        self.limit = 0.0
-        self.limit_at = 0.0
 
     def take_load(self, load: EngineLoad, at: float) -> None:
         """Take in a report that was true at ``at``; what happened up to then is in it."""
--- a/peridotdock/service_calls.py
+++ b/peridotdock/service_calls.py
@@ -21,7 +21,6 @@
 from peridotdock.retries import MAX_SENDS, RetryBudget
 from peridotdock.streams import SLICE_SECONDS
 
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -110,7 +109,7 @@
         try:
             if opened.headers.get("x-request-id", ask.request_id) != ask.request_id:
                 return Failure(Kind.WRONG_ANSWER, "answer of another request")
-            body = await read_all(opened, MAX_ANSWER_BYTES)
+            body = await read_all(opened)
         finally:
             await opened.release()
         if failed(body):
