--- /dev/null
+++ b/peridotdock/cli/relay.py
@@ -0,0 +1,46 @@
+"""``python -m peridotdock.cli.relay``: the daemon on the users' platform."""
+
+import asyncio
+import gc
+import os
+import sys
+from collections.abc import Mapping
+
+from peridotdock import logs
+from peridotdock.context import Streams, build_context
+from peridotdock.errors import failed
+from peridotdock.platform.adapter import PlatformAdapter
+from peridotdock.platform.settings import load_settings
+from peridotdock.relay.node import Node
+from peridotdock.schema.settings import Settings
+from peridotdock.status import ExitStatus
+
+
+def run(environ: Mapping[str, str], streams: Streams) -> ExitStatus:
+    """Check the settings, serve until told to stop, and return the exit status."""
+    found = load_settings(environ)
+    if failed(found):
+        streams.err.write(f"peridotdock: {found.reason}\n")
+        return ExitStatus.USAGE
+    cfg = Settings(
+        host_id=found.host,
+        domain=found.domain,
+        platform_url=f"http://{found.store}",
+        cluster_key=f"peridotdock at {found.store}",
+        peer_ip=found.listen.peers.ip,
+        peer_port=found.listen.peers.port,
+    )
+    logs.set_up(cfg.log_level, streams.out, cfg.host_id)
+    node = Node(build_context(cfg), found, PlatformAdapter())
+    gc.freeze()
+    asyncio.run(node.run())
+    return ExitStatus.OK
+
+
+def main() -> None:
+    """Run with the process's environment and streams."""
+    sys.exit(run(os.environ, Streams()))
+
+
+if __name__ == "__main__":
+    main()
--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 import msgspec
+from yarl import URL
 
 from peridotdock.clients.http import BROKEN, UNREACHABLE, Pool, send_once
 from peridotdock.errors import Failure, Kind, failed
@@ -105,6 +106,10 @@
         """Return the next bytes, or none at the end. Raises what :data:`BROKEN` lists."""
         return await self._resp.content.readany()
 
+    def abort(self) -> None:
+        """Close the connection now: a read that waits fails, and the endpoint sees the close."""
+        self._resp.close()
+
     async def release(self) -> None:
         """Close the connection unless the answer was read to its end."""
         if not self._resp.content.at_eof():
@@ -132,9 +137,13 @@
 
 
 class HttpEndpoints:
-    """Endpoints over HTTP, with a pool of connections for each."""
+    """Endpoints over HTTP, with a pool of connections for each.
+
+    ``not_run_header`` is the header with which an endpoint says that it did not run a request.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, not_run_header: str = NOT_RUN_HEADER) -> None:
+        self._not_run_header = not_run_header
         self._pools: dict[str, Pool] = {}
         self._control: dict[str, Pool] = {}
         self._cancels: set[asyncio.Future[Any]] = set()
@@ -151,6 +160,12 @@
         for pool in (*self._pools.values(), *self._control.values()):
             await pool.close()
 
+    async def forget(self, url: str) -> None:
+        """Close what is kept for an endpoint that is gone."""
+        pools = (self._pools.pop(url, None), self._control.pop(url, None))
+        for pool in filter(None, pools):
+            await pool.renew()
+
     async def suspect(self, url: str) -> None:
         """Take no kept connection to ``url`` again: one was found dead, all are suspect."""
         await self._pool(url).renew()
@@ -163,7 +178,7 @@
             session = await stack.enter_async_context(self._pool(url).use())
             resp = await session.request(
                 call.method,
-                url + call.path,
+                URL(url + call.path, encoded=True),
                 headers=call.headers,
                 data=call.body or None,
                 allow_redirects=False,
@@ -178,7 +193,7 @@
         except BaseException:
             await stack.aclose()
             raise
-        if resp.status in (429, 503) and NOT_RUN_HEADER in resp.headers:
+        if resp.status in (429, 503) and self._not_run_header in resp.headers:
             resp.close()
             await stack.aclose()
             return Failure(Kind.ENDPOINT_REFUSED)
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -17,6 +18,29 @@
 BROKEN = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError)
 
 
+# Failure: something on the way forgets a connection, or the other end's machine is gone. It shows
+# as a connection that stays open for good. The kernel probes idle ones after a second and gives up
+# on unanswered data after two: longer than any round trip, well under what callers wait.
+DEAD_PEER_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2_000),
+)
+# Headers that the library would add; a relayed request must reach its endpoint as it was sent.
+ADDED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+def open_socket(info: aiohttp.AddrInfoType) -> socket.socket:
+    """Return a socket that notices when its peer is gone."""
+    family, kind, proto, _, _ = info
+    sock = socket.socket(family, kind, proto)
+    for level, option, value in DEAD_PEER_OPTIONS:
+        sock.setsockopt(level, option, value)
+    return sock
+
+
 class SecondSend(aiohttp.ClientError):
     """The library was about to send the same request again."""
 
@@ -51,11 +75,14 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._current is None:
-            connector = aiohttp.TCPConnector(limit=self._limit, keepalive_timeout=self._idle)
+            connector = aiohttp.TCPConnector(
+                limit=self._limit, keepalive_timeout=self._idle, socket_factory=open_socket
+            )
             self._current = aiohttp.ClientSession(
                 connector=connector,
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
+                skip_auto_headers=ADDED_HEADERS,
                 timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
             )
         return self._current
--- /dev/null
+++ b/peridotdock/clients/tables.py
@@ -0,0 +1,36 @@
+"""Tables that can be followed: what the product needs of a store beside single rows."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from peridotdock.errors import Failure
+
+
+@dataclass(frozen=True, slots=True)
+class TableView:
+    """A table as of one moment: values by key, and the store's version then."""
+
+    values: Mapping[str, bytes]
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class TableChanges:
+    """What changed in a table up to ``version``: None stands for a removed row."""
+
+    values: Mapping[str, bytes | None]
+    version: int
+
+
+class Tables(Protocol):
+    """Reading whole tables and following their changes."""
+
+    async def read_table(self, table: str) -> TableView | Failure:
+        """Return all rows of a table."""
+
+    async def follow(self, table: str, after: int, seconds: float) -> TableChanges | Failure:
+        """Return what changed after a version, waiting up to ``seconds`` for a first change.
+
+        Kinds: history_gone when the store no longer has that history, platform_down otherwise.
+        """
--- /dev/null
+++ b/peridotdock/decisions/choice.py
@@ -0,0 +1,89 @@
+"""Which endpoint a relayed request goes to: the one predicted to answer first.
+
+Load pattern: prompts that share long beginnings, on engines that batch. The time to the first
+token is the prompt tokens that must be read before it, ours and those ahead of it, times the
+engine's time for a token. So a runner that kept the shared part of a prompt is worth a longer
+queue, up to the time that reading the part again would take, and no further.
+"""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+# Seconds an engine takes for a step with few requests; the first token takes one step at least.
+STEP_SECONDS = 0.006
+# Endpoints whose predictions differ by less are taken as equal: two one-way trips between
+# failure domains at 0.9 ms and the lag of the hosts' reports to each other leave this much open.
+TIE_SECONDS = 0.004
+# Share of a shared part that is taken to be cached on the endpoint that all hosts prefer for it.
+PREFERRED_TRUST = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """One endpoint as seen for one request. Times in seconds, the rest in tokens or requests.
+
+    ``ahead`` are prompt tokens that wait or are being read there; ``cached`` of ours need no
+    reading. ``slowness`` is its time over the usual time for the same work. ``suspect`` ones
+    failed lately and are taken only when nothing else is left.
+    """
+
+    key: str
+    ahead: float
+    running: int
+    slots: int
+    cached: int
+    preferred: bool
+    slowness: float
+    near: bool
+    suspect: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What a request asks of an engine; a plain service has no tokens.
+
+    ``per_token`` is the time to read one prompt token, ``service`` how long a request holds its
+    place, both in seconds.
+    """
+
+    tokens: int
+    shared: int
+    per_token: float
+    service: float
+
+
+@dataclass(frozen=True, slots=True)
+class Prediction:
+    """An endpoint and the seconds until its first token (or its answer) is expected."""
+
+    candidate: Candidate
+    seconds: float
+
+
+def predict(candidate: Candidate, work: Work) -> float:
+    """Return the seconds until the first token, or the answer of a plain service."""
+    over = candidate.running + 1 - candidate.slots
+    wait = max(0, over) * work.service / max(1, candidate.slots)
+    if work.tokens == 0:
+        return candidate.slowness * (work.service + wait)
+    cached = candidate.cached
+    if candidate.preferred:
+        cached = max(cached, int(work.shared * PREFERRED_TRUST))
+    reading = (candidate.ahead + work.tokens - cached) * work.per_token
+    return candidate.slowness * (reading + wait + STEP_SECONDS)
+
+
+def choose(candidates: Sequence[Candidate], work: Work, rng: random.Random) -> Prediction | None:
+    """Return the endpoint to send to, or None when there is none.
+
+    Suspects are passed over unless all are: to leave out every endpoint would turn a fault that
+    all share into an outage of our own making.
+    """
+    sound = [candidate for candidate in candidates if not candidate.suspect] or list(candidates)
+    if not sound:
+        return None
+    found = [Prediction(candidate, predict(candidate, work)) for candidate in sound]
+    best = min(prediction.seconds for prediction in found)
+    equal = [p for p in found if p.seconds <= best + TIE_SECONDS]
+    return min(equal, key=lambda p: (not p.candidate.preferred, not p.candidate.near, rng.random()))
--- /dev/null
+++ b/peridotdock/decisions/health.py
@@ -0,0 +1,71 @@
+"""How an endpoint has behaved: slow, failing, to be left out for a while.
+
+Load pattern: an endpoint whose health check is good while it fails a part of its requests, or is
+several times slower than its like. Only outcomes of real requests tell, so they alone decide. An
+endpoint left out gets one request again after a pause that doubles, so that one that has come
+back is found soon and one that has not costs little.
+"""
+
+# Seconds that an endpoint is left out after the first loss, and at most.
+FIRST_PAUSE = 0.5
+LONGEST_PAUSE = 4.0
+# Weight of one outcome in the failure share: about the last eight count.
+OUTCOME_GAIN = 0.12
+# Share of failed requests from which an endpoint is left out; plain services fail up to 0.14 of
+# their idempotent requests on a good day, so this stands well above.
+FAILING_SHARE = 0.33
+# Weight of one measured time in the slowness.
+SLOWNESS_GAIN = 0.3
+# Seconds in which a slowness that is not measured again halves its distance to the usual.
+SLOWNESS_HALF_LIFE = 4.0
+FASTEST = 0.5
+SLOWEST = 20.0
+
+
+class Health:
+    """Outcomes of this host's requests on one endpoint. Times are monotonic seconds."""
+
+    def __init__(self) -> None:
+        self._failing = 0.0
+        self._until = float("-inf")
+        self._pause = FIRST_PAUSE
+        self._slowness = 1.0
+        self._slow_at = 0.0
+
+    def succeeded(self) -> None:
+        """Count a request that the endpoint served."""
+        self._failing -= OUTCOME_GAIN * self._failing
+        if self._failing < FAILING_SHARE:
+            self._pause = FIRST_PAUSE
+
+    def erred(self, now: float) -> None:
+        """Count a request that the endpoint answered with a failure of its own."""
+        self._failing += OUTCOME_GAIN * (1.0 - self._failing)
+        if self._failing >= FAILING_SHARE:
+            self._leave_out(now)
+
+    def lost(self, now: float) -> None:
+        """Count a request that got no answer: unreachable, reset or silent."""
+        self._failing += OUTCOME_GAIN * (1.0 - self._failing)
+        self._leave_out(now)
+
+    def _leave_out(self, now: float) -> None:
+        if now < self._until:
+            return
+        self._until = now + self._pause
+        self._pause = min(LONGEST_PAUSE, self._pause * 2)
+
+    def suspect(self, now: float) -> bool:
+        """Tell whether to send elsewhere if that can be."""
+        return now < self._until
+
+    def measured(self, ratio: float, now: float) -> None:
+        """Take in the time of one request over the usual time for the same work."""
+        current = self.slowness(now)
+        self._slowness = current + SLOWNESS_GAIN * (ratio - current)
+        self._slow_at = now
+
+    def slowness(self, now: float) -> float:
+        """Return the endpoint's time over the usual, fading when it is not measured again."""
+        faded = 0.5 ** ((now - self._slow_at) / SLOWNESS_HALF_LIFE)
+        return min(SLOWEST, max(FASTEST, 1.0 + (self._slowness - 1.0) * faded))
--- a/peridotdock/errors.py
+++ b/peridotdock/errors.py
@@ -45,6 +45,7 @@
     MANIFEST_CONFLICT = "manifest_conflict"
     MANIFEST_STALE = "manifest_stale"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    HISTORY_GONE = "history_gone"
     CONFLICT = "conflict"
     FENCED = "fenced"
     NO_ROOM = "no_room"
@@ -206,6 +207,13 @@
         "The platform did not say whether the write took effect.",
         "Publish the same again: it is a no-op if it was accepted.",
     ),
+    Kind.HISTORY_GONE: Answer(
+        409,
+        Ran.NO,
+        "INFO",
+        "The store no longer has the changes asked for.",
+        "The table is read whole; done by itself.",
+    ),
     Kind.CONFLICT: Answer(
         409, Ran.NO, "INFO", "A row changed since it was read.", "Read again; done by itself."
     ),
--- /dev/null
+++ b/peridotdock/platform/adapter.py
@@ -0,0 +1,24 @@
+"""The adapter as one object."""
+
+from peridotdock.metrics import Metrics
+from peridotdock.platform.documents import decode_deployment, decode_endpoint
+from peridotdock.platform.entry import write_addresses
+from peridotdock.platform.store import CONFIG_KEY, CONFIG_TABLE, ENDPOINT_TABLE, TableStore
+from peridotdock.platform.wire import PlatformWire
+from peridotdock.relay.settings import Address
+
+
+class PlatformAdapter:
+    """The users' platform."""
+
+    wire = PlatformWire()
+    config_table = CONFIG_TABLE
+    config_key = CONFIG_KEY
+    endpoint_table = ENDPOINT_TABLE
+    decode_deployment = staticmethod(decode_deployment)
+    decode_endpoint = staticmethod(decode_endpoint)
+    write_addresses = staticmethod(write_addresses)
+
+    def open_store(self, address: Address, metrics: Metrics) -> TableStore:
+        """Return the platform's store."""
+        return TableStore(address, metrics)
--- /dev/null
+++ b/peridotdock/platform/documents.py
@@ -0,0 +1,137 @@
+"""The operators' configuration and the endpoints' entries, decoded from the platform's rows."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from peridotdock.deployment import (
+    CallerLimits,
+    Deployment,
+    EngineSpec,
+    Model,
+    Route,
+    RouteKind,
+    Service,
+    Share,
+    index_routes,
+)
+from peridotdock.errors import Failure, Kind
+from peridotdock.relay.asks import EndpointEntry, HeldModel
+
+BAD_DOCUMENT = (KeyError, TypeError, ValueError, AttributeError, msgspec.DecodeError)
+
+
+def decode_deployment(raw: bytes) -> Deployment | Failure:
+    """Read the value of the row that holds the configuration."""
+    try:
+        document = msgspec.json.decode(raw)
+        services = [decode_service(row) for row in document["services"]]
+        return Deployment(
+            version=int(document["version"]),
+            services={service.name: service for service in services},
+            limits=decode_limits(document.get("limits") or {}),
+            routes=index_routes(decode_route(row) for row in document["routes"]),
+        )
+    except BAD_DOCUMENT as exc:
+        return Failure(Kind.MANIFEST_INVALID, f"configuration: {type(exc).__name__}: {exc}")
+
+
+def decode_limits(raw: Mapping[str, Any]) -> CallerLimits:
+    """Return what callers may send; what the row leaves out keeps its default."""
+    default = CallerLimits()
+    return CallerLimits(
+        max_header_bytes=int(raw.get("max_header_bytes", default.max_header_bytes)),
+        max_body_bytes=int(raw.get("max_body_bytes", default.max_body_bytes)),
+        idle=float(raw.get("idle_timeout_ms", default.idle * 1000)) / 1000,
+    )
+
+
+def decode_route(raw: Mapping[str, Any]) -> Route:
+    """Return one route; it names one service, or several with weights."""
+    split = raw.get("traffic_split") or [{"service": raw.get("service", ""), "weight": 1}]
+    kind = RouteKind(raw["kind"])
+    return Route(
+        name=raw["name"],
+        host=raw["host"].lower(),
+        prefix=raw["prefix"],
+        kind=kind,
+        shares=tuple(Share(row["service"], float(row["weight"])) for row in split),
+        timeout=float(raw["timeout_ms"]) / 1000,
+        target=float(raw.get("target_latency_ms") or raw["timeout_ms"]) / 1000,
+        # The platform's "priority": 0 comes first.
+        rank=int(raw.get("priority") or 0),
+        max_sends=int(raw.get("max_attempts") or 1),
+        resumable=kind is RouteKind.STREAM and bool(raw.get("resumable")),
+        longest_pause=float(raw.get("gap_aim_ms") or 0) / 1000,
+    )
+
+
+def decode_service(raw: Mapping[str, Any]) -> Service:
+    """Return one service."""
+    engine = raw.get("engine")
+    return Service(
+        name=raw["name"],
+        health_path=raw.get("health_path", ""),
+        max_connections=int(raw.get("max_connections") or 0),
+        engine=decode_engine(engine) if engine and engine.get("models") else None,
+    )
+
+
+def decode_engine(raw: Mapping[str, Any]) -> EngineSpec:
+    """Return what the engines of a service can hold."""
+    models = [decode_model(row) for row in raw["models"]]
+    return EngineSpec(
+        slots=int(raw["slots"]),
+        weights_mb=float(raw["weights_mb"]),
+        adapter_places=int(raw.get("adapter_slots") or 0),
+        cache_tokens=int(raw.get("kv_capacity_tokens") or 0),
+        cache_token_bytes=float(raw.get("kv_token_bytes") or 0),
+        loads_per_second=float(raw.get("loads_per_s") or 0),
+        models={model.name: model for model in models},
+    )
+
+
+def decode_model(raw: Mapping[str, Any]) -> Model:
+    """Return one model; its adapters are numbered, their names are made from the number."""
+    load = float(raw["load_s"])
+    return Model(
+        name=raw["name"],
+        weights_mb=float(raw["weights_mb"]),
+        load=load,
+        from_disk=float(raw.get("disk_s") or load),
+        from_memory=float(raw.get("warm_s") or load),
+        adapters=int(raw.get("adapters") or 0),
+        adapter_mb=float(raw.get("adapter_mb") or 0),
+    )
+
+
+def decode_endpoint(incarnation: str, raw: bytes) -> EndpointEntry | Failure:
+    """Read the row in which an endpoint registered itself; the row's key is its incarnation."""
+    try:
+        row = msgspec.json.decode(raw)
+        at_hand = row.get("at_hand") or {}
+        return EndpointEntry(
+            incarnation=incarnation,
+            service=row["service"],
+            address=row["address"],
+            domain=row.get("zone", ""),
+            slots=int(row.get("slots") or 1),
+            leaving=row.get("state") != "ready",
+            models=decode_held(row.get("models") or ()),
+            in_memory=frozenset(at_hand.get("in_memory") or ()),
+            on_disk=frozenset(at_hand.get("on_disk") or ()),
+        )
+    except BAD_DOCUMENT as exc:
+        return Failure(Kind.BAD_REQUEST, f"entry {incarnation}: {type(exc).__name__}: {exc}")
+
+
+def decode_held(rows: Any) -> dict[str, HeldModel]:
+    """Return the models that an endpoint holds, by name."""
+    return {
+        row["name"]: HeldModel(
+            int(row.get("version") or 0),
+            frozenset(str(name).partition("@")[0] for name in row.get("adapters") or ()),
+        )
+        for row in rows
+    }
--- /dev/null
+++ b/peridotdock/platform/settings.py
@@ -0,0 +1,56 @@
+"""The platform's settings file, read into the product's settings."""
+
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from peridotdock.errors import Failure, Kind
+from peridotdock.relay.settings import Bounds, HostSettings, Listen, parse_address
+
+PATH_VARIABLE = "PERIDOTDOCK_SETTINGS"
+
+
+def load_settings(environ: Mapping[str, str]) -> HostSettings | Failure:
+    """Read the file that the environment names; what is wrong with it is the failure's reason."""
+    path = environ.get(PATH_VARIABLE, "")
+    if not path:
+        return Failure(Kind.BAD_REQUEST, f"{PATH_VARIABLE} is not set")
+    try:
+        return decode_settings(tomllib.loads(Path(path).read_text()))
+    except (OSError, ValueError, KeyError, TypeError) as exc:
+        return Failure(Kind.BAD_REQUEST, f"{path}: {type(exc).__name__}: {exc}")
+
+
+def decode_settings(raw: Mapping[str, Any]) -> HostSettings:
+    """Return the settings; raises KeyError or ValueError for what is missing or wrong."""
+    listen = raw["listen"]
+    return HostSettings(
+        host=raw["node_name"],
+        domain=raw["zone"],
+        listen=Listen(
+            callers=parse_address(listen["front"]),
+            readiness=parse_address(listen["ready"]),
+            directory=parse_address(listen["directory"]),
+            peers=parse_address(listen["control"]),
+        ),
+        seeds=tuple(parse_address(text) for text in raw.get("seeds", ())),
+        store=parse_address(raw["platform"]["address"]),
+        bounds=decode_bounds(raw["bounds"]),
+    )
+
+
+def decode_bounds(raw: Mapping[str, Any]) -> Bounds:
+    """Return the bounds, in seconds where the file has milliseconds."""
+    return Bounds(
+        leaving=raw["drain_ms"] / 1000,
+        # The time from SIGTERM to SIGKILL.
+        stopping=float(raw["grace_s"]),
+        retry_share=float(raw["budget_ratio"]),
+        retry_extra=float(raw["budget_extra"]),
+        retry_window=float(raw["budget_window_s"]),
+        order_lease=raw["lease_ms"] / 1000,
+        loads_window=float(raw["ceiling_window_s"]),
+        loads_over=float(raw["ceiling_over"]),
+        address_ttl=float(raw["ttl_max_s"]),
+    )
--- /dev/null
+++ b/peridotdock/platform/store.py
@@ -0,0 +1,228 @@
+"""The platform's store: rows with versions, transactions, feeds and objects, over HTTP."""
+
+import asyncio
+import base64
+import json
+from collections.abc import Iterable, Mapping
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import aiohttp
+import msgspec
+
+from peridotdock.clients.http import BROKEN, UNREACHABLE, Pool
+from peridotdock.clients.platform import Committed, ListedHost, Row, Transaction
+from peridotdock.clients.tables import TableChanges, TableView
+from peridotdock.errors import Failure, Kind, failed
+from peridotdock.metrics import Metrics
+from peridotdock.relay.settings import Address
+
+# The product's own rows; all stand in the empty part, so that one transaction can change several.
+OWN_TABLE = "peridotdock"
+# Tables that the operators and the endpoints write, and the row of the configuration.
+CONFIG_TABLE = "op"
+CONFIG_KEY = "config"
+ENDPOINT_TABLE = "servers"
+# Seconds for a call that the store does not hold back; it takes some milliseconds on a good day.
+CALL_SECONDS = 1.5
+# Seconds for a followed table beyond the time that the store may hold the call back.
+FOLLOW_MARGIN = 1.0
+DROPPED = "tombstone"
+READ_ERRORS = (KeyError, TypeError, ValueError, msgspec.DecodeError)
+COMMIT_KINDS = {412: Kind.CONFLICT, 429: Kind.PLATFORM_DOWN, 503: Kind.PLATFORM_DOWN}
+
+
+class TableStore:
+    """The platform's store, as the product's one client of it."""
+
+    def __init__(self, address: Address, metrics: Metrics):
+        self._url = f"http://{address}"
+        self._pool = Pool(limit=16)
+        self._metrics = metrics
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._pool.close()
+
+    async def _call(
+        self, method: str, path: str, body: bytes | None = None, seconds: float = CALL_SECONDS
+    ) -> tuple[int, bytes] | Failure:
+        limit = aiohttp.ClientTimeout(total=seconds, sock_connect=CALL_SECONDS)
+        headers = {"content-type": "application/json"} if body is not None else None
+        call = path.partition("?")[0].split("/")[2]
+        try:
+            async with (
+                self._pool.use() as session,
+                session.request(
+                    method, self._url + path, data=body, headers=headers, timeout=limit
+                ) as resp,
+            ):
+                raw = await resp.read()
+        except UNREACHABLE as exc:
+            self._metrics.platform.labels(call, "unreachable").inc()
+            return Failure(Kind.PLATFORM_DOWN, type(exc).__name__)
+        except BROKEN as exc:
+            if isinstance(exc, asyncio.TimeoutError):
+                # The connection may have gone silent for good; the next call takes a new one.
+                await self._pool.renew()
+            self._metrics.platform.labels(call, "lost").inc()
+            return Failure(Kind.OUTCOME_UNKNOWN, type(exc).__name__)
+        self._metrics.platform.labels(call, str(resp.status)).inc()
+        return resp.status, raw
+
+    async def _fetch(self, path: str, seconds: float = CALL_SECONDS) -> Any | Failure:
+        """Return the decoded body of a read; a read that was lost is simply not done."""
+        outcome = await self._call("GET", path, seconds=seconds)
+        if failed(outcome):
+            return Failure(Kind.PLATFORM_DOWN, outcome.reason)
+        status, raw = outcome
+        if status == 410:
+            return Failure(Kind.HISTORY_GONE)
+        if status != 200:
+            return Failure(Kind.PLATFORM_DOWN, f"status {status}")
+        try:
+            return msgspec.json.decode(raw)
+        except msgspec.DecodeError as exc:
+            return Failure(Kind.PLATFORM_DOWN, f"bad body: {exc}")
+
+    async def _pages(
+        self, table: str, start: str = "", end: str = ""
+    ) -> tuple[list[dict[str, Any]], int] | Failure:
+        """Read a range of keys, page by page; the version is that of the first page.
+
+        Following a table from the first page's version gives every change that a later page may
+        have shown already, so nothing is missed.
+        """
+        rows: list[dict[str, Any]] = []
+        version = None
+        while True:
+            query = {"table": table, "part": ""}
+            query |= {"from": start} if start else {}
+            query |= {"to": end} if end else {}
+            page = await self._fetch("/v1/rows-get?" + urlencode(query))
+            if failed(page):
+                return page
+            try:
+                rows += page["rows"]
+                version = int(page["ver"]) if version is None else version
+                if not page.get("has_more"):
+                    return rows, version
+                start = rows[-1]["key"] + "\0"
+            except READ_ERRORS as exc:
+                return Failure(Kind.PLATFORM_DOWN, f"bad page: {exc!r}")
+
+    async def read_table(self, table: str) -> TableView | Failure:
+        """Read a whole table."""
+        found = await self._pages(table)
+        if failed(found):
+            return found
+        rows, version = found
+        try:
+            return TableView({row["key"]: base64.b64decode(row["value"]) for row in rows}, version)
+        except READ_ERRORS as exc:
+            return Failure(Kind.PLATFORM_DOWN, f"bad row: {exc!r}")
+
+    async def follow(self, table: str, after: int, seconds: float) -> TableChanges | Failure:
+        """Wait for changes of a table after a version."""
+        query = urlencode({"table": table, "after": after, "wait_ms": int(seconds * 1000)})
+        found = await self._fetch("/v1/rows-feed?" + query, seconds + FOLLOW_MARGIN)
+        if failed(found):
+            return found
+        try:
+            values = {
+                row["key"]: None if row.get(DROPPED) else base64.b64decode(row["value"])
+                for row in found["rows"]
+            }
+            return TableChanges(values, int(found["ver"]))
+        except READ_ERRORS as exc:
+            return Failure(Kind.PLATFORM_DOWN, f"bad row: {exc!r}")
+
+    async def read(self, keys: Iterable[str]) -> dict[str, Row] | Failure:
+        """Return the product's rows that exist among ``keys``."""
+        found: dict[str, Row] = {}
+        for key in keys:
+            rows = await self._own_rows(key, key + "\0")
+            if failed(rows):
+                return rows
+            found |= rows
+        return found
+
+    async def scan(self, prefix: str) -> dict[str, Row] | Failure:
+        """Return the product's rows whose key starts with ``prefix``."""
+        return await self._own_rows(prefix, prefix + "\x7f")
+
+    async def _own_rows(self, start: str, end: str) -> dict[str, Row] | Failure:
+        found = await self._pages(OWN_TABLE, start, end)
+        if failed(found):
+            return found
+        try:
+            return {
+                row["key"]: Row(json.loads(base64.b64decode(row["value"])), int(row["ver"]))
+                for row in found[0]
+            }
+        except READ_ERRORS as exc:
+            return Failure(Kind.PLATFORM_DOWN, f"bad row: {exc!r}")
+
+    async def commit(self, tx: Transaction) -> Committed | Failure:
+        """Send the transaction once."""
+        writes = {key: value for key, value in tx.writes.items() if value is not None}
+        body = {
+            "expected": [own_row(key) | {"ver": ver} for key, ver in tx.checks.items()],
+            "set_keys": [
+                own_row(key) | {"value": encode_value(value, tx.id)}
+                for key, value in writes.items()
+            ],
+            "remove": [own_row(key) for key in tx.writes if key not in writes],
+        }
+        outcome = await self._call("POST", "/v1/rows-tx", json.dumps(body).encode())
+        if failed(outcome):
+            return outcome
+        status, raw = outcome
+        if status == 200:
+            return Committed(int(msgspec.json.decode(raw)["ver"]))
+        return Failure(COMMIT_KINDS.get(status, Kind.OUTCOME_UNKNOWN), f"status {status}")
+
+    async def get_object(self, name: str) -> bytes | None | Failure:
+        """Fetch an object."""
+        outcome = await self._call("GET", f"/v1/blob-get/{quote(name, safe='')}")
+        if failed(outcome):
+            return Failure(Kind.PLATFORM_DOWN, outcome.reason)
+        status, raw = outcome
+        results = {200: raw, 404: None}
+        return results.get(status, Failure(Kind.PLATFORM_DOWN, f"status {status}"))
+
+    async def put_object(self, name: str, body: bytes) -> Failure | None:
+        """Store an object."""
+        outcome = await self._call("PUT", f"/v1/blob-put/{quote(name, safe='')}", body)
+        if failed(outcome):
+            return outcome
+        return None if outcome[0] == 200 else Failure(Kind.PLATFORM_DOWN, f"status {outcome[0]}")
+
+    async def list_hosts(self) -> list[ListedHost] | Failure:
+        """Return the hosts that registered themselves."""
+        rows = await self.scan(HOST_PREFIX)
+        if failed(rows):
+            return rows
+        return [
+            ListedHost(key.removeprefix(HOST_PREFIX), row.value["peer"], row.value["leaving"])
+            for key, row in rows.items()
+        ]
+
+    async def register_host(self, host: str, peer: str, leaving: bool) -> Failure | None:
+        """Write this host's row, whatever it says now: only this host writes it."""
+        value = {"peer": peer, "leaving": leaving}
+        outcome = await self.commit(Transaction({}, {HOST_PREFIX + host: value}))
+        return outcome if failed(outcome) else None
+
+
+HOST_PREFIX = "host/"
+
+
+def own_row(key: str) -> dict[str, Any]:
+    """Return the address of one of the product's rows."""
+    return {"table": OWN_TABLE, "part": "", "key": key}
+
+
+def encode_value(value: Mapping[str, Any], tx_id: str) -> str:
+    """Return a row's value; the transaction's id in it tells after a conflict whose it is."""
+    return base64.b64encode(json.dumps({**value, "write": tx_id}).encode()).decode()
--- /dev/null
+++ b/peridotdock/relay/asks.py
@@ -0,0 +1,111 @@
+"""A caller's request on a route, and an endpoint as it registered itself, decoded."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from peridotdock.deployment import Route
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that other requests may share; equal ids are equal tokens."""
+
+    id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class ModelWish:
+    """The model work that a request asks for; ``adapter`` is empty for the bare model."""
+
+    model: str
+    adapter: str
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[PromptPart, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """The head of a request as the wire's decoder found it.
+
+    ``seconds`` is how long the caller waits, None when it does not say. ``resume_after`` is the id
+    of the last event the caller has. ``headers`` are those that go on to the endpoint unchanged.
+    """
+
+    attempt_id: str
+    host: str
+    seconds: float | None
+    resume_after: str
+    wish: ModelWish | None
+    headers: tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RelayAsk:
+    """A request to be relayed. ``deadline`` and ``began`` are monotonic seconds.
+
+    ``deadline`` is the earlier of the route's time-out and of what the caller will wait.
+    """
+
+    head: RequestHead
+    route: Route
+    method: str
+    target: str
+    body: bytes
+    began: float
+    deadline: float
+
+    @property
+    def id(self) -> str:
+        """Return the caller's id for this attempt."""
+        return self.head.attempt_id
+
+
+@dataclass(frozen=True, slots=True)
+class HeldModel:
+    """A model on an endpoint, with the adapters that are loaded for it."""
+
+    version: int
+    adapters: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointEntry:
+    """What an endpoint registered about itself. ``incarnation`` is new for each of its starts."""
+
+    incarnation: str
+    service: str
+    address: str
+    domain: str
+    slots: int
+    leaving: bool
+    models: Mapping[str, HeldModel] = field(default_factory=dict)
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class SendOptions:
+    """What one send says beside the caller's request; ``seconds`` is the time left."""
+
+    incarnation: str
+    seconds: float
+    priority: int
+    resume_after: str
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The head of an endpoint's answer.
+
+    ``not_run`` is the endpoint's word that it did not run the request. ``receipt`` proves that the
+    answer is the endpoint's own. ``headers`` go back to the caller unchanged.
+    """
+
+    status: int
+    attempt_id: str
+    not_run: bool
+    receipt: str
+    content_type: str
+    headers: tuple[tuple[str, str], ...]
--- /dev/null
+++ b/peridotdock/relay/book.py
@@ -0,0 +1,234 @@
+"""What this host knows of each endpoint: its entry, the work on it, how it has behaved."""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from peridotdock.clock import Clock
+from peridotdock.decisions.choice import Candidate, Work
+from peridotdock.decisions.health import Health
+from peridotdock.relay.asks import EndpointEntry, ModelWish
+from peridotdock.rendezvous import weigh
+
+# Seconds to read one prompt token before any was measured; corrected by each first token.
+FIRST_GUESS_PER_TOKEN = 0.00003
+# Seconds that a plain service takes before any answer was measured.
+FIRST_GUESS_SERVICE = 0.05
+# Weight of a new measurement in a moving average: about the last ten count.
+GAIN = 0.1
+# Seconds after which what another host said of its work on an endpoint no longer counts.
+PEER_SECONDS = 3.0
+# Prompt parts remembered for each endpoint; 16 bytes a part keep this under 200 KB.
+MOST_PARTS = 2000
+# Fewest tokens from which a time for one token is learnt: below, the step dominates.
+LEAST_TOKENS = 400
+
+
+@dataclass(slots=True)
+class Flight:
+    """One request of this host on an endpoint; ``tokens`` of its prompt are still to be read."""
+
+    began: float
+    tokens: int
+    alone: bool
+    waiting: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """What another host has on an endpoint: requests, and prompt tokens not read yet."""
+
+    running: int
+    tokens: int
+    at: float
+
+
+@dataclass
+class EndpointState:
+    """One endpoint as seen from this host."""
+
+    entry: EndpointEntry
+    health: Health
+    flights: dict[str, Flight] = field(default_factory=dict)
+    peers: dict[str, PeerLoad] = field(default_factory=dict)
+    parts: OrderedDict[tuple[str, str], None] = field(default_factory=OrderedDict)
+    ahead: int = 0
+
+    @property
+    def key(self) -> str:
+        """Return the endpoint's incarnation."""
+        return self.entry.incarnation
+
+    def load(self, now: float) -> tuple[int, int]:
+        """Return requests and unread prompt tokens there, ours and those of other hosts."""
+        running, tokens = len(self.flights), self.ahead
+        for peer in self.peers.values():
+            if now - peer.at <= PEER_SECONDS:
+                running += peer.running
+                tokens += peer.tokens
+        return running, tokens
+
+    def cached(self, wish: ModelWish) -> int:
+        """Return how many leading tokens of a prompt are thought to be kept there."""
+        kept = 0
+        place = cache_place(wish)
+        for part in wish.parts:
+            if (place, part.id) not in self.parts:
+                break
+            kept += part.tokens
+        return kept
+
+    def remember(self, wish: ModelWish) -> None:
+        """Take the parts of a prompt as kept there from now on."""
+        place = cache_place(wish)
+        for part in wish.parts:
+            self.parts[(place, part.id)] = None
+            self.parts.move_to_end((place, part.id))
+        while len(self.parts) > MOST_PARTS:
+            self.parts.popitem(last=False)
+
+
+def cache_place(wish: ModelWish) -> str:
+    """Return under what an engine keeps prompt parts: one model with one adapter."""
+    return f"{wish.model}/{wish.adapter}"
+
+
+class EndpointBook:
+    """All endpoints in touch, by incarnation, and what is known of services and models."""
+
+    def __init__(self, domain: str, clock: Clock):
+        self._domain = domain
+        self._clock = clock
+        self.states: dict[str, EndpointState] = {}
+        self.by_service: dict[str, list[EndpointState]] = {}
+        self._per_token: dict[str, float] = {}
+        self._service: dict[str, float] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each change of the endpoints or of what they hold."""
+        self._listeners.append(listener)
+
+    def replace(self, entries: Iterable[EndpointEntry]) -> None:
+        """Take the whole list of endpoints; those that are missing are gone."""
+        old = self.states
+        self.states = {}
+        for entry in entries:
+            state = old.get(entry.incarnation)
+            if state is None:
+                state = EndpointState(entry, Health())
+            state.entry = entry
+            self.states[entry.incarnation] = state
+        self._index()
+
+    def update(self, changed: Mapping[str, EndpointEntry | None]) -> None:
+        """Take in changed entries; None stands for one that is gone."""
+        entries = {key: state.entry for key, state in self.states.items()}
+        for key, entry in changed.items():
+            if entry is None:
+                entries.pop(key, None)
+            else:
+                entries[key] = entry
+        self.replace(entries.values())
+
+    def _index(self) -> None:
+        self.by_service = {}
+        for state in self.states.values():
+            self.by_service.setdefault(state.entry.service, []).append(state)
+        for listener in self._listeners:
+            listener()
+
+    def usable(self, service: str, wish: ModelWish | None) -> list[EndpointState]:
+        """Return the endpoints of a service that take new work and hold what is wished for."""
+        found = [s for s in self.by_service.get(service, ()) if not s.entry.leaving]
+        if wish is None:
+            return found
+        return [state for state in found if holds(state.entry, wish)]
+
+    def work(self, service: str, wish: ModelWish | None) -> Work:
+        """Return what a request asks of an endpoint, by what was measured so far."""
+        seconds = self._service.get(service, FIRST_GUESS_SERVICE)
+        if wish is None:
+            return Work(0, 0, 0.0, seconds)
+        shared = sum(part.tokens for part in wish.parts[:-1])
+        per_token = self._per_token.get(wish.model, FIRST_GUESS_PER_TOKEN)
+        return Work(max(1, wish.prompt_tokens), shared, per_token, seconds)
+
+    def candidates(
+        self, states: Iterable[EndpointState], wish: ModelWish | None, avoid: frozenset[str]
+    ) -> list[Candidate]:
+        """Return the endpoints as they look for one request, without those to ``avoid``."""
+        now = self._clock.monotonic()
+        open_ones = [state for state in states if state.key not in avoid]
+        favourite = find_favourite(open_ones, wish)
+        return [self._look(state, wish, state.key == favourite, now) for state in open_ones]
+
+    def _look(
+        self, state: EndpointState, wish: ModelWish | None, preferred: bool, now: float
+    ) -> Candidate:
+        running, ahead = state.load(now)
+        return Candidate(
+            key=state.key,
+            ahead=ahead,
+            running=running,
+            slots=state.entry.slots,
+            cached=state.cached(wish) if wish else 0,
+            preferred=preferred,
+            slowness=state.health.slowness(now),
+            near=state.entry.domain == self._domain,
+            suspect=state.health.suspect(now),
+        )
+
+    def began(self, state: EndpointState, ask_id: str, wish: ModelWish | None) -> None:
+        """Count a request on an endpoint from the moment it is sent."""
+        now = self._clock.monotonic()
+        running, ahead = state.load(now)
+        tokens = max(0, wish.prompt_tokens - state.cached(wish)) if wish else 0
+        state.flights[ask_id] = Flight(now, tokens, alone=ahead == 0)
+        state.ahead += tokens
+        if wish is not None:
+            state.remember(wish)
+
+    def answered(self, state: EndpointState, ask_id: str, wish: ModelWish | None) -> None:
+        """Note the first token of a request and learn from how long it took."""
+        flight = state.flights.get(ask_id)
+        if flight is None or not flight.waiting:
+            return
+        flight.waiting = False
+        state.ahead -= flight.tokens
+        now = self._clock.monotonic()
+        if wish is not None and flight.alone and flight.tokens >= LEAST_TOKENS:
+            found = (now - flight.began) / flight.tokens
+            usual = self._per_token.setdefault(wish.model, found)
+            state.health.measured(found / usual, now)
+            self._per_token[wish.model] = usual + GAIN * (min(found, 2 * usual) - usual)
+
+    def ended(self, state: EndpointState, ask_id: str, service: str, whole: bool) -> None:
+        """Note that a request left an endpoint; whole answers teach how long one takes."""
+        flight = state.flights.pop(ask_id, None)
+        if flight is None:
+            return
+        if flight.waiting:
+            state.ahead -= flight.tokens
+        if whole:
+            now = self._clock.monotonic()
+            usual = self._service.get(service, FIRST_GUESS_SERVICE)
+            self._service[service] = usual + GAIN * (now - flight.began - usual)
+
+
+def holds(entry: EndpointEntry, wish: ModelWish) -> bool:
+    """Tell whether an endpoint holds a model, and the adapter where one is wished for."""
+    held = entry.models.get(wish.model)
+    return held is not None and (not wish.adapter or wish.adapter in held.adapters)
+
+
+def find_favourite(states: list[EndpointState], wish: ModelWish | None) -> str:
+    """Return the endpoint that all hosts prefer for a prompt's shared part, or nothing.
+
+    Hosts don't tell each other which prompts they sent where; the same hash on all of them brings
+    requests that share a part to the same endpoint.
+    """
+    if wish is None or len(wish.parts) < 2 or not states:
+        return ""
+    shared = f"{cache_place(wish)}|{wish.parts[-2].id}"
+    return max(states, key=lambda state: weigh(shared, state.key)).key
--- /dev/null
+++ b/peridotdock/relay/front.py
@@ -0,0 +1,105 @@
+"""The callers' side of a relaying host: HTTP in, the route, the answer."""
+
+import json
+
+from blacksheep import Content, Request, Response
+
+from peridotdock.answers import JSON, answer_reply
+from peridotdock.context import Context
+from peridotdock.deployment import Deployment
+from peridotdock.errors import Failure, Kind, failed
+from peridotdock.relay.asks import RelayAsk, RequestHead
+from peridotdock.relay.attempt import Source, Whole
+from peridotdock.relay.caller import CallerEnd
+from peridotdock.relay.service import RelayService
+from peridotdock.relay.streaming import pass_on
+from peridotdock.relay.wire import Wire
+from peridotdock.requests import Reply
+from peridotdock.serving import read_body
+
+# Seconds until a caller may come back to a host that knows no configuration yet: by then it has
+# read one, or the caller has asked for other addresses.
+NOT_READY_RETRY_SECONDS = 0.3
+
+
+class Front:
+    """Takes callers' requests on one host."""
+
+    def __init__(self, ctx: Context, wire: Wire, service: RelayService):
+        self._ctx = ctx
+        self._wire = wire
+        self._service = service
+        self.deployment: Deployment | None = None
+        self.in_work = 0
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request."""
+        began = self._ctx.clock.monotonic()
+        head = self._wire.read_request(request.headers)
+        if failed(head):
+            return self._refuse(head, "")
+        deployment = self.deployment
+        if deployment is None:
+            return self._refuse(
+                Failure(Kind.NOT_READY, "", NOT_READY_RETRY_SECONDS), head.attempt_id
+            )
+        path = request.url.path.decode("latin-1")
+        route = deployment.match(head.host, path)
+        if route is None:
+            return self._refuse(Failure(Kind.NOT_FOUND, "no route"), head.attempt_id)
+        body = await read_body(request, deployment.limits.max_body_bytes)
+        if failed(body):
+            return self._refuse(body, head.attempt_id)
+        ask = make_ask(request, head, route, body, began)
+        return await self._serve(request, ask)
+
+    async def _serve(self, request: Request, ask: RelayAsk) -> Response:
+        caller = CallerEnd(request.scope["receive"])
+        progress = self._service.begin(ask.route)
+        streaming = False
+        self.in_work += 1
+        try:
+            found = await self._service.open(ask, caller, progress)
+            if failed(found):
+                return self._refuse(found, ask.id)
+            self._ctx.metrics.requests.labels("answered").inc()
+            head = found.head
+            if isinstance(found, Whole):
+                return answer_reply(Reply(head.status, head.headers, found.body, head.content_type))
+            streaming = True
+            body = self._hold(ask, caller, progress, found)
+            return answer_reply(Reply(head.status, head.headers, body, head.content_type))
+        finally:
+            if not streaming:
+                self._leave(caller)
+
+    async def _hold(self, ask, caller, progress, source: Source):
+        """Pass a stream on, and count it as in work until it has ended."""
+        try:
+            async for part in pass_on(self._service, ask, caller, progress, source):
+                yield part
+        finally:
+            self._leave(caller)
+
+    def _leave(self, caller: CallerEnd) -> None:
+        self.in_work -= 1
+        caller.release()
+
+    def _refuse(self, failure: Failure, attempt_id: str) -> Response:
+        self._ctx.metrics.requests.labels(failure.kind.value).inc()
+        self._ctx.timeline.add(
+            "refused",
+            failure.answer.level,
+            request=attempt_id,
+            detail=f"{failure.kind}: {failure.reason}",
+        )
+        headers = self._wire.write_refusal(attempt_id, failure.retry_after)
+        body = json.dumps(failure.describe(attempt_id)).encode()
+        return Response(failure.answer.status, headers, Content(JSON, body))
+
+
+def make_ask(request: Request, head: RequestHead, route, body: bytes, began: float) -> RelayAsk:
+    """Return the request to relay; its time runs from when its head was read."""
+    seconds = route.timeout if head.seconds is None else min(route.timeout, head.seconds)
+    target = request.url.value.decode("latin-1")
+    return RelayAsk(head, route, request.method, target, body, began, began + seconds)
--- /dev/null
+++ b/peridotdock/relay/sending.py
@@ -0,0 +1,102 @@
+"""One send of a request to one endpoint, up to the head of the answer."""
+
+import asyncio
+from collections.abc import Awaitable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from peridotdock.clients.endpoint import Call, HttpEndpoints, Opened
+from peridotdock.clock import Clock
+from peridotdock.errors import Failure, Kind, failed
+from peridotdock.relay.asks import AnswerHead, RelayAsk, SendOptions
+from peridotdock.relay.book import EndpointState
+from peridotdock.relay.caller import CallerEnd
+from peridotdock.relay.wire import Wire
+from peridotdock.requests import Loss, State, lose
+
+T = TypeVar("T")
+SUCCESS = range(200, 300)
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """An answer whose head has come."""
+
+    state: EndpointState
+    opened: Opened
+    head: AnswerHead
+
+
+async def wait_for(
+    work: Awaitable[T], caller: CallerEnd, seconds: float, silence: bool = False
+) -> T | Failure:
+    """Wait for an endpoint, for as long as the caller is there and the time lasts.
+
+    ``silence`` tells what the end of the time means: the endpoint's silence, or the deadline.
+    """
+    task = asyncio.ensure_future(work)
+    try:
+        await asyncio.wait(
+            {task, caller.left}, timeout=max(0.0, seconds), return_when=asyncio.FIRST_COMPLETED
+        )
+        if task.done():
+            return task.result()
+        if caller.gone():
+            return lose(State.SENT, Loss.CALLER_GONE)
+        return lose(State.SENT, Loss.SILENCE if silence else Loss.DEADLINE)
+    finally:
+        if not task.done():
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+
+class Sender:
+    """Sends requests to endpoints and checks that what comes back is their answer."""
+
+    def __init__(self, wire: Wire, endpoints: HttpEndpoints, clock: Clock):
+        self._wire = wire
+        self._endpoints = endpoints
+        self._clock = clock
+
+    async def send(
+        self,
+        ask: RelayAsk,
+        state: EndpointState,
+        caller: CallerEnd,
+        priority: int,
+        resume_after: str,
+        patience: float,
+    ) -> Sent | Failure:
+        """Send and wait for the head, ``patience`` seconds at most."""
+        left = ask.deadline - self._clock.monotonic()
+        options = SendOptions(state.key, left, priority, resume_after)
+        call = Call(
+            ask.method, ask.target, self._wire.write_send(ask, options), ask.body, once=True
+        )
+        work = self._endpoints.open(f"http://{state.entry.address}", call)
+        opened = await wait_for(work, caller, min(left, patience), silence=patience < left)
+        if failed(opened):
+            return opened
+        head = self._wire.read_answer(opened.status, opened.headers)
+        fault = find_fault(head, ask.id)
+        if fault is not None:
+            opened.abort()
+            await opened.release()
+            return fault
+        return Sent(state, opened, head)
+
+
+def find_fault(head: AnswerHead, attempt_id: str) -> Failure | None:
+    """Return why an answer can't be passed on, or None.
+
+    Failure guarded against: an endpoint sends a second answer after its first, and it stands where
+    the next request's is expected; or its place has been taken by another service. The first shows
+    by the id, the second by the missing receipt. The connection is not used again.
+    """
+    if head.not_run:
+        return Failure(Kind.ENDPOINT_REFUSED, f"status {head.status}")
+    if head.attempt_id and head.attempt_id != attempt_id:
+        return Failure(Kind.WRONG_ANSWER, "id of another request")
+    if head.status in SUCCESS and not (head.receipt and head.attempt_id):
+        return Failure(Kind.WRONG_ANSWER, "no receipt")
+    return None
--- /dev/null
+++ b/peridotdock/relay/service.py
@@ -0,0 +1,224 @@
+"""Serving one relayed request: place it, send it, repeat it where that is safe."""
+
+from dataclasses import dataclass, field
+
+from peridotdock.clients.endpoint import HttpEndpoints, read_all
+from peridotdock.context import Context
+from peridotdock.decisions.allowance import RetryAllowance
+from peridotdock.decisions.choice import Prediction, choose
+from peridotdock.deployment import Route
+from peridotdock.errors import Failure, Kind, failed
+from peridotdock.relay.asks import RelayAsk
+from peridotdock.relay.attempt import Source, Whole
+from peridotdock.relay.book import EndpointBook, EndpointState
+from peridotdock.relay.caller import CallerEnd
+from peridotdock.relay.sending import SUCCESS, Sender, Sent, wait_for
+from peridotdock.relay.settings import Bounds
+from peridotdock.relay.wire import Wire
+from peridotdock.requests import RETRY_KINDS, admit_maybe
+
+# Refused sends of one request: each was not run, but each is an arrival at the service.
+MOST_REFUSALS = 2
+# Seconds until a caller may come back when no endpoint has what it asks for.
+ABSENT_RETRY_SECONDS = 0.5
+# The first sign of an answer may take so many times its prediction, and so many seconds more,
+# before another endpoint is asked.
+PATIENCE_FACTOR = 3.0
+PATIENCE_SECONDS = 0.8
+
+
+@dataclass
+class Progress:
+    """How far one request has come: where it was sent, where it may have run, what it passed on.
+
+    ``last_id`` is the id of the last event that the caller has from us.
+    """
+
+    service: str
+    avoid: set[str] = field(default_factory=set)
+    maybe_ran: int = 0
+    refusals: int = 0
+    sends: int = 0
+    last_id: int | None = None
+
+
+class RelayService:
+    """Serves relayed requests on one host."""
+
+    def __init__(
+        self, ctx: Context, wire: Wire, book: EndpointBook, endpoints: HttpEndpoints, bounds: Bounds
+    ):
+        self.ctx = ctx
+        self.book = book
+        self.sender = Sender(wire, endpoints, ctx.clock)
+        self._bounds = bounds
+        self._allowances: dict[str, RetryAllowance] = {}
+        self.hosts = 1
+
+    def _allowance(self, service: str) -> RetryAllowance:
+        bounds = self._bounds
+        found = self._allowances.get(service)
+        if found is None:
+            found = RetryAllowance(bounds.retry_share, bounds.retry_extra, bounds.retry_window)
+            self._allowances[service] = found
+        return found
+
+    def begin(self, route: Route) -> Progress:
+        """Draw the service for one request by the route's weights, and count it there."""
+        names = [share.service for share in route.shares]
+        weights = [share.weight for share in route.shares]
+        name = names[0] if len(names) == 1 else self.ctx.rng.choices(names, weights)[0]
+        self._allowance(name).count_request(self.ctx.clock.monotonic())
+        return Progress(name)
+
+    async def open(
+        self, ask: RelayAsk, caller: CallerEnd, progress: Progress
+    ) -> Whole | Source | Failure:
+        """Send until an endpoint gives a whole answer or the first events of a stream.
+
+        An endpoint's own failure is passed on as it came when it can't be had better elsewhere.
+        """
+        fallback: Whole | None = None
+        outcome: Failure | None = None
+        while True:
+            place = self._place(ask, progress)
+            if failed(place):
+                return fallback or admit_maybe(outcome or place, progress.maybe_ran > 0)
+            found = await self._attempt(ask, caller, progress, place)
+            if isinstance(found, Whole) and found.erred:
+                fallback = found
+            elif not failed(found):
+                return found
+            else:
+                outcome = found
+            if not self.may_repeat(ask, caller, progress, found):
+                if fallback is not None:
+                    return fallback
+                return admit_maybe(outcome, progress.maybe_ran > 0)
+
+    def _place(self, ask: RelayAsk, progress: Progress) -> Prediction | Failure:
+        wish = ask.head.wish
+        states = self.book.usable(progress.service, wish)
+        candidates = self.book.candidates(states, wish, frozenset(progress.avoid))
+        if not candidates:
+            # All were tried: the one that cut a stream short may still be the one that has it.
+            candidates = self.book.candidates(states, wish, frozenset())
+        found = choose(candidates, self.book.work(progress.service, wish), self.ctx.rng)
+        if found is None:
+            return Failure(Kind.NO_ENDPOINT, progress.service, ABSENT_RETRY_SECONDS)
+        return found
+
+    def may_repeat(
+        self, ask: RelayAsk, caller: CallerEnd, progress: Progress, found: Whole | Failure
+    ) -> bool:
+        """Tell whether to send again: safe, allowed by the route, and within the allowance."""
+        now = self.ctx.clock.monotonic()
+        if caller.gone() or now >= ask.deadline:
+            return False
+        if failed(found) and found.kind not in RETRY_KINDS:
+            return False
+        may_have_run = not failed(found) or found.may_have_run
+        if may_have_run and not ask.route.repeatable:
+            return False
+        if progress.maybe_ran >= ask.route.max_sends or progress.refusals > MOST_REFUSALS:
+            return False
+        if failed(found) and found.kind is Kind.ENDPOINT_UNREACHABLE:
+            return True
+        return self._allowance(progress.service).take(now, self.hosts)
+
+    async def _attempt(
+        self, ask: RelayAsk, caller: CallerEnd, progress: Progress, place: Prediction
+    ) -> Whole | Source | Failure:
+        state = self.book.states.get(place.candidate.key)
+        if state is None:
+            return Failure(Kind.ENDPOINT_UNREACHABLE, "gone meanwhile")
+        progress.sends += 1
+        progress.avoid.add(state.key)
+        self.ctx.metrics.sends.labels(str(progress.sends)).inc()
+        self.book.began(state, ask.id, ask.head.wish)
+        streaming = False
+        try:
+            resume = ask.head.resume_after if progress.last_id is None else str(progress.last_id)
+            patience = self._patience(ask, place.seconds)
+            sent = await self.sender.send(
+                ask, state, caller, choose_priority(ask), resume, patience
+            )
+            found = (
+                sent
+                if failed(sent)
+                else await self._read(ask, caller, progress.service, sent, patience)
+            )
+            self._judge(ask, state, found, progress)
+            streaming = isinstance(found, Source)
+            return found
+        finally:
+            if not streaming:
+                self.book.ended(state, ask.id, progress.service, whole=False)
+
+    def _patience(self, ask: RelayAsk, predicted: float) -> float:
+        """Return how long to wait for a first sign; for good where it can't be sent again."""
+        if not ask.route.repeatable or ask.route.max_sends < 2:
+            return ask.route.timeout
+        return PATIENCE_SECONDS + PATIENCE_FACTOR * predicted
+
+    async def _read(
+        self, ask: RelayAsk, caller: CallerEnd, service: str, sent: Sent, patience: float
+    ) -> Whole | Source | Failure:
+        """Read a whole answer, or a stream up to its first events."""
+        left = ask.deadline - self.ctx.clock.monotonic()
+        if sent.head.status in SUCCESS and ask.route.streams:
+            source = Source(sent.state, sent.head, sent.opened)
+            caller.left.add_done_callback(source.abort)
+            fault = await source.fill(caller, min(left, patience), silent=patience < left)
+            if fault is not None:
+                await source.close(caller)
+                return fault
+            self.book.answered(sent.state, ask.id, ask.head.wish)
+            return source
+        try:
+            body = await wait_for(read_all(sent.opened), caller, left)
+        finally:
+            await sent.opened.release()
+        if failed(body):
+            return body
+        self.book.ended(sent.state, ask.id, service, whole=True)
+        return Whole(sent.state, sent.head, body)
+
+    def _judge(
+        self,
+        ask: RelayAsk,
+        state: EndpointState,
+        found: Whole | Source | Failure,
+        progress: Progress,
+    ) -> None:
+        """Learn from an outcome what the endpoint is worth, and where the request may have run."""
+        now = self.ctx.clock.monotonic()
+        if not failed(found):
+            erred = isinstance(found, Whole) and found.erred
+            progress.maybe_ran += 1
+            state.health.erred(now) if erred else state.health.succeeded()
+            return
+        progress.maybe_ran += found.may_have_run
+        progress.refusals += found.kind is Kind.ENDPOINT_REFUSED
+        self.note_loss(ask, state, found)
+
+    def note_loss(self, ask: RelayAsk, state: EndpointState, found: Failure) -> None:
+        """Hold a loss against the endpoint, unless it is the caller's or the deadline's."""
+        now = self.ctx.clock.monotonic()
+        if found.kind is Kind.ENDPOINT_REFUSED:
+            state.health.erred(now)
+        elif found.kind in RETRY_KINDS:
+            state.health.lost(now)
+        self.ctx.timeline.add(
+            "send_lost",
+            found.answer.level,
+            request=ask.id,
+            endpoint=state.key,
+            detail=f"{found.kind}: {found.reason}",
+        )
+
+
+def choose_priority(ask: RelayAsk) -> int:
+    """Return the engine's priority for a request, 0 to 9: the route's rank, then its target."""
+    slow = ask.route.target > 1.0
+    return min(9, 2 + 2 * ask.route.rank + slow)
--- /dev/null
+++ b/peridotdock/relay/settings.py
@@ -0,0 +1,70 @@
+"""Settings of a relaying host: its place, its addresses, the bounds it keeps to.
+
+All times are seconds. The platform's settings file is read by :mod:`peridotdock.platform`.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a TCP port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return IP:PORT."""
+        return f"{self.ip}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Read IP:PORT; raises ValueError for anything else."""
+    ip, colon, port = text.rpartition(":")
+    if not (colon and ip and port.isdigit() and 0 <= int(port) <= 65535):
+        raise ValueError(f"{text!r} is not IP:PORT")
+    return Address(ip, int(port))
+
+
+@dataclass(frozen=True, slots=True)
+class Listen:
+    """Where this host listens: callers, readiness checks, the answer where to connect, hosts."""
+
+    callers: Address
+    readiness: Address
+    directory: Address
+    peers: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """The limits that the deployment's operators set.
+
+    ``retry_share`` and ``retry_extra`` bound repeats to a service in ``retry_window`` seconds over
+    all hosts: a share of the requests and a fixed number beside. ``order_lease`` is how long one
+    host must have been the only one to order an engine before another may. ``loads_window`` and
+    ``loads_over`` bound loads from the weight store.
+    """
+
+    leaving: float
+    stopping: float
+    retry_share: float
+    retry_extra: float
+    retry_window: float
+    order_lease: float
+    loads_window: float
+    loads_over: float
+    address_ttl: float
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """All settings of one relaying host."""
+
+    host: str
+    domain: str
+    listen: Listen
+    seeds: tuple[Address, ...]
+    store: Address
+    bounds: Bounds
+    metrics: Address | None = None
--- /dev/null
+++ b/peridotdock/relay/streaming.py
@@ -0,0 +1,79 @@
+"""Passing a stream on, event by event, and taking it up at another endpoint when one is lost."""
+
+from collections.abc import AsyncIterator
+
+from peridotdock.errors import Failure, failed
+from peridotdock.relay.asks import RelayAsk
+from peridotdock.relay.attempt import Source, Whole
+from peridotdock.relay.caller import CallerEnd
+from peridotdock.relay.service import Progress, RelayService
+
+# Seconds without a byte after which a stream is taken up elsewhere; callers leave after two.
+SILENCE_SECONDS = 1.2
+
+
+class AnswerBrokenError(Exception):
+    """An answer whose head went out can't be ended whole; its connection must show that."""
+
+
+async def pass_on(
+    service: RelayService, ask: RelayAsk, caller: CallerEnd, progress: Progress, source: Source
+) -> AsyncIterator[bytes]:
+    """Give the caller each event once and in order, and end only when the stream has.
+
+    An event that a second endpoint gives again is left out by its id. What can't be ended whole
+    raises :class:`AnswerBrokenError`, so that the server closes the connection without the end
+    that would make it look complete.
+    """
+    while True:
+        outcome: Failure | None = None
+        try:
+            async for raw in _pass_part(service, ask, caller, progress, source):
+                if failed(raw):
+                    outcome = raw
+                else:
+                    yield raw
+        finally:
+            whole = outcome is None and source.ended and not source.ready
+            service.book.ended(source.state, ask.id, progress.service, whole)
+            await source.close(caller)
+        if outcome is None:
+            return
+        service.note_loss(ask, source.state, outcome)
+        found = await _resume(service, ask, caller, progress, outcome)
+        if failed(found):
+            raise AnswerBrokenError(f"{found.kind}: {found.reason}")
+        source = found
+
+
+async def _pass_part(
+    service: RelayService, ask: RelayAsk, caller: CallerEnd, progress: Progress, source: Source
+) -> AsyncIterator[bytes | Failure]:
+    """Give one endpoint's events; a loss is the last thing given."""
+    while True:
+        for event in source.take():
+            if event.id is not None:
+                if progress.last_id is not None and event.id <= progress.last_id:
+                    continue
+                progress.last_id = event.id
+            yield event.raw
+        if source.ended:
+            return
+        left = ask.deadline - service.ctx.clock.monotonic()
+        silent = ask.route.resumable and left > SILENCE_SECONDS
+        fault = await source.fill(caller, SILENCE_SECONDS if silent else left, silent)
+        if fault is not None:
+            yield fault
+            return
+
+
+async def _resume(
+    service: RelayService, ask: RelayAsk, caller: CallerEnd, progress: Progress, lost: Failure
+) -> Source | Failure:
+    """Take a stream up after its last event, where the route allows it."""
+    if not service.may_repeat(ask, caller, progress, lost):
+        return lost
+    found = await service.open(ask, caller, progress)
+    if isinstance(found, Whole):
+        return lost
+    return found
--- /dev/null
+++ b/peridotdock/relay/wire.py
@@ -0,0 +1,27 @@
+"""What the relay needs of a wire format; :mod:`peridotdock.platform` implements it."""
+
+from collections.abc import Iterable, Mapping
+from typing import Protocol
+
+from peridotdock.errors import Failure
+from peridotdock.relay.asks import AnswerHead, RelayAsk, RequestHead, SendOptions
+
+
+class Wire(Protocol):
+    """Reads callers' requests and endpoints' answers, and writes what goes to either."""
+
+    not_run_header: str
+
+    def read_request(self, headers: Iterable[tuple[bytes, bytes]]) -> RequestHead | Failure:
+        """Decode the head of a caller's request, or say what is wrong with it."""
+
+    def write_send(self, ask: RelayAsk, options: SendOptions) -> dict[str, str]:
+        """Return the headers of one send to an endpoint."""
+
+    def read_answer(self, status: int, headers: Mapping[str, str]) -> AnswerHead:
+        """Decode the head of an endpoint's answer."""
+
+    def write_refusal(
+        self, attempt_id: str, retry_after: float | None
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an answer of our own; ``retry_after`` in seconds."""
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from contextlib import contextmanager
 from typing import Any
 
@@ -67,17 +67,29 @@
         yield
 
 
-class Server:
-    """An application on a bound socket; ``address`` is IP:PORT."""
+def bind_socket(ip: str, port: int) -> socket.socket:
+    """Return a bound socket whose connections notice a dead peer."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    for level, option, value in KEEPALIVE_OPTIONS:
+        sock.setsockopt(level, option, value)
+    sock.bind((ip, port))
+    return sock
+
 
-    def __init__(self, app: Application, ip: str = "127.0.0.1", port: int = 0):
+class Server:
+    """An application on bound sockets; ``address`` is IP:PORT of the first."""
+
+    def __init__(
+        self,
+        app: Application,
+        ip: str = "127.0.0.1",
+        port: int = 0,
+        more: Iterable[tuple[str, int]] = (),
+    ):
         self.app = app
-        self._sock = socket.socket()
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        for level, option, value in KEEPALIVE_OPTIONS:
-            self._sock.setsockopt(level, option, value)
-        self._sock.bind((ip, port))
-        self.address = "{}:{}".format(*self._sock.getsockname())
+        self._socks = [bind_socket(*address) for address in ((ip, port), *more)]
+        self.address = "{}:{}".format(*self._socks[0].getsockname())
         self.url = f"http://{self.address}"
         self._server: _QuietServer | None = None
         self._task: asyncio.Task[None] | None = None
@@ -100,7 +112,7 @@
             timeout_graceful_shutdown=1,
         )
         self._server = _QuietServer(cfg)
-        self._task = asyncio.create_task(self._server.serve(sockets=[self._sock]))
+        self._task = asyncio.create_task(self._server.serve(sockets=self._socks))
         while not self._server.started:
             if self._task.done():
                 self._task.result()
@@ -111,12 +123,14 @@
         if scope["type"] == "http":
             transport = send.__self__.transport
             scope["abort"] = transport.abort
+            scope["receive"] = receive
         await self.app(scope, receive, send)
 
     async def stop(self) -> None:
         """Close the socket and the connections that are left."""
         if self._server is None or self._task is None:
-            self._sock.close()
+            for sock in self._socks:
+                sock.close()
             return
         self._server.should_exit = True
         await self._task
