Order engines from one host at a time; hosts tell each other load, wants and orders

Change: a lease in the store names the one host that orders; plans are pure functions over what is asked for; requests wait for what is missing and the hosts tell each other over the present mesh. Ruled out: the stewards of the product's own engines here: they reserve accelerators by place, which these engines don't have, and take one lease a host where one for all is enough. Open: a wait is longer than callers stay; six seconds without orders when the holder of the lease is cut from the store; an engine that is busy with an adapter is not ordered again.

--- a/peridotdock/board.py
+++ b/peridotdock/board.py
@@ -21,6 +21,9 @@
     LedgerFact,
     LinksFact,
     LoadFact,
+    OrdersFact,
+    WantsFact,
+    WorkFact,
 )
 
 TOPICS: dict[str, type] = {
@@ -31,6 +34,9 @@
     "ledger": LedgerFact,
     "demand": DemandFact,
     "heads": HeadsFact,
+    "work": WorkFact,
+    "wants": WantsFact,
+    "orders": OrdersFact,
 }
 MAX_ORIGINS = 2000
 Slot = tuple[str, str]
--- a/peridotdock/cli/relay.py
+++ b/peridotdock/cli/relay.py
@@ -12,6 +12,7 @@
 from peridotdock.platform.adapter import PlatformAdapter
 from peridotdock.platform.settings import load_settings
 from peridotdock.relay.node import Node
+from peridotdock.relay.settings import HostSettings
 from peridotdock.schema.settings import Settings
 from peridotdock.status import ExitStatus
 
@@ -31,12 +32,16 @@
         peer_port=found.listen.peers.port,
     )
     logs.set_up(cfg.log_level, streams.out, cfg.host_id)
-    node = Node(build_context(cfg), found, PlatformAdapter())
     gc.freeze()
-    asyncio.run(node.run())
+    asyncio.run(serve(cfg, found))
     return ExitStatus.OK
 
 
+async def serve(cfg: Settings, settings: HostSettings) -> None:
+    """Run a host until it is told to stop."""
+    await Node(build_context(cfg), settings, PlatformAdapter()).run()
+
+
 def main() -> None:
     """Run with the process's environment and streams."""
     sys.exit(run(os.environ, Streams()))
--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -199,15 +199,24 @@
             return Failure(Kind.ENDPOINT_REFUSED)
         return Opened(resp, stack)
 
-    async def _control_call(
-        self, method: str, url: str, path: str, timeout: float, body: Any = None
+    async def control_call(
+        self,
+        method: str,
+        url: str,
+        path: str,
+        timeout: float,
+        body: Any = None,
+        headers: Mapping[str, str] | None = None,
     ) -> tuple[int, bytes] | Failure:
+        """Make a small call beside the requests, on connections of its own."""
         limit = aiohttp.ClientTimeout(total=timeout, sock_connect=timeout)
         pool = self._control_pool(url)
         try:
             async with (
                 pool.use() as session,
-                session.request(method, url + path, json=body, timeout=limit) as resp,
+                session.request(
+                    method, url + path, json=body, headers=headers, timeout=limit
+                ) as resp,
             ):
                 return resp.status, await resp.content.read(MAX_REPORT_BYTES)
         except UNREACHABLE as exc:
@@ -220,7 +229,7 @@
     async def report(self, url: str, since: int) -> Report | Failure:
         """Read a report; anything that cannot be read is a failure of the endpoint."""
         path = f"/control/report?since={since}"
-        outcome = await self._control_call("GET", url, path, REPORT_SECONDS)
+        outcome = await self.control_call("GET", url, path, REPORT_SECONDS)
         return outcome if failed(outcome) else read_as(outcome, Report)
 
     async def order(self, url: str, order: Order, timeout: float) -> Failure | None:
@@ -232,7 +241,7 @@
             "bytes": order.bytes,
             "accelerators": order.accelerators,
         }
-        outcome = await self._control_call("POST", url, "/control/orders", timeout, body)
+        outcome = await self.control_call("POST", url, "/control/orders", timeout, body)
         if failed(outcome):
             return outcome
         if outcome[0] == 409:
@@ -243,7 +252,7 @@
         """Ask for the state of a stream, always over a new connection."""
         await self._control_pool(url).renew()
         path = f"/v1/streams/{stream}?probe=1"
-        outcome = await self._control_call("GET", url, path, PROBE_SECONDS)
+        outcome = await self.control_call("GET", url, path, PROBE_SECONDS)
         if failed(outcome):
             return outcome
         return None if outcome[0] == 404 else read_as(outcome, StreamState)
@@ -253,7 +262,7 @@
 
         It is not waited for: the caller's final answer must not be held up by a dead engine.
         """
-        work = self._control_call("DELETE", url, f"/v1/streams/{stream}", PROBE_SECONDS)
+        work = self.control_call("DELETE", url, f"/v1/streams/{stream}", PROBE_SECONDS)
         task = asyncio.ensure_future(work)
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
--- a/peridotdock/platform/adapter.py
+++ b/peridotdock/platform/adapter.py
@@ -1,7 +1,9 @@
 """The adapter as one object."""
 
+from peridotdock.clients.endpoint import HttpEndpoints
 from peridotdock.metrics import Metrics
 from peridotdock.platform.documents import decode_deployment, decode_endpoint
+from peridotdock.platform.engines import PlatformEngines
 from peridotdock.platform.entry import write_addresses
 from peridotdock.platform.store import CONFIG_KEY, CONFIG_TABLE, ENDPOINT_TABLE, TableStore
 from peridotdock.platform.wire import PlatformWire
@@ -19,6 +21,10 @@
     decode_endpoint = staticmethod(decode_endpoint)
     write_addresses = staticmethod(write_addresses)
 
+    def open_engines(self, endpoints: HttpEndpoints) -> PlatformEngines:
+        """Return the platform's engines."""
+        return PlatformEngines(endpoints)
+
     def open_store(self, address: Address, metrics: Metrics) -> TableStore:
         """Return the platform's store."""
         return TableStore(address, metrics)
--- a/peridotdock/platform/documents.py
+++ b/peridotdock/platform/documents.py
@@ -107,7 +107,10 @@
 
 
 def decode_endpoint(incarnation: str, raw: bytes) -> EndpointEntry | Failure:
-    """Read the row in which an endpoint registered itself; the row's key is its incarnation."""
+    """Read the row in which an endpoint registered itself; the row's key is its incarnation.
+
+    The row's "seq" counts its heartbeats, unlike the field of that name in an engine's report.
+    """
     try:
         row = msgspec.json.decode(raw)
         at_hand = row.get("at_hand") or {}
--- /dev/null
+++ b/peridotdock/platform/engines.py
@@ -0,0 +1,76 @@
+"""Orders to engines and their reports, in the platform's form."""
+
+import msgspec
+
+from peridotdock.clients.endpoint import HttpEndpoints
+from peridotdock.clients.engines import EngineOrder, EngineState, OrderAnswer
+from peridotdock.errors import Failure, Kind, failed
+from peridotdock.platform.documents import BAD_DOCUMENT, decode_held
+from peridotdock.platform.wire import TARGET
+from peridotdock.relay.asks import EndpointEntry
+
+ORDER_PATH = "/v1/order"
+REPORT_PATH = "/v1/report"
+# Seconds for either call: both are answered at once, or not at all.
+CALL_SECONDS = 1.0
+ANSWERS = {
+    200: OrderAnswer.HOLDS_ALREADY,
+    202: OrderAnswer.ACCEPTED,
+    409: OrderAnswer.BUSY,
+    412: OrderAnswer.FENCED,
+    421: OrderAnswer.ANOTHER,
+    400: OrderAnswer.REFUSED,
+}
+
+
+class PlatformEngines:
+    """The platform's engines, over the same connections as other small calls."""
+
+    def __init__(self, endpoints: HttpEndpoints):
+        self._endpoints = endpoints
+
+    async def order(self, entry: EndpointEntry, order: EngineOrder) -> OrderAnswer | Failure:
+        """Give an order. It names the incarnation, so that it can't reach a restarted engine."""
+        body = {
+            "operation": order.action.value,
+            "model": order.model,
+            "expected": order.expected,
+            "holder": order.holder,
+            "fencing_token": order.term,
+        }
+        if order.adapter:
+            body["adapter"] = order.adapter
+        headers = {TARGET: entry.incarnation, "content-type": "application/json"}
+        outcome = await self._endpoints.control_call(
+            "POST", f"http://{entry.address}", ORDER_PATH, CALL_SECONDS, body, headers
+        )
+        if failed(outcome):
+            return outcome
+        found = ANSWERS.get(outcome[0])
+        return found or Failure(Kind.ENDPOINT_ERROR, f"status {outcome[0]}")
+
+    async def report(self, entry: EndpointEntry) -> EngineState | Failure:
+        """Read a report."""
+        headers = {TARGET: entry.incarnation}
+        outcome = await self._endpoints.control_call(
+            "GET", f"http://{entry.address}", REPORT_PATH, CALL_SECONDS, None, headers
+        )
+        if failed(outcome):
+            return outcome
+        status, raw = outcome
+        if status != 200:
+            return Failure(Kind.ENDPOINT_ERROR, f"status {status}")
+        try:
+            row = msgspec.json.decode(raw)
+            at_hand = row.get("at_hand") or {}
+            return EngineState(
+                seq=int(row["seq"]),
+                busy=bool(row["busy"]),
+                models=decode_held(row["models"]),
+                # MODEL/NAME@VERSION on the wire.
+                coming=frozenset(str(name).partition("@")[0] for name in row.get("coming") or ()),
+                in_memory=frozenset(at_hand.get("in_memory") or ()),
+                on_disk=frozenset(at_hand.get("on_disk") or ()),
+            )
+        except BAD_DOCUMENT as exc:
+            return Failure(Kind.ENDPOINT_ERROR, f"report: {type(exc).__name__}: {exc}")
--- a/peridotdock/relay/adapter.py
+++ b/peridotdock/relay/adapter.py
@@ -2,6 +2,8 @@
 
 from typing import Any, Protocol
 
+from peridotdock.clients.endpoint import HttpEndpoints
+from peridotdock.clients.engines import Engines
 from peridotdock.clients.tables import Tables
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure
@@ -28,5 +30,8 @@
     def decode_endpoint(self, incarnation: str, raw: bytes) -> EndpointEntry | Failure:
         """Read an endpoint's entry."""
 
+    def open_engines(self, endpoints: HttpEndpoints) -> Engines:
+        """Return the platform's engines."""
+
     def write_addresses(self, addresses: list[str], seconds: float) -> bytes:
         """Return the answer to where to connect."""
--- a/peridotdock/relay/book.py
+++ b/peridotdock/relay/book.py
@@ -1,5 +1,6 @@
 """What this host knows of each endpoint: its entry, the work on it, how it has behaved."""
 
+import asyncio
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -9,6 +10,7 @@
 from peridotdock.decisions.health import Health
 from peridotdock.relay.asks import EndpointEntry, ModelWish
 from peridotdock.rendezvous import weigh
+from peridotdock.schema.messages import EngineNews
 
 # Seconds to read one prompt token before any was measured; corrected by each first token.
 FIRST_GUESS_PER_TOKEN = 0.00003
@@ -16,6 +18,9 @@
 FIRST_GUESS_SERVICE = 0.05
 # Weight of a new measurement in a moving average: about the last ten count.
 GAIN = 0.1
+# Seconds for which the word of the host that orders engines goes before an engine's own entry,
+# which comes with its next heartbeat.
+NEWS_SECONDS = 5.0
 # Seconds after which what another host said of its work on an endpoint no longer counts.
 PEER_SECONDS = 3.0
 # Prompt parts remembered for each endpoint; 16 bytes a part keep this under 200 KB.
@@ -43,6 +48,15 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class HeardNews:
+    """What the host that orders engines said of one, and when that was heard."""
+
+    news: EngineNews
+    items: frozenset[str]
+    at: float
+
+
 @dataclass
 class EndpointState:
     """One endpoint as seen from this host."""
@@ -53,12 +67,29 @@
     peers: dict[str, PeerLoad] = field(default_factory=dict)
     parts: OrderedDict[tuple[str, str], None] = field(default_factory=OrderedDict)
     ahead: int = 0
+    heard: HeardNews | None = None
 
     @property
     def key(self) -> str:
         """Return the endpoint's incarnation."""
         return self.entry.incarnation
 
+    def holds(self, wish: ModelWish, now: float) -> bool:
+        """Tell whether the endpoint can serve a model, and the adapter where one is wished for.
+
+        Its own entry comes with a heartbeat; for some seconds after an order, the word of the host
+        that gave it is newer. A load that is done shows in the entry first.
+        """
+        heard = self.heard
+        item = f"{wish.model}/{wish.adapter}" if wish.adapter else wish.model
+        if heard is not None and now - heard.at <= NEWS_SECONDS:
+            if wish.model in heard.news.dropping:
+                return False
+            if item in heard.items or wish.model not in heard.news.coming:
+                return item in heard.items
+        held = self.entry.models.get(wish.model)
+        return held is not None and (not wish.adapter or wish.adapter in held.adapters)
+
     def load(self, now: float) -> tuple[int, int]:
         """Return requests and unread prompt tokens there, ours and those of other hosts."""
         running, tokens = len(self.flights), self.ahead
@@ -104,6 +135,7 @@
         self._per_token: dict[str, float] = {}
         self._service: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._change: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of the endpoints or of what they hold."""
@@ -135,6 +167,11 @@
         self.by_service = {}
         for state in self.states.values():
             self.by_service.setdefault(state.entry.service, []).append(state)
+        self._tell()
+
+    def _tell(self) -> None:
+        change, self._change = self._change, asyncio.get_running_loop().create_future()
+        change.set_result(None)
         for listener in self._listeners:
             listener()
 
@@ -143,7 +180,39 @@
         found = [s for s in self.by_service.get(service, ()) if not s.entry.leaving]
         if wish is None:
             return found
-        return [state for state in found if holds(state.entry, wish)]
+        now = self._clock.monotonic()
+        return [state for state in found if state.holds(wish, now)]
+
+    def coming(self, service: str, model: str) -> float | None:
+        """Return the seconds until a model that is being loaded can serve, or None."""
+        now = self._clock.monotonic()
+        found = [
+            state.heard.news.coming[model] - (now - state.heard.at)
+            for state in self.by_service.get(service, ())
+            if state.heard is not None and model in state.heard.news.coming
+        ]
+        return max(0.0, min(found)) if found else None
+
+    def take_news(self, rows: Iterable[EngineNews]) -> None:
+        """Take in what the host that orders engines says; engines it leaves out have no news."""
+        now = self._clock.monotonic()
+        news = {row.endpoint: HeardNews(row, frozenset(row.items), now) for row in rows}
+        for key, state in self.states.items():
+            state.heard = news.get(key)
+        self._tell()
+
+    def take_peer(self, host: str, loads: Mapping[str, PeerLoad]) -> None:
+        """Take in what another host has on the endpoints; those it leaves out have nothing."""
+        for key, state in self.states.items():
+            found = loads.get(key)
+            if found is not None:
+                state.peers[host] = found
+            else:
+                state.peers.pop(host, None)
+
+    async def next_change(self) -> None:
+        """Wait until the endpoints or what they hold have changed."""
+        await asyncio.shield(self._change)
 
     def work(self, service: str, wish: ModelWish | None) -> Work:
         """Return what a request asks of an endpoint, by what was measured so far."""
@@ -216,12 +285,6 @@
             self._service[service] = usual + GAIN * (now - flight.began - usual)
 
 
-def holds(entry: EndpointEntry, wish: ModelWish) -> bool:
-    """Tell whether an endpoint holds a model, and the adapter where one is wished for."""
-    held = entry.models.get(wish.model)
-    return held is not None and (not wish.adapter or wish.adapter in held.adapters)
-
-
 def find_favourite(states: list[EndpointState], wish: ModelWish | None) -> str:
     """Return the endpoint that all hosts prefer for a prompt's shared part, or nothing.
 
--- a/peridotdock/relay/front.py
+++ b/peridotdock/relay/front.py
@@ -8,10 +8,12 @@
 from peridotdock.context import Context
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure, Kind, failed
+from peridotdock.relay.absent import name_item
 from peridotdock.relay.asks import RelayAsk, RequestHead
 from peridotdock.relay.attempt import Source, Whole
 from peridotdock.relay.caller import CallerEnd
-from peridotdock.relay.service import RelayService
+from peridotdock.relay.peers import Peers
+from peridotdock.relay.service import Progress, RelayService
 from peridotdock.relay.streaming import pass_on
 from peridotdock.relay.wire import Wire
 from peridotdock.requests import Reply
@@ -25,10 +27,11 @@
 class Front:
     """Takes callers' requests on one host."""
 
-    def __init__(self, ctx: Context, wire: Wire, service: RelayService):
+    def __init__(self, ctx: Context, wire: Wire, service: RelayService, peers: Peers):
         self._ctx = ctx
         self._wire = wire
         self._service = service
+        self._peers = peers
         self.deployment: Deployment | None = None
         self.in_work = 0
 
@@ -56,6 +59,7 @@
     async def _serve(self, request: Request, ask: RelayAsk) -> Response:
         caller = CallerEnd(request.scope["receive"])
         progress = self._service.begin(ask.route)
+        self._count_demand(ask, progress)
         streaming = False
         self.in_work += 1
         try:
@@ -73,6 +77,15 @@
             if not streaming:
                 self._leave(caller)
 
+    def _count_demand(self, ask: RelayAsk, progress: Progress) -> None:
+        """Count what a request asks of the engines, by model and adapter."""
+        wish = ask.head.wish
+        if wish is not None:
+            work = self._service.book.work(progress.service, wish)
+            seconds = work.tokens * work.per_token
+            now = self._ctx.clock.monotonic()
+            self._peers.meter.add(name_item(progress.service, wish), seconds, now)
+
     async def _hold(self, ask, caller, progress, source: Source):
         """Pass a stream on, and count it as in work until it has ended."""
         try:
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -1,6 +1,7 @@
-"""A relaying host: its parts, from start to planned stop."""
+"""A relaying host: its parts, and the work it repeats, from start to planned stop."""
 
 import asyncio
+import random
 import signal
 from collections.abc import Mapping
 
@@ -10,24 +11,41 @@
 from peridotdock.context import Context
 from peridotdock.deployment import Deployment
 from peridotdock.errors import failed
+from peridotdock.jobs import Jobs
+from peridotdock.relay.absent import WaitingRoom
 from peridotdock.relay.adapter import Adapter
 from peridotdock.relay.book import EndpointBook
+from peridotdock.relay.clocks import BootClock
 from peridotdock.relay.following import Follower
 from peridotdock.relay.front import Front
+from peridotdock.relay.leadership import Leadership
+from peridotdock.relay.ordering import Orderer
+from peridotdock.relay.peers import Peers
 from peridotdock.relay.service import RelayService
 from peridotdock.relay.settings import HostSettings
+from peridotdock.rendezvous import choose
 from peridotdock.serving import Server, make_application
 
 # Seconds between two calls on the endpoints' table: it changes with each load and each leaving.
 ENDPOINTS_PAUSE = 0.5
 CONFIG_PAUSE = 0.05
-# Seconds that callers keep an answer where to connect.
+# Seconds that callers keep an answer where to connect, and how many times as long some do.
 ADDRESS_SECONDS = 1.0
-# Some callers keep an answer three times as long as they were told.
 ADDRESS_FACTOR = 3.0
 # Seconds before the platform's SIGKILL at which a planned stop ends.
 STOP_MARGIN = 0.7
 DRAIN_POLL_SECONDS = 0.05
+# Seconds between two words to the other hosts on work at endpoints, and on demand.
+WORK_SECONDS = 0.1
+DEMAND_SECONDS = 1.0
+BEAT_SECONDS = 1.0
+# Seconds between two steps for the lease: of its holder, of those that stand by, of all others.
+HOLDER_SECONDS = 0.9
+STANDBY_SECONDS = 1.2
+OTHERS_SECONDS = 4.0
+STANDBYS = 2
+# Seconds between two plans when nothing calls for one.
+PLAN_SECONDS = 0.5
 
 
 class Node:
@@ -40,8 +58,17 @@
         self.store = adapter.open_store(settings.store, ctx.metrics)
         self.endpoints = HttpEndpoints(adapter.wire.not_run_header)
         self.book = EndpointBook(settings.domain, ctx.clock)
-        self.service = RelayService(ctx, adapter.wire, self.book, self.endpoints, settings.bounds)
-        self.front = Front(ctx, adapter.wire, self.service)
+        self.peers = Peers(ctx, settings, self.book, lambda digest: b"")
+        self.room = WaitingRoom(ctx, self.book, self.peers)
+        self.service = RelayService(
+            ctx, adapter.wire, self.book, self.endpoints, settings.bounds, self.room
+        )
+        self.front = Front(ctx, adapter.wire, self.service, self.peers)
+        lease = settings.bounds.order_lease
+        self.leadership = Leadership(ctx, self.store, lease, BootClock())
+        engines = adapter.open_engines(self.endpoints)
+        self.orderer = Orderer(ctx, self.book, engines, self.leadership, settings.bounds)
+        self.jobs = Jobs(ctx)
         self.leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         listen = settings.listen
@@ -56,30 +83,84 @@
         self.server = Server(app, listen.callers.ip, listen.callers.port, more)
 
     async def start(self) -> None:
-        """Listen, and begin to follow the store."""
+        """Listen, and begin to follow the store and the other hosts."""
         await self.server.start()
+        await self.peers.start()
         for table, take, pause in (
             (self.adapter.config_table, self._take_config, CONFIG_PAUSE),
             (self.adapter.endpoint_table, self._take_endpoints, ENDPOINTS_PAUSE),
         ):
             follower = Follower(self.ctx, self.store, table, take, pause)
             self._tasks.append(asyncio.create_task(follower.run()))
+        every = self.jobs.every
+        every(lambda: BEAT_SECONDS, self._beat, "beat")
+        every(lambda: WORK_SECONDS, self._tell_work, "work")
+        every(lambda: DEMAND_SECONDS, self._tell_demand, "demand")
+        every(self._lease_seconds, self._step_lease, "lease")
+        self._tasks.append(asyncio.create_task(self._order()))
         self.ctx.timeline.add("started", detail=str(self.settings.listen.callers))
 
+    # Work that is repeated
+
+    async def _beat(self) -> None:
+        self.peers.membership.beat()
+        self.peers.membership.sweep()
+        self.peers.link()
+        self.service.hosts = len(self.peers.membership.live())
+
+    async def _tell_work(self) -> None:
+        self.peers.tell_work()
+
+    async def _tell_demand(self) -> None:
+        self.peers.tell_demand()
+
+    def _stands_by(self) -> bool:
+        live = self.peers.membership.live()
+        return self.settings.host in choose("leader", live, STANDBYS)
+
+    def _lease_seconds(self) -> float:
+        if self.leadership.term:
+            return HOLDER_SECONDS
+        return STANDBY_SECONDS if self._stands_by() else OTHERS_SECONDS
+
+    async def _step_lease(self) -> None:
+        if not self.leaving and self.front.deployment is not None:
+            await self.leadership.step()
+
+    async def _order(self) -> None:
+        """Plan when something is waited for or has changed, and now and then."""
+        events = (self.peers.wanted, self.orderer.changed)
+        while True:
+            for event in events:
+                event.clear()
+            deployment = self.front.deployment
+            if deployment is not None and self.leadership.holds():
+                self.orderer.round(deployment, self.peers.demand())
+                self.peers.tell_orders(self.leadership.term, self.orderer.news())
+            waits = [asyncio.ensure_future(event.wait()) for event in events]
+            await asyncio.wait(waits, timeout=PLAN_SECONDS, return_when=asyncio.FIRST_COMPLETED)
+            for wait in waits:
+                wait.cancel()
+
+    # Doors
+
     async def _handle(self, request: Request) -> Response:
         return await self._doors[request.scope["server"][1]](request)
 
     async def _readiness(self, request: Request) -> Response:
         ready = self.front.deployment is not None and not self.leaving
-        return Response(
-            200 if ready else 503, None, Content(b"text/plain", b"ready" if ready else b"no")
-        )
+        body = Content(b"text/plain", b"ready" if ready else b"not ready")
+        return Response(200 if ready else 503, None, body)
 
     async def _directory(self, request: Request) -> Response:
-        addresses = [str(self.settings.listen.callers)]
+        rows = self.peers.membership.members().values()
+        addresses = [row.fact.entry for row in rows if row.takes_work]
+        random.shuffle(addresses)
         body = self.adapter.write_addresses(addresses, ADDRESS_SECONDS)
         return Response(200, None, Content(b"application/json", body))
 
+    # What the store tells
+
     def _take_config(self, rows: Mapping[str, bytes | None], whole: bool) -> None:
         raw = rows.get(self.adapter.config_key)
         if raw is None:
@@ -96,6 +177,9 @@
         if current is not None and found.version <= current.version:
             return
         self.front.deployment = found
+        self.room.deployment = found
+        if not self.leaving:
+            self.peers.membership.become("live")
         self.ctx.metrics.generation.set(found.version)
         self.ctx.timeline.add("config_in_force", detail=f"version {found.version}")
 
@@ -106,11 +190,22 @@
             if entry is not None and failed(entry):
                 self.ctx.timeline.add("entry_refused", "WARNING", detail=entry.reason)
                 continue
+            self._note_entry(key, entry)
             entries[key] = entry
         if whole:
             self.book.replace(entry for entry in entries.values() if entry is not None)
         else:
             self.book.update(entries)
+        self.orderer.changed.set()
+
+    def _note_entry(self, key: str, entry) -> None:
+        state = self.book.states.get(key)
+        word = "gone" if entry is None else "leaving" if entry.leaving else "ready"
+        held = "" if entry is None else " ".join(sorted(entry.models))
+        if state is None or entry is None or state.entry.leaving != entry.leaving:
+            self.ctx.timeline.add(f"endpoint_{word}", endpoint=key, detail=held)
+
+    # Stopping
 
     async def run(self) -> None:
         """Serve until told to stop, then leave without cutting anything off."""
@@ -124,13 +219,16 @@
         await self._drain()
 
     async def _drain(self) -> None:
-        """Leave: out of the answers first, then closed, then all requests ended."""
+        """Leave: out of the answers first, then all requests ended, then closed."""
         clock, bounds = self.ctx.clock, self.settings.bounds
         began = clock.monotonic()
         self.leaving = True
         self.ctx.timeline.add("leaving")
+        self.peers.membership.become("leaving")
+        await self.leadership.give_up()
         await clock.sleep(min(ADDRESS_SECONDS * ADDRESS_FACTOR, bounds.stopping / 2))
         until = began + bounds.stopping - STOP_MARGIN
         while self.front.in_work and clock.monotonic() < until:
             await clock.sleep(DRAIN_POLL_SECONDS)
+        self.peers.membership.become("gone")
         self.ctx.timeline.add("stopped", detail=f"{self.front.in_work} requests left")
--- /dev/null
+++ b/peridotdock/relay/ordering.py
@@ -0,0 +1,188 @@
+"""Ordering engines: plans carried out one order at a time on each engine, by the lease's holder."""
+
+import asyncio
+from collections.abc import Mapping
+
+from peridotdock.clients.engines import Action, EngineOrder, Engines, OrderAnswer
+from peridotdock.context import Context
+from peridotdock.decisions.loads import LoadRation
+from peridotdock.decisions.placing import Demand, Step, make_plan
+from peridotdock.deployment import Deployment, EngineSpec, Service
+from peridotdock.errors import Failure, failed
+from peridotdock.relay.book import EndpointBook
+from peridotdock.relay.leadership import Leadership
+from peridotdock.relay.settings import Bounds
+from peridotdock.relay.wards import Ward, order_seconds
+from peridotdock.schema.messages import EngineNews
+
+# Seconds after which an adapter that was ordered can serve: its load takes five to ten
+# milliseconds, and a request that comes sooner is refused.
+ADAPTER_SECONDS = 0.012
+# Seconds that an engine gets no order after it refused one: its report is as old as that.
+REFUSED_PAUSE = 0.35
+LATE_ANSWERS = frozenset({OrderAnswer.BUSY, OrderAnswer.REFUSED})
+
+
+class Orderer:
+    """Carries out plans while this host holds the lease."""
+
+    def __init__(
+        self,
+        ctx: Context,
+        book: EndpointBook,
+        engines: Engines,
+        leadership: Leadership,
+        bounds: Bounds,
+    ):
+        self._ctx = ctx
+        self._book = book
+        self._engines = engines
+        self._leadership = leadership
+        self._bounds = bounds
+        self._rations: dict[str, LoadRation] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._term = 0
+        self.wards: dict[str, Ward] = {}
+        self.changed = asyncio.Event()
+
+    def round(self, deployment: Deployment, demand: Mapping[str, Demand]) -> None:
+        """Bring the wards up to the entries, plan, and begin what is due."""
+        if not self._leadership.may_order():
+            return
+        if self._term != self._leadership.term:
+            self._take_over(deployment)
+        self._follow_entries()
+        for service in deployment.services.values():
+            if service.engine is not None:
+                self._plan(service, service.engine, demand)
+
+    def _take_over(self, deployment: Deployment) -> None:
+        """Begin anew: nothing is known of what the holder before had under way."""
+        self._term = self._leadership.term
+        self.wards.clear()
+        self._rations.clear()
+        for service in deployment.services.values():
+            if service.engine is not None and self._term > 1:
+                self._ration(service).assume_used(self._ctx.clock.monotonic())
+
+    def _ration(self, service: Service) -> LoadRation:
+        found = self._rations.get(service.name)
+        if found is None:
+            bounds = self._bounds
+            found = LoadRation(
+                service.engine.loads_per_second, bounds.loads_window, bounds.loads_over
+            )
+            self._rations[service.name] = found
+        return found
+
+    def _follow_entries(self) -> None:
+        states, now = self._book.states, self._ctx.clock.monotonic()
+        self.wards = {key: ward for key, ward in self.wards.items() if key in states}
+        for key, state in states.items():
+            ward = self.wards.get(key)
+            if ward is None:
+                ward = self.wards[key] = Ward(state.entry)
+            ward.take_entry(state.entry, now)
+
+    def _plan(self, service: Service, spec: EngineSpec, demand: Mapping[str, Demand]) -> None:
+        now = self._ctx.clock.monotonic()
+        wards = [
+            ward
+            for ward in self.wards.values()
+            if ward.entry.service == service.name and not ward.entry.leaving
+        ]
+        for ward in wards:
+            if ward.overdue(now):
+                self._spawn(self._look(ward))
+        views = [ward.view(self._ahead(ward, now), now) for ward in wards]
+        held_back = {
+            ward.entry.incarnation
+            for ward in wards
+            if ward.in_flight or ward.unsure or now < ward.quiet_until
+        }
+        ration = self._ration(service)
+        for step in make_plan(spec, views, demand, ration.left(now), held_back):
+            ward = self.wards[step.engine]
+            ward.in_flight = True
+            self._spawn(self._carry_out(ward, service, spec, step))
+
+    def _ahead(self, ward: Ward, now: float) -> float:
+        state = self._book.states.get(ward.entry.incarnation)
+        return float(state.load(now)[1]) if state else 0.0
+
+    def _spawn(self, work) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _look(self, ward: Ward) -> None:
+        """Read an engine's report, to learn where it stands."""
+        ward.in_flight = True
+        try:
+            report = await self._engines.report(ward.entry)
+            now = self._ctx.clock.monotonic()
+            if not failed(report):
+                ward.take_report(report, now)
+            # Another look before a report can have changed would only load the engine.
+            ward.quiet_until = now + REFUSED_PAUSE if ward.unsure or ward.loading else 0.0
+        finally:
+            ward.in_flight = False
+            self.changed.set()
+
+    async def _carry_out(self, ward: Ward, service: Service, spec: EngineSpec, step: Step) -> None:
+        """Give one order and take in what came of it."""
+        order = EngineOrder(
+            step.action, step.model, step.adapter, ward.seq, self._ctx.cfg.host_id, self._term
+        )
+        seconds = order_seconds(ward.entry, spec, order)
+        model = spec.models.get(step.model)
+        if step.action is Action.LOAD and not step.adapter and model and seconds >= model.load:
+            self._ration(service).begin(self._ctx.clock.monotonic())
+        try:
+            if not self._leadership.may_order():
+                return
+            outcome = await self._engines.order(ward.entry, order)
+            await self._settle(ward, order, outcome, seconds)
+            self._note(ward, step, order, outcome)
+        finally:
+            ward.in_flight = False
+            self.changed.set()
+
+    async def _settle(
+        self, ward: Ward, order: EngineOrder, outcome: OrderAnswer | Failure, seconds: float
+    ) -> None:
+        now = self._ctx.clock.monotonic()
+        if failed(outcome):
+            # It may be carried out yet. Any order that is accepted first makes it void, as it
+            # expects the number of orders accepted until now.
+            ward.unsure = True
+        elif outcome is OrderAnswer.ACCEPTED:
+            ward.accepted(order, now + seconds, now)
+            if order.adapter:
+                await self._ctx.clock.sleep(ADAPTER_SECONDS)
+        elif outcome is OrderAnswer.HOLDS_ALREADY:
+            # An adapter that nobody uses is unloaded at once, and that counts as an order.
+            unloaded = order.adapter and order.action is Action.UNLOAD
+            ward.accepted(order, now, now) if unloaded else ward.held(order, now)
+            ward.unsure = not unloaded
+        else:
+            ward.unsure = True
+            ward.quiet_until = now + REFUSED_PAUSE
+
+    def _note(
+        self, ward: Ward, step: Step, order: EngineOrder, outcome: OrderAnswer | Failure
+    ) -> None:
+        word = f"unanswered: {outcome.reason}" if failed(outcome) else outcome.value
+        self._ctx.metrics.orders.labels(order.action.value, word.partition(":")[0]).inc()
+        item = f"{order.model}/{order.adapter}" if order.adapter else order.model
+        self._ctx.timeline.add(
+            "order_given",
+            endpoint=ward.entry.incarnation,
+            item=item,
+            detail=f"{order.action} {step.reason}, expected {order.expected}: {word}",
+        )
+
+    def news(self) -> list[EngineNews]:
+        """Return what the engines' entries may not show yet."""
+        now = self._ctx.clock.monotonic()
+        return [ward.news(now) for ward in self.wards.values() if ward.has_news(now)]
--- /dev/null
+++ b/peridotdock/relay/peers.py
@@ -0,0 +1,151 @@
+"""What hosts tell each other: who lives, work on endpoints, what is waited for, orders given."""
+
+import asyncio
+
+from peridotdock.board import Board, Slot
+from peridotdock.context import Context
+from peridotdock.decisions.placing import Demand
+from peridotdock.demand import Demand as DemandMeter
+from peridotdock.fleet import pack, unpack
+from peridotdock.membership import Membership
+from peridotdock.mesh import Mesh
+from peridotdock.relay.book import EndpointBook, PeerLoad
+from peridotdock.relay.settings import HostSettings
+from peridotdock.schema.messages import (
+    DemandFact,
+    EngineNews,
+    HostFact,
+    OrdersFact,
+    WantsFact,
+    WorkFact,
+)
+
+# Seconds after which another host's word on demand no longer counts.
+DEMAND_SECONDS = 6.0
+# Least change of a demand that is told, as a share of what was told last.
+DEMAND_STEP = 0.25
+
+
+class Peers:
+    """This host's links to the others."""
+
+    def __init__(self, ctx: Context, settings: HostSettings, book: EndpointBook, give_body):
+        self._ctx = ctx
+        self._settings = settings
+        self._book = book
+        self.board = Board(settings.host, ctx.epoch, ctx.clock)
+        self.mesh = Mesh(ctx, self.board, give_body)
+        own = HostFact(
+            settings.host,
+            ctx.incarnation,
+            settings.domain,
+            str(settings.listen.callers),
+            str(settings.listen.peers),
+            "starting",
+            0,
+        )
+        self.membership = Membership(self.board, own, ctx.clock)
+        self.meter = DemandMeter()
+        self.waiting: dict[str, int] = {}
+        self.wanted = asyncio.Event()
+        self.board.listen(self._changed)
+
+    async def start(self) -> None:
+        """Open the links."""
+        await self.mesh.start()
+        self.membership.become("starting")
+        self.link()
+
+    def link(self) -> None:
+        """Dial the hosts known, and the seeds while none is linked."""
+        members = self.membership.members()
+        found = {n: m.fact.peer for n, m in members.items() if m.fact.state != "gone"}
+        found.pop(self._settings.host, None)
+        self.mesh.connect_to(found)
+        if not self.mesh.peers():
+            for seed in self._settings.seeds:
+                self.mesh.connect_to_seed(str(seed))
+
+    def _changed(self, slots: list[Slot]) -> None:
+        for origin, topic in slots:
+            known = self.board.get(origin, topic)
+            if known is None:
+                continue
+            if topic == "wants":
+                self.wanted.set()
+            elif topic == "orders":
+                self._take_orders()
+            elif topic == "work" and origin != self._settings.host:
+                self._take_work(origin, known.fact, known.at)
+
+    def _take_work(self, origin: str, fact: WorkFact, at: float) -> None:
+        running, tokens = unpack("H", fact.running), unpack("I", fact.tokens)
+        rows = zip(fact.endpoints, running, tokens, strict=True)
+        self._book.take_peer(origin, {name: PeerLoad(r, t, at) for name, r, t in rows})
+
+    def _take_orders(self) -> None:
+        facts = [known.fact for known in self.board.on("orders").values()]
+        newest = max(facts, key=lambda fact: fact.term)
+        self._book.take_news(newest.engines)
+
+    # What this host tells
+
+    def tell_work(self) -> None:
+        """Tell what this host has on endpoints, when that has changed."""
+        rows = [
+            (key, len(state.flights), state.ahead)
+            for key, state in self._book.states.items()
+            if state.flights
+        ]
+        fact = WorkFact(
+            [row[0] for row in rows],
+            pack("H", (row[1] for row in rows)),
+            pack("I", (row[2] for row in rows)),
+        )
+        self._tell("work", fact)
+
+    def tell_wants(self) -> None:
+        """Tell what requests on this host wait for."""
+        self._tell("wants", WantsFact(dict(self.waiting)))
+
+    def tell_demand(self) -> None:
+        """Tell what callers ask of this host, when it has changed much."""
+        rates = self.meter.rates(self._ctx.clock.monotonic())
+        known = self.board.get(self._settings.host, "demand")
+        if known is None or differs(known.fact.rates, rates):
+            self.board.publish("demand", DemandFact(rates, {}, []))
+
+    def tell_orders(self, term: int, news: list[EngineNews]) -> None:
+        """Tell what this host's orders changed."""
+        self._tell("orders", OrdersFact(term, news))
+
+    def _tell(self, topic: str, fact) -> None:
+        known = self.board.get(self._settings.host, topic)
+        if known is None or known.fact != fact:
+            self.board.publish(topic, fact)
+
+    def demand(self) -> dict[str, Demand]:
+        """Return what is asked of each item over all live hosts."""
+        live = self.membership.members()
+        waiting: dict[str, int] = {}
+        rates: dict[str, float] = {}
+        for origin, known in self.board.on("wants").items():
+            if origin in live and live[origin].alive:
+                for item, count in known.fact.items.items():
+                    waiting[item] = waiting.get(item, 0) + count
+        for origin, known in self.board.on("demand").items():
+            if origin in live and live[origin].alive:
+                for item, rate in known.fact.rates.items():
+                    rates[item] = rates.get(item, 0.0) + rate
+        return {
+            item: Demand(waiting.get(item, 0), rates.get(item, 0.0)) for item in waiting | rates
+        }
+
+
+def differs(old: dict[str, float], new: dict[str, float]) -> bool:
+    """Tell whether a demand has changed enough to be told again."""
+    for item in old.keys() | new.keys():
+        before, after = old.get(item, 0.0), new.get(item, 0.0)
+        if abs(after - before) > DEMAND_STEP * max(before, after, 0.01):
+            return True
+    return False
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -8,6 +8,7 @@
 from peridotdock.decisions.choice import Prediction, choose
 from peridotdock.deployment import Route
 from peridotdock.errors import Failure, Kind, failed
+from peridotdock.relay.absent import WaitingRoom
 from peridotdock.relay.asks import RelayAsk
 from peridotdock.relay.attempt import Source, Whole
 from peridotdock.relay.book import EndpointBook, EndpointState
@@ -46,10 +47,17 @@
     """Serves relayed requests on one host."""
 
     def __init__(
-        self, ctx: Context, wire: Wire, book: EndpointBook, endpoints: HttpEndpoints, bounds: Bounds
+        self,
+        ctx: Context,
+        wire: Wire,
+        book: EndpointBook,
+        endpoints: HttpEndpoints,
+        bounds: Bounds,
+        room: WaitingRoom,
     ):
         self.ctx = ctx
         self.book = book
+        self._room = room
         self.sender = Sender(wire, endpoints, ctx.clock)
         self._bounds = bounds
         self._allowances: dict[str, RetryAllowance] = {}
@@ -81,7 +89,7 @@
         fallback: Whole | None = None
         outcome: Failure | None = None
         while True:
-            place = self._place(ask, progress)
+            place = await self._place(ask, caller, progress)
             if failed(place):
                 return fallback or admit_maybe(outcome or place, progress.maybe_ran > 0)
             found = await self._attempt(ask, caller, progress, place)
@@ -96,8 +104,15 @@
                     return fallback
                 return admit_maybe(outcome, progress.maybe_ran > 0)
 
-    def _place(self, ask: RelayAsk, progress: Progress) -> Prediction | Failure:
+    async def _place(
+        self, ask: RelayAsk, caller: CallerEnd, progress: Progress
+    ) -> Prediction | Failure:
+        """Choose an endpoint, after waiting for one where none can serve the request yet."""
         wish = ask.head.wish
+        if not self.book.usable(progress.service, wish):
+            refusal = await self._room.wait(ask, progress.service, caller)
+            if refusal is not None:
+                return refusal
         states = self.book.usable(progress.service, wish)
         candidates = self.book.candidates(states, wish, frozenset(progress.avoid))
         if not candidates:
--- /dev/null
+++ b/peridotdock/relay/wards.py
@@ -0,0 +1,129 @@
+"""What the host that orders engines knows of each: orders accepted, models held or coming."""
+
+from dataclasses import dataclass, field
+
+from peridotdock.clients.engines import Action, EngineOrder, EngineState
+from peridotdock.decisions.placing import EngineView
+from peridotdock.deployment import EngineSpec
+from peridotdock.relay.asks import EndpointEntry
+from peridotdock.schema.messages import EngineNews
+
+# Seconds beyond its usual time after which a load that does not show is looked for in a report.
+LOAD_SLACK = 1.5
+# Seconds after an order for which an engine's entry may be older than the order: its heartbeat
+# comes every second or so, and the store's feed is read with pauses.
+ENTRY_LAG = 3.0
+
+
+@dataclass
+class Ward:
+    """One engine. ``loading`` has when each load should be done, in monotonic seconds.
+
+    ``seq`` counts the orders it accepted, as far as is known. ``unsure`` is set while that is not
+    known: at first, and after an order that got no answer. The engine's report tells.
+    """
+
+    entry: EndpointEntry
+    seq: int = 0
+    models: dict[str, set[str]] = field(default_factory=dict)
+    loading: dict[str, float] = field(default_factory=dict)
+    dropping: set[str] = field(default_factory=set)
+    coming: int = 0
+    unsure: bool = True
+    ordered_at: float = float("-inf")
+    in_flight: bool = False
+    quiet_until: float = 0.0
+
+    def take_entry(self, entry: EndpointEntry, now: float) -> None:
+        """Take in the engine's entry, as far as it can't be older than the last order."""
+        self.entry = entry
+        for name in [name for name in self.loading if name in entry.models]:
+            del self.loading[name]
+            self.models[name] = set(entry.models[name].adapters)
+        for name in [name for name in self.dropping if name not in entry.models]:
+            self.dropping.discard(name)
+            self.models.pop(name, None)
+        if now - self.ordered_at > ENTRY_LAG:
+            self.models = {name: set(m.adapters) for name, m in entry.models.items()}
+
+    def take_report(self, report: EngineState, now: float) -> None:
+        """Take in a report; one that shows no work under way ends what was thought to be.
+
+        A report is as old as the pause before it, so one with fewer orders than were accepted is
+        passed over; the engine can't go back within its incarnation.
+        """
+        if report.seq < self.seq:
+            return
+        self.unsure = False
+        self.seq = report.seq
+        self.models = {name: set(m.adapters) for name, m in report.models.items()}
+        for item in report.coming:
+            model, _, adapter = item.partition("/")
+            self.models.setdefault(model, set()).add(adapter)
+        if report.busy:
+            return
+        self.loading = {name: at for name, at in self.loading.items() if at > now}
+        self.dropping.clear()
+
+    def accepted(self, order: EngineOrder, ready_at: float, now: float) -> None:
+        """Take in that the engine accepted an order; a load is done at ``ready_at``."""
+        self.seq = order.expected + 1
+        self.ordered_at = now
+        self.held(order, ready_at)
+
+    def held(self, order: EngineOrder, ready_at: float) -> None:
+        """Take in what an order changes."""
+        if order.adapter:
+            adapters = self.models.setdefault(order.model, set())
+            loads = order.action is Action.LOAD
+            adapters.add(order.adapter) if loads else adapters.discard(order.adapter)
+        elif order.action is Action.LOAD:
+            self.loading[order.model] = ready_at
+        else:
+            self.dropping.add(order.model)
+
+    def overdue(self, now: float) -> bool:
+        """Tell whether a report is needed to know where the engine stands."""
+        late = any(at + LOAD_SLACK < now for at in self.loading.values())
+        return (self.unsure or late) and now >= self.quiet_until and not self.in_flight
+
+    def view(self, ahead: float, now: float) -> EngineView:
+        """Return the engine as plans see it."""
+        models = {name: frozenset(adapters) for name, adapters in self.models.items()}
+        models |= {name: frozenset() for name in self.loading if name not in models}
+        return EngineView(
+            key=self.entry.incarnation,
+            domain=self.entry.domain,
+            models=models,
+            loading=frozenset(self.loading),
+            dropping=frozenset(self.dropping),
+            in_memory=self.entry.in_memory,
+            on_disk=self.entry.on_disk,
+            busy=bool(self.loading or self.dropping or self.unsure) or now < self.quiet_until,
+            ahead=ahead,
+        )
+
+    def has_news(self, now: float) -> bool:
+        """Tell whether the engine's entry may not show all that its orders changed."""
+        return bool(self.loading or self.dropping) or now - self.ordered_at <= ENTRY_LAG
+
+    def news(self, now: float) -> EngineNews:
+        """Return what other hosts should know before the engine's entry shows it."""
+        items = [name for name in self.models if name not in self.loading]
+        items += [f"{name}/{a}" for name, adapters in self.models.items() for a in adapters]
+        return EngineNews(
+            endpoint=self.entry.incarnation,
+            items=items,
+            dropping=sorted(self.dropping),
+            coming={name: round(max(0.0, at - now), 2) for name, at in self.loading.items()},
+        )
+
+
+def order_seconds(entry: EndpointEntry, spec: EngineSpec, order: EngineOrder) -> float:
+    """Return how long an engine takes to carry out an order for a model, by what it has at hand."""
+    model = spec.models.get(order.model)
+    if model is None or order.adapter or order.action is Action.UNLOAD:
+        return 0.0
+    if order.model in entry.in_memory:
+        return model.from_memory
+    return model.from_disk if order.model in entry.on_disk else model.load
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -54,7 +54,7 @@
     """
     topic: str
     """
-    Which fact: host, links, load, held, ledger, demand or heads.
+    Which fact: host, links, load, held, ledger, demand, heads, work, wants or orders.
     """
     epoch: int
     """
@@ -310,6 +310,78 @@
     """
 
 
+@dataclass(frozen=True)
+class WorkFact:
+    """
+    Body of topic work: packed columns of what the origin has on endpoints, one element an endpoint.
+    """
+
+    endpoints: list[str]
+    """
+    Incarnations of the endpoints; those on which the origin has nothing are left out.
+    """
+    running: bytes
+    """
+    Requests there, unsigned 16 bits.
+    """
+    tokens: bytes
+    """
+    Prompt tokens sent there and not read yet, unsigned 32 bits.
+    """
+
+
+@dataclass(frozen=True)
+class WantsFact:
+    """
+    Body of topic wants: models and adapters that requests on the origin wait for now.
+    """
+
+    items: dict[str, int]
+    """
+    Waiting requests by item; an adapter's name stands behind its model's and a slash.
+    """
+
+
+@dataclass(frozen=True)
+class EngineNews:
+    """
+    What the host that orders an engine knows of it before the engine's own entry shows it.
+    """
+
+    endpoint: str
+    """
+    Incarnation of the engine.
+    """
+    items: list[str]
+    """
+    Models and adapters that can serve.
+    """
+    dropping: list[str]
+    """
+    Models that are being unloaded and take no new work.
+    """
+    coming: dict[str, float]
+    """
+    Seconds until a model that is being loaded can serve, from when this was sent.
+    """
+
+
+@dataclass(frozen=True)
+class OrdersFact:
+    """
+    Body of topic orders: the host that orders engines, by which right, and what its orders changed.
+    """
+
+    term: int
+    """
+    Fencing number under which the origin orders; 0 when it no longer does.
+    """
+    engines: list[EngineNews]
+    """
+    Engines with news.
+    """
+
+
 @dataclass(frozen=True)
 class LedgerFact:
     """
