Shorten the time without orders; wait no longer than callers stay

Cause: callers leave a stream without an event after about three seconds, but requests waited longer; six seconds passed without orders after the holder of the lease was cut from the store. Change: waits end before callers leave; the lease lapses after two seconds, and a holder that loses touch says so to the others; a report goes before the count of orders once it can't be older. Open: an adapter in use is ordered away again and again; model loads keep adapters out.

--- a/peridotdock/decisions/placing.py
+++ b/peridotdock/decisions/placing.py
@@ -127,7 +127,7 @@
         if not draft.holders(model.name):
             load_somewhere(draft, model, last_copies=False, reason="held nowhere")
     for model in ranked:
-        if len(draft.holders(model.name)) < wanted_copies(rate_of(draft, model.name)):
+        if len(draft.holders(model.name)) < wanted_copies(draft, model.name):
             load_somewhere(draft, model, last_copies=False, reason="further copy")
 
 
@@ -146,11 +146,14 @@
     return model_demand(draft, model).rate
 
 
-def wanted_copies(rate: float) -> int:
-    """Return how many copies a demand should have."""
+def wanted_copies(draft: Draft, model: str) -> int:
+    """Return how many copies a model should have, by its demand and by its adapters' places."""
+    rate = rate_of(draft, model)
     if rate < SPARE_COPY_DEMAND:
         return 1
-    return max(2, 1 + int(rate / COPY_DEMAND))
+    adapters = sum(1 for item in draft.demand if item.startswith(f"{model}/"))
+    by_places = -(-adapters // max(1, draft.spec.adapter_places))
+    return max(2, 1 + int(rate / COPY_DEMAND), by_places)
 
 
 def load_somewhere(draft: Draft, model: Model, last_copies: bool, reason: str) -> None:
@@ -225,7 +228,7 @@
     found = model_demand(draft, name)
     copies = len(draft.holders(name))
     if copies > 1:
-        spare = copies > wanted_copies(found.rate)
+        spare = copies > wanted_copies(draft, name)
         return spare or rate_of(draft, name) < rate_of(draft, wanted) / 2 or last_copies
     return last_copies and not found.waiting
 
--- a/peridotdock/deployment.py
+++ b/peridotdock/deployment.py
@@ -27,7 +27,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Where requests with a host name and a path prefix go, and what they are promised."""
+    """Where requests with a host name and a path prefix go, and what they are promised.
+
+    ``patience`` is how long callers stay without a first sign of an answer; ``rank`` 0 comes first.
+    """
 
     name: str
     host: str
@@ -40,6 +43,7 @@
     max_sends: int
     resumable: bool
     longest_pause: float
+    patience: float
 
     @property
     def repeatable(self) -> bool:
--- a/peridotdock/platform/documents.py
+++ b/peridotdock/platform/documents.py
@@ -51,22 +51,32 @@
     """Return one route; it names one service, or several with weights."""
     split = raw.get("traffic_split") or [{"service": raw.get("service", ""), "weight": 1}]
     kind = RouteKind(raw["kind"])
+    timeout = float(raw["timeout_ms"]) / 1000
+    target = float(raw.get("target_latency_ms") or raw["timeout_ms"]) / 1000
+    pause = float(raw.get("gap_aim_ms") or 0) / 1000
+    streams = kind is RouteKind.STREAM
     return Route(
         name=raw["name"],
         host=raw["host"].lower(),
         prefix=raw["prefix"],
         kind=kind,
         shares=tuple(Share(row["service"], float(row["weight"])) for row in split),
-        timeout=float(raw["timeout_ms"]) / 1000,
-        target=float(raw.get("target_latency_ms") or raw["timeout_ms"]) / 1000,
+        timeout=timeout,
+        target=target,
         # The platform's "priority": 0 comes first.
         rank=int(raw.get("priority") or 0),
         max_sends=int(raw.get("max_attempts") or 1),
-        resumable=kind is RouteKind.STREAM and bool(raw.get("resumable")),
-        longest_pause=float(raw.get("gap_aim_ms") or 0) / 1000,
+        resumable=streams and bool(raw.get("resumable")),
+        longest_pause=pause,
+        patience=caller_patience(target, pause) if streams else timeout,
     )
 
 
+def caller_patience(target: float, pause: float) -> float:
+    """Return the seconds after which callers leave a stream that gives no event."""
+    return max(2.0, 4 * target, 8 * pause)
+
+
 def decode_service(raw: Mapping[str, Any]) -> Service:
     """Return one service."""
     engine = raw.get("engine")
--- a/peridotdock/relay/absent.py
+++ b/peridotdock/relay/absent.py
@@ -64,7 +64,7 @@
         return None
 
     def _describe(self, ask: RelayAsk, service: str, wish: ModelWish | None) -> Absence:
-        left = ask.deadline - self._ctx.clock.monotonic()
+        left = ask.first_by - self._ctx.clock.monotonic()
         if wish is None:
             return Absence(left, None, SERVICE_SECONDS)
         bare = ModelWish(wish.model, "", 0, 0, ())
--- a/peridotdock/relay/asks.py
+++ b/peridotdock/relay/asks.py
@@ -56,6 +56,11 @@
     began: float
     deadline: float
 
+    @property
+    def first_by(self) -> float:
+        """Return when the first sign of an answer must be there, or the caller leaves."""
+        return min(self.deadline, self.began + self.route.patience)
+
     @property
     def id(self) -> str:
         """Return the caller's id for this attempt."""
--- a/peridotdock/relay/leadership.py
+++ b/peridotdock/relay/leadership.py
@@ -2,36 +2,70 @@
 
 One lease for all engines costs one write a second over all hosts. A host that stands by judges the
 lease by its own clock, from when it first saw the row's version, and a host that holds it counts
-from before it sent the renewal, so no clocks are compared.
+from before it sent the renewal, so no clocks are compared. A holder that loses touch with the
+store says so to the other hosts: they need not wait for what has ended already.
 """
 
-from peridotdock.clients.platform import Platform, Transaction, commit_surely
+import asyncio
+from collections.abc import Awaitable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from peridotdock.clients.platform import Platform, Row, Transaction, commit_surely
 from peridotdock.context import Context
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.clocks import UptimeClock
 
 LEASE_KEY = "leader"
-# Seconds between two renewals. The holder acts for LEASE_SHARE of the lease after a renewal, so
-# two renewals may be lost before it stops.
-RENEW_SECONDS = 0.9
-# Share of the lease for which its holder acts; the rest covers the way of an order to its engine.
-LEASE_SHARE = 0.8
+# Seconds without a renewal after which the lease has lapsed for those that stand by.
+LAPSE_SECONDS = 2.0
+# Seconds after a renewal for which the holder acts: 0.4 less than the lease, for the time that an
+# order takes to reach its engine over a slow link.
+ACT_SECONDS = 1.6
+# Seconds for one call; a store that is sixty times slower than usual answers within a quarter.
+CALL_SECONDS = 0.6
+NEVER = float("-inf")
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Resignation:
+    """A holder's word that it gives no more orders under ``term``; its last was ``quiet`` ago."""
+
+    term: int
+    quiet: float
+    at: float
+
+
+async def in_time(work: Awaitable[T]) -> T | Failure:
+    """Wait for a call of the store, not longer than the lease can bear."""
+    try:
+        async with asyncio.timeout(CALL_SECONDS):
+            return await work
+    except TimeoutError:
+        return Failure(Kind.OUTCOME_UNKNOWN, "no answer in time")
 
 
 class Leadership:
-    """This host's view of the lease. Times are seconds of a clock that runs in a suspension."""
+    """This host's view of the lease. Times are seconds of a clock that runs in a suspension.
 
-    def __init__(self, ctx: Context, store: Platform, lease: float, clock: UptimeClock):
+    ``gap`` is how long one host must have been quiet before another may order.
+    """
+
+    def __init__(self, ctx: Context, store: Platform, gap: float, clock: UptimeClock):
         self._ctx = ctx
         self._store = store
-        self._lease = lease
+        self._gap = gap
         self._clock = clock
         self._seen_version: int | None = None
         self._seen_at = 0.0
         self._version = 0
-        self._until = float("-inf")
-        self._orders_from = float("inf")
+        self._until = NEVER
+        self._orders_from = 0.0
+        self._ordered_at = NEVER
+        self._heard: Resignation | None = None
         self.term = 0
+        self.resigned = 0
 
     def holds(self) -> bool:
         """Tell whether this host holds the lease now."""
@@ -42,49 +76,56 @@
 
         Failure guarded against: the holder is suspended, another host takes over, and the first
         wakes and goes on. The clock runs in a suspension, and it is read right before each order.
-        A new holder waits until the last order of the one before it is a whole lease old.
+        A new holder waits until the last order of the one before is old enough.
         """
-        now = self._clock.seconds()
-        return self.term > 0 and self._orders_from <= now < self._until
+        return self.holds() and self._clock.seconds() >= self._orders_from
+
+    def ordered(self) -> None:
+        """Note that an order is sent now."""
+        self._ordered_at = self._clock.seconds()
+
+    def quiet(self) -> float:
+        """Return the seconds since this host's last order."""
+        return min(self._gap, self._clock.seconds() - self._ordered_at)
+
+    def hear(self, term: int, quiet: float) -> None:
+        """Take in another holder's resignation."""
+        if self._heard is None or term > self._heard.term:
+            self._heard = Resignation(term, quiet, self._clock.seconds())
 
     async def step(self) -> None:
-        """Renew the lease, or take it when its holder has let it lapse."""
-        if self.term > 0:
-            await self._renew()
-        else:
+        """Renew the lease, or take it when its holder has let it lapse or has resigned."""
+        if self.term == 0:
             await self._try()
+        elif not self.holds():
+            self._lose("not renewed in time")
+        else:
+            await self._renew()
 
     async def _renew(self) -> None:
         began = self._clock.seconds()
-        outcome = await self._write(self._version, self.term)
-        if failed(outcome):
-            if began >= self._until:
-                self._lose(outcome)
-            else:
-                await self._reread()
+        outcome = await in_time(self._write(self._version, self.term))
+        if not failed(outcome):
+            self._version = outcome
+            self._until = began + ACT_SECONDS
             return
-        self._version = outcome
-        self._until = began + self._lease * LEASE_SHARE
-
-    async def _reread(self) -> None:
-        """Find out whether a renewal that failed took effect after all."""
-        rows = await self._store.read([LEASE_KEY])
+        rows = await in_time(self._store.read([LEASE_KEY]))
         if failed(rows) or LEASE_KEY not in rows:
             return
         row = rows[LEASE_KEY]
         if row.value.get("holder") == self._ctx.incarnation:
             self._version = row.version
         else:
-            self._lose(Failure(Kind.CONFLICT, "another host took over"))
+            self._lose("another host took over")
 
-    def _lose(self, why: Failure) -> None:
-        self._ctx.timeline.add("lease_lost", "WARNING", detail=f"term {self.term}: {why.reason}")
-        self.term = 0
-        self._until = float("-inf")
+    def _lose(self, why: str) -> None:
+        self._ctx.timeline.add("lease_lost", "WARNING", detail=f"term {self.term}: {why}")
+        self.resigned, self.term = self.term, 0
+        self._until = NEVER
         self._seen_version = None
 
     async def _try(self) -> None:
-        rows = await self._store.read([LEASE_KEY])
+        rows = await in_time(self._store.read([LEASE_KEY]))
         if failed(rows):
             return
         row = rows.get(LEASE_KEY)
@@ -92,33 +133,47 @@
         now = self._clock.seconds()
         if version != self._seen_version:
             self._seen_version, self._seen_at = version, now
-        free = row is None or not row.value.get("holder")
-        if not free and now - self._seen_at < self._lease:
+        wait = self._wait_after(row, now)
+        if wait is None:
             return
-        term = int(row.value.get("term", 0)) + 1 if row else 1
-        outcome = await self._write(version, term)
+        term = int(row.value["term"]) + 1 if row else 1
+        outcome = await in_time(self._write(version, term))
         if failed(outcome):
             return
         self.term, self._version = term, outcome
-        self._until = now + self._lease * LEASE_SHARE
-        # The one before may have sent an order as late as its lease allowed.
-        self._orders_from = now if row is None else now + self._lease
-        self._ctx.timeline.add("lease_taken", detail=f"term {term}")
-
-    async def _write(self, version: int, term: int) -> int | Failure:
-        value = {"holder": self._ctx.incarnation, "term": term}
-        outcome = await commit_surely(
-            self._store, Transaction({LEASE_KEY: version}, {LEASE_KEY: value})
-        )
+        self._until = now + ACT_SECONDS
+        self._orders_from = now + wait
+        self._ctx.timeline.add("lease_taken", detail=f"term {term}, orders in {wait:.1f} s")
+
+    def _wait_after(self, row: Row | None, now: float) -> float | None:
+        """Return how long to wait for the first order, or None while the lease is another's."""
+        if row is None:
+            return 0.0
+        heard = self._heard
+        if heard is not None and heard.term == row.value["term"]:
+            return max(0.0, self._gap - heard.quiet - (now - heard.at))
+        if not row.value["holder"]:
+            return max(0.0, self._gap - float(row.value["quiet"]))
+        if now - self._seen_at < LAPSE_SECONDS:
+            return None
+        # The holder may have acted until just before its lease lapsed.
+        return max(0.0, self._gap - (LAPSE_SECONDS - ACT_SECONDS))
+
+    async def _write(self, version: int, term: int, holder: str | None = None) -> int | Failure:
+        value = {
+            "holder": self._ctx.incarnation if holder is None else holder,
+            "term": term,
+            "quiet": self.quiet(),
+        }
+        tx = Transaction({LEASE_KEY: version}, {LEASE_KEY: value})
+        outcome = await commit_surely(self._store, tx)
         return outcome if failed(outcome) else outcome.version
 
     async def give_up(self) -> None:
         """Free the lease, so that others need not wait for it to lapse."""
         if self.term == 0:
             return
-        term, self.term = self.term, 0
-        value = {"holder": "", "term": term}
-        tx = Transaction({LEASE_KEY: self._version}, {LEASE_KEY: value})
-        outcome = await commit_surely(self._store, tx)
+        term, self.term, self.resigned = self.term, 0, self.term
+        outcome = await in_time(self._write(self._version, term, holder=""))
         detail = f"term {term}" if not failed(outcome) else f"term {term}: {outcome.reason}"
         self._ctx.timeline.add("lease_freed", detail=detail)
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -39,10 +39,12 @@
 WORK_SECONDS = 0.1
 DEMAND_SECONDS = 1.0
 BEAT_SECONDS = 1.0
-# Seconds between two steps for the lease: of its holder, of those that stand by, of all others.
-HOLDER_SECONDS = 0.9
-STANDBY_SECONDS = 1.2
-OTHERS_SECONDS = 4.0
+# Seconds between two steps for the lease: of its holder; of those that stand by, while they hear
+# the holder and when they don't; of all others.
+HOLDER_SECONDS = 0.7
+STANDBY_SECONDS = 3.0
+URGENT_SECONDS = 0.35
+OTHERS_SECONDS = 8.0
 STANDBYS = 2
 # Seconds between two plans when nothing calls for one.
 PLAN_SECONDS = 0.5
@@ -69,6 +71,8 @@
         engines = adapter.open_engines(self.endpoints)
         self.orderer = Orderer(ctx, self.book, engines, self.leadership, settings.bounds)
         self.jobs = Jobs(ctx)
+        self.lease_due = asyncio.Event()
+        self.peers.on_resigned = self._hear_resigned
         self.leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         listen = settings.listen
@@ -96,7 +100,7 @@
         every(lambda: BEAT_SECONDS, self._beat, "beat")
         every(lambda: WORK_SECONDS, self._tell_work, "work")
         every(lambda: DEMAND_SECONDS, self._tell_demand, "demand")
-        every(self._lease_seconds, self._step_lease, "lease")
+        every(self._lease_seconds, self._step_lease, "lease", self.lease_due)
         self._tasks.append(asyncio.create_task(self._order()))
         self.ctx.timeline.add("started", detail=str(self.settings.listen.callers))
 
@@ -114,6 +118,11 @@
     async def _tell_demand(self) -> None:
         self.peers.tell_demand()
 
+    def _hear_resigned(self, term: int, quiet: float) -> None:
+        self.leadership.hear(term, quiet)
+        if self._stands_by():
+            self.lease_due.set()
+
     def _stands_by(self) -> bool:
         live = self.peers.membership.live()
         return self.settings.host in choose("leader", live, STANDBYS)
@@ -121,11 +130,17 @@
     def _lease_seconds(self) -> float:
         if self.leadership.term:
             return HOLDER_SECONDS
-        return STANDBY_SECONDS if self._stands_by() else OTHERS_SECONDS
+        if not self._stands_by():
+            return OTHERS_SECONDS
+        return STANDBY_SECONDS if self.peers.has_leader() else URGENT_SECONDS
 
     async def _step_lease(self) -> None:
-        if not self.leaving and self.front.deployment is not None:
+        if self.leaving or self.front.deployment is None:
+            return
+        if self.leadership.term or self._stands_by() or not self.peers.has_leader():
             await self.leadership.step()
+        if self.leadership.term == 0 and self.leadership.resigned:
+            self.peers.tell_resigned(self.leadership.resigned, self.leadership.quiet())
 
     async def _order(self) -> None:
         """Plan when something is waited for or has changed, and now and then."""
@@ -226,6 +241,8 @@
         self.ctx.timeline.add("leaving")
         self.peers.membership.become("leaving")
         await self.leadership.give_up()
+        if self.leadership.resigned:
+            self.peers.tell_resigned(self.leadership.resigned, self.leadership.quiet())
         await clock.sleep(min(ADDRESS_SECONDS * ADDRESS_FACTOR, bounds.stopping / 2))
         until = began + bounds.stopping - STOP_MARGIN
         while self.front.in_work and clock.monotonic() < until:
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -141,6 +141,7 @@
         try:
             if not self._leadership.may_order():
                 return
+            self._leadership.ordered()
             outcome = await self._engines.order(ward.entry, order)
             await self._settle(ward, order, outcome, seconds)
             self._note(ward, step, order, outcome)
@@ -156,15 +157,22 @@
             # It may be carried out yet. Any order that is accepted first makes it void, as it
             # expects the number of orders accepted until now.
             ward.unsure = True
+        elif outcome is OrderAnswer.ACCEPTED and order.adapter and order.action is Action.UNLOAD:
+            # Requests still use the adapter: it goes when they have ended, and takes its place
+            # until then. Whether the order was counted shows in a report.
+            ward.unsure = True
+            ward.ordered_at = now
+            ward.quiet_until = now + REFUSED_PAUSE
         elif outcome is OrderAnswer.ACCEPTED:
             ward.accepted(order, now + seconds, now)
             if order.adapter:
                 await self._ctx.clock.sleep(ADAPTER_SECONDS)
-        elif outcome is OrderAnswer.HOLDS_ALREADY:
+        elif outcome is OrderAnswer.HOLDS_ALREADY and order.adapter:
             # An adapter that nobody uses is unloaded at once, and that counts as an order.
-            unloaded = order.adapter and order.action is Action.UNLOAD
-            ward.accepted(order, now, now) if unloaded else ward.held(order, now)
-            ward.unsure = not unloaded
+            ward.accepted(order, now, now)
+            ward.unsure = order.action is Action.LOAD
+        elif outcome is OrderAnswer.HOLDS_ALREADY:
+            ward.unsure = True
         else:
             ward.unsure = True
             ward.quiet_until = now + REFUSED_PAUSE
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -1,6 +1,7 @@
 """What hosts tell each other: who lives, work on endpoints, what is waited for, orders given."""
 
 import asyncio
+from collections.abc import Callable
 
 from peridotdock.board import Board, Slot
 from peridotdock.context import Context
@@ -48,6 +49,7 @@
         self.meter = DemandMeter()
         self.waiting: dict[str, int] = {}
         self.wanted = asyncio.Event()
+        self.on_resigned: Callable[[int, float], None] = lambda term, quiet: None
         self.board.listen(self._changed)
 
     async def start(self) -> None:
@@ -85,8 +87,21 @@
 
     def _take_orders(self) -> None:
         facts = [known.fact for known in self.board.on("orders").values()]
-        newest = max(facts, key=lambda fact: fact.term)
+        newest = max(facts, key=lambda fact: max(fact.term, fact.resigned))
         self._book.take_news(newest.engines)
+        if newest.resigned:
+            self.on_resigned(newest.resigned, newest.quiet)
+
+    def has_leader(self) -> bool:
+        """Tell whether a live host that this one hears says that it orders engines."""
+        live, linked = self.membership.members(), self.mesh.peers()
+        few = len(live) <= self._ctx.cfg.peer_degree
+        for origin, known in self.board.on("orders").items():
+            member = live.get(origin)
+            heard = member is not None and member.alive and (origin in linked or not few)
+            if known.fact.term and (heard or origin == self._settings.host):
+                return True
+        return False
 
     # What this host tells
 
@@ -119,6 +134,12 @@
         """Tell what this host's orders changed."""
         self._tell("orders", OrdersFact(term, news))
 
+    def tell_resigned(self, term: int, quiet: float) -> None:
+        """Tell that this host gives no more orders under ``term``, and how old its last one is."""
+        known = self.board.get(self._settings.host, "orders")
+        if known is None or known.fact.resigned != term:
+            self.board.publish("orders", OrdersFact(0, [], term, quiet))
+
     def _tell(self, topic: str, fact) -> None:
         known = self.board.get(self._settings.host, topic)
         if known is None or known.fact != fact:
--- a/peridotdock/relay/wards.py
+++ b/peridotdock/relay/wards.py
@@ -13,6 +13,8 @@
 # Seconds after an order for which an engine's entry may be older than the order: its heartbeat
 # comes every second or so, and the store's feed is read with pauses.
 ENTRY_LAG = 3.0
+# Seconds after an order for which a report may be older than the order.
+REPORT_LAG = 0.8
 
 
 @dataclass
@@ -49,10 +51,10 @@
     def take_report(self, report: EngineState, now: float) -> None:
         """Take in a report; one that shows no work under way ends what was thought to be.
 
-        A report is as old as the pause before it, so one with fewer orders than were accepted is
-        passed over; the engine can't go back within its incarnation.
+        Soon after an order, a report with fewer orders than were accepted is older than that. Later
+        the report is right: an engine that says it carries an order out may not count it again.
         """
-        if report.seq < self.seq:
+        if report.seq < self.seq and now - self.ordered_at < REPORT_LAG:
             return
         self.unsure = False
         self.seq = report.seq
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -380,6 +380,14 @@
     """
     Engines with news.
     """
+    resigned: int = 0
+    """
+    Fencing number under which the origin has stopped to order for good; 0 while it orders.
+    """
+    quiet: float = 0
+    """
+    Seconds since the origin's last order, when it resigned.
+    """
 
 
 @dataclass(frozen=True)
