Keep every model somewhere; make room on one engine at a time

Cause: an engine that unloads is busy, so the next plan made room on another one too, and the room was filled with something else; a request refused at once no longer counted as waiting, so that its model was never loaded. Change: all models held goes before further copies; a last copy goes only for what is waited for; room made is promised to one model; refused requests count as waiting for three seconds; adapters fill free places, and one in use is freed without new requests.

--- a/peridotdock/decisions/placing.py
+++ b/peridotdock/decisions/placing.py
@@ -13,9 +13,19 @@
 from peridotdock.clients.engines import Action
 from peridotdock.deployment import EngineSpec, Model
 
-# Engine seconds asked for in a second, from which a model should survive the loss of an engine:
-# below a hundredth, a lost copy costs less than the load of the second.
-SPARE_COPY_DEMAND = 0.01
+# Engine seconds asked for in a second, below which a model counts as idle: less than one long
+# prompt in a minute.
+IDLE_DEMAND = 0.002
+# What a last copy is worth beyond its demand: when it must come from the weight store again, and
+# when its engine has the weights at hand and is back with it within about a second.
+LAST_COPY_WORTH = 1.0
+WARM_COPY_WORTH = 0.2
+# Adapter places of an engine that are not filled without need, so that the next adapter asked for
+# needs no unload first.
+KEPT_PLACES = 1
+# Engine seconds asked for in a second, from which a model should survive the loss of an engine.
+# Rare models, of which each takes about 0.03, come back from memory or disk within a second.
+SPARE_COPY_DEMAND = 0.12
 # Engine seconds a second that one copy serves before a further one is worth a load. An engine
 # reads prompts at most of the time when it is full; half leaves room for a burst of twice that.
 COPY_DEMAND = 0.45
@@ -26,7 +36,8 @@
     """One engine as the host that orders it knows it.
 
     ``models`` are those that take up memory, with their adapters; of them, ``loading`` ones can't
-    serve yet and ``dropping`` ones no more. ``busy`` engines take no order for a model now.
+    serve yet and ``dropping`` ones no more. ``freeing`` tells that an adapter's place will be free
+    when the requests that use it have ended. ``busy`` engines carry out an order and refuse others.
     """
 
     key: str
@@ -38,6 +49,11 @@
     on_disk: frozenset[str]
     busy: bool
     ahead: float
+    freeing: bool = False
+
+    def at_hand(self, model: str) -> bool:
+        """Tell whether the engine can load a model without the weight store."""
+        return model in self.in_memory or model in self.on_disk
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,13 +66,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """One order to give next."""
+    """One order to give next; ``room_for`` is the model that an unload makes room for."""
 
     engine: str
     action: Action
     model: str
     adapter: str = ""
     reason: str = ""
+    room_for: str = ""
 
 
 NONE = Demand()
@@ -64,12 +81,18 @@
 
 @dataclass
 class Draft:
-    """The plan while it is made. ``taken`` engines have a step already: each plan gives one."""
+    """The plan while it is made. ``taken`` engines have a step already: each plan gives one.
+
+    ``promised`` has the model that each engine was last emptied for. Failure guarded against: an
+    engine that unloads is busy, so the next plan makes room on another one too, and what was made
+    free is filled with something else; models then went round between engines without an end.
+    """
 
     spec: EngineSpec
     engines: dict[str, EngineView]
     demand: Mapping[str, Demand]
     loads_left: int
+    promised: Mapping[str, str]
     steps: list[Step] = field(default_factory=list)
     taken: set[str] = field(default_factory=set)
 
@@ -100,16 +123,19 @@
     engines: Iterable[EngineView],
     demand: Mapping[str, Demand],
     loads_left: int,
+    promised: Mapping[str, str],
     held_back: Iterable[str] = (),
 ) -> list[Step]:
     """Return the orders to give next, one an engine at most.
 
-    ``loads_left`` loads from the store may begin now. ``held_back`` engines get no order.
+    ``loads_left`` loads from the store may begin now. ``promised`` is the model that each engine
+    was emptied for and does not hold yet. ``held_back`` engines get no order.
     """
     rows = {engine.key: engine for engine in engines}
-    draft = Draft(spec, rows, demand, loads_left, taken=set(held_back))
+    draft = Draft(spec, rows, demand, loads_left, promised, taken=set(held_back))
     place_adapters(draft)
     place_models(draft)
+    fill_places(draft)
     return draft.steps
 
 
@@ -121,11 +147,13 @@
     )
     for model in ranked:
         found = model_demand(draft, model.name)
-        if not draft.holders(model.name) and (found.waiting or found.rate > 0):
+        if not draft.holders(model.name) and (found.waiting or found.rate > IDLE_DEMAND):
             load_somewhere(draft, model, last_copies=found.waiting > 0, reason="asked for")
     for model in ranked:
         if not draft.holders(model.name):
             load_somewhere(draft, model, last_copies=False, reason="held nowhere")
+    if any(not draft.holders(model.name) for model in ranked):
+        return
     for model in ranked:
         if len(draft.holders(model.name)) < wanted_copies(draft, model.name):
             load_somewhere(draft, model, last_copies=False, reason="further copy")
@@ -159,23 +187,24 @@
 def load_somewhere(draft: Draft, model: Model, last_copies: bool, reason: str) -> None:
     """Order a load on the best engine, or an unload that makes room for it.
 
-    ``last_copies`` tells whether the last copy of a model that is not asked for now may go.
+    ``last_copies`` tells whether the last copy of a model that nobody waits for may go.
     """
     options = []
-    for engine in draft.engines.values():
-        if engine.busy or engine.key in draft.taken or model.name in engine.models:
-            continue
+    for engine in open_engines(draft, model.name):
         victims = find_victims(draft, engine, model, last_copies)
         if victims is None:
             continue
-        options.append((load_seconds(engine, model), cost_of(draft, victims), engine, victims))
+        options.append(
+            (load_seconds(engine, model), cost_of(draft, engine, victims), engine, victims)
+        )
     if not options:
         return
     seconds, _, engine, victims = min(
         options, key=lambda row: (row[1] > 0, row[0] + row[1], row[2].ahead, row[2].key)
     )
     if victims:
-        draft.add(Step(engine.key, Action.UNLOAD, victims[0], "", f"for {model.name}"))
+        reason = f"for {model.name}"
+        draft.add(Step(engine.key, Action.UNLOAD, victims[0], "", reason, model.name))
         return
     if seconds >= model.load:
         if draft.loads_left <= 0:
@@ -184,6 +213,15 @@
     draft.add(Step(engine.key, Action.LOAD, model.name, "", reason))
 
 
+def open_engines(draft: Draft, model: str) -> list[EngineView]:
+    """Return the engines that may load a model or make room for it now."""
+    if model in draft.promised.values():
+        rows = [engine for key, engine in draft.engines.items() if draft.promised.get(key) == model]
+    else:
+        rows = [engine for key, engine in draft.engines.items() if key not in draft.promised]
+    return [e for e in rows if not (e.busy or e.key in draft.taken or model in e.models)]
+
+
 def load_seconds(engine: EngineView, model: Model) -> float:
     """Return how long an engine takes to load a model."""
     if model.name in engine.in_memory:
@@ -213,8 +251,8 @@
     if engine.dropping:
         return None
     victims = []
-    allowed = [name for name in engine.models if may_go(draft, name, model.name, last_copies)]
-    for name in sorted(allowed, key=lambda name: value_of(draft, name)):
+    allowed = [n for n in engine.models if may_go(draft, engine, n, model.name, last_copies)]
+    for name in sorted(allowed, key=lambda name: value_of(draft, engine, name)):
         spec = draft.spec.models.get(name)
         victims.append(name)
         missing -= spec.weights_mb if spec else 0.0
@@ -223,41 +261,77 @@
     return None
 
 
-def may_go(draft: Draft, name: str, wanted: str, last_copies: bool) -> bool:
+def may_go(draft: Draft, engine: EngineView, name: str, wanted: str, last_copies: bool) -> bool:
     """Tell whether a copy may make room: it is not waited for, and not needed where it is."""
     found = model_demand(draft, name)
     copies = len(draft.holders(name))
+    if name in engine.loading:
+        return False
     if copies > 1:
         spare = copies > wanted_copies(draft, name)
-        return spare or rate_of(draft, name) < rate_of(draft, wanted) / 2 or last_copies
-    return last_copies and not found.waiting
+        return spare or found.rate < rate_of(draft, wanted) / 2 or not draft.holders(wanted)
+    if found.waiting:
+        return False
+    return last_copies
 
 
-def value_of(draft: Draft, name: str) -> float:
-    """Return what a copy is worth: its demand, shared by all copies; last copies come last."""
+def value_of(draft: Draft, engine: EngineView, name: str) -> float:
+    """Return what a copy is worth: its demand, shared by all copies, and being the last one."""
     copies = len(draft.holders(name))
-    return rate_of(draft, name) / max(1, copies) + (1.0 if copies < 2 else 0.0)
+    last = WARM_COPY_WORTH if engine.at_hand(name) else LAST_COPY_WORTH
+    return rate_of(draft, name) / max(1, copies) + (last if copies < 2 else 0.0)
 
 
-def cost_of(draft: Draft, victims: Sequence[str]) -> float:
+def cost_of(draft: Draft, engine: EngineView, victims: Sequence[str]) -> float:
     """Return what making room costs, to be weighed against seconds of loading."""
-    return sum(0.1 + 10.0 * value_of(draft, name) for name in victims)
+    return sum(0.1 + 10.0 * value_of(draft, engine, name) for name in victims)
 
 
 def place_adapters(draft: Draft) -> None:
     """Load the adapters that are asked for, on an engine that holds their model."""
     for item, found in sorted(draft.demand.items(), key=lambda row: -row[1].waiting):
         model, _, adapter = item.partition("/")
-        if not adapter or not found.waiting:
-            continue
-        bases = draft.ready(model)
-        if any(adapter in engine.models[model] for engine in bases):
+        if adapter and found.waiting and not held_ready(draft, model, adapter):
+            place_adapter(draft, model, adapter)
+
+
+def fill_places(draft: Draft) -> None:
+    """Load adapters that nobody waits for into places that are free, for models in demand.
+
+    A first request then finds its adapter even while no host orders engines or while the engine
+    is busy with a model, which keeps adapters out for as long as that takes.
+    """
+    for model in draft.spec.models.values():
+        if rate_of(draft, model.name) < SPARE_COPY_DEMAND:
             continue
-        place_adapter(draft, [e for e in bases if e.key not in draft.taken], model, adapter)
+        for number in range(1, model.adapters + 1):
+            adapter = f"a{number}"
+            if held_ready(draft, model.name, adapter):
+                continue
+            free = [
+                engine
+                for engine in open_bases(draft, model.name)
+                if count_adapters(engine) < draft.spec.adapter_places - KEPT_PLACES
+            ]
+            if not free:
+                break
+            engine = min(free, key=lambda e: (count_adapters(e), e.key))
+            draft.add(Step(engine.key, Action.LOAD, model.name, adapter, "free place"))
+
+
+def held_ready(draft: Draft, model: str, adapter: str) -> bool:
+    """Tell whether some engine can serve an adapter."""
+    return any(adapter in engine.models[model] for engine in draft.ready(model))
+
+
+def open_bases(draft: Draft, model: str) -> list[EngineView]:
+    """Return the engines that hold a model and take an order for one of its adapters now."""
+    return [e for e in draft.ready(model) if not e.busy and e.key not in draft.taken]
 
 
-def place_adapter(draft: Draft, bases: Sequence[EngineView], model: str, adapter: str) -> None:
+def place_adapter(draft: Draft, model: str, adapter: str) -> None:
     """Order an adapter's load where a place is free, or the unload that frees one."""
+    bases = open_bases(draft, model)
     if not bases:
         return
     places = draft.spec.adapter_places
@@ -266,7 +340,7 @@
         draft.add(Step(engine.key, Action.LOAD, model, adapter, "asked for"))
         return
     victim = least_wanted_adapter(draft, engine)
-    if victim is not None:
+    if victim is not None and not engine.freeing:
         draft.add(Step(engine.key, Action.UNLOAD, *victim, f"for {model}/{adapter}"))
 
 
--- a/peridotdock/relay/absent.py
+++ b/peridotdock/relay/absent.py
@@ -14,6 +14,10 @@
 
 # Seconds that a request waits for an endpoint of a plain service that has none.
 SERVICE_SECONDS = 1.0
+# Seconds for which a refused request still counts as waiting for its model. Failure guarded
+# against: no request can wait as long as a load takes, so all are refused at once, nobody waits,
+# and the model is never loaded.
+REFUSED_SECONDS = 3.0
 
 
 class WaitingRoom:
@@ -28,20 +32,26 @@
     async def wait(self, ask: RelayAsk, service: str, caller: CallerEnd) -> Failure | None:
         """Wait until the request can be sent; the failure says why it can't be."""
         wish = ask.head.wish
-        found = decide(self._describe(ask, service, wish))
-        if found.seconds <= 0:
-            return Failure(Kind.NO_ENDPOINT, "no copy in time", found.retry_after)
+        absence = self._describe(ask, service, wish)
+        found = decide(absence)
         item = name_item(service, wish)
         self._enter(item)
+        refusal: Failure | None = Failure(
+            Kind.NO_ENDPOINT, f"no copy within {absence.left:.1f} s", found.retry_after
+        )
         try:
-            until = self._ctx.clock.monotonic() + found.seconds
-            return await self._until(ask, service, wish, caller, until, found.retry_after)
+            if found.seconds > 0:
+                until = self._ctx.clock.monotonic() + found.seconds
+                refusal = await self._until(service, wish, caller, until, found.retry_after)
+            return refusal
         finally:
-            self._leave(item)
+            if refusal is None:
+                self._leave(item)
+            else:
+                asyncio.get_running_loop().call_later(REFUSED_SECONDS, self._leave, item)
 
     async def _until(
         self,
-        ask: RelayAsk,
         service: str,
         wish: ModelWish | None,
         caller: CallerEnd,
@@ -72,7 +82,7 @@
             return Absence(left, None, 0.0)
         row = self.deployment.services.get(service) if self.deployment else None
         model = row.engine.models.get(wish.model) if row and row.engine else None
-        load = model.load if model else SERVICE_SECONDS
+        load = self._book.load_seconds(service, model) if model else SERVICE_SECONDS
         return Absence(left, self._book.coming(service, wish.model), load)
 
     def _enter(self, item: str) -> None:
--- a/peridotdock/relay/book.py
+++ b/peridotdock/relay/book.py
@@ -8,6 +8,7 @@
 from peridotdock.clock import Clock
 from peridotdock.decisions.choice import Candidate, Work
 from peridotdock.decisions.health import Health
+from peridotdock.deployment import Model
 from peridotdock.relay.asks import EndpointEntry, ModelWish
 from peridotdock.rendezvous import weigh
 from peridotdock.schema.messages import EngineNews
@@ -193,6 +194,12 @@
         ]
         return max(0.0, min(found)) if found else None
 
+    def load_seconds(self, service: str, model: Model) -> float:
+        """Return how long the quickest endpoint of a service takes to load a model."""
+        states = self.by_service.get(service, ())
+        times = [load_seconds(state.entry, model) for state in states if not state.entry.leaving]
+        return min(times, default=model.load)
+
     def take_news(self, rows: Iterable[EngineNews]) -> None:
         """Take in what the host that orders engines says; engines it leaves out have no news."""
         now = self._clock.monotonic()
@@ -285,6 +292,13 @@
             self._service[service] = usual + GAIN * (now - flight.began - usual)
 
 
+def load_seconds(entry: EndpointEntry, model: Model) -> float:
+    """Return how long an endpoint takes to load a model, by what it has at hand."""
+    if model.name in entry.in_memory:
+        return model.from_memory
+    return model.from_disk if model.name in entry.on_disk else model.load
+
+
 def find_favourite(states: list[EndpointState], wish: ModelWish | None) -> str:
     """Return the endpoint that all hosts prefer for a prompt's shared part, or nothing.
 
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -124,7 +124,7 @@
             self.lease_due.set()
 
     def _stands_by(self) -> bool:
-        live = self.peers.membership.live()
+        live = {*self.peers.membership.live(), self.settings.host}
         return self.settings.host in choose("leader", live, STANDBYS)
 
     def _lease_seconds(self) -> float:
@@ -195,6 +195,8 @@
         self.room.deployment = found
         if not self.leaving:
             self.peers.membership.become("live")
+        if current is None:
+            self.lease_due.set()
         self.ctx.metrics.generation.set(found.version)
         self.ctx.timeline.add("config_in_force", detail=f"version {found.version}")
 
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -1,7 +1,9 @@
 """Ordering engines: plans carried out one order at a time on each engine, by the lease's holder."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
+from dataclasses import dataclass
+from typing import Any
 
 from peridotdock.clients.engines import Action, EngineOrder, Engines, OrderAnswer
 from peridotdock.context import Context
@@ -20,9 +22,19 @@
 ADAPTER_SECONDS = 0.012
 # Seconds that an engine gets no order after it refused one: its report is as old as that.
 REFUSED_PAUSE = 0.35
+# Seconds for which an engine that was emptied for a model is kept for it.
+PROMISE_SECONDS = 8.0
 LATE_ANSWERS = frozenset({OrderAnswer.BUSY, OrderAnswer.REFUSED})
 
 
+@dataclass(frozen=True, slots=True)
+class Promise:
+    """The model that an engine was emptied for, and until when it is kept for it."""
+
+    model: str
+    until: float
+
+
 class Orderer:
     """Carries out plans while this host holds the lease."""
 
@@ -41,6 +53,7 @@
         self._bounds = bounds
         self._rations: dict[str, LoadRation] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._promises: dict[str, Promise] = {}
         self._term = 0
         self.wards: dict[str, Ward] = {}
         self.changed = asyncio.Event()
@@ -60,6 +73,7 @@
         """Begin anew: nothing is known of what the holder before had under way."""
         self._term = self._leadership.term
         self.wards.clear()
+        self._promises.clear()
         self._rations.clear()
         for service in deployment.services.values():
             if service.engine is not None and self._term > 1:
@@ -98,19 +112,32 @@
         held_back = {
             ward.entry.incarnation
             for ward in wards
-            if ward.in_flight or ward.unsure or now < ward.quiet_until
+            if ward.in_flight or ward.unsure or (now < ward.quiet_until and not ward.freeing)
         }
         ration = self._ration(service)
-        for step in make_plan(spec, views, demand, ration.left(now), held_back):
+        promised = self._promised(now)
+        for step in make_plan(spec, views, demand, ration.left(now), promised, held_back):
+            if step.room_for:
+                self._promises[step.engine] = Promise(step.room_for, now + PROMISE_SECONDS)
             ward = self.wards[step.engine]
             ward.in_flight = True
             self._spawn(self._carry_out(ward, service, spec, step))
 
+    def _promised(self, now: float) -> dict[str, str]:
+        """Return the promises that are open: not kept yet, and not too old."""
+        self._promises = {
+            key: promise
+            for key, promise in self._promises.items()
+            if key in self.wards and promise.until > now
+            if promise.model not in {*self.wards[key].loading, *self.wards[key].models}
+        }
+        return {key: promise.model for key, promise in self._promises.items()}
+
     def _ahead(self, ward: Ward, now: float) -> float:
         state = self._book.states.get(ward.entry.incarnation)
         return float(state.load(now)[1]) if state else 0.0
 
-    def _spawn(self, work) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -124,7 +151,8 @@
             if not failed(report):
                 ward.take_report(report, now)
             # Another look before a report can have changed would only load the engine.
-            ward.quiet_until = now + REFUSED_PAUSE if ward.unsure or ward.loading else 0.0
+            waits = ward.unsure or ward.loading or ward.freeing
+            ward.quiet_until = now + REFUSED_PAUSE if waits else 0.0
         finally:
             ward.in_flight = False
             self.changed.set()
@@ -160,6 +188,7 @@
         elif outcome is OrderAnswer.ACCEPTED and order.adapter and order.action is Action.UNLOAD:
             # Requests still use the adapter: it goes when they have ended, and takes its place
             # until then. Whether the order was counted shows in a report.
+            ward.freeing.add(f"{order.model}/{order.adapter}")
             ward.unsure = True
             ward.ordered_at = now
             ward.quiet_until = now + REFUSED_PAUSE
--- a/peridotdock/relay/wards.py
+++ b/peridotdock/relay/wards.py
@@ -6,6 +6,7 @@
 from peridotdock.decisions.placing import EngineView
 from peridotdock.deployment import EngineSpec
 from peridotdock.relay.asks import EndpointEntry
+from peridotdock.relay.book import load_seconds
 from peridotdock.schema.messages import EngineNews
 
 # Seconds beyond its usual time after which a load that does not show is looked for in a report.
@@ -21,6 +22,8 @@
 class Ward:
     """One engine. ``loading`` has when each load should be done, in monotonic seconds.
 
+    ``freeing`` are adapters, as MODEL/NAME, that go when the requests that use them have ended.
+
     ``seq`` counts the orders it accepted, as far as is known. ``unsure`` is set while that is not
     known: at first, and after an order that got no answer. The engine's report tells.
     """
@@ -30,7 +33,7 @@
     models: dict[str, set[str]] = field(default_factory=dict)
     loading: dict[str, float] = field(default_factory=dict)
     dropping: set[str] = field(default_factory=set)
-    coming: int = 0
+    freeing: set[str] = field(default_factory=set)
     unsure: bool = True
     ordered_at: float = float("-inf")
     in_flight: bool = False
@@ -59,6 +62,8 @@
         self.unsure = False
         self.seq = report.seq
         self.models = {name: set(m.adapters) for name, m in report.models.items()}
+        there = {f"{name}/{adapter}" for name, m in self.models.items() for adapter in m}
+        self.freeing &= there
         for item in report.coming:
             model, _, adapter = item.partition("/")
             self.models.setdefault(model, set()).add(adapter)
@@ -87,7 +92,11 @@
     def overdue(self, now: float) -> bool:
         """Tell whether a report is needed to know where the engine stands."""
         late = any(at + LOAD_SLACK < now for at in self.loading.values())
-        return (self.unsure or late) and now >= self.quiet_until and not self.in_flight
+        return (
+            (self.unsure or late or bool(self.freeing))
+            and now >= self.quiet_until
+            and not self.in_flight
+        )
 
     def view(self, ahead: float, now: float) -> EngineView:
         """Return the engine as plans see it."""
@@ -103,11 +112,15 @@
             on_disk=self.entry.on_disk,
             busy=bool(self.loading or self.dropping or self.unsure) or now < self.quiet_until,
             ahead=ahead,
+            freeing=bool(self.freeing),
         )
 
     def has_news(self, now: float) -> bool:
         """Tell whether the engine's entry may not show all that its orders changed."""
-        return bool(self.loading or self.dropping) or now - self.ordered_at <= ENTRY_LAG
+        return (
+            bool(self.loading or self.dropping or self.freeing)
+            or now - self.ordered_at <= ENTRY_LAG
+        )
 
     def news(self, now: float) -> EngineNews:
         """Return what other hosts should know before the engine's entry shows it."""
@@ -115,7 +128,7 @@
         items += [f"{name}/{a}" for name, adapters in self.models.items() for a in adapters]
         return EngineNews(
             endpoint=self.entry.incarnation,
-            items=items,
+            items=[item for item in items if item not in self.freeing],
             dropping=sorted(self.dropping),
             coming={name: round(max(0.0, at - now), 2) for name, at in self.loading.items()},
         )
@@ -126,6 +139,4 @@
     model = spec.models.get(order.model)
     if model is None or order.adapter or order.action is Action.UNLOAD:
         return 0.0
-    if order.model in entry.in_memory:
-        return model.from_memory
-    return model.from_disk if order.model in entry.on_disk else model.load
+    return load_seconds(entry, model)
