Take what an engine holds from its reports alone; count a crashed one as absent

Its callers' hosts then tried the crashed engine hundreds of times a second. Change: an entry only asks for a report; a connection that can't be made closes an endpoint for a while, its requests wait as for a model that nobody holds, and the host that orders looks for itself.

--- a/peridotdock/config.py
+++ b/peridotdock/config.py
@@ -6,8 +6,6 @@
 from importlib import resources
 from typing import Any
 
-import jsonschema
-
 from peridotdock.schema.settings import Settings
 
 ENV_PREFIX = "PERIDOTDOCK_"
@@ -33,7 +31,12 @@
 
 
 def list_errors(schema: dict[str, Any], document: Any) -> list[str]:
-    """Return every breach of ``schema``, each with its path and what was expected."""
+    """Return every breach of ``schema``, each with its path and what was expected.
+
+    The library is imported here: a host that checks no document never pays its 6 MB.
+    """
+    import jsonschema
+
     validator = jsonschema.Draft202012Validator(schema)
     errors = sorted(validator.iter_errors(document), key=lambda exc: list(map(str, exc.path)))
     return [f"{format_path(exc.absolute_path)}: {exc.message}" for exc in errors]
--- a/peridotdock/decisions/health.py
+++ b/peridotdock/decisions/health.py
@@ -28,6 +28,7 @@
     def __init__(self) -> None:
         self._failing = 0.0
         self._until = float("-inf")
+        self._closed_until = float("-inf")
         self._pause = FIRST_PAUSE
         self._slowness = 1.0
         self._slow_at = 0.0
@@ -49,6 +50,20 @@
         self._failing += OUTCOME_GAIN * (1.0 - self._failing)
         self._leave_out(now)
 
+    def unreachable(self, now: float) -> None:
+        """Count a connection that could not be made: nothing is there for now."""
+        self.lost(now)
+        self._closed_until = max(self._closed_until, self._until)
+
+    def closed(self, now: float) -> bool:
+        """Tell whether nothing was there a moment ago: what it held counts as absent.
+
+        Failure guarded against: the only endpoint with a model has crashed, and its entry stays
+        for some heartbeats. Requests then tried it again and again at once, hundreds a second,
+        instead of waiting for the model to be loaded elsewhere.
+        """
+        return now < self._closed_until
+
     def _leave_out(self, now: float) -> None:
         if now < self._until:
             return
--- a/peridotdock/relay/absent.py
+++ b/peridotdock/relay/absent.py
@@ -12,6 +12,9 @@
 from peridotdock.relay.peers import Peers
 from peridotdock.requests import Loss, State, lose
 
+# Seconds between two looks for an endpoint while nothing changes: one that could not be reached is
+# tried again after a pause, which is no change of the entries.
+LOOK_SECONDS = 0.25
 # Seconds that a request waits for an endpoint of a plain service that has none.
 SERVICE_SECONDS = 1.0
 # Seconds for which a refused request still counts as waiting for its model. Failure guarded
@@ -65,7 +68,9 @@
             change = asyncio.ensure_future(self._book.next_change())
             try:
                 await asyncio.wait(
-                    {change, caller.left}, timeout=left, return_when=asyncio.FIRST_COMPLETED
+                    {change, caller.left},
+                    timeout=min(left, LOOK_SECONDS),
+                    return_when=asyncio.FIRST_COMPLETED,
                 )
             finally:
                 change.cancel()
--- a/peridotdock/relay/book.py
+++ b/peridotdock/relay/book.py
@@ -178,10 +178,11 @@
 
     def usable(self, service: str, wish: ModelWish | None) -> list[EndpointState]:
         """Return the endpoints of a service that take new work and hold what is wished for."""
-        found = [s for s in self.by_service.get(service, ()) if not s.entry.leaving]
+        now = self._clock.monotonic()
+        rows = self.by_service.get(service, ())
+        found = [s for s in rows if not s.entry.leaving and not s.health.closed(now)]
         if wish is None:
             return found
-        now = self._clock.monotonic()
         return [state for state in found if state.holds(wish, now)]
 
     def coming(self, service: str, model: str) -> float | None:
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -65,6 +65,7 @@
         self.service = RelayService(
             ctx, adapter.wire, self.book, self.endpoints, settings.bounds, self.room
         )
+        self.service.on_down = lambda key: self.peers.tell_wants()
         self.front = Front(ctx, adapter.wire, self.service, self.peers)
         lease = settings.bounds.order_lease
         self.leadership = Leadership(ctx, self.store, lease, BootClock())
@@ -114,6 +115,7 @@
 
     async def _tell_work(self) -> None:
         self.peers.tell_work()
+        self.peers.tell_wants()
 
     async def _tell_demand(self) -> None:
         self.peers.tell_demand()
@@ -150,7 +152,7 @@
                 event.clear()
             deployment = self.front.deployment
             if deployment is not None and self.leadership.holds():
-                self.orderer.round(deployment, self.peers.demand())
+                self.orderer.round(deployment, self.peers.demand(), self.peers.down())
                 self.peers.tell_orders(self.leadership.term, self.orderer.news())
             waits = [asyncio.ensure_future(event.wait()) for event in events]
             await asyncio.wait(waits, timeout=PLAN_SECONDS, return_when=asyncio.FIRST_COMPLETED)
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -1,7 +1,7 @@
 """Ordering engines: plans carried out one order at a time on each engine, by the lease's holder."""
 
 import asyncio
-from collections.abc import Coroutine, Mapping
+from collections.abc import Collection, Coroutine, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -10,7 +10,7 @@
 from peridotdock.decisions.loads import LoadRation
 from peridotdock.decisions.placing import Demand, Step, make_plan
 from peridotdock.deployment import Deployment, EngineSpec, Service
-from peridotdock.errors import Failure, failed
+from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.book import EndpointBook
 from peridotdock.relay.leadership import Leadership
 from peridotdock.relay.settings import Bounds
@@ -58,13 +58,20 @@
         self.wards: dict[str, Ward] = {}
         self.changed = asyncio.Event()
 
-    def round(self, deployment: Deployment, demand: Mapping[str, Demand]) -> None:
-        """Bring the wards up to the entries, plan, and begin what is due."""
+    def round(
+        self, deployment: Deployment, demand: Mapping[str, Demand], down: Collection[str]
+    ) -> None:
+        """Bring the wards up to the entries, plan, and begin what is due.
+
+        ``down`` are endpoints that some host could not connect to: a look tells whether that is so.
+        """
         if not self._leadership.may_order():
             return
         if self._term != self._leadership.term:
             self._take_over(deployment)
         self._follow_entries()
+        for key in self.wards.keys() & set(down):
+            self.wards[key].unsure = True
         for service in deployment.services.values():
             if service.engine is not None:
                 self._plan(service, service.engine, demand)
@@ -90,13 +97,13 @@
         return found
 
     def _follow_entries(self) -> None:
-        states, now = self._book.states, self._ctx.clock.monotonic()
+        states = self._book.states
         self.wards = {key: ward for key, ward in self.wards.items() if key in states}
         for key, state in states.items():
             ward = self.wards.get(key)
             if ward is None:
                 ward = self.wards[key] = Ward(state.entry)
-            ward.take_entry(state.entry, now)
+            ward.take_entry(state.entry)
 
     def _plan(self, service: Service, spec: EngineSpec, demand: Mapping[str, Demand]) -> None:
         now = self._ctx.clock.monotonic()
@@ -108,6 +115,7 @@
         for ward in wards:
             if ward.overdue(now):
                 self._spawn(self._look(ward))
+        wards = [ward for ward in wards if not ward.down]
         views = [ward.view(self._ahead(ward, now), now) for ward in wards]
         held_back = {
             ward.entry.incarnation
@@ -148,6 +156,7 @@
         try:
             report = await self._engines.report(ward.entry)
             now = self._ctx.clock.monotonic()
+            ward.down = failed(report) and report.kind is Kind.ENDPOINT_UNREACHABLE
             if not failed(report):
                 ward.take_report(report, now)
             # Another look before a report can have changed would only load the engine.
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -121,7 +121,15 @@
 
     def tell_wants(self) -> None:
         """Tell what requests on this host wait for."""
-        self._tell("wants", WantsFact(dict(self.waiting)))
+        now = self._ctx.clock.monotonic()
+        down = [key for key, state in self._book.states.items() if state.health.closed(now)]
+        self._tell("wants", WantsFact(dict(self.waiting), down))
+
+    def down(self) -> set[str]:
+        """Return the endpoints that live hosts could not connect to."""
+        live = self.membership.members()
+        rows = self.board.on("wants").items()
+        return {key for name, row in rows if name in live for key in row.fact.down}
 
     def tell_demand(self) -> None:
         """Tell what callers ask of this host, when it has changed much."""
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -1,5 +1,6 @@
 """Serving one relayed request: place it, send it, repeat it where that is safe."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from peridotdock.clients.endpoint import HttpEndpoints, read_all
@@ -62,6 +63,7 @@
         self._bounds = bounds
         self._allowances: dict[str, RetryAllowance] = {}
         self.hosts = 1
+        self.on_down: Callable[[str], None] = lambda key: None
 
     def _allowance(self, service: str) -> RetryAllowance:
         bounds = self._bounds
@@ -222,6 +224,9 @@
         now = self.ctx.clock.monotonic()
         if found.kind is Kind.ENDPOINT_REFUSED:
             state.health.erred(now)
+        elif found.kind is Kind.ENDPOINT_UNREACHABLE:
+            state.health.unreachable(now)
+            self.on_down(state.key)
         elif found.kind in RETRY_KINDS:
             state.health.lost(now)
         self.ctx.timeline.add(
--- a/peridotdock/relay/wards.py
+++ b/peridotdock/relay/wards.py
@@ -11,9 +11,9 @@
 
 # Seconds beyond its usual time after which a load that does not show is looked for in a report.
 LOAD_SLACK = 1.5
-# Seconds after an order for which an engine's entry may be older than the order: its heartbeat
-# comes every second or so, and the store's feed is read with pauses.
-ENTRY_LAG = 3.0
+# Seconds after an order for which the other hosts go by the word of the one that gave it: an
+# engine's heartbeat comes every second or so, and the store's feed is read with pauses.
+NEWS_SECONDS = 3.0
 # Seconds after an order for which a report may be older than the order.
 REPORT_LAG = 0.8
 
@@ -25,7 +25,8 @@
     ``freeing`` are adapters, as MODEL/NAME, that go when the requests that use them have ended.
 
     ``seq`` counts the orders it accepted, as far as is known. ``unsure`` is set while that is not
-    known: at first, and after an order that got no answer. The engine's report tells.
+    known: at first, and after an order that got no answer. The engine's report tells; one that
+    can't be had because nothing is there makes the ward ``down``.
     """
 
     entry: EndpointEntry
@@ -35,12 +36,20 @@
     dropping: set[str] = field(default_factory=set)
     freeing: set[str] = field(default_factory=set)
     unsure: bool = True
+    down: bool = False
     ordered_at: float = float("-inf")
     in_flight: bool = False
     quiet_until: float = 0.0
 
-    def take_entry(self, entry: EndpointEntry, now: float) -> None:
-        """Take in the engine's entry, as far as it can't be older than the last order."""
+    def take_entry(self, entry: EndpointEntry) -> None:
+        """Take in the engine's entry: where it tells something else, a report is needed.
+
+        Failure guarded against: the store was away, so the entry is older than an order carried
+        out meanwhile, and a load planned by it would overfill the engine. Entries only say that
+        something changed; what an engine holds is taken from its reports and its answers.
+        """
+        if entry is self.entry:
+            return
         self.entry = entry
         for name in [name for name in self.loading if name in entry.models]:
             del self.loading[name]
@@ -48,8 +57,9 @@
         for name in [name for name in self.dropping if name not in entry.models]:
             self.dropping.discard(name)
             self.models.pop(name, None)
-        if now - self.ordered_at > ENTRY_LAG:
-            self.models = {name: set(m.adapters) for name, m in entry.models.items()}
+        told = {name: set(model.adapters) for name, model in entry.models.items()}
+        if told != self.models:
+            self.unsure = True
 
     def take_report(self, report: EngineState, now: float) -> None:
         """Take in a report; one that shows no work under way ends what was thought to be.
@@ -59,7 +69,8 @@
         """
         if report.seq < self.seq and now - self.ordered_at < REPORT_LAG:
             return
-        self.unsure = False
+        # Busy with an order of another host: what that loads shows only when it is done.
+        self.unsure = report.busy and not (self.loading or self.dropping)
         self.seq = report.seq
         self.models = {name: set(m.adapters) for name, m in report.models.items()}
         there = {f"{name}/{adapter}" for name, m in self.models.items() for adapter in m}
@@ -119,7 +130,7 @@
         """Tell whether the engine's entry may not show all that its orders changed."""
         return (
             bool(self.loading or self.dropping or self.freeing)
-            or now - self.ordered_at <= ENTRY_LAG
+            or now - self.ordered_at <= NEWS_SECONDS
         )
 
     def news(self, now: float) -> EngineNews:
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -2,7 +2,7 @@
 #   filename:  messages.json
 
 from __future__ import annotations
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Literal
 
 
@@ -340,6 +340,10 @@
     """
     Waiting requests by item; an adapter's name stands behind its model's and a slash.
     """
+    down: list[str] = field(default_factory=list)
+    """
+    Endpoints to which the origin could make no connection lately.
+    """
 
 
 @dataclass(frozen=True)
