Tell a reset from an end; copies where requests wait long, not where they are idle

Two busy models shared one engine with 50000 prompt tokens waiting while four engines idled, as last copies of idle models left no room. Change: an answer that ends with its connection is whole only if that closed cleanly; a further copy takes an idle model's room only while prompts wait long at every holder; models loaded a moment ago stay. Each send and first event is logged with what was known.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -14,7 +14,7 @@
 import msgspec
 from yarl import URL
 
-from peridotdock.clients.http import BROKEN, UNREACHABLE, Pool, send_once
+from peridotdock.clients.http import BROKEN, UNREACHABLE, Pool, WatchedResponse, send_once
 from peridotdock.errors import Failure, Kind, failed
 
 REPORT_SECONDS = 1.0
@@ -96,7 +96,7 @@
 class Opened:
     """An answer that has begun. It must be released; only a finished one frees its connection."""
 
-    def __init__(self, resp: aiohttp.ClientResponse, stack: AsyncExitStack):
+    def __init__(self, resp: WatchedResponse, stack: AsyncExitStack):
         self._resp = resp
         self._stack = stack
         self.status = resp.status
@@ -104,7 +104,10 @@
 
     async def read_some(self) -> bytes:
         """Return the next bytes, or none at the end. Raises what :data:`BROKEN` lists."""
-        return await self._resp.content.readany()
+        part = await self._resp.content.readany()
+        if not part and not await self._resp.ended_whole():
+            raise aiohttp.ClientPayloadError("the connection was reset before its end")
+        return part
 
     def abort(self) -> None:
         """Close the connection now: a read that waits fails, and the endpoint sees the close."""
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -59,6 +59,34 @@
     return middleware
 
 
+class WatchedResponse(aiohttp.ClientResponse):
+    """An answer that can tell how its connection ended.
+
+    Failure guarded against: an answer without a length ends with its connection, and the library
+    takes a reset for that end too. Half an answer would then be passed on as the whole.
+    """
+
+    ending: asyncio.Future[None] | None = None
+
+    async def start(self, connection: Any) -> "WatchedResponse":
+        """Begin to read, with an eye on the connection."""
+        self.ending = connection.protocol.closed
+        if self.ending is not None:
+            self.ending.add_done_callback(asyncio.Future.exception)
+        await super().start(connection)
+        return self
+
+    async def ended_whole(self) -> bool:
+        """Tell whether the answer, read to its end, is whole."""
+        framed = "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+        if framed or self.method == "HEAD":
+            return True
+        if self.ending is None:
+            return False
+        await asyncio.wait({self.ending}, timeout=CONNECT_SECONDS)
+        return self.ending.done() and self.ending.exception() is None
+
+
 class Pool:
     """Kept connections that can be abandoned all at once.
 
@@ -83,6 +111,7 @@
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
                 skip_auto_headers=ADDED_HEADERS,
+                response_class=WatchedResponse,
                 timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
             )
         return self._current
--- a/peridotdock/decisions/placing.py
+++ b/peridotdock/decisions/placing.py
@@ -13,13 +13,20 @@
 from peridotdock.clients.engines import Action
 from peridotdock.deployment import EngineSpec, Model
 
-# Engine seconds asked for in a second, below which a model counts as idle: less than one long
-# prompt in a minute.
-IDLE_DEMAND = 0.002
+# Engine seconds asked for in a second, below which a model counts as idle: a long prompt asks for
+# 0.1 at once and fades below this within twelve seconds.
+IDLE_DEMAND = 0.02
 # What a last copy is worth beyond its demand: when it must come from the weight store again, and
 # when its engine has the weights at hand and is back with it within about a second.
 LAST_COPY_WORTH = 1.0
 WARM_COPY_WORTH = 0.2
+# Prompt tokens that wait at every holder of a model, over some seconds, from which a further copy
+# may take the room of an idle one: about 0.3 s of an engine's time, most of what callers allow.
+# Without this bound copies went round between engines, 23 loads on a calm day in place of 5.
+CROWDED_TOKENS = 8000.0
+# Seconds that a prompt token waiting at an engine counts for when an engine is chosen: about three
+# times what reading it takes, as the load that made it wait goes on.
+TOKEN_SECONDS = 0.0001
 # Adapter places of an engine that are not filled without need, so that the next adapter asked for
 # needs no unload first.
 KEPT_PLACES = 1
@@ -38,6 +45,8 @@
     ``models`` are those that take up memory, with their adapters; of them, ``loading`` ones can't
     serve yet and ``dropping`` ones no more. ``freeing`` tells that an adapter's place will be free
     when the requests that use it have ended. ``busy`` engines carry out an order and refuse others.
+    ``ahead`` are prompt tokens that wait there, over some seconds; ``settling`` models were loaded
+    a moment ago.
     """
 
     key: str
@@ -50,6 +59,7 @@
     busy: bool
     ahead: float
     freeing: bool = False
+    settling: frozenset[str] = frozenset()
 
     def at_hand(self, model: str) -> bool:
         """Tell whether the engine can load a model without the weight store."""
@@ -108,6 +118,10 @@
             if model in engine.models and model not in engine.dropping
         ]
 
+    def at_hand(self, model: str) -> bool:
+        """Tell whether some engine can load a model without the weight store."""
+        return any(engine.at_hand(model) for engine in self.engines.values())
+
     def ready(self, model: str) -> list[EngineView]:
         """Return the engines on which a model can serve."""
         return [engine for engine in self.holders(model) if model not in engine.loading]
@@ -152,13 +166,19 @@
     for model in ranked:
         if not draft.holders(model.name):
             load_somewhere(draft, model, last_copies=False, reason="held nowhere")
-    if any(not draft.holders(model.name) for model in ranked):
-        return
     for model in ranked:
         if len(draft.holders(model.name)) < wanted_copies(draft, model.name):
             load_somewhere(draft, model, last_copies=False, reason="further copy")
 
 
+def crowded(draft: Draft, model: str) -> bool:
+    """Tell whether requests for a model wait long wherever it is held, and no copy is coming."""
+    holders = draft.holders(model)
+    if len(holders) > len(draft.ready(model)):
+        return False
+    return bool(holders) and min(engine.ahead for engine in holders) >= CROWDED_TOKENS
+
+
 def model_demand(draft: Draft, model: str) -> Demand:
     """Return the demand for a model with all its adapters."""
     waiting, rate = 0, 0.0
@@ -184,15 +204,18 @@
     return max(2, 1 + int(rate / COPY_DEMAND), by_places)
 
 
-def load_somewhere(draft: Draft, model: Model, last_copies: bool, reason: str) -> None:
+def load_somewhere(
+    draft: Draft, model: Model, last_copies: bool, reason: str, evict: bool = True
+) -> None:
     """Order a load on the best engine, or an unload that makes room for it.
 
-    ``last_copies`` tells whether the last copy of a model that nobody waits for may go.
+    ``last_copies`` tells whether the last copy of a model that nobody waits for may go, ``evict``
+    whether any copy may.
     """
     options = []
     for engine in open_engines(draft, model.name):
         victims = find_victims(draft, engine, model, last_copies)
-        if victims is None:
+        if victims is None or (victims and not evict):
             continue
         options.append(
             (load_seconds(engine, model), cost_of(draft, engine, victims), engine, victims)
@@ -200,7 +223,8 @@
     if not options:
         return
     seconds, _, engine, victims = min(
-        options, key=lambda row: (row[1] > 0, row[0] + row[1], row[2].ahead, row[2].key)
+        options,
+        key=lambda row: (row[1] > 0, row[0] + row[1] + row[2].ahead * TOKEN_SECONDS, row[2].key),
     )
     if victims:
         reason = f"for {model.name}"
@@ -265,14 +289,29 @@
     """Tell whether a copy may make room: it is not waited for, and not needed where it is."""
     found = model_demand(draft, name)
     copies = len(draft.holders(name))
-    if name in engine.loading:
+    if name in engine.loading or found.waiting:
+        return False
+    if last_copies or (copies > 1 and must_be_held(draft, wanted)):
+        return True
+    if name in engine.settling:
+        return False
+    if copies > wanted_copies(draft, name):
+        return True
+    if not crowded(draft, wanted):
         return False
     if copies > 1:
-        spare = copies > wanted_copies(draft, name)
-        return spare or found.rate < rate_of(draft, wanted) / 2 or not draft.holders(wanted)
-    if found.waiting:
+        return found.rate < rate_of(draft, wanted) / 2
+    return found.rate < IDLE_DEMAND and engine.at_hand(name)
+
+
+def must_be_held(draft: Draft, model: str) -> bool:
+    """Tell whether a model that nobody holds should take the place of another's further copy.
+
+    One that nobody asks for and that is at hand is back within a second when it is asked for.
+    """
+    if draft.holders(model):
         return False
-    return last_copies
+    return rate_of(draft, model) > IDLE_DEMAND or not draft.at_hand(model)
 
 
 def value_of(draft: Draft, engine: EngineView, name: str) -> float:
--- a/peridotdock/demand.py
+++ b/peridotdock/demand.py
@@ -22,12 +22,12 @@
     peak: float = 0.0
     at: float = 0.0
 
-    def decay(self, now: float) -> None:
+    def decay(self, now: float, peak_seconds: float = PEAK_SECONDS) -> None:
         """Carry the averages forward to ``now``."""
         gone = max(0.0, now - self.at)
         self.fast *= math.exp(-gone / FAST_SECONDS)
         self.slow *= math.exp(-gone / SLOW_SECONDS)
-        self.peak = max(self.fast, self.peak * math.exp(-gone / PEAK_SECONDS))
+        self.peak = max(self.fast, self.peak * math.exp(-gone / peak_seconds))
         self.at = now
 
     def add(self, work: float) -> None:
@@ -38,20 +38,21 @@
 
 
 class Demand:
-    """Demand seen by this host."""
+    """Demand seen by this host; a peak is held for about ``peak_seconds``."""
 
-    def __init__(self) -> None:
+    def __init__(self, peak_seconds: float = PEAK_SECONDS) -> None:
+        self._peak_seconds = peak_seconds
         self._rates: dict[str, Rate] = {}
 
     def add(self, item: str, work: float, now: float) -> None:
         """Count a request for ``item`` that would take ``work`` engine seconds."""
         rate = self._rates.setdefault(item, Rate(at=now))
-        rate.decay(now)
+        rate.decay(now, self._peak_seconds)
         rate.add(work)
 
     def rates(self, now: float) -> dict[str, float]:
         """Return the rate to plan for, by item; items without demand are left out."""
         for rate in self._rates.values():
-            rate.decay(now)
+            rate.decay(now, self._peak_seconds)
         self._rates = {item: rate for item, rate in self._rates.items() if rate.peak > FORGET_BELOW}
         return {item: round(max(r.peak, r.slow), 4) for item, r in self._rates.items()}
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -116,7 +116,9 @@
             if ward.overdue(now):
                 self._spawn(self._look(ward))
         wards = [ward for ward in wards if not ward.down]
-        views = [ward.view(self._ahead(ward, now), now) for ward in wards]
+        for ward in wards:
+            ward.press(self._ahead(ward, now), now)
+        views = [ward.view(now) for ward in wards]
         held_back = {
             ward.entry.incarnation
             for ward in wards
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -23,6 +23,9 @@
 
 # Seconds after which another host's word on demand no longer counts.
 DEMAND_SECONDS = 6.0
+# Seconds for which a peak of demand is held: a rare model is asked for every ten seconds or so, and
+# what has fallen silent should make room within as many.
+PEAK_SECONDS = 8.0
 # Least change of a demand that is told, as a share of what was told last.
 DEMAND_STEP = 0.25
 
@@ -46,7 +49,7 @@
             0,
         )
         self.membership = Membership(self.board, own, ctx.clock)
-        self.meter = DemandMeter()
+        self.meter = DemandMeter(PEAK_SECONDS)
         self.waiting: dict[str, int] = {}
         self.wanted = asyncio.Event()
         self.on_resigned: Callable[[int, float], None] = lambda term, quiet: None
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -9,7 +9,7 @@
 from peridotdock.decisions.choice import Prediction, choose
 from peridotdock.deployment import Route
 from peridotdock.errors import Failure, Kind, failed
-from peridotdock.relay.absent import WaitingRoom
+from peridotdock.relay.absent import WaitingRoom, name_item
 from peridotdock.relay.asks import RelayAsk
 from peridotdock.relay.attempt import Source, Whole
 from peridotdock.relay.book import EndpointBook, EndpointState
@@ -152,6 +152,7 @@
         progress.sends += 1
         progress.avoid.add(state.key)
         self.ctx.metrics.sends.labels(str(progress.sends)).inc()
+        self._note_send(ask, progress, place)
         self.book.began(state, ask.id, ask.head.wish)
         streaming = False
         try:
@@ -172,6 +173,27 @@
             if not streaming:
                 self.book.ended(state, ask.id, progress.service, whole=False)
 
+    def _note_send(self, ask: RelayAsk, progress: Progress, place: Prediction) -> None:
+        """Log which endpoint was chosen, and what was known of it."""
+        chosen, wish = place.candidate, ask.head.wish
+        self.ctx.timeline.add(
+            "sent",
+            request=ask.id,
+            endpoint=chosen.key,
+            item=name_item(progress.service, wish),
+            detail=f"send {progress.sends}, expected in {place.seconds:.3f} s, "
+            f"{chosen.running} running, {chosen.ahead} tokens ahead, "
+            f"{wish.prompt_tokens if wish else 0} to read, {chosen.cached} cached"
+            f"{', preferred' if chosen.preferred else ''}, {chosen.slowness:.2f} times slower",
+        )
+
+    def _note_first(self, ask: RelayAsk, state: EndpointState, began: float) -> None:
+        """Log how long the first event took."""
+        seconds = self.ctx.clock.monotonic() - began
+        self.ctx.timeline.add(
+            "first_event", request=ask.id, endpoint=state.key, detail=f"after {seconds:.3f} s"
+        )
+
     def _patience(self, ask: RelayAsk, predicted: float) -> float:
         """Return how long to wait for a first sign; for good where it can't be sent again."""
         if not ask.route.repeatable or ask.route.max_sends < 2:
@@ -191,6 +213,7 @@
                 await source.close(caller)
                 return fault
             self.book.answered(sent.state, ask.id, ask.head.wish)
+            self._note_first(ask, sent.state, ask.began)
             return source
         try:
             body = await wait_for(read_all(sent.opened), caller, left)
--- a/peridotdock/relay/wards.py
+++ b/peridotdock/relay/wards.py
@@ -1,5 +1,6 @@
 """What the host that orders engines knows of each: orders accepted, models held or coming."""
 
+import math
 from dataclasses import dataclass, field
 
 from peridotdock.clients.engines import Action, EngineOrder, EngineState
@@ -14,6 +15,10 @@
 # Seconds after an order for which the other hosts go by the word of the one that gave it: an
 # engine's heartbeat comes every second or so, and the store's feed is read with pauses.
 NEWS_SECONDS = 3.0
+# Seconds for which a model that was loaded is not unloaded to make room for a further copy.
+SETTLING_SECONDS = 10.0
+# Seconds over which the tokens that wait at an engine are averaged.
+PRESSURE_SECONDS = 2.0
 # Seconds after an order for which a report may be older than the order.
 REPORT_LAG = 0.8
 
@@ -37,6 +42,9 @@
     freeing: set[str] = field(default_factory=set)
     unsure: bool = True
     down: bool = False
+    loaded_at: dict[str, float] = field(default_factory=dict)
+    pressure: float = 0.0
+    pressed_at: float = 0.0
     ordered_at: float = float("-inf")
     in_flight: bool = False
     quiet_until: float = 0.0
@@ -97,6 +105,7 @@
             adapters.add(order.adapter) if loads else adapters.discard(order.adapter)
         elif order.action is Action.LOAD:
             self.loading[order.model] = ready_at
+            self.loaded_at[order.model] = ready_at
         else:
             self.dropping.add(order.model)
 
@@ -109,7 +118,13 @@
             and not self.in_flight
         )
 
-    def view(self, ahead: float, now: float) -> EngineView:
+    def press(self, ahead: float, now: float) -> None:
+        """Take in the prompt tokens that wait at the engine now."""
+        share = 1 - math.exp(-(now - self.pressed_at) / PRESSURE_SECONDS)
+        self.pressure += share * (ahead - self.pressure)
+        self.pressed_at = now
+
+    def view(self, now: float) -> EngineView:
         """Return the engine as plans see it."""
         models = {name: frozenset(adapters) for name, adapters in self.models.items()}
         models |= {name: frozenset() for name in self.loading if name not in models}
@@ -122,8 +137,11 @@
             in_memory=self.entry.in_memory,
             on_disk=self.entry.on_disk,
             busy=bool(self.loading or self.dropping or self.unsure) or now < self.quiet_until,
-            ahead=ahead,
+            ahead=self.pressure,
             freeing=bool(self.freeing),
+            settling=frozenset(
+                name for name, at in self.loaded_at.items() if now - at < SETTLING_SECONDS
+            ),
         )
 
     def has_news(self, now: float) -> bool:
--- /dev/null
+++ b/tests/relay/test_endings.py
@@ -0,0 +1,87 @@
+"""How an endpoint's answer may end, and which ends are whole."""
+
+import asyncio
+import socket
+import struct
+import unittest
+
+from nose2.tools import params
+
+from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
+from peridotdock.errors import Kind, failed
+
+HEAD = b"HTTP/1.1 200 OK\r\nx-attempt-id: a1\r\n"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Endpoint:
+    """An endpoint that sends fixed bytes after a request's head, then closes or resets."""
+
+    def __init__(self, raw: bytes, reset: bool):
+        self._raw = raw
+        self._reset = reset
+        self.url = ""
+        self.read = asyncio.Event()
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.url = "http://{}:{}".format(*self._server.sockets[0].getsockname())
+        return self
+
+    async def __aexit__(self, *exc):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self._raw)
+        await writer.drain()
+        if self._reset:
+            # The bytes must have been read before the reset throws them away.
+            await self.read.wait()
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+        else:
+            writer.close()
+
+
+async def fetch(raw: bytes, reset: bool):
+    endpoints = HttpEndpoints("x-not-run")
+    async with Endpoint(raw, reset) as endpoint:
+        opened = await endpoints.open(endpoint.url, Call("GET", "/", {}, b"", once=True))
+        first = await opened.read_some()
+        endpoint.read.set()
+        rest = await read_all(opened)
+        await opened.release()
+        await endpoints.close()
+        return rest if failed(rest) else first + rest
+
+
+class EndingsTest(unittest.TestCase):
+    """A caller gets a note page that lacks its second half, and nothing says so.
+
+    The endpoint answers without a length, so its answer ends with its connection. On the way the
+    connection is reset after half of the body. Taken as an end, half of the page is passed on as
+    the whole.
+    """
+
+    @params(
+        ("with a length", HEAD + b"content-length: 4\r\n\r\nbody", False, b"body"),
+        ("with a length, cut", HEAD + b"content-length: 9\r\n\r\nbody", False, None),
+        (
+            "in chunks",
+            HEAD + b"transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            False,
+            b"body",
+        ),
+        ("in chunks, cut", HEAD + b"transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n", False, None),
+        ("without a length", HEAD + b"\r\nbody", False, b"body"),
+        ("without a length, reset", HEAD + b"\r\nbody", True, None),
+    )
+    def test_only_a_whole_answer_counts(self, name, raw, reset, expected):
+        found = asyncio.run(fetch(raw, reset))
+        if expected is None:
+            self.assertTrue(failed(found), name)
+            self.assertEqual(Kind.ANSWER_CUT, found.kind)
+        else:
+            self.assertEqual(expected, found, name)
