Tell other hosts seldomer where there are more of them

Change: words come seldomer with the number of hosts, so that a host takes in about 90 a second; eight links a host.

--- a/peridotdock/cli/relay.py
+++ b/peridotdock/cli/relay.py
@@ -16,6 +16,10 @@
 from peridotdock.schema.settings import Settings
 from peridotdock.status import ExitStatus
 
+# Links of a host to others. Eight join up to nine hosts directly; among more, each fact takes a
+# second or third hop, and few hosts hear it more often than they must.
+PEER_DEGREE = 8
+
 
 def run(environ: Mapping[str, str], streams: Streams) -> ExitStatus:
     """Check the settings, serve until told to stop, and return the exit status."""
@@ -30,6 +34,7 @@
         cluster_key=f"peridotdock at {found.store}",
         peer_ip=found.listen.peers.ip,
         peer_port=found.listen.peers.port,
+        peer_degree=PEER_DEGREE,
     )
     logs.set_up(cfg.log_level, streams.out, cfg.host_id)
     gc.freeze()
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -35,10 +35,12 @@
 # Seconds before the platform's SIGKILL at which a planned stop ends.
 STOP_MARGIN = 0.7
 DRAIN_POLL_SECONDS = 0.05
-# Seconds between two words to the other hosts on work at endpoints, and on demand.
+# Seconds between two words to the other hosts on work at endpoints, and on demand, and how many
+# hosts' words a host takes in a second: each goes to all hosts, so with more hosts they come
+# seldomer, and what a host spends on them stays the same.
 WORK_SECONDS = 0.1
 DEMAND_SECONDS = 1.0
-BEAT_SECONDS = 1.0
+WORDS_PER_SECOND = 90.0
 # Seconds between two steps for the lease: of its holder; of those that stand by, while they hear
 # the holder and when they don't; of all others.
 HOLDER_SECONDS = 0.7
@@ -98,9 +100,9 @@
             follower = Follower(self.ctx, self.store, table, take, pause)
             self._tasks.append(asyncio.create_task(follower.run()))
         every = self.jobs.every
-        every(lambda: BEAT_SECONDS, self._beat, "beat")
-        every(lambda: WORK_SECONDS, self._tell_work, "work")
-        every(lambda: DEMAND_SECONDS, self._tell_demand, "demand")
+        every(self.peers.membership.beat_seconds, self._beat, "beat")
+        every(lambda: self._word_seconds(WORK_SECONDS), self._tell_work, "work")
+        every(lambda: self._word_seconds(DEMAND_SECONDS), self._tell_demand, "demand")
         every(self._lease_seconds, self._step_lease, "lease", self.lease_due)
         self._tasks.append(asyncio.create_task(self._order()))
         self.ctx.timeline.add("started", detail=str(self.settings.listen.callers))
@@ -113,6 +115,9 @@
         self.peers.link()
         self.service.hosts = len(self.peers.membership.live())
 
+    def _word_seconds(self, least: float) -> float:
+        return max(least, len(self.peers.board.on("host")) / WORDS_PER_SECOND)
+
     async def _tell_work(self) -> None:
         self.peers.tell_work()
         self.peers.tell_wants()
