Send a lost order again at once; look for what an engine's entry is late to show

Change: an order without an answer is given up after 0.35 s, and the next one needs no wait, as both expect the same number of orders; reports are read 0.25 s after an unload and after a load's time; hosts that don't order follow the endpoints' table with a pause of a second.

--- a/peridotdock/platform/engines.py
+++ b/peridotdock/platform/engines.py
@@ -11,8 +11,8 @@
 
 ORDER_PATH = "/v1/order"
 REPORT_PATH = "/v1/report"
-# Seconds for either call: both are answered at once, or not at all.
-CALL_SECONDS = 1.0
+# Seconds for either call: both are answered within some milliseconds, or not at all.
+CALL_SECONDS = 0.35
 ANSWERS = {
     200: OrderAnswer.HOLDS_ALREADY,
     202: OrderAnswer.ACCEPTED,
--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -17,11 +17,13 @@
 class Follower:
     """Keeps one table of the store in view.
 
-    ``take`` gets the rows, and whether they are the whole table. ``pause`` seconds pass between
-    two calls, so that a table that changes often costs few calls.
+    ``take`` gets the rows, and whether they are the whole table. ``pause`` gives the seconds
+    between two calls, so that a table that changes often costs few calls.
     """
 
-    def __init__(self, ctx: Context, tables: Tables, table: str, take: Take, pause: float):
+    def __init__(
+        self, ctx: Context, tables: Tables, table: str, take: Take, pause: Callable[[], float]
+    ):
         self._ctx = ctx
         self._tables = tables
         self._table = table
@@ -44,7 +46,7 @@
         if whole or found.values:
             self._take(found.values, whole)
         self._version = found.version
-        await self._ctx.clock.sleep(self._pause)
+        await self._ctx.clock.sleep(self._pause())
 
     async def _lose(self, found: Failure) -> None:
         if found.kind is Kind.HISTORY_GONE:
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -26,8 +26,11 @@
 from peridotdock.rendezvous import choose
 from peridotdock.serving import Server, make_application
 
-# Seconds between two calls on the endpoints' table: it changes with each load and each leaving.
-ENDPOINTS_PAUSE = 0.5
+# Seconds between two calls on the endpoints' table, which changes with each load: of the host that
+# orders engines, and of all others. Those hear of loads from it; what they must see for themselves
+# is an endpoint that leaves, two seconds at most after it said so.
+ORDERER_PAUSE = 0.4
+ENDPOINTS_PAUSE = 1.0
 CONFIG_PAUSE = 0.05
 # Seconds that callers keep an answer where to connect, and how many times as long some do.
 ADDRESS_SECONDS = 1.0
@@ -38,7 +41,7 @@
 # Seconds between two words to the other hosts on work at endpoints, and on demand, and how many
 # hosts' words a host takes in a second: each goes to all hosts, so with more hosts they come
 # seldomer, and what a host spends on them stays the same.
-WORK_SECONDS = 0.1
+WORK_SECONDS = 0.15
 DEMAND_SECONDS = 1.0
 WORDS_PER_SECOND = 90.0
 # Seconds between two steps for the lease: of its holder; of those that stand by, while they hear
@@ -94,8 +97,8 @@
         await self.server.start()
         await self.peers.start()
         for table, take, pause in (
-            (self.adapter.config_table, self._take_config, CONFIG_PAUSE),
-            (self.adapter.endpoint_table, self._take_endpoints, ENDPOINTS_PAUSE),
+            (self.adapter.config_table, self._take_config, lambda: CONFIG_PAUSE),
+            (self.adapter.endpoint_table, self._take_endpoints, self._endpoints_pause),
         ):
             follower = Follower(self.ctx, self.store, table, take, pause)
             self._tasks.append(asyncio.create_task(follower.run()))
@@ -107,6 +110,9 @@
         self._tasks.append(asyncio.create_task(self._order()))
         self.ctx.timeline.add("started", detail=str(self.settings.listen.callers))
 
+    def _endpoints_pause(self) -> float:
+        return ORDERER_PAUSE if self.leadership.term else ENDPOINTS_PAUSE
+
     # Work that is repeated
 
     async def _beat(self) -> None:
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -122,7 +122,9 @@
         held_back = {
             ward.entry.incarnation
             for ward in wards
-            if ward.in_flight or ward.unsure or (now < ward.quiet_until and not ward.freeing)
+            if ward.in_flight
+            or ward.unsure
+            or (now < ward.quiet_until and not ward.freeing and not ward.loading)
         }
         ration = self._ration(service)
         promised = self._promised(now)
@@ -162,7 +164,7 @@
             if not failed(report):
                 ward.take_report(report, now)
             # Another look before a report can have changed would only load the engine.
-            waits = ward.unsure or ward.loading or ward.freeing
+            waits = ward.unsure or ward.loading or ward.dropping or ward.freeing
             ward.quiet_until = now + REFUSED_PAUSE if waits else 0.0
         finally:
             ward.in_flight = False
@@ -193,9 +195,10 @@
     ) -> None:
         now = self._ctx.clock.monotonic()
         if failed(outcome):
-            # It may be carried out yet. Any order that is accepted first makes it void, as it
-            # expects the number of orders accepted until now.
-            ward.unsure = True
+            # It may be carried out yet, seconds from now. Whatever order the engine accepts first
+            # makes it void, as it expects the number of orders accepted until now; so the next one
+            # needs no wait, and is refused if this one was carried out after all.
+            ward.unsure = outcome.kind is Kind.ENDPOINT_UNREACHABLE
         elif outcome is OrderAnswer.ACCEPTED and order.adapter and order.action is Action.UNLOAD:
             # Requests still use the adapter: it goes when they have ended, and takes its place
             # until then. Whether the order was counted shows in a report.
--- a/peridotdock/relay/wards.py
+++ b/peridotdock/relay/wards.py
@@ -10,8 +10,10 @@
 from peridotdock.relay.book import load_seconds
 from peridotdock.schema.messages import EngineNews
 
-# Seconds beyond its usual time after which a load that does not show is looked for in a report.
-LOAD_SLACK = 1.5
+# Seconds beyond its usual time after which a load that does not show is looked for in a report, and
+# after an unload: reports are 0.2 s old, and entries come a second later.
+LOAD_SLACK = 0.25
+UNLOAD_SLACK = 0.25
 # Seconds after an order for which the other hosts go by the word of the one that gave it: an
 # engine's heartbeat comes every second or so, and the store's feed is read with pauses.
 NEWS_SECONDS = 3.0
