--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -157,7 +157,7 @@
         streaming = False
         try:
             resume = ask.head.resume_after if progress.last_id is None else str(progress.last_id)
-            patience = self._patience(ask, place.seconds)
+            patience = self._patience(ask, progress, place.seconds)
             sent = await self.sender.send(
                 ask, state, caller, choose_priority(ask), resume, patience
             )
@@ -194,9 +194,16 @@
             "first_event", request=ask.id, endpoint=state.key, detail=f"after {seconds:.3f} s"
         )
 
-    def _patience(self, ask: RelayAsk, predicted: float) -> float:
-        """Return how long to wait for a first sign; for good where it can't be sent again."""
-        if not ask.route.repeatable or ask.route.max_sends < 2:
+    def _patience(self, ask: RelayAsk, progress: Progress, predicted: float) -> float:
+        """Return how long to wait for a first sign; for good where it can't be had elsewhere.
+
+        Failure guarded against: the only endpoint with a model is crowded, its requests are taken
+        back when they are slow and sent there again, and lose their place in its queue each time.
+        """
+        if not ask.route.repeatable or progress.maybe_ran + 1 >= ask.route.max_sends:
+            return ask.route.timeout
+        states = self.book.usable(progress.service, ask.head.wish)
+        if all(state.key in progress.avoid for state in states):
             return ask.route.timeout
         return PATIENCE_SECONDS + PATIENCE_FACTOR * predicted
 
