Never wait for the reader of the logs; serve metrics; keep the platform's words in its folder

Cause: a full pipe on standard output would have held up every stream of a host; metrics of the new path were counted and not served; nothing kept the platform's names out of the rest. Change: lines are written as far as the pipe takes them, 2000 are kept and the lost ones counted; metrics at the port of the deploy file where that port is free; a check in the test command for the names.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	$(BIN)/python -m tests
 
 lint: $(STAMP)
+	$(BIN)/python extras/check_wire.py
 	$(BIN)/black --check --quiet .
 	$(BIN)/ruff check --quiet .
 
--- /dev/null
+++ b/extras/check_wire.py
@@ -0,0 +1,34 @@
+"""Check that the platform's names stand in its adapter alone.
+
+Exit 1 and one line for each place outside ``peridotdock/platform`` that names a header, call or
+field of the users' platform.
+"""
+
+import re
+import sys
+from pathlib import Path
+
+PACKAGE = Path(__file__).resolve().parent.parent / "peridotdock"
+ADAPTER = PACKAGE / "platform"
+WORDS = re.compile(
+    r"x-attempt|x-target|x-not-exec|x-prompt-pref|x-token-count|x-response-sig|x-model|rows-(tx|get|feed)"
+    r"|kv-(move|events|list|from|fetch)|fencing_token|at_hand\"|zone\"|\"servers\"|blob-(put|get)",
+    re.IGNORECASE,
+)
+
+
+def main() -> int:
+    """Print every place and return the exit status."""
+    found = 0
+    for path in sorted(PACKAGE.rglob("*.py")):
+        if ADAPTER in path.parents:
+            continue
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            if WORDS.search(line):
+                print(f"{path.relative_to(PACKAGE.parent)}:{number}: {line.strip()}")
+                found += 1
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/peridotdock/logs.py
+++ b/peridotdock/logs.py
@@ -1,18 +1,87 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines, bounded, on a stream that may not be read."""
 
 import logging
+import os
+from collections import deque
 from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
 FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
+# Lines kept while nobody reads the stream: some seconds of a busy host, under a megabyte.
+MOST_LINES = 2000
+
+
+class BoundedHandler(logging.Handler):
+    """Writes lines without ever waiting for the reader; the oldest are lost first.
+
+    Failure guarded against: whoever reads the logs stops reading, the pipe fills, and the next
+    line holds up every stream of the host. The pipe is written as far as it takes bytes; the rest
+    waits here, bounded, and a line says how many were left out.
+    """
+
+    def __init__(self, stream: TextIO, most: int = MOST_LINES):
+        super().__init__()
+        self._fd = stream.fileno()
+        self._most = most
+        self._lines: deque[bytes] = deque()
+        self._part = b""
+        self.lost = 0
+        os.set_blocking(self._fd, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue a line and write as much as the stream takes."""
+        try:
+            self._lines.append(self.format(record).encode() + b"\n")
+        except Exception:
+            self.handleError(record)
+            return
+        while len(self._lines) > self._most:
+            self._lines.popleft()
+            self.lost += 1
+        self._flush_lines()
+
+    def _flush_lines(self) -> None:
+        while self._part or self._lines:
+            if not self._part:
+                self._part = self._next()
+            try:
+                written = os.write(self._fd, self._part)
+            except BlockingIOError:
+                return
+            self._part = self._part[written:]
+
+    def _next(self) -> bytes:
+        """Return the next line, or first one that says how many were left out."""
+        if not self.lost:
+            return self._lines.popleft()
+        lost, self.lost = self.lost, 0
+        record = logging.LogRecord(
+            "peridotdock", logging.WARNING, "", 0, "log_lines_lost", None, None
+        )
+        record.detail = str(lost)
+        return self.format(record).encode() + b"\n"
+
+
+class QuietBreaks(logging.Filter):
+    """Leaves out the server's report of answers that were broken off on purpose."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Tell whether a record is to be logged."""
+        found = record.exc_info[1] if record.exc_info else None
+        return not getattr(found, "broken_on_purpose", False)
 
 
 def set_up(level: str, stream: TextIO, host: str) -> None:
     """Send all logs of the process to ``stream`` as JSON lines."""
-    handler = logging.StreamHandler(stream)
+    try:
+        handler: logging.Handler = BoundedHandler(stream)
+    except (OSError, ValueError):
+        # A stream without a descriptor, as tests use, can't fill up.
+        handler = logging.StreamHandler(stream)
     rename = {"asctime": "time", "levelname": "level", "message": "event"}
     handler.setFormatter(JsonFormatter(FORMAT, rename_fields=rename, static_fields={"host": host}))
+    handler.addFilter(QuietBreaks())
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
--- a/peridotdock/platform/settings.py
+++ b/peridotdock/platform/settings.py
@@ -6,9 +6,11 @@
 from typing import Any
 
 from peridotdock.errors import Failure, Kind
-from peridotdock.relay.settings import Bounds, HostSettings, Listen, parse_address
+from peridotdock.relay.settings import Address, Bounds, HostSettings, Listen, parse_address
 
 PATH_VARIABLE = "PERIDOTDOCK_SETTINGS"
+# The port that the deploy file names for metrics; used where it is free for the hosts' own traffic.
+METRICS_PORT = 7391
 
 
 def load_settings(environ: Mapping[str, str]) -> HostSettings | Failure:
@@ -37,9 +39,16 @@
         seeds=tuple(parse_address(text) for text in raw.get("seeds", ())),
         store=parse_address(raw["platform"]["address"]),
         bounds=decode_bounds(raw["bounds"]),
+        metrics=decode_metrics(raw),
     )
 
 
+def decode_metrics(raw: Mapping[str, Any]) -> Address | None:
+    """Return where metrics are served, or None where the port is not free."""
+    first, last = raw.get("inner_ports") or (0, -1)
+    return Address(raw["ip"], METRICS_PORT) if first <= METRICS_PORT <= last else None
+
+
 def decode_bounds(raw: Mapping[str, Any]) -> Bounds:
     """Return the bounds, in seconds where the file has milliseconds."""
     return Bounds(
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -89,7 +89,11 @@
         }
         app = make_application()
         app.router.fallback = self._handle
-        more = [(door.ip, door.port) for door in (listen.readiness, listen.directory)]
+        doors = [listen.readiness, listen.directory]
+        if settings.metrics is not None:
+            self._doors[settings.metrics.port] = self._metrics
+            doors.append(settings.metrics)
+        more = [(door.ip, door.port) for door in doors]
         self.server = Server(app, listen.callers.ip, listen.callers.port, more)
 
     async def start(self) -> None:
@@ -180,6 +184,10 @@
         body = Content(b"text/plain", b"ready" if ready else b"not ready")
         return Response(200 if ready else 503, None, body)
 
+    async def _metrics(self, request: Request) -> Response:
+        self.ctx.metrics.in_work.set(self.front.in_work)
+        return Response(200, None, Content(b"text/plain", self.ctx.metrics.render()))
+
     async def _directory(self, request: Request) -> Response:
         rows = self.peers.membership.members().values()
         addresses = [row.fact.entry for row in rows if row.takes_work]
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -190,6 +190,8 @@
     def _note_first(self, ask: RelayAsk, state: EndpointState, began: float) -> None:
         """Log how long the first event took."""
         seconds = self.ctx.clock.monotonic() - began
+        label = self.ctx.metrics.item_label(ask.route.name)
+        self.ctx.metrics.first_token.labels(label).observe(seconds)
         self.ctx.timeline.add(
             "first_event", request=ask.id, endpoint=state.key, detail=f"after {seconds:.3f} s"
         )
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -15,6 +15,8 @@
 class AnswerBrokenError(Exception):
     """An answer whose head went out can't be ended whole; its connection must show that."""
 
+    broken_on_purpose = True
+
 
 async def pass_on(
     service: RelayService, ask: RelayAsk, caller: CallerEnd, progress: Progress, source: Source
--- /dev/null
+++ b/tests/relay/test_logs.py
@@ -0,0 +1,36 @@
+"""Logs never hold up the host that writes them."""
+
+import logging
+import os
+import unittest
+
+from peridotdock.logs import BoundedHandler
+
+
+def record(text):
+    return logging.LogRecord("peridotdock", logging.INFO, "", 0, text, None, None)
+
+
+class FullPipeTest(unittest.TestCase):
+    """Every stream of a host stands still.
+
+    The collector of its logs has stopped reading, the pipe is full, and the next line waits for it.
+    """
+
+    def test_a_reader_that_does_not_read_blocks_nothing(self):
+        reader, writer = os.pipe()
+        with open(writer, "w") as stream:
+            handler = BoundedHandler(stream, most=50)
+            for number in range(5000):
+                handler.emit(record(f"line {number} " + "x" * 100))
+            self.assertGreater(handler.lost, 0)
+            os.set_blocking(reader, False)
+            found = os.read(reader, 1 << 20)
+            handler.emit(record("last"))
+            found += os.read(reader, 1 << 20)
+        os.close(reader)
+        lines = found.decode().splitlines()
+        self.assertEqual("last", lines[-1])
+        self.assertIn("log_lines_lost", lines)
+        self.assertTrue(lines[0].startswith("line 0 "))
+        self.assertTrue(all(line.startswith(("line ", "log_", "last")) for line in lines))
