Log each wait and each answer that could not be ended whole

Cause: a refused request's log said that no copy came, not of what, nor what was known of it. Change: one line for each decision to wait, with the time left and what is coming; one for an answer broken off; one for a reload.

--- a/peridotdock/relay/absent.py
+++ b/peridotdock/relay/absent.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from peridotdock.context import Context
-from peridotdock.decisions.waiting import Absence, decide
+from peridotdock.decisions.waiting import Absence, Wait, decide
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.asks import ModelWish, RelayAsk
@@ -38,6 +38,7 @@
         absence = self._describe(ask, service, wish)
         found = decide(absence)
         item = name_item(service, wish)
+        self._note(ask, item, absence, found)
         self._enter(item)
         refusal: Failure | None = Failure(
             Kind.NO_ENDPOINT, f"no copy within {absence.left:.1f} s", found.retry_after
@@ -53,6 +54,17 @@
             else:
                 asyncio.get_running_loop().call_later(REFUSED_SECONDS, self._leave, item)
 
+    def _note(self, ask: RelayAsk, item: str, absence: Absence, found: Wait) -> None:
+        """Log whether the request waits, and what was known of what it waits for."""
+        coming = "unknown" if absence.coming is None else f"in {absence.coming:.2f} s"
+        self._ctx.timeline.add(
+            "waits" if found.seconds > 0 else "waits_not",
+            request=ask.id,
+            item=item,
+            detail=f"{absence.left:.2f} s left, coming {coming}, a load takes {absence.load:.2f} s, "
+            f"up to {found.seconds:.2f} s",
+        )
+
     async def _until(
         self,
         service: str,
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -251,11 +251,15 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, told.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         await self.start()
         await told.wait()
         await self.drain()
 
+    def _note_reload(self) -> None:
+        """Log that the settings changed: addresses and bounds are those of the process's start."""
+        self.ctx.timeline.add("reload", detail="settings are read at start; nothing changes")
+
     async def stop(self) -> None:
         """End all work and close everything, without waiting for anybody."""
         await self.jobs.stop()
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -44,6 +44,13 @@
         service.note_loss(ask, source.state, outcome)
         found = await _resume(service, ask, caller, progress, outcome)
         if failed(found):
+            service.ctx.timeline.add(
+                "answer_broken",
+                "WARNING",
+                request=ask.id,
+                endpoint=source.state.key,
+                detail=f"{found.kind}: {found.reason}, last event {progress.last_id}",
+            )
             raise AnswerBrokenError(f"{found.kind}: {found.reason}")
         source = found
 
