--- a/peridotdock/relay/absent.py
+++ b/peridotdock/relay/absent.py
@@ -61,8 +61,8 @@
             "waits" if found.seconds > 0 else "waits_not",
             request=ask.id,
             item=item,
-            detail=f"{absence.left:.2f} s left, coming {coming}, a load takes {absence.load:.2f} s, "
-            f"up to {found.seconds:.2f} s",
+            detail=f"{absence.left:.2f} s left, coming {coming}, "
+            f"a load takes {absence.load:.2f} s, up to {found.seconds:.2f} s",
         )
 
     async def _until(
