Hold all models before further copies; an idle one makes room only for a second of prompts

Change: further copies only when every model is held, or where prompts wait for a second; idle models make room from 25000 waiting tokens; a peak of demand is held for 30 s.

--- a/peridotdock/decisions/placing.py
+++ b/peridotdock/decisions/placing.py
@@ -14,16 +14,16 @@
 from peridotdock.deployment import EngineSpec, Model
 
 # Engine seconds asked for in a second, below which a model counts as idle: a long prompt asks for
-# 0.1 at once and fades below this within twelve seconds.
+# 0.1 at once and fades below this within fifty seconds.
 IDLE_DEMAND = 0.02
 # What a last copy is worth beyond its demand: when it must come from the weight store again, and
 # when its engine has the weights at hand and is back with it within about a second.
 LAST_COPY_WORTH = 1.0
 WARM_COPY_WORTH = 0.2
 # Prompt tokens that wait at every holder of a model, over some seconds, from which a further copy
-# may take the room of an idle one: about 0.3 s of an engine's time, most of what callers allow.
-# Without this bound copies went round between engines, 23 loads on a calm day in place of 5.
-CROWDED_TOKENS = 8000.0
+# may take the room of an idle one: about a second of an engine's time, more than callers allow.
+# Without a bound copies went round between engines, 23 loads on a calm day in place of 5.
+CROWDED_TOKENS = 25000.0
 # Seconds that a prompt token waiting at an engine counts for when an engine is chosen: about three
 # times what reading it takes, as the load that made it wait goes on.
 TOKEN_SECONDS = 0.0001
@@ -118,10 +118,6 @@
             if model in engine.models and model not in engine.dropping
         ]
 
-    def at_hand(self, model: str) -> bool:
-        """Tell whether some engine can load a model without the weight store."""
-        return any(engine.at_hand(model) for engine in self.engines.values())
-
     def ready(self, model: str) -> list[EngineView]:
         """Return the engines on which a model can serve."""
         return [engine for engine in self.holders(model) if model not in engine.loading]
@@ -167,10 +163,16 @@
         if not draft.holders(model.name):
             load_somewhere(draft, model, last_copies=False, reason="held nowhere")
     for model in ranked:
-        if len(draft.holders(model.name)) < wanted_copies(draft, model.name):
+        missing = len(draft.holders(model.name)) < wanted_copies(draft, model.name)
+        if missing and (all_held(draft) or crowded(draft, model.name)):
             load_somewhere(draft, model, last_copies=False, reason="further copy")
 
 
+def all_held(draft: Draft) -> bool:
+    """Tell whether every model is held somewhere: before that, room is not for further copies."""
+    return all(draft.holders(name) for name in draft.spec.models)
+
+
 def crowded(draft: Draft, model: str) -> bool:
     """Tell whether requests for a model wait long wherever it is held, and no copy is coming."""
     holders = draft.holders(model)
@@ -305,13 +307,8 @@
 
 
 def must_be_held(draft: Draft, model: str) -> bool:
-    """Tell whether a model that nobody holds should take the place of another's further copy.
-
-    One that nobody asks for and that is at hand is back within a second when it is asked for.
-    """
-    if draft.holders(model):
-        return False
-    return rate_of(draft, model) > IDLE_DEMAND or not draft.at_hand(model)
+    """Tell whether a model should take the place of another's further copy: nobody holds it."""
+    return not draft.holders(model)
 
 
 def value_of(draft: Draft, engine: EngineView, name: str) -> float:
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -24,8 +24,8 @@
 # Seconds after which another host's word on demand no longer counts.
 DEMAND_SECONDS = 6.0
 # Seconds for which a peak of demand is held: a rare model is asked for every ten seconds or so, and
-# what has fallen silent should make room within as many.
-PEAK_SECONDS = 8.0
+# its copy should last through several such gaps.
+PEAK_SECONDS = 30.0
 # Least change of a demand that is told, as a share of what was told last.
 DEMAND_STEP = 0.25
 
