--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -163,12 +163,6 @@
         for pool in (*self._pools.values(), *self._control.values()):
             await pool.close()
 
-    async def forget(self, url: str) -> None:
-        """Close what is kept for an endpoint that is gone."""
-        pools = (self._pools.pop(url, None), self._control.pop(url, None))
-        for pool in filter(None, pools):
-            await pool.renew()
-
     async def suspect(self, url: str) -> None:
         """Take no kept connection to ``url`` again: one was found dead, all are suspect."""
         await self._pool(url).renew()
--- a/peridotdock/relay/book.py
+++ b/peridotdock/relay/book.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from peridotdock.clock import Clock
@@ -135,13 +135,8 @@
         self.by_service: dict[str, list[EndpointState]] = {}
         self._per_token: dict[str, float] = {}
         self._service: dict[str, float] = {}
-        self._listeners: list[Callable[[], None]] = []
         self._change: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
-    def listen(self, listener: Callable[[], None]) -> None:
-        """Call ``listener`` after each change of the endpoints or of what they hold."""
-        self._listeners.append(listener)
-
     def replace(self, entries: Iterable[EndpointEntry]) -> None:
         """Take the whole list of endpoints; those that are missing are gone."""
         old = self.states
@@ -173,8 +168,6 @@
     def _tell(self) -> None:
         change, self._change = self._change, asyncio.get_running_loop().create_future()
         change.set_result(None)
-        for listener in self._listeners:
-            listener()
 
     def usable(self, service: str, wish: ModelWish | None) -> list[EndpointState]:
         """Return the endpoints of a service that take new work and hold what is wished for."""
