Place by the demand of the last seconds; link hosts to one hub; ration only loads that begin

Every host sent each word to all others.

Change: demand of the last seconds beside the held peak; copies in use go only for requests that wait; an engine's load calls for a copy before prompts wait; refused loads are given back; a new holder goes by the loads it heard of; hosts link to one hub that passes facts on.

--- a/peridotdock/decisions/choice.py
+++ b/peridotdock/decisions/choice.py
@@ -67,11 +67,24 @@
     wait = max(0, over) * work.service / max(1, candidate.slots)
     if work.tokens == 0:
         return candidate.slowness * (work.service + wait)
+    reading = (candidate.ahead + unread(candidate, work)) * work.per_token
+    return candidate.slowness * (reading + wait + STEP_SECONDS)
+
+
+def unread(candidate: Candidate, work: Work) -> int:
+    """Return how many prompt tokens the endpoint has to read for a request, as far as is known.
+
+    Other hosts' requests may have left the shared part there, which this host does not hear of.
+    """
     cached = candidate.cached
     if candidate.preferred:
         cached = max(cached, int(work.shared * PREFERRED_TRUST))
-    reading = (candidate.ahead + work.tokens - cached) * work.per_token
-    return candidate.slowness * (reading + wait + STEP_SECONDS)
+    return max(0, work.tokens - cached)
+
+
+def read_seconds(work: Work) -> float:
+    """Return the engine's time that a request asks for, with its shared part read as often."""
+    return (work.tokens - work.shared * PREFERRED_TRUST) * work.per_token
 
 
 def choose(candidates: Sequence[Candidate], work: Work, rng: random.Random) -> Prediction | None:
--- a/peridotdock/decisions/loads.py
+++ b/peridotdock/decisions/loads.py
@@ -7,9 +7,12 @@
 """
 
 from collections import deque
+from collections.abc import Sequence
 
 # The operators' bound allows so many beyond the rate in a window.
 EXTRA_LOADS = 3
+# Loads that a holder may have begun after its last word: it tells of each within some milliseconds.
+UNHEARD_LOADS = 2
 # Loads of the bound that are left unused: a load begins at its engine some time after the order.
 SPARED_LOADS = 2
 
@@ -33,7 +36,29 @@
         """Count a load."""
         self._begun.append(now)
 
-    def assume_used(self, now: float) -> None:
-        """Take all but one of the loads as begun just now, by a host that ordered before."""
-        while self.left(now) > 1:
+    def take_back(self, begun: float) -> None:
+        """Count the load that was begun then no more: its engine refused the order.
+
+        Failure guarded against: a load is tried while its engine is still busy, each try counts,
+        and then no load may begin for six seconds.
+        """
+        if begun in self._begun:
+            self._begun.remove(begun)
+
+    def begun(self, now: float) -> tuple[float, ...]:
+        """Return when each load that counts was begun."""
+        self.left(now)
+        return tuple(self._begun)
+
+    def assume_used(self, now: float, heard: Sequence[float] | None) -> None:
+        """Take over from a host that ordered before.
+
+        ``heard`` are the ages of the loads that it has told of, None when nothing was heard. It may
+        have begun some more after its last word, so those count as begun just now.
+        """
+        if heard is not None:
+            self._begun = deque(sorted(now - age for age in heard))
+        unheard = UNHEARD_LOADS if heard is not None else self._most
+        while unheard and self.left(now) > 1:
             self.begin(now)
+            unheard -= 1
--- a/peridotdock/decisions/placing.py
+++ b/peridotdock/decisions/placing.py
@@ -21,18 +21,34 @@
 LAST_COPY_WORTH = 1.0
 WARM_COPY_WORTH = 0.2
 # Prompt tokens that wait at every holder of a model, over some seconds, from which a further copy
-# may take the room of an idle one: about a second of an engine's time, more than callers allow.
+# may take the room of an idle one: about half a second of an engine's time, what callers allow.
 # Without a bound copies went round between engines, 23 loads on a calm day in place of 5.
-CROWDED_TOKENS = 25000.0
+CROWDED_TOKENS = 15000.0
+# Engine seconds a second asked of each holder of a model, from which the same holds: above, a burst
+# of a quarter makes requests wait, and a copy that comes then is seconds late.
+CROWDED_LOAD = 0.8
+# Seconds of delay that an engine's load counts for when an engine is chosen: at a load of one,
+# requests wait for about this long.
+LOAD_SECONDS = 1.0
 # Seconds that a prompt token waiting at an engine counts for when an engine is chosen: about three
 # times what reading it takes, as the load that made it wait goes on.
 TOKEN_SECONDS = 0.0001
 # Adapter places of an engine that are not filled without need, so that the next adapter asked for
 # needs no unload first.
 KEPT_PLACES = 1
+# Engine seconds asked for in a second, above which an adapter is in use: a prompt of 800 tokens
+# asks for 0.007 at once and fades below this within six seconds, about as long as its answer takes.
+ADAPTER_DEMAND = 0.001
 # Engine seconds asked for in a second, from which a model should survive the loss of an engine.
 # Rare models, of which each takes about 0.03, come back from memory or disk within a second.
 SPARE_COPY_DEMAND = 0.12
+# What a copy in use is worth beyond its demand: its unload takes as long as its longest stream.
+USED_COPY_WORTH = 1.5
+# Copies of a model that stay before any request has come.
+UNTOUCHED_COPIES = 2
+# Weight of the peak of late in a copy's worth, beside the demand of now: what fell silent may come
+# back, but goes before what is asked for.
+REMEMBERED_SHARE = 0.1
 # Engine seconds a second that one copy serves before a further one is worth a load. An engine
 # reads prompts at most of the time when it is full; half leaves room for a burst of twice that.
 COPY_DEMAND = 0.45
@@ -43,10 +59,10 @@
     """One engine as the host that orders it knows it.
 
     ``models`` are those that take up memory, with their adapters; of them, ``loading`` ones can't
-    serve yet and ``dropping`` ones no more: their room can be ordered for what it is made for, as the
-    engine refuses a load until it is free. ``freeing`` tells that an adapter's place will be free
-    when the requests that use it have ended. ``busy`` engines carry out an order and refuse others.
-    ``ahead`` are prompt tokens that wait there, over some seconds; ``settling`` models were loaded
+    serve yet and ``dropping`` ones no more: their room can be ordered for what it is made for, as
+    the engine refuses a load until it is free. ``freeing`` tells that an adapter's place will be
+    free when the requests that use it have ended. ``busy`` engines carry out an order and refuse
+    others. ``ahead`` are prompt tokens that wait there, over some seconds; ``settling`` models were loaded
     a moment ago.
     """
 
@@ -69,10 +85,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Demand:
-    """What is asked of one item: requests that wait for it now, and engine seconds a second."""
+    """What is asked of one item: requests that wait for it now, and engine seconds a second.
+
+    ``rate`` holds a peak for half a minute, so that a copy lasts from one rare request to the
+    next. ``recent`` is that of the last seconds: what moved away shows there at once. Without a
+    word of its own it is the rate.
+    """
 
     waiting: int = 0
     rate: float = 0.0
+    recent: float | None = None
+
+    @property
+    def current(self) -> float:
+        """Return the engine seconds a second asked for now."""
+        return self.rate if self.recent is None else self.recent
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +131,7 @@
     demand: Mapping[str, Demand]
     loads_left: int
     promised: Mapping[str, str]
+    by_model: Mapping[str, Demand]
     steps: list[Step] = field(default_factory=list)
     taken: set[str] = field(default_factory=set)
 
@@ -143,7 +171,8 @@
     was emptied for and does not hold yet. ``held_back`` engines get no order.
     """
     rows = {engine.key: engine for engine in engines}
-    draft = Draft(spec, rows, demand, loads_left, promised, taken=set(held_back))
+    by_model = sum_by_model(demand)
+    draft = Draft(spec, rows, demand, loads_left, promised, by_model, taken=set(held_back))
     place_adapters(draft)
     place_models(draft)
     fill_places(draft)
@@ -160,13 +189,13 @@
         found = model_demand(draft, model.name)
         if not draft.holders(model.name) and (found.waiting or found.rate > IDLE_DEMAND):
             load_somewhere(draft, model, last_copies=found.waiting > 0, reason="asked for")
-    for model in ranked:
-        if not draft.holders(model.name):
-            load_somewhere(draft, model, last_copies=False, reason="held nowhere")
-    for model in ranked:
+    for model in sorted(ranked, key=lambda model: -current_of(draft, model.name)):
         missing = len(draft.holders(model.name)) < wanted_copies(draft, model.name)
         if missing and (all_held(draft) or crowded(draft, model.name)):
             load_somewhere(draft, model, last_copies=False, reason="further copy")
+    for model in ranked:
+        if not draft.holders(model.name):
+            load_somewhere(draft, model, last_copies=False, reason="held nowhere")
 
 
 def all_held(draft: Draft) -> bool:
@@ -175,34 +204,62 @@
 
 
 def crowded(draft: Draft, model: str) -> bool:
-    """Tell whether requests for a model wait long wherever it is held, and no copy is coming."""
+    """Tell whether a model has too little of its engines' time wherever it is held.
+
+    Load pattern: two models become busy on one engine, as demand moves, while the others rest on
+    copies of models that nobody asks for. No further copy is called for while one is coming.
+    """
     holders = draft.holders(model)
-    if len(holders) > len(draft.ready(model)):
+    if not holders or len(holders) > len(draft.ready(model)):
         return False
-    return bool(holders) and min(engine.ahead for engine in holders) >= CROWDED_TOKENS
+    if min(engine.ahead for engine in holders) >= CROWDED_TOKENS:
+        return True
+    return min(load_of(draft, engine) for engine in holders) >= CROWDED_LOAD
+
+
+def load_of(draft: Draft, engine: EngineView) -> float:
+    """Return the engine seconds a second asked of an engine, each model's over all copies."""
+    names = engine.models.keys() - engine.dropping
+    return sum(current_of(draft, name) / max(1, len(draft.holders(name))) for name in names)
 
 
 def model_demand(draft: Draft, model: str) -> Demand:
     """Return the demand for a model with all its adapters."""
-    waiting, rate = 0, 0.0
-    for item, found in draft.demand.items():
-        if item.partition("/")[0] == model:
-            waiting += found.waiting
-            rate += found.rate
-    return Demand(waiting, rate)
+    return draft.by_model.get(model, NONE)
+
+
+def sum_by_model(demand: Mapping[str, Demand]) -> dict[str, Demand]:
+    """Return the demand for each model, its adapters' included."""
+    found: dict[str, Demand] = {}
+    for item, row in demand.items():
+        model = item.partition("/")[0]
+        old = found.get(model, Demand(0, 0.0, 0.0))
+        found[model] = Demand(
+            old.waiting + row.waiting, old.rate + row.rate, old.current + row.current
+        )
+    return found
+
+
+def current_of(draft: Draft, model: str) -> float:
+    """Return the engine seconds a second asked of a model now."""
+    return model_demand(draft, model).current
 
 
 def rate_of(draft: Draft, model: str) -> float:
-    """Return the engine seconds a second asked of a model."""
+    """Return the engine seconds a second asked of a model, at its peak of late."""
     return model_demand(draft, model).rate
 
 
 def wanted_copies(draft: Draft, model: str) -> int:
     """Return how many copies a model should have, by its demand and by its adapters' places."""
-    rate = rate_of(draft, model)
+    rate = current_of(draft, model)
     if rate < SPARE_COPY_DEMAND:
         return 1
-    adapters = sum(1 for item in draft.demand if item.startswith(f"{model}/"))
+    adapters = sum(
+        1
+        for item, found in draft.demand.items()
+        if item.startswith(f"{model}/") and found.current > ADAPTER_DEMAND
+    )
     by_places = -(-adapters // max(1, draft.spec.adapter_places))
     return max(2, 1 + int(rate / COPY_DEMAND), by_places)
 
@@ -227,7 +284,7 @@
         return
     seconds, _, engine, victims = min(
         options,
-        key=lambda row: (row[1] > 0, row[0] + row[1] + row[2].ahead * TOKEN_SECONDS, row[2].key),
+        key=lambda row: (row[1] > 0, row[0] + row[1] + pressure_on(draft, row[2]), row[2].key),
     )
     if victims:
         reason = f"for {model.name}"
@@ -240,6 +297,11 @@
     draft.add(Step(engine.key, Action.LOAD, model.name, "", reason))
 
 
+def pressure_on(draft: Draft, engine: EngineView) -> float:
+    """Return the seconds that a request would wait on an engine, about."""
+    return engine.ahead * TOKEN_SECONDS + load_of(draft, engine) * LOAD_SECONDS
+
+
 def open_engines(draft: Draft, model: str) -> list[EngineView]:
     """Return the engines that may load a model or make room for it now."""
     if model in draft.promised.values():
@@ -295,34 +357,48 @@
 
 
 def may_go(draft: Draft, engine: EngineView, name: str, wanted: str, last_copies: bool) -> bool:
-    """Tell whether a copy may make room: it is not waited for, and not needed where it is."""
+    """Tell whether a copy may make room: it is not waited for, and not needed where it is.
+
+    Failure guarded against: a copy in use is unloaded, the engine takes no order until the last of
+    its streams has ended, for five seconds, and the model is asked for again meanwhile. So a copy
+    in use goes only for requests that wait and find no other room.
+    """
     found = model_demand(draft, name)
-    copies = len(draft.holders(name))
     if name in engine.loading or found.waiting:
         return False
-    if last_copies or (copies > 1 and must_be_held(draft, wanted)):
+    if last_copies:
         return True
-    if name in engine.settling:
+    if in_use(draft, name) or name in engine.settling:
         return False
-    if copies > wanted_copies(draft, name):
+    if len(draft.holders(name)) > kept_copies(draft, name):
         return True
-    if not crowded(draft, wanted):
-        return False
-    if copies > 1:
-        return found.rate < rate_of(draft, wanted) / 2
-    return found.rate < IDLE_DEMAND and engine.at_hand(name)
+    return crowded(draft, wanted) and engine.at_hand(name)
 
 
-def must_be_held(draft: Draft, model: str) -> bool:
-    """Tell whether a model should take the place of another's further copy: nobody holds it."""
-    return not draft.holders(model)
+def in_use(draft: Draft, model: str) -> bool:
+    """Tell whether requests for a model are likely to run now."""
+    return current_of(draft, model) >= IDLE_DEMAND
+
+
+def kept_copies(draft: Draft, model: str) -> int:
+    """Return how many copies of a model stay while nothing waits for their room.
+
+    Before any request has come, the platform's own placement tells what will be busy: models that
+    it has put on several engines keep two copies.
+    """
+    if not any(found.rate for found in draft.by_model.values()):
+        return UNTOUCHED_COPIES
+    return wanted_copies(draft, model)
 
 
 def value_of(draft: Draft, engine: EngineView, name: str) -> float:
     """Return what a copy is worth: its demand, shared by all copies, and being the last one."""
     copies = len(draft.holders(name))
     last = WARM_COPY_WORTH if engine.at_hand(name) else LAST_COPY_WORTH
-    return rate_of(draft, name) / max(1, copies) + (last if copies < 2 else 0.0)
+    found = model_demand(draft, name)
+    kept = found.current + REMEMBERED_SHARE * found.rate
+    used = USED_COPY_WORTH if in_use(draft, name) else 0.0
+    return kept / max(1, copies) + used + (last if copies < 2 else 0.0)
 
 
 def cost_of(draft: Draft, engine: EngineView, victims: Sequence[str]) -> float:
@@ -397,4 +473,13 @@
     """Return the adapter on an engine that is asked for least and not waited for."""
     held = [(model, name) for model, names in engine.models.items() for name in names]
     idle = [row for row in held if not draft.asked("/".join(row)).waiting]
-    return min(idle, key=lambda row: (draft.asked("/".join(row)).rate, row), default=None)
+    return min(idle, key=lambda row: adapter_worth(draft, row), default=None)
+
+
+def adapter_worth(draft: Draft, row: tuple[str, str]) -> tuple[float, float, tuple[str, str]]:
+    """Return what to rank adapters by: one that was asked for long ago has no requests any more.
+
+    An adapter in use goes only when its requests have ended, and keeps its place until then.
+    """
+    found = draft.asked("/".join(row))
+    return found.current, found.rate, row
--- a/peridotdock/demand.py
+++ b/peridotdock/demand.py
@@ -50,6 +50,15 @@
         rate.decay(now, self._peak_seconds)
         rate.add(work)
 
+    def recent(self, now: float) -> dict[str, float]:
+        """Return the rate of the last seconds, by item, without held peaks."""
+        found = {}
+        for item, rate in self._rates.items():
+            rate.decay(now, self._peak_seconds)
+            if rate.fast > FORGET_BELOW:
+                found[item] = round(rate.fast, 4)
+        return found
+
     def rates(self, now: float) -> dict[str, float]:
         """Return the rate to plan for, by item; items without demand are left out."""
         for rate in self._rates.values():
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -2,7 +2,7 @@
 
 A link sends at most one frame at a time and the newest version of each fact, so a slow peer
 costs a set of names and no queue. Each side sends heartbeats; a link that has been silent for
-three periods is closed and dialled afresh, since the other end may have lost track of it.
+four periods is closed and dialled afresh, since the other end may have lost track of it.
 """
 
 import asyncio
@@ -21,11 +21,18 @@
 from peridotdock.rendezvous import neighbours
 from peridotdock.schema.messages import Body, Entry, Fetch, Hello, LinksFact, Ping, Update
 
-PING_SECONDS = 1.0
-SILENT_PERIODS = 3
+# Seconds between two words on a link that is otherwise silent, and after how many such periods the
+# other end counts as lost: well before its hosts' heartbeats count as missing, at four seconds.
+PING_SECONDS = 0.5
+SILENT_PERIODS = 4
 DIAL_SECONDS = 0.5
 HANDSHAKE_SECONDS = 3.0
 FLUSH_SECONDS = 0.02
+# Links a host writes to in a second: with more of them, each waits longer and takes more facts at
+# once. At 83 links this is five frames a second each, 2% of a core in place of 15%.
+FLUSHES_PER_SECOND = 400.0
+# Seconds for which another host is preferred to one whose link was lost or could not be had.
+FAILED_SECONDS = 3.0
 NONCE_BYTES = 16
 FETCH_SECONDS = 3.0
 MAX_LINKS = 256
@@ -41,27 +48,41 @@
 class Link:
     """One connection to a peer that has proved who it is.
 
+    ``direct`` are the hosts that the peer says it has links to: it hears of them without this host.
+    ``dialled`` tells which side asked for the link, ``released`` that it is not wanted any more.
     ``echo`` is set until the peer was told what is known of an earlier life of its name.
     """
 
-    def __init__(self, conn: Connection, peer: Hello):
+    def __init__(self, conn: Connection, peer: Hello, dialled: bool):
         self.conn = conn
         self.peer = peer
+        self.dialled = dialled
+        self.direct: frozenset[str] = frozenset()
         self.dirty: set[Slot] = set()
         self.wake = asyncio.Event()
         self.heard_at = 0.0
+        self.sent_at = 0.0
+        self.released = False
         self.echo = True
 
 
 class Mesh:
     """All links of this host."""
 
-    def __init__(self, ctx: Context, board: Board, give_body: Callable[[str], bytes]):
+    def __init__(
+        self,
+        ctx: Context,
+        board: Board,
+        give_body: Callable[[str], bytes],
+        choose: Callable[[dict[str, str]], list[str]] | None = None,
+    ):
         self._ctx = ctx
+        self._choose = choose or self._choose_neighbours
         self._board = board
         self._give_body = give_body
         self._links: set[Link] = set()
         self._dialling: set[str] = set()
+        self._failed_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wanted: dict[str, asyncio.Future[bytes]] = {}
         self._server: Server | None = None
@@ -92,12 +113,27 @@
         return {link.peer.host for link in self._links}
 
     def connect_to(self, addresses: dict[str, str]) -> None:
-        """Dial the neighbours among ``addresses`` (IP:PORT by host) that have no link yet."""
+        """Dial those among ``addresses`` (IP:PORT by host) that are wanted and have no link yet."""
         linked = self.peers() | self._dialling
-        for host in neighbours(self._ctx.cfg.host_id, addresses, self._ctx.cfg.peer_degree):
+        for host in self._choose(addresses):
             if host not in linked:
                 self._spawn(self._dial(host, addresses[host]))
 
+    def _choose_neighbours(self, addresses: dict[str, str]) -> list[str]:
+        return neighbours(self._ctx.cfg.host_id, addresses, self._ctx.cfg.peer_degree)
+
+    def keep_only(self, host: str) -> None:
+        """Close the links that this host dialled, but for the one to ``host``."""
+        for link in self._links:
+            if link.dialled and link.peer.host != host:
+                link.released = True
+                link.conn.transport.abort()
+
+    def failed_lately(self, host: str) -> bool:
+        """Tell whether a link to a host was lost or could not be had a moment ago."""
+        at = self._failed_at.get(host)
+        return at is not None and self._ctx.clock.monotonic() - at < FAILED_SECONDS
+
     def connect_to_seed(self, address: str) -> None:
         """Dial an address whose host is not known yet."""
         if address and address != self.address and address not in self._dialling:
@@ -116,8 +152,10 @@
             ) as conn:
                 peer = await asyncio.wait_for(self._greet(conn, dialled=True), HANDSHAKE_SECONDS)
                 self._dialling.discard(name)
-                await self._run(conn, peer)
+                if await self._run(conn, peer, dialled=True):
+                    self._failed_at[name] = self._ctx.clock.monotonic()
         except (OSError, WebSocketException, TimeoutError):
+            self._failed_at[name] = self._ctx.clock.monotonic()
             await self._ctx.clock.sleep(DIAL_SECONDS)
         finally:
             self._dialling.discard(name)
@@ -127,7 +165,7 @@
             return
         try:
             peer = await asyncio.wait_for(self._greet(conn, dialled=False), HANDSHAKE_SECONDS)
-            await self._run(conn, peer)
+            await self._run(conn, peer, dialled=False)
         except (OSError, WebSocketException, TimeoutError):
             return
 
@@ -155,11 +193,13 @@
         self._ctx.timeline.add("peer_refused", "WARNING", detail=f"{why}: {reason}")
         return found if failed(found) else Failure(Kind.NOT_ALLOWED, why)
 
-    async def _run(self, conn: Connection, peer: Hello | Failure) -> None:
+    async def _run(self, conn: Connection, peer: Hello | Failure, dialled: bool) -> bool:
+        """Serve a link to its end, and tell whether it was lost."""
         if failed(peer):
             await conn.close(1008)
-            return
-        link = Link(conn, peer)
+            return True
+        link = Link(conn, peer, dialled)
+        link.direct = self._linked_to(peer.host)
         link.heard_at = self._ctx.clock.monotonic()
         self._links.add(link)
         self._tell_links()
@@ -176,6 +216,7 @@
                 job.cancel()
             conn.transport.abort()
             self._ctx.timeline.add("link_down", "DEBUG", detail=peer.host)
+        return not link.released
 
     async def _read(self, link: Link) -> None:
         async for raw in link.conn:
@@ -220,11 +261,14 @@
         """
         said = {origin for origin, topic in slots if topic == "links"}
         for link in self._links:
-            direct = self._linked_to(link.peer.host)
-            wanted = [slot for slot in slots if slot[0] not in direct]
+            lost: frozenset[str] = frozenset()
             if link.peer.host in said:
+                before, link.direct = link.direct, self._linked_to(link.peer.host)
+                lost = before - link.direct
+            wanted = [slot for slot in slots if slot[0] not in link.direct]
+            if lost:
                 known = [(entry.origin, entry.topic) for entry in self._board.entries()]
-                wanted += [slot for slot in known if slot[0] not in direct]
+                wanted += [slot for slot in known if slot[0] in lost]
             if wanted:
                 link.dirty.update(wanted)
                 link.wake.set()
@@ -240,7 +284,7 @@
     async def _write(self, link: Link) -> None:
         while True:
             await link.wake.wait()
-            await self._ctx.clock.sleep(FLUSH_SECONDS)
+            await self._ctx.clock.sleep(max(FLUSH_SECONDS, len(self._links) / FLUSHES_PER_SECOND))
             link.wake.clear()
             slots, link.dirty = link.dirty, set()
             entries = [e for e in self._board.entries(slots) if self._concerns(link, e)]
@@ -263,10 +307,13 @@
                 self._ctx.timeline.add("link_silent", "WARNING", detail=link.peer.host)
                 link.conn.transport.abort()
                 return
+            if self._ctx.clock.monotonic() - link.sent_at < PING_SECONDS:
+                continue
             await self._send(link, Ping("ping", sequence, self._ctx.timeline.clock.tick()))
 
     async def _send(self, link: Link, frame: Frame) -> None:
         raw = encode(frame)
+        link.sent_at = self._ctx.clock.monotonic()
         self._ctx.metrics.peer_bytes.labels("out").inc(len(raw))
         try:
             async with asyncio.timeout(SILENT_PERIODS * PING_SECONDS):
--- a/peridotdock/relay/book.py
+++ b/peridotdock/relay/book.py
@@ -19,6 +19,9 @@
 FIRST_GUESS_SERVICE = 0.05
 # Weight of a new measurement in a moving average: about the last ten count.
 GAIN = 0.1
+# The same for the time of a prompt token, when one is found slower or faster than usual.
+SLOWER_GAIN = 0.02
+FASTER_GAIN = 0.2
 # Seconds for which the word of the host that orders engines goes before an engine's own entry,
 # which comes with its next heartbeat.
 NEWS_SECONDS = 5.0
@@ -249,11 +252,10 @@
             suspect=state.health.suspect(now),
         )
 
-    def began(self, state: EndpointState, ask_id: str, wish: ModelWish | None) -> None:
-        """Count a request on an endpoint from the moment it is sent."""
+    def began(self, state: EndpointState, ask_id: str, wish: ModelWish | None, tokens: int) -> None:
+        """Count a request on an endpoint, with ``tokens`` to read, from when it is sent."""
         now = self._clock.monotonic()
         running, ahead = state.load(now)
-        tokens = max(0, wish.prompt_tokens - state.cached(wish)) if wish else 0
         state.flights[ask_id] = Flight(now, tokens, alone=ahead == 0)
         state.ahead += tokens
         if wish is not None:
@@ -271,7 +273,9 @@
             found = (now - flight.began) / flight.tokens
             usual = self._per_token.setdefault(wish.model, found)
             state.health.measured(found / usual, now)
-            self._per_token[wish.model] = usual + GAIN * (min(found, 2 * usual) - usual)
+            # Other requests make a first token later and never sooner, so the lower times count.
+            gain = SLOWER_GAIN if found > usual else FASTER_GAIN
+            self._per_token[wish.model] = usual + gain * (min(found, 2 * usual) - usual)
 
     def ended(self, state: EndpointState, ask_id: str, service: str, whole: bool) -> None:
         """Note that a request left an endpoint; whole answers teach how long one takes."""
--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -8,7 +8,8 @@
 from peridotdock.errors import Failure, Kind, failed
 
 # Seconds the store may hold back a call on a table that does not change: as long as a call that
-# the store has lost without a word keeps this host from hearing of changes. Shorter ones cost calls.
+# the store has lost without a word keeps this host from hearing of changes. Shorter ones cost
+# calls.
 HOLD_SECONDS = 8.0
 # Seconds before the store is asked again after it failed; with jitter, so that hosts that waited
 # out an outage together don't come back in step.
--- a/peridotdock/relay/front.py
+++ b/peridotdock/relay/front.py
@@ -6,6 +6,7 @@
 
 from peridotdock.answers import JSON, answer_reply
 from peridotdock.context import Context
+from peridotdock.decisions.choice import read_seconds
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.absent import name_item
@@ -81,8 +82,7 @@
         """Count what a request asks of the engines, by model and adapter."""
         wish = ask.head.wish
         if wish is not None:
-            work = self._service.book.work(progress.service, wish)
-            seconds = work.tokens * work.per_token
+            seconds = read_seconds(self._service.book.work(progress.service, wish))
             now = self._ctx.clock.monotonic()
             self._peers.meter.add(name_item(progress.service, wish), seconds, now)
 
--- a/peridotdock/relay/leadership.py
+++ b/peridotdock/relay/leadership.py
@@ -50,7 +50,8 @@
     """This host's view of the lease. Times are seconds of a clock that runs in a suspension.
 
     ``gap`` is how long one host must have been quiet before another may order. ``machine`` is this
-    host's address, which tells whether the holder in the row was an earlier process of this host.
+    host's address, which tells whether the holder in the row was an earlier process of this host;
+    ``holder_machine`` is the one in the row when it was last read.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self._heard: Resignation | None = None
         self.term = 0
         self.resigned = 0
+        self.holder_machine = ""
 
     def holds(self) -> bool:
         """Tell whether this host holds the lease now."""
@@ -135,6 +137,7 @@
         row = rows.get(LEASE_KEY)
         version = row.version if row else 0
         now = self._clock.seconds()
+        self.holder_machine = row.value.get("machine", "") if row else ""
         if version != self._seen_version:
             self._seen_version, self._seen_at = version, now
         wait = self._wait_after(row, now)
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -77,6 +77,7 @@
         self.leadership = Leadership(ctx, self.store, lease, BootClock(), machine)
         engines = adapter.open_engines(self.endpoints)
         self.orderer = Orderer(ctx, self.book, engines, self.leadership, settings.bounds)
+        self.orderer.heard_loads = self.peers.heard_loads
         self.jobs = Jobs(ctx)
         self.lease_due = asyncio.Event()
         self.peers.on_resigned = self._hear_resigned
@@ -169,6 +170,7 @@
         if self.leadership.term or self._stands_by() or not self.peers.has_leader():
             await self.leadership.step()
             self._hear_term(self.leadership.term)
+            self.peers.meet(self.leadership.holder_machine)
         if self.leadership.term == 0 and self.leadership.resigned:
             self.peers.tell_resigned(self.leadership.resigned, self.leadership.quiet())
 
@@ -181,7 +183,8 @@
             deployment = self.front.deployment
             if deployment is not None and self.leadership.holds():
                 self.orderer.round(deployment, self.peers.demand(), self.peers.down())
-                self.peers.tell_orders(self.leadership.term, self.orderer.news())
+                news, loads = self.orderer.news(), self.orderer.loads()
+                self.peers.tell_orders(self.leadership.term, news, loads)
             waits = [asyncio.ensure_future(event.wait()) for event in events]
             await asyncio.wait(waits, timeout=PLAN_SECONDS, return_when=asyncio.FIRST_COMPLETED)
             for wait in waits:
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -1,7 +1,7 @@
 """Ordering engines: plans carried out one order at a time on each engine, by the lease's holder."""
 
 import asyncio
-from collections.abc import Collection, Coroutine, Mapping
+from collections.abc import Callable, Collection, Coroutine, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -29,7 +29,10 @@
 SWAP_AGAIN_SECONDS = (0.1, 0.5)
 # Seconds for which an engine that was emptied for a model is kept for it.
 PROMISE_SECONDS = 8.0
-LATE_ANSWERS = frozenset({OrderAnswer.BUSY, OrderAnswer.REFUSED})
+# Answers that say that an order is not carried out, now or later.
+NOT_DONE = frozenset(
+    {OrderAnswer.BUSY, OrderAnswer.REFUSED, OrderAnswer.FENCED, OrderAnswer.ANOTHER}
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +65,7 @@
         self._term = 0
         self.wards: dict[str, Ward] = {}
         self.changed = asyncio.Event()
+        self.heard_loads: Callable[[int], Mapping[str, list[float]] | None] = lambda term: None
 
     def round(
         self, deployment: Deployment, demand: Mapping[str, Demand], down: Collection[str]
@@ -87,9 +91,11 @@
         self.wards.clear()
         self._promises.clear()
         self._rations.clear()
+        heard = self.heard_loads(self._term - 1)
         for service in deployment.services.values():
             if service.engine is not None and self._term > 1:
-                self._ration(service).assume_used(self._ctx.clock.monotonic())
+                ages = None if heard is None else heard.get(service.name, [])
+                self._ration(service).assume_used(self._ctx.clock.monotonic(), ages)
 
     def _ration(self, service: Service) -> LoadRation:
         found = self._rations.get(service.name)
@@ -101,6 +107,11 @@
             self._rations[service.name] = found
         return found
 
+    def loads(self) -> dict[str, tuple[float, ...]]:
+        """Return when each load that counts was begun, by service."""
+        now = self._ctx.clock.monotonic()
+        return {name: begun for name, row in self._rations.items() if (begun := row.begun(now))}
+
     def _follow_entries(self) -> None:
         states = self._book.states
         self.wards = {key: ward for key, ward in self.wards.items() if key in states}
@@ -182,13 +193,18 @@
         )
         seconds = order_seconds(ward.entry, spec, order)
         model = spec.models.get(step.model)
-        if step.action is Action.LOAD and not step.adapter and model and seconds >= model.load:
-            self._ration(service).begin(self._ctx.clock.monotonic())
+        begun = self._ctx.clock.monotonic()
+        loads = step.action is Action.LOAD and not step.adapter
+        if loads and model and seconds >= model.load:
+            self._ration(service).begin(begun)
         try:
             if not self._leadership.may_order():
+                self._ration(service).take_back(begun)
                 return
             self._leadership.ordered()
             outcome = await self._engines.order(ward.entry, order)
+            if outcome in NOT_DONE:
+                self._ration(service).take_back(begun)
             await self._settle(ward, order, outcome, seconds)
             self._note(ward, step, order, outcome)
         finally:
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -1,7 +1,7 @@
 """What hosts tell each other: who lives, work on endpoints, what is waited for, orders given."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Mapping
 
 from peridotdock.board import Board, Slot
 from peridotdock.context import Context
@@ -12,6 +12,7 @@
 from peridotdock.mesh import Mesh
 from peridotdock.relay.book import EndpointBook, PeerLoad
 from peridotdock.relay.settings import HostSettings
+from peridotdock.rendezvous import choose
 from peridotdock.schema.messages import (
     DemandFact,
     EngineNews,
@@ -38,7 +39,7 @@
         self._settings = settings
         self._book = book
         self.board = Board(settings.host, ctx.epoch, ctx.clock)
-        self.mesh = Mesh(ctx, self.board, give_body)
+        self.mesh = Mesh(ctx, self.board, give_body, self._choose_hub)
         own = HostFact(
             settings.host,
             ctx.incarnation,
@@ -52,6 +53,7 @@
         self.meter = DemandMeter(PEAK_SECONDS)
         self.waiting: dict[str, int] = {}
         self.wanted = asyncio.Event()
+        self._told_loads: dict[str, tuple[float, ...]] = {}
         self.on_resigned: Callable[[int, float], None] = lambda term, quiet: None
         self.on_term: Callable[[int], None] = lambda term: None
         self.board.listen(self._changed)
@@ -63,20 +65,61 @@
         self.link()
 
     def link(self) -> None:
-        """Dial the hosts known, and the seeds while none is linked."""
+        """Link to the hub, and to the seeds while no host is linked.
+
+        All hosts link to one, which passes facts on: two frames a host and turn in place of one to
+        and from every other. With nine hosts that halves the frames, with 83 it is a fortieth.
+        """
         members = self.membership.members()
         found = {n: m.fact.peer for n, m in members.items() if m.fact.state != "gone"}
         found.pop(self._settings.host, None)
         self.mesh.connect_to(found)
-        if not self.mesh.peers():
+        linked = self.mesh.peers()
+        if not linked:
             for seed in self._settings.seeds:
                 self.mesh.connect_to_seed(str(seed))
+        elif self._hub(found) in linked:
+            self.mesh.keep_only(self._hub(found))
+
+    def meet(self, address: str) -> None:
+        """Link to the host at an address, if this host has no link.
+
+        Failure guarded against: all seeds are down or stale, so a new host finds no other. It then
+        tries for the lease, whose row has the address of its holder.
+        """
+        if not self.mesh.peers():
+            self.mesh.connect_to_seed(address)
+
+    def _hub(self, others: Collection[str]) -> str:
+        """Return the host that all others link to, as seen from here."""
+        members = self.membership.members()
+        able = [
+            name
+            for name in others
+            if name in members and members[name].alive and not self.mesh.failed_lately(name)
+        ]
+        return choose("leader", [*able, self._settings.host])[0]
+
+    def _choose_hub(self, others: Mapping[str, str]) -> list[str]:
+        """Return the hosts to link to: the hub, or for the hub one that nobody hears any more.
+
+        Failure guarded against: links between two groups of hosts fail for a while, each group
+        goes on with a hub of its own, and they never find each other again.
+        """
+        hub = self._hub(others)
+        if hub != self._settings.host:
+            return [hub]
+        members, linked = self.membership.members(), self.mesh.peers()
+        lost = [name for name in others if name not in linked and not members[name].alive]
+        return [self._ctx.rng.choice(lost)] if lost else []
 
     def _changed(self, slots: list[Slot]) -> None:
         for origin, topic in slots:
             known = self.board.get(origin, topic)
             if known is None:
                 continue
+            if topic == "links" and origin == self._settings.host:
+                self.link()
             if topic == "wants":
                 self.wanted.set()
             elif topic == "orders":
@@ -99,15 +142,26 @@
 
     def has_leader(self) -> bool:
         """Tell whether a live host that this one hears says that it orders engines."""
-        live, linked = self.membership.members(), self.mesh.peers()
-        few = len(live) <= self._ctx.cfg.peer_degree
+        live, heard_of = self.membership.members(), self._heard_of()
         for origin, known in self.board.on("orders").items():
             member = live.get(origin)
-            heard = member is not None and member.alive and (origin in linked or not few)
+            heard = member is not None and member.alive and origin in heard_of
             if known.fact.term and (heard or origin == self._settings.host):
                 return True
         return False
 
+    def _heard_of(self) -> set[str]:
+        """Return the hosts that this one or a host that it is linked to has a link with.
+
+        A lost link shows at once, a missing heartbeat after four seconds.
+        """
+        found = self.mesh.peers()
+        for peer in list(found):
+            known = self.board.get(peer, "links")
+            if known is not None:
+                found.update(known.fact.peers)
+        return found
+
     # What this host tells
 
     def tell_work(self) -> None:
@@ -138,20 +192,41 @@
 
     def tell_demand(self) -> None:
         """Tell what callers ask of this host, when it has changed much."""
-        rates = self.meter.rates(self._ctx.clock.monotonic())
+        now = self._ctx.clock.monotonic()
+        rates, recent = self.meter.rates(now), self.meter.recent(now)
         known = self.board.get(self._settings.host, "demand")
-        if known is None or differs(known.fact.rates, rates):
-            self.board.publish("demand", DemandFact(rates, {}, []))
+        if known is None or differs(known.fact.recent, recent):
+            self.board.publish("demand", DemandFact(rates, {}, [], recent))
 
-    def tell_orders(self, term: int, news: list[EngineNews]) -> None:
-        """Tell what this host's orders changed."""
-        self._tell("orders", OrdersFact(term, news))
+    def tell_orders(
+        self, term: int, news: list[EngineNews], loads: dict[str, tuple[float, ...]]
+    ) -> None:
+        """Tell what this host's orders changed, and which loads it has begun."""
+        known = self.board.get(self._settings.host, "orders")
+        if known and (known.fact.term, known.fact.engines, self._told_loads) == (term, news, loads):
+            return
+        self._told_loads = loads
+        now = self._ctx.clock.monotonic()
+        ages = {name: [round(now - at, 2) for at in begun] for name, begun in loads.items()}
+        self.board.publish("orders", OrdersFact(term, news, loads=ages))
+
+    def heard_loads(self, term: int) -> dict[str, list[float]] | None:
+        """Return how old the loads are that the holder of a term told of, None if it told none."""
+        now = self._ctx.clock.monotonic()
+        for known in self.board.on("orders").values():
+            if term in (known.fact.term, known.fact.resigned):
+                past = now - known.at
+                return {
+                    name: [age + past for age in ages] for name, ages in known.fact.loads.items()
+                }
+        return None
 
     def tell_resigned(self, term: int, quiet: float) -> None:
         """Tell that this host gives no more orders under ``term``, and how old its last one is."""
         known = self.board.get(self._settings.host, "orders")
         if known is None or known.fact.resigned != term:
-            self.board.publish("orders", OrdersFact(0, [], term, quiet))
+            loads = self.heard_loads(term) or {}
+            self.board.publish("orders", OrdersFact(0, [], term, quiet, loads))
 
     def _tell(self, topic: str, fact) -> None:
         known = self.board.get(self._settings.host, topic)
@@ -163,19 +238,27 @@
         live = self.membership.members()
         waiting: dict[str, int] = {}
         rates: dict[str, float] = {}
+        recent: dict[str, float] = {}
         for origin, known in self.board.on("wants").items():
             if origin in live and live[origin].alive:
                 for item, count in known.fact.items.items():
                     waiting[item] = waiting.get(item, 0) + count
         for origin, known in self.board.on("demand").items():
             if origin in live and live[origin].alive:
-                for item, rate in known.fact.rates.items():
-                    rates[item] = rates.get(item, 0.0) + rate
+                add_up(rates, known.fact.rates)
+                add_up(recent, known.fact.recent)
         return {
-            item: Demand(waiting.get(item, 0), rates.get(item, 0.0)) for item in waiting | rates
+            item: Demand(waiting.get(item, 0), rates.get(item, 0.0), recent.get(item, 0.0))
+            for item in waiting | rates
         }
 
 
+def add_up(total: dict[str, float], more: dict[str, float]) -> None:
+    """Add one host's rates to the total of all."""
+    for item, rate in more.items():
+        total[item] = total.get(item, 0.0) + rate
+
+
 def differs(old: dict[str, float], new: dict[str, float]) -> bool:
     """Tell whether a demand has changed enough to be told again."""
     for item in old.keys() | new.keys():
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -6,7 +6,7 @@
 from peridotdock.clients.endpoint import HttpEndpoints, read_all
 from peridotdock.context import Context
 from peridotdock.decisions.allowance import RetryAllowance
-from peridotdock.decisions.choice import Prediction, choose
+from peridotdock.decisions.choice import Prediction, choose, unread
 from peridotdock.deployment import Route
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.absent import WaitingRoom, name_item
@@ -153,7 +153,9 @@
         progress.avoid.add(state.key)
         self.ctx.metrics.sends.labels(str(progress.sends)).inc()
         self._note_send(ask, progress, place)
-        self.book.began(state, ask.id, ask.head.wish)
+        wish = ask.head.wish
+        tokens = unread(place.candidate, self.book.work(progress.service, wish)) if wish else 0
+        self.book.began(state, ask.id, wish, tokens)
         streaming = False
         try:
             resume = ask.head.resume_after if progress.last_id is None else str(progress.last_id)
--- a/peridotdock/relay/wards.py
+++ b/peridotdock/relay/wards.py
@@ -29,7 +29,8 @@
 class Ward:
     """One engine. ``loading`` has when each load should be done, in monotonic seconds.
 
-    ``dropping`` has when each unload was accepted. ``freeing`` are adapters, as MODEL/NAME, that go when the requests that use them have ended.
+    ``dropping`` has when each unload was accepted. ``freeing`` are adapters, as MODEL/NAME, that go
+    when the requests that use them have ended.
 
     ``seq`` counts the orders it accepted, as far as is known. ``unsure`` is set while that is not
     known: at first, and after an order that got no answer. The engine's report tells; one that
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -396,6 +396,10 @@
     """
     Seconds since the origin's last order, when it resigned.
     """
+    loads: dict[str, list[float]] = field(default_factory=dict)
+    """
+    Seconds since each load from the weight store that still counts, by service.
+    """
 
 
 @dataclass(frozen=True)
@@ -428,3 +432,7 @@
     """
     What the origin lends now.
     """
+    recent: dict[str, float] = field(default_factory=dict)
+    """
+    As rates, but of the last seconds alone, without a held peak.
+    """
