Let groups of hosts that found different seeds become one; plan by engines that are known

Callers waited for models that were loaded. A new holder planned before all engines had reported and loaded what another held.

Change: a link lingers 1.5 s; seeds nobody is known at are tried again; a host without a known holder of the lease meets the one in the lease's row; no plan before each engine's first report or a second.

Test: tests.relay.test_hubs (groups, stale seeds, loss of the hub).

--- a/peridotdock/decisions/placing.py
+++ b/peridotdock/decisions/placing.py
@@ -62,7 +62,8 @@
     serve yet and ``dropping`` ones no more: their room can be ordered for what it is made for, as
     the engine refuses a load until it is free. ``freeing`` tells that an adapter's place will be
     free when the requests that use it have ended. ``busy`` engines carry out an order and refuse
-    others. ``ahead`` are prompt tokens that wait there, over some seconds; ``settling`` models were loaded
+    others. ``ahead`` are prompt tokens that wait there, over some seconds; ``settling`` models were
+    loaded
     a moment ago.
     """
 
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -31,6 +31,8 @@
 # Links a host writes to in a second: with more of them, each waits longer and takes more facts at
 # once. At 83 links this is five frames a second each, 2% of a core in place of 15%.
 FLUSHES_PER_SECOND = 400.0
+# Seconds that a link is kept although another one is wanted: some turns of writing.
+LINGER_SECONDS = 1.5
 # Seconds for which another host is preferred to one whose link was lost or could not be had.
 FAILED_SECONDS = 3.0
 NONCE_BYTES = 16
@@ -62,6 +64,7 @@
         self.wake = asyncio.Event()
         self.heard_at = 0.0
         self.sent_at = 0.0
+        self.up_at = 0.0
         self.released = False
         self.echo = True
 
@@ -123,9 +126,13 @@
         return neighbours(self._ctx.cfg.host_id, addresses, self._ctx.cfg.peer_degree)
 
     def keep_only(self, host: str) -> None:
-        """Close the links that this host dialled, but for the one to ``host``."""
+        """Close the links that this host dialled, but for the one to ``host``.
+
+        A new link is left for a while: what each end knows of other hosts goes over it first.
+        """
+        until = self._ctx.clock.monotonic() - LINGER_SECONDS
         for link in self._links:
-            if link.dialled and link.peer.host != host:
+            if link.dialled and link.peer.host != host and link.up_at < until:
                 link.released = True
                 link.conn.transport.abort()
 
@@ -136,7 +143,8 @@
 
     def connect_to_seed(self, address: str) -> None:
         """Dial an address whose host is not known yet."""
-        if address and address != self.address and address not in self._dialling:
+        busy = address in self._dialling or self.failed_lately(address)
+        if address and address != self.address and not busy:
             self._spawn(self._dial(address, address))
 
     def _spawn(self, work: Awaitable[None]) -> None:
@@ -200,7 +208,7 @@
             return True
         link = Link(conn, peer, dialled)
         link.direct = self._linked_to(peer.host)
-        link.heard_at = self._ctx.clock.monotonic()
+        link.heard_at = link.up_at = self._ctx.clock.monotonic()
         self._links.add(link)
         self._tell_links()
         self._ctx.timeline.add("link_up", "DEBUG", detail=peer.host)
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -29,6 +29,8 @@
 SWAP_AGAIN_SECONDS = (0.1, 0.5)
 # Seconds for which an engine that was emptied for a model is kept for it.
 PROMISE_SECONDS = 8.0
+# Seconds that a new holder waits for the first report of each engine, at most.
+LOOK_SECONDS = 1.0
 # Answers that say that an order is not carried out, now or later.
 NOT_DONE = frozenset(
     {OrderAnswer.BUSY, OrderAnswer.REFUSED, OrderAnswer.FENCED, OrderAnswer.ANOTHER}
@@ -63,6 +65,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._promises: dict[str, Promise] = {}
         self._term = 0
+        self._began = 0.0
         self.wards: dict[str, Ward] = {}
         self.changed = asyncio.Event()
         self.heard_loads: Callable[[int], Mapping[str, list[float]] | None] = lambda term: None
@@ -88,6 +91,7 @@
     def _take_over(self, deployment: Deployment) -> None:
         """Begin anew: nothing is known of what the holder before had under way."""
         self._term = self._leadership.term
+        self._began = self._ctx.clock.monotonic()
         self.wards.clear()
         self._promises.clear()
         self._rations.clear()
@@ -96,6 +100,11 @@
             if service.engine is not None and self._term > 1:
                 ages = None if heard is None else heard.get(service.name, [])
                 self._ration(service).assume_used(self._ctx.clock.monotonic(), ages)
+        left = {name: row.left(self._ctx.clock.monotonic()) for name, row in self._rations.items()}
+        self._ctx.timeline.add(
+            "orders_begin",
+            detail=f"term {self._term}, loads heard of {heard}, loads left {left}",
+        )
 
     def _ration(self, service: Service) -> LoadRation:
         found = self._rations.get(service.name)
@@ -132,6 +141,10 @@
             if ward.overdue(now):
                 self._spawn(self._look(ward))
         wards = [ward for ward in wards if not ward.down]
+        if any(ward.unknown for ward in wards) and now < self._began + LOOK_SECONDS:
+            # Failure guarded against: a new holder has read some reports and not others, takes
+            # models on the others for held nowhere, and spends the ration on second copies.
+            return
         for ward in wards:
             ward.press(self._ahead(ward, now), now)
         views = [ward.view(now) for ward in wards]
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -74,20 +74,21 @@
         found = {n: m.fact.peer for n, m in members.items() if m.fact.state != "gone"}
         found.pop(self._settings.host, None)
         self.mesh.connect_to(found)
-        linked = self.mesh.peers()
-        if not linked:
-            for seed in self._settings.seeds:
-                self.mesh.connect_to_seed(str(seed))
-        elif self._hub(found) in linked:
+        for seed in self._settings.seeds:
+            self.meet(str(seed))
+        if self._hub(found) in self.mesh.peers():
             self.mesh.keep_only(self._hub(found))
 
     def meet(self, address: str) -> None:
-        """Link to the host at an address, if this host has no link.
+        """Link to the host at an address, unless a live host is known there.
 
-        Failure guarded against: all seeds are down or stale, so a new host finds no other. It then
-        tries for the lease, whose row has the address of its holder.
+        Failure guarded against: hosts that start together find different seeds, and groups of them
+        with a hub each never hear of each other. They show as several hubs; each group but one sees
+        no host that orders engines. So seeds that nobody has heard of are tried again, and a host
+        that hears of no holder of the lease meets the one whose address is in the lease's row.
         """
-        if not self.mesh.peers():
+        rows = self.membership.members().values()
+        if not any(row.alive and row.fact.peer == address for row in rows):
             self.mesh.connect_to_seed(address)
 
     def _hub(self, others: Collection[str]) -> str:
--- a/peridotdock/relay/wards.py
+++ b/peridotdock/relay/wards.py
@@ -32,9 +32,10 @@
     ``dropping`` has when each unload was accepted. ``freeing`` are adapters, as MODEL/NAME, that go
     when the requests that use them have ended.
 
-    ``seq`` counts the orders it accepted, as far as is known. ``unsure`` is set while that is not
-    known: at first, and after an order that got no answer. The engine's report tells; one that
-    can't be had because nothing is there makes the ward ``down``.
+    ``seq`` counts the orders it accepted, as far as is known. ``unknown`` is set until the first
+    report. ``unsure`` is set while the count is not known: at first, and after an order that got no
+    answer. The engine's report tells; one that can't be had because nothing is there makes the ward
+    ``down``.
     """
 
     entry: EndpointEntry
@@ -44,6 +45,7 @@
     dropping: dict[str, float] = field(default_factory=dict)
     freeing: set[str] = field(default_factory=set)
     unsure: bool = True
+    unknown: bool = True
     down: bool = False
     loaded_at: dict[str, float] = field(default_factory=dict)
     pressure: float = 0.0
@@ -80,6 +82,7 @@
         """
         if report.seq < self.seq and now - self.ordered_at < REPORT_LAG:
             return
+        self.unknown = False
         # Busy with an order of another host: what that loads shows only when it is done.
         self.unsure = report.busy and not (self.loading or self.dropping)
         self.seq = report.seq
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -125,7 +125,8 @@
             peer_ip=listen.peers.ip,
             peer_port=listen.peers.port,
         )
-        node = Node(build_context(cfg, rng=random.Random(1)), settings, PlatformAdapter())
+        rng = random.Random(len(self.hosts) + 1)
+        node = Node(build_context(cfg, rng=rng), settings, PlatformAdapter())
         await node.start()
         self.hosts.append(node)
         return node
--- /dev/null
+++ b/tests/relay/test_hubs.py
@@ -0,0 +1,50 @@
+"""How hosts find each other and link to one hub."""
+
+import unittest
+
+from tests.relay.deployment import Deployment, free_address
+from tests.relay.test_relay import run
+
+
+def hubs(found):
+    """The hosts that have more than one link."""
+    return [h for h in found.hosts if len(h.peers.mesh.peers()) > 1]
+
+
+def all_live(found):
+    return all(len(h.peers.membership.live()) == len(found.hosts) for h in found.hosts)
+
+
+class HubTest(unittest.TestCase):
+    @run
+    async def test_groups_that_found_different_seeds_become_one(self):
+        """A third of the callers wait for models that are loaded already.
+
+        Hosts that started together found different seeds and made groups with a hub each. The
+        groups never heard of each other's load, waiting requests and orders.
+        """
+        async with Deployment(hosts=1) as found:
+            first = found.hosts[0].settings.listen.peers
+            await found.add_host("h1", (first,))
+            other = await found.add_host("h2", ())
+            await found.add_host("h3", (other.settings.listen.peers,))
+            await found.until(lambda: all_live(found))
+            await found.until(lambda: len(hubs(found)) == 1)
+
+    @run
+    async def test_stale_seeds_are_passed_over(self):
+        """A new host serves alone: the three addresses it was given are of machines long gone."""
+        async with Deployment(hosts=2) as found:
+            await found.until(lambda: any(h.leadership.holds() for h in found.hosts))
+            await found.add_host("h2", (free_address(), free_address()))
+            await found.until(lambda: all_live(found))
+
+    @run
+    async def test_the_hubs_end_is_survived(self):
+        """All hosts lose sight of each other for seconds when the hub is lost."""
+        async with Deployment(hosts=4) as found:
+            await found.until(lambda: all_live(found) and len(hubs(found)) == 1)
+            [hub] = hubs(found)
+            found.hosts.remove(hub)
+            await hub.stop()
+            await found.until(lambda: len(hubs(found)) == 1 and all_live(found))
