Let the hub add up loads; send wants and demand to the holder alone; keep busy copies at first

Change: work goes to the hub, which tells the sum; wants and demand go to the holder of the lease; placement goes by the platform's own copies until eight seconds of demand are known; a last copy in use goes only for twice the demand.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/installed
 
 .PHONY: run test lint generate check-generated mutants clean \
-	bench bench-path bench-capacity bench-clients bench-idle
+	bench bench-path bench-capacity bench-clients bench-idle soak
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -49,5 +49,8 @@
 bench-clients: $(STAMP)
 	$(BIN)/python -m extras.bench_clients
 
+soak: $(STAMP)
+	$(BIN)/python -m extras.soak $(ARGS)
+
 bench-idle: $(STAMP)
 	$(BIN)/python -m extras.bench_idle $(ARGS)
--- /dev/null
+++ b/extras/soak/__main__.py
@@ -0,0 +1,124 @@
+"""``python -m extras.soak``: play seeds, print each verdict, end with ``N passed, N failed``."""
+
+import asyncio
+import logging
+import shutil
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+import click
+
+from extras.soak.callers import Caller
+from extras.soak.checks import Record, find_broken
+from extras.soak.plan import Plan, draw
+from extras.soak.world import MODELS_FIT, World
+from tests.standins.runner import EVENTS
+
+CALLERS = 8
+# Seconds after the last fault in which hosts may come back before they are probed.
+RECOVERY_SECONDS = 7.0
+PROBES = 40
+START_SECONDS = 15.0
+
+
+async def wait_ready(world: World) -> None:
+    """Wait until every host says that it is ready."""
+    async with aiohttp.ClientSession() as session, asyncio.timeout(START_SECONDS):
+        for host in world.hosts:
+            while True:
+                try:
+                    async with session.get(f"http://{host.address('ready')}/v1/ready") as resp:
+                        if resp.status == 200:
+                            break
+                except aiohttp.ClientError:
+                    # Not up yet; the timeout above bounds the wait.
+                    pass
+                await asyncio.sleep(0.05)
+
+
+async def strike_all(world: World, plan: Plan, began: float) -> None:
+    """Begin each fault at its time; they may overlap. Return when all have ended."""
+    tasks = []
+    for fault in plan.faults:
+        await asyncio.sleep(max(0.0, fault.at - (time.monotonic() - began)))
+        tasks.append(asyncio.ensure_future(world.strike(fault)))
+    for outcome in await asyncio.gather(*tasks, return_exceptions=True):
+        if isinstance(outcome, Exception):
+            raise outcome
+
+
+async def play(plan: Plan, hosts: int, folder: Path) -> list[str]:
+    """Play one plan and return what was promised and not kept."""
+    record, world = Record(), World(hosts, folder)
+    await world.start()
+    try:
+        await wait_ready(world)
+        began = time.monotonic()
+        callers = [Caller(n, world, record, began, plan.seed) for n in range(CALLERS)]
+        await asyncio.gather(
+            strike_all(world, plan, began), *(caller.run(plan.seconds) for caller in callers)
+        )
+        await asyncio.sleep(RECOVERY_SECONDS)
+        await probe(world, record, began, plan.seed)
+        collect(world, record)
+        return list(find_broken(record, plan.planned, EVENTS, MODELS_FIT))
+    finally:
+        await world.stop()
+
+
+async def probe(world: World, record: Record, began: float, seed: int) -> None:
+    """Send requests when all is well again."""
+    caller = Caller(CALLERS, world, record, began, seed)
+    async with aiohttp.ClientSession(auto_decompress=False) as session:
+        while len(record.probes) < PROBES:
+            before = len(record.probes)
+            await caller.send(session, record.probes)
+            if len(record.probes) == before:
+                return
+
+
+def collect(world: World, record: Record) -> None:
+    """Take down what the endpoints saw."""
+    for runner in (*world.engines, *world.pages, *world.gone):
+        record.ran += runner.ran
+        record.orders[runner.name] = runner.orders
+        record.held[runner.name] = runner.most_held
+
+
+def describe(plan: Plan) -> str:
+    """Return a plan as lines of text."""
+    rows = [f"{f.at:6.2f} s for {f.seconds:.2f} s  {f.kind.name} {f.target}" for f in plan.faults]
+    return "\n".join([f"seed {plan.seed}, {plan.seconds} s", *rows]) + "\n"
+
+
+@click.command()
+@click.option("--first", default=1, help="First seed.")
+@click.option("--seeds", default=5, help="How many seeds, one after the other.")
+@click.option("--seconds", default=15.0, help="Length of a run's traffic.")
+@click.option("--hosts", default=4, help="Host processes in a run.")
+@click.option("--keep", default="", help="Folder for plans and logs of seeds that fail.")
+def main(first: int, seeds: int, seconds: float, hosts: int, keep: str) -> None:
+    """Play seeded plans of faults against real processes, and check what callers are promised."""
+    logging.disable(logging.CRITICAL)
+    failures = 0
+    for seed in range(first, first + seeds):
+        plan = draw(seed, seconds)
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        broken = asyncio.run(play(plan, hosts, folder))
+        failures += bool(broken)
+        click.echo(f"seed {seed}: {'failed' if broken else 'passed'}")
+        for line in broken:
+            click.echo(f"  {line}")
+        if broken and keep:
+            (folder / "plan.txt").write_text(describe(plan) + "\n".join(broken) + "\n")
+            shutil.copytree(folder, Path(keep) / f"seed-{seed}", dirs_exist_ok=True)
+        shutil.rmtree(folder)
+    click.echo(f"{seeds - failures} passed, {failures} failed")
+    sys.exit(1 if failures else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/extras/soak/checks.py
@@ -0,0 +1,130 @@
+"""The promises, checked from what callers and endpoints saw; each says what a user would notice."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+# Statuses that promise that a request has not run and never will.
+NOT_RUN = frozenset({408, 421, 429, 503})
+# Share of requests that must be served again when all faults have ended.
+RECOVERED_SHARE = 0.9
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One attempt of a caller. ``status`` is 0 where the connection ended without a head.
+
+    ``whole`` tells that the answer ended as it should. ``began`` and ``ended`` are seconds of the
+    run; ``life`` names the process that took it.
+    """
+
+    id: str
+    route: str
+    repeatable: bool
+    life: str
+    began: float
+    ended: float
+    status: int
+    body: bytes
+    whole: bool
+    receipt: str
+
+
+@dataclass
+class Record:
+    """All that a run's callers and endpoints saw. ``ran`` are the ids of what endpoints ran."""
+
+    attempts: list[Attempt] = field(default_factory=list)
+    ran: list[str] = field(default_factory=list)
+    orders: dict[str, list[Mapping]] = field(default_factory=dict)
+    held: dict[str, int] = field(default_factory=dict)
+    probes: list[Attempt] = field(default_factory=list)
+
+
+def check_answers(record: Record, events: int) -> Iterable[str]:
+    """A caller got another's answer, a part of one that looks whole, or events out of order."""
+    for attempt in record.attempts:
+        if attempt.status != 200 or not attempt.whole:
+            continue
+        if not attempt.receipt:
+            yield f"{attempt.id}: a success without the endpoint's receipt"
+        if attempt.route in ("recap", "once"):
+            ids = [int(row[4:]) for row in attempt.body.split(b"\n") if row.startswith(b"id: ")]
+            if ids != list(range(1, events + 1)):
+                yield f"{attempt.id}: a stream that ended whole has the events {ids}"
+        elif attempt.body != b"whole answer":
+            yield f"{attempt.id}: {attempt.body!r} in place of the whole answer"
+
+
+def check_once(record: Record) -> Iterable[str]:
+    """Something that must run at most once ran twice: two policies are bound."""
+    counted = Counter(record.ran)
+    for attempt in record.attempts:
+        if not attempt.repeatable and counted[attempt.id] > 1:
+            yield f"{attempt.id}: ran {counted[attempt.id]} times"
+
+
+def check_refusals(record: Record) -> Iterable[str]:
+    """A caller was told that a request had not run, and it had."""
+    ran = set(record.ran)
+    for attempt in record.attempts:
+        if attempt.status in NOT_RUN and not attempt.repeatable and attempt.id in ran:
+            yield f"{attempt.id}: answered {attempt.status} and ran"
+
+
+def check_orders(record: Record, most: int) -> Iterable[str]:
+    """Two hosts ordered an engine under one term, terms went back, or it was overfilled."""
+    for engine, rows in record.orders.items():
+        holders: dict[int, str] = {}
+        newest = 0
+        for row in rows:
+            term, holder = row["fencing_token"], row["holder"]
+            if holders.setdefault(term, holder) != holder:
+                yield f"{engine}: term {term} of both {holders[term]} and {holder}"
+            if term < newest:
+                yield f"{engine}: term {term} after {newest}"
+            newest = max(newest, term)
+    for engine, count in record.held.items():
+        if count > most:
+            yield f"{engine}: holds {count} models, {most} fit"
+
+
+def check_config(record: Record) -> Iterable[str]:
+    """A host served a new route and later didn't know it any more."""
+    seen: dict[tuple[str, str], float] = {}
+    for attempt in sorted(record.attempts, key=lambda row: row.began):
+        place = attempt.life, attempt.route
+        if attempt.status == 200:
+            seen.setdefault(place, attempt.ended)
+        elif attempt.status == 404 and seen.get(place, attempt.began) < attempt.began:
+            yield f"{attempt.id}: {attempt.life} no longer knows {attempt.route}"
+
+
+def check_planned(record: Record) -> Iterable[str]:
+    """A planned stop, reload or change cut off a request that was under way."""
+    ran = set(record.ran)
+    for attempt in record.attempts:
+        cut = attempt.status == 0 or (attempt.status == 200 and not attempt.whole)
+        if cut and attempt.id in ran:
+            yield f"{attempt.id}: {attempt.route} was cut off by planned work"
+
+
+def check_recovery(record: Record) -> Iterable[str]:
+    """All faults have ended, and callers are still not served."""
+    served = sum(1 for probe in record.probes if probe.status == 200 and probe.whole)
+    if served < RECOVERED_SHARE * len(record.probes):
+        statuses = Counter(probe.status for probe in record.probes)
+        yield f"{served} of {len(record.probes)} probes served after the faults: {dict(statuses)}"
+
+
+def find_broken(record: Record, planned: bool, events: int, most: int) -> Sequence[str]:
+    """Return what was promised and not kept."""
+    found = [
+        *check_answers(record, events),
+        *check_once(record),
+        *check_refusals(record),
+        *check_orders(record, most),
+        *check_config(record),
+        *check_recovery(record),
+    ]
+    return found + list(check_planned(record)) if planned else found
--- /dev/null
+++ b/extras/soak/world.py
@@ -0,0 +1,281 @@
+"""A deployment for one run: hosts as processes, store and endpoints as stand-ins behind proxies."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+from extras.soak.plan import Fault
+from extras.soak.proxy import Proxy
+from tests.relay.deployment import CONFIG, ENGINE, ROUTES
+from tests.standins.runner import RunnerStandin
+from tests.standins.tables import TableStandin
+
+ROOT = Path(__file__).resolve().parents[2]
+ENGINES = 3
+PAGES = 3
+# Models that fit on an engine of the stand-ins' configuration: 60 of 200 MB each.
+MODELS_FIT = 3
+EVENT_SECONDS = 0.03
+PAGE_SECONDS = 0.02
+# Seconds that an endpoint serves on after it said that it is leaving.
+LEAVING_SECONDS = 2.0
+STOP_SECONDS = 3
+BOUNDS = {
+    "drain_ms": 2000,
+    "grace_s": STOP_SECONDS,
+    "budget_ratio": 0.2,
+    "budget_extra": 58,
+    "budget_window_s": 10,
+    "lease_ms": 1000,
+    "ceiling_window_s": 5,
+    "ceiling_over": 1.1,
+    "ttl_max_s": 5,
+}
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class HostProcess:
+    """One host: a process, started again on the same ports. ``life`` names each start."""
+
+    def __init__(self, name: str, folder: Path):
+        self.name = name
+        self.ports = {door: free_port() for door in ("front", "ready", "control", "directory")}
+        self._settings = folder / f"{name}.toml"
+        self._log = folder / f"{name}.log"
+        self._child: subprocess.Popen | None = None
+        self.starts = 0
+
+    @property
+    def life(self) -> str:
+        """Name the process that runs now."""
+        return f"{self.name}-{self.starts}"
+
+    def address(self, door: str) -> str:
+        """Return IP:PORT of one of the host's doors."""
+        return f"127.0.0.1:{self.ports[door]}"
+
+    def write_settings(self, store: str, seeds: list[str]) -> None:
+        """Write the settings file that the process reads at each start."""
+        rows = [f'node_name = "{self.name}"', 'ip = "127.0.0.1"', 'zone = "north"']
+        rows += ["inner_ports = [1, 0]", f"seeds = {json.dumps(seeds)}", "[listen]"]
+        rows += [f'{door} = "{self.address(door)}"' for door in self.ports]
+        rows += ["[platform]", f'address = "{store}"', "[bounds]"]
+        rows += [f"{name} = {value}" for name, value in BOUNDS.items()]
+        self._settings.write_text("\n".join(rows) + "\n")
+
+    def start(self) -> None:
+        """Start the process."""
+        self.starts += 1
+        env = {**os.environ, "PERIDOTDOCK_SETTINGS": str(self._settings), "PYTHONPATH": str(ROOT)}
+        with self._log.open("ab") as log:
+            self._child = subprocess.Popen(
+                [sys.executable, "-m", "peridotdock.cli.relay"],
+                stdout=log,
+                stderr=log,
+                env=env,
+                cwd=ROOT,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to this process, if it runs."""
+        if self._child is not None and self._child.poll() is None:
+            self._child.send_signal(number)
+
+    async def wait(self, seconds: float) -> None:
+        """Wait for the process to end; it is killed when it does not."""
+        for _ in range(int(seconds / 0.05)):
+            if self._child.poll() is not None:
+                return
+            await asyncio.sleep(0.05)
+        self._child.kill()
+        self._child.wait()
+
+
+class World:
+    """All parts of a run."""
+
+    def __init__(self, hosts: int, folder: Path):
+        self.hosts = [HostProcess(f"h{n}", folder) for n in range(hosts)]
+        self.engines: list[RunnerStandin] = []
+        self.pages: list[RunnerStandin] = []
+        self.gone: list[RunnerStandin] = []
+        self.links: dict[str, Proxy] = {}
+        self.routes = list(ROUTES)
+        self.version = 1
+        self._busy: set[str] = set()
+        self._numbers = iter(range(1, 10_000))
+
+    async def start(self) -> None:
+        """Start everything, and wait until each host is ready."""
+        self.store = await TableStandin().start()
+        self.store_link = await Proxy(self.store.address).start()
+        for number in range(ENGINES):
+            await self._add_runner("engines", (f"m{number % 2}",))
+        for _ in range(PAGES):
+            await self._add_runner("pages", ())
+        self._configure()
+        seeds = [host.address("control") for host in self.hosts[:3]]
+        for host in self.hosts:
+            host.write_settings(self.store_link.address, seeds)
+            host.start()
+
+    async def stop(self) -> None:
+        """End what this run has started."""
+        for host in self.hosts:
+            host.signal(signal.SIGCONT)
+            host.signal(signal.SIGKILL)
+            await host.wait(1.0)
+        for link in (*self.links.values(), self.store_link):
+            await link.stop()
+        for runner in (*self.engines, *self.pages):
+            await runner.stop()
+        await self.store.stop()
+
+    async def _add_runner(self, service: str, models: tuple[str, ...]) -> None:
+        runner = await RunnerStandin(f"{service}-{next(self._numbers)}", models).start()
+        runner.pace = EVENT_SECONDS if service == "engines" else PAGE_SECONDS
+        link = await Proxy(runner.address).start()
+        self.links[runner.name] = link
+        (self.engines if service == "engines" else self.pages).append(runner)
+        runner.on_change = lambda: self._register(runner, service)
+        runner.on_change()
+
+    def _register(self, runner: RunnerStandin, service: str, **more) -> None:
+        address = self.links[runner.name].address
+        self.store.put("servers", runner.name, runner.entry(service, address=address, **more))
+
+    def _configure(self) -> None:
+        changed = CONFIG | {"version": self.version, "routes": self.routes}
+        changed["services"] = [{"name": "engines", "engine": ENGINE}, {"name": "pages"}]
+        self.store.put("op", "config", json.dumps(changed).encode())
+
+    # Faults
+
+    async def strike(self, fault: Fault) -> None:
+        """Carry out one fault to its end; what it hits is left to one fault at a time."""
+        name, pool = fault.kind.name, self._pool(fault.kind.on)
+        target = pool[fault.target % len(pool)]
+        mark = f"{fault.kind.on} {fault.target % len(pool)}"
+        if mark in self._busy:
+            return
+        self._busy.add(mark)
+        try:
+            await getattr(self, f"_{name}")(target, fault.seconds)
+        finally:
+            self._busy.discard(mark)
+
+    def _pool(self, on: str) -> list:
+        pools = {
+            "host": self.hosts,
+            "runner": [*self.engines, *self.pages],
+            "link": list(self.links.values()),
+            "store": [self.store],
+        }
+        return pools[on]
+
+    async def _stop(self, host: HostProcess, seconds: float) -> None:
+        host.signal(signal.SIGTERM)
+        await host.wait(STOP_SECONDS + 0.5)
+        host.start()
+        await asyncio.sleep(seconds)
+
+    async def _reload(self, host: HostProcess, seconds: float) -> None:
+        host.signal(signal.SIGHUP)
+
+    async def _kill(self, host: HostProcess, seconds: float) -> None:
+        host.signal(signal.SIGKILL)
+        await host.wait(1.0)
+        await asyncio.sleep(seconds)
+        host.start()
+
+    async def _pause(self, host: HostProcess, seconds: float) -> None:
+        host.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        host.signal(signal.SIGCONT)
+
+    async def _config(self, store: TableStandin, seconds: float) -> None:
+        self.version += 3
+        route = dict(ROUTES[-1], name=f"extra-{self.version}", prefix=f"/extra-{self.version}/")
+        self.routes = [*self.routes, route]
+        self._configure()
+
+    async def _leave(self, runner: RunnerStandin, seconds: float) -> None:
+        """Replace an endpoint: the new one first, then the old one says so, serves on, and ends."""
+        engines = runner in self.engines
+        service = "engines" if engines else "pages"
+        await self._add_runner(service, tuple(runner.models))
+        (self.engines if engines else self.pages).remove(runner)
+        runner.on_change = lambda: None
+        self._register(runner, service, state="draining")
+        await asyncio.sleep(LEAVING_SECONDS * 2)
+        self.store.remove("servers", runner.name)
+        await self._end(runner)
+
+    async def _crash(self, runner: RunnerStandin, seconds: float) -> None:
+        """End an endpoint without a word; its entry goes later, and another comes empty."""
+        engines = runner in self.engines
+        (self.engines if engines else self.pages).remove(runner)
+        runner.on_change = lambda: None
+        await self._end(runner)
+        await asyncio.sleep(seconds)
+        self.store.remove("servers", runner.name)
+        await self._add_runner("engines" if engines else "pages", ())
+
+    async def _end(self, runner: RunnerStandin) -> None:
+        self.gone.append(runner)
+        await self.links.pop(runner.name).stop()
+        await runner.stop()
+
+    async def _harm(self, link: Proxy, mode: str, seconds: float) -> None:
+        link.mode = mode
+        await asyncio.sleep(seconds)
+        link.mode = "pass"
+
+    async def _delay(self, link: Proxy, seconds: float) -> None:
+        await self._harm(link, "delay", seconds)
+
+    async def _silence(self, link: Proxy, seconds: float) -> None:
+        await self._harm(link, "silence", seconds)
+
+    async def _one_way(self, link: Proxy, seconds: float) -> None:
+        await self._harm(link, "one_way", seconds)
+
+    async def _reset(self, link: Proxy, seconds: float) -> None:
+        link.reset()
+
+    async def _store_down(self, store: TableStandin, seconds: float) -> None:
+        store.faults["down"] = True
+        await asyncio.sleep(seconds)
+        store.faults["down"] = False
+
+    async def _store_silent(self, store: TableStandin, seconds: float) -> None:
+        await self._harm(self.store_link, "silence", seconds)
+
+    async def _store_loses(self, store: TableStandin, seconds: float) -> None:
+        store.faults["lose"] += 3
+
+    async def _store_forgets(self, store: TableStandin, seconds: float) -> None:
+        store.faults["forget"] += 2
+
+    async def _cut_answer(self, runner: RunnerStandin, seconds: float) -> None:
+        runner.script += ["cut", "serve", "cut"]
+
+    async def _extra_answer(self, runner: RunnerStandin, seconds: float) -> None:
+        runner.script += ["extra", "extra"]
+
+    async def _foreign_answer(self, runner: RunnerStandin, seconds: float) -> None:
+        runner.script += ["foreign", "unsigned"]
+
+    async def _refusal(self, runner: RunnerStandin, seconds: float) -> None:
+        runner.script += ["refuse", "refuse", "error"]
--- a/peridotdock/board.py
+++ b/peridotdock/board.py
@@ -37,6 +37,7 @@
     "work": WorkFact,
     "wants": WantsFact,
     "orders": OrdersFact,
+    "loads": WorkFact,
 }
 MAX_ORIGINS = 2000
 Slot = tuple[str, str]
@@ -130,6 +131,10 @@
         """Return what is known on ``topic``, by origin."""
         return {origin: known for (origin, name), known in self._known.items() if name == topic}
 
+    def slots(self) -> list[Slot]:
+        """Return the slots of all facts known."""
+        return list(self._known)
+
     def entries(self, slots: Iterable[Slot] | None = None) -> list[Entry]:
         """Return the entries in ``slots``, or all, each with its age.
 
--- a/peridotdock/decisions/placing.py
+++ b/peridotdock/decisions/placing.py
@@ -44,8 +44,11 @@
 SPARE_COPY_DEMAND = 0.12
 # What a copy in use is worth beyond its demand: its unload takes as long as its longest stream.
 USED_COPY_WORTH = 1.5
-# Copies of a model that stay before any request has come.
+# Copies of a model that stay before its demand is known.
 UNTOUCHED_COPIES = 2
+# How many times as much as of a model in use must be asked of another that takes its last copy: a
+# change of places costs both some seconds.
+OUTWEIGHS = 2.0
 # Weight of the peak of late in a copy's worth, beside the demand of now: what fell silent may come
 # back, but goes before what is asked for.
 REMEMBERED_SHARE = 0.1
@@ -133,6 +136,7 @@
     loads_left: int
     promised: Mapping[str, str]
     by_model: Mapping[str, Demand]
+    settled: bool
     steps: list[Step] = field(default_factory=list)
     taken: set[str] = field(default_factory=set)
 
@@ -165,15 +169,18 @@
     loads_left: int,
     promised: Mapping[str, str],
     held_back: Iterable[str] = (),
+    settled: bool = True,
 ) -> list[Step]:
     """Return the orders to give next, one an engine at most.
 
     ``loads_left`` loads from the store may begin now. ``promised`` is the model that each engine
-    was emptied for and does not hold yet. ``held_back`` engines get no order.
+    was emptied for and does not hold yet. ``held_back`` engines get no order. ``settled`` tells
+    that some seconds of demand are known.
     """
     rows = {engine.key: engine for engine in engines}
     by_model = sum_by_model(demand)
-    draft = Draft(spec, rows, demand, loads_left, promised, by_model, taken=set(held_back))
+    taken = set(held_back)
+    draft = Draft(spec, rows, demand, loads_left, promised, by_model, settled, taken=taken)
     place_adapters(draft)
     place_models(draft)
     fill_places(draft)
@@ -368,7 +375,7 @@
     if name in engine.loading or found.waiting:
         return False
     if last_copies:
-        return True
+        return not in_use(draft, name) or outweighs(draft, wanted, name)
     if in_use(draft, name) or name in engine.settling:
         return False
     if len(draft.holders(name)) > kept_copies(draft, name):
@@ -381,15 +388,23 @@
     return current_of(draft, model) >= IDLE_DEMAND
 
 
+def outweighs(draft: Draft, wanted: str, name: str) -> bool:
+    """Tell whether a model in use may lose a copy to another that requests wait for."""
+    if len(draft.holders(name)) > 1:
+        return True
+    return current_of(draft, wanted) > OUTWEIGHS * current_of(draft, name)
+
+
 def kept_copies(draft: Draft, model: str) -> int:
     """Return how many copies of a model stay while nothing waits for their room.
 
-    Before any request has come, the platform's own placement tells what will be busy: models that
+    Failure guarded against: in the first second of traffic a busy model has not been asked for yet,
+    its copies go for models that nobody asks for, and it is gone for seven seconds. Until some
+    seconds of demand are known, the platform's own placement tells what will be busy: models that
     it has put on several engines keep two copies.
     """
-    if not any(found.rate for found in draft.by_model.values()):
-        return UNTOUCHED_COPIES
-    return wanted_copies(draft, model)
+    wanted = wanted_copies(draft, model)
+    return wanted if draft.settled else max(wanted, UNTOUCHED_COPIES)
 
 
 def value_of(draft: Draft, engine: EngineView, name: str) -> float:
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -78,9 +78,11 @@
         board: Board,
         give_body: Callable[[str], bytes],
         choose: Callable[[dict[str, str]], list[str]] | None = None,
+        passes: Callable[[Link, Slot], bool] = lambda link, slot: True,
     ):
         self._ctx = ctx
         self._choose = choose or self._choose_neighbours
+        self._passes = passes
         self._board = board
         self._give_body = give_body
         self._links: set[Link] = set()
@@ -212,8 +214,7 @@
         self._links.add(link)
         self._tell_links()
         self._ctx.timeline.add("link_up", "DEBUG", detail=peer.host)
-        link.dirty.update((entry.origin, entry.topic) for entry in self._board.entries())
-        link.wake.set()
+        self._offer(link, self._board.slots())
         jobs = [asyncio.create_task(job(link)) for job in (self._write, self._beat)]
         try:
             await self._read(link)
@@ -275,11 +276,21 @@
                 lost = before - link.direct
             wanted = [slot for slot in slots if slot[0] not in link.direct]
             if lost:
-                known = [(entry.origin, entry.topic) for entry in self._board.entries()]
-                wanted += [slot for slot in known if slot[0] in lost]
-            if wanted:
-                link.dirty.update(wanted)
-                link.wake.set()
+                wanted += [slot for slot in self._board.slots() if slot[0] in lost]
+            self._offer(link, wanted)
+
+    def _offer(self, link: Link, slots: list[Slot]) -> None:
+        """Let a link send those facts that it is to pass."""
+        wanted = [slot for slot in slots if self._passes(link, slot)]
+        if wanted:
+            link.dirty.update(wanted)
+            link.wake.set()
+
+    def offer_all(self, host: str) -> None:
+        """Let the link to a host send all facts again that it is to pass now."""
+        for link in self._links:
+            if link.peer.host == host:
+                self._offer(link, self._board.slots())
 
     def _linked_to(self, host: str) -> frozenset[str]:
         known = self._board.get(host, "links")
--- a/peridotdock/platform/settings.py
+++ b/peridotdock/platform/settings.py
@@ -40,9 +40,18 @@
         store=parse_address(raw["platform"]["address"]),
         bounds=decode_bounds(raw["bounds"]),
         metrics=decode_metrics(raw),
+        **decode_machine(raw.get("limits") or {}),
     )
 
 
+def decode_machine(raw: Mapping[str, Any]) -> dict[str, float]:
+    """Return what the machine can carry; "cores" is how fast its one share of a core runs."""
+    if "link_mbps" not in raw:
+        return {}
+    cores = float(raw.get("cpu_share", 1.0)) * float(raw.get("cores", 1))
+    return {"link_mbps": float(raw["link_mbps"]), "cores": cores}
+
+
 def decode_metrics(raw: Mapping[str, Any]) -> Address | None:
     """Return where metrics are served, or None where the port is not free."""
     first, last = raw.get("inner_ports") or (0, -1)
--- a/peridotdock/relay/book.py
+++ b/peridotdock/relay/book.py
@@ -25,8 +25,8 @@
 # Seconds for which the word of the host that orders engines goes before an engine's own entry,
 # which comes with its next heartbeat.
 NEWS_SECONDS = 5.0
-# Seconds after which what another host said of its work on an endpoint no longer counts.
-PEER_SECONDS = 3.0
+# Seconds after which what was heard of the other hosts' work on an endpoint no longer counts.
+OTHERS_SECONDS = 3.0
 # Prompt parts remembered for each endpoint; 16 bytes a part keep this under 200 KB.
 MOST_PARTS = 2000
 # Fewest tokens from which a time for one token is learnt: below, the step dominates.
@@ -44,14 +44,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PeerLoad:
-    """What another host has on an endpoint: requests, and prompt tokens not read yet."""
+class OthersLoad:
+    """What all other hosts have on an endpoint: requests, and prompt tokens not read yet."""
 
     running: int
     tokens: int
     at: float
 
 
+NO_LOAD = OthersLoad(0, 0, float("-inf"))
+
+
 @dataclass(frozen=True, slots=True)
 class HeardNews:
     """What the host that orders engines said of one, and when that was heard."""
@@ -68,7 +71,7 @@
     entry: EndpointEntry
     health: Health
     flights: dict[str, Flight] = field(default_factory=dict)
-    peers: dict[str, PeerLoad] = field(default_factory=dict)
+    others: OthersLoad = NO_LOAD
     parts: OrderedDict[tuple[str, str], None] = field(default_factory=OrderedDict)
     ahead: int = 0
     heard: HeardNews | None = None
@@ -97,10 +100,9 @@
     def load(self, now: float) -> tuple[int, int]:
         """Return requests and unread prompt tokens there, ours and those of other hosts."""
         running, tokens = len(self.flights), self.ahead
-        for peer in self.peers.values():
-            if now - peer.at <= PEER_SECONDS:
-                running += peer.running
-                tokens += peer.tokens
+        if now - self.others.at <= OTHERS_SECONDS:
+            running += self.others.running
+            tokens += self.others.tokens
         return running, tokens
 
     def cached(self, wish: ModelWish) -> int:
@@ -205,14 +207,10 @@
             state.heard = news.get(key)
         self._tell()
 
-    def take_peer(self, host: str, loads: Mapping[str, PeerLoad]) -> None:
-        """Take in what another host has on the endpoints; those it leaves out have nothing."""
+    def take_others(self, loads: Mapping[str, OthersLoad]) -> None:
+        """Take in what all other hosts have on the endpoints; those left out have nothing."""
         for key, state in self.states.items():
-            found = loads.get(key)
-            if found is not None:
-                state.peers[host] = found
-            else:
-                state.peers.pop(host, None)
+            state.others = loads.get(key, NO_LOAD)
 
     async def next_change(self) -> None:
         """Wait until the endpoints or what they hold have changed."""
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -23,7 +23,6 @@
 from peridotdock.relay.peers import Peers
 from peridotdock.relay.service import RelayService
 from peridotdock.relay.settings import HostSettings
-from peridotdock.rendezvous import choose
 from peridotdock.serving import Server, make_application
 
 # Seconds between two calls on the endpoints' table, which changes with each load: of the host that
@@ -38,12 +37,12 @@
 # Seconds before the platform's SIGKILL at which a planned stop ends.
 STOP_MARGIN = 0.7
 DRAIN_POLL_SECONDS = 0.05
-# Seconds between two words to the other hosts on work at endpoints, and on demand, and how many
-# hosts' words a host takes in a second: each goes to all hosts, so with more hosts they come
-# seldomer, and what a host spends on them stays the same.
+# Seconds between two words to the hub on work at endpoints, and on demand, and how many hosts'
+# words it takes in a second: with more hosts they come seldomer, and what it spends on them, about
+# 3% of a core, stays the same.
 WORK_SECONDS = 0.15
 DEMAND_SECONDS = 1.0
-WORDS_PER_SECOND = 90.0
+WORDS_PER_SECOND = 400.0
 # Seconds between two steps for the lease: of its holder; of those that stand by, while they hear
 # the holder and when they don't; of all others.
 HOLDER_SECONDS = 0.7
@@ -137,6 +136,7 @@
     async def _tell_work(self) -> None:
         self.peers.tell_work()
         self.peers.tell_wants()
+        self.peers.tell_loads()
 
     async def _tell_demand(self) -> None:
         self.peers.tell_demand()
@@ -155,7 +155,7 @@
 
     def _stands_by(self) -> bool:
         live = {*self.peers.membership.live(), self.settings.host}
-        return self.settings.host in choose("leader", live, STANDBYS)
+        return self.settings.host in self.peers.rank(live)[:STANDBYS]
 
     def _lease_seconds(self) -> float:
         if self.leadership.term:
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -31,6 +31,8 @@
 PROMISE_SECONDS = 8.0
 # Seconds that a new holder waits for the first report of each engine, at most.
 LOOK_SECONDS = 1.0
+# Seconds of demand after which placement goes by it alone: every busy model is asked for by then.
+SETTLED_SECONDS = 8.0
 # Answers that say that an order is not carried out, now or later.
 NOT_DONE = frozenset(
     {OrderAnswer.BUSY, OrderAnswer.REFUSED, OrderAnswer.FENCED, OrderAnswer.ANOTHER}
@@ -66,6 +68,7 @@
         self._promises: dict[str, Promise] = {}
         self._term = 0
         self._began = 0.0
+        self._demand_since: float | None = None
         self.wards: dict[str, Ward] = {}
         self.changed = asyncio.Event()
         self.heard_loads: Callable[[int], Mapping[str, list[float]] | None] = lambda term: None
@@ -92,6 +95,7 @@
         """Begin anew: nothing is known of what the holder before had under way."""
         self._term = self._leadership.term
         self._began = self._ctx.clock.monotonic()
+        self._demand_since = None
         self.wards.clear()
         self._promises.clear()
         self._rations.clear()
@@ -157,13 +161,22 @@
         }
         ration = self._ration(service)
         promised = self._promised(now)
-        for step in make_plan(spec, views, demand, ration.left(now), promised, held_back):
+        settled = self._settled(demand, now)
+        for step in make_plan(spec, views, demand, ration.left(now), promised, held_back, settled):
             if step.room_for:
                 self._promises[step.engine] = Promise(step.room_for, now + PROMISE_SECONDS)
             ward = self.wards[step.engine]
             ward.in_flight = True
             self._spawn(self._carry_out(ward, service, spec, step))
 
+    def _settled(self, demand: Mapping[str, Demand], now: float) -> bool:
+        """Tell whether demand has been known for long enough to place by it alone."""
+        if not any(found.rate for found in demand.values()):
+            self._demand_since = None
+        elif self._demand_since is None:
+            self._demand_since = now
+        return self._demand_since is not None and now - self._demand_since > SETTLED_SECONDS
+
     def _promised(self, now: float) -> dict[str, str]:
         """Return the promises that are open: not kept yet, and not too old."""
         self._promises = {
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -1,18 +1,18 @@
 """What hosts tell each other: who lives, work on endpoints, what is waited for, orders given."""
 
 import asyncio
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
-from peridotdock.board import Board, Slot
+from peridotdock.board import Board, Known, Slot
 from peridotdock.context import Context
 from peridotdock.decisions.placing import Demand
 from peridotdock.demand import Demand as DemandMeter
 from peridotdock.fleet import pack, unpack
 from peridotdock.membership import Membership
-from peridotdock.mesh import Mesh
-from peridotdock.relay.book import EndpointBook, PeerLoad
+from peridotdock.mesh import Link, Mesh
+from peridotdock.relay.book import EndpointBook, OthersLoad
 from peridotdock.relay.settings import HostSettings
-from peridotdock.rendezvous import choose
+from peridotdock.rendezvous import weigh
 from peridotdock.schema.messages import (
     DemandFact,
     EngineNews,
@@ -27,6 +27,10 @@
 # Seconds for which a peak of demand is held: a rare model is asked for every ten seconds or so, and
 # its copy should last through several such gaps.
 PEAK_SECONDS = 30.0
+# Facts that go to the hub and not from it to all hosts.
+UPWARD = frozenset({"work", "wants", "demand"})
+# Seconds after which the hub tells the sum of the loads again although it has not changed.
+LOADS_SECONDS = 1.0
 # Least change of a demand that is told, as a share of what was told last.
 DEMAND_STEP = 0.25
 
@@ -39,7 +43,8 @@
         self._settings = settings
         self._book = book
         self.board = Board(settings.host, ctx.epoch, ctx.clock)
-        self.mesh = Mesh(ctx, self.board, give_body, self._choose_hub)
+        self.mesh = Mesh(ctx, self.board, give_body, self._choose_hub, self._passes)
+        self._leader = ""
         own = HostFact(
             settings.host,
             ctx.incarnation,
@@ -48,6 +53,7 @@
             str(settings.listen.peers),
             "starting",
             0,
+            int(settings.strong),
         )
         self.membership = Membership(self.board, own, ctx.clock)
         self.meter = DemandMeter(PEAK_SECONDS)
@@ -99,7 +105,21 @@
             for name in others
             if name in members and members[name].alive and not self.mesh.failed_lately(name)
         ]
-        return choose("leader", [*able, self._settings.host])[0]
+        return self.rank([*able, self._settings.host])[0]
+
+    def rank(self, names: Iterable[str]) -> list[str]:
+        """Return hosts in the order in which they are to lead and to pass facts on.
+
+        All hosts that see the same members find the same order. Hosts with a thin link or little
+        processor come last: at 10 Mbit/s a hub of 67 hosts would hold up its own streams.
+        """
+        members = self.membership.members()
+
+        def weight(name: str) -> tuple[int, int]:
+            member = members.get(name)
+            return member.fact.power if member else 0, weigh("leader", name)
+
+        return sorted(names, key=weight, reverse=True)
 
     def _choose_hub(self, others: Mapping[str, str]) -> list[str]:
         """Return the hosts to link to: the hub, or for the hub one that nobody hears any more.
@@ -125,17 +145,68 @@
                 self.wanted.set()
             elif topic == "orders":
                 self._take_orders()
-            elif topic == "work" and origin != self._settings.host:
-                self._take_work(origin, known.fact, known.at)
+            elif topic == "loads" and origin != self._settings.host and not self._leads_links():
+                self._take_loads(known)
+
+    def _passes(self, link: Link, slot: Slot) -> bool:
+        """Tell whether a link passes a fact on.
+
+        What hosts have on endpoints goes to the hub alone, which tells all of them the sum; what
+        they wait for and are asked for goes to the hub and from there to the holder of the lease.
+        With 67 hosts each then takes in 75 facts a second in place of 300.
+        """
+        origin, topic = slot
+        if topic not in UPWARD:
+            return True
+        if topic != "work" and link.peer.host == self._leader:
+            return True
+        return origin == self._settings.host and link.dialled
+
+    def _leads_links(self) -> bool:
+        """Tell whether this host is the hub, as seen from here."""
+        rows = self.membership.members()
+        return self._hub([name for name in rows if name != self._settings.host]) == (
+            self._settings.host
+        )
 
-    def _take_work(self, origin: str, fact: WorkFact, at: float) -> None:
-        running, tokens = unpack("H", fact.running), unpack("I", fact.tokens)
-        rows = zip(fact.endpoints, running, tokens, strict=True)
-        self._book.take_peer(origin, {name: PeerLoad(r, t, at) for name, r, t in rows})
+    def _take_loads(self, known: Known) -> None:
+        """Take in the work of all hosts on endpoints, less what this one has told of its own."""
+        own = self.board.get(self._settings.host, "work")
+        mine = read_work(own.fact) if own is not None else {}
+        loads = {}
+        for name, (running, tokens) in read_work(known.fact).items():
+            less = mine.get(name, (0, 0))
+            rest = max(0, running - less[0]), max(0, tokens - less[1])
+            loads[name] = OthersLoad(*rest, known.at)
+        self._book.take_others(loads)
+
+    def tell_loads(self) -> None:
+        """As the hub, tell all hosts the sum of what they have on endpoints."""
+        if not self._leads_links():
+            return
+        now, live = self._ctx.clock.monotonic(), self.membership.members()
+        total: dict[str, tuple[int, int]] = {}
+        others: dict[str, tuple[int, int]] = {}
+        for origin, known in self.board.on("work").items():
+            if origin not in live or not live[origin].alive:
+                continue
+            for name, row in read_work(known.fact).items():
+                add_load(total, name, row)
+                if origin != self._settings.host:
+                    add_load(others, name, row)
+        self._book.take_others({name: OthersLoad(*row, now) for name, row in others.items()})
+        known = self.board.get(self._settings.host, "loads")
+        fact = write_work(total)
+        if known is None or known.fact != fact or now - known.at > LOADS_SECONDS:
+            self.board.publish("loads", fact)
 
     def _take_orders(self) -> None:
-        facts = [known.fact for known in self.board.on("orders").values()]
-        newest = max(facts, key=lambda fact: max(fact.term, fact.resigned))
+        rows = self.board.on("orders").items()
+        origin, known = max(rows, key=lambda row: max(row[1].fact.term, row[1].fact.resigned))
+        newest = known.fact
+        if newest.term and origin != self._leader:
+            self._leader = origin
+            self.mesh.offer_all(origin)
         self._book.take_news(newest.engines)
         self.on_term(newest.term)
         if newest.resigned:
@@ -167,17 +238,12 @@
 
     def tell_work(self) -> None:
         """Tell what this host has on endpoints, when that has changed."""
-        rows = [
-            (key, len(state.flights), state.ahead)
+        rows = {
+            key: (len(state.flights), state.ahead)
             for key, state in self._book.states.items()
             if state.flights
-        ]
-        fact = WorkFact(
-            [row[0] for row in rows],
-            pack("H", (row[1] for row in rows)),
-            pack("I", (row[2] for row in rows)),
-        )
-        self._tell("work", fact)
+        }
+        self._tell("work", write_work(rows))
 
     def tell_wants(self) -> None:
         """Tell what requests on this host wait for."""
@@ -254,6 +320,27 @@
         }
 
 
+def write_work(rows: Mapping[str, tuple[int, int]]) -> WorkFact:
+    """Pack requests and unread prompt tokens by endpoint."""
+    return WorkFact(
+        list(rows),
+        pack("H", (running for running, _ in rows.values())),
+        pack("I", (tokens for _, tokens in rows.values())),
+    )
+
+
+def read_work(fact: WorkFact) -> dict[str, tuple[int, int]]:
+    """Unpack requests and unread prompt tokens by endpoint."""
+    columns = zip(unpack("H", fact.running), unpack("I", fact.tokens), strict=True)
+    return dict(zip(fact.endpoints, columns, strict=True))
+
+
+def add_load(total: dict[str, tuple[int, int]], name: str, row: tuple[int, int]) -> None:
+    """Add one host's work on an endpoint to the total."""
+    running, tokens = total.get(name, (0, 0))
+    total[name] = running + row[0], tokens + row[1]
+
+
 def add_up(total: dict[str, float], more: dict[str, float]) -> None:
     """Add one host's rates to the total of all."""
     for item, rate in more.items():
--- a/peridotdock/relay/settings.py
+++ b/peridotdock/relay/settings.py
@@ -5,6 +5,10 @@
 
 from dataclasses import dataclass
 
+# What the hub needs: with 83 hosts it sends about 7 Mbit/s and takes a tenth of a core for it.
+MANY_MBPS = 50.0
+MANY_CORES = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
@@ -59,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HostSettings:
-    """All settings of one relaying host."""
+    """All settings of one relaying host; ``cores`` is how much processor it has."""
 
     host: str
     domain: str
@@ -68,3 +72,10 @@
     store: Address
     bounds: Bounds
     metrics: Address | None = None
+    link_mbps: float = MANY_MBPS
+    cores: float = 1.0
+
+    @property
+    def strong(self) -> bool:
+        """Tell whether this host can pass facts on to all others."""
+        return self.link_mbps >= MANY_MBPS and self.cores >= MANY_CORES
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -54,7 +54,7 @@
     """
     topic: str
     """
-    Which fact: host, links, load, held, ledger, demand, heads, work, wants or orders.
+    Which fact: host, links, load, held, ledger, demand, heads, work, wants, orders or loads.
     """
     epoch: int
     """
@@ -172,6 +172,10 @@
     """
     Counter that grows while the host is alive.
     """
+    power: int = 0
+    """
+    1 where the origin has the link and the processor to pass facts on to all others, else 0.
+    """
 
 
 @dataclass(frozen=True)
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -343,6 +343,27 @@
         steps = [s for s in make_plan(spec, engines, demand, 5, {}) if not s.adapter]
         self.assertEqual(copied, bool(steps), name)
 
+    @params((False, []), (True, [("a", "unload", "m0")]))
+    def test_busy_models_keep_their_copies_in_the_first_seconds(self, settled, expected):
+        """Callers of the busiest model are refused from the second second of traffic on.
+
+        It had not been asked for yet when the first requests for others came, so its copies made
+        room for models that nobody asked for.
+        """
+        engines = [engine("a", "m0", "m1", "m2"), engine("b", "m0", "m1", "m2")]
+        demand = {"m1": Demand(0, 0.3), "m2": Demand(0, 0.3)}
+        steps = make_plan(SPEC, engines, demand, 5, {}, settled=settled)
+        found = [(s.engine, s.action.value, s.model) for s in steps if not s.adapter]
+        self.assertEqual(expected, found)
+
+    @params((0.9, True), (0.3, False))
+    def test_a_last_copy_in_use_goes_only_for_much_more(self, asked, goes):
+        """Two busy models take turns on one engine, and callers of both wait for seconds."""
+        engines = [engine("a", "m0", "m1", "m2")]
+        demand = {"m3": Demand(3, asked), **{name: Demand(0, 0.25) for name in NAMES[:3]}}
+        unloads = [step for step in plan(engines, demand) if step[1] == "unload"]
+        self.assertEqual(goes, bool(unloads))
+
     def test_a_load_is_ordered_right_behind_the_unload_that_makes_room(self):
         """A request waits a second longer than its model's load takes.
 
--- /dev/null
+++ b/tests/relay/test_loads.py
@@ -0,0 +1,94 @@
+"""What hosts tell each other of load and demand, and who hears it."""
+
+import unittest
+from unittest.mock import Mock
+
+from peridotdock.mesh import Link
+from peridotdock.relay.book import EndpointBook
+from peridotdock.relay.peers import UPWARD, Peers, write_work
+from peridotdock.relay.settings import Address, HostSettings, Listen
+from peridotdock.schema.messages import Hello, HostFact, OrdersFact
+from tests.builders import make_ctx
+from tests.fakes import FakeClock
+from tests.relay.deployment import BOUNDS
+from tests.relay.test_ordering import entry
+
+HERE = Address("127.0.0.1", 1)
+
+
+class LoadsTest(unittest.IsolatedAsyncioTestCase):
+    """One host among others; ``strong`` ones come first as the hub."""
+
+    def setUp(self):
+        self.clock = FakeClock()
+
+    def host(self, name, link_mbps=1000.0):
+        listen = Listen(HERE, HERE, HERE, HERE)
+        settings = HostSettings(name, "north", listen, (), HERE, BOUNDS, link_mbps=link_mbps)
+        book = EndpointBook("north", self.clock)
+        book.replace([entry("m0")])
+        peers = Peers(make_ctx(self.clock, name), settings, book, lambda digest: b"")
+        peers.membership.become("live")
+        return peers, book
+
+    def hear(self, peers, origin, topic, fact):
+        """Take in a fact of another host."""
+        board = type(peers.board)(origin, 1, self.clock)
+        board.publish(topic, fact)
+        peers.board.merge(board.entries())
+
+    def host_fact(self, name, power):
+        return HostFact(name, f"{name}-1", "north", "", "", "live", 1, power)
+
+    def load(self, book):
+        return book.states["i-1"].load(self.clock.monotonic())
+
+    async def test_the_hub_tells_the_sum(self):
+        peers, book = self.host("hub")
+        for name, row in (("h1", (2, 500)), ("h2", (3, 700))):
+            self.hear(peers, name, "host", self.host_fact(name, 0))
+            self.hear(peers, name, "work", write_work({"i-1": row}))
+        peers.tell_loads()
+        self.assertEqual((5, 1200), self.load(book))
+        self.assertEqual(write_work({"i-1": (5, 1200)}), peers.board.get("hub", "loads").fact)
+
+    async def test_a_host_leaves_its_own_work_out_of_the_sum(self):
+        """Requests go away from an engine that seems twice as busy as it is.
+
+        The sum of all hosts' work has this host's own in it, which it counts itself.
+        """
+        peers, book = self.host("h1", link_mbps=10.0)
+        self.hear(peers, "hub", "host", self.host_fact("hub", 1))
+        peers.board.publish("work", write_work({"i-1": (2, 500)}))
+        self.hear(peers, "hub", "loads", write_work({"i-1": (5, 1200)}))
+        self.assertEqual((3, 700), self.load(book))
+
+    async def test_an_old_sum_no_longer_counts(self):
+        peers, book = self.host("h1", link_mbps=10.0)
+        self.hear(peers, "hub", "host", self.host_fact("hub", 1))
+        self.hear(peers, "hub", "loads", write_work({"i-1": (5, 1200)}))
+        self.clock.advance(10.0)
+        self.assertEqual((0, 0), self.load(book))
+
+    async def test_what_is_waited_for_goes_to_the_holder_of_the_lease_alone(self):
+        """With 67 hosts each spends more on hearing of the others than on its own requests."""
+        peers, _ = self.host("hub")
+        self.hear(peers, "h1", "orders", OrdersFact(3, []))
+        to = {
+            name: Link(Mock(), Hello("hello", name, f"{name}-1", b"", b""), dialled=False)
+            for name in ("h1", "h2")
+        }
+        passed = {
+            (name, topic): peers._passes(link, ("h3", topic))
+            for name, link in to.items()
+            for topic in (*UPWARD, "host")
+        }
+        expected = {("h1", "wants"), ("h1", "demand"), ("h1", "host"), ("h2", "host")}
+        self.assertEqual(expected, {key for key, passes in passed.items() if passes})
+
+    async def test_a_thin_link_makes_no_hub(self):
+        peers, _ = self.host("h1", link_mbps=10.0)
+        for number in range(9):
+            self.hear(peers, f"n{number}", "host", self.host_fact(f"n{number}", number % 2))
+        order = peers.rank([f"n{n}" for n in range(9)] + ["h1"])
+        self.assertEqual({"n1", "n3", "n5", "n7"}, {*order[:4]})
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -3,7 +3,8 @@
 What it does with a request is the next of ``script``, or "serve": ``refuse`` (not run), ``error``,
 ``cut`` (half of an answer, then the connection ends), ``silent`` (no answer for good), ``foreign``
 (the id of another request), ``unsigned`` (no receipt), ``extra`` (a second answer behind the
-first). What reaches it is kept in ``seen``; what ran, in ``ran``; what was left, in ``left``.
+first). ``pace`` are seconds before each event or answer, ``most_held`` the most models it had at
+once. What reaches it is kept in ``seen``; what ran, in ``ran``; what was left, in ``left``.
 """
 
 import asyncio
@@ -24,6 +25,8 @@
         self.orders = []
         self.events = EVENTS
         self.hold = None
+        self.pace = 0.0
+        self.most_held = len(self.models)
         self.on_change = lambda: None
         self._tasks = set()
 
@@ -86,6 +89,7 @@
             self.models.pop(order["model"])
         elif "adapter" in order:
             held.add(order["adapter"])
+        self.most_held = max(self.most_held, len(self.models))
         self.on_change()
         return 202, {}
 
@@ -99,6 +103,7 @@
             writer.write(frame(503, b"", {"x-not-executed": "1"}))
             return True
         self.ran.append(attempt)
+        await asyncio.sleep(0 if "x-model" in headers else self.pace)
         if step == "silent":
             return await self._wait_for_close(reader, attempt)
         signed = {"x-attempt-id": attempt, "x-response-signature": f"by {self.name}"}
@@ -136,6 +141,7 @@
             halfway = self.hold is not None and number == self.events // 2
             if halfway and not await self._held(reader, signed["x-attempt-id"]):
                 return False
+            await asyncio.sleep(self.pace)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
