--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -21,7 +21,7 @@
 # Seconds after the last fault in which hosts may come back before they are probed.
 RECOVERY_SECONDS = 7.0
 PROBES = 40
-START_SECONDS = 15.0
+START_SECONDS = 60.0
 
 
 async def wait_ready(world: World) -> None:
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,81 @@
+"""The fault soak: its plans, its checks against planted faults, and one short run."""
+
+import asyncio
+import tempfile
+import unittest
+from dataclasses import replace
+from pathlib import Path
+
+from nose2.tools import params
+
+from extras.soak.__main__ import play
+from extras.soak.checks import Attempt, Record, find_broken
+from extras.soak.plan import LONGEST_SECONDS, PLANNED_EVERY, draw
+
+EVENTS = 3
+STREAM = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, EVENTS + 1))
+PAGE = Attempt("a", "fetch", True, "h0-1", 1.0, 1.1, 200, b"whole answer", True, "by p")
+BIND = replace(PAGE, id="b", route="bind", repeatable=False)
+RECAP = replace(PAGE, id="c", route="recap", body=STREAM)
+ORDER = {"fencing_token": 1, "holder": "h0"}
+
+
+def record(*attempts, ran=(), orders=(), held=0, probes=(PAGE,)):
+    return Record(list(attempts), list(ran), {"e": list(orders)}, {"e": held}, list(probes))
+
+
+class ChecksTest(unittest.TestCase):
+    @params(
+        ("all well", record(PAGE, BIND, RECAP, ran=["a", "b", "c"], orders=[ORDER]), False),
+        ("a page cut short", record(replace(PAGE, body=b"whole")), True),
+        ("cut, and it shows", record(replace(PAGE, body=b"whole", whole=False)), False),
+        ("no receipt", record(replace(PAGE, receipt="")), True),
+        ("an event twice", record(replace(RECAP, body=STREAM + STREAM)), True),
+        ("an event left out", record(replace(RECAP, body=STREAM[14:])), True),
+        ("ran twice", record(BIND, ran=["b", "b"]), True),
+        ("repeated where that is allowed", record(PAGE, ran=["a", "a"]), False),
+        ("refused and ran", record(replace(BIND, status=503), ran=["b"]), True),
+        ("failed and ran", record(replace(BIND, status=502), ran=["b"]), False),
+        ("one term, two holders", record(orders=[ORDER, ORDER | {"holder": "h1"}]), True),
+        ("a term goes back", record(orders=[ORDER | {"fencing_token": 2}, ORDER]), True),
+        ("too many models", record(held=4), True),
+        (
+            "a route is forgotten",
+            record(PAGE, replace(PAGE, id="d", began=2.0, status=404)),
+            True,
+        ),
+        (
+            "by another process",
+            record(PAGE, replace(PAGE, id="d", began=2.0, status=404, life="h0-2")),
+            False,
+        ),
+        ("no recovery", record(probes=[replace(PAGE, status=503)]), True),
+    )
+    def test_planted_faults_are_found(self, name, found, broken):
+        self.assertEqual(broken, bool(find_broken(found, False, EVENTS, 3)), name)
+
+    @params(
+        ("was under way", replace(PAGE, status=0), ["a"], True),
+        ("had not begun", replace(PAGE, status=0), [], False),
+    )
+    def test_planned_work_cuts_nothing_off(self, name, attempt, ran, broken):
+        found = record(attempt, ran=ran)
+        self.assertEqual(broken, bool(find_broken(found, True, EVENTS, 3)), name)
+
+
+class PlanTest(unittest.TestCase):
+    @params(1, 2, 3, 5, 10, 77)
+    def test_a_seed_always_gives_the_same_plan(self, seed):
+        plan = draw(seed, 30.0)
+        self.assertEqual(plan, draw(seed, 30.0))
+        self.assertTrue(all(f.at + LONGEST_SECONDS <= plan.seconds for f in plan.faults))
+        if seed % PLANNED_EVERY == 0:
+            self.assertTrue(plan.planned and all(f.kind.planned for f in plan.faults))
+
+
+class RunTest(unittest.TestCase):
+    @params(2, 5)
+    def test_a_short_run_keeps_every_promise(self, seed):
+        """Real processes are stopped, killed, paused and cut off; callers see no broken promise."""
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertEqual([], asyncio.run(play(draw(seed, 6.0), 3, Path(folder))))
