--- /dev/null
+++ b/peridotdock/decisions/copies.py
@@ -0,0 +1,82 @@
+"""How many copies of a model there should be, and whether those there are have too much to do.
+
+Load pattern: demand moves to other models within seconds; two models become busy on one engine
+while others rest on copies that nobody asks for. Copies follow the demand of the last seconds.
+"""
+
+from peridotdock.decisions.draft import Draft, EngineView, current_of
+
+# When a model is crowded at every holder, so that a further copy may take the room of an idle one:
+# prompt tokens that wait there, over some seconds, or engine seconds asked of it in a second. Both
+# grow with the seconds that a load takes, as it pays later. For 1.2 s these are 8,000 tokens, a
+# quarter of a second of an engine's time, and 0.56; for 5.8 s 15,000 tokens and 0.79. Without a
+# bound copies went round between engines, 23 loads on a calm day in place of 5.
+CROWDED_TOKENS = 6000.0
+CROWDED_TOKENS_PER_SECOND = 1500.0
+CROWDED_LOAD = 0.5
+CROWDED_LOAD_PER_SECOND = 0.05
+# Engine seconds asked for in a second, above which an adapter is in use: a prompt of 800 tokens
+# asks for 0.007 at once and fades below this within six seconds, about as long as its answer takes.
+ADAPTER_DEMAND = 0.001
+# Engine seconds asked for in a second, from which a model should survive the loss of an engine.
+# Rare models, of which each takes about 0.03, come back from memory or disk within a second.
+SPARE_COPY_DEMAND = 0.12
+# Copies of a model that stay before its demand is known.
+UNTOUCHED_COPIES = 2
+# Engine seconds a second that one copy serves before a further one is worth a load. An engine
+# reads prompts at most of the time when it is full; half leaves room for a burst of twice that.
+COPY_DEMAND = 0.45
+
+
+def all_held(draft: Draft) -> bool:
+    """Tell whether every model is held somewhere: before that, room is not for further copies."""
+    return all(draft.holders(name) for name in draft.spec.models)
+
+
+def crowded(draft: Draft, model: str) -> bool:
+    """Tell whether a model has too little of its engines' time wherever it is held.
+
+    Load pattern: two models become busy on one engine, as demand moves, while the others rest on
+    copies of models that nobody asks for. No further copy is called for while one is coming.
+    """
+    holders = draft.holders(model)
+    if not holders or len(holders) > len(draft.ready(model)):
+        return False
+    seconds = draft.spec.models[model].load
+    tokens = CROWDED_TOKENS + CROWDED_TOKENS_PER_SECOND * seconds
+    if min(engine.ahead for engine in holders) >= tokens:
+        return True
+    most = CROWDED_LOAD + CROWDED_LOAD_PER_SECOND * seconds
+    return min(load_of(draft, engine) for engine in holders) >= most
+
+
+def load_of(draft: Draft, engine: EngineView) -> float:
+    """Return the engine seconds a second asked of an engine, each model's over all copies."""
+    names = engine.models.keys() - engine.dropping
+    return sum(current_of(draft, name) / max(1, len(draft.holders(name))) for name in names)
+
+
+def wanted_copies(draft: Draft, model: str) -> int:
+    """Return how many copies a model should have, by its demand and by its adapters' places."""
+    rate = current_of(draft, model)
+    if rate < SPARE_COPY_DEMAND:
+        return 1
+    adapters = sum(
+        1
+        for item, found in draft.demand.items()
+        if item.startswith(f"{model}/") and found.current > ADAPTER_DEMAND
+    )
+    by_places = -(-adapters // max(1, draft.spec.adapter_places))
+    return max(2, 1 + int(rate / COPY_DEMAND), by_places)
+
+
+def kept_copies(draft: Draft, model: str) -> int:
+    """Return how many copies of a model stay while nothing waits for their room.
+
+    Failure guarded against: in the first second of traffic a busy model has not been asked for yet,
+    its copies go for models that nobody asks for, and it is gone for seven seconds. Until some
+    seconds of demand are known, the platform's own placement tells what will be busy: models that
+    it has put on several engines keep two copies.
+    """
+    wanted = wanted_copies(draft, model)
+    return wanted if draft.settled else max(wanted, UNTOUCHED_COPIES)
--- /dev/null
+++ b/peridotdock/decisions/draft.py
@@ -0,0 +1,148 @@
+"""What a plan is made of: engines and demand as the host that orders knows them, and its steps."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from peridotdock.clients.engines import Action
+from peridotdock.deployment import EngineSpec
+
+# Engine seconds asked for in a second, below which a model counts as idle: a long prompt asks for
+# 0.1 at once and fades below this within fifty seconds.
+IDLE_DEMAND = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class EngineView:
+    """One engine as the host that orders it knows it.
+
+    ``models`` are those that take up memory, with their adapters; of them, ``loading`` ones can't
+    serve yet and ``dropping`` ones no more: their room can be ordered for what it is made for, as
+    the engine refuses a load until it is free. ``freeing`` tells that an adapter's place will be
+    free when the requests that use it have ended. ``busy`` engines carry out an order and refuse
+    others. ``ahead`` are prompt tokens that wait there, over some seconds; ``settling`` models were
+    loaded
+    a moment ago.
+    """
+
+    key: str
+    domain: str
+    models: Mapping[str, frozenset[str]]
+    loading: frozenset[str]
+    dropping: frozenset[str]
+    in_memory: frozenset[str]
+    on_disk: frozenset[str]
+    busy: bool
+    ahead: float
+    freeing: bool = False
+    settling: frozenset[str] = frozenset()
+
+    def at_hand(self, model: str) -> bool:
+        """Tell whether the engine can load a model without the weight store."""
+        return model in self.in_memory or model in self.on_disk
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What is asked of one item: requests that wait for it now, and engine seconds a second.
+
+    ``rate`` holds a peak for half a minute, so that a copy lasts from one rare request to the
+    next. ``recent`` is that of the last seconds: what moved away shows there at once. Without a
+    word of its own it is the rate.
+    """
+
+    waiting: int = 0
+    rate: float = 0.0
+    recent: float | None = None
+
+    @property
+    def current(self) -> float:
+        """Return the engine seconds a second asked for now."""
+        return self.rate if self.recent is None else self.recent
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One order to give next; ``room_for`` is the model that an unload makes room for."""
+
+    engine: str
+    action: Action
+    model: str
+    adapter: str = ""
+    reason: str = ""
+    room_for: str = ""
+
+
+NONE = Demand()
+
+
+@dataclass
+class Draft:
+    """The plan while it is made. ``taken`` engines have a step already: each plan gives one.
+
+    ``promised`` has the model that each engine was last emptied for. Failure guarded against: an
+    engine that unloads is busy, so the next plan makes room on another one too, and what was made
+    free is filled with something else; models then went round between engines without an end.
+    """
+
+    spec: EngineSpec
+    engines: dict[str, EngineView]
+    demand: Mapping[str, Demand]
+    loads_left: int
+    promised: Mapping[str, str]
+    by_model: Mapping[str, Demand]
+    settled: bool
+    steps: list[Step] = field(default_factory=list)
+    taken: set[str] = field(default_factory=set)
+
+    def asked(self, item: str) -> Demand:
+        """Return the demand for an item."""
+        return self.demand.get(item, NONE)
+
+    def holders(self, model: str) -> list[EngineView]:
+        """Return the engines that hold a model or are loading it."""
+        return [
+            engine
+            for engine in self.engines.values()
+            if model in engine.models and model not in engine.dropping
+        ]
+
+    def ready(self, model: str) -> list[EngineView]:
+        """Return the engines on which a model can serve."""
+        return [engine for engine in self.holders(model) if model not in engine.loading]
+
+    def add(self, step: Step) -> None:
+        """Add a step."""
+        self.taken.add(step.engine)
+        self.steps.append(step)
+
+
+def model_demand(draft: Draft, model: str) -> Demand:
+    """Return the demand for a model with all its adapters."""
+    return draft.by_model.get(model, NONE)
+
+
+def sum_by_model(demand: Mapping[str, Demand]) -> dict[str, Demand]:
+    """Return the demand for each model, its adapters' included."""
+    found: dict[str, Demand] = {}
+    for item, row in demand.items():
+        model = item.partition("/")[0]
+        old = found.get(model, Demand(0, 0.0, 0.0))
+        found[model] = Demand(
+            old.waiting + row.waiting, old.rate + row.rate, old.current + row.current
+        )
+    return found
+
+
+def current_of(draft: Draft, model: str) -> float:
+    """Return the engine seconds a second asked of a model now."""
+    return model_demand(draft, model).current
+
+
+def rate_of(draft: Draft, model: str) -> float:
+    """Return the engine seconds a second asked of a model, at its peak of late."""
+    return model_demand(draft, model).rate
+
+
+def in_use(draft: Draft, model: str) -> bool:
+    """Tell whether requests for a model are likely to run now."""
+    return current_of(draft, model) >= IDLE_DEMAND
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -7,8 +7,9 @@
 
 from peridotdock.clients.engines import Action, EngineOrder, Engines, OrderAnswer
 from peridotdock.context import Context
+from peridotdock.decisions.draft import Demand, Step
 from peridotdock.decisions.loads import LoadRation
-from peridotdock.decisions.placing import Demand, Step, make_plan
+from peridotdock.decisions.placing import make_plan
 from peridotdock.deployment import Deployment, EngineSpec, Service
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.book import EndpointBook
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -5,7 +5,7 @@
 
 from peridotdock.board import Board, Known, Slot
 from peridotdock.context import Context
-from peridotdock.decisions.placing import Demand
+from peridotdock.decisions.draft import Demand
 from peridotdock.demand import Demand as DemandMeter
 from peridotdock.fleet import pack, unpack
 from peridotdock.membership import Membership
--- a/peridotdock/relay/wards.py
+++ b/peridotdock/relay/wards.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from peridotdock.clients.engines import Action, EngineOrder, EngineState
-from peridotdock.decisions.placing import EngineView
+from peridotdock.decisions.draft import EngineView
 from peridotdock.deployment import EngineSpec
 from peridotdock.relay.asks import EndpointEntry
 from peridotdock.relay.book import load_seconds
@@ -152,11 +152,15 @@
         )
 
     def has_news(self, now: float) -> bool:
-        """Tell whether the engine's entry may not show all that its orders changed."""
-        return (
-            bool(self.loading or self.dropping or self.freeing)
-            or now - self.ordered_at <= NEWS_SECONDS
-        )
+        """Tell whether the engine's entry does not show all that its orders changed.
+
+        News goes to all hosts with each order: of engines whose entries say the same it would be
+        most of what hosts tell each other.
+        """
+        if self.loading or self.dropping or self.freeing:
+            return True
+        told = {name: set(model.adapters) for name, model in self.entry.models.items()}
+        return told != self.models and now - self.ordered_at <= NEWS_SECONDS
 
     def news(self, now: float) -> EngineNews:
         """Return what other hosts should know before the engine's entry shows it."""
--- a/tests/relay/test_ordering.py
+++ b/tests/relay/test_ordering.py
@@ -180,6 +180,14 @@
         ward.take_report(report(1, "m0"), 1.2 + REPORT_LAG)
         self.assertEqual((1, False), (ward.seq, ward.unsure))
 
+    def test_what_an_entry_shows_is_no_news(self):
+        ward = Ward(entry("m0"))
+        ward.take_report(report(0, "m0"), 0.0)
+        ward.accepted(order(Action.LOAD, "m1", 0), 0.5, 0.0)
+        self.assertTrue(ward.has_news(0.6))
+        ward.take_entry(entry("m0", "m1"))
+        self.assertFalse(ward.has_news(0.7))
+
     def test_an_engine_busy_for_another_host_gets_no_order(self):
         ward = Ward(entry("m0"))
         ward.take_report(report(4, "m0", busy=True), 0.0)
