Test late comers of a planned stop within their time to live also on a busy machine

A probe saw the host leave the answers after 0.013 to 0.073 s in six runs; on a busy machine it is sometimes later than 0.2 s.

Ruled out: a refusal within the time to live (none in the probe's six runs).

Change: the test keeps answers for 2 s and checks that it asks within that; all else as before. A host that refuses late comers within the time to live still fails it.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -191,7 +191,8 @@
         A host is told to stop with long answers under way, while callers with old addresses still
         come. The old streams end whole; late comers within the time to live are served too.
         """
-        async with Cluster(engines=1, hosts=2, models=1, step=0.02) as cluster:
+        keep = {"address_seconds": 2.0}
+        async with Cluster(engines=1, hosts=2, models=1, settings=keep, step=0.02) as cluster:
             await cluster.publish()
             streams = [
                 asyncio.create_task(cluster.ask(host=0, stream=True, max_tokens=80))
@@ -199,6 +200,7 @@
             ]
             await wait_for(lambda: cluster.hosts[0].entry.in_work == 4, "streams under way")
             stopping = asyncio.create_task(cluster.hosts[0].drain())
+            left_at = asyncio.get_running_loop().time()
             await wait_for(
                 lambda: len(
                     [m for m in cluster.hosts[1].host.membership.members().values() if m.takes_work]
@@ -206,6 +208,8 @@
                 == 1,
                 "left the answers",
             )
+            late = asyncio.get_running_loop().time() - left_at
+            self.assertLess(late, keep["address_seconds"], "the word came after the time to live")
             self.assertEqual((await cluster.ask(host=0))[0], 200)
             urls = [row["url"] for row in (await cluster.addresses(1))["addresses"]]
             self.assertEqual(urls, [cluster.hosts[1].server.url])
