--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -107,7 +107,11 @@
     for seed in range(first, first + seeds):
         plan = draw(seed, seconds)
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        broken = asyncio.run(play(plan, hosts, folder))
+        try:
+            broken = asyncio.run(play(plan, hosts, folder))
+        except Exception as exc:
+            # A run that could not be played proves nothing: it counts as failed.
+            broken = [f"not played: {exc!r}"]
         failures += bool(broken)
         click.echo(f"seed {seed}: {'failed' if broken else 'passed'}")
         for line in broken:
