--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -23,8 +23,8 @@
 ADAPTER_SECONDS = 0.012
 # Seconds that an engine gets no order after it refused one: its report is as old as that.
 REFUSED_PAUSE = 0.35
-# Seconds after an accepted unload at which the load that it makes room for is tried: an unload of
-# a model without requests is done by then, while a report would tell of it 0.2 s later.
+# Seconds after an accepted unload at which the load that it makes room for is tried. The first try
+# is often refused as too soon and the next accepted; a report would tell of the end 0.2 s late.
 SWAP_SECONDS = 0.03
 # Least and longest pause, in seconds, before such a load is tried again while requests still run.
 SWAP_AGAIN_SECONDS = (0.1, 0.5)
@@ -232,8 +232,9 @@
             outcome = await self._engines.order(ward.entry, order)
             if outcome in NOT_DONE:
                 self._ration(service).take_back(begun)
-            await self._settle(ward, order, outcome, seconds)
+            # Logged before the pauses that follow some answers, so that the line has its time.
             self._note(ward, step, order, outcome)
+            await self._settle(ward, order, outcome, seconds)
         finally:
             ward.in_flight = False
             self.changed.set()
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -1,7 +1,7 @@
 """What hosts tell each other: who lives, work on endpoints, what is waited for, orders given."""
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from peridotdock.board import Board, Known, Slot
 from peridotdock.context import Context
@@ -85,8 +85,9 @@
         self.mesh.connect_to(found)
         for seed in self._settings.seeds:
             self.meet(str(seed))
-        if self._hub(found) in self.mesh.peers():
-            self.mesh.keep_only(self._hub(found))
+        hub = self._hub()
+        if hub in self.mesh.peers():
+            self.mesh.keep_only(hub)
 
     def meet(self, address: str) -> None:
         """Link to the host at an address, unless a live host is known there.
@@ -100,15 +101,15 @@
         if not any(row.alive and row.fact.peer == address for row in rows):
             self.mesh.connect_to_seed(address)
 
-    def _hub(self, others: Collection[str]) -> str:
+    def _hub(self) -> str:
         """Return the host that all others link to, as seen from here."""
-        members = self.membership.members()
+        own = self._settings.host
         able = [
             name
-            for name in others
-            if name in members and members[name].alive and not self.mesh.failed_lately(name)
+            for name, member in self.membership.members().items()
+            if name != own and member.alive and not self.mesh.failed_lately(name)
         ]
-        return self.rank([*able, self._settings.host])[0]
+        return self.rank([*able, own])[0]
 
     def rank(self, names: Iterable[str]) -> list[str]:
         """Return hosts in the order in which they are to lead and to pass facts on.
@@ -130,7 +131,7 @@
         Failure guarded against: links between two groups of hosts fail for a while, each group
         goes on with a hub of its own, and they never find each other again.
         """
-        hub = self._hub(others)
+        hub = self._hub()
         if hub != self._settings.host:
             return [hub]
         members, linked = self.membership.members(), self.mesh.peers()
@@ -148,7 +149,7 @@
                 self.wanted.set()
             elif topic == "orders":
                 self._take_orders()
-            elif topic == "loads" and origin != self._settings.host and not self._leads_links():
+            elif topic == "loads" and origin != self._settings.host and not self._is_hub():
                 self._take_loads(known)
 
     def _passes(self, link: Link, slot: Slot) -> bool:
@@ -165,12 +166,9 @@
             return True
         return origin == self._settings.host and link.dialled
 
-    def _leads_links(self) -> bool:
+    def _is_hub(self) -> bool:
         """Tell whether this host is the hub, as seen from here."""
-        rows = self.membership.members()
-        return self._hub([name for name in rows if name != self._settings.host]) == (
-            self._settings.host
-        )
+        return self._hub() == self._settings.host
 
     def _take_loads(self, known: Known) -> None:
         """Take in the work of all hosts on endpoints, less what this one has told of its own."""
@@ -185,7 +183,7 @@
 
     def tell_loads(self) -> None:
         """As the hub, tell all hosts the sum of what they have on endpoints."""
-        if not self._leads_links():
+        if not self._is_hub():
             return
         now, live = self._ctx.clock.monotonic(), self.membership.members()
         total: dict[str, tuple[int, int]] = {}
--- a/peridotdock/relay/wards.py
+++ b/peridotdock/relay/wards.py
@@ -154,8 +154,7 @@
     def has_news(self, now: float) -> bool:
         """Tell whether the engine's entry does not show all that its orders changed.
 
-        News goes to all hosts with each order: of engines whose entries say the same it would be
-        most of what hosts tell each other.
+        News goes to all hosts with each order; of what an engine's entry shows they need none.
         """
         if self.loading or self.dropping or self.freeing:
             return True
