Measure what control costs a host by its role

extras/bench_control.py runs one real host against a child process that plays the 82 others, the engines and the store.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/installed
 
 .PHONY: run test lint generate check-generated mutants clean \
-	bench bench-path bench-capacity bench-clients bench-idle soak
+	bench bench-path bench-capacity bench-clients bench-idle bench-control soak
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -54,3 +54,6 @@
 
 bench-idle: $(STAMP)
 	$(BIN)/python -m extras.bench_idle $(ARGS)
+
+bench-control: $(STAMP)
+	$(BIN)/python -m extras.bench_control $(ARGS)
--- /dev/null
+++ b/extras/bench_control.py
@@ -0,0 +1,366 @@
+"""``make bench-control``: what control costs a host, by its role, as JSON lines.
+
+One real host in this process: the hub, which holds the lease too, as the first in the hosts' order
+does; a holder that is not the hub; or an ordinary host. A child process plays all the other hosts,
+the engines and the store. The other hosts' facts come as often, and are as large, as those of real
+hosts under load. Processor time is that of the real host's process alone; a second span runs under
+a profiler and gives the functions that cost most. ``--role`` plays one role.
+"""
+
+import argparse
+import asyncio
+import cProfile
+import json
+import multiprocessing
+import os
+import pstats
+import random
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from multiprocessing.connection import Connection
+
+from peridotdock.board import Board
+from peridotdock.clock import SystemClock
+from peridotdock.context import build_context
+from peridotdock.membership import Membership
+from peridotdock.mesh import Link, Mesh
+from peridotdock.platform.adapter import PlatformAdapter
+from peridotdock.relay.asks import ModelWish, PromptPart
+from peridotdock.relay.node import DEMAND_SECONDS, WORDS_PER_SECOND, WORK_SECONDS, Node
+from peridotdock.relay.peers import UPWARD, write_work
+from peridotdock.relay.settings import Address, HostSettings, Listen, parse_address
+from peridotdock.schema.messages import DemandFact, HostFact, OrdersFact, Rows, WantsFact
+from peridotdock.schema.settings import Settings
+from tests.relay.deployment import BOUNDS, CONFIG, ENGINE, free_address
+from tests.standins.runner import RunnerStandin
+from tests.standins.tables import TableStandin
+
+ROLES = ("ordinary", "hub", "holder")
+MEASURED = "host-000"
+PLAYED_HUB = "host-001"
+KEY = "a key of sixteen"
+# A host's share of a busy day: requests a second, seconds that one takes, prompt tokens.
+REQUESTS_PER_SECOND = 4.0
+REQUEST_SECONDS = 1.5
+PROMPT_TOKENS = 2000
+# Share of a host's looks at which other requests wait for a model than before.
+WANTS_CHANGE = 0.1
+ITEMS_ASKED = 12
+MODELS_PER_ENGINE = 2
+ROWS_SECONDS = 0.3
+ORDERS_SECONDS = 0.5
+SETTLE_SECONDS = 12.0
+
+
+@dataclass(frozen=True)
+class Size:
+    """How large the deployment is."""
+
+    hosts: int
+    engines: int
+    models: int
+
+
+def model_names(size: Size) -> list[str]:
+    """Return the names of all models."""
+    return [f"m{number}" for number in range(size.models)]
+
+
+def make_config(size: Size) -> dict:
+    """Return a configuration with all models."""
+    models = [
+        {"name": name, "weights_mb": 66000, "load_s": 5.0, "adapters": 20, "adapter_mb": 12}
+        | {"warm_s": 0.38, "disk_s": 1.0}
+        for name in model_names(size)
+    ]
+    engine = ENGINE | {"weights_mb": 200000, "adapter_slots": 8, "loads_per_s": 3, "slots": 64}
+    services = [{"name": "engines", "engine": engine | {"models": models}}, {"name": "pages"}]
+    return CONFIG | {"services": services}
+
+
+class PlayedHost:
+    """Another host: it links to one address and tells facts, and does nothing else."""
+
+    def __init__(self, number: int, size: Size, power: int, rng: random.Random):
+        self.name = f"host-{number:03}"
+        self._size = size
+        self._rng = rng
+        self.address = free_address()
+        cfg = Settings(
+            host_id=self.name,
+            domain=f"zone-{number % 4}",
+            platform_url="http://unused",
+            cluster_key=KEY,
+            peer_ip=self.address.ip,
+            peer_port=self.address.port,
+        )
+        ctx = build_context(cfg, rng=rng)
+        self.board = Board(self.name, ctx.epoch, ctx.clock)
+        self.mesh = Mesh(ctx, self.board, lambda digest: b"", lambda found: [], self._passes)
+        entry = f"10.0.0.{number}:8080"
+        own = HostFact(
+            self.name, ctx.incarnation, cfg.domain, entry, str(self.address), "live", 0, power
+        )
+        self.membership = Membership(self.board, own, ctx.clock)
+        self.incarnation = ctx.incarnation
+
+    def _passes(self, link: Link, slot: tuple[str, str]) -> bool:
+        return slot[0] == self.name
+
+    def tell_work(self, engines: list[str]) -> None:
+        """Tell of work on some engines, and now and then of what requests wait for."""
+        rng = self._rng
+        busy = rng.sample(engines, min(len(engines), 5))
+        self.board.publish("work", write_work({name: (1, rng.randrange(4000)) for name in busy}))
+        if rng.random() < WANTS_CHANGE:
+            items = {rng.choice(model_names(self._size)): 1}
+            self.board.publish("wants", WantsFact(items if rng.random() < 0.5 else {}, []))
+
+    def tell_demand(self) -> None:
+        """Tell what callers ask for."""
+        names = self._rng.sample(model_names(self._size)[:20], ITEMS_ASKED)
+        items = [f"{name}/a{self._rng.randrange(20)}" for name in names[::2]] + names[1::2]
+        rates = {item: round(self._rng.random() * 0.05, 4) for item in items}
+        self.board.publish("demand", DemandFact(rates, {}, [], rates))
+
+
+class PlayedHub(PlayedHost):
+    """The hub, played: it passes on what all the other played hosts tell."""
+
+    upward: frozenset[str] = frozenset()
+
+    def _passes(self, link: Link, slot: tuple[str, str]) -> bool:
+        return slot[1] not in UPWARD or slot[1] in self.upward
+
+    def take(self, other: PlayedHost) -> None:
+        """Take in the facts of another played host."""
+        self.board.merge(other.board.entries([(other.name, t) for t in ("host", *UPWARD)]))
+
+
+class PlayedDeployment:
+    """All but the measured host."""
+
+    def __init__(self, size: Size, role: str, rng: random.Random):
+        self._size = size
+        self._role = role
+        self._rng = rng
+        self.store = TableStandin()
+        self.engines: list[RunnerStandin] = []
+        self.hosts: list[PlayedHost] = []
+        self.hub = PlayedHub(1, size, int(role != "hub"), rng)
+        self.hub.upward = frozenset({"wants", "demand"} if role == "holder" else ())
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Start the store with its rows, the engines and the hosts."""
+        await self.store.start()
+        self.store.put("op", "config", json.dumps(make_config(self._size)).encode())
+        names = model_names(self._size)
+        for number in range(self._size.engines):
+            first = number * MODELS_PER_ENGINE
+            held = [names[(first + n) % len(names)] for n in range(MODELS_PER_ENGINE)]
+            engine = await RunnerStandin(f"engine-{number:03}", held).start()
+            self.engines.append(engine)
+            engine.on_change = self._register(engine)
+            engine.on_change()
+        if self._role == "ordinary":
+            row = {"holder": self.hub.incarnation, "machine": "", "term": 1, "quiet": 0}
+            self.store.put("peridotdock", "leader", row)
+        count = range(2, self._size.hosts)
+        self.hosts = [PlayedHost(number, self._size, 0, self._rng) for number in count]
+        for host in (self.hub, *self.hosts):
+            host.membership.beat()
+        await self.hub.mesh.start()
+
+    def _register(self, engine: RunnerStandin) -> Callable[[], None]:
+        disk = model_names(self._size)[:20]
+        warm = {"at_hand": {"in_memory": disk[:6], "on_disk": disk}}
+        return lambda: self.store.put("servers", engine.name, engine.entry("engines", **warm))
+
+    def play(self, measured: str) -> None:
+        """Begin to tell facts; in the role of the hub, link all hosts to the measured one."""
+        hosts = [self.hub, *self.hosts]
+        names = [engine.name for engine in self.engines]
+        slow = self._size.hosts / WORDS_PER_SECOND
+        for host in hosts:
+            if self._role == "hub":
+                host.mesh.connect_to_seed(measured)
+            work = max(WORK_SECONDS, slow)
+            self._every(host.membership.beat_seconds, host.membership.beat)
+            self._every(lambda work=work: work, lambda host=host: host.tell_work(names))
+            self._every(lambda: DEMAND_SECONDS, host.tell_demand)
+        if self._role == "ordinary":
+            self._every(lambda: ORDERS_SECONDS, self._tell_orders)
+            self._every(lambda: ROWS_SECONDS, self._tell_rows)
+        if self._role != "hub":
+            self._every(lambda: WORK_SECONDS, lambda: self._tell_loads(names))
+            self._every(lambda: slow, self._pass_on)
+
+    def _pass_on(self) -> None:
+        """Let the played hub pass on what is new, as seldom as a hub with so many links does."""
+        for host in self.hosts:
+            self.hub.take(host)
+
+    def _every(self, seconds: Callable[[], float], work: Callable[[], None]) -> None:
+        async def repeat() -> None:
+            await asyncio.sleep(self._rng.random() * seconds())
+            while True:
+                work()
+                await asyncio.sleep(seconds())
+
+        self._tasks.append(asyncio.create_task(repeat()))
+
+    def _tell_orders(self) -> None:
+        loads = {"engines": [round(self._rng.random(), 2)]}
+        self.hub.board.publish("orders", OrdersFact(1, [], loads=loads))
+
+    def _tell_rows(self) -> None:
+        now, version = time.monotonic_ns(), self.store.version
+        for table in ("op", "servers"):
+            frame = Rows("rows", table, self.hub.incarnation, now, version, version, {}, False)
+            self.hub.mesh.send_rows(frame)
+
+    def _tell_loads(self, names: list[str]) -> None:
+        rows = {name: (5, self._rng.randrange(9000)) for name in names}
+        self.hub.board.publish("loads", write_work(rows))
+
+
+def play_others(size: Size, role: str, pipe: Connection) -> None:
+    """Play all but the measured host, in a process of its own."""
+
+    async def run() -> None:
+        deployment = PlayedDeployment(size, role, random.Random(1))
+        await deployment.start()
+        pipe.send((deployment.store.address, str(deployment.hub.address)))
+        loop = asyncio.get_running_loop()
+        measured = await loop.run_in_executor(None, pipe.recv)
+        deployment.play(measured)
+        await asyncio.Event().wait()
+
+    asyncio.run(run())
+
+
+def make_node(store: str, hub: str, role: str) -> Node:
+    """Return the measured host."""
+    listen = Listen(*(free_address() for _ in range(4)))
+    seeds: tuple[Address, ...] = () if role == "hub" else (parse_address(hub),)
+    link = 1000.0 if role == "hub" else 10.0
+    settings = HostSettings(
+        MEASURED, "zone-0", listen, seeds, parse_address(store), BOUNDS, link_mbps=link
+    )
+    cfg = Settings(
+        host_id=MEASURED,
+        domain="zone-0",
+        platform_url="http://unused",
+        cluster_key=KEY,
+        peer_ip=listen.peers.ip,
+        peer_port=listen.peers.port,
+    )
+    return Node(build_context(cfg, SystemClock(), random.Random(2)), settings, PlatformAdapter())
+
+
+async def drive(node: Node) -> None:
+    """Note requests on engines in the host's book, without sending any."""
+    rng = random.Random(3)
+    loop = asyncio.get_running_loop()
+    for number in range(1_000_000):
+        states = list(node.book.states.values())
+        wish = ModelWish("m0", "", PROMPT_TOKENS, 50, (PromptPart("a", 1000),))
+        if states:
+            state, ask = rng.choice(states), f"r{number}"
+            node.book.began(state, ask, wish, PROMPT_TOKENS)
+            node.peers.meter.add(f"m{rng.randrange(20)}", 0.05, time.monotonic())
+            loop.call_later(0.1, node.book.answered, state, ask, wish)
+            loop.call_later(REQUEST_SECONDS, node.book.ended, state, ask, "engines", False)
+        await asyncio.sleep(1 / REQUESTS_PER_SECOND)
+
+
+async def span(seconds: float) -> float:
+    """Let the host run, and return the processor seconds that a second took."""
+    began, used = time.monotonic(), time.process_time()
+    await asyncio.sleep(seconds)
+    return (time.process_time() - used) / (time.monotonic() - began)
+
+
+def top(profile: cProfile.Profile, seconds: float, count: int) -> list[str]:
+    """Return the functions with the most processor time in them and below them."""
+    rows = []
+    for (path, _, name), (_, calls, own, whole, _) in pstats.Stats(profile).stats.items():
+        if "peridotdock" in path or own / seconds > 0.002:
+            place = f"{os.path.basename(path)}:{name}"
+            rows.append((whole / seconds, own / seconds, calls / seconds, place))
+    rows.sort(reverse=True)
+    lines = [f"{'ms/s below':>10} {'ms/s own':>9} {'calls/s':>8}"]
+    for whole, own, calls, place in rows[:count]:
+        lines.append(f"{whole * 1000:10.2f} {own * 1000:9.2f} {calls:8.1f}  {place}")
+    return lines
+
+
+async def measure(
+    role: str, pipe: Connection, seconds: float, wait: Callable[[Node], Awaitable[None]]
+) -> tuple[dict, cProfile.Profile]:
+    """Run the host in a role; return its figures and a profile of the same length."""
+    store, hub = pipe.recv()
+    node = make_node(store, hub, role)
+    await node.start()
+    pipe.send(str(node.settings.listen.peers))
+    driver = asyncio.create_task(drive(node))
+    await wait(node)
+    cores = await span(seconds)
+    with open("/proc/self/statm") as statm:
+        mb = int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+    profile = cProfile.Profile()
+    profile.enable()
+    profiled = await span(seconds)
+    profile.disable()
+    figures = {
+        "role": role,
+        "cores": round(cores, 4),
+        "profiled_cores": round(profiled, 4),
+        "memory_mb": round(mb, 1),
+        "links": len(node.peers.mesh.peers()),
+        "live": len(node.peers.membership.live()),
+        "term": node.leadership.term,
+        "endpoints": len(node.book.states),
+    }
+    driver.cancel()
+    await node.stop()
+    return figures, profile
+
+
+async def settle(node: Node) -> None:
+    """Wait until the start's work is done."""
+    await asyncio.sleep(SETTLE_SECONDS)
+
+
+def main() -> int:
+    """Play the roles in turn."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--role", choices=ROLES, action="append")
+    parser.add_argument("--hosts", type=int, default=83)
+    parser.add_argument("--engines", type=int, default=64)
+    parser.add_argument("--models", type=int, default=74)
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--top", type=int, default=0, help="functions to show for each role")
+    options = parser.parse_args()
+    size = Size(options.hosts, options.engines, options.models)
+    spawn = multiprocessing.get_context("spawn")
+    for role in options.role or ROLES:
+        pipe, theirs = spawn.Pipe()
+        child = spawn.Process(target=play_others, args=(size, role, theirs), daemon=True)
+        child.start()
+        try:
+            figures, profile = asyncio.run(measure(role, pipe, options.seconds, settle))
+        finally:
+            child.terminate()
+            child.join()
+        print(json.dumps(figures | vars(size)), flush=True)
+        if options.top:
+            print("\n".join(top(profile, options.seconds, options.top)), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
