Keep one link to a host; look only at links that pass a fact on; write a fact once for all links

Cause: (1) a link to a seed is up before the seed's own word has come, and each link that comes up made the host dial all seeds anew: four hosts on one machine had up to three links to each other (h1: h0 three times, h2 three times), and every fact, row and heartbeat went over all of them. (2) For each changed fact the hub looked at each of 82 links, though most facts go over none or one: 0.27 of its 1.0 profiled cores. (3) The same facts were copied and encoded for each link: 0.16. (4) A timer for each send: 0.06.

Ruled out as the main cost: decoding frames (0.03).

Change: a seed with a link is not dialled; facts are offered by their audience; the board keeps what it wrote for 50 ms and its facts by topic; the heartbeat watches over sends.

The new test was seen to fail on the old code by the list of links above.

--- a/extras/bench_control.py
+++ b/extras/bench_control.py
@@ -17,7 +17,7 @@
 import random
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from dataclasses import dataclass
 from multiprocessing.connection import Connection
 
@@ -98,7 +98,7 @@
         )
         ctx = build_context(cfg, rng=rng)
         self.board = Board(self.name, ctx.epoch, ctx.clock)
-        self.mesh = Mesh(ctx, self.board, lambda digest: b"", lambda found: [], self._passes)
+        self.mesh = Mesh(ctx, self.board, lambda digest: b"", lambda found: [], self._audience)
         entry = f"10.0.0.{number}:8080"
         own = HostFact(
             self.name, ctx.incarnation, cfg.domain, entry, str(self.address), "live", 0, power
@@ -106,8 +106,8 @@
         self.membership = Membership(self.board, own, ctx.clock)
         self.incarnation = ctx.incarnation
 
-    def _passes(self, link: Link, slot: tuple[str, str]) -> bool:
-        return slot[0] == self.name
+    def _audience(self, slot: tuple[str, str], links: Collection[Link]) -> Iterable[Link]:
+        return links if slot[0] == self.name else ()
 
     def tell_work(self, engines: list[str]) -> None:
         """Tell of work on some engines, and now and then of what requests wait for."""
@@ -131,8 +131,8 @@
 
     upward: frozenset[str] = frozenset()
 
-    def _passes(self, link: Link, slot: tuple[str, str]) -> bool:
-        return slot[1] not in UPWARD or slot[1] in self.upward
+    def _audience(self, slot: tuple[str, str], links: Collection[Link]) -> Iterable[Link]:
+        return links if slot[1] not in UPWARD or slot[1] in self.upward else ()
 
     def take(self, other: PlayedHost) -> None:
         """Take in the facts of another played host."""
--- a/peridotdock/board.py
+++ b/peridotdock/board.py
@@ -4,14 +4,16 @@
 and nothing has to be queued. Whoever passes a fact on, it is judged by its origin's version.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
+from types import MappingProxyType
 from typing import Any
 
 import cbor2
 import msgspec
 
 from peridotdock.clock import Clock
+from peridotdock.frames import encode_entry
 from peridotdock.schema.messages import (
     DemandFact,
     Entry,
@@ -40,6 +42,10 @@
     "loads": WorkFact,
 }
 MAX_ORIGINS = 2000
+# Seconds for which a fact that was written for one link is sent over others as it is: the hub
+# writes to all its links within some milliseconds. Its age is understated by as much, where the
+# shortest limit that ages are held against is two seconds.
+WRITTEN_SECONDS = 0.05
 Slot = tuple[str, str]
 
 
@@ -52,6 +58,15 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Written:
+    """A fact as it was written for a link, and until when that may be sent."""
+
+    known: Known
+    until: float
+    raw: bytes
+
+
 class Board:
     """All facts this host knows."""
 
@@ -61,6 +76,8 @@
         self._clock = clock
         self._version = 0
         self._known: dict[Slot, Known] = {}
+        self._topics: dict[str, dict[str, Known]] = {topic: {} for topic in TOPICS}
+        self._written: dict[Slot, Written] = {}
         self._listeners: list[Callable[[list[Slot]], None]] = []
 
     def listen(self, listener: Callable[[list[Slot]], None]) -> None:
@@ -72,8 +89,9 @@
         self._version += 1
         body = cbor2.dumps(msgspec.to_builtins(fact, builtin_types=(bytes,)))
         entry = Entry(self._host, topic, self._epoch, self._version, body)
-        self._known[(self._host, topic)] = Known(entry, fact, self._clock.monotonic())
-        self._notify([(self._host, topic)])
+        slot = (self._host, topic)
+        self._put(slot, Known(entry, fact, self._clock.monotonic()))
+        self._notify([slot])
 
     def merge(self, entries: Iterable[Entry]) -> list[Slot]:
         """Take in the entries that are newer than what is known; return their slots."""
@@ -82,7 +100,7 @@
             known = self._take(entry)
             if known is not None:
                 slot = (entry.origin, entry.topic)
-                self._known[slot] = known
+                self._put(slot, known)
                 changed.append(slot)
         if changed:
             self._notify(changed)
@@ -96,7 +114,7 @@
         if shape is None:
             return None
         old = self._known.get((entry.origin, entry.topic))
-        if old is not None and _age(entry) <= _age(old.entry):
+        if old is not None and _order(entry) <= _order(old.entry):
             return None
         if old is None and len(self._known) >= MAX_ORIGINS * len(TOPICS):
             return None
@@ -116,9 +134,13 @@
         own = [slot for slot in self._known if slot[0] == self._host]
         for slot in own:
             known = self._known[slot]
-            self._known[slot] = replace(known, entry=replace(known.entry, epoch=self._epoch))
+            self._put(slot, replace(known, entry=replace(known.entry, epoch=self._epoch)))
         self._notify(own)
 
+    def _put(self, slot: Slot, known: Known) -> None:
+        self._known[slot] = known
+        self._topics[slot[1]][slot[0]] = known
+
     def _notify(self, slots: list[Slot]) -> None:
         for listener in self._listeners:
             listener(slots)
@@ -127,9 +149,9 @@
         """Return what is known of ``origin`` on ``topic``."""
         return self._known.get((origin, topic))
 
-    def on(self, topic: str) -> dict[str, Known]:
-        """Return what is known on ``topic``, by origin."""
-        return {origin: known for (origin, name), known in self._known.items() if name == topic}
+    def on(self, topic: str) -> Mapping[str, Known]:
+        """Return what is known on ``topic``, by origin: a view that changes with the board."""
+        return MappingProxyType(self._topics[topic])
 
     def slots(self) -> list[Slot]:
         """Return the slots of all facts known."""
@@ -148,15 +170,32 @@
         for slot in wanted:
             known = self._known.get(slot)
             if known is not None:
-                age = 0 if slot[0] == self._host else max(0, int((now - known.at) * 1000))
-                found.append(replace(known.entry, age=age))
+                found.append(replace(known.entry, age=self._age(slot, known, now)))
         return found
 
+    def written(self, slots: Iterable[Slot]) -> list[bytes]:
+        """Return the entries in ``slots`` as they stand in an update, each with its age."""
+        now = self._clock.monotonic()
+        return [self._write(slot, now) for slot in slots if slot in self._known]
+
+    def _write(self, slot: Slot, now: float) -> bytes:
+        known, old = self._known[slot], self._written.get(slot)
+        if old is not None and old.known is known and now <= old.until:
+            return old.raw
+        raw = encode_entry(known.entry, self._age(slot, known, now))
+        self._written[slot] = Written(known, now + WRITTEN_SECONDS, raw)
+        return raw
+
+    def _age(self, slot: Slot, known: Known, now: float) -> int:
+        return 0 if slot[0] == self._host else max(0, int((now - known.at) * 1000))
+
     def forget(self, origin: str) -> None:
         """Drop all facts of a host that is gone for good."""
         for slot in [slot for slot in self._known if slot[0] == origin]:
             del self._known[slot]
+            del self._topics[slot[1]][origin]
+            self._written.pop(slot, None)
 
 
-def _age(entry: Entry) -> tuple[int, int]:
+def _order(entry: Entry) -> tuple[int, int]:
     return entry.epoch, entry.version
--- a/peridotdock/frames.py
+++ b/peridotdock/frames.py
@@ -2,13 +2,14 @@
 
 import hashlib
 import hmac
+from collections.abc import Sequence
 from typing import Any
 
 import cbor2
 import msgspec
 
 from peridotdock.errors import Failure, Kind
-from peridotdock.schema.messages import Body, Fetch, Hello, Ping, Rows, Update
+from peridotdock.schema.messages import Body, Entry, Fetch, Hello, Ping, Rows, Update
 
 MAX_FRAME_BYTES = 20 * 1024 * 1024
 MAX_ENTRIES = 4096
@@ -20,6 +21,9 @@
     "body": Body,
     "rows": Rows,
 }
+# An update up to the array of its facts, and from there to its stamp: a CBOR map of three pairs.
+UPDATE_HEAD = b"\xa3" + b"".join(map(cbor2.dumps, ("kind", "update", "entries")))
+UPDATE_STAMP = cbor2.dumps("stamp")
 Frame = Hello | Update | Ping | Fetch | Body | Rows
 
 
@@ -28,6 +32,38 @@
     return cbor2.dumps(msgspec.to_builtins(frame, builtin_types=(bytes,)))
 
 
+def encode_entry(entry: Entry, age: int) -> bytes:
+    """Return the bytes of a fact as it stands in an update, with its age in milliseconds."""
+    return cbor2.dumps(
+        {
+            "origin": entry.origin,
+            "topic": entry.topic,
+            "epoch": entry.epoch,
+            "version": entry.version,
+            "body": entry.body,
+            "age": age,
+        }
+    )
+
+
+def encode_update(entries: Sequence[bytes], stamp: int) -> bytes:
+    """Return the bytes of an update whose facts are written already.
+
+    The hub sends the same facts over all its links, so each is written once.
+    """
+    head = UPDATE_HEAD + _array_head(len(entries))
+    return b"".join((head, *entries, UPDATE_STAMP, cbor2.dumps(stamp)))
+
+
+def _array_head(count: int) -> bytes:
+    """Return how CBOR begins an array (major type 4) of up to 65,535 elements."""
+    if count < 24:
+        return bytes((0x80 | count,))
+    if count < 256:
+        return bytes((0x98, count))
+    return b"\x99" + count.to_bytes(2, "big")
+
+
 def decode(raw: Any) -> Frame | Failure:
     """Read a frame; a bad one is a failure with the reason, never an exception.
 
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import os
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
@@ -17,14 +17,23 @@
 from peridotdock.board import Board, Slot
 from peridotdock.context import Context
 from peridotdock.errors import Failure, Kind, failed
-from peridotdock.frames import MAX_FRAME_BYTES, Frame, decode, encode, proves, sign
+from peridotdock.frames import (
+    MAX_FRAME_BYTES,
+    Frame,
+    decode,
+    encode,
+    encode_update,
+    proves,
+    sign,
+)
 from peridotdock.rendezvous import neighbours
-from peridotdock.schema.messages import Body, Entry, Fetch, Hello, LinksFact, Ping, Rows, Update
+from peridotdock.schema.messages import Body, Fetch, Hello, LinksFact, Ping, Rows, Update
 
 # Seconds between two words on a link that is otherwise silent, and after how many such periods the
 # other end counts as lost: well before its hosts' heartbeats count as missing, at four seconds.
 PING_SECONDS = 0.5
 SILENT_PERIODS = 4
+SILENT_SECONDS = SILENT_PERIODS * PING_SECONDS
 DIAL_SECONDS = 0.5
 HANDSHAKE_SECONDS = 3.0
 FLUSH_SECONDS = 0.02
@@ -53,21 +62,24 @@
     """One connection to a peer that has proved who it is.
 
     ``direct`` are the hosts that the peer says it has links to: it hears of them without this host.
-    ``dialled`` tells which side asked for the link, ``released`` that it is not wanted any more.
-    ``echo`` is set until the peer was told what is known of an earlier life of its name.
+    ``dialled`` tells which side asked for the link, ``address`` which one this side dialled,
+    ``released`` that it is not wanted any more. ``echo`` is set until the peer was told what is
+    known of an earlier life of its name. ``sending_at`` is when a send began that is not done yet.
     """
 
-    def __init__(self, conn: Connection, peer: Hello, dialled: bool):
+    def __init__(self, conn: Connection, peer: Hello, dialled: bool, address: str = ""):
         self.conn = conn
         self.peer = peer
         self.dialled = dialled
+        self.address = address
         self.direct: frozenset[str] = frozenset()
         self.dirty: set[Slot] = set()
         self.wake = asyncio.Event()
         self.heard_at = 0.0
         self.sent_at = 0.0
+        self.sending_at: float | None = None
         self.up_at = 0.0
-        self.rows: list[Rows] = []
+        self.rows: list[bytes] = []
         self.released = False
         self.echo = True
 
@@ -81,16 +93,18 @@
         board: Board,
         give_body: Callable[[str], bytes],
         choose: Callable[[dict[str, str]], list[str]] | None = None,
-        passes: Callable[[Link, Slot], bool] = lambda link, slot: True,
+        audience: Callable[[Slot, Collection[Link]], Iterable[Link]] = lambda slot, links: links,
     ):
         self._ctx = ctx
         self._choose = choose or self._choose_neighbours
-        self._passes = passes
+        self._audience = audience
         self._board = board
         self._give_body = give_body
         self.on_rows: Callable[[Rows], bool] = lambda frame: False
         self._links: set[Link] = set()
         self._dialling: set[str] = set()
+        self._bytes_in = ctx.metrics.peer_bytes.labels("in")
+        self._bytes_out = ctx.metrics.peer_bytes.labels("out")
         self._failed_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wanted: dict[str, asyncio.Future[bytes]] = {}
@@ -117,15 +131,19 @@
         if self._server is not None:
             await self._server.wait_closed()
 
+    def links(self) -> list[Link]:
+        """Return all links."""
+        return list(self._links)
+
     def peers(self) -> set[str]:
         """Return the names of the hosts at the other ends of the links."""
         return {link.peer.host for link in self._links}
 
     def connect_to(self, addresses: dict[str, str]) -> None:
         """Dial those among ``addresses`` (IP:PORT by host) that are wanted and have no link yet."""
-        linked = self.peers() | self._dialling
+        linked = self.peers()
         for host in self._choose(addresses):
-            if host not in linked:
+            if host not in linked and addresses[host] not in self._dialling:
                 self._spawn(self._dial(host, addresses[host]))
 
     def _choose_neighbours(self, addresses: dict[str, str]) -> list[str]:
@@ -148,8 +166,14 @@
         return at is not None and self._ctx.clock.monotonic() - at < FAILED_SECONDS
 
     def connect_to_seed(self, address: str) -> None:
-        """Dial an address whose host is not known yet."""
-        busy = address in self._dialling or self.failed_lately(address)
+        """Dial an address whose host is not known yet.
+
+        Failure guarded against: a link comes up before its host's own word has come over it, and
+        the address is dialled anew with each other link that comes up meanwhile. Four hosts that
+        started on one machine had up to three links to each other, and each fact went over all.
+        """
+        dialled = {link.address for link in self._links}
+        busy = address in self._dialling or address in dialled or self.failed_lately(address)
         if address and address != self.address and not busy:
             self._spawn(self._dial(address, address))
 
@@ -159,20 +183,20 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _dial(self, name: str, address: str) -> None:
-        self._dialling.add(name)
+        self._dialling.add(address)
         try:
             async with connect(
                 f"ws://{address}", open_timeout=HANDSHAKE_SECONDS, proxy=None, **LINK_OPTIONS
             ) as conn:
                 peer = await asyncio.wait_for(self._greet(conn, dialled=True), HANDSHAKE_SECONDS)
-                self._dialling.discard(name)
-                if await self._run(conn, peer, dialled=True):
+                self._dialling.discard(address)
+                if await self._run(conn, peer, dialled=True, address=address):
                     self._failed_at[name] = self._ctx.clock.monotonic()
         except (OSError, WebSocketException, TimeoutError):
             self._failed_at[name] = self._ctx.clock.monotonic()
             await self._ctx.clock.sleep(DIAL_SECONDS)
         finally:
-            self._dialling.discard(name)
+            self._dialling.discard(address)
 
     async def _accept(self, conn: Connection) -> None:
         if len(self._links) >= MAX_LINKS:
@@ -207,12 +231,14 @@
         self._ctx.timeline.add("peer_refused", "WARNING", detail=f"{why}: {reason}")
         return found if failed(found) else Failure(Kind.NOT_ALLOWED, why)
 
-    async def _run(self, conn: Connection, peer: Hello | Failure, dialled: bool) -> bool:
+    async def _run(
+        self, conn: Connection, peer: Hello | Failure, dialled: bool, address: str = ""
+    ) -> bool:
         """Serve a link to its end, and tell whether it was lost."""
         if failed(peer):
             await conn.close(1008)
             return True
-        link = Link(conn, peer, dialled)
+        link = Link(conn, peer, dialled, address)
         link.direct = self._linked_to(peer.host)
         link.heard_at = link.up_at = self._ctx.clock.monotonic()
         self._links.add(link)
@@ -233,7 +259,7 @@
 
     async def _read(self, link: Link) -> None:
         async for raw in link.conn:
-            self._ctx.metrics.peer_bytes.labels("in").inc(len(raw))
+            self._bytes_in.inc(len(raw))
             frame = decode(raw)
             if failed(frame):
                 self._ctx.timeline.add(
@@ -263,9 +289,10 @@
 
     def send_rows(self, frame: Rows, source: Link | None = None) -> None:
         """Pass rows of the store on over all links but the one they came from."""
+        raw = encode(frame)
         for link in self._links:
             if link is not source:
-                link.rows = [*link.rows[-MOST_ROWS:], frame]
+                link.rows = [*link.rows[-MOST_ROWS:], raw]
                 link.wake.set()
 
     def _merge(self, link: Link, frame: Update) -> list[Slot]:
@@ -279,23 +306,34 @@
     def _mark(self, slots: list[Slot]) -> None:
         """Note for each link what its peer may not have yet.
 
-        A fact is not passed on to a peer that says it has a link to the fact's origin. When it
-        says that it lost that link, it gets all of that origin's facts again.
+        A fact is not passed on to a peer that says it has a link to the fact's origin. The hub
+        takes in 500 frames a second with 83 hosts, and most facts in them go over no link or over
+        one: a look at each link for each of them took a quarter of its processor time.
+        """
+        for origin in {origin for origin, topic in slots if topic == "links"}:
+            self._note_links(origin)
+        for slot in slots:
+            for link in self._audience(slot, self._links):
+                if slot[0] not in link.direct:
+                    link.dirty.add(slot)
+                    link.wake.set()
+
+    def _note_links(self, host: str) -> None:
+        """Take in what links a host says it has.
+
+        When a peer says that it lost one, it gets all facts of the host at its other end again.
         """
-        said = {origin for origin, topic in slots if topic == "links"}
         for link in self._links:
-            lost: frozenset[str] = frozenset()
-            if link.peer.host in said:
-                before, link.direct = link.direct, self._linked_to(link.peer.host)
-                lost = before - link.direct
-            wanted = [slot for slot in slots if slot[0] not in link.direct]
+            if link.peer.host != host:
+                continue
+            before, link.direct = link.direct, self._linked_to(host)
+            lost = before - link.direct
             if lost:
-                wanted += [slot for slot in self._board.slots() if slot[0] in lost]
-            self._offer(link, wanted)
+                self._offer(link, [slot for slot in self._board.slots() if slot[0] in lost])
 
     def _offer(self, link: Link, slots: list[Slot]) -> None:
         """Let a link send those facts that it is to pass."""
-        wanted = [slot for slot in slots if self._passes(link, slot)]
+        wanted = [slot for slot in slots if self._audience(slot, (link,))]
         if wanted:
             link.dirty.update(wanted)
             link.wake.set()
@@ -320,45 +358,57 @@
             await self._ctx.clock.sleep(max(FLUSH_SECONDS, len(self._links) / FLUSHES_PER_SECOND))
             link.wake.clear()
             rows, link.rows = link.rows, []
-            for frame in rows:
-                await self._send(link, frame)
             slots, link.dirty = link.dirty, set()
-            entries = [e for e in self._board.entries(slots) if self._concerns(link, e)]
+            parts = self._board.written(slot for slot in slots if concerns(link, slot))
             link.echo = False
-            for start in range(0, len(entries), ENTRIES_PER_FRAME):
-                part = entries[start : start + ENTRIES_PER_FRAME]
-                await self._send(link, Update("update", part, self._ctx.timeline.clock.tick()))
-
-    def _concerns(self, link: Link, entry: Entry) -> bool:
-        """Tell whether to send a fact: not the peer's own, but for its name's earlier life."""
-        return entry.origin != link.peer.host or (link.echo and entry.topic == "host")
+            for raw in rows:
+                await self._push(link, raw)
+            for start in range(0, len(parts), ENTRIES_PER_FRAME):
+                part = parts[start : start + ENTRIES_PER_FRAME]
+                await self._push(link, encode_update(part, self._ctx.timeline.clock.tick()))
 
     async def _beat(self, link: Link) -> None:
         sequence = 0
         while True:
             await self._ctx.clock.sleep(PING_SECONDS)
             sequence += 1
-            if self._ctx.clock.monotonic() - link.heard_at > SILENT_PERIODS * PING_SECONDS:
+            now = self._ctx.clock.monotonic()
+            if now - link.heard_at > SILENT_SECONDS:
                 # Abort, not close: a closing handshake would wait on the silent connection.
                 self._ctx.timeline.add("link_silent", "WARNING", detail=link.peer.host)
                 link.conn.transport.abort()
                 return
-            if self._ctx.clock.monotonic() - link.sent_at < PING_SECONDS:
-                continue
-            await self._send(link, Ping("ping", sequence, self._ctx.timeline.clock.tick()))
+            if link.sending_at is not None and now - link.sending_at > SILENT_SECONDS:
+                # The peer takes nothing any more.
+                link.conn.transport.abort()
+                return
+            if link.sending_at is None and now - link.sent_at >= PING_SECONDS:
+                await self._send(link, Ping("ping", sequence, self._ctx.timeline.clock.tick()))
 
     async def _send(self, link: Link, frame: Frame) -> None:
-        raw = encode(frame)
-        link.sent_at = self._ctx.clock.monotonic()
-        self._ctx.metrics.peer_bytes.labels("out").inc(len(raw))
+        """Send a frame of the kind that is seldom sent; a peer that takes nothing is cut off."""
         try:
-            async with asyncio.timeout(SILENT_PERIODS * PING_SECONDS):
-                await link.conn.send(raw)
+            async with asyncio.timeout(SILENT_SECONDS):
+                await self._push(link, encode(frame))
         except TimeoutError:
-            # The peer takes nothing any more: without this, the heartbeat would wait on it too.
+            # Without this, the heartbeat would wait on the peer too.
             link.conn.transport.abort()
+
+    async def _push(self, link: Link, raw: bytes) -> None:
+        """Send bytes; the heartbeat sees to it that this doesn't wait for good.
+
+        A timer for each send took a twentieth of the hub's processor time.
+        """
+        began = link.sent_at = self._ctx.clock.monotonic()
+        if link.sending_at is None:
+            link.sending_at = began
+        self._bytes_out.inc(len(raw))
+        try:
+            await link.conn.send(raw)
         except (OSError, WebSocketException):
             return
+        finally:
+            link.sending_at = None
 
     async def fetch(self, digest: str) -> bytes | None:
         """Ask the peers for a manifest body; None when none gave it in time."""
@@ -371,3 +421,9 @@
             return None
         finally:
             self._wanted.pop(digest, None)
+
+
+def concerns(link: Link, slot: Slot) -> bool:
+    """Tell whether to send a fact: not the peer's own, but for its name's earlier life."""
+    origin, topic = slot
+    return origin != link.peer.host or (link.echo and topic == "host")
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -1,7 +1,7 @@
 """What hosts tell each other: who lives, work on endpoints, what is waited for, orders given."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from peridotdock.board import Board, Known, Slot
 from peridotdock.context import Context
@@ -45,7 +45,7 @@
         self._settings = settings
         self._book = book
         self.board = Board(settings.host, ctx.epoch, ctx.clock)
-        self.mesh = Mesh(ctx, self.board, give_body, self._choose_hub, self._passes)
+        self.mesh = Mesh(ctx, self.board, give_body, self._choose_hub, self._audience)
         self._leader = ""
         own = HostFact(
             settings.host,
@@ -152,8 +152,8 @@
             elif topic == "loads" and origin != self._settings.host and not self._is_hub():
                 self._take_loads(known)
 
-    def _passes(self, link: Link, slot: Slot) -> bool:
-        """Tell whether a link passes a fact on.
+    def _audience(self, slot: Slot, links: Collection[Link]) -> Iterable[Link]:
+        """Return those among ``links`` that pass a fact on.
 
         What hosts have on endpoints goes to the hub alone, which tells all of them the sum; what
         they wait for and are asked for goes to the hub and from there to the holder of the lease.
@@ -161,10 +161,12 @@
         """
         origin, topic = slot
         if topic not in UPWARD:
-            return True
-        if topic != "work" and link.peer.host == self._leader:
-            return True
-        return origin == self._settings.host and link.dialled
+            return links
+        own = origin == self._settings.host
+        if topic == "work" and not own:
+            return ()
+        leader = "" if topic == "work" else self._leader
+        return [link for link in links if link.peer.host == leader or (own and link.dialled)]
 
     def _is_hub(self) -> bool:
         """Tell whether this host is the hub, as seen from here."""
--- a/tests/relay/test_hubs.py
+++ b/tests/relay/test_hubs.py
@@ -31,6 +31,19 @@
             await found.until(lambda: all_live(found))
             await found.until(lambda: len(hubs(found)) == 1)
 
+    @run
+    async def test_two_hosts_have_one_link(self):
+        """The hub's processor is full at 83 hosts, and each fact crosses the network three times.
+
+        A host dials its seeds again whenever a link comes up. The link to a seed is up before the
+        seed's own word has come, so the seed still counts as an address where no host is known.
+        """
+        async with Deployment(hosts=4) as found:
+            await found.until(lambda: all_live(found) and len(hubs(found)) == 1)
+            for host in found.hosts:
+                peers = [link.peer.host for link in host.peers.mesh.links()]
+                self.assertEqual(sorted({*peers}), sorted(peers))
+
     @run
     async def test_stale_seeds_are_passed_over(self):
         """A new host serves alone: the three addresses it was given are of machines long gone."""
--- a/tests/relay/test_loads.py
+++ b/tests/relay/test_loads.py
@@ -79,12 +79,12 @@
             for name in ("h1", "h2")
         }
         passed = {
-            (name, topic): peers._passes(link, ("h3", topic))
-            for name, link in to.items()
+            (link.peer.host, topic)
             for topic in (*UPWARD, "host")
+            for link in peers._audience(("h3", topic), to.values())
         }
         expected = {("h1", "wants"), ("h1", "demand"), ("h1", "host"), ("h2", "host")}
-        self.assertEqual(expected, {key for key, passes in passed.items() if passes})
+        self.assertEqual(expected, passed)
 
     async def test_a_load_that_goes_on_is_told_once(self):
         """Each look at a load under way goes to all hosts, though only its time has changed."""
