Rank once what may make room for models that nobody holds

Cause: half of 74 models are held nowhere, and for each of them a plan ranked the copies on each engine anew. Change: the ranking is kept by engine, and by whether the wanted model is crowded.

--- a/peridotdock/decisions/draft.py
+++ b/peridotdock/decisions/draft.py
@@ -83,7 +83,8 @@
     engine that unloads is busy, so the next plan makes room on another one too, and what was made
     free is filled with something else; models then went round between engines without an end.
 
-    ``crowded`` and ``worth`` have what was found of models, and of copies by engine and model.
+    ``crowded``, ``worth`` and ``victims`` have what was found of models, of copies by engine and
+    model, and of what may make room on an engine for a model that is crowded or not.
     """
 
     spec: EngineSpec
@@ -97,6 +98,7 @@
     taken: set[str] = field(default_factory=set)
     crowded: dict[str, bool] = field(default_factory=dict)
     worth: dict[tuple[str, str], float] = field(default_factory=dict)
+    victims: dict[tuple[str, bool], Sequence[str]] = field(default_factory=dict)
 
     def asked(self, item: str) -> Demand:
         """Return the demand for an item."""
--- a/peridotdock/decisions/eviction.py
+++ b/peridotdock/decisions/eviction.py
@@ -35,8 +35,7 @@
     if engine.dropping:
         return None
     victims = []
-    allowed = [n for n in engine.models if may_go(draft, engine, n, model.name, last_copies)]
-    for name in sorted(allowed, key=lambda name: value_of(draft, engine, name)):
+    for name in rank_victims(draft, engine, model.name, last_copies):
         spec = draft.spec.models.get(name)
         victims.append(name)
         missing -= spec.weights_mb if spec else 0.0
@@ -45,6 +44,27 @@
     return None
 
 
+def rank_victims(draft: Draft, engine: EngineView, wanted: str, last_copies: bool) -> Sequence[str]:
+    """Return the models on an engine that may make room, least wanted first.
+
+    Which last copies may go depends on the model that is wanted; which others may go, only on
+    whether that one is crowded. So at 74 models, half of them held nowhere, the same two answers
+    serve for nearly all.
+    """
+    if last_copies:
+        return sort_victims(draft, engine, wanted, last_copies)
+    place = engine.key, crowded(draft, wanted)
+    if place not in draft.victims:
+        draft.victims[place] = sort_victims(draft, engine, wanted, last_copies)
+    return draft.victims[place]
+
+
+def sort_victims(draft: Draft, engine: EngineView, wanted: str, last_copies: bool) -> Sequence[str]:
+    """Work out which models on an engine may make room, least wanted first."""
+    allowed = [n for n in engine.models if may_go(draft, engine, n, wanted, last_copies)]
+    return sorted(allowed, key=lambda name: value_of(draft, engine, name))
+
+
 def may_go(draft: Draft, engine: EngineView, name: str, wanted: str, last_copies: bool) -> bool:
     """Tell whether a copy may make room: it is not waited for, and not needed where it is.
 
