--- a/peridotdock/metrics.py
+++ b/peridotdock/metrics.py
@@ -26,6 +26,12 @@
         self.generation = Gauge(
             "peridotdock_manifest_generation", "Manifest in force.", registry=self.registry
         )
+        self.view_age = Gauge(
+            "peridotdock_view_age_seconds",
+            "Seconds since this host's view of a store's table was known to be new.",
+            ["table"],
+            registry=self.registry,
+        )
         self.first_token = Histogram(
             "peridotdock_first_token_seconds",
             "Time to the first token, by model or adapter.",
--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -46,6 +46,7 @@
         self._fed_at = float("-inf")
         self.in_touch = False
         self.answered_at = float("-inf")
+        self._old_told = False
         self.reads = lambda: True
         self.tell: Callable[[str, int, int, Mapping[str, bytes | None]], None] | None = None
 
@@ -79,6 +80,27 @@
     def _fed(self) -> bool:
         return not self.reads() and self._ctx.clock.monotonic() - self._fed_at < FED_SECONDS
 
+    def age(self) -> float:
+        """Return the seconds since this view was last known to be as the store's."""
+        return self._ctx.clock.monotonic() - max(self.answered_at, self._fed_at)
+
+    def note_age(self, bound: float) -> None:
+        """Log when the view is older than changes may take to be seen, and when it is new again.
+
+        A request sent by an old view leaves no other trace of why it went where it did.
+        """
+        age = self.age()
+        self._ctx.metrics.view_age.labels(self._table).set(age)
+        old = age > bound
+        if old == self._old_told:
+            return
+        self._old_told = old
+        detail = f"{self._table}: {age:.2f} s old, bound {bound:.2f} s"
+        if old:
+            self._ctx.timeline.add("view_old", "WARNING", detail=detail)
+        else:
+            self._ctx.timeline.add("view_current", detail=detail)
+
     @property
     def version(self) -> int | None:
         """Return the store's version up to which the table is known, None before it was read."""
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -182,6 +182,8 @@
         self.peers.membership.sweep()
         self.peers.link()
         self.service.hosts = len(self.peers.membership.live())
+        for follower in self._followers.values():
+            follower.note_age(self.settings.bounds.leaving)
 
     def _word_seconds(self, least: float) -> float:
         return max(least, len(self.peers.board.on("host")) / WORDS_PER_SECOND)
