Let a view of the store know its age, and a host act on it by itself

What was to break it off (the word of a new holder of the lease) may come before the store answers this host again, or not at all; later words of the reader were passed over as a gap. The reader's own view counted as new by renewals of the lease, which go over another connection. Ruled out: a request chosen before the word and held up on its way (7 ms between its coming and its reaching the endpoint).

Change: limits are shares of one bound (decisions/freshness.py). A view is as new as the last answer on its table; words carry that age and what they waited on the way; a gap is asked for at once; a lost call is found after half of the bound and made again over a new connection. Whole tables are told too. The bound of the configuration is read from the settings.

The settings of test_adapter have the new bound, which is checked.

--- a/extras/soak/world.py
+++ b/extras/soak/world.py
@@ -28,6 +28,7 @@
 STOP_SECONDS = 3
 BOUNDS = {
     "drain_ms": 2000,
+    "config_ms": 2000,
     "grace_s": STOP_SECONDS,
     "budget_ratio": 0.2,
     "budget_extra": 58,
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -100,6 +100,7 @@
         self._idle = idle_seconds
         self._current: aiohttp.ClientSession | None = None
         self._users: Counter[aiohttp.ClientSession] = Counter()
+        self._closing: set[asyncio.Future[None]] = set()
 
     def _open(self) -> aiohttp.ClientSession:
         if self._current is None:
@@ -136,6 +137,12 @@
         if session is not None and not self._users[session]:
             await session.close()
 
+    def forget(self) -> None:
+        """Do as :meth:`renew` does, without waiting for connections to be closed."""
+        closing = asyncio.ensure_future(self.renew())
+        self._closing.add(closing)
+        closing.add_done_callback(self._closing.discard)
+
     async def close(self) -> None:
         """Close every connection."""
         sessions = {*self._users, *([self._current] if self._current else [])}
--- a/peridotdock/clients/tables.py
+++ b/peridotdock/clients/tables.py
@@ -29,8 +29,14 @@
     async def read_table(self, table: str) -> TableView | Failure:
         """Return all rows of a table."""
 
-    async def follow(self, table: str, after: int, seconds: float) -> TableChanges | Failure:
-        """Return what changed after a version, waiting up to ``seconds`` for a first change.
+    async def follow(
+        self, table: str, after: int, hold: float, answer: float
+    ) -> TableChanges | Failure:
+        """Return what changed after a version, waiting up to ``hold`` seconds for a first change.
 
+        ``answer`` is how many seconds more the answer may take before the call counts as lost.
         Kinds: history_gone when the store no longer has that history, platform_down otherwise.
         """
+
+    def suspect(self) -> None:
+        """Take no kept connection again: a call on one of them may never be answered."""
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -8,6 +8,7 @@
 import asyncio
 import os
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
@@ -67,7 +68,7 @@
         self.heard_at = 0.0
         self.sent_at = 0.0
         self.up_at = 0.0
-        self.rows: list[Rows] = []
+        self.rows: list[tuple[Rows, float]] = []
         self.released = False
         self.echo = True
 
@@ -263,9 +264,10 @@
 
     def send_rows(self, frame: Rows, source: Link | None = None) -> None:
         """Pass rows of the store on over all links but the one they came from."""
+        now = self._ctx.clock.monotonic()
         for link in self._links:
             if link is not source:
-                link.rows = [*link.rows[-MOST_ROWS:], frame]
+                link.rows = [*link.rows[-MOST_ROWS:], (frame, now)]
                 link.wake.set()
 
     def _merge(self, link: Link, frame: Update) -> list[Slot]:
@@ -320,8 +322,8 @@
             await self._ctx.clock.sleep(max(FLUSH_SECONDS, len(self._links) / FLUSHES_PER_SECOND))
             link.wake.clear()
             rows, link.rows = link.rows, []
-            for frame in rows:
-                await self._send(link, frame)
+            for frame, since in rows:
+                await self._send(link, self._aged(frame, since))
             slots, link.dirty = link.dirty, set()
             entries = [e for e in self._board.entries(slots) if self._concerns(link, e)]
             link.echo = False
@@ -329,6 +331,10 @@
                 part = entries[start : start + ENTRIES_PER_FRAME]
                 await self._send(link, Update("update", part, self._ctx.timeline.clock.tick()))
 
+    def _aged(self, frame: Rows, since: float) -> Rows:
+        """Return rows as old as they are now: what they waited here counts to their age."""
+        return replace(frame, age=frame.age + int((self._ctx.clock.monotonic() - since) * 1000))
+
     def _concerns(self, link: Link, entry: Entry) -> bool:
         """Tell whether to send a fact: not the peer's own, but for its name's earlier life."""
         return entry.origin != link.peer.host or (link.echo and entry.topic == "host")
--- a/peridotdock/platform/store.py
+++ b/peridotdock/platform/store.py
@@ -25,8 +25,6 @@
 ENDPOINT_TABLE = "servers"
 # Seconds for a call that the store does not hold back; it takes some milliseconds on a good day.
 CALL_SECONDS = 1.5
-# Seconds for a followed table beyond the time that the store may hold the call back.
-FOLLOW_MARGIN = 1.0
 DROPPED = "tombstone"
 READ_ERRORS = (KeyError, TypeError, ValueError, msgspec.DecodeError)
 COMMIT_KINDS = {412: Kind.CONFLICT, 429: Kind.PLATFORM_DOWN, 503: Kind.PLATFORM_DOWN}
@@ -44,6 +42,10 @@
         """Close the connections."""
         await self._pool.close()
 
+    def suspect(self) -> None:
+        """Take no kept connection again: a call on one of them may never be answered."""
+        self._pool.forget()
+
     async def _call(
         self, method: str, path: str, body: bytes | None = None, seconds: float = CALL_SECONDS
     ) -> tuple[int, bytes] | Failure:
@@ -122,10 +124,12 @@
         except READ_ERRORS as exc:
             return Failure(Kind.PLATFORM_DOWN, f"bad row: {exc!r}")
 
-    async def follow(self, table: str, after: int, seconds: float) -> TableChanges | Failure:
+    async def follow(
+        self, table: str, after: int, hold: float, answer: float
+    ) -> TableChanges | Failure:
         """Wait for changes of a table after a version."""
-        query = urlencode({"table": table, "after": after, "wait_ms": int(seconds * 1000)})
-        found = await self._fetch("/v1/rows-feed?" + query, seconds + FOLLOW_MARGIN)
+        query = urlencode({"table": table, "after": after, "wait_ms": int(hold * 1000)})
+        found = await self._fetch("/v1/rows-feed?" + query, hold + answer)
         if failed(found):
             return found
         try:
--- a/peridotdock/relay/leadership.py
+++ b/peridotdock/relay/leadership.py
@@ -51,8 +51,7 @@
 
     ``gap`` is how long one host must have been quiet before another may order. ``machine`` is this
     host's address, which tells whether the holder in the row was an earlier process of this host;
-    ``holder_machine`` is the one in the row when it was last read, ``proved_at`` when the store
-    last took a renewal (monotonic seconds).
+    ``holder_machine`` is the one in the row when it was last read.
     """
 
     def __init__(
@@ -73,7 +72,6 @@
         self.term = 0
         self.resigned = 0
         self.holder_machine = ""
-        self.proved_at = NEVER
 
     def holds(self) -> bool:
         """Tell whether this host holds the lease now."""
@@ -116,7 +114,6 @@
         if not failed(outcome):
             self._version = outcome
             self._until = began + ACT_SECONDS
-            self.proved_at = self._ctx.clock.monotonic()
             return
         rows = await in_time(self._store.read([LEASE_KEY]))
         if failed(rows) or LEASE_KEY not in rows:
@@ -152,7 +149,6 @@
             return
         self.term, self._version = term, outcome
         self._until = now + ACT_SECONDS
-        self.proved_at = self._ctx.clock.monotonic()
         self._orders_from = now + wait
         self._ctx.timeline.add("lease_taken", detail=f"term {term}, orders in {wait:.1f} s")
 
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -23,14 +23,11 @@
 from peridotdock.relay.peers import Peers
 from peridotdock.relay.service import RelayService
 from peridotdock.relay.settings import HostSettings
-from peridotdock.schema.messages import Rows
+from peridotdock.relay.views import Views
 from peridotdock.serving import Server, make_application
 
-# Seconds between two calls on the endpoints' table, which changes with each load: of the host that
-# orders engines, and of all others. Those hear of loads from it; what they must see for themselves
-# is an endpoint that leaves, two seconds at most after it said so.
-ORDERER_PAUSE = 0.4
-ENDPOINTS_PAUSE = 1.0
+# Seconds between a change of the configuration and the next call on it: changes that come in quick
+# succession are seen one by one.
 CONFIG_PAUSE = 0.05
 # Seconds that callers keep an answer where to connect, and how many times as long some do.
 ADDRESS_SECONDS = 1.0
@@ -44,10 +41,6 @@
 WORK_SECONDS = 0.15
 DEMAND_SECONDS = 1.0
 WORDS_PER_SECOND = 400.0
-# Seconds between two words of the host that reads the store for all, and after which it is silent
-# when the store has not answered it.
-ROWS_SECONDS = 0.3
-REACH_SECONDS = 0.9
 # Seconds between two steps for the lease: of its holder; of those that stand by, while they hear
 # the holder and when they don't; of all others.
 HOLDER_SECONDS = 0.7
@@ -86,12 +79,9 @@
         self.lease_due = asyncio.Event()
         self.peers.on_resigned = self._hear_resigned
         self.peers.on_term = self._hear_term
-        self.peers.mesh.on_rows = self._hear_rows
+        self.views = Views(ctx, self.store, self.peers, lambda: self.leadership.term > 0)
         self.leaving = False
         self._tasks: list[asyncio.Task[None]] = []
-        self._followers: dict[str, Follower] = {}
-        self._row_beats: dict[str, int] = {}
-        self._told_rows_at: dict[str, float] = {}
         self._heard_term = 0
         listen = settings.listen
         self._doors = {
@@ -112,14 +102,7 @@
         """Listen, and begin to follow the store and the other hosts."""
         await self.server.start()
         await self.peers.start()
-        for table, take, pause in (
-            (self.adapter.config_table, self._take_config, lambda: CONFIG_PAUSE),
-            (self.adapter.endpoint_table, self._take_endpoints, self._endpoints_pause),
-        ):
-            follower = Follower(self.ctx, self.store, table, take, pause)
-            follower.reads = self._reads
-            follower.tell = self._tell_rows
-            self._followers[table] = follower
+        for follower in self._follow_tables():
             self._tasks.append(asyncio.create_task(follower.run()))
         every = self.jobs.every
         every(self.peers.membership.beat_seconds, self._beat, "beat")
@@ -129,51 +112,14 @@
         self._tasks.append(asyncio.create_task(self._order()))
         self.ctx.timeline.add("started", detail=str(self.settings.listen.callers))
 
-    def _endpoints_pause(self) -> float:
-        return ORDERER_PAUSE if self.leadership.term else ENDPOINTS_PAUSE
-
-    # One host reads the store for all
-
-    def _reads(self) -> bool:
-        """Tell whether this host must read the store itself: it orders, or nobody else reads."""
-        return self.leadership.term > 0 or not self.peers.has_leader()
-
-    def _tell_rows(
-        self, table: str, after: int, version: int, values: Mapping[str, bytes | None]
-    ) -> None:
-        """As the holder of the lease, tell the other hosts what the store has given."""
-        if self.leadership.term == 0:
-            return
-        beat = self._row_beats.get(table, 0) + 1
-        self._row_beats[table] = beat
-        self._told_rows_at[table] = self.ctx.clock.monotonic()
-        # The configuration is large and changes seldom: each host reads it when it has changed.
-        whole = table != self.adapter.config_table
-        frame = Rows(
-            "rows",
-            table,
-            self.ctx.incarnation,
-            beat,
-            after,
-            version,
-            dict(values) if whole else {},
-            bool(values) and not whole,
-        )
-        self.peers.mesh.send_rows(frame)
-
-    def _keep_telling_rows(self) -> None:
-        """Tell that nothing has changed, while the store is known to be within reach."""
-        now = self.ctx.clock.monotonic()
-        for table, follower in self._followers.items():
-            proved = max(self.leadership.proved_at, follower.answered_at)
-            quiet = now - self._told_rows_at.get(table, 0.0) >= ROWS_SECONDS
-            known = follower.version
-            if quiet and known is not None and now - proved < REACH_SECONDS:
-                self._tell_rows(table, known, known, {})
-
-    def _hear_rows(self, frame: Rows) -> bool:
-        follower = self._followers.get(frame.table)
-        return follower is not None and follower.feed(frame)
+    def _follow_tables(self) -> list[Follower]:
+        adapter, bounds = self.adapter, self.settings.bounds
+        return [
+            self.views.follow(
+                adapter.config_table, self._take_config, bounds.config, True, CONFIG_PAUSE
+            ),
+            self.views.follow(adapter.endpoint_table, self._take_endpoints, bounds.leaving),
+        ]
 
     # Work that is repeated
 
@@ -182,8 +128,7 @@
         self.peers.membership.sweep()
         self.peers.link()
         self.service.hosts = len(self.peers.membership.live())
-        for follower in self._followers.values():
-            follower.note_age(self.settings.bounds.leaving)
+        self.views.note_ages()
 
     def _word_seconds(self, least: float) -> float:
         return max(least, len(self.peers.board.on("host")) / WORDS_PER_SECOND)
@@ -192,7 +137,7 @@
         self.peers.tell_work()
         self.peers.tell_wants()
         self.peers.tell_loads()
-        self._keep_telling_rows()
+        self.views.keep_telling()
 
     async def _tell_demand(self) -> None:
         self.peers.tell_demand()
@@ -205,8 +150,7 @@
     def _hear_term(self, term: int) -> None:
         """Ask the store anew when a host has just taken the lease in it: it was away, maybe."""
         if term > self._heard_term > 0:
-            for follower in self._followers.values():
-                follower.renew()
+            self.views.renew()
         self._heard_term = max(term, self._heard_term)
 
     def _stands_by(self) -> bool:
--- a/peridotdock/relay/settings.py
+++ b/peridotdock/relay/settings.py
@@ -45,6 +45,8 @@
 class Bounds:
     """The limits that the deployment's operators set.
 
+    ``leaving`` is how long an endpoint still takes requests after it said that it leaves,
+    ``config`` how soon an accepted configuration must be in force on all hosts.
     ``retry_share`` and ``retry_extra`` bound repeats to a service in ``retry_window`` seconds over
     all hosts: a share of the requests and a fixed number beside. ``order_lease`` is how long one
     host must have been the only one to order an engine before another may. ``loads_window`` and
@@ -52,6 +54,7 @@
     """
 
     leaving: float
+    config: float
     stopping: float
     retry_share: float
     retry_extra: float
--- /dev/null
+++ b/peridotdock/relay/views.py
@@ -0,0 +1,120 @@
+"""This host's views of the store's tables: it reads them for all others, or hears of them."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from peridotdock.clients.tables import TableChanges, Tables, TableView
+from peridotdock.context import Context
+from peridotdock.decisions.freshness import share_out
+from peridotdock.relay.following import Follower, Take
+from peridotdock.relay.peers import Peers
+from peridotdock.schema.messages import Rows
+
+# Seconds between two words of the host that reads for all on a table that has not changed: a third
+# of the shortest time for which it may be silent.
+WORD_SECONDS = 0.3
+NEVER = float("-inf")
+
+
+@dataclass
+class Followed:
+    """One followed table. ``bound`` is how soon a change must be seen, in seconds.
+
+    ``named`` tells that others hear only that it has changed, and read it themselves: it is large
+    and changes seldom. ``beat`` and ``told_at`` are those of this host's last word on it.
+    """
+
+    follower: Follower
+    bound: float
+    named: bool
+    beat: int = 0
+    told_at: float = NEVER
+
+
+class Views:
+    """All tables that this host follows."""
+
+    def __init__(self, ctx: Context, tables: Tables, peers: Peers, leads: Callable[[], bool]):
+        self._ctx = ctx
+        self._tables = tables
+        self._peers = peers
+        self._leads = leads
+        self._followed: dict[str, Followed] = {}
+        peers.mesh.on_rows = self._hear
+
+    def follow(
+        self, table: str, take: Take, bound: float, named: bool = False, pause: float | None = None
+    ) -> Follower:
+        """Return the follower of a table, to be run; ``pause`` goes before the bound's share."""
+        limits = share_out(bound)
+        rest = limits.pause if pause is None else pause
+        follower = Follower(self._ctx, self._tables, table, take, lambda: rest, limits)
+        follower.reads = self._reads
+        follower.tell = lambda found, after: self._tell(table, found, after)
+        self._followed[table] = Followed(follower, bound, named)
+        return follower
+
+    def _reads(self) -> bool:
+        """Tell whether this host must read the store itself: it orders, or nobody else reads."""
+        return self._leads() or not self._peers.has_leader()
+
+    def _tell(self, table: str, found: TableChanges | TableView, after: int) -> None:
+        """As the host that reads for all, tell the others what the store has given."""
+        whole = isinstance(found, TableView)
+        self._say(table, after, found.version, found.values, whole)
+
+    def _say(
+        self,
+        table: str,
+        after: int,
+        version: int,
+        values: Mapping[str, bytes | None],
+        whole: bool = False,
+    ) -> None:
+        if not self._leads():
+            return
+        row = self._followed[table]
+        row.beat += 1
+        row.told_at = self._ctx.clock.monotonic()
+        age = round(row.follower.age() * 1000)
+        named = row.named and (bool(values) or whole)
+        frame = Rows(
+            "rows",
+            table,
+            self._ctx.incarnation,
+            row.beat,
+            after,
+            version,
+            {} if named else dict(values),
+            changed=named,
+            whole=whole and not named,
+            age=age,
+        )
+        self._peers.mesh.send_rows(frame)
+
+    def keep_telling(self) -> None:
+        """Tell that nothing has changed, and how long ago that was known.
+
+        The age is that of answers on the very table. Failure guarded against: the call on a table
+        is lost while the lease is renewed over another connection; others then take an old view
+        for a new one, and none of them asks.
+        """
+        now = self._ctx.clock.monotonic()
+        for table, row in self._followed.items():
+            known = row.follower.version
+            if known is not None and now - row.told_at >= WORD_SECONDS:
+                self._say(table, known, known, {})
+
+    def _hear(self, frame: Rows) -> bool:
+        row = self._followed.get(frame.table)
+        return row is not None and row.follower.feed(frame)
+
+    def renew(self) -> None:
+        """Ask the store anew for all tables: it was away, maybe, and has lost calls."""
+        for row in self._followed.values():
+            row.follower.renew()
+
+    def note_ages(self) -> None:
+        """Log and count how old the views are."""
+        for row in self._followed.values():
+            row.follower.note_age(row.bound)
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -173,6 +173,14 @@
     """
     There are changes that are not given here: to be read from the store.
     """
+    whole: bool = False
+    """
+    The values are the whole table: a row that is missing is gone.
+    """
+    age: int = 0
+    """
+    Milliseconds since the origin knew its view to be as the store's, and those on the way.
+    """
 
 
 @dataclass(frozen=True)
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -15,7 +15,7 @@
 from tests.standins.runner import RunnerStandin
 from tests.standins.tables import TableStandin
 
-BOUNDS = Bounds(2.0, 2.0, 0.2, 58.0, 10.0, 0.2, 5.0, 1.1, 5.0)
+BOUNDS = Bounds(2.0, 2.0, 2.0, 0.2, 58.0, 10.0, 0.2, 5.0, 1.1, 5.0)
 STREAM = {
     "name": "recap",
     "host": "shop.example",
--- a/tests/relay/test_adapter.py
+++ b/tests/relay/test_adapter.py
@@ -27,6 +27,7 @@
 directory = "10.1.0.1:8143"
 [bounds]
 drain_ms = 2000
+config_ms = 1500
 grace_s = 8
 budget_ratio = 0.2
 budget_window_s = 10
@@ -80,7 +81,8 @@
     def test_reads_addresses_and_bounds_in_seconds(self):
         found = self.load(SETTINGS)
         self.assertEqual("10.1.0.1:8149", str(found.listen.callers))
-        self.assertEqual((2.0, 3.0), (found.bounds.leaving, found.bounds.order_lease))
+        bounds = found.bounds
+        self.assertEqual((2.0, 1.5, 3.0), (bounds.leaving, bounds.config, bounds.order_lease))
 
     @params(
         ("no variable", None, "PERIDOTDOCK_SETTINGS is not set"),
--- a/tests/relay/test_outages.py
+++ b/tests/relay/test_outages.py
@@ -7,7 +7,8 @@
 from peridotdock.board import Board
 from peridotdock.clients.engines import Action
 from peridotdock.clients.tables import TableChanges, TableView
-from peridotdock.relay.following import FED_SECONDS, Follower
+from peridotdock.decisions.freshness import LEAST_BOUND, share_out
+from peridotdock.relay.following import Follower
 from peridotdock.relay.leadership import Leadership
 from peridotdock.relay.wards import UNLOAD_SLACK, Ward
 from peridotdock.schema.messages import HostFact, Rows
@@ -95,6 +96,10 @@
         self.assertFalse(other.holds())
 
 
+# Seconds after which a host asks for itself when the one that reads for it is silent.
+SILENCE = share_out(LEAST_BOUND).silence
+
+
 class SilentTables:
     """A store that answers the first read and then holds each call for good."""
 
@@ -105,7 +110,10 @@
     async def read_table(self, table):
         return TableView({}, 1)
 
-    async def follow(self, table, after, seconds):
+    def suspect(self):
+        pass
+
+    async def follow(self, table, after, hold, answer):
         self.calls += 1
         if not self.answer:
             await asyncio.Event().wait()
@@ -136,8 +144,8 @@
         self.assertIn({"row": b"new"}, seen)
 
 
-def rows(beat, after, version, values=None, changed=False, origin="reader"):
-    return Rows("rows", "t", origin, beat, after, version, values or {}, changed)
+def rows(beat, after, version, values=None, changed=False, origin="reader", whole=False):
+    return Rows("rows", "t", origin, beat, after, version, values or {}, changed, whole)
 
 
 # Name, frame, the version known after it, and what was taken in.
@@ -148,6 +156,8 @@
     ("nor what is older", rows(1, 0, 0, {"a": b"old"}), 1, None),
     ("a row that was removed", rows(1, 1, 5, {"a": None}), 5, {"a": None}),
     ("what is only said to have changed", rows(1, 1, 5, changed=True), 1, None),
+    ("a whole table, whatever was missed", rows(1, 3, 5, {"a": b"x"}, whole=True), 5, {"a": b"x"}),
+    ("but not an older one", rows(1, 0, 0, {"a": b"x"}, whole=True), 1, None),
 )
 
 
@@ -199,7 +209,7 @@
         step = asyncio.ensure_future(self.follower.step())
         await self.settle()
         self.assertEqual(0, self.tables.calls)
-        self.clock.advance(FED_SECONDS)
+        self.clock.advance(SILENCE)
         await step
         again = asyncio.ensure_future(self.follower.step())
         await self.settle()
@@ -216,9 +226,9 @@
         await call
         self.assertEqual(5, self.follower.version)
         again = asyncio.ensure_future(self.follower.step())
-        self.clock.advance(FED_SECONDS)
+        self.clock.advance(SILENCE)
         await self.settle()
-        self.clock.advance(FED_SECONDS)
+        self.clock.advance(SILENCE)
         await again
         self.assertNotIn({"row": b"new"}, self.seen)
         self.assertEqual(5, self.follower.version)
--- a/tests/relay/test_views.py
+++ b/tests/relay/test_views.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
+from types import SimpleNamespace
 
 from peridotdock.clients.tables import TableChanges, TableView
+from peridotdock.decisions.freshness import share_out, wait_after
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.following import Follower
+from peridotdock.relay.views import WORD_SECONDS, Views
 from peridotdock.schema.messages import Rows
 from tests.builders import make_ctx
 from tests.fakes import FakeClock
@@ -17,25 +21,43 @@
 MARGIN = 1.0
 
 
+class Stored:
+    """What a store has."""
+
+    def __init__(self):
+        self.version = 1
+        self.values = {}
+
+
 class FlakyTables:
     """A store on a fake clock. Calls that it holds or gets before ``answers_from`` are never
     answered: the client gives them up after the time it let the store hold them, and its margin.
-    ``version`` and ``values`` are what it has; ``calls`` when it was asked."""
+    ``calls`` are when it was asked. Several of them may share what is stored."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, stored=None):
         self.clock = clock
-        self.version = 1
-        self.values = {}
+        self.stored = stored or Stored()
         self.answers_from = float("-inf")
         self.calls = []
 
+    @property
+    def version(self):
+        return self.stored.version
+
+    @property
+    def values(self):
+        return self.stored.values
+
     def change(self, key, value):
-        self.version += 1
+        self.stored.version += 1
         self.values[key] = (value, self.version)
 
     async def read_table(self, table):
         return TableView({key: row[0] for key, row in self.values.items()}, self.version)
 
+    def suspect(self):
+        pass
+
     async def follow(self, table, after, seconds, margin=MARGIN):
         began = self.clock.monotonic()
         self.calls.append(began)
@@ -72,6 +94,47 @@
         await asyncio.sleep(0)
 
 
+class Wire:
+    """Frames between two hosts, each ``hop`` seconds on its way; ``cut`` loses them."""
+
+    def __init__(self, clock, hop):
+        self.clock, self.hop = clock, hop
+        self.on_way = []
+        self.cut = False
+        self.others = []
+
+    def send_rows(self, frame):
+        if not self.cut:
+            self.on_way.append((self.clock.monotonic() + self.hop, frame))
+
+    def deliver(self):
+        now = self.clock.monotonic()
+        due = [frame for at, frame in self.on_way if at <= now]
+        self.on_way = [row for row in self.on_way if row[0] > now]
+        for frame in due:
+            for take in self.others:
+                take(replace(frame, age=frame.age + round(self.hop * 1000)))
+
+
+class HostViews:
+    """The views of one host, with stand-ins for its links."""
+
+    def __init__(self, clock, wire, stored, bound, leads):
+        self.tables = FlakyTables(clock, stored)
+        mesh = SimpleNamespace(send_rows=wire.send_rows, on_rows=None)
+        peers = SimpleNamespace(mesh=mesh, has_leader=lambda: True)
+        self.views = Views(make_ctx(clock, "h1"), self.tables, peers, lambda: leads)
+        self.clock, self.seen = clock, {}
+        self.follower = self.views.follow("t", self._take, bound)
+        if not leads:
+            wire.others.append(mesh.on_rows)
+        self.task = asyncio.ensure_future(self.follower.run())
+
+    def _take(self, rows, whole):
+        for key, value in rows.items():
+            self.seen.setdefault(key, (value, self.clock.monotonic()))
+
+
 class LostCallTest(unittest.IsolatedAsyncioTestCase):
     """A call that the store will never answer must not keep a host from what has changed."""
 
@@ -154,3 +217,117 @@
         await self.run_for(9.0)
         view.task.cancel()
         self.assertLess(view.seen["endpoint"][1] - left, BOUND)
+
+
+# Bounds, and seconds between hosts over the hub: two waits of a link's writer, at 9 and 83 hosts.
+HOPS = ((2.0, 0.1), (3.0, 0.42))
+
+
+class StagesTest(unittest.IsolatedAsyncioTestCase):
+    """Each way in which a host hears that an endpoint leaves, its stages at their worst."""
+
+    async def start(self, bound, hop):
+        self.clock = FakeClock()
+        self.wire, stored = Wire(self.clock, hop), Stored()
+        self.reader = HostViews(self.clock, self.wire, stored, bound, leads=True)
+        self.host = HostViews(self.clock, self.wire, stored, bound, leads=False)
+        self.frozen = False
+        self.told_at = 0.0
+        await self.run_for(3.0)
+
+    async def run_for(self, seconds):
+        until = self.clock.monotonic() + seconds
+        while self.clock.monotonic() < until:
+            await settle()
+            if not self.frozen and self.clock.monotonic() - self.told_at >= WORD_SECONDS:
+                self.told_at = self.clock.monotonic()
+                self.reader.views.keep_telling()
+            self.wire.deliver()
+            self.clock.advance(TICK)
+
+    async def until_seen(self, bound):
+        """Let the endpoint leave; return after how long the host knows it."""
+        self.reader.tables.change("endpoint", b"leaving")
+        left = self.clock.monotonic()
+        await self.run_for(2 * bound)
+        for host in (self.reader, self.host):
+            host.task.cancel()
+        return self.host.seen["endpoint"][1] - left
+
+    async def silence_reader(self, seconds):
+        self.reader.tables.answers_from = self.clock.monotonic() + seconds
+
+    async def test_the_readers_call_is_lost_right_after_a_change(self):
+        """A request reaches an endpoint over two seconds after its word that it leaves.
+
+        The host that reads for all has just seen another change and rests before its next call;
+        that call is lost, while the lease is renewed over another connection, so others go on
+        taking its view for a new one.
+        """
+        for bound, hop in HOPS:
+            with self.subTest(bound):
+                await self.start(bound, hop)
+                self.reader.tables.change("other", b"x")
+                await self.run_for(2 * TICK)
+                await self.silence_reader(share_out(bound).pause + 2 * TICK)
+                self.assertLess(await self.until_seen(bound), bound)
+
+    async def test_the_reader_falls_silent(self):
+        for bound, hop in HOPS:
+            with self.subTest(bound):
+                await self.start(bound, hop)
+                self.wire.deliver()
+                self.frozen = self.wire.cut = True
+                self.assertLess(await self.until_seen(bound), bound)
+
+    async def test_the_reader_is_cut_off_from_the_store_and_goes_on_talking(self):
+        """No host asks for itself, as the one that reads for all says that nothing has changed.
+
+        It can say so for as long as it believes its own old view.
+        """
+        for bound, hop in HOPS:
+            with self.subTest(bound):
+                await self.start(bound, hop)
+                await self.silence_reader(60.0)
+                self.assertLess(await self.until_seen(bound), bound)
+
+    async def test_a_calm_host_never_asks(self):
+        """Hosts that are told everything must not cost the store a call each."""
+        for bound, hop in HOPS:
+            with self.subTest(bound):
+                await self.start(bound, hop)
+                before = len(self.host.tables.calls)
+                await self.run_for(10.0)
+                self.reader.tables.change("other", b"x")
+                await self.run_for(5.0)
+                self.assertEqual(before, len(self.host.tables.calls))
+                self.assertIn("other", self.host.seen)
+
+    async def test_a_host_that_was_told_nothing_of_a_forgotten_history_gets_the_whole(self):
+        """The store drops its history; the reader reads the table whole and passes that on."""
+        await self.start(2.0, 0.1)
+        self.host.seen.clear()
+        self.reader.tables.change("endpoint", b"leaving")
+        self.reader.follower.tell(await self.reader.tables.read_table("t"), 0)
+        before = len(self.host.tables.calls)
+        await self.run_for(0.3)
+        self.assertIn("endpoint", self.host.seen)
+        self.assertEqual(before, len(self.host.tables.calls))
+
+
+class LimitsTest(unittest.TestCase):
+    def test_the_stages_of_each_way_fit_in_the_bound(self):
+        """Limits are shares of one bound, so a change of one cannot break the sum unseen."""
+        one_call, hops = 0.1, 0.14
+        for bound in (2.0, 3.0, 10.0):
+            limits = share_out(bound)
+            lost_call = limits.pause + limits.hold + limits.answer + (one_call + hops) * bound
+            silent = limits.silence * 1.25 + one_call * bound
+            old = limits.age + limits.silence / 4 + one_call * bound
+            calm = limits.pause + limits.hold + WORD_SECONDS + hops * bound
+            with self.subTest(bound):
+                self.assertLessEqual(max(lost_call, silent, old), bound + 1e-9)
+                self.assertLessEqual(calm, limits.age)
+
+    def test_calls_are_made_again_ever_seldomer(self):
+        self.assertEqual([0.0, 0.3, 0.6, 1.0, 1.0], [wait_after(n) for n in (1, 2, 3, 4, 50)])
