Test of a host that the store turns away while others have the new configuration, failing

The same cause elsewhere: a host's view depends on its own call alone where the reader only says that something has changed.

--- a/peridotdock/frames.py
+++ b/peridotdock/frames.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from peridotdock.errors import Failure, Kind
-from peridotdock.schema.messages import Body, Fetch, Hello, Ping, Rows, Update
+from peridotdock.schema.messages import Body, Fetch, Hello, Ping, Rows, RowsWanted, Update
 
 MAX_FRAME_BYTES = 20 * 1024 * 1024
 MAX_ENTRIES = 4096
@@ -19,8 +19,9 @@
     "fetch": Fetch,
     "body": Body,
     "rows": Rows,
+    "rows_wanted": RowsWanted,
 }
-Frame = Hello | Update | Ping | Fetch | Body | Rows
+Frame = Hello | Update | Ping | Fetch | Body | Rows | RowsWanted
 
 
 def encode(frame: Frame) -> bytes:
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -181,6 +181,27 @@
     """
     Milliseconds since the origin knew its view to be as the store's, and those on the way.
     """
+    direct: bool = False
+    """
+    An answer to the host that asked for it: not to be passed on.
+    """
+
+
+@dataclass(frozen=True)
+class RowsWanted:
+    """
+    Asks a host for a whole table that the platform's store does not give the asking one.
+    """
+
+    kind: Literal['rows_wanted']
+    table: str
+    """
+    Name of the table.
+    """
+    after: int
+    """
+    Version that the asking host has; there is no answer without a newer one.
+    """
 
 
 @dataclass(frozen=True)
--- a/tests/relay/test_views.py
+++ b/tests/relay/test_views.py
@@ -10,7 +10,7 @@
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.following import Follower
 from peridotdock.relay.views import WORD_SECONDS, Views
-from peridotdock.schema.messages import Rows
+from peridotdock.schema.messages import Rows, RowsWanted
 from tests.builders import make_ctx
 from tests.fakes import FakeClock
 
@@ -95,18 +95,27 @@
 
 
 class Wire:
-    """Frames between two hosts, each ``hop`` seconds on its way; ``cut`` loses them."""
+    """Frames between two hosts, each ``hop`` seconds on its way; ``cut`` loses them.
+
+    ``give`` is the reader's answer to a host that asks it for rows.
+    """
 
     def __init__(self, clock, hop):
         self.clock, self.hop = clock, hop
         self.on_way = []
         self.cut = False
         self.others = []
+        self.give = lambda wanted: None
 
     def send_rows(self, frame):
         if not self.cut:
             self.on_way.append((self.clock.monotonic() + self.hop, frame))
 
+    def want_rows(self, table, after):
+        found = self.give(RowsWanted("rows_wanted", table, after))
+        if found is not None and not self.cut:
+            self.on_way.append((self.clock.monotonic() + 2 * self.hop, found))
+
     def deliver(self):
         now = self.clock.monotonic()
         due = [frame for at, frame in self.on_way if at <= now]
@@ -119,14 +128,18 @@
 class HostViews:
     """The views of one host, with stand-ins for its links."""
 
-    def __init__(self, clock, wire, stored, bound, leads):
+    def __init__(self, clock, wire, stored, bound, leads, named=False):
         self.tables = FlakyTables(clock, stored)
-        mesh = SimpleNamespace(send_rows=wire.send_rows, on_rows=None)
+        mesh = SimpleNamespace(
+            send_rows=wire.send_rows, want_rows=wire.want_rows, on_rows=None, on_wanted=None
+        )
         peers = SimpleNamespace(mesh=mesh, has_leader=lambda: True)
         self.views = Views(make_ctx(clock, "h1"), self.tables, peers, lambda: leads)
         self.clock, self.seen = clock, {}
-        self.follower = self.views.follow("t", self._take, bound)
-        if not leads:
+        self.follower = self.views.follow("t", self._take, bound, named)
+        if leads:
+            wire.give = mesh.on_wanted or wire.give
+        else:
             wire.others.append(mesh.on_rows)
         self.task = asyncio.ensure_future(self.follower.run())
 
@@ -226,11 +239,11 @@
 class StagesTest(unittest.IsolatedAsyncioTestCase):
     """Each way in which a host hears that an endpoint leaves, its stages at their worst."""
 
-    async def start(self, bound, hop):
+    async def start(self, bound, hop, named=False):
         self.clock = FakeClock()
         self.wire, stored = Wire(self.clock, hop), Stored()
-        self.reader = HostViews(self.clock, self.wire, stored, bound, leads=True)
-        self.host = HostViews(self.clock, self.wire, stored, bound, leads=False)
+        self.reader = HostViews(self.clock, self.wire, stored, bound, True, named)
+        self.host = HostViews(self.clock, self.wire, stored, bound, False, named)
         self.frozen = False
         self.told_at = 0.0
         await self.run_for(3.0)
@@ -291,6 +304,18 @@
                 await self.silence_reader(60.0)
                 self.assertLess(await self.until_seen(bound), bound)
 
+    async def test_a_host_that_the_store_turns_away_gets_what_changed_from_another(self):
+        """One host serves by the old configuration for as long as the store turns it away.
+
+        It hears that the configuration has changed, and only the store would give it what did.
+        The store serves all other hosts and says nothing to this one.
+        """
+        for bound, hop in HOPS:
+            with self.subTest(bound):
+                await self.start(bound, hop, named=True)
+                self.host.tables.answers_from = self.clock.monotonic() + 60.0
+                self.assertLess(await self.until_seen(bound), bound)
+
     async def test_a_calm_host_never_asks(self):
         """Hosts that are told everything must not cost the store a call each."""
         for bound, hop in HOPS:
