--- a/extras/bench_control.py
+++ b/extras/bench_control.py
@@ -24,8 +24,9 @@
 from peridotdock.board import Board
 from peridotdock.clock import SystemClock
 from peridotdock.context import build_context
+from peridotdock.links import Link
 from peridotdock.membership import Membership
-from peridotdock.mesh import Link, Mesh
+from peridotdock.mesh import Mesh
 from peridotdock.platform.adapter import PlatformAdapter
 from peridotdock.relay.asks import ModelWish, PromptPart
 from peridotdock.relay.node import DEMAND_SECONDS, WORDS_PER_SECOND, WORK_SECONDS, Node
--- a/peridotdock/frames.py
+++ b/peridotdock/frames.py
@@ -9,7 +9,16 @@
 import msgspec
 
 from peridotdock.errors import Failure, Kind
-from peridotdock.schema.messages import Body, Entry, Fetch, Hello, Ping, Rows, Update
+from peridotdock.schema.messages import (
+    Body,
+    Entry,
+    Fetch,
+    Hello,
+    Ping,
+    Rows,
+    RowsWanted,
+    Update,
+)
 
 MAX_FRAME_BYTES = 20 * 1024 * 1024
 MAX_ENTRIES = 4096
@@ -20,11 +29,12 @@
     "fetch": Fetch,
     "body": Body,
     "rows": Rows,
+    "rows_wanted": RowsWanted,
 }
 # An update up to the array of its facts, and from there to its stamp: a CBOR map of three pairs.
 UPDATE_HEAD = b"\xa3" + b"".join(map(cbor2.dumps, ("kind", "update", "entries")))
 UPDATE_STAMP = cbor2.dumps("stamp")
-Frame = Hello | Update | Ping | Fetch | Body | Rows
+Frame = Hello | Update | Ping | Fetch | Body | Rows | RowsWanted
 
 
 def encode(frame: Frame) -> bytes:
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -26,8 +26,18 @@
     proves,
     sign,
 )
+from peridotdock.links import Link, WaitingRows
 from peridotdock.rendezvous import neighbours
-from peridotdock.schema.messages import Body, Fetch, Hello, LinksFact, Ping, Rows, Update
+from peridotdock.schema.messages import (
+    Body,
+    Fetch,
+    Hello,
+    LinksFact,
+    Ping,
+    Rows,
+    RowsWanted,
+    Update,
+)
 
 # Seconds between two words on a link that is otherwise silent, and after how many such periods the
 # other end counts as lost: well before its hosts' heartbeats count as missing, at four seconds.
@@ -58,32 +68,6 @@
 }
 
 
-class Link:
-    """One connection to a peer that has proved who it is.
-
-    ``direct`` are the hosts that the peer says it has links to: it hears of them without this host.
-    ``dialled`` tells which side asked for the link, ``address`` which one this side dialled,
-    ``released`` that it is not wanted any more. ``echo`` is set until the peer was told what is
-    known of an earlier life of its name. ``sending_at`` is when a send began that is not done yet.
-    """
-
-    def __init__(self, conn: Connection, peer: Hello, dialled: bool, address: str = ""):
-        self.conn = conn
-        self.peer = peer
-        self.dialled = dialled
-        self.address = address
-        self.direct: frozenset[str] = frozenset()
-        self.dirty: set[Slot] = set()
-        self.wake = asyncio.Event()
-        self.heard_at = 0.0
-        self.sent_at = 0.0
-        self.sending_at: float | None = None
-        self.up_at = 0.0
-        self.rows: list[bytes] = []
-        self.released = False
-        self.echo = True
-
-
 class Mesh:
     """All links of this host."""
 
@@ -101,6 +85,7 @@
         self._board = board
         self._give_body = give_body
         self.on_rows: Callable[[Rows], bool] = lambda frame: False
+        self.on_wanted: Callable[[RowsWanted], Rows | None] = lambda frame: None
         self._links: set[Link] = set()
         self._dialling: set[str] = set()
         self._bytes_in = ctx.metrics.peer_bytes.labels("in")
@@ -275,8 +260,12 @@
             for slot in self._merge(link, frame):
                 link.dirty.discard(slot)
         elif isinstance(frame, Rows):
-            if self.on_rows(frame):
+            if self.on_rows(frame) and not frame.direct:
                 self.send_rows(frame, link)
+        elif isinstance(frame, RowsWanted):
+            found = self.on_wanted(frame)
+            if found is not None:
+                await self._send(link, found)
         elif isinstance(frame, Ping):
             self._ctx.timeline.clock.witness(frame.stamp)
         elif isinstance(frame, Fetch):
@@ -289,12 +278,22 @@
 
     def send_rows(self, frame: Rows, source: Link | None = None) -> None:
         """Pass rows of the store on over all links but the one they came from."""
-        raw = encode(frame)
+        waiting = WaitingRows(frame, self._ctx.clock.monotonic())
         for link in self._links:
             if link is not source:
-                link.rows = [*link.rows[-MOST_ROWS:], raw]
+                link.rows = [*link.rows[-MOST_ROWS:], waiting]
                 link.wake.set()
 
+    def want_rows(self, table: str, after: int) -> None:
+        """Ask the hosts at the other ends of dialled links, or one of all, for a newer table.
+
+        A host dials the hub alone; the hub, which dialled none, asks any.
+        """
+        links = [link for link in self._links if link.dialled] or list(self._links)
+        if links:
+            link = self._ctx.rng.choice(links)
+            self._spawn(self._send(link, RowsWanted("rows_wanted", table, after)))
+
     def _merge(self, link: Link, frame: Update) -> list[Slot]:
         try:
             return self._board.merge(frame.entries)
@@ -359,10 +358,10 @@
             link.wake.clear()
             rows, link.rows = link.rows, []
             slots, link.dirty = link.dirty, set()
-            parts = self._board.written(slot for slot in slots if concerns(link, slot))
+            parts = self._board.written(slot for slot in slots if link.concerns(slot))
             link.echo = False
-            for raw in rows:
-                await self._push(link, raw)
+            for waiting in rows:
+                await self._push(link, waiting.write(self._ctx.clock.monotonic()))
             for start in range(0, len(parts), ENTRIES_PER_FRAME):
                 part = parts[start : start + ENTRIES_PER_FRAME]
                 await self._push(link, encode_update(part, self._ctx.timeline.clock.tick()))
@@ -421,9 +420,3 @@
             return None
         finally:
             self._wanted.pop(digest, None)
-
-
-def concerns(link: Link, slot: Slot) -> bool:
-    """Tell whether to send a fact: not the peer's own, but for its name's earlier life."""
-    origin, topic = slot
-    return origin != link.peer.host or (link.echo and topic == "host")
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -8,8 +8,9 @@
 from peridotdock.decisions.draft import Demand
 from peridotdock.demand import Demand as DemandMeter
 from peridotdock.fleet import pack, unpack
+from peridotdock.links import Link
 from peridotdock.membership import Member, Membership
-from peridotdock.mesh import Link, Mesh
+from peridotdock.mesh import Mesh
 from peridotdock.relay.book import EndpointBook, OthersLoad
 from peridotdock.relay.settings import HostSettings
 from peridotdock.rendezvous import weigh
--- a/tests/relay/test_loads.py
+++ b/tests/relay/test_loads.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest.mock import Mock
 
-from peridotdock.mesh import Link
+from peridotdock.links import Link
 from peridotdock.relay.book import EndpointBook
 from peridotdock.relay.peers import UPWARD, Peers, write_work
 from peridotdock.relay.settings import Address, HostSettings, Listen
--- a/tests/relay/test_outages.py
+++ b/tests/relay/test_outages.py
@@ -7,7 +7,10 @@
 from peridotdock.board import Board
 from peridotdock.clients.engines import Action
 from peridotdock.clients.tables import TableChanges, TableView
-from peridotdock.relay.following import FED_SECONDS, Follower
+from peridotdock.decisions.freshness import LEAST_BOUND, share_out
+from peridotdock.frames import decode, encode_update
+from peridotdock.links import WaitingRows
+from peridotdock.relay.following import Follower
 from peridotdock.relay.leadership import Leadership
 from peridotdock.relay.wards import UNLOAD_SLACK, Ward
 from peridotdock.schema.messages import HostFact, Rows
@@ -39,6 +42,29 @@
         late.merge(third.entries())
         self.assertAlmostEqual(4.0, clock.monotonic() - late.get("h1", "host").at, places=2)
 
+    def test_a_fact_that_was_written_before_is_sent_with_its_age(self):
+        """Callers are given the address of a host that is off.
+
+        The hub writes a fact once for all its links. What it wrote for one link was sent over
+        another seconds later, and the heartbeat in it counted as just made.
+        """
+        clock, dead, hub, late = boards()
+        dead.publish("host", host_fact())
+        hub.merge(dead.entries())
+        hub.written(hub.slots())
+        clock.advance(4.0)
+        [raw] = hub.written(hub.slots())
+        late.merge(decode(encode_update([raw], 0)).entries)
+        self.assertAlmostEqual(4.0, clock.monotonic() - late.get("h1", "host").at, places=1)
+
+    def test_rows_that_wait_on_links_grow_older(self):
+        rows = WaitingRows(Rows("rows", "servers", "h1", 1, 1, 1, age=100), 50.0)
+        for now, least in ((50.0, 100), (50.01, 110), (50.5, 600), (52.0, 2100)):
+            with self.subTest(now=now):
+                age = decode(rows.write(now)).age
+                self.assertGreaterEqual(age, least)
+                self.assertLess(age, least + 30)
+
     def test_a_life_whose_clock_went_back_is_heard(self):
         """A machine comes back at another address, and peers go on naming the old one.
 
@@ -95,6 +121,10 @@
         self.assertFalse(other.holds())
 
 
+# Seconds after which a host asks for itself when the one that reads for it is silent.
+SILENCE = share_out(LEAST_BOUND).silence
+
+
 class SilentTables:
     """A store that answers the first read and then holds each call for good."""
 
@@ -105,7 +135,10 @@
     async def read_table(self, table):
         return TableView({}, 1)
 
-    async def follow(self, table, after, seconds):
+    def suspect(self):
+        pass
+
+    async def follow(self, table, after, hold, answer):
         self.calls += 1
         if not self.answer:
             await asyncio.Event().wait()
@@ -136,8 +169,8 @@
         self.assertIn({"row": b"new"}, seen)
 
 
-def rows(beat, after, version, values=None, changed=False, origin="reader"):
-    return Rows("rows", "t", origin, beat, after, version, values or {}, changed)
+def rows(beat, after, version, values=None, changed=False, origin="reader", whole=False):
+    return Rows("rows", "t", origin, beat, after, version, values or {}, changed, whole)
 
 
 # Name, frame, the version known after it, and what was taken in.
@@ -148,6 +181,8 @@
     ("nor what is older", rows(1, 0, 0, {"a": b"old"}), 1, None),
     ("a row that was removed", rows(1, 1, 5, {"a": None}), 5, {"a": None}),
     ("what is only said to have changed", rows(1, 1, 5, changed=True), 1, None),
+    ("a whole table, whatever was missed", rows(1, 3, 5, {"a": b"x"}, whole=True), 5, {"a": b"x"}),
+    ("but not an older one", rows(1, 0, 0, {"a": b"x"}, whole=True), 1, None),
 )
 
 
@@ -199,7 +234,7 @@
         step = asyncio.ensure_future(self.follower.step())
         await self.settle()
         self.assertEqual(0, self.tables.calls)
-        self.clock.advance(FED_SECONDS)
+        self.clock.advance(SILENCE)
         await step
         again = asyncio.ensure_future(self.follower.step())
         await self.settle()
@@ -216,9 +251,9 @@
         await call
         self.assertEqual(5, self.follower.version)
         again = asyncio.ensure_future(self.follower.step())
-        self.clock.advance(FED_SECONDS)
+        self.clock.advance(SILENCE)
         await self.settle()
-        self.clock.advance(FED_SECONDS)
+        self.clock.advance(SILENCE)
         await again
         self.assertNotIn({"row": b"new"}, self.seen)
         self.assertEqual(5, self.follower.version)
--- /dev/null
+++ b/tests/relay/test_views.py
@@ -0,0 +1,358 @@
+"""How old a host's view of the store's tables may get, by the worst of each stage."""
+
+import asyncio
+import unittest
+from dataclasses import replace
+from types import SimpleNamespace
+
+from peridotdock.clients.tables import TableChanges, TableView
+from peridotdock.decisions.freshness import share_out, wait_after
+from peridotdock.errors import Failure, Kind
+from peridotdock.relay.following import Follower
+from peridotdock.relay.views import WORD_SECONDS, Views
+from peridotdock.schema.messages import Rows, RowsWanted
+from tests.builders import make_ctx
+from tests.fakes import FakeClock
+
+# The time in which a change must be seen everywhere, in seconds.
+BOUND = 2.0
+TICK = 0.01
+# Seconds that the client waits beyond the time for which the store may hold a call.
+MARGIN = 1.0
+
+
+class Stored:
+    """What a store has."""
+
+    def __init__(self):
+        self.version = 1
+        self.values = {}
+
+
+class FlakyTables:
+    """A store on a fake clock. Calls that it holds or gets before ``answers_from`` are never
+    answered: the client gives them up after the time it let the store hold them, and its margin.
+    ``calls`` are when it was asked. Several of them may share what is stored."""
+
+    def __init__(self, clock, stored=None):
+        self.clock = clock
+        self.stored = stored or Stored()
+        self.answers_from = float("-inf")
+        self.calls = []
+
+    @property
+    def version(self):
+        return self.stored.version
+
+    @property
+    def values(self):
+        return self.stored.values
+
+    def change(self, key, value):
+        self.stored.version += 1
+        self.values[key] = (value, self.version)
+
+    async def read_table(self, table):
+        return TableView({key: row[0] for key, row in self.values.items()}, self.version)
+
+    def suspect(self):
+        pass
+
+    async def follow(self, table, after, seconds, margin=MARGIN):
+        began = self.clock.monotonic()
+        self.calls.append(began)
+        while True:
+            spent = self.clock.monotonic() - began
+            if self.clock.monotonic() < self.answers_from:
+                await self.clock.sleep(seconds + margin - spent)
+                return Failure(Kind.PLATFORM_DOWN, "TimeoutError")
+            if spent >= seconds or self.version > after:
+                break
+            await self.clock.sleep(TICK)
+        rows = {key: row[0] for key, row in self.values.items() if row[1] > after}
+        return TableChanges(rows, self.version)
+
+
+class View:
+    """One host's view of a table, run on a fake clock."""
+
+    def __init__(self, clock, tables, reads=False, name="h1"):
+        self.clock = clock
+        self.seen = {}
+        ctx = make_ctx(clock, name)
+        self.follower = Follower(ctx, tables, "t", self._take, lambda: 0.0)
+        self.follower.reads = lambda: reads
+        self.task = asyncio.ensure_future(self.follower.run())
+
+    def _take(self, rows, whole):
+        for key, value in rows.items():
+            self.seen.setdefault(key, (value, self.clock.monotonic()))
+
+
+async def settle():
+    for _ in range(8):
+        await asyncio.sleep(0)
+
+
+class Wire:
+    """Frames between two hosts, each ``hop`` seconds on its way; ``cut`` loses them.
+
+    ``give`` is the reader's answer to a host that asks it for rows.
+    """
+
+    def __init__(self, clock, hop):
+        self.clock, self.hop = clock, hop
+        self.on_way = []
+        self.cut = False
+        self.others = []
+        self.give = lambda wanted: None
+
+    def send_rows(self, frame):
+        if not self.cut:
+            self.on_way.append((self.clock.monotonic() + self.hop, frame))
+
+    def want_rows(self, table, after):
+        found = self.give(RowsWanted("rows_wanted", table, after))
+        if found is not None and not self.cut:
+            self.on_way.append((self.clock.monotonic() + 2 * self.hop, found))
+
+    def deliver(self):
+        now = self.clock.monotonic()
+        due = [frame for at, frame in self.on_way if at <= now]
+        self.on_way = [row for row in self.on_way if row[0] > now]
+        for frame in due:
+            for take in self.others:
+                take(replace(frame, age=frame.age + round(self.hop * 1000)))
+
+
+class HostViews:
+    """The views of one host, with stand-ins for its links."""
+
+    def __init__(self, clock, wire, stored, bound, leads, named=False):
+        self.tables = FlakyTables(clock, stored)
+        mesh = SimpleNamespace(
+            send_rows=wire.send_rows, want_rows=wire.want_rows, on_rows=None, on_wanted=None
+        )
+        peers = SimpleNamespace(mesh=mesh, has_leader=lambda: True)
+        self.views = Views(make_ctx(clock, "h1"), self.tables, peers, lambda: leads)
+        self.clock, self.seen = clock, {}
+        self.follower = self.views.follow("t", self._take, bound, named)
+        if leads:
+            wire.give = mesh.on_wanted or wire.give
+        else:
+            wire.others.append(mesh.on_rows)
+        self.task = asyncio.ensure_future(self.follower.run())
+
+    def _take(self, rows, whole):
+        for key, value in rows.items():
+            self.seen.setdefault(key, (value, self.clock.monotonic()))
+
+
+class LostCallTest(unittest.IsolatedAsyncioTestCase):
+    """A call that the store will never answer must not keep a host from what has changed."""
+
+    async def asyncSetUp(self):
+        self.clock = FakeClock()
+        self.tables = FlakyTables(self.clock)
+        self.beat = 0
+
+    def word(self, view, after, version, values=None, changed=False):
+        """What the host that reads for all says."""
+        self.beat += 1
+        view.follower.feed(
+            Rows("rows", "t", "reader", self.beat, after, version, values or {}, changed)
+        )
+
+    async def run_for(self, seconds, every=lambda: None):
+        until = self.clock.monotonic() + seconds
+        while self.clock.monotonic() < until:
+            await settle()
+            every()
+            self.clock.advance(TICK)
+
+    async def test_a_gap_in_what_the_reader_says_is_filled_in_time(self):
+        """Callers' requests reach an endpoint for seconds after it has said that it leaves.
+
+        The store falls silent for all hosts, and one of them waits for a call that will never be
+        answered. The store comes back; the host that reads for all reads what had changed before
+        it took the lease, so it never says it to others. Its further words show the one host that
+        something is missing, but it goes on waiting for its own call: "39.338 request sent to
+        front-mokdong-2; 39.345 reaches the server", which had said at 37.307 that it leaves.
+        """
+        view = View(self.clock, self.tables)
+        await self.run_for(0.05)
+        self.tables.answers_from = self.clock.monotonic() + 2.0
+        await self.run_for(2.0)
+        back = self.clock.monotonic()
+        self.tables.change("lapsed", b"gone")
+        version = self.tables.version
+        await self.run_for(0.5, lambda: self.word(view, version, version))
+        self.tables.change("endpoint", b"leaving")
+        left, leaving = self.clock.monotonic(), self.tables.version
+        self.word(view, version, leaving, {"endpoint": b"leaving"})
+        await self.run_for(9.0, lambda: self.word(view, leaving, leaving))
+        view.task.cancel()
+        self.assertIn("endpoint", view.seen)
+        self.assertLess(view.seen["endpoint"][1] - left, BOUND, f"the store was back at {back}")
+
+    async def test_a_change_that_was_only_told_of_is_read_in_time(self):
+        """A host goes on by an old configuration for eight seconds after the store is back.
+
+        It hears that the configuration has changed and asks the store, which turns this host away
+        without a word. Later words of the reader name the new version, and the host takes them as
+        not meant for it: its own call is still out.
+        """
+        view = View(self.clock, self.tables)
+        await self.run_for(0.05)
+        self.tables.answers_from = self.clock.monotonic() + 3.0
+        await self.run_for(2.95, lambda: self.word(view, 1, 1))
+        self.tables.change("config", b"new")
+        accepted = self.clock.monotonic()
+        self.word(view, 1, 2, changed=True)
+        await self.run_for(9.0, lambda: self.word(view, 2, 2))
+        view.task.cancel()
+        self.assertIn("config", view.seen)
+        self.assertLess(view.seen["config"][1] - accepted, BOUND)
+
+    async def test_a_host_that_nobody_tells_asks_again_in_time(self):
+        """A host alone, whose call the store has lost, sends to an endpoint that left.
+
+        Nobody reads for it, and nobody tells it that a new host orders. "gives up calls made
+        before 25 s" stood in the logs at 33.25 to 33.97 s.
+        """
+        view = View(self.clock, self.tables, reads=True)
+        await self.run_for(0.05)
+        lost = self.clock.monotonic()
+        self.tables.answers_from = lost + 1.0
+        await self.run_for(1.0)
+        self.tables.change("endpoint", b"leaving")
+        left = self.clock.monotonic()
+        await self.run_for(9.0)
+        view.task.cancel()
+        self.assertLess(view.seen["endpoint"][1] - left, BOUND)
+
+
+# Bounds, and seconds between hosts over the hub: two waits of a link's writer, at 9 and 83 hosts.
+HOPS = ((2.0, 0.1), (3.0, 0.42))
+
+
+class StagesTest(unittest.IsolatedAsyncioTestCase):
+    """Each way in which a host hears that an endpoint leaves, its stages at their worst."""
+
+    async def start(self, bound, hop, named=False):
+        self.clock = FakeClock()
+        self.wire, stored = Wire(self.clock, hop), Stored()
+        self.reader = HostViews(self.clock, self.wire, stored, bound, True, named)
+        self.host = HostViews(self.clock, self.wire, stored, bound, False, named)
+        self.frozen = False
+        self.told_at = 0.0
+        await self.run_for(3.0)
+
+    async def run_for(self, seconds):
+        until = self.clock.monotonic() + seconds
+        while self.clock.monotonic() < until:
+            await settle()
+            if not self.frozen and self.clock.monotonic() - self.told_at >= WORD_SECONDS:
+                self.told_at = self.clock.monotonic()
+                self.reader.views.keep_telling()
+            self.wire.deliver()
+            self.clock.advance(TICK)
+
+    async def until_seen(self, bound):
+        """Let the endpoint leave; return after how long the host knows it."""
+        self.reader.tables.change("endpoint", b"leaving")
+        left = self.clock.monotonic()
+        await self.run_for(2 * bound)
+        for host in (self.reader, self.host):
+            host.task.cancel()
+        return self.host.seen["endpoint"][1] - left
+
+    async def silence_reader(self, seconds):
+        self.reader.tables.answers_from = self.clock.monotonic() + seconds
+
+    async def test_the_readers_call_is_lost_right_after_a_change(self):
+        """A request reaches an endpoint over two seconds after its word that it leaves.
+
+        The host that reads for all has just seen another change and rests before its next call;
+        that call is lost, while the lease is renewed over another connection, so others go on
+        taking its view for a new one.
+        """
+        for bound, hop in HOPS:
+            with self.subTest(bound):
+                await self.start(bound, hop)
+                self.reader.tables.change("other", b"x")
+                await self.run_for(2 * TICK)
+                await self.silence_reader(share_out(bound).pause + 2 * TICK)
+                self.assertLess(await self.until_seen(bound), bound)
+
+    async def test_the_reader_falls_silent(self):
+        for bound, hop in HOPS:
+            with self.subTest(bound):
+                await self.start(bound, hop)
+                self.wire.deliver()
+                self.frozen = self.wire.cut = True
+                self.assertLess(await self.until_seen(bound), bound)
+
+    async def test_the_reader_is_cut_off_from_the_store_and_goes_on_talking(self):
+        """No host asks for itself, as the one that reads for all says that nothing has changed.
+
+        It can say so for as long as it believes its own old view.
+        """
+        for bound, hop in HOPS:
+            with self.subTest(bound):
+                await self.start(bound, hop)
+                await self.silence_reader(60.0)
+                self.assertLess(await self.until_seen(bound), bound)
+
+    async def test_a_host_that_the_store_turns_away_gets_what_changed_from_another(self):
+        """One host serves by the old configuration for as long as the store turns it away.
+
+        It hears that the configuration has changed, and only the store would give it what did.
+        The store serves all other hosts and says nothing to this one.
+        """
+        for bound, hop in HOPS:
+            with self.subTest(bound):
+                await self.start(bound, hop, named=True)
+                self.host.tables.answers_from = self.clock.monotonic() + 60.0
+                self.assertLess(await self.until_seen(bound), bound)
+
+    async def test_a_calm_host_never_asks(self):
+        """Hosts that are told everything must not cost the store a call each."""
+        for bound, hop in HOPS:
+            with self.subTest(bound):
+                await self.start(bound, hop)
+                before = len(self.host.tables.calls)
+                await self.run_for(10.0)
+                self.reader.tables.change("other", b"x")
+                await self.run_for(5.0)
+                self.assertEqual(before, len(self.host.tables.calls))
+                self.assertIn("other", self.host.seen)
+
+    async def test_a_host_that_was_told_nothing_of_a_forgotten_history_gets_the_whole(self):
+        """The store drops its history; the reader reads the table whole and passes that on."""
+        await self.start(2.0, 0.1)
+        self.host.seen.clear()
+        self.reader.tables.change("endpoint", b"leaving")
+        self.reader.follower.tell(await self.reader.tables.read_table("t"), 0)
+        before = len(self.host.tables.calls)
+        await self.run_for(0.3)
+        self.assertIn("endpoint", self.host.seen)
+        self.assertEqual(before, len(self.host.tables.calls))
+
+
+class LimitsTest(unittest.TestCase):
+    def test_the_stages_of_each_way_fit_in_the_bound(self):
+        """Limits are shares of one bound, so a change of one cannot break the sum unseen."""
+        one_call, hops = 0.1, 0.14
+        for bound in (2.0, 3.0, 10.0):
+            limits = share_out(bound)
+            lost_call = limits.pause + limits.hold + limits.answer + (one_call + hops) * bound
+            silent = limits.silence * 1.25 + one_call * bound
+            old = limits.age + limits.silence / 4 + one_call * bound
+            calm = limits.pause + limits.hold + WORD_SECONDS + hops * bound
+            with self.subTest(bound):
+                self.assertLessEqual(max(lost_call, silent, old), bound + 1e-9)
+                self.assertLessEqual(calm, limits.age)
+
+    def test_calls_are_made_again_ever_seldomer(self):
+        self.assertEqual([0.0, 0.3, 0.6, 1.0, 1.0], [wait_after(n) for n in (1, 2, 3, 4, 50)])
