--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -1,15 +1,16 @@
 """What hosts tell each other: who lives, work on endpoints, what is waited for, orders given."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from peridotdock.board import Board, Known, Slot
 from peridotdock.context import Context
 from peridotdock.decisions.draft import Demand
 from peridotdock.demand import Demand as DemandMeter
 from peridotdock.fleet import pack, unpack
-from peridotdock.membership import Membership
-from peridotdock.mesh import Link, Mesh
+from peridotdock.links import Link
+from peridotdock.membership import Member, Membership
+from peridotdock.mesh import Mesh
 from peridotdock.relay.book import EndpointBook, OthersLoad
 from peridotdock.relay.settings import HostSettings
 from peridotdock.rendezvous import weigh
@@ -45,8 +46,9 @@
         self._settings = settings
         self._book = book
         self.board = Board(settings.host, ctx.epoch, ctx.clock)
-        self.mesh = Mesh(ctx, self.board, give_body, self._choose_hub, self._passes)
+        self.mesh = Mesh(ctx, self.board, give_body, self._choose_hub, self._audience)
         self._leader = ""
+        self._told_hub = ""
         own = HostFact(
             settings.host,
             ctx.incarnation,
@@ -86,6 +88,9 @@
         for seed in self._settings.seeds:
             self.meet(str(seed))
         hub = self._hub()
+        if hub != self._told_hub:
+            self._told_hub = hub
+            self.mesh.offer_all(hub)
         if hub in self.mesh.peers():
             self.mesh.keep_only(hub)
 
@@ -103,13 +108,13 @@
 
     def _hub(self) -> str:
         """Return the host that all others link to, as seen from here."""
-        own = self._settings.host
+        own, members = self._settings.host, self.membership.members()
         able = [
             name
-            for name, member in self.membership.members().items()
-            if name != own and member.alive and not self.mesh.failed_lately(name)
+            for name, member in members.items()
+            if member.alive and name != own and not self.mesh.failed_lately(name)
         ]
-        return self.rank([*able, own])[0]
+        return max([*able, own], key=lambda name: lead_weight(name, members))
 
     def rank(self, names: Iterable[str]) -> list[str]:
         """Return hosts in the order in which they are to lead and to pass facts on.
@@ -118,12 +123,7 @@
         processor come last: at 10 Mbit/s a hub of 67 hosts would hold up its own streams.
         """
         members = self.membership.members()
-
-        def weight(name: str) -> tuple[int, int]:
-            member = members.get(name)
-            return member.fact.power if member else 0, weigh("leader", name)
-
-        return sorted(names, key=weight, reverse=True)
+        return sorted(names, key=lambda name: lead_weight(name, members), reverse=True)
 
     def _choose_hub(self, others: Mapping[str, str]) -> list[str]:
         """Return the hosts to link to: the hub, or for the hub one that nobody hears any more.
@@ -152,19 +152,23 @@
             elif topic == "loads" and origin != self._settings.host and not self._is_hub():
                 self._take_loads(known)
 
-    def _passes(self, link: Link, slot: Slot) -> bool:
-        """Tell whether a link passes a fact on.
+    def _audience(self, slot: Slot, links: Collection[Link]) -> Iterable[Link]:
+        """Return those among ``links`` that pass a fact on.
 
         What hosts have on endpoints goes to the hub alone, which tells all of them the sum; what
         they wait for and are asked for goes to the hub and from there to the holder of the lease.
-        All others hear of heartbeats, sums and orders alone.
+        All others hear of heartbeats, sums and orders alone. The hub may have dialled this host.
         """
         origin, topic = slot
         if topic not in UPWARD:
-            return True
-        if topic != "work" and link.peer.host == self._leader:
-            return True
-        return origin == self._settings.host and link.dialled
+            return links
+        own = origin == self._settings.host
+        if topic == "work" and not own:
+            return ()
+        to = {self._told_hub} if own else set()
+        if topic != "work":
+            to.add(self._leader)
+        return [link for link in links if link.peer.host in to or (own and link.dialled)]
 
     def _is_hub(self) -> bool:
         """Tell whether this host is the hub, as seen from here."""
@@ -327,6 +331,12 @@
         }
 
 
+def lead_weight(name: str, members: Mapping[str, Member]) -> tuple[int, int]:
+    """Return what hosts are ordered by when one is to lead or to pass facts on."""
+    member = members.get(name)
+    return member.fact.power if member else 0, weigh("leader", name)
+
+
 def describe_news(row: EngineNews) -> tuple:
     """Return all of an engine's news but the times, which change with each look."""
     return row.endpoint, tuple(row.items), tuple(row.dropping), tuple(sorted(row.coming))
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -5,6 +5,7 @@
 import logging
 import unittest
 from contextlib import suppress
+from dataclasses import replace
 
 import cbor2
 import msgspec
@@ -20,7 +21,7 @@
 from peridotdock.config import load_settings
 from peridotdock.errors import ANSWERS, Failure, Kind, Ran, failed
 from peridotdock.events import Filter, HybridClock, Timeline
-from peridotdock.frames import decode, encode, proves, sign
+from peridotdock.frames import decode, encode, encode_entry, encode_update, proves, sign
 from peridotdock.requests import OUTCOMES, State, admit_maybe
 from peridotdock.schema.messages import Entry, HeadsFact, Hello, Ping, Update
 from tests import builders
@@ -45,6 +46,12 @@
     def test_round_trip(self, frame):
         self.assertEqual(decode(encode(frame)), frame)
 
+    @params(0, 1, 23, 24, 255, 256, 1000)
+    def test_facts_written_one_by_one_make_an_update(self, count):
+        facts = [replace(ENTRY, version=number, age=number) for number in range(count)]
+        raw = encode_update([encode_entry(fact, fact.age) for fact in facts], 5)
+        self.assertEqual(decode(raw), Update("update", facts, 5))
+
     @params(
         ("text", "text"),
         ("empty", b""),
