Show how late a host's loop is, its connections and descriptors, and answers after their deadline

Cause: a host whose loop was seconds behind logged as usual, only later; no metric or line told. Ruled out: a timer of its own that measures how late it fires; it would wake each idle host some times a second. The loop's selector notes the start and end of each turn instead, without wake-ups.

--- a/peridotdock/cli/relay.py
+++ b/peridotdock/cli/relay.py
@@ -15,6 +15,7 @@
 from peridotdock.relay.settings import HostSettings
 from peridotdock.schema.settings import Settings
 from peridotdock.status import ExitStatus
+from peridotdock.turns import WatchedLoop
 
 # Links of a host to others. Eight join up to nine hosts directly; among more, each fact takes a
 # second or third hop, and few hosts hear it more often than they must.
@@ -38,7 +39,8 @@
     )
     logs.set_up(cfg.log_level, streams.out, cfg.host_id)
     gc.freeze()
-    asyncio.run(serve(cfg, found))
+    with asyncio.Runner(loop_factory=WatchedLoop) as runner:
+        runner.run(serve(cfg, found))
     return ExitStatus.OK
 
 
--- a/peridotdock/metrics.py
+++ b/peridotdock/metrics.py
@@ -26,6 +26,19 @@
         self.generation = Gauge(
             "peridotdock_manifest_generation", "Manifest in force.", registry=self.registry
         )
+        self.accepted = self._counter("accepted", "Connections accepted.")
+        self.late_answers = self._counter("late_answers", "Answers that came after their deadline.")
+        self.loop_lag = Gauge(
+            "peridotdock_loop_lag_seconds",
+            "The most by which a timer was late in the last second.",
+            registry=self.registry,
+        )
+        self.descriptors = Gauge(
+            "peridotdock_descriptors",
+            "Open descriptors, and the most that may be open.",
+            ["state"],
+            registry=self.registry,
+        )
         self.first_token = Histogram(
             "peridotdock_first_token_seconds",
             "Time to the first token, by model or adapter.",
--- a/peridotdock/relay/front.py
+++ b/peridotdock/relay/front.py
@@ -23,6 +23,9 @@
 # Seconds until a caller may come back to a host that knows no configuration yet: by then it has
 # read one, or the caller has asked for other addresses.
 NOT_READY_RETRY_SECONDS = 0.3
+# Seconds after its deadline from which on an answer counts as late: timers of a host that is not
+# behind fire some milliseconds late.
+LATE_SECONDS = 0.05
 
 
 class Front:
@@ -66,8 +69,10 @@
         try:
             found = await self._service.open(ask, caller, progress)
             if failed(found):
+                self._count_late(ask)
                 return self._refuse(found, ask.id)
             self._ctx.metrics.requests.labels("answered").inc()
+            self._count_late(ask)
             head = found.head
             if isinstance(found, Whole):
                 return answer_reply(Reply(head.status, head.headers, found.body, head.content_type))
@@ -78,6 +83,10 @@
             if not streaming:
                 self._leave(caller)
 
+    def _count_late(self, ask: RelayAsk) -> None:
+        if self._ctx.clock.monotonic() > ask.deadline + LATE_SECONDS:
+            self._ctx.metrics.late_answers.inc()
+
     def _count_demand(self, ask: RelayAsk, progress: Progress) -> None:
         """Count what a request asks of the engines, by model and adapter."""
         wish = ask.head.wish
--- /dev/null
+++ b/peridotdock/relay/lag.py
@@ -0,0 +1,105 @@
+"""What a host sees of its own state: how late its loop is, its connections, its descriptors."""
+
+import os
+import resource
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from peridotdock.context import Context
+from peridotdock.turns import Turns
+
+# Seconds between two looks, and between two log lines while a host stays behind.
+LOOK_SECONDS = 1.0
+LINE_SECONDS = 5.0
+# Seconds that a timer is late from which on a host counts as behind. A new connection's first
+# request is read four turns after its coming, and callers wait one second for that.
+BEHIND_SECONDS = 0.2
+DESCRIPTORS = "/proc/self/fd"
+
+
+@dataclass(frozen=True, slots=True)
+class DescriptorCount:
+    """Open descriptors and the most that the process may have."""
+
+    open: int
+    most: int
+
+    @property
+    def free(self) -> int:
+        """Return how many more can be opened."""
+        return self.most - self.open
+
+
+class CountDescriptors(Protocol):
+    """Counts descriptors; None where the system doesn't tell."""
+
+    def __call__(self) -> DescriptorCount | None:
+        """Return the count."""
+
+
+def count_descriptors() -> DescriptorCount | None:
+    """Count the process's descriptors."""
+    try:
+        used = len(os.listdir(DESCRIPTORS))
+    except OSError:
+        return None
+    return DescriptorCount(used, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+
+
+class LagWatch:
+    """Looks at the loop each second, for the metrics and the log."""
+
+    def __init__(
+        self,
+        ctx: Context,
+        turns: Turns,
+        in_work: Callable[[], int],
+        descriptors: CountDescriptors = count_descriptors,
+    ):
+        self._ctx = ctx
+        self._turns = turns
+        self._in_work = in_work
+        self._count = descriptors
+        self._accepted = 0
+        self._looked_at = ctx.clock.monotonic()
+        self._line_at = float("-inf")
+        self._behind = False
+        self.descriptors: DescriptorCount | None = None
+        ctx.metrics.loop_lag.set_function(turns.lag)
+
+    async def look(self) -> None:
+        """Take the figures of the last second, and log them while the host is behind."""
+        now = self._ctx.clock.monotonic()
+        lag = self._turns.lag()
+        self.descriptors = self._count()
+        if self.descriptors is not None:
+            self._ctx.metrics.descriptors.labels("open").set(self.descriptors.open)
+            self._ctx.metrics.descriptors.labels("most").set(self.descriptors.most)
+        accepted = self._turns.accepted - self._accepted
+        self._accepted = self._turns.accepted
+        self._ctx.metrics.accepted.inc(accepted)
+        seconds = max(now - self._looked_at, 0.001)
+        self._looked_at = now
+        self._tell(now, lag, accepted / seconds)
+
+    def _tell(self, now: float, lag: float, accepted: float) -> None:
+        behind = lag >= BEHIND_SECONDS
+        if behind and now - self._line_at >= LINE_SECONDS:
+            self._line_at = now
+            self._ctx.timeline.add(
+                "loop_behind",
+                "WARNING",
+                detail=f"a timer was {lag:.3f} s late, {accepted:.0f} connections a second, "
+                f"{self._in_work()} requests in work, {describe(self.descriptors)}",
+            )
+        if self._behind and not behind:
+            self._ctx.timeline.add("loop_caught_up", detail=f"a timer was {lag:.3f} s late")
+        self._behind = behind
+
+
+def describe(count: DescriptorCount | None) -> str:
+    """Return the state of descriptors for a log line."""
+    if count is None:
+        return "descriptors unknown"
+    return f"{count.open} of {count.most} descriptors"
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -18,6 +18,7 @@
 from peridotdock.relay.clocks import BootClock
 from peridotdock.relay.following import Follower
 from peridotdock.relay.front import Front
+from peridotdock.relay.lag import LOOK_SECONDS, LagWatch
 from peridotdock.relay.leadership import Leadership
 from peridotdock.relay.ordering import Orderer
 from peridotdock.relay.peers import Peers
@@ -25,6 +26,7 @@
 from peridotdock.relay.settings import HostSettings
 from peridotdock.schema.messages import Rows
 from peridotdock.serving import Server, make_application
+from peridotdock.turns import find_turns
 
 # Seconds between two calls on the endpoints' table, which changes with each load: of the host that
 # orders engines, and of all others. Those hear of loads from it; what they must see for themselves
@@ -76,6 +78,7 @@
         )
         self.service.on_down = lambda key: self.peers.tell_wants()
         self.front = Front(ctx, adapter.wire, self.service, self.peers)
+        self.lag = LagWatch(ctx, find_turns(), lambda: self.front.in_work)
         lease = settings.bounds.order_lease
         machine = str(settings.listen.peers)
         self.leadership = Leadership(ctx, self.store, lease, BootClock(), machine)
@@ -125,6 +128,7 @@
         every(self.peers.membership.beat_seconds, self._beat, "beat")
         every(lambda: self._word_seconds(WORK_SECONDS), self._tell_work, "work")
         every(lambda: self._word_seconds(DEMAND_SECONDS), self._tell_demand, "demand")
+        every(lambda: LOOK_SECONDS, self.lag.look, "lag")
         every(self._lease_seconds, self._step_lease, "lease", self.lease_due)
         self._tasks.append(asyncio.create_task(self._order()))
         self.ctx.timeline.add("started", detail=str(self.settings.listen.callers))
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -8,8 +8,10 @@
 
 import uvicorn
 from blacksheep import Application, Request, Response, Router
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from peridotdock.errors import Failure, Kind
+from peridotdock.turns import find_turns
 
 BACKLOG = 1024
 KEEP_ALIVE_SECONDS = 30
@@ -67,6 +69,15 @@
         yield
 
 
+class Connection(HttpToolsProtocol):
+    """A connection that is counted."""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Count it."""
+        super().connection_made(transport)
+        find_turns().accepted += 1
+
+
 def bind_socket(ip: str, port: int) -> socket.socket:
     """Return a bound socket whose connections notice a dead peer."""
     sock = socket.socket()
@@ -100,7 +111,7 @@
         cfg = uvicorn.Config(
             self._serve,
             loop="asyncio",
-            http="httptools",
+            http=Connection,
             lifespan="off",
             interface="asgi3",
             proxy_headers=False,
--- /dev/null
+++ b/tests/relay/test_lag.py
@@ -0,0 +1,120 @@
+"""What a host sees of its own state: how late its loop is, connections, descriptors."""
+
+import asyncio
+import time
+import unittest
+
+from nose2.tools import params
+
+from peridotdock.context import build_context
+from peridotdock.events import Filter
+from peridotdock.relay.lag import DescriptorCount, LagWatch
+from peridotdock.schema.settings import Settings
+from peridotdock.turns import Turns, WatchedLoop
+from tests.fakes import FakeClock
+
+CFG = Settings("h1", "north", "http://unused", "a key of sixteen")
+COUNT = DescriptorCount(40, 4100)
+
+
+def run(work):
+    with asyncio.Runner(loop_factory=WatchedLoop) as runner:
+        return runner.run(work)
+
+
+class TurnsTest(unittest.TestCase):
+    @params(
+        ("read at once: it may have come since the turn before began", 0.4, 0.0, 0.4),
+        ("waited for: it has come just now", 0.4, 0.2, 0.0),
+    )
+    def test_what_is_read_has_an_earliest_time(self, name, busy, idle, expected):
+        clock = FakeClock()
+        turns = Turns(clock.monotonic)
+        clock.time += busy
+        turns.end()
+        clock.time += idle
+        turns.begin(None)
+        self.assertAlmostEqual(expected, clock.time - turns.since(), msg=name)
+
+    @params(
+        ("a long turn", 0.7, 0.0, 0.0, 0.7),
+        ("a wait that ended too late", 0.0, 0.9, 0.2, 0.7),
+        ("a wait that was to last", 0.0, 0.2, 0.2, 0.0),
+    )
+    def test_lag_is_how_late_a_timer_was(self, name, busy, waited, timeout, expected):
+        clock = FakeClock()
+        turns = Turns(clock.monotonic)
+        clock.time += busy
+        turns.end()
+        clock.time += waited
+        turns.begin(timeout)
+        self.assertAlmostEqual(expected, turns.lag(), msg=name)
+        turns.end()
+        clock.time += 2.5
+        turns.begin(None)
+        self.assertAlmostEqual(0.0, turns.lag(), msg="the last second only")
+
+    def test_a_loop_that_is_held_shows_it(self):
+        async def check():
+            loop = asyncio.get_running_loop()
+            loop.call_soon(time.sleep, 0.15)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            return loop.turns.lag()
+
+        self.assertGreaterEqual(run(check()), 0.15)
+
+
+class WatchTest(unittest.TestCase):
+    """An operator looks for why callers of one host wait, and finds nothing.
+
+    The host's loop is seconds behind: all it logs is as usual, only later.
+    """
+
+    def watch(self, count=COUNT):
+        clock = FakeClock()
+        ctx = build_context(CFG, clock)
+        turns = Turns(clock.monotonic)
+        return clock, ctx, turns, LagWatch(ctx, turns, lambda: 7, lambda: count)
+
+    def hold(self, clock, turns, seconds):
+        turns.end()
+        turns.begin(0)
+        clock.time += seconds
+        turns.end()
+        turns.begin(0)
+
+    def test_a_host_behind_says_so_and_not_too_often(self):
+        clock, ctx, turns, watch = self.watch()
+        for _ in range(12):
+            self.hold(clock, turns, 1.0)
+            turns.accepted += 30
+            asyncio.run(watch.look())
+        lines = [event.detail for event in ctx.timeline.select(Filter()) if "behind" in event.name]
+        self.assertEqual(3, len(lines), "one each five seconds")
+        self.assertEqual(
+            "a timer was 1.000 s late, 30 connections a second, 7 requests in work, "
+            "40 of 4100 descriptors",
+            lines[-1],
+        )
+        turns.end()
+        clock.time += 3.0
+        turns.begin(None)
+        asyncio.run(watch.look())
+        self.assertEqual("loop_caught_up", ctx.timeline.select(Filter())[-1].name)
+
+    def test_metrics_show_the_same(self):
+        clock, ctx, turns, watch = self.watch()
+        self.hold(clock, turns, 0.5)
+        turns.accepted = 3
+        asyncio.run(watch.look())
+        text = ctx.metrics.render().decode()
+        self.assertIn("peridotdock_loop_lag_seconds 0.5", text)
+        self.assertIn("peridotdock_accepted_total 3.0", text)
+        self.assertIn('peridotdock_descriptors{state="open"} 40.0', text)
+        self.assertIn("peridotdock_late_answers_total 0.0", text)
+
+    def test_a_system_that_does_not_tell_is_no_fault(self):
+        _, ctx, _, watch = self.watch(count=None)
+        asyncio.run(watch.look())
+        self.assertEqual([], ctx.timeline.select(Filter()))
