Add failing tests: time that a request waits unread in its socket isn't counted

Cause: a request's time runs from when the host read its head. Held for 0.3 s with the bytes in the socket, a host hands its endpoint 699 ms of a time-out of 700 ms; 400 ms are left.

--- /dev/null
+++ b/tests/relay/test_overload.py
@@ -0,0 +1,92 @@
+"""A host whose loop is held: the time that requests wait unread, and what becomes of them.
+
+Everything runs on one real loop, which tests hold on purpose with ``time.sleep``. Callers write to
+plain sockets, so that their bytes are with the kernel while the loop can't read them.
+"""
+
+import asyncio
+import socket
+import time
+import unittest
+
+from peridotdock.turns import WatchedLoop
+from tests.relay.deployment import Deployment
+
+HEAD = (
+    "POST {path} HTTP/1.1\r\nhost: shop.example\r\nx-attempt-id: {attempt}\r\n"
+    "x-deadline-ms: {deadline}\r\ncontent-length: 0\r\n\r\n"
+)
+# Of the route /bind/, whose requests may run once at most.
+BIND_SECONDS = 0.7
+
+
+def run(test):
+    """Run an async test on a loop that knows its turns, within half a minute."""
+
+    def wrapped(self, *args):
+        with asyncio.Runner(loop_factory=WatchedLoop) as runner:
+            runner.run(asyncio.wait_for(test(self, *args), 30))
+
+    wrapped.__name__ = test.__name__
+    wrapped.__doc__ = test.__doc__
+    return wrapped
+
+
+class Caller:
+    """A caller's connection whose bytes go out also while the loop is held."""
+
+    def __init__(self, address):
+        self._sock = socket.create_connection((address.ip, address.port))
+
+    def ask(self, path, attempt, deadline=6000):
+        raw = HEAD.format(path=path, attempt=attempt, deadline=deadline)
+        self._sock.sendall(raw.encode())
+
+    async def read(self):
+        """Return status and headers of an answer, its body read with it."""
+        self._sock.setblocking(False)
+        raw = b""
+        loop = asyncio.get_running_loop()
+        while b"\r\n\r\n" not in raw:
+            part = await loop.sock_recv(self._sock, 65536)
+            if not part:
+                raise ConnectionError("closed without an answer")
+            raw += part
+        line, *rows = raw.partition(b"\r\n\r\n")[0].decode().split("\r\n")
+        return int(line.split()[1]), dict(row.lower().split(": ", 1) for row in rows)
+
+    def close(self):
+        self._sock.close()
+
+
+class UnreadTimeTest(unittest.TestCase):
+    """A caller gets no answer until long after its request's time is over.
+
+    It sends a request to a host that is behind. Its bytes lie with the kernel for a second. The
+    host counts the time from when it read them, so it holds the request on for that much longer,
+    and hands an endpoint more time than the caller has. Seen of one request: sent at 17.772 s, at
+    its endpoint at 19.901 s, run there in 22 ms, answered 504 at 20.088 s.
+    """
+
+    @run
+    async def test_time_unread_is_counted_on_a_new_connection(self):
+        async with Deployment() as found:
+            caller = Caller(found.hosts[0].settings.listen.callers)
+            await self.check_counted(found, caller)
+
+    @run
+    async def test_time_unread_is_counted_on_a_kept_connection(self):
+        async with Deployment() as found:
+            caller = Caller(found.hosts[0].settings.listen.callers)
+            caller.ask("/bind/", "a0")
+            self.assertEqual(200, (await caller.read())[0])
+            await asyncio.sleep(0.05)
+            await self.check_counted(found, caller)
+
+    async def check_counted(self, found, caller):
+        caller.ask("/bind/", "a1")
+        time.sleep(0.3)
+        self.assertEqual(200, (await caller.read())[0])
+        caller.close()
+        _, _, sent, _ = found.pages["p1"].seen[-1]
+        self.assertLessEqual(int(sent["x-deadline-ms"]), 1000 * (BIND_SECONDS - 0.3))
