Count the time that a request waits unread from when it can have come

Cause: a request's time ran from when its head was read; seconds of a loop that is behind were left out, so the host held it on after its time-out and handed endpoints more time than was left. Ruled out: the kernel's time of the last byte (TCP_INFO): not to be had everywhere; the largest lag of the last second for every request: it would cut short those that came after a stall. Change: a connection notes the start of the turn before the one that read the request, or, for its first, before the one that accepted it; nothing that was there then would have been left unread. A loop that waited for events reads at once, so on a calm host nothing changes.

--- a/peridotdock/relay/front.py
+++ b/peridotdock/relay/front.py
@@ -7,7 +7,7 @@
 from peridotdock.answers import JSON, answer_reply
 from peridotdock.context import Context
 from peridotdock.decisions.choice import read_seconds
-from peridotdock.deployment import Deployment
+from peridotdock.deployment import Deployment, Route
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.absent import name_item
 from peridotdock.relay.asks import RelayAsk, RequestHead
@@ -18,7 +18,7 @@
 from peridotdock.relay.streaming import pass_on
 from peridotdock.relay.wire import Wire
 from peridotdock.requests import Reply
-from peridotdock.serving import read_body
+from peridotdock.serving import CAME, read_body
 
 # Seconds until a caller may come back to a host that knows no configuration yet: by then it has
 # read one, or the caller has asked for other addresses.
@@ -41,7 +41,6 @@
 
     async def handle(self, request: Request) -> Response:
         """Answer one request."""
-        began = self._ctx.clock.monotonic()
         head = self._wire.read_request(request.headers)
         if failed(head):
             return self._refuse(head, "")
@@ -57,7 +56,7 @@
         body = await read_body(request, deployment.limits.max_body_bytes)
         if failed(body):
             return self._refuse(body, head.attempt_id)
-        ask = make_ask(request, head, route, body, began)
+        ask = make_ask(request, head, route, body)
         return await self._serve(request, ask)
 
     async def _serve(self, request: Request, ask: RelayAsk) -> Response:
@@ -120,8 +119,9 @@
         return Response(failure.answer.status, headers, Content(JSON, body))
 
 
-def make_ask(request: Request, head: RequestHead, route, body: bytes, began: float) -> RelayAsk:
-    """Return the request to relay; its time runs from when its head was read."""
+def make_ask(request: Request, head: RequestHead, route: Route, body: bytes) -> RelayAsk:
+    """Return the request to relay; its time runs from when it can have come at the earliest."""
+    came = request.scope[CAME]
     seconds = route.timeout if head.seconds is None else min(route.timeout, head.seconds)
     target = request.url.value.decode("latin-1")
-    return RelayAsk(head, route, request.method, target, body, began, began + seconds)
+    return RelayAsk(head, route, request.method, target, body, came, came + seconds)
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -26,7 +26,10 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 20_000),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
 )
-
+# Turns of the loop from the one that accepts a connection to the one that sets it up.
+ACCEPT_TURNS = 2
+# In a request's scope: the earliest monotonic time at which it can have come.
+CAME = "came"
 
 Handler = Callable[[Request], Awaitable[Response]]
 
@@ -70,12 +73,26 @@
 
 
 class Connection(HttpToolsProtocol):
-    """A connection that is counted."""
+    """A connection that knows since when a request read from it can have waited unread.
+
+    Failure guarded against: the loop is behind, requests lie with the kernel, and their time counts
+    from when they are read. They are held on after their deadline, and endpoints are handed more
+    time than is left. It shows as answers long after the time-out of their route.
+    """
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Count it."""
+        """Note when the connection can have come; its first request may have come with it."""
         super().connection_made(transport)
-        find_turns().accepted += 1
+        self._turns = find_turns()
+        self._turns.accepted += 1
+        self._first_since: float | None = self._turns.since(ACCEPT_TURNS)
+
+    def on_message_begin(self) -> None:
+        """Note for the request that begins when it can have come."""
+        super().on_message_begin()
+        read_since = self._turns.since()
+        since, self._first_since = self._first_since, None
+        self.scope[CAME] = read_since if since is None else since
 
 
 def bind_socket(ip: str, port: int) -> socket.socket:
