Add failing tests: a host behind sends on what can't be answered in time

Cause: nothing looks at the time left before a request is sent. After 0.8 s unread of a time-out of 0.7 s, and with each turn of the loop 0.12 s long, the caller is told 504, which says nothing on whether it has run.

--- a/tests/relay/test_overload.py
+++ b/tests/relay/test_overload.py
@@ -59,6 +59,26 @@
         self._sock.close()
 
 
+class SlowTurns:
+    """Makes each turn of the loop last ``seconds`` longer."""
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+        self._on = False
+
+    def __enter__(self):
+        self._on = True
+        asyncio.get_running_loop().call_soon(self._hold)
+
+    def __exit__(self, *exc):
+        self._on = False
+
+    def _hold(self):
+        if self._on:
+            time.sleep(self._seconds)
+            asyncio.get_running_loop().call_soon(self._hold)
+
+
 class UnreadTimeTest(unittest.TestCase):
     """A caller gets no answer until long after its request's time is over.
 
@@ -90,3 +110,55 @@
         caller.close()
         _, _, sent, _ = found.pages["p1"].seen[-1]
         self.assertLessEqual(int(sent["x-deadline-ms"]), 1000 * (BIND_SECONDS - 0.3))
+
+    @run
+    async def test_a_request_without_time_is_refused_and_not_sent(self):
+        async with Deployment() as found:
+            caller = Caller(found.hosts[0].settings.listen.callers)
+            caller.ask("/bind/", "a1")
+            time.sleep(BIND_SECONDS + 0.1)
+            status, headers = await caller.read()
+            caller.close()
+            self.assertEqual(503, status, "a promise that it has not run")
+            self.assertIn("retry-after", headers)
+            self.assertEqual([], found.pages["p1"].seen)
+
+    @run
+    async def test_a_request_whose_answer_would_come_too_late_does_not_run(self):
+        """A note is written twice.
+
+        Its page is asked for on a host behind; the request is sent on with next to no time left,
+        runs, and its caller is told 504. It can't know, and writes it again.
+        """
+        async with Deployment() as found:
+            caller = Caller(found.hosts[0].settings.listen.callers)
+            with SlowTurns(0.12):
+                caller.ask("/bind/", "a1")
+                status, headers = await caller.read()
+            caller.close()
+            await asyncio.sleep(0.05)
+            self.assertEqual(503, status)
+            self.assertIn("retry-after", headers)
+            self.assertEqual([], found.pages["p1"].ran)
+
+
+class ReadyAnswersTest(unittest.TestCase):
+    """A caller is told 504 although its answer is there.
+
+    The endpoint has answered in time, and the host is held until the deadline is over. In its next
+    turn both are due: the bytes to read, and the timer.
+    """
+
+    @run
+    async def test_an_answer_that_is_there_is_passed_on(self):
+        async with Deployment() as found:
+            page = found.pages["p1"]
+            answer = page._answer
+
+            async def answer_and_hold(*args):
+                kept = await answer(*args)
+                time.sleep(BIND_SECONDS + 0.1)
+                return kept
+
+            page._answer = answer_and_hold
+            self.assertEqual(200, (await found.ask("/bind/"))[0])
