Refuse at once, and don't send, what a host that is behind can't answer in time

Cause: a host whose turns are long sent requests on whose time was over or would be before the answer is written; one that may run once only ran, and its caller was told 504. Ruled out: the largest lag of the last second as the measure, which one long turn moves for a second; the median of the last eight turns does not. Change: decisions/overload.py judges time left against the endpoint's prediction and six turns of the loop; the answer is 503 host_behind with Retry-After and the promise that nothing has run. Before: 504 after 0.8 s unread and with turns of 0.12 s.

--- a/peridotdock/errors.py
+++ b/peridotdock/errors.py
@@ -22,6 +22,7 @@
     TOO_MANY_STREAMS = "too_many_streams"
     CALLER_LIMIT = "caller_limit"
     OVERLOADED = "overloaded"
+    HOST_BEHIND = "host_behind"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
     NO_ENDPOINT = "no_endpoint"
@@ -102,6 +103,13 @@
         "No endpoint can answer within the target now.",
         "Come back after Retry-After; see peridotdock placement if it lasts.",
     ),
+    Kind.HOST_BEHIND: Answer(
+        503,
+        Ran.NO,
+        "INFO",
+        "This host is behind with its work and could not answer in time.",
+        "Use another address; operators look at the host's loop_behind lines.",
+    ),
     Kind.NOT_READY: Answer(
         503, Ran.NO, "INFO", "This host knows no manifest yet.", "Use another address."
     ),
--- a/peridotdock/relay/lag.py
+++ b/peridotdock/relay/lag.py
@@ -7,14 +7,12 @@
 from typing import Protocol
 
 from peridotdock.context import Context
+from peridotdock.decisions.overload import BEHIND_SECONDS
 from peridotdock.turns import Turns
 
 # Seconds between two looks, and between two log lines while a host stays behind.
 LOOK_SECONDS = 1.0
 LINE_SECONDS = 5.0
-# Seconds that a timer is late from which on a host counts as behind. A new connection's first
-# request is read four turns after its coming, and callers wait one second for that.
-BEHIND_SECONDS = 0.2
 DESCRIPTORS = "/proc/self/fd"
 
 
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -7,6 +7,7 @@
 from peridotdock.context import Context
 from peridotdock.decisions.allowance import RetryAllowance
 from peridotdock.decisions.choice import Prediction, choose, unread
+from peridotdock.decisions.overload import judge_send, retry_after
 from peridotdock.deployment import Route
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.absent import WaitingRoom, name_item
@@ -18,6 +19,7 @@
 from peridotdock.relay.settings import Bounds
 from peridotdock.relay.wire import Wire
 from peridotdock.requests import RETRY_KINDS, admit_maybe
+from peridotdock.turns import find_turns
 
 # Refused sends of one request: each was not run, but each is an arrival at the service.
 MOST_REFUSALS = 2
@@ -62,6 +64,7 @@
         self.sender = Sender(wire, endpoints, ctx.clock)
         self._bounds = bounds
         self._allowances: dict[str, RetryAllowance] = {}
+        self._turns = find_turns()
         self.hosts = 1
         self.on_down: Callable[[str], None] = lambda key: None
 
@@ -123,6 +126,10 @@
         found = choose(candidates, self.book.work(progress.service, wish), self.ctx.rng)
         if found is None:
             return Failure(Kind.NO_ENDPOINT, progress.service, ABSENT_RETRY_SECONDS)
+        left = ask.deadline - self.ctx.clock.monotonic()
+        trouble = judge_send(left, found.seconds, self._turns.usual())
+        if trouble is not None:
+            return Failure(Kind.HOST_BEHIND, trouble, retry_after(self.ctx.rng.random))
         return found
 
     def may_repeat(
--- a/peridotdock/turns.py
+++ b/peridotdock/turns.py
@@ -26,6 +26,7 @@
         self.count = 0
         self.accepted = 0
         self._began = self._ended = monotonic()
+        self._lengths: deque[float] = deque([0.0] * MOST_TURNS, maxlen=MOST_TURNS)
         self._since: deque[float] = deque([self._began] * MOST_TURNS, maxlen=MOST_TURNS)
         self._window = self._began
         self._longest = 0.0
@@ -35,6 +36,7 @@
         """Note the end of a turn and return that time."""
         now = self.monotonic()
         self._note_lag(now, now - self._began)
+        self._lengths.append(now - self._began)
         self._ended = now
         return now
 
@@ -65,6 +67,10 @@
         """Return the earliest time at which something read ``back`` turns ago can have come."""
         return self._since[-1 - back]
 
+    def usual(self) -> float:
+        """Return how long a turn lasts at present: the median, which one long one doesn't move."""
+        return sorted(self._lengths)[MOST_TURNS // 2]
+
     def lag(self) -> float:
         """Return the most by which a timer was late in the last second, the present turn's too."""
         now = self.monotonic()
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -13,6 +13,13 @@
 from peridotdock.decisions.draft import Demand, EngineView
 from peridotdock.decisions.health import FIRST_PAUSE, LONGEST_PAUSE, Health
 from peridotdock.decisions.loads import UNHEARD_LOADS, LoadRation
+from peridotdock.decisions.overload import (
+    HostState,
+    Trouble,
+    judge_host,
+    judge_send,
+    retry_after,
+)
 from peridotdock.decisions.placing import make_plan
 from peridotdock.decisions.waiting import Absence, decide
 from peridotdock.deployment import EngineSpec, Model
@@ -402,3 +409,35 @@
         self.assertEqual([], plan(engines, demand, loads=0))
         warm = [engine("a", in_memory=frozenset({"m3"})), engine("b")]
         self.assertEqual([("a", "load", "m3")], plan(warm, demand, loads=0))
+
+
+class OverloadTest(unittest.TestCase):
+    """A host that is behind promises nothing that it can't keep."""
+
+    @params(
+        ("time is over", 0.0, 0.05, 0.0, Trouble.NO_TIME),
+        ("a calm host tries", 0.001, 0.05, 0.01, None),
+        ("too late with these turns", 0.6, 0.05, 0.1, Trouble.TOO_LATE),
+        ("in time with these turns", 0.7, 0.05, 0.1, None),
+        ("too late at this endpoint", 0.7, 0.2, 0.1, Trouble.TOO_LATE),
+    )
+    def test_what_can_not_be_answered_in_time_is_not_sent(self, name, left, expected, turn, found):
+        self.assertEqual(found, judge_send(left, expected, turn), name)
+
+    @params(
+        ("calm", HostState(0.01, 0.0, 3000), None),
+        ("one long turn", HostState(3.0, 0.0, 3000), None),
+        ("behind for long", HostState(0.3, 2.5, 3000), Trouble.BEHIND),
+        ("caught up", HostState(0.1, 2.5, 3000), None),
+        ("few descriptors", HostState(0.0, 0.0, 10), Trouble.DESCRIPTORS),
+        ("descriptors unknown", HostState(0.0, 0.0, None), None),
+    )
+    def test_a_host_is_ready_when_it_can_take_something_new(self, name, state, found):
+        self.assertEqual(found, judge_host(state), name)
+
+    def test_refused_callers_do_not_return_together(self):
+        rng = random.Random(5)
+        times = {round(retry_after(rng.random), 3) for _ in range(20)}
+        self.assertGreater(len(times), 10)
+        self.assertLess(max(times) - min(times), 0.11)
+        self.assertGreater(min(times), 0.14)
