Add failing tests: a host that can take nothing new says that it is ready, and accepts a crowd at once

Cause: readiness looks at the configuration only; 300 waiting connections are accepted in one turn of the loop.

--- a/peridotdock/relay/lag.py
+++ b/peridotdock/relay/lag.py
@@ -58,7 +58,7 @@
         self._ctx = ctx
         self._turns = turns
         self._in_work = in_work
-        self._count = descriptors
+        self.count = descriptors
         self._accepted = 0
         self._looked_at = ctx.clock.monotonic()
         self._line_at = float("-inf")
@@ -70,7 +70,7 @@
         """Take the figures of the last second, and log them while the host is behind."""
         now = self._ctx.clock.monotonic()
         lag = self._turns.lag()
-        self.descriptors = self._count()
+        self.descriptors = self.count()
         if self.descriptors is not None:
             self._ctx.metrics.descriptors.labels("open").set(self.descriptors.open)
             self._ctx.metrics.descriptors.labels("most").set(self.descriptors.most)
--- a/tests/relay/test_overload.py
+++ b/tests/relay/test_overload.py
@@ -9,6 +9,7 @@
 import time
 import unittest
 
+from peridotdock.relay.lag import DescriptorCount
 from peridotdock.turns import WatchedLoop
 from tests.relay.deployment import Deployment
 
@@ -162,3 +163,66 @@
 
             page._answer = answer_and_hold
             self.assertEqual(200, (await found.ask("/bind/"))[0])
+
+
+class UnreadyTest(unittest.TestCase):
+    """Callers try a host in vain that every check finds ready.
+
+    Checks come over a kept connection, which is read; new ones aren't taken, as the host has no
+    descriptor left or its loop is behind for good. Requests that do come in are held until their
+    time is over.
+    """
+
+    async def check_refuses(self, found):
+        host = found.hosts[0]
+        async with found.session.get(f"http://{host.settings.listen.readiness}/v1/ready") as resp:
+            self.assertEqual(503, resp.status)
+        status, headers, _ = await found.ask("/bind/")
+        self.assertEqual(503, status)
+        self.assertIn("retry-after", headers)
+        self.assertEqual("close", headers["connection"])
+        self.assertEqual([], found.pages["p1"].seen)
+
+    @run
+    async def test_a_host_without_descriptors_is_not_ready(self):
+        async with Deployment() as found:
+            lag = found.hosts[0].lag
+            lag.count = lambda: DescriptorCount(4090, 4100)
+            await lag.look()
+            await self.check_refuses(found)
+            lag.count = lambda: DescriptorCount(90, 4100)
+            await lag.look()
+            self.assertEqual(200, (await found.ask("/bind/", "a2"))[0])
+
+    @run
+    async def test_a_host_that_stays_behind_is_not_ready(self):
+        async with Deployment() as found:
+            with SlowTurns(0.21):
+                await asyncio.sleep(3.5)
+            await self.check_refuses(found)
+            await asyncio.sleep(2.5)
+            self.assertEqual(200, (await found.ask("/bind/", "a2"))[0])
+
+
+class FairAcceptTest(unittest.TestCase):
+    """Streams stand still while a crowd connects.
+
+    All connections that wait are accepted in one turn, and each is set up before the next timer or
+    event of a stream has its turn.
+    """
+
+    @run
+    async def test_a_crowd_of_new_connections_shares_the_loop(self):
+        async with Deployment() as found:
+            turns = asyncio.get_running_loop().turns
+            address = found.hosts[0].settings.listen.callers
+            before = turns.accepted
+            callers = [Caller(address) for _ in range(300)]
+            most, last = 0, before
+            async with asyncio.timeout(10):
+                while turns.accepted < before + len(callers):
+                    await asyncio.sleep(0)
+                    most, last = max(most, turns.accepted - last), turns.accepted
+            for caller in callers:
+                caller.close()
+            self.assertLessEqual(most, 64)
