Say not ready, and refuse at once, when a host can take nothing new; accept a crowd in shares

Cause: readiness looked at the configuration only, over a kept connection, so a host without descriptors or seconds behind said that it was ready while nobody got through. All waiting connections were accepted and set up in one turn, before timers and events of streams. Ruled out: unready at once with the first long turn: one is over when it is noticed. Change: behind for 2.5 s, or fewer than 64 descriptors left: readiness 503, each request 503 with Retry-After, and the connection closed; host_unready and host_ready are logged. A listening socket gives 32 connections a turn; up to 1,024 still wait with the kernel. Time waiting in the queue of a crowd is counted for each of its requests.

--- a/peridotdock/decisions/overload.py
+++ b/peridotdock/decisions/overload.py
@@ -18,8 +18,8 @@
 # request is read four turns after its coming, and callers wait one second for that.
 BEHIND_SECONDS = 0.2
 # Seconds for which a host must have been behind before it says that it isn't ready. One long turn,
-# as a large configuration brings, is over when it is noticed.
-UNREADY_SECONDS = 2.0
+# as a large configuration brings, is over when it is noticed, and shows for two seconds.
+UNREADY_SECONDS = 2.5
 # Descriptors left below which a host takes nothing new: each request in work may need one more, and
 # without any the system takes no connection for a second at a time.
 LEAST_DESCRIPTORS = 64
--- a/peridotdock/relay/front.py
+++ b/peridotdock/relay/front.py
@@ -7,12 +7,14 @@
 from peridotdock.answers import JSON, answer_reply
 from peridotdock.context import Context
 from peridotdock.decisions.choice import read_seconds
+from peridotdock.decisions.overload import Trouble, retry_after
 from peridotdock.deployment import Deployment, Route
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.absent import name_item
 from peridotdock.relay.asks import RelayAsk, RequestHead
 from peridotdock.relay.attempt import Source, Whole
 from peridotdock.relay.caller import CallerEnd
+from peridotdock.relay.lag import LagWatch
 from peridotdock.relay.peers import Peers
 from peridotdock.relay.service import Progress, RelayService
 from peridotdock.relay.streaming import pass_on
@@ -31,11 +33,14 @@
 class Front:
     """Takes callers' requests on one host."""
 
-    def __init__(self, ctx: Context, wire: Wire, service: RelayService, peers: Peers):
+    def __init__(
+        self, ctx: Context, wire: Wire, service: RelayService, peers: Peers, lag: LagWatch
+    ):
         self._ctx = ctx
         self._wire = wire
         self._service = service
         self._peers = peers
+        self._lag = lag
         self.deployment: Deployment | None = None
         self.in_work = 0
 
@@ -44,6 +49,8 @@
         head = self._wire.read_request(request.headers)
         if failed(head):
             return self._refuse(head, "")
+        if self._lag.trouble is not None:
+            return self._turn_away(self._lag.trouble, head.attempt_id)
         deployment = self.deployment
         if deployment is None:
             return self._refuse(
@@ -106,6 +113,13 @@
         self.in_work -= 1
         caller.release()
 
+    def _turn_away(self, trouble: Trouble, attempt_id: str) -> Response:
+        """Refuse a request of a host that takes nothing new, and free its connection."""
+        failure = Failure(Kind.HOST_BEHIND, trouble, retry_after(self._ctx.rng.random))
+        response = self._refuse(failure, attempt_id)
+        response.headers.add(b"connection", b"close")
+        return response
+
     def _refuse(self, failure: Failure, attempt_id: str) -> Response:
         self._ctx.metrics.requests.labels(failure.kind.value).inc()
         self._ctx.timeline.add(
--- a/peridotdock/relay/lag.py
+++ b/peridotdock/relay/lag.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from peridotdock.context import Context
-from peridotdock.decisions.overload import BEHIND_SECONDS
+from peridotdock.decisions.overload import BEHIND_SECONDS, HostState, Trouble, judge_host
 from peridotdock.turns import Turns
 
 # Seconds between two looks, and between two log lines while a host stays behind.
@@ -62,7 +62,8 @@
         self._accepted = 0
         self._looked_at = ctx.clock.monotonic()
         self._line_at = float("-inf")
-        self._behind = False
+        self._behind_since: float | None = None
+        self.trouble: Trouble | None = None
         self.descriptors: DescriptorCount | None = None
         ctx.metrics.loop_lag.set_function(turns.lag)
 
@@ -79,21 +80,38 @@
         self._ctx.metrics.accepted.inc(accepted)
         seconds = max(now - self._looked_at, 0.001)
         self._looked_at = now
+        self._judge(now, lag)
         self._tell(now, lag, accepted / seconds)
 
-    def _tell(self, now: float, lag: float, accepted: float) -> None:
-        behind = lag >= BEHIND_SECONDS
-        if behind and now - self._line_at >= LINE_SECONDS:
-            self._line_at = now
-            self._ctx.timeline.add(
-                "loop_behind",
-                "WARNING",
-                detail=f"a timer was {lag:.3f} s late, {accepted:.0f} connections a second, "
-                f"{self._in_work()} requests in work, {describe(self.descriptors)}",
-            )
-        if self._behind and not behind:
+    def _judge(self, now: float, lag: float) -> None:
+        """Tell whether this host can take anything new; ``trouble`` says why not."""
+        was_behind = self._behind_since is not None
+        if lag < BEHIND_SECONDS:
+            self._behind_since = None
+        elif not was_behind:
+            self._behind_since = now
+        behind_for = 0.0 if self._behind_since is None else now - self._behind_since
+        free = None if self.descriptors is None else self.descriptors.free
+        trouble = judge_host(HostState(lag, behind_for, free))
+        if trouble is not self.trouble:
+            word = "host_ready" if trouble is None else "host_unready"
+            self._ctx.timeline.add(word, "WARNING", detail=trouble or "")
+            self.trouble = trouble
+        if was_behind and self._behind_since is None:
             self._ctx.timeline.add("loop_caught_up", detail=f"a timer was {lag:.3f} s late")
-        self._behind = behind
+
+    def _tell(self, now: float, lag: float, accepted: float) -> None:
+        """Log the state of a host that is behind or can take nothing new."""
+        calm = lag < BEHIND_SECONDS and self.trouble is None
+        if calm or now - self._line_at < LINE_SECONDS:
+            return
+        self._line_at = now
+        self._ctx.timeline.add(
+            "loop_behind",
+            "WARNING",
+            detail=f"a timer was {lag:.3f} s late, {accepted:.0f} connections a second, "
+            f"{self._in_work()} requests in work, {describe(self.descriptors)}",
+        )
 
 
 def describe(count: DescriptorCount | None) -> str:
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -77,8 +77,8 @@
             ctx, adapter.wire, self.book, self.endpoints, settings.bounds, self.room
         )
         self.service.on_down = lambda key: self.peers.tell_wants()
-        self.front = Front(ctx, adapter.wire, self.service, self.peers)
         self.lag = LagWatch(ctx, find_turns(), lambda: self.front.in_work)
+        self.front = Front(ctx, adapter.wire, self.service, self.peers, self.lag)
         lease = settings.bounds.order_lease
         machine = str(settings.listen.peers)
         self.leadership = Leadership(ctx, self.store, lease, BootClock(), machine)
@@ -254,7 +254,8 @@
         return await self._doors[request.scope["server"][1]](request)
 
     async def _readiness(self, request: Request) -> Response:
-        ready = self.front.deployment is not None and not self.leaving
+        known = self.front.deployment is not None
+        ready = known and not self.leaving and self.lag.trouble is None
         body = Content(b"text/plain", b"ready" if ready else b"not ready")
         return Response(200 if ready else 503, None, body)
 
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -11,8 +11,10 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from peridotdock.errors import Failure, Kind
-from peridotdock.turns import find_turns
+from peridotdock.turns import ACCEPTS_PER_TURN, find_turns
 
+# Connections that may wait with the kernel; beyond them a caller's first packet is dropped, and it
+# tries again after a second.
 BACKLOG = 1024
 KEEP_ALIVE_SECONDS = 30
 MAX_HEADER_BYTES = 32 * 1024
@@ -26,8 +28,6 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 20_000),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
 )
-# Turns of the loop from the one that accepts a connection to the one that sets it up.
-ACCEPT_TURNS = 2
 # In a request's scope: the earliest monotonic time at which it can have come.
 CAME = "came"
 
@@ -84,8 +84,7 @@
         """Note when the connection can have come; its first request may have come with it."""
         super().connection_made(transport)
         self._turns = find_turns()
-        self._turns.accepted += 1
-        self._first_since: float | None = self._turns.since(ACCEPT_TURNS)
+        self._first_since: float | None = self._turns.accept()
 
     def on_message_begin(self) -> None:
         """Note for the request that begins when it can have come."""
@@ -134,7 +133,7 @@
             proxy_headers=False,
             log_config=None,
             access_log=False,
-            backlog=BACKLOG,
+            backlog=ACCEPTS_PER_TURN,
             server_header=False,
             timeout_keep_alive=KEEP_ALIVE_SECONDS,
             timeout_graceful_shutdown=1,
@@ -145,6 +144,9 @@
             if self._task.done():
                 self._task.result()
             await asyncio.sleep(0.001)
+        # The loop takes the number that may wait for the number to accept in one turn.
+        for sock in self._socks:
+            sock.listen(BACKLOG)
         return self
 
     async def _serve(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
--- a/peridotdock/turns.py
+++ b/peridotdock/turns.py
@@ -15,6 +15,12 @@
 IDLE_SECONDS = 0.001
 # Turns that are remembered; a new connection is accepted two turns before its first read.
 MOST_TURNS = 8
+# Turns of the loop from the one that accepts a connection to the one that sets it up.
+ACCEPT_TURNS = 2
+# Connections that one listening socket gives in one turn. Failure guarded against: a crowd connects
+# and is set up whole before the next event of a stream is passed on; with this many a turn, setting
+# them up takes a few milliseconds.
+ACCEPTS_PER_TURN = 32
 WINDOW_SECONDS = 1.0
 
 
@@ -25,6 +31,9 @@
         self.monotonic = monotonic
         self.count = 0
         self.accepted = 0
+        self._crowd = 0
+        self._crowd_turn = 0
+        self._crowd_since = 0.0
         self._began = self._ended = monotonic()
         self._lengths: deque[float] = deque([0.0] * MOST_TURNS, maxlen=MOST_TURNS)
         self._since: deque[float] = deque([self._began] * MOST_TURNS, maxlen=MOST_TURNS)
@@ -67,6 +76,20 @@
         """Return the earliest time at which something read ``back`` turns ago can have come."""
         return self._since[-1 - back]
 
+    def accept(self) -> float:
+        """Count a connection that is being set up; return the earliest time it can have come.
+
+        While each turn accepts as many as it may, others were left waiting the turn before.
+        """
+        if self.count != self._crowd_turn:
+            goes_on = self._crowd >= ACCEPTS_PER_TURN and self.count == self._crowd_turn + 1
+            if not goes_on:
+                self._crowd_since = self.since(ACCEPT_TURNS)
+            self._crowd_turn, self._crowd = self.count, 0
+        self._crowd += 1
+        self.accepted += 1
+        return self._crowd_since
+
     def usual(self) -> float:
         """Return how long a turn lasts at present: the median, which one long one doesn't move."""
         return sorted(self._lengths)[MOST_TURNS // 2]
@@ -109,6 +132,10 @@
         """Return the present."""
         return self.monotonic()
 
+    def accept(self) -> float:
+        """Return the present."""
+        return self.monotonic()
+
     def lag(self) -> float:
         """Return nothing."""
         return 0.0
