--- a/peridotdock/relay/events.py
+++ b/peridotdock/relay/events.py
@@ -1,9 +1,10 @@
 """Splitting a streamed answer into whole events, so that none is passed on in part."""
 
+import re
 from dataclasses import dataclass
 
-ENDS = (b"\n\n", b"\r\n\r\n")
-ID_FIELD = b"id:"
+END = re.compile(rb"\n\n|\r\n\r\n")
+ID_FIELD = re.compile(rb"^id:(.*)$", re.MULTILINE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,26 +25,19 @@
         """Take in bytes and return the events that are whole now."""
         data = self.partial + part
         events = []
-        while True:
-            end = find_end(data)
-            if end < 0:
-                break
-            raw, data = data[:end], data[end:]
+        begin = 0
+        for found in END.finditer(data):
+            raw = data[begin : found.end()]
+            begin = found.end()
             events.append(StreamEvent(read_id(raw), raw))
-        self.partial = data
+        self.partial = data[begin:]
         return events
 
 
-def find_end(data: bytes) -> int:
-    """Return where the first event ends, or -1."""
-    found = [at + len(end) for end in ENDS if (at := data.find(end)) >= 0]
-    return min(found, default=-1)
-
-
 def read_id(raw: bytes) -> int | None:
     """Return the number in an event's id field."""
-    for line in raw.splitlines():
-        if line.startswith(ID_FIELD):
-            text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
-    return None
+    found = ID_FIELD.search(raw)
+    if found is None:
+        return None
+    text = found[1].strip()
+    return int(text) if text.isdigit() else None
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -114,11 +114,12 @@
     ) -> Prediction | Failure:
         """Choose an endpoint, after waiting for one where none can serve the request yet."""
         wish = ask.head.wish
-        if not self.book.usable(progress.service, wish):
+        states = self.book.usable(progress.service, wish)
+        if not states:
             refusal = await self._room.wait(ask, progress.service, caller)
             if refusal is not None:
                 return refusal
-        states = self.book.usable(progress.service, wish)
+            states = self.book.usable(progress.service, wish)
         candidates = self.book.candidates(states, wish, frozenset(progress.avoid))
         if not candidates:
             # All were tried: the one that cut a stream short may still be the one that has it.
