Give up idle connections before their endpoint closes them

Cause: an endpoint says in Keep-Alive how long it keeps an idle connection; ours were kept for 15 s whatever it said, and a request sent on one that is being closed is lost: 502 where it may run once only. Change: the pool takes the smaller of its own time and the endpoint's less 0.5 s. Before: a third request 0.8 s after the second used its connection, of an endpoint that keeps it for 1 s. After: a new one.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -171,8 +171,9 @@
     async def open(self, url: str, call: Call) -> Opened | Failure:
         """Send a request and wait for the head of its answer."""
         stack = AsyncExitStack()
+        pool = self._pool(url)
         try:
-            session = await stack.enter_async_context(self._pool(url).use())
+            session = await stack.enter_async_context(pool.use())
             resp = await session.request(
                 call.method,
                 URL(url + call.path, encoded=True),
@@ -190,6 +191,7 @@
         except BaseException:
             await stack.aclose()
             raise
+        pool.respect(resp.headers)
         if resp.status in (429, 503) and self._not_run_header in resp.headers:
             resp.close()
             await stack.aclose()
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -5,9 +5,10 @@
 """
 
 import asyncio
+import re
 import socket
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -28,6 +29,10 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2_000),
 )
+KEEP_ALIVE = re.compile(r"timeout\s*=\s*(\d+)")
+# Seconds before the other end closes an idle connection from which on it is not taken again: a
+# request may be on its way for as long, beside a loop or a link that is behind.
+KEEP_ALIVE_MARGIN = 0.5
 # Headers that the library would add; a relayed request must reach its endpoint as it was sent.
 ADDED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -87,6 +92,14 @@
         return self.ending.done() and self.ending.exception() is None
 
 
+class Connector(aiohttp.TCPConnector):
+    """Connections whose time to be kept idle can be shortened."""
+
+    def keep_for(self, seconds: float) -> None:
+        """Take no connection again that has been idle for longer."""
+        self._keepalive_timeout = min(self._keepalive_timeout, seconds)
+
+
 class Pool:
     """Kept connections that can be abandoned all at once.
 
@@ -103,7 +116,7 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._current is None:
-            connector = aiohttp.TCPConnector(
+            connector = Connector(
                 limit=self._limit, keepalive_timeout=self._idle, socket_factory=open_socket
             )
             self._current = aiohttp.ClientSession(
@@ -130,6 +143,19 @@
                 if session is not self._current:
                     await session.close()
 
+    def respect(self, headers: Mapping[str, str]) -> None:
+        """Keep idle connections no longer than the other end says that it does.
+
+        Failure guarded against: a request goes out on a connection that the other end is closing at
+        that moment, and is lost. If it may run once only, nobody can tell whether it has, and its
+        caller is told 502.
+        """
+        found = KEEP_ALIVE.search(headers.get("Keep-Alive", ""))
+        if found is None or self._current is None:
+            return
+        self._idle = min(self._idle, max(0.0, int(found[1]) - KEEP_ALIVE_MARGIN))
+        self._current.connector.keep_for(self._idle)
+
     async def renew(self) -> None:
         """Take no kept connection again; those in use go on until their request ends."""
         session, self._current = self._current, None
