Say that a refused request may have run when an earlier send of it may have

Cause: the first endpoint is lost with its answer, the second refuses, and the caller gets the second's 503, a promise that nothing has run. Change: 502 then, as the body says (ran: maybe). Before: 503, after: 502 (new test in tests/relay/test_relay.py).

--- a/peridotdock/relay/front.py
+++ b/peridotdock/relay/front.py
@@ -9,7 +9,7 @@
 from peridotdock.decisions.choice import read_seconds
 from peridotdock.decisions.overload import Trouble, retry_after
 from peridotdock.deployment import Deployment, Route
-from peridotdock.errors import Failure, Kind, failed
+from peridotdock.errors import Failure, Kind, Ran, failed
 from peridotdock.relay.absent import name_item
 from peridotdock.relay.asks import RelayAsk, RequestHead
 from peridotdock.relay.attempt import Source, Whole
@@ -25,6 +25,8 @@
 # Seconds until a caller may come back to a host that knows no configuration yet: by then it has
 # read one, or the caller has asked for other addresses.
 NOT_READY_RETRY_SECONDS = 0.3
+# The status of a refused request whose earlier send may have run.
+MAYBE_RAN_STATUS = 502
 # Seconds after its deadline from which on an answer counts as late: timers of a host that is not
 # behind fire some milliseconds late.
 LATE_SECONDS = 0.05
@@ -128,9 +130,12 @@
             request=attempt_id,
             detail=f"{failure.kind}: {failure.reason}",
         )
+        # A refusal's status promises that nothing has run, which an earlier send may break.
+        unsure = failure.may_have_run and failure.answer.ran is Ran.NO
         headers = self._wire.write_refusal(attempt_id, failure.retry_after)
         body = json.dumps(failure.describe(attempt_id)).encode()
-        return Response(failure.answer.status, headers, Content(JSON, body))
+        status = MAYBE_RAN_STATUS if unsure else failure.answer.status
+        return Response(status, headers, Content(JSON, body))
 
 
 def make_ask(request: Request, head: RequestHead, route: Route, body: bytes) -> RelayAsk:
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -100,6 +100,21 @@
 
         check(self)
 
+    @run
+    async def test_a_refused_second_send_does_not_hide_that_the_first_may_have_run(self):
+        """A caller is told "not run" of a request that has run.
+
+        The first endpoint is lost with its answer; the request is sent again, and the second
+        endpoint refuses it. Its word holds for its own send alone.
+        """
+        async with Deployment(pages=("p1", "p2")) as found:
+            steps = ["cut", "refuse", "refuse", "refuse"]
+            for runner in found.pages.values():
+                runner.script = steps
+            status, _, body = await found.ask("/fetch/")
+            self.assertEqual("maybe", json.loads(body)["error"]["ran"])
+            self.assertEqual(502, status)
+
     @run
     async def test_an_endpoints_own_failure_is_passed_on_as_it_came(self):
         async with Deployment() as found:
