Add a failing test: an endpoint that has gone dark is tried again and again

Cause: a connection may take a second. A route with a shorter time-out, or with less time left, ends before that as a deadline: nothing is learnt of the endpoint, so the next request is sent there again, and the caller is told 504 (maybe run) although no byte has left. With one of two endpoints dark, four of eight requests failed: 504 200 504 200 200 504 200 504.

--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -1,12 +1,14 @@
 """Connections to endpoints: kept while the endpoint keeps them, and no longer."""
 
 import asyncio
+import socket
 import unittest
 
 from nose2.tools import params
 
 from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
 from peridotdock.errors import failed
+from tests.relay.deployment import Deployment
 from tests.standins.runner import RunnerStandin
 
 NOT_RUN = "x-not-executed"
@@ -82,3 +84,46 @@
 
         connections = 0
         self.assertEqual([1, 1, 2], asyncio.run(check()))
+
+
+class DarkEndpoint:
+    """An address that takes no connection and refuses none: its queue of new ones is full."""
+
+    def __enter__(self):
+        self._sock = socket.socket()
+        self._sock.bind(("127.0.0.1", 0))
+        self._sock.listen(0)
+        self.address = "{}:{}".format(*self._sock.getsockname())
+        self._callers = []
+        for _ in range(4):
+            caller = socket.socket()
+            caller.setblocking(False)
+            caller.connect_ex(self._sock.getsockname())
+            self._callers.append(caller)
+        return self
+
+    def __exit__(self, *exc):
+        for sock in (self._sock, *self._callers):
+            sock.close()
+
+
+class DarkTest(unittest.TestCase):
+    """A page that takes 45 ms is refused after its whole time, beside an endpoint that is idle.
+
+    One endpoint's machine has gone dark: connections to it are neither made nor refused. The
+    request waits a second for one, longer than its route allows, and never gets to the other. Seen
+    of one request: sent at 17.772 s, at its endpoint at 19.901 s, run there in 22 ms.
+    """
+
+    def test_a_connection_that_is_not_made_is_given_up_while_there_is_time(self):
+        async def check():
+            async with Deployment(pages=("p1", "p2")) as found:
+                with DarkEndpoint() as dark:
+                    entry = found.pages["p1"].entry("pages", address=dark.address)
+                    found.store.put("servers", "p1", entry)
+                    book = found.hosts[0].book
+                    await found.until(lambda: book.states["p1"].entry.address == dark.address)
+                    answers = [await found.ask("/bind/", f"a{number}") for number in range(8)]
+                self.assertEqual([200] * 8, [status for status, _, _ in answers])
+
+        asyncio.run(asyncio.wait_for(check(), 30))
