--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -127,3 +127,21 @@
                 self.assertEqual([200] * 8, [status for status, _, _ in answers])
 
         asyncio.run(asyncio.wait_for(check(), 30))
+
+
+class SilentTest(unittest.TestCase):
+    """Half of all notes are lost for as long as one endpoint takes requests and answers none.
+
+    A note may be written once only, so it waits for its answer to the end of its time. Nothing is
+    learnt from that: the next one is sent there again.
+    """
+
+    def test_an_endpoint_that_lets_time_run_out_is_passed_over(self):
+        async def check():
+            async with Deployment(pages=("p1", "p2")) as found:
+                found.pages["p1"].script = ["silent"] * 20
+                answers = [await found.ask("/bind/", f"a{number}") for number in range(16)]
+                statuses = [status for status, _, _ in answers]
+                self.assertLessEqual(statuses.count(504), 2, statuses)
+
+        asyncio.run(asyncio.wait_for(check(), 30))
