--- a/peridotdock/relay/front.py
+++ b/peridotdock/relay/front.py
@@ -7,41 +7,52 @@
 from peridotdock.answers import JSON, answer_reply
 from peridotdock.context import Context
 from peridotdock.decisions.choice import read_seconds
-from peridotdock.deployment import Deployment
-from peridotdock.errors import Failure, Kind, failed
+from peridotdock.decisions.overload import Trouble, retry_after
+from peridotdock.deployment import Deployment, Route
+from peridotdock.errors import Failure, Kind, Ran, failed
 from peridotdock.relay.absent import name_item
 from peridotdock.relay.asks import RelayAsk, RequestHead
 from peridotdock.relay.attempt import Source, Whole
 from peridotdock.relay.caller import CallerEnd
+from peridotdock.relay.lag import LagWatch
 from peridotdock.relay.peers import Peers
 from peridotdock.relay.service import Progress, RelayService
 from peridotdock.relay.streaming import pass_on
 from peridotdock.relay.wire import Wire
 from peridotdock.requests import Reply
-from peridotdock.serving import read_body
+from peridotdock.serving import CAME, read_body
 
 # Seconds until a caller may come back to a host that knows no configuration yet: by then it has
 # read one, or the caller has asked for other addresses.
 NOT_READY_RETRY_SECONDS = 0.3
+# The status of a refused request whose earlier send may have run.
+MAYBE_RAN_STATUS = 502
+# Seconds after its deadline from which on an answer counts as late: timers of a host that is not
+# behind fire some milliseconds late.
+LATE_SECONDS = 0.05
 
 
 class Front:
     """Takes callers' requests on one host."""
 
-    def __init__(self, ctx: Context, wire: Wire, service: RelayService, peers: Peers):
+    def __init__(
+        self, ctx: Context, wire: Wire, service: RelayService, peers: Peers, lag: LagWatch
+    ):
         self._ctx = ctx
         self._wire = wire
         self._service = service
         self._peers = peers
+        self._lag = lag
         self.deployment: Deployment | None = None
         self.in_work = 0
 
     async def handle(self, request: Request) -> Response:
         """Answer one request."""
-        began = self._ctx.clock.monotonic()
         head = self._wire.read_request(request.headers)
         if failed(head):
             return self._refuse(head, "")
+        if self._lag.trouble is not None:
+            return self._turn_away(self._lag.trouble, head.attempt_id)
         deployment = self.deployment
         if deployment is None:
             return self._refuse(
@@ -54,7 +65,7 @@
         body = await read_body(request, deployment.limits.max_body_bytes)
         if failed(body):
             return self._refuse(body, head.attempt_id)
-        ask = make_ask(request, head, route, body, began)
+        ask = make_ask(request, head, route, body)
         return await self._serve(request, ask)
 
     async def _serve(self, request: Request, ask: RelayAsk) -> Response:
@@ -66,8 +77,10 @@
         try:
             found = await self._service.open(ask, caller, progress)
             if failed(found):
+                self._count_late(ask)
                 return self._refuse(found, ask.id)
             self._ctx.metrics.requests.labels("answered").inc()
+            self._count_late(ask)
             head = found.head
             if isinstance(found, Whole):
                 return answer_reply(Reply(head.status, head.headers, found.body, head.content_type))
@@ -78,6 +91,10 @@
             if not streaming:
                 self._leave(caller)
 
+    def _count_late(self, ask: RelayAsk) -> None:
+        if self._ctx.clock.monotonic() > ask.deadline + LATE_SECONDS:
+            self._ctx.metrics.late_answers.inc()
+
     def _count_demand(self, ask: RelayAsk, progress: Progress) -> None:
         """Count what a request asks of the engines, by model and adapter."""
         wish = ask.head.wish
@@ -98,6 +115,13 @@
         self.in_work -= 1
         caller.release()
 
+    def _turn_away(self, trouble: Trouble, attempt_id: str) -> Response:
+        """Refuse a request of a host that takes nothing new, and free its connection."""
+        failure = Failure(Kind.HOST_BEHIND, trouble, retry_after(self._ctx.rng.random))
+        response = self._refuse(failure, attempt_id)
+        response.headers.add(b"connection", b"close")
+        return response
+
     def _refuse(self, failure: Failure, attempt_id: str) -> Response:
         self._ctx.metrics.requests.labels(failure.kind.value).inc()
         self._ctx.timeline.add(
@@ -106,13 +130,17 @@
             request=attempt_id,
             detail=f"{failure.kind}: {failure.reason}",
         )
+        # A refusal's status promises that nothing has run, which an earlier send may break.
+        unsure = failure.may_have_run and failure.answer.ran is Ran.NO
         headers = self._wire.write_refusal(attempt_id, failure.retry_after)
         body = json.dumps(failure.describe(attempt_id)).encode()
-        return Response(failure.answer.status, headers, Content(JSON, body))
+        status = MAYBE_RAN_STATUS if unsure else failure.answer.status
+        return Response(status, headers, Content(JSON, body))
 
 
-def make_ask(request: Request, head: RequestHead, route, body: bytes, began: float) -> RelayAsk:
-    """Return the request to relay; its time runs from when its head was read."""
+def make_ask(request: Request, head: RequestHead, route: Route, body: bytes) -> RelayAsk:
+    """Return the request to relay; its time runs from when it can have come at the earliest."""
+    came = request.scope[CAME]
     seconds = route.timeout if head.seconds is None else min(route.timeout, head.seconds)
     target = request.url.value.decode("latin-1")
-    return RelayAsk(head, route, request.method, target, body, began, began + seconds)
+    return RelayAsk(head, route, request.method, target, body, came, came + seconds)
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -18,6 +18,7 @@
 from peridotdock.relay.clocks import BootClock
 from peridotdock.relay.following import Follower
 from peridotdock.relay.front import Front
+from peridotdock.relay.lag import LOOK_SECONDS, LagWatch
 from peridotdock.relay.leadership import Leadership
 from peridotdock.relay.ordering import Orderer
 from peridotdock.relay.peers import Peers
@@ -25,6 +26,7 @@
 from peridotdock.relay.settings import HostSettings
 from peridotdock.relay.views import Views
 from peridotdock.serving import Server, make_application
+from peridotdock.turns import find_turns
 
 # Seconds between a change of the configuration and the next call on it: changes that come in quick
 # succession are seen one by one.
@@ -72,7 +74,8 @@
             ctx, adapter.wire, self.book, self.endpoints, settings.bounds, self.room
         )
         self.service.on_down = lambda key: self.peers.tell_wants()
-        self.front = Front(ctx, adapter.wire, self.service, self.peers)
+        self.lag = LagWatch(ctx, find_turns(), lambda: self.front.in_work)
+        self.front = Front(ctx, adapter.wire, self.service, self.peers, self.lag)
         lease = settings.bounds.order_lease
         machine = str(settings.listen.peers)
         self.leadership = Leadership(ctx, self.store, lease, BootClock(), machine)
@@ -112,6 +115,7 @@
         every(self.peers.membership.beat_seconds, self._beat, "beat")
         every(lambda: self._word_seconds(WORK_SECONDS), self._tell_work, "work")
         every(lambda: self._word_seconds(DEMAND_SECONDS), self._tell_demand, "demand")
+        every(lambda: LOOK_SECONDS, self.lag.look, "lag")
         every(self._lease_seconds, self._step_lease, "lease", self.lease_due)
         self._tasks.append(asyncio.create_task(self._order()))
         self.ctx.timeline.add("started", detail=str(self.settings.listen.callers))
@@ -205,7 +209,8 @@
         return await self._doors[request.scope["server"][1]](request)
 
     async def _readiness(self, request: Request) -> Response:
-        ready = self.front.deployment is not None and not self.leaving
+        known = self.front.deployment is not None
+        ready = known and not self.leaving and self.lag.trouble is None
         body = Content(b"text/plain", b"ready" if ready else b"not ready")
         return Response(200 if ready else 503, None, body)
 
