Let no odd row, failed plan, lost renewal or old word stop a host

A row whose taking in raises ended the task that follows the store, without a line; a plan that raises ended the one that orders, while the lease was renewed on; one lost renewal cost the lease (0.7 + 0.6 + 0.7 s of 1.6 s); the word of a dead host on endpoints counted for two minutes; news of engines counted as just said when it came; a host rested on a gap that it knew of; an empty answer that was late counted as new; the reader never told a whole table; a store that refuses was asked again at once. Change: each is guarded; tests in tests/relay/test_lost.py.

--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -164,8 +164,11 @@
             await session.close()
 
     def forget(self) -> None:
-        """Do as :meth:`renew` does, without waiting for connections to be closed."""
-        closing = asyncio.ensure_future(self.renew())
+        """Do as :meth:`renew` does from now on, without waiting for connections to be closed."""
+        session, self._current = self._current, None
+        if session is None or self._users[session]:
+            return
+        closing = asyncio.ensure_future(session.close())
         self._closing.add(closing)
         closing.add_done_callback(self._closing.discard)
 
@@ -175,3 +178,4 @@
         self._current = None
         for session in sessions:
             await session.close()
+        await asyncio.gather(*self._closing, return_exceptions=True)
--- a/peridotdock/decisions/freshness.py
+++ b/peridotdock/decisions/freshness.py
@@ -15,8 +15,8 @@
 PAUSE_SHARE = 0.2
 HOLD_SHARE = 0.3
 ANSWER_SHARE = 0.2
-# A host that reads for all says each 0.15 of the shortest bound that it still does. 0.4 bears the
-# loss of one such word; then a host's own call takes 0.1.
+# The host that reads for all says each 0.3 to 0.47 s that it still does. After the silence a host's
+# own call takes 0.1.
 SILENCE_SHARE = 0.4
 # A view that is heard of is 0.2 + 0.3 old in the ordinary course and 0.15 + 0.14 on its way.
 AGE_SHARE = 0.8
@@ -56,11 +56,13 @@
 MOST_AGAIN_SECONDS = 1.0
 
 
-def wait_after(losses: int) -> float:
-    """Return the seconds to wait after so many calls in a row were lost.
+def wait_after(losses: int, lost: bool = True) -> float:
+    """Return the seconds to wait after so many calls in a row failed.
 
-    The most is well under the three seconds after an outage in which hosts may still be behind.
+    ``lost`` tells that the last one was not answered; one that was refused is not made again at
+    once, since the store turns all hosts away, maybe. The most is well under the three seconds
+    after an outage in which hosts may still be behind.
     """
     if losses <= 1:
-        return 0.0
+        return 0.0 if lost else AGAIN_SECONDS
     return min(MOST_AGAIN_SECONDS, AGAIN_SECONDS * 2 ** min(losses - 2, 8))
--- a/peridotdock/relay/book.py
+++ b/peridotdock/relay/book.py
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HeardNews:
-    """What the host that orders engines said of one, and when that was heard."""
+    """What the host that orders engines said of one, and when it said so."""
 
     news: EngineNews
     items: frozenset[str]
@@ -199,10 +199,12 @@
         times = [load_seconds(state.entry, model) for state in states if not state.entry.leaving]
         return min(times, default=model.load)
 
-    def take_news(self, rows: Iterable[EngineNews]) -> None:
-        """Take in what the host that orders engines says; engines it leaves out have no news."""
-        now = self._clock.monotonic()
-        news = {row.endpoint: HeardNews(row, frozenset(row.items), now) for row in rows}
+    def take_news(self, rows: Iterable[EngineNews], at: float) -> None:
+        """Take in what the host that orders engines said at a time (monotonic seconds).
+
+        Engines that it leaves out have no news.
+        """
+        news = {row.endpoint: HeardNews(row, frozenset(row.items), at) for row in rows}
         for key, state in self.states.items():
             state.heard = news.get(key)
         self._tell()
--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -10,7 +10,13 @@
 
 from peridotdock.clients.tables import TableChanges, Tables, TableView
 from peridotdock.context import Context
-from peridotdock.decisions.freshness import LEAST_BOUND, ViewLimits, share_out, wait_after
+from peridotdock.decisions.freshness import (
+    LEAST_BOUND,
+    MOST_AGAIN_SECONDS,
+    ViewLimits,
+    share_out,
+    wait_after,
+)
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.schema.messages import Rows
 
@@ -62,6 +68,7 @@
         self._heard_at = NEVER
         self._asked_for = 0
         self._losses = 0
+        self._told_of = False
         self._old_told = False
         self.in_touch = False
         self.rows: dict[str, bytes] = {}
@@ -78,10 +85,22 @@
         """Return the seconds since this view was last known to be as the store's."""
         return self._ctx.clock.monotonic() - self._as_of
 
+    def told_age(self) -> float:
+        """Return the age to tell others: while calls are lost, one at which they ask themselves."""
+        return max(self.age(), self.limits.age) if self._losses else self.age()
+
     async def run(self) -> None:
-        """Follow for as long as the process lives."""
+        """Follow for as long as the process lives.
+
+        Failure guarded against: a row of another writer is of a shape that nobody thought of, and
+        taking it in raises. The task would end, and this host would go by its last view for good.
+        """
         while True:
-            await self.step()
+            try:
+                await self.step()
+            except Exception as exc:
+                self._note_bad(exc)
+                await self._nap(MOST_AGAIN_SECONDS)
 
     async def step(self) -> None:
         """Read the table whole, or wait for its next change; rest while another host reads it."""
@@ -89,25 +108,28 @@
         if after is not None and self._rests():
             await self._nap(self.limits.silence / LOOKS)
             return
+        began = self._ctx.clock.monotonic()
         self._asking = True
         found = await self._interruptible(self._ask(after))
         self._asking = False
         if found is None:
             return
         if failed(found):
-            await self._lose(found)
+            await self._lose(found, began)
             return
         if self._version is not None and found.version < self._version:
             # Another host's newer rows came meanwhile; older ones must not take their place.
             return
-        self._regain()
         whole = isinstance(found, TableView)
-        if whole or found.values:
+        changed = whole or bool(found.values)
+        if changed:
             self._put(found.values, whole)
         self._version = found.version
-        if self.tell is not None and after is not None:
-            self.tell(found, after)
-        await self._nap(self._pause() if whole or found.values else LEAST_PAUSE)
+        self._regain(began, changed)
+        if self.tell is not None and self._told_of:
+            self.tell(found, after or 0)
+        self._told_of = True
+        await self._nap(self._pause() if changed else LEAST_PAUSE)
 
     def _put(self, values: Mapping[str, bytes | None], whole: bool) -> None:
         rows = {} if whole else self.rows
@@ -117,11 +139,15 @@
 
     def _rests(self) -> bool:
         """Tell whether another host keeps this view new."""
-        if self.reads():
+        if self.reads() or self._misses():
             return False
         heard = self._ctx.clock.monotonic() - self._heard_at < self.limits.silence
         return heard and self.age() < self.limits.age
 
+    def _misses(self) -> bool:
+        """Tell whether another host has named a version that this one does not have."""
+        return self._version is not None and self._asked_for > self._version
+
     async def _ask(self, after: int | None) -> TableView | TableChanges | Failure:
         if after is None:
             return await self._tables.read_table(self.table)
@@ -149,8 +175,7 @@
         """
         if self._asking:
             self._tables.suspect()
-        if self._held is not None:
-            self._held.cancel()
+        self._wake()
 
     # What the host that reads for all says
 
@@ -171,13 +196,25 @@
             self._miss(frame.version)
             return True
         if frame.version > known and (frame.values or frame.whole):
-            self._put(frame.values, frame.whole)
+            try:
+                self._put(frame.values, frame.whole)
+            except Exception as exc:
+                self._note_bad(exc)
+                self._miss(frame.version)
+                return True
         self._version = max(known, frame.version)
         now = self._ctx.clock.monotonic()
-        self._heard_at = now
+        if not frame.direct:
+            self._heard_at = now
         self._as_of = max(self._as_of, now - frame.age / 1000)
+        if not self._asking and not self._rests():
+            self._wake()
         return True
 
+    def _wake(self) -> None:
+        if self._held is not None:
+            self._held.cancel()
+
     def _miss(self, version: int) -> None:
         """Ask the store for changes that the reader has and did not give.
 
@@ -191,7 +228,11 @@
 
     # Losing and regaining touch
 
-    async def _lose(self, found: Failure) -> None:
+    def _note_bad(self, exc: Exception) -> None:
+        detail = f"{self.table}: {type(exc).__name__}: {exc}"
+        self._ctx.timeline.add("rows_refused", "ERROR", detail=detail)
+
+    async def _lose(self, found: Failure, began: float) -> None:
         if found.kind is Kind.HISTORY_GONE:
             self._ctx.timeline.add("history_gone", "WARNING", detail=self.table)
             self._version = None
@@ -200,16 +241,20 @@
         if self.in_touch:
             self.in_touch = False
             self._ctx.timeline.add("store_lost", "WARNING", detail=f"{self.table}: {found.reason}")
-        if self._version is not None and self._asked_for > self._version:
+        if self._misses():
             # Failure guarded against: the store turns this host away while it serves others, and
             # this one alone never gets what they have. The hosts it is linked to give it.
             self.ask_hosts(self._version)
         # With jitter, so that hosts that waited out an outage together don't come back in step.
-        await self._nap(wait_after(self._losses) * (0.5 + self._ctx.rng.random()))
+        lost = self._ctx.clock.monotonic() - began >= self.limits.hold
+        await self._nap(wait_after(self._losses, lost) * (0.5 + self._ctx.rng.random()))
 
-    def _regain(self) -> None:
+    def _regain(self, began: float, changed: bool) -> None:
+        """Note how new the view is: an answer without changes may have been on its way since the
+        end of its hold. One with changes is followed by another call."""
         self._losses = 0
-        self._as_of = self._ctx.clock.monotonic()
+        now = self._ctx.clock.monotonic()
+        self._as_of = now if changed else min(now, began + self.limits.hold)
         if not self.in_touch:
             self.in_touch = True
             self._ctx.timeline.add("store_in_touch", detail=self.table)
--- a/peridotdock/relay/leadership.py
+++ b/peridotdock/relay/leadership.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -37,15 +37,6 @@
     at: float
 
 
-async def in_time(work: Awaitable[T]) -> T | Failure:
-    """Wait for a call of the store, not longer than the lease can bear."""
-    try:
-        async with asyncio.timeout(CALL_SECONDS):
-            return await work
-    except TimeoutError:
-        return Failure(Kind.OUTCOME_UNKNOWN, "no answer in time")
-
-
 class Leadership:
     """This host's view of the lease. Times are seconds of a clock that runs in a suspension.
 
@@ -55,11 +46,18 @@
     """
 
     def __init__(
-        self, ctx: Context, store: Platform, gap: float, clock: UptimeClock, machine: str = ""
+        self,
+        ctx: Context,
+        store: Platform,
+        gap: float,
+        clock: UptimeClock,
+        machine: str = "",
+        suspect: Callable[[], None] = lambda: None,
     ):
         self._ctx = ctx
         self._machine = machine
         self._store = store
+        self._suspect = suspect
         self._gap = gap
         self._clock = clock
         self._seen_version: int | None = None
@@ -99,6 +97,18 @@
         if self._heard is None or term > self._heard.term:
             self._heard = Resignation(term, quiet, self._clock.seconds())
 
+    async def _in_time(self, work: Awaitable[T]) -> T | Failure:
+        """Wait for a call of the store, not longer than the lease can bear.
+
+        Where it is lost, no kept connection is taken for the next call: all may be silent.
+        """
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                return await work
+        except TimeoutError:
+            self._suspect()
+            return Failure(Kind.OUTCOME_UNKNOWN, "no answer in time")
+
     async def step(self) -> None:
         """Renew the lease, or take it when its holder has let it lapse or has resigned."""
         if self.term == 0:
@@ -109,20 +119,28 @@
             await self._renew()
 
     async def _renew(self) -> None:
-        began = self._clock.seconds()
-        outcome = await in_time(self._write(self._version, self.term))
-        if not failed(outcome):
-            self._version = outcome
-            self._until = began + ACT_SECONDS
+        """Renew, and once more at once where the call was lost: the next turn would be too late."""
+        if await self._rewrite():
             return
-        rows = await in_time(self._store.read([LEASE_KEY]))
+        rows = await self._in_time(self._store.read([LEASE_KEY]))
         if failed(rows) or LEASE_KEY not in rows:
             return
         row = rows[LEASE_KEY]
-        if row.value.get("holder") == self._ctx.incarnation:
-            self._version = row.version
-        else:
+        if row.value.get("holder") != self._ctx.incarnation:
             self._lose("another host took over")
+            return
+        self._version = row.version
+        if self.holds():
+            await self._rewrite()
+
+    async def _rewrite(self) -> bool:
+        began = self._clock.seconds()
+        outcome = await self._in_time(self._write(self._version, self.term))
+        if failed(outcome):
+            return False
+        self._version = outcome
+        self._until = began + ACT_SECONDS
+        return True
 
     def _lose(self, why: str) -> None:
         self._ctx.timeline.add("lease_lost", "WARNING", detail=f"term {self.term}: {why}")
@@ -131,7 +149,7 @@
         self._seen_version = None
 
     async def _try(self) -> None:
-        rows = await in_time(self._store.read([LEASE_KEY]))
+        rows = await self._in_time(self._store.read([LEASE_KEY]))
         if failed(rows):
             return
         row = rows.get(LEASE_KEY)
@@ -144,7 +162,7 @@
         if wait is None:
             return
         term = int(row.value["term"]) + 1 if row else 1
-        outcome = await in_time(self._write(version, term))
+        outcome = await self._in_time(self._write(version, term))
         if failed(outcome):
             return
         self.term, self._version = term, outcome
@@ -187,6 +205,6 @@
         if self.term == 0:
             return
         term, self.term, self.resigned = self.term, 0, self.term
-        outcome = await in_time(self._write(self._version, term, holder=""))
+        outcome = await self._in_time(self._write(self._version, term, holder=""))
         detail = f"term {term}" if not failed(outcome) else f"term {term}: {outcome.reason}"
         self._ctx.timeline.add("lease_freed", detail=detail)
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -1,6 +1,7 @@
 """A relaying host: its parts, and the work it repeats, from start to planned stop."""
 
 import asyncio
+import logging
 import random
 import signal
 from collections.abc import Mapping
@@ -52,11 +53,15 @@
 STANDBYS = 2
 # Seconds between two plans when nothing calls for one.
 PLAN_SECONDS = 0.5
+# Plans in a row that may fail before another host is to try: two and a half seconds of them.
+MOST_FAILED_PLANS = 5
 # How many times as long as a plan took the next one is put off. Failure guarded against: the
 # waiting requests of 83 hosts and the engines' answers call for a plan at each turn of the loop, a
 # plan takes 7 ms at 64 engines, and the host that orders reads its callers' requests late.
 PLAN_REST = 3.0
 
+log = logging.getLogger("peridotdock")
+
 
 class Node:
     """One relaying host."""
@@ -78,7 +83,9 @@
         self.front = Front(ctx, adapter.wire, self.service, self.peers, self.lag)
         lease = settings.bounds.order_lease
         machine = str(settings.listen.peers)
-        self.leadership = Leadership(ctx, self.store, lease, BootClock(), machine)
+        self.leadership = Leadership(
+            ctx, self.store, lease, BootClock(), machine, self.store.suspect
+        )
         engines = adapter.open_engines(self.endpoints)
         self.orderer = Orderer(ctx, self.book, engines, self.leadership, settings.bounds)
         self.orderer.heard_loads = self.peers.heard_loads
@@ -90,6 +97,7 @@
         self.leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         self._heard_term = 0
+        self._failed_plans = 0
         listen = settings.listen
         self._doors = {
             listen.callers.port: self.front.handle,
@@ -191,13 +199,29 @@
             deployment = self.front.deployment
             if deployment is not None and self.leadership.holds():
                 began = self.ctx.clock.monotonic()
-                self._plan(deployment)
+                await self._try_plan(deployment)
                 await self.ctx.clock.sleep(PLAN_REST * (self.ctx.clock.monotonic() - began))
             waits = [asyncio.ensure_future(event.wait()) for event in events]
             await asyncio.wait(waits, timeout=PLAN_SECONDS, return_when=asyncio.FIRST_COMPLETED)
             for wait in waits:
                 wait.cancel()
 
+    async def _try_plan(self, deployment: Deployment) -> None:
+        """Plan; free the lease after some plans in a row that failed.
+
+        Failure guarded against: a plan raises, the task that orders ends, and the lease is renewed
+        on. No model is loaded any more, and no other host takes over.
+        """
+        try:
+            self._plan(deployment)
+            self._failed_plans = 0
+        except Exception:
+            log.exception("plan failed")
+            self._failed_plans += 1
+            await self.ctx.clock.sleep(PLAN_SECONDS)
+            if self._failed_plans >= MOST_FAILED_PLANS:
+                await self.leadership.give_up()
+
     def _plan(self, deployment: Deployment) -> None:
         self.orderer.round(deployment, self.peers.demand(), self.peers.down())
         news, loads = self.orderer.news(), self.orderer.loads()
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -212,7 +212,7 @@
         if newest.term and origin != self._leader:
             self._leader = origin
             self.mesh.offer_all(origin)
-        self._book.take_news(newest.engines)
+        self._book.take_news(newest.engines, known.at)
         self.on_term(newest.term)
         if newest.resigned:
             self.on_resigned(newest.resigned, newest.quiet)
@@ -258,7 +258,7 @@
 
     def down(self) -> set[str]:
         """Return the endpoints that live hosts could not connect to."""
-        live = self.membership.members()
+        live = {name for name, row in self.membership.members().items() if row.alive}
         rows = self.board.on("wants").items()
         return {key for name, row in rows if name in live for key in row.fact.down}
 
--- a/peridotdock/relay/views.py
+++ b/peridotdock/relay/views.py
@@ -78,7 +78,7 @@
         row = self._followed[table]
         row.beat += 1
         row.told_at = self._ctx.clock.monotonic()
-        age = round(row.follower.age() * 1000)
+        age = round(row.follower.told_age() * 1000)
         named = row.named and (bool(values) or whole)
         frame = Rows(
             "rows",
@@ -117,7 +117,7 @@
         version = row.follower.version if row is not None else None
         if row is None or version is None or version <= wanted.after:
             return None
-        age = round(row.follower.age() * 1000)
+        age = round(row.follower.told_age() * 1000)
         return Rows(
             "rows",
             wanted.table,
--- /dev/null
+++ b/tests/relay/test_lost.py
@@ -0,0 +1,242 @@
+"""What one lost call, one old word or one row that can't be read must not bring about."""
+
+import asyncio
+import unittest
+from dataclasses import replace
+from types import SimpleNamespace
+
+from peridotdock.board import Board
+from peridotdock.clients.tables import TableView
+from peridotdock.decisions.freshness import wait_after
+from peridotdock.errors import Failure, Kind
+from peridotdock.membership import Membership
+from peridotdock.relay.asks import EndpointEntry
+from peridotdock.relay.book import EndpointBook
+from peridotdock.relay.following import Follower
+from peridotdock.relay.leadership import Leadership
+from peridotdock.relay.peers import Peers
+from peridotdock.schema.messages import EngineNews, HostFact, OrdersFact, Rows, WantsFact
+from tests.builders import make_ctx
+from tests.fakes import FakeClock, FakePlatform
+from tests.relay.deployment import Deployment
+from tests.relay.test_ordering import GAP, Uptime
+from tests.relay.test_relay import run
+from tests.relay.test_views import TICK, FlakyTables, HostViews, Stored, Wire, settle
+
+
+def host_fact(name):
+    return HostFact(name, f"{name}-life", "north", "10.0.0.1:80", "10.0.0.1:81", "live", 1)
+
+
+class BadRowTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_follower_survives_rows_that_cannot_be_taken_in(self):
+        """Requests reach an endpoint that left, on all hosts and for good.
+
+        Another writer put a row of an odd shape into the table. Taking it in raised "unhashable
+        type: 'list'", which ended the task that follows the store, without a log line.
+        """
+        clock, taken = FakeClock(), []
+        tables = FlakyTables(clock)
+
+        def take(rows, whole):
+            taken.append(rows)
+            if "bad" in rows:
+                raise TypeError("unhashable type: 'list'")
+
+        follower = Follower(make_ctx(clock), tables, "t", take, lambda: 0.0)
+        task = asyncio.ensure_future(follower.run())
+        for key in ("bad", "good"):
+            tables.change(key, b"x")
+            for _ in range(300):
+                await settle()
+                clock.advance(TICK)
+        self.assertFalse(task.done())
+        self.assertTrue(any("good" in rows for rows in taken))
+        task.cancel()
+
+    async def test_a_word_that_cannot_be_taken_in_is_asked_for(self):
+        clock = FakeClock()
+
+        def take(rows, whole):
+            raise TypeError("unhashable type: 'list'")
+
+        follower = Follower(make_ctx(clock), FlakyTables(clock), "t", take, lambda: 0.0)
+        follower._version = 1
+        self.assertTrue(follower.feed(Rows("rows", "t", "reader", 1, 1, 2, {"bad": b"x"})))
+        self.assertEqual(1, follower.version)
+
+
+class RestTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_host_does_not_rest_on_a_gap_that_it_knows_of(self):
+        """A host goes on by an old configuration though it has heard of a newer one.
+
+        An older answer of another host, or the word of one that read before, passed for proof that
+        nothing is missing.
+        """
+        for name, late in (
+            ("an older answer", Rows("rows", "t", "peer", 1, 1, 5, {}, direct=True, whole=True)),
+            ("the word of a reader before", Rows("rows", "t", "before", 1, 1, 3)),
+        ):
+            with self.subTest(name):
+                clock = FakeClock()
+                follower = Follower(
+                    make_ctx(clock), FlakyTables(clock), "t", lambda *row: None, lambda: 0.0
+                )
+                follower.reads = lambda: False
+                follower._version = 1
+                follower.feed(Rows("rows", "t", "reader", 1, 1, 9, changed=True))
+                follower.feed(late)
+                self.assertFalse(follower._rests())
+
+    async def test_a_change_that_was_late_to_come_is_not_taken_for_new(self):
+        """Hosts believe in a view for 0.4 s more than it is worth.
+
+        An answer without changes is as old as the end of the time for which the store held it.
+        """
+        clock = FakeClock()
+
+        class LateTables(FlakyTables):
+            async def follow(self, table, after, hold, answer):
+                await clock.sleep(hold + answer - TICK)
+                return await FlakyTables.follow(self, table, after, 0.0, answer)
+
+        follower = Follower(make_ctx(clock), LateTables(clock), "t", lambda *row: None, lambda: 0.0)
+        step = asyncio.ensure_future(follower.step())
+        await settle()
+        clock.advance(1.0)
+        await step
+        step = asyncio.ensure_future(follower.step())
+        while not step.done() and len(follower._tables.calls) == 0:
+            await settle()
+            clock.advance(TICK)
+        await settle()
+        self.assertGreater(follower.age(), follower.limits.answer - 3 * TICK)
+        step.cancel()
+
+
+class ForgottenTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_reader_tells_the_whole_table_when_the_history_was_dropped(self):
+        """All hosts ask the store at once after it dropped its history."""
+        clock = FakeClock()
+        wire, stored = Wire(clock, 0.1), Stored()
+        reader = HostViews(clock, wire, stored, 2.0, leads=True)
+        host = HostViews(clock, wire, stored, 2.0, leads=False)
+
+        async def run_for(seconds):
+            until = clock.monotonic() + seconds
+            while clock.monotonic() < until:
+                await settle()
+                reader.views.keep_telling()
+                wire.deliver()
+                clock.advance(TICK)
+
+        await run_for(2.0)
+        asked = len(host.tables.calls)
+        whole_read = reader.tables.read_table
+
+        async def forget(*call):
+            reader.tables.follow = FlakyTables.follow.__get__(reader.tables)
+            reader.tables.change("endpoint", b"leaving")
+            return Failure(Kind.HISTORY_GONE)
+
+        reader.tables.follow = forget
+        self.assertIsInstance(await whole_read("t"), TableView)
+        await run_for(2.0)
+        for row in (reader, host):
+            row.task.cancel()
+        self.assertIn("endpoint", host.seen)
+        self.assertEqual(asked, len(host.tables.calls))
+
+
+class LeaseTest(unittest.TestCase):
+    def test_one_lost_renewal_does_not_cost_the_lease(self):
+        """No model is loaded for seconds after one call of the store was lost.
+
+        The renewal was lost, the row then read was still this host's, and the next renewal came
+        after the lease had lapsed: 0.7 s, 0.6 s until the call counts as lost, 0.7 s, of 1.6 s.
+        """
+        clock, store, suspected = Uptime(), FakePlatform(), []
+        lease = Leadership(
+            make_ctx(FakeClock()), store, GAP, clock, "m", lambda: suspected.append(1)
+        )
+        asyncio.run(lease.step())
+        clock.now += 0.7
+        commit = store.commit
+
+        async def hang(tx):
+            store.commit = commit
+            clock.now += 0.6
+            raise TimeoutError
+
+        store.commit = hang
+        asyncio.run(lease.step())
+        self.assertEqual([1], suspected)
+        clock.now += 0.7
+        self.assertTrue(lease.holds())
+
+
+class OldWordTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = FakeClock()
+        self.near, self.far = Board("h1", 1, self.clock), Board("h2", 1, self.clock)
+
+    async def test_the_word_of_a_dead_host_on_endpoints_ends_with_it(self):
+        """An engine gets no order for two minutes: a host that died could not connect to it."""
+        members = Membership(self.near, host_fact("h1"), self.clock)
+        members.beat()
+        self.far.publish("host", host_fact("h2"))
+        self.far.publish("wants", WantsFact({}, ["e1"]))
+        self.near.merge(self.far.entries())
+        peers = SimpleNamespace(membership=members, board=self.near)
+        self.assertEqual({"e1"}, Peers.down(peers))
+        self.clock.advance(5.0)
+        members.beat()
+        self.assertEqual(set(), Peers.down(peers))
+
+    async def test_news_of_engines_is_as_old_as_it_is(self):
+        """Requests wait for a model that should have been there half a minute ago.
+
+        The word "coming in 2.0 s" came late, by way of a third host, and counted as just said.
+        """
+        book = EndpointBook("north", self.clock)
+        book.replace([EndpointEntry("e1", "s", "1:1", "north", 1, False)])
+        self.far.publish("orders", OrdersFact(3, [EngineNews("e1", [], [], {"m": 2.0})]))
+        known = self.far.get("h2", "orders")
+        self.near.merge([replace(known.entry, age=30_000)])
+        peers = SimpleNamespace(
+            board=self.near,
+            _leader="h2",
+            _book=book,
+            on_term=lambda term: None,
+        )
+        Peers._take_orders(peers)
+        self.assertEqual(0.0, book.coming("s", "m"))
+
+
+class PlanTest(unittest.TestCase):
+    @run
+    async def test_ordering_goes_on_after_a_plan_that_failed(self):
+        """No model is loaded any more, and no other host takes over.
+
+        One plan raised an exception, which ended the task that orders; the lease was renewed on.
+        """
+        async with Deployment(hosts=1) as found:
+            host = found.hosts[0]
+            await found.until(host.leadership.may_order)
+            plan, rounds = host.orderer.round, []
+
+            def fail_once(*args):
+                rounds.append(1)
+                if len(rounds) == 1:
+                    raise KeyError("once")
+                return plan(*args)
+
+            host.orderer.round = fail_once
+            await found.until(lambda: len(rounds) > 1, seconds=3.0)
+
+
+class AgainTest(unittest.TestCase):
+    def test_a_store_that_refuses_is_not_asked_again_at_once(self):
+        """A store that turns all hosts away gets two calls a host within 0.03 s."""
+        self.assertEqual(0.0, wait_after(1, lost=True))
+        self.assertGreater(wait_after(1, lost=False), 0.1)
