Don't count the time that a connection was open before its first request

Cause: the first request of a connection counted from when the connection came, also when its bytes came later: a caller that connects early had that time taken off, and after the route's time-out was refused. Ruled out: nothing else reads that time. Change: only a request that is there at the connection's first read counts from the connection. After: over 500 ms asserted (new test, on both kinds of loop).

--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -28,6 +28,8 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 20_000),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
 )
+# Turns of the loop from the one that sets a connection up to its first read.
+FIRST_READ_TURNS = 1
 # In a request's scope: the earliest monotonic time at which it can have come.
 CAME = "came"
 
@@ -84,14 +86,17 @@
         """Note when the connection can have come; its first request may have come with it."""
         super().connection_made(transport)
         self._turns = find_turns()
-        self._first_since: float | None = self._turns.accept()
+        self._came = self._turns.accept()
+        self._after_first = self._turns.count + FIRST_READ_TURNS + 1
 
     def on_message_begin(self) -> None:
-        """Note for the request that begins when it can have come."""
+        """Note for the request that begins when it can have come.
+
+        One that was not there at the connection's first read came later.
+        """
         super().on_message_begin()
-        read_since = self._turns.since()
-        since, self._first_since = self._first_since, None
-        self.scope[CAME] = read_since if since is None else since
+        with_connection = self._turns.count < self._after_first
+        self.scope[CAME] = self._came if with_connection else self._turns.since()
 
 
 def bind_socket(ip: str, port: int) -> socket.socket:
--- a/peridotdock/turns.py
+++ b/peridotdock/turns.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import selectors
 import time
 from collections import deque
@@ -29,7 +30,7 @@
 
     def __init__(self, monotonic: Callable[[], float] = time.monotonic):
         self.monotonic = monotonic
-        self.count = 0
+        self.count: float = 0
         self.accepted = 0
         self._crowd = 0
         self._crowd_turn = 0
@@ -128,6 +129,10 @@
 class UnknownTurns(Turns):
     """The turns of a loop that does not tell: all that is read has come just now."""
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.count = math.inf
+
     def since(self, back: int = 0) -> float:
         """Return the present."""
         return self.monotonic()
--- a/tests/relay/test_overload.py
+++ b/tests/relay/test_overload.py
@@ -104,6 +104,21 @@
             await asyncio.sleep(0.05)
             await self.check_counted(found, caller)
 
+    def test_a_connection_that_was_opened_early_costs_no_time(self):
+        for make in (WatchedLoop, asyncio.new_event_loop):
+            with asyncio.Runner(loop_factory=make) as runner:
+                runner.run(asyncio.wait_for(self.check_early(), 30))
+
+    async def check_early(self):
+        async with Deployment() as found:
+            caller = Caller(found.hosts[0].settings.listen.callers)
+            await asyncio.sleep(0.4)
+            caller.ask("/bind/", "a1")
+            self.assertEqual(200, (await caller.read())[0])
+            caller.close()
+            _, _, sent, _ = found.pages["p1"].seen[-1]
+            self.assertGreater(int(sent["x-deadline-ms"]), 1000 * (BIND_SECONDS - 0.2))
+
     async def check_counted(self, found, caller):
         caller.ask("/bind/", "a1")
         time.sleep(0.3)
