Give up on a connection to an endpoint while the request can still get to another one

Cause: a connection could take a second, longer than plain routes allow, and the deadline that came first told nothing of the endpoint: each next request was sent to the dark one again, and its caller told 504 although no byte had left. Change: 0.25 s and three turns of the loop, four fifths of the time left at most; then the endpoint is left out and another one asked.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -14,7 +14,14 @@
 import msgspec
 from yarl import URL
 
-from peridotdock.clients.http import BROKEN, UNREACHABLE, Pool, WatchedResponse, send_once
+from peridotdock.clients.http import (
+    BROKEN,
+    CONNECT_SECONDS,
+    UNREACHABLE,
+    Pool,
+    WatchedResponse,
+    send_once,
+)
 from peridotdock.errors import Failure, Kind, failed
 
 REPORT_SECONDS = 1.0
@@ -76,13 +83,18 @@
 
 @dataclass(frozen=True)
 class Call:
-    """A request to an endpoint, as it goes out; ``once`` forbids the library's own repeat."""
+    """A request to an endpoint, as it goes out.
+
+    ``once`` forbids the library's own repeat. ``connect`` is how long a new connection may take, in
+    seconds.
+    """
 
     method: str
     path: str
     headers: Mapping[str, str]
     body: bytes
     once: bool
+    connect: float = CONNECT_SECONDS
 
 
 @dataclass(frozen=True)
@@ -180,6 +192,7 @@
                 headers=call.headers,
                 data=call.body or None,
                 allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=None, sock_connect=call.connect),
                 middlewares=(send_once(),) if call.once else (),
             )
         except UNREACHABLE as exc:
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -7,12 +7,14 @@
 
 from peridotdock.clients.endpoint import Call, HttpEndpoints, Opened
 from peridotdock.clock import Clock
+from peridotdock.decisions.overload import connect_seconds
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.asks import AnswerHead, RelayAsk, SendOptions
 from peridotdock.relay.book import EndpointState
 from peridotdock.relay.caller import CallerEnd
 from peridotdock.relay.wire import Wire
 from peridotdock.requests import Loss, State, lose
+from peridotdock.turns import find_turns
 
 T = TypeVar("T")
 SUCCESS = range(200, 300)
@@ -93,6 +95,7 @@
         self._wire = wire
         self._endpoints = endpoints
         self._clock = clock
+        self._turns = find_turns()
 
     async def send(
         self,
@@ -107,7 +110,12 @@
         left = ask.deadline - self._clock.monotonic()
         options = SendOptions(state.key, left, priority, resume_after)
         call = Call(
-            ask.method, ask.target, self._wire.write_send(ask, options), ask.body, once=True
+            ask.method,
+            ask.target,
+            self._wire.write_send(ask, options),
+            ask.body,
+            once=True,
+            connect=connect_seconds(left, self._turns.usual()),
         )
         work = self._endpoints.open(f"http://{state.entry.address}", call)
         opened = await wait_for(work, caller, min(left, patience), silence=patience < left)
