Hold it against a plain service's endpoint when requests' time runs out there

Cause: a deadline was held against no endpoint, so one that takes requests and answers none was chosen again and again for what may run once only. Ruled out: doing so for models too, whose first token may wait behind others' prompts by right. Change: after five times what was expected and 0.3 s, without our own turns, the endpoint is left out for a pause as after a loss.

--- a/peridotdock/decisions/health.py
+++ b/peridotdock/decisions/health.py
@@ -18,6 +18,10 @@
 SLOWNESS_GAIN = 0.3
 # Seconds in which a slowness that is not measured again halves its distance to the usual.
 SLOWNESS_HALF_LIFE = 4.0
+# An answer is overdue after so many times what was expected, and not before so many seconds: one in
+# a hundred of a plain service's answers takes five times as long as the others.
+OVERDUE_FACTOR = 5.0
+OVERDUE_SECONDS = 0.3
 FASTEST = 0.5
 SLOWEST = 20.0
 
@@ -84,3 +88,8 @@
         """Return the endpoint's time over the usual, fading when it is not measured again."""
         faded = 0.5 ** ((now - self._slow_at) / SLOWNESS_HALF_LIFE)
         return min(SLOWEST, max(FASTEST, 1.0 + (self._slowness - 1.0) * faded))
+
+
+def overdue(waited: float, expected: float, loop_delay: float) -> bool:
+    """Tell whether an endpoint that has not answered is to blame, and not our own loop."""
+    return waited - loop_delay >= max(OVERDUE_SECONDS, OVERDUE_FACTOR * expected)
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -7,7 +7,8 @@
 from peridotdock.context import Context
 from peridotdock.decisions.allowance import RetryAllowance
 from peridotdock.decisions.choice import Prediction, choose, unread
-from peridotdock.decisions.overload import judge_send, retry_after
+from peridotdock.decisions.health import overdue
+from peridotdock.decisions.overload import TURNS_TO_ANSWER, judge_send, retry_after
 from peridotdock.deployment import Route
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.absent import WaitingRoom, name_item
@@ -164,6 +165,7 @@
         wish = ask.head.wish
         tokens = unread(place.candidate, self.book.work(progress.service, wish)) if wish else 0
         self.book.began(state, ask.id, wish, tokens)
+        began = self.ctx.clock.monotonic()
         streaming = False
         try:
             resume = ask.head.resume_after if progress.last_id is None else str(progress.last_id)
@@ -177,6 +179,7 @@
                 else await self._read(ask, caller, progress.service, sent, patience)
             )
             self._judge(ask, state, found, progress)
+            self._note_overdue(ask, state, found, place.seconds, began)
             streaming = isinstance(found, Source)
             return found
         finally:
@@ -261,6 +264,26 @@
         progress.refusals += found.kind is Kind.ENDPOINT_REFUSED
         self.note_loss(ask, state, found)
 
+    def _note_overdue(
+        self,
+        ask: RelayAsk,
+        state: EndpointState,
+        found: Whole | Source | Failure,
+        expected: float,
+        began: float,
+    ) -> None:
+        """Hold it against a plain service's endpoint that the request's time ran out there.
+
+        Failure guarded against: an endpoint takes requests and answers none. What may run once only
+        waits for its answer to the end, which tells nothing by itself, and the next request is sent
+        there again.
+        """
+        if not failed(found) or found.kind is not Kind.DEADLINE or ask.head.wish is not None:
+            return
+        now = self.ctx.clock.monotonic()
+        if overdue(now - began, expected, TURNS_TO_ANSWER * self._turns.usual()):
+            state.health.lost(now)
+
     def note_loss(self, ask: RelayAsk, state: EndpointState, found: Failure) -> None:
         """Hold a loss against the endpoint, unless it is the caller's or the deadline's."""
         now = self.ctx.clock.monotonic()
