--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/installed
 
 .PHONY: run test lint generate check-generated mutants clean \
-	bench bench-path bench-capacity bench-clients bench-idle soak
+	bench bench-path bench-relay bench-capacity bench-clients bench-idle soak
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -37,6 +37,9 @@
 bench-path: $(STAMP)
 	$(BIN)/python -m extras.bench_path $(ARGS)
 
+bench-relay: $(STAMP)
+	$(BIN)/python -m extras.bench_relay $(ARGS)
+
 bench-capacity: $(STAMP)
 	$(BIN)/python -m extras.bench_capacity $(ARGS)
 
--- /dev/null
+++ b/extras/bench_relay.py
@@ -0,0 +1,166 @@
+"""``make bench-relay``: what a request costs one relaying host, as JSON lines.
+
+Stand-ins for the store and the runners and the callers run here, the host in a process of its own,
+whose processor time alone is counted. The mix is that of a deployment: of three requests two are
+streams of 34 events, and one is plain.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+
+from tests.relay.deployment import CONFIG, free_address
+from tests.standins.runner import RunnerStandin
+from tests.standins.tables import TableStandin
+
+TICKS = os.sysconf("SC_CLK_TCK")
+BOUNDS = {
+    "drain_ms": 2000,
+    "grace_s": 3,
+    "budget_ratio": 0.2,
+    "budget_extra": 58,
+    "budget_window_s": 10,
+    "lease_ms": 3000,
+    "ceiling_window_s": 5,
+    "ceiling_over": 1.1,
+    "ttl_max_s": 5,
+}
+PATHS = ("/recap/", "/recap/", "/fetch/")
+EVENTS = 34
+EVENT_SECONDS = 0.02
+# Seconds until a host surely serves, profiled too, and requests before the first round.
+START_SECONDS = 3.0
+WARM_UP = 60
+
+
+def write_settings(path: Path, store: str) -> str:
+    """Write the host's settings file; return where it takes callers."""
+    names = ("front", "ready", "directory", "control")
+    listen = {name: str(free_address()) for name in names}
+    rows = ['node_name = "h1"', 'zone = "north"', "seeds = []", "[listen]"]
+    rows += [f'{name} = "{address}"' for name, address in listen.items()]
+    rows += ["[platform]", f'address = "{store}"', "[bounds]"]
+    rows += [f"{name} = {value}" for name, value in BOUNDS.items()]
+    path.write_text("\n".join(rows))
+    return listen["front"]
+
+
+async def ask(session: aiohttp.ClientSession, url: str, path: str, number: int) -> float:
+    """Send one request and read its answer whole; return the seconds it took."""
+    rows = {"host": "shop.example", "x-attempt-id": f"a{number}", "x-deadline-ms": "6000"}
+    if path == "/recap/":
+        rows |= {
+            "x-model": "m0",
+            "x-token-counts": "900,50",
+            "x-prompt-prefix": f"aa:600,{number:x}:300",
+        }
+    began = time.perf_counter()
+    async with session.post(url + path, headers=rows, data=b"x" * 600) as resp:
+        await resp.read()
+        if resp.status != 200:
+            raise RuntimeError(f"status {resp.status}")
+    return time.perf_counter() - began
+
+
+async def drive(url: str, count: int, per_second: float) -> list[float]:
+    """Send ``count`` requests at a steady rate."""
+    tasks = []
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+        began = time.perf_counter()
+        for number in range(count):
+            path = PATHS[number % len(PATHS)]
+            tasks.append(asyncio.create_task(ask(session, url, path, number)))
+            await asyncio.sleep(max(0.0, began + number / per_second - time.perf_counter()))
+        return await asyncio.gather(*tasks)
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+async def start_runners(store: TableStandin, count: int) -> list[RunnerStandin]:
+    """Start model runners and four of a plain service, and register them."""
+    started = []
+    for service, number in (("engines", count), ("pages", 4)):
+        for index in range(number):
+            models = ("m0",) if service == "engines" else ()
+            runner = await RunnerStandin(f"{service}-{index}", models).start()
+            runner.pace, runner.events = EVENT_SECONDS, EVENTS
+            store.put("servers", runner.name, runner.entry(service))
+            started.append(runner)
+    return started
+
+
+async def start_host(settings: Path, options: argparse.Namespace) -> asyncio.subprocess.Process:
+    """Start the host, under the profiler where that is asked for."""
+    wrap = ["-m", "cProfile", "-o", options.profile] if options.profile else []
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        *wrap,
+        *("-m", "peridotdock.cli.relay"),
+        env=os.environ | {"PERIDOTDOCK_SETTINGS": str(settings)},
+        stdout=asyncio.subprocess.DEVNULL,
+    )
+
+
+async def measure(options: argparse.Namespace) -> None:
+    """Start all, wait until the host serves, and drive it."""
+    store = await TableStandin().start()
+    store.put("op", "config", json.dumps(CONFIG).encode())
+    runners = await start_runners(store, options.engines)
+    with tempfile.TemporaryDirectory() as folder:
+        settings = Path(folder) / "settings.toml"
+        url = "http://" + write_settings(settings, store.address)
+        host = await start_host(settings, options)
+        try:
+            await asyncio.sleep(START_SECONDS)
+            await drive(url, WARM_UP, options.per_second)
+            for number in range(options.rounds):
+                await measure_round(number, url, host.pid, options)
+        finally:
+            host.send_signal(signal.SIGTERM)
+            await host.wait()
+            for runner in runners:
+                await runner.stop()
+            await store.stop()
+
+
+async def measure_round(number: int, url: str, pid: int, options: argparse.Namespace) -> None:
+    """Drive the host once and report."""
+    used, began = cpu_seconds(pid), time.perf_counter()
+    times = sorted(await drive(url, options.count, options.per_second))
+    used = cpu_seconds(pid) - used
+    found = {
+        "round": number,
+        "requests": options.count,
+        "cpu_ms_a_request": round(1000 * used / options.count, 3),
+        "core": round(used / (time.perf_counter() - began), 3),
+        "p50_ms": round(1000 * times[len(times) // 2], 1),
+    }
+    print(json.dumps(found), flush=True)
+
+
+def main() -> int:
+    """Read the options and measure."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--count", type=int, default=600)
+    parser.add_argument("--per-second", type=float, default=60)
+    parser.add_argument("--engines", type=int, default=30)
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--profile", default="", help="file for the host's profile")
+    asyncio.run(measure(parser.parse_args()))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
