--- a/tests/relay/test_loads.py
+++ b/tests/relay/test_loads.py
@@ -1,9 +1,10 @@
 """What hosts tell each other of load and demand, and who hears it."""
 
 import unittest
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from peridotdock.links import Link
+from peridotdock.membership import Member
 from peridotdock.relay.book import EndpointBook
 from peridotdock.relay.peers import UPWARD, Peers, write_work
 from peridotdock.relay.settings import Address, HostSettings, Listen
@@ -31,9 +32,9 @@
         peers.membership.become("live")
         return peers, book
 
-    def hear(self, peers, origin, topic, fact):
+    def hear(self, peers, origin, topic, fact, epoch=1):
         """Take in a fact of another host."""
-        board = type(peers.board)(origin, 1, self.clock)
+        board = type(peers.board)(origin, epoch, self.clock)
         board.publish(topic, fact)
         peers.board.merge(board.entries())
 
@@ -103,3 +104,42 @@
             self.hear(peers, f"n{number}", "host", self.host_fact(f"n{number}", number % 2))
         order = peers.rank([f"n{n}" for n in range(9)] + ["h1"])
         self.assertEqual({"n1", "n3", "n5", "n7"}, {*order[:4]})
+
+    async def test_members_are_judged_when_they_are_heard_of(self):
+        """With 83 hosts each spends a sixth of its control work on who lives.
+
+        A dozen looks a second judged all hosts, though a heartbeat changes one of them.
+        """
+        peers, _ = self.host("h1")
+        with patch("peridotdock.membership.Member", wraps=Member) as judged:
+            for number in range(40):
+                self.hear(peers, f"n{number}", "host", self.host_fact(f"n{number}", 0))
+                peers.membership.members()
+                self.clock.advance(0.01)
+        self.assertLessEqual(judged.call_count, 2 * 40)
+        self.assertEqual(41, len(peers.membership.live()))
+        self.clock.advance(5.0)
+        self.assertEqual(["h1"], peers.membership.live())
+        self.hear(peers, "n7", "host", self.host_fact("n7", 0), epoch=2)
+        self.assertEqual(["h1", "n7"], peers.membership.live())
+
+    async def test_work_of_others_looks_at_no_link(self):
+        """The hub reads its callers' requests late.
+
+        For each of 400 words a second on work at endpoints it looked at each of 82 links, and sent
+        none of them over any.
+        """
+        peers, _ = self.host("hub")
+        looked = []
+
+        class Links(list):
+            def __iter__(self):
+                looked.append(1)
+                return super().__iter__()
+
+        link = Link(Mock(), Hello("hello", "h2", "h2-1", b"", b""), dialled=False)
+        peers.mesh._links = Links([link])
+        self.hear(peers, "h1", "work", write_work({"i-1": (1, 100)}))
+        self.assertEqual([], looked)
+        self.hear(peers, "h1", "host", self.host_fact("h1", 0))
+        self.assertEqual({("h1", "host")}, link.dirty)
