--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -145,10 +145,11 @@
                 link.released = True
                 link.conn.transport.abort()
 
-    def failed_lately(self, host: str) -> bool:
-        """Tell whether a link to a host was lost or could not be had a moment ago."""
-        at = self._failed_at.get(host)
-        return at is not None and self._ctx.clock.monotonic() - at < FAILED_SECONDS
+    def failed_hosts(self) -> set[str]:
+        """Return the hosts and addresses to which a link was lost or not had a moment ago."""
+        oldest = self._ctx.clock.monotonic() - FAILED_SECONDS
+        self._failed_at = {name: at for name, at in self._failed_at.items() if at > oldest}
+        return {*self._failed_at}
 
     def connect_to_seed(self, address: str) -> None:
         """Dial an address whose host is not known yet.
@@ -158,7 +159,7 @@
         started on one machine had up to three links to each other, and each fact went over all.
         """
         dialled = {link.address for link in self._links}
-        busy = address in self._dialling or address in dialled or self.failed_lately(address)
+        busy = address in self._dialling or address in dialled or address in self.failed_hosts()
         if address and address != self.address and not busy:
             self._spawn(self._dial(address, address))
 
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Iterable, Mapping
+from functools import lru_cache
 
 from peridotdock.board import Board, Known, Slot
 from peridotdock.context import Context
@@ -36,6 +37,8 @@
 NEWS_AGAIN_SECONDS = 2.5
 # Least change of a demand that is told, as a share of what was told last.
 DEMAND_STEP = 0.25
+# Hosts whose weight is remembered: more than there are links to a hub.
+MOST_HASHES = 1000
 
 
 class Peers:
@@ -109,10 +112,9 @@
     def _hub(self) -> str:
         """Return the host that all others link to, as seen from here."""
         own, members = self._settings.host, self.membership.members()
+        passed_over = {own, *self.mesh.failed_hosts()}
         able = [
-            name
-            for name, member in members.items()
-            if member.alive and name != own and not self.mesh.failed_lately(name)
+            name for name, member in members.items() if member.alive and name not in passed_over
         ]
         return max([*able, own], key=lambda name: lead_weight(name, members))
 
@@ -334,7 +336,13 @@
 def lead_weight(name: str, members: Mapping[str, Member]) -> tuple[int, int]:
     """Return what hosts are ordered by when one is to lead or to pass facts on."""
     member = members.get(name)
-    return member.fact.power if member else 0, weigh("leader", name)
+    return member.fact.power if member else 0, hash_leader(name)
+
+
+@lru_cache(maxsize=MOST_HASHES)
+def hash_leader(name: str) -> int:
+    """Return a host's weight in the order; the same ones are looked at a dozen times a second."""
+    return weigh("leader", name)
 
 
 def describe_news(row: EngineNews) -> tuple:
