Let the reader say at once that it hears nothing of the store

Cause: hosts went on resting until its view was old by its own word, which with all stages at their worst passed the bound by 0.11 s. Change: its first lost call is said, and others ask for themselves.

--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -42,7 +42,8 @@
     ``take`` gets the rows, and whether they are the whole table. ``pause`` gives the seconds
     between a change and the next call. ``reads`` tells whether this host reads the store whatever
     others say; ``tell`` is then given what it read. ``rows`` are those of the table as known.
-    ``ask_hosts`` asks other hosts for what is newer than a version.
+    ``ask_hosts`` asks other hosts for what is newer than a version; ``on_lost`` is called at the
+    first of some calls in a row that are lost.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         self.reads = lambda: True
         self.tell: Tell | None = None
         self.ask_hosts: Callable[[int], None] = lambda after: None
+        self.on_lost: Callable[[], None] = lambda: None
 
     @property
     def version(self) -> int | None:
@@ -85,9 +87,9 @@
         """Return the seconds since this view was last known to be as the store's."""
         return self._ctx.clock.monotonic() - self._as_of
 
-    def told_age(self) -> float:
-        """Return the age to tell others: while calls are lost, one at which they ask themselves."""
-        return max(self.age(), self.limits.age) if self._losses else self.age()
+    def lost(self) -> bool:
+        """Tell whether the last call on the table was lost."""
+        return self._losses > 0
 
     async def run(self) -> None:
         """Follow for as long as the process lives.
@@ -205,7 +207,7 @@
         self._version = max(known, frame.version)
         now = self._ctx.clock.monotonic()
         if not frame.direct:
-            self._heard_at = now
+            self._heard_at = NEVER if frame.lost else now
         self._as_of = max(self._as_of, now - frame.age / 1000)
         if not self._asking and not self._rests():
             self._wake()
@@ -238,6 +240,8 @@
             self._version = None
             return
         self._losses += 1
+        if self._losses == 1:
+            self.on_lost()
         if self.in_touch:
             self.in_touch = False
             self._ctx.timeline.add("store_lost", "WARNING", detail=f"{self.table}: {found.reason}")
--- a/peridotdock/relay/views.py
+++ b/peridotdock/relay/views.py
@@ -53,6 +53,7 @@
         follower.reads = self._reads
         follower.tell = lambda found, after: self._tell(table, found, after)
         follower.ask_hosts = lambda after: self._peers.mesh.want_rows(table, after)
+        follower.on_lost = lambda: self._say_unchanged(table)
         self._followed[table] = Followed(follower, bound, named)
         return follower
 
@@ -78,7 +79,7 @@
         row = self._followed[table]
         row.beat += 1
         row.told_at = self._ctx.clock.monotonic()
-        age = round(row.follower.told_age() * 1000)
+        age = round(row.follower.age() * 1000)
         named = row.named and (bool(values) or whole)
         frame = Rows(
             "rows",
@@ -91,6 +92,7 @@
             changed=named,
             whole=whole and not named,
             age=age,
+            lost=row.follower.lost(),
         )
         self._peers.mesh.send_rows(frame)
 
@@ -103,9 +105,13 @@
         """
         now = self._ctx.clock.monotonic()
         for table, row in self._followed.items():
-            known = row.follower.version
-            if known is not None and now - row.told_at >= WORD_SECONDS:
-                self._say(table, known, known, {})
+            if now - row.told_at >= WORD_SECONDS:
+                self._say_unchanged(table)
+
+    def _say_unchanged(self, table: str) -> None:
+        known = self._followed[table].follower.version
+        if known is not None:
+            self._say(table, known, known, {})
 
     def _hear(self, frame: Rows) -> bool:
         row = self._followed.get(frame.table)
@@ -117,7 +123,7 @@
         version = row.follower.version if row is not None else None
         if row is None or version is None or version <= wanted.after:
             return None
-        age = round(row.follower.told_age() * 1000)
+        age = round(row.follower.age() * 1000)
         return Rows(
             "rows",
             wanted.table,
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -185,6 +185,10 @@
     """
     An answer to the host that asked for it: not to be passed on.
     """
+    lost: bool = False
+    """
+    The origin's last call on the table was lost: others are to ask for themselves.
+    """
 
 
 @dataclass(frozen=True)
--- a/tests/relay/test_views.py
+++ b/tests/relay/test_views.py
@@ -8,7 +8,7 @@
 from peridotdock.clients.tables import TableChanges, TableView
 from peridotdock.decisions.freshness import share_out, wait_after
 from peridotdock.errors import Failure, Kind
-from peridotdock.relay.following import Follower
+from peridotdock.relay.following import LEAST_PAUSE, Follower
 from peridotdock.relay.views import WORD_SECONDS, Views
 from peridotdock.schema.messages import Rows, RowsWanted
 from tests.builders import make_ctx
@@ -304,6 +304,20 @@
                 await self.silence_reader(60.0)
                 self.assertLess(await self.until_seen(bound), bound)
 
+    async def test_hosts_hear_at_once_that_the_reader_hears_nothing(self):
+        """Hosts wait for the next word of the reader before they ask for themselves."""
+        await self.start(2.0, 0.1)
+        limits = share_out(2.0)
+        await self.silence_reader(60.0)
+        silent = self.clock.monotonic()
+        asked = len(self.host.tables.calls)
+        while len(self.host.tables.calls) == asked and self.clock.monotonic() < silent + 2.0:
+            await self.run_for(TICK)
+        waited = self.clock.monotonic() - silent
+        for host in (self.reader, self.host):
+            host.task.cancel()
+        self.assertLess(waited, limits.hold + limits.answer + LEAST_PAUSE + 0.1 + 4 * TICK)
+
     async def test_a_host_that_the_store_turns_away_gets_what_changed_from_another(self):
         """One host serves by the old configuration for as long as the store turns it away.
 
