Add a failing test: one request that takes too long leaves its endpoint out

Cause: one overdue answer counts as a loss; a request that lasts longer than its route allows is no fault of its endpoint.

--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -145,3 +145,16 @@
                 self.assertLessEqual(statuses.count(504), 2, statuses)
 
         asyncio.run(asyncio.wait_for(check(), 30))
+
+    def test_one_request_that_takes_too_long_is_not_its_endpoints_fault(self):
+        async def check():
+            async with Deployment() as found:
+                for number in range(3):
+                    found.pages["p1"].script = ["silent"]
+                    self.assertEqual(504, (await found.ask("/bind/", f"long{number}"))[0])
+                    state = found.hosts[0].book.states["p1"]
+                    now = found.hosts[0].ctx.clock.monotonic()
+                    self.assertFalse(state.health.suspect(now))
+                    self.assertEqual(200, (await found.ask("/bind/", f"short{number}"))[0])
+
+        asyncio.run(asyncio.wait_for(check(), 30))
