--- a/peridotdock/decisions/health.py
+++ b/peridotdock/decisions/health.py
@@ -22,6 +22,9 @@
 # a hundred of a plain service's answers takes five times as long as the others.
 OVERDUE_FACTOR = 5.0
 OVERDUE_SECONDS = 0.3
+# Overdue answers one after the other from which on an endpoint is left out. One alone may be a
+# request that takes longer than its route allows, which is its route's matter.
+MOST_OVERDUE = 2
 FASTEST = 0.5
 SLOWEST = 20.0
 
@@ -31,6 +34,7 @@
 
     def __init__(self) -> None:
         self._failing = 0.0
+        self._overdue = 0
         self._until = float("-inf")
         self._closed_until = float("-inf")
         self._pause = FIRST_PAUSE
@@ -39,12 +43,14 @@
 
     def succeeded(self) -> None:
         """Count a request that the endpoint served."""
+        self._overdue = 0
         self._failing -= OUTCOME_GAIN * self._failing
         if self._failing < FAILING_SHARE:
             self._pause = FIRST_PAUSE
 
     def erred(self, now: float) -> None:
         """Count a request that the endpoint answered with a failure of its own."""
+        self._overdue = 0
         self._failing += OUTCOME_GAIN * (1.0 - self._failing)
         if self._failing >= FAILING_SHARE:
             self._leave_out(now)
@@ -54,6 +60,12 @@
         self._failing += OUTCOME_GAIN * (1.0 - self._failing)
         self._leave_out(now)
 
+    def overdue(self, now: float) -> None:
+        """Count an answer that did not come in its time."""
+        self._overdue += 1
+        if self._overdue >= MOST_OVERDUE:
+            self.lost(now)
+
     def unreachable(self, now: float) -> None:
         """Count a connection that could not be made: nothing is there for now."""
         self.lost(now)
@@ -90,6 +102,6 @@
         return min(SLOWEST, max(FASTEST, 1.0 + (self._slowness - 1.0) * faded))
 
 
-def overdue(waited: float, expected: float, loop_delay: float) -> bool:
+def is_overdue(waited: float, expected: float, loop_delay: float) -> bool:
     """Tell whether an endpoint that has not answered is to blame, and not our own loop."""
     return waited - loop_delay >= max(OVERDUE_SECONDS, OVERDUE_FACTOR * expected)
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -7,7 +7,7 @@
 from peridotdock.context import Context
 from peridotdock.decisions.allowance import RetryAllowance
 from peridotdock.decisions.choice import Prediction, choose, unread
-from peridotdock.decisions.health import overdue
+from peridotdock.decisions.health import is_overdue
 from peridotdock.decisions.overload import TURNS_TO_ANSWER, judge_send, retry_after
 from peridotdock.deployment import Route
 from peridotdock.errors import Failure, Kind, failed
@@ -281,8 +281,8 @@
         if not failed(found) or found.kind is not Kind.DEADLINE or ask.head.wish is not None:
             return
         now = self.ctx.clock.monotonic()
-        if overdue(now - began, expected, TURNS_TO_ANSWER * self._turns.usual()):
-            state.health.lost(now)
+        if is_overdue(now - began, expected, TURNS_TO_ANSWER * self._turns.usual()):
+            state.health.overdue(now)
 
     def note_loss(self, ask: RelayAsk, state: EndpointState, found: Failure) -> None:
         """Hold a loss against the endpoint, unless it is the caller's or the deadline's."""
