--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -1,5 +1,7 @@
 """Stand-in for a runner of the users' platform, on plain asyncio, so that it can misbehave.
 
+``restart`` starts it again under its id: it holds nothing, and its count of orders begins anew.
+
 What it does with a request is the next of ``script``, or "serve": ``refuse`` (not run), ``error``,
 ``cut`` (half of an answer, then the connection ends), ``silent`` (no answer for good), ``foreign``
 (the id of another request), ``unsigned`` (no receipt), ``extra`` (a second answer behind the
@@ -11,6 +13,9 @@
 import json
 
 EVENTS = 6
+# Unix milliseconds of a runner's first start, and between two starts.
+FIRST_BORN = 1_700_000_000_000
+LIFE_MS = 60_000
 
 
 class RunnerStandin:
@@ -18,6 +23,7 @@
         self.name = name
         self.models = {model: set(adapters) for model in models}
         self.seq = 0
+        self.born = FIRST_BORN
         self.script = []
         self.seen = []
         self.ran = []
@@ -41,12 +47,20 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def restart(self):
+        """Start again under the same id, and register."""
+        self.born += LIFE_MS
+        self.seq = 0
+        self.models = {}
+        self.on_change()
+
     def entry(self, service, **more):
         rows = [
             {"name": name, "version": 1, "adapters": sorted(adapters)}
             for name, adapters in self.models.items()
         ]
         row = {"service": service, "address": self.address, "zone": "north", "slots": 8}
+        row |= {"version": "v1", "cold_remaining_ms": 0, "seq": 1, "born": self.born}
         return row | {"state": "ready", "models": rows} | more
 
     async def _serve(self, reader, writer):
@@ -78,7 +92,7 @@
     def _control(self, target, headers, body):
         if target == "/v1/report":
             models = self.entry("")["models"]
-            return 200, {"seq": self.seq, "busy": False, "models": models}
+            return 200, {"seq": self.seq, "busy": False, "models": models, "born": self.born}
         order = json.loads(body)
         self.orders.append(order)
         if order["expected"] != self.seq:
