An entry that can't be read names no endpoint; one bad row stops no table

Cause: a known endpoint's unreadable entry was passed over on an update, so the one before stayed in use; fields of another type were taken or converted; a row that is no base64 failed the whole call that gave it, again and again. Change: entries and reports are decoded by type (platform/endpoints.py); a refused entry counts as none and is logged once until it is good again; a row's unreadable value reads as no bytes, and the product's own unreadable rows are passed over.

--- a/peridotdock/clients/engines.py
+++ b/peridotdock/clients/engines.py
@@ -49,6 +49,7 @@
     """An engine's report of itself; some hundred milliseconds old.
 
     ``seq`` is the number of orders accepted, ``coming`` the adapters on their way, as MODEL/NAME.
+    ``born`` tells which start of the engine speaks, as in its entry.
     """
 
     seq: int
@@ -57,6 +58,7 @@
     coming: frozenset[str]
     in_memory: frozenset[str]
     on_disk: frozenset[str]
+    born: int = 0
 
 
 class Engines(Protocol):
--- a/peridotdock/platform/adapter.py
+++ b/peridotdock/platform/adapter.py
@@ -2,7 +2,8 @@
 
 from peridotdock.clients.endpoint import HttpEndpoints
 from peridotdock.metrics import Metrics
-from peridotdock.platform.documents import decode_deployment, decode_endpoint
+from peridotdock.platform.documents import decode_deployment
+from peridotdock.platform.endpoints import decode_endpoint
 from peridotdock.platform.engines import PlatformEngines
 from peridotdock.platform.entry import write_addresses
 from peridotdock.platform.store import CONFIG_KEY, CONFIG_TABLE, ENDPOINT_TABLE, TableStore
--- a/peridotdock/platform/documents.py
+++ b/peridotdock/platform/documents.py
@@ -1,4 +1,4 @@
-"""The operators' configuration and the endpoints' entries, decoded from the platform's rows."""
+"""The operators' configuration, decoded from the platform's row."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -17,7 +17,6 @@
     index_routes,
 )
 from peridotdock.errors import Failure, Kind
-from peridotdock.relay.asks import EndpointEntry, HeldModel
 
 BAD_DOCUMENT = (KeyError, TypeError, ValueError, AttributeError, msgspec.DecodeError)
 
@@ -114,37 +113,3 @@
         adapters=int(raw.get("adapters") or 0),
         adapter_mb=float(raw.get("adapter_mb") or 0),
     )
-
-
-def decode_endpoint(incarnation: str, raw: bytes) -> EndpointEntry | Failure:
-    """Read the row in which an endpoint registered itself; the row's key is its incarnation.
-
-    The row's "seq" counts its heartbeats, unlike the field of that name in an engine's report.
-    """
-    try:
-        row = msgspec.json.decode(raw)
-        at_hand = row.get("at_hand") or {}
-        return EndpointEntry(
-            incarnation=incarnation,
-            service=row["service"],
-            address=row["address"],
-            domain=row.get("zone", ""),
-            slots=int(row.get("slots") or 1),
-            leaving=row.get("state") != "ready",
-            models=decode_held(row.get("models") or ()),
-            in_memory=frozenset(at_hand.get("in_memory") or ()),
-            on_disk=frozenset(at_hand.get("on_disk") or ()),
-        )
-    except BAD_DOCUMENT as exc:
-        return Failure(Kind.BAD_REQUEST, f"entry {incarnation}: {type(exc).__name__}: {exc}")
-
-
-def decode_held(rows: Any) -> dict[str, HeldModel]:
-    """Return the models that an endpoint holds, by name."""
-    return {
-        row["name"]: HeldModel(
-            int(row.get("version") or 0),
-            frozenset(str(name).partition("@")[0] for name in row.get("adapters") or ()),
-        )
-        for row in rows
-    }
--- /dev/null
+++ b/peridotdock/platform/endpoints.py
@@ -0,0 +1,122 @@
+"""What endpoints say of themselves, decoded strictly: their entries in the store, their reports.
+
+Load pattern: another writer overwrites an entry, with fields missing or of another type. Taken in
+part, it would send requests to a place that is none, or stop a host that reads on in it. So an
+entry counts only when every field that endpoints always write is there with its type.
+"""
+
+from typing import Annotated, Literal
+
+import msgspec
+
+from peridotdock.clients.engines import EngineState
+from peridotdock.errors import Failure, Kind
+from peridotdock.relay.asks import EndpointEntry, HeldModel
+from peridotdock.relay.settings import parse_address
+
+# ValueError is that of an address and, as its subclass, that of a field's type; deep nesting ends
+# in RecursionError.
+BAD_ROW = (ValueError, RecursionError)
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class HeldRow(msgspec.Struct):
+    """A model that an endpoint holds; adapters are NAME or NAME@VERSION."""
+
+    name: str
+    version: int = 0
+    adapters: list[str] | None = None
+
+
+class AtHandRow(msgspec.Struct):
+    """Models whose weights an endpoint has in its memory or on its disk."""
+
+    in_memory: list[str] | None = None
+    on_disk: list[str] | None = None
+
+
+class EntryRow(msgspec.Struct):
+    """An endpoint's entry; ``seq`` counts its heartbeats, unlike the one in a report."""
+
+    service: str
+    address: str
+    zone: str
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: float
+    seq: int
+    born: Count = 0
+    models: list[HeldRow] | None = None
+    at_hand: AtHandRow | None = None
+
+
+class ReportRow(msgspec.Struct):
+    """An engine's report; ``seq`` counts the orders it accepted.
+
+    ``coming`` are adapters on their way, as MODEL/NAME@VERSION.
+    """
+
+    seq: Count
+    busy: bool
+    models: list[HeldRow]
+    born: Count = 0
+    coming: list[str] | None = None
+    at_hand: AtHandRow | None = None
+
+
+ENTRY = msgspec.json.Decoder(EntryRow)
+REPORT = msgspec.json.Decoder(ReportRow)
+
+
+def decode_endpoint(incarnation: str, raw: bytes) -> EndpointEntry | Failure:
+    """Read the row in which an endpoint registered itself; the row's key is its id."""
+    try:
+        row = ENTRY.decode(raw)
+        parse_address(row.address)
+    except BAD_ROW as exc:
+        return Failure(Kind.BAD_REQUEST, f"entry {incarnation}: {type(exc).__name__}: {exc}")
+    at_hand = row.at_hand or AtHandRow()
+    return EndpointEntry(
+        incarnation=incarnation,
+        service=row.service,
+        address=row.address,
+        domain=row.zone,
+        slots=row.slots,
+        leaving=row.state != "ready",
+        models=read_held(row.models),
+        in_memory=frozenset(at_hand.in_memory or ()),
+        on_disk=frozenset(at_hand.on_disk or ()),
+        born=row.born,
+    )
+
+
+def decode_report(raw: bytes) -> EngineState | Failure:
+    """Read an engine's report."""
+    try:
+        row = REPORT.decode(raw)
+    except BAD_ROW as exc:
+        return Failure(Kind.ENDPOINT_ERROR, f"report: {type(exc).__name__}: {exc}")
+    at_hand = row.at_hand or AtHandRow()
+    return EngineState(
+        seq=row.seq,
+        busy=row.busy,
+        models=read_held(row.models),
+        coming=frozenset(without_version(name) for name in row.coming or ()),
+        in_memory=frozenset(at_hand.in_memory or ()),
+        on_disk=frozenset(at_hand.on_disk or ()),
+        born=row.born,
+    )
+
+
+def read_held(rows: list[HeldRow] | None) -> dict[str, HeldModel]:
+    """Return the models that an endpoint holds, by name."""
+    return {
+        row.name: HeldModel(row.version, frozenset(map(without_version, row.adapters or ())))
+        for row in rows or ()
+    }
+
+
+def without_version(name: str) -> str:
+    """Return an adapter's name without the version that may stand behind it."""
+    return name.partition("@")[0]
--- a/peridotdock/platform/engines.py
+++ b/peridotdock/platform/engines.py
@@ -1,11 +1,9 @@
 """Orders to engines and their reports, in the platform's form."""
 
-import msgspec
-
 from peridotdock.clients.endpoint import HttpEndpoints
 from peridotdock.clients.engines import EngineOrder, EngineState, OrderAnswer
 from peridotdock.errors import Failure, Kind, failed
-from peridotdock.platform.documents import BAD_DOCUMENT, decode_held
+from peridotdock.platform.endpoints import decode_report
 from peridotdock.platform.wire import TARGET
 from peridotdock.relay.asks import EndpointEntry
 
@@ -30,7 +28,10 @@
         self._endpoints = endpoints
 
     async def order(self, entry: EndpointEntry, order: EngineOrder) -> OrderAnswer | Failure:
-        """Give an order. It names the incarnation, so that it can't reach a restarted engine."""
+        """Give an order. It names the engine's id, so that it can't reach another one.
+
+        A later start of this one under the same id takes it, if the count of orders fits.
+        """
         body = {
             "operation": order.action.value,
             "model": order.model,
@@ -60,17 +61,4 @@
         status, raw = outcome
         if status != 200:
             return Failure(Kind.ENDPOINT_ERROR, f"status {status}")
-        try:
-            row = msgspec.json.decode(raw)
-            at_hand = row.get("at_hand") or {}
-            return EngineState(
-                seq=int(row["seq"]),
-                busy=bool(row["busy"]),
-                models=decode_held(row["models"]),
-                # MODEL/NAME@VERSION on the wire.
-                coming=frozenset(str(name).partition("@")[0] for name in row.get("coming") or ()),
-                in_memory=frozenset(at_hand.get("in_memory") or ()),
-                on_disk=frozenset(at_hand.get("on_disk") or ()),
-            )
-        except BAD_DOCUMENT as exc:
-            return Failure(Kind.ENDPOINT_ERROR, f"report: {type(exc).__name__}: {exc}")
+        return decode_report(raw)
--- a/peridotdock/platform/store.py
+++ b/peridotdock/platform/store.py
@@ -26,7 +26,7 @@
 # Seconds for a call that the store does not hold back; it takes some milliseconds on a good day.
 CALL_SECONDS = 1.5
 DROPPED = "tombstone"
-READ_ERRORS = (KeyError, TypeError, ValueError, msgspec.DecodeError)
+READ_ERRORS = (LookupError, AttributeError, TypeError, ValueError, msgspec.DecodeError)
 COMMIT_KINDS = {412: Kind.CONFLICT, 429: Kind.PLATFORM_DOWN, 503: Kind.PLATFORM_DOWN}
 
 
@@ -120,7 +120,7 @@
             return found
         rows, version = found
         try:
-            return TableView({row["key"]: base64.b64decode(row["value"]) for row in rows}, version)
+            return TableView({row["key"]: read_value(row) for row in rows}, version)
         except READ_ERRORS as exc:
             return Failure(Kind.PLATFORM_DOWN, f"bad row: {exc!r}")
 
@@ -134,8 +134,7 @@
             return found
         try:
             values = {
-                row["key"]: None if row.get(DROPPED) else base64.b64decode(row["value"])
-                for row in found["rows"]
+                row["key"]: None if row.get(DROPPED) else read_value(row) for row in found["rows"]
             }
             return TableChanges(values, int(found["ver"]))
         except READ_ERRORS as exc:
@@ -161,8 +160,9 @@
             return found
         try:
             return {
-                row["key"]: Row(json.loads(base64.b64decode(row["value"])), int(row["ver"]))
+                row["key"]: Row(value, int(row["ver"]))
                 for row in found[0]
+                if (value := read_own(row)) is not None
             }
         except READ_ERRORS as exc:
             return Failure(Kind.PLATFORM_DOWN, f"bad row: {exc!r}")
@@ -210,6 +210,7 @@
         return [
             ListedHost(key.removeprefix(HOST_PREFIX), row.value["peer"], row.value["leaving"])
             for key, row in rows.items()
+            if "peer" in row.value and "leaving" in row.value
         ]
 
     async def register_host(self, host: str, peer: str, leaving: bool) -> Failure | None:
@@ -222,6 +223,28 @@
 HOST_PREFIX = "host/"
 
 
+def read_value(row: Mapping[str, Any]) -> bytes:
+    """Return a row's bytes; of a value that can't be read, none.
+
+    Failure guarded against: one row of another writer is no base64, and each call that gives it
+    fails as a whole, so that nothing else in the table is seen any more. No bytes are neither a
+    configuration nor an entry, so the one who takes them refuses just this row.
+    """
+    try:
+        return base64.b64decode(row["value"])
+    except (KeyError, TypeError, ValueError):
+        return b""
+
+
+def read_own(row: Mapping[str, Any]) -> dict[str, Any] | None:
+    """Return what one of the product's rows says, None when it can't be read."""
+    try:
+        value = json.loads(read_value(row))
+    except ValueError:
+        return None
+    return value if isinstance(value, dict) else None
+
+
 def own_row(key: str) -> dict[str, Any]:
     """Return the address of one of the product's rows."""
     return {"table": OWN_TABLE, "part": "", "key": key}
--- a/peridotdock/relay/adapter.py
+++ b/peridotdock/relay/adapter.py
@@ -28,7 +28,7 @@
         """Read the operators' configuration."""
 
     def decode_endpoint(self, incarnation: str, raw: bytes) -> EndpointEntry | Failure:
-        """Read an endpoint's entry."""
+        """Read an endpoint's entry; a failure for one that names no endpoint."""
 
     def open_engines(self, endpoints: HttpEndpoints) -> Engines:
         """Return the platform's engines."""
--- a/peridotdock/relay/asks.py
+++ b/peridotdock/relay/asks.py
@@ -77,7 +77,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointEntry:
-    """What an endpoint registered about itself. ``incarnation`` is new for each of its starts."""
+    """What an endpoint registered about itself. ``incarnation`` is its id.
+
+    A later start may take the same id again: then ``born``, the Unix milliseconds of the start,
+    differs. It is 0 where the endpoint does not say. What is known of one start, as what it holds
+    and how it behaves, is nothing of the next.
+    """
 
     incarnation: str
     service: str
@@ -88,6 +93,7 @@
     models: Mapping[str, HeldModel] = field(default_factory=dict)
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
+    born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -14,6 +14,7 @@
 from peridotdock.jobs import Jobs
 from peridotdock.relay.absent import WaitingRoom
 from peridotdock.relay.adapter import Adapter
+from peridotdock.relay.asks import EndpointEntry
 from peridotdock.relay.book import EndpointBook
 from peridotdock.relay.clocks import BootClock
 from peridotdock.relay.following import Follower
@@ -83,6 +84,7 @@
         self.leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         self._heard_term = 0
+        self._refused: set[str] = set()
         listen = settings.listen
         self._doors = {
             listen.callers.port: self.front.handle,
@@ -238,26 +240,45 @@
         self.ctx.timeline.add("config_in_force", detail=f"version {found.version}")
 
     def _take_endpoints(self, rows: Mapping[str, bytes | None], whole: bool) -> None:
-        entries = {}
-        for key, raw in rows.items():
-            entry = None if raw is None else self.adapter.decode_endpoint(key, raw)
-            if entry is not None and failed(entry):
-                self.ctx.timeline.add("entry_refused", "WARNING", detail=entry.reason)
-                continue
-            self._note_entry(key, entry)
-            entries[key] = entry
+        if whole:
+            self._refused &= rows.keys()
+        entries = {key: self._read_entry(key, raw) for key, raw in rows.items()}
         if whole:
             self.book.replace(entry for entry in entries.values() if entry is not None)
         else:
             self.book.update(entries)
         self.orderer.changed.set()
 
-    def _note_entry(self, key: str, entry) -> None:
+    def _read_entry(self, key: str, raw: bytes | None) -> EndpointEntry | None:
+        """Return the entry in a row, None where the row is gone or names no endpoint.
+
+        Failure guarded against: another writer spoils the entry of a known endpoint, and requests
+        go on to where the entry before pointed. A bad row is logged once until it is good again,
+        however often it is read.
+        """
+        found = None if raw is None else self.adapter.decode_endpoint(key, raw)
+        if found is None or not failed(found):
+            self._refused.discard(key)
+            entry = found
+        else:
+            if key not in self._refused:
+                self.ctx.timeline.add("entry_refused", "WARNING", detail=found.reason)
+            self._refused.add(key)
+            entry = None
+        self._note_entry(key, entry)
+        return entry
+
+    def _note_entry(self, key: str, entry: EndpointEntry | None) -> None:
         state = self.book.states.get(key)
-        word = "gone" if entry is None else "leaving" if entry.leaving else "ready"
-        held = "" if entry is None else " ".join(sorted(entry.models))
-        if state is None or entry is None or state.entry.leaving != entry.leaving:
-            self.ctx.timeline.add(f"endpoint_{word}", endpoint=key, detail=held)
+        if entry is None:
+            if state is not None:
+                self.ctx.timeline.add("endpoint_gone", endpoint=key)
+            return
+        known = None if state is None else state.entry
+        if known is None or (known.leaving, known.born) != (entry.leaving, entry.born):
+            word = "leaving" if entry.leaving else "ready"
+            detail = f"born {entry.born}, holds {' '.join(sorted(entry.models))}"
+            self.ctx.timeline.add(f"endpoint_{word}", endpoint=key, detail=detail)
 
     # Stopping
 
