A row nested without an end stops no follower

Cause: the decoders answer it with RecursionError, which nobody took, and the follower of the configuration or the reading of leases ended. Ruled out: other bad rows of the table; they were refused. Change: it counts as a bad row.

--- a/peridotdock/platform/documents.py
+++ b/peridotdock/platform/documents.py
@@ -18,7 +18,8 @@
 )
 from peridotdock.errors import Failure, Kind
 
-BAD_DOCUMENT = (KeyError, TypeError, ValueError, AttributeError, msgspec.DecodeError)
+# Nesting beyond the decoder's depth ends in RecursionError.
+BAD_DOCUMENT = (KeyError, TypeError, ValueError, AttributeError, RecursionError)
 
 
 def decode_deployment(raw: bytes) -> Deployment | Failure:
--- a/peridotdock/platform/store.py
+++ b/peridotdock/platform/store.py
@@ -240,7 +240,7 @@
     """Return what one of the product's rows says, None when it can't be read."""
     try:
         value = json.loads(read_value(row))
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     return value if isinstance(value, dict) else None
 
--- a/tests/relay/test_adapter.py
+++ b/tests/relay/test_adapter.py
@@ -127,6 +127,11 @@
         ("no routes", b'{"version": 1, "services": []}'),
         ("unknown kind", json.dumps(document(routes=[ROUTE | {"kind": "odd"}])).encode()),
         ("a list", b"[]"),
+        ("nothing", b""),
+        ("nested without an end", b"[" * 5000),
+        ("a version beyond all numbers", json.dumps(document()).replace(": 7", ": 1e999").encode()),
+        ("a service that is none", json.dumps(document(services=[7])).encode()),
+        ("a host that is none", json.dumps(document(routes=[ROUTE | {"host": 7}])).encode()),
     )
     def test_a_bad_configuration_is_refused(self, name, raw):
         found = decode_deployment(raw)
--- a/tests/relay/test_entries.py
+++ b/tests/relay/test_entries.py
@@ -1,6 +1,7 @@
 """Entries of endpoints and rows of the store that can't be read: they stop nothing else."""
 
 import asyncio
+import base64
 import json
 import unittest
 
@@ -204,7 +205,7 @@
 
         asyncio.run(play())
 
-    @params("abc", "bm90IEpTT04=", "WzFd", 7)
+    @params("abc", "bm90IEpTT04=", "WzFd", 7, base64.b64encode(b"[" * 90000).decode())
     def test_own_rows_are_read_beside_a_bad_one(self, value):
         """No host reads who the others are, as one of their rows can't be read."""
 
