--- a/tests/relay/test_late.py
+++ b/tests/relay/test_late.py
@@ -115,7 +115,7 @@
 
 
 async def play(seed):
-    """Order one engine for some minutes; return how often it was overfilled, and the orders it took."""
+    """Order an engine for two minutes; return how often it was overfilled, and its orders."""
     rng, clock = random.Random(seed), FakeClock()
     engine, book = LateEngine(clock, rng), EndpointBook("north", clock)
     orderer = Orderer(make_ctx(clock), book, engine, AlwaysLeads(), BOUNDS)
