--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from typing import Any, Protocol, TypeVar
@@ -14,7 +14,17 @@
 import msgspec
 from yarl import URL
 
-from peridotdock.clients.http import BROKEN, UNREACHABLE, Pool, WatchedResponse, send_once
+from peridotdock.clients.http import (
+    BROKEN,
+    CONNECT_SECONDS,
+    STILL_WANTED,
+    UNREACHABLE,
+    Pool,
+    WatchedResponse,
+    Withdrawn,
+    always,
+    send_once,
+)
 from peridotdock.errors import Failure, Kind, failed
 
 REPORT_SECONDS = 1.0
@@ -76,13 +86,19 @@
 
 @dataclass(frozen=True)
 class Call:
-    """A request to an endpoint, as it goes out; ``once`` forbids the library's own repeat."""
+    """A request to an endpoint, as it goes out.
+
+    ``once`` forbids the library's own repeat. ``connect`` is how long a new connection may take, in
+    seconds. ``wanted`` tells, when there is a connection, whether it is still to be sent.
+    """
 
     method: str
     path: str
     headers: Mapping[str, str]
     body: bytes
     once: bool
+    connect: float = CONNECT_SECONDS
+    wanted: Callable[[], bool] = always
 
 
 @dataclass(frozen=True)
@@ -171,17 +187,20 @@
     async def open(self, url: str, call: Call) -> Opened | Failure:
         """Send a request and wait for the head of its answer."""
         stack = AsyncExitStack()
+        pool = self._pool(url)
+        wanted = STILL_WANTED.set(call.wanted)
         try:
-            session = await stack.enter_async_context(self._pool(url).use())
+            session = await stack.enter_async_context(pool.use())
             resp = await session.request(
                 call.method,
                 URL(url + call.path, encoded=True),
                 headers=call.headers,
                 data=call.body or None,
                 allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=None, sock_connect=call.connect),
                 middlewares=(send_once(),) if call.once else (),
             )
-        except UNREACHABLE as exc:
+        except (*UNREACHABLE, Withdrawn) as exc:
             await stack.aclose()
             return Failure(Kind.ENDPOINT_UNREACHABLE, type(exc).__name__)
         except BROKEN as exc:
@@ -190,6 +209,9 @@
         except BaseException:
             await stack.aclose()
             raise
+        finally:
+            STILL_WANTED.reset(wanted)
+        pool.respect(resp.headers)
         if resp.status in (429, 503) and self._not_run_header in resp.headers:
             resp.close()
             await stack.aclose()
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+import re
 import socket
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
+from contextvars import ContextVar
 from typing import Any
 
 import aiohttp
@@ -28,6 +30,10 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2_000),
 )
+KEEP_ALIVE = re.compile(r"timeout\s*=\s*(\d+)")
+# Seconds before the other end closes an idle connection from which on it is not taken again: a
+# request may be on its way for as long, beside a loop or a link that is behind.
+KEEP_ALIVE_MARGIN = 0.5
 # Headers that the library would add; a relayed request must reach its endpoint as it was sent.
 ADDED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -87,6 +93,39 @@
         return self.ending.done() and self.ending.exception() is None
 
 
+class Withdrawn(aiohttp.ClientError):
+    """A request was not sent: while it waited for its connection, it was no longer wanted."""
+
+
+def always() -> bool:
+    """Send whatever has happened meanwhile."""
+    return True
+
+
+# Asked when a request has its connection, right before its first byte.
+STILL_WANTED: ContextVar[Callable[[], bool]] = ContextVar("STILL_WANTED", default=always)
+
+
+class Connector(aiohttp.TCPConnector):
+    """Connections whose time to be kept idle can be shortened, and requests that can be withdrawn.
+
+    Failure guarded against: a connection may take a second, and meanwhile its endpoint says that it
+    leaves. The request would go there later than the endpoint has promised to serve.
+    """
+
+    async def connect(self, *args: Any, **kwargs: Any) -> Any:
+        """Return a connection, unless the request is no longer wanted when it is there."""
+        conn = await super().connect(*args, **kwargs)
+        if STILL_WANTED.get()():
+            return conn
+        conn.release()
+        raise Withdrawn("not sent")
+
+    def keep_for(self, seconds: float) -> None:
+        """Take no connection again that has been idle for longer."""
+        self._keepalive_timeout = min(self._keepalive_timeout, seconds)
+
+
 class Pool:
     """Kept connections that can be abandoned all at once.
 
@@ -104,7 +143,7 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._current is None:
-            connector = aiohttp.TCPConnector(
+            connector = Connector(
                 limit=self._limit, keepalive_timeout=self._idle, socket_factory=open_socket
             )
             self._current = aiohttp.ClientSession(
@@ -131,6 +170,19 @@
                 if session is not self._current:
                     await session.close()
 
+    def respect(self, headers: Mapping[str, str]) -> None:
+        """Keep idle connections no longer than the other end says that it does.
+
+        Failure guarded against: a request goes out on a connection that the other end is closing at
+        that moment, and is lost. If it may run once only, nobody can tell whether it has, and its
+        caller is told 502.
+        """
+        found = KEEP_ALIVE.search(headers.get("Keep-Alive", ""))
+        if found is None or self._current is None:
+            return
+        self._idle = min(self._idle, max(0.0, int(found[1]) - KEEP_ALIVE_MARGIN))
+        self._current.connector.keep_for(self._idle)
+
     async def renew(self) -> None:
         """Take no kept connection again; those in use go on until their request ends."""
         session, self._current = self._current, None
@@ -138,8 +190,11 @@
             await session.close()
 
     def forget(self) -> None:
-        """Do as :meth:`renew` does, without waiting for connections to be closed."""
-        closing = asyncio.ensure_future(self.renew())
+        """Do as :meth:`renew` does from now on, without waiting for connections to be closed."""
+        session, self._current = self._current, None
+        if session is None or self._users[session]:
+            return
+        closing = asyncio.ensure_future(session.close())
         self._closing.add(closing)
         closing.add_done_callback(self._closing.discard)
 
@@ -149,3 +204,4 @@
         self._current = None
         for session in sessions:
             await session.close()
+        await asyncio.gather(*self._closing, return_exceptions=True)
--- a/peridotdock/decisions/adapters.py
+++ b/peridotdock/decisions/adapters.py
@@ -48,7 +48,7 @@
 
 def held_ready(draft: Draft, model: str, adapter: str) -> bool:
     """Tell whether some engine can serve an adapter."""
-    return any(adapter in engine.models[model] for engine in draft.ready(model))
+    return (model, adapter) in draft.ready_adapters
 
 
 def open_bases(draft: Draft, model: str) -> list[EngineView]:
@@ -74,8 +74,11 @@
 
 def count_adapters(engine: EngineView) -> int:
     """Return how many adapter places are taken, or may be by an order that arrives late."""
-    held = {f"{model}/{name}" for model, names in engine.models.items() for name in names}
-    return len(held.union(item for item in engine.late if "/" in item))
+    count = sum(map(len, engine.models.values()))
+    if engine.late:
+        held = {f"{model}/{name}" for model, names in engine.models.items() for name in names}
+        count += sum("/" in item for item in engine.late - held)
+    return count
 
 
 def least_wanted_adapter(draft: Draft, engine: EngineView) -> tuple[str, str] | None:
--- a/peridotdock/relay/book.py
+++ b/peridotdock/relay/book.py
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HeardNews:
-    """What the host that orders engines said of one, and when that was heard."""
+    """What the host that orders engines said of one, and when it said so."""
 
     news: EngineNews
     items: frozenset[str]
@@ -75,6 +75,11 @@
     parts: OrderedDict[tuple[str, str], None] = field(default_factory=OrderedDict)
     ahead: int = 0
     heard: HeardNews | None = None
+    gone: bool = False
+
+    def takes_work(self) -> bool:
+        """Tell whether requests may still be sent there."""
+        return not self.gone and not self.entry.leaving
 
     @property
     def key(self) -> str:
@@ -170,6 +175,8 @@
                 state = next_start(state, entry)
             state.entry = entry
             self.states[entry.incarnation] = state
+        for key, state in old.items():
+            state.gone = self.states.get(key) is not state
         self._index()
 
     def update(self, changed: Mapping[str, EndpointEntry | None]) -> None:
@@ -217,10 +224,12 @@
         times = [load_seconds(state.entry, model) for state in states if not state.entry.leaving]
         return min(times, default=model.load)
 
-    def take_news(self, rows: Iterable[EngineNews]) -> None:
-        """Take in what the host that orders engines says; engines it leaves out have no news."""
-        now = self._clock.monotonic()
-        news = {row.endpoint: HeardNews(row, frozenset(row.items), now) for row in rows}
+    def take_news(self, rows: Iterable[EngineNews], at: float) -> None:
+        """Take in what the host that orders engines said at a time (monotonic seconds).
+
+        Engines that it leaves out have no news.
+        """
+        news = {row.endpoint: HeardNews(row, frozenset(row.items), at) for row in rows}
         for key, state in self.states.items():
             heard = news.get(key)
             state.heard = None if heard is None or out_of_date(heard, state.entry) else heard
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -1,6 +1,7 @@
 """A relaying host: its parts, and the work it repeats, from start to planned stop."""
 
 import asyncio
+import logging
 import random
 import signal
 from collections.abc import Mapping
@@ -19,6 +20,7 @@
 from peridotdock.relay.entries import EntryReader
 from peridotdock.relay.following import Follower
 from peridotdock.relay.front import Front
+from peridotdock.relay.lag import LOOK_SECONDS, LagWatch
 from peridotdock.relay.leadership import Leadership
 from peridotdock.relay.ordering import Orderer
 from peridotdock.relay.peers import Peers
@@ -26,6 +28,7 @@
 from peridotdock.relay.settings import HostSettings
 from peridotdock.relay.views import Views
 from peridotdock.serving import Server, make_application
+from peridotdock.turns import find_turns
 
 # Seconds between a change of the configuration and the next call on it: changes that come in quick
 # succession are seen one by one.
@@ -51,6 +54,14 @@
 STANDBYS = 2
 # Seconds between two plans when nothing calls for one.
 PLAN_SECONDS = 0.5
+# Plans in a row that may fail before another host is to try: two and a half seconds of them.
+MOST_FAILED_PLANS = 5
+# How many times as long as a plan took the next one is put off. Failure guarded against: the
+# waiting requests of 83 hosts and the engines' answers call for a plan at each turn of the loop, a
+# plan takes 7 ms at 64 engines, and the host that orders reads its callers' requests late.
+PLAN_REST = 3.0
+
+log = logging.getLogger("peridotdock")
 
 
 class Node:
@@ -69,10 +80,13 @@
             ctx, adapter.wire, self.book, self.endpoints, settings.bounds, self.room
         )
         self.service.on_down = lambda key: self.peers.tell_wants()
-        self.front = Front(ctx, adapter.wire, self.service, self.peers)
+        self.lag = LagWatch(ctx, find_turns(), lambda: self.front.in_work)
+        self.front = Front(ctx, adapter.wire, self.service, self.peers, self.lag)
         lease = settings.bounds.order_lease
         machine = str(settings.listen.peers)
-        self.leadership = Leadership(ctx, self.store, lease, BootClock(), machine)
+        self.leadership = Leadership(
+            ctx, self.store, lease, BootClock(), machine, self.store.suspect
+        )
         engines = adapter.open_engines(self.endpoints)
         self.orderer = Orderer(ctx, self.book, engines, self.leadership, settings.bounds)
         self.orderer.heard_loads = self.peers.heard_loads
@@ -85,6 +99,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._heard_term = 0
         self._entries = EntryReader(ctx, self.book, adapter.decode_endpoint, self._drop_connections)
+        self._failed_plans = 0
         listen = settings.listen
         self._doors = {
             listen.callers.port: self.front.handle,
@@ -110,6 +125,7 @@
         every(self.peers.membership.beat_seconds, self._beat, "beat")
         every(lambda: self._word_seconds(WORK_SECONDS), self._tell_work, "work")
         every(lambda: self._word_seconds(DEMAND_SECONDS), self._tell_demand, "demand")
+        every(lambda: LOOK_SECONDS, self.lag.look, "lag")
         every(self._lease_seconds, self._step_lease, "lease", self.lease_due)
         self._tasks.append(asyncio.create_task(self._order()))
         self.ctx.timeline.add("started", detail=str(self.settings.listen.callers))
@@ -184,21 +200,43 @@
                 event.clear()
             deployment = self.front.deployment
             if deployment is not None and self.leadership.holds():
-                self.orderer.round(deployment, self.peers.demand(), self.peers.down())
-                news, loads = self.orderer.news(), self.orderer.loads()
-                self.peers.tell_orders(self.leadership.term, news, loads)
+                began = self.ctx.clock.monotonic()
+                await self._try_plan(deployment)
+                await self.ctx.clock.sleep(PLAN_REST * (self.ctx.clock.monotonic() - began))
             waits = [asyncio.ensure_future(event.wait()) for event in events]
             await asyncio.wait(waits, timeout=PLAN_SECONDS, return_when=asyncio.FIRST_COMPLETED)
             for wait in waits:
                 wait.cancel()
 
+    async def _try_plan(self, deployment: Deployment) -> None:
+        """Plan; free the lease after some plans in a row that failed.
+
+        Failure guarded against: a plan raises, the task that orders ends, and the lease is renewed
+        on. No model is loaded any more, and no other host takes over.
+        """
+        try:
+            self._plan(deployment)
+            self._failed_plans = 0
+        except Exception:
+            log.exception("plan failed")
+            self._failed_plans += 1
+            await self.ctx.clock.sleep(PLAN_SECONDS)
+            if self._failed_plans >= MOST_FAILED_PLANS:
+                await self.leadership.give_up()
+
+    def _plan(self, deployment: Deployment) -> None:
+        self.orderer.round(deployment, self.peers.demand(), self.peers.down())
+        news, loads = self.orderer.news(), self.orderer.loads()
+        self.peers.tell_orders(self.leadership.term, news, loads)
+
     # Doors
 
     async def _handle(self, request: Request) -> Response:
         return await self._doors[request.scope["server"][1]](request)
 
     async def _readiness(self, request: Request) -> Response:
-        ready = self.front.deployment is not None and not self.leaving
+        known = self.front.deployment is not None
+        ready = known and not self.leaving and self.lag.trouble is None
         body = Content(b"text/plain", b"ready" if ready else b"not ready")
         return Response(200 if ready else 503, None, body)
 
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -1,15 +1,17 @@
 """What hosts tell each other: who lives, work on endpoints, what is waited for, orders given."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
+from functools import lru_cache
 
 from peridotdock.board import Board, Known, Slot
 from peridotdock.context import Context
 from peridotdock.decisions.draft import Demand
 from peridotdock.demand import Demand as DemandMeter
 from peridotdock.fleet import pack, unpack
-from peridotdock.membership import Membership
-from peridotdock.mesh import Link, Mesh
+from peridotdock.links import Link
+from peridotdock.membership import Member, Membership
+from peridotdock.mesh import Mesh
 from peridotdock.relay.book import EndpointBook, OthersLoad
 from peridotdock.relay.settings import HostSettings
 from peridotdock.rendezvous import weigh
@@ -35,6 +37,8 @@
 NEWS_AGAIN_SECONDS = 2.5
 # Least change of a demand that is told, as a share of what was told last.
 DEMAND_STEP = 0.25
+# Hosts whose weight is remembered: more than there are links to a hub.
+MOST_HASHES = 1000
 
 
 class Peers:
@@ -45,8 +49,9 @@
         self._settings = settings
         self._book = book
         self.board = Board(settings.host, ctx.epoch, ctx.clock)
-        self.mesh = Mesh(ctx, self.board, give_body, self._choose_hub, self._passes)
+        self.mesh = Mesh(ctx, self.board, give_body, self._choose_hub, self._audience)
         self._leader = ""
+        self._told_hub = ""
         own = HostFact(
             settings.host,
             ctx.incarnation,
@@ -86,6 +91,9 @@
         for seed in self._settings.seeds:
             self.meet(str(seed))
         hub = self._hub()
+        if hub != self._told_hub:
+            self._told_hub = hub
+            self.mesh.offer_all(hub)
         if hub in self.mesh.peers():
             self.mesh.keep_only(hub)
 
@@ -103,13 +111,12 @@
 
     def _hub(self) -> str:
         """Return the host that all others link to, as seen from here."""
-        own = self._settings.host
+        own, members = self._settings.host, self.membership.members()
+        passed_over = {own, *self.mesh.failed_hosts()}
         able = [
-            name
-            for name, member in self.membership.members().items()
-            if name != own and member.alive and not self.mesh.failed_lately(name)
+            name for name, member in members.items() if member.alive and name not in passed_over
         ]
-        return self.rank([*able, own])[0]
+        return max([*able, own], key=lambda name: lead_weight(name, members))
 
     def rank(self, names: Iterable[str]) -> list[str]:
         """Return hosts in the order in which they are to lead and to pass facts on.
@@ -118,12 +125,7 @@
         processor come last: at 10 Mbit/s a hub of 67 hosts would hold up its own streams.
         """
         members = self.membership.members()
-
-        def weight(name: str) -> tuple[int, int]:
-            member = members.get(name)
-            return member.fact.power if member else 0, weigh("leader", name)
-
-        return sorted(names, key=weight, reverse=True)
+        return sorted(names, key=lambda name: lead_weight(name, members), reverse=True)
 
     def _choose_hub(self, others: Mapping[str, str]) -> list[str]:
         """Return the hosts to link to: the hub, or for the hub one that nobody hears any more.
@@ -152,19 +154,23 @@
             elif topic == "loads" and origin != self._settings.host and not self._is_hub():
                 self._take_loads(known)
 
-    def _passes(self, link: Link, slot: Slot) -> bool:
-        """Tell whether a link passes a fact on.
+    def _audience(self, slot: Slot, links: Collection[Link]) -> Iterable[Link]:
+        """Return those among ``links`` that pass a fact on.
 
         What hosts have on endpoints goes to the hub alone, which tells all of them the sum; what
         they wait for and are asked for goes to the hub and from there to the holder of the lease.
-        All others hear of heartbeats, sums and orders alone.
+        All others hear of heartbeats, sums and orders alone. The hub may have dialled this host.
         """
         origin, topic = slot
         if topic not in UPWARD:
-            return True
-        if topic != "work" and link.peer.host == self._leader:
-            return True
-        return origin == self._settings.host and link.dialled
+            return links
+        own = origin == self._settings.host
+        if topic == "work" and not own:
+            return ()
+        to = {self._told_hub} if own else set()
+        if topic != "work":
+            to.add(self._leader)
+        return [link for link in links if link.peer.host in to or (own and link.dialled)]
 
     def _is_hub(self) -> bool:
         """Tell whether this host is the hub, as seen from here."""
@@ -208,7 +214,7 @@
         if newest.term and origin != self._leader:
             self._leader = origin
             self.mesh.offer_all(origin)
-        self._book.take_news(newest.engines)
+        self._book.take_news(newest.engines, known.at)
         self.on_term(newest.term)
         if newest.resigned:
             self.on_resigned(newest.resigned, newest.quiet)
@@ -254,7 +260,7 @@
 
     def down(self) -> set[str]:
         """Return the endpoints that live hosts could not connect to."""
-        live = self.membership.members()
+        live = {name for name, row in self.membership.members().items() if row.alive}
         rows = self.board.on("wants").items()
         return {key for name, row in rows if name in live for key in row.fact.down}
 
@@ -327,6 +333,18 @@
         }
 
 
+def lead_weight(name: str, members: Mapping[str, Member]) -> tuple[int, int]:
+    """Return what hosts are ordered by when one is to lead or to pass facts on."""
+    member = members.get(name)
+    return member.fact.power if member else 0, hash_leader(name)
+
+
+@lru_cache(maxsize=MOST_HASHES)
+def hash_leader(name: str) -> int:
+    """Return a host's weight in the order; the same ones are looked at a dozen times a second."""
+    return weigh("leader", name)
+
+
 def describe_news(row: EngineNews) -> tuple:
     """Return all of an engine's news but the times, which change with each look."""
     return row.endpoint, tuple(row.items), tuple(row.dropping), tuple(sorted(row.coming))
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -7,6 +7,8 @@
 from peridotdock.context import Context
 from peridotdock.decisions.allowance import RetryAllowance
 from peridotdock.decisions.choice import Prediction, choose, unread
+from peridotdock.decisions.health import overdue
+from peridotdock.decisions.overload import TURNS_TO_ANSWER, judge_send, retry_after
 from peridotdock.deployment import Route
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.absent import WaitingRoom, name_item
@@ -18,6 +20,7 @@
 from peridotdock.relay.settings import Bounds
 from peridotdock.relay.wire import Wire
 from peridotdock.requests import RETRY_KINDS, admit_maybe
+from peridotdock.turns import find_turns
 
 # Refused sends of one request: each was not run, but each is an arrival at the service.
 MOST_REFUSALS = 2
@@ -62,6 +65,7 @@
         self.sender = Sender(wire, endpoints, ctx.clock)
         self._bounds = bounds
         self._allowances: dict[str, RetryAllowance] = {}
+        self._turns = find_turns()
         self.hosts = 1
         self.on_down: Callable[[str], None] = lambda key: None
 
@@ -111,11 +115,12 @@
     ) -> Prediction | Failure:
         """Choose an endpoint, after waiting for one where none can serve the request yet."""
         wish = ask.head.wish
-        if not self.book.usable(progress.service, wish):
+        states = self.book.usable(progress.service, wish)
+        if not states:
             refusal = await self._room.wait(ask, progress.service, caller)
             if refusal is not None:
                 return refusal
-        states = self.book.usable(progress.service, wish)
+            states = self.book.usable(progress.service, wish)
         candidates = self.book.candidates(states, wish, frozenset(progress.avoid))
         if not candidates:
             # All were tried: the one that cut a stream short may still be the one that has it.
@@ -123,6 +128,10 @@
         found = choose(candidates, self.book.work(progress.service, wish), self.ctx.rng)
         if found is None:
             return Failure(Kind.NO_ENDPOINT, progress.service, ABSENT_RETRY_SECONDS)
+        left = ask.deadline - self.ctx.clock.monotonic()
+        trouble = judge_send(left, found.seconds, self._turns.usual())
+        if trouble is not None:
+            return Failure(Kind.HOST_BEHIND, trouble, retry_after(self.ctx.rng.random))
         return found
 
     def may_repeat(
@@ -156,6 +165,7 @@
         wish = ask.head.wish
         tokens = unread(place.candidate, self.book.work(progress.service, wish)) if wish else 0
         self.book.began(state, ask.id, wish, tokens)
+        began = self.ctx.clock.monotonic()
         streaming = False
         try:
             resume = ask.head.resume_after if progress.last_id is None else str(progress.last_id)
@@ -169,6 +179,7 @@
                 else await self._read(ask, caller, progress.service, sent, patience)
             )
             self._judge(ask, state, found, progress)
+            self._note_overdue(ask, state, found, place.seconds, began)
             streaming = isinstance(found, Source)
             return found
         finally:
@@ -253,6 +264,26 @@
         progress.refusals += found.kind is Kind.ENDPOINT_REFUSED
         self.note_loss(ask, state, found)
 
+    def _note_overdue(
+        self,
+        ask: RelayAsk,
+        state: EndpointState,
+        found: Whole | Source | Failure,
+        expected: float,
+        began: float,
+    ) -> None:
+        """Hold it against a plain service's endpoint that the request's time ran out there.
+
+        Failure guarded against: an endpoint takes requests and answers none. What may run once only
+        waits for its answer to the end, which tells nothing by itself, and the next request is sent
+        there again.
+        """
+        if not failed(found) or found.kind is not Kind.DEADLINE or ask.head.wish is not None:
+            return
+        now = self.ctx.clock.monotonic()
+        if overdue(now - began, expected, TURNS_TO_ANSWER * self._turns.usual()):
+            state.health.lost(now)
+
     def note_loss(self, ask: RelayAsk, state: EndpointState, found: Failure) -> None:
         """Hold a loss against the endpoint, unless it is the caller's or the deadline's."""
         now = self.ctx.clock.monotonic()
--- a/peridotdock/relay/views.py
+++ b/peridotdock/relay/views.py
@@ -53,6 +53,7 @@
         follower.reads = self._reads
         follower.tell = lambda found, after: self._tell(table, found, after)
         follower.ask_hosts = lambda after: self._peers.mesh.want_rows(table, after)
+        follower.on_lost = lambda: self._say_unchanged(table)
         self._followed[table] = Followed(follower, bound, named)
         return follower
 
@@ -91,6 +92,7 @@
             changed=named,
             whole=whole and not named,
             age=age,
+            lost=row.follower.lost(),
         )
         self._peers.mesh.send_rows(frame)
 
@@ -103,9 +105,13 @@
         """
         now = self._ctx.clock.monotonic()
         for table, row in self._followed.items():
-            known = row.follower.version
-            if known is not None and now - row.told_at >= WORD_SECONDS:
-                self._say(table, known, known, {})
+            if now - row.told_at >= WORD_SECONDS:
+                self._say_unchanged(table)
+
+    def _say_unchanged(self, table: str) -> None:
+        known = self._followed[table].follower.version
+        if known is not None:
+            self._say(table, known, known, {})
 
     def _hear(self, frame: Rows) -> bool:
         row = self._followed.get(frame.table)
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -8,9 +8,13 @@
 
 import uvicorn
 from blacksheep import Application, Request, Response, Router
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from peridotdock.errors import Failure, Kind
+from peridotdock.turns import ACCEPTS_PER_TURN, find_turns
 
+# Connections that may wait with the kernel; beyond them a caller's first packet is dropped, and it
+# tries again after a second.
 BACKLOG = 1024
 KEEP_ALIVE_SECONDS = 30
 MAX_HEADER_BYTES = 32 * 1024
@@ -24,7 +28,10 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 20_000),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
 )
-
+# Turns of the loop from the one that sets a connection up to its first read.
+FIRST_READ_TURNS = 1
+# In a request's scope: the earliest monotonic time at which it can have come.
+CAME = "came"
 
 Handler = Callable[[Request], Awaitable[Response]]
 
@@ -67,6 +74,31 @@
         yield
 
 
+class Connection(HttpToolsProtocol):
+    """A connection that knows since when a request read from it can have waited unread.
+
+    Failure guarded against: the loop is behind, requests lie with the kernel, and their time counts
+    from when they are read. They are held on after their deadline, and endpoints are handed more
+    time than is left. It shows as answers long after the time-out of their route.
+    """
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Note when the connection can have come; its first request may have come with it."""
+        super().connection_made(transport)
+        self._turns = find_turns()
+        self._came = self._turns.accept()
+        self._after_first = self._turns.count + FIRST_READ_TURNS + 1
+
+    def on_message_begin(self) -> None:
+        """Note for the request that begins when it can have come.
+
+        One that was not there at the connection's first read came later.
+        """
+        super().on_message_begin()
+        with_connection = self._turns.count < self._after_first
+        self.scope[CAME] = self._came if with_connection else self._turns.since()
+
+
 def bind_socket(ip: str, port: int) -> socket.socket:
     """Return a bound socket whose connections notice a dead peer."""
     sock = socket.socket()
@@ -100,13 +132,13 @@
         cfg = uvicorn.Config(
             self._serve,
             loop="asyncio",
-            http="httptools",
+            http=Connection,
             lifespan="off",
             interface="asgi3",
             proxy_headers=False,
             log_config=None,
             access_log=False,
-            backlog=BACKLOG,
+            backlog=ACCEPTS_PER_TURN,
             server_header=False,
             timeout_keep_alive=KEEP_ALIVE_SECONDS,
             timeout_graceful_shutdown=1,
@@ -117,6 +149,9 @@
             if self._task.done():
                 self._task.result()
             await asyncio.sleep(0.001)
+        # The loop takes the number that may wait for the number to accept in one turn.
+        for sock in self._socks:
+            sock.listen(BACKLOG)
         return self
 
     async def _serve(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
--- /dev/null
+++ b/tests/relay/test_connections.py
@@ -0,0 +1,147 @@
+"""Connections to endpoints: kept while the endpoint keeps them, and no longer."""
+
+import asyncio
+import socket
+import unittest
+
+from nose2.tools import params
+
+from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
+from peridotdock.errors import failed
+from tests.relay.deployment import Deployment
+from tests.standins.runner import RunnerStandin
+
+NOT_RUN = "x-not-executed"
+
+
+class CountedRunner(RunnerStandin):
+    """A runner that counts its connections."""
+
+    connections = 0
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        await super()._serve(reader, writer)
+
+
+async def send(endpoints, runner, number, **headers):
+    rows = {"x-attempt-id": f"a{number}", "x-target-instance": runner.name} | headers
+    call = Call("POST", "/x", rows | {"content-length": "0"}, b"", once=True)
+    opened = await endpoints.open(f"http://{runner.address}", call)
+    if not failed(opened):
+        await read_all(opened)
+        await opened.release()
+
+
+class KeptTest(unittest.TestCase):
+    @params(("serve", {}), ("refuse", {}), ("error", {}), ("serve", {"x-model": "m0"}))
+    def test_one_connection_serves_requests_one_after_the_other(self, step, headers):
+        async def check():
+            runner = await CountedRunner("e1", ("m0",)).start()
+            endpoints = HttpEndpoints(NOT_RUN)
+            for number in range(4):
+                runner.script = [step]
+                await send(endpoints, runner, number, **headers)
+            self.assertEqual(1, runner.connections, step)
+            await endpoints.close()
+            await runner.stop()
+
+        asyncio.run(check())
+
+    def test_an_idle_connection_is_given_up_before_its_endpoint_closes_it(self):
+        """A note is lost, and nobody can tell whether it was written.
+
+        The endpoint says that it keeps idle connections for a second. A request goes out on one in
+        the moment in which it is closed.
+        """
+
+        async def serve(reader, writer):
+            nonlocal connections
+            connections += 1
+            try:
+                while True:
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(
+                        b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=1\r\ncontent-length: 0\r\n\r\n"
+                    )
+            except asyncio.IncompleteReadError:
+                writer.close()
+
+        async def check():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            url = "http://{}:{}".format(*server.sockets[0].getsockname())
+            endpoints = HttpEndpoints(NOT_RUN)
+            seen = []
+            for pause in (0.0, 0.0, 0.8):
+                await asyncio.sleep(pause)
+                opened = await endpoints.open(url, Call("GET", "/", {}, b"", once=True))
+                await read_all(opened)
+                await opened.release()
+                seen.append(connections)
+            await endpoints.close()
+            server.close()
+            return seen
+
+        connections = 0
+        self.assertEqual([1, 1, 2], asyncio.run(check()))
+
+
+class DarkEndpoint:
+    """An address that takes no connection and refuses none: its queue of new ones is full."""
+
+    def __enter__(self):
+        self._sock = socket.socket()
+        self._sock.bind(("127.0.0.1", 0))
+        self._sock.listen(0)
+        self.address = "{}:{}".format(*self._sock.getsockname())
+        self._callers = []
+        for _ in range(4):
+            caller = socket.socket()
+            caller.setblocking(False)
+            caller.connect_ex(self._sock.getsockname())
+            self._callers.append(caller)
+        return self
+
+    def __exit__(self, *exc):
+        for sock in (self._sock, *self._callers):
+            sock.close()
+
+
+class DarkTest(unittest.TestCase):
+    """A page that takes 45 ms is refused after its whole time, beside an endpoint that is idle.
+
+    One endpoint's machine has gone dark: connections to it are neither made nor refused. The
+    request waits a second for one, longer than its route allows, and never gets to the other. Seen
+    of one request: sent at 17.772 s, at its endpoint at 19.901 s, run there in 22 ms.
+    """
+
+    def test_a_connection_that_is_not_made_is_given_up_while_there_is_time(self):
+        async def check():
+            async with Deployment(pages=("p1", "p2")) as found:
+                with DarkEndpoint() as dark:
+                    entry = found.pages["p1"].entry("pages", address=dark.address)
+                    found.store.put("servers", "p1", entry)
+                    book = found.hosts[0].book
+                    await found.until(lambda: book.states["p1"].entry.address == dark.address)
+                    answers = [await found.ask("/bind/", f"a{number}") for number in range(8)]
+                self.assertEqual([200] * 8, [status for status, _, _ in answers])
+
+        asyncio.run(asyncio.wait_for(check(), 30))
+
+
+class SilentTest(unittest.TestCase):
+    """Half of all notes are lost for as long as one endpoint takes requests and answers none.
+
+    A note may be written once only, so it waits for its answer to the end of its time. Nothing is
+    learnt from that: the next one is sent there again.
+    """
+
+    def test_an_endpoint_that_lets_time_run_out_is_passed_over(self):
+        async def check():
+            async with Deployment(pages=("p1", "p2")) as found:
+                found.pages["p1"].script = ["silent"] * 20
+                answers = [await found.ask("/bind/", f"a{number}") for number in range(16)]
+                statuses = [status for status, _, _ in answers]
+                self.assertLessEqual(statuses.count(504), 2, statuses)
+
+        asyncio.run(asyncio.wait_for(check(), 30))
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -13,6 +13,13 @@
 from peridotdock.decisions.draft import Demand, EngineView
 from peridotdock.decisions.health import FIRST_PAUSE, LONGEST_PAUSE, Health
 from peridotdock.decisions.loads import UNHEARD_LOADS, LoadRation
+from peridotdock.decisions.overload import (
+    HostState,
+    Trouble,
+    judge_host,
+    judge_send,
+    retry_after,
+)
 from peridotdock.decisions.placing import make_plan
 from peridotdock.decisions.waiting import Absence, decide
 from peridotdock.deployment import EngineSpec, Model
@@ -215,7 +222,36 @@
     return [(s.engine, s.action.value, "/".join(filter(None, (s.model, s.adapter)))) for s in steps]
 
 
+class CountedModels(dict):
+    """What an engine holds, with a count of the looks at it."""
+
+    looks = 0
+
+    def __contains__(self, name):
+        self.looks += 1
+        return super().__contains__(name)
+
+    def keys(self):
+        self.looks += 1
+        return super().keys()
+
+
 class PlacingTest(unittest.TestCase):
+    def test_a_plan_looks_at_each_engine_a_few_times(self):
+        """Callers get their answers late whenever an order is given.
+
+        At 64 engines and 74 models a plan took 50 ms of a host's processor, in which it reads no
+        request. It looked for the holders of a model at all engines, for each copy on each engine
+        that may make room for each model.
+        """
+        names = [f"m{number}" for number in range(74)]
+        spec = replace(SPEC, models={name: replace(SPEC.models["m0"], name=name) for name in names})
+        engines = [engine(f"e{n:02}", *names[n % 30 : n % 30 + 3]) for n in range(64)]
+        looks = [CountedModels(view.models) for view in engines]
+        engines = [replace(v, models=row) for v, row in zip(engines, looks, strict=True)]
+        make_plan(spec, engines, {name: Demand(0, 0.1) for name in names}, 5, {})
+        self.assertLessEqual(max(row.looks for row in looks), 4 * len(names))
+
     @params(
         (
             "what nobody holds goes where room is",
@@ -402,3 +438,35 @@
         self.assertEqual([], plan(engines, demand, loads=0))
         warm = [engine("a", in_memory=frozenset({"m3"})), engine("b")]
         self.assertEqual([("a", "load", "m3")], plan(warm, demand, loads=0))
+
+
+class OverloadTest(unittest.TestCase):
+    """A host that is behind promises nothing that it can't keep."""
+
+    @params(
+        ("time is over", 0.0, 0.05, 0.0, Trouble.NO_TIME),
+        ("a calm host tries", 0.001, 0.05, 0.01, None),
+        ("too late with these turns", 0.5, 0.05, 0.1, Trouble.TOO_LATE),
+        ("in time with these turns", 0.6, 0.05, 0.1, None),
+        ("too late at this endpoint", 0.6, 0.2, 0.1, Trouble.TOO_LATE),
+    )
+    def test_what_can_not_be_answered_in_time_is_not_sent(self, name, left, expected, turn, found):
+        self.assertEqual(found, judge_send(left, expected, turn), name)
+
+    @params(
+        ("calm", HostState(0.01, 0.0, 3000), None),
+        ("one long turn", HostState(3.0, 0.0, 3000), None),
+        ("behind for long", HostState(0.3, 3.0, 3000), Trouble.BEHIND),
+        ("caught up", HostState(0.1, 3.0, 3000), None),
+        ("few descriptors", HostState(0.0, 0.0, 10), Trouble.DESCRIPTORS),
+        ("descriptors unknown", HostState(0.0, 0.0, None), None),
+    )
+    def test_a_host_is_ready_when_it_can_take_something_new(self, name, state, found):
+        self.assertEqual(found, judge_host(state), name)
+
+    def test_refused_callers_do_not_return_together(self):
+        rng = random.Random(5)
+        times = {round(retry_after(rng.random), 3) for _ in range(20)}
+        self.assertGreater(len(times), 10)
+        self.assertLess(max(times) - min(times), 0.11)
+        self.assertGreater(min(times), 0.14)
--- a/tests/relay/test_outages.py
+++ b/tests/relay/test_outages.py
@@ -8,6 +8,8 @@
 from peridotdock.clients.engines import Action
 from peridotdock.clients.tables import TableChanges, TableView
 from peridotdock.decisions.freshness import LEAST_BOUND, share_out
+from peridotdock.frames import decode, encode_update
+from peridotdock.links import WaitingRows
 from peridotdock.relay.following import Follower
 from peridotdock.relay.leadership import Leadership
 from peridotdock.relay.wards import UNLOAD_SLACK, Ward
@@ -40,6 +42,29 @@
         late.merge(third.entries())
         self.assertAlmostEqual(4.0, clock.monotonic() - late.get("h1", "host").at, places=2)
 
+    def test_a_fact_that_was_written_before_is_sent_with_its_age(self):
+        """Callers are given the address of a host that is off.
+
+        The hub writes a fact once for all its links. What it wrote for one link was sent over
+        another seconds later, and the heartbeat in it counted as just made.
+        """
+        clock, dead, hub, late = boards()
+        dead.publish("host", host_fact())
+        hub.merge(dead.entries())
+        hub.written(hub.slots())
+        clock.advance(4.0)
+        [raw] = hub.written(hub.slots())
+        late.merge(decode(encode_update([raw], 0)).entries)
+        self.assertAlmostEqual(4.0, clock.monotonic() - late.get("h1", "host").at, places=1)
+
+    def test_rows_that_wait_on_links_grow_older(self):
+        rows = WaitingRows(Rows("rows", "servers", "h1", 1, 1, 1, age=100), 50.0)
+        for now, least in ((50.0, 100), (50.01, 110), (50.5, 600), (52.0, 2100)):
+            with self.subTest(now=now):
+                age = decode(rows.write(now)).age
+                self.assertGreaterEqual(age, least)
+                self.assertLess(age, least + 30)
+
     def test_a_life_whose_clock_went_back_is_heard(self):
         """A machine comes back at another address, and peers go on naming the old one.
 
--- /dev/null
+++ b/tests/relay/test_overload.py
@@ -0,0 +1,267 @@
+"""A host whose loop is held: the time that requests wait unread, and what becomes of them.
+
+Everything runs on one real loop, which tests hold on purpose with ``time.sleep``. Callers write to
+plain sockets, so that their bytes are with the kernel while the loop can't read them.
+"""
+
+import asyncio
+import socket
+import time
+import unittest
+
+from peridotdock.relay.lag import DescriptorCount
+from peridotdock.turns import WatchedLoop
+from tests.relay.deployment import Deployment
+
+HEAD = (
+    "POST {path} HTTP/1.1\r\nhost: shop.example\r\nx-attempt-id: {attempt}\r\n"
+    "x-deadline-ms: {deadline}\r\ncontent-length: 0\r\n\r\n"
+)
+# Of the route /bind/, whose requests may run once at most.
+BIND_SECONDS = 0.7
+
+
+def run(test):
+    """Run an async test on a loop that knows its turns, within half a minute."""
+
+    def wrapped(self, *args):
+        with asyncio.Runner(loop_factory=WatchedLoop) as runner:
+            runner.run(asyncio.wait_for(test(self, *args), 30))
+
+    wrapped.__name__ = test.__name__
+    wrapped.__doc__ = test.__doc__
+    return wrapped
+
+
+class Caller:
+    """A caller's connection whose bytes go out also while the loop is held."""
+
+    def __init__(self, address):
+        self._sock = socket.create_connection((address.ip, address.port))
+
+    def ask(self, path, attempt, deadline=6000):
+        raw = HEAD.format(path=path, attempt=attempt, deadline=deadline)
+        self._sock.sendall(raw.encode())
+
+    async def read(self):
+        """Return status and headers of an answer, its body read with it."""
+        self._sock.setblocking(False)
+        raw = b""
+        loop = asyncio.get_running_loop()
+        while b"\r\n\r\n" not in raw:
+            part = await loop.sock_recv(self._sock, 65536)
+            if not part:
+                raise ConnectionError("closed without an answer")
+            raw += part
+        line, *rows = raw.partition(b"\r\n\r\n")[0].decode().split("\r\n")
+        return int(line.split()[1]), dict(row.lower().split(": ", 1) for row in rows)
+
+    def close(self):
+        self._sock.close()
+
+
+class SlowTurns:
+    """Makes each turn of the loop last ``seconds`` longer."""
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+        self._on = False
+
+    def __enter__(self):
+        self._on = True
+        asyncio.get_running_loop().call_soon(self._hold)
+
+    def __exit__(self, *exc):
+        self._on = False
+
+    def _hold(self):
+        if self._on:
+            time.sleep(self._seconds)
+            asyncio.get_running_loop().call_soon(self._hold)
+
+
+class UnreadTimeTest(unittest.TestCase):
+    """A caller gets no answer until long after its request's time is over.
+
+    It sends a request to a host that is behind. Its bytes lie with the kernel for a second. The
+    host counts the time from when it read them, so it holds the request on for that much longer,
+    and hands an endpoint more time than the caller has. Seen of one request: sent at 17.772 s, at
+    its endpoint at 19.901 s, run there in 22 ms, answered 504 at 20.088 s.
+    """
+
+    @run
+    async def test_time_unread_is_counted_on_a_new_connection(self):
+        async with Deployment() as found:
+            caller = Caller(found.hosts[0].settings.listen.callers)
+            await self.check_counted(found, caller)
+
+    @run
+    async def test_time_unread_is_counted_on_a_kept_connection(self):
+        async with Deployment() as found:
+            caller = Caller(found.hosts[0].settings.listen.callers)
+            caller.ask("/bind/", "a0")
+            self.assertEqual(200, (await caller.read())[0])
+            await asyncio.sleep(0.05)
+            await self.check_counted(found, caller)
+
+    def test_a_connection_that_was_opened_early_costs_no_time(self):
+        for make in (WatchedLoop, asyncio.new_event_loop):
+            with asyncio.Runner(loop_factory=make) as runner:
+                runner.run(asyncio.wait_for(self.check_early(), 30))
+
+    async def check_early(self):
+        async with Deployment() as found:
+            caller = Caller(found.hosts[0].settings.listen.callers)
+            await asyncio.sleep(0.4)
+            caller.ask("/bind/", "a1")
+            self.assertEqual(200, (await caller.read())[0])
+            caller.close()
+            _, _, sent, _ = found.pages["p1"].seen[-1]
+            self.assertGreater(int(sent["x-deadline-ms"]), 1000 * (BIND_SECONDS - 0.2))
+
+    async def check_counted(self, found, caller):
+        caller.ask("/bind/", "a1")
+        time.sleep(0.3)
+        self.assertEqual(200, (await caller.read())[0])
+        caller.close()
+        _, _, sent, _ = found.pages["p1"].seen[-1]
+        self.assertLessEqual(int(sent["x-deadline-ms"]), 1000 * (BIND_SECONDS - 0.3))
+
+    @run
+    async def test_a_request_without_time_is_refused_and_not_sent(self):
+        async with Deployment() as found:
+            caller = Caller(found.hosts[0].settings.listen.callers)
+            caller.ask("/bind/", "a1")
+            time.sleep(BIND_SECONDS + 0.1)
+            status, headers = await caller.read()
+            caller.close()
+            self.assertEqual(503, status, "a promise that it has not run")
+            self.assertIn("retry-after", headers)
+            self.assertEqual([], found.pages["p1"].seen)
+
+    @run
+    async def test_a_request_whose_answer_would_come_too_late_does_not_run(self):
+        """A note is written twice.
+
+        Its page is asked for on a host behind; the request is sent on with next to no time left,
+        runs, and its caller is told 504. It can't know, and writes it again.
+        """
+        async with Deployment() as found:
+            caller = Caller(found.hosts[0].settings.listen.callers)
+            with SlowTurns(0.12):
+                caller.ask("/bind/", "a1")
+                status, headers = await caller.read()
+            caller.close()
+            await asyncio.sleep(0.05)
+            self.assertEqual(503, status)
+            self.assertIn("retry-after", headers)
+            self.assertEqual([], found.pages["p1"].ran)
+
+
+class ReadyAnswersTest(unittest.TestCase):
+    """A caller is told 504 although its answer is there.
+
+    The endpoint has answered in time, and the host is held until the deadline is over. In its next
+    turn both are due: the bytes to read, and the timer.
+    """
+
+    @run
+    async def test_an_answer_that_is_there_is_passed_on(self):
+        async with Deployment() as found:
+            page = found.pages["p1"]
+            answer = page._answer
+
+            async def answer_and_hold(*args):
+                kept = await answer(*args)
+                time.sleep(BIND_SECONDS + 0.1)
+                return kept
+
+            page._answer = answer_and_hold
+            self.assertEqual(200, (await found.ask("/bind/"))[0])
+
+
+class UnreadyTest(unittest.TestCase):
+    """Callers try a host in vain that every check finds ready.
+
+    Checks come over a kept connection, which is read; new ones aren't taken, as the host has no
+    descriptor left or its loop is behind for good. Requests that do come in are held until their
+    time is over.
+    """
+
+    async def check_refuses(self, found):
+        host = found.hosts[0]
+        async with found.session.get(f"http://{host.settings.listen.readiness}/v1/ready") as resp:
+            self.assertEqual(503, resp.status)
+        status, headers, _ = await found.ask("/bind/")
+        self.assertEqual(503, status)
+        self.assertIn("retry-after", headers)
+        self.assertEqual("close", headers["connection"])
+        self.assertEqual([], found.pages["p1"].seen)
+
+    @run
+    async def test_a_host_without_descriptors_is_not_ready(self):
+        async with Deployment() as found:
+            lag = found.hosts[0].lag
+            lag.count = lambda: DescriptorCount(4090, 4100)
+            await lag.look()
+            await self.check_refuses(found)
+            lag.count = lambda: DescriptorCount(90, 4100)
+            await lag.look()
+            self.assertEqual(200, (await found.ask("/bind/", "a2"))[0])
+
+    @run
+    async def test_a_host_that_stays_behind_is_not_ready(self):
+        async with Deployment() as found:
+            with SlowTurns(0.21):
+                await asyncio.sleep(3.5)
+            await self.check_refuses(found)
+            await asyncio.sleep(2.5)
+            self.assertEqual(200, (await found.ask("/bind/", "a2"))[0])
+
+
+class FairAcceptTest(unittest.TestCase):
+    """Streams stand still while a crowd connects.
+
+    All connections that wait are accepted in one turn, and each is set up before the next timer or
+    event of a stream has its turn.
+    """
+
+    @run
+    async def test_a_crowd_of_new_connections_shares_the_loop(self):
+        async with Deployment() as found:
+            turns = asyncio.get_running_loop().turns
+            address = found.hosts[0].settings.listen.callers
+            before = turns.accepted
+            callers = [Caller(address) for _ in range(300)]
+            most, last = 0, before
+            async with asyncio.timeout(10):
+                while turns.accepted < before + len(callers):
+                    await asyncio.sleep(0)
+                    most, last = max(most, turns.accepted - last), turns.accepted
+            for caller in callers:
+                caller.close()
+            self.assertLessEqual(most, 64)
+
+
+class FewTurnsTest(unittest.TestCase):
+    """An answer that its endpoint made in time is late, as each of its steps waits for the loop.
+
+    With turns of 0.1 s, eleven turns from the request's head to its answer take 1.1 s beside an
+    endpoint that answers in 22 ms.
+    """
+
+    @run
+    async def test_an_answer_takes_few_turns(self):
+        async with Deployment() as found:
+            loop = asyncio.get_running_loop()
+            caller = Caller(found.hosts[0].settings.listen.callers)
+            taken = []
+            for number in range(3):
+                with SlowTurns(0.0):
+                    began = loop.turns.count
+                    caller.ask("/fetch/", f"a{number}")
+                    self.assertEqual(200, (await caller.read())[0])
+                    taken.append(loop.turns.count - began)
+            caller.close()
+            # The caller and the stand-in take their share of the turns.
+            self.assertLessEqual(min(taken), 10)
--- a/tests/relay/test_starts.py
+++ b/tests/relay/test_starts.py
@@ -25,6 +25,8 @@
 from tests.relay.test_decisions import SPEC, engine
 
 FIRST, SECOND = 1_000, 2_000
+# The fake clock's start.
+NOW = 1000.0
 WISH = ModelWish("m0", "", 900, 20, (PromptPart("aa", 600), PromptPart("bb", 300)))
 
 
@@ -72,7 +74,7 @@
         self.book.began(state, "a1", WISH, 900)
         state.others = OthersLoad(5, 4000, self.clock.monotonic())
         state.health.unreachable(self.clock.monotonic())
-        self.book.take_news([news(FIRST, ["m0"])])
+        self.book.take_news([news(FIRST, ["m0"])], NOW)
         self.book.update({"e1": entry(SECOND, "m0")})
         found, now = self.state(), self.clock.monotonic()
         self.assertEqual(0, found.cached(WISH))
@@ -111,13 +113,13 @@
         async def play():
             book = EndpointBook("north", FakeClock())
             book.replace([entry(known, "m0")])
-            book.take_news([news(told)])
+            book.take_news([news(told)], NOW)
             self.assertEqual(holds, bool(book.usable("s", WISH)), name)
 
         asyncio.run(play())
 
     async def test_news_that_came_before_the_entry_of_its_start_is_kept(self):
-        self.book.take_news([news(SECOND, [], {"m0": 4.0})])
+        self.book.take_news([news(SECOND, [], {"m0": 4.0})], NOW)
         self.book.update({"e1": entry(SECOND)})
         self.assertEqual(4.0, self.book.coming("s", "m0"))
 
