--- a/peridotdock/decisions/draft.py
+++ b/peridotdock/decisions/draft.py
@@ -1,6 +1,6 @@
 """What a plan is made of: engines and demand as the host that orders knows them, and its steps."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping, Sequence, Set
 from dataclasses import dataclass, field
 from functools import cached_property
 
@@ -21,7 +21,8 @@
     the engine refuses a load until it is free. ``freeing`` tells that an adapter's place will be
     free when the requests that use it have ended. ``busy`` engines carry out an order and refuse
     others. ``ahead`` are prompt tokens that wait there, over some seconds; ``settling`` models were
-    loaded a moment ago.
+    loaded a moment ago. ``late`` are models, and adapters as MODEL/NAME, that it may load yet by
+    orders that got no answer: they take room, and serve nobody.
     """
 
     key: str
@@ -35,6 +36,12 @@
     ahead: float
     freeing: bool = False
     settling: frozenset[str] = frozenset()
+    late: frozenset[str] = frozenset()
+
+    def staying(self) -> Set[str]:
+        """Return what takes room for longer: models held and not dropped, and late ones."""
+        held = self.models.keys() - self.dropping
+        return held | self.late if self.late else held
 
     def at_hand(self, model: str) -> bool:
         """Tell whether the engine can load a model without the weight store."""
@@ -150,13 +157,14 @@
         """The megabytes left for models on each engine.
 
         Room for every adapter place is always kept: an adapter's load then never needs a look at
-        the models, and one on its way that nobody knows of can't overfill the engine.
+        the models, and one on its way that nobody knows of can't overfill the engine. So is that
+        of a model whose load may arrive late.
         """
         sizes = {name: model.weights_mb for name, model in self.spec.models.items()}
         largest = max((model.adapter_mb for model in self.spec.models.values()), default=0.0)
         room = self.spec.weights_mb - self.spec.adapter_places * largest
         return {
-            key: room - sum(sizes.get(n, 0.0) for n in engine.models.keys() - engine.dropping)
+            key: room - sum(sizes.get(name, 0.0) for name in engine.staying())
             for key, engine in self.engines.items()
         }
 
--- a/peridotdock/decisions/eviction.py
+++ b/peridotdock/decisions/eviction.py
@@ -29,7 +29,8 @@
     draft: Draft, engine: EngineView, model: Model, last_copies: bool
 ) -> Sequence[str] | None:
     """Return the models to unload so that another fits, least wanted first; None if none may go."""
-    missing = model.weights_mb - draft.rooms[engine.key]
+    needed = 0.0 if model.name in engine.late else model.weights_mb
+    missing = needed - draft.rooms[engine.key]
     if missing <= 0:
         return ()
     if engine.dropping:
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -17,6 +17,7 @@
 from peridotdock.relay.adapter import Adapter
 from peridotdock.relay.book import EndpointBook
 from peridotdock.relay.clocks import BootClock
+from peridotdock.relay.entries import EntryReader
 from peridotdock.relay.following import Follower
 from peridotdock.relay.front import Front
 from peridotdock.relay.lag import LOOK_SECONDS, LagWatch
@@ -97,6 +98,7 @@
         self.leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         self._heard_term = 0
+        self._entries = EntryReader(ctx, self.book, adapter.decode_endpoint, self._drop_connections)
         self._failed_plans = 0
         listen = settings.listen
         self._doors = {
@@ -276,26 +278,14 @@
         self.ctx.timeline.add("config_in_force", detail=f"version {found.version}")
 
     def _take_endpoints(self, rows: Mapping[str, bytes | None], whole: bool) -> None:
-        entries = {}
-        for key, raw in rows.items():
-            entry = None if raw is None else self.adapter.decode_endpoint(key, raw)
-            if entry is not None and failed(entry):
-                self.ctx.timeline.add("entry_refused", "WARNING", detail=entry.reason)
-                continue
-            self._note_entry(key, entry)
-            entries[key] = entry
-        if whole:
-            self.book.replace(entry for entry in entries.values() if entry is not None)
-        else:
-            self.book.update(entries)
+        self._entries.take(rows, whole)
         self.orderer.changed.set()
 
-    def _note_entry(self, key: str, entry) -> None:
-        state = self.book.states.get(key)
-        word = "gone" if entry is None else "leaving" if entry.leaving else "ready"
-        held = "" if entry is None else " ".join(sorted(entry.models))
-        if state is None or entry is None or state.entry.leaving != entry.leaving:
-            self.ctx.timeline.add(f"endpoint_{word}", endpoint=key, detail=held)
+    def _drop_connections(self, address: str) -> None:
+        """Take no kept connection to an endpoint's address again."""
+        task = asyncio.create_task(self.endpoints.suspect(f"http://{address}"))
+        self._tasks.append(task)
+        task.add_done_callback(self._tasks.remove)
 
     # Stopping
 
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -1,5 +1,8 @@
 """Stand-in for a runner of the users' platform, on plain asyncio, so that it can misbehave.
 
+``restart`` starts it again under its id: it holds nothing, and its count of orders begins anew.
+Its old connections stay as they are and nobody answers on them, as after a crash behind a cut.
+
 What it does with a request is the next of ``script``, or "serve": ``refuse`` (not run), ``error``,
 ``cut`` (half of an answer, then the connection ends), ``silent`` (no answer for good), ``foreign``
 (the id of another request), ``unsigned`` (no receipt), ``extra`` (a second answer behind the
@@ -11,6 +14,9 @@
 import json
 
 EVENTS = 6
+# Unix milliseconds of a runner's first start, and between two starts.
+FIRST_BORN = 1_700_000_000_000
+LIFE_MS = 60_000
 
 
 class RunnerStandin:
@@ -18,6 +24,7 @@
         self.name = name
         self.models = {model: set(adapters) for model in models}
         self.seq = 0
+        self.born = FIRST_BORN
         self.script = []
         self.seen = []
         self.ran = []
@@ -41,19 +48,28 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def restart(self):
+        """Start again under the same id, and register."""
+        self.born += LIFE_MS
+        self.seq = 0
+        self.models = {}
+        self.on_change()
+
     def entry(self, service, **more):
         rows = [
             {"name": name, "version": 1, "adapters": sorted(adapters)}
             for name, adapters in self.models.items()
         ]
         row = {"service": service, "address": self.address, "zone": "north", "slots": 8}
+        row |= {"version": "v1", "cold_remaining_ms": 0, "seq": 1, "born": self.born}
         return row | {"state": "ready", "models": rows} | more
 
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
+        born = self.born
         try:
-            while await self._one(reader, writer):
+            while await self._one(reader, writer, born):
                 continue
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -61,8 +77,11 @@
             self._tasks.discard(task)
             writer.close()
 
-    async def _one(self, reader, writer):
+    async def _one(self, reader, writer, born):
         raw = await reader.readuntil(b"\r\n\r\n")
+        if born != self.born:
+            await reader.read()
+            return False
         line, *rows = raw.decode("latin-1").split("\r\n")
         method, target, _ = line.split(" ")
         headers = dict(row.lower().split(": ", 1) for row in rows if row)
@@ -78,7 +97,7 @@
     def _control(self, target, headers, body):
         if target == "/v1/report":
             models = self.entry("")["models"]
-            return 200, {"seq": self.seq, "busy": False, "models": models}
+            return 200, {"seq": self.seq, "busy": False, "models": models, "born": self.born}
         order = json.loads(body)
         self.orders.append(order)
         if order["expected"] != self.seq:
