--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -338,11 +338,12 @@
             link.dirty.update(wanted)
             link.wake.set()
 
-    def offer_all(self, host: str) -> None:
-        """Let the link to a host send all facts again that it is to pass now."""
+    def offer_again(self, host: str, origin: str = "") -> None:
+        """Let the link to a host send again what it is to pass now: all facts, or one origin's."""
+        slots = [slot for slot in self._board.slots() if origin in ("", slot[0])]
         for link in self._links:
             if link.peer.host == host:
-                self._offer(link, self._board.slots())
+                self._offer(link, slots)
 
     def _linked_to(self, host: str) -> frozenset[str]:
         known = self._board.get(host, "links")
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -93,7 +93,7 @@
         hub = self._hub()
         if hub != self._told_hub:
             self._told_hub = hub
-            self.mesh.offer_all(hub)
+            self.mesh.offer_again(hub, self._settings.host)
         if hub in self.mesh.peers():
             self.mesh.keep_only(hub)
 
@@ -213,7 +213,7 @@
         newest = known.fact
         if newest.term and origin != self._leader:
             self._leader = origin
-            self.mesh.offer_all(origin)
+            self.mesh.offer_again(origin)
         self._book.take_news(newest.engines)
         self.on_term(newest.term)
         if newest.resigned:
