Take ports in tests that the kernel gives to nobody

Cause: a stand-in once failed to listen (EADDRINUSE, one whole run beside other runs). Two sockets may be bound to a port while neither listens, and the second to listen is refused: shown by two sockets on one port. free_address gave ports that the kernel had just taken back and may give to a stand-in of another run. Ruled out: the kernel giving one port twice (600 sockets bound at once, none shared). Change: the soak's way to find ports, in a module of its own, for tests as well.

--- a/extras/soak/world.py
+++ b/extras/soak/world.py
@@ -1,16 +1,15 @@
 """A deployment for one run: hosts as processes, store and endpoints as stand-ins behind proxies."""
 
 import asyncio
-import itertools
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
 
 from extras.soak.plan import Fault
+from extras.soak.ports import free_port
 from extras.soak.proxy import Proxy
 from tests.relay.deployment import CONFIG, ENGINE, ROUTES
 from tests.standins.runner import RunnerStandin
@@ -40,23 +39,6 @@
 }
 
 
-# Below the ports that the kernel gives to connections that go out. Failure guarded against: a host
-# is down, a connection takes its port meanwhile, and the host can't come back.
-FIRST_PORT, LAST_PORT = 10_000, 30_000
-# Runs of several processes begin to look this far apart.
-PORTS_A_RUN = 50
-PORTS = itertools.count(os.getpid() * PORTS_A_RUN)
-
-
-def free_port() -> int:
-    """Return a port that nothing listens on now and no connection will take."""
-    while True:
-        port = FIRST_PORT + next(PORTS) % (LAST_PORT - FIRST_PORT)
-        with socket.socket() as sock:
-            if sock.connect_ex(("127.0.0.1", port)) != 0:
-                return port
-
-
 class HostProcess:
     """One host: a process, started again on the same ports. ``life`` names each start."""
 
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from extras.soak.ports import free_port
 from peridotdock.context import build_context
 from peridotdock.platform.adapter import PlatformAdapter
 from peridotdock.relay.node import Node
@@ -63,12 +64,12 @@
 
 
 def free_address():
-    """An address that nothing listens on now; the kernel gives the port."""
-    import socket
+    """An address that nothing listens on now, at a port that the kernel gives to nobody.
 
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", sock.getsockname()[1])
+    A port that the kernel gave and took back is given to the next who asks, maybe a stand-in of
+    another test run; both then bind it, and the one that listens second gets EADDRINUSE.
+    """
+    return Address("127.0.0.1", free_port())
 
 
 class Deployment:
