Don't name a host to callers that is not ready

Cause: readiness knows that a host can take nothing new; what it tells others did not, so the answer where to connect named it on. Change: it says "starting" until it is ready again. Before: still named after 5 s (new test fails); after: left out, also when a configuration comes meanwhile.

--- a/peridotdock/relay/lag.py
+++ b/peridotdock/relay/lag.py
@@ -64,6 +64,7 @@
         self._line_at = float("-inf")
         self._behind_since: float | None = None
         self.trouble: Trouble | None = None
+        self.on_change: Callable[[], None] = lambda: None
         self.descriptors: DescriptorCount | None = None
         ctx.metrics.loop_lag.set_function(turns.lag)
 
@@ -97,6 +98,7 @@
             word = "host_ready" if trouble is None else "host_unready"
             self._ctx.timeline.add(word, "WARNING", detail=trouble or "")
             self.trouble = trouble
+            self.on_change()
         if was_behind and self._behind_since is None:
             self._ctx.timeline.add("loop_caught_up", detail=f"a timer was {lag:.3f} s late")
 
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -81,6 +81,7 @@
         )
         self.service.on_down = lambda key: self.peers.tell_wants()
         self.lag = LagWatch(ctx, find_turns(), lambda: self.front.in_work)
+        self.lag.on_change = self._tell_state
         self.front = Front(ctx, adapter.wire, self.service, self.peers, self.lag)
         lease = settings.bounds.order_lease
         machine = str(settings.listen.peers)
@@ -263,6 +264,12 @@
             return
         self._put_in_force(found)
 
+    def _tell_state(self) -> None:
+        """Tell other hosts whether callers may be sent here: what readiness says, in short."""
+        if self.leaving or self.front.deployment is None:
+            return
+        self.peers.membership.become("live" if self.lag.trouble is None else "starting")
+
     def _put_in_force(self, found: Deployment) -> None:
         """Serve by this configuration from now on, never by an older one again."""
         current = self.front.deployment
@@ -270,8 +277,7 @@
             return
         self.front.deployment = found
         self.room.deployment = found
-        if not self.leaving:
-            self.peers.membership.become("live")
+        self._tell_state()
         if current is None:
             self.lease_due.set()
         self.ctx.metrics.generation.set(found.version)
--- a/tests/relay/test_overload.py
+++ b/tests/relay/test_overload.py
@@ -219,6 +219,36 @@
             self.assertEqual(200, (await found.ask("/bind/", "a2"))[0])
 
 
+class NamedTest(unittest.TestCase):
+    @run
+    async def test_callers_are_not_sent_to_a_host_that_is_not_ready(self):
+        """Callers ask where to connect and are given a host that refuses whatever they send."""
+        async with Deployment(hosts=2) as found:
+            asked, unready = found.hosts
+            address = str(unready.settings.listen.callers)
+
+            async def named():
+                url = f"http://{asked.settings.listen.directory}/v1/resolve"
+                async with found.session.get(url) as resp:
+                    return (await resp.json())["addresses"]
+
+            async def until_named(wanted):
+                async with asyncio.timeout(5.0):
+                    while (address in await named()) is not wanted:
+                        await asyncio.sleep(0.02)
+
+            await until_named(True)
+            unready.lag.count = lambda: DescriptorCount(4090, 4100)
+            await unready.lag.look()
+            await until_named(False)
+            found.configure(version=9)
+            await found.until(lambda: unready.front.deployment.version == 9)
+            self.assertNotIn(address, await named())
+            unready.lag.count = lambda: DescriptorCount(90, 4100)
+            await unready.lag.look()
+            await until_named(True)
+
+
 class FairAcceptTest(unittest.TestCase):
     """Streams stand still while a crowd connects.
 
