Give links, sums and kept connections one home each; drop what the work before made needless

Kept connections were given up by two methods, one waiting and one not. A fact was written by two ways, of which only tests still used one. Each connection of a loop that doesn't tell its turns made an object of its own. Readiness and what other hosts are told of it were worked out apart; frames of rows stood twice; a flag of the follower repeated what its view's age says; tests had two copies of a lease and of settle.

Ruled out: joining the time limit of a send with that of a stream (one ends a task, the other keeps one timer for many events); the pairs that the search for duplicates lists by shape alone (constants and frozen data, of other meaning).

Change: handshake.py, LinkSender in links.py, relay/sums.py; Pool.renew no longer waits, so suspect is no coroutine and needs no task; Board.written alone, tests read facts as peers do. Behaviour, bounds and assertions stay; the mutant of the cluster key names the guard's new file and is caught there.

--- a/extras/bench_control.py
+++ b/extras/bench_control.py
@@ -30,10 +30,12 @@
 from peridotdock.platform.adapter import PlatformAdapter
 from peridotdock.relay.asks import ModelWish, PromptPart
 from peridotdock.relay.node import DEMAND_SECONDS, WORDS_PER_SECOND, WORK_SECONDS, Node
-from peridotdock.relay.peers import UPWARD, write_work
+from peridotdock.relay.peers import UPWARD
 from peridotdock.relay.settings import Address, HostSettings, Listen, parse_address
+from peridotdock.relay.sums import write_work
 from peridotdock.schema.messages import DemandFact, HostFact, OrdersFact, Rows, WantsFact
 from peridotdock.schema.settings import Settings
+from tests.builders import facts_of
 from tests.relay.deployment import BOUNDS, CONFIG, ENGINE, free_address
 from tests.standins.runner import RunnerStandin
 from tests.standins.tables import TableStandin
@@ -137,7 +139,7 @@
 
     def take(self, other: PlayedHost) -> None:
         """Take in the facts of another played host."""
-        self.board.merge(other.board.entries([(other.name, t) for t in ("host", *UPWARD)]))
+        self.board.merge(facts_of(other.board, [(other.name, t) for t in ("host", *UPWARD)]))
 
 
 class PlayedDeployment:
--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -201,7 +201,7 @@
     ),
     Mutant(
         "a peer must prove the cluster key",
-        "mesh.py",
+        "handshake.py",
         "if not isinstance(hello, Hello) or not proves(key, nonce, hello):",
         "if not isinstance(hello, Hello):",
         "tests.test_operations.Peers.test_a_peer_without_the_key_is_refused",
--- a/peridotdock/board.py
+++ b/peridotdock/board.py
@@ -157,24 +157,13 @@
         """Return the slots of all facts known."""
         return list(self._known)
 
-    def entries(self, slots: Iterable[Slot] | None = None) -> list[Entry]:
-        """Return the entries in ``slots``, or all, each with its age.
+    def written(self, slots: Iterable[Slot]) -> list[bytes]:
+        """Return the entries in ``slots`` as they stand in an update, each with its age.
 
         Failure guarded against: a host dies, and a peer that missed its last heartbeat gets it from
         a third one seconds later. Without the age it would count as just made, and the dead host
         would be given to callers for a whole heartbeat limit more.
         """
-        wanted = self._known if slots is None else slots
-        now = self._clock.monotonic()
-        found = []
-        for slot in wanted:
-            known = self._known.get(slot)
-            if known is not None:
-                found.append(replace(known.entry, age=self._age(slot, known, now)))
-        return found
-
-    def written(self, slots: Iterable[Slot]) -> list[bytes]:
-        """Return the entries in ``slots`` as they stand in an update, each with its age."""
         now = self._clock.monotonic()
         return [self._write(slot, now) for slot in slots if slot in self._known]
 
--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -179,10 +179,10 @@
         for pool in (*self._pools.values(), *self._control.values()):
             await pool.close()
 
-    async def suspect(self, url: str) -> None:
+    def suspect(self, url: str) -> None:
         """Take no kept connection to ``url`` again: one was found dead, all are suspect."""
-        await self._pool(url).renew()
-        await self._control_pool(url).renew()
+        self._pool(url).renew()
+        self._control_pool(url).renew()
 
     async def open(self, url: str, call: Call) -> Opened | Failure:
         """Send a request and wait for the head of its answer."""
@@ -242,7 +242,7 @@
             return Failure(Kind.ENDPOINT_UNREACHABLE, type(exc).__name__)
         except BROKEN as exc:
             if isinstance(exc, asyncio.TimeoutError):
-                await pool.renew()
+                pool.renew()
             return Failure(Kind.ENDPOINT_LOST, type(exc).__name__)
 
     async def report(self, url: str, since: int) -> Report | Failure:
@@ -269,7 +269,7 @@
 
     async def probe(self, url: str, stream: str) -> StreamState | None | Failure:
         """Ask for the state of a stream, always over a new connection."""
-        await self._control_pool(url).renew()
+        self._control_pool(url).renew()
         path = f"/v1/streams/{stream}?probe=1"
         outcome = await self.control_call("GET", url, path, PROBE_SECONDS)
         if failed(outcome):
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -183,15 +183,9 @@
         self._idle = min(self._idle, max(0.0, int(found[1]) - KEEP_ALIVE_MARGIN))
         self._current.connector.keep_for(self._idle)
 
-    async def renew(self) -> None:
+    def renew(self) -> None:
         """Take no kept connection again; those in use go on until their request ends."""
         session, self._current = self._current, None
-        if session is not None and not self._users[session]:
-            await session.close()
-
-    def forget(self) -> None:
-        """Do as :meth:`renew` does from now on, without waiting for connections to be closed."""
-        session, self._current = self._current, None
         if session is None or self._users[session]:
             return
         closing = asyncio.ensure_future(session.close())
--- a/peridotdock/clients/platform.py
+++ b/peridotdock/clients/platform.py
@@ -140,7 +140,7 @@
             return Failure(Kind.PLATFORM_DOWN, type(exc).__name__)
         except BROKEN as exc:
             if isinstance(exc, asyncio.TimeoutError):
-                await self._pool.renew()
+                self._pool.renew()
             return Failure(Kind.OUTCOME_UNKNOWN, type(exc).__name__)
 
     async def _fetch(self, method: str, path: str, body: Any = None) -> Any | Failure:
--- a/peridotdock/dispatch.py
+++ b/peridotdock/dispatch.py
@@ -208,7 +208,7 @@
                     continue
                 found = await self._endpoints.probe(state.url, request_id)
                 if failed(found) or found is None or was_done:
-                    await self._endpoints.suspect(state.url)
+                    self._endpoints.suspect(state.url)
                     ready = was_done and not failed(found) and found is not None
                     return lose(State.SENT, Loss.SILENCE, READY if ready else "")
                 was_done = found.done
--- a/peridotdock/links.py
+++ b/peridotdock/links.py
@@ -1,14 +1,22 @@
-"""One link to another host, and what waits to be sent over it."""
+"""One link to another host: what waits to be sent over it, the sending, its heartbeat."""
 
 import asyncio
 import math
 from dataclasses import replace
 
 from websockets.asyncio.connection import Connection
+from websockets.exceptions import WebSocketException
 
 from peridotdock.board import Slot
-from peridotdock.frames import encode
-from peridotdock.schema.messages import Hello, Rows
+from peridotdock.context import Context
+from peridotdock.frames import Frame, encode
+from peridotdock.schema.messages import Hello, Ping, Rows
+
+# Seconds between two words on a link that is otherwise silent, and after how many such periods the
+# other end counts as lost: well before its hosts' heartbeats count as missing, at four seconds.
+PING_SECONDS = 0.5
+SILENT_PERIODS = 4
+SILENT_SECONDS = SILENT_PERIODS * PING_SECONDS
 
 # Seconds for which rows that were written for one link are sent over others as they are. Their age
 # is overstated by as much, so that nobody takes an old view for a new one.
@@ -66,3 +74,55 @@
         """Tell whether to send a fact: not the peer's own, but for its name's earlier life."""
         origin, topic = slot
         return origin != self.peer.host or (self.echo and topic == "host")
+
+
+class LinkSender:
+    """Sends over links, and sees to it that no silent peer is waited for."""
+
+    def __init__(self, ctx: Context):
+        self._ctx = ctx
+        self._bytes_out = ctx.metrics.peer_bytes.labels("out")
+
+    async def beat(self, link: Link) -> None:
+        """Say a word when the link is otherwise silent, and end it when the peer is."""
+        sequence = 0
+        while True:
+            await self._ctx.clock.sleep(PING_SECONDS)
+            sequence += 1
+            now = self._ctx.clock.monotonic()
+            if now - link.heard_at > SILENT_SECONDS:
+                # Abort, not close: a closing handshake would wait on the silent connection.
+                self._ctx.timeline.add("link_silent", "WARNING", detail=link.peer.host)
+                link.conn.transport.abort()
+                return
+            if link.sending_at is not None and now - link.sending_at > SILENT_SECONDS:
+                # The peer takes nothing any more.
+                link.conn.transport.abort()
+                return
+            if link.sending_at is None and now - link.sent_at >= PING_SECONDS:
+                await self.send(link, Ping("ping", sequence, self._ctx.timeline.clock.tick()))
+
+    async def send(self, link: Link, frame: Frame) -> None:
+        """Send a frame of the kind that is seldom sent; a peer that takes nothing is cut off."""
+        try:
+            async with asyncio.timeout(SILENT_SECONDS):
+                await self.push(link, encode(frame))
+        except TimeoutError:
+            # Without this, the heartbeat would wait on the peer too.
+            link.conn.transport.abort()
+
+    async def push(self, link: Link, raw: bytes) -> None:
+        """Send bytes; the heartbeat sees to it that this doesn't wait for good.
+
+        A timer for each send took a twentieth of the hub's processor time.
+        """
+        began = link.sent_at = self._ctx.clock.monotonic()
+        if link.sending_at is None:
+            link.sending_at = began
+        self._bytes_out.inc(len(raw))
+        try:
+            await link.conn.send(raw)
+        except (OSError, WebSocketException):
+            return
+        finally:
+            link.sending_at = None
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import os
 from collections.abc import Awaitable, Callable, Collection, Iterable
 
 from websockets.asyncio.client import connect
@@ -16,17 +15,15 @@
 
 from peridotdock.board import Board, Slot
 from peridotdock.context import Context
-from peridotdock.errors import Failure, Kind, failed
+from peridotdock.errors import Failure, failed
 from peridotdock.frames import (
     MAX_FRAME_BYTES,
     Frame,
     decode,
-    encode,
     encode_update,
-    proves,
-    sign,
 )
-from peridotdock.links import Link, WaitingRows
+from peridotdock.handshake import greet
+from peridotdock.links import Link, LinkSender, WaitingRows
 from peridotdock.rendezvous import neighbours
 from peridotdock.schema.messages import (
     Body,
@@ -39,11 +36,6 @@
     Update,
 )
 
-# Seconds between two words on a link that is otherwise silent, and after how many such periods the
-# other end counts as lost: well before its hosts' heartbeats count as missing, at four seconds.
-PING_SECONDS = 0.5
-SILENT_PERIODS = 4
-SILENT_SECONDS = SILENT_PERIODS * PING_SECONDS
 DIAL_SECONDS = 0.5
 HANDSHAKE_SECONDS = 3.0
 FLUSH_SECONDS = 0.02
@@ -54,7 +46,6 @@
 LINGER_SECONDS = 1.5
 # Seconds for which another host is preferred to one whose link was lost or could not be had.
 FAILED_SECONDS = 3.0
-NONCE_BYTES = 16
 FETCH_SECONDS = 3.0
 # Frames with rows of the store that wait on one link; who misses some reads the store itself.
 MOST_ROWS = 50
@@ -89,7 +80,7 @@
         self._links: set[Link] = set()
         self._dialling: set[str] = set()
         self._bytes_in = ctx.metrics.peer_bytes.labels("in")
-        self._bytes_out = ctx.metrics.peer_bytes.labels("out")
+        self._sender = LinkSender(ctx)
         self._failed_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wanted: dict[str, asyncio.Future[bytes]] = {}
@@ -174,7 +165,9 @@
             async with connect(
                 f"ws://{address}", open_timeout=HANDSHAKE_SECONDS, proxy=None, **LINK_OPTIONS
             ) as conn:
-                peer = await asyncio.wait_for(self._greet(conn, dialled=True), HANDSHAKE_SECONDS)
+                peer = await asyncio.wait_for(
+                    greet(self._ctx, conn, dialled=True), HANDSHAKE_SECONDS
+                )
                 self._dialling.discard(address)
                 if await self._run(conn, peer, dialled=True, address=address):
                     self._failed_at[name] = self._ctx.clock.monotonic()
@@ -188,34 +181,13 @@
         if len(self._links) >= MAX_LINKS:
             return
         try:
-            peer = await asyncio.wait_for(self._greet(conn, dialled=False), HANDSHAKE_SECONDS)
+            peer = await self._greet(conn, dialled=False)
             await self._run(conn, peer, dialled=False)
         except (OSError, WebSocketException, TimeoutError):
             return
 
     async def _greet(self, conn: Connection, dialled: bool) -> Hello | Failure:
-        """Prove the cluster key to each other: nonce, nonce with proof, proof."""
-        nonce = os.urandom(NONCE_BYTES)
-        if not dialled:
-            await conn.send(encode(self._hello(nonce, b"")))
-        hello = decode(await conn.recv())
-        if not isinstance(hello, Hello):
-            return self._refuse("no hello", hello)
-        key, host = self._ctx.cfg.cluster_key, self._ctx.cfg.host_id
-        await conn.send(encode(self._hello(nonce, sign(key, hello.nonce, host))))
-        if dialled:
-            hello = decode(await conn.recv())
-        if not isinstance(hello, Hello) or not proves(key, nonce, hello):
-            return self._refuse("proof refused", hello)
-        return hello
-
-    def _hello(self, nonce: bytes, proof: bytes) -> Hello:
-        return Hello("hello", self._ctx.cfg.host_id, self._ctx.incarnation, nonce, proof)
-
-    def _refuse(self, why: str, found: Frame | Failure) -> Failure:
-        reason = found.reason if failed(found) else type(found).__name__
-        self._ctx.timeline.add("peer_refused", "WARNING", detail=f"{why}: {reason}")
-        return found if failed(found) else Failure(Kind.NOT_ALLOWED, why)
+        return await asyncio.wait_for(greet(self._ctx, conn, dialled), HANDSHAKE_SECONDS)
 
     async def _run(
         self, conn: Connection, peer: Hello | Failure, dialled: bool, address: str = ""
@@ -231,7 +203,7 @@
         self._tell_links()
         self._ctx.timeline.add("link_up", "DEBUG", detail=peer.host)
         self._offer(link, self._board.slots())
-        jobs = [asyncio.create_task(job(link)) for job in (self._write, self._beat)]
+        jobs = [asyncio.create_task(job(link)) for job in (self._write, self._sender.beat)]
         try:
             await self._read(link)
         finally:
@@ -266,12 +238,12 @@
         elif isinstance(frame, RowsWanted):
             found = self.on_wanted(frame)
             if found is not None:
-                await self._send(link, found)
+                await self._sender.send(link, found)
         elif isinstance(frame, Ping):
             self._ctx.timeline.clock.witness(frame.stamp)
         elif isinstance(frame, Fetch):
             body = self._give_body(frame.digest)
-            await self._send(link, Body("body", frame.digest, body))
+            await self._sender.send(link, Body("body", frame.digest, body))
         elif isinstance(frame, Body):
             waiter = self._wanted.get(frame.digest)
             if waiter is not None and frame.body and not waiter.done():
@@ -293,7 +265,7 @@
         links = [link for link in self._links if link.dialled] or list(self._links)
         if links:
             link = self._ctx.rng.choice(links)
-            self._spawn(self._send(link, RowsWanted("rows_wanted", table, after)))
+            self._spawn(self._sender.send(link, RowsWanted("rows_wanted", table, after)))
 
     def _merge(self, link: Link, frame: Update) -> list[Slot]:
         try:
@@ -363,59 +335,16 @@
             parts = self._board.written(slot for slot in slots if link.concerns(slot))
             link.echo = False
             for waiting in rows:
-                await self._push(link, waiting.write(self._ctx.clock.monotonic()))
+                await self._sender.push(link, waiting.write(self._ctx.clock.monotonic()))
             for start in range(0, len(parts), ENTRIES_PER_FRAME):
                 part = parts[start : start + ENTRIES_PER_FRAME]
-                await self._push(link, encode_update(part, self._ctx.timeline.clock.tick()))
-
-    async def _beat(self, link: Link) -> None:
-        sequence = 0
-        while True:
-            await self._ctx.clock.sleep(PING_SECONDS)
-            sequence += 1
-            now = self._ctx.clock.monotonic()
-            if now - link.heard_at > SILENT_SECONDS:
-                # Abort, not close: a closing handshake would wait on the silent connection.
-                self._ctx.timeline.add("link_silent", "WARNING", detail=link.peer.host)
-                link.conn.transport.abort()
-                return
-            if link.sending_at is not None and now - link.sending_at > SILENT_SECONDS:
-                # The peer takes nothing any more.
-                link.conn.transport.abort()
-                return
-            if link.sending_at is None and now - link.sent_at >= PING_SECONDS:
-                await self._send(link, Ping("ping", sequence, self._ctx.timeline.clock.tick()))
-
-    async def _send(self, link: Link, frame: Frame) -> None:
-        """Send a frame of the kind that is seldom sent; a peer that takes nothing is cut off."""
-        try:
-            async with asyncio.timeout(SILENT_SECONDS):
-                await self._push(link, encode(frame))
-        except TimeoutError:
-            # Without this, the heartbeat would wait on the peer too.
-            link.conn.transport.abort()
-
-    async def _push(self, link: Link, raw: bytes) -> None:
-        """Send bytes; the heartbeat sees to it that this doesn't wait for good.
-
-        A timer for each send took a twentieth of the hub's processor time.
-        """
-        began = link.sent_at = self._ctx.clock.monotonic()
-        if link.sending_at is None:
-            link.sending_at = began
-        self._bytes_out.inc(len(raw))
-        try:
-            await link.conn.send(raw)
-        except (OSError, WebSocketException):
-            return
-        finally:
-            link.sending_at = None
+                await self._sender.push(link, encode_update(part, self._ctx.timeline.clock.tick()))
 
     async def fetch(self, digest: str) -> bytes | None:
         """Ask the peers for a manifest body; None when none gave it in time."""
         waiter = self._wanted.setdefault(digest, asyncio.get_running_loop().create_future())
         for link in list(self._links):
-            await self._send(link, Fetch("fetch", digest))
+            await self._sender.send(link, Fetch("fetch", digest))
         try:
             return await asyncio.wait_for(asyncio.shield(waiter), FETCH_SECONDS)
         except TimeoutError:
--- a/peridotdock/platform/store.py
+++ b/peridotdock/platform/store.py
@@ -44,7 +44,7 @@
 
     def suspect(self) -> None:
         """Take no kept connection again: a call on one of them may never be answered."""
-        self._pool.forget()
+        self._pool.renew()
 
     async def _call(
         self, method: str, path: str, body: bytes | None = None, seconds: float = CALL_SECONDS
@@ -66,7 +66,7 @@
         except BROKEN as exc:
             if isinstance(exc, asyncio.TimeoutError):
                 # The connection may have gone silent for good; the next call takes a new one.
-                await self._pool.renew()
+                self._pool.renew()
             self._metrics.platform.labels(call, "lost").inc()
             return Failure(Kind.OUTCOME_UNKNOWN, type(exc).__name__)
         self._metrics.platform.labels(call, str(resp.status)).inc()
--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -69,7 +69,6 @@
         self._heard_at = NEVER
         self._asked_for = 0
         self._losses = 0
-        self._told_of = False
         self._old_told = False
         self.in_touch = False
         self.rows: dict[str, bytes] = {}
@@ -127,10 +126,10 @@
         if changed:
             self._put(found.values, whole)
         self._version = found.version
+        first = self._as_of == NEVER
         self._regain(began, changed)
-        if self.tell is not None and self._told_of:
+        if self.tell is not None and not first:
             self.tell(found, after or 0)
-        self._told_of = True
         await self._nap(self._pause() if changed else LEAST_PAUSE)
 
     def _put(self, values: Mapping[str, bytes | None], whole: bool) -> None:
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -235,9 +235,13 @@
     async def _handle(self, request: Request) -> Response:
         return await self._doors[request.scope["server"][1]](request)
 
-    async def _readiness(self, request: Request) -> Response:
+    def _ready(self) -> bool:
+        """Tell whether callers may be sent here."""
         known = self.front.deployment is not None
-        ready = known and not self.leaving and self.lag.trouble is None
+        return known and not self.leaving and self.lag.trouble is None
+
+    async def _readiness(self, request: Request) -> Response:
+        ready = self._ready()
         body = Content(b"text/plain", b"ready" if ready else b"not ready")
         return Response(200 if ready else 503, None, body)
 
@@ -268,7 +272,7 @@
         """Tell other hosts whether callers may be sent here: what readiness says, in short."""
         if self.leaving or self.front.deployment is None:
             return
-        self.peers.membership.become("live" if self.lag.trouble is None else "starting")
+        self.peers.membership.become("live" if self._ready() else "starting")
 
     def _put_in_force(self, found: Deployment) -> None:
         """Serve by this configuration from now on, never by an older one again."""
@@ -289,9 +293,7 @@
 
     def _drop_connections(self, address: str) -> None:
         """Take no kept connection to an endpoint's address again."""
-        task = asyncio.create_task(self.endpoints.suspect(f"http://{address}"))
-        self._tasks.append(task)
-        task.add_done_callback(self._tasks.remove)
+        self.endpoints.suspect(f"http://{address}")
 
     # Stopping
 
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -8,12 +8,21 @@
 from peridotdock.context import Context
 from peridotdock.decisions.draft import Demand
 from peridotdock.demand import Demand as DemandMeter
-from peridotdock.fleet import pack, unpack
 from peridotdock.links import Link
 from peridotdock.membership import Member, Membership
 from peridotdock.mesh import Mesh
 from peridotdock.relay.book import EndpointBook, OthersLoad
 from peridotdock.relay.settings import HostSettings
+from peridotdock.relay.sums import (
+    Work,
+    add_load,
+    alive_facts,
+    differs,
+    read_work,
+    sum_demand,
+    without,
+    write_work,
+)
 from peridotdock.rendezvous import weigh
 from peridotdock.schema.messages import (
     DemandFact,
@@ -21,7 +30,6 @@
     HostFact,
     OrdersFact,
     WantsFact,
-    WorkFact,
 )
 
 # Seconds after which another host's word on demand no longer counts.
@@ -35,8 +43,6 @@
 LOADS_SECONDS = 1.0
 # Seconds after which news that lasts is told again: half of the time for which it is believed.
 NEWS_AGAIN_SECONDS = 2.5
-# Least change of a demand that is told, as a share of what was told last.
-DEMAND_STEP = 0.25
 # Hosts whose weight is remembered: more than there are links to a hub.
 MOST_HASHES = 1000
 
@@ -180,23 +186,17 @@
         """Take in the work of all hosts on endpoints, less what this one has told of its own."""
         own = self.board.get(self._settings.host, "work")
         mine = read_work(own.fact) if own is not None else {}
-        loads = {}
-        for name, (running, tokens) in read_work(known.fact).items():
-            less = mine.get(name, (0, 0))
-            rest = max(0, running - less[0]), max(0, tokens - less[1])
-            loads[name] = OthersLoad(*rest, known.at)
-        self._book.take_others(loads)
+        rest = without(read_work(known.fact), mine)
+        self._book.take_others({name: OthersLoad(*row, known.at) for name, row in rest.items()})
 
     def tell_loads(self) -> None:
         """As the hub, tell all hosts the sum of what they have on endpoints."""
         if not self._is_hub():
             return
-        now, live = self._ctx.clock.monotonic(), self.membership.members()
-        total: dict[str, tuple[int, int]] = {}
-        others: dict[str, tuple[int, int]] = {}
-        for origin, known in self.board.on("work").items():
-            if origin not in live or not live[origin].alive:
-                continue
+        now = self._ctx.clock.monotonic()
+        total: Work = {}
+        others: Work = {}
+        for origin, known in alive_facts(self.board, self.membership, "work"):
             for name, row in read_work(known.fact).items():
                 add_load(total, name, row)
                 if origin != self._settings.host:
@@ -260,9 +260,8 @@
 
     def down(self) -> set[str]:
         """Return the endpoints that live hosts could not connect to."""
-        live = {name for name, row in self.membership.members().items() if row.alive}
-        rows = self.board.on("wants").items()
-        return {key for name, row in rows if name in live for key in row.fact.down}
+        rows = alive_facts(self.board, self.membership, "wants")
+        return {key for _, known in rows for key in known.fact.down}
 
     def tell_demand(self) -> None:
         """Tell what callers ask of this host, when it has changed much."""
@@ -315,22 +314,11 @@
 
     def demand(self) -> dict[str, Demand]:
         """Return what is asked of each item over all live hosts."""
-        live = self.membership.members()
-        waiting: dict[str, int] = {}
-        rates: dict[str, float] = {}
-        recent: dict[str, float] = {}
-        for origin, known in self.board.on("wants").items():
-            if origin in live and live[origin].alive:
-                for item, count in known.fact.items.items():
-                    waiting[item] = waiting.get(item, 0) + count
-        for origin, known in self.board.on("demand").items():
-            if origin in live and live[origin].alive:
-                add_up(rates, known.fact.rates)
-                add_up(recent, known.fact.recent)
-        return {
-            item: Demand(waiting.get(item, 0), rates.get(item, 0.0), recent.get(item, 0.0))
-            for item in waiting | rates
-        }
+        wants, demands = (
+            [known.fact for _, known in alive_facts(self.board, self.membership, topic)]
+            for topic in ("wants", "demand")
+        )
+        return sum_demand(wants, demands)
 
 
 def lead_weight(name: str, members: Mapping[str, Member]) -> tuple[int, int]:
@@ -348,39 +336,3 @@
 def describe_news(row: EngineNews) -> tuple:
     """Return all of an engine's news but the times, which change with each look."""
     return row.endpoint, tuple(row.items), tuple(row.dropping), tuple(sorted(row.coming))
-
-
-def write_work(rows: Mapping[str, tuple[int, int]]) -> WorkFact:
-    """Pack requests and unread prompt tokens by endpoint."""
-    return WorkFact(
-        list(rows),
-        pack("H", (running for running, _ in rows.values())),
-        pack("I", (tokens for _, tokens in rows.values())),
-    )
-
-
-def read_work(fact: WorkFact) -> dict[str, tuple[int, int]]:
-    """Unpack requests and unread prompt tokens by endpoint."""
-    columns = zip(unpack("H", fact.running), unpack("I", fact.tokens), strict=True)
-    return dict(zip(fact.endpoints, columns, strict=True))
-
-
-def add_load(total: dict[str, tuple[int, int]], name: str, row: tuple[int, int]) -> None:
-    """Add one host's work on an endpoint to the total."""
-    running, tokens = total.get(name, (0, 0))
-    total[name] = running + row[0], tokens + row[1]
-
-
-def add_up(total: dict[str, float], more: dict[str, float]) -> None:
-    """Add one host's rates to the total of all."""
-    for item, rate in more.items():
-        total[item] = total.get(item, 0.0) + rate
-
-
-def differs(old: dict[str, float], new: dict[str, float]) -> bool:
-    """Tell whether a demand has changed enough to be told again."""
-    for item in old.keys() | new.keys():
-        before, after = old.get(item, 0.0), new.get(item, 0.0)
-        if abs(after - before) > DEMAND_STEP * max(before, after, 0.01):
-            return True
-    return False
--- a/peridotdock/relay/views.py
+++ b/peridotdock/relay/views.py
@@ -1,19 +1,18 @@
 """This host's views of the store's tables: it reads them for all others, or hears of them."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from peridotdock.clients.tables import TableChanges, Tables, TableView
 from peridotdock.context import Context
 from peridotdock.decisions.freshness import share_out
-from peridotdock.relay.following import Follower, Take
+from peridotdock.relay.following import NEVER, Follower, Take
 from peridotdock.relay.peers import Peers
 from peridotdock.schema.messages import Rows, RowsWanted
 
 # Seconds between two words of the host that reads for all on a table that has not changed: a third
 # of the shortest time for which it may be silent.
 WORD_SECONDS = 0.3
-NEVER = float("-inf")
 
 
 @dataclass
@@ -79,23 +78,20 @@
         row = self._followed[table]
         row.beat += 1
         row.told_at = self._ctx.clock.monotonic()
-        age = round(row.follower.age() * 1000)
         named = row.named and (bool(values) or whole)
-        frame = Rows(
-            "rows",
-            table,
-            self._ctx.incarnation,
-            row.beat,
-            after,
-            version,
-            {} if named else dict(values),
-            changed=named,
-            whole=whole and not named,
-            age=age,
-            lost=row.follower.lost(),
-        )
+        frame = self._frame(row, after, version, {} if named else values)
+        frame = replace(frame, changed=named, whole=whole and not named, lost=row.follower.lost())
         self._peers.mesh.send_rows(frame)
 
+    def _frame(
+        self, row: Followed, after: int, version: int, values: Mapping[str, bytes | None]
+    ) -> Rows:
+        age = round(row.follower.age() * 1000)
+        origin = self._ctx.incarnation
+        return Rows(
+            "rows", row.follower.table, origin, row.beat, after, version, dict(values), age=age
+        )
+
     def keep_telling(self) -> None:
         """Tell that nothing has changed, and how long ago that was known.
 
@@ -123,19 +119,8 @@
         version = row.follower.version if row is not None else None
         if row is None or version is None or version <= wanted.after:
             return None
-        age = round(row.follower.age() * 1000)
-        return Rows(
-            "rows",
-            wanted.table,
-            self._ctx.incarnation,
-            row.beat,
-            wanted.after,
-            version,
-            dict(row.follower.rows),
-            whole=True,
-            age=age,
-            direct=True,
-        )
+        frame = self._frame(row, wanted.after, version, row.follower.rows)
+        return replace(frame, whole=True, direct=True)
 
     def renew(self) -> None:
         """Ask the store anew for all tables: it was away, maybe, and has lost calls."""
--- a/peridotdock/streams.py
+++ b/peridotdock/streams.py
@@ -208,7 +208,7 @@
 
     async def _resume(self, silent: bool) -> Failure | None:
         if silent:
-            await self._endpoints.suspect(self._state.url)
+            self._endpoints.suspect(self._state.url)
         if self._opened is not None:
             await self._opened.release()
         query = f"?offset={self._next}&form={self._ask.form}"
--- a/peridotdock/turns.py
+++ b/peridotdock/turns.py
@@ -146,6 +146,10 @@
         return 0.0
 
 
+# One for all connections: it notes nothing.
+UNKNOWN = UnknownTurns()
+
+
 def find_turns() -> Turns:
     """Return the turns of the running loop."""
-    return getattr(asyncio.get_running_loop(), "turns", None) or UnknownTurns()
+    return getattr(asyncio.get_running_loop(), "turns", UNKNOWN)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,6 +3,7 @@
 import random
 
 from peridotdock.context import build_context
+from peridotdock.frames import decode, encode_update
 from peridotdock.manifest import Accepted, canonical, check, digest
 from peridotdock.schema.settings import Settings
 
@@ -59,3 +60,9 @@
     found = check(canonical(document(**parts)))
     assert found.manifest is not None, found.errors
     return Accepted(generation, digest(found.document), found.document, found.manifest)
+
+
+def facts_of(board, slots=None):
+    """The facts of a board as its peers read them: those in ``slots``, or all."""
+    raw = board.written(board.slots() if slots is None else slots)
+    return decode(encode_update(raw, 0)).entries
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -220,3 +220,15 @@
     """Let tasks that wait for nothing real run to their end."""
     for _ in range(10):
         await asyncio.sleep(0)
+
+
+class AlwaysLeads:
+    """A lease that is held for good."""
+
+    term = 1
+
+    def may_order(self):
+        return True
+
+    def ordered(self):
+        pass
--- a/tests/relay/test_late.py
+++ b/tests/relay/test_late.py
@@ -16,7 +16,7 @@
 from peridotdock.relay.late import LATE_SECONDS, LateOrders
 from peridotdock.relay.ordering import Orderer
 from tests.builders import make_ctx
-from tests.fakes import FakeClock, settle
+from tests.fakes import AlwaysLeads, FakeClock, settle
 from tests.relay.deployment import BOUNDS
 from tests.relay.test_decisions import NAMES, SPEC
 
@@ -102,18 +102,6 @@
         return EngineState(self.seq, False, models, none, none, none, self.born)
 
 
-class AlwaysLeads:
-    """A lease that is held for good."""
-
-    term = 1
-
-    def may_order(self):
-        return True
-
-    def ordered(self):
-        pass
-
-
 async def play(seed):
     """Order an engine for two minutes; return how often it was overfilled, and its orders."""
     rng, clock = random.Random(seed), FakeClock()
--- a/tests/relay/test_loads.py
+++ b/tests/relay/test_loads.py
@@ -6,10 +6,11 @@
 from peridotdock.links import Link
 from peridotdock.membership import Member
 from peridotdock.relay.book import EndpointBook
-from peridotdock.relay.peers import UPWARD, Peers, write_work
+from peridotdock.relay.peers import UPWARD, Peers
 from peridotdock.relay.settings import Address, HostSettings, Listen
+from peridotdock.relay.sums import write_work
 from peridotdock.schema.messages import EngineNews, Hello, HostFact, OrdersFact
-from tests.builders import make_ctx
+from tests.builders import facts_of, make_ctx
 from tests.fakes import FakeClock
 from tests.relay.deployment import BOUNDS
 from tests.relay.test_ordering import entry
@@ -36,7 +37,7 @@
         """Take in a fact of another host."""
         board = type(peers.board)(origin, epoch, self.clock)
         board.publish(topic, fact)
-        peers.board.merge(board.entries())
+        peers.board.merge(facts_of(board))
 
     def host_fact(self, name, power):
         return HostFact(name, f"{name}-1", "north", "", "", "live", 1, power)
--- a/tests/relay/test_lost.py
+++ b/tests/relay/test_lost.py
@@ -16,12 +16,12 @@
 from peridotdock.relay.leadership import Leadership
 from peridotdock.relay.peers import Peers
 from peridotdock.schema.messages import EngineNews, HostFact, OrdersFact, Rows, WantsFact
-from tests.builders import make_ctx
-from tests.fakes import FakeClock, FakePlatform
+from tests.builders import facts_of, make_ctx
+from tests.fakes import FakeClock, FakePlatform, settle
 from tests.relay.deployment import Deployment
 from tests.relay.test_ordering import GAP, Uptime
 from tests.relay.test_relay import run
-from tests.relay.test_views import TICK, FlakyTables, HostViews, Stored, Wire, settle
+from tests.relay.test_views import TICK, FlakyTables, HostViews, Stored, Wire
 
 
 def host_fact(name):
@@ -186,7 +186,7 @@
         members.beat()
         self.far.publish("host", host_fact("h2"))
         self.far.publish("wants", WantsFact({}, ["e1"]))
-        self.near.merge(self.far.entries())
+        self.near.merge(facts_of(self.far))
         peers = SimpleNamespace(membership=members, board=self.near)
         self.assertEqual({"e1"}, Peers.down(peers))
         self.clock.advance(5.0)
--- a/tests/relay/test_outages.py
+++ b/tests/relay/test_outages.py
@@ -14,7 +14,7 @@
 from peridotdock.relay.leadership import Leadership
 from peridotdock.relay.wards import UNLOAD_SLACK, Ward
 from peridotdock.schema.messages import HostFact, Rows
-from tests.builders import make_ctx
+from tests.builders import facts_of, make_ctx
 from tests.fakes import FakeClock, FakePlatform
 from tests.relay.test_ordering import GAP, Uptime, entry, order, report
 
@@ -37,9 +37,9 @@
         """
         clock, dead, third, late = boards()
         dead.publish("host", host_fact())
-        third.merge(dead.entries())
+        third.merge(facts_of(dead))
         clock.advance(4.0)
-        late.merge(third.entries())
+        late.merge(facts_of(third))
         self.assertAlmostEqual(4.0, clock.monotonic() - late.get("h1", "host").at, places=2)
 
     def test_a_fact_that_was_written_before_is_sent_with_its_age(self):
@@ -50,7 +50,7 @@
         """
         clock, dead, hub, late = boards()
         dead.publish("host", host_fact())
-        hub.merge(dead.entries())
+        hub.merge(facts_of(dead))
         hub.written(hub.slots())
         clock.advance(4.0)
         [raw] = hub.written(hub.slots())
@@ -72,21 +72,21 @@
         """
         _, before, peer, _ = boards(epoch=5000)
         before.publish("host", host_fact())
-        peer.merge(before.entries())
+        peer.merge(facts_of(before))
         _, now, _, _ = boards(epoch=400)
         now.publish("host", host_fact(entry="10.0.0.9:80"))
-        self.assertEqual([], peer.merge(now.entries()))
-        now.merge(peer.entries())
-        peer.merge(now.entries())
+        self.assertEqual([], peer.merge(facts_of(now)))
+        now.merge(facts_of(peer))
+        peer.merge(facts_of(now))
         self.assertEqual("10.0.0.9:80", peer.get("h1", "host").fact.entry)
 
     def test_a_fact_of_ones_own_life_changes_nothing(self):
         _, own, peer, _ = boards()
         own.publish("host", host_fact())
-        peer.merge(own.entries())
-        before = own.entries()
-        own.merge(peer.entries())
-        self.assertEqual(before, own.entries())
+        peer.merge(facts_of(own))
+        before = facts_of(own)
+        own.merge(facts_of(peer))
+        self.assertEqual(before, facts_of(own))
 
 
 class SameMachineTest(unittest.TestCase):
--- a/tests/relay/test_starts.py
+++ b/tests/relay/test_starts.py
@@ -20,7 +20,7 @@
 from peridotdock.relay.wards import Ward
 from peridotdock.schema.messages import EngineNews
 from tests.builders import make_ctx
-from tests.fakes import FakeClock
+from tests.fakes import AlwaysLeads, FakeClock
 from tests.relay.deployment import BOUNDS, Deployment
 from tests.relay.test_decisions import SPEC, engine
 
@@ -240,18 +240,6 @@
         return self.found
 
 
-class AlwaysLeads:
-    """A lease that is held for good."""
-
-    term = 1
-
-    def may_order(self):
-        return True
-
-    def ordered(self):
-        pass
-
-
 LOST = Failure(Kind.OUTCOME_UNKNOWN, "no answer")
 UNREACHABLE = Failure(Kind.ENDPOINT_UNREACHABLE, "refused")
 
--- a/tests/relay/test_views.py
+++ b/tests/relay/test_views.py
@@ -12,7 +12,7 @@
 from peridotdock.relay.views import WORD_SECONDS, Views
 from peridotdock.schema.messages import Rows, RowsWanted
 from tests.builders import make_ctx
-from tests.fakes import FakeClock
+from tests.fakes import FakeClock, settle
 
 # The time in which a change must be seen everywhere, in seconds.
 BOUND = 2.0
@@ -89,11 +89,6 @@
             self.seen.setdefault(key, (value, self.clock.monotonic()))
 
 
-async def settle():
-    for _ in range(8):
-        await asyncio.sleep(0)
-
-
 class Wire:
     """Frames between two hosts, each ``hop`` seconds on its way; ``cut`` loses them.
 
