Start without what no caller of the relaying daemon needs

Cause: a start is nearly all imports, and while hosts start their callers find nobody. `make bench-start` shows each part.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/installed
 
 .PHONY: run test lint generate check-generated mutants clean \
-	bench bench-path bench-relay bench-capacity bench-clients bench-idle bench-control soak
+	bench bench-path bench-relay bench-capacity bench-clients bench-idle bench-control bench-start soak
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -60,3 +60,6 @@
 
 bench-control: $(STAMP)
 	$(BIN)/python -m extras.bench_control $(ARGS)
+
+bench-start: $(STAMP)
+	$(BIN)/python -m extras.bench_start $(ARGS)
--- a/extras/bench_capacity.py
+++ b/extras/bench_capacity.py
@@ -20,8 +20,9 @@
 from peridotdock.board import Board
 from peridotdock.clients.endpoint import EngineLoad
 from peridotdock.clock import SystemClock
+from peridotdock.columns import pack
 from peridotdock.drafts import Copy, EngineView
-from peridotdock.fleet import EndpointState, Fleet, pack
+from peridotdock.fleet import EndpointState, Fleet
 from peridotdock.frames import decode, encode
 from peridotdock.ledger import Ledger, Reservation, State, observe, read_ledger
 from peridotdock.membership import Membership
@@ -29,7 +30,8 @@
 from peridotdock.prefix import hash_blocks
 from peridotdock.publishing import check_all
 from peridotdock.rendezvous import Assignment
-from peridotdock.routing import Wish, choose
+from peridotdock.requests import Wish
+from peridotdock.routing import choose
 from peridotdock.schema.messages import Entry, HeldFact, HostFact, LoadFact, Ping, Update
 from tests.fakes import FakeEngine
 
--- /dev/null
+++ b/extras/bench_start.py
@@ -0,0 +1,66 @@
+"""``make bench-start``: what a start of the relaying daemon costs before it can do anything.
+
+Processor seconds of an interpreter that imports the daemon and ends, each with one more thing left
+out: the least of some runs, as other work on the machine only adds to it, and the median.
+"""
+
+import argparse
+import os
+import resource
+import statistics
+import subprocess
+import sys
+from dataclasses import dataclass
+
+BARE = "pass"
+LIBRARIES = "import aiohttp, blacksheep, uvicorn, msgspec, cbor2, xxhash, prometheus_client"
+DAEMON = "import peridotdock.relay.daemon"
+NO_COLLECTOR = f"import gc; gc.disable(); {DAEMON}"
+NO_CERTIFICATES = {"SSL_CERT_FILE": os.devnull, "SSL_CERT_DIR": os.devnull}
+
+
+@dataclass(frozen=True)
+class Variant:
+    """A way to start: the program, the interpreter's options, what the environment has more."""
+
+    name: str
+    code: str
+    options: tuple[str, ...] = ()
+    environ: tuple[tuple[str, str], ...] = ()
+
+
+WITHOUT = tuple(NO_CERTIFICATES.items())
+VARIANTS = (
+    Variant("interpreter alone", BARE),
+    Variant("interpreter without the system's packages", BARE, ("-S",)),
+    Variant("libraries alone", LIBRARIES, ("-S",), WITHOUT),
+    Variant("daemon", DAEMON),
+    Variant("without the system's packages", DAEMON, ("-S",)),
+    Variant("and without certificates", DAEMON, ("-S",), WITHOUT),
+    Variant("and without the collector, as it runs", NO_COLLECTOR, ("-S",), WITHOUT),
+)
+
+
+def measure(variant: Variant) -> float:
+    """Run one interpreter to its end and return its processor seconds."""
+    environ = {**os.environ, **dict(variant.environ), "PYTHONPATH": os.pathsep.join(sys.path[1:])}
+    before = resource.getrusage(resource.RUSAGE_CHILDREN)
+    subprocess.run([sys.executable, *variant.options, "-c", variant.code], env=environ, check=True)
+    after = resource.getrusage(resource.RUSAGE_CHILDREN)
+    return after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
+
+
+def main() -> None:
+    """Print a line for each way to start."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--runs", type=int, default=8)
+    runs = parser.parse_args().runs
+    print(f"{'processor seconds':42}{'least':>20}{'median':>10}")
+    # In turn, so that what else the machine does falls on all of them alike.
+    rounds = [[measure(variant) for variant in VARIANTS] for _ in range(runs)]
+    for variant, seconds in zip(VARIANTS, zip(*rounds, strict=True), strict=True):
+        print(f"{variant.name:42}{min(seconds):20.3f}{statistics.median(seconds):10.3f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/peridotdock/asks.py
+++ b/peridotdock/asks.py
@@ -14,8 +14,7 @@
 from peridotdock.items import Item
 from peridotdock.manifest import Accepted
 from peridotdock.prefix import count_tokens, hash_blocks
-from peridotdock.requests import Ask, ServiceAsk
-from peridotdock.routing import Wish
+from peridotdock.requests import Ask, ServiceAsk, Wish
 from peridotdock.schema.manifest import Caller, Service
 
 MODEL_DEADLINE_SECONDS = 120.0
--- a/peridotdock/cli/relay.py
+++ b/peridotdock/cli/relay.py
@@ -1,56 +1,33 @@
-"""``python -m peridotdock.cli.relay``: the daemon on the users' platform."""
+"""``python -m peridotdock.cli.relay``: the daemon on the users' platform.
+
+Nearly all of a start is imports, and while hosts start their callers find nobody. So the process is
+made ready for them first, and the daemon is imported after that.
+"""
 
-import asyncio
 import gc
 import os
 import sys
-from collections.abc import Mapping
-
-from peridotdock import logs
-from peridotdock.context import Streams, build_context
-from peridotdock.errors import failed
-from peridotdock.platform.adapter import PlatformAdapter
-from peridotdock.platform.settings import load_settings
-from peridotdock.relay.node import Node
-from peridotdock.relay.settings import HostSettings
-from peridotdock.schema.settings import Settings
-from peridotdock.status import ExitStatus
-from peridotdock.turns import WatchedLoop
-
-# Links of a host to others. Eight join up to nine hosts directly; among more, each fact takes a
-# second or third hop, and few hosts hear it more often than they must.
-PEER_DEGREE = 8
-
-
-def run(environ: Mapping[str, str], streams: Streams) -> ExitStatus:
-    """Check the settings, serve until told to stop, and return the exit status."""
-    found = load_settings(environ)
-    if failed(found):
-        streams.err.write(f"peridotdock: {found.reason}\n")
-        return ExitStatus.USAGE
-    cfg = Settings(
-        host_id=found.host,
-        domain=found.domain,
-        platform_url=f"http://{found.store}",
-        cluster_key=f"peridotdock at {found.store}",
-        peer_ip=found.listen.peers.ip,
-        peer_port=found.listen.peers.port,
-        peer_degree=PEER_DEGREE,
-    )
-    logs.set_up(cfg.log_level, streams.out, cfg.host_id)
-    gc.freeze()
-    with asyncio.Runner(loop_factory=WatchedLoop) as runner:
-        runner.run(serve(cfg, found))
-    return ExitStatus.OK
-
-
-async def serve(cfg: Settings, settings: HostSettings) -> None:
-    """Run a host until it is told to stop."""
-    await Node(build_context(cfg), settings, PlatformAdapter()).run()
+from collections.abc import MutableMapping
+
+
+def ease_imports(environ: MutableMapping[str, str]) -> None:
+    """Do without what makes imports slow and what this daemon never uses.
+
+    aiohttp reads the system's certificates when it is imported, for connections with TLS, of which
+    this daemon opens none. The collector looks some forty times for unused objects among those that
+    imports make, and finds next to none. ``make bench-start`` shows what each saves.
+    """
+    environ.setdefault("SSL_CERT_FILE", os.devnull)
+    environ.setdefault("SSL_CERT_DIR", os.devnull)
+    gc.disable()
 
 
 def main() -> None:
     """Run with the process's environment and streams."""
+    ease_imports(os.environ)
+    from peridotdock.context import Streams
+    from peridotdock.relay.daemon import run
+
     sys.exit(run(os.environ, Streams()))
 
 
--- a/peridotdock/fleet.py
+++ b/peridotdock/fleet.py
@@ -1,6 +1,5 @@
 """What this host knows of each endpoint: items, load, own requests, cached prefixes, trust."""
 
-from array import array
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
@@ -8,6 +7,7 @@
 from peridotdock.board import Board, Slot
 from peridotdock.clients.endpoint import EngineLoad
 from peridotdock.clock import Clock
+from peridotdock.columns import unpack
 from peridotdock.items import name_of
 from peridotdock.ledger import State
 from peridotdock.manifest import Accepted
@@ -29,19 +29,6 @@
 DEFAULT_LOAD = EngineLoad(0, 0, 0, 8, 10_000.0, 20_000)
 
 
-def pack(code: str, values: Iterable[float]) -> bytes:
-    """Pack a column of unsigned numbers; a value that does not fit is the largest that does."""
-    top = {"H": 0xFFFF, "I": 0xFFFFFFFF}[code]
-    return array(code, [min(top, max(0, int(value))) for value in values]).tobytes()
-
-
-def unpack(code: str, raw: bytes) -> Sequence[int]:
-    """Read a packed column."""
-    column = array(code)
-    column.frombytes(raw)
-    return column
-
-
 @dataclass(frozen=True)
 class Running:
     """One request of this host on an endpoint; ``tokens`` is the prefill it brought."""
--- a/peridotdock/relay/sums.py
+++ b/peridotdock/relay/sums.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable, Iterator, Mapping
 
 from peridotdock.board import Board, Known
+from peridotdock.columns import pack, unpack
 from peridotdock.decisions.draft import Demand
-from peridotdock.fleet import pack, unpack
 from peridotdock.membership import Membership
 from peridotdock.schema.messages import DemandFact, WantsFact, WorkFact
 
--- a/peridotdock/requests.py
+++ b/peridotdock/requests.py
@@ -6,7 +6,6 @@
 from typing import Protocol
 
 from peridotdock.errors import Failure, Kind, Ran
-from peridotdock.routing import Wish
 
 
 class State(StrEnum):
@@ -87,6 +86,18 @@
         """Tell whether the connection to the caller is closed."""
 
 
+@dataclass(frozen=True)
+class Wish:
+    """What routing needs to know of a request."""
+
+    item: str
+    tokens: int
+    blocks: tuple[int, ...]
+    priority: int
+    first_token: float
+    domain: str
+
+
 @dataclass(frozen=True)
 class Ask:
     """A request for a model or adapter. ``deadline`` in monotonic seconds."""
--- a/peridotdock/routing.py
+++ b/peridotdock/routing.py
@@ -13,6 +13,7 @@
 from peridotdock.errors import Failure, Kind
 from peridotdock.fleet import STALE_SECONDS, EndpointState
 from peridotdock.prefix import BLOCK_TOKENS
+from peridotdock.requests import Wish
 
 NEAR_SECONDS = 0.0002
 FAR_SECONDS = 0.002
@@ -30,18 +31,6 @@
 ALLOWED_SHARE = (0.5, 0.55, 0.6, 0.65, 0.7, 0.75, 0.85, 0.95, 1.0, 1.05)
 
 
-@dataclass(frozen=True)
-class Wish:
-    """What routing needs to know of a request."""
-
-    item: str
-    tokens: int
-    blocks: tuple[int, ...]
-    priority: int
-    first_token: float
-    domain: str
-
-
 @dataclass(frozen=True, slots=True)
 class Choice:
     """An endpoint and what was predicted for it: seconds to the first token, cached tokens."""
--- a/peridotdock/watch.py
+++ b/peridotdock/watch.py
@@ -9,9 +9,10 @@
 
 from peridotdock.board import Board
 from peridotdock.clients.endpoint import HttpEndpoints, Report
+from peridotdock.columns import pack
 from peridotdock.context import Context
 from peridotdock.errors import failed
-from peridotdock.fleet import AGE_UNIT, PREFILL_UNIT, Fleet, pack
+from peridotdock.fleet import AGE_UNIT, PREFILL_UNIT, Fleet
 from peridotdock.manifest import Accepted
 from peridotdock.rendezvous import Assignment
 from peridotdock.schema.manifest import Endpoint
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -9,10 +9,11 @@
 from nose2.tools import params
 
 from peridotdock.clients.endpoint import EngineLoad
+from peridotdock.columns import pack, unpack
 from peridotdock.discovery import order_addresses
 from peridotdock.drafts import Copy, EngineView, make_draft
 from peridotdock.errors import Failure, Kind, failed
-from peridotdock.fleet import MOST_SENT, EndpointState, pack, unpack
+from peridotdock.fleet import MOST_SENT, EndpointState
 from peridotdock.growth import queue_cost, spread_load
 from peridotdock.keys import KEPT_PERIODS, PERIOD_SECONDS, KeyTable, Owner, Record, read_owner
 from peridotdock.ledger import State
@@ -20,9 +21,9 @@
 from peridotdock.membership import Member
 from peridotdock.placement import find_floor_errors, make_plan
 from peridotdock.prefix import BLOCK_CHARS, hash_blocks
-from peridotdock.requests import Reply
+from peridotdock.requests import Reply, Wish
 from peridotdock.retries import RetryBudget
-from peridotdock.routing import Wish, admit, choose, predict
+from peridotdock.routing import admit, choose, predict
 from peridotdock.schema.messages import HostFact
 from tests import builders
 from tests.fakes import FakeClock
