--- a/peridotdock/membership.py
+++ b/peridotdock/membership.py
@@ -1,13 +1,15 @@
 """Which hosts live: the platform's lagging list, heartbeats on the board, and stop notices.
 
 A host is judged by its own newest word and by how long ago, on this host's clock, its heartbeat
-last changed. The platform's list only adds addresses to try; it never overrules a heartbeat.
+last changed. The platform's list only adds addresses to try; it never overrules a heartbeat. Where
+hosts tell each other of their links, these go before heartbeats.
 """
 
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
+from typing import Protocol
 
 from peridotdock.board import Board, Known, Slot
 from peridotdock.clock import Clock
@@ -17,6 +19,10 @@
 HOSTS_PER_BEAT_SECOND = 70
 SILENT_BEATS = 4
 FORGET_SECONDS = 120.0
+# Seconds for which a host counts as alive after the last link to it went: it dials another within
+# half a second, and hosts notice the loss of one that all were linked to some 0.5 s apart.
+PARTED_SECONDS = 2.0
+NOBODY: frozenset[str] = frozenset()
 KEPT_BEATS = 64
 
 
@@ -24,7 +30,8 @@
 class Member:
     """A host as seen from here; ``heard_at`` is when its newest heartbeat was made.
 
-    That is in monotonic seconds of this host, and infinite for this host itself.
+    That is in monotonic seconds of this host, and infinite for this host itself and for those that
+    it reaches over links.
     """
 
     fact: HostFact
@@ -37,13 +44,32 @@
         return self.alive and self.fact.state == "live"
 
 
+class Links(Protocol):
+    """Which hosts can be reached over links."""
+
+    def hosts(self) -> frozenset[str]:
+        """Return the hosts that are reached, without this one."""
+
+    def parted(self, host: str) -> float:
+        """Return when a host that is not reached now last was (monotonic seconds)."""
+
+    def forget(self, host: str) -> None:
+        """Forget when a host was last reached."""
+
+
 class Membership:
-    """The members and this host's own place among them."""
+    """The members and this host's own place among them.
+
+    With ``links``, hosts that are reached are alive without a heartbeat.
+    """
 
-    def __init__(self, board: Board, own: HostFact, clock: Clock):
+    def __init__(self, board: Board, own: HostFact, clock: Clock, links: Links | None = None):
         self._board = board
         self._clock = clock
         self.own = own
+        self._links = links
+        self._reached = NOBODY
+        self._known_since: dict[str, float] = {}
         self._beats: deque[tuple[int, float]] = deque(maxlen=KEPT_BEATS)
         self._members: dict[str, Member] = {}
         self._limit = 0.0
@@ -77,12 +103,21 @@
         judge all at each look took a third of what an ordinary one of 83 hosts spent.
         """
         now = self._clock.monotonic()
-        limit = SILENT_BEATS * self.beat_seconds()
-        if now > self._good_until or limit != self._limit:
-            self._limit = limit
+        reached = self._links.hosts() if self._links else NOBODY
+        limit = self._silent_limit(reached)
+        if now > self._good_until or limit != self._limit or reached is not self._reached:
+            self._limit, self._reached = limit, reached
             self._look_at_all(now)
         return MappingProxyType(self._members)
 
+    def _silent_limit(self, reached: frozenset[str]) -> float:
+        """Return the seconds after which a host that is not reached counts as dead.
+
+        A host that reaches nobody can't tell its own trouble from that of all others, so it waits
+        for as long as heartbeats take to go missing.
+        """
+        return PARTED_SECONDS if reached else SILENT_BEATS * self.beat_seconds()
+
     def _look_at_all(self, now: float) -> None:
         rows = self._board.on("host")
         self._members = {origin: self._judge(origin, rows[origin], now) for origin in rows}
@@ -90,10 +125,14 @@
         self._good_until = min(ends, default=float("inf"))
 
     def _judge(self, origin: str, known: Known, now: float) -> Member:
-        own = origin == self.own.host
-        silent = 0.0 if own else now - known.at
-        alive = silent <= self._limit and known.fact.state != "gone"
-        return Member(known.fact, alive, float("inf") if own else known.at)
+        self._known_since.setdefault(origin, now)
+        heard_at = known.at
+        if origin == self.own.host or origin in self._reached:
+            heard_at = float("inf")
+        elif self._links is not None:
+            heard_at = max(known.at, self._links.parted(origin))
+        alive = now - heard_at <= self._limit and known.fact.state != "gone"
+        return Member(known.fact, alive, heard_at)
 
     def _changed(self, slots: list[Slot]) -> None:
         """Judge the hosts anew that were heard of; the time for a look at all stays good."""
@@ -116,10 +155,17 @@
         return next((row for row in rows if row.fact.incarnation == incarnation), None)
 
     def sweep(self) -> list[str]:
-        """Forget the hosts that have been silent for long; return their names."""
+        """Forget the hosts that have been silent for long; return their names.
+
+        One that was heard of a moment ago is kept: its word may be old, and that it can be reached
+        may stand in the next frame.
+        """
         oldest = self._clock.monotonic() - FORGET_SECONDS
-        gone = [name for name, row in self.members().items() if row.heard_at < oldest]
+        since = self._known_since
+        gone = [n for n, row in self.members().items() if max(row.heard_at, since[n]) < oldest]
         for name in gone:
             self._board.forget(name)
-            del self._members[name]
+            del self._members[name], since[name]
+            if self._links is not None:
+                self._links.forget(name)
         return gone
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -6,7 +6,8 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Coroutine, Iterable
+from typing import Any
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
@@ -85,6 +86,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._wanted: dict[str, asyncio.Future[bytes]] = {}
         self._server: Server | None = None
+        self._stopping = False
         self.address = ""
         board.listen(self._mark)
 
@@ -96,7 +98,8 @@
         self.address = f"{ip}:{port}"
 
     async def stop(self) -> None:
-        """Close all links."""
+        """Close all links, and dial no more: each that ends would call for another."""
+        self._stopping = True
         for task in list(self._tasks):
             task.cancel()
         if self._server is not None:
@@ -154,7 +157,10 @@
         if address and address != self.address and not busy:
             self._spawn(self._dial(address, address))
 
-    def _spawn(self, work: Awaitable[None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        if self._stopping:
+            work.close()
+            return
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/peridotdock/metrics.py
+++ b/peridotdock/metrics.py
@@ -3,6 +3,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 FIRST_TOKEN_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.35, 0.49, 0.75, 1.0, 2.0, 5.0, 10.0)
+PAUSE_BUCKETS = (0.02, 0.04, 0.076, 0.1, 0.15, 0.2, 0.4, 0.75, 1.5)
 MAX_ITEM_LABELS = 1000
 OTHER = "other"
 
@@ -45,6 +46,13 @@
             ["state"],
             registry=self.registry,
         )
+        self.longest_pause = Histogram(
+            "peridotdock_longest_pause_seconds",
+            "The longest pause between two events of a stream, by route.",
+            ["route"],
+            buckets=PAUSE_BUCKETS,
+            registry=self.registry,
+        )
         self.first_token = Histogram(
             "peridotdock_first_token_seconds",
             "Time to the first token, by model or adapter.",
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -39,6 +39,8 @@
 # Seconds before the platform's SIGKILL at which a planned stop ends.
 STOP_MARGIN = 0.7
 DRAIN_POLL_SECONDS = 0.05
+# Seconds between two looks at which hosts are there, and to whom this one should be linked.
+LOOK_ROUND_SECONDS = 1.0
 # Seconds between two words to the hub on work at endpoints, and on demand, and how many hosts'
 # words it takes in a second: with more hosts they come seldomer, and what it spends on them stays
 # the same.
@@ -123,7 +125,7 @@
         for follower in self._follow_tables():
             self._tasks.append(asyncio.create_task(follower.run()))
         every = self.jobs.every
-        every(self.peers.membership.beat_seconds, self._beat, "beat")
+        every(lambda: LOOK_ROUND_SECONDS, self._look_round, "look round")
         every(lambda: self._word_seconds(WORK_SECONDS), self._tell_work, "work")
         every(lambda: self._word_seconds(DEMAND_SECONDS), self._tell_demand, "demand")
         every(lambda: LOOK_SECONDS, self.lag.look, "lag")
@@ -142,8 +144,7 @@
 
     # Work that is repeated
 
-    async def _beat(self) -> None:
-        self.peers.membership.beat()
+    async def _look_round(self) -> None:
         self.peers.membership.sweep()
         self.peers.link()
         self.service.hosts = len(self.peers.membership.live())
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -12,6 +12,7 @@
 from peridotdock.membership import Member, Membership
 from peridotdock.mesh import Mesh
 from peridotdock.relay.book import EndpointBook, OthersLoad
+from peridotdock.relay.reach import Reach
 from peridotdock.relay.settings import HostSettings
 from peridotdock.relay.sums import (
     Work,
@@ -68,7 +69,8 @@
             0,
             int(settings.strong),
         )
-        self.membership = Membership(self.board, own, ctx.clock)
+        reach = Reach(self.board, ctx.clock, settings.host, self.mesh.peers)
+        self.membership = Membership(self.board, own, ctx.clock, reach)
         self.meter = DemandMeter(PEAK_SECONDS)
         self.waiting: dict[str, int] = {}
         self.wanted = asyncio.Event()
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -5,6 +5,7 @@
 from peridotdock.errors import Failure, failed
 from peridotdock.relay.asks import RelayAsk
 from peridotdock.relay.attempt import Source, Whole
+from peridotdock.relay.book import EndpointState
 from peridotdock.relay.caller import CallerEnd
 from peridotdock.relay.service import Progress, RelayService
 
@@ -12,6 +13,44 @@
 SILENCE_SECONDS = 1.2
 
 
+class PauseWatch:
+    """Finds the longest pause between the events of a stream, and what its endpoint had to do then.
+
+    A caller is owed events without pauses; a late one spoils an answer whose first came in time.
+    """
+
+    def __init__(self, service: RelayService, ask: RelayAsk):
+        self._service = service
+        self._ask = ask
+        self._last: float | None = None
+        self.longest = 0.0
+        self._detail = ""
+
+    def note(self, state: EndpointState, event_id: int | None) -> None:
+        """Note events that have just come from an endpoint; the first of them has ``event_id``."""
+        now = self._service.ctx.clock.monotonic()
+        pause = 0.0 if self._last is None else now - self._last
+        self._last = now
+        if pause <= self.longest:
+            return
+        self.longest = pause
+        if pause > self._ask.route.longest_pause:
+            running, ahead = state.load(now)
+            self._detail = (
+                f"{pause:.3f} s before event {event_id}, {running} running, {ahead} tokens ahead"
+            )
+
+    def tell(self, state: EndpointState) -> None:
+        """Count the longest pause of a stream that has ended, and log it when it was too long."""
+        ctx, route = self._service.ctx, self._ask.route
+        label = ctx.metrics.item_label(route.name)
+        ctx.metrics.longest_pause.labels(label).observe(self.longest)
+        if self._detail:
+            ctx.timeline.add(
+                "paused", request=self._ask.id, endpoint=state.key, detail=self._detail
+            )
+
+
 class AnswerBrokenError(Exception):
     """An answer whose head went out can't be ended whole; its connection must show that."""
 
@@ -27,10 +66,11 @@
     raises :class:`AnswerBrokenError`, so that the server closes the connection without the end
     that would make it look complete.
     """
+    pauses = PauseWatch(service, ask)
     while True:
         outcome: Failure | None = None
         try:
-            async for raw in _pass_part(service, ask, caller, progress, source):
+            async for raw in _pass_part(service, ask, caller, progress, source, pauses):
                 if failed(raw):
                     outcome = raw
                 else:
@@ -40,6 +80,7 @@
             service.book.ended(source.state, ask.id, progress.service, whole)
             await source.close(caller)
         if outcome is None:
+            pauses.tell(source.state)
             return
         service.note_loss(ask, source.state, outcome)
         found = await _resume(service, ask, caller, progress, outcome)
@@ -56,11 +97,19 @@
 
 
 async def _pass_part(
-    service: RelayService, ask: RelayAsk, caller: CallerEnd, progress: Progress, source: Source
+    service: RelayService,
+    ask: RelayAsk,
+    caller: CallerEnd,
+    progress: Progress,
+    source: Source,
+    pauses: PauseWatch,
 ) -> AsyncIterator[bytes | Failure]:
     """Give one endpoint's events; a loss is the last thing given."""
     while True:
-        for event in source.take():
+        events = source.take()
+        if events:
+            pauses.note(source.state, events[0].id)
+        for event in events:
             if event.id is not None:
                 if progress.last_id is not None and event.id <= progress.last_id:
                     continue
