--- a/peridotdock/answers.py
+++ b/peridotdock/answers.py
@@ -21,6 +21,7 @@
         Kind.STOPPING,
         Kind.NO_ENDPOINT,
         Kind.ENDPOINT_REFUSED,
+        Kind.ENDPOINT_LACKS,
         Kind.ENDPOINT_UNREACHABLE,
         Kind.PLATFORM_DOWN,
         Kind.KEYS_FULL,
--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -158,10 +158,11 @@
 class HttpEndpoints:
     """Endpoints over HTTP, with a pool of connections for each.
 
-    ``not_run_header`` is the header with which an endpoint says that it did not run a request.
+    ``not_run_header`` is the header with which an endpoint says that it did not run a request; None
+    where whoever sends looks at the head of the answer.
     """
 
-    def __init__(self, not_run_header: str = NOT_RUN_HEADER) -> None:
+    def __init__(self, not_run_header: str | None = NOT_RUN_HEADER) -> None:
         self._not_run_header = not_run_header
         self._pools: dict[str, Pool] = {}
         self._control: dict[str, Pool] = {}
@@ -212,7 +213,8 @@
         finally:
             STILL_WANTED.reset(wanted)
         pool.respect(resp.headers)
-        if resp.status in (429, 503) and self._not_run_header in resp.headers:
+        refused = self._not_run_header is not None and self._not_run_header in resp.headers
+        if refused and resp.status in (429, 503):
             resp.close()
             await stack.aclose()
             return Failure(Kind.ENDPOINT_REFUSED)
--- a/peridotdock/errors.py
+++ b/peridotdock/errors.py
@@ -29,6 +29,7 @@
     DEADLINE_UNSENT = "deadline_unsent"
     DEADLINE = "deadline"
     ENDPOINT_REFUSED = "endpoint_refused"
+    ENDPOINT_LACKS = "endpoint_lacks"
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     ENDPOINT_LOST = "endpoint_lost"
     ENDPOINT_ERROR = "endpoint_error"
@@ -136,6 +137,9 @@
     Kind.ENDPOINT_REFUSED: Answer(
         503, Ran.NO, "INFO", "The endpoint said that it did not run it.", "Ask again."
     ),
+    Kind.ENDPOINT_LACKS: Answer(
+        503, Ran.NO, "INFO", "The endpoint did not hold what was asked for.", "Ask again."
+    ),
     Kind.ENDPOINT_UNREACHABLE: Answer(
         503, Ran.NO, "WARNING", "No connection to an endpoint could be made.", "Ask again."
     ),
--- a/peridotdock/frames.py
+++ b/peridotdock/frames.py
@@ -4,6 +4,7 @@
 import hmac
 import zlib
 from collections.abc import Sequence
+from dataclasses import replace
 from typing import Any
 
 import cbor2
@@ -50,30 +51,38 @@
     return cbor2.dumps(msgspec.to_builtins(frame, builtin_types=(bytes,)))
 
 
+def deflate(raw: bytes) -> bytes:
+    """Return bytes deflated."""
+    return zlib.compress(raw, DEFLATE_LEVEL)
+
+
+def inflate(raw: bytes) -> bytes:
+    """Return the bytes that were deflated; raises ValueError for what can't be read.
+
+    Failure guarded against: a few bytes that inflate to more than the host's memory.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        found = inflater.decompress(raw, MAX_BODY_BYTES)
+    except zlib.error as exc:
+        raise ValueError(f"deflated: {exc}") from exc
+    if not inflater.eof:
+        raise ValueError("deflated: too large, or cut short")
+    return found
+
+
 def make_entry(origin: str, topic: str, epoch: int, version: int, fact: Any) -> Entry:
     """Return a fact as it is told: a large body deflated."""
     body = cbor2.dumps(msgspec.to_builtins(fact, builtin_types=(bytes,)))
     deflated = len(body) >= DEFLATE_FROM
     if deflated:
-        body = zlib.compress(body, DEFLATE_LEVEL)
+        body = deflate(body)
     return Entry(origin, topic, epoch, version, body, deflated=deflated)
 
 
 def read_body(entry: Entry) -> Any:
-    """Return what the body of a fact says; raises ValueError for one that can't be read.
-
-    Failure guarded against: a few bytes that inflate to more than the host's memory.
-    """
-    body = entry.body
-    if entry.deflated:
-        inflater = zlib.decompressobj()
-        try:
-            body = inflater.decompress(body, MAX_BODY_BYTES)
-        except zlib.error as exc:
-            raise ValueError(f"body: {exc}") from exc
-        if not inflater.eof:
-            raise ValueError("body too large, or cut short")
-    return cbor2.loads(body)
+    """Return what the body of a fact says; raises ValueError for one that can't be read."""
+    return cbor2.loads(inflate(entry.body) if entry.deflated else entry.body)
 
 
 def encode_entry(entry: Entry, age: int) -> bytes:
@@ -91,6 +100,19 @@
     return cbor2.dumps(fields)
 
 
+def deflate_rows(frame: Rows) -> Rows:
+    """Return a frame with its large values deflated: a configuration shrinks to an eighth."""
+    large = [key for key, raw in frame.values.items() if raw and len(raw) >= DEFLATE_FROM]
+    values = {key: deflate(raw) if key in large else raw for key, raw in frame.values.items()}
+    return replace(frame, values=values, deflated=large)
+
+
+def inflate_rows(frame: Rows) -> dict[str, bytes | None]:
+    """Return the values of a frame; raises ValueError for what can't be read."""
+    large = set(frame.deflated)
+    return {key: inflate(raw) if raw and key in large else raw for key, raw in frame.values.items()}
+
+
 def encode_update(entries: Sequence[bytes], stamp: int) -> bytes:
     """Return the bytes of an update whose facts are written already.
 
--- a/peridotdock/platform/wire.py
+++ b/peridotdock/platform/wire.py
@@ -67,8 +67,6 @@
 class PlatformWire:
     """The platform's form of requests and answers."""
 
-    not_run_header = NOT_RUN
-
     def read_request(self, headers: Iterable[tuple[bytes, bytes]]) -> RequestHead | Failure:
         """Decode the head of a caller's request."""
         rows = [(k.decode("latin-1").lower(), v.decode("latin-1")) for k, v in headers]
@@ -108,6 +106,7 @@
             status=status,
             attempt_id=headers.get(ATTEMPT, ""),
             not_run=status == MISDIRECTED or NOT_RUN in headers,
+            misdirected=status == MISDIRECTED,
             receipt=headers.get(RECEIPT, ""),
             content_type=headers.get("content-type", "application/octet-stream"),
             headers=tuple(
--- a/peridotdock/relay/absent.py
+++ b/peridotdock/relay/absent.py
@@ -7,7 +7,7 @@
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.asks import ModelWish, RelayAsk
-from peridotdock.relay.book import EndpointBook
+from peridotdock.relay.book import EndpointBook, name_wish
 from peridotdock.relay.caller import CallerEnd
 from peridotdock.relay.peers import Peers
 from peridotdock.requests import Loss, State, lose
@@ -117,6 +117,4 @@
 
 def name_item(service: str, wish: ModelWish | None) -> str:
     """Return the name under which a model or adapter is asked for."""
-    if wish is None:
-        return service
-    return f"{wish.model}/{wish.adapter}" if wish.adapter else wish.model
+    return service if wish is None else name_wish(wish)
--- a/peridotdock/relay/asks.py
+++ b/peridotdock/relay/asks.py
@@ -95,6 +95,11 @@
     on_disk: frozenset[str] = frozenset()
     born: int = 0
 
+    def items(self) -> set[str]:
+        """Return the names of the models and adapters that it holds."""
+        adapters = (f"{name}/{a}" for name, row in self.models.items() for a in row.adapters)
+        return {*self.models, *adapters}
+
 
 @dataclass(frozen=True, slots=True)
 class SendOptions:
@@ -110,13 +115,15 @@
 class AnswerHead:
     """The head of an endpoint's answer.
 
-    ``not_run`` is the endpoint's word that it did not run the request. ``receipt`` proves that the
-    answer is the endpoint's own. ``headers`` go back to the caller unchanged.
+    ``not_run`` is the endpoint's word that it did not run the request; ``misdirected`` that it is
+    not the one named, or does not hold the model or adapter. ``receipt`` proves that the answer is
+    the endpoint's own. ``headers`` go back to the caller unchanged.
     """
 
     status: int
     attempt_id: str
     not_run: bool
+    misdirected: bool
     receipt: str
     content_type: str
     headers: tuple[tuple[str, str], ...]
--- a/peridotdock/relay/book.py
+++ b/peridotdock/relay/book.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from peridotdock.clock import Clock
@@ -31,6 +31,9 @@
 MOST_PARTS = 2000
 # Fewest tokens from which a time for one token is learnt: below, the step dominates.
 LEAST_TOKENS = 400
+# Seconds for which an endpoint that refused a request, as it does not hold the model or adapter, is
+# taken at its word against what was heard of it before: an entry comes each 1.2 s.
+LACKS_SECONDS = 1.5
 
 
 @dataclass(slots=True)
@@ -64,6 +67,18 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Lack:
+    """An endpoint's word that it does not hold something, and when it said so.
+
+    ``confirmed`` is set once what is heard of the endpoint says the same: from then on that counts,
+    and tells when the thing is there.
+    """
+
+    at: float
+    confirmed: bool = False
+
+
 @dataclass
 class EndpointState:
     """One start of an endpoint as seen from this host."""
@@ -76,6 +91,7 @@
     ahead: int = 0
     heard: HeardNews | None = None
     gone: bool = False
+    lacked: dict[str, Lack] = field(default_factory=dict)
 
     def takes_work(self) -> bool:
         """Tell whether requests may still be sent there."""
@@ -93,7 +109,10 @@
         that gave it is newer. A load that is done shows in the entry first.
         """
         heard = self.heard
-        item = f"{wish.model}/{wish.adapter}" if wish.adapter else wish.model
+        item = name_wish(wish)
+        lack = self.lacked.get(item)
+        if lack is not None and not lack.confirmed and now - lack.at <= LACKS_SECONDS:
+            return False
         if heard is not None and now - heard.at <= NEWS_SECONDS:
             if wish.model in heard.news.dropping:
                 return False
@@ -102,6 +121,38 @@
         held = self.entry.models.get(wish.model)
         return held is not None and (not wish.adapter or wish.adapter in held.adapters)
 
+    def note_lack(self, wish: ModelWish, now: float) -> None:
+        """Note the endpoint's word that it does not hold what is wished for.
+
+        Failure guarded against: a model was dropped a moment ago, or an adapter is on its way. What
+        was heard of the endpoint still names it, so a request was sent there three times within
+        four milliseconds, and its caller told to come back.
+        """
+        kept = {name: row for name, row in self.lacked.items() if now - row.at <= LACKS_SECONDS}
+        self.lacked = kept | {name_wish(wish): Lack(now)}
+
+    def lacks_unheard(self, now: float) -> bool:
+        """Tell whether what is heard of the endpoint still names something that it lacks."""
+        rows = self.lacked.values()
+        return any(not row.confirmed and now - row.at <= LACKS_SECONDS for row in rows)
+
+    def take_entry(self, entry: EndpointEntry) -> None:
+        """Take in the endpoint's own entry."""
+        if entry is not self.entry:
+            self.entry = entry
+            self._confirm_lacks(entry.items())
+
+    def take_news(self, heard: HeardNews | None) -> None:
+        """Take in what the host that orders engines said of this one."""
+        self.heard = heard
+        if heard is not None:
+            self._confirm_lacks(heard.items)
+
+    def _confirm_lacks(self, items: Collection[str]) -> None:
+        for name, row in self.lacked.items():
+            if name not in items:
+                self.lacked[name] = Lack(row.at, confirmed=True)
+
     def load(self, now: float) -> tuple[int, int]:
         """Return requests and unread prompt tokens there, ours and those of other hosts."""
         running, tokens = len(self.flights), self.ahead
@@ -148,6 +199,11 @@
     return 0 < heard.news.born < entry.born
 
 
+def name_wish(wish: ModelWish) -> str:
+    """Return the name of the model, or of the adapter of one, that is wished for."""
+    return f"{wish.model}/{wish.adapter}" if wish.adapter else wish.model
+
+
 def cache_place(wish: ModelWish) -> str:
     """Return under what an engine keeps prompt parts: one model with one adapter."""
     return f"{wish.model}/{wish.adapter}"
@@ -173,7 +229,7 @@
             state = old.get(entry.incarnation)
             if state is None or state.entry.born != entry.born:
                 state = next_start(state, entry)
-            state.entry = entry
+            state.take_entry(entry)
             self.states[entry.incarnation] = state
         for key, state in old.items():
             state.gone = self.states.get(key) is not state
@@ -232,7 +288,8 @@
         news = {row.endpoint: HeardNews(row, frozenset(row.items), at) for row in rows}
         for key, state in self.states.items():
             heard = news.get(key)
-            state.heard = None if heard is None or out_of_date(heard, state.entry) else heard
+            old = heard is None or out_of_date(heard, state.entry)
+            state.take_news(None if old else heard)
         self._tell()
 
     def take_others(self, loads: Mapping[str, OthersLoad]) -> None:
--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -18,6 +18,7 @@
     wait_after,
 )
 from peridotdock.errors import Failure, Kind, failed
+from peridotdock.frames import inflate_rows
 from peridotdock.schema.messages import Rows
 
 NEVER = float("-inf")
@@ -198,7 +199,7 @@
             return True
         if frame.version > known and (frame.values or frame.whole):
             try:
-                self._put(frame.values, frame.whole)
+                self._put(inflate_rows(frame), frame.whole)
             except Exception as exc:
                 self._note_bad(exc)
                 self._miss(frame.version)
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -74,7 +74,7 @@
         self.settings = settings
         self.adapter = adapter
         self.store = adapter.open_store(settings.store, ctx.metrics)
-        self.endpoints = HttpEndpoints(adapter.wire.not_run_header)
+        self.endpoints = HttpEndpoints(not_run_header=None)
         self.book = EndpointBook(settings.domain, ctx.clock)
         self.peers = Peers(ctx, settings, self.book, lambda digest: b"")
         self.room = WaitingRoom(ctx, self.book, self.peers)
@@ -137,7 +137,7 @@
         adapter, bounds = self.adapter, self.settings.bounds
         return [
             self.views.follow(
-                adapter.config_table, self._take_config, bounds.config, True, CONFIG_PAUSE
+                adapter.config_table, self._take_config, bounds.config, pause=CONFIG_PAUSE
             ),
             self.views.follow(adapter.endpoint_table, self._take_endpoints, bounds.leaving),
         ]
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -88,7 +88,8 @@
     ) -> None:
         """Bring the wards up to the entries, plan, and begin what is due.
 
-        ``down`` are endpoints that some host could not connect to: a look tells whether that is so.
+        ``down`` are endpoints that some host could not connect to, or that refused a request for
+        what they were said to hold: a look tells what is so.
         """
         if not self._leadership.may_order():
             return
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -257,11 +257,15 @@
     def tell_wants(self) -> None:
         """Tell what requests on this host wait for."""
         now = self._ctx.clock.monotonic()
-        down = [key for key, state in self._book.states.items() if state.health.closed(now)]
+        down = [
+            key
+            for key, state in self._book.states.items()
+            if state.health.closed(now) or state.lacks_unheard(now)
+        ]
         self._tell("wants", WantsFact(dict(self.waiting), down))
 
     def down(self) -> set[str]:
-        """Return the endpoints that live hosts could not connect to."""
+        """Return the endpoints that live hosts could not connect to, or found to lack something."""
         rows = alive_facts(self.board, self.membership, "wants")
         return {key for _, known in rows for key in known.fact.down}
 
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from peridotdock.clients.endpoint import Call, HttpEndpoints, Opened
+from peridotdock.clients.endpoint import Call, HttpEndpoints, Opened, read_all
 from peridotdock.clock import Clock
 from peridotdock.decisions.overload import connect_seconds
 from peridotdock.errors import Failure, Kind, failed
@@ -18,6 +18,11 @@
 
 T = TypeVar("T")
 SUCCESS = range(200, 300)
+# What an endpoint says that did not run a request: the connection is as good as before. Each new
+# one costs the endpoint a millisecond, and those that it refuses are the busiest.
+NOT_RUN = frozenset({Kind.ENDPOINT_REFUSED, Kind.ENDPOINT_LACKS})
+# Seconds that the rest of a refusal may take; its few bytes come with its head.
+REFUSAL_SECONDS = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +130,8 @@
         head = self._wire.read_answer(opened.status, opened.headers)
         fault = find_fault(head, ask.id)
         if fault is not None:
-            opened.abort()
+            if fault.kind in NOT_RUN:
+                await wait_for(read_all(opened), caller, REFUSAL_SECONDS)
             await opened.release()
             return fault
         return Sent(state, opened, head)
@@ -138,10 +144,12 @@
     the next request's is expected; or its place has been taken by another service. The first shows
     by the id, the second by the missing receipt. The connection is not used again.
     """
-    if head.not_run:
-        return Failure(Kind.ENDPOINT_REFUSED, f"status {head.status}")
     if head.attempt_id and head.attempt_id != attempt_id:
         return Failure(Kind.WRONG_ANSWER, "id of another request")
+    if head.misdirected:
+        return Failure(Kind.ENDPOINT_LACKS, f"status {head.status}")
+    if head.not_run:
+        return Failure(Kind.ENDPOINT_REFUSED, f"status {head.status}")
     if head.status in SUCCESS and not (head.receipt and head.attempt_id):
         return Failure(Kind.WRONG_ANSWER, "no receipt")
     return None
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -1,10 +1,12 @@
 """Serving one relayed request: place it, send it, repeat it where that is safe."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from peridotdock.clients.endpoint import HttpEndpoints, read_all
 from peridotdock.context import Context
+from peridotdock.decisions.again import pause_seconds
 from peridotdock.decisions.allowance import RetryAllowance
 from peridotdock.decisions.choice import Prediction, choose, unread
 from peridotdock.decisions.health import is_overdue
@@ -16,10 +18,10 @@
 from peridotdock.relay.attempt import Source, Whole
 from peridotdock.relay.book import EndpointBook, EndpointState
 from peridotdock.relay.caller import CallerEnd
-from peridotdock.relay.sending import SUCCESS, Sender, Sent, wait_for
+from peridotdock.relay.sending import NOT_RUN, SUCCESS, Sender, Sent, wait_for
 from peridotdock.relay.settings import Bounds
 from peridotdock.relay.wire import Wire
-from peridotdock.requests import RETRY_KINDS, admit_maybe
+from peridotdock.requests import RETRY_KINDS, Loss, State, admit_maybe, lose
 from peridotdock.turns import find_turns
 
 # Refused sends of one request: each was not run, but each is an arrival at the service.
@@ -116,6 +118,11 @@
         """Choose an endpoint, after waiting for one where none can serve the request yet."""
         wish = ask.head.wish
         states = self.book.usable(progress.service, wish)
+        if progress.refusals and all(state.key in progress.avoid for state in states):
+            refusal = await self._rest(ask, caller, progress)
+            if refusal is not None:
+                return refusal
+            states = self.book.usable(progress.service, wish)
         if not states:
             refusal = await self._room.wait(ask, progress.service, caller)
             if refusal is not None:
@@ -134,6 +141,13 @@
             return Failure(Kind.HOST_BEHIND, trouble, retry_after(self.ctx.rng.random))
         return found
 
+    async def _rest(self, ask: RelayAsk, caller: CallerEnd, progress: Progress) -> Failure | None:
+        """Wait until an endpoint that refused the request may have a place for it."""
+        left = ask.first_by - self.ctx.clock.monotonic()
+        seconds = pause_seconds(progress.refusals, left, self.ctx.rng.random)
+        await asyncio.wait({caller.left}, timeout=seconds)
+        return lose(State.ADMITTED, Loss.CALLER_GONE) if caller.gone() else None
+
     def may_repeat(
         self, ask: RelayAsk, caller: CallerEnd, progress: Progress, found: Whole | Failure
     ) -> bool:
@@ -261,7 +275,7 @@
             state.health.erred(now) if erred else state.health.succeeded()
             return
         progress.maybe_ran += found.may_have_run
-        progress.refusals += found.kind is Kind.ENDPOINT_REFUSED
+        progress.refusals += found.kind in NOT_RUN
         self.note_loss(ask, state, found)
 
     def _note_overdue(
@@ -289,6 +303,11 @@
         now = self.ctx.clock.monotonic()
         if found.kind is Kind.ENDPOINT_REFUSED:
             state.health.erred(now)
+        elif found.kind is Kind.ENDPOINT_LACKS and ask.head.wish is not None:
+            state.note_lack(ask.head.wish, now)
+        elif found.kind is Kind.ENDPOINT_LACKS:
+            # A plain service lacks nothing: its address has been taken by another.
+            state.health.unreachable(now)
         elif found.kind is Kind.ENDPOINT_UNREACHABLE:
             state.health.unreachable(now)
             self.on_down(state.key)
--- a/peridotdock/relay/views.py
+++ b/peridotdock/relay/views.py
@@ -6,6 +6,7 @@
 from peridotdock.clients.tables import TableChanges, Tables, TableView
 from peridotdock.context import Context
 from peridotdock.decisions.freshness import share_out
+from peridotdock.frames import deflate_rows
 from peridotdock.relay.following import NEVER, Follower, Take
 from peridotdock.relay.peers import Peers
 from peridotdock.schema.messages import Rows, RowsWanted
@@ -13,19 +14,29 @@
 # Seconds between two words of the host that reads for all on a table that has not changed: a third
 # of the shortest time for which it may be silent.
 WORD_SECONDS = 0.3
+# Bytes of a change, deflated, up to which it goes to all hosts over links: at 195 hosts that is 12
+# MB, a second of the host's link that passes it on. The configuration of 141 models has 6 KB. In
+# place of a call of the store by each host, for each change of it.
+MOST_TOLD_BYTES = 64 * 1024
+
+
+def count_bytes(frame: Rows) -> int:
+    """Return the bytes of the values in a frame."""
+    return sum(len(raw) for raw in frame.values.values() if raw)
 
 
 @dataclass
 class Followed:
     """One followed table. ``bound`` is how soon a change must be seen, in seconds.
 
-    ``named`` tells that others hear only that it has changed, and read it themselves: it is large
-    and changes seldom. ``beat`` and ``told_at`` are those of this host's last word on it.
+    ``most_told`` are the most bytes of a change, deflated, that are told; of a larger one others
+    hear only that there is one, and read it themselves. ``beat`` and ``told_at`` are those of this
+    host's last word on it.
     """
 
     follower: Follower
     bound: float
-    named: bool
+    most_told: int
     beat: int = 0
     told_at: float = NEVER
 
@@ -43,7 +54,12 @@
         peers.mesh.on_wanted = self._give
 
     def follow(
-        self, table: str, take: Take, bound: float, named: bool = False, pause: float | None = None
+        self,
+        table: str,
+        take: Take,
+        bound: float,
+        most_told: int = MOST_TOLD_BYTES,
+        pause: float | None = None,
     ) -> Follower:
         """Return the follower of a table, to be run; ``pause`` goes before the bound's share."""
         limits = share_out(bound)
@@ -53,7 +69,7 @@
         follower.tell = lambda found, after: self._tell(table, found, after)
         follower.ask_hosts = lambda after: self._peers.mesh.want_rows(table, after)
         follower.on_lost = lambda: self._say_unchanged(table)
-        self._followed[table] = Followed(follower, bound, named)
+        self._followed[table] = Followed(follower, bound, most_told)
         return follower
 
     def _reads(self) -> bool:
@@ -78,9 +94,10 @@
         row = self._followed[table]
         row.beat += 1
         row.told_at = self._ctx.clock.monotonic()
-        named = row.named and (bool(values) or whole)
-        frame = self._frame(row, after, version, {} if named else values)
-        frame = replace(frame, changed=named, whole=whole and not named, lost=row.follower.lost())
+        frame = self._frame(row, after, version, values)
+        frame = replace(frame, whole=whole, lost=row.follower.lost())
+        if count_bytes(frame) > row.most_told:
+            frame = replace(frame, values={}, deflated=[], whole=False, changed=True)
         self._peers.mesh.send_rows(frame)
 
     def _frame(
@@ -88,8 +105,9 @@
     ) -> Rows:
         age = round(row.follower.age() * 1000)
         origin = self._ctx.incarnation
-        return Rows(
-            "rows", row.follower.table, origin, row.beat, after, version, dict(values), age=age
+        table = row.follower.table
+        return deflate_rows(
+            Rows("rows", table, origin, row.beat, after, version, dict(values), age=age)
         )
 
     def keep_telling(self) -> None:
--- a/peridotdock/relay/wire.py
+++ b/peridotdock/relay/wire.py
@@ -10,8 +10,6 @@
 class Wire(Protocol):
     """Reads callers' requests and endpoints' answers, and writes what goes to either."""
 
-    not_run_header: str
-
     def read_request(self, headers: Iterable[tuple[bytes, bytes]]) -> RequestHead | Failure:
         """Decode the head of a caller's request, or say what is wrong with it."""
 
--- a/peridotdock/requests.py
+++ b/peridotdock/requests.py
@@ -54,6 +54,7 @@
 RETRY_KINDS = frozenset(
     {
         Kind.ENDPOINT_REFUSED,
+        Kind.ENDPOINT_LACKS,
         Kind.ENDPOINT_UNREACHABLE,
         Kind.ENDPOINT_LOST,
         Kind.ENDPOINT_ERROR,
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -193,6 +193,10 @@
     """
     The origin's last call on the table was lost: others are to ask for themselves.
     """
+    deflated: list[str] = field(default_factory=list)
+    """
+    Keys whose values are deflated (zlib).
+    """
 
 
 @dataclass(frozen=True)
@@ -424,7 +428,7 @@
     """
     down: list[str] = field(default_factory=list)
     """
-    Endpoints to which the origin could make no connection lately.
+    Endpoints to which the origin could make no connection lately, or that lacked what they were said to hold.
     """
 
 
--- /dev/null
+++ b/tests/relay/test_refused.py
@@ -0,0 +1,154 @@
+"""Requests that endpoints refuse: what they lack, and places that are taken for a moment."""
+
+import asyncio
+import json
+import random
+import unittest
+from dataclasses import replace
+
+from nose2.tools import params
+
+from peridotdock.decisions.again import FIRST_SECONDS, MOST_SHARE, pause_seconds
+from peridotdock.decisions.health import Health
+from peridotdock.relay.asks import EndpointEntry, HeldModel, ModelWish
+from peridotdock.relay.book import LACKS_SECONDS, EndpointState, HeardNews
+from peridotdock.schema.messages import EngineNews
+from tests.relay.deployment import Deployment
+from tests.relay.test_relay import run
+
+WISH = ModelWish("m0", "a1", 900, 20, ())
+ITEMS = frozenset({"m0", "m0/a1"})
+
+
+def attempts(runner):
+    return [headers["x-attempt-id"] for _, _, headers, _ in runner.seen]
+
+
+class LackTest(unittest.TestCase):
+    def state(self):
+        held = {"m0": HeldModel(1, frozenset({"a1"}))}
+        return EndpointState(
+            EndpointEntry("e1", "s", "10.0.0.1:80", "north", 8, False, held), Health()
+        )
+
+    def hear(self, state, items, at):
+        news = EngineNews("e1", [*items], [], {})
+        state.take_news(HeardNews(news, frozenset(items), at))
+
+    @params(
+        ("at once", 0.0, (), False),
+        ("as long as an entry is old", LACKS_SECONDS, (), False),
+        ("later its entry counts", LACKS_SECONDS + 0.1, (), True),
+        ("news that repeats the error changes nothing", 0.5, (ITEMS, ITEMS), False),
+        ("news that knows", 0.5, ({"m0"},), False),
+        ("news that it has come since", 0.5, ({"m0"}, ITEMS), True),
+    )
+    def test_an_endpoints_own_word_goes_before_what_was_heard_of_it(
+        self, name, later, heard, expected
+    ):
+        state = self.state()
+        self.assertTrue(state.holds(WISH, 10.0))
+        state.note_lack(WISH, 10.0)
+        for items in heard:
+            self.hear(state, items, 10.0 + later)
+        self.assertEqual(expected, state.holds(WISH, 10.0 + later), name)
+
+    def test_an_entry_that_knows_lets_the_next_one_count(self):
+        state = self.state()
+        entry = state.entry
+        state.note_lack(WISH, 10.0)
+        state.take_entry(replace(entry, models={}))
+        self.assertFalse(state.holds(WISH, 10.1))
+        self.assertFalse(state.lacks_unheard(10.1))
+        state.take_entry(entry)
+        self.assertTrue(state.holds(WISH, 10.1))
+
+    @run
+    async def test_what_an_endpoint_lacks_is_waited_for(self):
+        """A caller is told to come back though its model is there in a quarter of a second.
+
+        An adapter was dropped, and the entry that says so is still on its way. The request went to
+        the same endpoint three times within four milliseconds, and was refused each time.
+        """
+        async with Deployment() as found:
+            runner, host = found.engines["e1"], found.hosts[0]
+            await found.until(host.leadership.holds)
+            runner.models["m0"].add("a1")
+            runner.on_change()
+            wish = ModelWish("m0", "a1", 0, 0, ())
+            await found.until(lambda: host.book.usable("engines", wish))
+            runner.models["m0"].clear()
+            asked = asyncio.create_task(found.ask("/recap/", model="m0/a1"))
+            await found.until(lambda: runner.seen)
+            await asyncio.sleep(0.2)
+            self.assertEqual(["a1"], attempts(runner))
+            runner.on_change()
+            status, _, _ = await asked
+            self.assertEqual(200, status)
+            self.assertEqual(["a1"] * 2, attempts(runner), runner.orders)
+
+    @run
+    async def test_what_an_endpoint_lacks_is_not_held_against_its_health(self):
+        """An endpoint gets nothing for seconds: some requests asked it for what it had dropped."""
+        async with Deployment() as found:
+            host = found.hosts[0]
+            state = host.book.states["e1"]
+            found.engines["e1"].models.clear()
+            refused = [found.ask("/recap/", f"r{n}", "m0", x_deadline_ms="450") for n in range(9)]
+            await asyncio.gather(*refused)
+            self.assertFalse(state.health.suspect(host.ctx.clock.monotonic()))
+
+
+class PlaceTest(unittest.TestCase):
+    @params((1, 1.0), (2, 2.0), (3, 4.0))
+    def test_waits_double(self, refusals, factor):
+        draws = random.Random(1)
+        waits = [pause_seconds(refusals, 60.0, draws.random) for _ in range(200)]
+        self.assertGreaterEqual(min(waits), 0.5 * factor * FIRST_SECONDS)
+        self.assertLessEqual(max(waits), 1.5 * factor * FIRST_SECONDS)
+        self.assertGreater(max(waits), 1.3 * min(waits))
+
+    @params((0.1, 0.1 * MOST_SHARE), (0.0, 0.0), (-1.0, 0.0))
+    def test_a_wait_leaves_time_for_the_answer(self, left, expected):
+        self.assertAlmostEqual(expected, pause_seconds(5, left, lambda: 0.5))
+
+    @run
+    async def test_a_place_that_is_taken_for_a_moment_is_waited_for(self):
+        """Brokers are told to come back, though a place was free forty milliseconds later.
+
+        A burst fills the only endpoint of a service. A refused request went there again at once.
+        """
+        async with Deployment() as found:
+            runner = found.pages["p1"]
+            runner.script = ["refuse"] * 2
+            began = asyncio.get_running_loop().time()
+            status, _, body = await found.ask("/fetch/")
+            waited = asyncio.get_running_loop().time() - began
+            self.assertEqual((200, b"whole answer"), (status, body))
+            self.assertGreaterEqual(waited, 1.5 * FIRST_SECONDS)
+
+    @run
+    async def test_a_refusal_keeps_its_connection(self):
+        """An endpoint that is full spends its time on new connections, a millisecond for each.
+
+        Each refusal closed the connection that it came over.
+        """
+        async with Deployment() as found:
+            runner = found.pages["p1"]
+            runner.script = ["refuse", "serve"] * 5
+            for number in range(5):
+                status, _, body = await found.ask("/fetch/", f"a{number}")
+                self.assertEqual((200, b"whole answer"), (status, body))
+            self.assertEqual(1, runner.connections)
+
+    @run
+    async def test_an_old_refusal_is_not_taken_for_this_ones(self):
+        """A caller is told that its binding has not run, and it has: two policies.
+
+        The refusal of an earlier request came late, where the answer to the next was expected.
+        """
+        async with Deployment() as found:
+            found.pages["p1"].script = ["refuse another"]
+            status, _, body = await found.ask("/bind/")
+            self.assertEqual(502, status, body)
+            self.assertEqual("wrong_answer", json.loads(body)["error"]["code"])
--- a/tests/relay/test_views.py
+++ b/tests/relay/test_views.py
@@ -1,6 +1,7 @@
 """How old a host's view of the store's tables may get, by the worst of each stage."""
 
 import asyncio
+import random
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
@@ -9,7 +10,7 @@
 from peridotdock.decisions.freshness import share_out, wait_after
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.following import LEAST_PAUSE, Follower
-from peridotdock.relay.views import WORD_SECONDS, Views
+from peridotdock.relay.views import MOST_TOLD_BYTES, WORD_SECONDS, Views
 from peridotdock.schema.messages import Rows, RowsWanted
 from tests.builders import make_ctx
 from tests.fakes import FakeClock, settle
@@ -123,7 +124,7 @@
 class HostViews:
     """The views of one host, with stand-ins for its links."""
 
-    def __init__(self, clock, wire, stored, bound, leads, named=False):
+    def __init__(self, clock, wire, stored, bound, leads, most_told=MOST_TOLD_BYTES):
         self.tables = FlakyTables(clock, stored)
         mesh = SimpleNamespace(
             send_rows=wire.send_rows, want_rows=wire.want_rows, on_rows=None, on_wanted=None
@@ -131,7 +132,7 @@
         peers = SimpleNamespace(mesh=mesh, has_leader=lambda: True)
         self.views = Views(make_ctx(clock, "h1"), self.tables, peers, lambda: leads)
         self.clock, self.seen = clock, {}
-        self.follower = self.views.follow("t", self._take, bound, named)
+        self.follower = self.views.follow("t", self._take, bound, most_told)
         if leads:
             wire.give = mesh.on_wanted or wire.give
         else:
@@ -234,11 +235,11 @@
 class StagesTest(unittest.IsolatedAsyncioTestCase):
     """Each way in which a host hears that an endpoint leaves, its stages at their worst."""
 
-    async def start(self, bound, hop, named=False):
+    async def start(self, bound, hop, most_told=MOST_TOLD_BYTES):
         self.clock = FakeClock()
         self.wire, stored = Wire(self.clock, hop), Stored()
-        self.reader = HostViews(self.clock, self.wire, stored, bound, True, named)
-        self.host = HostViews(self.clock, self.wire, stored, bound, False, named)
+        self.reader = HostViews(self.clock, self.wire, stored, bound, True, most_told)
+        self.host = HostViews(self.clock, self.wire, stored, bound, False, most_told)
         self.frozen = False
         self.told_at = 0.0
         await self.run_for(3.0)
@@ -321,7 +322,7 @@
         """
         for bound, hop in HOPS:
             with self.subTest(bound):
-                await self.start(bound, hop, named=True)
+                await self.start(bound, hop, most_told=0)
                 self.host.tables.answers_from = self.clock.monotonic() + 60.0
                 self.assertLess(await self.until_seen(bound), bound)
 
@@ -337,6 +338,25 @@
                 self.assertEqual(before, len(self.host.tables.calls))
                 self.assertIn("other", self.host.seen)
 
+    async def test_a_configuration_costs_one_call_and_not_one_of_each_host(self):
+        """Each change of the configuration costs 195 calls of the store, all at one moment.
+
+        Hosts heard only that it had changed, and each read it. One that hardly shrinks is still
+        read by each, so that it doesn't hold up all else on the links.
+        """
+        cases = (
+            ("as configurations are", b'{"name": "route", "kind": "stream"},' * 1000, 0),
+            ("one that hardly shrinks", random.Random(1).randbytes(MOST_TOLD_BYTES + 1), 1),
+        )
+        for name, config, calls in cases:
+            with self.subTest(name):
+                await self.start(3.0, 0.1)
+                before = len(self.host.tables.calls)
+                self.reader.tables.change("config", config)
+                await self.run_for(2.0)
+                self.assertEqual(config, self.host.seen["config"][0])
+                self.assertEqual(calls, len(self.host.tables.calls) - before)
+
     async def test_a_host_that_was_told_nothing_of_a_forgotten_history_gets_the_whole(self):
         """The store drops its history; the reader reads the table whole and passes that on."""
         await self.start(2.0, 0.1)
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -4,10 +4,12 @@
 Its old connections stay as they are and nobody answers on them, as after a crash behind a cut.
 
 What it does with a request is the next of ``script``, or "serve": ``refuse`` (not run), ``error``,
+``refuse another`` (the refusal of another request, though it runs this one),
 ``cut`` (half of an answer, then the connection ends), ``silent`` (no answer for good), ``foreign``
 (the id of another request), ``unsigned`` (no receipt), ``extra`` (a second answer behind the
 first). ``pace`` are seconds before each event or answer, ``most_held`` the most models it had at
 once. What reaches it is kept in ``seen``; what ran, in ``ran``; what was left, in ``left``.
+``connections`` counts those that were made to it.
 """
 
 import asyncio
@@ -29,6 +31,7 @@
         self.seen = []
         self.ran = []
         self.left = []
+        self.connections = 0
         self.orders = []
         self.events = EVENTS
         self.hold = None
@@ -67,6 +70,7 @@
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
+        self.connections += 1
         born = self.born
         try:
             while await self._one(reader, writer, born):
@@ -118,10 +122,16 @@
         if headers.get("x-target-instance") != self.name:
             writer.write(frame(421, b"", {}))
             return True
+        if "x-model" in headers and not self._holds(headers["x-model"]):
+            writer.write(frame(421, b"", {"x-attempt-id": attempt}))
+            return True
         if step == "refuse":
             writer.write(frame(503, b"", {"x-not-executed": "1"}))
             return True
         self.ran.append(attempt)
+        if step == "refuse another":
+            writer.write(frame(503, b"", {"x-not-executed": "1", "x-attempt-id": "another"}))
+            return True
         await asyncio.sleep(0 if "x-model" in headers else self.pace)
         if step == "silent":
             return await self._wait_for_close(reader, attempt)
@@ -143,6 +153,10 @@
         await writer.drain()
         return True
 
+    def _holds(self, item):
+        model, _, adapter = item.partition("/")
+        return model in self.models and (not adapter or adapter in self.models[model])
+
     async def _stream(self, reader, writer, headers, signed, step):
         first = int(headers.get("last-event-id", 0)) + 1
         rows = "".join(f"{name}: {value}\r\n" for name, value in signed.items())
