--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -54,6 +54,9 @@
 URGENT_SECONDS = 0.35
 OTHERS_SECONDS = 8.0
 STANDBYS = 2
+# Seconds after a start for which a host without a configuration leaves the lease alone. After them
+# some host takes it: until then each reads the store for itself, two calls in each 1.2 s.
+MEET_SECONDS = 1.0
 # Seconds between two plans when nothing calls for one.
 PLAN_SECONDS = 0.5
 # Plans in a row that may fail before another host is to try: two and a half seconds of them.
@@ -101,6 +104,7 @@
         self.leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         self._heard_term = 0
+        self._started_at = ctx.clock.monotonic()
         self._entries = EntryReader(ctx, self.book, adapter.decode_endpoint, self._drop_connections)
         self._failed_plans = 0
         listen = settings.listen
@@ -184,8 +188,17 @@
             return OTHERS_SECONDS
         return STANDBY_SECONDS if self.peers.has_leader() else URGENT_SECONDS
 
+    def _has_met_others(self) -> bool:
+        """Tell whether this host has had the time to link to others, or has no time to lose.
+
+        Hosts that start together each think at first that they are alone, and all of them would
+        try for the lease. Where a configuration is in force, callers wait for orders already.
+        """
+        started_for = self.ctx.clock.monotonic() - self._started_at
+        return self.front.deployment is not None or started_for >= MEET_SECONDS
+
     async def _step_lease(self) -> None:
-        if self.leaving or self.front.deployment is None:
+        if self.leaving or not self._has_met_others():
             return
         if self.leadership.term or self._stands_by() or not self.peers.has_leader():
             await self.leadership.step()
--- a/tests/relay/test_hubs.py
+++ b/tests/relay/test_hubs.py
@@ -76,6 +76,22 @@
             await found.until(lambda: len(hubs(found)) == 1 and all_live(found))
 
 
+class NoConfigurationTest(unittest.TestCase):
+    @run
+    async def test_one_host_reads_the_store_before_there_is_a_configuration(self):
+        """Hosts that wait for their first configuration make more calls of the store than all later.
+
+        Nobody took the lease without one, so nobody read the store for the others.
+        """
+        async with Deployment(hosts=3) as found:
+            await found.until(lambda: any(h.leadership.holds() for h in found.hosts))
+            [holder] = [h for h in found.hosts if h.leadership.holds()]
+            for host in found.hosts:
+                host.front.deployment = None
+            await holder.leadership.give_up()
+            await found.until(lambda: any(h.leadership.holds() for h in found.hosts))
+
+
 class TurnedAwayTest(unittest.TestCase):
     @run
     async def test_a_configuration_comes_over_links_where_the_store_turns_a_host_away(self):
