--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -6,6 +6,7 @@
 
 from peridotdock.clients.endpoint import HttpEndpoints, read_all
 from peridotdock.context import Context
+from peridotdock.decisions.admission import judge_wait
 from peridotdock.decisions.again import pause_seconds
 from peridotdock.decisions.allowance import RetryAllowance
 from peridotdock.decisions.choice import Prediction, choose, unread
@@ -132,9 +133,14 @@
         if not candidates:
             # All were tried: the one that cut a stream short may still be the one that has it.
             candidates = self.book.candidates(states, wish, frozenset())
-        found = choose(candidates, self.book.work(progress.service, wish), self.ctx.rng)
+        work = self.book.work(progress.service, wish)
+        found = choose(candidates, work, self.ctx.rng)
         if found is None:
             return Failure(Kind.NO_ENDPOINT, progress.service, ABSENT_RETRY_SECONDS)
+        crowd = judge_wait(found, work, ask.route.target, ask.route.rank)
+        if crowd is not None and not progress.maybe_ran:
+            reason = f"a wait of {crowd.wait:.2f} s, {crowd.allowed:.2f} allowed"
+            return Failure(Kind.OVERLOADED, reason, crowd.retry_after(self.ctx.rng.random))
         left = ask.deadline - self.ctx.clock.monotonic()
         trouble = judge_send(left, found.seconds, self._turns.usual())
         if trouble is not None:
--- a/tests/relay/test_hubs.py
+++ b/tests/relay/test_hubs.py
@@ -79,7 +79,7 @@
 class NoConfigurationTest(unittest.TestCase):
     @run
     async def test_one_host_reads_the_store_before_there_is_a_configuration(self):
-        """Hosts that wait for their first configuration make more calls of the store than all later.
+        """Hosts that wait for their first configuration make more store calls than all later.
 
         Nobody took the lease without one, so nobody read the store for the others.
         """
