--- a/peridotdock/membership.py
+++ b/peridotdock/membership.py
@@ -19,9 +19,12 @@
 HOSTS_PER_BEAT_SECOND = 70
 SILENT_BEATS = 4
 FORGET_SECONDS = 120.0
-# Seconds for which a host counts as alive after the last link to it went: it dials another within
-# half a second, and hosts notice the loss of one that all were linked to some 0.5 s apart.
-PARTED_SECONDS = 2.0
+# Seconds for which a host counts as alive after the last link to it went. It dials another within
+# half a second; with the 2.5 s after which a silent link is found, and half a second until all have
+# heard of it, a machine that lost its power is named to callers for four seconds at most.
+PARTED_SECONDS = 1.0
+# The same on a host that reaches nobody, which can't tell its own trouble from that of all others.
+ALONE_SECONDS = 2.0
 NOBODY: frozenset[str] = frozenset()
 KEPT_BEATS = 64
 
@@ -111,12 +114,10 @@
         return MappingProxyType(self._members)
 
     def _silent_limit(self, reached: frozenset[str]) -> float:
-        """Return the seconds after which a host that is not reached counts as dead.
-
-        A host that reaches nobody can't tell its own trouble from that of all others, so it waits
-        for as long as heartbeats take to go missing.
-        """
-        return PARTED_SECONDS if reached else SILENT_BEATS * self.beat_seconds()
+        """Return the seconds after which a host that is not reached, or not heard, is dead."""
+        if self._links is None:
+            return SILENT_BEATS * self.beat_seconds()
+        return PARTED_SECONDS if reached else ALONE_SECONDS
 
     def _look_at_all(self, now: float) -> None:
         rows = self._board.on("host")
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -84,6 +84,7 @@
         self._fact_bytes = {topic: ctx.metrics.fact_bytes.labels(topic) for topic in TOPICS}
         self._sender = LinkSender(ctx)
         self._failed_at: dict[str, float] = {}
+        self._last_heard: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wanted: dict[str, asyncio.Future[bytes]] = {}
         self._server: Server | None = None
@@ -119,6 +120,10 @@
         """Return the names of the hosts at the other ends of the links."""
         return {link.peer.host for link in self._links}
 
+    def last_heard(self, host: str) -> float:
+        """Return when the last word came over the last link to a host that has ended."""
+        return self._last_heard.get(host, float("-inf"))
+
     def connect_to(self, addresses: dict[str, str]) -> None:
         """Dial those among ``addresses`` (IP:PORT by host) that are wanted and have no link yet."""
         linked = self.peers()
@@ -215,6 +220,7 @@
             await self._read(link)
         finally:
             self._links.discard(link)
+            self._last_heard[peer.host] = link.heard_at
             self._tell_links()
             for job in jobs:
                 job.cancel()
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -151,7 +151,9 @@
     async def _look_round(self) -> None:
         self.peers.membership.sweep()
         self.peers.link()
-        self.service.hosts = len(self.peers.membership.live())
+        # All that are known, also those out of reach: what each may repeat must not add up to more
+        # than the whole while hosts don't hear each other.
+        self.service.hosts = len(self.peers.membership.members())
         self.views.note_ages()
 
     def _word_seconds(self, least: float) -> float:
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -69,7 +69,7 @@
             0,
             int(settings.strong),
         )
-        reach = Reach(self.board, ctx.clock, settings.host, self.mesh.peers)
+        reach = Reach(self.board, ctx.clock, settings.host, self.mesh.peers, self.mesh.last_heard)
         self.membership = Membership(self.board, own, ctx.clock, reach)
         self.meter = DemandMeter(PEAK_SECONDS)
         self.waiting: dict[str, int] = {}
--- a/peridotdock/relay/reach.py
+++ b/peridotdock/relay/reach.py
@@ -15,14 +15,24 @@
     """The hosts that this one reaches, over as many links as it takes.
 
     A link counts when both ends tell of it: one that is gone for good tells of its links no more,
-    but the last that it told of them is still known.
+    but the last that it told of them is still known. ``peers`` gives the hosts at the other ends of
+    this one's links, ``heard_at`` when the last word came from one whose link has ended.
     """
 
-    def __init__(self, board: Board, clock: Clock, host: str, peers: Callable[[], set[str]]):
+    def __init__(
+        self,
+        board: Board,
+        clock: Clock,
+        host: str,
+        peers: Callable[[], set[str]],
+        heard_at: Callable[[str], float],
+    ):
         self._board = board
         self._clock = clock
         self._host = host
         self._peers = peers
+        self._heard_at = heard_at
+        self._direct: frozenset[str] = frozenset()
         self._found: frozenset[str] = frozenset()
         self._parted: dict[str, float] = {}
         self._changed_at: float | None = clock.monotonic()
@@ -48,9 +58,17 @@
         self._parted.pop(host, None)
 
     def _look(self, changed_at: float) -> None:
+        """Search anew, and note which hosts are not reached any more.
+
+        Failure guarded against: a machine loses its power, its link is found silent after two
+        seconds, and only from then on are those counted for which a host may be out of reach. A
+        host at the other end of an own link counts from its last word.
+        """
         before, self._found = self._found, self._search()
+        direct, self._direct = self._direct, frozenset(self._peers())
         for host in before - self._found:
-            self._parted[host] = changed_at
+            heard_at = self._heard_at(host) if host in direct else changed_at
+            self._parted[host] = min(changed_at, heard_at)
         for host in self._found - before:
             self._parted.pop(host, None)
 
--- a/tests/relay/test_reach.py
+++ b/tests/relay/test_reach.py
@@ -6,7 +6,8 @@
 from nose2.tools import params
 
 from peridotdock.board import Board
-from peridotdock.membership import PARTED_SECONDS, Membership
+from peridotdock.links import SILENT_SECONDS
+from peridotdock.membership import ALONE_SECONDS, PARTED_SECONDS, Membership
 from peridotdock.relay.reach import Reach
 from peridotdock.schema.messages import HostFact, LinksFact
 from tests.fakes import FakeClock
@@ -28,7 +29,14 @@
         self.clock = FakeClock()
         self.board = Board(own, 1, self.clock)
         self.peers = set()
-        self.reach = Reach(self.board, self.clock, own, lambda: self.peers)
+        self.heard_at = {}
+        self.reach = Reach(
+            self.board,
+            self.clock,
+            own,
+            lambda: self.peers,
+            lambda host: self.heard_at.get(host, self.clock.monotonic()),
+        )
         self.members = Membership(self.board, host_fact(own), self.clock, self.reach)
         self.boards = {own: self.board}
 
@@ -104,14 +112,36 @@
         self.assertEqual([*"abcd"], self.world.live())
 
     async def test_a_host_without_links_waits_for_longer(self):
-        """A host whose own links are lost for three seconds names itself alone to callers."""
+        """A host whose own links are lost for a second names itself alone to callers."""
         self.world.clock.advance(60.0)
         self.world.link(a="")
-        self.world.clock.advance(PARTED_SECONDS + 0.5)
+        self.world.clock.advance(ALONE_SECONDS - 0.1)
         self.assertEqual([*"abcd"], self.world.live())
-        self.world.clock.advance(PARTED_SECONDS + 0.5)
+        self.world.clock.advance(0.2)
         self.assertEqual(["a"], self.world.live())
 
+    @params(
+        ("the hub, found silent here", {"a": ""}, SILENT_SECONDS + 0.5, 0.0),
+        ("another, found silent by the hub", {"b": "ac"}, SILENT_SECONDS + 1.0, PARTED_SECONDS),
+    )
+    def test_a_machine_without_power_is_not_named_for_long(self, name, links, found_after, more):
+        """Callers connect to a machine that has been off for six seconds, and wait for nothing.
+
+        It was the hub. Its links were found silent after two seconds, and the time for which a host
+        may be out of reach was counted from there, at four seconds where no link was left.
+        """
+        world = self.world
+        world.clock.advance(60.0)
+        off = world.clock.monotonic()
+        dead = "b" if "a" in links else "d"
+        world.heard_at[dead] = off
+        world.clock.advance(found_after)
+        world.link(**links)
+        world.live()
+        world.clock.advance(more + 0.01)
+        self.assertNotIn(dead, world.live(), name)
+        self.assertLessEqual(world.clock.monotonic() - off, 4.1)
+
     async def test_a_host_whose_word_is_old_is_kept_until_its_links_are_heard_of(self):
         """A host that has just started never names some others to callers.
 
