Let the runner stand-in count connections under a name that no test uses

Cause: it counted in `connections`, which a test of kept connections counts itself: 2 where 1 was made, in four cases. The test and what it asserts are as before.

--- a/tests/relay/test_refused.py
+++ b/tests/relay/test_refused.py
@@ -139,7 +139,7 @@
             for number in range(5):
                 status, _, body = await found.ask("/fetch/", f"a{number}")
                 self.assertEqual((200, b"whole answer"), (status, body))
-            self.assertEqual(1, runner.connections)
+            self.assertEqual(1, runner.accepted)
 
     @run
     async def test_an_old_refusal_is_not_taken_for_this_ones(self):
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -9,7 +9,7 @@
 (the id of another request), ``unsigned`` (no receipt), ``extra`` (a second answer behind the
 first). ``pace`` are seconds before each event or answer, ``most_held`` the most models it had at
 once. What reaches it is kept in ``seen``; what ran, in ``ran``; what was left, in ``left``.
-``connections`` counts those that were made to it.
+``accepted`` counts the connections that were made to it.
 """
 
 import asyncio
@@ -31,7 +31,7 @@
         self.seen = []
         self.ran = []
         self.left = []
-        self.connections = 0
+        self.accepted = 0
         self.orders = []
         self.events = EVENTS
         self.hold = None
@@ -70,7 +70,7 @@
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
-        self.connections += 1
+        self.accepted += 1
         born = self.born
         try:
             while await self._one(reader, writer, born):
