Turn away only what would wait for longer than its caller stays

Cause: the bound at the target turned away requests that would only have been late. Change: a request is turned away at once when it is expected to wait for longer than nine tenths of what its caller stays (one and a half times for the first rank). That can't be served; what is late is still owed.

--- a/peridotdock/decisions/admission.py
+++ b/peridotdock/decisions/admission.py
@@ -1,25 +1,21 @@
-"""Whether a request is sent to an engine at which it would wait too long.
-
-Load pattern: demand moves to a model that one engine holds, or callers come half as often again as
-the engines can bear. The queue grows until each request waits for as long as callers stay: the
-engine reads prompts whose callers leave, and what is served is late. With requests turned away at
-once when they would wait for longer than their target, and back when there is room, the engine does
-as much and most of it is in time. In a model of five engines, at twice the usual callers for four
-seconds of twelve, 0.594 of the worth was earned in place of 0.543; at a steady 1.3 times, 0.648 in
-place of 0.576; with callers as usual nothing changes.
+"""Whether a request is sent to an engine at which it would wait for longer than its caller stays.
+
+Load pattern: demand moves to a model that one engine holds, and the queue there grows until callers
+leave before their turn. They wait for nothing, and are not told when to come back. So a request
+that is expected to wait for longer than its caller stays is turned away at once. One that would
+only be late is sent on: its answer is worth something, and on a day of the smallest deployment a
+bound at the target turned 6.6% of requests away in place of 1.3%, and earned 0.57 in place of 0.66.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from peridotdock.decisions.choice import STEP_SECONDS, Prediction, Work, unread
+from peridotdock.decisions.choice import Prediction, Work
 
-# How many times its target a request may wait, by the rank of its route: engines serve the first
-# rank before all that waits there, so most of the queue is not before it; the last leaves room.
-WAIT_SHARES = (2.0, 1.0, 0.8)
-# Share of the target that a request may wait, however long its own prompt takes: else the largest
-# prompts would be turned away first.
-LEAST_WAIT_SHARE = 0.5
+# Share of the time that a caller stays which the wait may take, by the rank of its route. Engines
+# serve the first rank before all that waits there, so most of the queue is not before it; for the
+# others the expectation may be a tenth too short, as more urgent ones come after them.
+WAIT_SHARES = (1.5, 0.9)
 # Share of an engine's places below which nothing is turned away: what is thought to wait there may
 # have gone, as the word of other hosts is some tenths of a second old.
 BUSY_SHARE = 0.5
@@ -46,17 +42,14 @@
         return min(LONGEST_RETRY, max(SHORTEST_RETRY, seconds))
 
 
-def judge_wait(found: Prediction, work: Work, target: float, rank: int) -> Crowd | None:
+def judge_wait(found: Prediction, work: Work, left: float, rank: int) -> Crowd | None:
     """Return why a request is not to be sent to the engine that would answer it first, or None.
 
-    ``target`` is the route's time to the first event, in seconds.
+    ``left`` is how long its caller stays without a first event, in seconds. Plain services are left
+    out: how long one takes is known too roughly.
     """
     candidate = found.candidate
     if work.tokens == 0 or candidate.running < BUSY_SHARE * candidate.slots:
         return None
-    reading = unread(candidate, work) * work.per_token + STEP_SECONDS
-    own = candidate.slowness * reading
-    share = WAIT_SHARES[min(rank, len(WAIT_SHARES) - 1)]
-    allowed = share * (target - min(own, target * (1 - LEAST_WAIT_SHARE)))
-    wait = found.seconds - own
-    return Crowd(wait, allowed) if wait > allowed else None
+    allowed = WAIT_SHARES[min(rank, len(WAIT_SHARES) - 1)] * max(0.0, left)
+    return Crowd(found.seconds, allowed) if found.seconds > allowed else None
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -137,7 +137,8 @@
         found = choose(candidates, work, self.ctx.rng)
         if found is None:
             return Failure(Kind.NO_ENDPOINT, progress.service, ABSENT_RETRY_SECONDS)
-        crowd = judge_wait(found, work, ask.route.target, ask.route.rank)
+        stays = ask.first_by - self.ctx.clock.monotonic()
+        crowd = judge_wait(found, work, stays, ask.route.rank)
         if crowd is not None and not progress.maybe_ran:
             reason = f"a wait of {crowd.wait:.2f} s, {crowd.allowed:.2f} allowed"
             return Failure(Kind.OVERLOADED, reason, crowd.retry_after(self.ctx.rng.random))
