--- a/peridotdock/decisions/admission.py
+++ b/peridotdock/decisions/admission.py
@@ -3,8 +3,7 @@
 Load pattern: demand moves to a model that one engine holds, and the queue there grows until callers
 leave before their turn. They wait for nothing, and are not told when to come back. So a request
 that is expected to wait for longer than its caller stays is turned away at once. One that would
-only be late is sent on: its answer is worth something, and on a day of the smallest deployment a
-bound at the target turned 6.6% of requests away in place of 1.3%, and earned 0.57 in place of 0.66.
+only be late is sent on, as its answer is still worth something.
 """
 
 from collections.abc import Callable
