Take a silent stream back only when another endpoint may give it

It was the only engine with the model. Ruled out: the change of the configuration itself, which moves no stream. Change: silence counts as a loss only where another send is allowed, one is left in the allowance, and another endpoint in good health holds the model; else the stream is waited for to its deadline.

--- a/peridotdock/decisions/allowance.py
+++ b/peridotdock/decisions/allowance.py
@@ -31,13 +31,17 @@
 
     def take(self, now: float, hosts: int) -> bool:
         """Take a repeat; false when there is none left. ``hosts`` share the fixed number."""
-        self._trim(now)
-        allowed = self._share * len(self._requests) + self._extra / max(FEWEST_HOSTS, hosts)
-        if len(self._repeats) + 1 > allowed * HEADROOM:
+        if not self.has_left(now, hosts):
             return False
         self._repeats.append(now)
         return True
 
+    def has_left(self, now: float, hosts: int) -> bool:
+        """Tell whether there is a repeat left."""
+        self._trim(now)
+        allowed = self._share * len(self._requests) + self._extra / max(FEWEST_HOSTS, hosts)
+        return len(self._repeats) + 1 <= allowed * HEADROOM
+
     def _trim(self, now: float) -> None:
         for times in (self._requests, self._repeats):
             while times and times[0] <= now - self._window:
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -173,6 +173,21 @@
             return True
         return self._allowance(progress.service).take(now, self.hosts)
 
+    def may_move(self, ask: RelayAsk, progress: Progress, state: EndpointState) -> bool:
+        """Tell whether a stream that falls silent at an endpoint may be taken up at another.
+
+        Failure guarded against: the only endpoint with the model is crowded and gives no event for
+        a second. The stream is taken back and sent there again, waits for its turn anew, and is
+        broken off when it is silent once more, though the endpoint was at work on it.
+        """
+        if not ask.route.resumable or progress.maybe_ran >= ask.route.max_sends:
+            return False
+        now = self.ctx.clock.monotonic()
+        if not self._allowance(progress.service).has_left(now, self.hosts):
+            return False
+        states = self.book.usable(progress.service, ask.head.wish)
+        return any(other is not state and not other.health.suspect(now) for other in states)
+
     async def _attempt(
         self, ask: RelayAsk, caller: CallerEnd, progress: Progress, place: Prediction
     ) -> Whole | Source | Failure:
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -118,7 +118,7 @@
         if source.ended:
             return
         left = ask.deadline - service.ctx.clock.monotonic()
-        silent = ask.route.resumable and left > SILENCE_SECONDS
+        silent = left > SILENCE_SECONDS and service.may_move(ask, progress, source.state)
         fault = await source.fill(caller, SILENCE_SECONDS if silent else left, silent)
         if fault is not None:
             yield fault
--- a/tests/relay/test_refused.py
+++ b/tests/relay/test_refused.py
@@ -12,9 +12,10 @@
 from peridotdock.decisions.health import Health
 from peridotdock.relay.asks import EndpointEntry, HeldModel, ModelWish
 from peridotdock.relay.book import LACKS_SECONDS, EndpointState, HeardNews
+from peridotdock.relay.streaming import SILENCE_SECONDS
 from peridotdock.schema.messages import EngineNews
 from tests.relay.deployment import Deployment
-from tests.relay.test_relay import run
+from tests.relay.test_relay import ids, run
 
 WISH = ModelWish("m0", "a1", 900, 20, ())
 ITEMS = frozenset({"m0", "m0/a1"})
@@ -152,3 +153,23 @@
             status, _, body = await found.ask("/bind/")
             self.assertEqual(502, status, body)
             self.assertEqual("wrong_answer", json.loads(body)["error"]["code"])
+
+
+class SilentStreamTest(unittest.TestCase):
+    @run
+    async def test_a_stream_that_only_one_endpoint_can_give_is_waited_for(self):
+        """A draft breaks off in the middle, though the engine was at work on it all the time.
+
+        The only engine with the model is crowded and pauses for over a second. The stream was taken
+        back, sent to the same engine again, and broken off at its second pause.
+        """
+        async with Deployment() as found:
+            runner = found.engines["e1"]
+            runner.hold = asyncio.Event()
+            asked = asyncio.create_task(found.ask("/recap/", model="m0"))
+            await found.until(lambda: runner.ran)
+            await asyncio.sleep(SILENCE_SECONDS + 0.3)
+            runner.hold.set()
+            status, _, body = await asked
+            self.assertEqual((200, [*range(1, 7)]), (status, ids(body)))
+            self.assertEqual(["a1"], attempts(runner))
