Use no kept connection to an endpoint again after a crossed answer

Cause: when refusals began to keep their connections, the abort was dropped for all faults. And a crossed answer without a body is read to its end at once: its connection goes back before anybody can abort it, then as before this work, with this request's own answer still to come on it. Found in reading the change. Ruled out: the abort alone (the test still saw one connection used for both requests). Change: the abort is back, and kept connections to that address are not taken again. Figures: the test's two new lines fail before (1 connection) and pass after (2).

--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -132,6 +132,11 @@
         if fault is not None:
             if fault.kind in NOT_RUN:
                 await wait_for(read_all(opened), caller, REFUSAL_SECONDS)
+            else:
+                # Another answer may follow where the next request's is expected, and an answer that
+                # was read to its end has given its connection back already.
+                opened.abort()
+                self._endpoints.suspect(f"http://{state.entry.address}")
             await opened.release()
             return fault
         return Sent(state, opened, head)
--- a/tests/relay/test_refused.py
+++ b/tests/relay/test_refused.py
@@ -157,6 +157,8 @@
             status, _, body = await found.ask("/bind/")
             self.assertEqual(502, status, body)
             self.assertEqual("wrong_answer", json.loads(body)["error"]["code"])
+            self.assertEqual(200, (await found.ask("/bind/", "a2"))[0])
+            self.assertEqual(2, found.pages["p1"].accepted, "the connection was used again")
 
 
 class SilentStreamTest(unittest.TestCase):
