Log what attempts at one request share, and how long a broken answer had streamed

Cause of the need: no line carried anything of a request's content, so nobody could tell whether the requests at engine after engine that ended were the same one, coming again under another id. Ruled out: the prompt's tokens and model from `sent` lines as a mark: they fit only two shapes by chance of their sizes. Change: `send_lost` names the content (host name, method, target, model and body, hashed) and the seconds streamed, where an endpoint broke off; the runner stand-in can end at a request. Conclusion: kept; logs can now tell a request that ends engines from requests that were only there.

--- a/peridotdock/relay/attempt.py
+++ b/peridotdock/relay/attempt.py
@@ -81,7 +81,10 @@
 
 @dataclass
 class Source:
-    """One endpoint's part of a stream. ``ready`` are whole events that were not passed on yet."""
+    """One endpoint's part of a stream. ``ready`` are whole events that were not passed on yet.
+
+    ``began`` is when its first events came (monotonic seconds).
+    """
 
     state: EndpointState
     head: AnswerHead
@@ -89,6 +92,7 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     ready: list[StreamEvent] = field(default_factory=list)
     ended: bool = False
+    began: float = 0.0
 
     def __post_init__(self) -> None:
         """Prepare to give up on an endpoint that is silent."""
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -33,6 +33,8 @@
 # before another endpoint is asked.
 PATIENCE_FACTOR = 3.0
 PATIENCE_SECONDS = 0.8
+# What is found when an endpoint ends while it has a request.
+BROKEN_OFF = frozenset({Kind.ENDPOINT_LOST, Kind.ANSWER_CUT})
 
 
 @dataclass
@@ -270,6 +272,7 @@
             if fault is not None:
                 await source.close(caller)
                 return fault
+            source.began = self.ctx.clock.monotonic()
             self.book.answered(sent.state, ask.id, ask.head.wish)
             self._note_first(ask, sent.state, ask.began)
             return source
@@ -320,8 +323,13 @@
         if is_overdue(now - began, expected, TURNS_TO_ANSWER * self._turns.usual()):
             state.health.overdue(now)
 
-    def note_loss(self, ask: RelayAsk, state: EndpointState, found: Failure) -> None:
-        """Hold a loss against the endpoint, unless it is the caller's or the deadline's."""
+    def note_loss(
+        self, ask: RelayAsk, state: EndpointState, found: Failure, streamed: float | None = None
+    ) -> None:
+        """Hold a loss against the endpoint, unless it is the caller's or the deadline's.
+
+        ``streamed`` are the seconds since the endpoint's first event, None when none came.
+        """
         now = self.ctx.clock.monotonic()
         if found.kind is Kind.ENDPOINT_REFUSED:
             state.health.erred(now)
@@ -340,10 +348,22 @@
             found.answer.level,
             request=ask.id,
             endpoint=state.key,
-            detail=f"{found.kind}: {found.reason}",
+            detail=f"{found.kind}: {found.reason}{describe_broken(ask, found, streamed)}",
         )
 
 
+def describe_broken(ask: RelayAsk, found: Failure, streamed: float | None) -> str:
+    """Return what tells, for an answer that broke off, whose request ended its endpoint.
+
+    The content is the same in all attempts at one request; the one that ends an endpoint as it
+    begins to run has no event yet, those that only were there have streamed for a while.
+    """
+    if found.kind not in BROKEN_OFF:
+        return ""
+    since = "no event" if streamed is None else f"streamed for {streamed:.3f} s"
+    return f", content {ask.content_id}, {since}"
+
+
 def choose_priority(ask: RelayAsk) -> int:
     """Return the engine's priority for a request, 0 to 9: the route's rank, then its target."""
     slow = ask.route.target > 1.0
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -83,7 +83,8 @@
         if outcome is None:
             pauses.tell(source.state)
             return
-        service.note_loss(ask, source.state, outcome)
+        streamed = service.ctx.clock.monotonic() - source.began
+        service.note_loss(ask, source.state, outcome, streamed)
         found = await _resume(service, ask, caller, progress, outcome)
         if failed(found):
             service.ctx.timeline.add(
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -55,6 +55,8 @@
     {"name": "m0", "weights_mb": 60, "load_s": 0.3, "adapters": 2, "adapter_mb": 1},
     {"name": "m1", "weights_mb": 60, "load_s": 0.3, "adapters": 0, "adapter_mb": 1},
 ]
+# Seconds for which the entry of an endpoint that has ended stays.
+LAPSE_SECONDS = 0.5
 ENGINE = {"slots": 8, "weights_mb": 200, "adapter_slots": 4, "loads_per_s": 5, "models": MODELS}
 CONFIG = {
     "version": 1,
@@ -87,6 +89,7 @@
             for runner in runners.values():
                 await runner.start()
                 runner.on_change = partial(self._register, runner, service)
+                runner.on_end = partial(self._lapse, runner)
                 runner.on_change()
         self.configure()
         seeds = ()
@@ -110,6 +113,10 @@
     def _register(self, runner, service):
         self.store.put("servers", runner.name, runner.entry(service))
 
+    def _lapse(self, runner):
+        loop = asyncio.get_running_loop()
+        loop.call_later(LAPSE_SECONDS, self.store.remove, "servers", runner.name)
+
     def configure(self, **changes):
         self.store.put("op", "config", json.dumps(CONFIG | changes).encode())
 
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -9,7 +9,8 @@
 (the id of another request), ``unsigned`` (no receipt), ``extra`` (a second answer behind the
 first). ``pace`` are seconds before each event or answer, ``most_held`` the most models it had at
 once. What reaches it is kept in ``seen``; what ran, in ``ran``; what was left, in ``left``.
-``accepted`` counts the connections that were made to it.
+``accepted`` counts the connections that were made to it. A request whose body is in ``fatal`` ends
+it as soon as it runs: all its connections are reset and nothing listens any more.
 """
 
 import asyncio
@@ -38,7 +39,11 @@
         self.pace = 0.0
         self.most_held = len(self.models)
         self.on_change = lambda: None
+        self.fatal = set()
+        self.ended = False
+        self.on_end = lambda: None
         self._tasks = set()
+        self._writers = set()
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -51,6 +56,14 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def end(self):
+        """End as a process that crashes."""
+        self.ended = True
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        self.on_end()
+
     def restart(self):
         """Start again under the same id, and register."""
         self.born += LIFE_MS
@@ -70,6 +83,7 @@
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
+        self._writers.add(writer)
         self.accepted += 1
         born = self.born
         try:
@@ -79,6 +93,7 @@
             pass
         finally:
             self._tasks.discard(task)
+            self._writers.discard(writer)
             writer.close()
 
     async def _one(self, reader, writer, born):
@@ -96,7 +111,7 @@
             await writer.drain()
             return True
         self.seen.append((method, target, headers, body))
-        return await self._answer(reader, writer, headers)
+        return await self._answer(reader, writer, headers, body)
 
     def _control(self, target, headers, body):
         if target == "/v1/report":
@@ -116,7 +131,7 @@
         self.on_change()
         return 202, {}
 
-    async def _answer(self, reader, writer, headers):
+    async def _answer(self, reader, writer, headers, body):
         step = self.script.pop(0) if self.script else "serve"
         attempt = headers.get("x-attempt-id", "")
         if headers.get("x-target-instance") != self.name:
@@ -129,6 +144,9 @@
             writer.write(frame(503, b"", {"x-not-executed": "1"}))
             return True
         self.ran.append(attempt)
+        if body in self.fatal:
+            self.end()
+            return False
         if step == "refuse another":
             writer.write(frame(503, b"", {"x-not-executed": "1", "x-attempt-id": "another"}))
             return True
