Show that the product's own interface sends a prompt that ends engines on and on (failing)

Cause: the same as on routes: what is learnt of a request lives as long as one attempt. Found by looking for it elsewhere.

--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -9,6 +9,9 @@
 ``refuse``  requests get 503 with the sign that they did not run
 ``cross``   the answer carries another request's id, ``cross_frames``: only its frames do
 ``cut``     streams break off after so many tokens and cannot be resumed
+
+A prompt with ``fatal`` in it ends the engine: it is down, and back after ``away`` seconds as another
+start that holds what it held.
 """
 
 import asyncio
@@ -79,6 +82,9 @@
         self.load_seconds = load_seconds
         self.report_lag = report_lag
         self.weights_url = weights_url
+        self.fatal = ""
+        self.away = 0.3
+        self.ends = 0
         self.boot = f"{name}-{time.monotonic_ns()}"
         self.items = {}
         self.highest = 0
@@ -233,6 +239,9 @@
         request_id = (header(b"x-request-id") or b"none").decode()
         if self.faults["down"]:
             await hang_up(request)
+        if self.fatal and self.fatal in text:
+            self._end()
+            await hang_up(request)
         key = (header(b"x-item") or b"").decode() or self._find(body["model"])
         if self.faults["refuse"] or self.leaving or not self.items.get(key, {}).get("ready"):
             return reply({"error": "refused"}, 503, [NOT_RUN])
@@ -247,6 +256,15 @@
             pass
         return reply(self._whole(stream, form), 200, [(b"x-request-id", self._id(stream).encode())])
 
+    def _end(self):
+        self.ends += 1
+        self.faults["down"] = True
+        asyncio.get_running_loop().call_later(self.away, self._begin_again)
+
+    def _begin_again(self):
+        self.boot = f"{self.name}-{time.monotonic_ns()}"
+        self.faults["down"] = False
+
     def _find(self, name):
         return next((key for key in self.items if name_of(key) == name), "")
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -311,3 +311,30 @@
         head = {"x-peridotdock-forwarded": "1"}
         statuses = [(await self.cluster.call("/bind", headers=head))[0] for _ in range(6)]
         self.assertIn(429, statuses)
+
+
+class PoisonTest(unittest.IsolatedAsyncioTestCase):
+    """Engine after engine ends, and with it the answers of all callers.
+
+    One prompt ends each engine that begins it. Its caller asks again and again, at any host, each
+    time under another request id, and no host remembers what the request did before.
+    """
+
+    async def test_a_prompt_that_ends_engines_is_not_sent_on(self):
+        async with Cluster(engines=6, hosts=2, models=1, adapters=0) as cluster:
+            document = cluster.manifest()
+            document["models"][0]["copies"] = 6
+            await cluster.publish(document)
+            for engine in cluster.engines:
+                engine.fatal = "fatal"
+            messages = [{"role": "user", "content": "a fatal prompt"}]
+            for number in range(12):
+                await cluster.ask(host=number % 2, messages=messages)
+                await asyncio.sleep(0.5)
+            ends = [engine.ends for engine in cluster.engines]
+            # Three ends, and two sends for each of three attempts until the third is known.
+            self.assertLessEqual(sum(ends), 3 + 3, ends)
+            status, _, answer = await cluster.ask(messages=messages)
+            self.assertEqual((503, "blocked"), (status, answer["error"]["code"]))
+            status, _, _ = await cluster.ask(host=1)
+            self.assertEqual(200, status)
