Keep a prompt that ends engines from being sent again by the product's own interface, too

Here endpoints have names that stay, so an end is told from a broken connection by what the engine calls its start, which the host that watches it tells the others. Change: one block list serves both; one keeper writes it, as the lease's holder on the platform and as the planner here. Hosts tell the start of each engine with what it holds. Ruled out: to take each broken answer for an end: a cut between a host and all engines would block what it lost there. Calls to plain services of this interface are not covered: nobody watches whether these have ended; open.

--- a/peridotdock/blocklist.py
+++ b/peridotdock/blocklist.py
@@ -30,10 +30,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointStart:
-    """One start of an endpoint: its id, and when it began where it says so (Unix milliseconds)."""
+    """One start of an endpoint: its id, and what tells this start from others under that id."""
 
     endpoint: str
-    born: int
+    start: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,7 +199,7 @@
         told.sort(key=lambda row: (bool(row[1].told & blocked), row[1].at), reverse=True)
         most = MOST_TOLD + sum(bool(end.told & blocked) for _, end in told)
         ends = [
-            EndpointEnd(start.endpoint, start.born, round(now - end.at, 2), sorted(end.told))
+            EndpointEnd(start.endpoint, start.start, round(now - end.at, 2), sorted(end.told))
             for start, end in told[:most]
         ]
         return EndsFact(ends, {c: round(now - at, 2) for c, at in self._answered.items()})
@@ -216,7 +216,7 @@
         for content, age in known.fact.answered.items():
             self._clear(content, known.at - age)
         for row in known.fact.ends:
-            start = EndpointStart(row.endpoint, row.born)
+            start = EndpointStart(row.endpoint, row.start)
             self._add(start, known.at - row.age, frozenset(row.contents))
 
     # What lasts
@@ -225,7 +225,7 @@
         """Return the ends under the requests that are blocked, with nothing of other requests."""
         now, blocked = self._ctx.clock.monotonic(), self.blocked()
         return [
-            EndpointEnd(start.endpoint, start.born, now - end.at, sorted(end.contents & blocked))
+            EndpointEnd(start.endpoint, start.start, now - end.at, sorted(end.contents & blocked))
             for start, end in self._ends.items()
             if end.contents & blocked
         ]
@@ -234,7 +234,7 @@
         """Take in ends, and tell of them as of those that this host saw itself."""
         now = self._ctx.clock.monotonic()
         for row in ends:
-            start, contents = EndpointStart(row.endpoint, row.born), frozenset(row.contents)
+            start, contents = EndpointStart(row.endpoint, row.start), frozenset(row.contents)
             known = self._ends.get(start)
             if known is None or not contents <= known.told:
                 self._add(start, now - row.age, contents, told=contents)
--- a/peridotdock/dispatch.py
+++ b/peridotdock/dispatch.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
+from peridotdock.blocklist import Blocklist
 from peridotdock.clients.endpoint import Call, HttpEndpoints, Opened, read_all
 from peridotdock.context import Context
 from peridotdock.demand import Demand
@@ -19,6 +20,7 @@
     Reply,
     State,
     admit_maybe,
+    broke_off,
     lose,
 )
 from peridotdock.retries import MAX_SENDS, RetryBudget
@@ -34,8 +36,9 @@
 class Dispatcher:
     """Sends requests to endpoints on behalf of callers."""
 
-    def __init__(self, ctx: Context, fleet: Fleet, endpoints: HttpEndpoints):
+    def __init__(self, ctx: Context, fleet: Fleet, endpoints: HttpEndpoints, blocklist: Blocklist):
         self._ctx = ctx
+        self._blocklist = blocklist
         self._fleet = fleet
         self._endpoints = endpoints
         self._using = EVERY_DECISION - ctx.off
@@ -65,6 +68,8 @@
             if not failed(outcome):
                 return outcome
             maybe = maybe or outcome.may_have_run
+            if broke_off(outcome):
+                self._blocklist.note_end(ask, choice.state.start)
             self._note_loss(ask, choice.state, outcome)
             if not self._may_retry(ask, outcome, maybe):
                 break
@@ -83,6 +88,9 @@
         now = self._ctx.clock.monotonic()
         if now >= ask.deadline:
             return lose(State.ADMITTED, Loss.DEADLINE)
+        refusal = self._blocklist.refusal(ask)
+        if refusal is not None:
+            return refusal
         holders = self._fleet.holders(ask.wish.item)
         fresh = [state for state in holders if state.name not in tried] or holders
         choice = choose(fresh, ask.wish, now, self._ctx.rng, self._using)
@@ -240,6 +248,7 @@
         now = self._ctx.clock.monotonic()
         state.succeeded()
         state.finished(ask.request_id, now, whole=True)
+        self._blocklist.note_answer(ask)
         content_type = opened.headers.get("content-type", "application/json")
         head = (("x-request-id", ask.request_id), ("x-endpoint", state.name))
         return Reply(opened.status, head, body, content_type)
@@ -281,6 +290,8 @@
         finally:
             self._ctx.metrics.tokens.inc(count)
             state.finished(ask.request_id, self._ctx.clock.monotonic(), relay.whole)
+            if relay.whole:
+                self._blocklist.note_answer(ask)
             self._learn(ask, choice, relay.usage)
             self._ctx.timeline.add(
                 "stream_ended",
--- a/peridotdock/fleet.py
+++ b/peridotdock/fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from peridotdock.blocklist import EndpointStart
 from peridotdock.board import Board, Slot
 from peridotdock.clients.endpoint import EngineLoad
 from peridotdock.clock import Clock
@@ -45,6 +46,7 @@
         self.url = url
         self.domain = domain
         self.items: frozenset[str] = frozenset()
+        self.boot = ""
         self.down = False
         self.leaving = False
         self.load = DEFAULT_LOAD
@@ -63,6 +65,11 @@
         self.bad_until = 0.0
         self.bad_count = 0
 
+    @property
+    def start(self) -> EndpointStart:
+        """Return what tells this start from others of the endpoint."""
+        return EndpointStart(self.name, self.boot)
+
     def take_load(self, load: EngineLoad, at: float) -> None:
         """Take in a report that was true at ``at``; what happened up to then is in it."""
         self.load = load
@@ -187,6 +194,14 @@
         """Return the endpoints whose own word is that they can serve ``item``."""
         return self._by_item.get(item, [])
 
+    def has_ended(self, start: EndpointStart, broke_off: float) -> bool:
+        """Tell whether a start of an endpoint has ended: it is down, or another one has begun.
+
+        ``broke_off`` is not needed: the host that watches the endpoint says so within a second.
+        """
+        state = self.states.get(start.endpoint)
+        return state is None or state.down or state.start != start
+
     def servable(self, item: str) -> str:
         """Return ``item``, or another version of it while no endpoint can serve that one yet."""
         if item in self._by_item:
@@ -232,6 +247,7 @@
             if name in self.states:
                 self.states[name].items = frozenset(items)
                 self.states[name].down = name in down
+                self.states[name].boot = fact.boots.get(name, "")
         for name in down - set(fact.held):
             if name in self.states:
                 self.states[name].down = True
--- a/peridotdock/host.py
+++ b/peridotdock/host.py
@@ -6,6 +6,7 @@
 from peridotdock import claims
 from peridotdock import ledger as ledgers
 from peridotdock import manifest as manifests
+from peridotdock.blocklist import Blocklist
 from peridotdock.board import Board, Slot
 from peridotdock.clients.endpoint import HttpEndpoints
 from peridotdock.clients.platform import HttpPlatform, Platform, Row
@@ -14,6 +15,7 @@
 from peridotdock.errors import failed
 from peridotdock.fleet import Fleet
 from peridotdock.jobs import Jobs
+from peridotdock.keeping import KEEP_SECONDS, BlocklistKeeper
 from peridotdock.keys import KeyTable
 from peridotdock.leases import KEY_PREFIX as LEASE_PREFIX
 from peridotdock.leases import HostLease, LeaseBook
@@ -48,7 +50,8 @@
         own = HostFact(cfg.host_id, ctx.incarnation, cfg.domain, "", "", "starting", 0)
         self.membership = Membership(self.board, own, clock)
         self.fleet = Fleet(self.board, clock)
-        self.dispatcher = Dispatcher(ctx, self.fleet, self.endpoints)
+        self.blocklist = Blocklist(ctx, self.board, self.fleet.has_ended)
+        self.dispatcher = Dispatcher(ctx, self.fleet, self.endpoints, self.blocklist)
         self.service_caller = ServiceCaller(ctx, self.fleet, self.endpoints, self.dispatcher.budget)
         self.keys = KeyTable(ctx.incarnation, clock, cfg.max_keys)
         self.limits = CallerLimits(cfg.host_id, self.membership.when_beat)
@@ -56,6 +59,7 @@
         self.book = LeaseBook(cfg.lease_seconds, clock)
         self.steward = Steward(ctx, self.platform, self.endpoints, self.lease, self.book)
         self.planner = Planner(ctx, self.platform, self.lease, self.book)
+        self.keeper = BlocklistKeeper(ctx, self.platform, self._plans, self.blocklist)
         self.watcher = Watcher(ctx, self.board, self.endpoints, self.fleet)
         self.accepted: Accepted | None = None
         self.jobs = Jobs(ctx)
@@ -67,6 +71,8 @@
         self._stewardships = Assignment(cfg.host_id)
         self._planning = Assignment(cfg.host_id)
         self._nudge = asyncio.Event()
+        self._keep_due = asyncio.Event()
+        self.blocklist.on_blocked = self._keep_due.set
         self.steward.on_answer = self._nudge.set
         self.board.listen(self._changed)
 
@@ -83,6 +89,8 @@
         every(lambda: cfg.poll_seconds, self._poll, "poll", self._nudge)
         every(lambda: cfg.watch_seconds, self._watch, "watch")
         every(lambda: DEMAND_SECONDS, self._share_demand, "demand")
+        every(lambda: cfg.watch_seconds, self._tell_ends, "ends")
+        every(lambda: KEEP_SECONDS, self.keeper.step, "block list", self._keep_due)
         every(lambda: claims.SWEEP_SECONDS, self._sweep_claims, "claims")
 
     async def stop(self) -> None:
@@ -290,8 +298,15 @@
                 demand[item] = demand.get(item, 0.0) + rate
         await self.planner.work(self.accepted, self.steward.rows, down, demand, chosen)
 
+    def _plans(self) -> bool:
+        """Tell whether this host is the planner, and may write for all."""
+        return self.planner.holder == self.ctx.incarnation and self.lease.valid()
+
+    async def _tell_ends(self) -> None:
+        self.blocklist.tell()
+
     async def _sweep_claims(self) -> None:
-        if self.planner.holder == self.ctx.incarnation and self.lease.valid():
+        if self._plans():
             await claims.sweep(self.platform, self.ctx.clock.now().timestamp())
 
     async def _watch(self) -> None:
--- a/peridotdock/keeping.py
+++ b/peridotdock/keeping.py
@@ -1,42 +1,50 @@
-"""The block list in the platform's store: the holder of the lease keeps it there for all hosts.
+"""The block list in the platform's store, where one host at a time keeps it for all.
 
 Failure guarded against: all hosts lose power at once, and the request that ended three engines
 before comes again. Hosts keep nothing, so it would end three more. One row is written when a
-request is newly blocked and read by each new holder of the lease, and that is all it costs.
+request is newly blocked and read by each host that begins to keep it, and that is all it costs.
 """
 
-from dataclasses import asdict
+from collections.abc import Callable
+from dataclasses import asdict, replace
+
+import msgspec
 
 from peridotdock.blocklist import REMEMBERED_SECONDS, Blocklist
 from peridotdock.clients.platform import Platform, Transaction, commit_surely
 from peridotdock.context import Context
 from peridotdock.errors import failed
-from peridotdock.relay.leadership import Leadership
 from peridotdock.schema.messages import EndpointEnd
 
 BLOCKED_KEY = "blocked"
+# Seconds between two looks for requests that are newly blocked.
+KEEP_SECONDS = 1.0
+# Newest ends that the row holds: 20 KB of the 64 KB that a row may have.
+MOST_KEPT = 200
 # What a row that another version wrote may raise when it is read.
-UNREADABLE = (KeyError, TypeError, ValueError)
+UNREADABLE = (KeyError, TypeError, ValueError, msgspec.ValidationError)
 
 
 class BlocklistKeeper:
-    """Reads and writes the row for as long as this host holds the lease."""
+    """Reads and writes the row while ``holds`` tells that this host is the one to keep it."""
 
-    def __init__(self, ctx: Context, store: Platform, leadership: Leadership, blocklist: Blocklist):
+    def __init__(
+        self, ctx: Context, store: Platform, holds: Callable[[], bool], blocklist: Blocklist
+    ):
         self._ctx = ctx
         self._store = store
-        self._leadership = leadership
+        self._holds = holds
         self._blocklist = blocklist
-        self._term = 0
+        self._has_read = False
         self._version = 0
         self._kept: frozenset[str] = frozenset()
 
     async def step(self) -> None:
-        """Take in what the row says once a term; write it anew when a request is newly blocked."""
-        if not self._leadership.holds():
-            self._term = 0
+        """Read the row once; write it anew when a request is newly blocked."""
+        if not self._holds():
+            self._has_read = False
             return
-        if self._term != self._leadership.term and not await self._read():
+        if not self._has_read and not await self._read():
             return
         ends = self._blocklist.ends_of_blocked()
         self._blocklist.vouch(ends)
@@ -45,7 +53,6 @@
             await self._write(ends, contents)
 
     async def _read(self) -> bool:
-        term = self._leadership.term
         rows = await self._store.read([BLOCKED_KEY])
         if failed(rows):
             return False
@@ -54,17 +61,18 @@
         ends = self._decode(row.value) if row else []
         self._kept = frozenset(content for end in ends for content in end.contents)
         self._blocklist.vouch(ends)
-        self._term = term
+        self._has_read = True
         return True
 
     async def _write(self, ends: list[EndpointEnd], contents: frozenset[str]) -> None:
         written_at = self._ctx.clock.now().timestamp()
-        value = {"written_at": written_at, "ends": [asdict(end) for end in ends]}
+        newest = sorted(ends, key=lambda end: end.age)[:MOST_KEPT]
+        value = {"written_at": written_at, "ends": [asdict(end) for end in newest]}
         tx = Transaction({BLOCKED_KEY: self._version}, {BLOCKED_KEY: value})
         outcome = await commit_surely(self._store, tx)
         if failed(outcome):
             # Another host wrote, or the store is away: the row is read again at the next step.
-            self._term = 0
+            self._has_read = False
             self._ctx.timeline.add("blocked_not_kept", "WARNING", detail=outcome.reason)
             return
         self._version, self._kept = outcome.version, contents
@@ -77,10 +85,10 @@
         """
         try:
             passed = max(0.0, self._ctx.clock.now().timestamp() - float(value["written_at"]))
-            rows = [EndpointEnd(**row) for row in value["ends"]]
-            ends = [EndpointEnd(r.endpoint, r.born, r.age + passed, r.contents) for r in rows]
+            rows = msgspec.convert(value["ends"], list[EndpointEnd])
         except UNREADABLE as exc:
             detail = f"{BLOCKED_KEY}: {type(exc).__name__}: {exc}"
             self._ctx.timeline.add("rows_refused", "ERROR", detail=detail)
             return []
+        ends = [replace(row, age=row.age + passed) for row in rows]
         return [end for end in ends if end.age < REMEMBERED_SECONDS]
--- a/peridotdock/relay/asks.py
+++ b/peridotdock/relay/asks.py
@@ -2,12 +2,9 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from hashlib import blake2b
 
 from peridotdock.deployment import Route
-
-# Bytes of a content id: among a million contents, two share one with a chance of 1 in 37 million.
-CONTENT_ID_BYTES = 8
+from peridotdock.requests import hash_content
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,20 +69,14 @@
 
     @property
     def content_id(self) -> str:
-        """Return what all attempts at the same request share, in hexadecimal digits.
+        """Return what all attempts at the same request share.
 
         Each attempt has an id of its own, and may come to any host. What is asked for stays the
         same: host name, method, target, model and body.
         """
         wish = self.head.wish
         item = f"{wish.model}/{wish.adapter}" if wish is not None else ""
-        digest = blake2b(digest_size=CONTENT_ID_BYTES)
-        for part in (self.head.host, self.method, self.target, item):
-            raw = part.encode()
-            digest.update(len(raw).to_bytes(4))
-            digest.update(raw)
-        digest.update(self.body)
-        return digest.hexdigest()
+        return hash_content(self.body, self.head.host, self.method, self.target, item)
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotdock/relay/book.py
+++ b/peridotdock/relay/book.py
@@ -113,7 +113,7 @@
     @property
     def start(self) -> EndpointStart:
         """Return what tells this start from others under the same id."""
-        return EndpointStart(self.entry.incarnation, self.entry.born)
+        return EndpointStart(self.key, str(self.entry.born))
 
     def holds(self, wish: ModelWish, now: float) -> bool:
         """Tell whether the endpoint can serve a model, and the adapter where one is wished for.
@@ -317,7 +317,7 @@
         and the requests that were lost there are taken for what ended them.
         """
         state = self.states.get(start.endpoint)
-        if state is None or state.entry.born != start.born:
+        if state is None or state.start != start:
             return True
         if state.answered_sent > broke_off:
             return False
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -14,6 +14,7 @@
 from peridotdock.deployment import Deployment
 from peridotdock.errors import failed
 from peridotdock.jobs import Jobs
+from peridotdock.keeping import KEEP_SECONDS, BlocklistKeeper
 from peridotdock.relay.absent import WaitingRoom
 from peridotdock.relay.adapter import Adapter
 from peridotdock.relay.book import EndpointBook
@@ -21,7 +22,6 @@
 from peridotdock.relay.entries import EntryReader
 from peridotdock.relay.following import Follower
 from peridotdock.relay.front import Front
-from peridotdock.relay.keeping import BlocklistKeeper
 from peridotdock.relay.lag import LagWatch
 from peridotdock.relay.leadership import Leadership
 from peridotdock.relay.ordering import Orderer
@@ -59,8 +59,6 @@
 # Seconds after a start for which a host without a configuration leaves the lease alone. After them
 # some host takes it: until then each reads the store for itself, two calls in each 1.2 s.
 MEET_SECONDS = 1.0
-# Seconds between two looks of the lease's holder at which requests are newly blocked.
-KEEP_SECONDS = 1.0
 # Seconds between two plans when nothing calls for one.
 PLAN_SECONDS = 0.5
 # Plans in a row that may fail before another host is to try: two and a half seconds of them.
@@ -100,7 +98,7 @@
         )
         self.keep_due = asyncio.Event()
         self.blocklist.on_blocked = self.keep_due.set
-        self.keeper = BlocklistKeeper(ctx, self.store, self.leadership, self.blocklist)
+        self.keeper = BlocklistKeeper(ctx, self.store, self.leadership.holds, self.blocklist)
         engines = adapter.open_engines(self.endpoints)
         self.orderer = Orderer(ctx, self.book, engines, self.leadership, settings.bounds)
         self.orderer.heard_loads = self.peers.heard_loads
--- a/peridotdock/requests.py
+++ b/peridotdock/requests.py
@@ -3,10 +3,14 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from enum import StrEnum
+from hashlib import blake2b
 from typing import Protocol
 
 from peridotdock.errors import Failure, Kind, Ran
 
+# Bytes of a content id: among a million contents, two share one with a chance of 1 in 37 million.
+CONTENT_ID_BYTES = 8
+
 
 class State(StrEnum):
     """How far a request has come."""
@@ -89,6 +93,17 @@
     return failure.kind in BROKEN_OFF and failure.reason != Loss.SILENCE
 
 
+def hash_content(body: bytes, *names: str) -> str:
+    """Return what all attempts with the same content share, in hexadecimal digits."""
+    digest = blake2b(digest_size=CONTENT_ID_BYTES)
+    for name in names:
+        raw = name.encode()
+        digest.update(len(raw).to_bytes(4))
+        digest.update(raw)
+    digest.update(body)
+    return digest.hexdigest()
+
+
 class Caller(Protocol):
     """The caller's end of a request."""
 
@@ -123,6 +138,11 @@
     deadline: float
     traceparent: str
 
+    @property
+    def content_id(self) -> str:
+        """Return what all attempts at the same request share; each has another request id."""
+        return hash_content(self.body, self.caller_id, self.path, self.wish.item)
+
 
 @dataclass(frozen=True)
 class ServiceAsk:
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -314,6 +314,10 @@
     """
     Watched endpoints that said they leave.
     """
+    boots: dict[str, str] = field(default_factory=dict)
+    """
+    What each watched endpoint that answers calls its present start.
+    """
 
 
 @dataclass(frozen=True)
@@ -498,9 +502,9 @@
     """
     Id of the endpoint.
     """
-    born: int
+    start: str
     """
-    Unix milliseconds of the start that ended; 0 where the endpoint does not say.
+    What tells the start that ended from others of the endpoint; empty where it does not say.
     """
     age: float
     """
--- a/peridotdock/watch.py
+++ b/peridotdock/watch.py
@@ -86,7 +86,8 @@
             name: sorted(key for key, item in seen.report.items.items() if item.ready)
             for name, seen in ready.items()
         }
-        fact = HeldFact(held=held, down=sorted(down), leaving=sorted(leaving))
+        boots = {name: seen.report.boot for name, seen in ready.items()}
+        fact = HeldFact(held=held, down=sorted(down), leaving=sorted(leaving), boots=boots)
         known = self._board.get(self._ctx.cfg.host_id, "held")
         if known is None or known.fact != fact:
             self._board.publish("held", fact)
--- a/tests/relay/test_poison.py
+++ b/tests/relay/test_poison.py
@@ -9,12 +9,14 @@
 
 from peridotdock.blocklist import MOST_ENDS, REMEMBERED_SECONDS, Blocklist, EndpointStart
 from peridotdock.board import Board
+from peridotdock.clients.platform import Row
 from peridotdock.decisions.poison import find_poison
 from peridotdock.events import Filter
+from peridotdock.keeping import BLOCKED_KEY, BlocklistKeeper
 from peridotdock.relay.asks import EndpointEntry
 from peridotdock.relay.book import LAPSE_SECONDS, EndpointBook
 from tests.builders import facts_of, make_ctx
-from tests.fakes import FakeClock
+from tests.fakes import FakeClock, FakePlatform
 from tests.relay.deployment import Deployment
 from tests.relay.test_relay import run
 
@@ -168,7 +170,7 @@
             book.began(state, "a1", None, 0)
             clock.time = 1000.0 + later
             book.ended(state, "a1", "s", whole=True)
-        return book.has_ended(EndpointStart("e1", 1), 1000.0)
+        return book.has_ended(EndpointStart("e1", "1"), 1000.0)
 
     async def test_by_its_entry_and_its_answers(self):
         for name, expected, args in (
@@ -202,7 +204,7 @@
     def end(self, host, *names, contents=("p",)):
         for name in names:
             for content in contents:
-                host.note_end(self.ask(content), EndpointStart(name, 0))
+                host.note_end(self.ask(content), EndpointStart(name, ""))
 
     def share(self, *, to, by):
         by.tell()
@@ -227,7 +229,7 @@
 
     def test_a_start_is_an_end_of_its_own(self):
         for born in range(3):
-            self.first.note_end(self.ask("p"), EndpointStart("e1", born))
+            self.first.note_end(self.ask("p"), EndpointStart("e1", str(born)))
         self.assertTrue(self.blocks(self.first))
 
     def test_an_answer_speaks_for_a_request_at_all_hosts(self):
@@ -268,3 +270,67 @@
     def test_an_ordinary_request_costs_no_id(self):
         self.end(self.first, "e1", "e2")
         self.assertIsNone(self.first.refusal(SimpleNamespace()))
+
+
+class KeeperTest(unittest.IsolatedAsyncioTestCase):
+    """The row that outlives all hosts, by the keeper of one host after the other."""
+
+    def setUp(self):
+        self.clock, self.store = FakeClock(), FakePlatform()
+        self.holds = True
+
+    def host(self, name):
+        ctx = make_ctx(self.clock, name)
+        blocklist = Blocklist(ctx, Board(name, 1, self.clock), lambda start, at: True)
+        return blocklist, BlocklistKeeper(ctx, self.store, lambda: self.holds, blocklist)
+
+    def end(self, blocklist, *names, content="p"):
+        for name in names:
+            blocklist.note_end(SimpleNamespace(content_id=content), EndpointStart(name, ""))
+
+    async def test_the_next_host_knows_what_the_last_one_kept_and_how_old_it_is(self):
+        blocklist, keeper = self.host("h0")
+        self.end(blocklist, "e1", "e2", "e3")
+        await keeper.step()
+        self.clock.advance(100)
+        blocklist, keeper = self.host("h1")
+        await keeper.step()
+        refusal = blocklist.refusal(SimpleNamespace(content_id="p"))
+        self.assertAlmostEqual(REMEMBERED_SECONDS - 100, refusal.retry_after)
+
+    async def test_it_writes_once_for_each_request_and_only_as_the_one_to_keep_it(self):
+        blocklist, keeper = self.host("h0")
+        self.holds = False
+        self.end(blocklist, "e1", "e2", "e3")
+        await keeper.step()
+        self.assertEqual(0, self.store.writes)
+        self.holds = True
+        for names, writes in ((["e3"], 1), (["e4"], 1)):
+            self.end(blocklist, *names)
+            await keeper.step()
+            self.assertEqual(writes, self.store.writes)
+        self.end(blocklist, "f1", "f2", "f3", content="q")
+        await keeper.step()
+        self.assertEqual(2, self.store.writes)
+
+    async def test_a_write_that_fails_is_made_again(self):
+        for fault in ("down", "lost"):
+            self.setUp()
+            blocklist, keeper = self.host("h0")
+            self.end(blocklist, "e1", "e2", "e3")
+            self.store.faults = [fault]
+            for _ in range(3):
+                await keeper.step()
+            with self.subTest(fault):
+                self.assertIn(BLOCKED_KEY, self.store.rows)
+
+    async def test_a_row_of_another_writer_is_passed_over_and_written_anew(self):
+        for value in ({}, {"written_at": "x", "ends": []}, {"written_at": 0, "ends": [{"age": 1}]}):
+            self.store.rows[BLOCKED_KEY] = Row(value, 1)
+            blocklist, keeper = self.host("h0")
+            await keeper.step()
+            with self.subTest(value):
+                self.assertEqual([], blocklist.ends_of_blocked())
+                self.end(blocklist, "e1", "e2", "e3")
+                await keeper.step()
+                self.assertEqual(3, len(self.store.rows[BLOCKED_KEY].value["ends"]))
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -10,8 +10,8 @@
 ``cross``   the answer carries another request's id, ``cross_frames``: only its frames do
 ``cut``     streams break off after so many tokens and cannot be resumed
 
-A prompt with ``fatal`` in it ends the engine: it is down, and back after ``away`` seconds as another
-start that holds what it held.
+A prompt with ``fatal`` in it ends the engine: it is down, and back after ``away`` seconds as
+another start that holds what it held.
 """
 
 import asyncio
