Close what a second reading of the block list found

Cause, each found by reading: an endpoint's own error cleared a request that had ended others; a request that is blocked was counted as demand, so its model would be loaded for it; while the store is away an end stopped to count after 10 s; each request looked through all that had been at an end; ends of endpoints that leave were left out, though what may end an endpoint ends one that leaves, too; callers were told endpoints' names. Change: only success speaks for a request; the check comes before demand; a refused connection tells of an end as well; the requests at three ends are kept in a set; the names go to the log. Figures: the new test fails when an error clears (the last endpoint gets the request again) and passes now.

--- a/peridotdock/blocklist.py
+++ b/peridotdock/blocklist.py
@@ -24,7 +24,8 @@
 REMEMBERED_SECONDS = 600.0
 # Ends that a host remembers: those of all endpoints of the size designed for.
 MOST_ENDS = 1000
-# Ends that a host tells of, beside those under blocked requests. Older ones were told before.
+# Ends that a host tells of, beside those under blocked requests, and answers. Older ones were told
+# before; the bound keeps the message small when all endpoints of a failure domain end at once.
 MOST_TOLD = 32
 
 
@@ -72,6 +73,7 @@
         self._has_ended = has_ended
         self._ends: dict[EndpointStart, End] = {}
         self._counts: Counter[str] = Counter()
+        self._often: set[str] = set()
         self._answered: dict[str, float] = {}
         self._logged: frozenset[str] = frozenset()
         self._untold = False
@@ -88,7 +90,7 @@
         self._look()
 
     def note_answer(self, ask: Identified) -> None:
-        """Note that a request was answered whole: it ends nothing."""
+        """Note that a request was answered with success: it ends nothing."""
         if not self._counts:
             return
         content = ask.content_id
@@ -98,41 +100,36 @@
 
     def refusal(self, ask: Identified) -> Failure | None:
         """Return why a request must not be sent, or None."""
-        if not self._any_often():
+        if not self._often:
             return None
         content = ask.content_id
-        if self._counts[content] < FATAL_ENDS or content not in self.blocked():
+        if content not in self._often or content not in self.blocked():
             return None
-        ends = [(start, end) for start, end in self._ends.items() if content in end.contents]
-        since = max(end.at for _, end in ends)
-        left = since + REMEMBERED_SECONDS - self._ctx.clock.monotonic()
-        names = " ".join(start.endpoint for start, _ in ends)
-        return Failure(Kind.BLOCKED, f"content {content}, {len(ends)} ended: {names}", left)
+        ends = [end.at for end in self._ends.values() if content in end.contents]
+        left = max(ends) + REMEMBERED_SECONDS - self._ctx.clock.monotonic()
+        return Failure(Kind.BLOCKED, f"content {content}, {len(ends)} ended", left)
 
     def blocked(self) -> frozenset[str]:
         """Return the contents that must not be sent now, and log those that are new."""
         self._forget()
         ends = self._ends.items()
         found = find_poison(end.contents for start, end in ends if self._has_ended(start, end.at))
-        for content in found - self._logged:
-            self._ctx.timeline.add(
-                "request_blocked",
-                "WARNING",
-                detail=f"content {content}, at {self._counts[content]} ends",
-            )
-        news = bool(found - self._logged)
+        news = found - self._logged
         self._logged = found
+        for content in news:
+            self._log(content)
         if news:
             self.on_blocked()
         return found
 
-    def _any_often(self) -> bool:
-        """Tell whether any request was at enough ends to be blocked; most often none was."""
-        return any(count >= FATAL_ENDS for count in self._counts.values())
+    def _log(self, content: str) -> None:
+        names = [start.endpoint for start, end in self._ends.items() if content in end.contents]
+        detail = f"content {content}, ended: {' '.join(names)}"
+        self._ctx.timeline.add("request_blocked", "WARNING", detail=detail)
 
     def _look(self) -> None:
         """Look for requests to block as soon as an end is known, not when they come again."""
-        if self._any_often():
+        if self._often:
             self.blocked()
 
     # What all know
@@ -150,6 +147,7 @@
             return
         known = self._ends.get(start) or End(at, frozenset(), frozenset())
         self._counts.update(contents - known.contents)
+        self._often.update(c for c in contents if self._counts[c] >= FATAL_ENDS)
         self._ends[start] = End(
             min(known.at, at), known.contents | contents, known.told | (told & contents)
         )
@@ -165,6 +163,8 @@
         end = self._ends[start]
         for content in contents & end.contents:
             self._counts[content] -= 1
+            if self._counts[content] < FATAL_ENDS:
+                self._often.discard(content)
             if not self._counts[content]:
                 del self._counts[content]
         rest = replace(end, contents=end.contents - contents, told=end.told - contents)
@@ -202,7 +202,8 @@
             EndpointEnd(start.endpoint, start.start, round(now - end.at, 2), sorted(end.told))
             for start, end in told[:most]
         ]
-        return EndsFact(ends, {c: round(now - at, 2) for c, at in self._answered.items()})
+        answered = sorted(self._answered.items(), key=lambda row: row[1], reverse=True)
+        return EndsFact(ends, {c: round(now - at, 2) for c, at in answered[:MOST_TOLD]})
 
     def _hear(self, slots: list[Slot]) -> None:
         for origin, topic in slots:
--- a/peridotdock/decisions/health.py
+++ b/peridotdock/decisions/health.py
@@ -30,7 +30,10 @@
 
 
 class Health:
-    """Outcomes of this host's requests on one endpoint. Times are monotonic seconds."""
+    """Outcomes of this host's requests on one endpoint. Times are monotonic seconds.
+
+    ``unreachable_at`` is when a connection to it could not be made the last time.
+    """
 
     def __init__(self) -> None:
         self._failing = 0.0
@@ -38,6 +41,7 @@
         self._until = float("-inf")
         self._closed_until = float("-inf")
         self._pause = FIRST_PAUSE
+        self.unreachable_at = float("-inf")
         self._slowness = 1.0
         self._slow_at = 0.0
 
@@ -69,6 +73,7 @@
     def unreachable(self, now: float) -> None:
         """Count a connection that could not be made: nothing is there for now."""
         self.lost(now)
+        self.unreachable_at = now
         self._closed_until = max(self._closed_until, self._until)
 
     def closed(self, now: float) -> bool:
--- a/peridotdock/dispatch.py
+++ b/peridotdock/dispatch.py
@@ -248,7 +248,8 @@
         now = self._ctx.clock.monotonic()
         state.succeeded()
         state.finished(ask.request_id, now, whole=True)
-        self._blocklist.note_answer(ask)
+        if opened.status == 200:
+            self._blocklist.note_answer(ask)
         content_type = opened.headers.get("content-type", "application/json")
         head = (("x-request-id", ask.request_id), ("x-endpoint", state.name))
         return Reply(opened.status, head, body, content_type)
--- a/peridotdock/relay/book.py
+++ b/peridotdock/relay/book.py
@@ -35,8 +35,8 @@
 # Seconds for which an endpoint that refused a request, as it does not hold the model or adapter, is
 # taken at its word against what was heard of it before: an entry comes each 1.2 s.
 LACKS_SECONDS = 1.5
-# Seconds for which an endpoint that broke answers off is taken for ended while its entry is there:
-# an entry lapses after three heartbeats of 1.2 s, and later while the store is away.
+# Seconds for which an endpoint that broke answers off is taken for ended while its entry is there
+# and nobody has tried to connect: an entry lapses after three heartbeats of 1.2 s.
 LAPSE_SECONDS = 10.0
 
 
@@ -321,7 +321,8 @@
             return True
         if state.answered_sent > broke_off:
             return False
-        return self._clock.monotonic() - broke_off <= LAPSE_SECONDS
+        unreachable = state.health.unreachable_at >= broke_off
+        return unreachable or self._clock.monotonic() - broke_off <= LAPSE_SECONDS
 
     async def next_change(self) -> None:
         """Wait until the endpoints or what they hold have changed."""
--- a/peridotdock/relay/front.py
+++ b/peridotdock/relay/front.py
@@ -66,6 +66,10 @@
         if failed(body):
             return self._refuse(body, head.attempt_id)
         ask = make_ask(request, head, route, body)
+        blocked = self._service.blocklist.refusal(ask)
+        if blocked is not None:
+            # Before it is counted as demand: what is never sent needs no model loaded.
+            return self._refuse(blocked, ask.id)
         return await self._serve(request, ask)
 
     async def _serve(self, request: Request, ask: RelayAsk) -> Response:
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -298,7 +298,8 @@
         if failed(body):
             return body
         self.book.ended(sent.state, ask.id, service, whole=True)
-        self.blocklist.note_answer(ask)
+        if sent.head.status in SUCCESS:
+            self.blocklist.note_answer(ask)
         return Whole(sent.state, sent.head, body)
 
     def _judge(
@@ -360,8 +361,7 @@
         elif found.kind in RETRY_KINDS:
             state.health.lost(now)
         just_begun = streamed is None or streamed < STARTED_SECONDS
-        if broke_off(found) and just_begun and not state.entry.leaving:
-            # An endpoint that leaves ends by itself, with what it runs.
+        if broke_off(found) and just_begun:
             self.blocklist.note_end(ask, state.start)
         self.ctx.timeline.add(
             "send_lost",
--- a/tests/relay/test_poison.py
+++ b/tests/relay/test_poison.py
@@ -134,6 +134,21 @@
             status, _, _ = await found.ask("/fetch/", "last", body=b"page")
             self.assertEqual(200, status)
 
+    @run
+    async def test_an_error_of_an_endpoint_says_nothing_for_a_request(self):
+        """An endpoint that fails a part of its requests answers 500 to one that ended three."""
+        async with Deployment(pages=("p0", "p1", "p2", "p3")) as found:
+            for runner in [*found.pages.values()][:3]:
+                runner.fatal = {POISON}
+            found.pages["p3"].script = ["error"] * 9
+            for number in range(4):
+                await found.ask("/fetch/", f"bad{number}", body=POISON)
+            ended = [runner.ended for runner in found.pages.values()]
+            self.assertEqual([True, True, True, False], ended)
+            found.pages["p3"].ran.clear()
+            status, _, _ = await found.ask("/fetch/", "bad", body=POISON)
+            self.assertEqual((503, []), (status, found.pages["p3"].ran))
+
 
 class FindPoisonTest(unittest.TestCase):
     @params(
@@ -159,11 +174,13 @@
     def entry(self, born):
         return EndpointEntry("e1", "s", "10.0.0.1:80", "north", 8, False, born=born)
 
-    async def look(self, born, later, sent=None):
+    async def look(self, born, later, sent=None, refused=False):
         clock = FakeClock()
         book = EndpointBook("north", clock)
         book.replace([self.entry(born)] if born else [])
         clock.advance(later)
+        if refused:
+            book.states["e1"].health.unreachable(1000.0 + later)
         if sent is not None:
             state = book.states["e1"]
             clock.time = sent
@@ -178,6 +195,7 @@
             ("another start has its id", True, (2, 60.0)),
             ("its entry may not have lapsed yet", True, (1, LAPSE_SECONDS)),
             ("its entry is still there", False, (1, LAPSE_SECONDS + 1)),
+            ("nothing listens there", True, (1, LAPSE_SECONDS + 1, None, True)),
             ("it answered what was sent later", False, (1, 1.0, 1000.5)),
             ("an answer that was on its way", True, (1, 1.0, 999.5)),
         ):
