--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -241,6 +241,48 @@
         "if chosen:",
         "tests.test_operations.Outages.test_traffic_goes_on_and_a_host_boots_from_its_peers",
     ),
+    Mutant(
+        "ends that are explained speak against nobody else",
+        "decisions/poison.py",
+        "unexplained = [end for end in unexplained if not end & blamed]",
+        "return frozenset(content for content, count in counts.items() if count >= FATAL_ENDS)",
+        "tests.relay.test_poison.FindPoisonTest",
+    ),
+    Mutant(
+        "hosts tell each other which requests were at an end",
+        "blocklist.py",
+        "self._board.publish(TOPIC, self._fact())",
+        "pass",
+        "tests.relay.test_poison.ManyHostsTest",
+    ),
+    Mutant(
+        "what is blocked outlives all hosts",
+        "keeping.py",
+        "        self._blocklist.vouch(ends)\n        self._has_read = True",
+        "        self._has_read = True",
+        "tests.relay.test_poison.ManyHostsTest tests.relay.test_poison.KeeperTest",
+    ),
+    Mutant(
+        "an endpoint that answers has not ended",
+        "relay/book.py",
+        "if state.answered_sent > broke_off:",
+        "if False:",
+        "tests.relay.test_poison.HasEndedTest",
+    ),
+    Mutant(
+        "only success speaks for a request",
+        "relay/service.py",
+        "        if sent.head.status in SUCCESS:\n            self.blocklist",
+        "        if True:\n            self.blocklist",
+        "tests.relay.test_poison.ManyHostsTest",
+    ),
+    Mutant(
+        "a request is looked at again when an endpoint is found for it",
+        "relay/service.py",
+        "return place if failed(place) else self.blocklist.refusal(ask) or place",
+        "return place",
+        "tests.relay.test_poison.WaitingTest",
+    ),
 )
 
 
--- a/peridotdock/answers.py
+++ b/peridotdock/answers.py
@@ -29,6 +29,8 @@
         Kind.TOO_MANY_STREAMS,
     }
 )
+# Kinds after which a request is refused wherever it goes: clients must not repeat it by themselves.
+IN_VAIN = frozenset({Kind.BLOCKED})
 
 
 def answer_json(body: Any, status: int = 200) -> Response:
@@ -47,7 +49,8 @@
         headers.append((b"retry-after", str(max(1, math.ceil(failure.retry_after))).encode()))
         milliseconds = str(max(1, math.ceil(failure.retry_after * 1000)))
         headers.append((b"retry-after-ms", milliseconds.encode()))
-    again = failure.kind in AGAIN or (failure.answer.status >= 500 and not keyed)
+    unkeyed = failure.answer.status >= 500 and not keyed
+    again = failure.kind in AGAIN or (unkeyed and failure.kind not in IN_VAIN)
     headers.append((b"x-should-retry", b"true" if again else b"false"))
     body = json.dumps(failure.describe(request_id)).encode()
     return Response(failure.answer.status, headers, Content(JSON, body))
--- a/tests/relay/test_poison.py
+++ b/tests/relay/test_poison.py
@@ -150,6 +150,29 @@
             self.assertEqual((503, []), (status, found.pages["p3"].ran))
 
 
+class WaitingTest(unittest.TestCase):
+    """A request that waits for its model is blocked meanwhile, and then sent all the same.
+
+    Several attempts at it come at once. One of them ends the third engine while another waits.
+    """
+
+    @run
+    async def test_it_is_not_sent_when_its_model_is_there(self):
+        async with Deployment(engines=(*ENGINES[:3], ("e9", ("m1",)))) as found:
+            ended = spoil(found)
+            host = found.hosts[0]
+            await found.until(host.leadership.holds)
+            for number in range(2):
+                await found.ask("/recap/", f"bad{number}", "m0", body=POISON)
+            self.assertEqual(3, len(ended()))
+            host.blocklist.refusal, refusal = (lambda ask: None), host.blocklist.refusal
+            waiting = asyncio.create_task(found.ask("/recap/", "waits", "m0", body=POISON))
+            await found.until(lambda: host.peers.waiting)
+            host.blocklist.refusal = refusal
+            status, _, _ = await waiting
+            self.assertEqual((503, 3), (status, len(ended())))
+
+
 class FindPoisonTest(unittest.TestCase):
     @params(
         ("nothing", "", ""),
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -334,7 +334,8 @@
             ends = [engine.ends for engine in cluster.engines]
             # Three ends, and two sends for each of three attempts until the third is known.
             self.assertLessEqual(sum(ends), 3 + 3, ends)
-            status, _, answer = await cluster.ask(messages=messages)
+            status, headers, answer = await cluster.ask(messages=messages)
             self.assertEqual((503, "blocked"), (status, answer["error"]["code"]))
+            self.assertEqual("false", headers["x-should-retry"])
             status, _, _ = await cluster.ask(host=1)
             self.assertEqual(200, status)
