Show that a request that many repeat is blocked with the one that ends endpoints (failing)

Callers saw: 6 of 40 requests refused as blocked after all faults had ended, though nothing was wrong with them. Ruled out: a fault of the poison's own end (the log names two contents, ended: engines-1 engines-3 engines-2, for both).

--- a/tests/relay/test_poison.py
+++ b/tests/relay/test_poison.py
@@ -15,6 +15,7 @@
 from peridotdock.keeping import BLOCKED_KEY, BlocklistKeeper
 from peridotdock.relay.asks import EndpointEntry
 from peridotdock.relay.fleet import LAPSE_SECONDS, RelayFleet
+from peridotdock.requests import hash_content
 from tests.builders import facts_of, make_ctx
 from tests.fakes import FakeClock, FakePlatform
 from tests.relay.deployment import Deployment
@@ -149,6 +150,37 @@
             status, _, _ = await found.ask("/fetch/", "bad", body=POISON)
             self.assertEqual((503, []), (status, found.pages["p3"].ran))
 
+    @run
+    async def test_a_request_that_many_repeat_is_not_blocked_with_it(self):
+        """A page that many callers ask for is refused for ten minutes, though it harms nothing.
+
+        It was on its way at each of the first three endpoints that another request ended, within a
+        second of each other. Both were at all three, so both were blocked, and what is blocked is
+        never answered, which alone would speak for it. Found by the soak, seed 7307.
+        """
+        pages = tuple(f"p{number}" for number in range(6))
+        page = SimpleNamespace(
+            content_id=hash_content(b"page", "shop.example", "POST", "/fetch/", "")
+        )
+        async with Deployment(pages=pages) as found:
+            for runner in found.pages.values():
+                runner.fatal = {POISON}
+            blocklist = found.hosts[0].blocklist
+            for number in range(2):
+                await found.ask("/fetch/", f"bad{number}", body=POISON)
+            for runner in found.pages.values():
+                if runner.ended:
+                    blocklist.note_end(page, EndpointStart(runner.name, str(runner.born)))
+            self.assertEqual(2, len(blocklist.blocked()))
+            async with asyncio.timeout(5):
+                while (await found.ask("/fetch/", "page", body=b"page"))[0] != 200:
+                    await asyncio.sleep(0.1)
+            before = sum(runner.ended for runner in found.pages.values())
+            for number in range(6):
+                await found.ask("/fetch/", f"more{number}", body=POISON)
+            after = sum(runner.ended for runner in found.pages.values())
+            self.assertLessEqual(after, before + 1)
+
 
 class WaitingTest(unittest.TestCase):
     """A request that waits for its model is blocked meanwhile, and then sent all the same.
