Log trials of blocked requests; say in the design what is in doubt and how it is settled

Cause of the need: a trial touches a request by a decision that left no line. Change: `request_tried`; the note on the block list says what became of requests at equally many ends.

--- a/peridotdock/blocklist.py
+++ b/peridotdock/blocklist.py
@@ -3,8 +3,8 @@
 Failure guarded against: a request ends every engine that begins it. Its caller repeats it under new
 ids at any host, so each host sees a part of the ends and each attempt starts with a clean slate.
 Engine after engine ends, with all streams of other callers. Each host tells the others which
-requests an endpoint had just begun when it ended, all judge by the same sum, and the word is with
-every host a tenth of a second after the third end.
+requests an endpoint had just begun when it ended, and all judge by the same sum, a fifth of a
+second after the third end with nine hosts.
 """
 
 from collections import Counter
@@ -23,10 +23,10 @@
 # Seconds from its last end for which a request is blocked; then it is tried again, as the endpoints
 # may have been mended. Where they are not, it ends one in that time.
 BLOCKED_SECONDS = 600.0
-# Seconds for which an end speaks against the requests that were there: some such times.
+# Seconds for which an end speaks against the requests that were there: six trials of one of them.
 REMEMBERED_SECONDS = 3600.0
-# Seconds until the caller of a request that is to be tried may come back: a trial takes as long as
-# an answer, and there may be some to be tried.
+# Seconds until the caller of a request that is to be tried may come back: most answers are there by
+# then, and the next one can be tried.
 TRY_AGAIN_SECONDS = 1.0
 # Ends that a host remembers: those of all endpoints of the size designed for.
 MOST_ENDS = 1000
@@ -86,7 +86,7 @@
         self._often: set[str] = set()
         self._answered: dict[str, float] = {}
         self._logged: frozenset[str] = frozenset()
-        self._trials = Trials(ctx.clock, may_try)
+        self._trials = Trials(ctx, may_try)
         self._untold = False
         self.on_blocked: Callable[[], None] = lambda: None
         board.listen(self._hear)
--- a/peridotdock/trials.py
+++ b/peridotdock/trials.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from peridotdock.clock import Clock
+from peridotdock.context import Context
 
 # Seconds after which a trial that neither was answered nor ended an endpoint gives way to the next.
 TRIAL_SECONDS = 5.0
@@ -17,20 +17,21 @@
 class Trials:
     """The request that this host tries now; ``may_try`` tells whether it is the host to try any."""
 
-    def __init__(self, clock: Clock, may_try: Callable[[], bool]):
-        self._clock = clock
+    def __init__(self, ctx: Context, may_try: Callable[[], bool]):
+        self._ctx = ctx
         self._may_try = may_try
         self._ask: Any = None
         self._until = float("-inf")
 
     def allows(self, ask: Any) -> bool:
         """Tell whether a blocked request may be sent as a trial, or is on trial already."""
-        now = self._clock.monotonic()
+        now = self._ctx.clock.monotonic()
         if self._ask is ask:
             return True
         if now < self._until or not self._may_try():
             return False
         self._ask, self._until = ask, now + TRIAL_SECONDS
+        self._ctx.timeline.add("request_tried", detail=f"content {ask.content_id}")
         return True
 
     def end(self, ask: Any) -> None:
