--- a/peridotdock/relay/absent.py
+++ b/peridotdock/relay/absent.py
@@ -8,7 +8,8 @@
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.asks import ModelWish, RelayAsk
 from peridotdock.relay.caller import CallerEnd
-from peridotdock.relay.fleet import RelayFleet, name_wish
+from peridotdock.relay.endpoint import name_wish
+from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.peers import Peers
 from peridotdock.requests import Loss, State, lose
 
--- a/peridotdock/relay/attempt.py
+++ b/peridotdock/relay/attempt.py
@@ -10,8 +10,8 @@
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.asks import AnswerHead
 from peridotdock.relay.caller import CallerEnd
+from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.events import EventSplitter, StreamEvent
-from peridotdock.relay.fleet import EndpointState
 from peridotdock.requests import Loss, State, lose
 
 SERVER_ERROR = 500
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -11,7 +11,8 @@
 from peridotdock.links import Link
 from peridotdock.membership import Member, Membership
 from peridotdock.mesh import Mesh
-from peridotdock.relay.fleet import OthersLoad, RelayFleet
+from peridotdock.relay.endpoint import OthersLoad
+from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.reach import Reach
 from peridotdock.relay.settings import HostSettings
 from peridotdock.relay.sums import (
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -11,7 +11,7 @@
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.asks import AnswerHead, RelayAsk, SendOptions
 from peridotdock.relay.caller import CallerEnd
-from peridotdock.relay.fleet import EndpointState
+from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.wire import Wire
 from peridotdock.requests import Loss, State, lose
 from peridotdock.turns import find_turns
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -19,7 +19,8 @@
 from peridotdock.relay.asks import RelayAsk
 from peridotdock.relay.attempt import Source, Whole
 from peridotdock.relay.caller import CallerEnd
-from peridotdock.relay.fleet import EndpointState, RelayFleet
+from peridotdock.relay.endpoint import EndpointState
+from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.sending import NOT_RUN, SUCCESS, Sender, Sent, wait_for
 from peridotdock.relay.settings import Bounds
 from peridotdock.relay.wire import Wire
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -6,7 +6,7 @@
 from peridotdock.relay.asks import RelayAsk
 from peridotdock.relay.attempt import Source, Whole
 from peridotdock.relay.caller import CallerEnd
-from peridotdock.relay.fleet import EndpointState
+from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.service import Progress, RelayService
 
 # Seconds without a byte after which a stream is taken up elsewhere; callers leave after two.
--- a/tests/relay/test_refused.py
+++ b/tests/relay/test_refused.py
@@ -13,7 +13,7 @@
 from peridotdock.decisions.health import Health
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.asks import EndpointEntry, HeldModel, ModelWish
-from peridotdock.relay.fleet import LACKS_SECONDS, EndpointState, HeardNews
+from peridotdock.relay.endpoint import LACKS_SECONDS, EndpointState, HeardNews
 from peridotdock.relay.streaming import SILENCE_SECONDS, PauseWatch
 from peridotdock.schema.messages import EngineNews
 from tests.fakes import FakeClock
--- a/tests/relay/test_starts.py
+++ b/tests/relay/test_starts.py
@@ -14,7 +14,8 @@
 from peridotdock.errors import Failure, Kind
 from peridotdock.platform.endpoints import decode_report
 from peridotdock.relay.asks import EndpointEntry, HeldModel, ModelWish, PromptPart
-from peridotdock.relay.fleet import OthersLoad, RelayFleet
+from peridotdock.relay.endpoint import OthersLoad
+from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.late import LATE_SECONDS, LateOrders
 from peridotdock.relay.ordering import Orderer
 from peridotdock.relay.records import EngineRecord
