Judge ends when a request reaches three of them, not at each note

Cause: an endpoint ends with up to sixty requests of a host; each was noted, and each note judged all ends once some request was at three. Found by reading. Change: a note judges only when it brings a request to three ends; requests that come are judged as before.

--- a/peridotdock/blocklist.py
+++ b/peridotdock/blocklist.py
@@ -84,6 +84,7 @@
         self._ends: dict[EndpointStart, End] = {}
         self._counts: Counter[str] = Counter()
         self._often: set[str] = set()
+        self._news = False
         self._answered: dict[str, float] = {}
         self._logged: frozenset[str] = frozenset()
         self._trials = Trials(ctx, may_try)
@@ -134,6 +135,7 @@
         return self._judge().blocked
 
     def _judge(self) -> Verdict:
+        self._news = False
         self._forget()
         ends = self._ends.items()
         found = find_poison(end.contents for start, end in ends if self._has_ended(start, end.at))
@@ -151,8 +153,11 @@
         self._ctx.timeline.add("request_blocked", "WARNING", detail=detail)
 
     def _look(self) -> None:
-        """Look for requests to block as soon as an end is known, not when they come again."""
-        if self._often:
+        """Look for requests to block when one is at enough ends, not when it comes again.
+
+        Only then: an end is noted for each of the requests that were there, sixty at a time.
+        """
+        if self._news:
             self.blocked()
 
     # What all know
@@ -170,7 +175,9 @@
             return
         known = self._ends.get(start) or End(at, frozenset(), frozenset())
         self._counts.update(contents - known.contents)
-        self._often.update(c for c in contents if self._counts[c] >= FATAL_ENDS)
+        often = {c for c in contents if self._counts[c] >= FATAL_ENDS}
+        self._news = self._news or not often <= self._often
+        self._often |= often
         self._ends[start] = End(
             min(known.at, at), known.contents | contents, known.told | (told & contents)
         )
