--- a/tests/relay/test_poison.py
+++ b/tests/relay/test_poison.py
@@ -95,10 +95,10 @@
     and at another host. Within an attempt a host avoids the engines that it has tried; the next
     attempt starts with a clean slate, so the next engine gets it: 39 ended under one request.
 
-    What settled it: by model and prompt one request was at ten of ten engines that ended, another at
-    nine of nine, no other at more than three, each before its first event. Three hosts logged
-    "sent, send 2, 1248 to read" for one engine within a millisecond; 0.185 s later all that was
-    there had "send_lost, answer_cut" within 5 ms.
+    By model and prompt one request was at ten of ten engines that ended, another at nine of nine,
+    no other at more than three, each before its first event. Three hosts logged "sent ... send 2,
+    ... 1248 to read" for one engine within a millisecond; 0.185 s later all that was there had
+    "send_lost ... answer_cut" within 5 ms.
     """
 
     @run
