Refuse what is in doubt also on the last host that leaves

Callers would see: 500 for a request in doubt, on the product's own interface, while the last host that takes work is leaving. Cause: which host tries is the first of those that take work; there was none, and the least of nothing raises. Ruled out: the relay's way, which asks for the hub, and that is this host when there is no other. Change: compare with the first of the sorted list, which may be empty; the list was sorted already, and its least looked for again. Figures: the new test fails before (ValueError) and passes after.

--- a/peridotdock/host.py
+++ b/peridotdock/host.py
@@ -302,7 +302,7 @@
 
     def _tries(self) -> bool:
         """Tell whether this host is the one to try what may be blocked for nothing."""
-        return self.ctx.cfg.host_id == min(self.membership.live())
+        return self.membership.live()[:1] == [self.ctx.cfg.host_id]
 
     def _plans(self) -> bool:
         """Tell whether this host is the planner, and may write for all."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,7 +3,10 @@
 
 import asyncio
 import unittest
+from types import SimpleNamespace
 
+from peridotdock.blocklist import EndpointStart
+from peridotdock.errors import Kind
 from tests.cluster import TOKEN, Cluster, read_stream, wait_for
 
 
@@ -339,3 +342,14 @@
             self.assertEqual("false", headers["x-should-retry"])
             status, _, _ = await cluster.ask(host=1)
             self.assertEqual(200, status)
+
+    async def test_the_last_host_to_leave_refuses_what_is_in_doubt(self):
+        """A caller gets 500: the last host leaves, and looks for the host that tries among none."""
+        async with Cluster(engines=1, hosts=1, services=0, models=1, adapters=0) as cluster:
+            host = cluster.hosts[0].host
+            host.membership.become("leaving")
+            asks = [SimpleNamespace(content_id=content) for content in ("p", "x")]
+            for number in range(3):
+                for ask in asks:
+                    host.blocklist.note_end(ask, EndpointStart(f"gone{number}", ""))
+            self.assertIs(Kind.BLOCKED, host.blocklist.refusal(asks[0]).kind)
