Pace prompts over all hosts: the hub says when one may be sent, and to which engine

Six hosts send to one engine within a tenth of a second, as none hears of the others' sends in less than 0.15 to 0.3 s.

Ruled out: first tokens (median 0.05 s of 0.3 s); models that share an engine (events of one, two and three models come after 32 ms alike); full batches (half of the pauses came with under 48 running).

Change: hosts ask the hub for each prompt over the link they have. It gives an engine, in any span as long as the shortest pause that callers accept, no more to read than fits between two events; what doesn't fit waits, the most urgent first; what is late goes behind what is not; what would wait for longer than its caller stays is told so at once. A host that gets no word within 30 ms chooses for itself. What a hub holds back counts when further copies are weighed. The bound grows where streams show that an engine gives tokens while it reads.

Tests: the load replayed on a model of engines (extras/engine_model), hosts alone and paced, also at engines four times faster and slower and with 24 places.

--- a/peridotdock/decisions/choice.py
+++ b/peridotdock/decisions/choice.py
@@ -55,10 +55,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Prediction:
-    """An endpoint and the seconds until its first token (or its answer) is expected."""
+    """An endpoint and the seconds until its first token (or its answer) is expected.
+
+    ``granted`` tells that it was found by the host that knows of all prompts.
+    """
 
     candidate: Candidate
     seconds: float
+    granted: bool = False
 
 
 def predict(candidate: Candidate, work: Work) -> float:
@@ -72,14 +76,16 @@
 
 
 def unread(candidate: Candidate, work: Work) -> int:
-    """Return how many prompt tokens the endpoint has to read for a request, as far as is known.
+    """Return how many prompt tokens the endpoint has to read for a request, as far as is known."""
+    return max(0, work.tokens - candidate.cached)
+
+
+def trust_preferred(cached: int, shared: int) -> int:
+    """Return how much of a prompt counts as kept at the endpoint that all hosts prefer for it.
 
     Other hosts' requests may have left the shared part there, which this host does not hear of.
     """
-    cached = candidate.cached
-    if candidate.preferred:
-        cached = max(cached, int(work.shared * PREFERRED_TRUST))
-    return max(0, work.tokens - cached)
+    return max(cached, int(shared * PREFERRED_TRUST))
 
 
 def read_seconds(work: Work) -> float:
--- a/peridotdock/decisions/copies.py
+++ b/peridotdock/decisions/copies.py
@@ -4,7 +4,7 @@
 while others rest on copies that nobody asks for. Copies follow the demand of the last seconds.
 """
 
-from peridotdock.decisions.draft import Draft, EngineView, current_of
+from peridotdock.decisions.draft import Draft, EngineView, current_of, model_demand
 
 # When a model is crowded at every holder, so that a further copy may take the room of an idle one:
 # prompt tokens that wait there, over some seconds, or engine seconds asked of it in a second. Both
@@ -51,7 +51,8 @@
         return False
     seconds = draft.spec.models[model].load
     tokens = CROWDED_TOKENS + CROWDED_TOKENS_PER_SECOND * seconds
-    if min(engine.ahead for engine in holders) >= tokens:
+    queued = model_demand(draft, model).queued / len(holders)
+    if queued + min(engine.ahead for engine in holders) >= tokens:
         return True
     most = CROWDED_LOAD + CROWDED_LOAD_PER_SECOND * seconds
     return min(load_of(draft, engine) for engine in holders) >= most
--- a/peridotdock/decisions/draft.py
+++ b/peridotdock/decisions/draft.py
@@ -54,12 +54,14 @@
 
     ``rate`` holds a peak for half a minute, so that a copy lasts from one rare request to the
     next. ``recent`` is that of the last seconds: what moved away shows there at once. Without a
-    word of its own it is the rate.
+    word of its own it is the rate. ``queued`` are prompt tokens that are held back from the
+    engines that have it, over some seconds.
     """
 
     waiting: int = 0
     rate: float = 0.0
     recent: float | None = None
+    queued: int = 0
 
     @property
     def current(self) -> float:
@@ -207,6 +209,7 @@
             sum(row.waiting for row in rows),
             sum(row.rate for row in rows),
             sum(row.current for row in rows),
+            sum(row.queued for row in rows),
         )
         for model, rows in found.items()
     }
--- a/peridotdock/frames.py
+++ b/peridotdock/frames.py
@@ -15,6 +15,9 @@
     Body,
     Entry,
     Fetch,
+    Grant,
+    GrantDropped,
+    GrantWanted,
     Hello,
     Ping,
     Rows,
@@ -39,11 +42,16 @@
     "body": Body,
     "rows": Rows,
     "rows_wanted": RowsWanted,
+    "grant_wanted": GrantWanted,
+    "grant": Grant,
+    "grant_dropped": GrantDropped,
 }
 # An update up to the array of its facts, and from there to its stamp: a CBOR map of three pairs.
 UPDATE_HEAD = b"\xa3" + b"".join(map(cbor2.dumps, ("kind", "update", "entries")))
 UPDATE_STAMP = cbor2.dumps("stamp")
-Frame = Hello | Update | Ping | Fetch | Body | Rows | RowsWanted
+Frame = (
+    Hello | Update | Ping | Fetch | Body | Rows | RowsWanted | GrantWanted | Grant | GrantDropped
+)
 
 
 def encode(frame: Frame) -> bytes:
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -21,6 +21,7 @@
     MAX_FRAME_BYTES,
     Frame,
     decode,
+    encode,
     encode_update,
 )
 from peridotdock.handshake import greet
@@ -29,6 +30,9 @@
 from peridotdock.schema.messages import (
     Body,
     Fetch,
+    Grant,
+    GrantDropped,
+    GrantWanted,
     Hello,
     LinksFact,
     Ping,
@@ -52,6 +56,8 @@
 MOST_ROWS = 50
 MAX_LINKS = 400
 ENTRIES_PER_FRAME = 1000
+GrantFrame = GrantWanted | Grant | GrantDropped
+GRANT_FRAMES = (GrantWanted, Grant, GrantDropped)
 LINK_OPTIONS = {
     "max_size": MAX_FRAME_BYTES,
     "compression": None,
@@ -78,6 +84,7 @@
         self._give_body = give_body
         self.on_rows: Callable[[Rows], bool] = lambda frame: False
         self.on_wanted: Callable[[RowsWanted], Rows | None] = lambda frame: None
+        self.on_grant: Callable[[str, GrantFrame], None] = lambda host, frame: None
         self._links: set[Link] = set()
         self._dialling: set[str] = set()
         self._bytes_in = ctx.metrics.peer_bytes.labels("in")
@@ -252,6 +259,8 @@
             found = self.on_wanted(frame)
             if found is not None:
                 await self._sender.send(link, found)
+        elif isinstance(frame, GRANT_FRAMES):
+            self.on_grant(link.peer.host, frame)
         elif isinstance(frame, Ping):
             self._ctx.timeline.clock.witness(frame.stamp)
         elif isinstance(frame, Fetch):
@@ -262,6 +271,15 @@
             if waiter is not None and frame.body and not waiter.done():
                 waiter.set_result(frame.body)
 
+    def send_to(self, host: str, frame: GrantFrame) -> bool:
+        """Send a frame to a host at the other end of a link; false where there is none."""
+        links = [link for link in self._links if link.peer.host == host]
+        if not links:
+            return False
+        link = max(links, key=lambda link: link.up_at)
+        self._spawn(self._sender.push(link, encode(frame)))
+        return True
+
     def send_rows(self, frame: Rows, source: Link | None = None) -> None:
         """Pass rows of the store on over all links but the one they came from."""
         waiting = WaitingRows(frame, self._ctx.clock.monotonic())
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 
 from peridotdock.blocklist import EndpointStart
 from peridotdock.clock import Clock
-from peridotdock.decisions.choice import Candidate, Work
+from peridotdock.decisions.choice import STEP_SECONDS, Candidate, Work, trust_preferred
 from peridotdock.deployment import Model
 from peridotdock.relay.asks import EndpointEntry, ModelWish
 from peridotdock.relay.endpoint import (
@@ -23,6 +24,8 @@
 
 # Seconds to read one prompt token before any was measured; corrected by each first token.
 FIRST_GUESS_PER_TOKEN = 0.00003
+# Seconds a prompt token takes at least: a short prompt on a quick engine is read within the step.
+LEAST_PER_TOKEN = 0.000001
 # Seconds that a plain service takes before any answer was measured.
 FIRST_GUESS_SERVICE = 0.05
 # Weight of a new measurement in a moving average: about the last ten count.
@@ -47,6 +50,7 @@
         self.by_service: dict[str, list[EndpointState]] = {}
         self._per_token: dict[str, float] = {}
         self._service: dict[str, float] = {}
+        self._event: dict[str, float] = {}
         self._change: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     def replace(self, entries: Iterable[EndpointEntry]) -> None:
@@ -148,10 +152,20 @@
         seconds = self._service.get(service, FIRST_GUESS_SERVICE)
         if wish is None:
             return Work(0, 0, 0.0, seconds)
-        shared = sum(part.tokens for part in wish.parts[:-1])
+        shared = count_shared(wish)
         per_token = self._per_token.get(wish.model, FIRST_GUESS_PER_TOKEN)
         return Work(max(1, wish.prompt_tokens), shared, per_token, seconds)
 
+    def event_seconds(self, service: str) -> float | None:
+        """Return the time between two events of a stream while nothing is read, None if unknown."""
+        return self._event.get(service)
+
+    def note_event(self, service: str, seconds: float) -> None:
+        """Learn from the time between two events; only reading makes it longer."""
+        usual = self._event.setdefault(service, seconds)
+        gain = SLOWER_GAIN if seconds > usual else FASTER_GAIN
+        self._event[service] = usual + gain * (min(seconds, 2 * usual) - usual)
+
     def candidates(
         self, states: Iterable[EndpointState], wish: ModelWish | None, avoid: frozenset[str]
     ) -> list[Candidate]:
@@ -161,27 +175,53 @@
         favourite = find_favourite(open_ones, wish)
         return [self._look(state, wish, state.key == favourite, now) for state in open_ones]
 
+    def candidates_known(
+        self, states: Iterable[EndpointState], wish: ModelWish, avoid: frozenset[str]
+    ) -> list[Candidate]:
+        """Return the endpoints as they look to a host that knows where all prompts were sent.
+
+        Nothing is taken for kept by its hash; those that kept most are preferred.
+        """
+        now = self._clock.monotonic()
+        rows = [self._look(state, wish, False, now) for state in states if state.key not in avoid]
+        most = max((row.cached for row in rows), default=0)
+        return [replace(row, preferred=0 < row.cached == most) for row in rows]
+
     def _look(
         self, state: EndpointState, wish: ModelWish | None, preferred: bool, now: float
     ) -> Candidate:
         running, ahead = state.load(now)
+        cached = state.cached(wish) if wish else 0
+        if preferred:
+            cached = trust_preferred(cached, count_shared(wish))
         return Candidate(
             key=state.key,
             ahead=ahead,
             running=running,
             slots=state.entry.slots,
-            cached=state.cached(wish) if wish else 0,
+            cached=cached,
             preferred=preferred,
             slowness=state.health.slowness(now),
             near=state.entry.domain == self._domain,
             suspect=state.health.suspect(now),
         )
 
-    def began(self, state: EndpointState, ask_id: str, wish: ModelWish | None, tokens: int) -> None:
-        """Count a request on an endpoint, with ``tokens`` to read, from when it is sent."""
+    def began(
+        self,
+        state: EndpointState,
+        ask_id: str,
+        wish: ModelWish | None,
+        tokens: int,
+        alone: bool | None = None,
+    ) -> None:
+        """Count a request on an endpoint, with ``tokens`` to read, from when it is sent.
+
+        ``alone`` tells whether nothing else is read there, None where only the hosts' sums tell.
+        """
         now = self._clock.monotonic()
-        running, ahead = state.load(now)
-        state.flights[ask_id] = Flight(now, tokens, alone=ahead == 0)
+        if alone is None:
+            alone = state.load(now)[1] == 0
+        state.flights[ask_id] = Flight(now, tokens, alone)
         state.ahead += tokens
         if wish is not None:
             state.remember(wish)
@@ -196,7 +236,8 @@
         state.ahead -= flight.tokens
         now = self._clock.monotonic()
         if wish is not None and flight.alone and flight.tokens >= LEAST_TOKENS:
-            found = (now - flight.began) / flight.tokens
+            reading = now - flight.began - STEP_SECONDS
+            found = max(LEAST_PER_TOKEN, reading / flight.tokens)
             usual = self._per_token.setdefault(wish.model, found)
             state.health.measured(found / usual, now)
             # Other requests make a first token later and never sooner, so the lower times count.
@@ -224,6 +265,11 @@
     return model.from_disk if model.name in entry.on_disk else model.load
 
 
+def count_shared(wish: ModelWish) -> int:
+    """Return the prompt tokens that other requests may share."""
+    return sum(part.tokens for part in wish.parts[:-1])
+
+
 def find_favourite(states: list[EndpointState], wish: ModelWish | None) -> str:
     """Return the endpoint that all hosts prefer for a prompt's shared part, or nothing.
 
--- a/peridotdock/relay/front.py
+++ b/peridotdock/relay/front.py
@@ -16,7 +16,8 @@
 from peridotdock.relay.caller import CallerEnd
 from peridotdock.relay.lag import LagWatch
 from peridotdock.relay.peers import Peers
-from peridotdock.relay.service import Progress, RelayService
+from peridotdock.relay.progress import Progress
+from peridotdock.relay.service import RelayService
 from peridotdock.relay.streaming import pass_on
 from peridotdock.relay.wire import Wire
 from peridotdock.requests import Reply
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -17,11 +17,13 @@
 from peridotdock.keeping import KEEP_SECONDS, BlocklistKeeper
 from peridotdock.relay.absent import WaitingRoom
 from peridotdock.relay.adapter import Adapter
+from peridotdock.relay.choosing import Chooser
 from peridotdock.relay.clocks import BootClock
 from peridotdock.relay.entries import EntryReader
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.following import Follower
 from peridotdock.relay.front import Front
+from peridotdock.relay.grants import Grants
 from peridotdock.relay.lag import LagWatch
 from peridotdock.relay.leadership import Leadership
 from peridotdock.relay.ordering import Orderer
@@ -83,6 +85,12 @@
         self.fleet = RelayFleet(settings.domain, ctx.clock)
         self.peers = Peers(ctx, settings, self.fleet, lambda digest: b"")
         self.room = WaitingRoom(ctx, self.fleet, self.peers)
+        mesh = self.peers.mesh
+        self.grants = Grants(
+            ctx, settings.host, self.peers.hub, mesh.send_to, self.fleet, find_turns()
+        )
+        mesh.on_grant = self.grants.take
+        self.peers.queued = self.grants.server.queued
         self.blocklist = Blocklist(ctx, self.peers.board, self.fleet.has_ended, self.peers.is_hub)
         self.service = RelayService(
             ctx,
@@ -90,9 +98,10 @@
             self.fleet,
             self.endpoints,
             settings.bounds,
-            self.room,
+            Chooser(ctx, self.fleet, self.room, self.grants),
             self.blocklist,
         )
+        self.service.on_gap = self.grants.server.note_gap
         self.service.on_down = lambda key: self.peers.tell_wants()
         self.lag = LagWatch(ctx, find_turns(), lambda: self.front.in_work)
         self.lag.on_change = self._tell_state
@@ -316,6 +325,7 @@
             return
         self.front.deployment = found
         self.room.deployment = found
+        self.grants.server.take_deployment(found)
         self._tell_state()
         if current is None:
             self.lease_due.set()
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -167,7 +167,7 @@
             # models on the others for held nowhere, and spends the ration on second copies.
             return
         for record in records:
-            record.press(self._ahead(record, now), now)
+            record.pressure.look(self._ahead(record, now), now)
         views = [record.view(now, self.late_items(record)) for record in records]
         held_back = {
             record.entry.incarnation
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -74,6 +74,7 @@
         self.membership = Membership(self.board, own, ctx.clock, reach)
         self.meter = DemandMeter(PEAK_SECONDS)
         self.waiting: dict[str, int] = {}
+        self.queued: Callable[[], dict[str, int]] = dict
         self.wanted = asyncio.Event()
         self._told_orders: tuple | None = None
         self._told_orders_at = 0.0
@@ -181,6 +182,10 @@
             to.add(self._leader)
         return [link for link in links if link.peer.host in to or (own and link.dialled)]
 
+    def hub(self) -> str:
+        """Return the hub, as seen from here."""
+        return self._hub()
+
     def is_hub(self) -> bool:
         """Tell whether this host is the hub, as seen from here."""
         return self._hub() == self._settings.host
@@ -263,7 +268,7 @@
             for key, state in self._fleet.states.items()
             if state.health.closed(now) or state.lacks_unheard(now)
         ]
-        self._tell("wants", WantsFact(dict(self.waiting), down))
+        self._tell("wants", WantsFact(dict(self.waiting), down, self.queued()))
 
     def down(self) -> set[str]:
         """Return the endpoints that live hosts could not connect to, or found to lack something."""
--- a/peridotdock/relay/records.py
+++ b/peridotdock/relay/records.py
@@ -1,8 +1,8 @@
 """What the host that orders engines knows of each: orders accepted, models held or coming."""
 
-import math
 from dataclasses import dataclass, field
 
+from peridotdock.averages import MovingAverage
 from peridotdock.clients.engines import Action, EngineOrder, EngineState
 from peridotdock.decisions.draft import EngineView
 from peridotdock.deployment import EngineSpec
@@ -50,8 +50,7 @@
     unknown: bool = True
     down: bool = False
     loaded_at: dict[str, float] = field(default_factory=dict)
-    pressure: float = 0.0
-    pressed_at: float = 0.0
+    pressure: MovingAverage = field(default_factory=lambda: MovingAverage(PRESSURE_SECONDS))
     ordered_at: float = float("-inf")
     in_flight: bool = False
     quiet_until: float = 0.0
@@ -135,12 +134,6 @@
             and not self.in_flight
         )
 
-    def press(self, ahead: float, now: float) -> None:
-        """Take in the prompt tokens that wait at the engine now."""
-        share = 1 - math.exp(-(now - self.pressed_at) / PRESSURE_SECONDS)
-        self.pressure += share * (ahead - self.pressure)
-        self.pressed_at = now
-
     def view(self, now: float, late: frozenset[str] = frozenset()) -> EngineView:
         """Return the engine as plans see it; ``late`` is what it may load by lost orders yet."""
         models = {name: frozenset(adapters) for name, adapters in self.models.items()}
@@ -154,7 +147,7 @@
             in_memory=self.entry.in_memory,
             on_disk=self.entry.on_disk,
             busy=bool(self.loading or self.unsure) or now < self.quiet_until,
-            ahead=self.pressure,
+            ahead=self.pressure.value,
             freeing=bool(self.freeing),
             late=late,
             settling=frozenset(
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -1,36 +1,32 @@
 """Serving one relayed request: place it, send it, repeat it where that is safe."""
 
-import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from peridotdock.blocklist import Blocklist
 from peridotdock.clients.endpoint import HttpEndpoints, read_all
 from peridotdock.context import Context
-from peridotdock.decisions.admission import judge_wait
-from peridotdock.decisions.again import pause_seconds
 from peridotdock.decisions.allowance import RetryAllowance
-from peridotdock.decisions.choice import Prediction, choose, unread
+from peridotdock.decisions.choice import Prediction, unread
 from peridotdock.decisions.health import is_overdue
-from peridotdock.decisions.overload import TURNS_TO_ANSWER, judge_send, retry_after
+from peridotdock.decisions.overload import TURNS_TO_ANSWER
 from peridotdock.deployment import Route
 from peridotdock.errors import Failure, Kind, failed
-from peridotdock.relay.absent import WaitingRoom, name_item
+from peridotdock.relay.absent import name_item
 from peridotdock.relay.asks import RelayAsk
 from peridotdock.relay.attempt import Source, Whole
 from peridotdock.relay.caller import CallerEnd
+from peridotdock.relay.choosing import Chooser
 from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.fleet import RelayFleet
+from peridotdock.relay.progress import Progress
 from peridotdock.relay.sending import NOT_RUN, SUCCESS, Sender, Sent, wait_for
 from peridotdock.relay.settings import Bounds
 from peridotdock.relay.wire import Wire
-from peridotdock.requests import RETRY_KINDS, Loss, State, admit_maybe, broke_off, lose
+from peridotdock.requests import RETRY_KINDS, admit_maybe, broke_off
 from peridotdock.turns import find_turns
 
 # Refused sends of one request: each was not run, but each is an arrival at the service.
 MOST_REFUSALS = 2
-# Seconds until a caller may come back when no endpoint has what it asks for.
-ABSENT_RETRY_SECONDS = 0.5
 # The first sign of an answer may take so many times its prediction, and so many seconds more,
 # before another endpoint is asked.
 PATIENCE_FACTOR = 3.0
@@ -41,21 +37,6 @@
 STARTED_SECONDS = 0.3
 
 
-@dataclass
-class Progress:
-    """How far one request has come: where it was sent, where it may have run, what it passed on.
-
-    ``last_id`` is the id of the last event that the caller has from us.
-    """
-
-    service: str
-    avoid: set[str] = field(default_factory=set)
-    maybe_ran: int = 0
-    refusals: int = 0
-    sends: int = 0
-    last_id: int | None = None
-
-
 class RelayService:
     """Serves relayed requests on one host."""
 
@@ -66,12 +47,12 @@
         fleet: RelayFleet,
         endpoints: HttpEndpoints,
         bounds: Bounds,
-        room: WaitingRoom,
+        chooser: Chooser,
         blocklist: Blocklist,
     ):
         self.ctx = ctx
         self.fleet = fleet
-        self._room = room
+        self._chooser = chooser
         self.blocklist = blocklist
         self.sender = Sender(wire, endpoints, ctx.clock)
         self._bounds = bounds
@@ -79,6 +60,7 @@
         self._turns = find_turns()
         self.hosts = 1
         self.on_down: Callable[[str], None] = lambda key: None
+        self.on_gap: Callable[[str, str, float], None] = lambda service, key, seconds: None
 
     def _allowance(self, service: str) -> RetryAllowance:
         bounds = self._bounds
@@ -128,50 +110,13 @@
         refusal = self.blocklist.refusal(ask)
         if refusal is not None:
             return refusal
-        place = await self._place(ask, caller, progress)
+        place = await self._chooser.find(ask, caller, progress)
         return place if failed(place) else self.blocklist.refusal(ask) or place
 
-    async def _place(
-        self, ask: RelayAsk, caller: CallerEnd, progress: Progress
-    ) -> Prediction | Failure:
-        """Choose an endpoint, after waiting for one where none can serve the request yet."""
-        wish = ask.head.wish
-        states = self.fleet.usable(progress.service, wish)
-        if progress.refusals and all(state.key in progress.avoid for state in states):
-            refusal = await self._rest(ask, caller, progress)
-            if refusal is not None:
-                return refusal
-            states = self.fleet.usable(progress.service, wish)
-        if not states:
-            refusal = await self._room.wait(ask, progress.service, caller)
-            if refusal is not None:
-                return refusal
-            states = self.fleet.usable(progress.service, wish)
-        candidates = self.fleet.candidates(states, wish, frozenset(progress.avoid))
-        if not candidates:
-            # All were tried: the one that cut a stream short may still be the one that has it.
-            candidates = self.fleet.candidates(states, wish, frozenset())
-        work = self.fleet.work(progress.service, wish)
-        found = choose(candidates, work, self.ctx.rng)
-        if found is None:
-            return Failure(Kind.NO_ENDPOINT, progress.service, ABSENT_RETRY_SECONDS)
-        stays = ask.first_by - self.ctx.clock.monotonic()
-        crowd = judge_wait(found, work, stays, ask.route.rank)
-        if crowd is not None and not progress.maybe_ran:
-            reason = f"a wait of {crowd.wait:.2f} s, {crowd.allowed:.2f} allowed"
-            return Failure(Kind.OVERLOADED, reason, crowd.retry_after(self.ctx.rng.random))
-        left = ask.deadline - self.ctx.clock.monotonic()
-        trouble = judge_send(left, found.seconds, self._turns.usual())
-        if trouble is not None:
-            return Failure(Kind.HOST_BEHIND, trouble, retry_after(self.ctx.rng.random))
-        return found
-
-    async def _rest(self, ask: RelayAsk, caller: CallerEnd, progress: Progress) -> Failure | None:
-        """Wait until an endpoint that refused the request may have a place for it."""
-        left = ask.first_by - self.ctx.clock.monotonic()
-        seconds = pause_seconds(progress.refusals, left, self.ctx.rng.random)
-        await asyncio.wait({caller.left}, timeout=seconds)
-        return lose(State.ADMITTED, Loss.CALLER_GONE) if caller.gone() else None
+    def note_gap(self, state: EndpointState, service: str, seconds: float, events: int) -> None:
+        """Learn from the time until some events of a stream came, since those before."""
+        self.fleet.note_event(service, seconds / events)
+        self.on_gap(service, state.key, seconds)
 
     def may_repeat(
         self, ask: RelayAsk, caller: CallerEnd, progress: Progress, found: Whole | Failure
@@ -218,7 +163,8 @@
         self._note_send(ask, progress, place)
         wish = ask.head.wish
         tokens = unread(place.candidate, self.fleet.work(progress.service, wish)) if wish else 0
-        self.fleet.began(state, ask.id, wish, tokens)
+        alone = place.candidate.ahead == 0 if place.granted else None
+        self.fleet.began(state, ask.id, wish, tokens, alone)
         began = self.ctx.clock.monotonic()
         streaming = False
         try:
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -7,7 +7,8 @@
 from peridotdock.relay.attempt import Source, Whole
 from peridotdock.relay.caller import CallerEnd
 from peridotdock.relay.endpoint import EndpointState
-from peridotdock.relay.service import Progress, RelayService
+from peridotdock.relay.progress import Progress
+from peridotdock.relay.service import RelayService
 
 # Seconds without a byte after which a stream is taken up elsewhere; callers leave after two.
 SILENCE_SECONDS = 1.2
@@ -26,13 +27,23 @@
         self.longest = 0.0
         self._detail = ""
 
-    def note(self, state: EndpointState, event_id: int | None) -> None:
-        """Note events that have just come from an endpoint; the first of them has ``event_id``."""
+    def note(self, state: EndpointState, event_id: int | None) -> float | None:
+        """Note events that have just come from an endpoint; the first of them has ``event_id``.
+
+        Return the seconds since those before, None for the first ones.
+        """
         now = self._service.ctx.clock.monotonic()
-        pause = 0.0 if self._last is None else now - self._last
-        self._last = now
-        if pause <= self.longest:
-            return
+        since, self._last = self._last, now
+        if since is None:
+            return None
+        pause = now - since
+        if pause > self.longest:
+            self._note_longest(state, event_id, now, pause)
+        return pause
+
+    def _note_longest(
+        self, state: EndpointState, event_id: int | None, now: float, pause: float
+    ) -> None:
         self.longest = pause
         allowed = self._ask.route.longest_pause
         if 0 < allowed < pause:
@@ -111,7 +122,9 @@
     while True:
         events = source.take()
         if events:
-            pauses.note(source.state, events[0].id)
+            gap = pauses.note(source.state, events[0].id)
+            if gap is not None:
+                service.note_gap(source.state, progress.service, gap, len(events))
         for event in events:
             if event.id is not None:
                 if progress.last_id is not None and event.id <= progress.last_id:
--- a/peridotdock/relay/sums.py
+++ b/peridotdock/relay/sums.py
@@ -1,6 +1,7 @@
 """Adding up what hosts tell of themselves: work on endpoints, and what callers ask of them."""
 
 from collections.abc import Iterable, Iterator, Mapping
+from typing import TypeVar
 
 from peridotdock.board import Board, Known
 from peridotdock.columns import pack, unpack
@@ -10,6 +11,7 @@
 
 # Least change of a demand that is told, as a share of what was told last.
 DEMAND_STEP = 0.25
+T = TypeVar("T", int, float)
 # Requests and prompt tokens that are not read yet, by endpoint.
 Work = dict[str, tuple[int, int]]
 
@@ -57,22 +59,25 @@
     waiting: dict[str, int] = {}
     rates: dict[str, float] = {}
     recent: dict[str, float] = {}
+    queued: dict[str, int] = {}
     for fact in wants:
-        for item, count in fact.items.items():
-            waiting[item] = waiting.get(item, 0) + count
+        add_up(waiting, fact.items)
+        add_up(queued, fact.queued)
     for fact in demands:
         add_up(rates, fact.rates)
         add_up(recent, fact.recent)
     return {
-        item: Demand(waiting.get(item, 0), rates.get(item, 0.0), recent.get(item, 0.0))
-        for item in waiting | rates
+        item: Demand(
+            waiting.get(item, 0), rates.get(item, 0.0), recent.get(item, 0.0), queued.get(item, 0)
+        )
+        for item in waiting | rates | queued
     }
 
 
-def add_up(total: dict[str, float], more: Mapping[str, float]) -> None:
-    """Add one host's rates to the total of all."""
-    for item, rate in more.items():
-        total[item] = total.get(item, 0.0) + rate
+def add_up(total: dict[str, T], more: Mapping[str, T]) -> None:
+    """Add one host's figures to the total of all."""
+    for item, figure in more.items():
+        total[item] = total.get(item, 0) + figure
 
 
 def differs(old: Mapping[str, float], new: Mapping[str, float]) -> bool:
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -216,6 +216,97 @@
     """
 
 
+@dataclass(frozen=True)
+class GrantWanted:
+    """
+    Asks the host that paces prompts when one may be sent, and to which endpoint.
+    """
+
+    kind: Literal['grant_wanted']
+    number: int
+    """
+    The asking host's number for the prompt.
+    """
+    service: str
+    """
+    Service that is to answer.
+    """
+    model: str
+    """
+    Model that is asked for.
+    """
+    adapter: str
+    """
+    Adapter of the model, or empty.
+    """
+    tokens: int
+    """
+    Tokens of the whole prompt.
+    """
+    parts: list[str]
+    """
+    Ids of the prompt's parts, in order.
+    """
+    part_tokens: list[int]
+    """
+    Tokens of each part.
+    """
+    rank: int
+    """
+    Rank of the route; 0 comes first.
+    """
+    spare: int
+    """
+    Milliseconds within which the first token is due; below 0 it is late already.
+    """
+    stays: int
+    """
+    Milliseconds for which the caller stays without one.
+    """
+    avoid: list[str] = field(default_factory=list)
+    """
+    Endpoints not to choose.
+    """
+
+
+@dataclass(frozen=True)
+class Grant:
+    """
+    Answers a host that wants to send a prompt: to which endpoint, or that it waits or is turned away.
+    """
+
+    kind: Literal['grant']
+    number: int
+    """
+    The asking host's number for the prompt.
+    """
+    endpoint: str
+    """
+    Endpoint to send to now; empty while there is none.
+    """
+    wait: int
+    """
+    Milliseconds that the prompt would wait, longer than its caller stays; 0 when it is queued or granted.
+    """
+    ahead: int = 0
+    """
+    Milliseconds for which the endpoint reads other prompts before this one.
+    """
+
+
+@dataclass(frozen=True)
+class GrantDropped:
+    """
+    Tells that a prompt is not waited for any more.
+    """
+
+    kind: Literal['grant_dropped']
+    number: int
+    """
+    The asking host's number for the prompt.
+    """
+
+
 @dataclass(frozen=True)
 class HostFact:
     """
@@ -434,6 +525,10 @@
     """
     Endpoints to which the origin could make no connection lately, or that lacked what they were said to hold.
     """
+    queued: dict[str, int] = field(default_factory=dict)
+    """
+    Prompt tokens by model that the origin, as the hub, holds back from engines, over some seconds.
+    """
 
 
 @dataclass(frozen=True)
