Place models by what runs on each engine: copies in use stay where another can go

The host that orders knew what was asked for, not what ran. Right after all hosts were killed it knew neither, and a tenth of a second later made room for the first requests by the models that the next ones were for (one plan dropped three of four copies of the busiest model, each engine counting on the others').

Change: hosts tell what runs by endpoint and item. A copy that nothing runs on goes first; one in use only where no idle copy is on any engine, or for more requests than run on it. Nothing makes room in the first second after a start or a change of holder, nor for what nobody waits for in the first eight. An engine with room is taken though another is being emptied. Of adapters, one without requests makes room first. Demand is told each 0.3 s in place of 1.0.

--- a/peridotdock/board.py
+++ b/peridotdock/board.py
@@ -24,6 +24,7 @@
     LinksFact,
     LoadFact,
     OrdersFact,
+    RunsFact,
     WantsFact,
     WorkFact,
 )
@@ -37,6 +38,7 @@
     "demand": DemandFact,
     "heads": HeadsFact,
     "work": WorkFact,
+    "runs": RunsFact,
     "wants": WantsFact,
     "orders": OrdersFact,
     "loads": WorkFact,
--- a/peridotdock/decisions/adapters.py
+++ b/peridotdock/decisions/adapters.py
@@ -67,8 +67,12 @@
     if count_adapters(engine) < places:
         draft.add(Step(engine.key, Action.LOAD, model, adapter, "asked for"))
         return
-    victim = least_wanted_adapter(draft, engine)
-    if victim is not None and not engine.freeing:
+    found = [(engine, least_wanted_adapter(draft, engine)) for engine in bases]
+    options = [(e, victim) for e, victim in found if victim is not None and not e.freeing]
+    if options:
+        engine, victim = min(
+            options, key=lambda row: (adapter_worth(draft, *row), row[0].ahead, row[0].key)
+        )
         draft.add(Step(engine.key, Action.UNLOAD, *victim, f"for {model}/{adapter}"))
 
 
@@ -85,13 +89,16 @@
     """Return the adapter on an engine that is asked for least and not waited for."""
     held = [(model, name) for model, names in engine.models.items() for name in names]
     idle = [row for row in held if not draft.asked("/".join(row)).waiting]
-    return min(idle, key=lambda row: adapter_worth(draft, row), default=None)
+    return min(idle, key=lambda row: adapter_worth(draft, engine, row), default=None)
 
 
-def adapter_worth(draft: Draft, row: tuple[str, str]) -> tuple[float, float, tuple[str, str]]:
-    """Return what to rank adapters by: one that was asked for long ago has no requests any more.
+def adapter_worth(
+    draft: Draft, engine: EngineView, row: tuple[str, str]
+) -> tuple[bool, float, float, tuple[str, str]]:
+    """Return what to rank adapters by: those without requests first, then the least asked for.
 
     An adapter in use goes only when its requests have ended, and keeps its place until then.
     """
-    found = draft.asked("/".join(row))
-    return found.current, found.rate, row
+    item = "/".join(row)
+    found = draft.asked(item)
+    return engine.running.get(item, 0) > 0, found.current, found.rate, row
--- a/peridotdock/decisions/draft.py
+++ b/peridotdock/decisions/draft.py
@@ -22,7 +22,8 @@
     free when the requests that use it have ended. ``busy`` engines carry out an order and refuse
     others. ``ahead`` are prompt tokens that wait there, over some seconds; ``settling`` models were
     loaded a moment ago. ``late`` are models, and adapters as MODEL/NAME, that it may load yet by
-    orders that got no answer: they take room, and serve nobody.
+    orders that got no answer: they take room, and serve nobody. ``running`` are requests there, by
+    model without its adapters and by adapter as MODEL/NAME.
     """
 
     key: str
@@ -37,6 +38,16 @@
     freeing: bool = False
     settling: frozenset[str] = frozenset()
     late: frozenset[str] = frozenset()
+    running: Mapping[str, int] = field(default_factory=dict)
+
+    def runs(self, model: str) -> int:
+        """Return how many requests for a model and its adapters run there."""
+        prefix = f"{model}/"
+        return sum(
+            count
+            for item, count in self.running.items()
+            if item == model or item.startswith(prefix)
+        )
 
     def staying(self) -> Set[str]:
         """Return what takes room for longer: models held and not dropped, and late ones."""
@@ -71,7 +82,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """One order to give next; ``room_for`` is the model that an unload makes room for."""
+    """One order to give next.
+
+    ``room_for`` is the model that an unload makes room for; ``running`` are the requests that run
+    there for what is ordered, as far as was known.
+    """
 
     engine: str
     action: Action
@@ -79,6 +94,7 @@
     adapter: str = ""
     reason: str = ""
     room_for: str = ""
+    running: int = 0
 
 
 NONE = Demand()
@@ -92,6 +108,9 @@
     engine that unloads is busy, so the next plan makes room on another one too, and what was made
     free is filled with something else; models then went round between engines without an end.
 
+    ``heard`` tells that what runs on engines is known. ``stream`` is how many seconds a request
+    runs on an engine, on average.
+
     ``crowded``, ``worth`` and ``victims`` have what was found of models, of copies by engine and
     model, and of what may make room on an engine for a model that is crowded or not.
     """
@@ -103,11 +122,13 @@
     promised: Mapping[str, str]
     by_model: Mapping[str, Demand]
     settled: bool
+    heard: bool = True
+    stream: float = 0.0
     steps: list[Step] = field(default_factory=list)
     taken: set[str] = field(default_factory=set)
     crowded: dict[str, bool] = field(default_factory=dict)
     worth: dict[tuple[str, str], float] = field(default_factory=dict)
-    victims: dict[tuple[str, bool], Sequence[str]] = field(default_factory=dict)
+    victims: dict[tuple[str, int, bool], Sequence[str]] = field(default_factory=dict)
 
     def asked(self, item: str) -> Demand:
         """Return the demand for an item."""
@@ -192,6 +213,20 @@
         """Add a step."""
         self.taken.add(step.engine)
         self.steps.append(step)
+        if step.action is Action.UNLOAD and not step.adapter:
+            self._drop(step)
+
+    def _drop(self, step: Step) -> None:
+        """Take a copy for gone, so that the same plan drops no more copies than may go.
+
+        Failure guarded against: each of four engines makes room by a copy of the same model, as it
+        has three others, and one plan unloads nearly all of them.
+        """
+        for rows in (self._holders, self._ready):
+            rows[step.model] = [e for e in rows.get(step.model, ()) if e.key != step.engine]
+        self.worth.clear()
+        self.victims.clear()
+        self.crowded.clear()
 
 
 def model_demand(draft: Draft, model: str) -> Demand:
--- a/peridotdock/decisions/placing.py
+++ b/peridotdock/decisions/placing.py
@@ -23,7 +23,7 @@
     rate_of,
     sum_by_model,
 )
-from peridotdock.decisions.eviction import cost_of, find_victims
+from peridotdock.decisions.eviction import Claim, cost_of, find_victims
 from peridotdock.deployment import EngineSpec, Model
 
 # Seconds of delay that an engine's load counts for when an engine is chosen: at a load of one,
@@ -42,17 +42,22 @@
     promised: Mapping[str, str],
     held_back: Iterable[str] = (),
     settled: bool = True,
+    stream: float = 0.0,
+    heard: bool = True,
 ) -> list[Step]:
     """Return the orders to give next, one an engine at most.
 
     ``loads_left`` loads from the store may begin now. ``promised`` is the model that each engine
     was emptied for and does not hold yet. ``held_back`` engines get no order. ``settled`` tells
-    that some seconds of demand are known.
+    that some seconds of demand are known, ``heard`` that all hosts had the time to tell what runs
+    where; ``stream`` is how many seconds a request runs.
     """
     rows = {engine.key: engine for engine in engines}
     by_model = sum_by_model(demand)
     taken = set(held_back)
-    draft = Draft(spec, rows, demand, loads_left, promised, by_model, settled, taken=taken)
+    draft = Draft(
+        spec, rows, demand, loads_left, promised, by_model, settled, heard, stream, taken=taken
+    )
     place_adapters(draft)
     place_models(draft)
     fill_places(draft)
@@ -67,48 +72,72 @@
     )
     for model in ranked:
         found = model_demand(draft, model.name)
-        if not draft.holders(model.name) and (found.waiting or found.rate > IDLE_DEMAND):
-            load_somewhere(draft, model, last_copies=found.waiting > 0, reason="asked for")
+        if draft.holders(model.name):
+            continue
+        if found.waiting:
+            load_for_waiting(draft, model)
+        elif found.rate > IDLE_DEMAND:
+            load_somewhere(draft, model, Claim.SURPLUS, "asked for")
     for model in sorted(ranked, key=lambda model: -current_of(draft, model.name)):
         missing = len(draft.holders(model.name)) < wanted_copies(draft, model.name)
         if missing and (all_held(draft) or crowded(draft, model.name)):
-            load_somewhere(draft, model, last_copies=False, reason="further copy")
+            load_somewhere(draft, model, Claim.SURPLUS, "further copy")
     for model in ranked:
         if not draft.holders(model.name):
-            load_somewhere(draft, model, last_copies=False, reason="held nowhere")
+            claim = Claim.SURPLUS if draft.settled else Claim.NOTHING
+            load_somewhere(draft, model, claim, "held nowhere")
+
+
+def load_for_waiting(draft: Draft, model: Model) -> None:
+    """Load what requests wait for, in the room of a copy in use only where no other will do.
+
+    Failure guarded against: the engine with the idle copies is just carrying out an order, another
+    one unloads a copy in use, and takes no order for seconds until its last stream has ended. So a
+    copy in use goes only for more requests than run on it, unless there is no other.
+    """
+    if load_somewhere(draft, model, Claim.IDLE, "asked for"):
+        return
+    engines = draft.engines.values()
+    soon = any(find_victims(draft, engine, model, Claim.IDLE) is not None for engine in engines)
+    waiting = model_demand(draft, model.name).waiting
+    load_somewhere(draft, model, Claim.USED, "asked for", waiting if soon else None)
 
 
 def load_somewhere(
-    draft: Draft, model: Model, last_copies: bool, reason: str, evict: bool = True
-) -> None:
-    """Order a load on the best engine, or an unload that makes room for it.
+    draft: Draft, model: Model, claim: Claim, reason: str, fewer_than: int | None = None
+) -> bool:
+    """Order a load on the best engine, or an unload that makes room for it, by what may go.
 
-    ``last_copies`` tells whether the last copy of a model that nobody waits for may go, ``evict``
-    whether any copy may.
+    ``fewer_than`` so many requests may run on the copies that go; None where nothing bounds them.
+    Return whether there was an engine for it, be it that the ration of loads is used up.
     """
     options = []
     for engine in open_engines(draft, model.name):
-        victims = find_victims(draft, engine, model, last_copies)
-        if victims is None or (victims and not evict):
+        victims = find_victims(draft, engine, model, claim)
+        if victims is None:
+            continue
+        if fewer_than is not None and sum(map(engine.runs, victims)) >= fewer_than:
             continue
         options.append(
             (load_seconds(engine, model), cost_of(draft, engine, victims), engine, victims)
         )
     if not options:
-        return
+        return False
     seconds, _, engine, victims = min(
         options,
         key=lambda row: (row[1] > 0, row[0] + row[1] + pressure_on(draft, row[2]), row[2].key),
     )
     if victims:
         reason = f"for {model.name}"
-        draft.add(Step(engine.key, Action.UNLOAD, victims[0], "", reason, model.name))
-        return
+        runs = engine.runs(victims[0])
+        draft.add(Step(engine.key, Action.UNLOAD, victims[0], "", reason, model.name, runs))
+        return True
     if seconds >= model.load:
         if draft.loads_left <= 0:
-            return
+            return True
         draft.loads_left -= 1
     draft.add(Step(engine.key, Action.LOAD, model.name, "", reason))
+    return True
 
 
 def pressure_on(draft: Draft, engine: EngineView) -> float:
@@ -117,11 +146,18 @@
 
 
 def open_engines(draft: Draft, model: str) -> list[EngineView]:
-    """Return the engines that may load a model or make room for it now."""
-    if model in draft.promised.values():
-        rows = [engine for key, engine in draft.engines.items() if draft.promised.get(key) == model]
-    else:
-        rows = [engine for key, engine in draft.engines.items() if key not in draft.promised]
+    """Return the engines that may load a model or make room for it now.
+
+    While one is being emptied for the model, others count only where it fits as they are.
+    """
+    kept = model in draft.promised.values()
+    size = draft.spec.models[model].weights_mb
+    rows = [
+        engine
+        for key, engine in draft.engines.items()
+        if draft.promised.get(key, model) == model
+        if not kept or key in draft.promised or draft.rooms[key] >= size
+    ]
     return [
         e
         for e in rows
--- a/peridotdock/relay/endpoint.py
+++ b/peridotdock/relay/endpoint.py
@@ -23,11 +23,15 @@
 
 @dataclass(slots=True)
 class Flight:
-    """One request of this host on an endpoint; ``tokens`` of its prompt are still to be read."""
+    """One request of this host on an endpoint; ``tokens`` of its prompt are still to be read.
+
+    ``item`` is the model or adapter that it uses, empty at a plain service.
+    """
 
     began: float
     tokens: int
     alone: bool
+    item: str = ""
     waiting: bool = True
 
 
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -16,6 +16,7 @@
     HeardNews,
     OthersLoad,
     cache_place,
+    name_wish,
     next_start,
     out_of_date,
 )
@@ -221,7 +222,8 @@
         now = self._clock.monotonic()
         if alone is None:
             alone = state.load(now)[1] == 0
-        state.flights[ask_id] = Flight(now, tokens, alone)
+        item = name_wish(wish) if wish is not None else ""
+        state.flights[ask_id] = Flight(now, tokens, alone, item)
         state.ahead += tokens
         if wish is not None:
             state.remember(wish)
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -49,7 +49,8 @@
 # words it takes in a second: with more hosts they come seldomer, and what it spends on them stays
 # the same.
 WORK_SECONDS = 0.15
-DEMAND_SECONDS = 1.0
+RUNS_SECONDS = 0.3
+DEMAND_SECONDS = 0.3
 WORDS_PER_SECOND = 400.0
 # Seconds between two steps for the lease: of its holder; of those that stand by, while they hear
 # the holder and when they don't; of all others.
@@ -154,6 +155,7 @@
         every = self.jobs.every
         every(lambda: LOOK_ROUND_SECONDS, self._look_round, "look round")
         every(lambda: self._word_seconds(WORK_SECONDS), self._tell_work, "work")
+        every(lambda: self._word_seconds(RUNS_SECONDS), self._tell_runs, "runs")
         every(lambda: self._word_seconds(DEMAND_SECONDS), self._tell_demand, "demand")
         every(self.lag.look_seconds, self.lag.look, "lag")
         every(lambda: KEEP_SECONDS, self.keeper.step, "block list", self.keep_due)
@@ -190,6 +192,9 @@
         self.blocklist.tell()
         self.views.keep_telling()
 
+    async def _tell_runs(self) -> None:
+        self.peers.tell_runs()
+
     async def _tell_demand(self) -> None:
         self.peers.tell_demand()
 
@@ -270,7 +275,8 @@
                 await self.leadership.give_up()
 
     def _plan(self, deployment: Deployment) -> None:
-        self.orderer.round(deployment, self.peers.demand(), self.peers.down())
+        peers = self.peers
+        self.orderer.round(deployment, peers.demand(), peers.down(), peers.running())
         news, loads = self.orderer.news(), self.orderer.loads()
         self.peers.tell_orders(self.leadership.term, news, loads)
 
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -22,7 +22,7 @@
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.late import LateOrders
 from peridotdock.relay.leadership import Leadership
-from peridotdock.relay.records import EngineRecord, order_seconds
+from peridotdock.relay.records import NOTHING_RUNS, EngineRecord, order_seconds
 from peridotdock.relay.settings import Bounds
 from peridotdock.schema.messages import EngineNews
 
@@ -42,6 +42,8 @@
 LOOK_SECONDS = 1.0
 # Seconds of demand after which placement goes by it alone: every busy model is asked for by then.
 SETTLED_SECONDS = 8.0
+# Seconds after which the word of all hosts on what runs, and on what is asked for, has come.
+HEAR_SECONDS = 1.0
 # Answers that say that an order is not carried out, now or later.
 NOT_DONE = frozenset(
     {OrderAnswer.BUSY, OrderAnswer.REFUSED, OrderAnswer.FENCED, OrderAnswer.ANOTHER}
@@ -84,7 +86,11 @@
         self.heard_loads: Callable[[int], Mapping[str, list[float]] | None] = lambda term: None
 
     def round(
-        self, deployment: Deployment, demand: Mapping[str, Demand], down: Collection[str]
+        self,
+        deployment: Deployment,
+        demand: Mapping[str, Demand],
+        down: Collection[str],
+        running: Mapping[str, Mapping[str, int]],
     ) -> None:
         """Bring the records up to the entries, plan, and begin what is due.
 
@@ -100,7 +106,7 @@
             self.records[key].unsure = True
         for service in deployment.services.values():
             if service.engine is not None:
-                self._plan(service, service.engine, demand)
+                self._plan(service, service.engine, demand, running)
 
     def _take_over(self, deployment: Deployment) -> None:
         """Begin anew: nothing is known of what the holder before had under way."""
@@ -151,7 +157,13 @@
         self._promises.pop(entry.incarnation, None)
         return record
 
-    def _plan(self, service: Service, spec: EngineSpec, demand: Mapping[str, Demand]) -> None:
+    def _plan(
+        self,
+        service: Service,
+        spec: EngineSpec,
+        demand: Mapping[str, Demand],
+        running: Mapping[str, Mapping[str, int]],
+    ) -> None:
         now = self._ctx.clock.monotonic()
         records = [
             record
@@ -168,7 +180,12 @@
             return
         for record in records:
             record.pressure.look(self._ahead(record, now), now)
-        views = [record.view(now, self.late_items(record)) for record in records]
+        views = [
+            record.view(
+                now, self.late_items(record), running.get(record.entry.incarnation, NOTHING_RUNS)
+            )
+            for record in records
+        ]
         held_back = {
             record.entry.incarnation
             for record in records
@@ -179,7 +196,11 @@
         ration = self._ration(service)
         promised = self._promised(now)
         settled = self._settled(demand, now)
-        for step in make_plan(spec, views, demand, ration.left(now), promised, held_back, settled):
+        stream = self._fleet.work(service.name, None).service
+        heard = self._heard(now)
+        for step in make_plan(
+            spec, views, demand, ration.left(now), promised, held_back, settled, stream, heard
+        ):
             if step.room_for:
                 self._promises[step.engine] = Promise(step.room_for, now + PROMISE_SECONDS)
             record = self.records[step.engine]
@@ -194,6 +215,11 @@
             self._demand_since = now
         return self._demand_since is not None and now - self._demand_since > SETTLED_SECONDS
 
+    def _heard(self, now: float) -> bool:
+        """Tell whether all hosts have had the time to tell this one what runs where."""
+        since = self._began if self._demand_since is None else self._demand_since
+        return now - max(since, self._began) >= HEAR_SECONDS
+
     def _promised(self, now: float) -> dict[str, str]:
         """Return the promises that are open: not kept yet, and not too old."""
         self._promises = {
@@ -333,7 +359,8 @@
             "order_given",
             endpoint=record.entry.incarnation,
             item=item,
-            detail=f"{order.action} {step.reason}, expected {order.expected}: {word}",
+            detail=f"{order.action} {step.reason}, {step.running} running, "
+            f"expected {order.expected}: {word}",
         )
 
     async def stop(self) -> None:
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -18,11 +18,13 @@
 from peridotdock.relay.sums import (
     Work,
     add_load,
+    add_runs,
     alive_facts,
     differs,
     read_work,
     sum_demand,
     without,
+    write_runs,
     write_work,
 )
 from peridotdock.rendezvous import weigh
@@ -40,7 +42,7 @@
 # its copy should last through several such gaps.
 PEAK_SECONDS = 30.0
 # Facts that go to the hub and not from it to all hosts.
-UPWARD = frozenset({"work", "wants", "demand"})
+UPWARD = frozenset({"work", "runs", "wants", "demand"})
 # Seconds after which the hub tells the sum of the loads again although it has not changed.
 LOADS_SECONDS = 1.0
 # Seconds after which news that lasts is told again: half of the time for which it is believed.
@@ -260,6 +262,22 @@
         }
         self._tell("work", write_work(rows))
 
+    def tell_runs(self) -> None:
+        """Tell how many requests of this host run on each endpoint for each model and adapter."""
+        rows: dict[tuple[str, str], int] = {}
+        for key, state in self._fleet.states.items():
+            for flight in state.flights.values():
+                if flight.item:
+                    rows[key, flight.item] = rows.get((key, flight.item), 0) + 1
+        self._tell("runs", write_runs(rows))
+
+    def running(self) -> dict[str, dict[str, int]]:
+        """Return how many requests of all live hosts run on each endpoint, by item."""
+        total: dict[str, dict[str, int]] = {}
+        for _, known in alive_facts(self.board, self.membership, "runs"):
+            add_runs(total, known.fact)
+        return total
+
     def tell_wants(self) -> None:
         """Tell what requests on this host wait for."""
         now = self._ctx.clock.monotonic()
--- a/peridotdock/relay/records.py
+++ b/peridotdock/relay/records.py
@@ -1,6 +1,8 @@
 """What the host that orders engines knows of each: orders accepted, models held or coming."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 from peridotdock.averages import MovingAverage
 from peridotdock.clients.engines import Action, EngineOrder, EngineState
@@ -25,6 +27,9 @@
 REPORT_LAG = 0.8
 
 
+NOTHING_RUNS: Mapping[str, int] = MappingProxyType({})
+
+
 @dataclass
 class EngineRecord:
     """One start of an engine. ``loading`` has when each load should be done, in monotonic seconds.
@@ -134,8 +139,16 @@
             and not self.in_flight
         )
 
-    def view(self, now: float, late: frozenset[str] = frozenset()) -> EngineView:
-        """Return the engine as plans see it; ``late`` is what it may load by lost orders yet."""
+    def view(
+        self,
+        now: float,
+        late: frozenset[str] = frozenset(),
+        running: Mapping[str, int] = NOTHING_RUNS,
+    ) -> EngineView:
+        """Return the engine as plans see it.
+
+        ``late`` is what it may load by lost orders yet, ``running`` the requests there by item.
+        """
         models = {name: frozenset(adapters) for name, adapters in self.models.items()}
         models |= {name: frozenset() for name in self.loading if name not in models}
         return EngineView(
@@ -150,6 +163,7 @@
             ahead=self.pressure.value,
             freeing=bool(self.freeing),
             late=late,
+            running=running,
             settling=frozenset(
                 name for name, at in self.loaded_at.items() if now - at < SETTLING_SECONDS
             ),
--- a/peridotdock/relay/sums.py
+++ b/peridotdock/relay/sums.py
@@ -7,7 +7,7 @@
 from peridotdock.columns import pack, unpack
 from peridotdock.decisions.draft import Demand
 from peridotdock.membership import Membership
-from peridotdock.schema.messages import DemandFact, WantsFact, WorkFact
+from peridotdock.schema.messages import DemandFact, RunsFact, WantsFact, WorkFact
 
 # Least change of a demand that is told, as a share of what was told last.
 DEMAND_STEP = 0.25
@@ -39,6 +39,30 @@
     return dict(zip(fact.endpoints, columns, strict=True))
 
 
+def write_runs(rows: Mapping[tuple[str, str], int]) -> RunsFact:
+    """Pack the requests that run by endpoint and item."""
+    endpoints = list(dict.fromkeys(endpoint for endpoint, _ in rows))
+    items = list(dict.fromkeys(item for _, item in rows))
+    at = {name: place for place, name in enumerate(endpoints)}
+    what = {name: place for place, name in enumerate(items)}
+    return RunsFact(
+        endpoints,
+        items,
+        pack("H", (at[endpoint] for endpoint, _ in rows)),
+        pack("H", (what[item] for _, item in rows)),
+        pack("H", rows.values()),
+    )
+
+
+def add_runs(total: dict[str, dict[str, int]], fact: RunsFact) -> None:
+    """Add one host's requests by endpoint and item to the total of all."""
+    columns = (unpack("H", column) for column in (fact.at, fact.what, fact.running))
+    for at, what, count in zip(*columns, strict=True):
+        items = total.setdefault(fact.endpoints[at], {})
+        item = fact.items[what]
+        items[item] = items.get(item, 0) + count
+
+
 def add_load(total: Work, name: str, row: tuple[int, int]) -> None:
     """Add one host's work on an endpoint to the total."""
     running, tokens = total.get(name, (0, 0))
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -511,6 +511,34 @@
     """
 
 
+@dataclass(frozen=True)
+class RunsFact:
+    """
+    Body of topic runs: requests of the origin by endpoint and item, one element of each column a pair.
+    """
+
+    endpoints: list[str]
+    """
+    Incarnations of the endpoints.
+    """
+    items: list[str]
+    """
+    Models, and adapters as MODEL/NAME.
+    """
+    at: bytes
+    """
+    Place of the pair's endpoint in endpoints, unsigned 16 bits.
+    """
+    what: bytes
+    """
+    Place of the pair's item in items, unsigned 16 bits.
+    """
+    running: bytes
+    """
+    Requests of the pair, unsigned 16 bits.
+    """
+
+
 @dataclass(frozen=True)
 class WantsFact:
     """
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -432,6 +432,74 @@
         }
         self.assertEqual([("a", "unload", "m0/a2")], plan([full_of_adapters()], demand)[:1])
 
+    @params((False, []), (True, [("a", "unload", "m1")]))
+    def test_no_room_is_made_before_hosts_have_told_what_runs(self, heard, expected):
+        """Callers of the busiest models are refused for six seconds after all hosts were killed.
+
+        A tenth of a second after its start the host that orders made room for the first request
+        that waited, by models that the next requests were for.
+        """
+        engines = [engine("a", "m0", "m1", "m2", on_disk=frozenset({"m3"}))]
+        demand = {"m3": Demand(1), "m0": Demand(0, 0.3), "m2": Demand(0, 0.3)}
+        steps = make_plan(SPEC, engines, demand, 5, {}, settled=False, heard=heard)
+        found = [(s.engine, s.action.value, s.model) for s in steps if not s.adapter]
+        self.assertEqual(expected, found)
+
+    def test_a_plan_drops_no_more_copies_than_may_go(self):
+        """A model with four copies has one left, and its callers wait.
+
+        Each of three engines made room by its copy, as there were three others.
+        """
+        others = ("x", "y", "z")
+        engines = [engine(key, "m0", "m1", "m2", on_disk=frozenset(NAMES)) for key in others]
+        spec = replace(SPEC, models=SPEC.models | {name: model(name) for name in ("m4", "m5")})
+        engines.append(engine("w", "m0", "m1", "m2"))
+        demand = {"m0": Demand(0, 0.5, 0.0), "m1": Demand(0, 0.5), "m2": Demand(0, 0.5)}
+        steps = make_plan(spec, engines, demand, 5, {})
+        dropped = [step for step in steps if step.action is Action.UNLOAD and step.model == "m0"]
+        self.assertLessEqual(len(dropped), 3)
+        demand = {name: Demand(0, 0.3) for name in NAMES[:3]}
+        wanted = {"m3": Demand(1), "m4": Demand(1), "m5": Demand(1)}
+        steps = make_plan(spec, engines[:3], demand | wanted, 5, {}, settled=False)
+        left = {name: 3 for name in NAMES[:3]}
+        for step in steps:
+            left[step.model] -= 1
+        self.assertGreaterEqual(min(left.values()), 2)
+
+    @params(
+        ("a copy on which nothing runs goes", {"m1": 3, "m2": 1}, False, 1, ("b", "m0")),
+        ("its engine is waited for", {"m1": 3, "m2": 1}, True, 1, None),
+        ("but not by more than run on a copy in use", {"m1": 3, "m2": 1}, True, 9, ("a", "m2")),
+    )
+    def test_a_copy_in_use_stays_where_another_can_go(self, name, running, busy, waiting, goes):
+        """An engine takes no order for five seconds, and callers of two models are refused.
+
+        It was ordered to unload a model that streams ran on, and waits for the last of them. Next
+        to it an engine had a copy that nobody used.
+        """
+        used = engine("a", "m1", "m2", running=running, on_disk=frozenset(NAMES))
+        idle = engine("b", "m0", "m4", running={"m4": 2}, on_disk=frozenset(NAMES), busy=busy)
+        spec = replace(SPEC, weights_mb=140.0, models=SPEC.models | {"m4": model("m4")})
+        demand = {"m3": Demand(waiting, 0.9), "m1": Demand(0, 0.3), "m2": Demand(0, 0.2)}
+        steps = make_plan(spec, [used, idle], demand | {"m4": Demand(0, 0.6)}, 5, {}, stream=2.0)
+        found = [(s.engine, s.model) for s in steps if s.room_for == "m3"]
+        self.assertEqual([goes] if goes else [], found, name)
+
+    def test_an_engine_with_room_is_taken_though_another_is_being_emptied(self):
+        """A busy model's callers wait for an engine's last streams while a new engine is empty."""
+        emptied = engine("a", "m0", "m1", dropping=frozenset({"m1"}), models={"m2": frozenset()})
+        demand = {"m3": Demand(5, 0.5), "m0": Demand(0, 0.5)}
+        new = engine("b", on_disk=frozenset(NAMES))
+        found = plan([replace(emptied, busy=True), new], demand, {"a": "m3"})
+        self.assertIn(("b", "load", "m3"), found)
+
+    def test_an_adapter_without_requests_makes_room_first(self):
+        """A request waits for an adapter until another's stream has ended, beside one unused."""
+        used = {"m0/a2": 1, "m0/a3": 2, "m0/a4": 1}
+        demand = {"m0/a5": Demand(1, 0.01), "m0/a1": Demand(0, 0.05, 0.05)}
+        found = plan([full_of_adapters(running=used)], demand)
+        self.assertEqual([("a", "unload", "m0/a1")], found[:1])
+
     def test_loads_from_the_store_are_rationed(self):
         engines = [engine("a"), engine("b")]
         demand = {"m3": Demand(1, 0.1), "m2": Demand(1, 0.1)}
--- a/tests/relay/test_late.py
+++ b/tests/relay/test_late.py
@@ -117,7 +117,7 @@
         fleet.replace([engine.entry()])
         if rng.random() < SHIFT_SHARE:
             wanted = rng.sample(ITEMS, 4)
-        orderer.round(deployment, {item: Demand(1, 0.1) for item in wanted}, ())
+        orderer.round(deployment, {item: Demand(1, 0.1) for item in wanted}, (), {})
         await settle()
         clock.advance(STEP)
         await settle()
--- a/tests/relay/test_loads.py
+++ b/tests/relay/test_loads.py
@@ -3,12 +3,14 @@
 import unittest
 from unittest.mock import Mock, patch
 
+from peridotdock.decisions.draft import Demand
 from peridotdock.links import Link
 from peridotdock.membership import Member
+from peridotdock.relay.asks import ModelWish
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.peers import UPWARD, Peers
 from peridotdock.relay.settings import Address, HostSettings, Listen
-from peridotdock.relay.sums import write_work
+from peridotdock.relay.sums import write_runs, write_work
 from peridotdock.schema.messages import EngineNews, Hello, HostFact, OrdersFact
 from tests.builders import facts_of, make_ctx
 from tests.fakes import FakeClock
@@ -85,9 +87,27 @@
             for topic in (*UPWARD, "host")
             for link in peers._audience(("h3", topic), to.values())
         }
-        expected = {("h1", "wants"), ("h1", "demand"), ("h1", "host"), ("h2", "host")}
+        expected = {("h1", topic) for topic in ("wants", "demand", "runs", "host")}
+        expected.add(("h2", "host"))
         self.assertEqual(expected, passed)
 
+    async def test_what_runs_is_added_up_by_endpoint_and_item(self):
+        peers, fleet = self.host("h1")
+        self.hear(peers, "h2", "host", self.host_fact("h2", 0))
+        rows = {("i-1", "m0"): 2, ("i-1", "m0/a1"): 1, ("i-2", "m1"): 4}
+        self.hear(peers, "h2", "runs", write_runs(rows))
+        wish = ModelWish("m0", "a1", 10, 1, ())
+        fleet.began(fleet.states["i-1"], "a1", wish, 10)
+        peers.tell_runs()
+        expected = {"i-1": {"m0": 2, "m0/a1": 2}, "i-2": {"m1": 4}}
+        self.assertEqual(expected, peers.running())
+
+    async def test_what_the_hub_holds_back_is_told(self):
+        peers, _ = self.host("hub")
+        peers.queued = lambda: {"m0": 1500}
+        peers.tell_wants()
+        self.assertEqual(Demand(0, 0.0, 0.0, 1500), peers.demand()["m0"])
+
     async def test_a_load_that_goes_on_is_told_once(self):
         """Each look at a load under way goes to all hosts, though only its time has changed."""
         peers, _ = self.host("h1")
--- a/tests/relay/test_starts.py
+++ b/tests/relay/test_starts.py
@@ -10,7 +10,7 @@
 from peridotdock.clients.engines import Action, EngineOrder, EngineState, OrderAnswer
 from peridotdock.decisions.adapters import count_adapters
 from peridotdock.decisions.draft import Draft
-from peridotdock.decisions.eviction import find_victims
+from peridotdock.decisions.eviction import Claim, find_victims
 from peridotdock.errors import Failure, Kind
 from peridotdock.platform.endpoints import decode_report
 from peridotdock.relay.asks import EndpointEntry, HeldModel, ModelWish, PromptPart
@@ -221,7 +221,7 @@
         late = engine("e1", "m0", "m1", late=frozenset({"m2"}))
         for model, view, expected in (("m3", plain, True), ("m3", late, False), ("m2", late, True)):
             plan = Draft(SPEC, {"e1": view}, {}, 5, {}, {}, True)
-            victims = find_victims(plan, view, SPEC.models[model], last_copies=False)
+            victims = find_victims(plan, view, SPEC.models[model], Claim.SURPLUS)
             self.assertEqual(expected, victims == (), model)
 
 
