--- a/peridotdock/metrics.py
+++ b/peridotdock/metrics.py
@@ -18,6 +18,7 @@
         self.sends = self._counter("sends", "Requests sent to endpoints, by attempt.", "attempt")
         self.late_frames = self._counter("late_frames", "Answers that came for nobody.")
         self.orders = self._counter("orders", "Orders sent to engines.", "action", "outcome")
+        self.reports = self._counter("reports", "Reports asked of engines.", "outcome")
         self.platform = self._counter("platform", "Calls to the platform.", "call", "outcome")
         self.peer_bytes = self._counter("peer_bytes", "Bytes to and from hosts.", "direction")
         self.fact_bytes = self._counter(
--- a/peridotdock/platform/wire.py
+++ b/peridotdock/platform/wire.py
@@ -1,5 +1,6 @@
 """Headers of the platform: callers' requests, sends to endpoints, answers of both."""
 
+import math
 from collections.abc import Iterable, Mapping
 
 from peridotdock.credentials import NO_KEY, read_bearer
@@ -28,6 +29,9 @@
 # The endpoint's proof that an answer is its own.
 RECEIPT = "x-response-signature"
 RETRY_AFTER = "retry-after"
+# The requests a second that an endpoint takes from all hosts together, a decimal number; an answer
+# without it says that there is no such limit now.
+RATE_LIMIT = "server-limit"
 # "Bearer KEY": the key of a caller's workspace, which endpoints never see.
 KEY = "authorization"
 # The name of the workspace, which only a host may say.
@@ -121,6 +125,7 @@
             misdirected=status == MISDIRECTED,
             receipt=headers.get(RECEIPT, ""),
             content_type=headers.get("content-type", "application/octet-stream"),
+            rate_limit=read_rate(headers.get(RATE_LIMIT)),
             headers=tuple(
                 row for row in rows if row[0] not in SERVER_HEADERS and row[0] != "content-type"
             ),
@@ -151,6 +156,17 @@
         return 0
 
 
+def read_rate(text: str | None) -> float | None:
+    """Return requests a second, infinite where none are named; None where it can't be read."""
+    if text is None:
+        return math.inf
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if 0 <= rate < math.inf else None
+
+
 def read_milliseconds(text: str | None) -> float | None:
     """Return seconds, or None where there is no value; raises ValueError for a bad one."""
     if text is None:
--- a/peridotdock/relay/asks.py
+++ b/peridotdock/relay/asks.py
@@ -1,5 +1,6 @@
 """A caller's request on a route, and an endpoint as it registered itself, decoded."""
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -154,7 +155,9 @@
 
     ``not_run`` is the endpoint's word that it did not run the request; ``misdirected`` that it is
     not the one named, or does not hold the model or adapter. ``receipt`` proves that the answer is
-    the endpoint's own. ``headers`` go back to the caller unchanged.
+    the endpoint's own. ``headers`` go back to the caller unchanged. ``rate_limit`` are the requests
+    a second that the endpoint takes from all hosts together for now: infinite where it names no
+    limit, None where what it names can't be read.
     """
 
     status: int
@@ -164,3 +167,4 @@
     receipt: str
     content_type: str
     headers: tuple[tuple[str, str], ...]
+    rate_limit: float | None = math.inf
--- a/peridotdock/relay/endpoint.py
+++ b/peridotdock/relay/endpoint.py
@@ -1,5 +1,6 @@
 """One start of an endpoint as a host sees it: its entry, the work on it, how it has behaved."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Collection
 from dataclasses import dataclass, field
@@ -68,6 +69,20 @@
     confirmed: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class LimitWord:
+    """The requests a second that an endpoint takes from all hosts; infinite without a limit.
+
+    ``at`` is the time for which it holds (monotonic seconds).
+    """
+
+    rate: float
+    at: float
+
+
+NO_LIMIT = LimitWord(math.inf, float("-inf"))
+
+
 @dataclass
 class EndpointState:
     """One start of an endpoint as seen from this host.
@@ -85,6 +100,7 @@
     gone: bool = False
     answered_sent: float = float("-inf")
     lacked: dict[str, Lack] = field(default_factory=dict)
+    limit: LimitWord = NO_LIMIT
 
     def takes_work(self) -> bool:
         """Tell whether requests may still be sent there."""
@@ -134,6 +150,19 @@
         rows = self.lacked.values()
         return any(not row.confirmed and now - row.at <= LACKS_SECONDS for row in rows)
 
+    def note_limit(self, rate: float | None, sent: float, now: float) -> bool:
+        """Take in the limit of an answer to a request that was sent at a time; tell of a change.
+
+        Answers may overtake each other: one without a limit ends what was named only where its
+        request was sent after that.
+        """
+        ended = rate == math.inf
+        if rate is None or (ended and sent <= self.limit.at):
+            return False
+        changed = rate != self.limit.rate
+        self.limit = LimitWord(rate, sent if ended else now)
+        return changed
+
     def take_entry(self, entry: EndpointEntry) -> None:
         """Take in the endpoint's own entry."""
         if entry is not self.entry:
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -245,6 +245,7 @@
         try:
             report = await self._engines.report(record.entry)
             now = self._ctx.clock.monotonic()
+            self._note_report(record, report)
             record.down = failed(report) and report.kind is Kind.ENDPOINT_UNREACHABLE
             if not failed(report):
                 record = self._started_again(record, report)
@@ -256,6 +257,12 @@
             record.in_flight = False
             self.changed.set()
 
+    def _note_report(self, record: EngineRecord, report: EngineState | Failure) -> None:
+        """Count and log that an engine was asked for a report."""
+        word = f"{report.kind}: {report.reason}" if failed(report) else f"seq {report.seq}"
+        self._ctx.metrics.reports.labels("failed" if failed(report) else "read").inc()
+        self._ctx.timeline.add("report_read", endpoint=record.entry.incarnation, detail=word)
+
     def _started_again(self, record: EngineRecord, report: EngineState) -> EngineRecord:
         """Return the record that a report is of: a new one where the engine has started again.
 
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -1,7 +1,7 @@
 """One send of a request to one endpoint, up to the head of the answer."""
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -17,6 +17,8 @@
 from peridotdock.turns import find_turns
 
 T = TypeVar("T")
+# Called with the head of each answer, and when its request was sent (monotonic seconds).
+OnAnswer = Callable[[RelayAsk, EndpointState, AnswerHead, float], None]
 SUCCESS = range(200, 300)
 # What an endpoint says that did not run a request: the connection is as good as before. Each new
 # one costs the endpoint a millisecond, and those that it refuses are the busiest.
@@ -101,6 +103,7 @@
         self._endpoints = endpoints
         self._clock = clock
         self._turns = find_turns()
+        self.on_answer: OnAnswer = lambda ask, state, head, sent: None
 
     async def send(
         self,
@@ -123,11 +126,14 @@
             connect=connect_seconds(left, self._turns.usual()),
             wanted=state.takes_work,
         )
+        sent = self._clock.monotonic()
         work = self._endpoints.open(f"http://{state.entry.address}", call)
         opened = await wait_for(work, caller, min(left, patience), silence=patience < left)
         if failed(opened):
             return opened
         head = self._wire.read_answer(opened.status, opened.headers)
+        if head.attempt_id in ("", ask.id):
+            self.on_answer(ask, state, head, sent)
         fault = find_fault(head, ask.id)
         if fault is not None:
             if fault.kind in NOT_RUN:
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -9,8 +9,10 @@
 (the id of another request), ``unsigned`` (no receipt), ``extra`` (a second answer behind the
 first). ``pace`` are seconds before each event or answer, ``most_held`` the most models it had at
 once. What reaches it is kept in ``seen``; what ran, in ``ran``; what was left, in ``left``.
-``accepted`` counts the connections that were made to it. A request whose body is in ``fatal`` ends
-it as soon as it runs: all its connections are reset and nothing listens any more.
+``accepted`` counts the connections that were made to it, ``calls`` has the time of each request
+that reached it, reports and orders too. What is in ``says`` goes into the head of each answer. A
+request whose body is in ``fatal`` ends it as soon as it runs: all its connections are reset and
+nothing listens any more.
 """
 
 import asyncio
@@ -34,6 +36,8 @@
         self.ran = []
         self.left = []
         self.accepted = 0
+        self.calls = []
+        self.says = {}
         self.orders = []
         self.events = EVENTS
         self.hold = None
@@ -106,9 +110,10 @@
         method, target, _ = line.split(" ")
         headers = dict(row.lower().split(": ", 1) for row in rows if row)
         body = await reader.readexactly(int(headers.get("content-length", 0)))
+        self.calls.append(asyncio.get_running_loop().time())
         if target.startswith("/v1/"):
             status, answer = self._control(target, headers, body)
-            writer.write(frame(status, json.dumps(answer).encode(), {}))
+            writer.write(frame(status, json.dumps(answer).encode(), self.says))
             await writer.drain()
             return True
         self.seen.append((method, target, headers, body))
@@ -136,13 +141,13 @@
         step = self.script.pop(0) if self.script else "serve"
         attempt = headers.get("x-attempt-id", "")
         if headers.get("x-target-instance") != self.name:
-            writer.write(frame(421, b"", {}))
+            writer.write(frame(421, b"", self.says))
             return True
         if "x-model" in headers and not self._holds(headers["x-model"]):
-            writer.write(frame(421, b"", {"x-attempt-id": attempt}))
+            writer.write(frame(421, b"", self.says | {"x-attempt-id": attempt}))
             return True
         if step == "refuse":
-            writer.write(frame(503, b"", {"x-not-executed": "1"}))
+            writer.write(frame(503, b"", self.says | {"x-not-executed": "1"}))
             return True
         self.ran.append(attempt)
         if body in self.fatal:
@@ -154,7 +159,8 @@
         await asyncio.sleep(0 if "x-model" in headers else self.pace)
         if step == "silent":
             return await self._wait_for_close(reader, attempt)
-        signed = {"x-attempt-id": attempt, "x-response-signature": f"by {self.name}"}
+        signed = self.says | {"x-attempt-id": attempt}
+        signed["x-response-signature"] = f"by {self.name}"
         if step == "foreign":
             signed["x-attempt-id"] = "another"
         if step == "unsigned":
