Keep to the limits that endpoints name, over all hosts: a permit from the hub for each request

What callers saw: nothing at first; endpoints that had said that they take one request a second got two to four, and were to be relieved by nobody.

Change: one word on an endpoint for all hosts, the newest counts (relay/words.py); a bucket for each start of an endpoint at the hub (decisions/permits.py); a permit for each request, report and order (relay/permits.py); the hub counts permits when it grants prompts. An endpoint without a permit is passed over; where all are at their limits, a request waits up to a second for a promised permit, or is refused at once with the time to come back. No word from the hub: nothing is sent there. What hosts ask the hub and wait for is one class now (relay/questions.py), which quotas use too.

Why it holds: who gives permits is one host at a time; a new one begins a second in debt for what the one before may have promised, and gives only the part of the hosts that it reaches.

--- a/peridotdock/board.py
+++ b/peridotdock/board.py
@@ -29,6 +29,7 @@
     RunsFact,
     UsageFact,
     WantsFact,
+    WordsFact,
     WorkFact,
 )
 
@@ -49,6 +50,8 @@
     "ends": EndsFact,
     "usage": UsageFact,
     "quotas": QuotasFact,
+    "heard_words": WordsFact,
+    "words": WordsFact,
 }
 MAX_ORIGINS = 2000
 # Seconds for which a fact that was written for one link is sent over others as it is: the hub
--- a/peridotdock/decisions/choice.py
+++ b/peridotdock/decisions/choice.py
@@ -27,7 +27,9 @@
 
     ``ahead`` are prompt tokens that wait or are being read there; ``cached`` of ours need no
     reading. ``slowness`` is its time over the usual time for the same work. ``suspect`` ones
-    failed lately and are taken only when nothing else is left.
+    failed lately and are taken only when nothing else is left. Of one that has named a limit,
+    ``permit_wait`` are the seconds until there is a permit, as far as known, and ``permit_gap``
+    those between two; both are 0 for others.
     """
 
     key: str
@@ -39,6 +41,13 @@
     slowness: float
     near: bool
     suspect: bool = False
+    permit_wait: float = 0.0
+    permit_gap: float = 0.0
+
+    @property
+    def limited(self) -> bool:
+        """Tell whether the endpoint takes only so many requests a second."""
+        return self.permit_gap > 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotdock/decisions/pacing.py
+++ b/peridotdock/decisions/pacing.py
@@ -280,6 +280,8 @@
         if found is not None:
             chosen = found.candidate
             self._lane(chosen.key).give(reading(chosen, ask.work), self._now, not self._late(ask))
+            if chosen.limited:
+                self._free_at[chosen.key] = self._now + chosen.permit_gap
             return Grant(ask, found)
         return self._queue(ask, candidates)
 
@@ -311,13 +313,14 @@
         return max(self._free_from(candidate, work), self._now + least)
 
     def _free_from(self, candidate: Candidate, work: Work) -> float:
-        """Return when an engine has read enough to be given a prompt."""
+        """Return when an engine has read enough, and may get a request, to be given a prompt."""
         at = self._lane(candidate.key).room_at(reading(candidate, work), self._now, self._limit)
-        return max(at, self._now + candidate.ahead * work.per_token - LEAD_SECONDS)
+        ahead = candidate.ahead * work.per_token - LEAD_SECONDS
+        return max(at, self._now + ahead, self._now + candidate.permit_wait)
 
     def _taken_for(self, candidate: Candidate, work: Work) -> float:
         """Return the seconds until an engine that has just taken a prompt can take the next."""
-        seconds = reading(candidate, work) / self._limit.share
+        seconds = max(candidate.permit_gap, reading(candidate, work) / self._limit.share)
         return max(seconds, work.service / candidate.slots) if self._full(candidate) else seconds
 
     def _fits(self, candidate: Candidate, work: Work) -> bool:
--- a/peridotdock/frames.py
+++ b/peridotdock/frames.py
@@ -19,6 +19,8 @@
     GrantDropped,
     GrantWanted,
     Hello,
+    PermitGiven,
+    PermitWanted,
     Ping,
     QuotaGiven,
     QuotaWanted,
@@ -48,6 +50,8 @@
     "grant_dropped": GrantDropped,
     "quota_wanted": QuotaWanted,
     "quota_given": QuotaGiven,
+    "permit_wanted": PermitWanted,
+    "permit_given": PermitGiven,
 }
 # An update up to the array of its facts, and from there to its stamp: a CBOR map of three pairs.
 UPDATE_HEAD = b"\xa3" + b"".join(map(cbor2.dumps, ("kind", "update", "entries")))
@@ -65,6 +69,8 @@
     | GrantDropped
     | QuotaWanted
     | QuotaGiven
+    | PermitWanted
+    | PermitGiven
 )
 
 
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -35,6 +35,8 @@
     GrantWanted,
     Hello,
     LinksFact,
+    PermitGiven,
+    PermitWanted,
     Ping,
     QuotaGiven,
     QuotaWanted,
@@ -61,6 +63,7 @@
 GrantFrame = GrantWanted | Grant | GrantDropped
 GRANT_FRAMES = (GrantWanted, Grant, GrantDropped)
 QuotaFrame = QuotaWanted | QuotaGiven
+PermitFrame = PermitWanted | PermitGiven
 LINK_OPTIONS = {
     "max_size": MAX_FRAME_BYTES,
     "compression": None,
@@ -89,6 +92,7 @@
         self.on_wanted: Callable[[RowsWanted], Rows | None] = lambda frame: None
         self.on_grant: Callable[[str, GrantFrame], None] = lambda host, frame: None
         self.on_quota: Callable[[str, QuotaFrame], None] = lambda host, frame: None
+        self.on_permit: Callable[[str, PermitFrame], None] = lambda host, frame: None
         self._links: set[Link] = set()
         self._dialling: set[str] = set()
         self._bytes_in = ctx.metrics.peer_bytes.labels("in")
@@ -267,6 +271,8 @@
             self.on_grant(link.peer.host, frame)
         elif isinstance(frame, QuotaFrame):
             self.on_quota(link.peer.host, frame)
+        elif isinstance(frame, PermitFrame):
+            self.on_permit(link.peer.host, frame)
         elif isinstance(frame, Ping):
             self._ctx.timeline.clock.witness(frame.stamp)
         elif isinstance(frame, Fetch):
@@ -277,7 +283,7 @@
             if waiter is not None and frame.body and not waiter.done():
                 waiter.set_result(frame.body)
 
-    def send_to(self, host: str, frame: GrantFrame | QuotaFrame) -> bool:
+    def send_to(self, host: str, frame: GrantFrame | QuotaFrame | PermitFrame) -> bool:
         """Send a frame to a host at the other end of a link; false where there is none."""
         links = [link for link in self._links if link.peer.host == host]
         if not links:
--- a/peridotdock/relay/choosing.py
+++ b/peridotdock/relay/choosing.py
@@ -9,12 +9,14 @@
 from peridotdock.decisions.again import pause_seconds
 from peridotdock.decisions.choice import Candidate, Prediction, choose, predict
 from peridotdock.decisions.overload import judge_send, retry_after
+from peridotdock.decisions.permits import retry_after as retry_after_limit
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.absent import WaitingRoom
 from peridotdock.relay.asks import RelayAsk
 from peridotdock.relay.caller import CallerEnd
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.grants import Granted, Grants
+from peridotdock.relay.permits import EndpointPermits
 from peridotdock.relay.progress import Progress
 from peridotdock.requests import Loss, State, lose
 from peridotdock.turns import find_turns
@@ -26,11 +28,19 @@
 class Chooser:
     """Chooses endpoints on one host, by the hub's word where prompts are paced."""
 
-    def __init__(self, ctx: Context, fleet: RelayFleet, room: WaitingRoom, grants: Grants):
+    def __init__(
+        self,
+        ctx: Context,
+        fleet: RelayFleet,
+        room: WaitingRoom,
+        grants: Grants,
+        permits: EndpointPermits,
+    ):
         self._ctx = ctx
         self._fleet = fleet
         self._room = room
         self._grants = grants
+        self._permits = permits
         self._turns = find_turns()
 
     async def find(
@@ -45,7 +55,7 @@
             return granted
         found = None if granted is None else self._follow(granted, ask, progress)
         if found is None:
-            found = self._choose_alone(ask, progress)
+            found = await self._choose_alone(ask, caller, progress)
         if failed(found):
             return found
         left = ask.deadline - self._ctx.clock.monotonic()
@@ -106,10 +116,45 @@
         row = replace(row, ahead=granted.ahead / work.per_token)
         return Prediction(row, predict(row, work), granted=True)
 
-    def _choose_alone(self, ask: RelayAsk, progress: Progress) -> Prediction | Failure:
-        """Choose by what this host knows, and turn away what would wait for too long."""
+    async def _choose_alone(
+        self, ask: RelayAsk, caller: CallerEnd, progress: Progress
+    ) -> Prediction | Failure:
+        """Choose by what this host knows; an endpoint that has named a limit needs a permit."""
+        while not caller.gone():
+            rows = self._candidates(ask, progress)
+            permitted = [row for row in rows if row.permit_wait == 0]
+            if rows and not permitted:
+                return await self._wait_for_permit(ask, caller, progress, rows)
+            found = self._choose_among(permitted, ask, progress)
+            if failed(found) or not found.candidate.limited:
+                return found
+            permit = await self._permits.ask(self._fleet.states[found.candidate.key], caller=caller)
+            if permit.given:
+                return found
+        return lose(State.ADMITTED, Loss.CALLER_GONE)
+
+    async def _wait_for_permit(
+        self, ask: RelayAsk, caller: CallerEnd, progress: Progress, rows: Sequence[Candidate]
+    ) -> Prediction | Failure:
+        """Wait for the next permit where all endpoints are at their limits, or turn away."""
+        row = min(rows, key=lambda row: row.permit_wait)
+        seconds = predict(row, self._fleet.work(progress.service, ask.head.wish))
+        stays = ask.first_by - self._ctx.clock.monotonic() - seconds
+        permit = await self._permits.ask(self._fleet.states[row.key], max(0.0, stays), caller)
+        if not permit.given:
+            reason = f"{len(rows)} endpoints at their limits, a permit in {permit.wait:.2f} s"
+            return Failure(
+                Kind.OVERLOADED, reason, retry_after_limit(permit.wait, self._ctx.rng.random)
+            )
+        await asyncio.wait({caller.left}, timeout=permit.wait)
+        return lose(State.ADMITTED, Loss.CALLER_GONE) if caller.gone() else Prediction(row, seconds)
+
+    def _choose_among(
+        self, candidates: Sequence[Candidate], ask: RelayAsk, progress: Progress
+    ) -> Prediction | Failure:
+        """Choose one of some endpoints, and turn away what would wait for too long."""
         work = self._fleet.work(progress.service, ask.head.wish)
-        found = choose(self._candidates(ask, progress), work, self._ctx.rng)
+        found = choose(candidates, work, self._ctx.rng)
         if found is None:
             return Failure(Kind.NO_ENDPOINT, progress.service, ABSENT_RETRY_SECONDS)
         stays = ask.first_by - self._ctx.clock.monotonic()
--- a/peridotdock/relay/endpoint.py
+++ b/peridotdock/relay/endpoint.py
@@ -87,7 +87,9 @@
 class EndpointState:
     """One start of an endpoint as seen from this host.
 
-    ``answered_sent`` is when the newest of the requests that it has answered was sent.
+    ``answered_sent`` is when the newest of the requests that it has answered was sent. Before
+    ``permit_from`` this host gets no permit for an endpoint that has named a limit;
+    ``named_limit`` tells that some host has heard it name one, be it ended or not.
     """
 
     entry: EndpointEntry
@@ -101,6 +103,8 @@
     answered_sent: float = float("-inf")
     lacked: dict[str, Lack] = field(default_factory=dict)
     limit: LimitWord = NO_LIMIT
+    permit_from: float = float("-inf")
+    named_limit: bool = False
 
     def takes_work(self) -> bool:
         """Tell whether requests may still be sent there."""
@@ -114,7 +118,7 @@
     @property
     def start(self) -> EndpointStart:
         """Return what tells this start from others under the same id."""
-        return EndpointStart(self.key, str(self.entry.born))
+        return name_start(self.entry)
 
     def holds(self, wish: ModelWish, now: float) -> bool:
         """Tell whether the endpoint can serve a model, and the adapter where one is wished for.
@@ -150,6 +154,11 @@
         rows = self.lacked.values()
         return any(not row.confirmed and now - row.at <= LACKS_SECONDS for row in rows)
 
+    @property
+    def limited(self) -> bool:
+        """Tell whether the endpoint takes only so many requests a second now."""
+        return self.limit.rate < math.inf
+
     def note_limit(self, rate: float | None, sent: float, now: float) -> bool:
         """Take in the limit of an answer to a request that was sent at a time; tell of a change.
 
@@ -160,9 +169,14 @@
         if rate is None or (ended and sent <= self.limit.at):
             return False
         changed = rate != self.limit.rate
-        self.limit = LimitWord(rate, sent if ended else now)
+        self.take_limit(LimitWord(rate, sent if ended else now))
         return changed
 
+    def take_limit(self, word: LimitWord) -> None:
+        """Take in a word on the limit that is the newest."""
+        self.limit = word
+        self.named_limit = self.named_limit or self.limited
+
     def take_entry(self, entry: EndpointEntry) -> None:
         """Take in the endpoint's own entry."""
         if entry is not self.entry:
@@ -221,6 +235,11 @@
     return state
 
 
+def name_start(entry: EndpointEntry) -> EndpointStart:
+    """Return what tells the start of an entry from others under the same id."""
+    return EndpointStart(entry.incarnation, str(entry.born))
+
+
 def out_of_date(heard: HeardNews, entry: EndpointEntry) -> bool:
     """Tell whether news is of a start before the one that an entry shows."""
     return 0 < heard.news.born < entry.born
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -7,6 +7,7 @@
 from peridotdock.blocklist import EndpointStart
 from peridotdock.clock import Clock
 from peridotdock.decisions.choice import STEP_SECONDS, Candidate, Work, trust_preferred
+from peridotdock.decisions.permits import permit_gap
 from peridotdock.deployment import Model
 from peridotdock.relay.asks import EndpointEntry, ModelWish
 from peridotdock.relay.endpoint import (
@@ -220,6 +221,8 @@
             slowness=state.health.slowness(now),
             near=state.entry.domain == domain,
             suspect=state.health.suspect(now),
+            permit_wait=max(0.0, state.permit_from - now) if state.limited else 0.0,
+            permit_gap=permit_gap(state.limit.rate),
         )
 
     def began(
--- a/peridotdock/relay/grants.py
+++ b/peridotdock/relay/grants.py
@@ -7,7 +7,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from peridotdock.averages import MovingAverage
 from peridotdock.context import Context
@@ -25,7 +25,7 @@
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.asks import ModelWish, PromptPart, RelayAsk
 from peridotdock.relay.caller import CallerEnd
-from peridotdock.relay.endpoint import name_wish
+from peridotdock.relay.endpoint import EndpointState, name_wish
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.requests import Loss, State, lose
 from peridotdock.schema.messages import Grant as GrantFrame
@@ -55,6 +55,8 @@
 QUEUED_STEP = 500
 
 SendFrame = Callable[[str, GrantFrame], None]
+# Gives the seconds until an endpoint may get a request, and between two; 0 without a limit.
+FindPermit = Callable[[EndpointState], tuple[float, float]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +94,8 @@
         self._pauses: Mapping[str, float] = {}
         self._controls: dict[str, PaceControl] = {}
         self._queued: dict[str, MovingAverage] = {}
+        self.find_permit: FindPermit = lambda state: (0.0, 0.0)
+        self.spend_permit: Callable[[EndpointState], None] = lambda state: None
 
     def take_deployment(self, deployment: Deployment) -> None:
         """Take in the shortest pause that each service's streams may have."""
@@ -183,6 +187,7 @@
             state = self._fleet.states.get(key)
             if state is not None:
                 state.remember(wanted.wish)
+                self.spend_permit(state)
             ahead = row.found.candidate.ahead * row.ask.work.per_token
             frame = GrantFrame("grant", wanted.number, key, 0, int(1000 * ahead))
         self._send(wanted.host, frame)
@@ -191,7 +196,13 @@
         wanted = self._wanted[ask.id]
         states = self._fleet.usable(wanted.service, wanted.wish)
         domain = self._find_domain(wanted.host)
-        return self._fleet.candidates_known(states, wanted.wish, wanted.avoid, domain)
+        rows = self._fleet.candidates_known(states, wanted.wish, wanted.avoid, domain)
+        return [self._with_permit(row) if row.limited else row for row in rows]
+
+    def _with_permit(self, row: Candidate) -> Candidate:
+        """Return an endpoint that has named a limit with when it may get a prompt."""
+        wait, gap = self.find_permit(self._fleet.states[row.key])
+        return replace(row, permit_wait=wait, permit_gap=gap)
 
 
 class Question:
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -27,10 +27,12 @@
 from peridotdock.relay.leadership import Leadership
 from peridotdock.relay.ordering import Orderer
 from peridotdock.relay.peers import Peers
+from peridotdock.relay.permits import EndpointPermits
 from peridotdock.relay.quotas import Quotas
 from peridotdock.relay.service import RelayService
 from peridotdock.relay.settings import HostSettings
 from peridotdock.relay.views import Views
+from peridotdock.relay.words import EndpointWords
 from peridotdock.serving import Server, make_application
 from peridotdock.turns import find_turns
 
@@ -101,6 +103,11 @@
             self.peers.membership.find_domain,
         )
         mesh.on_grant = self.grants.take
+        self.permits = EndpointPermits(ctx, settings.host, self.peers, self.fleet, find_turns())
+        self.words = EndpointWords(ctx, settings.host, self.peers, self.fleet)
+        mesh.on_permit = self.permits.take
+        self.grants.server.find_permit = self.permits.waits
+        self.grants.server.spend_permit = self.permits.spend
         self.peers.queued = self.grants.server.queued
         self.blocklist = Blocklist(ctx, self.peers.board, self.fleet.has_ended, self.peers.is_hub)
         self.service = RelayService(
@@ -109,10 +116,11 @@
             self.fleet,
             self.endpoints,
             settings.bounds,
-            Chooser(ctx, self.fleet, self.room, self.grants),
+            Chooser(ctx, self.fleet, self.room, self.grants, self.permits),
             self.blocklist,
             settings.first_start,
         )
+        self.service.sender.on_answer = self.words.note_answer
         self.service.on_gap = self.grants.server.note_gap
         self.service.on_down = lambda key: self.peers.tell_wants()
         self.lag = LagWatch(ctx, find_turns(), lambda: self.front.in_work)
@@ -134,6 +142,7 @@
         engines = adapter.open_engines(self.endpoints)
         self.orderer = Orderer(ctx, self.fleet, engines, self.leadership, settings.bounds)
         self.orderer.heard_loads = self.peers.heard_loads
+        self.orderer.ask_permit = self.permits.ask_for
         self.jobs = Jobs(ctx)
         self.lease_due = asyncio.Event()
         self.peers.on_resigned = self._hear_resigned
@@ -209,6 +218,8 @@
         self.peers.tell_wants()
         self.peers.tell_loads()
         self.quotas.tell()
+        self.words.tell()
+        self.permits.look()
         self.blocklist.tell()
         self.views.keep_telling()
 
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -1,7 +1,7 @@
 """Ordering engines: plans carried out one order at a time on each engine, by the lease's holder."""
 
 import asyncio
-from collections.abc import Callable, Collection, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Collection, Coroutine, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,6 +15,7 @@
 from peridotdock.context import Context
 from peridotdock.decisions.draft import Demand, Step
 from peridotdock.decisions.loads import LoadRation
+from peridotdock.decisions.permits import NO_WAIT, Permit
 from peridotdock.decisions.placing import make_plan
 from peridotdock.deployment import Deployment, EngineSpec, Service
 from peridotdock.errors import Failure, Kind, failed
@@ -50,6 +51,15 @@
 )
 
 
+# Asks whether a call may be made now to the endpoint of an id.
+AskPermit = Callable[[str], Awaitable[Permit]]
+
+
+async def permit_all(key: str) -> Permit:
+    """Let all calls be made."""
+    return NO_WAIT
+
+
 @dataclass(frozen=True, slots=True)
 class Promise:
     """The model that an engine was emptied for, and until when it is kept for it."""
@@ -83,6 +93,7 @@
         self._demand_since: float | None = None
         self.records: dict[str, EngineRecord] = {}
         self.changed = asyncio.Event()
+        self.ask_permit: AskPermit = permit_all
         self.heard_loads: Callable[[int], Mapping[str, list[float]] | None] = lambda term: None
 
     def round(
@@ -243,6 +254,8 @@
         """Read an engine's report, to learn where it stands."""
         record.in_flight = True
         try:
+            if not await self._permitted(record):
+                return
             report = await self._engines.report(record.entry)
             now = self._ctx.clock.monotonic()
             self._note_report(record, report)
@@ -257,6 +270,13 @@
             record.in_flight = False
             self.changed.set()
 
+    async def _permitted(self, record: EngineRecord) -> bool:
+        """Tell whether an engine may be called now; one that has named a limit rests until then."""
+        permit = await self.ask_permit(record.entry.incarnation)
+        if not permit.given:
+            record.quiet_until = self._ctx.clock.monotonic() + permit.wait
+        return permit.given
+
     def _note_report(self, record: EngineRecord, report: EngineState | Failure) -> None:
         """Count and log that an engine was asked for a report."""
         word = f"{report.kind}: {report.reason}" if failed(report) else f"seq {report.seq}"
@@ -287,7 +307,7 @@
         if loads and model and seconds >= model.load:
             self._ration(service).begin(begun)
         try:
-            if not self._leadership.may_order():
+            if not await self._permitted(record) or not self._leadership.may_order():
                 self._ration(service).take_back(begun)
                 return
             self._leadership.ordered()
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -7,6 +7,7 @@
 from peridotdock.board import Board, Known, Slot
 from peridotdock.context import Context
 from peridotdock.decisions.draft import Demand
+from peridotdock.decisions.quotas import host_share
 from peridotdock.demand import Demand as DemandMeter
 from peridotdock.links import Link
 from peridotdock.membership import Member, Membership
@@ -43,9 +44,9 @@
 # its copy should last through several such gaps.
 PEAK_SECONDS = 30.0
 # Facts that go to the hub and not from it to all hosts.
-UPWARD = frozenset({"work", "runs", "wants", "demand", "usage"})
+UPWARD = frozenset({"work", "runs", "wants", "demand", "usage", "heard_words"})
 # Those of them that the hub does not pass on.
-FOR_HUB = frozenset({"work", "usage"})
+FOR_HUB = frozenset({"work", "usage", "heard_words"})
 # Seconds after which the hub tells the sum of the loads again although it has not changed.
 LOADS_SECONDS = 1.0
 # Seconds after which news that lasts is told again: half of the time for which it is believed.
@@ -175,10 +176,10 @@
     def _audience(self, slot: Slot, links: Collection[Link]) -> Iterable[Link]:
         """Return those among ``links`` that pass a fact on.
 
-        What hosts have on endpoints, and have used of quotas, goes to the hub alone, which adds it
-        up; what they wait for and are asked for goes to the hub and from there to the holder of the
-        lease. All others hear of heartbeats, sums and orders alone. The hub may have dialled this
-        host.
+        What hosts have on endpoints, have used of quotas and have heard of them in answers goes to
+        the hub alone, which adds it up; what they wait for and are asked for goes to the hub and
+        from there to the holder of the lease. All others hear of heartbeats, sums and orders alone.
+        The hub may have dialled this host.
         """
         origin, topic = slot
         if topic not in UPWARD:
@@ -199,6 +200,20 @@
         """Tell whether this host is the hub, as seen from here."""
         return self._hub() == self._settings.host
 
+    def part(self, over: float = 0.0) -> float:
+        """Return the part that this host may give, as the hub, of what all hosts share.
+
+        ``over`` is the share by which that may be passed.
+        """
+        members = self.membership.members().values()
+        reached = sum(row.alive for row in members)
+        return host_share(reached, len(self.known_hosts()), over)
+
+    def known_hosts(self) -> list[str]:
+        """Return all hosts that may serve, also those out of reach."""
+        rows = self.membership.members().items()
+        return [name for name, row in rows if row.fact.state != "gone"]
+
     def _take_loads(self, known: Known) -> None:
         """Take in the work of all hosts on endpoints, less what this one has told of its own."""
         own = self.board.get(self._settings.host, "work")
--- a/peridotdock/relay/quotas.py
+++ b/peridotdock/relay/quotas.py
@@ -3,27 +3,23 @@
 Nothing hangs on the hub: a host that gets no word from it in time serves its own share.
 """
 
-import asyncio
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from peridotdock.context import Context
-from peridotdock.decisions.quotas import HostQuotas, HubQuotas, Usage, host_share
+from peridotdock.decisions.quotas import HostQuotas, HubQuotas, Usage
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.asks import RelayAsk
 from peridotdock.relay.caller import CallerEnd
 from peridotdock.relay.peers import Peers
+from peridotdock.relay.questions import Questions
 from peridotdock.relay.settings import Bounds
 from peridotdock.requests import Loss, State, lose
 from peridotdock.schema.messages import QuotaGiven, QuotasFact, QuotaWanted, UsageFact
 from peridotdock.turns import Turns
 from peridotdock.workspaces import Quota
 
-# Seconds that the hub's word may take, and turns of this host's loop beside: two trips between
-# failure domains and the hub's own turn.
-WORD_SECONDS = 0.05
-WORD_TURNS = 3
 # Seconds after which the hub says again which quotas are low although that has not changed: by its
 # last word hosts know what it has charged.
 LOW_SECONDS = 0.5
@@ -48,12 +44,10 @@
         self._host = host
         self._peers = peers
         self._tolerance = bounds.quota
-        self._turns = turns
         self._own = HostQuotas(bounds.quota)
         self._hub: HubQuotas | None = None
         self._quotas: Mapping[str, Quota] = {}
-        self._number = 0
-        self._questions: dict[int, asyncio.Future[int]] = {}
+        self._questions: Questions[int] = Questions(turns)
 
     def take_deployment(self, deployment: Deployment) -> None:
         """Take in what the operators allow each workspace."""
@@ -99,11 +93,13 @@
             return 0.0
         now = self._ctx.clock.monotonic()
         if hub == self._host:
-            return self._as_hub().take(name, quota, cost, self._share(), now)
+            return self._as_hub().take(
+                name, quota, cost, self._peers.part(self._tolerance.over), now
+            )
         wait = await self._ask(hub, name, cost, caller)
         if wait is not None:
             return wait
-        return self._own.take_alone(name, quota, cost, len(self._known_hosts()), now)
+        return self._own.take_alone(name, quota, cost, len(self._peers.known_hosts()), now)
 
     def _hear_hub(self) -> str:
         """Take in the hub's last word, and return which host it is."""
@@ -114,29 +110,21 @@
 
     async def _ask(self, hub: str, name: str, cost: float, caller: CallerEnd) -> float | None:
         """Return the hub's word on a request, None where it gives none in time."""
-        self._number += 1
-        number = self._number
-        word: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        self._questions[number] = word
-        try:
-            frame = QuotaWanted("quota_wanted", number, name, round(cost))
-            if not self._peers.mesh.send_to(hub, frame):
-                return None
-            seconds = WORD_SECONDS + WORD_TURNS * self._turns.usual()
-            first = asyncio.FIRST_COMPLETED
-            await asyncio.wait({word, caller.left}, timeout=seconds, return_when=first)
-        finally:
-            del self._questions[number]
-        return word.result() / 1000 if word.done() else None
+
+        def send(number: int) -> bool:
+            return self._peers.mesh.send_to(
+                hub, QuotaWanted("quota_wanted", number, name, round(cost))
+            )
+
+        wait = await self._questions.ask(send, caller)
+        return None if wait is None else wait / 1000
 
     # What hosts tell each other
 
     def take(self, host: str, frame: QuotaWanted | QuotaGiven) -> None:
         """Take a frame of another host."""
         if isinstance(frame, QuotaGiven):
-            word = self._questions.get(frame.number)
-            if word is not None and not word.done():
-                word.set_result(frame.wait)
+            self._questions.hear(frame.number, frame.wait)
         elif self._peers.is_hub():
             self._answer(host, frame)
 
@@ -144,7 +132,9 @@
         quota, wait = self._quotas.get(frame.workspace), 0.0
         if quota is not None:
             now = self._ctx.clock.monotonic()
-            wait = self._as_hub().take(frame.workspace, quota, frame.cost, self._share(), now)
+            wait = self._as_hub().take(
+                frame.workspace, quota, frame.cost, self._peers.part(self._tolerance.over), now
+            )
         self._peers.mesh.send_to(host, QuotaGiven("quota_given", frame.number, round(1000 * wait)))
 
     def tell(self) -> None:
@@ -158,7 +148,11 @@
         if not self._peers.is_hub():
             self._hub = None
             return
-        hub, share, now = self._as_hub(), self._share(), self._ctx.clock.monotonic()
+        hub, share, now = (
+            self._as_hub(),
+            self._peers.part(self._tolerance.over),
+            self._ctx.clock.monotonic(),
+        )
         for origin, known in self._peers.board.on("usage").items():
             row = Usage(known.fact.totals, known.fact.since)
             age = now - known.at
@@ -172,7 +166,12 @@
             last = max(words, key=lambda known: known.at, default=None)
             self._hub = HubQuotas(self._tolerance)
             low = last.fact.low if last is not None else None
-            self._hub.start(self._quotas, low, self._share(), self._ctx.clock.monotonic())
+            self._hub.start(
+                self._quotas,
+                low,
+                self._peers.part(self._tolerance.over),
+                self._ctx.clock.monotonic(),
+            )
             self._ctx.timeline.add("quotas_kept", detail=f"{len(self._quotas)} workspaces")
             self._peers.board.publish("quotas", QuotasFact(low or {}))
         return self._hub
@@ -185,13 +184,3 @@
         before = known.fact.low if known is not None else {}
         for name in low.keys() - before.keys():
             self._ctx.timeline.add("quota_low", detail=f"workspace {name}: {low[name]} units left")
-
-    def _share(self) -> float:
-        members = self._peers.membership.members().values()
-        reached = sum(row.alive for row in members)
-        return host_share(reached, len(self._known_hosts()), self._tolerance.over)
-
-    def _known_hosts(self) -> list[str]:
-        """Return all hosts that may serve, also those out of reach."""
-        rows = self._peers.membership.members().items()
-        return [name for name, row in rows if row.fact.state != "gone"]
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -1,6 +1,5 @@
 """Serving one relayed request: place it, send it, repeat it where that is safe."""
 
-import math
 from collections.abc import Callable
 
 from peridotdock.blocklist import Blocklist
@@ -13,7 +12,7 @@
 from peridotdock.deployment import Route
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.absent import name_item
-from peridotdock.relay.asks import AnswerHead, RelayAsk
+from peridotdock.relay.asks import RelayAsk
 from peridotdock.relay.attempt import Source, Whole
 from peridotdock.relay.caller import CallerEnd
 from peridotdock.relay.choosing import Chooser
@@ -56,7 +55,6 @@
         self._chooser = chooser
         self.blocklist = blocklist
         self.sender = Sender(wire, endpoints, ctx.clock)
-        self.sender.on_answer = self._note_limit
         self._bounds = bounds
         self._allowances: dict[str, RetryAllowance] = {}
         self._turns = find_turns()
@@ -190,18 +188,6 @@
             if not streaming:
                 self.fleet.ended(state, ask.id, progress.service, whole=False)
 
-    def _note_limit(
-        self, ask: RelayAsk, state: EndpointState, head: AnswerHead, sent: float
-    ) -> None:
-        """Take in the limit that an answer names, and log a change of it."""
-        if not state.note_limit(head.rate_limit, sent, self.ctx.clock.monotonic()):
-            return
-        rate = state.limit.rate
-        event = "rate_limit_ended" if rate == math.inf else "rate_limit_named"
-        self.ctx.timeline.add(
-            event, request=ask.id, endpoint=state.key, detail=f"{rate:.2f} requests a second"
-        )
-
     def _note_send(self, ask: RelayAsk, progress: Progress, place: Prediction) -> None:
         """Log which endpoint was chosen, and what was known of it."""
         chosen, wish = place.candidate, ask.head.wish
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -737,6 +737,84 @@
     """
 
 
+@dataclass(frozen=True)
+class PermitWanted:
+    """
+    Asks the hub whether a request may go to an endpoint that has named a limit.
+    """
+
+    kind: Literal['permit_wanted']
+    number: int
+    """
+    The asking host's number for the question.
+    """
+    endpoint: str
+    """
+    Id of the endpoint.
+    """
+    stays: int
+    """
+    Milliseconds for which the request can wait for a permit.
+    """
+
+
+@dataclass(frozen=True)
+class PermitGiven:
+    """
+    The hub's answer on a permit.
+    """
+
+    kind: Literal['permit_given']
+    number: int
+    """
+    The asking host's number for the question.
+    """
+    given: bool
+    """
+    Whether the request may be sent, once the wait is over.
+    """
+    wait: int
+    """
+    Milliseconds until it may be sent, or where it may not, until there is a permit.
+    """
+
+
+@dataclass(frozen=True)
+class EndpointWord:
+    """
+    What an endpoint said of itself in its answers.
+    """
+
+    endpoint: str
+    """
+    Id of the endpoint.
+    """
+    born: int
+    """
+    Unix milliseconds of the start that said so, 0 when unknown.
+    """
+    rate: float
+    """
+    Requests a second that it takes from all hosts together; infinite where it names no limit any more.
+    """
+    age: int
+    """
+    Milliseconds before this fact was made at which the endpoint said so.
+    """
+
+
+@dataclass(frozen=True)
+class WordsFact:
+    """
+    Body of topics heard_words and words: what endpoints said, as the origin heard it, and as the hub heard it of all hosts.
+    """
+
+    rows: list[EndpointWord]
+    """
+    One row an endpoint.
+    """
+
+
 @dataclass(frozen=True)
 class LedgerFact:
     """
--- a/tests/relay/test_rate_limits.py
+++ b/tests/relay/test_rate_limits.py
@@ -1,15 +1,23 @@
 """Limits that endpoints name in their answers: so many requests a second from all hosts."""
 
 import asyncio
+import itertools
 import math
+import random
 import unittest
+from dataclasses import replace
 
 from nose2.tools import params
 
+from peridotdock.blocklist import EndpointStart
+from peridotdock.decisions.choice import Candidate, Work
 from peridotdock.decisions.health import Health
+from peridotdock.decisions.pacing import Denial, PaceLimit, Pacer, PromptAsk
+from peridotdock.decisions.permits import PROMISE_SECONDS, Permits, retry_after
 from peridotdock.platform.wire import PlatformWire
 from peridotdock.relay.asks import EndpointEntry
-from peridotdock.relay.endpoint import EndpointState
+from peridotdock.relay.endpoint import EndpointState, next_start
+from peridotdock.relay.words import HEARD, TOLD
 from tests.relay.deployment import Deployment
 from tests.relay.test_relay import run
 
@@ -47,6 +55,130 @@
         self.assertEqual(expected, state.limit.rate, name)
 
 
+class World:
+    """Hosts that all send to one endpoint, by permits of the hub that each takes for the hub.
+
+    ``limit`` gives the endpoint's limit at a time. ``groups`` are how many groups of equal size the
+    hosts are cut into, each with a hub of its own.
+    """
+
+    def __init__(self, limit, asked, seed, groups=1):
+        self.limit, self.asked = limit, asked
+        self.rng = random.Random(seed)
+        self.hubs = [Permits() for _ in range(groups)]
+        self.old = []
+        self.arrivals, self.denied = [], 0
+
+    def lose_hub(self, overlap):
+        """All hosts go over to a new hub, each at some moment within ``overlap`` seconds."""
+        self.old, self.hubs = self.hubs, [Permits() for _ in self.hubs]
+        self.lost_at, self.overlap = self.now, overlap
+
+    def play(self, seconds, events=()):
+        self.now, events = 0.0, list(events)
+        while self.now < seconds:
+            self.now += self.rng.expovariate(self.asked)
+            while events and events[0][0] <= self.now:
+                events.pop(0)[1](self)
+            self.come()
+        return self
+
+    def come(self):
+        hubs = self.hubs
+        if self.old and self.rng.random() > (self.now - self.lost_at) / self.overlap:
+            hubs = self.old
+        hub = self.rng.choice(hubs)
+        stays = self.rng.choice((0.0, 0.5, 2.0))
+        permit = hub.take(START, self.limit(self.now) / len(hubs), stays, self.now)
+        if permit.given:
+            self.arrivals.append(self.now + permit.wait + self.rng.random() * 0.03)
+        self.denied += not permit.given
+
+
+START = EndpointStart("e1", "1")
+
+
+class PermitTest(unittest.TestCase):
+    @params(
+        *itertools.product(
+            (0.0, 0.3, 1.0, 1.3, 5.0, 20.0),
+            (
+                ("calm", 1, ()),
+                ("the hub is lost", 1, ((10.0, lambda world: world.lose_hub(2.0)),)),
+                (
+                    "two hubs are lost in turn",
+                    1,
+                    (
+                        (10.0, lambda world: world.lose_hub(0.5)),
+                        (12.0, lambda world: world.lose_hub(2.0)),
+                    ),
+                ),
+                ("hosts are cut in two", 2, ()),
+            ),
+        )
+    )
+    def test_no_window_holds_more_than_the_limit_allows(self, limit, case):
+        name, groups, events = case
+        for seed in range(5):
+            world = World(lambda now: limit, 6 * limit + 6, seed, groups).play(30.0, events)
+            most = most_in_window(world.arrivals, 0.0)
+            self.assertLessEqual(most, 1.5 * WINDOW * limit + 5, (name, seed))
+
+    @params(0.5, 1.0, 1.3, 5.0, 20.0)
+    def test_an_endpoint_gets_nearly_all_that_it_takes(self, limit):
+        world = World(lambda now: limit, 6 * limit, 1).play(40.0)
+        self.assertGreater(len(world.arrivals), 0.9 * limit * 40.0 - 2)
+
+    def test_a_limit_that_falls_binds_at_once(self):
+        world = World(lambda now: 20.0 if now < 10.0 else 1.0, 60.0, 1).play(30.0)
+        after = [at for at in world.arrivals if at > 11.1]
+        self.assertLessEqual(most_in_window(after, 11.1), 1.5 * WINDOW + 5)
+
+    def test_an_endpoint_that_takes_nothing_is_asked_now_and_then(self):
+        """A limit of 0 ended, and nobody heard of it, as only answers tell."""
+        world = World(lambda now: 0.0, 5.0, 1).play(60.0)
+        self.assertGreater(len(world.arrivals), 5)
+
+    def test_who_comes_back_at_the_time_told_gets_a_permit(self):
+        permits = Permits()
+        permits.take(START, 1.0, 0.0, 0.0)
+        denied = permits.take(START, 1.0, 0.0, 10.0), permits.take(START, 1.0, 0.0, 10.0)
+        self.assertEqual([True, False], [permit.given for permit in denied])
+        wait = retry_after(denied[1].wait, lambda: 0.0)
+        self.assertTrue(permits.take(START, 1.0, 0.0, 10.0 + wait).given)
+
+    def test_the_word_of_a_start_before_does_not_bind(self):
+        known = EndpointState(ENTRY, Health())
+        known.note_limit(1.0, 1.0, 1.1)
+        self.assertFalse(next_start(known, replace(ENTRY, born=7)).limited)
+
+
+class PacingTest(unittest.TestCase):
+    def test_prompts_wait_for_the_permits_of_the_only_engine(self):
+        """The hub grants prompts for an engine in need as fast as it reads them."""
+        permits, pacer, granted, denied, now = Permits(), Pacer(random.Random(1)), [], 0, 0.0
+        work = Work(900, 0, 0.00002, 0.5)
+
+        def look(ask):
+            wait = permits.wait(START, 1.0, now)
+            return [Candidate("e1", 0.0, 0, 8, 0, False, 1.0, True, False, wait, 1.0)]
+
+        for step in range(2000):
+            now = step * 0.01
+            if step % 20 == 0:
+                pacer.add(PromptAsk(step, "m0", work, 0, now + 0.5, now + 2.0))
+            decided, _ = pacer.pump(now, PaceLimit(0.0, math.inf), look)
+            for row in decided:
+                if isinstance(row, Denial):
+                    denied += 1
+                else:
+                    permits.spend(START, 1.0, now)
+                    granted.append(now)
+        self.assertLessEqual(most_in_window(granted, 0.0), WINDOW + 1)
+        self.assertGreater(len(granted), 16)
+        self.assertGreater(denied, 70)
+
+
 def most_in_window(times, since, window=WINDOW):
     """The most of ``times`` in a window that ends after ``since``."""
     ends = [at for at in times if at >= since]
@@ -95,3 +227,80 @@
     @run
     async def test_an_engine_gets_no_more_prompts_than_the_limit_it_names(self):
         await self.check_limited("/recap/", "m0", "engines")
+
+    @run
+    async def test_callers_of_the_only_endpoint_are_told_when_to_come_back(self):
+        """Callers wait out their deadline at an endpoint that takes no more for now."""
+        async with Deployment(hosts=3) as found:
+            found.pages["p1"].says = {"server-limit": "2.0"}
+            named = asyncio.get_running_loop().time()
+            answers = await burst(found, "/fetch/", "", 5.0)
+            self.assertLessEqual(most_in_window(found.pages["p1"].calls, named + 1.0), 17)
+            refused = [row for row in answers if row[0] != 200]
+            self.assertEqual({503}, {status for status, _, _ in refused})
+            self.assertGreater(len(refused), 20)
+            self.assertLess(max(seconds for _, _, seconds in refused), PROMISE_SECONDS)
+            self.assertTrue(all(float(headers["retry-after"]) >= 0.2 for _, headers, _ in refused))
+
+    @run
+    async def test_a_limit_that_ends_is_forgotten_on_all_hosts(self):
+        """An endpoint is well again, and gets next to nothing."""
+        async with Deployment(hosts=3) as found:
+            page, name = found.pages["p1"], "p1"
+            page.says = {"server-limit": "5"}
+            await found.ask("/fetch/", "a1")
+            states = [host.fleet.states[name] for host in found.hosts]
+            await found.until(lambda: all(state.limited for state in states))
+            page.says = {}
+            await asyncio.sleep(1.3)
+            status, _, _ = await found.ask("/fetch/", "a2", to=2)
+            self.assertEqual(200, status)
+            await found.until(lambda: not any(state.limited for state in states))
+            answers = await burst(found, "/fetch/", "", 1.0)
+            self.assertEqual({200}, {status for status, _, _ in answers})
+
+    @run
+    async def test_hosts_tell_nothing_of_endpoints_without_a_limit(self):
+        """Each answer of each endpoint is news for all hosts, and their links are full of it."""
+        async with Deployment(hosts=2) as found:
+            await burst(found, "/fetch/", "", 0.5)
+            told = [host.peers.board.on(topic) for host in found.hosts for topic in (HEARD, TOLD)]
+            self.assertEqual(
+                [], [row for rows in told for known in rows.values() for row in known.fact.rows]
+            )
+
+    @run
+    async def test_a_new_hub_knows_the_limits_that_hosts_had_read(self):
+        """The hub is lost, and the endpoint gets what it takes once more from each host."""
+        async with Deployment(hosts=3) as found:
+            page = found.pages["p1"]
+            page.says = {"server-limit": "1"}
+            await found.ask("/fetch/", "a1")
+            states = [host.fleet.states["p1"] for host in found.hosts]
+            await found.until(lambda: all(state.limited for state in states))
+            hub = next(host for host in found.hosts if host.peers.is_hub())
+            found.hosts.remove(hub)
+            await hub.stop()
+            await burst(found, "/fetch/", "", 5.0)
+            self.assertLessEqual(most_in_window(page.calls, page.calls[0] + 1.0), 11)
+            self.assertGreaterEqual(len(page.calls), 3)
+
+    @run
+    async def test_reports_and_orders_keep_to_the_limit_too(self):
+        """The host that orders engines asks one in need for a report three times a second."""
+        async with Deployment(hosts=3) as found:
+            engine = found.engines["e1"]
+            await found.until(lambda: any(host.leadership.holds() for host in found.hosts))
+            engine.says = {"server-limit": "1"}
+            await found.ask("/recap/", "a1", model="m0")
+            states = [host.fleet.states["e1"] for host in found.hosts]
+            await found.until(lambda: all(state.limited for state in states))
+            named = asyncio.get_running_loop().time()
+            leader = next(host for host in found.hosts if host.leadership.holds())
+            until = named + 5.0
+            while asyncio.get_running_loop().time() < until:
+                leader.orderer.records["e1"].unsure = True
+                leader.orderer.changed.set()
+                await asyncio.sleep(0.05)
+            self.assertLessEqual(most_in_window(engine.calls, named + 0.5), 8)
+            self.assertGreater(len([at for at in engine.calls if at > named]), 1)
