Keep what an endpoint said when its entry lapses and comes back

Symptom: an endpoint's limit is unknown again once its entry has been away. Entries lapse while the store is away, the endpoint lives on, and a new state was made for the same start. Ruled out: that hosts' words to each other bring it back; they are dropped with the state. Change: what is known of a start is kept when its entry goes (200 at most), and taken up when the same start is back; a later start knows nothing of it, as before.

--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -17,6 +17,7 @@
     HeardNews,
     OthersLoad,
     cache_place,
+    name_start,
     name_wish,
     next_start,
     out_of_date,
@@ -40,6 +41,8 @@
 # Seconds for which an endpoint that broke answers off is taken for ended while its entry is there
 # and nobody has tried to connect: longer than an entry takes to lapse.
 LAPSE_SECONDS = 10.0
+# Starts of endpoints that are remembered although their entries have gone.
+MOST_DEPARTED = 200
 
 
 class RelayFleet:
@@ -49,6 +52,7 @@
         self._domain = domain
         self._clock = clock
         self.states: dict[str, EndpointState] = {}
+        self._departed: dict[EndpointStart, EndpointState] = {}
         self.by_service: dict[str, list[EndpointState]] = {}
         self._per_token: dict[str, float] = {}
         self._service: dict[str, float] = {}
@@ -62,13 +66,26 @@
         for entry in entries:
             state = old.get(entry.incarnation)
             if state is None or state.entry.born != entry.born:
-                state = next_start(state, entry)
+                state = self._departed.pop(name_start(entry), None) or next_start(state, entry)
             state.take_entry(entry)
+            state.gone = False
             self.states[entry.incarnation] = state
         for key, state in old.items():
-            state.gone = self.states.get(key) is not state
+            if self.states.get(key) is not state:
+                self._depart(state)
         self._index()
 
+    def _depart(self, state: EndpointState) -> None:
+        """Keep what is known of a start whose entry has gone, for when the entry comes back.
+
+        Failure guarded against: entries lapse while the store is away, the endpoints live on, and
+        what they had said in answers is forgotten.
+        """
+        state.gone = True
+        self._departed[state.start] = state
+        while len(self._departed) > MOST_DEPARTED:
+            del self._departed[next(iter(self._departed))]
+
     def update(self, changed: Mapping[str, EndpointEntry | None]) -> None:
         """Take in changed entries; None stands for one that is gone."""
         entries = {key: state.entry for key, state in self.states.items()}
--- a/tests/relay/test_rate_limits.py
+++ b/tests/relay/test_rate_limits.py
@@ -17,7 +17,9 @@
 from peridotdock.platform.wire import PlatformWire
 from peridotdock.relay.asks import EndpointEntry
 from peridotdock.relay.endpoint import EndpointState, next_start
+from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.words import HEARD, TOLD
+from tests.fakes import FakeClock
 from tests.relay.deployment import Deployment
 from tests.relay.test_relay import run
 
@@ -152,6 +154,17 @@
         known.note_limit(1.0, 1.0, 1.1)
         self.assertFalse(next_start(known, replace(ENTRY, born=7)).limited)
 
+    @run
+    async def test_an_endpoint_whose_entry_was_away_is_held_to_what_it_said(self):
+        """An entry lapses while the store is away; when it is back, the limit is not known."""
+        fleet = RelayFleet("north", FakeClock())
+        fleet.replace([ENTRY])
+        fleet.states["e1"].note_limit(1.0, 1.0, 1.1)
+        fleet.replace([])
+        fleet.replace([ENTRY])
+        self.assertTrue(fleet.states["e1"].limited)
+        self.assertTrue(fleet.states["e1"].takes_work())
+
 
 class PacingTest(unittest.TestCase):
     def test_prompts_wait_for_the_permits_of_the_only_engine(self):
