--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -13,7 +13,7 @@
 
 from extras.soak.callers import Caller
 from extras.soak.checks import Record, find_broken
-from extras.soak.plan import Plan, draw
+from extras.soak.plan import LONGEST_SECONDS, Plan, draw
 from extras.soak.world import MODELS_FIT, World
 from tests.standins.runner import EVENTS
 
@@ -63,6 +63,8 @@
         work = [caller.run(plan.seconds) for caller in callers]
         if plan.poisoned:
             work += [caller.run_poison(plan.seconds) for caller in callers[:POISONERS]]
+        if plan.needy:
+            work.append(world.limit(plan.seconds - LONGEST_SECONDS))
         await asyncio.gather(strike_all(world, plan, began), *work)
         await asyncio.sleep(RECOVERY_SECONDS)
         await probe(world, record, began, plan.seed)
@@ -86,6 +88,7 @@
 def collect(world: World, record: Record) -> None:
     """Take down what the endpoints saw."""
     record.ends = world.ends
+    record.limited = world.limited
     for runner in (*world.engines, *world.pages, *world.gone):
         record.ran += runner.ran
         record.orders[runner.name] = runner.orders
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -15,6 +15,24 @@
 MOST_LATER_ENDS = 3
 
 
+# Seconds after an endpoint first named a limit from which on it binds, those over which requests
+# are counted, and what may come in them: so many times the limit, and so many requests beside.
+LIMIT_BINDS_SECONDS = 3.0
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Limited:
+    """An endpoint that named a limit, requests a second, and when requests came. All in seconds."""
+
+    rate: float
+    named: float
+    ended: float
+    calls: list[float]
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """One attempt of a caller. ``status`` is 0 where the connection ended without a head.
@@ -45,6 +63,7 @@
     held: dict[str, int] = field(default_factory=dict)
     probes: list[Attempt] = field(default_factory=list)
     ends: list[float] = field(default_factory=list)
+    limited: list[Limited] = field(default_factory=list)
 
 
 def check_answers(record: Record, events: int) -> Iterable[str]:
@@ -131,6 +150,19 @@
         yield f"{len(known)} of {len(ends)} endpoints ended {KNOWN_SECONDS} s after the third"
 
 
+def check_limits(record: Record) -> Iterable[str]:
+    """An endpoint in need got more from all hosts together than it had said that it takes."""
+    for row in record.limited:
+        most = LIMIT_FACTOR * LIMIT_WINDOW_SECONDS * row.rate + LIMIT_EXTRA
+        for end in row.calls:
+            if not row.named + LIMIT_BINDS_SECONDS <= end <= row.ended:
+                continue
+            count = sum(end - LIMIT_WINDOW_SECONDS < at <= end for at in row.calls)
+            if count > most:
+                yield f"{count} requests in {LIMIT_WINDOW_SECONDS} s at a limit of {row.rate}"
+                break
+
+
 def find_broken(record: Record, planned: bool, events: int, most: int) -> Sequence[str]:
     """Return what was promised and not kept."""
     found = [
@@ -141,5 +173,6 @@
         *check_config(record),
         *check_recovery(record),
         *check_poison(record),
+        *check_limits(record),
     ]
     return found + list(check_planned(record)) if planned else found
--- a/extras/soak/plan.py
+++ b/extras/soak/plan.py
@@ -15,6 +15,8 @@
 # One seed in so many has a caller whose request ends each endpoint that begins it. It isn't drawn
 # with the faults, so that plans of older seeds stay as they were.
 POISON_EVERY = 4
+# One seed in so many has endpoints in need, which say so in their answers.
+NEEDY_EVERY = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +80,11 @@
         """Tell whether a caller repeats a request that ends endpoints."""
         return not self.planned and self.seed % POISON_EVERY == POISON_EVERY - 1
 
+    @property
+    def needy(self) -> bool:
+        """Tell whether endpoints say in their answers that they are in need."""
+        return self.seed % NEEDY_EVERY == 1
+
 
 def draw(seed: int, seconds: float) -> Plan:
     """Draw a run's plan; targets are taken modulo the number of what they hit."""
--- a/extras/soak/world.py
+++ b/extras/soak/world.py
@@ -9,6 +9,7 @@
 import time
 from pathlib import Path
 
+from extras.soak.checks import Limited
 from extras.soak.plan import Fault
 from extras.soak.ports import free_port
 from extras.soak.proxy import Proxy
@@ -30,6 +31,9 @@
 # endpoint has taken its place.
 POISON = b"a request that no endpoint survives"
 BACK_SECONDS = 1.0
+# Requests a second that an engine and a plain service's endpoint in need say they take.
+ENGINE_LIMIT = 1.0
+PAGE_LIMIT = 2.0
 BOUNDS = {
     "drain_ms": 2000,
     "config_ms": 2000,
@@ -113,6 +117,7 @@
         self.routes = list(ROUTES)
         self.version = 1
         self.ends: list[float] = []
+        self.limited: list[Limited] = []
         self._busy: set[str] = set()
         self._replacing: set[asyncio.Task] = set()
         self._numbers = iter(range(1, 10_000))
@@ -156,6 +161,17 @@
         runner.on_change = lambda: self._register(runner, service)
         runner.on_change()
 
+    async def limit(self, seconds: float) -> None:
+        """Let an engine and a plain service's endpoint name a limit for some seconds."""
+        named = time.monotonic()
+        rows = [(self.engines[0], ENGINE_LIMIT), (self.pages[0], PAGE_LIMIT)]
+        for runner, rate in rows:
+            runner.says = {"server-limit": str(rate)}
+        await asyncio.sleep(seconds)
+        for runner, rate in rows:
+            runner.says = {}
+            self.limited.append(Limited(rate, named, time.monotonic(), runner.calls))
+
     def _note_end(self, runner: RunnerStandin) -> None:
         """Note that a request has ended an endpoint, and let another one take its place."""
         self.ends.append(time.monotonic())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 from nose2.tools import params
 
 from extras.soak.__main__ import play
-from extras.soak.checks import Attempt, Record, find_broken
+from extras.soak.checks import Attempt, Limited, Record, find_broken
 from extras.soak.plan import LONGEST_SECONDS, PLANNED_EVERY, draw
 
 EVENTS = 3
@@ -55,6 +55,16 @@
             False,
         ),
         ("and goes on", replace(record(), ends=[1, 2, 3, 7, 8, 9, 10]), True),
+        (
+            "an endpoint gets no more than its limit",
+            replace(record(), limited=[Limited(1.0, 0.0, 9.0, [4.0 + n / 9 for n in range(11)])]),
+            False,
+        ),
+        (
+            "and gets more",
+            replace(record(), limited=[Limited(1.0, 0.0, 9.0, [4.0 + n / 9 for n in range(12)])]),
+            True,
+        ),
         ("no recovery", record(probes=[replace(PAGE, status=503)]), True),
     )
     def test_planted_faults_are_found(self, name, found, broken):
@@ -80,7 +90,7 @@
 
 
 class RunTest(unittest.TestCase):
-    @params(2, 3, 5)
+    @params(2, 3, 4, 5)
     def test_a_short_run_keeps_every_promise(self, seed):
         """Real processes are stopped, killed, paused and cut off; callers see no broken promise."""
         with tempfile.TemporaryDirectory() as folder:
