--- a/tests/relay/test_rate_limits.py
+++ b/tests/relay/test_rate_limits.py
@@ -191,6 +191,15 @@
         self.assertGreater(len(granted), 16)
         self.assertGreater(denied, 70)
 
+    def test_of_many_prompts_of_one_moment_one_gets_the_permit(self):
+        """All prompts that wait when a permit comes go to the engine together."""
+        pacer = Pacer(random.Random(1))
+        for number in range(20):
+            pacer.add(PromptAsk(number, "m0", Work(10, 0, 0.00002, 0.5), 0, 1.0, 30.0))
+        engine = Candidate("e1", 0.0, 0, 64, 0, False, 1.0, True, False, 0.0, 1.0)
+        decided, _ = pacer.pump(0.0, PaceLimit(0.0, math.inf), lambda ask: [engine])
+        self.assertEqual(1, len(decided))
+
 
 def most_in_window(times, since, window=WINDOW):
     """The most of ``times`` in a window that ends after ``since``."""
