Read and log an endpoint's word that it leaves, and that it wants a rest

Cause of the change: logs of the incident could not tell whether a host had read these words. The head of an answer is decoded to leaving, and, of a 503, to the seconds for which nothing is wanted from this host (a date, a negative or an unreadable value says nothing). They are kept with the start of the endpoint and logged as endpoint_said_leaving and endpoint_rests. No choice of an endpoint goes by them yet.

--- a/peridotdock/platform/wire.py
+++ b/peridotdock/platform/wire.py
@@ -32,6 +32,9 @@
 # The requests a second that an endpoint takes from all hosts together, a decimal number; an answer
 # without it says that there is no such limit now.
 RATE_LIMIT = "server-limit"
+# "1" in all answers of an endpoint that leaves.
+LEAVING = "server-leaving"
+LEAVES = "1"
 # "Bearer KEY": the key of a caller's workspace, which endpoints never see.
 KEY = "authorization"
 # The name of the workspace, which only a host may say.
@@ -73,6 +76,7 @@
 # Of an endpoint's answer, those that the server towards the caller writes itself.
 SERVER_HEADERS = HOP_BY_HOP | {"date", "server"}
 MISDIRECTED = 421
+UNAVAILABLE = 503
 
 
 class PlatformWire:
@@ -126,6 +130,8 @@
             receipt=headers.get(RECEIPT, ""),
             content_type=headers.get("content-type", "application/octet-stream"),
             rate_limit=read_rate(headers.get(RATE_LIMIT)),
+            leaving=headers.get(LEAVING, "").strip() == LEAVES,
+            rest=read_rest(headers.get(RETRY_AFTER)) if status == UNAVAILABLE else 0.0,
             headers=tuple(
                 row for row in rows if row[0] not in SERVER_HEADERS and row[0] != "content-type"
             ),
@@ -167,6 +173,15 @@
     return rate if 0 <= rate < math.inf else None
 
 
+def read_rest(text: str | None) -> float:
+    """Return the seconds for which an endpoint wants nothing from this host; 0 if unreadable."""
+    try:
+        seconds = float(text or 0)
+    except ValueError:
+        return 0.0
+    return seconds if 0 < seconds < math.inf else 0.0
+
+
 def read_milliseconds(text: str | None) -> float | None:
     """Return seconds, or None where there is no value; raises ValueError for a bad one."""
     if text is None:
--- a/peridotdock/relay/asks.py
+++ b/peridotdock/relay/asks.py
@@ -157,7 +157,8 @@
     not the one named, or does not hold the model or adapter. ``receipt`` proves that the answer is
     the endpoint's own. ``headers`` go back to the caller unchanged. ``rate_limit`` are the requests
     a second that the endpoint takes from all hosts together for now: infinite where it names no
-    limit, None where what it names can't be read.
+    limit, None where what it names can't be read. ``leaving`` is its word that it leaves. ``rest``
+    are the seconds for which it wants nothing from this host.
     """
 
     status: int
@@ -168,3 +169,5 @@
     content_type: str
     headers: tuple[tuple[str, str], ...]
     rate_limit: float | None = math.inf
+    leaving: bool = False
+    rest: float = 0.0
--- a/peridotdock/relay/endpoint.py
+++ b/peridotdock/relay/endpoint.py
@@ -88,8 +88,10 @@
     """One start of an endpoint as seen from this host.
 
     ``answered_sent`` is when the newest of the requests that it has answered was sent. Before
-    ``permit_from`` this host gets no permit for an endpoint that has named a limit;
-    ``named_limit`` tells that some host has heard it name one, be it ended or not.
+    ``permit_from`` this host gets no permit for one that has named a limit; ``named_limit`` tells
+    that some host has heard it name one, be it ended or not. ``said_leaving`` tells that the
+    endpoint said in an answer that it leaves; until ``rests_until`` it wants nothing from this
+    host. Both hold until the end of this start, whatever its entry says.
     """
 
     entry: EndpointEntry
@@ -105,6 +107,8 @@
     limit: LimitWord = NO_LIMIT
     permit_from: float = float("-inf")
     named_limit: bool = False
+    said_leaving: bool = False
+    rests_until: float = float("-inf")
 
     def takes_work(self) -> bool:
         """Tell whether requests may still be sent there."""
--- a/peridotdock/relay/words.py
+++ b/peridotdock/relay/words.py
@@ -44,6 +44,15 @@
             detail = f"{rate:.2f} requests a second"
             self._ctx.timeline.add(event, request=ask.id, endpoint=state.key, detail=detail)
             self.tell()
+        if head.leaving and not state.said_leaving:
+            state.said_leaving = True
+            self._ctx.timeline.add("endpoint_said_leaving", request=ask.id, endpoint=state.key)
+        if head.rest and now + head.rest > state.rests_until:
+            state.rests_until = now + head.rest
+            detail = f"wants nothing for {head.rest:.2f} s"
+            self._ctx.timeline.add(
+                "endpoint_rests", request=ask.id, endpoint=state.key, detail=detail
+            )
 
     def tell(self) -> None:
         """Tell what the hub has not said; as the hub, tell all hosts what is known.
