Go by an endpoint's word in an answer that it leaves, on all hosts

What callers saw: nothing, as the endpoint served on; it got requests 3.5 and 5.2 s after its word, 2.0 s allowed, and would have cut off what it could not end. Cause: whether an endpoint leaves was taken from its entry in the store alone, and the store was away for 12 s. Ruled out: another host than the one told (the stories name the same), requests chosen before the word (seconds lie between).

Change: one property for all that asks (an entry or a word), kept with the start of the endpoint, told to all hosts with its other words; plans leave such an engine out, so what it alone holds is loaded elsewhere, and a load that is coming there is not waited for.

Why it holds: the word is heeded on the host that read it in the same turn, before its next choice, and does not depend on the store.

--- a/peridotdock/relay/endpoint.py
+++ b/peridotdock/relay/endpoint.py
@@ -112,7 +112,12 @@
 
     def takes_work(self) -> bool:
         """Tell whether requests may still be sent there."""
-        return not self.gone and not self.entry.leaving
+        return not self.gone and not self.leaving
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether the endpoint leaves, by its entry or by its own word in an answer."""
+        return self.entry.leaving or self.said_leaving
 
     @property
     def key(self) -> str:
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -110,7 +110,7 @@
         """Return the endpoints of a service that take new work and hold what is wished for."""
         now = self._clock.monotonic()
         rows = self.by_service.get(service, ())
-        found = [s for s in rows if not s.entry.leaving and not s.health.closed(now)]
+        found = [s for s in rows if not s.leaving and not s.health.closed(now)]
         if wish is None:
             return found
         return [state for state in found if state.holds(wish, now)]
@@ -121,14 +121,14 @@
         found = [
             state.heard.news.coming[model] - (now - state.heard.at)
             for state in self.by_service.get(service, ())
-            if state.heard is not None and model in state.heard.news.coming
+            if state.heard is not None and model in state.heard.news.coming and not state.leaving
         ]
         return max(0.0, min(found)) if found else None
 
     def load_seconds(self, service: str, model: Model) -> float:
         """Return how long the quickest endpoint of a service takes to load a model."""
         states = self.by_service.get(service, ())
-        times = [load_seconds(state.entry, model) for state in states if not state.entry.leaving]
+        times = [load_seconds(state.entry, model) for state in states if not state.leaving]
         return min(times, default=model.load)
 
     def take_news(self, rows: Iterable[EngineNews], at: float) -> None:
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -179,7 +179,7 @@
         records = [
             record
             for record in self.records.values()
-            if record.entry.service == service.name and not record.entry.leaving
+            if record.entry.service == service.name and not self._leaves(record)
         ]
         for record in records:
             if record.overdue(now):
@@ -218,6 +218,11 @@
             record.in_flight = True
             self._spawn(self._carry_out(record, service, spec, step))
 
+    def _leaves(self, record: EngineRecord) -> bool:
+        """Tell whether an engine leaves: nothing is loaded there, and its copies don't count."""
+        state = self._fleet.states.get(record.entry.incarnation)
+        return record.entry.leaving or (state is not None and state.leaving)
+
     def _settled(self, demand: Mapping[str, Demand], now: float) -> bool:
         """Tell whether demand has been known for long enough to place by it alone."""
         if not any(found.rate for found in demand.values()):
--- a/peridotdock/relay/words.py
+++ b/peridotdock/relay/words.py
@@ -18,6 +18,8 @@
 # What hosts have heard, and what the hub tells all of them.
 HEARD = "heard_words"
 TOLD = "words"
+# Seconds that a word on a limit is told to be old at most: where none was named, it is that old.
+OLDEST_SECONDS = 3600.0
 
 
 class EndpointWords:
@@ -47,6 +49,7 @@
         if head.leaving and not state.said_leaving:
             state.said_leaving = True
             self._ctx.timeline.add("endpoint_said_leaving", request=ask.id, endpoint=state.key)
+            self.tell()
         if head.rest and now + head.rest > state.rests_until:
             state.rests_until = now + head.rest
             detail = f"wants nothing for {head.rest:.2f} s"
@@ -63,7 +66,7 @@
         for topic in (HEARD, TOLD):
             for known in self._peers.board.on(topic).values():
                 self._merge(known)
-        said = [state for state in self._fleet.states.values() if state.named_limit]
+        said = [state for state in self._fleet.states.values() if has_said(state)]
         if self._peers.is_hub():
             self._publish(TOLD, self._rows(said))
             self._publish(HEARD, [])
@@ -80,7 +83,8 @@
                 state.key,
                 state.entry.born,
                 state.limit.rate,
-                round(1000 * max(0.0, now - state.limit.at)),
+                round(1000 * min(OLDEST_SECONDS, max(0.0, now - state.limit.at))),
+                state.said_leaving,
             )
             for state in states
         ]
@@ -108,6 +112,8 @@
             if state is None or state.entry.born != row.born:
                 continue
             state.named_limit = True
+            changed = changed or row.leaving > state.said_leaving
+            state.said_leaving = state.said_leaving or row.leaving
             word = LimitWord(row.rate, known.at - row.age / 1000)
             if word.at > state.limit.at:
                 changed = changed or word.rate != state.limit.rate
@@ -115,6 +121,11 @@
         return changed
 
 
-def describe(row: EndpointWord) -> tuple[str, int, float]:
+def has_said(state: EndpointState) -> bool:
+    """Tell whether a start of an endpoint has said anything that other hosts should know."""
+    return state.said_leaving or state.named_limit
+
+
+def describe(row: EndpointWord) -> tuple[str, int, float, bool]:
     """Return what a row says but for its age."""
-    return row.endpoint, row.born, row.rate
+    return row.endpoint, row.born, row.rate, row.leaving
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -801,6 +801,10 @@
     """
     Milliseconds before this fact was made at which the endpoint said so.
     """
+    leaving: bool = False
+    """
+    Whether it said that it leaves, at any time.
+    """
 
 
 @dataclass(frozen=True)
--- a/tests/relay/test_words.py
+++ b/tests/relay/test_words.py
@@ -2,14 +2,19 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from nose2.tools import params
 
 from peridotdock.platform.wire import PlatformWire
+from peridotdock.relay.asks import EndpointEntry
+from peridotdock.relay.fleet import RelayFleet
+from tests.fakes import FakeClock
 from tests.relay.deployment import Deployment
 from tests.relay.test_rate_limits import burst
 from tests.relay.test_relay import run
 
+ENTRY = EndpointEntry("e1", "s", "10.0.0.1:80", "north", 8, False)
 TWO_ENGINES = (("e1", ("m0",)), ("e2", ("m0",)))
 
 
@@ -54,3 +59,40 @@
     @run
     async def test_an_engine_that_said_it_leaves_gets_nothing_new(self):
         await self.check_leaving("/recap/", "m0", "engines")
+
+    @run
+    async def test_its_word_holds_when_its_entry_comes_back_ready(self):
+        """Entries lapse while the store is away, and come back as they were before the word."""
+        fleet = RelayFleet("north", FakeClock())
+        fleet.replace([ENTRY])
+        fleet.states["e1"].said_leaving = True
+        fleet.replace([])
+        fleet.replace([ENTRY])
+        self.assertEqual([], fleet.usable("s", None))
+        self.assertFalse(fleet.states["e1"].takes_work())
+        fleet.replace([replace(ENTRY, born=7)])
+        self.assertEqual(1, len(fleet.usable("s", None)))
+
+    @run
+    async def test_its_word_reaches_hosts_that_it_did_not_talk_to(self):
+        """A host that has not talked to a leaving endpoint sends it a request first."""
+        async with Deployment(hosts=3, pages=("p1", "p2")) as found:
+            page = found.pages["p1"]
+            page.says = {"server-leaving": "1"}
+            while not page.calls:
+                await found.ask("/fetch/")
+            states = [host.fleet.states["p1"] for host in found.hosts]
+            await found.until(lambda: all(state.leaving for state in states), 2.0)
+
+    @run
+    async def test_a_model_on_an_engine_that_leaves_is_loaded_elsewhere(self):
+        """The only engine with a model leaves, and callers wait for it until its entry says so."""
+        async with Deployment(engines=(("e1", ("m0",)), ("e2", ("m1",)))) as found:
+            host = found.hosts[0]
+            await found.until(host.leadership.holds)
+            found.engines["e1"].says = {"server-leaving": "1"}
+            await found.ask("/recap/", model="m0")
+            status, _, _ = await found.ask("/recap/", "a2", model="m0")
+            self.assertEqual(200, status)
+            self.assertIn("m0", found.engines["e2"].models)
+            self.assertEqual(["a1"], [row[2]["x-attempt-id"] for row in found.engines["e1"].seen])
