--- a/tests/relay/test_words.py
+++ b/tests/relay/test_words.py
@@ -15,6 +15,9 @@
 from tests.relay.test_relay import run
 
 ENTRY = EndpointEntry("e1", "s", "10.0.0.1:80", "north", 8, False)
+# Seconds after a word on a rest from which on it binds, and what may come from that host in it.
+REST_BINDS = 0.5
+MOST_IN_REST = 2
 TWO_ENGINES = (("e1", ("m0",)), ("e2", ("m0",)))
 
 
@@ -96,3 +99,30 @@
             self.assertEqual(200, status)
             self.assertIn("m0", found.engines["e2"].models)
             self.assertEqual(["a1"], [row[2]["x-attempt-id"] for row in found.engines["e1"].seen])
+
+
+class RestTest(unittest.TestCase):
+    """An endpoint turns requests away and asks for a rest, and the same host sends on and on."""
+
+    async def check_rest(self, path, model, service, only=False):
+        engines = TWO_ENGINES[:1] if only else TWO_ENGINES
+        async with Deployment(engines=engines, pages=("p1", "p2")) as found:
+            resting = next(iter(getattr(found, service).values()))
+            resting.says = {"retry-after": "3"}
+            resting.script = ["refuse"] * 1000
+            answers = await burst(found, path, model, 3.0)
+            self.assertTrue(resting.calls)
+            first = resting.calls[0]
+            later = [at for at in resting.calls if first + REST_BINDS < at < first + 3.0]
+            self.assertLessEqual(len(later), MOST_IN_REST)
+            return answers
+
+    @run
+    async def test_a_plain_service_gets_the_rest_that_it_asks_for(self):
+        answers = await self.check_rest("/fetch/", "", "pages")
+        self.assertEqual({200}, {status for status, _, _ in answers})
+
+    @run
+    async def test_the_only_engine_with_a_model_gets_the_rest_that_it_asks_for(self):
+        answers = await self.check_rest("/recap/", "m0", "engines", only=True)
+        self.assertEqual({503}, {status for status, _, _ in answers})
