Leave an endpoint alone for the rest that it asked this host for

What callers saw: over a tenth of two kinds of request were not served for some seconds; each was sent to the same engine three times within 0.4 s and turned away each time, though the engine had asked for three seconds of rest. Cause: a refusal was answered by a pause of the request of some 40 ms, and what it said of the time was dropped. Ruled out: another host than the one asked (the stories name the same); requests that were chosen before the word (they are under way for 30 ms).

Change: the time until which an endpoint rests is kept with its start on the host that was asked. Until then the host does not choose it, tells the hub to leave it out when it asks for a prompt, and makes no report or order call to it. Where all endpoints rest, a request waits if the rest ends while its caller stays, and looks again each 0.25 s; otherwise it is refused at once. What tells a caller when to come back now goes before why its last send was lost: such refusals had no time at all.

--- a/peridotdock/decisions/choice.py
+++ b/peridotdock/decisions/choice.py
@@ -29,7 +29,8 @@
     reading. ``slowness`` is its time over the usual time for the same work. ``suspect`` ones
     failed lately and are taken only when nothing else is left. Of one that has named a limit,
     ``permit_wait`` are the seconds until there is a permit, as far as known, and ``permit_gap``
-    those between two; both are 0 for others.
+    those between two; both are 0 for others. ``rest`` are the seconds for which it wants nothing
+    from the host that sends.
     """
 
     key: str
@@ -43,12 +44,18 @@
     suspect: bool = False
     permit_wait: float = 0.0
     permit_gap: float = 0.0
+    rest: float = 0.0
 
     @property
     def limited(self) -> bool:
         """Tell whether the endpoint takes only so many requests a second."""
         return self.permit_gap > 0
 
+    @property
+    def opens_in(self) -> float:
+        """Return the seconds until the host that looks may send there, as far as it knows."""
+        return max(self.permit_wait, self.rest)
+
 
 @dataclass(frozen=True, slots=True)
 class Work:
--- a/peridotdock/relay/choosing.py
+++ b/peridotdock/relay/choosing.py
@@ -9,7 +9,8 @@
 from peridotdock.decisions.again import pause_seconds
 from peridotdock.decisions.choice import Candidate, Prediction, choose, predict
 from peridotdock.decisions.overload import judge_send, retry_after
-from peridotdock.decisions.permits import retry_after as retry_after_limit
+from peridotdock.decisions.permits import Permit
+from peridotdock.decisions.permits import retry_after as retry_after_permit
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.absent import WaitingRoom
 from peridotdock.relay.asks import RelayAsk
@@ -23,6 +24,8 @@
 
 # Seconds until a caller may come back when no endpoint has what it asks for.
 ABSENT_RETRY_SECONDS = 0.5
+# Seconds between two looks while all endpoints rest: another may have come meanwhile.
+LOOK_SECONDS = 0.25
 
 
 class Chooser:
@@ -98,9 +101,10 @@
     ) -> Granted | Failure | None:
         """Ask when a prompt may be sent and to whom; None where this host is to choose."""
         candidates = self._candidates(ask, progress)
-        if ask.head.wish is None or not candidates:
+        awake = [row for row in candidates if not row.rest]
+        if ask.head.wish is None or not awake:
             return None
-        avoid = find_suspects(candidates)
+        avoid = find_suspects(awake) | {row.key for row in candidates if row.rest}
         if candidates[0].key not in progress.avoid:
             avoid |= progress.avoid
         return await self._grants.ask(ask, progress.service, frozenset(avoid), caller)
@@ -111,6 +115,8 @@
         state = self._fleet.states.get(granted.endpoint)
         if state is None or state not in self._fleet.usable(progress.service, wish):
             return None
+        if state.rests_until > self._ctx.clock.monotonic():
+            return None
         work = self._fleet.work(progress.service, wish)
         row = self._fleet.candidates_known([state], wish, frozenset(), "")[0]
         row = replace(row, ahead=granted.ahead / work.per_token)
@@ -119,13 +125,19 @@
     async def _choose_alone(
         self, ask: RelayAsk, caller: CallerEnd, progress: Progress
     ) -> Prediction | Failure:
-        """Choose by what this host knows; an endpoint that has named a limit needs a permit."""
+        """Choose by what this host knows, of the endpoints that take a request of it now.
+
+        One that has named a limit needs a permit.
+        """
         while not caller.gone():
             rows = self._candidates(ask, progress)
-            permitted = [row for row in rows if row.permit_wait == 0]
-            if rows and not permitted:
-                return await self._wait_for_permit(ask, caller, progress, rows)
-            found = self._choose_among(permitted, ask, progress)
+            open_ones = [row for row in rows if not row.opens_in]
+            if rows and not open_ones:
+                found = await self._wait_for_opening(ask, caller, progress, rows)
+                if found is None:
+                    continue
+                return found
+            found = self._choose_among(open_ones, ask, progress)
             if failed(found) or not found.candidate.limited:
                 return found
             permit = await self._permits.ask(self._fleet.states[found.candidate.key], caller=caller)
@@ -133,21 +145,29 @@
                 return found
         return lose(State.ADMITTED, Loss.CALLER_GONE)
 
-    async def _wait_for_permit(
+    async def _wait_for_opening(
         self, ask: RelayAsk, caller: CallerEnd, progress: Progress, rows: Sequence[Candidate]
-    ) -> Prediction | Failure:
-        """Wait for the next permit where all endpoints are at their limits, or turn away."""
-        row = min(rows, key=lambda row: row.permit_wait)
+    ) -> Prediction | Failure | None:
+        """Wait for an endpoint where none takes a request now, or turn it away.
+
+        None tells that it is time to look again.
+        """
+        row = min(rows, key=lambda row: row.opens_in)
         seconds = predict(row, self._fleet.work(progress.service, ask.head.wish))
-        stays = ask.first_by - self._ctx.clock.monotonic() - seconds
-        permit = await self._permits.ask(self._fleet.states[row.key], max(0.0, stays), caller)
+        stays = max(0.0, ask.first_by - self._ctx.clock.monotonic() - seconds)
+        if row.rest:
+            permit = Permit(row.opens_in <= stays, row.opens_in)
+        else:
+            permit = await self._permits.ask(self._fleet.states[row.key], stays, caller)
         if not permit.given:
-            reason = f"{len(rows)} endpoints at their limits, a permit in {permit.wait:.2f} s"
-            return Failure(
-                Kind.OVERLOADED, reason, retry_after_limit(permit.wait, self._ctx.rng.random)
-            )
-        await asyncio.wait({caller.left}, timeout=permit.wait)
-        return lose(State.ADMITTED, Loss.CALLER_GONE) if caller.gone() else Prediction(row, seconds)
+            reason = f"{len(rows)} endpoints take nothing now, the first in {permit.wait:.2f} s"
+            wait = retry_after_permit(permit.wait, self._ctx.rng.random)
+            return Failure(Kind.OVERLOADED, reason, wait)
+        longest = LOOK_SECONDS if row.rest else permit.wait
+        await asyncio.wait({caller.left}, timeout=min(permit.wait, longest))
+        if caller.gone():
+            return lose(State.ADMITTED, Loss.CALLER_GONE)
+        return None if row.rest else Prediction(row, seconds)
 
     def _choose_among(
         self, candidates: Sequence[Candidate], ask: RelayAsk, progress: Progress
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -188,12 +188,19 @@
     def candidates(
         self, states: Iterable[EndpointState], wish: ModelWish | None, avoid: frozenset[str]
     ) -> list[Candidate]:
-        """Return the endpoints as they look for one request, without those to ``avoid``."""
+        """Return the endpoints as they look for one request of this host.
+
+        Those to ``avoid`` are left out.
+        """
         now = self._clock.monotonic()
         open_ones = [state for state in states if state.key not in avoid]
         favourite = find_favourite(open_ones, wish)
         here = self._domain
-        return [self._look(state, wish, state.key == favourite, now, here) for state in open_ones]
+        rows = [self._look(state, wish, state.key == favourite, now, here) for state in open_ones]
+        rests = [max(0.0, state.rests_until - now) for state in open_ones]
+        return [
+            replace(row, rest=rest) if rest else row for row, rest in zip(rows, rests, strict=True)
+        ]
 
     def candidates_known(
         self,
@@ -205,7 +212,8 @@
         """Return the endpoints as they look to the host that knows where all prompts were sent.
 
         Nothing is taken for kept by its hash; those that kept most are preferred. ``domain`` is the
-        failure domain of the host that will send the prompt.
+        failure domain of the host that will send the prompt, which knows itself what wants a rest
+        from it.
         """
         now = self._clock.monotonic()
         rows = [
--- a/peridotdock/relay/permits.py
+++ b/peridotdock/relay/permits.py
@@ -43,8 +43,13 @@
     async def ask(
         self, state: EndpointState, stays: float = 0.0, caller: CallerEnd | None = None
     ) -> Permit:
-        """Ask for a permit for one request, which can wait for so many seconds."""
+        """Ask for a permit for one request, which can wait for so many seconds.
+
+        There is none for an endpoint that wants a rest from this host.
+        """
         now = self._ctx.clock.monotonic()
+        if state.rests_until > now:
+            return Permit(False, state.rests_until - now)
         if not state.limited:
             return NO_WAIT
         if state.permit_from > now + min(stays, PROMISE_SECONDS):
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -92,7 +92,9 @@
         while True:
             place = await self._admit(ask, caller, progress)
             if failed(place):
-                return fallback or admit_maybe(outcome or place, progress.maybe_ran > 0)
+                # What tells when to come back goes before why the last send was lost.
+                told = place if place.retry_after is not None else outcome or place
+                return fallback or admit_maybe(told, progress.maybe_ran > 0)
             found = await self._attempt(ask, caller, progress, place)
             if isinstance(found, Whole) and found.erred:
                 fallback = found
--- a/tests/relay/test_words.py
+++ b/tests/relay/test_words.py
@@ -6,9 +6,12 @@
 
 from nose2.tools import params
 
+from peridotdock.decisions.health import Health
 from peridotdock.platform.wire import PlatformWire
 from peridotdock.relay.asks import EndpointEntry
+from peridotdock.relay.endpoint import EndpointState, next_start
 from peridotdock.relay.fleet import RelayFleet
+from peridotdock.relay.grants import Granted
 from tests.fakes import FakeClock
 from tests.relay.deployment import Deployment
 from tests.relay.test_rate_limits import burst
@@ -126,3 +129,87 @@
     async def test_the_only_engine_with_a_model_gets_the_rest_that_it_asks_for(self):
         answers = await self.check_rest("/recap/", "m0", "engines", only=True)
         self.assertEqual({503}, {status for status, _, _ in answers})
+
+    @run
+    async def test_a_request_waits_out_a_short_rest(self):
+        """A caller with seconds left is turned away for a rest of some tenths of a second."""
+        async with Deployment() as found:
+            page = found.pages["p1"]
+            page.says, page.script = {"retry-after": "0.6"}, ["refuse"]
+            status, _, _ = await found.ask("/fetch/")
+            self.assertEqual(200, status)
+            self.assertGreater(page.calls[-1] - page.calls[0], 0.55)
+
+    @run
+    async def test_who_comes_back_after_a_long_rest_is_served(self):
+        async with Deployment() as found:
+            page = found.pages["p1"]
+            page.says, page.script = {"retry-after": "4"}, ["refuse"]
+            status, headers, _ = await found.ask("/bind/")
+            self.assertEqual(503, status)
+            self.assertGreater(float(headers["retry-after"]), 3.5)
+            self.assertEqual(1, len(page.calls))
+            await asyncio.sleep(4.0)
+            status, _, _ = await found.ask("/bind/", "a2")
+            self.assertEqual(200, status)
+
+    @run
+    async def test_an_engine_that_rests_gets_no_reports_or_orders(self):
+        """The host that orders engines asks one that wants nothing from it for reports."""
+        async with Deployment() as found:
+            engine, host = found.engines["e1"], found.hosts[0]
+            await found.until(host.leadership.holds)
+            await found.until(lambda: "e1" in host.orderer.records)
+            await found.until(lambda: not host.orderer.records["e1"].unknown)
+            engine.says, engine.script = {"retry-after": "3"}, ["refuse"]
+            await found.ask("/recap/", model="m0", x_deadline_ms="300")
+            began = asyncio.get_running_loop().time()
+            while asyncio.get_running_loop().time() < began + 1.5:
+                host.orderer.records["e1"].unsure = True
+                host.orderer.changed.set()
+                await asyncio.sleep(0.05)
+            later = [at for at in engine.calls if at > began + REST_BINDS]
+            self.assertLessEqual(len(later), MOST_IN_REST)
+
+    @run
+    async def test_the_rest_of_one_host_does_not_bind_another(self):
+        """An endpoint asks one host for a rest, and callers of all are refused."""
+        async with Deployment(hosts=2, engines=TWO_ENGINES[:1]) as found:
+            host = found.hosts[0]
+            rests_until = host.ctx.clock.monotonic() + 5.0
+            host.fleet.states["e1"].rests_until = rests_until
+            status, _, _ = await found.ask("/recap/", "a1", model="m0", x_deadline_ms="900")
+            self.assertEqual(503, status)
+            status, _, _ = await found.ask("/recap/", "a2", model="m0", to=1)
+            self.assertEqual(200, status)
+
+    @run
+    async def test_the_hub_grants_no_prompt_for_an_engine_that_rests(self):
+        """The hub counts prompts at an engine that never gets them, and others wait."""
+        async with Deployment(engines=TWO_ENGINES) as found:
+            host = found.hosts[0]
+            host.fleet.states["e1"].rests_until = host.ctx.clock.monotonic() + 9.0
+            for number in range(8):
+                status, _, _ = await found.ask("/recap/", f"a{number}", model="m0")
+                self.assertEqual(200, status)
+            self.assertEqual({"e2"}, set(host.grants.server._pacers["engines"]._lanes))
+
+    @run
+    async def test_a_word_that_comes_while_the_hub_is_asked_counts(self):
+        """A prompt is granted for an engine that has asked for a rest a moment ago."""
+        async with Deployment(engines=TWO_ENGINES) as found:
+            host = found.hosts[0]
+
+            async def grant(*args):
+                host.fleet.states["e1"].rests_until = host.ctx.clock.monotonic() + 9.0
+                return Granted("e1", 0.0)
+
+            host.grants.ask = grant
+            status, _, _ = await found.ask("/recap/", model="m0")
+            self.assertEqual(200, status)
+            self.assertEqual([], found.engines["e1"].seen)
+
+    def test_the_rest_of_a_start_before_does_not_bind(self):
+        known = EndpointState(ENTRY, Health(), rests_until=1e9, said_leaving=True)
+        state = next_start(known, replace(ENTRY, born=7))
+        self.assertEqual((float("-inf"), False), (state.rests_until, state.leaving))
