Give engines and services the rest they ask for on the product's own interface, too

The same cause as on the users' platform: of a refusal only that it was one was kept, and its Retry-After was dropped. Not ruled out and left: engines there name no limits and say in reports alone that they leave.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -23,6 +23,7 @@
     WatchedResponse,
     Withdrawn,
     always,
+    read_rest,
     send_once,
 )
 from peridotdock.errors import Failure, Kind, failed
@@ -217,7 +218,7 @@
         if refused and resp.status in (429, 503):
             resp.close()
             await stack.aclose()
-            return Failure(Kind.ENDPOINT_REFUSED)
+            return Failure(Kind.ENDPOINT_REFUSED, retry_after=read_rest(resp.headers) or None)
         return Opened(resp, stack)
 
     async def control_call(
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import re
 import socket
 from collections import Counter
@@ -199,3 +200,15 @@
         for session in sessions:
             await session.close()
         await asyncio.gather(*self._closing, return_exceptions=True)
+
+
+def read_rest(headers: Mapping[str, str]) -> float:
+    """Return the seconds of Retry-After, 0 where there is none or it can't be read.
+
+    Dates are not read: what refuses a request speaks of moments.
+    """
+    try:
+        seconds = float(headers.get("retry-after") or 0)
+    except ValueError:
+        return 0.0
+    return seconds if 0 < seconds < math.inf else 0.0
--- a/peridotdock/dispatch.py
+++ b/peridotdock/dispatch.py
@@ -108,8 +108,11 @@
         return ask.repeatable or not maybe
 
     def _note_loss(self, ask: Ask, state: EndpointState, outcome: Failure) -> None:
-        if outcome.kind in RETRY_KINDS and outcome.kind is not Kind.ENDPOINT_REFUSED:
-            state.failed_at(self._ctx.clock.monotonic())
+        now = self._ctx.clock.monotonic()
+        if outcome.kind is Kind.ENDPOINT_REFUSED:
+            state.refused(outcome, now)
+        elif outcome.kind in RETRY_KINDS:
+            state.failed_at(now)
         self._ctx.timeline.add(
             "attempt_failed",
             outcome.answer.level,
--- a/peridotdock/fleet.py
+++ b/peridotdock/fleet.py
@@ -9,6 +9,7 @@
 from peridotdock.clients.endpoint import EngineLoad
 from peridotdock.clock import Clock
 from peridotdock.columns import unpack
+from peridotdock.errors import Failure
 from peridotdock.items import name_of
 from peridotdock.ledger import State
 from peridotdock.manifest import Accepted
@@ -64,6 +65,7 @@
         self.mean_seconds = 0.3
         self.bad_until = 0.0
         self.bad_count = 0
+        self.rests_until = 0.0
 
     @property
     def start(self) -> EndpointStart:
@@ -156,6 +158,11 @@
         self.bad_count = min(self.bad_count + 1, 5)
         self.bad_until = now + 0.25 * 2**self.bad_count
 
+    def refused(self, outcome: Failure, now: float) -> None:
+        """Give the endpoint the rest that it asked for as it turned a request away."""
+        if outcome.retry_after is not None:
+            self.rests_until = max(self.rests_until, now + outcome.retry_after)
+
     def succeeded(self) -> None:
         """End the series of failures."""
         self.bad_count = 0
--- a/peridotdock/platform/wire.py
+++ b/peridotdock/platform/wire.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Iterable, Mapping
 
+from peridotdock.clients.http import read_rest
 from peridotdock.credentials import NO_KEY, read_bearer
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.asks import (
@@ -131,7 +132,7 @@
             content_type=headers.get("content-type", "application/octet-stream"),
             rate_limit=read_rate(headers.get(RATE_LIMIT)),
             leaving=headers.get(LEAVING, "").strip() == LEAVES,
-            rest=read_rest(headers.get(RETRY_AFTER)) if status == UNAVAILABLE else 0.0,
+            rest=read_rest(headers) if status == UNAVAILABLE else 0.0,
             headers=tuple(
                 row for row in rows if row[0] not in SERVER_HEADERS and row[0] != "content-type"
             ),
@@ -173,15 +174,6 @@
     return rate if 0 <= rate < math.inf else None
 
 
-def read_rest(text: str | None) -> float:
-    """Return the seconds for which an endpoint wants nothing from this host; 0 if unreadable."""
-    try:
-        seconds = float(text or 0)
-    except ValueError:
-        return 0.0
-    return seconds if 0 < seconds < math.inf else 0.0
-
-
 def read_milliseconds(text: str | None) -> float | None:
     """Return seconds, or None where there is no value; raises ValueError for a bad one."""
     if text is None:
--- a/peridotdock/routing.py
+++ b/peridotdock/routing.py
@@ -42,7 +42,20 @@
 
 def usable(state: EndpointState, now: float) -> bool:
     """Tell whether new work may go to an endpoint."""
-    return not state.down and not state.leaving and state.bad_until <= now
+    return may_choose(state, now) and state.bad_until <= now
+
+
+def may_choose(state: EndpointState, now: float) -> bool:
+    """Tell whether an endpoint may get new work although it failed lately."""
+    return not state.down and not state.leaving and state.rests_until <= now
+
+
+def find_retry(
+    candidates: Sequence[EndpointState], now: float, least: float = UNLOADED_RETRY_SECONDS
+) -> float:
+    """Return when to come back where no endpoint takes work: when the first has rested."""
+    rests = [s.rests_until - now for s in candidates if not s.down and not s.leaving]
+    return max(least, min(rests, default=0.0))
 
 
 def expect_cached(state: EndpointState, wish: Wish, now: float) -> int:
@@ -95,9 +108,9 @@
     if not open_ones:
         # Ejecting all would turn a shared fault into an outage of our own making: when none is
         # left, those that only failed lately are tried again.
-        open_ones = [s for s in candidates if not s.down and not s.leaving]
+        open_ones = [s for s in candidates if may_choose(s, now)]
     if not open_ones:
-        return Failure(Kind.NO_ENDPOINT, wish.item, UNLOADED_RETRY_SECONDS)
+        return Failure(Kind.NO_ENDPOINT, wish.item, find_retry(candidates, now))
     if "prediction" not in using:
         return predict(rng.choice(open_ones), wish, now, using)
     choices = [predict(state, wish, now, using) for state in open_ones]
--- a/peridotdock/service_calls.py
+++ b/peridotdock/service_calls.py
@@ -19,6 +19,7 @@
     lose,
 )
 from peridotdock.retries import MAX_SENDS, RetryBudget
+from peridotdock.routing import find_retry
 from peridotdock.streams import SLICE_SECONDS
 
 HOP_HEADERS = frozenset(
@@ -39,6 +40,8 @@
 )
 
 # The server that answers the caller writes these itself.
+# Seconds until a caller may come back when no endpoint of a service takes a call.
+RETRY_SECONDS = 1.0
 OWN_HEADERS = HOP_HEADERS | {"content-type", "date", "server"}
 
 
@@ -56,7 +59,7 @@
         """Carry a call to a plain service; only one that may be repeated is sent again."""
         maybe = False
         tried: set[str] = set()
-        outcome: Reply | Failure = Failure(Kind.NO_ENDPOINT, ask.service, 1.0)
+        outcome: Reply | Failure = self._refuse(ask)
         for attempt in range(MAX_SENDS):
             state = self._choose_service(ask, tried)
             if state is None:
@@ -72,18 +75,31 @@
                 state.succeeded()
                 return outcome
             maybe = maybe or outcome.may_have_run
-            if outcome.kind is not Kind.ENDPOINT_REFUSED:
-                state.failed_at(self._ctx.clock.monotonic())
+            now = self._ctx.clock.monotonic()
+            if outcome.kind is Kind.ENDPOINT_REFUSED:
+                state.refused(outcome, now)
+            else:
+                state.failed_at(now)
             if outcome.kind not in RETRY_KINDS or not (ask.repeatable or not maybe):
                 break
         return admit_maybe(outcome, maybe) if failed(outcome) else outcome
 
+    def _serving(self, ask: ServiceAsk) -> list[EndpointState]:
+        """Return the endpoints of a service."""
+        names = self.services.get(ask.service, ())
+        return [state for state in self._fleet.states.values() if state.name in names]
+
+    def _refuse(self, ask: ServiceAsk) -> Failure:
+        """Return the refusal of a call where no endpoint takes one."""
+        now = self._ctx.clock.monotonic()
+        retry = find_retry(self._serving(ask), now, RETRY_SECONDS)
+        return Failure(Kind.NO_ENDPOINT, ask.service, retry)
+
     def _choose_service(self, ask: ServiceAsk, tried: set[str]) -> EndpointState | None:
         now = self._ctx.clock.monotonic()
-        states = [
-            s for s in self._fleet.states.values() if s.name in self.services.get(ask.service, ())
-        ]
-        states = [s for s in states if s.name not in tried and not s.leaving]
+        states = self._serving(ask)
+        states = [s for s in states if s.name not in tried]
+        states = [s for s in states if not s.leaving and s.rests_until <= now]
         ready = [s for s in states if s.bad_until <= now and not s.down] or states
         return min(ready, key=lambda s: (len(s.own), self._ctx.rng.random()), default=None)
 
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -6,7 +6,7 @@
 ``drop_orders``/``delay_orders``/``double_orders``  orders lost, late or done twice
 ``freeze``  connections open now give no further byte; new ones work
 ``down``    every call is cut off without an answer
-``refuse``  requests get 503 with the sign that they did not run
+``refuse``  requests get 503 with the sign that they did not run, and ``rest`` as Retry-After
 ``cross``   the answer carries another request's id, ``cross_frames``: only its frames do
 ``cut``     streams break off after so many tokens and cannot be resumed
 
@@ -84,6 +84,8 @@
         self.weights_url = weights_url
         self.fatal = ""
         self.away = 0.3
+        self.rest = ""
+        self.refused = 0
         self.ends = 0
         self.boot = f"{name}-{time.monotonic_ns()}"
         self.items = {}
@@ -244,7 +246,9 @@
             await hang_up(request)
         key = (header(b"x-item") or b"").decode() or self._find(body["model"])
         if self.faults["refuse"] or self.leaving or not self.items.get(key, {}).get("ready"):
-            return reply({"error": "refused"}, 503, [NOT_RUN])
+            self.refused += 1
+            rest = [(b"retry-after", self.rest.encode())] if self.rest else []
+            return reply({"error": "refused"}, 503, [NOT_RUN, *rest])
         self.calls.append((request_id, key))
         priority = int(header(b"x-priority") or b"5")
         stream = Stream(request_id, key, int(body.get("max_tokens") or 16), text, priority)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -121,6 +121,22 @@
         engines = self.cluster.engines
         await wait_for(lambda: not any(e.running for e in engines), "the engine free", 3)
 
+    async def test_an_engine_gets_the_rest_that_it_asks_for(self):
+        """An engine turns requests away and asks for a rest, and is asked again and again."""
+        resting, other = self.cluster.engines
+        resting.faults["refuse"], resting.rest = True, "30"
+        for _ in range(20):
+            status, _, _ = await self.cluster.ask()
+            self.assertEqual(200, status)
+        self.assertLessEqual(resting.refused, 1)
+        other.faults["refuse"], other.rest = True, "30"
+        status, headers, _ = await self.cluster.ask()
+        self.assertEqual(503, status)
+        status, headers, _ = await self.cluster.ask()
+        self.assertEqual(503, status)
+        self.assertGreater(float(headers["retry-after"]), 20)
+        self.assertLessEqual(other.refused, 1)
+
     async def test_retries_stay_within_their_budget(self):
         """
         Every endpoint breaks off each request. Callers go on asking. Retries must not multiply
