Keep an endpoint's time to come back from callers: it is not that of the service

A failure of an endpoint that is passed on as it came carried its Retry-After, so a caller waited for one endpoint while others would have served it. Left out now, as the headers of one connection are; what the endpoint says of its limit and its leaving goes on as before.

--- a/peridotdock/platform/wire.py
+++ b/peridotdock/platform/wire.py
@@ -74,8 +74,9 @@
 IDENTITY = frozenset({KEY, WORKSPACE})
 # Written anew for each send.
 OURS = frozenset({DEADLINE, RESUME})
-# Of an endpoint's answer, those that the server towards the caller writes itself.
-SERVER_HEADERS = HOP_BY_HOP | {"date", "server"}
+# Of an endpoint's answer, those that the server towards the caller writes itself, and the time
+# after which that endpoint takes requests again: another may take one at once.
+SERVER_HEADERS = HOP_BY_HOP | {"date", "server", RETRY_AFTER}
 MISDIRECTED = 421
 UNAVAILABLE = 503
 
--- a/peridotdock/service_calls.py
+++ b/peridotdock/service_calls.py
@@ -39,9 +39,9 @@
     }
 )
 
-# The server that answers the caller writes these itself.
 # Seconds until a caller may come back when no endpoint of a service takes a call.
 RETRY_SECONDS = 1.0
+# The server that answers the caller writes these itself.
 OWN_HEADERS = HOP_HEADERS | {"content-type", "date", "server"}
 
 
--- a/tests/relay/test_words.py
+++ b/tests/relay/test_words.py
@@ -41,6 +41,13 @@
         head = PlatformWire().read_answer(status, headers)
         self.assertEqual((leaving, rest), (head.leaving, head.rest))
 
+    @params(200, 500, 503)
+    def test_callers_are_not_told_an_endpoints_time_to_come_back(self, status):
+        """A caller waits for one endpoint to rest while others would serve it."""
+        headers = {"retry-after": "30", "server-limit": "1", "x-other": "1"}
+        names = [name for name, _ in PlatformWire().read_answer(status, headers).headers]
+        self.assertEqual(["server-limit", "x-other"], names)
+
 
 class LeavingTest(unittest.TestCase):
     """An endpoint says in its answers that it leaves while the store is away, and gets new work."""
