--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import shutil
 import sys
 import tempfile
@@ -12,10 +13,10 @@
 import click
 
 from extras.soak.callers import Caller
-from extras.soak.checks import Record, find_broken
+from extras.soak.checks import Record, Words, find_broken
 from extras.soak.plan import LONGEST_SECONDS, Plan, draw
 from extras.soak.world import MODELS_FIT, World
-from tests.standins.runner import EVENTS
+from tests.standins.runner import EVENTS, RunnerStandin
 
 CALLERS = 8
 # Callers that send the same request, which ends endpoints, beside what they send otherwise.
@@ -64,11 +65,12 @@
         if plan.poisoned:
             work += [caller.run_poison(plan.seconds) for caller in callers[:POISONERS]]
         if plan.needy:
-            work.append(world.limit(plan.seconds - LONGEST_SECONDS))
+            seconds = plan.seconds - LONGEST_SECONDS
+            work += [world.limit(seconds), world.refuse(seconds), world.leave_by_word()]
         await asyncio.gather(strike_all(world, plan, began), *work)
         await asyncio.sleep(RECOVERY_SECONDS)
         await probe(world, record, began, plan.seed)
-        collect(world, record)
+        collect(world, record, began)
         return list(find_broken(record, plan.planned, EVENTS, MODELS_FIT))
     finally:
         await world.stop()
@@ -85,7 +87,7 @@
                 return
 
 
-def collect(world: World, record: Record) -> None:
+def collect(world: World, record: Record, began: float) -> None:
     """Take down what the endpoints saw."""
     record.ends = world.ends
     record.limited = world.limited
@@ -93,6 +95,14 @@
         record.ran += runner.ran
         record.orders[runner.name] = runner.orders
         record.held[runner.name] = runner.most_held
+        record.words.append(read_words(runner, world.leaves_at.get(runner.name, math.inf), began))
+
+
+def read_words(runner: RunnerStandin, leaves_at: float, began: float) -> Words:
+    """Return what an endpoint said and got, in seconds of the run."""
+    heads = [(at - began, name) for at, name in runner.heads]
+    rests = [(at - began, name, seconds) for at, name, seconds in runner.rests]
+    return Words(heads, rests, leaves_at - began)
 
 
 def describe(plan: Plan) -> str:
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -1,5 +1,6 @@
 """The promises, checked from what callers and endpoints saw; each says what a user would notice."""
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -8,6 +9,7 @@
 NOT_RUN = frozenset({408, 421, 429, 503})
 # Share of requests that must be served again when all faults have ended.
 RECOVERED_SHARE = 0.9
+SUCCESS = 200
 # Ends of endpoints under one request after which all hosts know it, the seconds that this takes,
 # and the most ends from then on.
 KNOWN_ENDS = 3
@@ -33,6 +35,27 @@
     calls: list[float]
 
 
+# Seconds after an endpoint's word that it leaves in which a host may still send there.
+LEAVING_SECONDS = 2.0
+# Seconds after a refusal from which on the rest that it asks for binds, and the most requests from
+# that host in it.
+REST_BINDS_SECONDS = 0.5
+MOST_IN_REST = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Words:
+    """What an endpoint said, and the requests that reached it: times with the ids of attempts.
+
+    ``leaves_at`` is when it began to say that it leaves, infinite where it does not. ``rests`` are
+    its refusals, each with the seconds of rest that it asked for. All in seconds of the run.
+    """
+
+    heads: list[tuple[float, str]]
+    rests: list[tuple[float, str, float]]
+    leaves_at: float = math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """One attempt of a caller. ``status`` is 0 where the connection ended without a head.
@@ -64,6 +87,7 @@
     probes: list[Attempt] = field(default_factory=list)
     ends: list[float] = field(default_factory=list)
     limited: list[Limited] = field(default_factory=list)
+    words: list[Words] = field(default_factory=list)
 
 
 def check_answers(record: Record, events: int) -> Iterable[str]:
@@ -163,6 +187,35 @@
                 break
 
 
+def check_leaving(record: Record) -> Iterable[str]:
+    """A host sent a request to an endpoint that had told it that it leaves."""
+    attempts = {attempt.id: attempt for attempt in record.attempts}
+    for row in record.words:
+        told: dict[str, float] = {}
+        for _, name in row.heads:
+            attempt = attempts.get(name)
+            if attempt is None:
+                continue
+            last = told.get(attempt.life, math.inf)
+            if attempt.began > last + LEAVING_SECONDS:
+                yield f"{name}: {attempt.life} was told {attempt.began - last:.2f} s before"
+            if attempt.began >= row.leaves_at and attempt.status == SUCCESS:
+                told[attempt.life] = min(last, attempt.ended)
+
+
+def check_rests(record: Record) -> Iterable[str]:
+    """A host went on sending to an endpoint that had asked it for a rest."""
+    lives = {attempt.id: attempt.life for attempt in record.attempts}
+    for row in record.words:
+        for at, name, seconds in row.rests:
+            life = lives.get(name)
+            since, until = at + REST_BINDS_SECONDS, at + seconds
+            ids = [other for came, other in row.heads if since < came < until]
+            count = sum(lives.get(other) == life for other in ids)
+            if life is not None and count > MOST_IN_REST:
+                yield f"{life} sent {count} requests in a rest of {seconds} s from {at:.2f} s on"
+
+
 def find_broken(record: Record, planned: bool, events: int, most: int) -> Sequence[str]:
     """Return what was promised and not kept."""
     found = [
@@ -174,5 +227,7 @@
         *check_recovery(record),
         *check_poison(record),
         *check_limits(record),
+        *check_leaving(record),
+        *check_rests(record),
     ]
     return found + list(check_planned(record)) if planned else found
--- a/extras/soak/world.py
+++ b/extras/soak/world.py
@@ -34,6 +34,9 @@
 # Requests a second that an engine and a plain service's endpoint in need say they take.
 ENGINE_LIMIT = 1.0
 PAGE_LIMIT = 2.0
+# Seconds of rest that endpoints in need ask for, and between two refusals.
+REST = 1.5
+REFUSAL_GAP = 0.7
 BOUNDS = {
     "drain_ms": 2000,
     "config_ms": 2000,
@@ -118,6 +121,7 @@
         self.version = 1
         self.ends: list[float] = []
         self.limited: list[Limited] = []
+        self.leaves_at: dict[str, float] = {}
         self._busy: set[str] = set()
         self._replacing: set[asyncio.Task] = set()
         self._numbers = iter(range(1, 10_000))
@@ -161,6 +165,22 @@
         runner.on_change = lambda: self._register(runner, service)
         runner.on_change()
 
+    async def leave_by_word(self) -> None:
+        """Let an engine and a plain service's endpoint say in answers alone that they leave."""
+        for runner in (self.engines[1], self.pages[1]):
+            runner.says = {"server-leaving": "1"}
+            self.leaves_at[runner.name] = time.monotonic()
+
+    async def refuse(self, seconds: float) -> None:
+        """Let an engine and a plain service's endpoint turn requests away and ask for a rest."""
+        until = time.monotonic() + seconds
+        rows = (self.engines[2], self.pages[2])
+        while time.monotonic() < until:
+            for runner in rows:
+                runner.rest = REST
+                runner.script += ["refuse"]
+            await asyncio.sleep(REFUSAL_GAP)
+
     async def limit(self, seconds: float) -> None:
         """Let an engine and a plain service's endpoint name a limit for some seconds."""
         named = time.monotonic()
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -10,9 +10,10 @@
 first). ``pace`` are seconds before each event or answer, ``most_held`` the most models it had at
 once. What reaches it is kept in ``seen``; what ran, in ``ran``; what was left, in ``left``.
 ``accepted`` counts the connections that were made to it, ``calls`` has the time of each request
-that reached it, reports and orders too. What is in ``says`` goes into the head of each answer. A
-request whose body is in ``fatal`` ends it as soon as it runs: all its connections are reset and
-nothing listens any more.
+that reached it, reports and orders too; ``heads`` the times of requests alone, with their ids. A
+refusal asks for ``rest`` seconds of rest, and is kept in ``rests`` with its time and id. What is in
+``says`` goes into the head of each answer. A request whose body is in ``fatal`` ends it as soon as
+it runs: all its connections are reset and nothing listens any more.
 """
 
 import asyncio
@@ -37,6 +38,9 @@
         self.left = []
         self.accepted = 0
         self.calls = []
+        self.heads = []
+        self.rest = 0.0
+        self.rests = []
         self.says = {}
         self.orders = []
         self.events = EVENTS
@@ -111,6 +115,7 @@
         headers = dict(row.lower().split(": ", 1) for row in rows if row)
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         self.calls.append(asyncio.get_running_loop().time())
+        self.heads.append((self.calls[-1], headers.get("x-attempt-id", "")))
         if target.startswith("/v1/"):
             status, answer = self._control(target, headers, body)
             writer.write(frame(status, json.dumps(answer).encode(), self.says))
@@ -147,7 +152,9 @@
             writer.write(frame(421, b"", self.says | {"x-attempt-id": attempt}))
             return True
         if step == "refuse":
-            writer.write(frame(503, b"", self.says | {"x-not-executed": "1"}))
+            asked = {"retry-after": str(self.rest)} if self.rest else {}
+            self.rests.append((asyncio.get_running_loop().time(), attempt, self.rest))
+            writer.write(frame(503, b"", self.says | asked | {"x-not-executed": "1"}))
             return True
         self.ran.append(attempt)
         if body in self.fatal:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 from nose2.tools import params
 
 from extras.soak.__main__ import play
-from extras.soak.checks import Attempt, Limited, Record, find_broken
+from extras.soak.checks import Attempt, Limited, Record, Words, find_broken
 from extras.soak.plan import LONGEST_SECONDS, PLANNED_EVERY, draw
 
 EVENTS = 3
@@ -65,6 +65,29 @@
             replace(record(), limited=[Limited(1.0, 0.0, 9.0, [4.0 + n / 9 for n in range(12)])]),
             True,
         ),
+        (
+            "an endpoint that leaves gets nothing of who was told",
+            replace(record(PAGE), words=[Words([(1.0, "a"), (3.0, "z")], [], 0.5)]),
+            False,
+        ),
+        (
+            "and gets more",
+            replace(
+                record(PAGE, replace(PAGE, id="d", began=3.2)),
+                words=[Words([(1.0, "a"), (3.2, "d")], [], 0.5)],
+            ),
+            True,
+        ),
+        (
+            "an endpoint gets its rest",
+            replace(record(PAGE), words=[Words([(1.0, "a")] * 3, [(1.0, "a", 3.0)])]),
+            False,
+        ),
+        (
+            "and does not",
+            replace(record(PAGE), words=[Words([(2.0, "a")] * 3, [(1.0, "a", 3.0)])]),
+            True,
+        ),
         ("no recovery", record(probes=[replace(PAGE, status=503)]), True),
     )
     def test_planted_faults_are_found(self, name, found, broken):
