--- a/peridotdock/relay/quotas.py
+++ b/peridotdock/relay/quotas.py
@@ -93,9 +93,7 @@
             return 0.0
         now = self._ctx.clock.monotonic()
         if hub == self._host:
-            return self._as_hub().take(
-                name, quota, cost, self._peers.part(self._tolerance.over), now
-            )
+            return self._as_hub().take(name, quota, cost, self._share(), now)
         wait = await self._ask(hub, name, cost, caller)
         if wait is not None:
             return wait
@@ -132,9 +130,7 @@
         quota, wait = self._quotas.get(frame.workspace), 0.0
         if quota is not None:
             now = self._ctx.clock.monotonic()
-            wait = self._as_hub().take(
-                frame.workspace, quota, frame.cost, self._peers.part(self._tolerance.over), now
-            )
+            wait = self._as_hub().take(frame.workspace, quota, frame.cost, self._share(), now)
         self._peers.mesh.send_to(host, QuotaGiven("quota_given", frame.number, round(1000 * wait)))
 
     def tell(self) -> None:
@@ -150,7 +146,7 @@
             return
         hub, share, now = (
             self._as_hub(),
-            self._peers.part(self._tolerance.over),
+            self._share(),
             self._ctx.clock.monotonic(),
         )
         for origin, known in self._peers.board.on("usage").items():
@@ -169,7 +165,7 @@
             self._hub.start(
                 self._quotas,
                 low,
-                self._peers.part(self._tolerance.over),
+                self._share(),
                 self._ctx.clock.monotonic(),
             )
             self._ctx.timeline.add("quotas_kept", detail=f"{len(self._quotas)} workspaces")
@@ -184,3 +180,6 @@
         before = known.fact.low if known is not None else {}
         for name in low.keys() - before.keys():
             self._ctx.timeline.add("quota_low", detail=f"workspace {name}: {low[name]} units left")
+
+    def _share(self) -> float:
+        return self._peers.part(self._tolerance.over)
