--- a/peridotdock/relay/choosing.py
+++ b/peridotdock/relay/choosing.py
@@ -73,7 +73,7 @@
         """Wait until some endpoint may serve the request."""
         states = self._fleet.usable(progress.service, ask.head.wish)
         if progress.refusals and all(state.key in progress.avoid for state in states):
-            refusal = await self._rest(ask, caller, progress)
+            refusal = await self._pause(ask, caller, progress)
             if refusal is not None:
                 return refusal
             states = self._fleet.usable(progress.service, ask.head.wish)
@@ -81,7 +81,7 @@
             return None
         return await self._room.wait(ask, progress.service, caller)
 
-    async def _rest(self, ask: RelayAsk, caller: CallerEnd, progress: Progress) -> Failure | None:
+    async def _pause(self, ask: RelayAsk, caller: CallerEnd, progress: Progress) -> Failure | None:
         """Wait until an endpoint that refused the request may have a place for it."""
         left = ask.first_by - self._ctx.clock.monotonic()
         seconds = pause_seconds(progress.refusals, left, self._ctx.rng.random)
