A host that stops does not wait for an endpoint's rest to end

What callers saw: a planned stop cut a stream off. Ruled out: the endpoint ended (it lived on). Change: where all endpoints rest, a host that leaves refuses at once, with a short time to come back, as other hosts are not bound by the rest.

--- a/peridotdock/relay/choosing.py
+++ b/peridotdock/relay/choosing.py
@@ -1,7 +1,7 @@
 """Finding the endpoint that one send of a request goes to."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 
 from peridotdock.context import Context
@@ -45,6 +45,7 @@
         self._grants = grants
         self._permits = permits
         self._turns = find_turns()
+        self.is_leaving: Callable[[], bool] = lambda: False
 
     async def find(
         self, ask: RelayAsk, caller: CallerEnd, progress: Progress
@@ -155,7 +156,10 @@
         row = min(rows, key=lambda row: row.opens_in)
         seconds = predict(row, self._fleet.work(progress.service, ask.head.wish))
         stays = max(0.0, ask.first_by - self._ctx.clock.monotonic() - seconds)
-        if row.rest:
+        if row.rest and self.is_leaving():
+            # Other hosts may send there; this one may be gone before an answer is whole.
+            permit = Permit(False, 0.0)
+        elif row.rest:
             permit = Permit(row.opens_in <= stays, row.opens_in)
         else:
             permit = await self._permits.ask(self._fleet.states[row.key], stays, caller)
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -110,13 +110,15 @@
         self.grants.server.spend_permit = self.permits.spend
         self.peers.queued = self.grants.server.queued
         self.blocklist = Blocklist(ctx, self.peers.board, self.fleet.has_ended, self.peers.is_hub)
+        chooser = Chooser(ctx, self.fleet, self.room, self.grants, self.permits)
+        chooser.is_leaving = lambda: self.leaving
         self.service = RelayService(
             ctx,
             adapter.wire,
             self.fleet,
             self.endpoints,
             settings.bounds,
-            Chooser(ctx, self.fleet, self.room, self.grants, self.permits),
+            chooser,
             self.blocklist,
             settings.first_start,
         )
--- a/tests/relay/test_words.py
+++ b/tests/relay/test_words.py
@@ -147,6 +147,23 @@
             self.assertEqual(200, status)
             self.assertGreater(page.calls[-1] - page.calls[0], 0.55)
 
+    @run
+    async def test_a_host_that_stops_does_not_wait_for_a_rest_to_end(self):
+        """A planned stop cuts off a stream that was sent at the end of a rest."""
+        async with Deployment() as found:
+            host, page = found.hosts[0], found.pages["p1"]
+            host.fleet.states["p1"].rests_until = host.ctx.clock.monotonic() + 1.0
+            asked = asyncio.create_task(found.ask("/fetch/"))
+            await asyncio.sleep(0.1)
+            began = host.ctx.clock.monotonic()
+            stopped = asyncio.create_task(host.drain())
+            status, headers, _ = await asked
+            self.assertEqual(503, status)
+            self.assertLess(host.ctx.clock.monotonic() - began, 0.8)
+            self.assertLess(float(headers["retry-after"]), 0.5)
+            self.assertEqual([], page.seen)
+            await stopped
+
     @run
     async def test_who_comes_back_after_a_long_rest_is_served(self):
         async with Deployment() as found:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -127,6 +127,8 @@
     @params(
         # A request that many repeat was blocked with the one that ends endpoints: 6 of 40 refused.
         (7307, 15.0, 4),
+        # A host that stopped waited for an engine's rest to end, and cut its answer off.
+        (9115, 15.0, 4),
         # The check counted requests of hosts that an endpoint had not told of its limit yet.
         (9133, 15.0, 4),
     )
