Of an endpoint whose entry comes back, take over what it said and nothing else

What was found on connections, load and kept prompts is forgotten again when an entry goes, as before.

--- a/peridotdock/relay/endpoint.py
+++ b/peridotdock/relay/endpoint.py
@@ -181,6 +181,13 @@
         self.take_limit(LimitWord(rate, sent if ended else now))
         return changed
 
+    def recall(self, before: "EndpointState") -> None:
+        """Take over what the same start said before its entry went."""
+        self.limit, self.named_limit = before.limit, before.named_limit
+        self.permit_from = before.permit_from
+        self.said_leaving = before.said_leaving
+        self.rests_until = before.rests_until
+
     def take_limit(self, word: LimitWord) -> None:
         """Take in a word on the limit that is the newest."""
         self.limit = word
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -17,7 +17,6 @@
     HeardNews,
     OthersLoad,
     cache_place,
-    name_start,
     name_wish,
     next_start,
     out_of_date,
@@ -66,9 +65,11 @@
         for entry in entries:
             state = old.get(entry.incarnation)
             if state is None or state.entry.born != entry.born:
-                state = self._departed.pop(name_start(entry), None) or next_start(state, entry)
+                state = next_start(state, entry)
+                before = self._departed.pop(state.start, None)
+                if before is not None:
+                    state.recall(before)
             state.take_entry(entry)
-            state.gone = False
             self.states[entry.incarnation] = state
         for key, state in old.items():
             if self.states.get(key) is not state:
@@ -76,7 +77,7 @@
         self._index()
 
     def _depart(self, state: EndpointState) -> None:
-        """Keep what is known of a start whose entry has gone, for when the entry comes back.
+        """Keep what a start said whose entry has gone, for when the entry comes back.
 
         Failure guarded against: entries lapse while the store is away, the endpoints live on, and
         what they had said in answers is forgotten.
