Take no endpoint for unreachable because the loop stood still

Callers saw: a request to a plain service whose only endpoint is well is refused with 503. Seen once, in a whole run of the tests: tests.relay.test_starts, test_no_request_goes_over_a_connection_to_the_start_before, 200 != 503.

Cause: a new connection may take 0.25 s. The limit was a timer of the loop. When one turn lasts longer than that while a connection is being made, the timer is due before the loop has seen that the connection is there: the endpoint counts as unreachable, is left out for half a second, and a request with 0.7 s is refused, as no other endpoint serves it. Three turns were allowed for, by the median of the last eight, which one long turn does not move.

Evidence: a stall of 0.4 s in the first or second turn of a connection gives the 503 that was seen (two of three rows of the new test failed before, none after). Ruled out: a connection to the start before (would end in 504 after 0.7 s), a host that is behind (the loop of that test tells no turns). The test prints the answer's body now.

Change: the limit ends a connection four turns after its time, so what came while the loop stood still is seen first. One class for it and for the limit of a send, which did the same with one turn (peridotdock/timeouts.py).

--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -16,7 +16,11 @@
 
 import aiohttp
 
+from peridotdock.timeouts import TurnTimeout
+
 CONNECT_SECONDS = 1.0
+# Turns of the loop from the one in which the system has made a connection to its first use.
+CONNECT_TURNS = 4
 UNREACHABLE = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 BROKEN = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError)
 
@@ -110,13 +114,18 @@
 class Connector(aiohttp.TCPConnector):
     """Connections whose time to be kept idle can be shortened, and requests that can be withdrawn.
 
-    Failure guarded against: a connection may take a second, and meanwhile its endpoint says that it
-    leaves. The request would go there later than the endpoint has promised to serve.
+    Failures guarded against: a connection may take a second, and meanwhile its endpoint says that
+    it leaves; the request would go there later than the endpoint has promised to serve. And a host
+    that stands still for as long takes all endpoints that it was connecting to for unreachable.
     """
 
-    async def connect(self, *args: Any, **kwargs: Any) -> Any:
+    async def connect(self, req: Any, traces: Any, timeout: aiohttp.ClientTimeout) -> Any:
         """Return a connection, unless the request is no longer wanted when it is there."""
-        conn = await super().connect(*args, **kwargs)
+        if timeout.sock_connect is None:
+            conn = await super().connect(req, traces, timeout)
+        else:
+            async with TurnTimeout(timeout.sock_connect, CONNECT_TURNS):
+                conn = await super().connect(req, traces, aiohttp.ClientTimeout(total=None))
         if STILL_WANTED.get()():
             return conn
         conn.release()
--- a/peridotdock/decisions/overload.py
+++ b/peridotdock/decisions/overload.py
@@ -29,11 +29,9 @@
 RETRY_SPREAD = 0.5
 
 
-# Seconds that a new connection to an endpoint may take, and turns of the loop that pass until a
-# host notices that it is made. One whose machine is dark answers never, and a request must get to
-# another one in its time.
+# Seconds that a new connection to an endpoint may take. One whose machine is dark answers never,
+# and a request must get to another one in its time.
 CONNECT_SECONDS = 0.25
-CONNECT_TURNS = 3
 # Share of the time left that a connection may take at most: it must end as "not connected", which
 # tells of the endpoint, and not as the deadline, which does not.
 CONNECT_SHARE = 0.8
@@ -80,13 +78,13 @@
     return None
 
 
-def connect_seconds(left: float, turn: float) -> float:
+def connect_seconds(left: float) -> float:
     """Return how long a new connection to an endpoint may take.
 
     Failure guarded against: an endpoint has gone dark, and each request's time ends while it waits
     for a connection. Nothing is learnt, the next one is sent there again, and all are told 504.
     """
-    return min(CONNECT_SECONDS + CONNECT_TURNS * turn, CONNECT_SHARE * left)
+    return min(CONNECT_SECONDS, CONNECT_SHARE * left)
 
 
 def retry_after(draw: Callable[[], float]) -> float:
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -1,9 +1,8 @@
 """One send of a request to one endpoint, up to the head of the answer."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any, TypeVar
+from typing import Any, Self, TypeVar
 
 from peridotdock.clients.endpoint import Call, HttpEndpoints, Opened, read_all
 from peridotdock.clock import Clock
@@ -14,6 +13,7 @@
 from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.wire import Wire
 from peridotdock.requests import Loss, State, lose
+from peridotdock.timeouts import TurnTimeout
 from peridotdock.turns import find_turns
 
 T = TypeVar("T")
@@ -36,44 +36,30 @@
     head: AnswerHead
 
 
-class Limit:
+class Limit(TurnTimeout):
     """Ends the work of the running task when its time is over or the caller has left.
 
     The work goes on in the same task: handing it to another one costs two turns of the loop more
-    for each step, and on a host that is behind a turn is long. An answer that can be read in the
-    turn in which the time is over still counts: the end comes one turn later, after it.
+    for each step, and on a host that is behind a turn is long.
     """
 
     def __init__(self, caller: CallerEnd, seconds: float):
+        super().__init__(seconds)
         self._caller = caller
-        self._seconds = max(0.0, seconds)
-        self._limit = asyncio.timeout(None)
-        self._open = False
-
-    async def __aenter__(self) -> "Limit":
-        """Begin to count."""
-        loop = asyncio.get_running_loop()
-        await self._limit.__aenter__()
-        self._open = True
-        self._timer = loop.call_later(self._seconds, self._end)
-        self._caller.left.add_done_callback(self._end)
+
+    async def __aenter__(self) -> Self:
+        """Begin to count, and to watch the caller."""
+        await super().__aenter__()
+        self._caller.left.add_done_callback(self._leave)
         return self
 
     async def __aexit__(self, *exc: Any) -> bool | None:
-        """Stop counting; raises TimeoutError when the work was ended."""
-        self._open = False
-        self._timer.cancel()
-        self._caller.left.remove_done_callback(self._end)
-        return await self._limit.__aexit__(*exc)
-
-    def _end(self, _: object = None) -> None:
-        if self._open:
-            self._open = False
-            self._limit.reschedule(asyncio.get_running_loop().time())
+        """Stop both; raises TimeoutError when the work was ended."""
+        self._caller.left.remove_done_callback(self._leave)
+        return await super().__aexit__(*exc)
 
-    def expired(self) -> bool:
-        """Tell whether the work was ended."""
-        return self._limit.expired()
+    def _leave(self, _: object) -> None:
+        self.end()
 
 
 async def wait_for(
@@ -123,7 +109,7 @@
             self._wire.write_send(ask, options),
             ask.body,
             once=True,
-            connect=connect_seconds(left, self._turns.usual()),
+            connect=connect_seconds(left),
             wanted=state.takes_work,
         )
         sent = self._clock.monotonic()
--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import socket
+import time
 import unittest
+from functools import partial
 
 from nose2.tools import params
 
@@ -12,6 +14,8 @@
 from tests.standins.runner import RunnerStandin
 
 NOT_RUN = "x-not-executed"
+# Longer than a connection may take.
+STALL_SECONDS = 0.4
 
 
 class CountedRunner(RunnerStandin):
@@ -129,6 +133,36 @@
         asyncio.run(asyncio.wait_for(check(), 30))
 
 
+class StallTest(unittest.TestCase):
+    """A host that stood still takes a connection that was made meanwhile for one that was not."""
+
+    @params(("in the turn after it begins", 1), ("a turn later", 2), ("two turns later", 3))
+    def test_a_stall_while_connecting_is_not_held_against_the_endpoint(self, name, turns):
+        async def check():
+            loop = asyncio.get_running_loop()
+            connect, stalls = loop.sock_connect, []
+
+            async def connect_and_stall(sock, address):
+                if address[1] == port:
+                    stalls.append(address)
+                    after_turns(turns, partial(time.sleep, STALL_SECONDS))
+                await connect(sock, address)
+
+            async with Deployment() as found:
+                port = int(found.pages["p1"].address.split(":")[1])
+                loop.sock_connect = connect_and_stall
+                status, _, _ = await found.ask("/bind/")
+                self.assertEqual((200, 1), (status, len(stalls)), name)
+
+        asyncio.run(asyncio.wait_for(check(), 30))
+
+
+def after_turns(turns, work):
+    """Call ``work`` so many turns of the loop from now."""
+    loop = asyncio.get_running_loop()
+    loop.call_soon(work if turns == 1 else partial(after_turns, turns - 1, work))
+
+
 class SilentTest(unittest.TestCase):
     """Half of all notes are lost for as long as one endpoint takes requests and answers none.
 
--- a/tests/relay/test_starts.py
+++ b/tests/relay/test_starts.py
@@ -331,8 +331,8 @@
             self.assertEqual(200, status)
             runner.restart()
             await found.until(lambda: host.fleet.states["p1"].entry.born == runner.born)
-            status, _, _ = await found.ask("/bind/", "a2")
-            self.assertEqual(200, status)
+            status, _, body = await found.ask("/bind/", "a2")
+            self.assertEqual(200, status, body)
 
     async def test_a_restarted_engine_gets_its_models_again(self):
         """Requests for a model are refused for good after its engine has started again.
