Hand over with the lease which engines to leave alone, and read reports meanwhile

Operators saw: after each change of the host that orders, no engine got an order for 2.5 to 3.5 s, as the new holder waited for the gap after the last order to any engine; where the holder was lost it waited once more from when it saw the lapse, and looked at the engines only then.

Found on the way, a fault against the rule of one holder: the wait was not handed on. A holder that had just taken over and resigned, or started again, told that it had been quiet for the whole gap; the next one could order an engine a second after the one before both.

Change: a resignation and the lease's row tell how long each engine is to be left alone, what is left of the wait of holders before included. A lapse counts from the last renewal that was seen. The new holder plans from the start with the engines held back, so it reads their reports while it waits.

--- a/peridotdock/relay/leadership.py
+++ b/peridotdock/relay/leadership.py
@@ -7,8 +7,8 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import asdict, dataclass, field
 from typing import TypeVar
 
 from peridotdock.clients.platform import Platform, Row, Transaction, commit_surely
@@ -28,21 +28,35 @@
 T = TypeVar("T")
 
 
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """Seconds for which a new holder gives no orders: to any engine, and to some for longer."""
+
+    wait: float = 0.0
+    engines: Mapping[str, float] = field(default_factory=dict)
+
+    def after(self, seconds: float) -> "Handover":
+        """Return what is left of it some seconds later."""
+        engines = {engine: wait - seconds for engine, wait in self.engines.items()}
+        left = {engine: wait for engine, wait in engines.items() if wait > 0}
+        return Handover(max(0.0, self.wait - seconds), left)
+
+
 @dataclass(frozen=True, slots=True)
 class Resignation:
-    """A holder's word that it gives no more orders under ``term``; its last was ``quiet`` ago."""
+    """A holder's word that it gives no more orders under ``term``, and when it was heard."""
 
     term: int
-    quiet: float
+    handover: Handover
     at: float
 
 
 class Leadership:
     """This host's view of the lease. Times are seconds of a clock that runs in a suspension.
 
-    ``gap`` is how long one host must have been quiet before another may order. ``machine`` is this
-    host's address, which tells whether the holder in the row was an earlier process of this host;
-    ``holder_machine`` is the one in the row when it was last read.
+    ``gap`` is how long after an order of one host another host may order the same engine.
+    ``machine`` is this host's address, which tells whether the holder in the row was an earlier
+    process of this host; ``holder_machine`` is the one in the row when it was last read.
     """
 
     def __init__(
@@ -64,9 +78,11 @@
         self._seen_at = 0.0
         self._version = 0
         self.on_renewed: Callable[[int, int], None] = lambda term, version: None
+        self.on_resigned: Callable[[int, Handover], None] = lambda term, handover: None
         self._until = NEVER
         self._orders_from = 0.0
-        self._ordered_at = NEVER
+        self._engines_from: dict[str, float] = {}
+        self._ordered_at: dict[str, float] = {}
         self._heard: Resignation | None = None
         self.term = 0
         self.resigned = 0
@@ -76,27 +92,39 @@
         """Tell whether this host holds the lease now."""
         return self.term > 0 and self._clock.seconds() < self._until
 
-    def may_order(self) -> bool:
-        """Tell whether this host may order engines now.
+    def may_order(self, engine: str = "") -> bool:
+        """Tell whether this host may order an engine now, or without one, those not named lately.
 
         Failure guarded against: the holder is suspended, another host takes over, and the first
         wakes and goes on. The clock runs in a suspension, and it is read right before each order.
         A new holder waits until the last order of the one before is old enough.
         """
-        return self.holds() and self._clock.seconds() >= self._orders_from
+        opens = max(self._orders_from, self._engines_from.get(engine, NEVER))
+        return self.holds() and self._clock.seconds() >= opens
+
+    def ordered(self, engine: str) -> None:
+        """Note that an order is sent to an engine now."""
+        now = self._clock.seconds()
+        lately = {name: at for name, at in self._ordered_at.items() if now - at < self._gap}
+        self._ordered_at = lately | {engine: now}
 
-    def ordered(self) -> None:
-        """Note that an order is sent now."""
-        self._ordered_at = self._clock.seconds()
+    def inherited(self) -> Handover:
+        """Return what is left of the wait for the orders of holders before."""
+        return Handover(self._orders_from, self._engines_from).after(self._clock.seconds())
 
-    def quiet(self) -> float:
-        """Return the seconds since this host's last order."""
-        return min(self._gap, self._clock.seconds() - self._ordered_at)
+    def handover(self) -> Handover:
+        """Return how long another host must wait that takes the lease now.
 
-    def hear(self, term: int, quiet: float) -> None:
+        Failure guarded against: a holder that has just taken over resigns, and the next one orders
+        an engine soon after the one before both.
+        """
+        own = {engine: at + self._gap for engine, at in self._ordered_at.items()}
+        return Handover(self._orders_from, self._engines_from | own).after(self._clock.seconds())
+
+    def hear(self, term: int, handover: Handover) -> None:
         """Take in another holder's resignation."""
         if self._heard is None or term > self._heard.term:
-            self._heard = Resignation(term, quiet, self._clock.seconds())
+            self._heard = Resignation(term, handover, self._clock.seconds())
 
     def hear_renewed(self, term: int, version: int) -> None:
         """Take in the holder's word that it has just renewed.
@@ -160,10 +188,14 @@
 
     def _lose(self, why: str) -> None:
         self._ctx.timeline.add("lease_lost", "WARNING", detail=f"term {self.term}: {why}")
-        self.resigned, self.term = self.term, 0
+        self._resign()
         self._until = NEVER
         self._seen_version = None
 
+    def _resign(self) -> None:
+        self.resigned, self.term = self.term, 0
+        self.on_resigned(self.resigned, self.handover())
+
     async def _try(self) -> None:
         rows = await self._in_time(self._store.read([LEASE_KEY]))
         if failed(rows):
@@ -178,39 +210,45 @@
         if wait is None:
             return
         term = int(row.value["term"]) + 1 if row else 1
+        # Set before the row is written, which tells what is left of them.
+        self._orders_from = now + wait.wait
+        self._engines_from = {engine: now + more for engine, more in wait.engines.items()}
         outcome = await self._in_time(self._write(version, term))
         if failed(outcome):
             return
         self.term, self._version = term, outcome
         self._until = now + ACT_SECONDS
-        self._orders_from = now + wait
         self.on_renewed(term, outcome)
-        self._ctx.timeline.add("lease_taken", detail=f"term {term}, orders in {wait:.1f} s")
+        rest = f", {len(wait.engines)} engines later" if wait.engines else ""
+        self._ctx.timeline.add(
+            "lease_taken", detail=f"term {term}, orders in {wait.wait:.1f} s{rest}"
+        )
 
-    def _wait_after(self, row: Row | None, now: float) -> float | None:
-        """Return how long to wait for the first order, or None while the lease is another's."""
+    def _wait_after(self, row: Row | None, now: float) -> Handover | None:
+        """Return how long to wait with orders, or None while the lease is another's."""
         if row is None:
-            return 0.0
+            return Handover()
         heard = self._heard
         if heard is not None and heard.term == row.value["term"]:
-            return max(0.0, self._gap - heard.quiet - (now - heard.at))
+            return heard.handover.after(now - heard.at)
         if not row.value["holder"]:
-            return max(0.0, self._gap - float(row.value["quiet"]))
+            return read_handover(row, "handover", self._gap)
         if self._machine and row.value.get("machine") == self._machine:
             # The holder was this host's last process, which has ended: all hosts were killed at
             # once, say. To engines it is the same holder, so neither lapse nor gap is waited for.
-            return 0.0
+            return read_handover(row, "inherited", self._gap)
         if now - self._seen_at < LAPSE_SECONDS:
             return None
-        # The holder may have acted until just before its lease lapsed.
-        return max(0.0, self._gap - (LAPSE_SECONDS - ACT_SECONDS))
+        # The holder may have acted until its last renewal was too old for that.
+        return Handover(self._gap + ACT_SECONDS).after(now - self._seen_at)
 
     async def _write(self, version: int, term: int, holder: str | None = None) -> int | Failure:
         value = {
             "holder": self._ctx.incarnation if holder is None else holder,
             "machine": self._machine,
             "term": term,
-            "quiet": self.quiet(),
+            "handover": asdict(self.handover()),
+            "inherited": asdict(self.inherited()),
         }
         tx = Transaction({LEASE_KEY: version}, {LEASE_KEY: value})
         outcome = await commit_surely(self._store, tx)
@@ -220,7 +258,19 @@
         """Free the lease, so that others need not wait for it to lapse."""
         if self.term == 0:
             return
-        term, self.term, self.resigned = self.term, 0, self.term
+        term = self.term
+        # Told before the row is free: whoever takes it has heard then what was loaded last.
+        self._resign()
         outcome = await self._in_time(self._write(self._version, term, holder=""))
         detail = f"term {term}" if not failed(outcome) else f"term {term}: {outcome.reason}"
         self._ctx.timeline.add("lease_freed", detail=detail)
+
+
+def read_handover(row: Row, name: str, gap: float) -> Handover:
+    """Return a wait that a lease's row tells; the whole gap where it can't be read."""
+    try:
+        found = row.value[name]
+        engines = {engine: float(wait) for engine, wait in found["engines"].items()}
+        return Handover(float(found["wait"]), engines)
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return Handover(gap)
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -24,7 +24,7 @@
 from peridotdock.relay.grants import Grants
 from peridotdock.relay.identity import Identifier
 from peridotdock.relay.lag import LagWatch
-from peridotdock.relay.leadership import Leadership
+from peridotdock.relay.leadership import Handover, Leadership
 from peridotdock.relay.ordering import Orderer
 from peridotdock.relay.peers import Peers
 from peridotdock.relay.permits import EndpointPermits
@@ -151,6 +151,7 @@
         self.peers.on_term = self._hear_term
         self.peers.on_lease = self.leadership.hear_renewed
         self.leadership.on_renewed = self.peers.tell_lease
+        self.leadership.on_resigned = self.peers.tell_resigned
         self.views = Views(ctx, self.store, self.peers, lambda: self.leadership.term > 0)
         self.views.hide_keys = adapter.hide_keys
         self.leaving = False
@@ -231,8 +232,8 @@
     async def _tell_demand(self) -> None:
         self.peers.tell_demand()
 
-    def _hear_resigned(self, term: int, quiet: float) -> None:
-        self.leadership.hear(term, quiet)
+    def _hear_resigned(self, term: int, handover: Handover) -> None:
+        self.leadership.hear(term, handover)
         if self._stands_by():
             self.lease_due.set()
 
@@ -285,8 +286,6 @@
                 self.keep_due.set()
             self._hear_term(self.leadership.term)
             self.peers.meet(self.leadership.holder_machine)
-        if self.leadership.term == 0 and self.leadership.resigned:
-            self.peers.tell_resigned(self.leadership.resigned, self.leadership.quiet())
 
     async def _order(self) -> None:
         """Plan when something is waited for or has changed, and now and then."""
@@ -409,8 +408,6 @@
         self.ctx.timeline.add("leaving")
         self.peers.membership.become("leaving")
         await self.leadership.give_up()
-        if self.leadership.resigned:
-            self.peers.tell_resigned(self.leadership.resigned, self.leadership.quiet())
         await clock.sleep(min(ADDRESS_SECONDS * ADDRESS_FACTOR, bounds.stopping / 2))
         until = began + bounds.stopping - STOP_MARGIN
         while self.front.in_work and clock.monotonic() < until:
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -108,7 +108,7 @@
         ``down`` are endpoints that some host could not connect to, or that refused a request for
         what they were said to hold: a look tells what is so.
         """
-        if not self._leadership.may_order():
+        if not self._leadership.holds():
             return
         if self._term != self._leadership.term:
             self._take_over(deployment)
@@ -202,6 +202,7 @@
             for record in records
             if record.in_flight
             or record.unsure
+            or not self._leadership.may_order(record.entry.incarnation)
             or (now < record.quiet_until and not record.freeing and not record.loading)
         }
         ration = self._ration(service)
@@ -312,10 +313,11 @@
         if loads and model and seconds >= model.load:
             self._ration(service).begin(begun)
         try:
-            if not await self._permitted(record) or not self._leadership.may_order():
+            engine = record.entry.incarnation
+            if not await self._permitted(record) or not self._leadership.may_order(engine):
                 self._ration(service).take_back(begun)
                 return
-            self._leadership.ordered()
+            self._leadership.ordered(engine)
             outcome = await self._give(record, order)
             if outcome in NOT_DONE:
                 self._ration(service).take_back(begun)
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -14,6 +14,7 @@
 from peridotdock.mesh import Mesh
 from peridotdock.relay.endpoint import OthersLoad
 from peridotdock.relay.fleet import RelayFleet
+from peridotdock.relay.leadership import Handover
 from peridotdock.relay.reach import Reach
 from peridotdock.relay.settings import HostSettings
 from peridotdock.relay.sums import (
@@ -84,7 +85,7 @@
         self.wanted = asyncio.Event()
         self._told_orders: tuple | None = None
         self._told_orders_at = 0.0
-        self.on_resigned: Callable[[int, float], None] = lambda term, quiet: None
+        self.on_resigned: Callable[[int, Handover], None] = lambda term, handover: None
         self.on_lease: Callable[[int, int], None] = lambda term, version: None
         self.on_term: Callable[[int], None] = lambda term: None
         self.board.listen(self._changed)
@@ -249,7 +250,7 @@
         self._fleet.take_news(newest.engines, known.at)
         self.on_term(newest.term)
         if newest.resigned:
-            self.on_resigned(newest.resigned, newest.quiet)
+            self.on_resigned(newest.resigned, Handover(newest.wait, newest.engine_waits))
 
     def has_leader(self) -> bool:
         """Tell whether a live host that this one hears says that it orders engines."""
@@ -355,13 +356,15 @@
         """Tell that this host has just renewed the lease."""
         self.board.publish("lease", LeaseFact(term, version))
 
-    def tell_resigned(self, term: int, quiet: float) -> None:
-        """Tell that this host gives no more orders under ``term``, and how old its last one is."""
+    def tell_resigned(self, term: int, handover: Handover) -> None:
+        """Tell that this host gives no more orders under ``term``, and how long to wait for it."""
         known = self.board.get(self._settings.host, "orders")
         if known is None or known.fact.resigned != term:
             self._told_orders = None
             loads = self.heard_loads(term) or {}
-            self.board.publish("orders", OrdersFact(0, [], term, quiet, loads))
+            self.board.publish(
+                "orders", OrdersFact(0, [], term, handover.wait, dict(handover.engines), loads)
+            )
 
     def _tell(self, topic: str, fact) -> None:
         known = self.board.get(self._settings.host, topic)
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -687,9 +687,13 @@
     """
     Fencing number under which the origin has stopped to order for good; 0 while it orders.
     """
-    quiet: float = 0
+    wait: float = 0
     """
-    Seconds since the origin's last order, when it resigned.
+    Seconds for which no other host may order engines, when the origin resigned.
+    """
+    engine_waits: dict[str, float] = field(default_factory=dict)
+    """
+    Seconds for which no other host may order an engine that the origin ordered lately, when it resigned.
     """
     loads: dict[str, list[float]] = field(default_factory=dict)
     """
