Log when the hub gives no word on requests of workspaces whose quotas are low

The line names the hub, how many requests were judged without it and the last workspace, once a second at most.

Test: the hub drops questions of quotas; no line before, one to eight in 40 requests now.

--- a/peridotdock/relay/quotas.py
+++ b/peridotdock/relay/quotas.py
@@ -25,6 +25,8 @@
 LOW_SECONDS = 0.5
 # Spread of the time until callers come back, so that those of one moment do not do so together.
 RETRY_SPREAD = 0.5
+# Least time, in seconds, between two log lines on a hub that gives no word.
+SILENCE_LINE_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +50,8 @@
         self._hub: HubQuotas | None = None
         self._quotas: Mapping[str, Quota] = {}
         self._questions: Questions[int] = Questions(turns)
+        self._silent = 0
+        self._silence_line_at = float("-inf")
 
     def take_deployment(self, deployment: Deployment) -> None:
         """Take in what the operators allow each workspace."""
@@ -97,6 +101,8 @@
         wait = await self._ask(hub, name, cost, caller)
         if wait is not None:
             return wait
+        if not caller.gone():
+            self._note_silence(hub, name)
         return self._own.take_alone(name, quota, cost, len(self._peers.known_hosts()), now)
 
     def _hear_hub(self) -> str:
@@ -117,6 +123,16 @@
         wait = await self._questions.ask(send, caller)
         return None if wait is None else wait / 1000
 
+    def _note_silence(self, hub: str, name: str) -> None:
+        """Log, once in a while, that requests were judged without the hub's word."""
+        self._silent += 1
+        now = self._ctx.clock.monotonic()
+        if now - self._silence_line_at < SILENCE_LINE_SECONDS:
+            return
+        detail = f"{hub}, on {self._silent} requests of low quotas, the last of workspace {name}"
+        self._ctx.timeline.add("hub_silent", "WARNING", detail=detail)
+        self._silent, self._silence_line_at = 0, now
+
     # What hosts tell each other
 
     def take(self, host: str, frame: QuotaWanted | QuotaGiven) -> None:
--- a/tests/relay/test_quotas.py
+++ b/tests/relay/test_quotas.py
@@ -17,6 +17,7 @@
     Usage,
     host_share,
 )
+from peridotdock.events import Filter
 from peridotdock.limits import Bucket
 from peridotdock.relay.quotas import LOW_SECONDS, RETRY_SPREAD
 from peridotdock.workspaces import Quota
@@ -30,6 +31,7 @@
 OVER = 0.1
 # Units that the operators let a window go beyond, besides the share.
 TOLERANCE = {TOKENS: Tolerance(WINDOW, OVER, 110_000.0), REQUESTS: Tolerance(WINDOW, OVER, 20.0)}
+ALL = Filter()
 COST = {TOKENS: 9_200.0, REQUESTS: 1.0}
 
 
@@ -313,3 +315,21 @@
             for number in range(10):
                 await found.ask("/bind/", f"a{number}", authorization="Bearer key-one")
             self.assertEqual(0.0, sum(quotas._own._totals.values()))
+
+    @run
+    async def test_a_hub_that_gives_no_word_on_quotas_is_logged(self):
+        """Callers get 429 by a host's own share, and no line tells that the hub was silent."""
+        limit = {"rate_per_s": 20, "burst": 20}
+        async with Deployment(hosts=2) as found:
+            await configure(found, 2, [RIVER | limit])
+            await found.until(lambda: found.hosts[1].front.deployment.version == 2)
+            hub = found.hosts[0].peers.hub()
+            [asked, other] = sorted(found.hosts, key=lambda host: host.settings.host != hub)
+            asked.peers.mesh.on_quota = lambda host, frame: None
+            place = found.hosts.index(other)
+            for number in range(40):
+                await found.ask("/fetch/", f"a{number}", to=place, authorization="Bearer key-one")
+            lines = [e.detail for e in other.ctx.timeline.select(ALL) if e.name == "hub_silent"]
+            self.assertTrue(lines)
+            self.assertIn("quotas", lines[0])
+            self.assertLessEqual(len(lines), 8)
