Judge a lease that was renewed unheard by the store's time

Operators saw: no engine got an order for seven seconds after the holder of the lease froze.

Change: the row says until when its holder may act, by the store's clock. Whoever writes it takes the most that the store's time can be, from its last answer and when that was asked for; whoever reads it the least. The hosts' own clocks are still not compared. Times come from reads and transactions alone: a feed's answer is held back for seconds and tells nothing exact. Where the store tells no time the old way stands.

--- a/peridotdock/platform/adapter.py
+++ b/peridotdock/platform/adapter.py
@@ -1,6 +1,7 @@
 """The adapter as one object."""
 
 from peridotdock.clients.endpoint import HttpEndpoints
+from peridotdock.clients.store_time import StoreTime
 from peridotdock.metrics import Metrics
 from peridotdock.platform.documents import decode_deployment, hide_keys
 from peridotdock.platform.endpoints import decode_endpoint
@@ -31,6 +32,6 @@
         """Return the platform's engines."""
         return PlatformEngines(endpoints)
 
-    def open_store(self, address: Address, metrics: Metrics) -> TableStore:
+    def open_store(self, address: Address, metrics: Metrics, time: StoreTime) -> TableStore:
         """Return the platform's store."""
-        return TableStore(address, metrics)
+        return TableStore(address, metrics, time)
--- a/peridotdock/platform/store.py
+++ b/peridotdock/platform/store.py
@@ -12,6 +12,7 @@
 
 from peridotdock.clients.http import BROKEN, UNREACHABLE, Pool
 from peridotdock.clients.platform import Committed, ListedHost, Row, Transaction
+from peridotdock.clients.store_time import StoreTime
 from peridotdock.clients.tables import TableChanges, TableView
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.metrics import Metrics
@@ -33,8 +34,9 @@
 class TableStore:
     """The platform's store, as the product's one client of it."""
 
-    def __init__(self, address: Address, metrics: Metrics):
+    def __init__(self, address: Address, metrics: Metrics, time: StoreTime):
         self._url = f"http://{address}"
+        self._time = time
         self._pool = Pool(limit=16)
         self._metrics = metrics
 
@@ -87,6 +89,12 @@
         except msgspec.DecodeError as exc:
             return Failure(Kind.PLATFORM_DOWN, f"bad body: {exc}")
 
+    def _note_time(self, found: Mapping[str, Any], asked_at: float) -> None:
+        """Take in the store's time from an answer that it did not hold back."""
+        told = found.get("now_ms")
+        if isinstance(told, int):
+            self._time.note(told / 1000, asked_at)
+
     async def _pages(
         self, table: str, start: str = "", end: str = ""
     ) -> tuple[list[dict[str, Any]], int] | Failure:
@@ -101,10 +109,12 @@
             query = {"table": table, "part": ""}
             query |= {"from": start} if start else {}
             query |= {"to": end} if end else {}
+            asked_at = self._time.clock()
             page = await self._fetch("/v1/rows-get?" + urlencode(query))
             if failed(page):
                 return page
             try:
+                self._note_time(page, asked_at)
                 rows += page["rows"]
                 version = int(page["ver"]) if version is None else version
                 if not page.get("has_more"):
@@ -178,12 +188,15 @@
             ],
             "remove": [own_row(key) for key in tx.writes if key not in writes],
         }
+        asked_at = self._time.clock()
         outcome = await self._call("POST", "/v1/rows-tx", json.dumps(body).encode())
         if failed(outcome):
             return outcome
         status, raw = outcome
         if status == 200:
-            return Committed(int(msgspec.json.decode(raw)["ver"]))
+            found = msgspec.json.decode(raw)
+            self._note_time(found, asked_at)
+            return Committed(int(found["ver"]))
         return Failure(COMMIT_KINDS.get(status, Kind.OUTCOME_UNKNOWN), f"status {status}")
 
     async def get_object(self, name: str) -> bytes | None | Failure:
--- a/peridotdock/relay/adapter.py
+++ b/peridotdock/relay/adapter.py
@@ -4,6 +4,7 @@
 
 from peridotdock.clients.endpoint import HttpEndpoints
 from peridotdock.clients.engines import Engines
+from peridotdock.clients.store_time import StoreTime
 from peridotdock.clients.tables import Tables
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure
@@ -21,7 +22,7 @@
     config_key: str
     endpoint_table: str
 
-    def open_store(self, address: Address, metrics: Metrics) -> Tables | Any:
+    def open_store(self, address: Address, metrics: Metrics, time: StoreTime) -> Tables | Any:
         """Return the platform's store."""
 
     def decode_deployment(self, raw: bytes) -> Deployment | Failure:
--- a/peridotdock/relay/leadership.py
+++ b/peridotdock/relay/leadership.py
@@ -1,9 +1,10 @@
 """Which one host orders engines: a lease in the store, with a number that only grows.
 
 One lease for all engines costs one write a second over all hosts. A host that stands by judges the
-lease by its own clock, from when it first saw the row's version, and a host that holds it counts
-from before it sent the renewal, so no clocks are compared. A holder that loses touch with the
-store says so to the other hosts: they need not wait for what has ended already.
+lease by its own clock, from when it first saw the row's version, or by the store's. A host that
+holds it counts from before it sent the renewal, so the hosts' own clocks are not compared. A holder
+that loses touch with the store says so to the other hosts: they need not wait for what has ended
+already.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 from typing import TypeVar
 
 from peridotdock.clients.platform import Platform, Row, Transaction, commit_surely
+from peridotdock.clients.store_time import StoreTime
 from peridotdock.context import Context
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.clocks import UptimeClock
@@ -67,6 +69,7 @@
         clock: UptimeClock,
         machine: str = "",
         suspect: Callable[[], None] = lambda: None,
+        store_time: StoreTime | None = None,
     ):
         self._ctx = ctx
         self._machine = machine
@@ -74,6 +77,7 @@
         self._suspect = suspect
         self._gap = gap
         self._clock = clock
+        self._store_time = store_time or StoreTime(clock.seconds)
         self._seen_version: int | None = None
         self._seen_at = 0.0
         self._version = 0
@@ -237,16 +241,31 @@
             # The holder was this host's last process, which has ended: all hosts were killed at
             # once, say. To engines it is the same holder, so neither lapse nor gap is waited for.
             return read_handover(row, "inherited", self._gap)
-        if now - self._seen_at < LAPSE_SECONDS:
+        past = self._past_acting(row, now)
+        if past < LAPSE_SECONDS - ACT_SECONDS:
             return None
-        # The holder may have acted until its last renewal was too old for that.
-        return Handover(self._gap + ACT_SECONDS).after(now - self._seen_at)
+        return Handover(self._gap).after(past)
+
+    def _past_acting(self, row: Row, now: float) -> float:
+        """Return how long ago, at least, the holder in the row gave its last possible order.
+
+        The store's clock tells where the row's last change was not heard of. Failure guarded
+        against: a holder renews and is lost before it can say so, and the lease is thought new when
+        another host reads it seconds later.
+        """
+        seen = now - self._seen_at - ACT_SECONDS
+        told, at_least = row.value.get("acts_until"), self._store_time.earliest()
+        if not isinstance(told, float) or at_least is None:
+            return seen
+        return max(seen, at_least - told)
 
     async def _write(self, version: int, term: int, holder: str | None = None) -> int | Failure:
+        at_most = self._store_time.latest()
         value = {
             "holder": self._ctx.incarnation if holder is None else holder,
             "machine": self._machine,
             "term": term,
+            "acts_until": None if at_most is None else at_most + ACT_SECONDS,
             "handover": asdict(self.handover()),
             "inherited": asdict(self.inherited()),
         }
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -7,6 +7,7 @@
 
 from peridotdock.blocklist import Blocklist
 from peridotdock.clients.endpoint import HttpEndpoints
+from peridotdock.clients.store_time import StoreTime
 from peridotdock.context import Context
 from peridotdock.deployment import Deployment
 from peridotdock.errors import failed
@@ -87,7 +88,9 @@
         self.ctx = ctx
         self.settings = settings
         self.adapter = adapter
-        self.store = adapter.open_store(settings.store, ctx.metrics)
+        uptime = BootClock()
+        store_time = StoreTime(uptime.seconds)
+        self.store = adapter.open_store(settings.store, ctx.metrics, store_time)
         self.endpoints = HttpEndpoints(not_run_header=None)
         self.fleet = RelayFleet(settings.domain, ctx.clock)
         self.peers = Peers(ctx, settings, self.fleet, lambda digest: b"")
@@ -136,7 +139,7 @@
         lease = settings.bounds.order_lease
         machine = str(settings.listen.peers)
         self.leadership = Leadership(
-            ctx, self.store, lease, BootClock(), machine, self.store.suspect
+            ctx, self.store, lease, uptime, machine, self.store.suspect, store_time
         )
         self.keep_due = asyncio.Event()
         self.blocklist.on_blocked = self.keep_due.set
--- a/tests/relay/test_ordering.py
+++ b/tests/relay/test_ordering.py
@@ -5,10 +5,13 @@
 import time
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from nose2.tools import params
 
 from peridotdock.clients.engines import Action, EngineOrder, EngineState
+from peridotdock.clients.store_time import StoreTime
+from peridotdock.errors import failed
 from peridotdock.relay.asks import EndpointEntry, HeldModel
 from peridotdock.relay.leadership import ACT_SECONDS, LAPSE_SECONDS, Leadership
 from peridotdock.relay.records import REPORT_LAG, EngineRecord
@@ -18,6 +21,8 @@
 from tests.relay.test_relay import run
 
 GAP = 3.0
+# Seconds by which the store's clock is ahead of the hosts'.
+STORE_AHEAD = 5000.0
 
 
 class Uptime:
@@ -30,6 +35,33 @@
         return self.now
 
 
+class TimedPlatform:
+    """One host's way to the store: each answer takes a while, and tells the store's time."""
+
+    def __init__(self, store, time, uptime, rng):
+        self.store, self.time, self.uptime, self.rng = store, time, uptime, rng
+
+    async def read(self, keys):
+        asked_at = self._travel()
+        return self._told(await self.store.read(keys), asked_at)
+
+    async def commit(self, tx):
+        asked_at = self._travel()
+        return self._told(await self.store.commit(tx), asked_at)
+
+    def _travel(self):
+        asked_at = self.time.clock()
+        self.uptime.now += self.rng.uniform(0.0, 0.2)
+        return asked_at
+
+    def _told(self, found, asked_at):
+        if not failed(found):
+            seconds = self.uptime.now + STORE_AHEAD
+            self.uptime.now += self.rng.uniform(0.0, 0.2)
+            self.time.note(seconds, asked_at)
+        return found
+
+
 class Hosts:
     def __init__(self, count=2):
         self.clock = Uptime()
@@ -48,6 +80,14 @@
             host._seen_at = seen_at
         self.all.append(host)
 
+    def add_timed(self, machine):
+        """Start a process that hears the store's time, with answers that take no time."""
+        ctx = make_ctx(FakeClock(), machine)
+        time = StoreTime(self.clock.seconds)
+        rng = mock.Mock(uniform=lambda least, most: 0.0)
+        store = TimedPlatform(self.store, time, self.clock, rng)
+        self.all.append(Leadership(ctx, store, GAP, self.clock, machine, store_time=time))
+
     def step(self, *places, after=0.0):
         self.clock.now += after
         for place in places:
@@ -77,7 +117,9 @@
     def start(self, machine):
         self.started += 1
         ctx = replace(make_ctx(FakeClock(), machine), incarnation=f"{machine}-{self.started}")
-        host = Leadership(ctx, self.store, GAP, self.clock, machine)
+        time = StoreTime(self.clock.seconds)
+        store = TimedPlatform(self.store, time, self.clock, self.rng)
+        host = Leadership(ctx, store, GAP, self.clock, machine, store_time=time)
         host.on_resigned = self.tell
         self.hosts[machine] = host
         self.asleep_until[machine] = 0.0
@@ -218,6 +260,20 @@
         rest = GAP + ACT_SECONDS - LAPSE_SECONDS - late
         self.assertAlmostEqual(rest, hosts.clock.now - began, delta=0.11, msg=name)
 
+    def test_a_renewal_that_nobody_heard_of_is_judged_by_the_stores_time(self):
+        """Engines get no order for seconds: the lease of a lost holder is thought new when read."""
+        hosts = Hosts(0)
+        for name in ("m0", "m1"):
+            hosts.add_timed(name)
+        hosts.step(0, after=0.7)
+        hosts.step(1, after=LAPSE_SECONDS + 0.5)
+        self.assertTrue(hosts.all[1].holds())
+        began = hosts.clock.now
+        while not hosts.all[1].may_order():
+            hosts.step(1, after=0.1)
+        rest = GAP + ACT_SECONDS - LAPSE_SECONDS - 0.5
+        self.assertAlmostEqual(rest, hosts.clock.now - began, delta=0.11)
+
     @params(*range(40))
     def test_no_engine_gets_orders_of_two_machines_within_the_gap(self, seed):
         """Holders are suspended, killed, cut from the store and stopped, in any order."""
--- a/tests/standins/tables.py
+++ b/tests/standins/tables.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import json
+import time
 
 from blacksheep import Request
 
@@ -16,6 +17,10 @@
 MOST_HELD_BACK = 1.0
 
 
+def now_ms():
+    return int(time.monotonic() * 1000)
+
+
 class TableStandin:
     def __init__(self):
         self.rows = {}
@@ -80,7 +85,7 @@
         if self.faults["lose"]:
             self.faults["lose"] -= 1
             await hang_up(request)
-        return reply({"ver": self.version, "now_ms": 0})
+        return reply({"ver": self.version, "now_ms": now_ms()})
 
     async def get(self, request: Request):
         self.calls.append("rows-get")
@@ -90,7 +95,12 @@
         start, end = query.get("from", ""), query.get("to")
         keys = sorted(key for table, key in self.rows if table == query["table"] and key >= start)
         rows = [self._row(query["table"], key) for key in keys if end is None or key < end]
-        body = {"rows": rows[:2], "has_more": len(rows) > 2, "ver": self.version, "now_ms": 0}
+        body = {
+            "rows": rows[:2],
+            "has_more": len(rows) > 2,
+            "ver": self.version,
+            "now_ms": now_ms(),
+        }
         return reply(body)
 
     async def feed(self, request: Request):
@@ -110,7 +120,7 @@
             rows = self._since(table, after)
         if self.faults["down"]:
             return reply({}, 503)
-        return reply({"rows": rows, "ver": self.version, "now_ms": 0})
+        return reply({"rows": rows, "ver": self.version, "now_ms": now_ms()})
 
     def _since(self, table, after):
         rows = [
