Give waits of requests a module of their own; call the wait after refusals a backoff

No change of behaviour: what a request waits for before it is sent (an endpoint with its model, a backoff, a permit or the end of a rest) stands in relay/waits.py, the choice of an endpoint in relay/choosing.py alone. decisions/again.py is decisions/backoff.py. The soak's constants on limits stand in the order of their comments.

--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -15,17 +15,21 @@
 KNOWN_ENDS = 3
 KNOWN_SECONDS = 3.0
 MOST_LATER_ENDS = 3
-
-
-# Seconds after an endpoint first named a limit from which on it binds, those over which requests
-# are counted, and what may come in them: so many times the limit, and so many requests beside.
-LIMIT_BINDS_SECONDS = 3.0
 # Seconds after an endpoint first named a limit from which on requests count: hosts that were told
 # later are not held to it.
 LIMIT_TOLD_SECONDS = 0.5
+# Seconds after that word from which on the limit binds, those over which requests are counted, and
+# what may come in them: so many times the limit, and so many requests beside.
+LIMIT_BINDS_SECONDS = 3.0
 LIMIT_WINDOW_SECONDS = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
+# Seconds after an endpoint's word that it leaves in which a host may still send there.
+LEAVING_SECONDS = 2.0
+# Seconds after a refusal from which on the rest that it asks for binds, and the most requests from
+# that host in it.
+REST_BINDS_SECONDS = 0.5
+MOST_IN_REST = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,14 +42,6 @@
     calls: list[float]
 
 
-# Seconds after an endpoint's word that it leaves in which a host may still send there.
-LEAVING_SECONDS = 2.0
-# Seconds after a refusal from which on the rest that it asks for binds, and the most requests from
-# that host in it.
-REST_BINDS_SECONDS = 0.5
-MOST_IN_REST = 2
-
-
 @dataclass(frozen=True, slots=True)
 class Words:
     """What an endpoint said, and the requests that reached it: times with the ids of attempts.
--- a/peridotdock/decisions/again.py
+++ b/peridotdock/decisions/backoff.py
@@ -15,7 +15,7 @@
 MOST_SHARE = 0.25
 
 
-def pause_seconds(refusals: int, left: float, draw: Callable[[], float]) -> float:
+def backoff_seconds(refusals: int, left: float, draw: Callable[[], float]) -> float:
     """Return the seconds to wait after so many refusals.
 
     ``left`` are the seconds in which the answer must come; ``draw`` gives a number from 0 to 1.
--- a/peridotdock/relay/choosing.py
+++ b/peridotdock/relay/choosing.py
@@ -1,31 +1,25 @@
 """Finding the endpoint that one send of a request goes to."""
 
-import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import replace
 
 from peridotdock.context import Context
 from peridotdock.decisions.admission import judge_wait
-from peridotdock.decisions.again import pause_seconds
 from peridotdock.decisions.choice import Candidate, Prediction, choose, predict
 from peridotdock.decisions.overload import judge_send, retry_after
-from peridotdock.decisions.permits import Permit
-from peridotdock.decisions.permits import retry_after as retry_after_permit
 from peridotdock.errors import Failure, Kind, failed
-from peridotdock.relay.absent import WaitingRoom
 from peridotdock.relay.asks import RelayAsk
 from peridotdock.relay.caller import CallerEnd
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.grants import Granted, Grants
 from peridotdock.relay.permits import EndpointPermits
 from peridotdock.relay.progress import Progress
+from peridotdock.relay.waits import Waits
 from peridotdock.requests import Loss, State, lose
 from peridotdock.turns import find_turns
 
 # Seconds until a caller may come back when no endpoint has what it asks for.
 ABSENT_RETRY_SECONDS = 0.5
-# Seconds between two looks while all endpoints rest: another may have come meanwhile.
-LOOK_SECONDS = 0.25
 
 
 class Chooser:
@@ -35,23 +29,22 @@
         self,
         ctx: Context,
         fleet: RelayFleet,
-        room: WaitingRoom,
+        waits: Waits,
         grants: Grants,
         permits: EndpointPermits,
     ):
         self._ctx = ctx
         self._fleet = fleet
-        self._room = room
+        self._waits = waits
         self._grants = grants
         self._permits = permits
         self._turns = find_turns()
-        self.is_leaving: Callable[[], bool] = lambda: False
 
     async def find(
         self, ask: RelayAsk, caller: CallerEnd, progress: Progress
     ) -> Prediction | Failure:
         """Choose an endpoint, after waiting for one where none can serve the request yet."""
-        refusal = await self._wait_for_any(ask, caller, progress)
+        refusal = await self._waits.until_usable(ask, caller, progress)
         if refusal is not None:
             return refusal
         granted = await self._ask_hub(ask, caller, progress)
@@ -68,27 +61,6 @@
             return Failure(Kind.HOST_BEHIND, trouble, retry_after(self._ctx.rng.random))
         return found
 
-    async def _wait_for_any(
-        self, ask: RelayAsk, caller: CallerEnd, progress: Progress
-    ) -> Failure | None:
-        """Wait until some endpoint may serve the request."""
-        states = self._fleet.usable(progress.service, ask.head.wish)
-        if progress.refusals and all(state.key in progress.avoid for state in states):
-            refusal = await self._pause(ask, caller, progress)
-            if refusal is not None:
-                return refusal
-            states = self._fleet.usable(progress.service, ask.head.wish)
-        if states:
-            return None
-        return await self._room.wait(ask, progress.service, caller)
-
-    async def _pause(self, ask: RelayAsk, caller: CallerEnd, progress: Progress) -> Failure | None:
-        """Wait until an endpoint that refused the request may have a place for it."""
-        left = ask.first_by - self._ctx.clock.monotonic()
-        seconds = pause_seconds(progress.refusals, left, self._ctx.rng.random)
-        await asyncio.wait({caller.left}, timeout=seconds)
-        return lose(State.ADMITTED, Loss.CALLER_GONE) if caller.gone() else None
-
     def _candidates(self, ask: RelayAsk, progress: Progress) -> list[Candidate]:
         """Return the endpoints not tried yet, or all: one that cut a stream may still have it."""
         states = self._fleet.usable(progress.service, ask.head.wish)
@@ -134,7 +106,7 @@
             rows = self._candidates(ask, progress)
             open_ones = [row for row in rows if not row.opens_in]
             if rows and not open_ones:
-                found = await self._wait_for_opening(ask, caller, progress, rows)
+                found = await self._waits.until_open(ask, caller, progress, rows)
                 if found is None:
                     continue
                 return found
@@ -146,33 +118,6 @@
                 return found
         return lose(State.ADMITTED, Loss.CALLER_GONE)
 
-    async def _wait_for_opening(
-        self, ask: RelayAsk, caller: CallerEnd, progress: Progress, rows: Sequence[Candidate]
-    ) -> Prediction | Failure | None:
-        """Wait for an endpoint where none takes a request now, or turn it away.
-
-        None tells that it is time to look again.
-        """
-        row = min(rows, key=lambda row: row.opens_in)
-        seconds = predict(row, self._fleet.work(progress.service, ask.head.wish))
-        stays = max(0.0, ask.first_by - self._ctx.clock.monotonic() - seconds)
-        if row.rest and self.is_leaving():
-            # Other hosts may send there; this one may be gone before an answer is whole.
-            permit = Permit(False, 0.0)
-        elif row.rest:
-            permit = Permit(row.opens_in <= stays, row.opens_in)
-        else:
-            permit = await self._permits.ask(self._fleet.states[row.key], stays, caller)
-        if not permit.given:
-            reason = f"{len(rows)} endpoints take nothing now, the first in {permit.wait:.2f} s"
-            wait = retry_after_permit(permit.wait, self._ctx.rng.random)
-            return Failure(Kind.OVERLOADED, reason, wait)
-        longest = LOOK_SECONDS if row.rest else permit.wait
-        await asyncio.wait({caller.left}, timeout=min(permit.wait, longest))
-        if caller.gone():
-            return lose(State.ADMITTED, Loss.CALLER_GONE)
-        return None if row.rest else Prediction(row, seconds)
-
     def _choose_among(
         self, candidates: Sequence[Candidate], ask: RelayAsk, progress: Progress
     ) -> Prediction | Failure:
--- a/peridotdock/relay/node.py
+++ b/peridotdock/relay/node.py
@@ -33,6 +33,7 @@
 from peridotdock.relay.service import RelayService
 from peridotdock.relay.settings import HostSettings
 from peridotdock.relay.views import Views
+from peridotdock.relay.waits import Waits
 from peridotdock.relay.words import EndpointWords
 from peridotdock.serving import Server, make_application
 from peridotdock.turns import find_turns
@@ -113,8 +114,9 @@
         self.grants.server.spend_permit = self.permits.spend
         self.peers.queued = self.grants.server.queued
         self.blocklist = Blocklist(ctx, self.peers.board, self.fleet.has_ended, self.peers.is_hub)
-        chooser = Chooser(ctx, self.fleet, self.room, self.grants, self.permits)
-        chooser.is_leaving = lambda: self.leaving
+        waits = Waits(ctx, self.fleet, self.room, self.permits)
+        waits.is_leaving = lambda: self.leaving
+        chooser = Chooser(ctx, self.fleet, waits, self.grants, self.permits)
         self.service = RelayService(
             ctx,
             adapter.wire,
--- a/tests/relay/test_refused.py
+++ b/tests/relay/test_refused.py
@@ -9,7 +9,7 @@
 
 from nose2.tools import params
 
-from peridotdock.decisions.again import FIRST_SECONDS, MOST_SHARE, pause_seconds
+from peridotdock.decisions.backoff import FIRST_SECONDS, MOST_SHARE, backoff_seconds
 from peridotdock.decisions.health import Health
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.asks import EndpointEntry, HeldModel, ModelWish
@@ -108,14 +108,14 @@
     @params((1, 1.0), (2, 2.0), (3, 4.0))
     def test_waits_double(self, refusals, factor):
         draws = random.Random(1)
-        waits = [pause_seconds(refusals, 60.0, draws.random) for _ in range(200)]
+        waits = [backoff_seconds(refusals, 60.0, draws.random) for _ in range(200)]
         self.assertGreaterEqual(min(waits), 0.5 * factor * FIRST_SECONDS)
         self.assertLessEqual(max(waits), 1.5 * factor * FIRST_SECONDS)
         self.assertGreater(max(waits), 1.3 * min(waits))
 
     @params((0.1, 0.1 * MOST_SHARE), (0.0, 0.0), (-1.0, 0.0))
     def test_a_wait_leaves_time_for_the_answer(self, left, expected):
-        self.assertAlmostEqual(expected, pause_seconds(5, left, lambda: 0.5))
+        self.assertAlmostEqual(expected, backoff_seconds(5, left, lambda: 0.5))
 
     @run
     async def test_a_place_that_is_taken_for_a_moment_is_waited_for(self):
