Hand over with the lease what orders have under way

A new holder plans right after the one before now. It didn't know of loads that had been ordered a moment ago: an engine's report says busy and not with what, and the holder's last word on its engines was dropped with its resignation. It could load the model on another engine too, and hosts refused callers who had been told that it comes.

Change: a resignation repeats the last word on engines with news, aged; a new holder takes loads and unloads that may go on into its records, of the same start alone; nothing is told of an engine before its report.

Tests: a load under way across a planned stop, with either part taken out it fails; what a record takes over.

--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -165,6 +165,9 @@
     def _begin(self, entry: EndpointEntry, born: int = 0) -> EngineRecord:
         """Begin anew with an engine: it is new, or has started again under its id."""
         record = self.records[entry.incarnation] = EngineRecord(entry, born)
+        state = self._fleet.states.get(entry.incarnation)
+        if state is not None and state.heard is not None:
+            record.recall(state.heard.news, state.heard.at, self._ctx.clock.monotonic())
         self._promises.pop(entry.incarnation, None)
         return record
 
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Iterable, Mapping
+from dataclasses import replace
 from functools import lru_cache
 
 from peridotdock.board import Board, Known, Slot
@@ -361,10 +362,11 @@
         known = self.board.get(self._settings.host, "orders")
         if known is None or known.fact.resigned != term:
             self._told_orders = None
+            past = self._ctx.clock.monotonic() - known.at if known is not None else 0.0
+            news = [age_news(row, past) for row in known.fact.engines] if known is not None else []
             loads = self.heard_loads(term) or {}
-            self.board.publish(
-                "orders", OrdersFact(0, [], term, handover.wait, dict(handover.engines), loads)
-            )
+            waits = dict(handover.engines)
+            self.board.publish("orders", OrdersFact(0, news, term, handover.wait, waits, loads))
 
     def _tell(self, topic: str, fact) -> None:
         known = self.board.get(self._settings.host, topic)
@@ -380,6 +382,12 @@
         return sum_demand(wants, demands)
 
 
+def age_news(news: EngineNews, past: float) -> EngineNews:
+    """Return what was said of an engine as it holds some seconds later."""
+    coming = {model: max(0.0, seconds - past) for model, seconds in news.coming.items()}
+    return replace(news, coming=coming)
+
+
 def lead_weight(name: str, members: Mapping[str, Member]) -> tuple[int, int]:
     """Return what hosts are ordered by when one is to lead or to pass facts on."""
     member = members.get(name)
--- a/peridotdock/relay/records.py
+++ b/peridotdock/relay/records.py
@@ -63,6 +63,18 @@
     def __post_init__(self) -> None:
         self.born = self.born or self.entry.born
 
+    def recall(self, news: EngineNews, at: float, now: float) -> None:
+        """Take in what the holder before said of its orders, at a time, as far as it may go on.
+
+        Failure guarded against: a new holder doesn't know of a load that is under way, as it shows
+        in no report, and loads the model on another engine too.
+        """
+        if news.born != self.born:
+            return
+        done = {model: at + seconds for model, seconds in news.coming.items()}
+        self.loading |= {model: when for model, when in done.items() if when > now}
+        self.dropping |= dict.fromkeys(news.dropping, at)
+
     def take_entry(self, entry: EndpointEntry) -> None:
         """Take in the engine's entry: where it tells something else, a report is needed.
 
@@ -172,8 +184,11 @@
     def has_news(self, now: float) -> bool:
         """Tell whether the engine's entry does not show all that its orders changed.
 
-        News goes to all hosts with each order; of what an engine's entry shows they need none.
+        News goes to all hosts with each order; of what an engine's entry shows they need none, and
+        until its first report nothing is known of what it holds.
         """
+        if self.unknown:
+            return False
         if self.loading or self.dropping or self.freeing or self.entry.born != self.born:
             return True
         told = {name: set(model.adapters) for name, model in self.entry.models.items()}
--- a/tests/relay/test_ordering.py
+++ b/tests/relay/test_ordering.py
@@ -15,6 +15,7 @@
 from peridotdock.relay.asks import EndpointEntry, HeldModel
 from peridotdock.relay.leadership import ACT_SECONDS, LAPSE_SECONDS, Leadership
 from peridotdock.relay.records import REPORT_LAG, EngineRecord
+from peridotdock.schema.messages import EngineNews
 from tests.builders import make_ctx
 from tests.fakes import FakeClock, FakePlatform
 from tests.relay.deployment import Deployment
@@ -387,6 +388,20 @@
         record.take_report(report(1, "m0"), 1.2 + REPORT_LAG)
         self.assertEqual((1, False), (record.seq, record.unsure))
 
+    @params(
+        ("under way", 2.0, 0, {"m1"}),
+        ("done since", 0.5, 0, set()),
+        ("of the start before", 2.0, 7, set()),
+    )
+    def test_a_load_of_the_holder_before_is_not_ordered_again(self, name, coming, born, loading):
+        """A model is loaded on two engines, as the first of the loads shows in no report yet."""
+        record = EngineRecord(entry("m0"))
+        record.recall(EngineNews("i-1", ["m0"], [], {"m1": coming}, born), at=10.0, now=11.0)
+        self.assertFalse(record.has_news(11.0))
+        record.take_report(report(4, "m0", busy=True), 11.0)
+        self.assertEqual(loading, record.view(11.0).loading, name)
+        self.assertEqual({"m0"} | loading, {*record.view(11.0).models}, name)
+
     def test_what_an_entry_shows_is_no_news(self):
         record = EngineRecord(entry("m0"))
         record.take_report(report(0, "m0"), 0.0)
@@ -403,6 +418,27 @@
 
 
 class NewHolderTest(unittest.TestCase):
+    @run
+    async def test_a_load_under_way_is_known_after_a_planned_stop(self):
+        """A model is loaded once more, or its callers are refused, when the holder is stopped."""
+        async with Deployment(hosts=2) as found:
+            await found.until(lambda: any(host.leadership.holds() for host in found.hosts))
+            [giver, other] = sorted(found.hosts, key=lambda host: not host.leadership.holds())
+            born = found.engines["e1"].born
+            news = EngineNews("e1", ["m0"], [], {"m9": 5.0}, born)
+            giver._plan = lambda deployment: None
+            giver.peers.tell_orders(giver.leadership.term, [news], {})
+            await found.until(lambda: other.fleet.coming("engines", "m9") is not None)
+            other.leadership.may_order = lambda engine="": False
+            other.orderer.news = lambda: []
+            other.peers.tell_orders = lambda *args: None
+            giver.leaving = True
+            await giver.leadership.give_up()
+            await found.until(lambda: "e1" in other.orderer.records)
+            self.assertIn("m9", other.orderer.records["e1"].loading)
+            left = other.fleet.coming("engines", "m9")
+            self.assertTrue(3.0 < left < 5.0, left)
+
     @run
     async def test_a_new_holder_reads_reports_while_it_waits(self):
         """Orders begin up to a second later than they may, as engines are looked at only then."""
