Prove handovers and stalls in the tables: six guards, each taken out and caught

make mutants, the six new rows alone: hands on the wait, keeps it over a start, leaves engines alone, the most of the store's time, loads under way, a connection made while the loop stood still: caught, all.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -340,6 +340,48 @@
         "extra = self._extra",
         "tests.relay.test_decisions.AllowanceTest",
     ),
+    Mutant(
+        "a holder that resigns hands on the wait for the one before",
+        "relay/leadership.py",
+        "return Handover(self._orders_from, self._engines_from | own).after(self._clock.seconds())",
+        "return Handover(0.0, own).after(self._clock.seconds())",
+        "tests.relay.test_ordering.LeadershipTest",
+    ),
+    Mutant(
+        "a holder that starts again keeps the wait for the one before",
+        "relay/leadership.py",
+        'return read_handover(row, "inherited", self._gap)',
+        "return Handover()",
+        "tests.relay.test_ordering.LeadershipTest",
+    ),
+    Mutant(
+        "engines that were ordered lately are left alone",
+        "relay/leadership.py",
+        "opens = max(self._orders_from, self._engines_from.get(engine, NEVER))",
+        "opens = self._orders_from",
+        "tests.relay.test_ordering.LeadershipTest",
+    ),
+    Mutant(
+        "a holder may act until the most that the store's time can be",
+        "relay/leadership.py",
+        "at_most = self._store_time.latest()",
+        "at_most = self._store_time.earliest()",
+        "tests.relay.test_ordering.LeadershipTest",
+    ),
+    Mutant(
+        "a new holder knows of loads that the one before has under way",
+        "relay/ordering.py",
+        "if state is not None and state.heard is not None:",
+        "if False:",
+        "tests.relay.test_ordering.NewHolderTest",
+    ),
+    Mutant(
+        "a connection that was made while the loop stood still counts as made",
+        "clients/http.py",
+        "async with TurnTimeout(timeout.sock_connect, CONNECT_TURNS):",
+        "async with TurnTimeout(timeout.sock_connect):",
+        "tests.relay.test_connections.StallTest",
+    ),
 )
 
 
