--- a/tests/relay/test_entries.py
+++ b/tests/relay/test_entries.py
@@ -3,10 +3,12 @@
 import asyncio
 import base64
 import json
+import time
 import unittest
 
 from nose2.tools import params
 
+from peridotdock.clients.store_time import StoreTime
 from peridotdock.errors import failed
 from peridotdock.events import Filter
 from peridotdock.metrics import Metrics
@@ -170,7 +172,8 @@
 
     async def __aenter__(self):
         self.standin = await TableStandin().start()
-        self.client = PlatformAdapter().open_store(parse_address(self.standin.address), Metrics())
+        address, clock = parse_address(self.standin.address), StoreTime(time.monotonic)
+        self.client = PlatformAdapter().open_store(address, Metrics(), clock)
         return self
 
     async def __aexit__(self, *exc):
