A holder that started again hands on a wait for what its last process may have ordered

A host whose process starts again takes its lease back at once, as to engines it is the same holder. When it was stopped soon after, its resignation told of its own orders alone: the next holder could order an engine within the gap of an order of the process before. Found in reading the change again; the same hole stood before it (the new process told that it had been quiet for the whole gap).

Change: a lease that is taken back this way tells others to wait the whole gap from then.

Tests: the named one failed before.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -343,7 +343,7 @@
     Mutant(
         "a holder that resigns hands on the wait for the one before",
         "relay/leadership.py",
-        "return Handover(self._orders_from, self._engines_from | own).after(self._clock.seconds())",
+        "return Handover(wait, self._engines_from | own).after(self._clock.seconds())",
         "return Handover(0.0, own).after(self._clock.seconds())",
         "tests.relay.test_ordering.LeadershipTest",
     ),
@@ -354,6 +354,13 @@
         "return Handover()",
         "tests.relay.test_ordering.LeadershipTest",
     ),
+    Mutant(
+        "a holder that started again hands on a wait for its last process",
+        "relay/leadership.py",
+        "self._others_from = now + self._gap",
+        "pass",
+        "tests.relay.test_ordering.LeadershipTest",
+    ),
     Mutant(
         "engines that were ordered lately are left alone",
         "relay/leadership.py",
--- a/peridotdock/relay/leadership.py
+++ b/peridotdock/relay/leadership.py
@@ -86,6 +86,7 @@
         self._until = NEVER
         self._orders_from = 0.0
         self._engines_from: dict[str, float] = {}
+        self._others_from = 0.0
         self._ordered_at: dict[str, float] = {}
         self._heard: Resignation | None = None
         self.term = 0
@@ -123,7 +124,8 @@
         an engine soon after the one before both.
         """
         own = {engine: at + self._gap for engine, at in self._ordered_at.items()}
-        return Handover(self._orders_from, self._engines_from | own).after(self._clock.seconds())
+        wait = max(self._orders_from, self._others_from)
+        return Handover(wait, self._engines_from | own).after(self._clock.seconds())
 
     def hear(self, term: int, handover: Handover) -> None:
         """Take in another holder's resignation."""
@@ -240,6 +242,8 @@
         if self._machine and row.value.get("machine") == self._machine:
             # The holder was this host's last process, which has ended: all hosts were killed at
             # once, say. To engines it is the same holder, so neither lapse nor gap is waited for.
+            # What it ordered is not known here, so a host that follows waits as after any order.
+            self._others_from = now + self._gap
             return read_handover(row, "inherited", self._gap)
         past = self._past_acting(row, now)
         if past < LAPSE_SECONDS - ACT_SECONDS:
--- a/tests/relay/test_ordering.py
+++ b/tests/relay/test_ordering.py
@@ -52,13 +52,13 @@
 
     def _travel(self):
         asked_at = self.time.clock()
-        self.uptime.now += self.rng.uniform(0.0, 0.2)
+        self.uptime.now += self.rng.uniform(0.0, 0.05)
         return asked_at
 
     def _told(self, found, asked_at):
         if not failed(found):
             seconds = self.uptime.now + STORE_AHEAD
-            self.uptime.now += self.rng.uniform(0.0, 0.2)
+            self.uptime.now += self.rng.uniform(0.0, 0.05)
             self.time.note(seconds, asked_at)
         return found
 
@@ -135,18 +135,18 @@
 
     def turn(self):
         """Let some time pass, then one host do one thing."""
-        self.clock.now += self.rng.choice((0.01, 0.1, 0.3))
+        self.clock.now += self.rng.choice((0.01, 0.05, 0.2))
         machine = self.rng.choice(sorted(self.hosts))
         draw = self.rng.random()
-        if draw < 0.01:
+        if draw < 0.02:
             self.start(machine)
-        elif draw < 0.02:
-            self.asleep_until[machine] = self.clock.now + self.rng.uniform(0.5, 6.0)
+        elif draw < 0.03:
+            self.asleep_until[machine] = self.clock.now + self.rng.uniform(0.5, 4.0)
         elif self.awake(machine):
             self.act(machine, self.hosts[machine], draw)
 
     def act(self, machine, host, draw):
-        if draw < 0.03:
+        if draw < 0.06:
             asyncio.run(host.give_up())
         elif draw < 0.5:
             self.store.down = self.rng.random() < 0.05
@@ -250,6 +250,21 @@
         self.assertTrue(hosts.all[2].holds())
         self.assertFalse(hosts.all[2].may_order("e1"))
 
+    def test_a_holder_that_started_again_hands_on_orders_of_its_last_start(self):
+        """An engine gets orders of two hosts in turns: the holder started again and was stopped."""
+        hosts = Hosts(0)
+        hosts.add("m0")
+        hosts.step(0)
+        hosts.all[0].ordered("e1")
+        hosts.add("m0")
+        hosts.add("m1")
+        hosts.step(1, after=0.5)
+        self.assertTrue(hosts.all[1].may_order("e1"))
+        hosts.give_up(1)
+        hosts.step(2, after=0.5)
+        self.assertTrue(hosts.all[2].holds())
+        self.assertFalse(hosts.all[2].may_order("e1"))
+
     @params(("at once", 0.0), ("late", 1.5))
     def test_a_lapse_that_is_seen_late_is_not_waited_for_again(self, name, late):
         hosts = Hosts()
