Look at an unheard renewal again when the store's time says that it lapses

A host that stood by and found a renewal that it had not heard of waited for a whole lapse before its next look, though the row tells until when the holder may act.

Change: the time of the next look comes from the same judgement as the lapse.

--- a/peridotdock/relay/leadership.py
+++ b/peridotdock/relay/leadership.py
@@ -80,6 +80,7 @@
         self._store_time = store_time or StoreTime(clock.seconds)
         self._seen_version: int | None = None
         self._seen_at = 0.0
+        self._lapses_at = 0.0
         self._version = 0
         self.on_renewed: Callable[[int, int], None] = lambda term, version: None
         self.on_resigned: Callable[[int, Handover], None] = lambda term, handover: None
@@ -139,12 +140,13 @@
         """
         if self.term == 0:
             self._seen_version, self._seen_at = version, self._clock.seconds()
+            self._lapses_at = self._seen_at + LAPSE_SECONDS
 
     def lapses_in(self) -> float | None:
         """Return the seconds until the lease of another lapses unless it is renewed, if known."""
         if self._seen_version is None or self.term:
             return None
-        return self._seen_at + LAPSE_SECONDS - self._clock.seconds()
+        return self._lapses_at - self._clock.seconds()
 
     async def _in_time(self, work: Awaitable[T]) -> T | Failure:
         """Wait for a call of the store, not longer than the lease can bear.
@@ -246,7 +248,9 @@
             self._others_from = now + self._gap
             return read_handover(row, "inherited", self._gap)
         past = self._past_acting(row, now)
-        if past < LAPSE_SECONDS - ACT_SECONDS:
+        left = LAPSE_SECONDS - ACT_SECONDS - past
+        if left > 0:
+            self._lapses_at = now + left
             return None
         return Handover(self._gap).after(past)
 
--- a/tests/relay/test_ordering.py
+++ b/tests/relay/test_ordering.py
@@ -282,7 +282,9 @@
         for name in ("m0", "m1"):
             hosts.add_timed(name)
         hosts.step(0, after=0.7)
-        hosts.step(1, after=LAPSE_SECONDS + 0.5)
+        hosts.step(1, after=1.0)
+        self.assertAlmostEqual(LAPSE_SECONDS - 1.0, hosts.all[1].lapses_in(), delta=0.01)
+        hosts.step(1, after=LAPSE_SECONDS - 0.5)
         self.assertTrue(hosts.all[1].holds())
         began = hosts.clock.now
         while not hosts.all[1].may_order():
