Soak: leave out wishes for rest that were lost on their way to the hosts

Trace: the link to endpoint pages-6 lost all answers from 6.02 to 8.97 s (the plan's one_way); it turned 03-00005 away at 7.10, and that host's log has the attempt as "endpoint_lost: silence" 0.94 s later and no endpoint_rests of it until 04-00009 at 8.97, which it then kept. The host was never told; the rule excuses a machine that is cut.

Change: the proxy notes from when on a connection's answers are lost, the stand-in on which connection it asked for a rest, and the check leaves out those that were lost. Test: a rest counts when its answer was passed on, also late, and not when it was lost; the seed is kept with those that once failed.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -15,6 +15,7 @@
 from extras.soak.callers import Caller
 from extras.soak.checks import Record, Words, find_broken
 from extras.soak.plan import LONGEST_SECONDS, Plan, draw
+from extras.soak.proxy import Proxy
 from extras.soak.world import MODELS_FIT, World
 from tests.standins.runner import EVENTS, RunnerStandin
 
@@ -91,17 +92,26 @@
     """Take down what the endpoints saw."""
     record.ends = world.ends
     record.limited = world.limited
+    links = world.links | world.past_links
     for runner in (*world.engines, *world.pages, *world.gone):
         record.ran += runner.ran
         record.orders[runner.name] = runner.orders
         record.held[runner.name] = runner.most_held
-        record.words.append(read_words(runner, world.leaves_at.get(runner.name, math.inf), began))
+        leaves_at = world.leaves_at.get(runner.name, math.inf)
+        record.words.append(read_words(runner, links[runner.name], leaves_at, began))
 
 
-def read_words(runner: RunnerStandin, leaves_at: float, began: float) -> Words:
-    """Return what an endpoint said and got, in seconds of the run."""
+def read_words(runner: RunnerStandin, link: Proxy, leaves_at: float, began: float) -> Words:
+    """Return what an endpoint said and got, in seconds of the run.
+
+    A wish for rest that was lost on its way is left out: no host knows of it.
+    """
     heads = [(at - began, name) for at, name in runner.heads]
-    rests = [(at - began, name, seconds) for at, name, seconds in runner.rests]
+    rests = [
+        (at - began, name, seconds)
+        for at, name, seconds, port in runner.rests
+        if not link.lost(port, at)
+    ]
     return Words(heads, rests, leaves_at - began)
 
 
--- a/extras/soak/proxy.py
+++ b/extras/soak/proxy.py
@@ -7,6 +7,8 @@
 
 DELAY_SECONDS = 0.15
 READ_BYTES = 65536
+# Seconds that an answer may take from the target's write to here.
+TRIP_SECONDS = 0.1
 # Closing with this option and unread bytes sends a reset in place of an end.
 RESET = struct.pack("ii", 1, 0)
 
@@ -26,8 +28,17 @@
         self._target = ip, int(port)
         self._open: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
+        self._silent_since: dict[int, float] = {}
         self.mode = "pass"
 
+    def lost(self, port: int, at: float) -> bool:
+        """Tell whether an answer that the target wrote then was not passed on.
+
+        ``port`` is the one at this end of its connection, ``at`` a time of the loop.
+        """
+        since = self._silent_since.get(port)
+        return since is not None and at >= since - TRIP_SECONDS
+
     async def start(self) -> "Proxy":
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -57,7 +68,8 @@
             there, back = await asyncio.open_connection(*self._target)
             ends.append(back)
             self._open.update(ends)
-            await asyncio.gather(self._copy(reader, back, False), self._copy(there, writer, True))
+            port = back.get_extra_info("sockname")[1]
+            await asyncio.gather(self._copy(reader, back), self._copy(there, writer, port))
         except OSError:
             # The other end is gone or was reset: this end is told so by the close below.
             pass
@@ -68,11 +80,14 @@
                 end.transport.abort()
 
     async def _copy(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, answers: bool
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, port: int | None = None
     ) -> None:
-        silent = False
+        """Pass bytes on; ``port`` is given where they are answers."""
+        silent, answers = False, port is not None
         while part := await reader.read(READ_BYTES):
             silent = silent or self.mode == "silence" or (self.mode == "one_way" and answers)
+            if silent and answers:
+                self._silent_since.setdefault(port, asyncio.get_running_loop().time())
             if silent:
                 continue
             if self.mode == "delay":
--- a/extras/soak/world.py
+++ b/extras/soak/world.py
@@ -117,6 +117,7 @@
         self.pages: list[RunnerStandin] = []
         self.gone: list[RunnerStandin] = []
         self.links: dict[str, Proxy] = {}
+        self.past_links: dict[str, Proxy] = {}
         self.routes = list(ROUTES)
         self.version = 1
         self.ends: list[float] = []
@@ -288,7 +289,8 @@
 
     async def _end(self, runner: RunnerStandin) -> None:
         self.gone.append(runner)
-        await self.links.pop(runner.name).stop()
+        link = self.past_links[runner.name] = self.links.pop(runner.name)
+        await link.stop()
         await runner.stop()
 
     async def _harm(self, link: Proxy, mode: str, seconds: float) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,8 @@
 """The fault soak: its plans, its checks against planted faults, and one short run."""
 
 import asyncio
+import contextlib
+import math
 import tempfile
 import unittest
 from dataclasses import replace
@@ -8,9 +10,12 @@
 
 from nose2.tools import params
 
-from extras.soak.__main__ import play
+from extras.soak.__main__ import play, read_words
 from extras.soak.checks import Attempt, Limited, Record, Words, find_broken
 from extras.soak.plan import LONGEST_SECONDS, PLANNED_EVERY, draw
+from extras.soak.proxy import Proxy
+from peridotdock.clients.endpoint import Call, HttpEndpoints
+from tests.standins.runner import RunnerStandin
 
 EVENTS = 3
 STREAM = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, EVENTS + 1))
@@ -107,6 +112,28 @@
         self.assertEqual(broken, bool(find_broken(found, True, EVENTS, 3)), name)
 
 
+class LostWordsTest(unittest.TestCase):
+    @params(("pass", 1), ("one_way", 0), ("delay", 1))
+    def test_a_rest_counts_when_its_answer_was_passed_on(self, mode, count):
+        async def play():
+            runner = await RunnerStandin("e1").start()
+            link = await Proxy(runner.address).start()
+            runner.script, runner.rest, link.mode = ["refuse"], 1.5, mode
+            endpoints = HttpEndpoints()
+            headers = {"x-attempt-id": "a1", "x-target-instance": "e1", "content-length": "0"}
+            call = Call("POST", "/x", headers, b"", once=True)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.5):
+                    await endpoints.open(f"http://{link.address}", call)
+            self.assertEqual(1, len(runner.rests))
+            self.assertEqual(count, len(read_words(runner, link, math.inf, 0.0).rests))
+            await endpoints.close()
+            await link.stop()
+            await runner.stop()
+
+        asyncio.run(play())
+
+
 class PlanTest(unittest.TestCase):
     @params(1, 2, 3, 5, 10, 77)
     def test_a_seed_always_gives_the_same_plan(self, seed):
@@ -131,6 +158,8 @@
         (9115, 15.0, 4),
         # The check counted requests of hosts that an endpoint had not told of its limit yet.
         (9133, 15.0, 4),
+        # The check counted wishes for rest that were lost on their way to the hosts.
+        (9208, 15.0, 4),
     )
     def test_a_seed_that_once_failed_keeps_every_promise(self, seed, seconds, hosts):
         """Each seed on which the soak has found a fault, as it was played then."""
