Log and export the era of the store, and frames that are behind what a host knows

The store's client reads the era from every answer; store_restored, frame_behind, the version in history_gone and the gauge peridotdock_store_era show it. No decision changes.

--- a/peridotdock/metrics.py
+++ b/peridotdock/metrics.py
@@ -37,6 +37,11 @@
             ["table"],
             registry=self.registry,
         )
+        self.store_era = Gauge(
+            "peridotdock_store_era",
+            "Era of the platform's store, which rises when it returns from an older copy.",
+            registry=self.registry,
+        )
         self.accepted = self._counter("accepted", "Connections accepted.")
         self.late_answers = self._counter("late_answers", "Answers that came after their deadline.")
         self.loop_lag = Gauge(
--- a/peridotdock/platform/store.py
+++ b/peridotdock/platform/store.py
@@ -3,7 +3,7 @@
 import asyncio
 import base64
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -28,6 +28,8 @@
 # Seconds for a call that is not a long poll; it usually takes some milliseconds.
 CALL_TIMEOUT_SECONDS = 1.5
 TOMBSTONE_FIELD = "tombstone"
+# Counts the store's returns from an older copy of its rows.
+ERA_HEADER = "Store-Era"
 READ_ERRORS = (LookupError, AttributeError, TypeError, ValueError, msgspec.DecodeError)
 COMMIT_KINDS = {412: Kind.CONFLICT, 429: Kind.PLATFORM_DOWN, 503: Kind.PLATFORM_DOWN}
 
@@ -40,6 +42,8 @@
         self._time = time
         self._pool = Pool(limit=16)
         self._metrics = metrics
+        self.era: int | None = None
+        self.on_restored: Callable[[int, int], None] = lambda old, new: None
 
     async def close(self) -> None:
         """Close the connections."""
@@ -77,8 +81,18 @@
             self._metrics.platform.labels(call, "lost").inc()
             return Failure(Kind.OUTCOME_UNKNOWN, type(exc).__name__)
         self._metrics.platform.labels(call, str(resp.status)).inc()
+        self._record_era(read_era(resp.headers))
         return resp.status, raw
 
+    def _record_era(self, era: int | None) -> None:
+        """Record the era in an answer; report that the store was restored when it has risen."""
+        if era is None or (self.era is not None and era <= self.era):
+            return
+        old, self.era = self.era, era
+        self._metrics.store_era.set(era)
+        if old is not None:
+            self.on_restored(old, era)
+
     async def _fetch(self, path: str, seconds: float = CALL_TIMEOUT_SECONDS) -> Any | Failure:
         """Return the decoded body of a read; a read whose answer was lost has no effect."""
         outcome = await self._call("GET", path, seconds=seconds)
@@ -242,6 +256,12 @@
 HOST_PREFIX = "host/"
 
 
+def read_era(headers: Mapping[str, str]) -> int | None:
+    """Return the era in an answer's headers, None where it names none that can be read."""
+    text = headers.get(ERA_HEADER, "")
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
 def decode_value(row: Mapping[str, Any]) -> bytes:
     """Return a row's value, empty if it can't be decoded.
 
--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -72,6 +72,7 @@
         self._wanted_version = 0
         self._failed_calls = 0
         self._logged_as_old = False
+        self._logged_as_behind = False
         self.connected = False
         self.rows: dict[str, bytes] = {}
         self.must_read = lambda: True
@@ -198,6 +199,7 @@
         known = self._version
         if known is None:
             return True
+        self._log_frame_behind(frame.version < known, frame, known)
         if frame.version > known and (frame.changed or not (frame.whole or frame.after <= known)):
             self._fetch_missing(frame.version)
             return True
@@ -238,9 +240,17 @@
         detail = f"{self.table}: {type(exc).__name__}: {exc}"
         self._ctx.timeline.add("rows_refused", "ERROR", detail=detail)
 
+    def _log_frame_behind(self, behind: bool, frame: Rows, known: int) -> None:
+        """Log the first of several frames that name an older version than this host knows."""
+        if behind and not self._logged_as_behind:
+            detail = f"{self.table}: version {frame.version} of {frame.origin}, known is {known}"
+            self._ctx.timeline.add("frame_behind", "WARNING", detail=detail)
+        self._logged_as_behind = behind
+
     async def _handle_failure(self, found: Failure, began: float) -> None:
         if found.kind is Kind.HISTORY_GONE:
-            self._ctx.timeline.add("history_gone", "WARNING", detail=self.table)
+            detail = f"{self.table}: known up to version {self._version}"
+            self._ctx.timeline.add("history_gone", "WARNING", detail=detail)
             self._version = None
             return
         self._failed_calls += 1
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -147,6 +147,7 @@
         self.leadership = Leadership(
             ctx, self.store, lease, uptime, machine, self.store.renew_connections, store_time
         )
+        self.store.on_restored = self._on_store_restored
         self.blocklist_due = asyncio.Event()
         self.blocklist.on_blocked = self.blocklist_due.set
         self.blocklist_store = BlocklistStore(
@@ -273,6 +274,11 @@
             self.views.refresh()
         self._last_term = max(term, self._last_term)
 
+    def _on_store_restored(self, old: int, new: int) -> None:
+        """Log that the store came back from an older copy of its rows."""
+        detail = f"era {old} has ended, era {new} is current"
+        self.ctx.timeline.add("store_restored", "WARNING", detail=detail)
+
     def _is_standby(self) -> bool:
         live = {*self.peers.membership.live(), self.settings.host}
         first = 1 if len(live) >= HUB_NOT_STANDBY_HOSTS else 0
