--- a/tests/standins/tables.py
+++ b/tests/standins/tables.py
@@ -5,17 +5,22 @@
 ``down``    every call is answered with 503
 ``lose``    number of transactions that are applied, and whose connection is aborted unanswered
 ``forget``  number of feed calls that are answered with 410
+
+:meth:`TableStandin.restore` brings back an older copy: rows and versions written since are lost,
+version numbers are given out again, and the era in all answers rises by one.
 """
 
 import asyncio
 import base64
 import json
 import time
+from dataclasses import dataclass
 
 from blacksheep import Request
 
 from peridotdock.serving import Server, add_route, make_application
-from tests.standins.http import abort_connection, read_json, reply
+from tests.standins import http
+from tests.standins.http import abort_connection, read_json
 
 MAX_FEED_WAIT_SECONDS = 1.0
 
@@ -24,10 +29,20 @@
     return int(time.monotonic() * 1000)
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The rows, deletions and version of a store at one moment."""
+
+    rows: dict
+    tombstones: dict
+    version: int
+
+
 class TableStandin:
     def __init__(self):
         self.rows = {}
         self.version = 0
+        self.era = 1
         self.faults = {"down": False, "lose": 0, "forget": 0}
         self.calls = []
         self._tombstones = {}
@@ -64,6 +79,19 @@
         self._tombstones[(table, key)] = self.version
         self._notify_feeds()
 
+    def copy(self):
+        return StoreCopy(dict(self.rows), dict(self._tombstones), self.version)
+
+    def restore(self, copy):
+        """Replace the contents by an older copy, and begin the next era."""
+        self.rows, self._tombstones = dict(copy.rows), dict(copy.tombstones)
+        self.version = copy.version
+        self.era += 1
+        self._notify_feeds()
+
+    def _reply(self, body, status=200):
+        return http.reply(body, status, [(b"Store-Era", str(self.era).encode())])
+
     def _notify_feeds(self):
         self._changed.set()
         self._changed = asyncio.Event()
@@ -76,11 +104,11 @@
         body = await read_json(request)
         self.calls.append("rows-tx")
         if self.faults["down"]:
-            return reply({}, 503)
+            return self._reply({}, 503)
         for row in body["expected"]:
             known = self.rows.get((row["table"], row["key"]), (None, 0))[1]
             if known != row["ver"]:
-                return reply({"rows": []}, 412)
+                return self._reply({"rows": []}, 412)
         for row in body["set_keys"]:
             self.put(row["table"], row["key"], base64.b64decode(row["value"]))
         for row in body["remove"]:
@@ -88,12 +116,12 @@
         if self.faults["lose"]:
             self.faults["lose"] -= 1
             await abort_connection(request)
-        return reply({"ver": self.version, "now_ms": now_ms()})
+        return self._reply({"ver": self.version, "now_ms": now_ms()})
 
     async def get(self, request: Request):
         self.calls.append("rows-get")
         if self.faults["down"]:
-            return reply({}, 503)
+            return self._reply({}, 503)
         query = {name: values[0] for name, values in request.query.items()}
         start, end = query.get("from", ""), query.get("to")
         keys = sorted(key for table, key in self.rows if table == query["table"] and key >= start)
@@ -104,15 +132,17 @@
             "ver": self.version,
             "now_ms": now_ms(),
         }
-        return reply(body)
+        return self._reply(body)
 
     async def feed(self, request: Request):
         self.calls.append("rows-feed")
         if self.faults["forget"]:
             self.faults["forget"] -= 1
-            return reply({}, 410)
+            return self._reply({}, 410)
         query = {name: values[0] for name, values in request.query.items()}
         table, after = query["table"], int(query["after"])
+        if after > self.version:
+            return self._reply({}, 410)
         rows = self._since(table, after)
         if not rows:
             try:
@@ -123,9 +153,11 @@
             except TimeoutError:
                 rows = []
             rows = self._since(table, after)
+            if after > self.version:
+                return self._reply({}, 410)
         if self.faults["down"]:
-            return reply({}, 503)
-        return reply({"rows": rows, "ver": self.version, "now_ms": now_ms()})
+            return self._reply({}, 503)
+        return self._reply({"rows": rows, "ver": self.version, "now_ms": now_ms()})
 
     def _since(self, table, after):
         rows = [
