Keep versions of the store apart by era, so that none is ever reused

Cause: the store came back from an older copy and gave version numbers out again, while views, frames between hosts, the lease and checks of transactions compared bare numbers, counting on 'versions are never reused'. A view with a higher number than the store took its frames for old news, yet counted as current by them; a feed that went on after a number given out again skipped the changes below it.

Change: the store's client puts the era of an answer above the number, so versions only increase and are never equal across eras; everything that keeps or compares one is right without knowing of eras. An answer of an earlier era is dropped, a check of one is a conflict, a feed after one is history_gone, pages of two eras are not joined. A view that has to be read whole keeps its version, so that it can still ask other hosts for the table where the store refuses it. A frame of an earlier era proves nothing about a view's age. A rise of the era makes all views read again.

--- a/peridotdock/clients/platform.py
+++ b/peridotdock/clients/platform.py
@@ -22,7 +22,11 @@
 
 @dataclass(frozen=True)
 class Row:
-    """A row of the table: its value and its version; versions are never reused."""
+    """A row of the table: its value and its version.
+
+    Versions are never reused: a client whose store gives numbers out again adds the store's era
+    (see :mod:`peridotdock.clients.versions`).
+    """
 
     value: dict[str, Any]
     version: int
--- a/peridotdock/platform/store.py
+++ b/peridotdock/platform/store.py
@@ -3,7 +3,8 @@
 import asyncio
 import base64
 import json
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -14,6 +15,14 @@
 from peridotdock.clients.platform import Committed, ListedHost, Row, Transaction
 from peridotdock.clients.store_time import StoreTime
 from peridotdock.clients.tables import TableChanges, TableView
+from peridotdock.clients.versions import (
+    StoreEra,
+    all_of_era,
+    era_of,
+    make_version,
+    number_of,
+    parse_era,
+)
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.metrics import Metrics
 from peridotdock.relay.settings import Address
@@ -34,16 +43,44 @@
 COMMIT_KINDS = {412: Kind.CONFLICT, 429: Kind.PLATFORM_DOWN, 503: Kind.PLATFORM_DOWN}
 
 
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """An answer of the store, and the era in which it was given."""
+
+    status: int
+    raw: bytes
+    era: int
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """The decoded body of an answer, and the era in which it was given."""
+
+    body: dict[str, Any]
+    era: int
+
+
+@dataclass(frozen=True, slots=True)
+class Pages:
+    """A range of rows as the store writes them, and the version of its first page."""
+
+    rows: list[dict[str, Any]]
+    version: int
+
+
 class TableStore:
-    """The only client of the platform's store."""
+    """The only client of the platform's store.
+
+    Its versions carry the store's era, so they are never reused (see
+    :mod:`peridotdock.clients.versions`).
+    """
 
     def __init__(self, address: Address, metrics: Metrics, time: StoreTime):
         self._url = f"http://{address}"
         self._time = time
         self._pool = Pool(limit=16)
         self._metrics = metrics
-        self.era: int | None = None
-        self.on_restored: Callable[[int, int], None] = lambda old, new: None
+        self.era = StoreEra()
 
     async def close(self) -> None:
         """Close the connections."""
@@ -59,7 +96,7 @@
         path: str,
         body: bytes | None = None,
         seconds: float = CALL_TIMEOUT_SECONDS,
-    ) -> tuple[int, bytes] | Failure:
+    ) -> Answer | Failure:
         limit = aiohttp.ClientTimeout(total=seconds, sock_connect=CALL_TIMEOUT_SECONDS)
         headers = {"content-type": "application/json"} if body is not None else None
         call = path.partition("?")[0].split("/")[2]
@@ -81,30 +118,22 @@
             self._metrics.platform.labels(call, "lost").inc()
             return Failure(Kind.OUTCOME_UNKNOWN, type(exc).__name__)
         self._metrics.platform.labels(call, str(resp.status)).inc()
-        self._record_era(read_era(resp.headers))
-        return resp.status, raw
-
-    def _record_era(self, era: int | None) -> None:
-        """Record the era in an answer; report that the store was restored when it has risen."""
-        if era is None or (self.era is not None and era <= self.era):
-            return
-        old, self.era = self.era, era
-        self._metrics.store_era.set(era)
-        if old is not None:
-            self.on_restored(old, era)
-
-    async def _fetch(self, path: str, seconds: float = CALL_TIMEOUT_SECONDS) -> Any | Failure:
+        if not self.era.accept(parse_era(resp.headers.get(ERA_HEADER))):
+            # What the call read or wrote has been lost since.
+            return Failure(Kind.OUTCOME_UNKNOWN, "answer of an earlier era")
+        return Answer(resp.status, raw, self.era.current)
+
+    async def _fetch(self, path: str, seconds: float = CALL_TIMEOUT_SECONDS) -> Page | Failure:
         """Return the decoded body of a read; a read whose answer was lost has no effect."""
-        outcome = await self._call("GET", path, seconds=seconds)
-        if failed(outcome):
-            return Failure(Kind.PLATFORM_DOWN, outcome.reason)
-        status, raw = outcome
-        if status == 410:
+        answer = await self._call("GET", path, seconds=seconds)
+        if failed(answer):
+            return Failure(Kind.PLATFORM_DOWN, answer.reason)
+        if answer.status == 410:
             return Failure(Kind.HISTORY_GONE)
-        if status != 200:
-            return Failure(Kind.PLATFORM_DOWN, f"status {status}")
+        if answer.status != 200:
+            return Failure(Kind.PLATFORM_DOWN, f"status {answer.status}")
         try:
-            return msgspec.json.decode(raw)
+            return Page(msgspec.json.decode(answer.raw), answer.era)
         except msgspec.DecodeError as exc:
             return Failure(Kind.PLATFORM_DOWN, f"bad body: {exc}")
 
@@ -114,9 +143,7 @@
         if isinstance(now_ms, int):
             self._time.record(now_ms / 1000, sent_at)
 
-    async def _read_pages(
-        self, table: str, start: str = "", end: str = ""
-    ) -> tuple[list[dict[str, Any]], int] | Failure:
+    async def _read_pages(self, table: str, start: str = "", end: str = "") -> Pages | Failure:
         """Read a range of keys page by page; return its rows and the version of the first page.
 
         Following the table from the first page's version misses no change: it repeats those that
@@ -132,12 +159,15 @@
             page = await self._fetch("/v1/rows-get?" + urlencode(query))
             if failed(page):
                 return page
+            if version is not None and page.era != era_of(version):
+                return Failure(Kind.PLATFORM_DOWN, "the store was restored between two pages")
             try:
-                self._record_time(page, sent_at)
-                rows += page["rows"]
-                version = int(page["ver"]) if version is None else version
-                if not page.get("has_more"):
-                    return rows, version
+                self._record_time(page.body, sent_at)
+                rows += page.body["rows"]
+                if version is None:
+                    version = make_version(page.era, int(page.body["ver"]))
+                if not page.body.get("has_more"):
+                    return Pages(rows, version)
                 start = rows[-1]["key"] + "\0"
             except READ_ERRORS as exc:
                 return Failure(Kind.PLATFORM_DOWN, f"bad page: {exc!r}")
@@ -147,26 +177,35 @@
         found = await self._read_pages(table)
         if failed(found):
             return found
-        rows, version = found
         try:
-            return TableView({row["key"]: decode_value(row) for row in rows}, version)
+            return TableView({row["key"]: decode_value(row) for row in found.rows}, found.version)
         except READ_ERRORS as exc:
             return Failure(Kind.PLATFORM_DOWN, f"bad row: {exc!r}")
 
     async def follow(
         self, table: str, after: int, hold_seconds: float, answer_seconds: float
     ) -> TableChanges | Failure:
-        """Wait for changes of a table after a version."""
-        query = urlencode({"table": table, "after": after, "wait_ms": int(hold_seconds * 1000)})
-        found = await self._fetch("/v1/rows-feed?" + query, hold_seconds + answer_seconds)
-        if failed(found):
-            return found
+        """Wait for changes of a table after a version.
+
+        Failure guarded against: the store has returned from an older copy, and its new numbers have
+        passed the one in ``after``. It answers with the changes after that number, and those
+        before it, made under numbers given out again, are never seen.
+        """
+        if era_of(after) < self.era.current:
+            return Failure(Kind.HISTORY_GONE, "the store was restored")
+        hold_ms = int(hold_seconds * 1000)
+        query = urlencode({"table": table, "after": number_of(after), "wait_ms": hold_ms})
+        page = await self._fetch("/v1/rows-feed?" + query, hold_seconds + answer_seconds)
+        if failed(page):
+            return page
+        if page.era != era_of(after):
+            return Failure(Kind.HISTORY_GONE, "the store was restored")
         try:
             values = {
                 row["key"]: None if row.get(TOMBSTONE_FIELD) else decode_value(row)
-                for row in found["rows"]
+                for row in page.body["rows"]
             }
-            return TableChanges(values, int(found["ver"]))
+            return TableChanges(values, make_version(page.era, int(page.body["ver"])))
         except READ_ERRORS as exc:
             return Failure(Kind.PLATFORM_DOWN, f"bad row: {exc!r}")
 
@@ -189,19 +228,28 @@
         if failed(found):
             return found
         try:
+            era = era_of(found.version)
             return {
-                row["key"]: Row(value, int(row["ver"]))
-                for row in found[0]
+                row["key"]: Row(value, make_version(era, int(row["ver"])))
+                for row in found.rows
                 if (value := decode_own_row(row)) is not None
             }
         except READ_ERRORS as exc:
             return Failure(Kind.PLATFORM_DOWN, f"bad row: {exc!r}")
 
     async def commit(self, tx: Transaction) -> Committed | Failure:
-        """Send the transaction once."""
+        """Send the transaction once.
+
+        A row of another era may have the number that a check names. So a check of an earlier era is
+        a conflict, also where the store has applied the transaction to another era's rows.
+        """
+        if not all_of_era(tx.checks.values(), self.era.current):
+            return Failure(Kind.CONFLICT, "the store was restored")
         writes = {key: value for key, value in tx.writes.items() if value is not None}
         body = {
-            "expected": [own_row_key(key) | {"ver": ver} for key, ver in tx.checks.items()],
+            "expected": [
+                own_row_key(key) | {"ver": number_of(version)} for key, version in tx.checks.items()
+            ],
             "set_keys": [
                 own_row_key(key) | {"value": encode_value(value, tx.id)}
                 for key, value in writes.items()
@@ -209,31 +257,35 @@
             "remove": [own_row_key(key) for key in tx.writes if key not in writes],
         }
         sent_at = self._time.clock()
-        outcome = await self._call("POST", "/v1/rows-tx", json.dumps(body).encode())
-        if failed(outcome):
-            return outcome
-        status, raw = outcome
-        if status == 200:
-            found = msgspec.json.decode(raw)
-            self._record_time(found, sent_at)
-            return Committed(int(found["ver"]))
-        return Failure(COMMIT_KINDS.get(status, Kind.OUTCOME_UNKNOWN), f"status {status}")
+        answer = await self._call("POST", "/v1/rows-tx", json.dumps(body).encode())
+        if failed(answer):
+            return answer
+        if answer.status != 200:
+            kind = COMMIT_KINDS.get(answer.status, Kind.OUTCOME_UNKNOWN)
+            return Failure(kind, f"status {answer.status}")
+        if not all_of_era(tx.checks.values(), answer.era):
+            return Failure(Kind.CONFLICT, "the store was restored")
+        found = msgspec.json.decode(answer.raw)
+        self._record_time(found, sent_at)
+        return Committed(make_version(answer.era, int(found["ver"])))
 
     async def get_object(self, name: str) -> bytes | None | Failure:
         """Fetch an object."""
         outcome = await self._call("GET", f"/v1/blob-get/{quote(name, safe='')}")
         if failed(outcome):
             return Failure(Kind.PLATFORM_DOWN, outcome.reason)
-        status, raw = outcome
-        results = {200: raw, 404: None}
-        return results.get(status, Failure(Kind.PLATFORM_DOWN, f"status {status}"))
+        results = {200: outcome.raw, 404: None}
+        lost = Failure(Kind.PLATFORM_DOWN, f"status {outcome.status}")
+        return results.get(outcome.status, lost)
 
     async def put_object(self, name: str, body: bytes) -> Failure | None:
         """Store an object."""
         outcome = await self._call("PUT", f"/v1/blob-put/{quote(name, safe='')}", body)
         if failed(outcome):
             return outcome
-        return None if outcome[0] == 200 else Failure(Kind.PLATFORM_DOWN, f"status {outcome[0]}")
+        if outcome.status == 200:
+            return None
+        return Failure(Kind.PLATFORM_DOWN, f"status {outcome.status}")
 
     async def list_hosts(self) -> list[ListedHost] | Failure:
         """Return the hosts that registered themselves."""
@@ -256,12 +308,6 @@
 HOST_PREFIX = "host/"
 
 
-def read_era(headers: Mapping[str, str]) -> int | None:
-    """Return the era in an answer's headers, None where it names none that can be read."""
-    text = headers.get(ERA_HEADER, "")
-    return int(text) if text.isascii() and text.isdigit() else None
-
-
 def decode_value(row: Mapping[str, Any]) -> bytes:
     """Return a row's value, empty if it can't be decoded.
 
--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from peridotdock.clients.tables import TableChanges, Tables, TableView
+from peridotdock.clients.versions import era_of
 from peridotdock.context import Context
 from peridotdock.decisions.freshness import (
     MAX_RETRY_SECONDS,
@@ -64,6 +65,7 @@
         self._pause = pause
         self.limits = limits or divide_bound(MIN_BOUND_SECONDS)
         self._version: int | None = None
+        self._whole_due = True
         self._interruptible_work: asyncio.Future | None = None
         self._call_in_flight = False
         self._last_beats: dict[str, int] = {}
@@ -121,21 +123,32 @@
         if failed(found):
             await self._handle_failure(found, began)
             return
-        if self._version is not None and found.version < self._version:
-            # Newer rows arrived from another host during the call; older ones must not replace
-            # them.
-            return
         whole = isinstance(found, TableView)
+        if self._is_outdated(found.version, after, whole):
+            return
         changed = whole or bool(found.values)
         if changed:
             self._apply(found.values, whole)
         self._version = found.version
+        self._whole_due = False
         first = self._as_of == NEVER
         self._record_answer(began, changed)
         if self.publish is not None and not first:
             self.publish(found, after or 0)
         await self._sleep(self._pause() if changed else MIN_PAUSE_SECONDS)
 
+    def _is_outdated(self, version: int, after: int | None, whole: bool) -> bool:
+        """Return whether an answer is older than what is known now.
+
+        Newer rows may have arrived from another host during the call. A whole table that is older
+        than the version that was known before the call replaces it if both are of one era: the
+        store has lost versions without naming a new era.
+        """
+        known = self._version
+        if known is None or version >= known:
+            return False
+        return not (whole and after == known and era_of(version) == era_of(known))
+
     def _apply(self, values: Mapping[str, bytes | None], whole: bool) -> None:
         rows = {} if whole else self.rows
         rows.update(values)
@@ -144,7 +157,7 @@
 
     def _fed_by_reader(self) -> bool:
         """Return whether another host keeps this view up to date."""
-        if self.must_read() or self._behind_reader():
+        if self.must_read() or self._whole_due or self._behind_reader():
             return False
         reader_active = self._ctx.clock.monotonic() - self._last_frame_at < self.limits.silence
         return reader_active and self.age() < self.limits.age
@@ -154,7 +167,7 @@
         return self._version is not None and self._wanted_version > self._version
 
     async def _call_store(self, after: int | None) -> TableView | TableChanges | Failure:
-        if after is None:
+        if after is None or self._whole_due:
             return await self._tables.read_table(self.table)
         limits = self.limits
         return await self._tables.follow(self.table, after, limits.hold, limits.answer)
@@ -200,6 +213,9 @@
         if known is None:
             return True
         self._log_frame_behind(frame.version < known, frame, known)
+        if era_of(frame.version) < era_of(known):
+            # Its origin does not know yet that the store has lost what it read.
+            return True
         if frame.version > known and (frame.changed or not (frame.whole or frame.after <= known)):
             self._fetch_missing(frame.version)
             return True
@@ -211,6 +227,7 @@
                 self._fetch_missing(frame.version)
                 return True
         self._version = max(known, frame.version)
+        self._whole_due = self._whole_due and not frame.whole
         now = self._ctx.clock.monotonic()
         if not frame.direct:
             self._last_frame_at = NEVER if frame.lost else now
@@ -251,7 +268,7 @@
         if found.kind is Kind.HISTORY_GONE:
             detail = f"{self.table}: known up to version {self._version}"
             self._ctx.timeline.add("history_gone", "WARNING", detail=detail)
-            self._version = None
+            self._whole_due = True
             return
         self._failed_calls += 1
         if self._failed_calls == 1:
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -147,7 +147,7 @@
         self.leadership = Leadership(
             ctx, self.store, lease, uptime, machine, self.store.renew_connections, store_time
         )
-        self.store.on_restored = self._on_store_restored
+        self.store.era.on_restored = self._on_store_restored
         self.blocklist_due = asyncio.Event()
         self.blocklist.on_blocked = self.blocklist_due.set
         self.blocklist_store = BlocklistStore(
@@ -275,9 +275,10 @@
         self._last_term = max(term, self._last_term)
 
     def _on_store_restored(self, old: int, new: int) -> None:
-        """Log that the store came back from an older copy of its rows."""
+        """Read the tables again: the store came back from an older copy of its rows."""
         detail = f"era {old} has ended, era {new} is current"
         self.ctx.timeline.add("store_restored", "WARNING", detail=detail)
+        self.views.refresh()
 
     def _is_standby(self) -> bool:
         live = {*self.peers.membership.live(), self.settings.host}
--- a/tests/relay/test_outages.py
+++ b/tests/relay/test_outages.py
@@ -6,6 +6,7 @@
 
 from peridotdock.clients.engines import Action
 from peridotdock.clients.tables import TableChanges, TableView
+from peridotdock.clients.versions import make_version
 from peridotdock.decisions.freshness import MIN_BOUND_SECONDS, divide_bound
 from peridotdock.fact_table import FactTable
 from peridotdock.frames import decode, encode_update
@@ -179,6 +180,8 @@
     return Rows("rows", "t", origin, beat, after, version, values or {}, changed, whole)
 
 
+# A version of the era after that of the known one, under a lower number.
+RESTORED = make_version(1, 0)
 # Name, frame, the version known after it, and the rows that were applied.
 ROW_CASES = (
     ("consecutive rows are applied", rows(1, 1, 5, {"a": b"x"}), 5, {"a": b"x"}),
@@ -189,6 +192,13 @@
     ("a change announced without rows", rows(1, 1, 5, changed=True), 1, None),
     ("a whole table, also after a gap", rows(1, 3, 5, {"a": b"x"}, whole=True), 5, {"a": b"x"}),
     ("but not an older one", rows(1, 0, 0, {"a": b"x"}, whole=True), 1, None),
+    (
+        "a whole table of a restored store",
+        rows(1, 0, RESTORED, {"a": b"x"}, whole=True),
+        RESTORED,
+        {"a": b"x"},
+    ),
+    ("but not its changes alone", rows(1, RESTORED, RESTORED + 1, {"a": b"x"}), 1, None),
 )
 
 
@@ -228,6 +238,14 @@
                 self.assertEqual(version, self.follower.version)
                 self.assertEqual([] if taken is None else [taken], self.seen)
 
+    async def test_a_reader_that_missed_a_restore_proves_nothing(self):
+        """Guards against a view that counts as current by frames about rows that were lost."""
+        self.follower.receive(rows(1, 0, RESTORED, {"a": b"x"}, whole=True))
+        self.clock.advance(1.0)
+        self.assertTrue(self.follower.receive(rows(1, 9, 9, origin="late reader")))
+        self.assertGreaterEqual(self.follower.age(), 1.0)
+        self.assertFalse(self.follower._fed_by_reader())
+
     async def test_a_frame_is_passed_on_once(self):
         self.assertTrue(self.follower.receive(rows(2, 1, 5)))
         self.assertFalse(self.follower.receive(rows(2, 1, 5)))
--- a/tests/standins/tables.py
+++ b/tests/standins/tables.py
@@ -5,6 +5,7 @@
 ``down``    every call is answered with 503
 ``lose``    number of transactions that are applied, and whose connection is aborted unanswered
 ``forget``  number of feed calls that are answered with 410
+``late``    number of answers that name the era before the current one
 
 :meth:`TableStandin.restore` brings back an older copy: rows and versions written since are lost,
 version numbers are given out again, and the era in all answers rises by one.
@@ -43,7 +44,7 @@
         self.rows = {}
         self.version = 0
         self.era = 1
-        self.faults = {"down": False, "lose": 0, "forget": 0}
+        self.faults = {"down": False, "lose": 0, "forget": 0, "late": 0}
         self.calls = []
         self._tombstones = {}
         self._changed = asyncio.Event()
@@ -90,7 +91,11 @@
         self._notify_feeds()
 
     def _reply(self, body, status=200):
-        return http.reply(body, status, [(b"Store-Era", str(self.era).encode())])
+        era = self.era
+        if self.faults["late"]:
+            self.faults["late"] -= 1
+            era -= 1
+        return http.reply(body, status, [(b"Store-Era", str(era).encode())])
 
     def _notify_feeds(self):
         self._changed.set()
