Keep one holder and unused terms when the store has lost the lease's row

A host then took the lease at once under a term that the lost holder had used (rule: one holder, no number twice), or as 'its own earlier process'; the lost holder took the old row for another host's and gave up.

Change: a row holds the era in which it was written. One of an earlier era, or a missing one at a host that saw the restore, proves nothing: its successor waits as for a holder that renewed right before the restore, and a holder whose lease is still valid writes its row again, as no other can have taken it. Terms of an era begin above all of the one before. A write that lands in another era than it was checked in is no lease. Cost: where no holder is left, orders begin 5.0 s after the restore is seen (2.0 s lapse, 3.0 s gap of the smallest deployment's bounds, from the constants), also where the last holder had resigned: its notice can't rule out a later holder.

The fake store compares numbers alone, as the store does.

--- a/peridotdock/clients/platform.py
+++ b/peridotdock/clients/platform.py
@@ -14,6 +14,7 @@
 import aiohttp
 
 from peridotdock.clients.http import CONNECT_ERRORS, TRANSFER_ERRORS, Pool
+from peridotdock.clients.versions import StoreEra
 from peridotdock.errors import Failure, Kind, failed
 
 TIMEOUT_SECONDS = 2.0
@@ -62,7 +63,12 @@
 
 
 class Platform(Protocol):
-    """Calls that peridotdock makes to the platform."""
+    """Calls that peridotdock makes to the platform.
+
+    ``era`` is the newest era of its store that an answer named.
+    """
+
+    era: StoreEra
 
     async def read(self, keys: Iterable[str]) -> dict[str, Row] | Failure:
         """Return the rows that exist among ``keys``."""
@@ -125,6 +131,7 @@
         self._url = url.rstrip("/")
         self._timeout = aiohttp.ClientTimeout(total=timeout, sock_connect=timeout)
         self._pool = Pool(limit=16)
+        self.era = StoreEra()
 
     async def close(self) -> None:
         """Close the connections."""
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -275,9 +275,11 @@
         self._last_term = max(term, self._last_term)
 
     def _on_store_restored(self, old: int, new: int) -> None:
-        """Read the tables again: the store came back from an older copy of its rows."""
+        """Read the store again: it came back from an older copy of its rows."""
         detail = f"era {old} has ended, era {new} is current"
         self.ctx.timeline.add("store_restored", "WARNING", detail=detail)
+        self.leadership.observe_era()
+        self.blocklist_due.set()
         self.views.refresh()
 
     def _is_standby(self) -> bool:
--- a/peridotdock/relay/leadership.py
+++ b/peridotdock/relay/leadership.py
@@ -5,6 +5,10 @@
 counts from before it sent the renewal, so the hosts' own clocks are not compared. A holder that
 loses contact with the store notifies the other hosts, so that they need not wait for a lease that
 has already ended.
+
+A store that returns from an older copy may have lost a holder's row, or show that of an earlier
+holder. So a row holds the era in which it was written. One of an earlier era proves nothing about
+who holds the lease: its holder or another one may act until it would have had to renew.
 """
 
 import asyncio
@@ -14,6 +18,7 @@
 
 from peridotdock.clients.platform import Platform, Row, Transaction, commit_and_resolve
 from peridotdock.clients.store_time import StoreTime
+from peridotdock.clients.versions import ABSENT, era_of
 from peridotdock.context import Context
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.clocks import UptimeClock
@@ -28,6 +33,9 @@
 # Timeout of one call in seconds; a store sixty times slower than usual answers within a quarter of
 # it.
 STORE_CALL_SECONDS = 0.6
+# Terms of one era of the store. A new era begins above all terms of the one before, as some of them
+# may have been lost with their rows.
+TERMS_PER_ERA = 1_000_000
 NEVER = float("-inf")
 T = TypeVar("T")
 
@@ -84,7 +92,10 @@
         self._seen_version: int | None = None
         self._seen_at = 0.0
         self._lapses_at = 0.0
-        self._version = 0
+        self._version = ABSENT
+        self._era: int | None = None
+        self._era_seen_at = 0.0
+        self._saw_restore = False
         self.on_renewed: Callable[[int, int], None] = lambda term, version: None
         self.on_resigned: Callable[[int, Handover], None] = lambda term, handover: None
         self._held_until = NEVER
@@ -158,6 +169,17 @@
             return None
         return self._lapses_at - self._clock.seconds()
 
+    def observe_era(self) -> None:
+        """Record when this host first saw the store's present era."""
+        era = self._store.era.current
+        if era != self._era:
+            self._saw_restore = self._era is not None
+            self._era, self._era_seen_at = era, self._clock.seconds()
+
+    def _is_of_copy(self, row: Row | None) -> bool:
+        """Return whether a row may be older than the last one that was written."""
+        return self._saw_restore if row is None else row.value.get("era", 0) != self._era
+
     async def _with_timeout(self, work: Awaitable[T]) -> T | Failure:
         """Wait for a call of the store, no longer than the lease allows.
 
@@ -184,13 +206,20 @@
         if await self._renew_once():
             return
         rows = await self._with_timeout(self._store.read([LEASE_KEY]))
-        if failed(rows) or LEASE_KEY not in rows:
+        if failed(rows):
             return
-        row = rows[LEASE_KEY]
-        if row.value.get("holder") != self._ctx.incarnation:
+        self.observe_era()
+        row = rows.get(LEASE_KEY)
+        if self._is_of_copy(row):
+            # While this host's lease is valid, no other host can have taken it in the era before.
+            self._version = row.version if row else ABSENT
+        elif row is None:
+            return
+        elif row.value.get("holder") != self._ctx.incarnation:
             self._lose_lease("another host took over")
             return
-        self._version = row.version
+        else:
+            self._version = row.version
         if self.holds():
             await self._renew_once()
 
@@ -218,8 +247,9 @@
         rows = await self._with_timeout(self._store.read([LEASE_KEY]))
         if failed(rows):
             return
+        self.observe_era()
         row = rows.get(LEASE_KEY)
-        version = row.version if row else 0
+        version = row.version if row else ABSENT
         now = self._clock.seconds()
         self.holder_address = row.value.get("machine", "") if row else ""
         if version != self._seen_version:
@@ -227,7 +257,7 @@
         wait = self._wait_after(row, now)
         if wait is None:
             return
-        term = int(row.value["term"]) + 1 if row else 1
+        term = self._next_term(row)
         # Set before the row is written, as the row includes the remaining waits.
         self._orders_from = now + wait.wait
         self._engines_from = {engine: now + more for engine, more in wait.engines.items()}
@@ -242,8 +272,15 @@
             "lease_taken", detail=f"term {term}, orders in {wait.wait:.1f} s{rest}"
         )
 
+    def _next_term(self, row: Row | None) -> int:
+        """Return a term above all those that were ever used, also those lost with their rows."""
+        newest = int(row.value["term"]) if row else 0
+        return max(newest, (self._era or 0) * TERMS_PER_ERA) + 1
+
     def _wait_after(self, row: Row | None, now: float) -> Handover | None:
         """Return how long to wait with orders, or None while another host holds the lease."""
+        if self._is_of_copy(row):
+            return self._wait_for_lost_holder(row, now)
         if row is None:
             return Handover()
         notice = self._resignation
@@ -258,7 +295,20 @@
             # waits as after any order.
             self._successor_from = now + self._order_gap
             return read_handover(row, "inherited", self._order_gap)
-        past = self._seconds_since_acting(row, now)
+        return self._wait_since(self._seconds_since_acting(row, now), now)
+
+    def _wait_for_lost_holder(self, row: Row | None, now: float) -> Handover | None:
+        """Return how long to wait for a holder whose row the store may have lost.
+
+        It renewed the lease before the store was restored, at the latest.
+        """
+        past = now - self._era_seen_at - HOLDER_ACT_SECONDS
+        if row is not None:
+            past = min(past, self._seconds_since_acting(row, now))
+        return self._wait_since(past, now)
+
+    def _wait_since(self, past: float, now: float) -> Handover | None:
+        """Return how long to wait ``past`` seconds after a holder's last possible order."""
         left = LEASE_LAPSE_SECONDS - HOLDER_ACT_SECONDS - past
         if left > 0:
             self._lapses_at = now + left
@@ -280,7 +330,9 @@
 
     async def _write(self, version: int, term: int, holder: str | None = None) -> int | Failure:
         at_most = self._store_time.latest()
+        era = self._era or 0
         value = {
+            "era": era,
             "holder": self._ctx.incarnation if holder is None else holder,
             "machine": self._address,
             "term": term,
@@ -290,7 +342,11 @@
         }
         tx = Transaction({LEASE_KEY: version}, {LEASE_KEY: value})
         outcome = await commit_and_resolve(self._store, tx)
-        return outcome if failed(outcome) else outcome.version
+        if failed(outcome):
+            return outcome
+        if era_of(outcome.version) != era:
+            return Failure(Kind.CONFLICT, "the store was restored")
+        return outcome.version
 
     async def release(self) -> None:
         """Free the lease, so that other hosts need not wait for it to lapse."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,6 +7,7 @@
 
 from peridotdock.clients.endpoint import EngineLoad, LoadedItem, Report
 from peridotdock.clients.platform import Committed, Row
+from peridotdock.clients.versions import StoreEra, all_of_era, make_version, number_of
 from peridotdock.errors import Failure, Kind
 from peridotdock.ledger import KEY_PREFIX
 
@@ -45,13 +46,15 @@
 
     ``faults`` is a queue with the outcome of the next commits: ``ok``; ``down``: not applied;
     ``lost``: applied, but the answer is lost; ``late``: applied only by :meth:`apply_delayed`, and
-    the answer is lost.
+    the answer is lost. :meth:`restore` brings back an older copy of the rows.
     """
 
     def __init__(self):
         self.rows = {}
         self.objects = {}
         self.version = 0
+        self.era = StoreEra()
+        self.era.accept(0)
         self.down = False
         self.faults = []
         self.delayed = []
@@ -68,6 +71,12 @@
         return {key: row for key, row in self.rows.items() if key.startswith(prefix)}
 
     async def commit(self, tx):
+        if not all_of_era(tx.checks.values(), self.era.current):
+            return Failure(Kind.CONFLICT, "the store was restored")
+        return await self.commit_by_number(tx)
+
+    async def commit_by_number(self, tx):
+        """Commit as the store does, which checks the numbers of versions alone."""
         fault = self.faults.pop(0) if self.faults else "ok"
         if self.down or fault == "down":
             return Failure(Kind.PLATFORM_DOWN)
@@ -77,6 +86,20 @@
         outcome = self._apply(tx)
         return Failure(Kind.OUTCOME_UNKNOWN) if fault == "lost" else outcome
 
+    def copy(self):
+        return dict(self.rows), self.version
+
+    def restore(self, copy):
+        """Replace the rows by an older copy; numbers of versions are given out again."""
+        rows, version = copy
+        era = self.era.current + 1
+        self.rows = {
+            key: Row(row.value, make_version(era, number_of(row.version)))
+            for key, row in rows.items()
+        }
+        self.version = make_version(era, number_of(version))
+        self.era.accept(era)
+
     def apply_delayed(self):
         """Apply the delayed commits and return their outcomes."""
         delayed, self.delayed = self.delayed, []
@@ -86,7 +109,7 @@
         self.writes += 1
         for key, version in tx.checks.items():
             found = self.rows.get(key)
-            if (found.version if found else 0) != version:
+            if number_of(found.version if found else 0) != number_of(version):
                 return Failure(Kind.CONFLICT)
         self.version += 1
         for key, value in tx.writes.items():
--- a/tests/relay/test_ordering.py
+++ b/tests/relay/test_ordering.py
@@ -11,7 +11,8 @@
 
 from peridotdock.clients.engines import Action, EngineOrder, EngineState
 from peridotdock.clients.store_time import StoreTime
-from peridotdock.errors import failed
+from peridotdock.clients.versions import StoreEra, all_of_era, era_of
+from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.leadership import (
     HOLDER_ACT_SECONDS,
     LEASE_LAPSE_SECONDS,
@@ -42,18 +43,28 @@
 
 
 class TimedPlatform:
-    """One host's connection to the store: answers take a while and carry the store's time."""
+    """One host's client of the store.
+
+    Answers take a while, and carry the store's time and era.
+    """
 
     def __init__(self, store, time, uptime, rng):
         self.store, self.time, self.uptime, self.rng = store, time, uptime, rng
+        self.era = StoreEra()
 
     async def read(self, keys):
         asked_at = self._send()
         return self._answer(await self.store.read(keys), asked_at)
 
     async def commit(self, tx):
+        versions = tx.checks.values()
+        if not all_of_era(versions, self.era.current):
+            return Failure(Kind.CONFLICT, "the store was restored")
         asked_at = self._send()
-        return self._answer(await self.store.commit(tx), asked_at)
+        found = self._answer(await self.store.commit_by_number(tx), asked_at)
+        if not failed(found) and not all_of_era(versions, era_of(found.version)):
+            return Failure(Kind.CONFLICT, "the store was restored")
+        return found
 
     def _send(self):
         asked_at = self.time.clock()
@@ -65,6 +76,7 @@
             seconds = self.uptime.now + STORE_AHEAD
             self.uptime.now += self.rng.uniform(0.0, 0.05)
             self.time.record(seconds, asked_at)
+            self.era.accept(self.store.era.current)
         return found
 
 
@@ -114,6 +126,8 @@
         self.clock, self.store = Uptime(), FakePlatform()
         self.started = 0
         self.arrivals = {}
+        self.holders = {}
+        self.newest_terms = {}
         self.orders = 0
         self.suspended_until = {}
         self.hosts = {}
@@ -138,6 +152,11 @@
     def is_running(self, machine):
         return self.clock.now >= self.suspended_until[machine]
 
+    def restore_store(self, copy):
+        """Bring back an older copy of the store's rows, after a moment without any answer."""
+        self.clock.now += self.rng.choice((0.0, 0.3, 2.5))
+        self.store.restore(copy)
+
     def play_step(self):
         """Let some time pass, then let one host take one action."""
         self.clock.now += self.rng.choice((0.01, 0.05, 0.2))
@@ -166,6 +185,7 @@
         if not host.may_order(engine):
             return
         host.record_order(engine)
+        self.check_term(engine, machine, host.term)
         arrives_at = self.clock.now + self.rng.choice((0.0, MAX_ORDER_TRANSIT_SECONDS))
         for before, at in self.arrivals.setdefault(engine, []):
             if before != machine and abs(arrives_at - at) < GAP - 1e-6:
@@ -175,6 +195,14 @@
         self.arrivals[engine].append((machine, arrives_at))
         self.orders += 1
 
+    def check_term(self, engine, machine, term):
+        """Fail on a term that was another machine's, or is lower than that of an earlier order."""
+        if self.holders.setdefault(term, machine) != machine:
+            raise AssertionError(f"term {term} of {machine} was that of {self.holders[term]}")
+        if term < self.newest_terms.get(engine, 0):
+            raise AssertionError(f"{engine}: term {term} of {machine} after a higher one")
+        self.newest_terms[engine] = term
+
 
 class LeadershipTest(unittest.TestCase):
     def test_one_host_orders_and_a_first_one_at_once(self):
@@ -336,6 +364,55 @@
             played.play_step()
         self.assertGreater(played.orders, 20)
 
+    def lose_a_takeover(self):
+        """Let host 1 take the lease over from host 0, and restore the store from before."""
+        hosts = Hosts()
+        hosts.step(0)
+        copy = hosts.store.copy()
+        hosts.release(0)
+        hosts.step(1, after=0.1)
+        hosts.all[1].record_order("e1")
+        hosts.store.restore(copy)
+        return hosts
+
+    def test_a_holder_keeps_its_lease_when_the_store_has_lost_its_row(self):
+        """Guards against seconds without orders after each restore of the store."""
+        hosts = self.lose_a_takeover()
+        term = hosts.all[1].term
+        hosts.step(1, 0, after=0.1)
+        self.assertEqual([False, True], hosts.may("e1"))
+        self.assertEqual(term, hosts.all[1].term)
+
+    def test_a_holder_whose_row_was_lost_is_waited_for(self):
+        """Guards against orders of two hosts: the restored row names an earlier holder."""
+        hosts = self.lose_a_takeover()
+        lost_term = hosts.all[1].term
+        hosts.step(0, after=0.1)
+        self.assertFalse(hosts.all[0].holds())
+        hosts.step(0, after=LEASE_LAPSE_SECONDS)
+        self.assertTrue(hosts.all[0].holds())
+        self.assertGreater(hosts.all[0].term, lost_term)
+        self.assertFalse(hosts.all[0].may_order("e1"))
+
+    @params(*range(60))
+    def test_no_engine_gets_orders_of_two_machines_after_a_restore(self, seed):
+        """Guards against two holders, or a term used twice, once the lease's row is an older one.
+
+        Beside the other faults, the store comes back from copies up to some seconds old. None is
+        from before the first lease.
+        """
+        played = RandomHosts(seed)
+        while not played.store.rows:
+            played.play_step()
+        copies = [played.store.copy()]
+        for step in range(600):
+            played.play_step()
+            if step % 10 == 0:
+                copies = [*copies[-6:], played.store.copy()]
+            if played.rng.random() < 0.01:
+                played.restore_store(played.rng.choice(copies))
+        self.assertGreater(played.orders, 5)
+
     def test_the_lapse_of_a_lost_holder_counts_from_its_last_notice(self):
         """Guards against seconds without orders: a lapse counted from the next read of the row."""
         hosts = Hosts()
