Write the block list again when a restored store lacks its row

The row is read, joined and written again in each new era. The test fails without the change: the row is missing.

--- a/peridotdock/blocklist_store.py
+++ b/peridotdock/blocklist_store.py
@@ -12,6 +12,7 @@
 
 from peridotdock.blocklist import REMEMBERED_SECONDS, Blocklist
 from peridotdock.clients.platform import Platform, Transaction, commit_and_resolve
+from peridotdock.clients.versions import ABSENT
 from peridotdock.context import Context
 from peridotdock.errors import failed
 from peridotdock.schema.messages import EndpointEnd
@@ -36,13 +37,18 @@
         self._is_writer = is_writer
         self._blocklist = blocklist
         self._has_read = False
-        self._version = 0
+        self._era = 0
+        self._version = ABSENT
         self._stored_contents: frozenset[str] = frozenset()
 
     async def step(self) -> None:
-        """Read the row once after becoming the writer; write it when a request is newly blocked."""
-        if not self._is_writer():
+        """Read the row once after becoming the writer; write it when a request is newly blocked.
+
+        The row is read again when the store has returned from an older copy, which may lack it.
+        """
+        if not self._is_writer() or self._era != self._store.era.current:
             self._has_read = False
+        if not self._is_writer():
             return
         if not self._has_read and not await self._read():
             return
@@ -57,11 +63,11 @@
         if failed(rows):
             return False
         row = rows.get(BLOCKED_KEY)
-        self._version = row.version if row else 0
+        self._version = row.version if row else ABSENT
         ends = self._decode(row.value) if row else []
         self._stored_contents = frozenset(content for end in ends for content in end.contents)
         self._blocklist.adopt(ends)
-        self._has_read = True
+        self._has_read, self._era = True, self._store.era.current
         return True
 
     async def _write(self, ends: list[EndpointEnd], contents: frozenset[str]) -> None:
--- a/tests/relay/test_poison.py
+++ b/tests/relay/test_poison.py
@@ -430,6 +430,16 @@
         await blocklist_store.step()
         self.assertEqual(2, self.store.writes)
 
+    async def test_a_row_that_a_restored_store_lacks_is_written_again(self):
+        """Guards against a request that ends engines after a restore and a loss of all hosts."""
+        blocklist, blocklist_store = self.host("h0")
+        copy = self.store.copy()
+        self.end(blocklist, "e1", "e2", "e3")
+        await blocklist_store.step()
+        self.store.restore(copy)
+        await blocklist_store.step()
+        self.assertIn(BLOCKED_KEY, self.store.rows)
+
     async def test_a_failed_write_is_retried(self):
         for fault in ("down", "lost"):
             self.setUp()
