--- a/peridotdock/platform/store.py
+++ b/peridotdock/platform/store.py
@@ -16,6 +16,7 @@
 from peridotdock.clients.store_time import StoreTime
 from peridotdock.clients.tables import TableChanges, TableView
 from peridotdock.clients.versions import (
+    ABSENT,
     StoreEra,
     all_of_era,
     era_of,
@@ -191,14 +192,14 @@
         passed the one in ``after``. It answers with the changes after that number, and those
         before it, made under numbers given out again, are never seen.
         """
-        if era_of(after) < self.era.current:
+        if after != ABSENT and era_of(after) < self.era.current:
             return Failure(Kind.HISTORY_GONE, "the store was restored")
         hold_ms = int(hold_seconds * 1000)
         query = urlencode({"table": table, "after": number_of(after), "wait_ms": hold_ms})
         page = await self._fetch("/v1/rows-feed?" + query, hold_seconds + answer_seconds)
         if failed(page):
             return page
-        if page.era != era_of(after):
+        if not all_of_era([after], page.era):
             return Failure(Kind.HISTORY_GONE, "the store was restored")
         try:
             values = {
