Keep what is known of endpoints when a restored store shows older entries

An endpoint known to drain was ready again by its restored row, one that had gone was used again until its row lapsed, and an earlier start replaced the known one under its id: requests reach an endpoint after it said that it leaves, though the host had seen it.

Change: the first list of endpoints of a new era is marked as such by its follower. In it, a known start that drains keeps draining, a start that had gone is left out for 5.0 s unless it writes its entry again, an earlier start is ignored. An entry that is written again counts as the endpoint's own word, as before. Both ways into a view (own call, frame of another host).

--- a/peridotdock/relay/endpoint.py
+++ b/peridotdock/relay/endpoint.py
@@ -92,7 +92,8 @@
     ``limit_announced`` is set once any host has received a limit from it, even one that has ended.
     ``announced_leaving`` is set when the endpoint announced in an answer that it drains. Until
     ``backoff_until`` it accepts nothing from this host. Both remain set until the end of this
-    start, whatever its entry shows.
+    start, whatever its entry shows. Until ``left_out_until`` nothing shows that the endpoint is
+    still there.
     """
 
     entry: EndpointEntry
@@ -110,11 +111,16 @@
     limit_announced: bool = False
     announced_leaving: bool = False
     backoff_until: float = float("-inf")
+    left_out_until: float = float("-inf")
 
     def accepts_requests(self) -> bool:
         """Return whether requests may still be sent to the endpoint."""
         return not self.gone and not self.leaving
 
+    def usable(self, now: float) -> bool:
+        """Return whether the endpoint may be chosen for a request."""
+        return not self.leaving and now >= self.left_out_until and not self.health.absent(now)
+
     @property
     def leaving(self) -> bool:
         """Return whether the endpoint drains, by its entry or by its announcement in an answer."""
@@ -207,6 +213,8 @@
     def update_entry(self, entry: EndpointEntry) -> None:
         """Apply the endpoint's own entry."""
         if entry is not self.entry:
+            if entry != self.entry:
+                self.left_out_until = float("-inf")
             self.entry = entry
             self._confirm_missing(entry.items())
 
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -49,6 +49,9 @@
 ASSUMED_ENDED_SECONDS = 10.0
 # Maximum number of starts of endpoints remembered after their entries have gone.
 MAX_DEPARTED = 200
+# Seconds for which an endpoint that has gone and reappears in the rows of a restored store is left
+# out, unless it writes its entry again: longer than an entry takes to lapse.
+RETURN_SECONDS = 5.0
 
 
 class RelayFleet:
@@ -63,26 +66,43 @@
         self._prompt_token_seconds: dict[str, float] = {}
         self._answer_seconds: dict[str, float] = {}
         self._event_seconds: dict[str, float] = {}
+        self._restored = False
         self._change: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
+    def expect_restored_entries(self) -> None:
+        """Treat the next list of endpoints as a copy that may be older than what is known."""
+        self._restored = True
+
     def replace(self, entries: Iterable[EndpointEntry]) -> None:
         """Replace the list of endpoints; endpoints missing from it are gone."""
         old = self.states
         self.states = {}
         for entry in entries:
-            state = old.get(entry.endpoint_id)
-            if state is None or state.entry.started_ms != entry.started_ms:
-                state = new_start_state(state, entry)
-                before = self._departed.pop(state.start, None)
-                if before is not None:
-                    state.restore_announcements(before)
-            state.update_entry(entry)
-            self.states[entry.endpoint_id] = state
+            self.states[entry.endpoint_id] = self._apply_entry(old.get(entry.endpoint_id), entry)
+        self._restored = False
         for key, state in old.items():
             if self.states.get(key) is not state:
                 self._add_departed(state)
         self._index()
 
+    def _apply_entry(self, known: EndpointState | None, entry: EndpointEntry) -> EndpointState:
+        """Return the state of an endpoint under an entry; ``known`` is that under its last one."""
+        if self._restored and known is not None:
+            if entry.started_ms < known.entry.started_ms:
+                return known
+            entry = keep_draining(entry, known)
+        state = known
+        if state is None or state.entry.started_ms != entry.started_ms:
+            state = new_start_state(state, entry)
+            before = self._departed.pop(state.start, None)
+            if before is not None:
+                state.restore_announcements(before)
+                if self._restored:
+                    state.left_out_until = self._clock.monotonic() + RETURN_SECONDS
+                    entry = keep_draining(entry, before)
+        state.update_entry(entry)
+        return state
+
     def _add_departed(self, state: EndpointState) -> None:
         """Keep the state of a start whose entry has gone, in case the entry reappears.
 
@@ -118,7 +138,7 @@
         """Return the endpoints of a service that accept requests and hold the requested item."""
         now = self._clock.monotonic()
         rows = self.by_service.get(service, ())
-        found = [s for s in rows if not s.leaving and not s.health.absent(now)]
+        found = [s for s in rows if s.usable(now)]
         if inference is None:
             return found
         return [state for state in found if state.holds(inference, now)]
@@ -328,6 +348,12 @@
             self._answer_seconds[service] = usual + AVERAGE_GAIN * (now - request.sent_at - usual)
 
 
+def keep_draining(entry: EndpointEntry, known: EndpointState) -> EndpointEntry:
+    """Return the entry of a start, draining if the known one drains."""
+    same = entry.started_ms == known.entry.started_ms
+    return replace(entry, draining=True) if same and known.entry.draining else entry
+
+
 def load_seconds(entry: EndpointEntry, model: Model) -> float:
     """Return how long an endpoint takes to load a model, depending on its cached weights."""
     if model.name in entry.in_memory:
--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -45,8 +45,10 @@
     ``apply_rows`` gets the rows, and whether they are the whole table. ``pause`` returns the
     seconds between a change and the next call. ``must_read`` tells whether this host reads the
     store regardless of other hosts' frames; ``publish`` then gets what it read. ``rows`` are the
-    known rows of the table. ``request_rows`` requests rows newer than a version from other hosts;
-    ``on_call_lost`` is called at the first of several failed calls in a row.
+    known rows of the table. ``on_restored`` is called before rows of a new era of the store are
+    applied, which may be older than those before. ``request_rows`` requests rows newer than a
+    version from other hosts; ``on_call_lost`` is called at the first of several failed calls in a
+    row.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         self.publish: PublishRows | None = None
         self.request_rows: Callable[[int], None] = lambda after: None
         self.on_call_lost: Callable[[], None] = lambda: None
+        self.on_restored: Callable[[], None] = lambda: None
 
     @property
     def version(self) -> int | None:
@@ -128,7 +131,7 @@
             return
         changed = whole or bool(found.values)
         if changed:
-            self._apply(found.values, whole)
+            self._apply(found.values, whole, found.version)
         self._version = found.version
         self._whole_due = False
         first = self._as_of == NEVER
@@ -149,7 +152,9 @@
             return False
         return not (whole and after == known and era_of(version) == era_of(known))
 
-    def _apply(self, values: Mapping[str, bytes | None], whole: bool) -> None:
+    def _apply(self, values: Mapping[str, bytes | None], whole: bool, version: int) -> None:
+        if self._version is not None and era_of(version) > era_of(self._version):
+            self.on_restored()
         rows = {} if whole else self.rows
         rows.update(values)
         self.rows = {key: value for key, value in rows.items() if value is not None}
@@ -221,7 +226,7 @@
             return True
         if frame.version > known and (frame.values or frame.whole):
             try:
-                self._apply(inflate_rows(frame), frame.whole)
+                self._apply(inflate_rows(frame), frame.whole, frame.version)
             except Exception as exc:
                 self._log_refused_rows(exc)
                 self._fetch_missing(frame.version)
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -224,12 +224,12 @@
 
     def _follow_tables(self) -> list[Follower]:
         adapter, bounds = self.adapter, self.settings.bounds
-        return [
-            self.views.follow(
-                adapter.config_table, self._apply_config, bounds.config, pause=CONFIG_PAUSE_SECONDS
-            ),
-            self.views.follow(adapter.endpoint_table, self._apply_endpoints, bounds.drain),
-        ]
+        config = self.views.follow(
+            adapter.config_table, self._apply_config, bounds.config, pause=CONFIG_PAUSE_SECONDS
+        )
+        endpoints = self.views.follow(adapter.endpoint_table, self._apply_endpoints, bounds.drain)
+        endpoints.on_restored = self.fleet.expect_restored_entries
+        return [config, endpoints]
 
     # Periodic work
 
--- a/tests/relay/test_restored.py
+++ b/tests/relay/test_restored.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from dataclasses import replace
 
 from peridotdock.clients.platform import Committed, Transaction
 from peridotdock.clients.store_time import StoreTime
@@ -11,7 +12,10 @@
 from peridotdock.errors import Kind
 from peridotdock.metrics import Metrics
 from peridotdock.platform.store import TableStore
+from peridotdock.relay.fleet import RETURN_SECONDS, RelayFleet
+from peridotdock.relay.requests import EndpointEntry
 from peridotdock.relay.settings import parse_address
+from tests.fakes import FakeClock
 from tests.relay.deployment import BOUNDS, Deployment
 from tests.relay.test_hubs import all_live
 from tests.relay.test_relay import run
@@ -36,6 +40,10 @@
     await found.until(lambda: all(host.peers.has_lease_holder() for host in found.hosts))
 
 
+def entry(name):
+    return EndpointEntry(name, "pages", "10.0.0.1:80", "north", 8, False)
+
+
 async def lose_writes(found):
     """Let all hosts see a version of the store that it then loses; return the older copy."""
     copy = found.store.copy()
@@ -78,6 +86,89 @@
         await check_changes_are_seen(self, 2 * LOST_VERSIONS)
 
 
+class EndpointsAfterRestoreTest(unittest.TestCase):
+    """An older copy of the endpoints' rows undoes nothing that hosts know of endpoints."""
+
+    async def restore(self, found, copy):
+        """Bring back an older copy, and wait until all hosts have read it."""
+        version = config_versions(found)[0] + 1
+        found.store.restore(copy)
+        found.configure(version=version)
+        await found.until(lambda: config_versions(found) == [version] * len(found.hosts))
+        await asyncio.sleep(0.5)
+
+    def usable(self, found):
+        """Return the names of the plain service's endpoints that each host would choose from."""
+        return [
+            sorted(state.key for state in host.fleet.usable("pages", None)) for host in found.hosts
+        ]
+
+    @run
+    async def test_an_endpoint_that_drains_keeps_draining(self):
+        """Guards against requests to a draining endpoint that is ready by its restored row."""
+        async with Deployment(hosts=3, pages=("p1", "p2")) as found:
+            await until_ready(found)
+            copy = found.store.copy()
+            drain(found, "p1")
+            await found.until(lambda: all_know_leaving(found, "p1"))
+            await self.restore(found, copy)
+            self.assertTrue(all_know_leaving(found, "p1"))
+            found.store.put("servers", "p1", found.pages["p1"].entry("pages"))
+            await found.until(lambda: self.usable(found) == [["p1", "p2"]] * 3)
+
+    @run
+    async def test_an_endpoint_that_has_gone_is_not_used_before_it_writes_again(self):
+        """Guards against requests to an endpoint that has gone and whose row was restored."""
+        async with Deployment(hosts=3, pages=("p1", "p2")) as found:
+            await until_ready(found)
+            copy = found.store.copy()
+            found.store.remove("servers", "p1")
+            await found.until(lambda: self.usable(found) == [["p2"]] * 3)
+            await self.restore(found, copy)
+            self.assertEqual([["p2"]] * 3, self.usable(found))
+            entry = found.pages["p1"].entry("pages") | {"slots": 7}
+            found.store.put("servers", "p1", entry)
+            await found.until(lambda: self.usable(found) == [["p1", "p2"]] * 3)
+
+
+class RestoredEntriesTest(unittest.IsolatedAsyncioTestCase):
+    """What a fleet makes of the entries of a restored store."""
+
+    async def asyncSetUp(self):
+        self.clock = FakeClock()
+        self.fleet = RelayFleet("north", self.clock)
+
+    def usable(self):
+        return [state.entry.started_ms for state in self.fleet.usable("pages", None)]
+
+    async def test_an_entry_that_stays_is_used_again(self):
+        """Guards against an endpoint left out for good: its entry had lapsed before the restore."""
+        self.fleet.replace([entry("p1")])
+        self.fleet.replace([])
+        self.fleet.expect_restored_entries()
+        self.fleet.replace([entry("p1")])
+        self.assertEqual([], self.usable())
+        self.clock.advance(RETURN_SECONDS)
+        self.assertEqual([0], self.usable())
+
+    async def test_an_earlier_start_does_not_replace_the_known_one(self):
+        """Guards against orders and requests by what an endpoint held before it restarted."""
+        for known, restored, usable in ((200, 100, [200]), (100, 200, [200]), (0, 100, [100])):
+            with self.subTest(known=known, restored=restored):
+                await self.asyncSetUp()
+                self.fleet.replace([replace(entry("p1"), started_ms=known)])
+                self.fleet.expect_restored_entries()
+                self.fleet.replace([replace(entry("p1"), started_ms=restored)])
+                self.assertEqual(usable, self.usable())
+
+    async def test_entries_of_an_unrestored_store_are_used_at_once(self):
+        self.fleet.replace([replace(entry("p1"), draining=True)])
+        self.fleet.replace([entry("p1")])
+        self.fleet.replace([])
+        self.fleet.replace([entry("p1")])
+        self.assertEqual([0], self.usable())
+
+
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
     """The client's versions are never reused, although the store gives its numbers out again."""
 
