Let the soak bring the store back from older copies

In each third seed (another one than that of limits) the store is away for up to a second and comes back from a copy up to 4 s old, again and again; operators and endpoints write again later. After the last fault it loses 50 versions that hosts have seen, a route is added and an endpoint drains; two seconds later (config_ms, drain_ms) each host must know the route and send nothing to the endpoint. The plans of all seeds stay as they were.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -6,6 +6,7 @@
 import asyncio
 import logging
 import math
+import random
 import shutil
 import sys
 import tempfile
@@ -28,6 +29,10 @@
 # Seconds that hosts have after the last fault to recover before probes are sent.
 RECOVERY_SECONDS = 7.0
 PROBE_COUNT = 40
+# Seconds within which a change must be in force on all hosts, and the requests that each then gets.
+CHANGE_SECONDS = 2.0
+REQUESTS_AFTER_CHANGE = 4
+UNKNOWN_ROUTE = 404
 START_TIMEOUT_SECONDS = 60.0
 
 
@@ -80,8 +85,13 @@
                 deployment.refuse_requests(seconds),
                 deployment.announce_draining(),
             ]
+        if plan.restored:
+            rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
+            work.append(deployment.restore_store(seconds, rng))
         await asyncio.gather(inject_faults(deployment, plan, started_at), *work)
         await asyncio.sleep(RECOVERY_SECONDS)
+        if plan.restored:
+            record.missed_changes = await change_after_restore(deployment)
         await probe(deployment, record, started_at, plan.seed)
         collect_observations(deployment, record, started_at)
         return list(find_violations(record, plan.maintenance_only, EVENTS_PER_STREAM, MODELS_FIT))
@@ -89,6 +99,28 @@
         await deployment.stop()
 
 
+async def change_after_restore(deployment: SoakDeployment) -> list[str]:
+    """Make changes right after a restore of the store; return those that hosts miss, as text."""
+    prefix, runner = await deployment.change_after_restore()
+    await asyncio.sleep(CHANGE_SECONDS)
+    before = len(runner.request_times)
+    missed = []
+    async with aiohttp.ClientSession() as session:
+        for host in deployment.hosts:
+            for number in range(REQUESTS_AFTER_CHANGE):
+                headers = {
+                    "host": "shop.example",
+                    "x-attempt-id": f"change-{host.name}-{number}",
+                    "x-deadline-ms": "2000",
+                }
+                url = f"http://{host.address('front')}{prefix}x"
+                async with session.post(url, headers=headers) as resp:
+                    if resp.status == UNKNOWN_ROUTE:
+                        missed.append(f"{host.name}: no route {prefix} after a restore")
+    sent = [name for _, name in runner.request_times[before:]]
+    return missed + [f"{name}: sent to {runner.name}, which drains" for name in sent]
+
+
 async def probe(deployment: SoakDeployment, record: Record, started_at: float, seed: int) -> None:
     """Send requests after all faults have ended, and record them as probes."""
     caller = Caller(CALLER_COUNT, deployment, record, started_at, seed)
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -86,7 +86,8 @@
 class Record:
     """What the callers and endpoints of a run have recorded.
 
-    ``ran`` holds the ids of the attempts that endpoints ran.
+    ``ran`` holds the ids of the attempts that endpoints ran, ``missed_changes`` the changes after a
+    restore of the store that a host did not follow in time.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -97,6 +98,7 @@
     crash_times: list[float] = field(default_factory=list)
     limited_endpoints: list[LimitedEndpoint] = field(default_factory=list)
     endpoint_records: list[EndpointRecord] = field(default_factory=list)
+    missed_changes: list[str] = field(default_factory=list)
 
 
 def check_answers(record: Record, event_count: int) -> Iterable[str]:
@@ -244,6 +246,11 @@
                 )
 
 
+def check_changes(record: Record) -> Iterable[str]:
+    """A host did not follow a change that was made after the store was restored."""
+    yield from record.missed_changes
+
+
 def find_violations(
     record: Record, planned: bool, event_count: int, max_models: int
 ) -> Sequence[str]:
@@ -259,5 +266,6 @@
         *check_limits(record),
         *check_draining(record),
         *check_backoffs(record),
+        *check_changes(record),
     ]
     return found + list(check_planned(record)) if planned else found
--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -41,6 +42,16 @@
 # Seconds of backoff that a refusing endpoint asks for, and seconds between two refusals.
 BACKOFF_SECONDS = 1.5
 REFUSAL_INTERVAL_SECONDS = 0.7
+# Age of the copy that the store comes back from, how long it is away before, and how long after it
+# operators and endpoints write again, in seconds.
+MIN_COPY_AGE_SECONDS = 0.5
+MAX_COPY_AGE_SECONDS = 4.0
+MAX_AWAY_SECONDS = 1.0
+MAX_REWRITE_SECONDS = 1.0
+# Versions that the store loses before a change that all hosts must follow.
+LOST_VERSIONS = 50
+# Seconds after which all hosts have seen the newest version of the store.
+SEEN_SECONDS = 1.0
 BOUNDS = {
     "drain_ms": 2000,
     "config_ms": 2000,
@@ -136,6 +147,7 @@
         self.crash_times: list[float] = []
         self.limited_endpoints: list[LimitedEndpoint] = []
         self.draining_from: dict[str, float] = {}
+        self._draining: dict[str, tuple[RunnerStandin, str]] = {}
         self._targets_in_use: set[str] = set()
         self._replacing: set[asyncio.Task] = set()
         self._numbers = iter(range(1, 10_000))
@@ -208,6 +220,47 @@
                 LimitedEndpoint(rate, announced_at, time.monotonic(), runner.call_times)
             )
 
+    async def restore_store(self, seconds: float, rng: random.Random) -> None:
+        """Bring the store back from copies up to some seconds old, one after the other."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            copy = self.store.copy()
+            await asyncio.sleep(rng.uniform(MIN_COPY_AGE_SECONDS, MAX_COPY_AGE_SECONDS))
+            self.store.faults["down"] = True
+            await asyncio.sleep(rng.uniform(0.0, MAX_AWAY_SECONDS))
+            self.store.restore(copy)
+            self.store.faults["down"] = False
+            await asyncio.sleep(rng.uniform(0.0, MAX_REWRITE_SECONDS))
+            self.write_again()
+
+    def write_again(self) -> None:
+        """Write again what operators and endpoints wrote; hosts write their own rows."""
+        self._write_config()
+        for name in [key for table, key in self.store.rows if table == "servers"]:
+            if name not in self.links:
+                self.store.remove("servers", name)
+        for runner in (*self.engines, *self.pages):
+            runner.on_change()
+        for runner, service in self._draining.values():
+            self._register(runner, service, state="draining")
+
+    async def change_after_restore(self) -> tuple[str, RunnerStandin]:
+        """Restore the store, then add a route and drain an endpoint under numbers given out again.
+
+        Return the prefix of the route, and the endpoint.
+        """
+        copy = self.store.copy()
+        for number in range(LOST_VERSIONS):
+            self.store.put("other", "row", str(number).encode())
+        await asyncio.sleep(SEEN_SECONDS)
+        self.store.restore(copy)
+        self._add_route()
+        runner = self.pages[0]
+        self._register(runner, "pages", state="draining")
+        for number in range(2 * LOST_VERSIONS):
+            self.store.put("other", "row", str(number).encode())
+        return self.routes[-1]["prefix"], runner
+
     def _on_crash(self, runner: RunnerStandin) -> None:
         """Record that a request has crashed an endpoint, and start to replace the endpoint."""
         self.crash_times.append(time.monotonic())
@@ -275,6 +328,9 @@
         host.signal(signal.SIGCONT)
 
     async def _config(self, store: TableStandin, seconds: float) -> None:
+        self._add_route()
+
+    def _add_route(self) -> None:
         self.version += 3
         route = dict(ROUTES[-1], name=f"extra-{self.version}", prefix=f"/extra-{self.version}/")
         self.routes = [*self.routes, route]
@@ -287,8 +343,10 @@
         await self._add_runner(service, tuple(runner.models))
         (self.engines if engines else self.pages).remove(runner)
         runner.on_change = lambda: None
+        self._draining[runner.name] = runner, service
         self._register(runner, service, state="draining")
         await asyncio.sleep(DRAIN_SECONDS * 2)
+        del self._draining[runner.name]
         self.store.remove("servers", runner.name)
         await self._stop_runner(runner)
 
--- a/extras/soak/plan.py
+++ b/extras/soak/plan.py
@@ -16,6 +16,8 @@
 POISON_EVERY = 4
 # One seed in this many has endpoints that announce limits, backoffs and draining in their answers.
 OVERLOADED_EVERY = 3
+# One seed in this many has a store that comes back from older copies of its rows.
+RESTORED_EVERY = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +89,11 @@
         """Return whether endpoints announce limits, backoffs and draining in their answers."""
         return self.seed % OVERLOADED_EVERY == 1
 
+    @property
+    def restored(self) -> bool:
+        """Return whether the store comes back from older copies of its rows."""
+        return self.seed % RESTORED_EVERY == 2
+
 
 def draw_plan(seed: int, seconds: float) -> Plan:
     """Draw the plan of a run with ``seconds`` of traffic."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -51,6 +51,7 @@
         ("one term, two holders", record(orders=[ORDER, ORDER | {"holder": "h1"}]), True),
         ("a lower term", record(orders=[ORDER | {"fencing_token": 2}, ORDER]), True),
         ("too many models", record(held=4), True),
+        ("a missed change", replace(record(PAGE), missed_changes=["h0: no route /x/"]), True),
         (
             "a route is forgotten",
             record(PAGE, replace(PAGE, id="d", started_at=2.0, status=404)),
