Test that a change after a restore is seen within the bound, on both ways a host learns of it

On a fake clock with each stage at its worst: the reader's call is lost while the store is restored, which needs one call more than a lost call alone, and a restore that is not published with its rows.

--- a/tests/relay/test_views.py
+++ b/tests/relay/test_views.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 
 from peridotdock.clients.tables import TableChanges, TableView
+from peridotdock.clients.versions import era_of, make_version
 from peridotdock.decisions.freshness import divide_bound, retry_delay
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.following import MIN_PAUSE_SECONDS, Follower
@@ -29,6 +30,11 @@
         self.version = 1
         self.values = {}
 
+    def restore(self):
+        """Come back from an empty copy: the numbers of versions begin anew in the next era."""
+        self.version = make_version(era_of(self.version) + 1, 0)
+        self.values.clear()
+
 
 class FlakyTables:
     """A store on a fake clock.
@@ -70,6 +76,8 @@
             if self.clock.monotonic() < self.answers_from:
                 await self.clock.sleep(seconds + margin - spent)
                 return Failure(Kind.PLATFORM_DOWN, "TimeoutError")
+            if era_of(self.version) != era_of(after):
+                return Failure(Kind.HISTORY_GONE)
             if spent >= seconds or self.version > after:
                 break
             await self.clock.sleep(TICK)
@@ -290,6 +298,28 @@
                 await self.silence_reader(divide_bound(bound).pause + 2 * TICK)
                 self.assertLess(await self.until_seen(bound), bound)
 
+    async def test_the_store_is_restored_while_the_readers_call_is_lost(self):
+        """Guards against requests to a draining endpoint after the store came back from a copy.
+
+        Beside the lost call, the reader needs one more to read the table whole.
+        """
+        for bound, hop in HOPS:
+            with self.subTest(bound):
+                await self.start(bound, hop)
+                self.reader.tables.change("other", b"x")
+                await self.run_for(2 * TICK)
+                await self.silence_reader(divide_bound(bound).pause + 2 * TICK)
+                self.reader.tables.stored.restore()
+                self.assertLess(await self.until_seen(bound), bound)
+
+    async def test_a_restore_that_a_whole_table_does_not_show(self):
+        """Guards against hosts that wait for the reader where the table is too large to publish."""
+        for bound, hop in HOPS:
+            with self.subTest(bound):
+                await self.start(bound, hop, most_told=0)
+                self.reader.tables.stored.restore()
+                self.assertLess(await self.until_seen(bound), bound)
+
     async def test_the_reader_falls_silent(self):
         for bound, hop in HOPS:
             with self.subTest(bound):
