Refuse a request that comes after a stopping host has counted its last one

Its host logged 'stopped, 0 requests left' at 49:07.518 and sent that request to an engine at 49:07.529, on a connection that its caller had kept open; the process ended under it. Cause: between the check for requests in progress and the end of the process, requests were still taken. No restore is involved. Change: with the last check the handler closes; a request that comes later, or whose body was still being read, is refused as not run, and its connection is closed.

--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -455,5 +455,7 @@
         until = began + bounds.stopping - STOP_MARGIN_SECONDS
         while self.request_handler.in_progress and clock.monotonic() < until:
             await clock.sleep(DRAIN_POLL_SECONDS)
+        # No request is taken between this check and the end of the process.
+        self.request_handler.closed = True
         self.peers.membership.set_state("gone")
         self.ctx.timeline.add("stopped", detail=f"{self.request_handler.in_progress} requests left")
--- a/peridotdock/relay/request_handler.py
+++ b/peridotdock/relay/request_handler.py
@@ -36,7 +36,10 @@
 
 
 class RequestHandler:
-    """Handles callers' requests on one host, and counts those in progress."""
+    """Handles callers' requests on one host, and counts those in progress.
+
+    Once ``closed`` is set, no request is sent to an endpoint any more.
+    """
 
     def __init__(
         self,
@@ -57,6 +60,7 @@
         self._quotas = quotas
         self.deployment: Deployment | None = None
         self.in_progress = 0
+        self.closed = False
 
     async def handle(self, request: Request) -> Response:
         """Check and relay one request, and return the response or a refusal."""
@@ -88,6 +92,9 @@
         return await self._serve(request, req)
 
     async def _serve(self, request: Request, req: RelayRequest) -> Response:
+        if self.closed:
+            failure = Failure(Kind.NOT_READY, "the host has stopped", NOT_READY_RETRY_SECONDS)
+            return self._refuse_and_close(failure, req.id)
         caller = CallerConnection(request.scope["receive"])
         streaming = False
         self.in_progress += 1
@@ -144,6 +151,9 @@
     def _reject_overloaded(self, refusal_reason: RefusalReason, attempt_id: str) -> Response:
         """Refuse a request while the host is overloaded, and close its connection."""
         failure = Failure(Kind.HOST_BEHIND, refusal_reason, retry_after(self._ctx.rng.random))
+        return self._refuse_and_close(failure, attempt_id)
+
+    def _refuse_and_close(self, failure: Failure, attempt_id: str) -> Response:
         response = self._refuse(failure, attempt_id)
         response.headers.add(b"connection", b"close")
         return response
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -320,3 +320,13 @@
             await draining
             self.assertEqual((200, [1, 2, 3, 4, 5, 6]), (status, ids(body)))
             self.assertIsInstance(found.hosts[0].settings.listen.callers, Address)
+
+    @run
+    async def test_a_request_that_comes_as_a_host_ends_is_refused(self):
+        """Guards against a request that is sent on 10 ms before its host's process ends."""
+        async with Deployment() as found:
+            await found.hosts[0].drain()
+            status, headers, _ = await found.send("/bind/1", attempt="late")
+            self.assertEqual(503, status)
+            self.assertEqual("close", headers["connection"])
+            self.assertNotIn("late", found.pages["p1"].executed)
