Read the era of the product's own platform, as of the users' store

Its client puts the era of an answer (header Table-Era; none is era 0) above the number, drops answers of an earlier era, and answers a check of one with a conflict.

--- a/peridotdock/clients/platform.py
+++ b/peridotdock/clients/platform.py
@@ -14,11 +14,19 @@
 import aiohttp
 
 from peridotdock.clients.http import CONNECT_ERRORS, TRANSFER_ERRORS, Pool
-from peridotdock.clients.versions import StoreEra
+from peridotdock.clients.versions import (
+    StoreEra,
+    all_of_era,
+    make_version,
+    number_of,
+    parse_era,
+)
 from peridotdock.errors import Failure, Kind, failed
 
 TIMEOUT_SECONDS = 2.0
 MAX_RESOLVE_ATTEMPTS = 3
+# Counts the platform's returns from an older copy of its table.
+ERA_HEADER = "Table-Era"
 
 
 @dataclass(frozen=True)
@@ -53,6 +61,10 @@
     version: int
 
 
+# A transaction that checks a version of an earlier era than the store's.
+RESTORED = Failure(Kind.CONFLICT, "the store was restored")
+
+
 @dataclass(frozen=True)
 class ListedHost:
     """An entry of the platform's host list, which lags behind."""
@@ -147,13 +159,17 @@
                     method, self._url + path, json=body, data=data, timeout=self._timeout
                 ) as resp,
             ):
-                return resp.status, await resp.read()
+                raw = await resp.read()
         except CONNECT_ERRORS as exc:
             return Failure(Kind.PLATFORM_DOWN, type(exc).__name__)
         except TRANSFER_ERRORS as exc:
             if isinstance(exc, asyncio.TimeoutError):
                 self._pool.renew()
             return Failure(Kind.OUTCOME_UNKNOWN, type(exc).__name__)
+        if not self.era.accept(parse_era(resp.headers.get(ERA_HEADER))):
+            # What the call read or wrote has been lost since.
+            return Failure(Kind.OUTCOME_UNKNOWN, "answer of an earlier era")
+        return resp.status, raw
 
     async def _fetch(self, method: str, path: str, body: Any = None) -> Any | Failure:
         outcome = await self._call(method, path, body)
@@ -171,7 +187,10 @@
         found = await self._fetch("POST", path, body)
         if failed(found):
             return found
-        return {key: Row(row["value"], row["version"]) for key, row in found.items()}
+        era = self.era.current
+        return {
+            key: Row(row["value"], make_version(era, row["version"])) for key, row in found.items()
+        }
 
     async def read(self, keys: Iterable[str]) -> dict[str, Row] | Failure:
         """Read rows in one call."""
@@ -182,18 +201,27 @@
         return await self._rows("/table/scan", {"prefix": prefix})
 
     async def commit(self, tx: Transaction) -> Committed | Failure:
-        """Send the transaction once; 409 is a conflict, 503 means that nothing was applied."""
+        """Send the transaction once; 409 is a conflict, 503 means that nothing was applied.
+
+        A row of another era may have the number that a check names, so such a check is a conflict.
+        """
+        versions = tx.checks.values()
+        if not all_of_era(versions, self.era.current):
+            return RESTORED
         writes = {
             key: None if value is None else {**value, "write": tx.id}
             for key, value in tx.writes.items()
         }
-        body = {"id": tx.id, "checks": dict(tx.checks), "writes": writes}
+        checks = {key: number_of(version) for key, version in tx.checks.items()}
+        body = {"id": tx.id, "checks": checks, "writes": writes}
         outcome = await self._call("POST", "/table/commit", body)
         if failed(outcome):
             return outcome
         status, raw = outcome
+        if status == 200 and not all_of_era(versions, self.era.current):
+            return RESTORED
         if status == 200:
-            return Committed(json.loads(raw)["version"])
+            return Committed(make_version(self.era.current, json.loads(raw)["version"]))
         kinds = {409: Kind.CONFLICT, 503: Kind.PLATFORM_DOWN}
         return Failure(kinds.get(status, Kind.OUTCOME_UNKNOWN), f"status {status}")
 
--- a/peridotdock/platform/store.py
+++ b/peridotdock/platform/store.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from peridotdock.clients.http import CONNECT_ERRORS, TRANSFER_ERRORS, Pool
-from peridotdock.clients.platform import Committed, ListedHost, Row, Transaction
+from peridotdock.clients.platform import RESTORED, Committed, ListedHost, Row, Transaction
 from peridotdock.clients.store_time import StoreTime
 from peridotdock.clients.tables import TableChanges, TableView
 from peridotdock.clients.versions import (
@@ -245,7 +245,7 @@
         a conflict, also where the store has applied the transaction to another era's rows.
         """
         if not all_of_era(tx.checks.values(), self.era.current):
-            return Failure(Kind.CONFLICT, "the store was restored")
+            return RESTORED
         writes = {key: value for key, value in tx.writes.items() if value is not None}
         body = {
             "expected": [
@@ -265,7 +265,7 @@
             kind = COMMIT_KINDS.get(answer.status, Kind.OUTCOME_UNKNOWN)
             return Failure(kind, f"status {answer.status}")
         if not all_of_era(tx.checks.values(), answer.era):
-            return Failure(Kind.CONFLICT, "the store was restored")
+            return RESTORED
         found = msgspec.json.decode(answer.raw)
         self._record_time(found, sent_at)
         return Committed(make_version(answer.era, int(found["ver"])))
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -7,6 +7,8 @@
 ``hang``  calls get no answer
 ``lose``  number of commits that are applied and answered with 500
 ``lag``   seconds by which the host list lags behind
+
+:meth:`PlatformStandin.restore` brings back an older copy of the table and of the host list.
 """
 
 import asyncio
@@ -17,7 +19,8 @@
 from blacksheep import Request
 
 from peridotdock.serving import Server, add_route, make_application
-from tests.standins.http import read_json, reply
+from tests.standins import http
+from tests.standins.http import read_json
 
 
 class PlatformStandin:
@@ -27,6 +30,7 @@
         self.hosts = {}
         self.host_history = []
         self.version = 0
+        self.era = 1
         self.faults = {"down": False, "slow": 0.0, "lose": 0, "lag": 0.0, "hang": False}
         self.counts = {"read": 0, "write": 0, "conflict": 0}
         self.log = []
@@ -46,6 +50,18 @@
     async def stop(self):
         await self.server.stop()
 
+    def copy(self):
+        return dict(self.rows), list(self.host_history), self.version
+
+    def restore(self, copy):
+        """Replace rows and host list by an older copy, and begin the next era."""
+        rows, hosts, self.version = copy
+        self.rows, self.host_history = dict(rows), list(hosts)
+        self.era += 1
+
+    def _reply(self, body, status=200):
+        return http.reply(body, status, [(b"Table-Era", str(self.era).encode())])
+
     def _build(self):
         app = make_application()
         route = partial(add_route, app)
@@ -66,21 +82,21 @@
             await asyncio.sleep(3600)
         if self.faults["slow"]:
             await asyncio.sleep(self.faults["slow"])
-        return reply({"error": "down"}, 503) if self.faults["down"] else None
+        return self._reply({"error": "down"}, 503) if self.faults["down"] else None
 
     async def read(self, request: Request):
         if refused := await self._apply_faults():
             return refused
         self.counts["read"] += 1
         keys = (await read_json(request))["keys"]
-        return reply({key: self.rows[key] for key in keys if key in self.rows})
+        return self._reply({key: self.rows[key] for key in keys if key in self.rows})
 
     async def scan(self, request: Request):
         if refused := await self._apply_faults():
             return refused
         self.counts["read"] += 1
         prefix = (await read_json(request))["prefix"]
-        return reply({k: row for k, row in self.rows.items() if k.startswith(prefix)})
+        return self._reply({k: row for k, row in self.rows.items() if k.startswith(prefix)})
 
     async def commit(self, request: Request):
         if refused := await self._apply_faults():
@@ -90,7 +106,7 @@
         for key, version in body["checks"].items():
             if self.rows.get(key, {"version": 0})["version"] != version:
                 self.counts["conflict"] += 1
-                return reply({"error": "conflict", "key": key}, 409)
+                return self._reply({"error": "conflict", "key": key}, 409)
         self.version += 1
         for key, value in body["writes"].items():
             if value is None:
@@ -99,22 +115,22 @@
                 self.rows[key] = {"value": value, "version": self.version}
         if self.faults["lose"]:
             self.faults["lose"] -= 1
-            return reply({"error": "lost"}, 500)
-        return reply({"version": self.version})
+            return self._reply({"error": "lost"}, 500)
+        return self._reply({"version": self.version})
 
     async def get_object(self, request: Request):
         if refused := await self._apply_faults():
             return refused
         self.counts["read"] += 1
         body = self.objects.get(request.url.path.decode())
-        return reply(b"", 404) if body is None else reply(body)
+        return self._reply(b"", 404) if body is None else self._reply(body)
 
     async def put_object(self, request: Request):
         if refused := await self._apply_faults():
             return refused
         self.counts["write"] += 1
         self.objects[request.url.path.decode()] = await request.read()
-        return reply({})
+        return self._reply({})
 
     async def list_hosts(self, request: Request):
         if refused := await self._apply_faults():
@@ -124,14 +140,14 @@
         for stamp, row in self.host_history:
             if stamp <= cutoff:
                 latest[row["id"]] = row
-        return reply(list(latest.values()))
+        return self._reply(list(latest.values()))
 
     async def add_host(self, request: Request):
         if refused := await self._apply_faults():
             return refused
         row = await read_json(request)
         self.host_history.append((time.monotonic(), row))
-        return reply({})
+        return self._reply({})
 
     async def weights(self, request: Request):
         """Answer after ``seconds``.
@@ -144,13 +160,13 @@
             start = max(now, self._next_load)
             self._next_load = start + self._load_interval
             await asyncio.sleep(start - now + seconds)
-        return reply({})
+        return self._reply({})
 
     async def set_faults(self, request: Request):
         body = await read_json(request)
         self._load_interval = body.pop("load_gap", self._load_interval)
         self.faults.update(body)
-        return reply(self.faults)
+        return self._reply(self.faults)
 
     async def get_counts(self, request: Request):
-        return reply(json.dumps(self.counts).encode())
+        return self._reply(json.dumps(self.counts).encode())
