Keep bytes reserved for a load whose reservation a restored platform has lost

An order under a number that the engine had carried out counts as repeated.

Change: a ledger holds the era in which it was written. A controller with a valid lease writes it again in a new era, unless another one has written there; terms and orders go on above all of the era before. A host that takes over by a copy reserves no load for the longest delay of an order.

--- a/peridotdock/controllers.py
+++ b/peridotdock/controllers.py
@@ -12,6 +12,7 @@
 from peridotdock import ledger as ledgers
 from peridotdock.clients.endpoint import HttpEndpoints, Order, Report
 from peridotdock.clients.platform import Platform, Row, Transaction, commit_and_resolve
+from peridotdock.clients.versions import ABSENT
 from peridotdock.context import Context
 from peridotdock.drafts import Move
 from peridotdock.errors import Failure, Kind, failed
@@ -44,7 +45,11 @@
 
 @dataclass
 class EngineRecord:
-    """A controller's in-memory state of one engine; durable state is in the ledger row."""
+    """A controller's in-memory state of one engine; durable state is in the ledger row.
+
+    Before ``loads_from`` no load is reserved: a load whose reservation the store has lost with an
+    earlier controller's row may still arrive.
+    """
 
     endpoint: Endpoint
     ledger: Ledger
@@ -55,6 +60,7 @@
     resend: set[str] = field(default_factory=set)
     draining_since: dict[str, float] = field(default_factory=dict)
     checked_at: float = float("-inf")
+    loads_from: float = float("-inf")
 
 
 class Controller:
@@ -96,6 +102,9 @@
         if not self._lease.valid():
             self._drop(record, "lease lapsed")
             return
+        if record.ledger.era != self._platform.era.current:
+            await self._write_again(record)
+            return
         if self._has_work(record):
             record.checked_at = self._ctx.clock.monotonic()
             await self._sync(record, accepted)
@@ -135,17 +144,20 @@
             return
         row = self.rows.get(endpoint.id)
         old = ledgers.read_ledger(row.value) if row else Ledger(endpoint.id)
-        checks = {ledgers.row_key(endpoint.id): row.version if row else 0}
+        checks = {ledgers.row_key(endpoint.id): row.version if row else ABSENT}
         if old.controller and old.controller != self._ctx.incarnation:
             lapsed = self._lease_table.prove_lapsed(old.controller)
             if lapsed is None:
                 return
             checks |= lapsed
-        new = ledgers.take_over(old, self._ctx.incarnation)
+        current = ledgers.enter_era(old, self._platform.era.current)
+        new = ledgers.take_over(current, self._ctx.incarnation)
         outcome = await self._write(endpoint.id, new, checks)
         if failed(outcome):
             return
-        self.records[endpoint.id] = EngineRecord(endpoint, new, outcome)
+        record = self.records[endpoint.id] = EngineRecord(endpoint, new, outcome)
+        if row is not None and old.era != current.era:
+            record.loads_from = self._ctx.clock.monotonic() + self._ctx.cfg.lateness_seconds
         self._ctx.timeline.add(
             "controller_took_over", endpoint=endpoint.id, detail=f"term {new.term}"
         )
@@ -174,13 +186,37 @@
         if not failed(outcome):
             record.ledger, record.version = new, outcome
             return True
-        if outcome.kind is Kind.CONFLICT and len(checks) == 1:
+        if record.ledger.era != self._platform.era.current:
+            await self._write_again(record)
+        elif outcome.kind is Kind.CONFLICT and len(checks) == 1:
             self._drop(record, "another controller wrote the row")
         elif outcome.kind is not Kind.PLATFORM_DOWN:
             # The outcome is unknown, or the row of another copy changed: reload before going on.
             await self._reload(record)
         return False
 
+    async def _write_again(self, record: EngineRecord) -> None:
+        """Write the ledger to a store that has returned from an older copy.
+
+        The copy may show another controller, or lack orders that the engine has carried out. While
+        this host's lease is valid no other host can have taken over since, unless it did so in the
+        new era.
+        """
+        era, key = self._platform.era.current, ledgers.row_key(record.endpoint.id)
+        rows = await self._platform.read([key])
+        if failed(rows) or not self._lease.valid():
+            return
+        row = rows.get(key)
+        if row is not None and ledgers.read_ledger(row.value).era == era:
+            await self._reload(record)
+            return
+        new = ledgers.enter_era(record.ledger, era)
+        version = row.version if row else ABSENT
+        outcome = await self._write(record.endpoint.id, new, {key: version})
+        if not failed(outcome):
+            record.ledger, record.version = new, outcome
+            self._note("ledger_written_again", record, "", f"era {era}")
+
     async def _reload(self, record: EngineRecord) -> None:
         key = ledgers.row_key(record.endpoint.id)
         rows = await self._platform.read([key])
@@ -239,6 +275,8 @@
         capacity = [row.bytes for row in record.endpoint.accelerators]
         for move in self.moves.get(record.endpoint.id, []):
             if move.action == "load":
+                if self._ctx.clock.monotonic() < record.loads_from:
+                    continue
                 item = accepted.by_key.get(move.item)
                 if item is None:
                     continue
--- a/peridotdock/ledger.py
+++ b/peridotdock/ledger.py
@@ -16,6 +16,9 @@
 from peridotdock.errors import Failure, Kind
 
 KEY_PREFIX = "ledger/"
+# Terms and order numbers of one era of the store. A new era begins above all those of the one
+# before, as some of them may have been lost with their rows.
+NUMBERS_PER_ERA = 1_000_000_000
 
 
 class State(StrEnum):
@@ -71,7 +74,10 @@
 
 @dataclass(frozen=True)
 class Ledger:
-    """The row of one engine; ``term`` counts its controllers, ``order`` its orders."""
+    """The row of one engine; ``term`` counts its controllers, ``order`` its orders.
+
+    ``era`` is that of the store in which the row was written.
+    """
 
     endpoint: str
     controller: str = ""
@@ -79,6 +85,7 @@
     order: int = 0
     boot: str = ""
     reservations: tuple[Reservation, ...] = ()
+    era: int = 0
 
     def find(self, item: str) -> Reservation | None:
         """Return the reservation of an item, or None."""
@@ -108,6 +115,16 @@
     return msgspec.convert(value, Ledger)
 
 
+def enter_era(ledger: Ledger, era: int) -> Ledger:
+    """Return the ledger for an era of the store, with numbers above all those used before it.
+
+    Failure guarded against: the store returns from an older copy and lacks the last orders. An
+    engine that has carried out an order takes another one under the same number for a repetition.
+    """
+    least = era * NUMBERS_PER_ERA
+    return replace(ledger, era=era, term=max(ledger.term, least), order=max(ledger.order, least))
+
+
 def take_over(ledger: Ledger, controller: str) -> Ledger:
     """Return the ledger under a new controller.
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -188,6 +188,32 @@
     fencing = False
 
 
+class RestoringMachine(MemoryMachine):
+    """Beside all that, the platform comes back from an older copy of its rows."""
+
+    copy = None
+
+    @rule()
+    def copy_rows(self):
+        self.copy = self.world.platform.copy()
+
+    @rule()
+    def restore(self):
+        if self.copy is not None:
+            self.world.platform.restore(self.copy)
+
+    @rule(host=HOSTS, moves=st.lists(MOVES, max_size=2), pauses=st.lists(PAUSES, max_size=3))
+    def hand_over(self, host, moves, pauses):
+        """A host's lease ends before the other takes over."""
+        other = "h1" if host == "h0" else "h0"
+        self.world.leases[host].is_valid, self.world.leases[other].is_valid = False, True
+        super().hand_over(host, moves, pauses)
+
+
+class RestoringMachineIgnoring(RestoringMachine):
+    fencing = False
+
+
 QUICK = settings(
     max_examples=300,
     stateful_step_count=25,
@@ -204,6 +230,50 @@
     def test_any_interleaving_with_engines_that_ignore_numbers(self):
         run_state_machine_as_test(MemoryMachineIgnoring, settings=QUICK)
 
+    def test_any_interleaving_with_a_restored_platform(self):
+        run_state_machine_as_test(RestoringMachine, settings=QUICK)
+
+    def test_any_interleaving_with_a_restored_platform_and_engines_that_ignore_numbers(self):
+        run_state_machine_as_test(RestoringMachineIgnoring, settings=QUICK)
+
+
+class RestoredPlatform(unittest.TestCase):
+    """Bytes stay reserved for a load whose reservation the platform has lost."""
+
+    def check(self, host, fencing):
+        """Lose the reservation of a load in transit; let ``host`` go on, then deliver the load."""
+        world = World(fencing)
+        self.addCleanup(world.close)
+        world.reconcile("h0")
+        copy = world.platform.copy()
+        world.endpoints.deliveries = ["late"]
+        world.reconcile("h0", [Move("load", "e0", "m0@1", (0,))])
+        world.platform.restore(copy)
+        if host != "h0":
+            world.leases["h0"].is_valid = False
+            world.lease_table.lapsed.add(world.controllers["h0"]._ctx.incarnation)
+        for _ in range(2):
+            world.reconcile(host, [Move("load", "e0", "m2@1", (1,))])
+        for _ in range(2):
+            world.reconcile(host, [Move("load", "e0", "m1@1", (0,))])
+        while world.endpoints.undelivered:
+            world.endpoints.deliver(0, LATENESS_SECONDS)
+        self.assertTrue(world.engine("e0").fits(), world.engine("e0").items)
+        world.clock.advance(LATENESS_SECONDS)
+        for _ in range(3):
+            world.reconcile(host, [Move("load", "e0", "m2@1", (1,))])
+            world.clock.advance(RESEND_SECONDS)
+        self.assertIn("m2@1", world.engine("e0").items)
+
+    def test_its_controller_goes_on(self):
+        self.check("h0", fencing=False)
+
+    def test_another_host_takes_over(self):
+        self.check("h1", fencing=False)
+
+    def test_another_host_takes_over_an_engine_that_fences(self):
+        self.check("h1", fencing=True)
+
 
 class LateOrders(unittest.TestCase):
     def setUp(self):
