Wait for a host lease whose row a restored platform may have lost

After a restore the holder may have renewed it since the copy and act on. For the time of a lapse after a new era is seen, a missing row proves nothing. The new test fails without the change: the lease is proved lapsed while its holder's is valid. Not covered: a host that starts right after the restore and has seen no era before.

--- a/peridotdock/host.py
+++ b/peridotdock/host.py
@@ -259,7 +259,7 @@
         self.planner.read_row(rows.get(PLAN_KEY))
         leases = await self.platform.scan(LEASE_PREFIX)
         if not failed(leases):
-            self.lease_table.update(leases)
+            self.lease_table.update(leases, self.platform.era.current)
             self.limits.hosts = max(
                 1, self.lease_table.count_valid(), len(self.facts.by_origin("host"))
             )
--- a/peridotdock/leases.py
+++ b/peridotdock/leases.py
@@ -2,20 +2,21 @@
 
 All roles of a host depend on its one lease, so a renewal costs one write however many endpoints
 the host controls. No clocks are compared: a holder counts from before it sent the renewal, and
-another host counts from when it first saw the row's version.
+another host counts from when it first saw the row's version. In a new era of the store a row may be
+older than the last one written, or missing, so nothing is concluded from that before a lease would
+have had to be renewed.
 """
 
 from dataclasses import dataclass
 
 from peridotdock.clients.platform import Platform, Row, Transaction, commit_and_resolve
+from peridotdock.clients.versions import ABSENT
 from peridotdock.clock import Clock
 from peridotdock.errors import Failure, Kind, failed
 
 KEY_PREFIX = "hosts/"
 # Other hosts treat a lease as lapsed after this multiple of its time without a new version.
 LAPSE_FACTOR = 1.5
-# The version that a check names for a missing row.
-NO_ROW_VERSION = 0
 
 
 @dataclass(frozen=True)
@@ -50,7 +51,7 @@
             if failed(rows):
                 return rows
             row = rows.get(KEY_PREFIX + self._host)
-            self._version = row.version if row else NO_ROW_VERSION
+            self._version = row.version if row else ABSENT
         key = KEY_PREFIX + self._host
         value = {"incarnation": self._incarnation, "renewed": began}
         outcome = await commit_and_resolve(
@@ -81,11 +82,16 @@
         self._lapse = seconds * LAPSE_FACTOR
         self._clock = clock
         self._seen: dict[str, SeenLease] = {}
+        self._era: int | None = None
+        self._restored_at = float("-inf")
         self.loaded = False
 
-    def update(self, rows: dict[str, Row]) -> None:
-        """Apply the result of a scan of all lease rows."""
+    def update(self, rows: dict[str, Row], era: int = 0) -> None:
+        """Apply the result of a scan of all lease rows in an era of the store."""
         now = self._clock.monotonic()
+        if self._era is not None and era != self._era:
+            self._restored_at = now
+        self._era = era
         seen = {}
         for key, row in rows.items():
             old = self._seen.get(key)
@@ -115,5 +121,7 @@
             return {key: lease.version} if now - lease.first_seen_at > self._lapse else None
         host = incarnation.rsplit("-", 1)[0]
         lease = self._seen.get(KEY_PREFIX + host)
+        if now - self._restored_at <= self._lapse:
+            return None
         # The row is of another incarnation of the same host, or missing: this one has ended.
-        return {KEY_PREFIX + host: lease.version} if lease else {KEY_PREFIX + host: NO_ROW_VERSION}
+        return {KEY_PREFIX + host: lease.version} if lease else {KEY_PREFIX + host: ABSENT}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -141,7 +141,7 @@
         self.lease_table = LeaseTable(6.0, self.clock)
 
     async def update_leases(self):
-        self.lease_table.update(await self.platform.scan("hosts/"))
+        self.lease_table.update(await self.platform.scan("hosts/"), self.platform.era.current)
 
     async def test_a_lease_counts_from_before_the_renewal_was_sent(self):
         """
@@ -189,6 +189,30 @@
         self.assertIsNotNone(self.lease_table.prove_lapsed("h0-life1"))
         self.assertIsNone(self.lease_table.prove_lapsed("h0-life2"))
 
+    async def test_a_lease_that_a_restored_platform_lacks_has_not_lapsed_at_once(self):
+        """Guards against two controllers of one engine after the platform lost a lease's row."""
+        await self.update_leases()
+        copy = self.platform.copy()
+        await self.lease.renew(self.platform)
+        await self.update_leases()
+        self.platform.restore(copy)
+        await self.update_leases()
+        self.assertIsNone(self.lease_table.prove_lapsed("h0-life1"))
+        self.clock.advance(6.0)
+        self.assertFalse(self.lease.valid())
+        self.clock.advance(6.0)
+        self.assertIsNotNone(self.lease_table.prove_lapsed("h0-life1"))
+
+    async def test_a_lease_is_renewed_after_a_restore(self):
+        copy = self.platform.copy()
+        await self.lease.renew(self.platform)
+        self.platform.restore(copy)
+        for _ in range(2):
+            self.clock.advance(2.0)
+            await self.lease.renew(self.platform)
+            self.assertTrue(self.lease.valid())
+        self.assertIn("hosts/h0", self.platform.rows)
+
     async def test_nothing_has_lapsed_before_the_first_read(self):
         self.assertIsNone(self.lease_table.prove_lapsed("h9-life1"))
 
