--- a/peridotdock/host.py
+++ b/peridotdock/host.py
@@ -70,6 +70,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._polls = 0
         self._registered_leaving: bool | None = None
+        self.platform.era.on_restored = self._on_platform_restored
         self._controlled = Assignment(cfg.host_id)
         self._planning = Assignment(cfg.host_id)
         self._poll_due = asyncio.Event()
@@ -156,6 +157,13 @@
         if not failed(await self.platform.register_host(cfg.host_id, address, wanted)):
             self._registered_leaving = wanted
 
+    def _on_platform_restored(self, old: int, new: int) -> None:
+        """Register again: the platform came back from an older copy, which may lack this host."""
+        detail = f"era {old} has ended, era {new} is current"
+        self.ctx.timeline.add("store_restored", "WARNING", detail=detail)
+        self._registered_leaving = None
+        self._poll_due.set()
+
     async def _renew(self) -> None:
         if self.membership.own.state in ("leaving", "gone"):
             return
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -62,6 +62,14 @@
         published = await self.cluster.publish(document)
         self.assertEqual(published["generation"], 1)
 
+    async def test_a_host_that_a_restored_platform_lacks_registers_again(self):
+        """Guards against hosts that no new host finds in the platform's list."""
+        self.cluster.platform.restore(({}, [], 0))
+        await wait_for(
+            lambda: {row["id"] for _, row in self.cluster.platform.host_history} >= {"h0", "h1"},
+            "both hosts registered",
+        )
+
     async def test_down_is_not_accepted(self):
         await self.cluster.publish()
         self.cluster.platform.faults["down"] = True
