Write the manifest's head again when a restored platform has an older one

A release was accepted under a generation that hosts have in force already, and none fetched it; until then new hosts served the older manifest. Hosts write the head and the body of what is in force again where the row is older or missing, and a release is checked against the newer of the two. The new test fails without the change.

--- a/peridotdock/host.py
+++ b/peridotdock/host.py
@@ -25,7 +25,7 @@
 from peridotdock.membership import Membership
 from peridotdock.mesh import Mesh
 from peridotdock.planner import PLAN_KEY, Planner
-from peridotdock.publishing import HEAD_KEY, fetch_from_store
+from peridotdock.publishing import HEAD_KEY, fetch_from_store, restore_head
 from peridotdock.rendezvous import Assignment
 from peridotdock.schema.messages import DemandFact, HeadsFact, HostFact, LedgerFact, Reserved
 from peridotdock.service_calls import ServiceCaller
@@ -261,9 +261,7 @@
         rows = await self.platform.read([HEAD_KEY, PLAN_KEY])
         if failed(rows):
             return
-        if HEAD_KEY in rows:
-            head = rows[HEAD_KEY].value
-            self.on_head(HeadsFact(head["generation"], head["digest"]))
+        await self._apply_head(rows.get(HEAD_KEY))
         self.planner.read_row(rows.get(PLAN_KEY))
         leases = await self.platform.scan(LEASE_PREFIX)
         if not failed(leases):
@@ -275,6 +273,16 @@
         if ledger_rows is not None:
             self.controller.read_rows(ledger_rows)
 
+    async def _apply_head(self, row: Row | None) -> None:
+        """Follow the head; write it again when a restored platform has an older one or none."""
+        if row is not None:
+            self.on_head(HeadsFact(row.value["generation"], row.value["digest"]))
+        known = self.accepted
+        if known is None or (row is not None and row.value["generation"] >= known.generation):
+            return
+        if await restore_head(self.platform, row, known):
+            self.ctx.timeline.add("head_written_again", detail=f"generation {known.generation}")
+
     async def _read_ledgers(self) -> dict[str, Row] | None:
         """Scan the ledger rows if this host plans or has moves, else only every few polls.
 
--- a/peridotdock/publishing.py
+++ b/peridotdock/publishing.py
@@ -11,6 +11,7 @@
 
 from peridotdock import manifest as manifests
 from peridotdock.clients.platform import Platform, Row, Transaction, commit_and_resolve
+from peridotdock.clients.versions import ABSENT
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.manifest import Accepted, CheckResult
 from peridotdock.placement import find_floor_errors
@@ -47,6 +48,45 @@
     return CheckResult(None, checked.document, tuple(errors)) if errors else checked
 
 
+def make_head(generation: int, document: dict[str, Any], previous: str) -> dict[str, Any]:
+    """Return the head that puts a document in force after the one with digest ``previous``."""
+    return {
+        "generation": generation,
+        "digest": manifests.digest(document),
+        "release": document["release"],
+        "sequence": document["sequence"],
+        "previous": previous,
+    }
+
+
+def newest_head(row: Row | None, current: Accepted | None) -> dict[str, Any] | None:
+    """Return the head in the row, or that of the manifest in force here if it is newer.
+
+    Failure guarded against: the platform returns from an older copy, and a manifest is accepted
+    under a generation that hosts have in force already. They would never fetch it.
+    """
+    head = row.value if row else None
+    if current is None or (head is not None and head["generation"] >= current.generation):
+        return head
+    return make_head(current.generation, current.document, "")
+
+
+async def restore_head(platform: Platform, row: Row | None, current: Accepted) -> bool:
+    """Write the head of the manifest in force again; return whether that was done.
+
+    ``row`` is the older head, or None if the platform has lost it.
+    """
+    stored = await platform.put_object(
+        object_name(current.digest), manifests.canonical(current.document)
+    )
+    if stored is not None:
+        return False
+    head = make_head(current.generation, current.document, row.value["digest"] if row else "")
+    checks = {HEAD_KEY: row.version if row else ABSENT}
+    outcome = await commit_and_resolve(platform, Transaction(checks, {HEAD_KEY: head}))
+    return not failed(outcome)
+
+
 def check_successor(
     head: dict[str, Any] | None, document: dict[str, Any], digest: str
 ) -> Failure | None:
@@ -80,7 +120,7 @@
     if failed(rows):
         return Failure(Kind.PLATFORM_DOWN, "not accepted: the head could not be read")
     row = rows.get(HEAD_KEY)
-    head = row.value if row else None
+    head = newest_head(row, current)
     if head is not None and head["digest"] == digest:
         return Published(head["generation"], digest, changed=False)
     refusal = check_successor(head, document, digest)
@@ -89,7 +129,7 @@
     stored = await store_bodies(platform, document, digest, head, current)
     if stored is not None:
         return Failure(Kind.PLATFORM_DOWN, "not accepted: the body could not be stored")
-    return await commit_head(platform, document, digest, row)
+    return await commit_head(platform, document, digest, row, head)
 
 
 async def store_bodies(
@@ -109,18 +149,19 @@
 
 
 async def commit_head(
-    platform: Platform, document: dict[str, Any], digest: str, row: Row | None
+    platform: Platform,
+    document: dict[str, Any],
+    digest: str,
+    row: Row | None,
+    before: dict[str, Any] | None,
 ) -> Published | Failure:
-    """Replace the head if it is still the one that the document was checked against."""
-    generation = (row.value["generation"] if row else 0) + 1
-    head = {
-        "generation": generation,
-        "digest": digest,
-        "release": document["release"],
-        "sequence": document["sequence"],
-        "previous": row.value["digest"] if row else "",
-    }
-    tx = Transaction({HEAD_KEY: row.version if row else 0}, {HEAD_KEY: head})
+    """Replace the row of the head if it is still the one that was read.
+
+    ``before`` is the head that the document was checked against.
+    """
+    generation = (before["generation"] if before else 0) + 1
+    head = make_head(generation, document, before["digest"] if before else "")
+    tx = Transaction({HEAD_KEY: row.version if row else ABSENT}, {HEAD_KEY: head})
     outcome = await commit_and_resolve(platform, tx)
     if not failed(outcome):
         return Published(generation, digest, changed=True)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -62,6 +62,20 @@
         published = await self.cluster.publish(document)
         self.assertEqual(published["generation"], 1)
 
+    async def test_a_manifest_that_a_restored_platform_lacks_stays_in_force(self):
+        """Guards against a release under a generation that is in force, which no host fetches."""
+        await self.cluster.publish()
+        copy = self.cluster.platform.copy()
+        await self.cluster.publish()
+        self.cluster.platform.restore(copy)
+        published = await self.cluster.publish()
+        self.assertEqual(3, published["generation"])
+        self.cluster.platform.restore(copy)
+        rows = self.cluster.platform.rows
+        await wait_for(
+            lambda: rows["manifest/head"]["value"]["generation"] == 3, "the head written again"
+        )
+
     async def test_a_host_that_a_restored_platform_lacks_registers_again(self):
         """Guards against hosts that no new host finds in the platform's list."""
         self.cluster.platform.restore(({}, [], 0))
