Leave out an earlier start of an endpoint that has gone, when a restored store shows it

Found in reading: the rule for starts that had gone looked for the same start alone. The new test fails without the change (the earlier start is usable) and passes with it.

--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -94,12 +94,12 @@
         state = known
         if state is None or state.entry.started_ms != entry.started_ms:
             state = new_start_state(state, entry)
+            if self._restored and any(start.endpoint == state.key for start in self._departed):
+                state.left_out_until = self._clock.monotonic() + RETURN_SECONDS
             before = self._departed.pop(state.start, None)
             if before is not None:
                 state.restore_announcements(before)
-                if self._restored:
-                    state.left_out_until = self._clock.monotonic() + RETURN_SECONDS
-                    entry = keep_draining(entry, before)
+                entry = keep_draining(entry, before) if self._restored else entry
         state.update_entry(entry)
         return state
 
--- a/tests/relay/test_restored.py
+++ b/tests/relay/test_restored.py
@@ -151,6 +151,14 @@
         self.clock.advance(RETURN_SECONDS)
         self.assertEqual([0], self.usable())
 
+    async def test_an_earlier_start_of_an_endpoint_that_has_gone_is_left_out(self):
+        """Guards against requests to a start that ended before the one that has gone."""
+        self.fleet.replace([replace(entry("p1"), started_ms=200)])
+        self.fleet.replace([])
+        self.fleet.expect_restored_entries()
+        self.fleet.replace([replace(entry("p1"), started_ms=100)])
+        self.assertEqual([], self.usable())
+
     async def test_an_earlier_start_does_not_replace_the_known_one(self):
         """Guards against orders and requests by what an endpoint held before it restarted."""
         for known, restored, usable in ((200, 100, [200]), (100, 200, [200]), (0, 100, [100])):
