Tell eras and numbers apart in logs, and let any client's rise of the era count for the lease

Log lines named the joined version, a number of sixteen digits. A missing lease row proves nothing at a host whose client has seen a rise, also before the host first read the row.

--- a/peridotdock/clients/versions.py
+++ b/peridotdock/clients/versions.py
@@ -31,6 +31,13 @@
     return version & NUMBER_MASK
 
 
+def describe_version(version: int | None) -> str:
+    """Return a version as text for logs."""
+    if version is None:
+        return "none"
+    return f"{number_of(version)} of era {era_of(version)}"
+
+
 def all_of_era(versions: Iterable[int], era: int) -> bool:
     """Return whether all versions of existing rows are of an era."""
     return all(era_of(version) == era for version in versions if version != ABSENT)
@@ -39,12 +46,13 @@
 class StoreEra:
     """The newest era that a client has seen in its store's answers.
 
-    ``on_restored`` is called with the old and the new era when it rises. ``current`` is 0 until an
-    answer names an era.
+    ``on_restored`` is called with the old and the new era when it rises; ``has_risen`` tells
+    whether it ever did. ``current`` is 0 until an answer names an era.
     """
 
     def __init__(self) -> None:
         self.current = 0
+        self.has_risen = False
         self._known = False
         self.on_restored: Callable[[int, int], None] = lambda old, new: None
 
@@ -60,6 +68,7 @@
         known, old = self._known, self.current
         self._known, self.current = True, era
         if known:
+            self.has_risen = True
             self.on_restored(old, era)
         return True
 
--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from peridotdock.clients.tables import TableChanges, Tables, TableView
-from peridotdock.clients.versions import era_of
+from peridotdock.clients.versions import describe_version, era_of
 from peridotdock.context import Context
 from peridotdock.decisions.freshness import (
     MAX_RETRY_SECONDS,
@@ -227,12 +227,12 @@
         if frame.version > known and (frame.values or frame.whole):
             try:
                 self._apply(inflate_rows(frame), frame.whole, frame.version)
+                self._whole_due = self._whole_due and not frame.whole
             except Exception as exc:
                 self._log_refused_rows(exc)
                 self._fetch_missing(frame.version)
                 return True
         self._version = max(known, frame.version)
-        self._whole_due = self._whole_due and not frame.whole
         now = self._ctx.clock.monotonic()
         if not frame.direct:
             self._last_frame_at = NEVER if frame.lost else now
@@ -265,13 +265,14 @@
     def _log_frame_behind(self, behind: bool, frame: Rows, known: int) -> None:
         """Log the first of several frames that name an older version than this host knows."""
         if behind and not self._logged_as_behind:
-            detail = f"{self.table}: version {frame.version} of {frame.origin}, known is {known}"
+            newest, found = describe_version(known), describe_version(frame.version)
+            detail = f"{self.table}: {found} from {frame.origin}, known is {newest}"
             self._ctx.timeline.add("frame_behind", "WARNING", detail=detail)
         self._logged_as_behind = behind
 
     async def _handle_failure(self, found: Failure, began: float) -> None:
         if found.kind is Kind.HISTORY_GONE:
-            detail = f"{self.table}: known up to version {self._version}"
+            detail = f"{self.table}: known up to {describe_version(self._version)}"
             self._ctx.timeline.add("history_gone", "WARNING", detail=detail)
             self._whole_due = True
             return
--- a/peridotdock/relay/leadership.py
+++ b/peridotdock/relay/leadership.py
@@ -95,7 +95,6 @@
         self._version = ABSENT
         self._era: int | None = None
         self._era_seen_at = 0.0
-        self._saw_restore = False
         self.on_renewed: Callable[[int, int], None] = lambda term, version: None
         self.on_resigned: Callable[[int, Handover], None] = lambda term, handover: None
         self._held_until = NEVER
@@ -173,12 +172,13 @@
         """Record when this host first saw the store's present era."""
         era = self._store.era.current
         if era != self._era:
-            self._saw_restore = self._era is not None
             self._era, self._era_seen_at = era, self._clock.seconds()
 
     def _is_of_copy(self, row: Row | None) -> bool:
         """Return whether a row may be older than the last one that was written."""
-        return self._saw_restore if row is None else row.value.get("era", 0) != self._era
+        if row is None:
+            return self._store.era.has_risen
+        return row.value.get("era", 0) != self._era
 
     async def _with_timeout(self, work: Awaitable[T]) -> T | Failure:
         """Wait for a call of the store, no longer than the lease allows.
