--- a/tests/relay/test_ordering.py
+++ b/tests/relay/test_ordering.py
@@ -394,6 +394,22 @@
         self.assertGreater(hosts.all[0].term, lost_term)
         self.assertFalse(hosts.all[0].may_order("e1"))
 
+    def test_a_lease_that_was_written_before_a_restore_is_not_held(self):
+        """Guards against two holders: a later holder's row was lost, and this one's came back."""
+        hosts = Hosts(1)
+        store, commit = hosts.store, hosts.store.commit
+
+        async def commit_and_restore(tx):
+            store.commit = commit
+            await commit(tx)
+            store.restore(store.copy())
+            return Failure(Kind.OUTCOME_UNKNOWN)
+
+        store.commit = commit_and_restore
+        hosts.step(0)
+        self.assertIn("leader", store.rows)
+        self.assertFalse(hosts.all[0].holds())
+
     @params(*range(60))
     def test_no_engine_gets_orders_of_two_machines_after_a_restore(self, seed):
         """Guards against two holders, or a term used twice, once the lease's row is an older one.
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -265,6 +265,20 @@
             world.clock.advance(RESEND_SECONDS)
         self.assertIn("m2@1", world.engine("e0").items)
 
+    def test_a_ledger_is_written_again_without_work(self):
+        """Guards against a takeover by an older ledger long after the platform was restored."""
+        world = World(fencing=True)
+        self.addCleanup(world.close)
+        world.reconcile("h0")
+        copy = world.platform.copy()
+        world.reconcile("h0", [Move("load", "e0", "m0@1", (0,))])
+        for _ in range(2):
+            world.reconcile("h0")
+        world.platform.restore(copy)
+        world.reconcile("h0")
+        stored = world.platform.ledger_rows()["e0"].value
+        self.assertEqual(["m0@1"], [row["item"] for row in stored["reservations"]])
+
     def test_its_controller_goes_on(self):
         self.check("h0", fencing=False)
 
