Take the lost first lease back into the lease's model, as a known failure

The model of the lease with restores failed at seed 51: the store lost the very first lease's row, a host that had seen no earlier era took a missing row for a lease never held, and an engine got orders of two machines 0.87 s apart where 3.0 are due. The model was then begun after the first lease, which narrowed a check to a fault that had not been mended. Not mended: a wait at every first start is what it would cost, and whether the first era is 0 is not known. The 60 other seeds are played as before.

--- a/tests/relay/test_ordering.py
+++ b/tests/relay/test_ordering.py
@@ -410,16 +410,8 @@
         self.assertIn("leader", store.rows)
         self.assertFalse(hosts.all[0].holds())
 
-    @params(*range(60))
-    def test_no_engine_gets_orders_of_two_machines_after_a_restore(self, seed):
-        """Guards against two holders, or a term used twice, once the lease's row is an older one.
-
-        Beside the other faults, the store comes back from copies up to some seconds old. None is
-        from before the first lease.
-        """
-        played = RandomHosts(seed)
-        while not played.store.rows:
-            played.play_step()
+    def play_restores(self, played):
+        """Play faults, and restore the store from copies up to some seconds old."""
         copies = [played.store.copy()]
         for step in range(600):
             played.play_step()
@@ -429,6 +421,21 @@
                 played.restore_store(played.rng.choice(copies))
         self.assertGreater(played.orders, 5)
 
+    @params(*range(60))
+    def test_no_engine_gets_orders_of_two_machines_after_a_restore(self, seed):
+        """Guards against two holders, or a term used twice, once the lease's row is an older one.
+
+        Beside the other faults, the store comes back from copies up to some seconds old.
+        """
+        played = RandomHosts(seed)
+        while not played.store.rows:
+            played.play_step()
+        self.play_restores(played)
+
+    def test_no_engine_gets_orders_of_two_machines_when_the_first_lease_is_lost(self):
+        """Guards against two holders after a restore to before the very first lease."""
+        self.play_restores(RandomHosts(51))
+
     def test_the_lapse_of_a_lost_holder_counts_from_its_last_notice(self):
         """Guards against seconds without orders: a lapse counted from the next read of the row."""
         hosts = Hosts()
