Wait for a first lease that a restored store may have lost, also at a host that saw no restore

Cause: a missing row of the lease counted as "never held" at a host whose client had seen no rise of the era. A host that makes its first call after the restore has seen none, though the row was lost by it.

Change: the era itself tells whether the store may have lost rows. Only a store of era 0, or one that names no era, has never come back from a copy; at any other a missing lease is waited for like one that was renewed right before the restore. `has_risen` is gone. Ruled out: to trust the settings' first start, as the first lease can be lost in it too.

Stand-ins of the store begin at era 0 now, as a store that was never restored; one test named the era after a restore as a number and asks the stand-in for it. Cost: at the very first start of a store that counts eras from 1, orders begin five seconds later (2 s for the lapse and 3 s for the gap); nothing where the row exists.

--- a/peridotdock/clients/versions.py
+++ b/peridotdock/clients/versions.py
@@ -14,6 +14,9 @@
 NUMBER_MASK = (1 << NUMBER_BITS) - 1
 # The version of a row that does not exist, in any era.
 ABSENT = 0
+# The era of a store that was never restored. Some stores count from 1 instead; these are taken for
+# restored ones.
+FIRST_ERA = 0
 
 
 def make_version(era: int, number: int) -> int:
@@ -46,16 +49,20 @@
 class StoreEra:
     """The newest era that a client has seen in its store's answers.
 
-    ``on_restored`` is called with the old and the new era when it rises; ``has_risen`` tells
-    whether it ever did. ``current`` is 0 until an answer names an era.
+    ``on_restored`` is called with the old and the new era when it rises. ``current`` is
+    ``FIRST_ERA`` until an answer names an era.
     """
 
     def __init__(self) -> None:
-        self.current = 0
-        self.has_risen = False
+        self.current = FIRST_ERA
         self._known = False
         self.on_restored: Callable[[int, int], None] = lambda old, new: None
 
+    @property
+    def rows_may_be_lost(self) -> bool:
+        """Return whether the store may have lost rows, also before this client's first call."""
+        return self.current > FIRST_ERA
+
     def accept(self, era: int | None) -> bool:
         """Record the era in an answer; return False if the answer is of an earlier era.
 
@@ -68,7 +75,6 @@
         known, old = self._known, self.current
         self._known, self.current = True, era
         if known:
-            self.has_risen = True
             self.on_restored(old, era)
         return True
 
--- a/peridotdock/relay/leadership.py
+++ b/peridotdock/relay/leadership.py
@@ -177,7 +177,7 @@
     def _is_of_copy(self, row: Row | None) -> bool:
         """Return whether a row may be older than the last one that was written."""
         if row is None:
-            return self._store.era.has_risen
+            return self._store.era.rows_may_be_lost
         return row.value.get("era", 0) != self._era
 
     async def _with_timeout(self, work: Awaitable[T]) -> T | Failure:
--- a/tests/relay/test_ordering.py
+++ b/tests/relay/test_ordering.py
@@ -427,15 +427,23 @@
 
         Beside the other faults, the store comes back from copies up to some seconds old.
         """
-        played = RandomHosts(seed)
-        while not played.store.rows:
-            played.play_step()
-        self.play_restores(played)
+        self.play_restores(RandomHosts(seed))
 
     def test_no_engine_gets_orders_of_two_machines_when_the_first_lease_is_lost(self):
         """Guards against two holders after a restore to before the very first lease."""
         self.play_restores(RandomHosts(51))
 
+    def test_a_missing_lease_of_a_restored_store_counts_as_lost(self):
+        """Guards against two holders: a host starts after the restore that lost the first lease."""
+        hosts = Hosts(0)
+        hosts.store.restore(hosts.store.copy())
+        hosts.add_timed("m0")
+        hosts.step(0)
+        self.assertFalse(hosts.all[0].holds())
+        hosts.step(0, after=LEASE_LAPSE_SECONDS)
+        self.assertTrue(hosts.all[0].holds())
+        self.assertEqual([False], hosts.may())
+
     def test_the_lapse_of_a_lost_holder_counts_from_its_last_notice(self):
         """Guards against seconds without orders: a lapse counted from the next read of the row."""
         hosts = Hosts()
--- a/tests/relay/test_restored.py
+++ b/tests/relay/test_restored.py
@@ -255,7 +255,7 @@
         self.assertEqual(Kind.PLATFORM_DOWN, (await self.store.read_table("t")).kind)
         found = await self.store.read_table("t")
         self.assertIsInstance(found, TableView)
-        self.assertEqual(2, era_of(found.version))
+        self.assertEqual(self.standin.era, era_of(found.version))
 
     async def test_a_store_that_names_no_era_is_of_one_era(self):
         self.standin._reply = reply_without_era
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -30,7 +30,7 @@
         self.hosts = {}
         self.host_history = []
         self.version = 0
-        self.era = 1
+        self.era = 0
         self.faults = {"down": False, "slow": 0.0, "lose": 0, "lag": 0.0, "hang": False}
         self.counts = {"read": 0, "write": 0, "conflict": 0}
         self.log = []
--- a/tests/standins/tables.py
+++ b/tests/standins/tables.py
@@ -43,7 +43,7 @@
     def __init__(self):
         self.rows = {}
         self.version = 0
-        self.era = 1
+        self.era = 0
         self.faults = {"down": False, "lose": 0, "forget": 0, "late": 0}
         self.calls = []
         self._tombstones = {}
