Wait for a host lease that a restored platform may have lost, also at a host that starts after it

What would be seen, on the product's own platform: a host that starts right after a restore takes the missing lease of a living host for ended and takes its engines over, while that host still acts on them.

Cause: as for the lease of the relay, the wait for lost leases began only where the table had seen an earlier era itself. Change: the table begins with the era of a store that was never restored, so that its first read in any other era begins the wait. Ruled out: a wait at each start; it would delay takeovers after each ordinary restart of all hosts.

Test: failed before (40 passed, 1 failed in tests.test_platform), passes now; test_platform, test_memory, test_operations and test_failures together 125 passed, 0 failed.

--- a/peridotdock/leases.py
+++ b/peridotdock/leases.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from peridotdock.clients.platform import Platform, Row, Transaction, commit_and_resolve
-from peridotdock.clients.versions import ABSENT
+from peridotdock.clients.versions import ABSENT, FIRST_ERA
 from peridotdock.clock import Clock
 from peridotdock.errors import Failure, Kind, failed
 
@@ -82,14 +82,14 @@
         self._lapse = seconds * LAPSE_FACTOR
         self._clock = clock
         self._seen: dict[str, SeenLease] = {}
-        self._era: int | None = None
+        self._era = FIRST_ERA
         self._restored_at = float("-inf")
         self.loaded = False
 
-    def update(self, rows: dict[str, Row], era: int = 0) -> None:
+    def update(self, rows: dict[str, Row], era: int = FIRST_ERA) -> None:
         """Apply the result of a scan of all lease rows in an era of the store."""
         now = self._clock.monotonic()
-        if self._era is not None and era != self._era:
+        if era != self._era:
             self._restored_at = now
         self._era = era
         seen = {}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -203,6 +203,16 @@
         self.clock.advance(6.0)
         self.assertIsNotNone(self.lease_table.prove_lapsed("h0-life1"))
 
+    async def test_a_host_that_starts_after_a_restore_waits_for_a_missing_lease(self):
+        """Guards against two controllers of one engine: one saw the lost lease, one starts now."""
+        copy = self.platform.copy()
+        await self.lease.renew(self.platform)
+        self.platform.restore(copy)
+        await self.update_leases()
+        self.assertIsNone(self.lease_table.prove_lapsed("h0-life1"))
+        self.clock.advance(12.0)
+        self.assertIsNotNone(self.lease_table.prove_lapsed("h0-life1"))
+
     async def test_a_lease_is_renewed_after_a_restore(self):
         copy = self.platform.copy()
         await self.lease.renew(self.platform)
