Try a request that is blocked in doubt wherever it comes to, and make room after a trial without outcome

What callers saw: a harmless request that was on the same three engines as one that ends them was refused for as long as its attempts came to hosts other than the hub.

Cause: only the host that allows trials could run one, so a request needed to reach that host; and a trial without an outcome kept its place for five seconds.

Change: a host that gets such a request asks the hub (three small frames, twice a second at most), which allows one trial at a time over all hosts; an answer or an end that any host tells of ends it, a trial that ends with neither is given back, also one that was granted too late. On the product's own interface the first live host is asked. Ways not taken: trials at each host by turns of a clock (a request would still have to meet its host), trials at several hosts at once (each may end an engine).

--- a/peridotdock/blocklist.py
+++ b/peridotdock/blocklist.py
@@ -55,6 +55,26 @@
     published: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class Block:
+    """A blocked request: its content id, its ends, and the seconds until it may be tried again."""
+
+    content: str
+    ends: int
+    remaining: float
+    doubtful: bool
+
+    @property
+    def certain(self) -> bool:
+        """Return whether the request must not be sent, not even as a trial."""
+        return self.remaining > 0 and not self.doubtful
+
+    def failure(self) -> Failure:
+        """Return the failure with which the request is rejected."""
+        retry_after = self.remaining if self.certain else TRIAL_RETRY_SECONDS
+        return Failure(Kind.BLOCKED, f"content {self.content}, {self.ends} ended", retry_after)
+
+
 class IdentifiedRequest(Protocol):
     """A request that can be matched to other attempts at the same content."""
 
@@ -68,7 +88,7 @@
 
     ``has_ended`` tells whether the start of an endpoint whose answer broke off at a time has ended:
     an answer also breaks off when the connection between endpoint and host fails. ``may_try`` tells
-    whether this host is the one that tries doubtful requests. ``on_blocked`` is called when a
+    whether this host allows the trials of doubtful requests. ``on_blocked`` is called when a
     request is newly blocked.
     """
 
@@ -88,7 +108,7 @@
         self._judgement_due = False
         self._answered: dict[str, float] = {}
         self._logged: frozenset[str] = frozenset()
-        self._trials = Trials(ctx, may_try)
+        self.trials = Trials(ctx, may_try)
         self._unpublished = False
         self.on_blocked: Callable[[], None] = lambda: None
         facts.listen(self._on_changed)
@@ -99,7 +119,6 @@
         """Note that an endpoint broke off soon after it had been sent a request."""
         content = frozenset({req.content_id})
         self._add(start, self._ctx.clock.monotonic(), content, published=content)
-        self._trials.end(req)
         self._unpublished = True
         self._judge_if_due()
 
@@ -110,11 +129,28 @@
         content = req.content_id
         if content in self._counts:
             self._clear(content, self._ctx.clock.monotonic())
-            self._trials.end(req)
             self._unpublished = True
 
+    async def admit(self, req: IdentifiedRequest) -> Failure | None:
+        """Return the failure with which to reject a blocked request, or None.
+
+        A request that is blocked in doubt may become the current trial, also at a host that does
+        not allow the trials itself.
+        """
+        refusal = self.refusal(req)
+        block = self._find_block(req) if refusal is not None else None
+        if block is not None and not block.certain and await self.trials.request(req):
+            return None
+        return refusal
+
     def refusal(self, req: IdentifiedRequest) -> Failure | None:
-        """Return the failure with which to reject a blocked request, or None."""
+        """Return the failure with which to reject a blocked request that is not on trial."""
+        block = self._find_block(req)
+        if block is None or (not block.certain and self.trials.allows(req)):
+            return None
+        return block.failure()
+
+    def _find_block(self, req: IdentifiedRequest) -> Block | None:
         if not self._suspects:
             return None
         content = req.content_id
@@ -125,11 +161,7 @@
             return None
         ends = [end.at for end in self._ends.values() if content in end.contents]
         remaining = max(ends) + BLOCKED_SECONDS - self._ctx.clock.monotonic()
-        certain = remaining > 0 and content not in verdict.doubtful
-        if not certain and self._trials.allows(req):
-            return None
-        retry_after = remaining if certain else TRIAL_RETRY_SECONDS
-        return Failure(Kind.BLOCKED, f"content {content}, {len(ends)} ended", retry_after)
+        return Block(content, len(ends), remaining, content in verdict.doubtful)
 
     def blocked(self) -> frozenset[str]:
         """Return the contents that must not be sent now, and log those that are new."""
@@ -176,6 +208,8 @@
         if not contents:
             return
         known = self._ends.get(start) or End(at, frozenset(), frozenset())
+        for content in contents - known.contents:
+            self.trials.end(content, at)
         self._counts.update(contents - known.contents)
         suspects = {c for c in contents if self._counts[c] >= MIN_CRASHES}
         self._judgement_due = self._judgement_due or not suspects <= self._suspects
@@ -187,6 +221,7 @@
     def _clear(self, content: str, at: float) -> None:
         """Stop counting the ends up to a time against a request."""
         self._answered[content] = max(at, self._answered.get(content, at))
+        self.trials.end(content, at)
         for start, end in list(self._ends.items()):
             if content in end.contents and end.at <= at:
                 self._drop(start, frozenset({content}))
--- a/peridotdock/dispatch.py
+++ b/peridotdock/dispatch.py
@@ -55,6 +55,15 @@
         if key != req.profile.item:
             req = replace(req, profile=replace(req.profile, item=key))
         self._count_demand(req)
+        refusal = await self._blocklist.admit(req)
+        if refusal is not None:
+            return refusal
+        outcome = await self._run_admitted(req, caller)
+        if failed(outcome):
+            self._blocklist.trials.drop(req)
+        return outcome
+
+    async def _run_admitted(self, req: ModelRequest, caller: CallerConnection) -> Reply | Failure:
         maybe_ran = False
         tried: set[str] = set()
         outcome: Reply | Failure = Failure(Kind.NO_ENDPOINT)
--- a/peridotdock/frames.py
+++ b/peridotdock/frames.py
@@ -26,6 +26,9 @@
     QuotaWanted,
     Rows,
     RowsWanted,
+    TrialDropped,
+    TrialGiven,
+    TrialWanted,
     Update,
 )
 
@@ -52,6 +55,9 @@
     "quota_given": QuotaGiven,
     "permit_wanted": PermitWanted,
     "permit_given": PermitGiven,
+    "trial_wanted": TrialWanted,
+    "trial_given": TrialGiven,
+    "trial_dropped": TrialDropped,
 }
 # The encoded parts of an update before its array of facts and after it, up to the stamp's value: a
 # CBOR map of three pairs.
@@ -72,6 +78,9 @@
     | QuotaGiven
     | PermitWanted
     | PermitGiven
+    | TrialWanted
+    | TrialGiven
+    | TrialDropped
 )
 
 
--- a/peridotdock/host.py
+++ b/peridotdock/host.py
@@ -21,6 +21,7 @@
 from peridotdock.leases import KEY_PREFIX as LEASE_PREFIX
 from peridotdock.leases import HostLease, LeaseTable
 from peridotdock.limits import CallerLimits
+from peridotdock.loop_iterations import find_iterations
 from peridotdock.manifest import Accepted
 from peridotdock.membership import Membership
 from peridotdock.mesh import Mesh
@@ -29,6 +30,7 @@
 from peridotdock.rendezvous import Assignment
 from peridotdock.schema.messages import DemandFact, HeadsFact, HostFact, LedgerFact, Reserved
 from peridotdock.service_calls import ServiceCaller
+from peridotdock.trial_calls import TrialCalls
 from peridotdock.watch import Watcher
 
 HOST_LIST_SECONDS = 2.0
@@ -82,6 +84,9 @@
     async def start(self, entry_address: str) -> None:
         """Open the mesh and start the periodic jobs; ``entry_address`` is published to callers."""
         await self.mesh.start()
+        TrialCalls(
+            self.ctx, self.mesh, self._find_trial_host, find_iterations(), self.blocklist.trials
+        )
         addresses = {"entry": entry_address, "peer": self.mesh.address}
         self.membership.own = HostFact(**{**vars(self.membership.own), **addresses})
         self.membership.set_state("starting")
@@ -330,9 +335,12 @@
                 demand[item] = demand.get(item, 0.0) + rate
         await self.planner.update_plan(self.accepted, self.controller.rows, down, demand, chosen)
 
+    def _find_trial_host(self) -> str:
+        """Return the host that allows trials of requests that may be blocked wrongly, if any."""
+        return next(iter(self.membership.live()), "")
+
     def _runs_trials(self) -> bool:
-        """Return whether this host is the one that tries requests that may be blocked wrongly."""
-        return self.membership.live()[:1] == [self.ctx.cfg.host_id]
+        return self._find_trial_host() == self.ctx.cfg.host_id
 
     def _is_planner(self) -> bool:
         """Tell whether this host is the planner with a valid lease, and may write for all hosts."""
--- a/peridotdock/relay/hub_calls.py
+++ b/peridotdock/hub_calls.py
@@ -2,10 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Generic, TypeVar
+from typing import Generic, Protocol, TypeVar
 
 from peridotdock.loop_iterations import LoopIterations
-from peridotdock.relay.caller import CallerConnection
 
 T = TypeVar("T")
 # Timeout of a reply: seconds, plus iterations of this host's loop. Covers two trips between failure
@@ -14,6 +13,12 @@
 REPLY_TIMEOUT_ITERATIONS = 3
 
 
+class Disconnectable(Protocol):
+    """A caller's connection; ``disconnected`` is done once the caller has closed it."""
+
+    disconnected: asyncio.Future[None]
+
+
 class HubCalls(Generic[T]):
     """The pending calls of one kind, by number."""
 
@@ -23,7 +28,7 @@
         self._pending: dict[int, asyncio.Future[T]] = {}
 
     async def call(
-        self, send: Callable[[int], bool], caller: CallerConnection | None = None
+        self, send: Callable[[int], bool], caller: Disconnectable | None = None
     ) -> T | None:
         """Send a call with a new number by ``send``, and return the reply.
 
@@ -47,8 +52,10 @@
             del self._pending[number]
         return reply.result() if reply.done() else None
 
-    def on_reply(self, number: int, reply: T) -> None:
-        """Pass a reply to its call; a reply after the timeout is dropped."""
+    def on_reply(self, number: int, reply: T) -> bool:
+        """Pass a reply to its call; return False for one after the timeout, which is dropped."""
         found = self._pending.get(number)
-        if found is not None and not found.done():
-            found.set_result(reply)
+        if found is None or found.done():
+            return False
+        found.set_result(reply)
+        return True
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -42,6 +42,9 @@
     QuotaWanted,
     Rows,
     RowsWanted,
+    TrialDropped,
+    TrialGiven,
+    TrialWanted,
     Update,
 )
 
@@ -64,6 +67,7 @@
 GRANT_FRAMES = (GrantWanted, Grant, GrantDropped)
 QuotaFrame = QuotaWanted | QuotaGiven
 PermitFrame = PermitWanted | PermitGiven
+TrialFrame = TrialWanted | TrialGiven | TrialDropped
 LINK_OPTIONS = {
     "max_size": MAX_FRAME_BYTES,
     "compression": None,
@@ -99,6 +103,7 @@
         self.on_grant: Callable[[str, GrantFrame], None] = lambda host, frame: None
         self.on_quota: Callable[[str, QuotaFrame], None] = lambda host, frame: None
         self.on_permit: Callable[[str, PermitFrame], None] = lambda host, frame: None
+        self.on_trial: Callable[[str, TrialFrame], None] = lambda host, frame: None
         self._links: set[Link] = set()
         self._dialling: set[str] = set()
         self._bytes_in = ctx.metrics.peer_bytes.labels("in")
@@ -282,6 +287,8 @@
             self.on_quota(link.peer.host, frame)
         elif isinstance(frame, PermitFrame):
             self.on_permit(link.peer.host, frame)
+        elif isinstance(frame, TrialFrame):
+            self.on_trial(link.peer.host, frame)
         elif isinstance(frame, Ping):
             self._ctx.timeline.clock.witness(frame.stamp)
         elif isinstance(frame, Fetch):
@@ -292,7 +299,7 @@
             if waiter is not None and frame.body and not waiter.done():
                 waiter.set_result(frame.body)
 
-    def send_to(self, host: str, frame: GrantFrame | QuotaFrame | PermitFrame) -> bool:
+    def send_to(self, host: str, frame: GrantFrame | QuotaFrame | PermitFrame | TrialFrame) -> bool:
         """Send a frame to a linked host; return False if there is no link to it."""
         links = [link for link in self._links if link.peer.host == host]
         if not links:
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -37,6 +37,7 @@
 from peridotdock.relay.views import Views
 from peridotdock.relay.waits import EndpointWaits
 from peridotdock.serving import Server, make_application
+from peridotdock.trial_calls import TrialCalls
 
 # Seconds between a change of the configuration and the next call on it: changes in quick succession
 # are seen one by one.
@@ -116,6 +117,7 @@
         self.grants.server.spend_permit = self.permits.spend
         self.peers.queued = self.grants.server.queued
         self.blocklist = Blocklist(ctx, self.peers.facts, self.fleet.has_ended, self.peers.is_hub)
+        TrialCalls(ctx, mesh, self.peers.hub, find_iterations(), self.blocklist.trials)
         waits = EndpointWaits(ctx, self.fleet, self.item_waits, self.permits)
         waits.is_draining = lambda: self.leaving
         chooser = Chooser(ctx, self.fleet, waits, self.grants, self.permits)
--- a/peridotdock/relay/permits.py
+++ b/peridotdock/relay/permits.py
@@ -11,11 +11,11 @@
     Permits,
     permit_interval,
 )
+from peridotdock.hub_calls import HubCalls
 from peridotdock.loop_iterations import LoopIterations
 from peridotdock.relay.caller import CallerConnection
 from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.fleet import RelayFleet
-from peridotdock.relay.hub_calls import HubCalls
 from peridotdock.relay.peers import Peers
 from peridotdock.schema.messages import PermitGiven, PermitWanted
 
--- a/peridotdock/relay/quotas.py
+++ b/peridotdock/relay/quotas.py
@@ -10,9 +10,9 @@
 from peridotdock.decisions.quotas import HostQuotas, HubQuotas, Usage
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure, Kind
+from peridotdock.hub_calls import HubCalls
 from peridotdock.loop_iterations import LoopIterations
 from peridotdock.relay.caller import CallerConnection
-from peridotdock.relay.hub_calls import HubCalls
 from peridotdock.relay.peers import Peers
 from peridotdock.relay.requests import RelayRequest
 from peridotdock.relay.settings import Bounds
--- a/peridotdock/relay/request_handler.py
+++ b/peridotdock/relay/request_handler.py
@@ -85,7 +85,7 @@
         if failed(body):
             return self._refuse(body, head.attempt_id)
         req = make_request(request, head, route, body, identity)
-        blocked = self._service.blocklist.refusal(req)
+        blocked = await self._service.blocklist.admit(req)
         if blocked is not None:
             # Before it counts as demand: a request that is never sent needs no loaded model.
             return self._refuse(blocked, req.id)
@@ -120,7 +120,7 @@
             return answer_reply(Reply(head.status, head.headers, body, head.content_type))
         finally:
             if not streaming:
-                self._finish(caller)
+                self._finish(req, caller)
 
     def _count_late(self, req: RelayRequest) -> None:
         if self._ctx.clock.monotonic() > req.deadline + LATE_TOLERANCE_SECONDS:
@@ -142,10 +142,11 @@
             async for part in relay_stream(self._service, req, caller, progress, source):
                 yield part
         finally:
-            self._finish(caller)
+            self._finish(req, caller)
 
-    def _finish(self, caller: CallerConnection) -> None:
+    def _finish(self, req: RelayRequest, caller: CallerConnection) -> None:
         self.in_progress -= 1
+        self._service.blocklist.trials.drop(req)
         caller.stop_watching()
 
     def _reject_overloaded(self, refusal_reason: RefusalReason, attempt_id: str) -> Response:
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -783,6 +783,57 @@
     """
 
 
+@dataclass(frozen=True)
+class TrialWanted:
+    """
+    Request to the hub: whether a request that is blocked in doubt may be sent once.
+    """
+
+    kind: Literal['trial_wanted']
+    number: int
+    """
+    The requesting host's number of this call.
+    """
+    content: str
+    """
+    Content id of the request.
+    """
+
+
+@dataclass(frozen=True)
+class TrialGiven:
+    """
+    The hub's reply on a trial.
+    """
+
+    kind: Literal['trial_given']
+    number: int
+    """
+    The requesting host's number of this call.
+    """
+    content: str
+    """
+    Content id of the request.
+    """
+    given: bool
+    """
+    Whether the request may be sent now.
+    """
+
+
+@dataclass(frozen=True)
+class TrialDropped:
+    """
+    Notice to the hub: a trial has ended without an answer or the end of an endpoint.
+    """
+
+    kind: Literal['trial_dropped']
+    content: str
+    """
+    Content id of the request.
+    """
+
+
 @dataclass(frozen=True)
 class EndpointWord:
     """
--- a/tests/relay/test_poison.py
+++ b/tests/relay/test_poison.py
@@ -20,13 +20,18 @@
 from peridotdock.decisions.poison import find_poison
 from peridotdock.events import Filter
 from peridotdock.fact_table import FactTable
+from peridotdock.hub_calls import REPLY_TIMEOUT_SECONDS
+from peridotdock.loop_iterations import LoopIterations
 from peridotdock.relay.fleet import ASSUMED_ENDED_SECONDS, RelayFleet
 from peridotdock.relay.requests import EndpointEntry
 from peridotdock.requests import hash_content
-from peridotdock.trials import TRIAL_SECONDS
+from peridotdock.schema.messages import TrialGiven
+from peridotdock.trial_calls import TrialCalls
+from peridotdock.trials import ASK_INTERVAL_SECONDS, TRIAL_SECONDS, Trials
 from tests.builders import facts_of, make_ctx
 from tests.fakes import FakeClock, FakePlatform
 from tests.relay.deployment import Deployment
+from tests.relay.test_hubs import all_live
 from tests.relay.test_relay import run
 
 POISON = b"a prompt that no engine survives"
@@ -194,6 +199,30 @@
             after = sum(runner.crashed for runner in found.pages.values())
             self.assertLessEqual(after, before + 1)
 
+    @run
+    async def test_a_request_in_doubt_is_tried_at_any_host(self):
+        """Guards against a harmless request that stays blocked at all hosts but the hub.
+
+        With hundreds of hosts its callers hardly ever come to the hub.
+        """
+        async with Deployment(hosts=3, pages=tuple(f"p{number}" for number in range(5))) as found:
+            await found.until(lambda: all_live(found))
+            for name in ("p0", "p1", "p2"):
+                for body in (b"page", b"another page"):
+                    content = hash_content(body, "shop.example", "POST", "/fetch/", "")
+                    start = EndpointStart(name, str(found.pages[name].started_ms))
+                    for host in found.hosts:
+                        host.blocklist.record_end(SimpleNamespace(content_id=content), start)
+            for host in found.hosts:
+                host.blocklist._has_ended = lambda start, at: True
+            others = [place for place, host in enumerate(found.hosts) if not host.peers.is_hub()]
+            status, tries = 0, 0
+            async with asyncio.timeout(5):
+                while status != 200:
+                    to, tries = others[tries % 2], tries + 1
+                    status, _, _ = await found.send("/fetch/", f"page{tries}", to=to, body=b"page")
+                    await asyncio.sleep(0.05)
+
 
 class WaitingTest(unittest.TestCase):
     """A request is blocked while it waits for its model, and then sent nevertheless.
@@ -388,6 +417,77 @@
         self.assertIsNone(self.first.refusal(SimpleNamespace()))
 
 
+class TrialsTest(unittest.IsolatedAsyncioTestCase):
+    """Trials of two hosts that ask a third, the coordinator."""
+
+    def setUp(self):
+        self.clock = FakeClock()
+        self.coordinator = Trials(make_ctx(self.clock, "h0"), lambda: True)
+        self.hosts = [self.host(name) for name in ("h1", "h2")]
+        self.page = SimpleNamespace(content_id="page")
+
+    def host(self, name):
+        async def ask(content):
+            return self.coordinator.reserve(content)
+
+        trials = Trials(make_ctx(self.clock, name), lambda: False)
+        trials.ask = ask
+        trials.on_dropped = lambda content: self.coordinator.end(content, self.clock.monotonic())
+        return trials
+
+    async def test_one_request_is_on_trial_over_all_hosts(self):
+        first, second = self.hosts
+        self.assertTrue(await first.request(self.page))
+        self.assertTrue(first.allows(self.page))
+        self.assertFalse(await second.request(SimpleNamespace(content_id="page")))
+        self.assertFalse(self.coordinator.allows(SimpleNamespace(content_id="other")))
+        self.clock.advance(TRIAL_SECONDS)
+        self.assertTrue(await second.request(SimpleNamespace(content_id="page")))
+
+    async def test_a_trial_without_an_outcome_makes_room_for_the_next(self):
+        """Guards against seconds of refusals after a trial that found no endpoint."""
+        first, second = self.hosts
+        await first.request(self.page)
+        first.drop(SimpleNamespace(content_id="page"))
+        self.assertFalse(self.coordinator.reserve("other"))
+        first.drop(self.page)
+        self.assertTrue(await second.request(SimpleNamespace(content_id="other")))
+
+    async def test_an_outcome_at_another_host_ends_the_trial(self):
+        first, second = self.hosts
+        await first.request(self.page)
+        for name, content, age, ended in (
+            ("of another content", "other", 0.0, False),
+            ("of an earlier attempt", "page", 1.0, False),
+            ("of the trial", "page", 0.0, True),
+        ):
+            with self.subTest(name):
+                self.coordinator.end(content, self.clock.monotonic() - age)
+                self.assertEqual(ended, self.coordinator.reserve("other"))
+
+    async def test_a_host_asks_the_coordinator_at_a_limited_rate(self):
+        first, _ = self.hosts
+        self.coordinator.reserve("other")
+        self.assertFalse(await first.request(self.page))
+        self.coordinator.end("other", self.clock.monotonic())
+        self.assertFalse(await first.request(self.page))
+        self.clock.advance(ASK_INTERVAL_SECONDS)
+        self.assertTrue(await first.request(self.page))
+
+    @params(("in time", True, []), ("too late", False, ["page"]))
+    async def test_a_trial_that_is_granted_too_late_is_given_back(self, name, waits, dropped):
+        """Guards against seconds of refusals: nobody runs the trial that is in progress."""
+        sent = []
+        mesh = SimpleNamespace(send_to=lambda host, frame: sent.append(frame) or True)
+        trials = Trials(make_ctx(self.clock, "h1"), lambda: False)
+        calls = TrialCalls(make_ctx(self.clock, "h1"), mesh, lambda: "h0", LoopIterations(), trials)
+        asking = asyncio.create_task(trials.request(self.page))
+        await asyncio.sleep(0 if waits else 2 * REPLY_TIMEOUT_SECONDS)
+        calls.on_frame("h0", TrialGiven("trial_given", sent[0].number, "page", True))
+        self.assertEqual(waits, await asking)
+        self.assertEqual(dropped, [frame.content for frame in sent[1:]], name)
+
+
 class BlocklistStoreTest(unittest.IsolatedAsyncioTestCase):
     """The stored row that survives all hosts, as written by one host after another."""
 
