--- a/tests/relay/test_views.py
+++ b/tests/relay/test_views.py
@@ -205,6 +205,20 @@
         self.assertIn("endpoint", view.seen)
         self.assertLess(view.seen["endpoint"][1] - left, BOUND, f"the store was back at {back}")
 
+    async def test_only_a_newer_whole_table_replaces_a_dropped_history(self):
+        """Guards against a host that misses what the store changed before it dropped its history.
+
+        It waits for a whole table, and another host answers with the one that it had before.
+        """
+        for name, version, due in (("older", 1, True), ("as known", 2, True), ("newer", 3, False)):
+            view = View(self.clock, self.tables)
+            await self.run_for(0.05)
+            view.follower._version, view.follower._whole_due = 2, True
+            view.follower.receive(Rows("rows", "t", "reader", 1, 0, version, {}, whole=True))
+            view.task.cancel()
+            with self.subTest(name):
+                self.assertEqual(due, view.follower._whole_due)
+
     async def test_a_change_announced_without_rows_is_read_in_time(self):
         """Guards against a host that uses an old configuration for eight seconds after an outage.
 
