--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -303,7 +303,8 @@
         self._as_of = now if changed else min(now, began + self.limits.hold)
         if not self.connected:
             self.connected = True
-            self._ctx.timeline.add("store_in_touch", detail=self.table)
+            detail = f"{self.table}: version {describe_version(self._version)}"
+            self._ctx.timeline.add("store_in_touch", detail=detail)
 
     def record_age(self, bound: float) -> None:
         """Export the view's age; log when it passes the bound, and when it is current again.
--- a/tests/relay/test_restored.py
+++ b/tests/relay/test_restored.py
@@ -10,6 +10,7 @@
 from peridotdock.clients.tables import TableView
 from peridotdock.clients.versions import era_of, make_version, number_of
 from peridotdock.errors import Kind
+from peridotdock.events import Filter
 from peridotdock.metrics import Metrics
 from peridotdock.platform.store import TableStore
 from peridotdock.relay.fleet import RETURN_SECONDS, RelayFleet
@@ -85,6 +86,20 @@
     async def test_changes_are_seen_once_versions_have_passed_those_of_hosts(self):
         await check_changes_are_seen(self, 2 * LOST_VERSIONS)
 
+    @run
+    async def test_log_lines_name_the_era_of_a_store_that_is_back_in_touch(self):
+        """Operators can't tell an outage from a return from an older copy."""
+        async with Deployment() as found:
+            found.store.restore(found.store.copy())
+            await found.replace_hosts()
+            details = [
+                event.detail
+                for event in found.hosts[0].ctx.timeline.select(Filter())
+                if event.name == "store_in_touch"
+            ]
+            self.assertEqual(2, len(details))
+            self.assertTrue(all(detail.endswith("of era 1") for detail in details), details)
+
 
 class EndpointsAfterRestoreTest(unittest.TestCase):
     """An older copy of the endpoints' rows undoes nothing that hosts know of endpoints."""
