Write claims of idempotency keys again that a restored platform lacks, and claim none until owners could

What would be seen, on the product's own interface: a caller repeats a request under a key of its own at another host, right after the platform came back from an older copy, and the request runs a second time. On the code before, two hosts that ask for the owner of one key around a restore were both told that they own it (owners of one key: h0, h1).

A missing claim counted as "never claimed", though the platform may have lost it. Ruled out: to ask all hosts for each key (hosts cut off can't answer), a time in the key (these are the callers' own). Left: an owner that is cut off or gone for longer does not write its claims again.

--- a/peridotdock/claims.py
+++ b/peridotdock/claims.py
@@ -1,8 +1,18 @@
-"""Claim rows, which record the incarnation that owns an idempotency key without a prefix."""
+"""Claim rows, which record the incarnation that owns an idempotency key without a prefix.
+
+Failure guarded against: the platform comes back from an older copy without the newest claims, the
+caller repeats a key at another host, and that host claims it and runs the request a second time.
+Owners write lost claims again, and until they have had the time, no host takes a missing claim for
+a key without an owner.
+"""
 
 import hashlib
+from dataclasses import dataclass, replace
+from typing import Any
 
 from peridotdock.clients.platform import Platform, Transaction, commit_and_resolve
+from peridotdock.clients.versions import ABSENT, FIRST_ERA, era_of
+from peridotdock.clock import Clock
 from peridotdock.errors import Failure, Kind, Ran, failed
 from peridotdock.keys import KeyTable, Owner, read_owner
 
@@ -11,6 +21,19 @@
 SWEEP_SECONDS = 600.0
 ROWS_PER_SWEEP = 200
 PLATFORM_RETRY_SECONDS = 2.0
+# Age of the oldest copy that the platform may return from.
+MAX_COPY_AGE_SECONDS = 60.0
+# Claims that are written again in one transaction.
+ROWS_PER_WRITE = 100
+NO_OWNER = Failure(Kind.PLATFORM_DOWN, "no owner could be agreed", PLATFORM_RETRY_SECONDS, Ran.NO)
+
+
+@dataclass(frozen=True, slots=True)
+class OwnClaim:
+    """A claim of this incarnation: the value of its row, and when it was made (monotonic)."""
+
+    value: dict[str, Any]
+    at: float
 
 
 def claim_row_key(caller: str, key: str) -> str:
@@ -18,30 +41,121 @@
     return KEY_PREFIX + hashlib.sha256(f"{caller}\0{key}".encode()).hexdigest()
 
 
-async def find_owner(
-    platform: Platform, table: KeyTable, incarnation: str, caller: str, key: str, now: float
-) -> Owner | Failure:
-    """Return the owner of a key, and claim the key for this incarnation when it has no owner.
+class Claims:
+    """Finds the owners of keys, and claims keys without one for this incarnation.
 
-    ``now`` is the time of day in seconds since 1970. Only the owner is agreed on. The table makes
-    sure that only one insert takes effect; after a lost answer the insert is sent again and the row
-    read back.
+    ``settle_seconds`` is the time after this host first saw a restored platform's era in which
+    owners write their lost claims again, and no key is claimed.
     """
-    named = read_owner(key)
-    if named is not None:
-        return named
-    row = claim_row_key(caller, key)
-    value = {"owner": incarnation, "period": table.period(), "at": int(now)}
-    outcome = await commit_and_resolve(platform, Transaction({row: 0}, {row: value}))
-    if not failed(outcome):
-        return Owner(incarnation, table.period())
-    if outcome.kind is Kind.CONFLICT:
-        rows = await platform.read([row])
-        if not failed(rows) and row in rows:
-            return Owner(rows[row].value["owner"], rows[row].value["period"])
-    # Nothing was sent to an endpoint. If the claim was written, it names this incarnation, which
-    # has no record of the key and so may still run it.
-    return Failure(Kind.PLATFORM_DOWN, "no owner could be agreed", PLATFORM_RETRY_SECONDS, Ran.NO)
+
+    def __init__(
+        self,
+        platform: Platform,
+        table: KeyTable,
+        incarnation: str,
+        clock: Clock,
+        settle_seconds: float,
+    ):
+        self._platform = platform
+        self._table = table
+        self._incarnation = incarnation
+        self._clock = clock
+        self._settle_seconds = settle_seconds
+        self._era = FIRST_ERA
+        self._era_seen_at = float("-inf")
+        self._recent: dict[str, OwnClaim] = {}
+        self._lost: dict[str, OwnClaim] = {}
+        self._unsettled: dict[str, int] = {}
+
+    async def find_owner(self, caller: str, key: str, now: float) -> Owner | Failure:
+        """Return the owner of a key, and claim the key for this incarnation when it has no owner.
+
+        ``now`` is the time of day in seconds since 1970. Only the owner is agreed on. The table
+        makes sure that only one insert takes effect; after a lost answer the insert is sent again
+        and the row read back.
+        """
+        named = read_owner(key)
+        if named is not None:
+            return named
+        row = claim_row_key(caller, key)
+        if row in self._unsettled and not await self._withdraw(row):
+            return NO_OWNER
+        settles_in = self._settles_in()
+        if settles_in > 0:
+            return await self._read_owner(row, settles_in)
+        return await self._insert(row, now)
+
+    async def _insert(self, row: str, now: float) -> Owner | Failure:
+        era, period = self._platform.era.current, self._table.period()
+        value = {"owner": self._incarnation, "period": period, "at": int(now)}
+        outcome = await commit_and_resolve(self._platform, Transaction({row: ABSENT}, {row: value}))
+        if failed(outcome) and outcome.kind is Kind.CONFLICT:
+            return await self._read_owner(row)
+        if failed(outcome):
+            # Nothing was sent to an endpoint. If the claim was written, it names this incarnation,
+            # which has no record of the key and so may still run it.
+            return NO_OWNER
+        if era_of(outcome.version) != era:
+            # The platform was restored meanwhile, so another host's claim may have been lost.
+            self._unsettled[row] = outcome.version
+            await self._withdraw(row)
+            return NO_OWNER
+        self._remember(row, value)
+        return Owner(self._incarnation, period)
+
+    async def _read_owner(
+        self, row: str, retry_after: float = PLATFORM_RETRY_SECONDS
+    ) -> Owner | Failure:
+        rows = await self._platform.read([row])
+        if failed(rows) or row not in rows:
+            return replace(NO_OWNER, retry_after=retry_after)
+        return Owner(rows[row].value["owner"], rows[row].value["period"])
+
+    async def _withdraw(self, row: str) -> bool:
+        """Remove a claim that this host must not use; return whether it is gone."""
+        checks = {row: self._unsettled[row]}
+        outcome = await commit_and_resolve(self._platform, Transaction(checks, {row: None}))
+        if failed(outcome) and outcome.kind is not Kind.CONFLICT:
+            return False
+        del self._unsettled[row]
+        return True
+
+    def _remember(self, row: str, value: dict[str, Any]) -> None:
+        now = self._clock.monotonic()
+        oldest = now - MAX_COPY_AGE_SECONDS
+        self._recent = {key: own for key, own in self._recent.items() if own.at >= oldest}
+        self._recent[row] = OwnClaim(value, now)
+
+    # After a restore of the platform
+
+    def observe_era(self) -> None:
+        """Note the platform's era; in a new one, own claims of the last minute may be lost."""
+        era = self._platform.era.current
+        if era != self._era:
+            self._era, self._era_seen_at = era, self._clock.monotonic()
+            self._lost = dict(self._recent)
+
+    def _settles_in(self) -> float:
+        """Return the seconds until a missing claim shows that a key has no owner."""
+        self.observe_era()
+        return self._era_seen_at + self._settle_seconds - self._clock.monotonic()
+
+    async def write_again(self) -> int:
+        """Write own claims again that a restored platform lacks; return how many.
+
+        A failed call is repeated at the next step.
+        """
+        batch = dict(list(self._lost.items())[:ROWS_PER_WRITE])
+        rows = await self._platform.read(batch) if batch else {}
+        if failed(rows) or not batch:
+            return 0
+        writes = {row: own.value for row, own in batch.items() if row not in rows}
+        if writes:
+            tx = Transaction(dict.fromkeys(writes, ABSENT), writes)
+            if failed(await commit_and_resolve(self._platform, tx)):
+                return 0
+        self._lost = {row: own for row, own in self._lost.items() if row not in batch}
+        return len(writes)
 
 
 async def sweep(platform: Platform, now: float) -> int:
--- a/peridotdock/entry.py
+++ b/peridotdock/entry.py
@@ -10,7 +10,6 @@
 from blacksheep import Application, Content, Request, Response
 
 from peridotdock.answers import answer_failure, answer_json, answer_reply
-from peridotdock.claims import find_owner
 from peridotdock.clients.endpoint import Call, read_all
 from peridotdock.discovery import describe_addresses
 from peridotdock.errors import Failure, Kind, failed
@@ -269,9 +268,7 @@
         """Run a request with an idempotency key on the key's owner, which may be another host."""
         keys = self._host.keys
         now = self._ctx.clock.now().timestamp()
-        owner = await find_owner(
-            self._host.platform, keys, self._ctx.incarnation, req.caller_id, key, now
-        )
+        owner = await self._host.claims.find_owner(req.caller_id, key, now)
         if failed(owner):
             return owner
         if owner.incarnation != self._ctx.incarnation:
--- a/peridotdock/host.py
+++ b/peridotdock/host.py
@@ -3,11 +3,11 @@
 import asyncio
 from functools import partial
 
-from peridotdock import claims
 from peridotdock import ledger as ledgers
 from peridotdock import manifest as manifests
 from peridotdock.blocklist import Blocklist
 from peridotdock.blocklist_store import BLOCKLIST_CHECK_SECONDS, BlocklistStore
+from peridotdock.claims import SWEEP_SECONDS, Claims, sweep
 from peridotdock.clients.endpoint import HttpEndpoints
 from peridotdock.clients.platform import HttpPlatform, Platform, Row
 from peridotdock.context import Context
@@ -19,7 +19,7 @@
 from peridotdock.jobs import Jobs
 from peridotdock.keys import KeyTable
 from peridotdock.leases import KEY_PREFIX as LEASE_PREFIX
-from peridotdock.leases import HostLease, LeaseTable
+from peridotdock.leases import LAPSE_FACTOR, HostLease, LeaseTable
 from peridotdock.limits import CallerLimits
 from peridotdock.loop_iterations import find_iterations
 from peridotdock.manifest import Accepted
@@ -56,6 +56,9 @@
         self.dispatcher = Dispatcher(ctx, self.fleet, self.endpoints, self.blocklist)
         self.service_caller = ServiceCaller(ctx, self.fleet, self.endpoints, self.dispatcher.budget)
         self.keys = KeyTable(ctx.incarnation, clock, cfg.max_keys)
+        self.claims = Claims(
+            self.platform, self.keys, ctx.incarnation, clock, cfg.lease_seconds * LAPSE_FACTOR
+        )
         self.limits = CallerLimits(cfg.host_id, self.membership.beat_time)
         self.lease = HostLease(cfg.host_id, ctx.incarnation, cfg.lease_seconds, clock)
         self.lease_table = LeaseTable(cfg.lease_seconds, clock)
@@ -104,7 +107,8 @@
             "block list",
             self._blocklist_store_due,
         )
-        every(lambda: claims.SWEEP_SECONDS, self._sweep_claims, "claims")
+        every(lambda: SWEEP_SECONDS, self._sweep_claims, "claims")
+        every(lambda: cfg.poll_seconds, self._write_claims_again, "lost claims")
 
     async def stop(self) -> None:
         """Give up the roles, publish that this host is gone, and close all connections."""
@@ -167,6 +171,7 @@
         detail = f"era {old} has ended, era {new} is current"
         self.ctx.timeline.add("store_restored", "WARNING", detail=detail)
         self._registered_leaving = None
+        self.claims.observe_era()
         self._poll_due.set()
 
     async def _renew(self) -> None:
@@ -351,7 +356,13 @@
 
     async def _sweep_claims(self) -> None:
         if self._is_planner():
-            await claims.sweep(self.platform, self.ctx.clock.now().timestamp())
+            await sweep(self.platform, self.ctx.clock.now().timestamp())
+
+    async def _write_claims_again(self) -> None:
+        count = await self.claims.write_again()
+        if count:
+            detail = f"{count} claims of idempotency keys"
+            self.ctx.timeline.add("claims_written_again", "WARNING", detail=detail)
 
     async def _watch(self) -> None:
         if self.accepted is not None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -234,26 +234,99 @@
         self.assertFalse(self.lease.valid())
 
 
-class Claims(unittest.IsolatedAsyncioTestCase):
+class ClaimsTest(unittest.IsolatedAsyncioTestCase):
+    SETTLE_SECONDS = 9.0
+
+    def setUp(self):
+        self.platform, self.clock = FakePlatform(), FakeClock()
+        self.hosts = {name: self.start(name) for name in ("h0", "h1")}
+
+    def start(self, name):
+        table = KeyTable(f"{name}-" + "a" * 16, self.clock, 10)
+        return claims.Claims(self.platform, table, name, self.clock, self.SETTLE_SECONDS)
+
+    async def find(self, name, key="key", at=0.0):
+        """Return the owner's incarnation, or None if the request must not run."""
+        found = await self.hosts[name].find_owner("c", key, at)
+        if failed(found):
+            self.assertEqual((Kind.PLATFORM_DOWN, False), (found.kind, found.may_have_run))
+            self.assertGreater(found.retry_after, 0.0)
+            return None
+        return found.incarnation
+
     async def test_only_claims_older_than_a_day_are_removed(self):
-        platform, table = FakePlatform(), KeyTable("h0-" + "a" * 16, FakeClock(), 10)
         for key, at in (("old", 0.0), ("new", claims.CLAIM_RETENTION_SECONDS)):
-            await claims.find_owner(platform, table, "h0-life", "c", key, at)
-        self.assertEqual(await claims.sweep(platform, claims.CLAIM_RETENTION_SECONDS + 1), 1)
-        self.assertEqual(list(platform.rows), [claims.claim_row_key("c", "new")])
+            await self.find("h0", key, at)
+        now = claims.CLAIM_RETENTION_SECONDS + 1
+        self.assertEqual(await claims.sweep(self.platform, now), 1)
+        self.assertEqual(list(self.platform.rows), [claims.claim_row_key("c", "new")])
 
     @params(["ok"], ["lost"], ["late"], ["late", "lost"])
     def test_two_hosts_agree_on_one_owner(self, *faults):
-        platform = FakePlatform()
-        platform.faults = list(faults)
+        self.platform.faults = list(faults)
 
         async def both():
-            return [
-                await claims.find_owner(
-                    platform, KeyTable(f"{h}-" + "a" * 16, FakeClock(), 10), h, "c", "key", 0.0
-                )
-                for h in ("h0", "h1")
-            ]
+            return [await self.find(name) for name in ("h0", "h1")]
 
         found = asyncio.run(both())
-        self.assertEqual(len({owner.incarnation for owner in found}), 1)
+        self.assertEqual(1, len(set(found)))
+        self.assertIsNotNone(found[0])
+
+    async def lose_claim(self):
+        """Let h0 claim the key, and restore the platform from before."""
+        copy = self.platform.copy()
+        self.assertEqual("h0", await self.find("h0"))
+        self.platform.restore(copy)
+
+    async def test_a_claim_that_a_restored_platform_lacks_is_written_again(self):
+        """Guards against a request that runs twice under one key after a restore."""
+        await self.lose_claim()
+        self.assertIsNone(await self.find("h1"))
+        self.clock.advance(1.0)
+        self.hosts["h0"].observe_era()
+        self.assertEqual(1, await self.hosts["h0"].write_again())
+        self.assertEqual("h0", await self.find("h1"))
+        self.clock.advance(self.SETTLE_SECONDS)
+        self.assertEqual("h0", await self.find("h1"))
+        self.assertEqual(0, await self.hosts["h0"].write_again())
+
+    async def test_a_host_that_starts_after_a_restore_claims_nothing_at_once(self):
+        """Guards against a request that runs twice: the new host has seen no other era."""
+        await self.lose_claim()
+        self.hosts["h2"] = self.start("h2")
+        self.assertIsNone(await self.find("h2"))
+        self.clock.advance(self.SETTLE_SECONDS)
+        self.assertEqual("h2", await self.find("h2", "another key"))
+
+    async def test_writing_again_is_retried_while_the_platform_is_down(self):
+        await self.lose_claim()
+        self.hosts["h0"].observe_era()
+        self.platform.down = True
+        self.assertEqual(0, await self.hosts["h0"].write_again())
+        self.platform.down = False
+        self.assertEqual(1, await self.hosts["h0"].write_again())
+
+    async def test_a_claim_made_while_the_platform_is_restored_is_withdrawn(self):
+        """Guards against a second owner that did not know of the restore as it claimed the key.
+
+        Its claim stays in the table where the withdrawal fails; it must not run the key then.
+        """
+        await self.lose_claim()
+        copy, commit = self.platform.copy(), self.platform.commit
+        self.clock.advance(self.SETTLE_SECONDS)
+        await self.find("h1", "another key")
+        self.clock.advance(self.SETTLE_SECONDS)
+
+        async def restore_and_commit(tx):
+            self.platform.commit = commit
+            self.platform.restore(copy)
+            self.platform.faults = ["ok", "down"]
+            return await commit(tx)
+
+        self.platform.commit = restore_and_commit
+        self.assertIsNone(await self.find("h1"))
+        self.assertIn(claims.claim_row_key("c", "key"), self.platform.rows)
+        self.platform.faults = ["down"]
+        self.assertIsNone(await self.find("h1"))
+        self.assertIsNone(await self.find("h1"))
+        self.assertNotIn(claims.claim_row_key("c", "key"), self.platform.rows)
