Know a restored entry as one until its endpoint writes again, also when the table is read twice

Cause: rows of a restored store were told apart for the first whole table of the new era alone. A second one (the reader's frame after the host's own read, or a history that is dropped too) was taken for news: the endpoint was ready again, and an earlier start of one replaced the known one.

Change: the fleet keeps the entries of the restored table until their endpoints write again; an entry that is the same in a later table proves no more than it did. Ruled out: a time for which draining is kept (the endpoint may write later), versions of rows in frames (every frame and table would grow for it).

--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -67,6 +67,8 @@
         self._answer_seconds: dict[str, float] = {}
         self._event_seconds: dict[str, float] = {}
         self._restored = False
+        # The entries of a restored store that their endpoints have not written again.
+        self._restored_entries: dict[str, EndpointEntry] = {}
         self._change: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     def expect_restored_entries(self) -> None:
@@ -75,11 +77,17 @@
 
     def replace(self, entries: Iterable[EndpointEntry]) -> None:
         """Replace the list of endpoints; endpoints missing from it are gone."""
-        old = self.states
-        self.states = {}
-        for entry in entries:
-            self.states[entry.endpoint_id] = self._apply_entry(old.get(entry.endpoint_id), entry)
+        found = {entry.endpoint_id: entry for entry in entries}
+        known = found if self._restored else self._restored_entries
+        self._restored_entries = {
+            key: entry for key, entry in known.items() if found.get(key) == entry
+        }
         self._restored = False
+        self._set_entries(found)
+
+    def _set_entries(self, entries: Mapping[str, EndpointEntry]) -> None:
+        old = self.states
+        self.states = {key: self._apply_entry(old.get(key), row) for key, row in entries.items()}
         for key, state in old.items():
             if self.states.get(key) is not state:
                 self._add_departed(state)
@@ -87,19 +95,20 @@
 
     def _apply_entry(self, known: EndpointState | None, entry: EndpointEntry) -> EndpointState:
         """Return the state of an endpoint under an entry; ``known`` is that under its last one."""
-        if self._restored and known is not None:
+        restored = self._restored_entries.get(entry.endpoint_id) == entry
+        if restored and known is not None:
             if entry.started_ms < known.entry.started_ms:
                 return known
             entry = keep_draining(entry, known)
         state = known
         if state is None or state.entry.started_ms != entry.started_ms:
             state = new_start_state(state, entry)
-            if self._restored and any(start.endpoint == state.key for start in self._departed):
+            if restored and any(start.endpoint == state.key for start in self._departed):
                 state.left_out_until = self._clock.monotonic() + RETURN_SECONDS
             before = self._departed.pop(state.start, None)
             if before is not None:
                 state.restore_announcements(before)
-                entry = keep_draining(entry, before) if self._restored else entry
+                entry = keep_draining(entry, before) if restored else entry
         state.update_entry(entry)
         return state
 
@@ -122,7 +131,8 @@
                 entries.pop(key, None)
             else:
                 entries[key] = entry
-        self.replace(entries.values())
+            self._restored_entries.pop(key, None)
+        self._set_entries(entries)
 
     def _index(self) -> None:
         self.by_service = {}
--- a/tests/relay/test_restored.py
+++ b/tests/relay/test_restored.py
@@ -131,6 +131,21 @@
             found.store.put("servers", "p1", found.pages["p1"].entry("pages"))
             await found.until(lambda: self.usable(found) == [["p1", "p2"]] * 3)
 
+    @run
+    async def test_an_endpoint_keeps_draining_when_the_history_is_dropped_too(self):
+        """Guards against requests to a draining endpoint: hosts read the restored table twice."""
+        async with Deployment(hosts=3, pages=("p1", "p2")) as found:
+            await until_ready(found)
+            copy = found.store.copy()
+            drain(found, "p1")
+            await found.until(lambda: all_know_leaving(found, "p1"))
+            await self.restore(found, copy)
+            found.store.faults["forget"] = 20
+            found.configure(version=9)
+            await found.until(lambda: config_versions(found) == [9] * 3)
+            await found.until(lambda: not found.store.faults["forget"])
+            self.assertTrue(all_know_leaving(found, "p1"))
+
     @run
     async def test_an_endpoint_that_has_gone_is_not_used_before_it_writes_again(self):
         """Guards against requests to an endpoint that has gone and whose row was restored."""
@@ -184,6 +199,32 @@
                 self.fleet.replace([replace(entry("p1"), started_ms=restored)])
                 self.assertEqual(usable, self.usable())
 
+    async def test_a_restored_entry_is_known_as_one_until_it_is_written_again(self):
+        """Guards against requests to a draining endpoint: hosts read the restored table twice."""
+        known = replace(entry("p1"), started_ms=200, draining=True)
+        restored = replace(known, draining=False)
+        earlier = replace(restored, started_ms=100)
+        for name, first, then, usable in (
+            ("whole table", restored, lambda: self.fleet.replace([restored]), []),
+            ("whole table, earlier start", earlier, lambda: self.fleet.replace([earlier]), []),
+            ("another changes", restored, lambda: self.fleet.update({"p2": entry("p2")}), [0]),
+            ("written again", restored, lambda: self.fleet.update({"p1": restored}), [200]),
+            (
+                "written again, whole table",
+                restored,
+                lambda: self.fleet.replace([replace(restored, slots=7)]),
+                [200],
+            ),
+        ):
+            with self.subTest(name):
+                await self.asyncSetUp()
+                self.fleet.replace([known])
+                self.fleet.expect_restored_entries()
+                self.fleet.replace([first])
+                self.assertEqual([], self.usable())
+                then()
+                self.assertEqual(usable, self.usable())
+
     async def test_entries_of_an_unrestored_store_are_used_at_once(self):
         self.fleet.replace([replace(entry("p1"), draining=True)])
         self.fleet.replace([entry("p1")])
