Let the soak lose an endpoint's word that it drains, and drop the history after the restore

Now another endpoint drains in the versions that the store loses and doesn't write again, and hosts read the restored table twice.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -101,9 +101,9 @@
 
 async def change_after_restore(deployment: SoakDeployment) -> list[str]:
     """Make changes right after a restore of the store; return those that hosts miss, as text."""
-    prefix, runner = await deployment.change_after_restore()
+    prefix, draining = await deployment.change_after_restore()
     await asyncio.sleep(CHANGE_SECONDS)
-    before = len(runner.request_times)
+    counts = {runner.name: len(runner.request_times) for runner in draining}
     missed = []
     async with aiohttp.ClientSession() as session:
         for host in deployment.hosts:
@@ -117,8 +117,10 @@
                 async with session.post(url, headers=headers) as resp:
                     if resp.status == UNKNOWN_ROUTE:
                         missed.append(f"{host.name}: no route {prefix} after a restore")
-    sent = [name for _, name in runner.request_times[before:]]
-    return missed + [f"{name}: sent to {runner.name}, which drains" for name in sent]
+    for runner in draining:
+        sent = [name for _, name in runner.request_times[counts[runner.name] :]]
+        missed += [f"{name}: sent to {runner.name}, which drains" for name in sent]
+    return missed
 
 
 async def probe(deployment: SoakDeployment, record: Record, started_at: float, seed: int) -> None:
--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -52,6 +52,9 @@
 LOST_VERSIONS = 50
 # Seconds after which all hosts have seen the newest version of the store.
 SEEN_SECONDS = 1.0
+# Seconds after a restore in which hosts read it, and how often the history is dropped after that.
+REREAD_SECONDS = 0.3
+DROPPED_HISTORIES_PER_HOST = 2
 BOUNDS = {
     "drain_ms": 2000,
     "config_ms": 2000,
@@ -244,22 +247,27 @@
         for runner, service in self._draining.values():
             self._register(runner, service, state="draining")
 
-    async def change_after_restore(self) -> tuple[str, RunnerStandin]:
+    async def change_after_restore(self) -> tuple[str, list[RunnerStandin]]:
         """Restore the store, then add a route and drain an endpoint under numbers given out again.
 
-        Return the prefix of the route, and the endpoint.
+        Another endpoint drains before the restore, which loses its entry, and does not write it
+        again; the history is dropped too, so that hosts read the restored entries twice. Return the
+        prefix of the route, and both endpoints.
         """
         copy = self.store.copy()
+        before, after = self.pages[1], self.pages[0]
+        self._register(before, "pages", state="draining")
         for number in range(LOST_VERSIONS):
             self.store.put("other", "row", str(number).encode())
         await asyncio.sleep(SEEN_SECONDS)
         self.store.restore(copy)
+        await asyncio.sleep(REREAD_SECONDS)
+        self.store.faults["forget"] = DROPPED_HISTORIES_PER_HOST * len(self.hosts)
         self._add_route()
-        runner = self.pages[0]
-        self._register(runner, "pages", state="draining")
+        self._register(after, "pages", state="draining")
         for number in range(2 * LOST_VERSIONS):
             self.store.put("other", "row", str(number).encode())
-        return self.routes[-1]["prefix"], runner
+        return self.routes[-1]["prefix"], [before, after]
 
     def _on_crash(self, runner: RunnerStandin) -> None:
         """Record that a request has crashed an endpoint, and start to replace the endpoint."""
