Take over a ledger that a restored platform lacks only when its lost controller can act no more

What would be seen, on the product's own platform: an accelerator is committed beyond its capacity (60 + 50 of 100 in the test): the very first row of an engine's ledger is lost by a restore, another host takes the engine over as if it had never had a controller, gives its bytes away, and then the lost controller's load order arrives late.

The guard for lost reservations looked at rows of an earlier era alone. Change: a missing ledger is taken over once every lease that the platform may have lost has lapsed, and loads wait for the longest delay of an order after that. Ruled out: to wait at each new engine of a platform that was ever restored (the wait is counted from when this host first saw the era, so later engines don't wait).

--- a/peridotdock/controllers.py
+++ b/peridotdock/controllers.py
@@ -139,7 +139,11 @@
             self._drop(record, why)
 
     async def _take_over(self, endpoint: Endpoint) -> None:
-        """Become controller if there is none or the previous one's lease has lapsed."""
+        """Become controller if there is none or the previous one's lease has lapsed.
+
+        Failure guarded against: a restored platform has lost the row of a controller, whose load
+        order reaches the engine after the bytes were given to another item.
+        """
         if not self._lease.valid(SEND_MARGIN_SECONDS):
             return
         row = self.rows.get(endpoint.id)
@@ -150,14 +154,17 @@
             if lapsed is None:
                 return
             checks |= lapsed
+        if row is None and self._lease_table.seconds_after_lost() <= 0:
+            return
         current = ledgers.enter_era(old, self._platform.era.current)
         new = ledgers.take_over(current, self._ctx.incarnation)
         outcome = await self._write(endpoint.id, new, checks)
         if failed(outcome):
             return
         record = self.records[endpoint.id] = EngineRecord(endpoint, new, outcome)
-        if row is not None and old.era != current.era:
-            record.loads_from = self._ctx.clock.monotonic() + self._ctx.cfg.lateness_seconds
+        if old.era != current.era:
+            since = 0.0 if row is not None else self._lease_table.seconds_after_lost()
+            record.loads_from = self._ctx.clock.monotonic() + self._ctx.cfg.lateness_seconds - since
         self._ctx.timeline.add(
             "controller_took_over", endpoint=endpoint.id, detail=f"term {new.term}"
         )
--- a/peridotdock/leases.py
+++ b/peridotdock/leases.py
@@ -105,6 +105,13 @@
         now = self._clock.monotonic()
         return sum(1 for lease in self._seen.values() if now - lease.first_seen_at <= self._lapse)
 
+    def seconds_after_lost(self) -> float:
+        """Return for how long no lease can be valid whose row a restored platform may have lost.
+
+        It is negative before, and infinite if the platform was never restored.
+        """
+        return self._clock.monotonic() - self._restored_at - self._lapse
+
     def prove_lapsed(self, incarnation: str) -> dict[str, int] | None:
         """Return the check that an incarnation's lease has lapsed, or None while it has not.
 
@@ -121,7 +128,7 @@
             return {key: lease.version} if now - lease.first_seen_at > self._lapse else None
         host = incarnation.rsplit("-", 1)[0]
         lease = self._seen.get(KEY_PREFIX + host)
-        if now - self._restored_at <= self._lapse:
+        if self.seconds_after_lost() <= 0:
             return None
         # The row is of another incarnation of the same host, or missing: this one has ended.
         return {KEY_PREFIX + host: lease.version} if lease else {KEY_PREFIX + host: ABSENT}
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -244,11 +244,18 @@
 
 
 class FakeLeaseTable:
-    """A lease table in which the leases of the incarnations in ``lapsed`` have expired."""
+    """A lease table in which the leases of the incarnations in ``lapsed`` have expired.
+
+    ``after_lost`` are the seconds since all leases that the platform may have lost have expired.
+    """
 
     def __init__(self):
         self.lapsed = set()
         self.loaded = True
+        self.after_lost = 0.01
+
+    def seconds_after_lost(self):
+        return self.after_lost
 
     def prove_lapsed(self, incarnation):
         return {} if incarnation in self.lapsed else None
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -240,12 +240,16 @@
 class RestoredPlatform(unittest.TestCase):
     """Bytes stay reserved for a load whose reservation the platform has lost."""
 
-    def check(self, host, fencing):
-        """Lose the reservation of a load in transit; let ``host`` go on, then deliver the load."""
+    def check(self, host, fencing, lose_row=False):
+        """Lose the reservation of a load in transit; let ``host`` go on, then deliver the load.
+
+        The whole row of the ledger is lost if ``lose_row`` is set.
+        """
         world = World(fencing)
         self.addCleanup(world.close)
+        empty = world.platform.copy()
         world.reconcile("h0")
-        copy = world.platform.copy()
+        copy = empty if lose_row else world.platform.copy()
         world.endpoints.deliveries = ["late"]
         world.reconcile("h0", [Move("load", "e0", "m0@1", (0,))])
         world.platform.restore(copy)
@@ -288,6 +292,23 @@
     def test_another_host_takes_over_an_engine_that_fences(self):
         self.check("h1", fencing=True)
 
+    @params(("its controller", "h0", False), ("another host", "h1", False), ("fences", "h1", True))
+    def test_a_ledger_that_is_missing(self, name, host, fencing):
+        """Guards against an accelerator beyond its capacity: the very first row was lost."""
+        self.check(host, fencing, lose_row=True)
+
+    def test_a_missing_ledger_is_not_taken_over_while_its_controller_may_act(self):
+        """Guards against two controllers of one engine: one has written its very first row."""
+        world = World(fencing=False)
+        self.addCleanup(world.close)
+        empty = world.platform.copy()
+        world.reconcile("h0")
+        world.platform.restore(empty)
+        for after_lost, holders in ((-1.0, []), (0.01, ["e0", "e1"])):
+            world.lease_table.after_lost = after_lost
+            world.reconcile("h1")
+            self.assertEqual(holders, sorted(world.controllers["h1"].records))
+
 
 class LateOrders(unittest.TestCase):
     def setUp(self):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -213,6 +213,15 @@
         self.clock.advance(12.0)
         self.assertIsNotNone(self.lease_table.prove_lapsed("h0-life1"))
 
+    async def test_lost_leases_have_lapsed_some_time_after_a_restore(self):
+        await self.update_leases()
+        self.assertEqual(float("inf"), self.lease_table.seconds_after_lost())
+        self.platform.restore(self.platform.copy())
+        await self.update_leases()
+        self.assertEqual(-9.0, self.lease_table.seconds_after_lost())
+        self.clock.advance(10.0)
+        self.assertEqual(1.0, self.lease_table.seconds_after_lost())
+
     async def test_a_lease_is_renewed_after_a_restore(self):
         copy = self.platform.copy()
         await self.lease.renew(self.platform)
