Play restores of the endpoints' table at random against what a host has seen

A model of three endpoints that start, drain and leave, a table that comes back from copies, and a host that reads its changes or all of it: no start that was seen draining may be used again.

--- a/tests/relay/test_restored.py
+++ b/tests/relay/test_restored.py
@@ -1,10 +1,13 @@
 """Tests what hosts do when the store comes back from an older copy of its rows."""
 
 import asyncio
+import random
 import time
 import unittest
 from dataclasses import replace
 
+from nose2.tools import params
+
 from peridotdock.clients.platform import Committed, Transaction
 from peridotdock.clients.store_time import StoreTime
 from peridotdock.clients.tables import TableView
@@ -233,6 +236,101 @@
         self.assertEqual([0], self.usable())
 
 
+class RandomEndpoints:
+    """Three endpoints, their table, its restores and the host that follows it, drawn from a seed.
+
+    Endpoints never return to ready under the same start, and write again up to a second after a
+    restore.
+    """
+
+    NAMES = ("p1", "p2", "p3")
+
+    def __init__(self, seed):
+        self.rng, self.clock = random.Random(seed), FakeClock()
+        self.fleet = RelayFleet("north", self.clock)
+        self.entries = {name: replace(entry(name), started_ms=1) for name in self.NAMES}
+        self.rows, self.version, self.era = {}, 0, 0
+        self.seen = None
+        self.drained = set()
+        self.copies = []
+        self.write_at = dict.fromkeys(self.NAMES, 0.0)
+        self.starts = 1
+
+    def play_step(self):
+        self.clock.advance(self.rng.choice((0.05, 0.2)))
+        self.write_entries()
+        actions = (self.drain, self.leave, self.start, self.copy, self.restore, self.read, None)
+        action = self.rng.choices(actions, (8, 4, 8, 5, 3, 42, 30))[0]
+        if action is not None:
+            action(self.rng.choice(self.NAMES))
+        for state in self.fleet.usable("pages", None):
+            if (state.key, state.entry.started_ms) in self.drained:
+                raise AssertionError(f"{state.key} is used though it drains")
+
+    def write(self, name):
+        self.version += 1
+        self.rows[name] = self.entries[name], self.version
+        self.write_at.pop(name, None)
+
+    def write_entries(self):
+        """Let the endpoints write whose time has come."""
+        now = self.clock.monotonic()
+        for name in [name for name, at in self.write_at.items() if now >= at]:
+            self.write(name)
+
+    def drain(self, name):
+        if self.entries[name] is not None:
+            self.entries[name] = replace(self.entries[name], draining=True)
+            self.write(name)
+
+    def leave(self, name):
+        if self.entries[name] is not None and self.entries[name].draining:
+            self.entries[name] = None
+            self.write(name)
+
+    def start(self, name):
+        self.starts += 1
+        self.entries[name] = replace(entry(name), started_ms=self.starts)
+        self.write(name)
+
+    def copy(self, name):
+        self.copies = [*self.copies[-3:], (dict(self.rows), self.version)]
+
+    def restore(self, name):
+        if self.copies:
+            rows, self.version = self.rng.choice(self.copies)
+            self.rows, self.era = dict(rows), self.era + 1
+            now = self.clock.monotonic()
+            self.write_at = {name: now + self.rng.uniform(0.0, 1.0) for name in self.NAMES}
+
+    def read(self, name):
+        """Let the host read the table: its changes, or whole, as after each restore."""
+        restored = self.seen is not None and self.seen[0] != self.era
+        if restored:
+            self.fleet.expect_restored_entries()
+        if self.seen is None or restored or self.rng.random() < 0.3:
+            self.fleet.replace(row for row, _ in self.rows.values() if row is not None)
+        else:
+            changed = {key: row for key, (row, ver) in self.rows.items() if ver > self.seen[1]}
+            self.fleet.update(changed)
+        self.seen = self.era, self.version
+        rows = [row for row, _ in self.rows.values() if row is not None]
+        self.drained |= {(row.endpoint_id, row.started_ms) for row in rows if row.draining}
+
+
+class RandomEndpointsTest(unittest.TestCase):
+    @params(*range(40))
+    def test_a_start_that_was_seen_draining_is_never_used_again(self, seed):
+        """Guards against requests to draining endpoints, however restores and reads interleave."""
+
+        async def play():
+            endpoints = RandomEndpoints(seed)
+            for _ in range(200):
+                endpoints.play_step()
+
+        asyncio.run(play())
+
+
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
     """The client's versions are never reused, although the store gives its numbers out again."""
 
