Judge missing claims by the table of host leases, which knows how long lost leases may be valid

Claims kept the era and when it was first seen a second time; the table of leases has both, with the same time. One state less, the same behaviour but that a host waits up to one poll longer.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -364,7 +364,7 @@
     Mutant(
         "restored: no key is claimed before owners could write again",
         "claims.py",
-        "if settles_in > 0:",
+        "if settled_for <= 0:",
         "if False:",
         "tests.test_platform.ClaimsTest",
     ),
--- a/peridotdock/claims.py
+++ b/peridotdock/claims.py
@@ -11,10 +11,11 @@
 from typing import Any
 
 from peridotdock.clients.platform import Platform, Transaction, commit_and_resolve
-from peridotdock.clients.versions import ABSENT, FIRST_ERA, era_of
+from peridotdock.clients.versions import ABSENT, era_of
 from peridotdock.clock import Clock
 from peridotdock.errors import Failure, Kind, Ran, failed
 from peridotdock.keys import KeyTable, Owner, read_owner
+from peridotdock.leases import LeaseTable
 
 KEY_PREFIX = "claims/"
 CLAIM_RETENTION_SECONDS = 24 * 3600.0
@@ -44,8 +45,8 @@
 class Claims:
     """Finds the owners of keys, and claims keys without one for this incarnation.
 
-    ``settle_seconds`` is the time after this host first saw a restored platform's era in which
-    owners write their lost claims again, and no key is claimed.
+    Until all leases that a restored platform may have lost have lapsed by ``lease_table``, owners
+    write their lost claims again, and no key is claimed.
     """
 
     def __init__(
@@ -54,15 +55,13 @@
         table: KeyTable,
         incarnation: str,
         clock: Clock,
-        settle_seconds: float,
+        lease_table: LeaseTable,
     ):
         self._platform = platform
         self._table = table
         self._incarnation = incarnation
         self._clock = clock
-        self._settle_seconds = settle_seconds
-        self._era = FIRST_ERA
-        self._era_seen_at = float("-inf")
+        self._lease_table = lease_table
         self._recent: dict[str, OwnClaim] = {}
         self._lost: dict[str, OwnClaim] = {}
         self._unsettled: dict[str, int] = {}
@@ -80,9 +79,9 @@
         row = claim_row_key(caller, key)
         if row in self._unsettled and not await self._withdraw(row):
             return NO_OWNER
-        settles_in = self._settles_in()
-        if settles_in > 0:
-            return await self._read_owner(row, settles_in)
+        settled_for = self._lease_table.seconds_after_lost(self._platform.era.current)
+        if settled_for <= 0:
+            return await self._read_owner(row, retry_after=-settled_for)
         return await self._insert(row, now)
 
     async def _insert(self, row: str, now: float) -> Owner | Failure:
@@ -128,17 +127,9 @@
 
     # After a restore of the platform
 
-    def observe_era(self) -> None:
-        """Note the platform's era; in a new one, own claims of the last minute may be lost."""
-        era = self._platform.era.current
-        if era != self._era:
-            self._era, self._era_seen_at = era, self._clock.monotonic()
-            self._lost = dict(self._recent)
-
-    def _settles_in(self) -> float:
-        """Return the seconds until a missing claim shows that a key has no owner."""
-        self.observe_era()
-        return self._era_seen_at + self._settle_seconds - self._clock.monotonic()
+    def expect_lost(self) -> None:
+        """Treat own claims as lost that may be newer than the copy the platform came back from."""
+        self._lost = dict(self._recent)
 
     async def write_again(self) -> int:
         """Write own claims again that a restored platform lacks; return how many.
--- a/peridotdock/host.py
+++ b/peridotdock/host.py
@@ -19,7 +19,7 @@
 from peridotdock.jobs import Jobs
 from peridotdock.keys import KeyTable
 from peridotdock.leases import KEY_PREFIX as LEASE_PREFIX
-from peridotdock.leases import LAPSE_FACTOR, HostLease, LeaseTable
+from peridotdock.leases import HostLease, LeaseTable
 from peridotdock.limits import CallerLimits
 from peridotdock.loop_iterations import find_iterations
 from peridotdock.manifest import Accepted
@@ -56,12 +56,10 @@
         self.dispatcher = Dispatcher(ctx, self.fleet, self.endpoints, self.blocklist)
         self.service_caller = ServiceCaller(ctx, self.fleet, self.endpoints, self.dispatcher.budget)
         self.keys = KeyTable(ctx.incarnation, clock, cfg.max_keys)
-        self.claims = Claims(
-            self.platform, self.keys, ctx.incarnation, clock, cfg.lease_seconds * LAPSE_FACTOR
-        )
         self.limits = CallerLimits(cfg.host_id, self.membership.beat_time)
         self.lease = HostLease(cfg.host_id, ctx.incarnation, cfg.lease_seconds, clock)
         self.lease_table = LeaseTable(cfg.lease_seconds, clock)
+        self.claims = Claims(self.platform, self.keys, ctx.incarnation, clock, self.lease_table)
         self.controller = Controller(
             ctx, self.platform, self.endpoints, self.lease, self.lease_table
         )
@@ -171,7 +169,7 @@
         detail = f"era {old} has ended, era {new} is current"
         self.ctx.timeline.add("store_restored", "WARNING", detail=detail)
         self._registered_leaving = None
-        self.claims.observe_era()
+        self.claims.expect_lost()
         self._poll_due.set()
 
     async def _renew(self) -> None:
--- a/tests/relay/test_restored.py
+++ b/tests/relay/test_restored.py
@@ -115,6 +115,14 @@
         await found.until(lambda: config_versions(found) == [version] * len(found.hosts))
         await asyncio.sleep(0.5)
 
+    async def lose_draining(self, found):
+        """Let all hosts see that p1 drains, and bring the store back from before."""
+        await until_ready(found)
+        copy = found.store.copy()
+        drain(found, "p1")
+        await found.until(lambda: all_know_leaving(found, "p1"))
+        await self.restore(found, copy)
+
     def usable(self, found):
         """Return the names of the plain service's endpoints that each host would choose from."""
         return [
@@ -125,11 +133,7 @@
     async def test_an_endpoint_that_drains_keeps_draining(self):
         """Guards against requests to a draining endpoint that is ready by its restored row."""
         async with Deployment(hosts=3, pages=("p1", "p2")) as found:
-            await until_ready(found)
-            copy = found.store.copy()
-            drain(found, "p1")
-            await found.until(lambda: all_know_leaving(found, "p1"))
-            await self.restore(found, copy)
+            await self.lose_draining(found)
             self.assertTrue(all_know_leaving(found, "p1"))
             found.store.put("servers", "p1", found.pages["p1"].entry("pages"))
             await found.until(lambda: self.usable(found) == [["p1", "p2"]] * 3)
@@ -138,11 +142,7 @@
     async def test_an_endpoint_keeps_draining_when_the_history_is_dropped_too(self):
         """Guards against requests to a draining endpoint: hosts read the restored table twice."""
         async with Deployment(hosts=3, pages=("p1", "p2")) as found:
-            await until_ready(found)
-            copy = found.store.copy()
-            drain(found, "p1")
-            await found.until(lambda: all_know_leaving(found, "p1"))
-            await self.restore(found, copy)
+            await self.lose_draining(found)
             found.store.faults["forget"] = 20
             found.configure(version=9)
             await found.until(lambda: config_versions(found) == [9] * 3)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -245,18 +245,21 @@
 
 
 class ClaimsTest(unittest.IsolatedAsyncioTestCase):
-    SETTLE_SECONDS = 9.0
+    # Longer than the time in which a lease of 6 s lapses.
+    SETTLE_SECONDS = 9.5
 
     def setUp(self):
         self.platform, self.clock = FakePlatform(), FakeClock()
+        self.lease_table = LeaseTable(6.0, self.clock)
         self.hosts = {name: self.start(name) for name in ("h0", "h1")}
 
     def start(self, name):
         table = KeyTable(f"{name}-" + "a" * 16, self.clock, 10)
-        return claims.Claims(self.platform, table, name, self.clock, self.SETTLE_SECONDS)
+        return claims.Claims(self.platform, table, name, self.clock, self.lease_table)
 
     async def find(self, name, key="key", at=0.0):
         """Return the owner's incarnation, or None if the request must not run."""
+        self.lease_table.update({}, self.platform.era.current)
         found = await self.hosts[name].find_owner("c", key, at)
         if failed(found):
             self.assertEqual((Kind.PLATFORM_DOWN, False), (found.kind, found.may_have_run))
@@ -293,7 +296,7 @@
         await self.lose_claim()
         self.assertIsNone(await self.find("h1"))
         self.clock.advance(1.0)
-        self.hosts["h0"].observe_era()
+        self.hosts["h0"].expect_lost()
         self.assertEqual(1, await self.hosts["h0"].write_again())
         self.assertEqual("h0", await self.find("h1"))
         self.clock.advance(self.SETTLE_SECONDS)
@@ -303,6 +306,7 @@
     async def test_a_host_that_starts_after_a_restore_claims_nothing_at_once(self):
         """Guards against a request that runs twice: the new host has seen no other era."""
         await self.lose_claim()
+        self.lease_table = LeaseTable(6.0, self.clock)
         self.hosts["h2"] = self.start("h2")
         self.assertIsNone(await self.find("h2"))
         self.clock.advance(self.SETTLE_SECONDS)
@@ -310,7 +314,7 @@
 
     async def test_writing_again_is_retried_while_the_platform_is_down(self):
         await self.lose_claim()
-        self.hosts["h0"].observe_era()
+        self.hosts["h0"].expect_lost()
         self.platform.down = True
         self.assertEqual(0, await self.hosts["h0"].write_again())
         self.platform.down = False
