Let the engine leave that the test's prompts are sent to

Cause: the first prompt goes to one of two equal engines by a random draw, and all later ones to the same engine, as it has cached their shared part; the test always let the first engine leave.

The test now sends a prompt first and lets that engine leave which ran it.

--- a/tests/relay/test_endpoint_notices.py
+++ b/tests/relay/test_endpoint_notices.py
@@ -57,7 +57,12 @@
 
     async def check_leaving(self, path, model, service):
         async with Deployment(hosts=2, engines=TWO_ENGINES, pages=("p1", "p2")) as found:
-            leaving, other = getattr(found, service).values()
+            rows = getattr(found, service).values()
+            await found.send(f"{path}first", "first", model=model)
+            # The next prompts are sent where this one is cached.
+            leaving = next(row for row in rows if row.executed)
+            other = next(row for row in rows if row is not leaving)
+            leaving.call_times.clear()
             found.store.faults["down"] = True
             leaving.extra_headers = {"server-leaving": "1"}
             await burst(found, path, model, 1.0)
