Link the hosts before the prompt that tells which engine leaves

Cause of that one: the first prompt was sent before its host had a link to the hub, so the host chose by itself, and the hub, which knew nothing of it, drew another engine for the prompts that followed.

--- a/tests/relay/test_endpoint_notices.py
+++ b/tests/relay/test_endpoint_notices.py
@@ -58,10 +58,11 @@
     async def check_leaving(self, path, model, service):
         async with Deployment(hosts=2, engines=TWO_ENGINES, pages=("p1", "p2")) as found:
             rows = getattr(found, service).values()
-            await found.send(f"{path}first", "first", model=model)
-            # The next prompts are sent where this one is cached.
-            leaving = next(row for row in rows if row.executed)
-            other = next(row for row in rows if row is not leaving)
+            await found.until(lambda: all(host.peers.mesh.peers() for host in found.hosts))
+            for host in range(len(found.hosts)):
+                await found.send(f"{path}first", f"first-{host}", model=model, to=host)
+            # The next prompts are sent where the last one is cached.
+            leaving, other = sorted(rows, key=lambda row: f"first-{host}" not in row.executed)
             leaving.call_times.clear()
             found.store.faults["down"] = True
             leaving.extra_headers = {"server-leaving": "1"}
