Log and export whether a host can connect to any endpoint

Their logs named each lost connection, as for an endpoint that has crashed; nothing told the two apart, and no metric showed a host without links.

Connections lost to two endpoints within two seconds raise a suspicion; up to three connections to endpoints that have not failed lately confirm or refute it, and a host without links tries again each half second. Events endpoint_links_suspected, endpoints_unreachable, endpoints_reached; gauge peridotdock_endpoints_unreachable.

--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -216,6 +216,18 @@
         await asyncio.gather(*self._closing, return_exceptions=True)
 
 
+async def can_connect(address: str, seconds: float) -> bool:
+    """Return whether a connection to IP:PORT can be opened in time; it is closed at once."""
+    ip, _, port = address.rpartition(":")
+    try:
+        async with IterationTimeout(seconds, CONNECT_ITERATIONS):
+            _, writer = await asyncio.open_connection(ip, int(port))
+    except (OSError, ValueError):
+        return False
+    writer.close()
+    return True
+
+
 def read_retry_after(headers: Mapping[str, str]) -> float:
     """Return the seconds of Retry-After; 0 when it is missing or can't be parsed.
 
--- /dev/null
+++ b/peridotdock/decisions/connectivity.py
@@ -0,0 +1,119 @@
+"""Decides whether a host has lost its links to the endpoints, or some endpoints have ended.
+
+Load pattern: a network partition separates some hosts from all endpoints, while callers, the store
+and other hosts still reach them. A connection that fails looks the same when its endpoint has
+ended. Several endpoints that fail within a moment raise the suspicion; new connections to other
+endpoints confirm or refute it.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+# Endpoints that must fail within the window before the host's own links are suspected.
+MIN_FAILED_ENDPOINTS = 2
+FAILURE_WINDOW_SECONDS = 2.0
+# Endpoints to which a connection is tried at once, and seconds between two tries of a partitioned
+# host.
+PROBED_ENDPOINTS = 3
+PROBE_INTERVAL_SECONDS = 0.5
+# Seconds after a refuted suspicion before the next one: endpoints that have ended fail repeatedly.
+REFUTED_SECONDS = 1.0
+# Seconds before the first failure from which on losses are blamed on the partition: the connections
+# that were open break first.
+ONSET_SECONDS = 1.0
+
+
+class LinkState(StrEnum):
+    """What a host knows of its links to the endpoints."""
+
+    CONNECTED = "connected"
+    SUSPECTED = "suspected"
+    PARTITIONED = "partitioned"
+
+
+class Finding(StrEnum):
+    """What changes the state of a host's links."""
+
+    FAILURES = "failures"
+    REACHED = "reached"
+    UNREACHED = "unreached"
+
+
+TRANSITIONS = {
+    (LinkState.CONNECTED, Finding.FAILURES): LinkState.SUSPECTED,
+    (LinkState.SUSPECTED, Finding.REACHED): LinkState.CONNECTED,
+    (LinkState.SUSPECTED, Finding.UNREACHED): LinkState.PARTITIONED,
+    (LinkState.PARTITIONED, Finding.REACHED): LinkState.CONNECTED,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Period:
+    """A time in which the links were suspected or lost, in monotonic seconds."""
+
+    since: float
+    until: float
+
+
+class Connectivity:
+    """The state of one host's links to the endpoints. Times are monotonic seconds."""
+
+    def __init__(self) -> None:
+        self.state = LinkState.CONNECTED
+        self._failed_at: dict[str, float] = {}
+        self._since = float("-inf")
+        self._refuted_at = float("-inf")
+        self._partition: Period | None = None
+
+    @property
+    def doubtful(self) -> bool:
+        """Whether a failed connection says nothing about the endpoint at its other end."""
+        return self.state is not LinkState.CONNECTED
+
+    @property
+    def partitioned(self) -> bool:
+        """Whether this host reaches no endpoint."""
+        return self.state is LinkState.PARTITIONED
+
+    def record_failure(self, endpoint: str, known: int, now: float) -> bool:
+        """Record a lost or refused connection; return whether the links became suspected.
+
+        ``known`` is the number of endpoints that this host knows.
+        """
+        oldest = now - FAILURE_WINDOW_SECONDS
+        self._failed_at = {key: at for key, at in self._failed_at.items() if at >= oldest}
+        self._failed_at[endpoint] = now
+        few = len(self._failed_at) < min(MIN_FAILED_ENDPOINTS, known)
+        if few or self.doubtful or now < self._refuted_at + REFUTED_SECONDS:
+            return False
+        self._since = min(self._failed_at.values()) - ONSET_SECONDS
+        self._apply(Finding.FAILURES)
+        return True
+
+    def record_probes(self, reached: bool, now: float) -> bool:
+        """Record whether any of the tried endpoints was reached; return whether this is news."""
+        before = self.state
+        self._apply(Finding.REACHED if reached else Finding.UNREACHED)
+        if self.state is LinkState.CONNECTED and before is not LinkState.CONNECTED:
+            self._failed_at.clear()
+            self._refuted_at = now
+            if before is LinkState.PARTITIONED:
+                self._partition = Period(self._since, now)
+        return self.state is not before
+
+    def _apply(self, finding: Finding) -> None:
+        self.state = TRANSITIONS.get((self.state, finding), self.state)
+
+    def explains(self, lost_at: float) -> bool:
+        """Return whether this host's own links may be why a connection was lost at a time."""
+        if self.doubtful and lost_at >= self._since:
+            return True
+        period = self._partition
+        return period is not None and period.since <= lost_at <= period.until
+
+    def choose_probes(self, endpoints: Sequence[str], rng: Random) -> list[str]:
+        """Return the endpoints to try next, at random, those that have not failed lately first."""
+        drawn = rng.sample(endpoints, len(endpoints))
+        return sorted(drawn, key=lambda key: key in self._failed_at)[:PROBED_ENDPOINTS]
--- a/peridotdock/metrics.py
+++ b/peridotdock/metrics.py
@@ -42,6 +42,11 @@
             "Era of the platform's store, which rises when it returns from an older copy.",
             registry=self.registry,
         )
+        self.endpoints_unreachable = Gauge(
+            "peridotdock_endpoints_unreachable",
+            "1 while this host can't connect to any endpoint, else 0.",
+            registry=self.registry,
+        )
         self.accepted = self._counter("accepted", "Connections accepted.")
         self.late_answers = self._counter("late_answers", "Answers that came after their deadline.")
         self.loop_lag = Gauge(
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -17,6 +17,7 @@
 from peridotdock.relay.adapter import Adapter
 from peridotdock.relay.choosing import Chooser
 from peridotdock.relay.clocks import BootClock
+from peridotdock.relay.connectivity import ConnectivityMonitor
 from peridotdock.relay.endpoint_notices import EndpointNotices
 from peridotdock.relay.entries import EntryReader
 from peridotdock.relay.fleet import RelayFleet
@@ -134,6 +135,8 @@
         self.service.sender.on_answer = self.notices.record_answer
         self.service.on_gap = self.grants.server.record_gap
         self.service.on_unreachable = lambda key: self.peers.publish_wants()
+        self.connectivity = ConnectivityMonitor(ctx, self.fleet)
+        self.service.on_lost = self.connectivity.record_lost
         self.host_monitor = HostMonitor(
             ctx, find_iterations(), lambda: self.request_handler.in_progress
         )
@@ -159,6 +162,7 @@
         self.orderer = Orderer(ctx, self.fleet, engines, self.leadership, settings.bounds)
         self.orderer.find_holder_loads = self.peers.holder_loads
         self.orderer.request_permit = self.permits.request_by_key
+        self.orderer.on_lost = self.connectivity.record_lost
         self.jobs = Jobs(ctx)
         self.lease_due = asyncio.Event()
         self.peers.on_resigned = self._on_resigned
@@ -211,6 +215,12 @@
             "demand",
         )
         every(self.host_monitor.check_interval, self.host_monitor.check, "lag")
+        every(
+            self.connectivity.interval,
+            self.connectivity.step,
+            "connectivity",
+            self.connectivity.due,
+        )
         every(
             lambda: BLOCKLIST_CHECK_SECONDS,
             self.blocklist_store.step,
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -95,6 +95,7 @@
         self.records: dict[str, EngineRecord] = {}
         self.changed = asyncio.Event()
         self.request_permit: RequestPermit = permit_always
+        self.on_lost: Callable[[str], None] = lambda key: None
         self.find_holder_loads: Callable[[int], Mapping[str, list[float]] | None] = (
             lambda term: None
         )
@@ -301,6 +302,8 @@
             now = self._ctx.clock.monotonic()
             self._log_report(record, report)
             record.unreachable = failed(report) and report.kind is Kind.ENDPOINT_UNREACHABLE
+            if failed(report):
+                self.on_lost(record.entry.endpoint_id)
             if not failed(report):
                 record = self._check_restart(record, report)
                 record.apply_report(report, now)
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -31,6 +31,8 @@
 # another endpoint is tried.
 FIRST_EVENT_TIMEOUT_FACTOR = 3.0
 FIRST_EVENT_TIMEOUT_SECONDS = 0.8
+# Failures that may come from this host's own link to the endpoint.
+LOST_KINDS = frozenset({Kind.ENDPOINT_UNREACHABLE, Kind.ENDPOINT_LOST, Kind.ANSWER_CUT})
 # A stream that has lasted for this many seconds did not crash its endpoint: a request that does
 # crashes it as soon as it runs, though its events may still be in transit for a while.
 BLAMELESS_STREAM_SECONDS = 0.3
@@ -62,6 +64,7 @@
         self.hosts = 1
         self.on_unreachable: Callable[[str], None] = lambda key: None
         self.on_gap: Callable[[str, str, float], None] = lambda service, key, seconds: None
+        self.on_lost: Callable[[str], None] = lambda key: None
 
     def _retry_budget(self, service: str) -> SharedRetryBudget:
         bounds = self._bounds
@@ -323,6 +326,7 @@
             now - started_at, expected, ITERATIONS_TO_ANSWER * self._iterations.median_length()
         ):
             state.health.record_overdue(now)
+            self.on_lost(state.key)
 
     def record_loss(
         self, req: RelayRequest, state: EndpointState, found: Failure, streamed: float | None = None
@@ -345,6 +349,8 @@
         elif found.kind in RETRY_KINDS:
             state.health.record_loss(now)
         just_begun = streamed is None or streamed < BLAMELESS_STREAM_SECONDS
+        if found.kind in LOST_KINDS:
+            self.on_lost(state.key)
         if connection_broke(found) and just_begun:
             self.blocklist.record_end(req, state.start)
         self.ctx.timeline.add(
