--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from extras.soak.gates import Gate, GatedAdapter, gate_ip
 from extras.soak.ports import free_port
 from peridotdock.context import build_context
 from peridotdock.platform.adapter import PlatformAdapter
@@ -81,10 +82,16 @@
 
 
 class Deployment:
-    """Runners of the services ``engines`` and ``pages``, some hosts, and a client session."""
+    """Runners of the services ``engines`` and ``pages``, some hosts, and a client session.
 
-    def __init__(self, hosts=1, engines=(("e1", ("m0",)),), pages=("p1",)):
+    If ``gated`` is set, each host reaches each runner through a gate of its own, and can be cut off
+    from all of them.
+    """
+
+    def __init__(self, hosts=1, engines=(("e1", ("m0",)),), pages=("p1",), gated=False):
         self._count = hosts
+        self._gated = gated
+        self._gates = []
         self.engines = {name: RunnerStandin(name, models) for name, models in engines}
         self.pages = {name: RunnerStandin(name) for name in pages}
         self.hosts = []
@@ -123,10 +130,31 @@
         await self.session.close()
         for host in self.hosts:
             await host.stop()
+        for gate in (gate for gates in self._gates for gate in gates):
+            await gate.stop()
         for runner in (*self.engines.values(), *self.pages.values()):
             await runner.stop()
         await self.store.stop()
 
+    async def _add_gates(self):
+        """Open the gates of the next host to all runners; return the host's adapter."""
+        if not self._gated:
+            return PlatformAdapter()
+        ip = gate_ip(len(self._gates))
+        runners = (*self.engines.values(), *self.pages.values())
+        self._gates.append([await Gate(runner.address, ip).start() for runner in runners])
+        return GatedAdapter(ip)
+
+    def cut(self, host, way):
+        """Cut a host off from all runners."""
+        for gate in self._gates[host]:
+            gate.cut(way)
+
+    async def mend(self, host):
+        """Let a host that was cut off reach all runners again."""
+        for gate in self._gates[host]:
+            await gate.mend()
+
     def _publish_entry(self, runner, service):
         self.store.put("servers", runner.name, runner.entry(service))
 
@@ -157,7 +185,8 @@
             peer_port=listen.peers.port,
         )
         rng = random.Random(len(self.hosts) + 1)
-        host = RelayHost(build_context(cfg, rng=rng), settings, PlatformAdapter())
+        adapter = await self._add_gates()
+        host = RelayHost(build_context(cfg, rng=rng), settings, adapter)
         await host.start()
         self.hosts.append(host)
         return host
--- /dev/null
+++ b/tests/relay/test_partition.py
@@ -0,0 +1,117 @@
+"""Hosts that are cut off from all endpoints, while callers, store and other hosts reach them."""
+
+import asyncio
+import itertools
+import unittest
+
+from nose2.tools import params
+
+from extras.soak.gates import Gate
+from tests.relay.deployment import Deployment
+from tests.relay.test_relay import run
+
+ENGINES = (("e1", ("m0",)), ("e2", ("m0",)), ("e3", ("m1",)))
+PAGES = ("p1", "p2", "p3")
+# Seconds after the cut from which callers of the hosts that are cut off have to be served, and the
+# least share of what others are served.
+SETTLING_SECONDS = 3.0
+LEAST_SHARE = 2 / 3
+# Requests on each route to each host, with seconds between two rounds.
+ROUNDS = 8
+ROUND_SECONDS = 0.1
+REQUESTS = (("/recap/", "m0"), ("/once/", "m1"), ("/bind/", ""), ("/fetch/", ""))
+# Reports of three engines in about a second: each may be read a few times.
+MAX_REPORTS = 20
+numbers = itertools.count()
+
+
+def gated(hosts=3):
+    return Deployment(hosts=hosts, engines=ENGINES, pages=PAGES, gated=True)
+
+
+async def send_rounds(found, rounds=ROUNDS):
+    """Send requests on all routes to all hosts; return the statuses and seconds by host."""
+    loop = asyncio.get_running_loop()
+    answers = [[] for _ in found.hosts]
+
+    async def ask(host, path, model):
+        started_at = loop.time()
+        status, _, body = await found.send(path, f"r{next(numbers)}", model=model, to=host)
+        answers[host].append((path, status, loop.time() - started_at, body))
+
+    tasks = []
+    for _ in range(rounds):
+        for host, (path, model) in itertools.product(range(len(found.hosts)), REQUESTS):
+            tasks.append(asyncio.ensure_future(ask(host, path, model)))
+        await asyncio.sleep(ROUND_SECONDS)
+    await asyncio.gather(*tasks)
+    return answers
+
+
+def served_share(rows):
+    return sum(status == 200 for _, status, _, _ in rows) / len(rows)
+
+
+async def wait_linked(found):
+    """Wait until all hosts know all others and one of them orders engines."""
+    await found.until(
+        lambda: all(len(host.peers.membership.live()) == len(found.hosts) for host in found.hosts)
+    )
+    await found.until(lambda: any(host.leadership.holds() for host in found.hosts))
+
+
+class ServedTest(unittest.TestCase):
+    """Guards against callers of a host without links to endpoints that are not served."""
+
+    async def check_served(self, found, cut, way):
+        await wait_linked(found)
+        await send_rounds(found, 2)
+        for host in cut:
+            found.cut(host, way)
+        await asyncio.sleep(SETTLING_SECONDS)
+        answers = await send_rounds(found)
+        others = [row for host, rows in enumerate(answers) if host not in cut for row in rows]
+        self.assertEqual(1.0, served_share(others), others)
+        for host in cut:
+            share = served_share(answers[host])
+            self.assertGreaterEqual(share, LEAST_SHARE, answers[host])
+
+    @params(*Gate.WAYS)
+    def test_a_host_that_is_cut_off_serves(self, way):
+        @run
+        async def check(self):
+            async with gated() as found:
+                await self.check_served(found, [2], way)
+
+        check(self)
+
+
+class OtherHostsTest(unittest.TestCase):
+    """Guards against a host without links to endpoints that harms callers of other hosts."""
+
+    @run
+    async def test_orders_go_on_while_another_host_reaches_no_engine(self):
+        """Callers of an adapter wait in vain, as its engine's report is read over and over."""
+        async with gated() as found:
+            await wait_linked(found)
+            holder = next(n for n, host in enumerate(found.hosts) if host.leadership.holds())
+            cut, other = [number for number in range(len(found.hosts)) if number != holder]
+            found.cut(cut, "reset")
+            tasks = [
+                asyncio.ensure_future(found.send(path, f"c{number}-{path}", model=model, to=cut))
+                for number, (path, model) in itertools.product(range(3), REQUESTS)
+            ]
+            await asyncio.sleep(0.5)
+            metrics = found.hosts[holder].ctx.metrics
+            before = read_count(metrics)
+            for item in ("m0/a1", "m0/a2"):
+                answer = await found.send("/recap/", f"{item}-o", model=item, to=other)
+                self.assertEqual(200, answer[0], (item, answer[2]))
+            await asyncio.sleep(0.5)
+            self.assertLess(read_count(metrics) - before, MAX_REPORTS)
+            await asyncio.gather(*tasks)
+
+
+def read_count(metrics):
+    """Return how many reports of engines a host has read."""
+    return metrics.reports.labels("read")._value.get()
