Read the report of an engine that hosts call down at intervals, and order in between

What callers saw: at hosts that reach all engines, requests for an adapter whose load takes 0.01 s waited for 1.9 s and were refused (no copy came) while another host was cut off from the endpoints.

Cause: the host without links publishes all engines as down. Each plan took that as a reason to read their reports, whatever the last one had said, and an engine whose report is due gets no order. The fact stays as long as the host fails, so a level was acted on as if it were an event. Ruled out: the lease (it was held all the time) and the ration of loads (an adapter needs none).

An engine that is published as down is read at once, then each second while that lasts; orders go out in between.

--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -1,6 +1,7 @@
 """Carries out plans on the lease holder, one order at a time on each engine."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable, Collection, Coroutine, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -46,6 +47,9 @@
 DEMAND_KNOWN_SECONDS = 8.0
 # Seconds after which all hosts' facts on running requests and demand have arrived.
 HOST_FACTS_SECONDS = 1.0
+# Seconds between two reports of an engine that hosts publish as unreachable while the lease holder
+# reads its reports.
+DOWN_REPORT_SECONDS = 1.0
 # Answers that mean that an order is not carried out, now or later.
 REJECTED = frozenset(
     {OrderAnswer.BUSY, OrderAnswer.REFUSED, OrderAnswer.FENCED, OrderAnswer.WRONG_ENGINE}
@@ -89,6 +93,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._reservations: dict[str, Reservation] = {}
         self._unanswered = UnansweredOrders()
+        self._down_report_at: dict[str, float] = {}
         self._term = 0
         self._began = 0.0
         self._demand_since: float | None = None
@@ -117,8 +122,7 @@
         if self._term != self._leadership.term:
             self._take_over(deployment)
         self._follow_entries()
-        for key in self.records.keys() & set(down):
-            self.records[key].needs_report = True
+        self._request_reports(self.records.keys() & set(down))
         for service in deployment.services.values():
             if service.engine is not None:
                 self._plan(service, service.engine, demand, running)
@@ -146,6 +150,20 @@
             f"loads left {left}",
         )
 
+    def _request_reports(self, down: Collection[str]) -> None:
+        """Read the reports of engines that hosts publish as down, at once and then at intervals.
+
+        Failure guarded against: a host has lost its links to all engines and publishes them as
+        down. Each report showed that the engine lives, and was read again at once; meanwhile the
+        engine got no order, and callers of other hosts waited in vain for an adapter.
+        """
+        now = self._ctx.clock.monotonic()
+        last = self._down_report_at
+        due = {key for key in down if now - last.get(key, -math.inf) >= DOWN_REPORT_SECONDS}
+        for key in due:
+            self.records[key].needs_report = True
+        self._down_report_at = {key: now if key in due else last[key] for key in down}
+
     def _load_limiter(self, service: Service) -> LoadRateLimiter:
         found = self._load_limiters.get(service.name)
         if found is None:
