Move what serves an admitted request out of the handler of callers' requests

Requests of callers will not be the only ones that a host serves: those that other hosts forward need the same answers, streams and count of what is in progress, but are admitted otherwise. Admission (quota, choice of the service, demand) stays with the handler behind a protocol; Responder does the rest. No behaviour changes; the tests of requests, quotas, endings, lag and overload pass as they were.

--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -33,6 +33,7 @@
 from peridotdock.relay.port_router import ADDRESS_SECONDS, PortRouter
 from peridotdock.relay.quotas import Quotas
 from peridotdock.relay.request_handler import RequestHandler
+from peridotdock.relay.responding import Responder
 from peridotdock.relay.service import RelayService
 from peridotdock.relay.settings import HostSettings
 from peridotdock.relay.views import Views
@@ -137,15 +138,21 @@
         self.service.on_unreachable = lambda key: self.peers.publish_wants()
         self.connectivity = ConnectivityMonitor(ctx, self.fleet)
         self.service.on_lost = self.connectivity.record_lost
-        self.host_monitor = HostMonitor(
-            ctx, find_iterations(), lambda: self.request_handler.in_progress
-        )
+        self.host_monitor = HostMonitor(ctx, find_iterations(), lambda: self.responder.in_progress)
         self.host_monitor.on_change = self._publish_state
         self.quotas = Quotas(ctx, settings.host, self.peers, settings.bounds, find_iterations())
         mesh.on_quota = self.quotas.on_frame
         identifier = Identifier(settings.bounds, self._config_age)
+        self.responder = Responder(ctx, self.service)
         self.request_handler = RequestHandler(
-            ctx, adapter.wire, self.service, self.peers, self.host_monitor, identifier, self.quotas
+            ctx,
+            adapter.wire,
+            self.service,
+            self.responder,
+            self.peers,
+            self.host_monitor,
+            identifier,
+            self.quotas,
         )
         lease = settings.bounds.order_lease
         machine = str(settings.listen.peers)
@@ -182,7 +189,12 @@
         self._failed_plans = 0
         listen = settings.listen
         port_router = PortRouter(
-            ctx, adapter, self.request_handler, self.peers.membership, self._ready
+            ctx,
+            adapter,
+            self.request_handler,
+            self.peers.membership,
+            self._ready,
+            lambda: self.responder.in_progress,
         )
         port_router.set_ports(
             listen, settings.metrics.port if settings.metrics is not None else None
@@ -465,9 +477,9 @@
         await self.leadership.release()
         await clock.sleep(min(ADDRESS_SECONDS * ADDRESS_CACHE_FACTOR, bounds.stopping / 2))
         until = began + bounds.stopping - STOP_MARGIN_SECONDS
-        while self.request_handler.in_progress and clock.monotonic() < until:
+        while self.responder.in_progress and clock.monotonic() < until:
             await clock.sleep(DRAIN_POLL_SECONDS)
         # No request is taken between this check and the end of the process.
         self.request_handler.closed = True
         self.peers.membership.set_state("gone")
-        self.ctx.timeline.add("stopped", detail=f"{self.request_handler.in_progress} requests left")
+        self.ctx.timeline.add("stopped", detail=f"{self.responder.in_progress} requests left")
--- a/peridotdock/relay/port_router.py
+++ b/peridotdock/relay/port_router.py
@@ -26,12 +26,14 @@
         request_handler: RequestHandler,
         membership: Membership,
         is_ready: Callable[[], bool],
+        in_progress: Callable[[], int],
     ):
         self._ctx = ctx
         self._adapter = adapter
         self._request_handler = request_handler
         self._membership = membership
         self._is_ready = is_ready
+        self._in_progress = in_progress
         self._handlers: dict[int, Handler] = {}
 
     def set_ports(self, listen: Listen, metrics_port: int | None) -> None:
@@ -54,7 +56,7 @@
         return Response(200 if ready else 503, None, body)
 
     async def _metrics(self, request: Request) -> Response:
-        self._ctx.metrics.in_work.set(self._request_handler.in_progress)
+        self._ctx.metrics.in_work.set(self._in_progress())
         return Response(200, None, Content(b"text/plain", self._ctx.metrics.render()))
 
     async def _directory(self, request: Request) -> Response:
--- a/peridotdock/relay/request_handler.py
+++ b/peridotdock/relay/request_handler.py
@@ -4,13 +4,12 @@
 
 from blacksheep import Content, Request, Response
 
-from peridotdock.answers import JSON, answer_reply
+from peridotdock.answers import JSON
 from peridotdock.context import Context
 from peridotdock.decisions.choice import expected_prefill_seconds
 from peridotdock.decisions.overload import RefusalReason, retry_after
 from peridotdock.deployment import Deployment, Route
 from peridotdock.errors import Failure, Kind, Ran, failed
-from peridotdock.relay.attempt import CompleteAnswer, StreamSource
 from peridotdock.relay.caller import CallerConnection
 from peridotdock.relay.identity import Identifier
 from peridotdock.relay.item_waits import name_item
@@ -19,10 +18,9 @@
 from peridotdock.relay.progress import Progress
 from peridotdock.relay.quotas import Quotas
 from peridotdock.relay.requests import Identity, RelayRequest, RequestHead
+from peridotdock.relay.responding import Responder
 from peridotdock.relay.service import RelayService
-from peridotdock.relay.streaming import relay_stream
 from peridotdock.relay.wire import Wire
-from peridotdock.requests import Reply
 from peridotdock.serving import ARRIVAL_KEY, read_body
 
 # Retry-after in seconds while a host has no configuration: by then it has read one, or the caller
@@ -30,9 +28,6 @@
 NOT_READY_RETRY_SECONDS = 0.3
 # Status of a refused request of which an earlier send may have run.
 MAYBE_RAN_STATUS = 502
-# Seconds after its deadline from which an answer counts as late. Timers fire some milliseconds late
-# even on a host that keeps up.
-LATE_TOLERANCE_SECONDS = 0.05
 
 
 class RequestHandler:
@@ -46,6 +41,7 @@
         ctx: Context,
         wire: Wire,
         service: RelayService,
+        responder: Responder,
         peers: Peers,
         monitor: HostMonitor,
         identifier: Identifier,
@@ -54,12 +50,12 @@
         self._ctx = ctx
         self._wire = wire
         self._service = service
+        self._responder = responder
         self._peers = peers
         self._monitor = monitor
         self._identifier = identifier
         self._quotas = quotas
         self.deployment: Deployment | None = None
-        self.in_progress = 0
         self.closed = False
 
     async def handle(self, request: Request) -> Response:
@@ -95,36 +91,21 @@
         if self.closed:
             failure = Failure(Kind.NOT_READY, "the host has stopped", NOT_READY_RETRY_SECONDS)
             return self._refuse_and_close(failure, req.id)
-        caller = CallerConnection(request.scope["receive"])
-        streaming = False
-        self.in_progress += 1
-        try:
-            limited = await self._quotas.admit(req, caller)
-            if limited is not None:
-                return self._refuse(limited, req.id)
-            progress = self._service.choose_service(req.route)
-            self._count_demand(req, progress)
-            found = await self._service.open_answer(req, caller, progress)
-            if failed(found):
-                if not found.may_have_run:
-                    self._quotas.refund(req)
-                self._count_late(req)
-                return self._refuse(found, req.id)
-            self._ctx.metrics.requests.labels("answered").inc()
-            self._count_late(req)
-            head = found.head
-            if isinstance(found, CompleteAnswer):
-                return answer_reply(Reply(head.status, head.headers, found.body, head.content_type))
-            streaming = True
-            body = self._stream_body(req, caller, progress, found)
-            return answer_reply(Reply(head.status, head.headers, body, head.content_type))
-        finally:
-            if not streaming:
-                self._finish(req, caller)
-
-    def _count_late(self, req: RelayRequest) -> None:
-        if self._ctx.clock.monotonic() > req.deadline + LATE_TOLERANCE_SECONDS:
-            self._ctx.metrics.late_answers.inc()
+        found = await self._responder.respond(request, req, self)
+        return self._refuse(found, req.id) if failed(found) else found
+
+    async def admit(self, req: RelayRequest, caller: CallerConnection) -> Progress | Failure:
+        """Admit a request within its workspace's quota, and choose its service."""
+        limited = await self._quotas.admit(req, caller)
+        if limited is not None:
+            return limited
+        progress = self._service.choose_service(req.route)
+        self._count_demand(req, progress)
+        return progress
+
+    def refund(self, req: RelayRequest) -> None:
+        """Return the quota units of a request that did not run."""
+        self._quotas.refund(req)
 
     def _count_demand(self, req: RelayRequest, progress: Progress) -> None:
         """Add the request's engine seconds to the demand for its model or adapter."""
@@ -136,19 +117,6 @@
             now = self._ctx.clock.monotonic()
             self._peers.demand_meter.add(name_item(progress.service, inference), seconds, now)
 
-    async def _stream_body(self, req, caller, progress, source: StreamSource):
-        """Relay a stream; the request counts as in progress until it has ended."""
-        try:
-            async for part in relay_stream(self._service, req, caller, progress, source):
-                yield part
-        finally:
-            self._finish(req, caller)
-
-    def _finish(self, req: RelayRequest, caller: CallerConnection) -> None:
-        self.in_progress -= 1
-        self._service.blocklist.trials.drop(req)
-        caller.stop_watching()
-
     def _reject_overloaded(self, refusal_reason: RefusalReason, attempt_id: str) -> Response:
         """Refuse a request while the host is overloaded, and close its connection."""
         failure = Failure(Kind.HOST_BEHIND, refusal_reason, retry_after(self._ctx.rng.random))
--- /dev/null
+++ b/peridotdock/relay/responding.py
@@ -0,0 +1,91 @@
+"""Serves requests that were admitted, and counts those in progress."""
+
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+from blacksheep import Request, Response
+
+from peridotdock.answers import answer_reply
+from peridotdock.context import Context
+from peridotdock.errors import Failure, failed
+from peridotdock.relay.attempt import CompleteAnswer, StreamSource
+from peridotdock.relay.caller import CallerConnection
+from peridotdock.relay.progress import Progress
+from peridotdock.relay.requests import RelayRequest
+from peridotdock.relay.service import RelayService
+from peridotdock.relay.streaming import relay_stream
+from peridotdock.requests import Reply
+
+# Seconds after its deadline from which an answer counts as late. Timers fire some milliseconds late
+# even on a host that keeps up.
+LATE_TOLERANCE_SECONDS = 0.05
+
+
+class Admission(Protocol):
+    """Admits requests; callers' requests and those that other hosts forward differ in it."""
+
+    async def admit(self, req: RelayRequest, caller: CallerConnection) -> Progress | Failure:
+        """Return the request's service and its sends so far, or why it is refused."""
+
+    def refund(self, req: RelayRequest) -> None:
+        """Take back what was counted for an admitted request that did not run."""
+
+
+class Responder:
+    """Serves requests until their answers have ended, and counts those in progress."""
+
+    def __init__(self, ctx: Context, service: RelayService):
+        self._ctx = ctx
+        self._service = service
+        self.in_progress = 0
+
+    async def respond(
+        self, request: Request, req: RelayRequest, admission: Admission
+    ) -> Response | Failure:
+        """Return the response to a request, or why it is refused."""
+        caller = CallerConnection(request.scope["receive"])
+        streaming = False
+        self.in_progress += 1
+        try:
+            progress = await admission.admit(req, caller)
+            if failed(progress):
+                return progress
+            found = await self._service.open_answer(req, caller, progress)
+            self._count_late(req)
+            if failed(found):
+                if not found.may_have_run:
+                    admission.refund(req)
+                return found
+            self._ctx.metrics.requests.labels("answered").inc()
+            head = found.head
+            if isinstance(found, CompleteAnswer):
+                return answer_reply(Reply(head.status, head.headers, found.body, head.content_type))
+            streaming = True
+            body = self._stream_body(req, caller, progress, found)
+            return answer_reply(Reply(head.status, head.headers, body, head.content_type))
+        finally:
+            if not streaming:
+                self._finish(req, caller)
+
+    def _count_late(self, req: RelayRequest) -> None:
+        if self._ctx.clock.monotonic() > req.deadline + LATE_TOLERANCE_SECONDS:
+            self._ctx.metrics.late_answers.inc()
+
+    async def _stream_body(
+        self,
+        req: RelayRequest,
+        caller: CallerConnection,
+        progress: Progress,
+        source: StreamSource,
+    ) -> AsyncIterator[bytes]:
+        """Relay a stream; the request counts as in progress until it has ended."""
+        try:
+            async for part in relay_stream(self._service, req, caller, progress, source):
+                yield part
+        finally:
+            self._finish(req, caller)
+
+    def _finish(self, req: RelayRequest, caller: CallerConnection) -> None:
+        self.in_progress -= 1
+        self._service.blocklist.trials.drop(req)
+        caller.stop_watching()
