Forward requests through a host that reaches the endpoints where this host can't

Cause: a host's own connections were its only way to an endpoint, and an endpoint that it could not connect to counted as absent, as if it had ended. So the request waited for a load that nobody needed, or was refused. The class of fault: what one host fails to reach is taken for the state of the other end.

Change: while its links are in doubt, and where it can connect to none of the endpoints that hold what is asked for, a host forwards the request to one that is in touch, chosen at random so that none carries all. It has admitted the request (key, quota, block list, demand); the other host chooses the endpoint, retries and streams as for its own callers, never forwards again, and refuses at once while it stops, is in doubt itself, has an older configuration or is late. The request goes over HTTP on a port between hosts, as closing, back pressure and deadlines hold along the way then; a header signed with the cluster key names the workspace, so no caller's key leaves its host. Nothing was sent to an endpoint where a host did not take it, so requests that may run once are forwarded as well.

Weighed: over the links between hosts (streams would stand behind facts, and need flow control of their own); telling callers to go elsewhere alone (connections that are open and addresses that are kept stay in use).

--- a/peridotdock/decisions/overload.py
+++ b/peridotdock/decisions/overload.py
@@ -39,6 +39,11 @@
 CONNECT_SHARE = 0.8
 
 
+# Timer lateness from which a host takes no requests of other hosts, so that its own callers don't
+# wait for them.
+FORWARDED_LAG_SECONDS = 0.05
+
+
 class RefusalReason(StrEnum):
     """Why a host refuses a request."""
 
@@ -66,6 +71,15 @@
     return None
 
 
+def takes_forwarded(lag: float) -> bool:
+    """Return whether a host takes requests of hosts that reach no endpoint.
+
+    Load pattern: most hosts lose their links at once, and all their requests go to the few that
+    are left. ``lag`` is the most by which a timer was late lately, in seconds.
+    """
+    return lag < FORWARDED_LAG_SECONDS
+
+
 def check_send(left: float, expected: float, iteration: float) -> RefusalReason | None:
     """Return why a request must not be sent, or None.
 
--- a/peridotdock/platform/settings.py
+++ b/peridotdock/platform/settings.py
@@ -36,6 +36,7 @@
             readiness=parse_address(listen["ready"]),
             directory=parse_address(listen["directory"]),
             peers=parse_address(listen["control"]),
+            relay=decode_relay(raw),
         ),
         seeds=tuple(parse_address(text) for text in raw.get("seeds", ())),
         store=parse_address(raw["platform"]["address"]),
@@ -63,6 +64,12 @@
     return Address(raw["ip"], METRICS_PORT) if first <= METRICS_PORT <= last else None
 
 
+def decode_relay(raw: Mapping[str, Any]) -> Address | None:
+    """Return the address for forwarded requests, the last port for the hosts' own traffic."""
+    first, last = raw.get("inner_ports") or (0, -1)
+    return Address(raw["ip"], last) if first <= last and last != METRICS_PORT else None
+
+
 def decode_bounds(raw: Mapping[str, Any]) -> Bounds:
     """Return the bounds; milliseconds of the file become seconds."""
     return Bounds(
--- a/peridotdock/relay/endpoint.py
+++ b/peridotdock/relay/endpoint.py
@@ -93,7 +93,7 @@
     ``announced_leaving`` is set when the endpoint announced in an answer that it drains. Until
     ``backoff_until`` it accepts nothing from this host. Both remain set until the end of this
     start, whatever its entry shows. Until ``left_out_until`` nothing shows that the endpoint is
-    still there.
+    still there. ``is_host`` is set for a host in the place of an endpoint.
     """
 
     entry: EndpointEntry
@@ -112,14 +112,19 @@
     announced_leaving: bool = False
     backoff_until: float = float("-inf")
     left_out_until: float = float("-inf")
+    is_host: bool = False
 
     def accepts_requests(self) -> bool:
         """Return whether requests may still be sent to the endpoint."""
         return not self.gone and not self.leaving
 
+    def serves(self, now: float) -> bool:
+        """Return whether the endpoint serves hosts that reach it."""
+        return not self.leaving and now >= self.left_out_until
+
     def usable(self, now: float) -> bool:
-        """Return whether the endpoint may be chosen for a request."""
-        return not self.leaving and now >= self.left_out_until and not self.health.absent(now)
+        """Return whether this host may choose the endpoint for a request."""
+        return self.serves(now) and not self.health.absent(now)
 
     @property
     def leaving(self) -> bool:
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -145,13 +145,16 @@
         change.set_result(None)
 
     def usable(self, service: str, inference: InferenceSpec | None) -> list[EndpointState]:
-        """Return the endpoints of a service that accept requests and hold the requested item."""
+        """Return the endpoints that accept requests of this host and hold the requested item."""
         now = self._clock.monotonic()
         rows = self.by_service.get(service, ())
-        found = [s for s in rows if s.usable(now)]
-        if inference is None:
-            return found
-        return [state for state in found if state.holds(inference, now)]
+        return filter_holders([state for state in rows if state.usable(now)], inference, now)
+
+    def serving(self, service: str, inference: InferenceSpec | None) -> list[EndpointState]:
+        """Return the same, with the endpoints to which this host can't connect."""
+        now = self._clock.monotonic()
+        rows = self.by_service.get(service, ())
+        return filter_holders([state for state in rows if state.serves(now)], inference, now)
 
     def seconds_until_loaded(self, service: str, model: str) -> float | None:
         """Return the seconds until a model that is being loaded can serve, or None."""
@@ -358,6 +361,15 @@
             self._answer_seconds[service] = usual + AVERAGE_GAIN * (now - request.sent_at - usual)
 
 
+def filter_holders(
+    states: list[EndpointState], inference: InferenceSpec | None, now: float
+) -> list[EndpointState]:
+    """Return the endpoints that hold the requested item; plain services have none."""
+    if inference is None:
+        return states
+    return [state for state in states if state.holds(inference, now)]
+
+
 def keep_draining(entry: EndpointEntry, known: EndpointState) -> EndpointEntry:
     """Return the entry of a start, draining if the known one drains."""
     same = entry.started_ms == known.entry.started_ms
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -22,6 +22,8 @@
 from peridotdock.relay.entries import EntryReader
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.following import Follower
+from peridotdock.relay.forwarded import ForwardedHandler
+from peridotdock.relay.forwarding import Forwarder
 from peridotdock.relay.grants import Grants
 from peridotdock.relay.identity import Identifier
 from peridotdock.relay.item_waits import ItemWaits
@@ -123,6 +125,17 @@
         waits = EndpointWaits(ctx, self.fleet, self.item_waits, self.permits)
         waits.is_draining = lambda: self.leaving
         chooser = Chooser(ctx, self.fleet, waits, self.grants, self.permits)
+        self.connectivity = ConnectivityMonitor(ctx, self.fleet)
+        self.host_connections = HttpEndpoints(not_run_header=None)
+        self.forwarder = Forwarder(
+            ctx,
+            adapter.wire,
+            self.host_connections,
+            self.fleet,
+            self.peers.membership,
+            self.connectivity.links,
+        )
+        self.forwarder.config_version = self._config_version
         self.service = RelayService(
             ctx,
             adapter.wire,
@@ -131,12 +144,12 @@
             settings.bounds,
             chooser,
             self.blocklist,
+            self.forwarder,
             settings.first_start,
         )
         self.service.sender.on_answer = self.notices.record_answer
         self.service.on_gap = self.grants.server.record_gap
         self.service.on_unreachable = lambda key: self.peers.publish_wants()
-        self.connectivity = ConnectivityMonitor(ctx, self.fleet)
         self.service.on_lost = self.connectivity.record_lost
         self.host_monitor = HostMonitor(ctx, find_iterations(), lambda: self.responder.in_progress)
         self.host_monitor.on_change = self._publish_state
@@ -188,10 +201,20 @@
         )
         self._failed_plans = 0
         listen = settings.listen
+        forwarded_handler = ForwardedHandler(
+            ctx,
+            adapter.wire,
+            self.responder,
+            self.connectivity.links,
+            find_iterations(),
+            lambda: self.request_handler.deployment,
+            lambda: self.leaving,
+        )
         port_router = PortRouter(
             ctx,
             adapter,
             self.request_handler,
+            forwarded_handler,
             self.peers.membership,
             self._ready,
             lambda: self.responder.in_progress,
@@ -202,8 +225,7 @@
         app = make_application()
         app.router.fallback = port_router.handle
         addresses = [listen.readiness, listen.directory]
-        if settings.metrics is not None:
-            addresses.append(settings.metrics)
+        addresses += [address for address in (listen.relay, settings.metrics) if address]
         more = [(address.ip, address.port) for address in addresses]
         self.server = Server(app, listen.callers.ip, listen.callers.port, more)
 
@@ -243,6 +265,10 @@
         self._tasks.append(asyncio.create_task(self._order()))
         self.ctx.timeline.add("started", detail=str(self.settings.listen.callers))
 
+    def _config_version(self) -> int:
+        deployment = self.request_handler.deployment
+        return deployment.version if deployment is not None else 0
+
     def _config_age(self) -> float:
         return self.views.age(self.adapter.config_table)
 
@@ -264,6 +290,7 @@
         # exceed the limit while hosts can't reach each other.
         self.service.hosts = len(self.peers.membership.members())
         self.views.record_ages()
+        self.forwarder.prune()
 
     def _publish_interval(self, min_seconds: float, factor: float = 1.0) -> float:
         """Return the seconds until the next fact to the hub, which processes a limited rate."""
@@ -465,6 +492,7 @@
         await self.peers.mesh.stop()
         await self.server.stop()
         await self.endpoints.close()
+        await self.host_connections.close()
         await self.store.close()
 
     async def drain(self) -> None:
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -78,6 +78,7 @@
             "starting",
             0,
             int(settings.can_be_hub),
+            str(settings.listen.relay or ""),
         )
         reach = Reachability(
             self.facts, ctx.clock, settings.host, self.mesh.peers, self.mesh.last_received
--- a/peridotdock/relay/port_router.py
+++ b/peridotdock/relay/port_router.py
@@ -1,4 +1,4 @@
-"""Dispatches requests by port: callers, readiness, host directory and metrics."""
+"""Dispatches requests by port: callers, other hosts, readiness, host directory and metrics."""
 
 import random
 from collections.abc import Callable
@@ -8,6 +8,7 @@
 from peridotdock.context import Context
 from peridotdock.membership import Membership
 from peridotdock.relay.adapter import Adapter
+from peridotdock.relay.forwarded import ForwardedHandler
 from peridotdock.relay.request_handler import RequestHandler
 from peridotdock.relay.settings import Listen
 from peridotdock.serving import Handler
@@ -24,6 +25,7 @@
         ctx: Context,
         adapter: Adapter,
         request_handler: RequestHandler,
+        forwarded_handler: ForwardedHandler,
         membership: Membership,
         is_ready: Callable[[], bool],
         in_progress: Callable[[], int],
@@ -31,6 +33,7 @@
         self._ctx = ctx
         self._adapter = adapter
         self._request_handler = request_handler
+        self._forwarded_handler = forwarded_handler
         self._membership = membership
         self._is_ready = is_ready
         self._in_progress = in_progress
@@ -43,6 +46,8 @@
             listen.readiness.port: self._readiness,
             listen.directory.port: self._directory,
         }
+        if listen.relay is not None:
+            self._handlers[listen.relay.port] = self._forwarded_handler.handle
         if metrics_port is not None:
             self._handlers[metrics_port] = self._metrics
 
--- a/peridotdock/relay/progress.py
+++ b/peridotdock/relay/progress.py
@@ -8,7 +8,9 @@
     """Counts of a request's sends, with the endpoints already tried in ``avoid``.
 
     ``maybe_ran`` counts the sends that may have run, ``refusals`` those that were refused.
-    ``last_id`` is the id of the last event that was passed on to the caller.
+    ``last_id`` is the id of the last event that was passed on to the caller. ``hosts`` are those
+    that the request was forwarded to; ``forwarded`` is set on a host that it was forwarded to.
+    ``final`` is set once another host has answered that it can't serve the request.
     """
 
     service: str
@@ -17,3 +19,6 @@
     refusals: int = 0
     sends: int = 0
     last_id: int | None = None
+    hosts: set[str] = field(default_factory=set)
+    forwarded: bool = False
+    final: bool = False
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -12,11 +12,13 @@
 from peridotdock.deployment import Route
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.loop_iterations import find_iterations
+from peridotdock.membership import Member
 from peridotdock.relay.attempt import CompleteAnswer, StreamSource
 from peridotdock.relay.caller import CallerConnection
 from peridotdock.relay.choosing import Chooser
 from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.fleet import RelayFleet
+from peridotdock.relay.forwarding import Forwarder
 from peridotdock.relay.item_waits import name_item
 from peridotdock.relay.progress import Progress
 from peridotdock.relay.requests import RelayRequest
@@ -50,12 +52,14 @@
         bounds: Bounds,
         chooser: Chooser,
         blocklist: Blocklist,
+        forwarder: Forwarder,
         first_start: bool,
     ):
         self.ctx = ctx
         self.fleet = fleet
         self._chooser = chooser
         self.blocklist = blocklist
+        self._forwarder = forwarder
         self.sender = Sender(wire, endpoints, ctx.clock)
         self._bounds = bounds
         self._retry_budgets: dict[str, SharedRetryBudget] = {}
@@ -93,14 +97,18 @@
         fallback: CompleteAnswer | None = None
         outcome: Failure | None = None
         while True:
-            prediction = await self._admit(req, caller, progress)
-            if failed(prediction):
-                # A failure with a retry-after takes precedence over that of the last send.
-                refusal = (
-                    prediction if prediction.retry_after is not None else outcome or prediction
-                )
-                return fallback or mark_maybe_ran(refusal, progress.maybe_ran > 0)
-            found = await self._attempt(req, caller, progress, prediction)
+            host = self._forwarder.choose_host(req, progress)
+            if host is not None:
+                found = await self._forward(req, caller, progress, host)
+            else:
+                prediction = await self._admit(req, caller, progress)
+                if failed(prediction):
+                    # A failure with a retry-after takes precedence over that of the last send.
+                    refusal = (
+                        prediction if prediction.retry_after is not None else outcome or prediction
+                    )
+                    return fallback or mark_maybe_ran(refusal, progress.maybe_ran > 0)
+                found = await self._attempt(req, caller, progress, prediction)
             if isinstance(found, CompleteAnswer) and found.is_server_error:
                 fallback = found
             elif not failed(found):
@@ -112,6 +120,24 @@
                     return fallback
                 return mark_maybe_ran(outcome, progress.maybe_ran > 0)
 
+    async def _forward(
+        self, req: RelayRequest, caller: CallerConnection, progress: Progress, host: Member
+    ) -> CompleteAnswer | StreamSource | Failure:
+        """Send a request through another host, which reaches the endpoints."""
+        refusal = self.blocklist.refusal(req)
+        if refusal is not None:
+            return refusal
+        progress.sends += 1
+        found = await self._forwarder.send(req, caller, progress, host)
+        if not failed(found):
+            found = await self._read(req, caller, progress.service, found, req.route.timeout)
+            if failed(found):
+                self._forwarder.record_lost(req, host.fact.host, found)
+        progress.maybe_ran += not failed(found) or found.may_have_run
+        # A complete answer is the best of the other host's own sends.
+        progress.final = progress.final or isinstance(found, CompleteAnswer)
+        return found
+
     async def _admit(
         self, req: RelayRequest, caller: CallerConnection, progress: Progress
     ) -> Prediction | Failure:
@@ -124,6 +150,8 @@
 
     def record_gap(self, state: EndpointState, service: str, seconds: float, events: int) -> None:
         """Record the seconds since the previous events of a stream; ``events`` arrived at once."""
+        if state.is_host:
+            return
         self.fleet.record_event_gap(service, seconds / events)
         self.on_gap(service, state.key, seconds)
 
@@ -136,7 +164,7 @@
     ) -> bool:
         """Whether a retry is safe, allowed by the route, and within the retry budget."""
         now = self.ctx.clock.monotonic()
-        if caller.is_disconnected() or now >= req.deadline:
+        if caller.is_disconnected() or now >= req.deadline or progress.final:
             return False
         if failed(found) and found.kind not in RETRY_KINDS:
             return False
@@ -163,6 +191,8 @@
         now = self.ctx.clock.monotonic()
         if not self._retry_budget(progress.service).available(now, self.hosts):
             return False
+        if state.is_host:
+            return self._forwarder.choose_host(req, progress) is not None
         states = self.fleet.usable(progress.service, req.head.inference)
         return any(other is not state and not other.health.suspect(now) for other in states)
 
@@ -336,6 +366,9 @@
         ``streamed`` is the seconds since the endpoint's first event, None without one.
         """
         now = self.ctx.clock.monotonic()
+        if state.is_host:
+            self._forwarder.record_lost(req, state.key, found)
+            return
         if found.kind is Kind.ENDPOINT_REFUSED:
             state.health.record_error(now)
         elif found.kind is Kind.ENDPOINT_LACKS and req.head.inference is not None:
--- a/peridotdock/relay/settings.py
+++ b/peridotdock/relay/settings.py
@@ -34,12 +34,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Listen:
-    """Listening addresses for callers, readiness checks, the host directory and other hosts."""
+    """Listening addresses for callers, readiness checks, the host directory and other hosts.
+
+    ``relay`` is for requests that other hosts forward, None if this host takes none.
+    """
 
     callers: Address
     readiness: Address
     directory: Address
     peers: Address
+    relay: Address | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -12,6 +12,8 @@
 
 # Seconds without a byte after which a stream is resumed elsewhere; callers disconnect after two.
 SILENCE_SECONDS = 1.2
+# The same for a stream through another host, which looks for another endpoint first.
+FORWARDED_SILENCE_SECONDS = 1.7
 
 
 class PauseTracker:
@@ -148,8 +150,10 @@
         if source.ended:
             return
         remaining = req.deadline - service.ctx.clock.monotonic()
-        silent = remaining > SILENCE_SECONDS
-        failure = await source.fill(caller, min(remaining, SILENCE_SECONDS), silent, extra_wait)
+        longest = FORWARDED_SILENCE_SECONDS if source.state.is_host else SILENCE_SECONDS
+        failure = await source.fill(
+            caller, min(remaining, longest), remaining > longest, extra_wait
+        )
         if failure is not None:
             yield failure
             return
--- a/peridotdock/relay/waits.py
+++ b/peridotdock/relay/waits.py
@@ -44,6 +44,8 @@
             states = self._fleet.usable(progress.service, req.head.inference)
         if states:
             return None
+        if progress.forwarded:
+            return Failure(Kind.NO_ENDPOINT, "none that this host reaches")
         return await self._item_waits.wait(req, progress.service, caller)
 
     async def _back_off(
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -345,6 +345,14 @@
     """
     1 if the origin has the link and processor capacity to forward facts to all other hosts, else 0.
     """
+    relay: str = ''
+    """
+    IP:PORT for requests that other hosts forward, or empty.
+    """
+    partitioned: bool = False
+    """
+    Whether the origin can connect to no endpoint; its state is then starting.
+    """
 
 
 @dataclass(frozen=True)
@@ -874,6 +882,58 @@
     """
 
 
+@dataclass(frozen=True)
+class Forward:
+    """
+    Header of a request that a host forwards to one that reaches the endpoints.
+    """
+
+    host: str
+    """
+    Name of the forwarding host.
+    """
+    version: int
+    """
+    Version of the configuration by which the request was admitted.
+    """
+    service: str
+    """
+    Service chosen among those of the route.
+    """
+    workspace: str
+    """
+    Name of the workspace that the caller's key belongs to, or empty.
+    """
+    sends: int
+    """
+    Sends to endpoints so far after which the request may have run.
+    """
+
+
+@dataclass(frozen=True)
+class ForwardRefusal:
+    """
+    Header of a host's own answer to a forwarded request.
+    """
+
+    kind: str
+    """
+    Kind of the failure.
+    """
+    reason: str
+    """
+    Why it failed in this case.
+    """
+    ran: bool
+    """
+    Whether the request may have run on an endpoint.
+    """
+    retry_after: int = -1
+    """
+    Milliseconds after which the caller may retry, negative if not known.
+    """
+
+
 @dataclass(frozen=True)
 class LedgerFact:
     """
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -172,7 +172,7 @@
             seeds = (host.settings.listen.peers,)
 
     async def add_host(self, name, seeds):
-        listen = Listen(*(free_address() for _ in range(4)))
+        listen = Listen(*(free_address() for _ in range(5)))
         settings = HostSettings(
             name, "north", listen, seeds, parse_address(self.store.address), BOUNDS
         )
