Do not take the loss of a host's own links for the end of endpoints in the block list

What callers would see: a request is blocked for ten minutes, as endpoint after endpoint broke it off.

Cause: an endpoint that broke an answer off and can't be connected to counts as ended. When a host loses its links, requests that were just sent over open connections break off at several endpoints, and all of them refuse connections. While the links of a host are in doubt, and for what was lost within a second before, its own losses say nothing of an endpoint's end; an entry that goes still does. The test fails without this (True is not false).

With it come tests of the forwarding in the roles that a cut-off host may have: the hub, the lease holder, all hosts but one, a host that starts behind the cut, each in the ways of a cut.

--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -1,7 +1,7 @@
 """All endpoints known to one host, and its measurements of services and models."""
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
 from peridotdock.blocklist import EndpointStart
@@ -69,6 +69,8 @@
         self._restored = False
         # The entries of a restored store that their endpoints have not written again.
         self._restored_entries: dict[str, EndpointEntry] = {}
+        # Whether this host's own links explain that a connection was lost at a time.
+        self.links_explain: Callable[[float], bool] = lambda lost_at: False
         self._change: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     def expect_restored_entries(self) -> None:
@@ -195,12 +197,13 @@
         """Return whether a start of an endpoint that broke off answers at a time has ended.
 
         Failure guarded against: a network device between a host and three endpoints resets
-        connections, and the requests lost there are mistaken for the cause of the endpoints' end.
+        connections, or the host loses its links to all of them, and the requests lost there are
+        mistaken for the cause of the endpoints' end.
         """
         state = self.states.get(start.endpoint)
         if state is None or state.start != start:
             return True
-        if state.answered_sent_at > broken_at:
+        if state.answered_sent_at > broken_at or self.links_explain(broken_at):
             return False
         unreachable = state.health.unreachable_at >= broken_at
         return unreachable or self._clock.monotonic() - broken_at <= ASSUMED_ENDED_SECONDS
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -126,6 +126,7 @@
         waits.is_draining = lambda: self.leaving
         chooser = Chooser(ctx, self.fleet, waits, self.grants, self.permits)
         self.connectivity = ConnectivityMonitor(ctx, self.fleet)
+        self.fleet.links_explain = self.connectivity.links.explains
         self.host_connections = HttpEndpoints(not_run_header=None)
         self.forwarder = Forwarder(
             ctx,
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -85,13 +85,14 @@
     """Runners of the services ``engines`` and ``pages``, some hosts, and a client session.
 
     If ``gated`` is set, each host reaches each runner through a gate of its own, and can be cut off
-    from all of them.
+    from all of them. Hosts that are added while ``cut_from_start`` names a way start behind a cut.
     """
 
     def __init__(self, hosts=1, engines=(("e1", ("m0",)),), pages=("p1",), gated=False):
         self._count = hosts
         self._gated = gated
         self._gates = []
+        self.cut_from_start = ""
         self.engines = {name: RunnerStandin(name, models) for name, models in engines}
         self.pages = {name: RunnerStandin(name) for name in pages}
         self.hosts = []
@@ -143,6 +144,8 @@
         ip = gate_ip(len(self._gates))
         runners = (*self.engines.values(), *self.pages.values())
         self._gates.append([await Gate(runner.address, ip).start() for runner in runners])
+        if self.cut_from_start:
+            self.cut(len(self._gates) - 1, self.cut_from_start)
         return GatedAdapter(ip)
 
     def cut(self, host, way):
--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -7,6 +7,10 @@
 from nose2.tools import params
 
 from extras.soak.gates import Gate
+from peridotdock.decisions.connectivity import Connectivity
+from peridotdock.relay.fleet import RelayFleet
+from peridotdock.relay.requests import EndpointEntry
+from tests.fakes import FakeClock
 from tests.relay.deployment import Deployment
 from tests.relay.test_relay import run
 
@@ -22,6 +26,8 @@
 REQUESTS = (("/recap/", "m0"), ("/once/", "m1"), ("/bind/", ""), ("/fetch/", ""))
 # Reports of three engines in about a second: each may be read a few times.
 MAX_REPORTS = 20
+# A request of a host in touch takes some ten milliseconds.
+MAX_CALM_SECONDS = 1.0
 numbers = itertools.count()
 
 
@@ -85,6 +91,39 @@
 
         check(self)
 
+    @params(*itertools.product(("hub", "holder", "all but one"), Gate.WAYS))
+    def test_hosts_that_are_cut_off_serve(self, which, way):
+        @run
+        async def check(self):
+            async with gated() as found:
+                await wait_linked(found)
+                hosts = enumerate(found.hosts)
+                cut = {
+                    "hub": [n for n, host in hosts if host.peers.is_hub()],
+                    "holder": [n for n, host in enumerate(found.hosts) if host.leadership.holds()],
+                    "all but one": [1, 2],
+                }[which]
+                await self.check_served(found, cut, way)
+
+        check(self)
+
+    @params(*Gate.WAYS[:2])
+    def test_a_host_that_starts_behind_the_cut_serves(self, way):
+        @run
+        async def check(self):
+            async with gated() as found:
+                await wait_linked(found)
+                found.cut_from_start = way
+                seeds = (found.hosts[0].settings.listen.peers,)
+                await found.add_host("late", seeds)
+                await found.until(lambda: found.hosts[3].request_handler.deployment)
+                await wait_linked(found)
+                await asyncio.sleep(SETTLING_SECONDS)
+                answers = await send_rounds(found)
+                self.assertGreaterEqual(served_share(answers[3]), LEAST_SHARE, answers[3])
+
+        check(self)
+
 
 class OtherHostsTest(unittest.TestCase):
     """Guards against a host without links to endpoints that harms callers of other hosts."""
@@ -111,6 +150,39 @@
             self.assertLess(read_count(metrics) - before, MAX_REPORTS)
             await asyncio.gather(*tasks)
 
+    @run
+    async def test_prompts_of_others_are_granted_while_the_hub_reaches_no_engine(self):
+        """Prompts wait at the hub for engines that the hub alone can't reach."""
+        async with gated() as found:
+            await wait_linked(found)
+            await send_rounds(found, 2)
+            hub = next(n for n, host in enumerate(found.hosts) if host.peers.is_hub())
+            found.cut(hub, "reset")
+            answers = [[] for _ in found.hosts]
+            for _ in range(6):
+                for rows, more in zip(answers, await send_rounds(found, 3), strict=True):
+                    rows += more
+            others = [row for n, rows in enumerate(answers) if n != hub for row in rows]
+            self.assertEqual({200}, {status for _, status, _, _ in others})
+            self.assertLess(max(seconds for _, _, seconds, _ in others), MAX_CALM_SECONDS)
+
+    @run
+    async def test_a_cut_is_not_blamed_on_the_requests_that_it_broke_off(self):
+        """Requests are blocked that break off at one engine after the other as links are lost."""
+        clock = FakeClock()
+        fleet = RelayFleet("north", clock)
+        fleet.replace([EndpointEntry("e1", "s", "10.0.0.1:80", "north", 8, False)])
+        start = fleet.states["e1"].start
+        broken_at = clock.monotonic()
+        links = Connectivity()
+        fleet.links_explain = links.explains
+        self.assertTrue(fleet.has_ended(start, broken_at))
+        for endpoint in ("e1", "e2"):
+            links.record_failure(endpoint, 9, broken_at + 0.1)
+        self.assertFalse(fleet.has_ended(start, broken_at))
+        fleet.replace([])
+        self.assertTrue(fleet.has_ended(start, broken_at))
+
 
 def read_count(metrics):
     """Return how many reports of engines a host has read."""
