Let a suspicion alone excuse no end of an endpoint

Only a confirmed loss of the links explains what was lost. Between the first failures and the verdict, 0.35 s at most, a request that broke off at three endpoints may be blocked as before; the verdict lifts that.

--- a/peridotdock/decisions/connectivity.py
+++ b/peridotdock/decisions/connectivity.py
@@ -107,8 +107,11 @@
         self.state = TRANSITIONS.get((self.state, finding), self.state)
 
     def explains(self, lost_at: float) -> bool:
-        """Return whether this host's own links may be why a connection was lost at a time."""
-        if self.doubtful and lost_at >= self._since:
+        """Return whether the loss of this host's links is why a connection was lost at a time.
+
+        A suspicion explains nothing: a request that crashes two endpoints raises one.
+        """
+        if self.partitioned and lost_at >= self._since:
             return True
         period = self._partition
         return period is not None and period.since <= lost_at <= period.until
--- a/tests/relay/test_connectivity.py
+++ b/tests/relay/test_connectivity.py
@@ -77,6 +77,7 @@
         links = Connectivity()
         for now, endpoint in ((10.0, "e1"), (10.1, "e2")):
             links.record_failure(endpoint, 9, now)
+        self.assertFalse(links.explains(lost_at), f"{name}: suspected")
         links.record_probes(False, 10.2)
         links.record_probes(True, 12.0)
         self.assertEqual(expected, links.explains(lost_at), name)
--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -179,6 +179,7 @@
         self.assertTrue(fleet.has_ended(start, broken_at))
         for endpoint in ("e1", "e2"):
             links.record_failure(endpoint, 9, broken_at + 0.1)
+        links.record_probes(False, broken_at + 0.2)
         self.assertFalse(fleet.has_ended(start, broken_at))
         fleet.replace([])
         self.assertTrue(fleet.has_ended(start, broken_at))
