Lead callers to hosts that reach endpoints, while these are enough

What callers saw: the directory named hosts without links to any endpoint like all others, so callers came to them throughout the cut, and came back there after a refusal.

Cause: a host is listed when it is alive and ready, and neither says anything of the other end. It stays ready now too: it serves through others. Change: a host whose loss of links is confirmed publishes that, and the directory leaves it out while at least half of the hosts that can serve callers reach endpoints themselves. Where fewer do, all are listed: the few could not take everybody's connections, and forwarded requests are spread and refused by how late they are. Hosts of earlier versions go by the state in the same fact, under which the host takes no work; they would list it nowhere.

Three tests (one of three cut off, two, all), each with the return; the first failed before: the cut host was listed.

--- a/peridotdock/membership.py
+++ b/peridotdock/membership.py
@@ -28,6 +28,9 @@
 ISOLATED_SECONDS = 1.6
 NO_HOSTS: frozenset[str] = frozenset()
 MAX_BEATS = 64
+# Share of the hosts that can serve callers which must reach endpoints for callers to be given them
+# alone. Fewer of them could not take all connections.
+MIN_REACHING_SHARE = 0.5
 
 
 @dataclass(frozen=True)
@@ -44,9 +47,14 @@
 
     @property
     def accepts_work(self) -> bool:
-        """Tell whether callers should be given this host's address."""
+        """Tell whether the host is alive, ready and reaches endpoints."""
         return self.alive and self.fact.state == "live"
 
+    @property
+    def accepts_callers(self) -> bool:
+        """Tell whether the host can serve callers, if only through other hosts."""
+        return self.accepts_work or (self.alive and self.fact.partitioned)
+
 
 class Links(Protocol):
     """The hosts that are reachable over links."""
@@ -86,9 +94,13 @@
         self._beats.append((self.own.beat, self._clock.monotonic()))
         self._facts.publish("host", self.own)
 
-    def set_state(self, state: str) -> None:
-        """Change this host's state and publish it at once."""
-        self.own = HostFact(**{**vars(self.own), "state": state})
+    def set_state(self, state: str, partitioned: bool = False) -> None:
+        """Change this host's state and publish it at once.
+
+        A ``partitioned`` host serves callers through others; hosts of versions that don't know the
+        field go by its state.
+        """
+        self.own = HostFact(**{**vars(self.own), "state": state, "partitioned": partitioned})
         self.beat()
 
     def beat_seconds(self) -> float:
@@ -150,6 +162,15 @@
         """Return the names of the hosts that are alive and not draining, this one included."""
         return sorted(name for name, row in self.members().items() if row.accepts_work)
 
+    def directory(self) -> list[Member]:
+        """Return the hosts whose addresses callers should be given.
+
+        Hosts that reach no endpoint are left out while the others are enough to take their callers.
+        """
+        able = [row for row in self.members().values() if row.accepts_callers]
+        reaching = [row for row in able if row.accepts_work]
+        return reaching if len(reaching) >= MIN_REACHING_SHARE * len(able) else able
+
     def find_domain(self, host: str) -> str:
         """Return a host's failure domain, or an empty string if it is unknown."""
         member = self.members().get(host)
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -10,6 +10,7 @@
 from peridotdock.clients.endpoint import HttpEndpoints
 from peridotdock.clients.store_time import StoreTime
 from peridotdock.context import Context
+from peridotdock.decisions.connectivity import LinkState
 from peridotdock.deployment import Deployment
 from peridotdock.errors import failed
 from peridotdock.jobs import Jobs
@@ -126,6 +127,7 @@
         waits.is_draining = lambda: self.leaving
         chooser = Chooser(ctx, self.fleet, waits, self.grants, self.permits)
         self.connectivity = ConnectivityMonitor(ctx, self.fleet)
+        self.connectivity.on_change = self._on_connectivity
         self.fleet.links_explain = self.connectivity.links.explains
         self.host_connections = HttpEndpoints(not_run_header=None)
         self.forwarder = Forwarder(
@@ -439,7 +441,16 @@
         """Publish to other hosts whether callers may be sent to this host, as readiness does."""
         if self.leaving or self.request_handler.deployment is None:
             return
-        self.peers.membership.set_state("live" if self._ready() else "starting")
+        partitioned = self.connectivity.links.partitioned
+        live = self._ready() and not partitioned
+        self.peers.membership.set_state(
+            "live" if live else "starting", self._ready() and partitioned
+        )
+
+    def _on_connectivity(self, before: LinkState) -> None:
+        """Tell other hosts whether this one reaches endpoints, where that has changed."""
+        if LinkState.PARTITIONED in (before, self.connectivity.links.state):
+            self._publish_state()
 
     def _set_deployment(self, found: Deployment) -> None:
         """Serve by this configuration from now on, never by an older one again."""
--- a/peridotdock/relay/port_router.py
+++ b/peridotdock/relay/port_router.py
@@ -65,8 +65,7 @@
         return Response(200, None, Content(b"text/plain", self._ctx.metrics.render()))
 
     async def _directory(self, request: Request) -> Response:
-        rows = self._membership.members().values()
-        addresses = [row.fact.entry for row in rows if row.accepts_work]
+        addresses = [row.fact.entry for row in self._membership.directory()]
         random.shuffle(addresses)
         body = self._adapter.write_addresses(addresses, ADDRESS_SECONDS)
         return Response(200, None, Content(b"application/json", body))
--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -185,6 +185,45 @@
         self.assertTrue(fleet.has_ended(start, broken_at))
 
 
+class DirectoryTest(unittest.TestCase):
+    """Guards against callers that are sent to hosts that reach no endpoint."""
+
+    async def addresses(self, found, host):
+        url = f"http://{found.hosts[host].settings.listen.directory}/v1/resolve"
+        async with found.session.get(url) as resp:
+            return set((await resp.json())["addresses"])
+
+    async def wait_listed(self, found, expected):
+        async with asyncio.timeout(SETTLING_SECONDS):
+            for host in range(len(found.hosts)):
+                while await self.addresses(found, host) != expected:
+                    await asyncio.sleep(0.05)
+
+    @params(
+        ("one of three", [2], [0, 1]),
+        ("two of three: the last one can't carry all", [1, 2], [0, 1, 2]),
+        ("all", [0, 1, 2], [0, 1, 2]),
+    )
+    def test_hosts_that_are_listed(self, name, cut, listed):
+        @run
+        async def check(self):
+            async with gated() as found:
+                await wait_linked(found)
+                entries = [str(host.settings.listen.callers) for host in found.hosts]
+                for host in cut:
+                    found.cut(host, "reset")
+                for _ in range(3):
+                    await send_rounds(found, 2)
+                await self.wait_listed(found, {entries[host] for host in listed})
+                states = [host.connectivity.links.partitioned for host in found.hosts]
+                self.assertEqual([host in cut for host in range(3)], states, name)
+                for host in cut:
+                    await found.mend(host)
+                await self.wait_listed(found, set(entries))
+
+        check(self)
+
+
 def read_count(metrics):
     """Return how many reports of engines a host has read."""
     return metrics.reports.labels("read")._value.get()
