Hand the lease over where its holder reaches no engine

Cause: a holder gives the lease up when it loses the store or stops; a holder that reaches the store but no engine kept renewing it. Now it frees the lease with the usual handover (the waits after its last orders go along), and a host without links leaves the lease alone, as long as another host is alive and reaches endpoints.

--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -369,9 +369,18 @@
         started_for = self.ctx.clock.monotonic() - self._started_at
         return self.request_handler.deployment is not None or started_for >= DISCOVERY_SECONDS
 
+    def _yields_lease(self) -> bool:
+        """Return whether to leave the lease to another host, as this one reaches no engine."""
+        if not self.connectivity.links.partitioned:
+            return False
+        return any(name != self.settings.host for name in self.peers.membership.live())
+
     async def _step_lease(self) -> None:
         if self.leaving or not self._discovery_done():
             return
+        if self._yields_lease():
+            await self.leadership.release()
+            return
         if self.leadership.term or self._should_check_lease():
             held = self.leadership.term
             await self.leadership.step()
@@ -451,6 +460,7 @@
         """Tell other hosts whether this one reaches endpoints, where that has changed."""
         if LinkState.PARTITIONED in (before, self.connectivity.links.state):
             self._publish_state()
+            self.lease_due.set()
 
     def _set_deployment(self, found: Deployment) -> None:
         """Serve by this configuration from now on, never by an older one again."""
--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -166,6 +166,23 @@
             self.assertEqual({200}, {status for _, status, _, _ in others})
             self.assertLess(max(seconds for _, _, seconds, _ in others), MAX_CALM_SECONDS)
 
+    @run
+    async def test_a_holder_that_reaches_no_engine_hands_the_lease_over(self):
+        """Nothing is loaded until the end of the cut, as the lease holder reaches no engine."""
+        async with gated() as found:
+            await wait_linked(found)
+            cut = next(n for n, host in enumerate(found.hosts) if host.leadership.holds())
+            found.cut(cut, "reset")
+            await send_rounds(found, 2)
+            await found.until(
+                lambda: any(
+                    host.leadership.holds() for n, host in enumerate(found.hosts) if n != cut
+                ),
+                SETTLING_SECONDS,
+            )
+            status, _, body = await found.send("/recap/", "load", model="m0/a1", to=cut)
+            self.assertEqual(200, status, body)
+
     @run
     async def test_a_cut_is_not_blamed_on_the_requests_that_it_broke_off(self):
         """Requests are blocked that break off at one engine after the other as links are lost."""
