Grant engines to other hosts though the hub itself can't connect to them

What callers would see: prompts at hosts in touch wait at the hub until their callers leave, as the hub, cut off from the engines, finds none to grant.

While the links of the hub are in doubt it grants all engines that serve; the host that asked leaves out those that it can't reach itself. The test of the choice fails without it.

--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -69,6 +69,7 @@
         self._restored = False
         # The entries of a restored store that their endpoints have not written again.
         self._restored_entries: dict[str, EndpointEntry] = {}
+        self.links_in_doubt: Callable[[], bool] = lambda: False
         # Whether this host's own links explain that a connection was lost at a time.
         self.links_explain: Callable[[float], bool] = lambda lost_at: False
         self._change: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -158,6 +159,14 @@
         rows = self.by_service.get(service, ())
         return filter_holders([state for state in rows if state.serves(now)], inference, now)
 
+    def grantable(self, service: str, inference: InferenceSpec | None) -> list[EndpointState]:
+        """Return the endpoints that the hub may grant to other hosts.
+
+        What the hub itself can't connect to is left out, unless that is the hub's own fault.
+        """
+        find = self.serving if self.links_in_doubt() else self.usable
+        return find(service, inference)
+
     def seconds_until_loaded(self, service: str, model: str) -> float | None:
         """Return the seconds until a model that is being loaded can serve, or None."""
         now = self._clock.monotonic()
--- a/peridotdock/relay/grants.py
+++ b/peridotdock/relay/grants.py
@@ -203,7 +203,7 @@
 
     def _candidates(self, req: QueuedPrompt) -> list[Candidate]:
         queued = self._queued_grants[req.id]
-        states = self._fleet.usable(queued.service, queued.inference)
+        states = self._fleet.grantable(queued.service, queued.inference)
         domain = self._find_domain(queued.host)
         rows = self._fleet.hub_candidates(states, queued.inference, queued.avoid, domain)
         return [self._with_permit(row) if row.rate_limited else row for row in rows]
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -128,6 +128,7 @@
         chooser = Chooser(ctx, self.fleet, waits, self.grants, self.permits)
         self.connectivity = ConnectivityMonitor(ctx, self.fleet)
         self.connectivity.on_change = self._on_connectivity
+        self.fleet.links_in_doubt = lambda: self.connectivity.links.doubtful
         self.fleet.links_explain = self.connectivity.links.explains
         self.host_connections = HttpEndpoints(not_run_header=None)
         self.forwarder = Forwarder(
--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -28,6 +28,7 @@
 MAX_REPORTS = 20
 # A request of a host in touch takes some ten milliseconds.
 MAX_CALM_SECONDS = 1.0
+ENTRY = EndpointEntry("e1", "s", "10.0.0.1:80", "north", 8, False)
 numbers = itertools.count()
 
 
@@ -166,6 +167,16 @@
             self.assertEqual({200}, {status for _, status, _, _ in others})
             self.assertLess(max(seconds for _, _, seconds, _ in others), MAX_CALM_SECONDS)
 
+    @run
+    async def test_a_hub_grants_engines_that_it_alone_does_not_reach(self):
+        """Prompts of all hosts wait at the hub, as no engine is left to grant."""
+        fleet = RelayFleet("north", FakeClock())
+        fleet.replace([ENTRY])
+        fleet.states["e1"].health.record_unreachable(0.0)
+        self.assertEqual([], fleet.grantable("s", None))
+        fleet.links_in_doubt = lambda: True
+        self.assertEqual(["e1"], [state.key for state in fleet.grantable("s", None)])
+
     @run
     async def test_a_holder_that_reaches_no_engine_hands_the_lease_over(self):
         """Nothing is loaded until the end of the cut, as the lease holder reaches no engine."""
@@ -188,7 +199,7 @@
         """Requests are blocked that break off at one engine after the other as links are lost."""
         clock = FakeClock()
         fleet = RelayFleet("north", clock)
-        fleet.replace([EndpointEntry("e1", "s", "10.0.0.1:80", "north", 8, False)])
+        fleet.replace([ENTRY])
         start = fleet.states["e1"].start
         broken_at = clock.monotonic()
         links = Connectivity()
