--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -170,9 +170,10 @@
     @run
     async def test_a_hub_grants_engines_that_it_alone_does_not_reach(self):
         """Prompts of all hosts wait at the hub, as no engine is left to grant."""
-        fleet = RelayFleet("north", FakeClock())
+        clock = FakeClock()
+        fleet = RelayFleet("north", clock)
         fleet.replace([ENTRY])
-        fleet.states["e1"].health.record_unreachable(0.0)
+        fleet.states["e1"].health.record_unreachable(clock.monotonic())
         self.assertEqual([], fleet.grantable("s", None))
         fleet.links_in_doubt = lambda: True
         self.assertEqual(["e1"], [state.key for state in fleet.grantable("s", None)])
