Refuse at once where no host reaches an endpoint, and forward as soon as one does

What callers saw: with all hosts cut off, prompts waited up to 1.9 s for a load that nobody needs before they were refused, and other requests tried one endpoint after the other.

Cause: the wait for an item knows of endpoints that lack it, not of ways that lack. A host whose loss of links is confirmed, and that knows no other host in touch, now refuses at once, after one try at most, with a Retry-After of a second: links are tried each half second. A request that waits because nobody holds its item is forwarded as soon as an endpoint does, if this host still reaches none.

--- a/peridotdock/decisions/waiting.py
+++ b/peridotdock/decisions/waiting.py
@@ -17,6 +17,8 @@
 # just have been lost, and another takes over within six seconds.
 UNKNOWN_WAIT_SHARE = 0.6
 MAX_UNKNOWN_WAIT_SECONDS = 7.0
+# Seconds after which a caller is asked to retry where no host reaches an endpoint.
+UNREACHABLE_RETRY_SECONDS = 1.0
 # Longest and shortest time after which a refused caller is asked to retry.
 MAX_RETRY_SECONDS = 5.0
 MIN_RETRY_SECONDS = 0.2
--- a/peridotdock/relay/forwarding.py
+++ b/peridotdock/relay/forwarding.py
@@ -9,7 +9,7 @@
 import binascii
 import hashlib
 import hmac
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Any, TypeVar
 
 import cbor2
@@ -87,9 +87,13 @@
             return None
         if not self._served_elsewhere(req, progress.service):
             return None
-        hosts = self._find_hosts(progress)
+        hosts = self._find_hosts(progress.hosts)
         return self._ctx.rng.choice(hosts) if hosts else None
 
+    def can_forward(self, req: RelayRequest, progress: Progress) -> bool:
+        """Return whether there is a host to forward a request to."""
+        return self.choose_host(req, progress) is not None
+
     def _served_elsewhere(self, req: RelayRequest, service: str) -> bool:
         """Return whether some endpoint may serve the request for a host that reaches it."""
         now = self._ctx.clock.monotonic()
@@ -97,14 +101,18 @@
         states = self._fleet.serving(service, req.head.inference)
         return any(confirmed.get(state.key, 0.0) <= now for state in states)
 
-    def _find_hosts(self, progress: Progress) -> list[Member]:
+    def has_hosts(self) -> bool:
+        """Return whether any host takes requests of this one."""
+        return bool(self._find_hosts(frozenset()))
+
+    def _find_hosts(self, tried: Collection[str]) -> list[Member]:
         now = self._ctx.clock.monotonic()
         members = self._membership.members()
         return [
             members[name]
             for name in self._membership.live()
             if name != self._membership.own.host
-            and name not in progress.hosts
+            and name not in tried
             and members[name].fact.relay
             and self._avoided_until.get(name, 0.0) <= now
         ]
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -125,6 +125,7 @@
         TrialCalls(ctx, mesh, self.peers.hub, find_iterations(), self.blocklist.trials)
         waits = EndpointWaits(ctx, self.fleet, self.item_waits, self.permits)
         waits.is_draining = lambda: self.leaving
+        waits.is_cut_off = self._is_cut_off
         chooser = Chooser(ctx, self.fleet, waits, self.grants, self.permits)
         self.connectivity = ConnectivityMonitor(ctx, self.fleet)
         self.connectivity.on_change = self._on_connectivity
@@ -140,6 +141,7 @@
             self.connectivity.links,
         )
         self.forwarder.config_version = self._config_version
+        self.item_waits.can_forward = self.forwarder.can_forward
         self.service = RelayService(
             ctx,
             adapter.wire,
@@ -457,6 +459,10 @@
             "live" if live else "starting", self._ready() and partitioned
         )
 
+    def _is_cut_off(self) -> bool:
+        """Return whether this host reaches no endpoint, and no host that does."""
+        return self.connectivity.links.partitioned and not self.forwarder.has_hosts()
+
     def _on_connectivity(self, before: LinkState) -> None:
         """Tell other hosts whether this one reaches endpoints, where that has changed."""
         if LinkState.PARTITIONED in (before, self.connectivity.links.state):
--- a/peridotdock/relay/item_waits.py
+++ b/peridotdock/relay/item_waits.py
@@ -1,6 +1,7 @@
 """Holds requests until some endpoint has the model, adapter or service that they need."""
 
 import asyncio
+from collections.abc import Callable
 
 from peridotdock.context import Context
 from peridotdock.decisions.waiting import Absence, Wait, decide_wait
@@ -10,6 +11,7 @@
 from peridotdock.relay.endpoint import item_name
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.peers import Peers
+from peridotdock.relay.progress import Progress
 from peridotdock.relay.requests import InferenceSpec, RelayRequest
 from peridotdock.requests import Loss, RequestState, loss_failure
 
@@ -32,12 +34,13 @@
         self._fleet = fleet
         self._peers = peers
         self.deployment: Deployment | None = None
+        self.can_forward: Callable[[RelayRequest, Progress], bool] = lambda req, progress: False
 
     async def wait(
-        self, req: RelayRequest, service: str, caller: CallerConnection
+        self, req: RelayRequest, progress: Progress, caller: CallerConnection
     ) -> Failure | None:
         """Wait until the request can be sent; return a failure if it can't be."""
-        inference = req.head.inference
+        inference, service = req.head.inference, progress.service
         absence = self._describe(req, service, inference)
         found = decide_wait(absence)
         item = name_item(service, inference)
@@ -50,7 +53,7 @@
             if found.seconds > 0:
                 deadline = self._ctx.clock.monotonic() + found.seconds
                 refusal = await self._wait_until_usable(
-                    service, inference, caller, deadline, found.retry_after
+                    req, progress, caller, deadline, found.retry_after
                 )
             return refusal
         finally:
@@ -74,13 +77,15 @@
 
     async def _wait_until_usable(
         self,
-        service: str,
-        inference: InferenceSpec | None,
+        req: RelayRequest,
+        progress: Progress,
         caller: CallerConnection,
         deadline: float,
         retry_after: float,
     ) -> Failure | None:
-        while not self._fleet.usable(service, inference):
+        while not self._fleet.usable(progress.service, req.head.inference):
+            if self.can_forward(req, progress):
+                return None
             remaining = deadline - self._ctx.clock.monotonic()
             if remaining <= 0:
                 return Failure(Kind.NO_ENDPOINT, "no copy came", retry_after)
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -102,6 +102,8 @@
                 found = await self._forward(req, caller, progress, host)
             else:
                 prediction = await self._admit(req, caller, progress)
+                if failed(prediction) and self._may_forward_now(prediction, req, progress):
+                    continue
                 if failed(prediction):
                     # A failure with a retry-after takes precedence over that of the last send.
                     refusal = (
@@ -120,6 +122,12 @@
                     return fallback
                 return mark_maybe_ran(outcome, progress.maybe_ran > 0)
 
+    def _may_forward_now(self, refusal: Failure, req: RelayRequest, progress: Progress) -> bool:
+        """Return whether a host can be found that was not there before a wait."""
+        if refusal.kind is not Kind.NO_ENDPOINT:
+            return False
+        return self._forwarder.can_forward(req, progress)
+
     async def _forward(
         self, req: RelayRequest, caller: CallerConnection, progress: Progress, host: Member
     ) -> CompleteAnswer | StreamSource | Failure:
@@ -192,7 +200,7 @@
         if not self._retry_budget(progress.service).available(now, self.hosts):
             return False
         if state.is_host:
-            return self._forwarder.choose_host(req, progress) is not None
+            return self._forwarder.can_forward(req, progress)
         states = self.fleet.usable(progress.service, req.head.inference)
         return any(other is not state and not other.health.suspect(now) for other in states)
 
--- a/peridotdock/relay/waits.py
+++ b/peridotdock/relay/waits.py
@@ -7,6 +7,7 @@
 from peridotdock.decisions.backoff import backoff_seconds
 from peridotdock.decisions.choice import Candidate, Prediction, predict
 from peridotdock.decisions.permits import Permit, retry_after
+from peridotdock.decisions.waiting import UNREACHABLE_RETRY_SECONDS
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.caller import CallerConnection
 from peridotdock.relay.fleet import RelayFleet
@@ -31,6 +32,8 @@
         self._item_waits = item_waits
         self._permits = permits
         self.is_draining: Callable[[], bool] = lambda: False
+        # Whether this host reaches no endpoint, and no host that does.
+        self.is_cut_off: Callable[[], bool] = lambda: False
 
     async def wait_until_usable(
         self, req: RelayRequest, caller: CallerConnection, progress: Progress
@@ -42,11 +45,15 @@
             if refusal is not None:
                 return refusal
             states = self._fleet.usable(progress.service, req.head.inference)
+        if self.is_cut_off() and (progress.sends or not states):
+            return Failure(
+                Kind.NO_ENDPOINT, "no host reaches an endpoint", UNREACHABLE_RETRY_SECONDS
+            )
         if states:
             return None
         if progress.forwarded:
             return Failure(Kind.NO_ENDPOINT, "none that this host reaches")
-        return await self._item_waits.wait(req, progress.service, caller)
+        return await self._item_waits.wait(req, progress, caller)
 
     async def _back_off(
         self, req: RelayRequest, caller: CallerConnection, progress: Progress
--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -28,6 +28,10 @@
 MAX_REPORTS = 20
 # A request of a host in touch takes some ten milliseconds.
 MAX_CALM_SECONDS = 1.0
+# Seconds within which a request that can't be served is refused, and after the end of a cut all are
+# served again.
+MAX_REFUSAL_SECONDS = 0.5
+RETURN_SECONDS = 1.5
 ENTRY = EndpointEntry("e1", "s", "10.0.0.1:80", "north", 8, False)
 numbers = itertools.count()
 
@@ -253,6 +257,34 @@
         check(self)
 
 
+class AllCutOffTest(unittest.TestCase):
+    """Guards against callers that wait although no host reaches any endpoint."""
+
+    @params(*Gate.WAYS[:2])
+    def test_all_are_refused_at_once_and_served_again_soon(self, way):
+        @run
+        async def check(self):
+            async with gated() as found:
+                await wait_linked(found)
+                await send_rounds(found, 2)
+                for host in range(len(found.hosts)):
+                    found.cut(host, way)
+                await send_rounds(found, 3)
+                await asyncio.sleep(SETTLING_SECONDS)
+                for rows in await send_rounds(found, 3):
+                    for path, status, seconds, body in rows:
+                        self.assertEqual(503, status, (path, body))
+                        self.assertIn(b"retry_after", body)
+                        self.assertLess(seconds, MAX_REFUSAL_SECONDS)
+                for host in range(len(found.hosts)):
+                    await found.mend(host)
+                await asyncio.sleep(RETURN_SECONDS)
+                answers = await send_rounds(found, 3)
+                self.assertEqual([1.0] * 3, [served_share(rows) for rows in answers])
+
+        check(self)
+
+
 def read_count(metrics):
     """Return how many reports of engines a host has read."""
     return metrics.reports.labels("read")._value.get()
