Forget what was lost at the endpoints while a host had no links to them

What callers would see: after the links are back a host goes round endpoints for up to four seconds, as each failure in the cut had doubled the time for which it leaves them out; requests go over connections that hang; and the lease holder reads reports of engines that only this host could not reach.

Cause: losses are counted against endpoints, also those that the host's own links explain. At the end of a confirmed cut its losses are forgotten and open connections are renewed, since a device on the way may have lost them; while the links are in doubt, engines are not published as down.

--- a/peridotdock/decisions/health.py
+++ b/peridotdock/decisions/health.py
@@ -76,6 +76,13 @@
         self.unreachable_at = now
         self._absent_until = max(self._absent_until, self._excluded_until)
 
+    def clear_losses(self) -> None:
+        """Forget losses that were not the endpoint's: this host had lost its own links."""
+        self._failure_share = 0.0
+        self._overdue = 0
+        self._excluded_until = self._absent_until = float("-inf")
+        self._pause = FIRST_PAUSE_SECONDS
+
     def absent(self, now: float) -> bool:
         """Return whether the endpoint was unreachable a moment ago: what it held counts as absent.
 
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -197,6 +197,12 @@
             state.set_update(None if old else received)
         self._notify_change()
 
+    def clear_losses(self) -> None:
+        """Forget what was lost at the endpoints while this host had no links to them."""
+        for state in self.states.values():
+            state.health.clear_losses()
+        self._notify_change()
+
     def set_remote_loads(self, loads: Mapping[str, RemoteLoad]) -> None:
         """Set the load of all other hosts on the endpoints; endpoints left out have none."""
         for key, state in self.states.items():
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -464,10 +464,17 @@
         return self.connectivity.links.partitioned and not self.forwarder.has_hosts()
 
     def _on_connectivity(self, before: LinkState) -> None:
-        """Tell other hosts whether this one reaches endpoints, where that has changed."""
+        """Tell other hosts whether this one reaches endpoints, where that has changed.
+
+        Open connections may be silent for good, also after the links are back.
+        """
         if LinkState.PARTITIONED in (before, self.connectivity.links.state):
             self._publish_state()
             self.lease_due.set()
+        if before is LinkState.PARTITIONED:
+            self.fleet.clear_losses()
+            for state in self.fleet.states.values():
+                self._drop_connections(state.entry.address)
 
     def _set_deployment(self, found: Deployment) -> None:
         """Serve by this configuration from now on, never by an older one again."""
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -314,7 +314,8 @@
         down = [
             key
             for key, state in self._fleet.states.items()
-            if state.health.absent(now) or state.has_unconfirmed_missing(now)
+            if (state.health.absent(now) and not self._fleet.links_in_doubt())
+            or state.has_unconfirmed_missing(now)
         ]
         self._publish_changed("wants", WantsFact(dict(self.waiting), down, self.queued()))
 
