Test that promises to callers hold where their request is forwarded

Rows: a request that may run once runs once at most while the links are lost in each way, and a refusal says the truth; an endpoint sees within half a second that the caller at the other host has left; it gets the time that is left, the workspace, no key and no header between hosts; the quota is counted at the caller's host alone; only hosts may forward; a planned stop of the other host cuts no stream off, and its loss resumes one; why a host takes no forwarded request. 28 tests, no change of code.

--- /dev/null
+++ b/tests/relay/test_forwarding.py
@@ -0,0 +1,288 @@
+"""Requests that a host without links to the endpoints forwards to another host."""
+
+import asyncio
+import itertools
+import unittest
+from collections import Counter
+from types import SimpleNamespace
+
+from nose2.tools import params
+
+from extras.soak.gates import Gate
+from peridotdock.decisions.connectivity import Connectivity, LinkState
+from peridotdock.decisions.overload import FORWARDED_LAG_SECONDS
+from peridotdock.errors import Failure, Kind, Ran
+from peridotdock.relay.forwarded import ForwardedHandler
+from peridotdock.relay.forwarding import (
+    FORWARD_HEADER,
+    PROOF_HEADER,
+    read_header,
+    read_refusal,
+    sign,
+    write_header,
+    write_refusal,
+)
+from peridotdock.schema.messages import Forward, ForwardRefusal
+from tests.builders import make_ctx
+from tests.fakes import FakeClock
+from tests.relay.deployment import Deployment
+from tests.relay.test_partition import wait_linked
+from tests.relay.test_relay import ids, run
+
+ENGINES = (("e1", ("m0",)), ("e2", ("m0",)))
+PAGES = ("p1", "p2")
+FORWARD = Forward("h0", 1, "pages", "", 0)
+# Statuses that say that a request has not run and will not.
+NOT_RUN = {429, 503}
+# Seconds within which an endpoint sees that the caller at the other host has left.
+LEFT_SECONDS = 0.5
+numbers = itertools.count()
+
+
+def gated(hosts=2):
+    return Deployment(hosts=hosts, engines=ENGINES, pages=PAGES, gated=True)
+
+
+async def cut_off(found, host=0, way="reset"):
+    """Cut a host off and wait until it knows."""
+    await wait_linked(found)
+    found.cut(host, way)
+    links = found.hosts[host].connectivity.links
+    async with asyncio.timeout(10):
+        while not links.partitioned:
+            await found.send("/fetch/", f"c{next(numbers)}", to=host)
+            await asyncio.sleep(0.05)
+
+
+def runners(found):
+    return [*found.engines.values(), *found.pages.values()]
+
+
+class HeaderTest(unittest.TestCase):
+    @params(FORWARD, ForwardRefusal("overloaded", "a wait", False, 300))
+    def test_a_message_is_read_as_it_was_written(self, message):
+        headers = {"x": write_header(message)}
+        self.assertEqual(message, read_header(headers, "x", type(message)))
+
+    @params("", "%%%", "AAAA", write_header(ForwardRefusal("blocked", "", False)))
+    def test_what_can_not_be_read_is_no_message(self, text):
+        self.assertIsNone(read_header({"x": text}, "x", Forward))
+
+    @params(
+        Failure(Kind.OVERLOADED, "a wait", 0.25),
+        Failure(Kind.ENDPOINT_LOST, "reset"),
+        Failure(Kind.ENDPOINT_REFUSED, "full", None, Ran.MAYBE),
+    )
+    def test_a_refusal_keeps_what_callers_are_told(self, failure):
+        found = read_refusal(read_header({"x": write_refusal(failure)}, "x", ForwardRefusal))
+        self.assertEqual(
+            (failure.kind, failure.reason, failure.retry_after, failure.may_have_run),
+            (found.kind, found.reason, found.retry_after, found.may_have_run),
+        )
+
+    def test_a_kind_of_a_newer_version_is_an_internal_error(self):
+        found = read_refusal(ForwardRefusal("not_invented", "", False))
+        self.assertEqual((Kind.INTERNAL, False), (found.kind, found.may_have_run))
+
+
+class RefusalTest(unittest.TestCase):
+    """Guards against a host that takes a forwarded request which it can't serve as well."""
+
+    @params(
+        ("ready", {}, None),
+        ("stops", {"stopping": True}, Kind.STOPPING),
+        ("in doubt of its own links", {"state": LinkState.SUSPECTED}, Kind.NOT_READY),
+        ("no configuration", {"version": None}, Kind.NOT_READY),
+        ("an older configuration", {"version": 0}, Kind.NOT_READY),
+        ("a newer configuration", {"version": 2}, None),
+        ("behind", {"lag": FORWARDED_LAG_SECONDS}, Kind.HOST_BEHIND),
+    )
+    def test_reasons(self, name, changes, expected):
+        row = {"stopping": False, "state": LinkState.CONNECTED, "version": 1, "lag": 0.0} | changes
+        links = Connectivity()
+        links.state = row["state"]
+        iterations = SimpleNamespace(lag=lambda: row["lag"])
+        handler = ForwardedHandler(
+            make_ctx(FakeClock()), None, None, links, iterations, None, lambda: row["stopping"]
+        )
+        version = row["version"]
+        deployment = None if version is None else SimpleNamespace(version=version)
+        found = handler._check_host(deployment, FORWARD)
+        self.assertEqual(expected, found.kind if found else None, name)
+
+
+class PromisesTest(unittest.TestCase):
+    """Guards against promises to callers that end where their request is forwarded."""
+
+    @params(*Gate.WAYS)
+    def test_a_request_runs_once_at_most_while_links_are_lost(self, way):
+        @run
+        async def check(self):
+            async with gated() as found:
+                await wait_linked(found)
+                tasks = []
+                for number in range(50):
+                    if number == 10:
+                        found.cut(0, way)
+                    send = found.send("/bind/", f"b{number}")
+                    tasks.append(asyncio.ensure_future(send))
+                    await asyncio.sleep(0.05)
+                statuses = [row[0] for row in await asyncio.gather(*tasks)]
+                counted = Counter(name for page in runners(found) for name in page.executed)
+                self.assertLessEqual(max(counted.values()), 1)
+                for number, status in enumerate(statuses):
+                    if status in NOT_RUN:
+                        self.assertEqual(0, counted[f"b{number}"], (number, status))
+                self.assertGreater(statuses.count(200), 30, statuses)
+
+        check(self)
+
+    @run
+    async def test_an_endpoint_sees_that_the_caller_has_left(self):
+        """Work goes on at an endpoint for a caller who has closed its connection long ago."""
+        async with gated() as found:
+            await cut_off(found)
+            for page in found.pages.values():
+                page.script = ["silent"]
+            sent = asyncio.ensure_future(found.send("/fetch/", "left"))
+            await found.until(lambda: any("left" in page.executed for page in runners(found)))
+            sent.cancel()
+            await found.until(
+                lambda: any("left" in page.disconnected for page in runners(found)), LEFT_SECONDS
+            )
+
+    @run
+    async def test_an_endpoint_gets_the_time_that_is_left_and_no_keys(self):
+        """Endpoints get a caller's key, headers between hosts, or more time than is left."""
+        workspace = {"name": "river", "api_keys": ["key-one"], "rate_per_s": 900, "burst": 900}
+        async with gated() as found:
+            found.configure(version=2, tenants=[workspace])
+            hosts = found.hosts
+            await found.until(lambda: all(h.request_handler.deployment.version == 2 for h in hosts))
+            found.cut(0, "reset")
+            hosts[0].connectivity.links.state = LinkState.PARTITIONED
+            await wait_linked_from(found, 0)
+            admitted = count_admitted(hosts)
+            # The hub does not know yet what was used of the quota.
+            await asyncio.sleep(1.0)
+            answers = [
+                await found.send(
+                    "/fetch/", f"k{n}", authorization="Bearer key-one", x_deadline_ms="800"
+                )
+                for n in range(10)
+            ]
+            statuses = [status for status, _, _ in answers]
+            self.assertEqual([200] * 10, statuses)
+            self.assertEqual({"h0": 10}, admitted)
+            unknown = await found.send("/fetch/", "u", authorization="Bearer nobody")
+            self.assertEqual(401, unknown[0])
+            for _, _, headers, _ in (row for page in found.pages.values() for row in page.requests):
+                self.assertLessEqual(int(headers["x-deadline-ms"]), 800)
+                self.assertEqual("river", headers["x-tenant"])
+                names = {"authorization", FORWARD_HEADER, PROOF_HEADER} & headers.keys()
+                self.assertEqual(set(), names)
+
+    @params(
+        ("no signature", {FORWARD_HEADER: write_header(FORWARD)}),
+        (
+            "another host's key",
+            {
+                FORWARD_HEADER: write_header(FORWARD),
+                PROOF_HEADER: sign("a key of strangers", write_header(FORWARD), "a1"),
+            },
+        ),
+        (
+            "another request's signature",
+            {
+                FORWARD_HEADER: write_header(FORWARD),
+                PROOF_HEADER: sign("a key of sixteen", write_header(FORWARD), "a2"),
+            },
+        ),
+        ("nothing", {}),
+    )
+    def test_only_hosts_may_forward(self, name, headers):
+        """Callers bypass keys and quotas at the port for requests between hosts."""
+
+        @run
+        async def check(self):
+            async with Deployment() as found:
+                relay = found.hosts[0].settings.listen.relay
+                rows = {"host": "shop.example", "x-attempt-id": "a1"} | headers
+                async with found.session.post(f"http://{relay}/fetch/", headers=rows) as resp:
+                    self.assertEqual(403, resp.status, name)
+                self.assertEqual([], found.pages["p1"].requests)
+
+        check(self)
+
+
+def count_admitted(hosts):
+    """Return a counter of the requests that each host counts against a quota from now on."""
+    admitted = Counter()
+
+    def count(host, admit):
+        def counting(req, caller):
+            admitted[host.settings.host] += 1
+            return admit(req, caller)
+
+        return counting
+
+    for host in hosts:
+        host.quotas.admit = count(host, host.quotas.admit)
+    return admitted
+
+
+class StreamTest(unittest.TestCase):
+    """Guards against streams that break off with the host that they were forwarded to."""
+
+    async def open_stream(self, found):
+        """Send a request for a stream that stops halfway; return its task and its other host."""
+        for engine in found.engines.values():
+            engine.halfway_event = asyncio.Event()
+        sent = asyncio.ensure_future(found.send("/recap/", "s1", model="m0"))
+        await found.until(lambda: any(engine.executed for engine in found.engines.values()))
+        busy = [host for host in found.hosts[1:] if host.responder.in_progress]
+        self.assertEqual(1, len(busy))
+        return sent, busy[0]
+
+    def let_go(self, found):
+        for engine in found.engines.values():
+            engine.halfway_event.set()
+
+    @run
+    async def test_a_planned_stop_of_the_other_host_cuts_nothing_off(self):
+        async with gated() as found:
+            await cut_off(found)
+            sent, other = await self.open_stream(found)
+            stopping = asyncio.ensure_future(other.drain())
+            await asyncio.sleep(0.3)
+            self.assertFalse(stopping.done())
+            self.let_go(found)
+            status, _, body = await sent
+            self.assertEqual((200, [1, 2, 3, 4, 5, 6]), (status, ids(body)))
+            await stopping
+
+    @run
+    async def test_a_stream_is_resumed_where_the_other_host_is_lost(self):
+        async with gated(hosts=3) as found:
+            await cut_off(found)
+            sent, other = await self.open_stream(found)
+            await asyncio.sleep(0.1)
+            found.hosts.remove(other)
+            await abort(other)
+            self.let_go(found)
+            status, _, body = await sent
+            self.assertEqual((200, [1, 2, 3, 4, 5, 6]), (status, ids(body)))
+
+
+async def abort(host):
+    """End a host as if it were killed: its connections are reset."""
+    for protocol in list(host.server._server.server_state.connections):
+        protocol.transport.abort()
+    await host.stop()
+
+
+async def wait_linked_from(found, host):
+    """Wait until a host knows all others."""
+    live = found.hosts[host].peers.membership
+    others = {row.settings.host for row in found.hosts} - {found.hosts[host].settings.host}
+    await found.until(lambda: others <= set(live.live()))
