--- a/extras/soak/ports.py
+++ b/extras/soak/ports.py
@@ -8,7 +8,7 @@
 # host is down, a connection uses its port, and the host can't bind to it again.
 FIRST_PORT, LAST_PORT = 10_000, 30_000
 # Test processes that run at the same time start their search this many ports apart.
-PORTS_PER_PROCESS = 50
+PORTS_PER_PROCESS = 499
 PORT_OFFSETS = itertools.count(os.getpid() * PORTS_PER_PROCESS)
 
 
