Count the requests at endpoints that fail under refusals, over all hosts

New: endpoints may say that they are brittle: one that has to refuse more than so many requests a second, of all hosts together, falls over, and its load goes to the next. What callers would see: streams cut and 503 while endpoint after endpoint falls.

Cause: each host sees the slots that others left free some tenths of a second ago, and learns that there are none by being refused. The hub gives a place for each slot, as it gives permits for announced limits; a host gives it back when its request ends. Without a place a request takes another endpoint, waits up to 0.5 s or 0.3 of its time, or is refused with a time. What is announced is kept and told to all hosts as limits are, each with its own age. Reports and orders need no slot.

Stand-ins have room, fall over, and can be silent.

--- a/extras/ablation.py
+++ b/extras/ablation.py
@@ -101,8 +101,8 @@
     Mechanism(
         "silent streams taken up elsewhere",
         "relay/streaming.py",
-        "silent = remaining > SILENCE_SECONDS",
-        "silent = False",
+        "caller, min(remaining, longest), remaining > longest, extra_wait",
+        "caller, min(remaining, longest), False, extra_wait",
     ),
     Mechanism("refused sends repeated", "relay/service.py", "MAX_REFUSALS = 2", "MAX_REFUSALS = 0"),
     Mechanism(
--- a/extras/check_wire.py
+++ b/extras/check_wire.py
@@ -13,7 +13,7 @@
 PLATFORM_NAMES = re.compile(
     r"x-attempt|x-target|x-not-exec|x-prompt-pref|x-token-count|x-response-sig|x-model|rows-(tx|get|feed)"
     r"|kv-(move|events|list|from|fetch)|fencing_token|at_hand\"|zone\"|x-tenant|api_keys"
-    r"|server-(limit|leaving)|store-era|\"servers\"|blob-(put|get)",
+    r"|server-(limit|leaving|brittle)|store-era|\"servers\"|blob-(put|get)",
     re.IGNORECASE,
 )
 
--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -266,7 +266,7 @@
     Mutant(
         "an endpoint that answers has not ended",
         "relay/fleet.py",
-        "if state.answered_sent_at > broken_at:",
+        "if state.answered_sent_at > broken_at or self.links_explain(broken_at):",
         "if False:",
         "tests.relay.test_poison.HasEndedTest",
     ),
@@ -280,7 +280,7 @@
     Mutant(
         "a request is looked at again when an endpoint is found for it",
         "relay/service.py",
-        "return prediction if failed(prediction) else self.blocklist.refusal(req) or prediction",
+        "return refusal or prediction",
         "return prediction",
         "tests.relay.test_poison.WaitingTest",
     ),
--- a/peridotdock/decisions/choice.py
+++ b/peridotdock/decisions/choice.py
@@ -33,6 +33,7 @@
     ``permit_wait`` is the known time until an endpoint with an announced limit has a free permit,
     ``permit_interval`` the time between two permits; both are 0 for endpoints without a limit.
     ``backoff`` is the time for which the endpoint wants no requests from the sending host.
+    ``brittle`` endpoints fail if they have to refuse too many requests.
     """
 
     key: str
@@ -47,6 +48,12 @@
     permit_wait: float = 0.0
     permit_interval: float = 0.0
     backoff: float = 0.0
+    brittle: bool = False
+
+    @property
+    def needs_permit(self) -> bool:
+        """Whether a request to the endpoint needs a permit of the hub."""
+        return self.rate_limited or self.brittle
 
     @property
     def rate_limited(self) -> bool:
@@ -77,12 +84,14 @@
 class Prediction:
     """An endpoint and the seconds until its first token, or its whole answer, is expected.
 
-    ``granted`` is set when the hub, which knows the prompts of all hosts, made the prediction.
+    ``granted`` is set when the hub, which knows the prompts of all hosts, made the prediction,
+    ``placed`` when the hub counts the request until it has ended.
     """
 
     candidate: Candidate
     seconds: float
     granted: bool = False
+    placed: bool = False
 
 
 def predict(candidate: Candidate, work: RequestCost) -> float:
--- a/peridotdock/frames.py
+++ b/peridotdock/frames.py
@@ -22,6 +22,7 @@
     PermitGiven,
     PermitWanted,
     Ping,
+    PlaceReturned,
     QuotaGiven,
     QuotaWanted,
     Rows,
@@ -55,6 +56,7 @@
     "quota_given": QuotaGiven,
     "permit_wanted": PermitWanted,
     "permit_given": PermitGiven,
+    "place_returned": PlaceReturned,
     "trial_wanted": TrialWanted,
     "trial_given": TrialGiven,
     "trial_dropped": TrialDropped,
@@ -78,6 +80,7 @@
     | QuotaGiven
     | PermitWanted
     | PermitGiven
+    | PlaceReturned
     | TrialWanted
     | TrialGiven
     | TrialDropped
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -38,6 +38,7 @@
     PermitGiven,
     PermitWanted,
     Ping,
+    PlaceReturned,
     QuotaGiven,
     QuotaWanted,
     Rows,
@@ -66,7 +67,7 @@
 GrantFrame = GrantWanted | Grant | GrantDropped
 GRANT_FRAMES = (GrantWanted, Grant, GrantDropped)
 QuotaFrame = QuotaWanted | QuotaGiven
-PermitFrame = PermitWanted | PermitGiven
+PermitFrame = PermitWanted | PermitGiven | PlaceReturned
 TrialFrame = TrialWanted | TrialGiven | TrialDropped
 LINK_OPTIONS = {
     "max_size": MAX_FRAME_BYTES,
--- a/peridotdock/platform/wire.py
+++ b/peridotdock/platform/wire.py
@@ -33,6 +33,9 @@
 # Limit of the requests a second that an endpoint accepts from all hosts together, as a decimal
 # number; an answer without it means that there is no limit now.
 RATE_LIMIT_HEADER = "server-limit"
+# Requests a second, of all hosts together, beyond which an endpoint fails if it has to refuse them;
+# an answer without it means that there is no such limit now.
+REFUSAL_LIMIT_HEADER = "server-brittle"
 # "1" in all answers of an endpoint that drains.
 DRAINING_HEADER = "server-leaving"
 DRAINING_VALUE = "1"
@@ -138,6 +141,7 @@
             receipt=headers.get(SIGNATURE_HEADER, ""),
             content_type=headers.get("content-type", "application/octet-stream"),
             rate_limit=read_rate(headers.get(RATE_LIMIT_HEADER)),
+            refusal_limit=read_rate(headers.get(REFUSAL_LIMIT_HEADER)),
             draining=headers.get(DRAINING_HEADER, "").strip() == DRAINING_VALUE,
             backoff=read_retry_after(headers) if status == UNAVAILABLE else 0.0,
             headers=tuple(
--- a/peridotdock/relay/choosing.py
+++ b/peridotdock/relay/choosing.py
@@ -58,9 +58,16 @@
         remaining = req.deadline - self._ctx.clock.monotonic()
         reason = check_send(remaining, found.seconds, self._iterations.median_length())
         if reason is not None:
+            self.withdraw(found)
             return Failure(Kind.HOST_BEHIND, reason, retry_after(self._ctx.rng.random))
         return found
 
+    def withdraw(self, found: Prediction) -> None:
+        """Give the place back of a request that is not sent after all."""
+        state = self._fleet.states.get(found.candidate.key)
+        if found.placed and state is not None:
+            self._permits.give_back(state)
+
     def _candidates(self, req: RelayRequest, progress: Progress) -> list[Candidate]:
         """Return the endpoints not tried yet, or all of them if none is left.
 
@@ -91,14 +98,17 @@
         """Return the granted endpoint, or None if this host knows that it can't serve."""
         inference = req.head.inference
         state = self._fleet.states.get(grant.endpoint)
-        if state is None or state not in self._fleet.usable(progress.service, inference):
+        if state is None:
             return None
-        if state.backoff_until > self._ctx.clock.monotonic():
+        now = self._ctx.clock.monotonic()
+        usable = state in self._fleet.usable(progress.service, inference)
+        if not usable or state.backoff_until > now:
+            self._permits.give_back(state)
             return None
         work = self._fleet.estimate_work(progress.service, inference)
         row = self._fleet.hub_candidates([state], inference, frozenset(), "")[0]
         row = replace(row, queued_tokens=grant.ahead / work.seconds_per_token)
-        return Prediction(row, predict(row, work), granted=True)
+        return Prediction(row, predict(row, work), granted=True, placed=state.brittle)
 
     async def _choose_locally(
         self, req: RelayRequest, caller: CallerConnection, progress: Progress
@@ -116,13 +126,13 @@
                     continue
                 return found
             found = self._choose_among(accepting, req, progress)
-            if failed(found) or not found.candidate.rate_limited:
+            if failed(found) or not found.candidate.needs_permit:
                 return found
             permit = await self._permits.request_permit(
                 self._fleet.states[found.candidate.key], caller=caller
             )
             if permit.given:
-                return found
+                return replace(found, placed=found.candidate.brittle)
         return loss_failure(RequestState.ADMITTED, Loss.CALLER_GONE)
 
     def _choose_among(
--- a/peridotdock/relay/endpoint.py
+++ b/peridotdock/relay/endpoint.py
@@ -26,7 +26,8 @@
 class InFlightRequest:
     """One request of this host to an endpoint; ``prompt_tokens`` are not prefilled yet.
 
-    ``item`` is the model or adapter that it uses, empty for a plain service.
+    ``item`` is the model or adapter that it uses, empty for a plain service. ``placed`` is set if
+    the hub counts it until it has ended.
     """
 
     sent_at: float
@@ -34,6 +35,7 @@
     alone_at_start: bool
     item: str = ""
     awaits_first_token: bool = True
+    placed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +81,17 @@
     rate: float
     as_of: float
 
+    def update(self, rate: float | None, sent: float, now: float) -> "AnnouncedLimit | None":
+        """Return the limit after an answer to a request sent at ``sent``; None if it is the same.
+
+        Answers may arrive out of order: an answer without a limit ends an announced limit only if
+        its request was sent after the announcement. One that can't be parsed changes nothing.
+        """
+        ended = rate == math.inf
+        if rate is None or (ended and sent <= self.as_of):
+            return None
+        return AnnouncedLimit(rate, sent if ended else now)
+
 
 NO_LIMIT = AnnouncedLimit(math.inf, float("-inf"))
 
@@ -90,6 +103,7 @@
     ``answered_sent_at`` is when the newest of the requests that it has answered was sent. Before
     ``next_permit_at`` this host gets no permit for an endpoint that has announced a limit;
     ``limit_announced`` is set once any host has received a limit from it, even one that has ended.
+    ``refusal_limit`` limits the requests a second that the endpoint may have to refuse.
     ``announced_leaving`` is set when the endpoint announced in an answer that it drains. Until
     ``backoff_until`` it accepts nothing from this host. Both remain set until the end of this
     start, whatever its entry shows. Until ``left_out_until`` nothing shows that the endpoint is
@@ -107,6 +121,7 @@
     answered_sent_at: float = float("-inf")
     missing: dict[str, MissingItem] = field(default_factory=dict)
     limit: AnnouncedLimit = NO_LIMIT
+    refusal_limit: AnnouncedLimit = NO_LIMIT
     next_permit_at: float = float("-inf")
     limit_announced: bool = False
     announced_leaving: bool = False
@@ -190,22 +205,34 @@
         """Return whether the endpoint accepts a limited number of requests a second now."""
         return self.limit.rate < math.inf
 
-    def update_limit(self, rate: float | None, sent: float, now: float) -> bool:
-        """Apply the limit in the answer to a request sent at ``sent``; return whether it changed.
+    @property
+    def brittle(self) -> bool:
+        """Return whether the endpoint fails if it has to refuse too many requests."""
+        return self.refusal_limit.rate < math.inf
 
-        Answers may arrive out of order: an answer without a limit ends an announced limit only if
-        its request was sent after the announcement.
-        """
-        ended = rate == math.inf
-        if rate is None or (ended and sent <= self.limit.as_of):
-            return False
-        changed = rate != self.limit.rate
-        self.set_limit(AnnouncedLimit(rate, sent if ended else now))
-        return changed
+    @property
+    def needs_permit(self) -> bool:
+        """Return whether a request to the endpoint needs a permit of the hub."""
+        return self.limited or self.brittle
+
+    def update_limit(self, rate: float | None, sent: float, now: float) -> bool:
+        """Apply the limit in the answer to a request sent at ``sent``; tell whether it changed."""
+        known, found = self.limit, self.limit.update(rate, sent, now)
+        if found is not None:
+            self.set_limit(found)
+        return self.limit.rate != known.rate
+
+    def update_refusal_limit(self, rate: float | None, sent: float, now: float) -> bool:
+        """Apply the limit of refusals in an answer; tell whether it changed."""
+        known, found = self.refusal_limit, self.refusal_limit.update(rate, sent, now)
+        if found is not None:
+            self.set_refusal_limit(found)
+        return self.refusal_limit.rate != known.rate
 
     def restore_announcements(self, before: "EndpointState") -> None:
         """Copy what the same start announced before its entry disappeared."""
         self.limit, self.limit_announced = before.limit, before.limit_announced
+        self.refusal_limit = before.refusal_limit
         self.next_permit_at = before.next_permit_at
         self.announced_leaving = before.announced_leaving
         self.backoff_until = before.backoff_until
@@ -215,6 +242,11 @@
         self.limit = limit
         self.limit_announced = self.limit_announced or self.limited
 
+    def set_refusal_limit(self, limit: AnnouncedLimit) -> None:
+        """Store a limit of refusals that is newer than the known one."""
+        self.refusal_limit = limit
+        self.limit_announced = self.limit_announced or self.brittle
+
     def update_entry(self, entry: EndpointEntry) -> None:
         """Apply the endpoint's own entry."""
         if entry is not self.entry:
--- a/peridotdock/relay/endpoint_notices.py
+++ b/peridotdock/relay/endpoint_notices.py
@@ -46,6 +46,11 @@
             detail = f"{rate:.2f} requests a second"
             self._ctx.timeline.add(event, request=req.id, endpoint=state.key, detail=detail)
             self.publish()
+        if state.update_refusal_limit(head.refusal_limit, sent, now):
+            event = "refusal_limit_named" if state.brittle else "refusal_limit_ended"
+            detail = f"{state.refusal_limit.rate:.2f} refusals a second"
+            self._ctx.timeline.add(event, request=req.id, endpoint=state.key, detail=detail)
+            self.publish()
         if head.draining and not state.announced_leaving:
             state.announced_leaving = True
             self._ctx.timeline.add("endpoint_said_leaving", request=req.id, endpoint=state.key)
@@ -86,8 +91,10 @@
                 state.key,
                 state.entry.started_ms,
                 state.limit.rate,
-                round(1000 * min(MAX_LIMIT_AGE_SECONDS, max(0.0, now - state.limit.as_of))),
+                round(1000 * limit_age(state.limit, now)),
                 state.announced_leaving,
+                state.refusal_limit.rate,
+                round(1000 * limit_age(state.refusal_limit, now)),
             )
             for state in states
         ]
@@ -125,6 +132,10 @@
             if limit.as_of > state.limit.as_of:
                 changed = changed or limit.rate != state.limit.rate
                 state.set_limit(limit)
+            refusals = AnnouncedLimit(row.refusals, known.at - row.refusals_age / 1000)
+            if row.refusals >= 0 and refusals.as_of > state.refusal_limit.as_of:
+                changed = changed or refusals.rate != state.refusal_limit.rate
+                state.set_refusal_limit(refusals)
         return changed
 
 
@@ -133,6 +144,11 @@
     return state.announced_leaving or state.limit_announced
 
 
-def notice_key(row: EndpointWord) -> tuple[str, int, float, bool]:
-    """Return the content of a row without its age."""
-    return row.endpoint, row.born, row.rate, row.leaving
+def limit_age(limit: AnnouncedLimit, now: float) -> float:
+    """Return the seconds since a limit was announced, as a notice states them."""
+    return min(MAX_LIMIT_AGE_SECONDS, max(0.0, now - limit.as_of))
+
+
+def notice_key(row: EndpointWord) -> tuple[str, int, float, bool, float]:
+    """Return the content of a row without its ages."""
+    return row.endpoint, row.born, row.rate, row.leaving, row.refusals
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -69,6 +69,7 @@
         self._restored = False
         # The entries of a restored store that their endpoints have not written again.
         self._restored_entries: dict[str, EndpointEntry] = {}
+        self.on_place_left: Callable[[EndpointState], None] = lambda state: None
         self.links_in_doubt: Callable[[], bool] = lambda: False
         # Whether this host's own links explain that a connection was lost at a time.
         self.links_explain: Callable[[float], bool] = lambda lost_at: False
@@ -311,8 +312,9 @@
             slowness=state.health.slowness(now),
             same_domain=state.entry.domain == domain,
             suspect=state.health.suspect(now),
-            permit_wait=max(0.0, state.next_permit_at - now) if state.limited else 0.0,
+            permit_wait=max(0.0, state.next_permit_at - now) if state.needs_permit else 0.0,
             permit_interval=permit_interval(state.limit.rate),
+            brittle=state.brittle,
         )
 
     def request_sent(
@@ -322,17 +324,18 @@
         inference: InferenceSpec | None,
         tokens: int,
         alone: bool | None = None,
+        placed: bool = False,
     ) -> None:
         """Count a request on an endpoint, with ``tokens`` to prefill, from when it is sent.
 
         ``alone`` tells whether no other prompt is prefilled there; None derives it from the hosts'
-        sums.
+        sums. ``placed`` is set if the hub counts the request until it has ended.
         """
         now = self._clock.monotonic()
         if alone is None:
             alone = state.load(now)[1] == 0
         item = item_name(inference) if inference is not None else ""
-        state.in_flight[request_id] = InFlightRequest(now, tokens, alone, item)
+        state.in_flight[request_id] = InFlightRequest(now, tokens, alone, item, placed=placed)
         state.pending_tokens += tokens
         if inference is not None:
             state.add_cached_parts(inference)
@@ -370,6 +373,8 @@
         request = state.in_flight.pop(request_id, None)
         if request is None:
             return
+        if request.placed:
+            self.on_place_left(state)
         if request.awaits_first_token:
             state.pending_tokens -= request.prompt_tokens
         if complete:
--- a/peridotdock/relay/grants.py
+++ b/peridotdock/relay/grants.py
@@ -95,7 +95,8 @@
         self._pace_controls: dict[str, PaceControl] = {}
         self._queued: dict[str, MovingAverage] = {}
         self.permit_waits: PermitWaits = lambda state: (0.0, 0.0)
-        self.spend_permit: Callable[[EndpointState], None] = lambda state: None
+        self.spend_permit: Callable[[EndpointState, str], None] = lambda state, host: None
+        self.count_running: Callable[[EndpointState], int] = lambda state: 0
 
     def set_deployment(self, deployment: Deployment) -> None:
         """Set each service's allowed pause between stream events from a new configuration."""
@@ -196,7 +197,7 @@
             state = self._fleet.states.get(key)
             if state is not None:
                 state.add_cached_parts(queued.inference)
-                self.spend_permit(state)
+                self.spend_permit(state, queued.host)
             ahead = row.prediction.candidate.queued_tokens * row.prompt.work.seconds_per_token
             frame = GrantFrame("grant", queued.number, key, 0, int(1000 * ahead))
         self._send(queued.host, frame)
@@ -206,12 +207,14 @@
         states = self._fleet.grantable(queued.service, queued.inference)
         domain = self._find_domain(queued.host)
         rows = self._fleet.hub_candidates(states, queued.inference, queued.avoid, domain)
-        return [self._with_permit(row) if row.rate_limited else row for row in rows]
+        return [self._with_permit(row) if row.needs_permit else row for row in rows]
 
     def _with_permit(self, row: Candidate) -> Candidate:
-        """Return a candidate that has a rate limit, with its permit waits filled in."""
-        wait, gap = self.permit_waits(self._fleet.states[row.key])
-        return replace(row, permit_wait=wait, permit_interval=gap)
+        """Return a candidate that needs permits, with its waits and places filled in."""
+        state = self._fleet.states[row.key]
+        wait, gap = self.permit_waits(state)
+        running = max(row.running, self.count_running(state))
+        return replace(row, permit_wait=wait, permit_interval=gap, running=running)
 
 
 class GrantCall:
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -120,6 +120,7 @@
         mesh.on_permit = self.permits.on_frame
         self.grants.server.permit_waits = self.permits.wait_and_gap
         self.grants.server.spend_permit = self.permits.spend
+        self.grants.server.count_running = self.permits.running
         self.peers.queued = self.grants.server.queued
         self.blocklist = Blocklist(ctx, self.peers.facts, self.fleet.has_ended, self.peers.is_hub)
         TrialCalls(ctx, mesh, self.peers.hub, find_iterations(), self.blocklist.trials)
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -215,6 +215,10 @@
         reached = sum(row.alive for row in members)
         return host_share(reached, len(self.known_hosts()), over)
 
+    def live_hosts(self) -> set[str]:
+        """Return the hosts that are alive, in whatever state."""
+        return {name for name, row in self.membership.members().items() if row.alive}
+
     def known_hosts(self) -> list[str]:
         """Return all hosts that may serve, including unreachable ones."""
         rows = self.membership.members().items()
--- a/peridotdock/relay/requests.py
+++ b/peridotdock/relay/requests.py
@@ -160,8 +160,10 @@
     endpoint named in the request, or does not have the model or adapter. ``receipt`` proves that
     the answer comes from the endpoint itself. ``headers`` are returned to the caller unchanged.
     ``rate_limit`` is the number of requests per second that the endpoint currently accepts from all
-    hosts together: infinite without a limit, None if the value can't be parsed. ``draining``: the
-    endpoint is shutting down. ``backoff`` is how many seconds this host must not send to it.
+    hosts together: infinite without a limit, None if the value can't be parsed. ``refusal_limit``
+    is the same for requests a second that it refuses for want of room, beyond which it fails.
+    ``draining``: the endpoint is shutting down. ``backoff`` is how many seconds this host must not
+    send to it.
     """
 
     status: int
@@ -172,5 +174,6 @@
     content_type: str
     headers: tuple[tuple[str, str], ...]
     rate_limit: float | None = math.inf
+    refusal_limit: float | None = math.inf
     draining: bool = False
     backoff: float = 0.0
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -154,7 +154,12 @@
         if refusal is not None:
             return refusal
         prediction = await self._chooser.choose_endpoint(req, caller, progress)
-        return prediction if failed(prediction) else self.blocklist.refusal(req) or prediction
+        if failed(prediction):
+            return prediction
+        refusal = self.blocklist.refusal(req)
+        if refusal is not None:
+            self._chooser.withdraw(prediction)
+        return refusal or prediction
 
     def record_gap(self, state: EndpointState, service: str, seconds: float, events: int) -> None:
         """Record the seconds since the previous events of a stream; ``events`` arrived at once."""
@@ -227,7 +232,7 @@
             else 0
         )
         alone = prediction.candidate.queued_tokens == 0 if prediction.granted else None
-        self.fleet.request_sent(state, req.id, inference, tokens, alone)
+        self.fleet.request_sent(state, req.id, inference, tokens, alone, prediction.placed)
         started_at = self.ctx.clock.monotonic()
         streaming = False
         try:
--- a/peridotdock/relay/waits.py
+++ b/peridotdock/relay/waits.py
@@ -19,6 +19,10 @@
 
 # Seconds between two checks while all endpoints back off: another one may have been added.
 CHECK_SECONDS = 0.25
+# Seconds, and share of its time, for which a request waits for a free slot of an endpoint that must
+# not refuse any.
+MAX_PLACE_WAIT_SECONDS = 0.5
+MAX_PLACE_WAIT_SHARE = 0.3
 
 
 class EndpointWaits:
@@ -80,6 +84,8 @@
         Return None if the endpoints are to be checked again.
         """
         row = min(rows, key=lambda row: row.available_in)
+        if row.brittle and not row.backoff:
+            return await self._wait_for_place(req, caller, row, len(rows))
         seconds = predict(row, self._fleet.estimate_work(progress.service, req.head.inference))
         max_wait = max(0.0, req.first_event_deadline - self._ctx.clock.monotonic() - seconds)
         if row.backoff and self.is_draining():
@@ -100,3 +106,20 @@
         if caller.is_disconnected():
             return loss_failure(RequestState.ADMITTED, Loss.CALLER_GONE)
         return None if row.backoff else Prediction(row, seconds)
+
+    async def _wait_for_place(
+        self, req: RelayRequest, caller: CallerConnection, row: Candidate, count: int
+    ) -> Failure | None:
+        """Wait for a free slot of a brittle endpoint, or reject the request."""
+        now = self._ctx.clock.monotonic()
+        stays = req.first_event_deadline - req.received_at
+        longest = min(MAX_PLACE_WAIT_SECONDS, MAX_PLACE_WAIT_SHARE * stays)
+        give_up_at = req.received_at + longest
+        if now + row.available_in > give_up_at:
+            reason = f"no free slot at {count} endpoints"
+            wait = retry_after(row.available_in, self._ctx.rng.random)
+            return Failure(Kind.OVERLOADED, reason, wait)
+        await asyncio.wait({caller.disconnected}, timeout=row.available_in)
+        if caller.is_disconnected():
+            return loss_failure(RequestState.ADMITTED, Loss.CALLER_GONE)
+        return None
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -868,6 +868,14 @@
     """
     Whether the endpoint has ever announced that it drains.
     """
+    refusals: float = -1
+    """
+    Refused requests a second beyond which the endpoint fails; infinite if it no longer announces them, negative if the sender does not know.
+    """
+    refusals_age: int = 0
+    """
+    Milliseconds from that announcement to the creation of this fact.
+    """
 
 
 @dataclass(frozen=True)
@@ -934,6 +942,19 @@
     """
 
 
+@dataclass(frozen=True)
+class PlaceReturned:
+    """
+    Notice to the hub that a request which had a permit has ended.
+    """
+
+    kind: Literal['place_returned']
+    endpoint: str
+    """
+    Id of the endpoint.
+    """
+
+
 @dataclass(frozen=True)
 class LedgerFact:
     """
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -14,7 +14,10 @@
 Settings: ``delay_seconds`` before each event or answer; ``extra_headers`` for each answer;
 ``retry_after`` seconds that a refusal asks for; ``fatal_bodies``: a request with one of these
 bodies crashes the runner when it executes, so that all connections are aborted and nothing listens.
-``halfway_event`` is an event that streams wait for after half of their events.
+``halfway_event`` is an event that streams wait for after half of their events. ``room`` is how many
+requests may be there at once; the rest is refused. A runner with ``max_refusals`` falls over when
+it refuses more in a second: all connections are aborted and nothing listens for ``FALL_SECONDS``;
+``falls`` counts that. ``freeze`` lets it be silent for some seconds and then go on.
 
 Records: ``requests`` received; ids of attempts ``executed``, and ``disconnected`` by the caller;
 ``connection_count``; ``call_times`` of all requests, with reports and orders; ``request_times``:
@@ -27,11 +30,14 @@
 
 import asyncio
 import json
+import math
 
 EVENTS_PER_STREAM = 6
 # Unix time of the first start of a runner, and the interval between two starts.
 FIRST_START_MS = 1_700_000_000_000
 RESTART_INTERVAL_MS = 60_000
+# Seconds for which a runner that has fallen over listens to nobody.
+FALL_SECONDS = 1.0
 
 
 class RunnerStandin:
@@ -59,6 +65,13 @@
         self.on_change = lambda: None
         self.fatal_bodies = set()
         self.crashed = False
+        self.room = math.inf
+        self.max_refusals = math.inf
+        self.falls = 0
+        self._full_times = []
+        self._in_work = 0
+        self._awake = asyncio.Event()
+        self._awake.set()
         self.on_crash = lambda: None
         self._tasks = set()
         self._writers = set()
@@ -82,6 +95,29 @@
             writer.transport.abort()
         self.on_crash()
 
+    async def freeze(self, seconds):
+        """Answer nothing for some seconds, then go on."""
+        self._awake.clear()
+        await asyncio.sleep(seconds)
+        self._awake.set()
+
+    def _refuse_full(self):
+        """Count a refusal for want of room; fall over at too many in a second."""
+        now = asyncio.get_running_loop().time()
+        self._full_times = [at for at in self._full_times if at > now - 1.0] + [now]
+        if len(self._full_times) > self.max_refusals:
+            self.falls += 1
+            self._full_times = []
+            asyncio.ensure_future(self._fall())
+
+    async def _fall(self):
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        await asyncio.sleep(FALL_SECONDS)
+        ip, port = self.address.split(":")
+        self._server = await asyncio.start_server(self._serve, ip, int(port))
+
     def restart(self):
         """Start again under the same id, without models, and register."""
         self.started_ms += RESTART_INTERVAL_MS
@@ -131,7 +167,16 @@
             await writer.drain()
             return True
         self.requests.append((method, target, headers, body))
-        return await self._answer(reader, writer, headers, body)
+        await self._awake.wait()
+        if self._in_work >= self.room:
+            self._refuse_full()
+            writer.write(frame(503, b"", self.extra_headers | {"x-not-executed": "1"}))
+            return True
+        self._in_work += 1
+        try:
+            return await self._answer(reader, writer, headers, body)
+        finally:
+            self._in_work -= 1
 
     def _control(self, target, headers, body):
         if target == "/v1/report":
@@ -219,6 +264,7 @@
             if halfway and not await self._wait_halfway(reader, signed["x-attempt-id"]):
                 return False
             await asyncio.sleep(self.delay_seconds)
+            await self._awake.wait()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
