--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -9,11 +9,16 @@
 from nose2.tools import params
 
 from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
+from peridotdock.clients.http import DEAD_PEER_OPTIONS
 from peridotdock.errors import failed
 from tests.relay.deployment import Deployment
 from tests.standins.runner import RunnerStandin
 
 NOT_RUN = "x-not-executed"
+# Silence of an endpoint that goes on afterwards, and seconds after which a dead peer is detected.
+SHORT_SILENCE_SECONDS = 1.1
+MAX_SOUND_SILENCE_SECONDS = 1.5
+MAX_DEAD_SECONDS = 3.0
 # Longer than the connect timeout.
 STALL_SECONDS = 0.4
 
@@ -165,6 +170,42 @@
     )
 
 
+class ShortSilenceTest(unittest.TestCase):
+    """Guards against connections that end as their endpoint is silent for a second or so."""
+
+    def test_the_kernel_bears_a_short_silence(self):
+        """A probe is due up to its interval before the silence, and the time-out counts from then.
+
+        With a user timeout set, the kernel goes by that in place of the number of probes.
+        """
+        values = {option: value for _, option, value in DEAD_PEER_OPTIONS}
+        idle = max(values[socket.TCP_KEEPIDLE], values[socket.TCP_KEEPINTVL])
+        timeout = values[socket.TCP_USER_TIMEOUT] / 1000
+        self.assertGreaterEqual(timeout - idle, MAX_SOUND_SILENCE_SECONDS)
+        self.assertLessEqual(timeout, MAX_DEAD_SECONDS)
+
+    @params(
+        ("/recap/", "m0", "engines"),
+        ("/once/", "m0", "engines"),
+        ("/bind/", "", "pages"),
+        ("/fetch/", "", "pages"),
+    )
+    def test_requests_outlast_a_silence(self, path, model, service):
+        async def check():
+            async with Deployment(engines=(("e1", ("m0",)),)) as found:
+                runner = next(iter(getattr(found, service).values()))
+                await found.send(path, "warm", model=model)
+                runner.delay_seconds = 0.05
+                silence = SHORT_SILENCE_SECONDS if service == "engines" else 0.4
+                frozen = asyncio.ensure_future(runner.freeze(silence))
+                await asyncio.sleep(0)
+                status, _, _ = await found.send(path, "a1", model=model)
+                self.assertEqual((200, 1), (status, runner.executed.count("a1")))
+                await frozen
+
+        asyncio.run(asyncio.wait_for(check(), 30))
+
+
 class SilentEndpointTest(unittest.TestCase):
     """Failure guarded against: half of all requests time out at an endpoint that answers none.
 
