Use open connections where no host can open new ones

What callers saw in the soak: with all hosts cut off in the way in which open connections live on and new ones are refused, all requests got 503; before the hosts knew that they were cut off, such requests had been served.

Cause: one refused new connection takes its endpoint for absent, for the open connections too, and a host that knew itself cut off refused what had no endpoint left. Such a host now tries up to two endpoints over what connections there are, for 0.2 s, and refuses then; where connections hang, one try is all.

--- a/peridotdock/decisions/waiting.py
+++ b/peridotdock/decisions/waiting.py
@@ -19,6 +19,9 @@
 MAX_UNKNOWN_WAIT_SECONDS = 7.0
 # Seconds after which a caller is asked to retry where no host reaches an endpoint.
 UNREACHABLE_RETRY_SECONDS = 1.0
+# Sends of a request, and seconds since it came, up to which open connections are tried there.
+MAX_CUT_OFF_SENDS = 2
+MAX_CUT_OFF_SECONDS = 0.2
 # Longest and shortest time after which a refused caller is asked to retry.
 MAX_RETRY_SECONDS = 5.0
 MIN_RETRY_SECONDS = 0.2
@@ -46,6 +49,15 @@
     retry_after: float
 
 
+def may_try_cut_off(endpoints: int, sends: int, age: float) -> bool:
+    """Return whether to try an endpoint though no host can connect to any.
+
+    Load pattern: new connections are refused, and some open ones live on. A request is refused as
+    soon as a few tries have failed; where connections hang, one try takes long enough.
+    """
+    return endpoints > 0 and sends < MAX_CUT_OFF_SENDS and age < MAX_CUT_OFF_SECONDS
+
+
 def decide_wait(absence: Absence) -> Wait:
     """Return how long to wait for the missing item, or when the caller may retry."""
     expected = absence.ready_in
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -70,6 +70,8 @@
         # The entries of a restored store that their endpoints have not written again.
         self._restored_entries: dict[str, EndpointEntry] = {}
         self.on_place_left: Callable[[EndpointState], None] = lambda state: None
+        # Whether this host reaches no endpoint, and no host that does.
+        self.is_cut_off: Callable[[], bool] = lambda: False
         self.links_in_doubt: Callable[[], bool] = lambda: False
         # Whether this host's own links explain that a connection was lost at a time.
         self.links_explain: Callable[[float], bool] = lambda lost_at: False
@@ -149,7 +151,13 @@
         change.set_result(None)
 
     def usable(self, service: str, inference: InferenceSpec | None) -> list[EndpointState]:
-        """Return the endpoints that accept requests of this host and hold the requested item."""
+        """Return the endpoints that accept requests of this host and hold the requested item.
+
+        Where no host reaches any endpoint, all are left: open connections may live on although new
+        ones fail.
+        """
+        if self.is_cut_off():
+            return self.serving(service, inference)
         now = self._clock.monotonic()
         rows = self.by_service.get(service, ())
         return filter_holders([state for state in rows if state.usable(now)], inference, now)
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -126,7 +126,7 @@
         TrialCalls(ctx, mesh, self.peers.hub, find_iterations(), self.blocklist.trials)
         waits = EndpointWaits(ctx, self.fleet, self.item_waits, self.permits)
         waits.is_draining = lambda: self.leaving
-        waits.is_cut_off = self._is_cut_off
+        self.fleet.is_cut_off = self._is_cut_off
         chooser = Chooser(ctx, self.fleet, waits, self.grants, self.permits)
         self.connectivity = ConnectivityMonitor(ctx, self.fleet)
         self.connectivity.on_change = self._on_connectivity
--- a/peridotdock/relay/waits.py
+++ b/peridotdock/relay/waits.py
@@ -7,7 +7,7 @@
 from peridotdock.decisions.backoff import backoff_seconds
 from peridotdock.decisions.choice import Candidate, Prediction, predict
 from peridotdock.decisions.permits import Permit, retry_after
-from peridotdock.decisions.waiting import UNREACHABLE_RETRY_SECONDS
+from peridotdock.decisions.waiting import UNREACHABLE_RETRY_SECONDS, may_try_cut_off
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.caller import CallerConnection
 from peridotdock.relay.fleet import RelayFleet
@@ -36,8 +36,6 @@
         self._item_waits = item_waits
         self._permits = permits
         self.is_draining: Callable[[], bool] = lambda: False
-        # Whether this host reaches no endpoint, and no host that does.
-        self.is_cut_off: Callable[[], bool] = lambda: False
 
     async def wait_until_usable(
         self, req: RelayRequest, caller: CallerConnection, progress: Progress
@@ -49,7 +47,9 @@
             if refusal is not None:
                 return refusal
             states = self._fleet.usable(progress.service, req.head.inference)
-        if self.is_cut_off() and (progress.sends or not states):
+        if self._fleet.is_cut_off() and not may_try_cut_off(
+            len(states), progress.sends, self._ctx.clock.monotonic() - req.received_at
+        ):
             return Failure(
                 Kind.NO_ENDPOINT, "no host reaches an endpoint", UNREACHABLE_RETRY_SECONDS
             )
--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -7,7 +7,7 @@
 from nose2.tools import params
 
 from extras.soak.gates import Gate
-from peridotdock.decisions.connectivity import Connectivity
+from peridotdock.decisions.connectivity import Connectivity, LinkState
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.requests import EndpointEntry
 from tests.fakes import FakeClock
@@ -260,6 +260,26 @@
 class AllCutOffTest(unittest.TestCase):
     """Guards against callers that wait although no host reaches any endpoint."""
 
+    @run
+    async def test_open_connections_are_used_though_no_host_can_open_new_ones(self):
+        """Callers are refused by all hosts, while their connections to endpoints live on."""
+        async with gated() as found:
+            await wait_linked(found)
+            await send_rounds(found, 2)
+            for host in range(len(found.hosts)):
+                found.cut(host, "refuse")
+            for host in found.hosts:
+                host.connectivity.links.state = LinkState.PARTITIONED
+                host._publish_state()
+            await asyncio.sleep(0.5)
+            for host in found.hosts:
+                for state in host.fleet.states.values():
+                    state.health.record_unreachable(host.ctx.clock.monotonic())
+            statuses = []
+            for number, host in itertools.product(range(4), range(len(found.hosts))):
+                statuses.append((await found.send("/fetch/", f"o{number}-{host}", to=host))[0])
+            self.assertGreaterEqual(statuses.count(200), LEAST_SHARE * len(statuses), statuses)
+
     @params(*Gate.WAYS[:2])
     def test_all_are_refused_at_once_and_served_again_soon(self, way):
         @run
