Cut hosts off from all endpoints in the soak, and let endpoints be silent and brittle

Each host process reaches each endpoint through a gate of its own in one seed of three (planned work alone excepted): one host, half, all but one or all are cut off for 6 s, in one of three ways, again after a short pause, beside the other faults; endpoints are silent for about a second, and in half of these seeds fall over when they refuse too much. Callers that go to all hosts, whatever the directory says, show whether hosts that are cut off serve. Checks: from 3 s on they serve two thirds as often as others, unless 10 + 1 in 50 of the attempts fail there at most; two falls at most.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -19,11 +19,14 @@
 from extras.soak.callers import Caller
 from extras.soak.checks import EndpointRecord, Record, find_violations
 from extras.soak.deployment import MODELS_FIT, SoakDeployment
+from extras.soak.partitions import silence_endpoints
 from extras.soak.plan import MAX_FAULT_SECONDS, Plan, draw_plan
 from extras.soak.proxy import Proxy
 from tests.standins.runner import EVENTS_PER_STREAM, RunnerStandin
 
 CALLER_COUNT = 8
+# Callers that use all hosts, also those that the directory leaves out as they are cut off.
+DIRECT_CALLER_COUNT = 20
 # Callers that also repeat one request that crashes endpoints.
 POISON_CALLER_COUNT = 2
 # Seconds that hosts have after the last fault to recover before probes are sent.
@@ -67,7 +70,8 @@
 
 async def run_plan(plan: Plan, hosts: int, folder: Path, beside: Path | None = None) -> list[str]:
     """Run one plan against new processes and return the violated guarantees, one line each."""
-    record, deployment = Record(), SoakDeployment(hosts, folder, beside)
+    partitioned = plan.partitioned and beside is None
+    record, deployment = Record(), SoakDeployment(hosts, folder, beside, partitioned)
     await deployment.start()
     try:
         await wait_ready(deployment)
@@ -85,6 +89,22 @@
                 deployment.refuse_requests(seconds),
                 deployment.announce_draining(),
             ]
+        if partitioned:
+            rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
+            names = [host.name for host in deployment.hosts]
+            sound = [*deployment.engines, *deployment.pages]
+            work += [
+                deployment.partitions.run(seconds, names, rng),
+                silence_endpoints(seconds, sound, random.Random(plan.seed)),
+            ]
+            direct = range(CALLER_COUNT + 1, CALLER_COUNT + 1 + DIRECT_CALLER_COUNT)
+            work += [
+                Caller(n, deployment, record, started_at, plan.seed, direct=True).run(plan.seconds)
+                for n in direct
+            ]
+            if plan.brittle:
+                deployment.make_brittle()
+                record.brittle_since = 0.0
         if plan.restored:
             rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
             work.append(deployment.restore_store(seconds, rng))
@@ -137,9 +157,13 @@
 def collect_observations(deployment: SoakDeployment, record: Record, started_at: float) -> None:
     """Copy what the endpoints have recorded into the record of the run."""
     record.crash_times = deployment.crash_times
+    if deployment.partitions is not None:
+        record.partitions = [row.shifted(started_at) for row in deployment.partitions.done]
+    record.disturbed = [row.shifted(started_at) for row in deployment.disturbed]
     record.limited_endpoints = deployment.limited_endpoints
     links = deployment.links | deployment.closed_links
     for runner in (*deployment.engines, *deployment.pages, *deployment.stopped_runners):
+        record.falls += [(at - started_at, runner.name) for at in runner.fall_times]
         record.ran += runner.executed
         record.orders[runner.name] = runner.orders
         record.max_held[runner.name] = runner.max_models_held
--- a/extras/soak/callers.py
+++ b/extras/soak/callers.py
@@ -24,11 +24,21 @@
 
 
 class Caller:
-    """One caller; ``started_at`` is the start of the run in monotonic seconds."""
+    """One caller; ``started_at`` is the start of the run in monotonic seconds.
+
+    A ``direct`` one keeps to the addresses of all hosts, whatever the directory says.
+    """
 
     def __init__(
-        self, number: int, deployment: SoakDeployment, record: Record, started_at: float, seed: int
+        self,
+        number: int,
+        deployment: SoakDeployment,
+        record: Record,
+        started_at: float,
+        seed: int,
+        direct: bool = False,
     ):
+        self._direct = direct
         self._deployment = deployment
         self._record = record
         self._started_at = started_at
@@ -126,6 +136,8 @@
         self._addresses = [row for row in self._addresses if row != address]
 
     async def _choose_address(self, session: aiohttp.ClientSession) -> str | None:
+        if self._direct:
+            return self._rng.choice(self._deployment.hosts).address("front")
         if not self._addresses or self._now() - self._resolved_at > self._address_ttl:
             await self._resolve(session)
         return self._rng.choice(self._addresses) if self._addresses else None
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -6,7 +6,7 @@
 import math
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 # Statuses which guarantee that a request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -33,6 +33,14 @@
 # that the refused host may send during it.
 BACKOFF_ENFORCED_AFTER_SECONDS = 0.5
 MAX_REQUESTS_IN_BACKOFF = 2
+# Seconds after which hosts that are cut off must serve, and brittle endpoints stay up. The share of
+# what other hosts serve that they must reach, unless no more attempts fail there than this number
+# and share of all. Falls that are allowed.
+SETTLING_SECONDS = 3.0
+LEAST_SHARE = 2 / 3
+ALLOWED_FAILURES = 10
+ALLOWED_SHARE = 1 / 50
+MAX_FALLS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +70,36 @@
     draining_from: float = math.inf
 
 
+@dataclass(frozen=True, slots=True)
+class Partition:
+    """A time in which some hosts were cut off from all endpoints, and in which way.
+
+    Times are in monotonic seconds, in a record in seconds since the start of the run.
+    """
+
+    since: float
+    until: float
+    hosts: frozenset[str]
+    way: str
+
+    def shifted(self, started_at: float) -> "Partition":
+        """Return the same with times since the start of the run."""
+        return replace(self, since=self.since - started_at, until=self.until - started_at)
+
+
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """A fault of one host's process; times as those of a partition."""
+
+    host: str
+    since: float
+    until: float
+
+    def shifted(self, started_at: float) -> "Disturbance":
+        """Return the same with times since the start of the run."""
+        return replace(self, since=self.since - started_at, until=self.until - started_at)
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """One attempt of a caller. ``status`` is 0 if the connection ended before a response head.
@@ -87,7 +125,8 @@
     """What the callers and endpoints of a run have recorded.
 
     ``ran`` holds the ids of the attempts that endpoints ran, ``missed_changes`` the changes after a
-    restore of the store that a host did not follow in time.
+    restore of the store that a host did not follow in time. ``falls`` are the times and names of
+    endpoints that fell over, ``brittle_since`` when they began to announce that they may.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -99,6 +138,10 @@
     limited_endpoints: list[LimitedEndpoint] = field(default_factory=list)
     endpoint_records: list[EndpointRecord] = field(default_factory=list)
     missed_changes: list[str] = field(default_factory=list)
+    partitions: list[Partition] = field(default_factory=list)
+    disturbed: list[Disturbance] = field(default_factory=list)
+    falls: list[tuple[float, str]] = field(default_factory=list)
+    brittle_since: float = math.inf
 
 
 def check_answers(record: Record, event_count: int) -> Iterable[str]:
@@ -246,6 +289,65 @@
                 )
 
 
+def check_partitions(record: Record) -> Iterable[str]:
+    """Callers of hosts that are cut off from all endpoints are served far less often than others.
+
+    Attempts count from some seconds after the cut began, at hosts whose processes had not been
+    disturbed for as long. Some failures are allowed, as endpoints and the store are disturbed too.
+    """
+    for cut in record.partitions:
+        since = cut.since + SETTLING_SECONDS
+        rows = [
+            row
+            for row in record.attempts
+            if since <= row.started_at and row.ended_at <= cut.until
+            if not is_disturbed(record, row)
+        ]
+        there = [row for row in rows if host_of(row) in cut.hosts]
+        others = [row for row in rows if row not in there]
+        failed = sum(not is_served(row) for row in there)
+        allowed = ALLOWED_FAILURES + ALLOWED_SHARE * len(rows)
+        if others and failed > allowed and share(there) < LEAST_SHARE * share(others):
+            yield (
+                f"cut off ({cut.way}) from {cut.since:.2f} s: {sorted(cut.hosts)} served"
+                f" {share(there):.2f} of {len(there)}, the others {share(others):.2f}"
+                f" of {len(others)}"
+            )
+
+
+def host_of(attempt: Attempt) -> str:
+    """Return the name of the host that received an attempt."""
+    return attempt.incarnation.rpartition("-")[0]
+
+
+def is_disturbed(record: Record, attempt: Attempt) -> bool:
+    """Return whether the process of an attempt's host had a fault shortly before or during it."""
+    return any(
+        row.host == host_of(attempt)
+        and row.since <= attempt.ended_at
+        and attempt.started_at <= row.until + SETTLING_SECONDS
+        for row in record.disturbed
+    )
+
+
+def is_served(attempt: Attempt) -> bool:
+    """Return whether an attempt got a complete success."""
+    return attempt.status == SUCCESS and attempt.complete
+
+
+def share(rows: Sequence[Attempt]) -> float:
+    """Return the share of attempts that were served."""
+    return sum(map(is_served, rows)) / max(1, len(rows))
+
+
+def check_falls(record: Record) -> Iterable[str]:
+    """Endpoints that announce that they may fall over did so too often."""
+    since = record.brittle_since + SETTLING_SECONDS
+    later = [name for at, name in record.falls if at >= since]
+    if len(later) > MAX_FALLS:
+        yield f"{len(later)} falls of endpoints: {dict(Counter(later))}"
+
+
 def check_changes(record: Record) -> Iterable[str]:
     """A host did not follow a change that was made after the store was restored."""
     yield from record.missed_changes
@@ -267,5 +369,7 @@
         *check_draining(record),
         *check_backoffs(record),
         *check_changes(record),
+        *check_partitions(record),
+        *check_falls(record),
     ]
     return found + list(check_planned(record)) if planned else found
--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -14,7 +14,10 @@
 from pathlib import Path
 from typing import Any
 
-from extras.soak.checks import LimitedEndpoint
+from extras.soak.checks import Disturbance, LimitedEndpoint
+from extras.soak.gated_host import GATES_VARIABLE
+from extras.soak.gates import gate_ip
+from extras.soak.partitions import Partitions
 from extras.soak.plan import Fault
 from extras.soak.ports import free_port
 from extras.soak.proxy import Proxy
@@ -32,6 +35,9 @@
 # Half of the seconds for which a draining endpoint still serves.
 DRAIN_SECONDS = 2.0
 STOP_SECONDS = 3
+# Requests that a brittle endpoint runs at once, and refusals in a second that it bears.
+BRITTLE_SLOTS = 8
+BRITTLE_REFUSALS = 3
 # The body of a request that crashes each endpoint that starts to run it, and the seconds until
 # another endpoint replaces a crashed one.
 POISON_BODY = b"a request that no endpoint survives"
@@ -78,6 +84,8 @@
         self.ports = {
             listener: free_port() for listener in ("front", "ready", "control", "directory")
         }
+        self.relay_port = free_port()
+        self.gates = ""
         self._settings = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
         self._child: subprocess.Popen | None = None
@@ -95,7 +103,8 @@
     def write_settings(self, store: str, seeds: list[str]) -> None:
         """Write the settings file, which the process reads at each start."""
         rows = [f'node_name = "{self.name}"', 'ip = "127.0.0.1"', 'zone = "north"']
-        rows += ["inner_ports = [1, 0]", f"seeds = {json.dumps(seeds)}", "[listen]"]
+        rows += [f"inner_ports = [{self.relay_port}, {self.relay_port}]"]
+        rows += [f"seeds = {json.dumps(seeds)}", "[listen]"]
         rows += [f'{listener} = "{self.address(listener)}"' for listener in self.ports]
         rows += ["[platform]", f'address = "{store}"', "[bounds]"]
         rows += [f"{name} = {value}" for name, value in BOUNDS.items()]
@@ -110,9 +119,11 @@
     def command(self) -> dict[str, Any]:
         """Return the command, environment and working directory as keyword arguments of Popen."""
         root, settings = str(self._checkout), str(self._settings)
+        module = "extras.soak.gated_host" if self.gates else "peridotdock.cli.relay"
+        gates = {GATES_VARIABLE: self.gates} if self.gates else {}
         return {
-            "args": [sys.executable, "-m", "peridotdock.cli.relay"],
-            "env": {**os.environ, "PERIDOTDOCK_SETTINGS": settings, "PYTHONPATH": root},
+            "args": [sys.executable, "-m", module],
+            "env": {**os.environ, "PERIDOTDOCK_SETTINGS": settings, "PYTHONPATH": root, **gates},
             "cwd": self._checkout,
         }
 
@@ -137,9 +148,14 @@
     Hosts of odd number run the code of the checkout ``beside`` if it is given.
     """
 
-    def __init__(self, hosts: int, folder: Path, beside: Path | None = None):
+    def __init__(
+        self, hosts: int, folder: Path, beside: Path | None = None, partitioned: bool = False
+    ):
         checkouts = (ROOT, beside or ROOT)
         self.hosts = [HostProcess(f"h{n}", folder, checkouts[n % 2]) for n in range(hosts)]
+        self.partitions = Partitions(hosts) if partitioned else None
+        for number, host in enumerate(self.hosts):
+            host.gates = gate_ip(number) if partitioned else ""
         self.engines: list[RunnerStandin] = []
         self.pages: list[RunnerStandin] = []
         self.stopped_runners: list[RunnerStandin] = []
@@ -148,6 +164,7 @@
         self.routes = list(ROUTES)
         self.version = 1
         self.crash_times: list[float] = []
+        self.disturbed: list[Disturbance] = []
         self.limited_endpoints: list[LimitedEndpoint] = []
         self.draining_from: dict[str, float] = {}
         self._draining: dict[str, tuple[RunnerStandin, str]] = {}
@@ -177,6 +194,8 @@
             host.signal(signal.SIGCONT)
             host.signal(signal.SIGKILL)
             await host.wait(1.0)
+        if self.partitions is not None:
+            await self.partitions.stop()
         for link in (*self.links.values(), self.store_link):
             await link.stop()
         for runner in (*self.engines, *self.pages):
@@ -190,10 +209,18 @@
         runner.delay_seconds = EVENT_SECONDS if service == "engines" else PAGE_SECONDS
         link = await Proxy(runner.address).start()
         self.links[runner.name] = link
+        if self.partitions is not None:
+            await self.partitions.add_endpoint(runner.name, link.address)
         (self.engines if service == "engines" else self.pages).append(runner)
         runner.on_change = lambda: self._register(runner, service)
         runner.on_change()
 
+    def make_brittle(self) -> None:
+        """Let the endpoints of the plain service have few slots and fall over under refusals."""
+        for runner in self.pages:
+            runner.room, runner.max_refusals = BRITTLE_SLOTS, BRITTLE_REFUSALS
+            runner.extra_headers = {"server-brittle": str(BRITTLE_REFUSALS)}
+
     async def announce_draining(self) -> None:
         """Let an engine and an endpoint of a plain service announce draining in answers alone."""
         for runner in (self.engines[1], self.pages[1]):
@@ -301,10 +328,13 @@
         if target_id in self._targets_in_use:
             return
         self._targets_in_use.add(target_id)
+        since = time.monotonic()
         try:
             await getattr(self, f"_{name}")(target, fault.seconds)
         finally:
             self._targets_in_use.discard(target_id)
+            if fault.kind.target == "host":
+                self.disturbed.append(Disturbance(target.name, since, time.monotonic()))
 
     def _pool(self, target: str) -> list:
         pools = {
--- a/extras/soak/plan.py
+++ b/extras/soak/plan.py
@@ -16,6 +16,9 @@
 POISON_EVERY = 4
 # One seed in this many has endpoints that announce limits, backoffs and draining in their answers.
 OVERLOADED_EVERY = 3
+# One seed in this many has hosts that are cut off from all endpoints, and one in twice as many has
+# endpoints that fall over when they refuse too many requests.
+PARTITIONED_EVERY = 3
 # One seed in this many has a store that comes back from older copies of its rows.
 RESTORED_EVERY = 3
 
@@ -89,6 +92,16 @@
         """Return whether endpoints announce limits, backoffs and draining in their answers."""
         return self.seed % OVERLOADED_EVERY == 1
 
+    @property
+    def partitioned(self) -> bool:
+        """Return whether hosts are cut off from all endpoints."""
+        return not self.maintenance_only and self.seed % PARTITIONED_EVERY == 0
+
+    @property
+    def brittle(self) -> bool:
+        """Return whether endpoints fall over when they refuse too many requests."""
+        return self.partitioned and self.seed % 2 == 0
+
     @property
     def restored(self) -> bool:
         """Return whether the store comes back from older copies of its rows."""
--- a/tests/relay/test_brittle.py
+++ b/tests/relay/test_brittle.py
@@ -102,9 +102,9 @@
                     runner.max_refusals = MAX_REFUSALS
                     runner.extra_headers = {"server-brittle": str(MAX_REFUSALS)}
                 await load(found, path, model, 20, STABLE_SECONDS)
-                before = sum(runner.falls for runner in rows)
+                before = sum(len(runner.fall_times) for runner in rows)
                 statuses = await load(found, path, model, rate, LOAD_SECONDS)
-                falls = sum(runner.falls for runner in rows) - before
+                falls = sum(len(runner.fall_times) for runner in rows) - before
                 self.assertLessEqual(falls, MAX_FALLS, name)
                 # None was lost at an endpoint that fell over.
                 self.assertEqual(set(), set(statuses) - {200, 503, 504})
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -17,7 +17,7 @@
 ``halfway_event`` is an event that streams wait for after half of their events. ``room`` is how many
 requests may be there at once; the rest is refused. A runner with ``max_refusals`` falls over when
 it refuses more in a second: all connections are aborted and nothing listens for ``FALL_SECONDS``;
-``falls`` counts that. ``freeze`` lets it be silent for some seconds and then go on.
+``fall_times`` records that. ``freeze`` lets it be silent for some seconds and then go on.
 
 Records: ``requests`` received; ids of attempts ``executed``, and ``disconnected`` by the caller;
 ``connection_count``; ``call_times`` of all requests, with reports and orders; ``request_times``:
@@ -67,7 +67,7 @@
         self.crashed = False
         self.room = math.inf
         self.max_refusals = math.inf
-        self.falls = 0
+        self.fall_times = []
         self._full_times = []
         self._in_work = 0
         self._awake = asyncio.Event()
@@ -106,7 +106,7 @@
         now = asyncio.get_running_loop().time()
         self._full_times = [at for at in self._full_times if at > now - 1.0] + [now]
         if len(self._full_times) > self.max_refusals:
-            self.falls += 1
+            self.fall_times.append(now)
             self._full_times = []
             asyncio.ensure_future(self._fall())
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,15 @@
 from extras import fleet_processes
 from extras.samples import HANEUL
 from extras.soak.__main__ import read_endpoint_record, run_plan
-from extras.soak.checks import Attempt, EndpointRecord, LimitedEndpoint, Record, find_violations
+from extras.soak.checks import (
+    Attempt,
+    Disturbance,
+    EndpointRecord,
+    LimitedEndpoint,
+    Partition,
+    Record,
+    find_violations,
+)
 from extras.soak.deployment import ROOT, SoakDeployment
 from extras.soak.plan import MAX_FAULT_SECONDS, PLANNED_EVERY, draw_plan
 from extras.soak.proxy import Proxy
@@ -36,6 +44,22 @@
     return Record(list(attempts), list(ran), {"e": list(orders)}, {"e": held}, list(probes))
 
 
+CUT = Partition(0.0, 9.0, frozenset({"h0"}), "reset")
+
+
+def partition_record(served, cut=CUT):
+    """Return a record of 20 attempts at a host that is cut off, and of 20 at another."""
+    rows = [
+        replace(PAGE, id=f"{host}{n}", incarnation=f"{host}-1", started_at=4.0, ended_at=4.1)
+        for host in ("h0", "h1")
+        for n in range(20)
+    ]
+    rows = [
+        replace(row, status=503) if n in range(served, 20) else row for n, row in enumerate(rows)
+    ]
+    return replace(record(*rows), partitions=[cut])
+
+
 class ChecksTest(unittest.TestCase):
     @params(
         ("no violation", record(PAGE, BIND, RECAP, ran=["a", "b", "c"], orders=[ORDER]), False),
@@ -125,6 +149,28 @@
             ),
             True,
         ),
+        ("hosts that are cut off serve", partition_record(served=15), False),
+        ("hosts that are cut off serve nobody", partition_record(served=0), True),
+        (
+            "they serve nobody in their first seconds",
+            partition_record(served=0, cut=replace(CUT, since=2.0)),
+            False,
+        ),
+        (
+            "a host that is cut off was killed too",
+            replace(partition_record(served=0), disturbed=[Disturbance("h0", 3.0, 9.0)]),
+            False,
+        ),
+        (
+            "brittle endpoints stay up",
+            replace(record(), brittle_since=0.0, falls=[(1.0, "p"), (4.0, "p"), (5.0, "q")]),
+            False,
+        ),
+        (
+            "brittle endpoints fall over",
+            replace(record(), brittle_since=0.0, falls=[(4.0, "p"), (5.0, "q"), (6.0, "p")]),
+            True,
+        ),
         ("no recovery", record(probes=[replace(PAGE, status=503)]), True),
     )
     def test_planted_faults_are_found(self, name, found, broken):
