Refuse a request at once that no other host takes

What callers would see where most hosts are cut off and the few others are late: a request is turned away by three of them and then waits 1.7 to 2.6 s at its own host for a load that nobody needs, before it is refused.

Cause: only a host that knows no host in touch at all refused at once.

--- a/peridotdock/relay/waits.py
+++ b/peridotdock/relay/waits.py
@@ -57,6 +57,9 @@
             return None
         if progress.forwarded:
             return Failure(Kind.NO_ENDPOINT, "none that this host reaches")
+        if progress.hosts and self._fleet.links_in_doubt():
+            reason = f"none of {len(progress.hosts)} hosts took it"
+            return Failure(Kind.OVERLOADED, reason, UNREACHABLE_RETRY_SECONDS)
         return await self._item_waits.wait(req, progress, caller)
 
     async def _back_off(
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -5,6 +5,7 @@
 import unittest
 from collections import Counter
 from types import SimpleNamespace
+from unittest import mock
 
 from nose2.tools import params
 
@@ -15,6 +16,7 @@
 from peridotdock.relay.forwarded import ForwardedHandler
 from peridotdock.relay.forwarding import (
     FORWARD_HEADER,
+    MAX_FORWARDS,
     PROOF_HEADER,
     read_header,
     read_refusal,
@@ -26,7 +28,7 @@
 from tests.builders import make_ctx
 from tests.fakes import FakeClock
 from tests.relay.deployment import Deployment
-from tests.relay.test_partition import wait_linked
+from tests.relay.test_partition import MAX_REFUSAL_SECONDS, wait_linked
 from tests.relay.test_relay import ids, run
 
 ENGINES = (("e1", ("m0",)), ("e2", ("m0",)))
@@ -231,6 +233,27 @@
     return admitted
 
 
+class OverloadTest(unittest.TestCase):
+    """Guards against callers that wait at a host although no other host takes their requests."""
+
+    @params(("/fetch/", ""), ("/recap/", "m0"))
+    def test_a_request_that_no_host_takes_is_refused_at_once(self, path, model):
+        @run
+        async def check(self):
+            # One more than a request is forwarded to.
+            async with gated(hosts=MAX_FORWARDS + 2) as found:
+                await cut_off(found)
+                with mock.patch("peridotdock.relay.forwarded.takes_forwarded", lambda lag: False):
+                    began = asyncio.get_running_loop().time()
+                    status, headers, _ = await found.send(path, "late", model=model)
+                    seconds = asyncio.get_running_loop().time() - began
+                self.assertEqual(503, status)
+                self.assertGreater(float(headers["retry-after"]), 0.0)
+                self.assertLess(seconds, MAX_REFUSAL_SECONDS)
+
+        check(self)
+
+
 class StreamTest(unittest.TestCase):
     """Guards against streams that break off with the host that they were forwarded to."""
 
