--- a/peridotdock/relay/choosing.py
+++ b/peridotdock/relay/choosing.py
@@ -103,7 +103,8 @@
         now = self._ctx.clock.monotonic()
         usable = state in self._fleet.usable(progress.service, inference)
         if not usable or state.backoff_until > now:
-            self._permits.give_back(state)
+            if state.brittle:
+                self._permits.give_back(state)
             return None
         work = self._fleet.estimate_work(progress.service, inference)
         row = self._fleet.hub_candidates([state], inference, frozenset(), "")[0]
--- a/peridotdock/relay/forwarded.py
+++ b/peridotdock/relay/forwarded.py
@@ -4,6 +4,7 @@
 chooses the endpoint, retries and streams as for its own callers, and never forwards it again.
 """
 
+import hmac
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -98,7 +99,8 @@
             for name, value in request.headers.values
         }
         text = rows.get(FORWARD_HEADER, "")
-        if rows.get(PROOF_HEADER, "") != sign(self._ctx.cfg.cluster_key, text, head.attempt_id):
+        proof = sign(self._ctx.cfg.cluster_key, text, head.attempt_id)
+        if not hmac.compare_digest(rows.get(PROOF_HEADER, "").encode(), proof.encode()):
             return Failure(Kind.NOT_ALLOWED, "not signed by a host")
         forward = read_header(rows, FORWARD_HEADER, Forward)
         return Failure(Kind.BAD_REQUEST, f"bad {FORWARD_HEADER}") if forward is None else forward
--- a/peridotdock/relay/forwarding.py
+++ b/peridotdock/relay/forwarding.py
@@ -253,8 +253,10 @@
 
 def read_refusal(refusal: ForwardRefusal) -> Failure:
     """Return the failure that a host answered; a kind of a newer version is an internal error."""
-    known = refusal.kind in Kind._value2member_map_
-    kind = Kind(refusal.kind) if known else Kind.INTERNAL
+    try:
+        kind = Kind(refusal.kind)
+    except ValueError:
+        kind = Kind.INTERNAL
     retry_after = None if refusal.retry_after < 0 else refusal.retry_after / 1000
     ran = Ran.MAYBE if refusal.ran else Ran.NO
     return Failure(kind, refusal.reason, retry_after, ran)
--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -155,6 +155,20 @@
             self.assertLess(read_count(metrics) - before, MAX_REPORTS)
             await asyncio.gather(*tasks)
 
+    @run
+    async def test_engines_that_are_called_down_get_orders_between_reports(self):
+        """A host of an earlier version goes on calling all engines down."""
+        async with Deployment(engines=ENGINES) as found:
+            host = found.hosts[0]
+            await found.until(host.leadership.holds)
+            host.peers.down = lambda: set(found.engines)
+            before = read_count(host.ctx.metrics)
+            for item in ("m0/a1", "m0/a2"):
+                answer = await found.send("/recap/", item, model=item)
+                self.assertEqual(200, answer[0], (item, answer[2]))
+            await asyncio.sleep(0.5)
+            self.assertLess(read_count(host.ctx.metrics) - before, MAX_REPORTS)
+
     @run
     async def test_prompts_of_others_are_granted_while_the_hub_reaches_no_engine(self):
         """Prompts wait at the hub for engines that the hub alone can't reach."""
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -15,9 +15,10 @@
 ``retry_after`` seconds that a refusal asks for; ``fatal_bodies``: a request with one of these
 bodies crashes the runner when it executes, so that all connections are aborted and nothing listens.
 ``halfway_event`` is an event that streams wait for after half of their events. ``room`` is how many
-requests may be there at once; the rest is refused. A runner with ``max_refusals`` falls over when
-it refuses more in a second: all connections are aborted and nothing listens for ``FALL_SECONDS``;
-``fall_times`` records that. ``freeze`` lets it be silent for some seconds and then go on.
+requests may be there at once; the rest is refused. A brittle runner has ``max_refusals``: it falls
+over when it refuses more in a second: all connections are aborted and nothing listens for
+``FALL_SECONDS``; ``fall_times`` records that. ``freeze`` lets it be silent for some seconds and
+then go on.
 
 Records: ``requests`` received; ids of attempts ``executed``, and ``disconnected`` by the caller;
 ``connection_count``; ``call_times`` of all requests, with reports and orders; ``request_times``:
