Log and export which decision admitted the units of a workspace's quota

Cause: neither a log line nor a metric says who let a workspace's units pass, so the three hypotheses on a quota that was exceeded can't be told apart: hosts that were not told yet that a bucket is low, hosts on their own, and several hosts that count. Change: quota_used, a line a second and host for a workspace of which more than the usual was decided, with units by decision and the hub that decided; quotas_kept names the share and whose count is continued; a counter by decision and a gauge of the share that a host grants. No decision changes.

--- a/peridotdock/metrics.py
+++ b/peridotdock/metrics.py
@@ -24,6 +24,14 @@
         self.fact_bytes = self._counter(
             "fact_bytes", "Bytes of facts sent to other hosts, by what they tell.", "topic"
         )
+        self.quota_units = self._counter(
+            "quota_units", "Units of workspaces' quotas, by decision.", "decision"
+        )
+        self.quota_share = Gauge(
+            "peridotdock_quota_share",
+            "Part of all quotas that this host grants to others, 0 if it is not the hub.",
+            registry=self.registry,
+        )
         self.tokens = self._counter("tokens", "Chunks passed on to callers.")
         self.in_work = Gauge(
             "peridotdock_in_work", "Requests in work on this host.", registry=self.registry
--- a/peridotdock/relay/quotas.py
+++ b/peridotdock/relay/quotas.py
@@ -14,6 +14,7 @@
 from peridotdock.loop_iterations import LoopIterations
 from peridotdock.relay.caller import CallerConnection
 from peridotdock.relay.peers import Peers
+from peridotdock.relay.quota_usage import Decision, QuotaUsage
 from peridotdock.relay.requests import RelayRequest
 from peridotdock.relay.settings import Bounds
 from peridotdock.requests import Loss, RequestState, loss_failure
@@ -49,6 +50,7 @@
         self._peers = peers
         self._tolerance = bounds.quota
         self._own = HostQuotas(bounds.quota)
+        self._usage = QuotaUsage(ctx)
         self._hub: HubQuotas | None = None
         self._quotas: Mapping[str, Quota] = {}
         self._hub_calls: HubCalls[int] = HubCalls(iterations)
@@ -68,11 +70,12 @@
             return None
         wait = await self._wait_for(charge, caller)
         if wait == 0 and caller.is_disconnected():
-            self._own.count(charge.name, -charge.cost)
+            self._return(charge)
         if caller.is_disconnected():
             return loss_failure(RequestState.ADMITTED, Loss.CALLER_GONE)
         if wait == 0:
             return None
+        self._usage.add(charge.name, Decision.REFUSED, charge.cost)
         spread = 1 + RETRY_JITTER_SHARE * (self._ctx.rng.random() - 0.5)
         return Failure(Kind.CALLER_LIMIT, f"workspace {charge.name}", wait * spread)
 
@@ -80,7 +83,11 @@
         """Return the units of an admitted request that did not run."""
         charge = self._find_charge(req)
         if charge is not None:
-            self._own.count(charge.name, -charge.cost)
+            self._return(charge)
+
+    def _return(self, charge: Charge) -> None:
+        self._own.count(charge.name, -charge.cost)
+        self._usage.add(charge.name, Decision.RETURNED, charge.cost)
 
     def _find_charge(self, req: RelayRequest) -> Charge | None:
         """Return the units and quota of a request; None if its workspace has no quota."""
@@ -96,16 +103,27 @@
         hub = self._read_hub_quotas()
         if not self._own.needs_hub(name):
             self._own.count(name, cost)
+            self._usage.add(name, Decision.UNASKED, cost)
             return 0.0
         now = self._ctx.clock.monotonic()
         if hub == self._host:
-            return self._as_hub().take(name, quota, cost, self._share(), now)
+            wait = self._as_hub().take(name, quota, cost, self._share(), now)
+            return self._count_admitted(charge, wait, Decision.HUB, hub)
         wait = await self._call_hub(hub, name, cost, caller)
         if wait is not None:
-            return wait
+            return self._count_admitted(charge, wait, Decision.HUB, hub)
         if not caller.is_disconnected():
             self._record_silence(hub, name)
-        return self._own.take_local(name, quota, cost, len(self._peers.known_hosts()), now)
+        hosts = len(self._peers.known_hosts())
+        wait = self._own.take_local(name, quota, cost, hosts, now)
+        return self._count_admitted(charge, wait, Decision.ALONE)
+
+    def _count_admitted(
+        self, charge: Charge, wait: float, decision: Decision, by: str = ""
+    ) -> float:
+        if wait == 0:
+            self._usage.add(charge.name, decision, charge.cost, by)
+        return wait
 
     def _read_hub_quotas(self) -> str:
         """Apply the hub's last published quotas, and return the hub's id."""
@@ -157,13 +175,16 @@
         """Publish this host's usage, and as the hub, which quotas are low."""
         if not self._quotas:
             return
+        self._usage.log_due()
         self._read_hub_quotas()
         usage = self._own.usage(self._quotas)
         if usage is not None:
             self._peers.facts.publish("usage", UsageFact(usage.totals, usage.since))
         if not self._peers.is_hub():
             self._hub = None
+            self._ctx.metrics.quota_share.set(0.0)
             return
+        self._ctx.metrics.quota_share.set(self._share())
         hub, share, now = (
             self._as_hub(),
             self._share(),
@@ -188,7 +209,9 @@
                 self._share(),
                 self._ctx.clock.monotonic(),
             )
-            self._ctx.timeline.add("quotas_kept", detail=f"{len(self._quotas)} workspaces")
+            known = f"what {last.entry.origin} published" if last is not None else "nothing"
+            detail = f"{len(self._quotas)} workspaces, share {self._share():.3f}, known: {known}"
+            self._ctx.timeline.add("quotas_kept", detail=detail)
             self._peers.facts.publish("quotas", QuotasFact(low or {}))
         return self._hub
 
--- a/tests/relay/test_quotas.py
+++ b/tests/relay/test_quotas.py
@@ -19,8 +19,11 @@
 )
 from peridotdock.events import Filter
 from peridotdock.limits import Bucket
+from peridotdock.relay.quota_usage import LOG_INTERVAL_SECONDS, Decision, QuotaUsage
 from peridotdock.relay.quotas import LOW_REPUBLISH_SECONDS, RETRY_JITTER_SHARE
 from peridotdock.workspaces import Quota
+from tests.builders import make_ctx
+from tests.fakes import FakeClock
 from tests.relay.deployment import Deployment
 from tests.relay.test_relay import run
 from tests.relay.test_workspaces import HILL, RIVER, configure
@@ -333,3 +336,32 @@
             self.assertTrue(lines)
             self.assertIn("quotas", lines[0])
             self.assertLessEqual(len(lines), 8)
+
+
+class UsageLogTest(unittest.TestCase):
+    @params(
+        ((("w", Decision.UNASKED, 5.0, ""),), []),
+        ((("w", Decision.UNASKED, 5.0, ""), ("w", Decision.RETURNED, 5.0, "")), []),
+        (
+            (("w", Decision.HUB, 5.0, "h1"), ("w", Decision.UNASKED, 2.0, "")),
+            ["workspace w, units in 1.00 s: hub by h1 5, unasked 2"],
+        ),
+        (
+            (("w", Decision.ALONE, 5.0, ""), ("w", Decision.ALONE, 4.0, "")),
+            ["workspace w, units in 1.00 s: alone 9"],
+        ),
+        ((("w", Decision.REFUSED, 5.0, ""),), ["workspace w, units in 1.00 s: refused 5"]),
+    )
+    def test_a_line_a_second_tells_who_admitted_a_workspaces_units(self, counts, lines):
+        """Failure guarded against: a window passes a quota, and no log says which host decided."""
+        clock = FakeClock()
+        ctx = make_ctx(clock)
+        usage = QuotaUsage(ctx)
+        for row in counts:
+            usage.add(*row)
+        usage.log_due()
+        self.assertEqual([], ctx.timeline.select(ALL))
+        clock.advance(LOG_INTERVAL_SECONDS)
+        usage.log_due()
+        usage.log_due()
+        self.assertEqual(lines, [event.detail for event in ctx.timeline.select(ALL)])
