--- a/peridotdock/decisions/quotas.py
+++ b/peridotdock/decisions/quotas.py
@@ -1,41 +1,49 @@
-"""Quotas of workspaces over all hosts: one bucket each at the hub, asked only while it is low.
+"""Quotas of workspaces over all hosts: units are taken before they are used.
 
 Load pattern: one workspace sends several times its quota, over dozens of hosts that each get one of
 its requests now and then. A host's share of the quota is less than one request takes, so fixed
-shares would refuse requests within the quota. The hub's bucket is exact, but would cost a round
-trip for each request. While much is left in it, hosts serve at once and report their usage later.
-Such a bucket may fall below zero, and must refill to zero before more is taken from it.
+shares would refuse requests within the quota. Usage that is reported afterwards exceeds the quota
+by what is served until the report arrives. Therefore one host, the counter, has a bucket of units
+for all hosts that lend it their shares (:mod:`peridotdock.decisions.shares`), and each request
+takes its units there. Hosts keep a small stock of units for requests that take few.
+
+A window of the quota may hold, beyond its rate and burst, what operators tolerate. That tolerance
+is divided among the full buckets, the stocks, the units for the time in which a lost counter is
+replaced, and the debt of a bucket after a large request.
 """
 
+import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from peridotdock.limits import Bucket
 from peridotdock.workspaces import Quota
 
-# Share of a bucket below which hosts ask the hub for each request: what is left above it covers
-# what they serve before they learn that it is low.
-LOW_SHARE = 0.75
-# Smallest capacity of a bucket, in seconds of its rate: a quota without a burst still admits
-# requests that arrive at the same moment.
-MIN_CAPACITY_SECONDS = 0.25
-# Shares of the tolerance by which a quota may be exceeded: for a bucket's capacity, as two counts
-# of the same requests differ by some milliseconds; for the level of a bucket after all counts were
-# lost; and for hosts that are gone for good but may be partitioned.
-CAPACITY_SHARE = 0.25
-START_SHARE = 0.5
-GONE_SHARE = 0.25
+# Parts of the tolerance for the buckets of all counters together; for the units in hosts' stocks,
+# which get the same part of the burst; for the replacement of a lost counter; and for the debt of
+# buckets. What is left is for hosts that are gone for good but may be partitioned.
+BUCKET_PART = 0.2
+STOCK_PART = 0.15
+RESERVE_PART = 0.25
+DEBT_PART = 0.25
+GONE_PART = 0.1
+# Smallest bucket in seconds of the rate: a quota without a burst still admits requests that arrive
+# at the same moment.
+MIN_BUCKET_SECONDS = 0.25
+# Part of a bucket below which it gives nothing to stocks.
+LOW_PART = 0.5
+# Part of a stock below which it is filled up.
+LOW_STOCK_PART = 0.5
+# Seconds after which units of the reserve are dropped that were not used. A host gives its part of
+# the reserve again only after these and one window, so that no window holds it twice.
+RESERVE_SECONDS = 2.0
 # Shortest and longest time after which a caller over its quota may retry.
 MIN_WAIT_SECONDS = 0.1
 MAX_WAIT_SECONDS = 10.0
-# Change of a host's usage, as a share of the rate in units, from which it is reported again.
-REPORT_SHARE = 0.02
+# Smallest share for which a wait is calculated: a caller that goes to another host, or comes back
+# after the change of a hub, finds more units.
+MIN_WAIT_SHARE = 0.5
 
-# Age from which a host's report of its usage since a hub's last update is too old to be charged
-# again.
-MAX_USAGE_AGE_SECONDS = 2.0
-
-Units = dict[str, int]
+Levels = Mapping[str, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,187 +61,191 @@
         """Return the units that a window may hold beyond its quota."""
         return self.over * (quota.rate * self.window + quota.burst) + self.units
 
-    def capacity(self, quota: Quota) -> float:
-        """Return the units that a full bucket holds."""
-        burst = max(quota.burst, quota.rate * MIN_CAPACITY_SECONDS)
-        return burst + CAPACITY_SHARE * self.excess(quota)
-
-    def start(self, quota: Quota) -> float:
-        """Return the initial units of a bucket whose earlier use is not known."""
-        return min(self.capacity(quota), START_SHARE * self.excess(quota))
+    def bucket(self, quota: Quota) -> float:
+        """Return the units that the full buckets of all counters hold together."""
+        burst = (1 - STOCK_PART) * quota.burst
+        return max(burst + BUCKET_PART * self.excess(quota), MIN_BUCKET_SECONDS * quota.rate)
 
+    def stock(self, quota: Quota, hosts: int) -> float:
+        """Return the units that the full stock of one of so many hosts holds."""
+        return STOCK_PART * (quota.burst + self.excess(quota)) / max(1, hosts)
 
-def host_share(reached: int, known: int, over: float) -> float:
-    """Return the part of each quota that a hub may give: that of the hosts it reaches.
+    def reserve(self, quota: Quota) -> float:
+        """Return the units of all hosts for the replacement of a counter."""
+        return RESERVE_PART * self.excess(quota)
 
-    Each group of a partitioned cluster has its own hub, and together they must not give more than
-    the whole. A part of ``over``, the share by which a quota may be exceeded, makes up for hosts
-    that are gone for good.
-    """
-    return min(1.0, max(1, reached) / max(1, known) * (1 + GONE_SHARE * over))
-
-
-class Buckets:
-    """One bucket per workspace; ``size`` gives its capacity, ``first`` the units of a new one."""
-
-    def __init__(self, size: Callable[[Quota], float], first: Callable[[Quota], float]):
-        self._size = size
-        self._first = first
-        self._buckets: dict[str, Bucket] = {}
-
-    def start(self, name: str, level: float, now: float) -> None:
-        """Set a bucket to a level."""
-        self._buckets[name] = Bucket(level, now)
-
-    def level(self, name: str, quota: Quota, share: float, now: float) -> float:
-        """Return the units that are left; below 0 more was used than available."""
-        found = self._buckets.get(name)
-        if found is None:
-            found = self._buckets[name] = Bucket(self._first(quota) * share, now)
-        found.fill(quota.rate * share, self._size(quota) * share, now)
-        return found.level
-
-    def charge(self, name: str, quota: Quota, cost: float, share: float, now: float) -> None:
-        """Charge units that have been used already."""
-        self.level(name, quota, share, now)
-        self._buckets[name].level -= cost
-
-    def take(self, name: str, quota: Quota, cost: float, share: float, now: float) -> float:
-        """Take a request's units; return 0, or the seconds until there are some again."""
-        level = self.level(name, quota, share, now)
-        if level > 0:
-            self._buckets[name].level -= cost
-            return 0.0
-        wait = (cost / 2 - level) / (quota.rate * share)
-        return min(MAX_WAIT_SECONDS, max(MIN_WAIT_SECONDS, wait))
+    def debt(self, quota: Quota) -> float:
+        """Return how far the buckets of all counters may fall below zero together."""
+        return DEBT_PART * self.excess(quota)
 
 
-@dataclass(frozen=True, slots=True)
-class Usage:
-    """What a host has served on its own, in units by workspace.
+class QuotaCounter:
+    """The buckets of one counter. Its ``share`` is the part of all quotas that it may grant.
 
-    ``totals`` count from the host's start, ``since`` from the last update of a hub.
+    Buckets start empty: the counter before may have granted all that there was. ``draw`` returns a
+    random number from 0 to 1.
     """
 
-    totals: Units = field(default_factory=dict)
-    since: Units = field(default_factory=dict)
+    def __init__(self, tolerance: Tolerance, draw: Callable[[], float], now: float):
+        self._tolerance = tolerance
+        self._draw = draw
+        self._quotas: Mapping[str, Quota] = {}
+        self._levels: dict[str, float] = {}
+        self._filled_at = now
+        self._held = 0.0
+        self._adopted, self._adopted_until = 0.0, now
+        self._reserves: list[tuple[float, float]] = []
+        self.share = 0.0
+
+    def advance(self, quotas: Mapping[str, Quota], share: float, now: float) -> None:
+        """Fill the buckets until now; ``share`` counts from now on.
+
+        What accrued is counted by the smaller share of the two, as the change was in between. A
+        workspace that is new has what accrued since the shares were lent; after one window it has
+        a full bucket.
+        """
+        seconds = (now - self._filled_at) * min(share, self.share)
+        if share < self.share:
+            self._held *= share / self.share
+        full = 0 < share * self._tolerance.window <= self._held
+        self._quotas, self.share, self._filled_at = quotas, share, now
+        self._reserves = [row for row in self._reserves if now < row[0]]
+        self._levels = {
+            name: min(
+                self._capacity(quota),
+                self._levels.get(name, math.inf if full else self._held * quota.rate)
+                + seconds * quota.rate,
+            )
+            for name, quota in quotas.items()
+        }
+        self._held += seconds
 
+    def _capacity(self, quota: Quota) -> float:
+        share = max(self.share, self._adopted if self._filled_at < self._adopted_until else 0.0)
+        reserve = sum(part for _, part in self._reserves)
+        return share * self._tolerance.bucket(quota) + reserve * self._tolerance.reserve(quota)
 
-class HostQuotas:
-    """One host's part: what it may serve without asking the hub, and its usage so far."""
+    def knows(self, name: str) -> bool:
+        """Return whether a workspace has a quota here."""
+        return name in self._quotas
 
-    def __init__(self, tolerance: Tolerance) -> None:
-        self._low: Mapping[str, int] | None = None
-        self._totals: dict[str, float] = {}
-        self._acknowledged: dict[str, float] = {}
-        self._reported: dict[str, float] = {}
-        self._local = Buckets(tolerance.start, tolerance.start)
+    def level(self, name: str) -> float:
+        """Return the units in a bucket; below zero after a large request."""
+        return self._levels.get(name, 0.0)
 
-    def update_low(self, low: Mapping[str, int] | None) -> None:
-        """Set the buckets that the hub reported low; None before its first report.
+    def take(self, name: str, cost: float) -> float:
+        """Take a request's units; return 0, or the seconds until it may be retried.
 
-        Each report is an object of its own, even if its content is unchanged.
+        A request that takes more than the share can ever hold is admitted at random: on average,
+        it is admitted as often as it would be out of one bucket with the shares of all hosts.
         """
-        if low is not self._low and low is not None:
-            self._acknowledged = dict(self._totals)
-        self._low = low
-
-    def needs_hub(self, name: str) -> bool:
-        """Return whether a workspace's next request needs a decision of the hub."""
-        return self._low is None or name in self._low
-
-    def count(self, name: str, cost: float) -> None:
-        """Count a request that is served without asking the hub; a negative cost reverts it."""
-        self._totals[name] = self._totals.get(name, 0.0) + cost
-
-    def take_local(self, name: str, quota: Quota, cost: float, hosts: int, now: float) -> float:
-        """Admit a request by this host's share while no hub answers.
-
-        Return 0, or the seconds to wait.
+        quota, level = self._quotas[name], self._levels[name]
+        debt = self.share * self._tolerance.debt(quota)
+        if level > 0 and level + debt >= cost:
+            self._levels[name] = level - cost
+            return 0.0
+        if level > 0 and self._capacity(quota) + debt < cost:
+            self._levels[name] = 0.0
+            if self._draw() * cost < level:
+                return 0.0
+        accrues = quota.rate * max(self.share, MIN_WAIT_SHARE)
+        wait = max(cost / 2, cost - debt) - self._levels[name]
+        return min(MAX_WAIT_SECONDS, max(MIN_WAIT_SECONDS, wait / accrues))
+
+    def supply(self, name: str, units: float) -> float:
+        """Take units for a host's stock; return how many it gets."""
+        quota = self._quotas.get(name)
+        if quota is None or self._levels[name] < LOW_PART * self._capacity(quota) + units:
+            return 0.0
+        self._levels[name] -= units
+        return units
+
+    def give_back(self, name: str, units: float) -> None:
+        """Put back units that were taken and not used."""
+        quota = self._quotas.get(name)
+        if quota is not None:
+            self._levels[name] = min(self._capacity(quota), self._levels[name] + units)
+
+    def hand_over(self) -> Levels:
+        """Return the levels for the next counter, and grant nothing any more."""
+        levels, self._levels = self._levels, dict.fromkeys(self._levels, 0.0)
+        self._reserves = []
+        self._adopted_until = self._filled_at
+        self.share = self._held = 0.0
+        return levels
+
+    def adopt(self, levels: Levels, share: float, seconds: float) -> None:
+        """Add what another counter handed over, with the share that it had.
+
+        Its buckets are kept for ``seconds``, in which the hosts lend this counter their shares.
         """
-        wait = self._local.take(name, quota, cost, 1 / max(1, hosts), now)
-        if wait == 0:
-            self.count(name, cost)
-        return wait
-
-    def usage(self, quotas: Mapping[str, Quota]) -> Usage | None:
-        """Return the usage to report to the hub, None while it has changed too little."""
-        if not any(self._differs(name, quota) for name, quota in quotas.items()):
-            return None
-        self._reported = dict(self._totals)
-        totals = {name: round(units) for name, units in self._totals.items()}
-        since = {
-            name: round(units - self._acknowledged.get(name, 0.0))
-            for name, units in self._totals.items()
-            if units != self._acknowledged.get(name, 0.0)
-        }
-        return Usage(totals, since)
+        self._adopted, self._adopted_until = share, self._filled_at + seconds
+        for name, units in levels.items():
+            if name in self._levels:
+                level = self._levels[name] + units
+                self._levels[name] = min(self._capacity(self._quotas[name]), level)
 
-    def _differs(self, name: str, quota: Quota) -> bool:
-        change = self._totals.get(name, 0.0) - self._reported.get(name, 0.0)
-        return abs(change) >= REPORT_SHARE * quota.rate
+    def add_reserve(self, part: float) -> None:
+        """Add the part of the reserve that a host gives, as it has lost its counter."""
+        self._reserves.append((self._filled_at + RESERVE_SECONDS, part))
+        for name, quota in self._quotas.items():
+            self._levels[name] += part * self._tolerance.reserve(quota)
 
 
-class HubQuotas:
-    """The hub's part: the buckets of all hosts together."""
+class Stocks:
+    """The units that one host keeps of each workspace's quota, for requests that take few."""
 
     def __init__(self, tolerance: Tolerance) -> None:
         self._tolerance = tolerance
-        self._buckets = Buckets(tolerance.capacity, tolerance.start)
-        self._seen: dict[str, tuple[int, Units]] = {}
+        self._levels: dict[str, float] = {}
 
-    def start(
-        self, quotas: Mapping[str, Quota], low: Mapping[str, int] | None, share: float, now: float
-    ) -> None:
-        """Start counting for all hosts from the low buckets that the previous hub reported.
+    def level(self, name: str) -> float:
+        """Return the units in stock."""
+        return self._levels.get(name, 0.0)
 
-        ``low`` is None if no hub reported any: all hosts may then have been lost with their counts.
-        """
-        tolerance = self._tolerance
-        self._seen = {}
-        first = tolerance.start if low is None else tolerance.capacity
-        self._buckets = Buckets(tolerance.capacity, first)
-        for name in quotas.keys() & (low or {}).keys():
-            self._buckets.start(name, low[name], now)
-
-    def charge_usage(
-        self,
-        host: str,
-        epoch: int,
-        usage: Usage,
-        quotas: Mapping[str, Quota],
-        share: float,
-        now: float,
-        age: float = 0.0,
-    ) -> None:
-        """Charge what a host has served on its own; ``epoch`` identifies its start.
-
-        ``age`` is how many seconds ago the host reported it.
+    def take(self, name: str, quota: Quota, cost: float, hosts: int) -> bool:
+        """Take a request's units; return whether the stock held them.
+
+        A quota that was lowered makes the stock smaller at once.
         """
-        before = self._seen.get(host)
-        if before is None:
-            # The previous hub charged what the host served before that hub's last update.
-            more = dict(usage.since) if age < MAX_USAGE_AGE_SECONDS else {}
-        elif before[0] != epoch:
-            more = dict(usage.totals)
-        else:
-            more = {name: units - before[1].get(name, 0) for name, units in usage.totals.items()}
-        self._seen[host] = epoch, usage.totals
-        for name, units in more.items():
-            if units and name in quotas:
-                self._buckets.charge(name, quotas[name], units, share, now)
-
-    def take(self, name: str, quota: Quota, cost: float, share: float, now: float) -> float:
-        """Take a request's units; return 0, or the seconds until it may be retried."""
-        return self._buckets.take(name, quota, cost, share, now)
-
-    def low(self, quotas: Mapping[str, Quota], share: float, now: float) -> Units:
-        """Return the levels of the buckets that are low, in steps of a twentieth of each."""
+        full = self._tolerance.stock(quota, hosts)
+        level = self._levels[name] = min(full, self._levels.get(name, 0.0))
+        if cost > level:
+            return False
+        self._levels[name] = level - cost
+        return True
+
+    def add(self, name: str, quota: Quota, units: float, hosts: int) -> float:
+        """Add units as far as they fit; return those that do not."""
+        full = self._tolerance.stock(quota, hosts)
+        level = self._levels.get(name, 0.0)
+        self._levels[name] = max(level, min(full, level + units))
+        return units - (self._levels[name] - level)
+
+    def missing(self, quotas: Mapping[str, Quota], hosts: int) -> dict[str, int]:
+        """Return the units that the stocks lack which were used and are low."""
         found = {}
-        for name, quota in quotas.items():
-            level = self._buckets.level(name, quota, share, now)
-            full = self._tolerance.capacity(quota) * share
-            if level < LOW_SHARE * full:
-                step = max(1.0, full / 20)
-                found[name] = round(level / step) * round(step)
+        for name, level in self._levels.items():
+            quota = quotas.get(name)
+            full = self._tolerance.stock(quota, hosts) if quota is not None else 0.0
+            if level < LOW_STOCK_PART * full:
+                found[name] = int(full - level)
         return found
+
+
+class Reserve:
+    """When this host may give its part of the reserve to a new counter.
+
+    A process that has just started does not know when its predecessor gave it.
+    """
+
+    def __init__(self, window: float, now: float):
+        self._seconds = window + RESERVE_SECONDS
+        self._given_at = now
+
+    def give(self, now: float) -> bool:
+        """Give the part of the reserve, and return whether it may be given now."""
+        if now < self._given_at + self._seconds:
+            return False
+        self._given_at = now
+        return True
--- a/peridotdock/frames.py
+++ b/peridotdock/frames.py
@@ -24,9 +24,12 @@
     Ping,
     PlaceReturned,
     QuotaGiven,
+    QuotaReturned,
     QuotaWanted,
     Rows,
     RowsWanted,
+    StockGiven,
+    StockWanted,
     TrialDropped,
     TrialGiven,
     TrialWanted,
@@ -54,6 +57,9 @@
     "grant_dropped": GrantDropped,
     "quota_wanted": QuotaWanted,
     "quota_given": QuotaGiven,
+    "quota_returned": QuotaReturned,
+    "stock_wanted": StockWanted,
+    "stock_given": StockGiven,
     "permit_wanted": PermitWanted,
     "permit_given": PermitGiven,
     "place_returned": PlaceReturned,
@@ -78,6 +84,9 @@
     | GrantDropped
     | QuotaWanted
     | QuotaGiven
+    | QuotaReturned
+    | StockWanted
+    | StockGiven
     | PermitWanted
     | PermitGiven
     | PlaceReturned
--- a/peridotdock/hub_calls.py
+++ b/peridotdock/hub_calls.py
@@ -11,6 +11,8 @@
 # domains and one loop iteration of the hub.
 REPLY_TIMEOUT_SECONDS = 0.05
 REPLY_TIMEOUT_ITERATIONS = 3
+# Longest time between two checks that a call is still valid.
+CHECK_SECONDS = 0.1
 
 
 class Disconnectable(Protocol):
@@ -19,6 +21,11 @@
     disconnected: asyncio.Future[None]
 
 
+def always() -> bool:
+    """Return True: a call is valid until its timeout."""
+    return True
+
+
 class HubCalls(Generic[T]):
     """The pending calls of one kind, by number."""
 
@@ -35,6 +42,26 @@
         Return None without a reply in time, if the caller disconnects, or if ``send`` returns false
         because the hub can't be reached.
         """
+        iterations = REPLY_TIMEOUT_ITERATIONS * self._iterations.median_length()
+        return await self._call(send, caller, REPLY_TIMEOUT_SECONDS + iterations, always)
+
+    async def call_while(
+        self,
+        send: Callable[[int], bool],
+        caller: Disconnectable,
+        seconds: float,
+        is_valid: Callable[[], bool],
+    ) -> T | None:
+        """Make a call as :meth:`call` does, and wait for ``seconds`` while ``is_valid`` holds."""
+        return await self._call(send, caller, seconds, is_valid)
+
+    async def _call(
+        self,
+        send: Callable[[int], bool],
+        caller: Disconnectable | None,
+        seconds: float,
+        is_valid: Callable[[], bool],
+    ) -> T | None:
         self._last_number += 1
         number = self._last_number
         reply: asyncio.Future[T] = asyncio.get_running_loop().create_future()
@@ -42,12 +69,13 @@
         try:
             if not send(number):
                 return None
-            seconds = (
-                REPLY_TIMEOUT_SECONDS + REPLY_TIMEOUT_ITERATIONS * self._iterations.median_length()
-            )
             waits = {reply} if caller is None else {reply, caller.disconnected}
             first = asyncio.FIRST_COMPLETED
-            await asyncio.wait(waits, timeout=seconds, return_when=first)
+            while seconds > 0 and is_valid():
+                step = min(seconds, CHECK_SECONDS)
+                seconds -= step
+                if (await asyncio.wait(waits, timeout=step, return_when=first))[0]:
+                    break
         finally:
             del self._pending[number]
         return reply.result() if reply.done() else None
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -40,9 +40,12 @@
     Ping,
     PlaceReturned,
     QuotaGiven,
+    QuotaReturned,
     QuotaWanted,
     Rows,
     RowsWanted,
+    StockGiven,
+    StockWanted,
     TrialDropped,
     TrialGiven,
     TrialWanted,
@@ -66,7 +69,7 @@
 ENTRIES_PER_FRAME = 1000
 GrantFrame = GrantWanted | Grant | GrantDropped
 GRANT_FRAMES = (GrantWanted, Grant, GrantDropped)
-QuotaFrame = QuotaWanted | QuotaGiven
+QuotaFrame = QuotaWanted | QuotaGiven | QuotaReturned | StockWanted | StockGiven
 PermitFrame = PermitWanted | PermitGiven | PlaceReturned
 TrialFrame = TrialWanted | TrialGiven | TrialDropped
 LINK_OPTIONS = {
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -39,6 +39,7 @@
 from peridotdock.relay.responding import Responder
 from peridotdock.relay.service import RelayService
 from peridotdock.relay.settings import HostSettings
+from peridotdock.relay.shares import Shares
 from peridotdock.relay.views import Views
 from peridotdock.relay.waits import EndpointWaits
 from peridotdock.serving import Server, make_application
@@ -77,6 +78,8 @@
 # Seconds after a start during which a host without a configuration does not take the lease. After
 # them some host takes it: until then each reads the store for itself.
 DISCOVERY_SECONDS = 1.0
+# Seconds after a start for which the number of hosts in the lease's row counts.
+HOST_COUNT_SECONDS = 30.0
 # Seconds between two plans when nothing triggers one.
 PLAN_INTERVAL_SECONDS = 0.5
 # Failed plans in a row before another host is to try: two and a half seconds of them.
@@ -160,7 +163,16 @@
         self.service.on_lost = self.connectivity.record_lost
         self.host_monitor = HostMonitor(ctx, find_iterations(), lambda: self.responder.in_progress)
         self.host_monitor.on_change = self._publish_state
-        self.quotas = Quotas(ctx, settings.host, self.peers, settings.bounds, find_iterations())
+        self.shares = Shares(ctx, settings.host, self.peers, uptime)
+        self.quotas = Quotas(
+            ctx,
+            settings.host,
+            self.peers,
+            self.shares,
+            settings.bounds,
+            find_iterations(),
+            uptime,
+        )
         mesh.on_quota = self.quotas.on_frame
         identifier = Identifier(settings.bounds, self._config_age)
         self.responder = Responder(ctx, self.service)
@@ -179,6 +191,8 @@
         self.leadership = Leadership(
             ctx, self.store, lease, uptime, machine, self.store.renew_connections, store_time
         )
+        self.leadership.count_hosts = self.peers.host_count
+        self.peers.min_host_count = self._min_host_count
         self.store.era.on_restored = self._on_store_restored
         self.blocklist_due = asyncio.Event()
         self.blocklist.on_blocked = self.blocklist_due.set
@@ -340,6 +354,14 @@
         self.blocklist_due.set()
         self.views.refresh()
 
+    def _min_host_count(self) -> int:
+        """Return the number of hosts in the lease's row, while this host may not know all of them.
+
+        The row may be of hosts that have left since: it does not count for long.
+        """
+        started_for = self.ctx.clock.monotonic() - self._started_at
+        return self.leadership.host_count if started_for < HOST_COUNT_SECONDS else 0
+
     def _is_standby(self) -> bool:
         live = {*self.peers.membership.live(), self.settings.host}
         first = 1 if len(live) >= HUB_NOT_STANDBY_HOSTS else 0
@@ -546,5 +568,6 @@
             await clock.sleep(DRAIN_POLL_SECONDS)
         # No request is taken between this check and the end of the process.
         self.request_handler.closed = True
+        self.shares.close()
         self.peers.membership.set_state("gone")
         self.ctx.timeline.add("stopped", detail=f"{self.responder.in_progress} requests left")
--- a/peridotdock/relay/leadership.py
+++ b/peridotdock/relay/leadership.py
@@ -69,7 +69,8 @@
     ``order_gap`` is the minimum time between the arrival of one host's order and an order of
     another host to the same engine. ``address`` is this host's address, which shows whether the
     holder in the row was an earlier process of this host; ``holder_address`` is the one in the row
-    when it was last read.
+    when it was last read. ``count_hosts`` returns the number of hosts, which the holder writes into
+    the row; ``host_count`` is the one that was read.
     """
 
     def __init__(
@@ -106,6 +107,8 @@
         self.term = 0
         self.resigned_term = 0
         self.holder_address = ""
+        self.count_hosts: Callable[[], int] = lambda: 0
+        self.host_count = 0
 
     def holds(self) -> bool:
         """Return whether this host holds the lease now."""
@@ -252,6 +255,7 @@
         version = row.version if row else ABSENT
         now = self._clock.seconds()
         self.holder_address = row.value.get("machine", "") if row else ""
+        self.host_count = read_count(row)
         if version != self._seen_version:
             self._seen_version, self._seen_at = version, now
         wait = self._wait_after(row, now)
@@ -336,6 +340,7 @@
             "holder": self._ctx.incarnation if holder is None else holder,
             "machine": self._address,
             "term": term,
+            "hosts": self.count_hosts(),
             "acts_until": None if at_most is None else at_most + HOLDER_ACT_SECONDS,
             "handover": asdict(self.handover()),
             "inherited": asdict(self.inherited_handover()),
@@ -361,6 +366,12 @@
         self._ctx.timeline.add("lease_freed", detail=detail)
 
 
+def read_count(row: Row | None) -> int:
+    """Return the number of hosts that the holder of a lease knew, 0 where the row has none."""
+    found = row.value.get("hosts") if row else None
+    return found if isinstance(found, int) and not isinstance(found, bool) else 0
+
+
 def read_handover(row: Row, name: str, gap: float) -> Handover:
     """Return the waits stored in a lease's row; the full gap where they can't be read."""
     try:
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -7,7 +7,7 @@
 
 from peridotdock.context import Context
 from peridotdock.decisions.draft import Demand
-from peridotdock.decisions.quotas import host_share
+from peridotdock.decisions.hubs import choose_hub
 from peridotdock.demand import Demand as DemandMeter
 from peridotdock.fact_table import FactTable, KnownFact, Slot
 from peridotdock.links import Link
@@ -46,14 +46,16 @@
 # its copy should last through several of these gaps.
 DEMAND_PEAK_SECONDS = 30.0
 # Topics of facts that go to the hub and are not sent from it to all hosts.
-HUB_TOPICS = frozenset({"work", "runs", "wants", "demand", "usage", "heard_words"})
+HUB_TOPICS = frozenset({"work", "runs", "wants", "demand", "share_accepted", "heard_words"})
 # Those of them that the hub does not forward.
-HUB_ONLY_TOPICS = frozenset({"work", "usage", "heard_words"})
+HUB_ONLY_TOPICS = frozenset({"work", "share_accepted", "heard_words"})
 # Seconds after which the hub publishes the sum of the loads again, even if unchanged.
 LOADS_REPEAT_SECONDS = 1.0
 # Seconds after which an unchanged update is published again: half of the time for which it is
 # valid.
 UPDATE_REPEAT_SECONDS = 2.5
+# Seconds after its last offer from which a host does not count as having the role of the hub.
+MAX_OFFER_AGE_SECONDS = 1.0
 # Maximum number of hosts with a cached weight: more than there are links to a hub.
 MAX_CACHED_HASHES = 1000
 
@@ -67,6 +69,7 @@
         self._fleet = fleet
         self.facts = FactTable(settings.host, ctx.epoch, ctx.clock)
         self.mesh = Mesh(ctx, self.facts, find_body, self._choose_links, self._select_links)
+        self._started_at = ctx.clock.monotonic()
         self._lease_holder = ""
         self._linked_hub = ""
         own = HostFact(
@@ -93,6 +96,7 @@
         self.on_resigned: Callable[[int, Handover], None] = lambda term, handover: None
         self.on_lease: Callable[[int, int], None] = lambda term, version: None
         self.on_term: Callable[[int], None] = lambda term: None
+        self.min_host_count: Callable[[], int] = lambda: 0
         self.facts.listen(self._on_changed)
 
     async def start(self) -> None:
@@ -139,7 +143,15 @@
         able = [
             name for name, member in members.items() if member.alive and name not in passed_over
         ]
-        return max([*able, own], key=lambda name: hub_weight(name, members))
+        started_for = self._ctx.clock.monotonic() - self._started_at
+        offering = [name for name in able if self._offers(name)]
+        return choose_hub(own, able, offering, started_for, lambda name: hub_weight(name, members))
+
+    def _offers(self, name: str) -> bool:
+        """Return whether a host has just offered to grant for others, as the hub does."""
+        known = self.facts.get(name, "share_offer")
+        now = self._ctx.clock.monotonic()
+        return known is not None and known.fact.loan > 0 and now - known.at < MAX_OFFER_AGE_SECONDS
 
     def rank(self, names: Iterable[str]) -> list[str]:
         """Return hosts in the order in which they should hold the lease and forward facts.
@@ -182,10 +194,10 @@
     def _select_links(self, slot: Slot, links: Collection[Link]) -> Iterable[Link]:
         """Return those among ``links`` that forward a fact.
 
-        Hosts' load on endpoints, quota usage and limits received in answers go to the hub alone,
-        which adds them up; waiting requests and demand go to the hub and from there to the lease
-        holder. All other hosts receive only heartbeats, sums and orders. The hub may have dialled
-        this host.
+        Hosts' load on endpoints, shares that they lend and limits received in answers go to the hub
+        alone, which adds them up; waiting requests and demand go to the hub and from there to the
+        lease holder. All other hosts receive only heartbeats, sums and orders. The hub may have
+        dialled this host.
         """
         origin, topic = slot
         if topic not in HUB_TOPICS:
@@ -206,14 +218,14 @@
         """Return whether this host is the hub, as seen from itself."""
         return self._hub() == self._settings.host
 
-    def hub_share(self, over: float = 0.0) -> float:
+    def hub_share(self) -> float:
         """Return the share of a resource common to all hosts that this host may grant as the hub.
 
-        ``over`` is the share by which the resource may be exceeded.
+        Each group of a partitioned cluster has its own hub, and together they must not grant more
+        than the whole.
         """
-        members = self.membership.members().values()
-        reached = sum(row.alive for row in members)
-        return host_share(reached, len(self.known_hosts()), over)
+        reached = sum(row.alive for row in self.membership.members().values())
+        return min(1.0, max(1, reached) / max(1, len(self.known_hosts())))
 
     def live_hosts(self) -> set[str]:
         """Return the hosts that are alive, in whatever state."""
@@ -224,6 +236,14 @@
         rows = self.membership.members().items()
         return [name for name, row in rows if row.fact.state != "gone"]
 
+    def host_count(self) -> int:
+        """Return how many hosts may serve: those known here, or more where the lease names them."""
+        return max(len(self.known_hosts()), self.min_host_count())
+
+    def host_count_is_known(self) -> bool:
+        """Return whether the number of hosts can be told from the lease or from its holder."""
+        return self.min_host_count() > 0 or self.has_lease_holder()
+
     def _apply_loads(self, known: KnownFact) -> None:
         """Apply the load of all hosts on endpoints, less the own load that this host published."""
         own = self.facts.get(self._settings.host, "work")
--- a/peridotdock/relay/quota_usage.py
+++ b/peridotdock/relay/quota_usage.py
@@ -12,7 +12,7 @@
 class Decision(StrEnum):
     """Who admitted a request's units, or what became of them."""
 
-    UNASKED = "unasked"
+    STOCK = "stock"
     HUB = "hub"
     ALONE = "alone"
     REFUSED = "refused"
@@ -20,7 +20,7 @@
 
 
 # Decisions that are made on each request of any workspace: they alone are no reason for a line.
-USUAL = frozenset({Decision.UNASKED, Decision.RETURNED})
+USUAL = frozenset({Decision.STOCK, Decision.RETURNED})
 
 
 class QuotaUsage:
--- a/peridotdock/relay/quotas.py
+++ b/peridotdock/relay/quotas.py
@@ -1,33 +1,51 @@
-"""Enforces workspaces' quotas over all hosts; hosts call the hub while a quota is low.
+"""Enforces workspaces' quotas over all hosts.
 
-Serving does not depend on the hub: a host without a reply in time serves its own share.
+Each request takes its units from this host's stock, or from the host that counts for all.
 """
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from peridotdock.context import Context
-from peridotdock.decisions.quotas import HostQuotas, HubQuotas, Usage
+from peridotdock.decisions.quotas import Reserve, Stocks
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure, Kind
 from peridotdock.hub_calls import HubCalls
 from peridotdock.loop_iterations import LoopIterations
 from peridotdock.relay.caller import CallerConnection
+from peridotdock.relay.clocks import UptimeClock
 from peridotdock.relay.peers import Peers
+from peridotdock.relay.quota_counter import CounterServer
 from peridotdock.relay.quota_usage import Decision, QuotaUsage
 from peridotdock.relay.requests import RelayRequest
 from peridotdock.relay.settings import Bounds
+from peridotdock.relay.shares import Shares
 from peridotdock.requests import Loss, RequestState, loss_failure
-from peridotdock.schema.messages import QuotaGiven, QuotasFact, QuotaWanted, UsageFact
+from peridotdock.schema.messages import (
+    QuotaGiven,
+    QuotaReturned,
+    QuotaWanted,
+    StockGiven,
+    StockWanted,
+)
 from peridotdock.workspaces import Quota
 
-# Seconds after which the hub publishes an unchanged list of low quotas again. Hosts know by its
-# last update what it has charged.
-LOW_REPUBLISH_SECONDS = 0.5
+# Seconds for which a request waits until some host counts its workspace's units, and until another
+# host is asked. A lost hub is replaced in less.
+PATIENCE_SECONDS = 2.0
+RETRY_SECONDS = 0.25
+# Seconds for which a call is remembered whose reply may come after its request has gone on.
+MAX_REPLY_AGE_SECONDS = 10.0
+# Retry-after in seconds where no host counts.
+SILENT_RETRY_SECONDS = 1.0
+# Minimum seconds between two calls for units of the stocks, and after one that brought none.
+STOCK_SECONDS = 0.4
+LOW_STOCK_SECONDS = 2.0
 # Jitter of retry-after, so that callers refused together do not retry together.
 RETRY_JITTER_SHARE = 0.5
-# Minimum seconds between two log lines on a hub that does not reply.
+# Minimum seconds between two log lines on a host that does not reply.
 SILENCE_LOG_INTERVAL_SECONDS = 1.0
+HostFrame = QuotaGiven | StockGiven
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,35 +58,46 @@
 
 
 class Quotas:
-    """Checks quotas on one host, which may itself be the hub."""
+    """Checks quotas on one host, which may itself be the one that counts."""
 
     def __init__(
-        self, ctx: Context, host: str, peers: Peers, bounds: Bounds, iterations: LoopIterations
+        self,
+        ctx: Context,
+        host: str,
+        peers: Peers,
+        shares: Shares,
+        bounds: Bounds,
+        iterations: LoopIterations,
+        clock: UptimeClock,
     ):
         self._ctx = ctx
         self._host = host
         self._peers = peers
-        self._tolerance = bounds.quota
-        self._own = HostQuotas(bounds.quota)
+        self._shares = shares
         self._usage = QuotaUsage(ctx)
-        self._hub: HubQuotas | None = None
+        self.stocks = Stocks(bounds.quota)
+        self._stock_due_at = float("-inf")
+        self._reserve = Reserve(bounds.quota.window, clock.seconds())
+        shares.may_report_loss = lambda: self._reserve.give(clock.seconds())
+        self.server = CounterServer(ctx, shares, bounds.quota, clock, peers.mesh.send_to)
         self._quotas: Mapping[str, Quota] = {}
-        self._hub_calls: HubCalls[int] = HubCalls(iterations)
+        self._calls: HubCalls[int] = HubCalls(iterations)
+        self._asked: dict[int, tuple[float, Charge]] = {}
         self._silent_count = 0
         self._silence_logged_at = float("-inf")
 
     def set_deployment(self, deployment: Deployment) -> None:
         """Set the quotas of the workspaces from a new configuration."""
-        self._quotas = deployment.workspaces.quotas()
-
-    # On every host
+        workspaces = deployment.workspaces
+        self._quotas = workspaces.quotas()
+        self.server.set_quotas(self._quotas, lambda name: workspaces.get(name) is not None)
 
     async def admit(self, req: RelayRequest, caller: CallerConnection) -> Failure | None:
         """Admit a request, or return a failure with the time after which to retry."""
         charge = self._find_charge(req)
         if charge is None:
             return None
-        wait = await self._wait_for(charge, caller)
+        wait = await self._wait_for(charge, caller, req.deadline)
         if wait == 0 and caller.is_disconnected():
             self._return(charge)
         if caller.is_disconnected():
@@ -85,10 +114,6 @@
         if charge is not None:
             self._return(charge)
 
-    def _return(self, charge: Charge) -> None:
-        self._own.count(charge.name, -charge.cost)
-        self._usage.add(charge.name, Decision.RETURNED, charge.cost)
-
     def _find_charge(self, req: RelayRequest) -> Charge | None:
         """Return the units and quota of a request; None if its workspace has no quota."""
         workspace = req.identity.workspace
@@ -97,132 +122,129 @@
             return None
         return Charge(workspace.name, quota, quota.cost(req.head.tokens))
 
-    async def _wait_for(self, charge: Charge, caller: CallerConnection) -> float:
+    def _return(self, charge: Charge) -> None:
+        """Put a request's units into the stock, and those that don't fit back into the bucket."""
+        self._usage.add(charge.name, Decision.RETURNED, charge.cost)
+        hosts = self._peers.host_count()
+        rest = round(self.stocks.add(charge.name, charge.quota, charge.cost, hosts))
+        grantor = self._shares.grantor()
+        if rest and grantor == self._host:
+            self.server.give_back(charge.name, rest)
+        elif rest and self._understands(grantor):
+            frame = QuotaReturned("quota_returned", charge.name, rest)
+            self._peers.mesh.send_to(grantor, frame)
+
+    def _understands(self, host: str) -> bool:
+        """Return whether a host offers to use shares, as versions before did not."""
+        return self._peers.facts.get(host, "share_offer") is not None
+
+    async def _wait_for(self, charge: Charge, caller: CallerConnection, deadline: float) -> float:
         """Return 0 for an admitted request, else the seconds until it may be retried."""
-        name, quota, cost = charge.name, charge.quota, charge.cost
-        hub = self._read_hub_quotas()
-        if not self._own.needs_hub(name):
-            self._own.count(name, cost)
-            self._usage.add(name, Decision.UNASKED, cost)
+        name, cost = charge.name, charge.cost
+        if self.stocks.take(name, charge.quota, cost, self._peers.host_count()):
+            self._usage.add(name, Decision.STOCK, cost)
             return 0.0
-        now = self._ctx.clock.monotonic()
-        if hub == self._host:
-            wait = self._as_hub().take(name, quota, cost, self._share(), now)
-            return self._count_admitted(charge, wait, Decision.HUB, hub)
-        wait = await self._call_hub(hub, name, cost, caller)
-        if wait is not None:
-            return self._count_admitted(charge, wait, Decision.HUB, hub)
+        until = min(deadline, self._ctx.clock.monotonic() + PATIENCE_SECONDS)
+        while True:
+            grantor = self._shares.grantor()
+            wait = await self._ask(grantor, charge, caller, until)
+            if wait is not None and wait >= 0:
+                if wait == 0:
+                    self._usage.add(name, Decision.HUB, cost, grantor)
+                return wait
+            if caller.is_disconnected() or self._ctx.clock.monotonic() >= until:
+                break
+            await self._ctx.clock.sleep(RETRY_SECONDS if wait is None else -wait)
         if not caller.is_disconnected():
-            self._record_silence(hub, name)
-        hosts = len(self._peers.known_hosts())
-        wait = self._own.take_local(name, quota, cost, hosts, now)
-        return self._count_admitted(charge, wait, Decision.ALONE)
-
-    def _count_admitted(
-        self, charge: Charge, wait: float, decision: Decision, by: str = ""
-    ) -> float:
+            self._record_silence(grantor, name)
+        return self._take_own(charge)
+
+    def _take_own(self, charge: Charge) -> float:
+        """Take a request's units from this host's own share, if no other host may use that."""
+        wait = self.server.take(charge.name, charge.cost) if self._shares.use_own() else -1.0
         if wait == 0:
-            self._usage.add(charge.name, decision, charge.cost, by)
-        return wait
-
-    def _read_hub_quotas(self) -> str:
-        """Apply the hub's last published quotas, and return the hub's id."""
-        hub = self._peers.hub()
-        update = self._peers.facts.get(hub, "quotas")
-        self._own.update_low(update.fact.low if update is not None else None)
-        return hub
-
-    async def _call_hub(
-        self, hub: str, name: str, cost: float, caller: CallerConnection
+            self._usage.add(charge.name, Decision.ALONE, charge.cost)
+        return wait if wait >= 0 else SILENT_RETRY_SECONDS
+
+    async def _ask(
+        self, grantor: str, charge: Charge, caller: CallerConnection, until: float
     ) -> float | None:
-        """Return the wait in seconds from the hub, or None without a reply in time."""
+        """Return the wait in seconds, negative from a host that does not count.
+
+        Return None without a reply before ``until`` or before another host is to be asked.
+        """
+        if grantor == self._host:
+            return self.server.take(charge.name, charge.cost)
 
         def send(number: int) -> bool:
-            return self._peers.mesh.send_to(
-                hub, QuotaWanted("quota_wanted", number, name, round(cost))
-            )
+            self._asked[number] = self._ctx.clock.monotonic(), charge
+            frame = QuotaWanted("quota_wanted", number, charge.name, round(charge.cost))
+            return self._peers.mesh.send_to(grantor, frame)
 
-        wait = await self._hub_calls.call(send, caller)
+        seconds = until - self._ctx.clock.monotonic()
+        wait = await self._calls.call_while(
+            send, caller, seconds, lambda: self._shares.grantor() == grantor
+        )
         return None if wait is None else wait / 1000
 
-    def _record_silence(self, hub: str, name: str) -> None:
-        """Log, at a limited rate, that requests were decided without a reply of the hub."""
+    def _record_silence(self, grantor: str, name: str) -> None:
+        """Log, at a limited rate, that no host counted a request's units."""
         self._silent_count += 1
         now = self._ctx.clock.monotonic()
         if now - self._silence_logged_at < SILENCE_LOG_INTERVAL_SECONDS:
             return
-        detail = f"{hub}, {self._silent_count} calls on low quotas, the last for workspace {name}"
+        detail = f"{grantor}, {self._silent_count} calls on quotas, the last for workspace {name}"
         self._ctx.timeline.add("hub_silent", "WARNING", detail=detail)
         self._silent_count, self._silence_logged_at = 0, now
 
-    # Frames and facts between hosts
+    # Frames, and periodic work
 
-    def on_frame(self, host: str, frame: QuotaWanted | QuotaGiven) -> None:
+    def on_frame(self, host: str, frame) -> None:
         """Handle a frame of another host."""
         if isinstance(frame, QuotaGiven):
-            self._hub_calls.on_reply(frame.number, frame.wait)
-        elif self._peers.is_hub():
-            self._answer(host, frame)
+            self._on_given(frame)
+        elif isinstance(frame, StockGiven):
+            self._add_stock(frame.units)
+        else:
+            self.server.on_frame(host, frame)
+
+    def _on_given(self, frame: QuotaGiven) -> None:
+        """Pass a reply to its call; return the units of one that no request waits for."""
+        _, charge = self._asked.pop(frame.number, (0.0, None))
+        if not self._calls.on_reply(frame.number, frame.wait) and charge and frame.wait == 0:
+            self._return(charge)
 
-    def _answer(self, host: str, frame: QuotaWanted) -> None:
-        quota, wait = self._quotas.get(frame.workspace), 0.0
-        if quota is not None:
-            now = self._ctx.clock.monotonic()
-            wait = self._as_hub().take(frame.workspace, quota, frame.cost, self._share(), now)
-        self._peers.mesh.send_to(host, QuotaGiven("quota_given", frame.number, round(1000 * wait)))
+    def _add_stock(self, units: Mapping[str, int]) -> None:
+        """Add the units given; none are given while the quota is low."""
+        if not units:
+            self._stock_due_at = self._ctx.clock.monotonic() + LOW_STOCK_SECONDS
+        hosts = self._peers.host_count()
+        for name, row in units.items():
+            quota = self._quotas.get(name)
+            if quota is not None:
+                self.stocks.add(name, quota, row, hosts)
 
     def publish(self) -> None:
-        """Publish this host's usage, and as the hub, which quotas are low."""
+        """Offer and lend shares, fill up the stocks, and log what was decided."""
         if not self._quotas:
             return
         self._usage.log_due()
-        self._read_hub_quotas()
-        usage = self._own.usage(self._quotas)
-        if usage is not None:
-            self._peers.facts.publish("usage", UsageFact(usage.totals, usage.since))
-        if not self._peers.is_hub():
-            self._hub = None
-            self._ctx.metrics.quota_share.set(0.0)
-            return
-        self._ctx.metrics.quota_share.set(self._share())
-        hub, share, now = (
-            self._as_hub(),
-            self._share(),
-            self._ctx.clock.monotonic(),
-        )
-        for origin, known in self._peers.facts.by_origin("usage").items():
-            row = Usage(known.fact.totals, known.fact.since)
-            age = now - known.at
-            hub.charge_usage(origin, known.entry.epoch, row, self._quotas, share, now, age)
-        self._publish_low(hub.low(self._quotas, share, now))
-
-    def _as_hub(self) -> HubQuotas:
-        """Return the shared buckets that this host keeps while it is the hub."""
-        if self._hub is None:
-            updates = self._peers.facts.by_origin("quotas").values()
-            last = max(updates, key=lambda known: known.at, default=None)
-            self._hub = HubQuotas(self._tolerance)
-            low = last.fact.low if last is not None else None
-            self._hub.start(
-                self._quotas,
-                low,
-                self._share(),
-                self._ctx.clock.monotonic(),
-            )
-            known = f"what {last.entry.origin} published" if last is not None else "nothing"
-            detail = f"{len(self._quotas)} workspaces, share {self._share():.3f}, known: {known}"
-            self._ctx.timeline.add("quotas_kept", detail=detail)
-            self._peers.facts.publish("quotas", QuotasFact(low or {}))
-        return self._hub
-
-    def _publish_low(self, low: Mapping[str, int]) -> None:
-        known = self._peers.facts.get(self._host, "quotas")
+        self._shares.refresh()
+        self.server.advance()
+        self._fill_stocks()
+        oldest = self._ctx.clock.monotonic() - MAX_REPLY_AGE_SECONDS
+        self._asked = {number: row for number, row in self._asked.items() if row[0] > oldest}
+
+    def _fill_stocks(self) -> None:
         now = self._ctx.clock.monotonic()
-        if known is None or known.fact.low != low or now - known.at >= LOW_REPUBLISH_SECONDS:
-            self._peers.facts.publish("quotas", QuotasFact(dict(low)))
-        before = known.fact.low if known is not None else {}
-        for name in low.keys() - before.keys():
-            self._ctx.timeline.add("quota_low", detail=f"workspace {name}: {low[name]} units left")
-
-    def _share(self) -> float:
-        return self._peers.hub_share(self._tolerance.over)
+        if now < self._stock_due_at:
+            return
+        missing = self.stocks.missing(self._quotas, self._peers.host_count())
+        if not missing:
+            return
+        self._stock_due_at = now + STOCK_SECONDS
+        grantor = self._shares.grantor()
+        if grantor == self._host:
+            self._add_stock(self.server.supply(missing))
+        elif self._understands(grantor):
+            self._peers.mesh.send_to(grantor, StockWanted("stock_wanted", missing))
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -522,7 +522,7 @@
 @dataclass(frozen=True)
 class QuotaWanted:
     """
-    Request to the hub: whether the workspace's quota allows a request.
+    Request to the host that counts: whether the workspace's quota allows a request.
     """
 
     kind: Literal['quota_wanted']
@@ -543,7 +543,7 @@
 @dataclass(frozen=True)
 class QuotaGiven:
     """
-    The hub's reply on a quota.
+    Reply to a QuotaWanted.
     """
 
     kind: Literal['quota_given']
@@ -553,35 +553,102 @@
     """
     wait: int
     """
-    Milliseconds after which the request may be retried; 0 when it may be served now.
+    Milliseconds after which the request may be retried; 0 when it may be served now; negative while the host does not count this workspace's units.
     """
 
 
 @dataclass(frozen=True)
-class UsageFact:
+class QuotaReturned:
     """
-    Body of topic usage: units of quotas that the origin has used without a reply of the hub, by workspace.
+    Notice to the host that counts that units were taken and not used.
     """
 
-    totals: dict[str, int]
+    kind: Literal['quota_returned']
+    workspace: str
+    """
+    Name of the workspace.
+    """
+    units: int
+    """
+    Units that were not used.
+    """
+
+
+@dataclass(frozen=True)
+class StockWanted:
+    """
+    Request to the host that counts for units to keep in stock.
+    """
+
+    kind: Literal['stock_wanted']
+    units: dict[str, int]
+    """
+    Units by workspace.
+    """
+
+
+@dataclass(frozen=True)
+class StockGiven:
+    """
+    Reply to a StockWanted.
+    """
+
+    kind: Literal['stock_given']
+    units: dict[str, int]
+    """
+    Units by workspace; a workspace that gets none is left out.
     """
-    Units since the origin's start.
+
+
+@dataclass(frozen=True)
+class ShareOfferFact:
+    """
+    Body of topic share_offer: the origin grants what all hosts have in common, out of the shares that hosts lend it.
+    """
+
+    number: int
+    """
+    Number of this offer; increases with every offer of the origin.
+    """
+    loan: int
+    """
+    Milliseconds for which a host lends its share when it accepts; 0 when the origin uses no share any more.
+    """
+    successor: str = ''
     """
-    since: dict[str, int]
+    Host that takes over, empty if there is none or the origin goes on.
     """
-    Units since the last reply of a hub.
+    share: float = 0.0
+    """
+    Part of all shares that the origin used until now.
+    """
+    levels: dict[str, int] = field(default_factory=dict)
+    """
+    Units of quotas that the successor takes over, by workspace.
     """
 
 
 @dataclass(frozen=True)
-class QuotasFact:
+class ShareAcceptedFact:
     """
-    Body of topic quotas: units left of the quotas that are low, as counted by the hub.
+    Body of topic share_accepted: the origin lends its share to a hub.
     """
 
-    low: dict[str, int]
+    hub: str
+    """
+    Host that may use the share.
+    """
+    number: int
+    """
+    Number of the accepted offer, 0 for none.
+    """
+    loan: int
+    """
+    Milliseconds from the offer for which the share is lent.
+    """
+    losses: int = 0
     """
-    Units left by workspace; below 0 if more than the quota was used.
+    How often the origin has lost the host that used its share and has turned to this one; 0 for never.
     """
 
 
--- a/tests/relay/quota_cluster.py
+++ b/tests/relay/quota_cluster.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import heapq
+import itertools
 import math
 import random
 import selectors
@@ -14,10 +15,14 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
+from peridotdock.decisions.hubs import NEWCOMER_SECONDS, choose_hub
 from peridotdock.fact_table import FactTable
 from peridotdock.loop_iterations import LoopIterations
+from peridotdock.relay.peers import MAX_OFFER_AGE_SECONDS
 from peridotdock.relay.quotas import Quotas
-from peridotdock.workspaces import Workspace
+from peridotdock.relay.shares import Shares
+from peridotdock.schema.messages import LinksFact
+from peridotdock.workspaces import Workspace, Workspaces
 from tests.builders import make_ctx
 from tests.fakes import START
 
@@ -32,11 +37,17 @@
 PASSED_OVER_SECONDS = 3.0
 # Seconds from a process's start until it serves callers.
 BOOT_SECONDS = 0.4
+# Seconds for which a host keeps its link to a former hub.
+MIN_LINK_SECONDS = 1.5
 # Seconds a host without a link to the hub waits until it dials again.
 LINK_CHECK_SECONDS = 0.1
+# Seconds between two looks at the shares that hosts use.
+SAMPLE_SECONDS = 0.05
+# Seconds for which a host's view of the hub is kept.
+VIEW_SECONDS = 0.02
 WORKSPACE = "w"
 # Topics of facts that hosts send to the hub alone.
-HUB_ONLY_TOPICS = ("usage", "quota_share")
+HUB_ONLY_TOPICS = ("share_accepted",)
 
 
 class SimulatedLoop(asyncio.SelectorEventLoop):
@@ -97,30 +108,60 @@
         self.facts.listen(lambda slots: cluster.spread(name, slots))
         self.mesh = SimpleNamespace(
             send_to=lambda to, frame: cluster.send(name, to, frame),
+            failed_hosts=self._failed_hosts,
+            last_received=lambda host: cluster.last_received(name, host),
             peers=lambda: set(cluster.links(name)),
         )
         self.known = {name}
+        self._started_at = cluster.now()
         self.passed_over = {}
         self.row_read = False
+        self._hub, self._hub_until = name, -math.inf
+
+    def _failed_hosts(self):
+        now = self._cluster.now()
+        return {name for name, until in self.passed_over.items() if until > now}
 
     def believes_alive(self, other):
         return other == self._name or self._cluster.seems_alive(self._name, other)
 
     def hub(self):
+        """Return the hub, as this host saw it a moment ago at the most."""
         now = self._cluster.now()
-        able = [
-            name
-            for name in self.known
-            if self.believes_alive(name) and self.passed_over.get(name, 0.0) <= now
-        ]
-        return min([*able, self._name], key=self._cluster.rank.__getitem__)
+        if now >= self._hub_until:
+            self._hub, self._hub_until = self._find_hub(), now + VIEW_SECONDS
+        return self._hub
+
+    def _find_hub(self):
+        started_for = self._cluster.now() - self._started_at
+        able = (name for name in self._cluster.names if self._is_able(name))
+        if started_for < NEWCOMER_SECONDS:
+            able = list(able)
+            offering = [name for name in able if self._offers(name)]
+        else:
+            able, offering = list(itertools.islice(able, 1)), ()
+        return choose_hub(
+            self._name, able, offering, started_for, lambda name: -self._cluster.rank[name]
+        )
+
+    def _is_able(self, name):
+        known = name in self.known and name != self._name and name not in self._failed_hosts()
+        return known and self.believes_alive(name)
+
+    def _offers(self, name):
+        known = self.facts.get(name, "share_offer")
+        now = self._cluster.clock.monotonic()
+        return known is not None and known.fact.loan > 0 and now - known.at < MAX_OFFER_AGE_SECONDS
+
+    def update_links(self):
+        """Publish this host's links, if they have changed."""
+        links, known = self._cluster.links(self._name), self.facts.get(self._name, "links")
+        if known is None or known.fact.peers != links:
+            self.facts.publish("links", LinksFact(links))
 
     def is_hub(self):
         return self.hub() == self._name
 
-    def known_hosts(self):
-        return sorted(self.known)
-
     def live_hosts(self):
         return {name for name in self.known if self.believes_alive(name)}
 
@@ -128,12 +169,11 @@
         """Return the number of hosts, as the store's row or the links tell it."""
         return max(len(self.known), self._cluster.row_hosts if self.row_read else 0)
 
-    def count_is_known(self):
-        return self.row_read or len(self.known) > 1
+    def host_count_is_known(self):
+        return self.row_read
 
-    def hub_share(self, over=0.0):
-        reached = len(self.live_hosts())
-        return min(1.0, reached / len(self.known) * (1 + over / 4))
+    def rank(self, names):
+        return sorted(names, key=self._cluster.rank.__getitem__)
 
 
 class Host:
@@ -145,10 +185,13 @@
         self.view = View(cluster, name, clock, epoch)
         self.ctx = make_ctx(clock, name)
         iterations = LoopIterations(clock.monotonic)
-        self.quotas = make_quotas(cluster, self.ctx, name, self.view, epoch, iterations)
+        self.shares = Shares(self.ctx, name, self.view, clock)
+        bounds = SimpleNamespace(quota=cluster.tolerance)
+        self.quotas = Quotas(self.ctx, name, self.view, self.shares, bounds, iterations, clock)
         self.quotas.set_deployment(cluster.deployment)
         self.tasks = [asyncio.ensure_future(job) for job in (self._publish(), self._link())]
         self.started_at = cluster.now()
+        self.linked = ""
 
     async def _publish(self):
         await asyncio.sleep(self.cluster.rng.random() * PUBLISH_SECONDS)
@@ -161,18 +204,19 @@
         """Learn of the other hosts after a while, then follow the hub."""
         await asyncio.sleep(self.cluster.rng.random() * self.cluster.discovery)
         self.view.row_read = True
-        linked = ""
         while True:
             for other in self.cluster.hosts:
                 if self.cluster.reaches(self.name, other):
                     self.view.known.add(other)
-            hub = self.view.hub()
+            hub, linked = self.view.hub(), self.linked
             if linked not in ("", hub, self.name) and not self.view.believes_alive(linked):
                 self.view.passed_over[linked] = self.cluster.now() + PASSED_OVER_SECONDS
                 hub = self.view.hub()
             if hub != linked:
-                linked = hub
+                self.cluster.kept[self.name, linked] = self.cluster.now() + MIN_LINK_SECONDS
+                self.linked = hub
                 self.cluster.exchange(self.name, hub)
+            self.view.update_links()
             await asyncio.sleep(LINK_CHECK_SECONDS)
 
     def stop(self):
@@ -180,12 +224,6 @@
             task.cancel()
 
 
-def make_quotas(cluster, ctx, name, view, epoch, iterations):
-    """Return a host's quotas."""
-    bounds = SimpleNamespace(quota=cluster.tolerance)
-    return Quotas(ctx, name, view, bounds, iterations)
-
-
 class Cluster:
     """Hosts, the callers of one workspace, and faults. Times are seconds from the start.
 
@@ -205,14 +243,16 @@
         self.group = dict.fromkeys(self.names, 0)
         self.apart_since = {}
         self.ended_at = {}
-        self.frozen_until = {}
+        self.frozen_from, self.frozen_until = {}, {}
         self.served, self.refused, self.waits = [], [], []
+        self.max_part = 0.0
+        self.kept = {}
         self.deployment = SimpleNamespace(
-            workspaces=SimpleNamespace(quotas=lambda: {WORKSPACE: quota})
+            workspaces=Workspaces([(Workspace(WORKSPACE, None, quota), ())])
         )
 
     def now(self):
-        return self.clock.monotonic() - 1000.0
+        return self.loop.now
 
     def play(self, seconds, faults=(), warm=8.0):
         """Play ``seconds`` after ``warm`` seconds without requests, and return the cluster.
@@ -220,7 +260,7 @@
         ``faults`` are rows of a time, a method and its arguments.
         """
         loop = SimulatedLoop()
-        self.clock = LoopClock(loop)
+        self.loop, self.clock = loop, LoopClock(loop)
         self.warm = warm
         try:
             loop.run_until_complete(self._play(seconds, faults))
@@ -236,7 +276,7 @@
             self.start(name)
         steps = [(at, number, step) for number, (at, *step) in enumerate(faults)]
         heapq.heapify(steps)
-        work = asyncio.ensure_future(self._arrive())
+        work = asyncio.gather(self._arrive(), self._sample())
         for at, _, (name, *args) in sorted(steps):
             await asyncio.sleep(max(0.0, self.warm + at - self.now()))
             getattr(self, name)(*args)
@@ -259,6 +299,13 @@
                     self._request(self.rng.choice(ready), self.rng.choice(self.cost))
                 )
 
+    async def _sample(self):
+        """Record the most shares that were used at a time, as parts of all."""
+        while True:
+            parts = sum(host.shares.part() for host in self.hosts.values())
+            self.max_part = max(self.max_part, parts)
+            await asyncio.sleep(SAMPLE_SECONDS)
+
     def mean_cost(self):
         return sum(self.cost) / len(self.cost)
 
@@ -290,27 +337,50 @@
         alive = one in self.hosts and other in self.hosts
         return alive and self.group[one] == self.group[other]
 
-    def seems_alive(self, one, other):
-        """Return whether a host takes another one for alive, right or wrong."""
-        now = self.now()
+    def last_received(self, one, other):
+        """Return when a host received something from another one, in its monotonic seconds."""
+        times = [self.now()]
         if other not in self.hosts:
-            return now < self.ended_at.get(other, -math.inf) + RESET_SECONDS
+            times.append(self.ended_at.get(other, -math.inf))
         if self.group[one] != self.group[other]:
-            pair = frozenset((one, other))
-            return now < self.apart_since.get(pair, now) + SILENT_SECONDS + DISCONNECTED_SECONDS
-        frozen = self.frozen_until.get(other, 0.0)
-        return not (frozen > now and now > self.frozen_from[other] + SILENT_SECONDS)
+            times.append(self.apart_since[frozenset((one, other))])
+        if self.is_frozen(other):
+            times.append(self.frozen_from[other])
+        return 1000.0 + min(times)
+
+    def _seems_linked(self, one, other):
+        """Return whether a link between two hosts is up as one of them sees it."""
+        silent = self.now() - (self.last_received(one, other) - 1000.0)
+        return silent <= (SILENT_SECONDS if other in self.hosts else RESET_SECONDS)
+
+    def seems_alive(self, one, other):
+        """Return whether a host takes another one for alive, right or wrong."""
+        silent = self.now() - (self.last_received(one, other) - 1000.0)
+        more = DISCONNECTED_SECONDS if self.group[one] != self.group[other] else 0.0
+        return silent <= (SILENT_SECONDS + more if other in self.hosts else RESET_SECONDS)
 
     def links(self, name):
         """Return the hosts that a host is linked to."""
         hub = self.hosts[name].view.hub()
         found = {hub} if hub != name else set()
         found |= {other for other in self.hosts if self.hosts[other].view.hub() == name}
-        return sorted(other for other in found - {name} if self.reaches(name, other))
+        found |= {other for one, other in self._kept_links() if one == name and other in self.hosts}
+        found |= {one for one, other in self._kept_links() if other == name and one in self.hosts}
+        return sorted(other for other in found - {name} if self._seems_linked(name, other))
+
+    def _kept_links(self):
+        """Return the links to former hubs, which hosts keep for a while."""
+        now = self.now()
+        self.kept = {pair: until for pair, until in self.kept.items() if until > now}
+        return self.kept
 
     def _linked(self, one, other):
-        if one not in self.hosts or other not in self.hosts:
+        if one not in self.hosts:
             return False
+        if {(one, other), (other, one)} & self._kept_links().keys():
+            return True
+        if other not in self.hosts:
+            return other == self.hosts[one].linked
         return other == self.hosts[one].view.hub() or one == self.hosts[other].view.hub()
 
     def send(self, one, other, frame):
@@ -380,9 +450,16 @@
             return
         host.stop()
         self.ended_at[name] = self.now()
+        linked = [other for other in self.hosts if self._linked(other, name)]
+        asyncio.get_running_loop().call_later(1.1 * RESET_SECONDS, self._reset_links, linked)
         if math.isfinite(back):
             asyncio.get_running_loop().call_later(back, self.start, name)
 
+    def _reset_links(self, names):
+        for name in names:
+            if name in self.hosts and not self.is_frozen(name):
+                self.hosts[name].view.update_links()
+
     def kill_hub(self, back=0.6):
         self.kill(self._hub(), back)
 
@@ -391,7 +468,7 @@
             self.kill(name, back * (1 + self.rng.random()))
 
     def freeze(self, name, seconds):
-        self.frozen_from = getattr(self, "frozen_from", {}) | {name: self.now()}
+        self.frozen_from[name] = self.now()
         self.frozen_until[name] = self.now() + seconds
 
     def freeze_hub(self, seconds):
--- a/tests/relay/test_hubs.py
+++ b/tests/relay/test_hubs.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+from nose2.tools import params
+
+from peridotdock.decisions.hubs import NEWCOMER_SECONDS, choose_hub
 from tests.relay.deployment import Deployment, free_address
 from tests.relay.test_relay import run
 
@@ -15,6 +18,20 @@
     return all(len(h.peers.membership.live()) == len(found.hosts) for h in found.hosts)
 
 
+class ChoiceTest(unittest.TestCase):
+    @params(
+        ("the highest rank", "ab", "", 9.0, "c"),
+        ("another of higher rank", "abd", "", 9.0, "d"),
+        ("one that has the role, as this host has just started", "ab", "a", 0.0, "a"),
+        ("the highest rank, some seconds after the start", "ab", "a", NEWCOMER_SECONDS, "c"),
+        ("this host, as all have just started", "ab", "", 0.0, "c"),
+        ("the higher rank of two that have the role", "abd", "ab", 0.0, "b"),
+    )
+    def test_the_hub_is(self, name, others, offering, started_for, hub):
+        """Guards against a hub that was lost, starts again and waits for hosts that avoid it."""
+        self.assertEqual(hub, choose_hub("c", others, offering, started_for, ord), name)
+
+
 class HubTest(unittest.TestCase):
     @run
     async def test_groups_that_found_different_seeds_become_one(self):
--- a/tests/relay/test_quota_cluster.py
+++ b/tests/relay/test_quota_cluster.py
@@ -1,18 +1,29 @@
-"""Quotas of 86 hosts in simulated time: the bound holds in any window, whatever is lost."""
+"""Quotas of many hosts in simulated time: the bound holds in any window, whatever is lost."""
 
+import itertools
+import math
 import unittest
 
 from nose2.tools import params
 
 from peridotdock.decisions.quotas import Tolerance
+from peridotdock.relay.quotas import PATIENCE_SECONDS
 from peridotdock.workspaces import Quota
 from tests.relay.quota_cluster import Cluster
 
-TOLERANCE = Tolerance(8.0, 0.1, 110_000.0)
 SMALL = Quota(29_000.0, 29_000.0, True, 200.0)
 LARGE = Quota(187_000.0, 187_000.0, True, 200.0)
-# Tokens of the requests, each as likely as the others.
-COSTS = (9_200, 9_200, 1_100, 1_100, 200)
+REQUESTS = Quota(30.0, 30.0)
+TOLERANCE = {
+    SMALL: Tolerance(8.0, 0.1, 110_000.0),
+    LARGE: Tolerance(8.0, 0.1, 110_000.0),
+    REQUESTS: Tolerance(8.0, 0.1, 20.0),
+}
+# Units of the requests, each as likely as the others.
+TOKENS = (9_200, 9_200, 9_200, 1_100, 200)
+COSTS = {SMALL: TOKENS, LARGE: TOKENS, REQUESTS: (1,)}
+# Number of hosts in plays that need not be as many as in the recorded deployment.
+FEW_HOSTS = 24
 
 
 def overload(now):
@@ -21,11 +32,26 @@
 
 
 def play(quota, faults, seed=1, load=overload, seconds=22.0, **more):
-    return Cluster(quota, TOLERANCE, load, COSTS, seed=seed, **more).play(seconds, faults)
+    cluster = Cluster(quota, TOLERANCE[quota], load, COSTS[quota], seed=seed, **more)
+    return cluster.play(seconds, faults)
 
 
 HUBS_LOST = [(6.1, "kill_hub"), (9.0, "kill_hub"), (12.0, "kill_hub")]
 ALL_KILLED_TWICE = [(9.0, "kill_all"), (12.0, "kill_all")]
+FAULTS = {
+    "none": [],
+    "hub lost as the load rises": [(6.0, "kill_hub")],
+    "hub lost for good under overload": [(9.0, "kill_hub", math.inf)],
+    "hub frozen, then the next": [(7.0, "freeze_hub", 2.0), (9.5, "freeze_hub", 0.8)],
+    "all killed as the load rises": [(6.2, "kill_all")],
+    "cut in two": [(8.0, "part", 0.35, False, 5.0)],
+    "a third each cut off alone": [(8.0, "part", 0.35, True, 5.0)],
+    "all cut off alone": [(8.0, "part", 1.0, True, 4.0)],
+    "cut off for a moment, again and again": [
+        (at, "part", 0.3, True, 0.7) for at in (7.0, 8.0, 9.0, 10.0)
+    ],
+    "cut off, and the hub killed": [(8.0, "part", 0.35, True, 5.0), (9.0, "kill_hub")],
+}
 
 
 class WindowTest(unittest.TestCase):
@@ -37,3 +63,57 @@
         """Guards against hosts that serve units of a quota which another host counts too."""
         found = play(quota, faults, **more)
         self.assertLessEqual(found.max_in_window(), found.bound(), name)
+        self.assertLessEqual(found.max_part, 1.0 + 1e-9, name)
+
+    @params(*itertools.product((SMALL, LARGE, REQUESTS), FAULTS))
+    def test_no_fault_lets_a_window_hold_more(self, quota, fault):
+        found = play(quota, FAULTS[fault], hosts=FEW_HOSTS, seconds=17.0)
+        self.assertLessEqual(found.max_in_window(), found.bound())
+        self.assertLessEqual(found.max_part, 1.0 + 1e-9)
+
+    @params(1, 2, 3)
+    def test_a_hub_that_hands_over_uses_no_share(self, seed):
+        """Guards against the hub of the time in between, which goes on when the first is back."""
+        found = play(SMALL, [(4.0, "kill_hub")], seed, hosts=6, seconds=10.0, lag=0.02)
+        self.assertLessEqual(found.max_part, 1.0 + 1e-9)
+
+    @params(*itertools.product((SMALL, LARGE), (0.6, 1.2)))
+    def test_facts_that_take_long_let_no_window_hold_more(self, quota, lag):
+        """Guards against a bound that holds only where links and loops are quick."""
+        found = play(quota, HUBS_LOST, hosts=FEW_HOSTS, seconds=17.0, lag=lag)
+        self.assertLessEqual(found.max_in_window(), found.bound())
+
+
+class ServiceTest(unittest.TestCase):
+    """What is within a quota is served, whatever one fault does."""
+
+    @params(SMALL, LARGE, REQUESTS)
+    def test_an_overloaded_workspace_gets_its_full_quota(self, quota):
+        found = play(quota, [], load=lambda now: 4.5, hosts=FEW_HOSTS, seconds=20.0)
+        self.assertGreater(found.units(), 0.95 * quota.rate * 20.0)
+
+    @params(*itertools.product((LARGE, REQUESTS), (0.4, 0.7), (1, 2)))
+    def test_nothing_within_the_quota_is_refused(self, quota, load, seed):
+        found = play(quota, [], seed, lambda now: load, 20.0, hosts=FEW_HOSTS)
+        self.assertEqual([], found.refused)
+
+    @params(*itertools.product((LARGE, REQUESTS), (0.4, 0.6), (1, 2), (0.6, math.inf)))
+    def test_nothing_within_is_refused_when_the_hub_is_lost(self, quota, load, seed, back):
+        """Guards against callers within a quota who are refused while no host counts its units."""
+        faults = [(12.0, "kill_hub", back)]
+        found = play(quota, faults, seed, lambda now: load, 18.0, hosts=FEW_HOSTS)
+        self.assertEqual([], found.refused)
+        self.assertLess(max(found.waits), PATIENCE_SECONDS)
+
+    @params(1, 2, 3)
+    def test_a_new_hub_lets_requests_wait(self, seed):
+        """Guards against a 429 for what the shares would allow that are about to be lent."""
+        faults = [(4.0, "kill_all"), (5.5, "kill_hub")]
+        found = play(REQUESTS, faults, seed, lambda now: 0.3, 10.0, hosts=10)
+        self.assertEqual([], found.refused)
+
+    @params(1, 2)
+    def test_a_hub_that_stands_still_for_a_moment_refuses_nothing_within(self, seed):
+        faults = [(12.0, "freeze_hub", 0.6)]
+        found = play(LARGE, faults, seed, lambda now: 0.6, 18.0, hosts=FEW_HOSTS)
+        self.assertEqual([], found.refused)
