Log and export what becomes of each retry's place in its service's budget

The record of the exceeded retry budget can't tell which of three hypotheses holds: no line says when a retry was decided, what the host's budget held then, or by how many hosts it divided, and no metric counts retries.

New: a module for the budgets of one host; lines retry_taken and no_retry_left, counter peridotdock_retries_total{decision} with the sends that no budget is charged for as free. No decision changes.

--- a/peridotdock/decisions/retry_budget.py
+++ b/peridotdock/decisions/retry_budget.py
@@ -54,6 +54,10 @@
         allowed = self._share * len(self._requests) + extra / max(MIN_HOSTS, hosts)
         return len(self._retries) + 1 <= allowed * USABLE_SHARE
 
+    def describe(self) -> str:
+        """Return what the budget has counted, for the log."""
+        return f"{len(self._retries)} retries, {len(self._requests)} requests counted"
+
     def _trim(self, now: float) -> None:
         for times in (self._requests, self._retries):
             while times and times[0] <= now - self._window:
--- a/peridotdock/metrics.py
+++ b/peridotdock/metrics.py
@@ -16,6 +16,9 @@
         self._items: set[str] = set()
         self.requests = self._counter("requests", "Requests ended, by outcome.", "outcome")
         self.sends = self._counter("sends", "Requests sent to endpoints, by attempt.", "attempt")
+        self.retries = self._counter(
+            "retries", "Retries of requests to endpoints, by decision of the budget.", "decision"
+        )
         self.late_frames = self._counter("late_frames", "Answers that came for nobody.")
         self.orders = self._counter("orders", "Orders sent to engines.", "action", "outcome")
         self.reports = self._counter("reports", "Reports asked of engines.", "outcome")
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -37,6 +37,7 @@
 from peridotdock.relay.quotas import Quotas
 from peridotdock.relay.request_handler import RequestHandler
 from peridotdock.relay.responding import Responder
+from peridotdock.relay.retry_budgets import RetryBudgets
 from peridotdock.relay.service import RelayService
 from peridotdock.relay.settings import HostSettings
 from peridotdock.relay.shares import Shares
@@ -146,16 +147,16 @@
         )
         self.forwarder.config_version = self._config_version
         self.item_waits.can_forward = self.forwarder.can_forward
+        self.retries = RetryBudgets(ctx, settings.bounds, settings.first_start)
         self.service = RelayService(
             ctx,
             adapter.wire,
             self.fleet,
             self.endpoints,
-            settings.bounds,
+            self.retries,
             chooser,
             self.blocklist,
             self.forwarder,
-            settings.first_start,
         )
         self.service.sender.on_answer = self.notices.record_answer
         self.service.on_gap = self.grants.server.record_gap
@@ -309,7 +310,7 @@
         self.peers.link()
         # All known hosts, including unreachable ones: the retries of all hosts together must not
         # exceed the limit while hosts can't reach each other.
-        self.service.hosts = len(self.peers.membership.members())
+        self.retries.hosts = len(self.peers.membership.members())
         self.views.record_ages()
         self.forwarder.prune()
 
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -8,7 +8,6 @@
 from peridotdock.decisions.choice import Prediction, uncached_tokens
 from peridotdock.decisions.health import is_overdue
 from peridotdock.decisions.overload import ITERATIONS_TO_ANSWER
-from peridotdock.decisions.retry_budget import SharedRetryBudget
 from peridotdock.deployment import Route
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.loop_iterations import find_iterations
@@ -22,8 +21,8 @@
 from peridotdock.relay.item_waits import name_item
 from peridotdock.relay.progress import Progress
 from peridotdock.relay.requests import RelayRequest
+from peridotdock.relay.retry_budgets import RetryBudgets
 from peridotdock.relay.sending import NOT_RUN_KINDS, SUCCESS, PendingAnswer, Sender, wait_for
-from peridotdock.relay.settings import Bounds
 from peridotdock.relay.wire import Wire
 from peridotdock.requests import RETRY_KINDS, connection_broke, mark_maybe_ran
 
@@ -49,11 +48,10 @@
         wire: Wire,
         fleet: RelayFleet,
         endpoints: HttpEndpoints,
-        bounds: Bounds,
+        retries: RetryBudgets,
         chooser: Chooser,
         blocklist: Blocklist,
         forwarder: Forwarder,
-        first_start: bool,
     ):
         self.ctx = ctx
         self.fleet = fleet
@@ -61,30 +59,18 @@
         self.blocklist = blocklist
         self._forwarder = forwarder
         self.sender = Sender(wire, endpoints, ctx.clock)
-        self._bounds = bounds
-        self._retry_budgets: dict[str, SharedRetryBudget] = {}
+        self._retries = retries
         self._iterations = find_iterations()
-        self._started_at = float("-inf") if first_start else ctx.clock.monotonic()
-        self.hosts = 1
         self.on_unreachable: Callable[[str], None] = lambda key: None
         self.on_gap: Callable[[str, str, float], None] = lambda service, key, seconds: None
         self.on_lost: Callable[[str], None] = lambda key: None
 
-    def _retry_budget(self, service: str) -> SharedRetryBudget:
-        bounds = self._bounds
-        found = self._retry_budgets.get(service)
-        if found is None:
-            share, extra, window = bounds.retry_share, bounds.retry_extra, bounds.retry_window
-            found = SharedRetryBudget(share, extra, window, self._started_at)
-            self._retry_budgets[service] = found
-        return found
-
     def choose_service(self, route: Route) -> Progress:
         """Choose a request's service at random by the route's weights, and count the request."""
         names = [share.service for share in route.shares]
         weights = [share.weight for share in route.shares]
         name = names[0] if len(names) == 1 else self.ctx.rng.choices(names, weights)[0]
-        self._retry_budget(name).count_request(self.ctx.clock.monotonic())
+        self._retries.count_request(name)
         return Progress(name)
 
     async def open_answer(
@@ -187,8 +173,10 @@
         if progress.maybe_ran >= req.route.max_sends or progress.refusals > MAX_REFUSALS:
             return False
         if failed(found) and found.kind is Kind.ENDPOINT_UNREACHABLE:
+            self._retries.count_free()
             return True
-        return self._retry_budget(progress.service).take(now, self.hosts)
+        cause = str(found.kind) if failed(found) else f"status {found.head.status}"
+        return self._retries.take(progress.service, req.id, cause)
 
     def may_resume_elsewhere(
         self, req: RelayRequest, progress: Progress, state: EndpointState
@@ -201,11 +189,11 @@
         """
         if not req.route.resumable or progress.maybe_ran >= req.route.max_sends:
             return False
-        now = self.ctx.clock.monotonic()
-        if not self._retry_budget(progress.service).available(now, self.hosts):
+        if not self._retries.available(progress.service):
             return False
         if state.is_host:
             return self._forwarder.can_forward(req, progress)
+        now = self.ctx.clock.monotonic()
         states = self.fleet.usable(progress.service, req.head.inference)
         return any(other is not state and not other.health.suspect(now) for other in states)
 
