Let the soak count the retries of all hosts as operators do

New check: for engines and for plain endpoints, each attempt's arrivals beyond its first, in any window of ten seconds, against the attempts that callers sent in it, in the one before or in the one half a window before. The soak's deployment takes its budget from the check's constants. Callers of the soak send too few requests to come near the bound: its 58 fixed retries alone; the tests in simulated time are the sharper ones.

--- a/extras/soak/callers.py
+++ b/extras/soak/callers.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from extras.soak.checks import NOT_RUN, Attempt, Record
+from extras.soak.checks import MODEL_ROUTES, NOT_RUN, Attempt, Record
 from extras.soak.deployment import POISON_BODY, SoakDeployment
 
 # Seconds for which a caller caches resolved addresses; every fourth caller uses three times this.
@@ -19,7 +19,6 @@
 MEAN_POISON_PAUSE_SECONDS = 0.3
 POISON_MODEL = "m0"
 REPEATABLE_ROUTES = {"recap": True, "once": False, "bind": False, "fetch": True}
-MODEL_ROUTES = frozenset({"recap", "once"})
 CONNECT_ERRORS = (aiohttp.ClientConnectorError,)
 
 
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -4,6 +4,7 @@
 """
 
 import math
+from bisect import bisect_left
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
@@ -33,6 +34,12 @@
 # that the refused host may send during it.
 BACKOFF_ENFORCED_AFTER_SECONDS = 0.5
 MAX_REQUESTS_IN_BACKOFF = 2
+# Retries that a service may get from all hosts in a window: a share of its requests, and a number.
+RETRY_SHARE = 0.2
+RETRY_EXTRA = 58
+RETRY_WINDOW_SECONDS = 10
+# Routes whose requests go to engines; all others go to endpoints of the plain service.
+MODEL_ROUTES = frozenset({"recap", "once"})
 # Seconds after which hosts that are cut off must serve, and brittle endpoints stay up. The share of
 # what other hosts serve that they must reach, unless no more attempts fail there than this number
 # and share of all. Falls that are allowed.
@@ -289,6 +296,39 @@
                 )
 
 
+def check_retries(record: Record) -> Iterable[str]:
+    """A service got more retries from all hosts than its budget allows.
+
+    Each arrival of an attempt beyond its first is a retry of the hosts. A window's requests are its
+    own, those of the window before it or of the one half a window before it.
+    """
+    attempts = [*record.attempts, *record.probes]
+    for models in (True, False):
+        rows = {row.id: row for row in attempts if (row.route in MODEL_ROUTES) == models}
+        sent = sorted(row.started_at for row in rows.values())
+        arrivals: dict[str, list[float]] = {}
+        for endpoint in record.endpoint_records:
+            for at, name in endpoint.requests:
+                if name in rows:
+                    arrivals.setdefault(name, []).append(at)
+        retries = sorted(at for times in arrivals.values() for at in sorted(times)[1:])
+        for start in retries:
+            requests = max(
+                count_between(sent, start - before, RETRY_WINDOW_SECONDS)
+                for before in (0, RETRY_WINDOW_SECONDS / 2, RETRY_WINDOW_SECONDS)
+            )
+            count = count_between(retries, start, RETRY_WINDOW_SECONDS)
+            if count > RETRY_SHARE * requests + RETRY_EXTRA:
+                service = "engines" if models else "plain endpoints"
+                yield f"{count} retries to {service} for {requests} requests from {start:.2f} s on"
+                break
+
+
+def count_between(times: Sequence[float], start: float, seconds: float) -> int:
+    """Return how many of the sorted times are in a window."""
+    return bisect_left(times, start + seconds) - bisect_left(times, start)
+
+
 def check_partitions(record: Record) -> Iterable[str]:
     """Callers of hosts that are cut off from all endpoints are served far less often than others.
 
@@ -368,6 +408,7 @@
         *check_limits(record),
         *check_draining(record),
         *check_backoffs(record),
+        *check_retries(record),
         *check_changes(record),
         *check_partitions(record),
         *check_falls(record),
--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -14,7 +14,13 @@
 from pathlib import Path
 from typing import Any
 
-from extras.soak.checks import Disturbance, LimitedEndpoint
+from extras.soak.checks import (
+    RETRY_EXTRA,
+    RETRY_SHARE,
+    RETRY_WINDOW_SECONDS,
+    Disturbance,
+    LimitedEndpoint,
+)
 from extras.soak.gated_host import GATES_VARIABLE
 from extras.soak.gates import gate_ip
 from extras.soak.partitions import Partitions
@@ -65,9 +71,9 @@
     "drain_ms": 2000,
     "config_ms": 2000,
     "grace_s": STOP_SECONDS,
-    "budget_ratio": 0.2,
-    "budget_extra": 58,
-    "budget_window_s": 10,
+    "budget_ratio": RETRY_SHARE,
+    "budget_extra": RETRY_EXTRA,
+    "budget_window_s": RETRY_WINDOW_SECONDS,
     "lease_ms": 1000,
     "ceiling_window_s": 5,
     "ceiling_over": 1.1,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -44,6 +44,13 @@
     return Record(list(attempts), list(ran), {"e": list(orders)}, {"e": held}, list(probes))
 
 
+def retry_record(retries, seconds=5.0):
+    """Return a record of one request and of its arrivals, which are spread over some time."""
+    times = [1.0 + seconds * n / retries for n in range(retries + 1)]
+    rows = [EndpointRecord([(at, PAGE.id)], []) for at in times]
+    return replace(record(PAGE, probes=(PAGE,) * 4), endpoint_records=rows)
+
+
 CUT = Partition(0.0, 9.0, frozenset({"h0"}), "reset")
 
 
@@ -171,6 +178,9 @@
             replace(record(), brittle_since=0.0, falls=[(4.0, "p"), (5.0, "q"), (6.0, "p")]),
             True,
         ),
+        ("retries within the budget", retry_record(58), False),
+        ("more retries than the budget allows", retry_record(59), True),
+        ("as many in two windows", retry_record(59, seconds=12.0), False),
         ("no recovery", record(probes=[replace(PAGE, status=503)]), True),
     )
     def test_planted_faults_are_found(self, name, found, broken):
