Test the retry budget's guards one by one

What is reserved, given back, sent, missed; a retry that waited for too long; a process that started again; a host that knows no number of hosts; hosts that have left.

--- a/tests/relay/test_retry_budget.py
+++ b/tests/relay/test_retry_budget.py
@@ -1,11 +1,18 @@
 """Retries of all hosts stay within their service's budget, in any window."""
 
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 
 from nose2.tools import params
 
+from peridotdock.decisions.retry_budget import MAX_ARRIVAL_SECONDS, STEP_SECONDS, SharedRetryBudget
 from peridotdock.errors import Failure, Kind
+from peridotdock.relay.progress import Progress
+from peridotdock.relay.retry_budgets import RetryBudgets
+from tests.builders import make_ctx
+from tests.fakes import FakeClock
+from tests.relay.deployment import BOUNDS
 from tests.relay.retry_cluster import RetryCluster
 from tests.relay.test_forwarding import cut_off, gated
 from tests.relay.test_relay import run
@@ -94,6 +101,96 @@
         self.assertGreaterEqual(retries, bound / 2, name)
 
 
+class BudgetTest(unittest.TestCase):
+    """Guards against retries that are lost, or counted though nothing was sent."""
+
+    def budgets(self):
+        clock = FakeClock()
+        found = RetryBudgets(make_ctx(clock), replace(BOUNDS, retry_extra=16.0), True)
+        return found, clock
+
+    def request(self):
+        return Progress("pages", arrived=True)
+
+    @params(
+        ("nothing", (), 2),
+        ("one is reserved", ("reserve",), 1),
+        ("one is reserved and given back", ("reserve", "release"), 2),
+        ("one is sent", ("reserve", "take"), 1),
+        ("one is sent and arrives", ("reserve", "take", "arrive"), 1),
+        ("one is sent and reaches no endpoint", ("reserve", "take", "miss"), 2),
+        ("one is sent that was not reserved", ("take", "arrive"), 1),
+    )
+    def test_what_is_left(self, name, steps, left):
+        found, _ = self.budgets()
+        progress = self.request()
+        calls = {
+            "reserve": lambda: found.reserve(progress, "r1", "refused"),
+            "release": lambda: found.release(progress),
+            "take": lambda: found.take(progress, "r1"),
+            "arrive": lambda: found.settle(progress, arrived=True),
+            "miss": lambda: found.settle(progress, arrived=False),
+        }
+        for step in steps:
+            calls[step]()
+        reserved = [found.reserve(self.request(), "r2", "refused") for _ in range(3)]
+        self.assertEqual(left, reserved.count(True), name)
+
+    def test_a_send_after_one_that_reached_no_endpoint_is_no_retry(self):
+        found, _ = self.budgets()
+        progress = Progress("pages")
+        for _ in range(5):
+            self.assertTrue(found.reserve(progress, "r1", "unreachable"))
+            self.assertTrue(found.take(progress, "r1"))
+            found.settle(progress, arrived=False)
+        self.assertTrue(found.reserve(self.request(), "r2", "refused"))
+
+    def test_a_retry_that_waited_is_not_sent_when_its_requests_are_too_long_ago(self):
+        budget = SharedRetryBudget(0.2, 0.0, 10.0)
+        for at in (0.0, 8.0):
+            for _ in range(10):
+                budget.count_request(at)
+        self.assertTrue(budget.reserve(8.5, 8))
+        budget.release()
+        self.assertFalse(budget.take(20.0, 8))
+
+    def test_a_process_that_started_again_leaves_the_fixed_number_alone(self):
+        clock = FakeClock()
+        found = RetryBudgets(make_ctx(clock), BOUNDS, first_start=False)
+        clock.advance(BOUNDS.retry_window)
+        self.assertFalse(found.available("pages"))
+        clock.advance(MAX_ARRIVAL_SECONDS)
+        self.assertTrue(found.available("pages"))
+
+    def test_a_host_that_knows_no_number_of_hosts_leaves_the_fixed_number_alone(self):
+        found, _ = self.budgets()
+        found.knows_hosts = lambda: False
+        self.assertFalse(found.available("pages"))
+        found.knows_hosts = lambda: True
+        self.assertTrue(found.available("pages"))
+        # It has once known it, and counts at least the hosts that it knows.
+        found.knows_hosts = lambda: False
+        self.assertTrue(found.available("pages"))
+
+    def test_hosts_that_have_left_count_until_their_retries_are_over(self):
+        found, clock = self.budgets()
+        found.host_count = lambda: 100
+        found.refresh()
+        found.host_count = lambda: 8
+        self.assertFalse(found.available("pages"))
+        clock.advance(BOUNDS.retry_window + MAX_ARRIVAL_SECONDS)
+        self.assertTrue(found.available("pages"))
+
+    def test_retries_are_left_again_one_window_later(self):
+        found, clock = self.budgets()
+        while found.take(self.request(), "r1"):
+            pass
+        clock.advance(BOUNDS.retry_window)
+        self.assertFalse(found.available("pages"))
+        clock.advance(MAX_ARRIVAL_SECONDS + STEP_SECONDS)
+        self.assertTrue(found.available("pages"))
+
+
 class ForwardedTest(unittest.TestCase):
     """Guards against sends that no budget is charged for, as each host counts its own alone."""
 
