Decode endpoints' software versions and the attempt that a stream is taken up from, and log them

The logs of streams that mixed two software versions can't tell the hypotheses apart: no line names an endpoint's version, or that a caller took a stream up. Now the lines of an endpoint's entry and of each send do, and stream_taken_up names the attempt. The entry's field was decoded and dropped; it is software here, as version already names that of weights, rows and configurations.

--- a/peridotdock/platform/endpoints.py
+++ b/peridotdock/platform/endpoints.py
@@ -38,8 +38,9 @@
 class EntryRow(msgspec.Struct):
     """An endpoint's entry in the store.
 
-    ``seq`` counts its heartbeats, unlike the ``seq`` of a report. ``born`` is the start time in
-    Unix milliseconds, 0 when unknown.
+    ``version`` is that of the endpoint's software, unlike the ``version`` of a model. ``seq``
+    counts its heartbeats, unlike the ``seq`` of a report. ``born`` is the start time in Unix
+    milliseconds, 0 when unknown.
     """
 
     service: str
@@ -92,6 +93,7 @@
         in_memory=frozenset(cached.in_memory or ()),
         on_disk=frozenset(cached.on_disk or ()),
         started_ms=row.born,
+        software=row.version,
     )
 
 
--- a/peridotdock/platform/wire.py
+++ b/peridotdock/platform/wire.py
@@ -18,6 +18,8 @@
 ATTEMPT_HEADER = "x-attempt-id"
 DEADLINE_HEADER = "x-deadline-ms"
 RESUME_HEADER = "last-event-id"
+# Attempt id of the caller's attempt that brought the first event of the stream that it takes up.
+RESUMED_HEADER = "resumes"
 MODEL_HEADER = "x-model"
 # "PROMPT,OUTPUT": the tokens of the prompt, and the maximum of tokens to generate.
 TOKENS_HEADER = "x-token-counts"
@@ -112,6 +114,7 @@
                 identity_headers=tuple(row for row in rows if row[0] in IDENTITY_HEADERS),
                 key=read_key(rows),
                 tokens=count_tokens(named.get(TOKENS_HEADER, "")),
+                resumed_attempt=named.get(RESUMED_HEADER, ""),
             )
         except ValueError as exc:
             return Failure(Kind.BAD_REQUEST, str(exc))
--- a/peridotdock/relay/entries.py
+++ b/peridotdock/relay/entries.py
@@ -73,7 +73,8 @@
             entry.started_ms,
         ):
             state_name = "leaving" if entry.draining else "ready"
-            detail = f"born {entry.started_ms}, holds {' '.join(sorted(entry.models))}"
+            held = " ".join(sorted(entry.models))
+            detail = f"software {entry.software}, born {entry.started_ms}, holds {held}"
             self._ctx.timeline.add(f"endpoint_{state_name}", endpoint=key, detail=detail)
 
     def _check_start(self, entry: EndpointEntry) -> None:
--- a/peridotdock/relay/request_handler.py
+++ b/peridotdock/relay/request_handler.py
@@ -100,9 +100,15 @@
         if limited is not None:
             return limited
         progress = self._service.choose_service(req.route)
+        if req.head.resumed_attempt:
+            self._log_resumed(req)
         self._count_demand(req, progress)
         return progress
 
+    def _log_resumed(self, req: RelayRequest) -> None:
+        detail = f"after event {req.head.resume_after} of attempt {req.head.resumed_attempt}"
+        self._ctx.timeline.add("stream_taken_up", request=req.id, detail=detail)
+
     def refund(self, req: RelayRequest) -> None:
         """Return the quota units of a request that did not run."""
         self._quotas.refund(req)
--- a/peridotdock/relay/requests.py
+++ b/peridotdock/relay/requests.py
@@ -34,10 +34,11 @@
     """The decoded head of a request.
 
     ``timeout_seconds`` is the caller's timeout, None without one. ``resume_after`` is the id of the
-    last event that the caller has received. ``headers`` are forwarded to the endpoint unchanged.
-    ``identity_headers``, by which a caller identifies itself, are forwarded only if the deployment
-    has no workspaces. ``key`` is the digest of the caller's key. ``tokens`` is the number of prompt
-    tokens plus the maximum of answer tokens, 0 if the request doesn't give them.
+    last event that the caller has received, ``resumed_attempt`` that of its attempt which brought
+    the first one; both are empty for a new request. ``headers`` are forwarded to the endpoint
+    unchanged. ``identity_headers``, by which a caller identifies itself, are forwarded only if the
+    deployment has no workspaces. ``key`` is the digest of the caller's key. ``tokens`` is the
+    number of prompt tokens plus the maximum of answer tokens, 0 if the request doesn't give them.
     """
 
     attempt_id: str
@@ -49,6 +50,7 @@
     identity_headers: tuple[tuple[str, str], ...] = field(default=(), repr=False)
     key: str = NO_KEY
     tokens: int = 0
+    resumed_attempt: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,7 +124,8 @@
 
     A restarted endpoint may reuse its ``endpoint_id`` with another ``started_ms``, the Unix
     milliseconds of its start, 0 if the endpoint does not report it. Nothing known of one start
-    (loaded items, behaviour) applies to the next.
+    (loaded items, behaviour) applies to the next. ``software`` is the version of its software, not
+    of the weights that it holds.
     """
 
     endpoint_id: str
@@ -135,6 +138,7 @@
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     started_ms: int = 0
+    software: str = ""
 
     def items(self) -> set[str]:
         """Return the names of the loaded models and adapters."""
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -270,7 +270,8 @@
             detail=f"send {progress.sends}, expected in {prediction.seconds:.3f} s, "
             f"{chosen.running} running, {chosen.queued_tokens} tokens ahead, "
             f"{inference.prompt_tokens if inference else 0} to read, {chosen.cached_tokens} cached"
-            f"{', preferred' if chosen.preferred else ''}, {chosen.slowness:.2f} times slower",
+            f"{', preferred' if chosen.preferred else ''}, {chosen.slowness:.2f} times slower, "
+            f"software {self.fleet.states[chosen.key].entry.software}",
         )
 
     def _log_first_event(self, req: RelayRequest, state: EndpointState, started_at: float) -> None:
--- a/tests/relay/test_adapter.py
+++ b/tests/relay/test_adapter.py
@@ -154,11 +154,13 @@
                 x_prompt_prefix="5c:800, 91:410",
                 x_deadline_ms="6000",
                 last_event_id="12",
+                resumes="a0",
             )
         )
         self.assertEqual(
             ("shop.example", 6.0, "12"), (found.host, found.timeout_seconds, found.resume_after)
         )
+        self.assertEqual("a0", found.resumed_attempt)
         self.assertEqual(
             ("m1", "a2", 1460),
             found.inference.__class__
--- a/tests/relay/test_entries.py
+++ b/tests/relay/test_entries.py
@@ -86,6 +86,7 @@
         self.assertEqual(("e1", 1_700_000_000_000), (found.endpoint_id, found.started_ms))
         self.assertEqual({"a1"}, found.models["m0"].adapters)
         self.assertEqual({"m0", "m1"}, found.on_disk)
+        self.assertEqual(("v1", 3), (found.software, found.models["m0"].version))
         self.assertFalse(found.draining)
 
     def test_an_endpoint_that_drains_is_leaving(self):
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -14,6 +14,7 @@
 Settings: ``delay_seconds`` before each event or answer; ``extra_headers`` for each answer;
 ``retry_after`` seconds that a refusal asks for; ``fatal_bodies``: a request with one of these
 bodies crashes the runner when it executes, so that all connections are aborted and nothing listens.
+``software`` is the version of its software, which it neither compares nor tells in answers.
 ``halfway_event`` is an event that streams wait for after half of their events. ``room`` is how many
 requests may be there at once; the rest is refused. A brittle runner has ``max_refusals``: it falls
 over when it refuses more in a second: all connections are aborted and nothing listens for
@@ -46,6 +47,7 @@
         self.name = name
         self.models = {model: set(adapters) for model in models}
         self.zone = "north"
+        self.software = "v1"
         self.seq = 0
         self.started_ms = FIRST_START_MS
         self.script = []
@@ -133,7 +135,7 @@
             for name, adapters in self.models.items()
         ]
         row = {"service": service, "address": self.address, "zone": self.zone, "slots": self.slots}
-        row |= {"version": "v1", "cold_remaining_ms": 0, "seq": 1, "born": self.started_ms}
+        row |= {"version": self.software, "cold_remaining_ms": 0, "seq": 1, "born": self.started_ms}
         return row | {"state": "ready", "models": rows} | more
 
     async def _serve(self, reader, writer):
