--- /dev/null
+++ b/tests/relay/test_software_versions.py
@@ -0,0 +1,80 @@
+"""Streams in a service whose endpoints have several software versions."""
+
+import asyncio
+import unittest
+
+from tests.relay.deployment import Deployment
+from tests.relay.test_forwarding import abort, cut_off
+from tests.relay.test_partition import MAX_REFUSAL_SECONDS
+from tests.relay.test_relay import ids, run
+
+PAIRS = (("e1", "v1"), ("e2", "v2"), ("e3", "v1"), ("e4", "v2"))
+STREAMS = 12
+
+
+def deploy(pairs=PAIRS, hosts=1, gated=False):
+    """Return a deployment of engines with the same model and the given software versions."""
+    found = Deployment(hosts=hosts, engines=[(name, ("m0",)) for name, _ in pairs], gated=gated)
+    for name, software in pairs:
+        found.engines[name].software = software
+    return found
+
+
+def versions(found, attempt):
+    """Return the software versions of the engines that ran an attempt."""
+    engines = found.engines.values()
+    return {engine.software for engine in engines if attempt in engine.executed}
+
+
+def cut_first_engine(found, software):
+    """Let the first engine of a version, and no other, cut the next stream there."""
+    engines = found.engines.values()
+    first = next(engine for engine in engines if engine.software == software)
+    for engine in engines:
+        engine.script = ["cut"] if engine is first else []
+
+
+class OneAnswerTest(unittest.TestCase):
+    """Guards against an answer that joins events of two software versions."""
+
+    @run
+    async def test_a_stream_is_resumed_at_the_version_that_began_it(self):
+        for name, hosts, gated in (("by the caller's host", 1, False), ("by another", 3, True)):
+            async with deploy(hosts=hosts, gated=gated) as found:
+                if gated:
+                    await cut_off(found)
+                for number in range(STREAMS):
+                    cut_first_engine(found, f"v{number % 2 + 1}")
+                    status, _, body = await found.send("/recap/", f"a{number}", model="m0")
+                    self.assertEqual(1, len(versions(found, f"a{number}")), (name, number))
+                    self.assertEqual((200, [1, 2, 3, 4, 5, 6]), (status, ids(body)), name)
+
+    @run
+    async def test_a_stream_is_not_resumed_where_no_endpoint_of_its_version_is_left(self):
+        async with deploy(PAIRS[:2]) as found:
+            for engine in found.engines.values():
+                engine.script = ["cut"] * 2
+            began = asyncio.get_running_loop().time()
+            for number in range(4):
+                await found.send("/recap/", f"a{number}", model="m0")
+                self.assertEqual(1, len(versions(found, f"a{number}")), number)
+            self.assertLess(asyncio.get_running_loop().time() - began, 4 * MAX_REFUSAL_SECONDS)
+
+    @run
+    async def test_a_forwarded_stream_is_resumed_at_its_version_where_the_other_host_is_lost(self):
+        async with deploy(hosts=3, gated=True) as found:
+            await cut_off(found)
+            for engine in found.engines.values():
+                engine.halfway_event = asyncio.Event()
+            sent = asyncio.ensure_future(found.send("/recap/", "a1", model="m0"))
+            await found.until(lambda: versions(found, "a1"))
+            busy = next(host for host in found.hosts[1:] if host.responder.in_progress)
+            await asyncio.sleep(0.1)
+            # The engine that began it, and one other of each version, are left to choose from.
+            found.hosts.remove(busy)
+            await abort(busy)
+            for engine in found.engines.values():
+                engine.halfway_event.set()
+            status, _, body = await sent
+            self.assertEqual((200, [1, 2, 3, 4, 5, 6]), (status, ids(body)))
+            self.assertEqual(1, len(versions(found, "a1")))
