Pay for a window's retries by the mean of the three windows' requests

A host that had been started again got no retry for seconds: the requests from half a window before a window's start to its middle are none for all windows that began before the start.

The mean of the three windows that operators choose from is never more than the best of the three, and adds up over hosts as well.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -576,8 +576,8 @@
     Mutant(
         "a window's retries are paid by its own requests",
         "decisions/retry_budget.py",
-        "            requests -= self._requests[start - 1 + self._end_step]\n",
-        "",
+        "sums[min(start + end - oldest, len(sums) - 1)]",
+        "sums[-1]",
         "tests.relay.test_retry_budget.WindowTest",
     ),
     Mutant(
--- a/peridotdock/decisions/retry_budget.py
+++ b/peridotdock/decisions/retry_budget.py
@@ -6,13 +6,14 @@
 counts only its own requests and uses a part of the fixed number, so that the parts never add up to
 more than the whole.
 
-A window's requests are those from half a window before its start to its middle. All hosts must use
-the same requests for a window, or their parts would not add up; these pay for the retries of a
-moment in steady load as well as when load begins or ends.
+Of the three windows whose requests may count, operators take the one with the most. Hosts take the
+mean of the three: a host that took its own best one would add requests of another window to those
+of other hosts.
 """
 
 import math
 from collections import Counter, deque
+from itertools import accumulate
 
 # Seconds from a send until the endpoint has read it: the endpoint may be silent for a moment. A
 # window of arrivals holds sends of a longer time.
@@ -40,9 +41,11 @@
         self._extra = extra
         self._extra_from = started + span_seconds(window)
         self._span_steps = math.ceil(span_seconds(window) / STEP_SECONDS)
-        # A window's requests, in steps from its start. Its arrivals may have been sent earlier.
-        self._first_step = math.ceil((MAX_ARRIVAL_SECONDS - window / 2) / STEP_SECONDS)
-        self._end_step = math.floor(window / 2 / STEP_SECONDS)
+        # A window's requests, in steps from its start: its own, those of the one half a window
+        # before it, and of the one before it. Its arrivals may have been sent earlier.
+        late = math.ceil(MAX_ARRIVAL_SECONDS / STEP_SECONDS)
+        whole, half = math.floor(window / STEP_SECONDS), math.floor(window / 2 / STEP_SECONDS)
+        self._spans = tuple((late - back, whole - back) for back in (0, half, whole))
         self._requests: Counter[int] = Counter()
         self._retries: Counter[int] = Counter()
         self._reserved = 0
@@ -88,19 +91,23 @@
         """Return whether so many more retries now exceed the bound of no window that holds now."""
         step = find_step(now)
         extra = self._usable_extra(now, hosts)
-        requests = sum(self._requests[at] for at in self._steps_around(step))
+        oldest = self._oldest_step(step)
+        sums = [0, *accumulate(self._requests[at] for at in range(oldest, step + 1))]
         retries = more
         for start in range(step, step - self._span_steps, -1):
             retries += self._retries[start]
-            if retries > self._share * requests + extra:
+            requests = sum(
+                sums[min(start + end - oldest, len(sums) - 1)]
+                - sums[min(start + first - oldest, len(sums) - 1)]
+                for first, end in self._spans
+            )
+            if retries > self._share * requests / len(self._spans) + extra:
                 return False
-            requests += self._requests[start - 1 + self._first_step]
-            requests -= self._requests[start - 1 + self._end_step]
         return True
 
-    def _steps_around(self, start: int) -> range:
-        """Return the steps of the requests that count for windows that start in a step."""
-        return range(start + self._first_step, start + self._end_step)
+    def _oldest_step(self, step: int) -> int:
+        """Return the first step of the requests that count for a window that holds a step."""
+        return step - self._span_steps + min(first for first, _ in self._spans)
 
     def _usable_extra(self, now: float, hosts: int | None) -> float:
         if hosts is None or now < self._extra_from:
@@ -109,7 +116,7 @@
 
     def _prune(self, step: int) -> None:
         """Forget the steps that no window needs any more."""
-        oldest = self._steps_around(step - self._span_steps).start
+        oldest = self._oldest_step(step)
         for counts in (self._requests, self._retries):
             for old in [at for at in counts if at < oldest]:
                 del counts[old]
