Resume a stream only at endpoints of the software version that began it

Cause: the version in an endpoint's entry was dropped, and nothing that chooses knew it.

A request is bound to a version when the first events are there, and not before: a run that broke off without one binds nothing. The binding goes through every choice: this host's candidates, the hub's grants (endpoints of other versions are among those to avoid, so that hubs of earlier versions heed it too), waits for a load, the decision to leave a silent endpoint, forwarding (the message names the version, the other host's answer says which it is). Where no endpoint of the version is left the answer ends at once.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -765,7 +765,7 @@
     Mutant(
         "open connections are used where no host opens new ones",
         "relay/fleet.py",
-        "        if self.is_cut_off():\n            return self.serving(service, inference)\n",
+        "        if self.is_cut_off():\n            return self.serving(service, inference, software)\n",
         "",
         "tests.relay.test_partition.AllCutOffTest",
     ),
--- a/peridotdock/relay/attempt.py
+++ b/peridotdock/relay/attempt.py
@@ -103,12 +103,14 @@
 class StreamSource:
     """One endpoint's part of a stream. ``ready`` holds complete events not yet passed on.
 
-    ``started_at`` is when the first events arrived (monotonic seconds).
+    ``software`` is the version of the endpoint's software when it was sent the request, None if it
+    is not known. ``started_at`` is when the first events arrived (monotonic seconds).
     """
 
     state: EndpointState
     head: AnswerHead
     opened: OpenResponse
+    software: str | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     ready: list[StreamEvent] = field(default_factory=list)
     ended: bool = False
--- a/peridotdock/relay/choosing.py
+++ b/peridotdock/relay/choosing.py
@@ -73,7 +73,7 @@
 
         An endpoint that cut a stream may still be able to resume it.
         """
-        states = self._fleet.usable(progress.service, req.head.inference)
+        states = self._fleet.usable(progress.service, req.head.inference, progress.software)
         avoid = frozenset(progress.avoid)
         if all(state.key in avoid for state in states):
             avoid = frozenset()
@@ -90,6 +90,8 @@
         avoid = find_suspects(accepting) | {row.key for row in candidates if row.backoff}
         if candidates[0].key not in progress.avoid:
             avoid |= progress.avoid
+        if progress.software is not None:
+            avoid |= self._fleet.other_software(progress.service, progress.software)
         return await self._grants.request_grant(req, progress.service, frozenset(avoid), caller)
 
     def _use_grant(
@@ -101,7 +103,7 @@
         if state is None:
             return None
         now = self._ctx.clock.monotonic()
-        usable = state in self._fleet.usable(progress.service, inference)
+        usable = state in self._fleet.usable(progress.service, inference, progress.software)
         if not usable or state.backoff_until > now:
             if state.brittle:
                 self._permits.give_back(state)
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -150,23 +150,43 @@
         change, self._change = self._change, asyncio.get_running_loop().create_future()
         change.set_result(None)
 
-    def usable(self, service: str, inference: InferenceSpec | None) -> list[EndpointState]:
+    def usable(
+        self, service: str, inference: InferenceSpec | None, software: str | None = None
+    ) -> list[EndpointState]:
         """Return the endpoints that accept requests of this host and hold the requested item.
 
         Where no host reaches any endpoint, all are left: open connections may live on although new
-        ones fail.
+        ones fail. ``software`` is the version that they must have, None for any.
         """
         if self.is_cut_off():
-            return self.serving(service, inference)
+            return self.serving(service, inference, software)
         now = self._clock.monotonic()
-        rows = self.by_service.get(service, ())
-        return filter_holders([state for state in rows if state.usable(now)], inference, now)
+        rows = [state for state in self._of_software(service, software) if state.usable(now)]
+        return filter_holders(rows, inference, now)
 
-    def serving(self, service: str, inference: InferenceSpec | None) -> list[EndpointState]:
+    def serving(
+        self, service: str, inference: InferenceSpec | None, software: str | None = None
+    ) -> list[EndpointState]:
         """Return the same, with the endpoints to which this host can't connect."""
         now = self._clock.monotonic()
+        rows = [state for state in self._of_software(service, software) if state.serves(now)]
+        return filter_holders(rows, inference, now)
+
+    def _of_software(self, service: str, software: str | None) -> Iterable[EndpointState]:
+        rows = self.by_service.get(service, ())
+        if software is None:
+            return rows
+        return [state for state in rows if state.entry.software == software]
+
+    def has_software(self, service: str, software: str) -> bool:
+        """Return whether any endpoint of a software version takes requests, whatever it holds."""
+        now = self._clock.monotonic()
+        return any(state.serves(now) for state in self._of_software(service, software))
+
+    def other_software(self, service: str, software: str) -> set[str]:
+        """Return the keys of the endpoints of other software versions."""
         rows = self.by_service.get(service, ())
-        return filter_holders([state for state in rows if state.serves(now)], inference, now)
+        return {state.key for state in rows if state.entry.software != software}
 
     def grantable(self, service: str, inference: InferenceSpec | None) -> list[EndpointState]:
         """Return the endpoints that the hub may grant to other hosts.
--- a/peridotdock/relay/forwarded.py
+++ b/peridotdock/relay/forwarded.py
@@ -7,6 +7,7 @@
 import hmac
 from collections.abc import Callable
 from dataclasses import dataclass
+from urllib.parse import quote
 
 from blacksheep import Content, Request, Response
 
@@ -21,6 +22,7 @@
     FORWARD_HEADER,
     PROOF_HEADER,
     REFUSAL_HEADER,
+    SOFTWARE_HEADER,
     drop_forward_headers,
     read_header,
     sign,
@@ -88,9 +90,18 @@
         if failed(req):
             return self._refuse(req, head.attempt_id)
         self._ctx.timeline.add("forward_taken", request=req.id, detail=f"from {forward.host}")
-        progress = Progress(forward.service, maybe_ran=forward.sends, forwarded=True)
+        progress = Progress(
+            forward.service,
+            maybe_ran=forward.sends,
+            software=forward.software or None,
+            forwarded=True,
+        )
         found = await self._responder.respond(request, req, ForwardAdmission(progress))
-        return self._refuse(found, req.id, progress.arrived) if failed(found) else found
+        if failed(found):
+            return self._refuse(found, req.id, progress.arrived)
+        if progress.software is not None:
+            found.headers.add(SOFTWARE_HEADER.encode(), quote(progress.software).encode())
+        return found
 
     def _read_forward(self, request: Request, head: RequestHead) -> Forward | Failure:
         """Return what the forwarding host says, if it proves that it is a host."""
--- a/peridotdock/relay/forwarding.py
+++ b/peridotdock/relay/forwarding.py
@@ -10,7 +10,9 @@
 import hashlib
 import hmac
 from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import replace
 from typing import Any, TypeVar
+from urllib.parse import unquote
 
 import cbor2
 import msgspec
@@ -26,7 +28,7 @@
 from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.progress import Progress
-from peridotdock.relay.requests import EndpointEntry, RelayRequest, SendOptions
+from peridotdock.relay.requests import AnswerHead, EndpointEntry, RelayRequest, SendOptions
 from peridotdock.relay.sending import (
     REFUSAL_BODY_SECONDS,
     PendingAnswer,
@@ -40,6 +42,8 @@
 FORWARD_HEADER = "x-peridotdock-forward"
 PROOF_HEADER = "x-peridotdock-proof"
 REFUSAL_HEADER = "x-peridotdock-refusal"
+# Header of a host's answer: the version of the software of the endpoint that the answer is from.
+SOFTWARE_HEADER = "x-peridotdock-software"
 # Hosts to which one request is forwarded at most.
 MAX_FORWARDS = 3
 # Seconds without requests to a host that was lost or could not take one.
@@ -83,9 +87,10 @@
         """
         if progress.forwarded or len(progress.hosts) >= MAX_FORWARDS:
             return None
-        if not self._links.doubtful and self._fleet.usable(progress.service, req.head.inference):
+        service, inference, software = progress.service, req.head.inference, progress.software
+        if not self._links.doubtful and self._fleet.usable(service, inference, software):
             return None
-        if not self._served_elsewhere(req, progress.service):
+        if not self._served_elsewhere(req, progress):
             return None
         hosts = self._find_hosts(progress.hosts)
         return self._ctx.rng.choice(hosts) if hosts else None
@@ -94,11 +99,11 @@
         """Return whether there is a host to forward a request to."""
         return self.choose_host(req, progress) is not None
 
-    def _served_elsewhere(self, req: RelayRequest, service: str) -> bool:
+    def _served_elsewhere(self, req: RelayRequest, progress: Progress) -> bool:
         """Return whether some endpoint may serve the request for a host that reaches it."""
         now = self._ctx.clock.monotonic()
         confirmed = self._confirmed_until
-        states = self._fleet.serving(service, req.head.inference)
+        states = self._fleet.serving(progress.service, req.head.inference, progress.software)
         return any(confirmed.get(state.key, 0.0) <= now for state in states)
 
     def has_hosts(self) -> bool:
@@ -158,7 +163,9 @@
         head = self._wire.read_answer(opened.status, opened.headers)
         failure = check_answer_head(head, req.id)
         if failure is None:
-            return PendingAnswer(host_state(host, progress.service), opened, head)
+            software = unquote(opened.headers.get(SOFTWARE_HEADER, "")) or None
+            state = host_state(host, progress.service)
+            return PendingAnswer(state, opened, without_software(head), software)
         opened.abort()
         await opened.release()
         self.record_lost(req, host.fact.host, failure)
@@ -175,6 +182,7 @@
             progress.service,
             workspace.name if workspace is not None else "",
             progress.maybe_ran,
+            progress.software or "",
         )
         text = write_header(forward)
         headers = self._wire.write_send(req, SendOptions("", remaining, 0, resume))
@@ -204,7 +212,8 @@
             self._avoided_until[name] = now + LOST_HOST_SECONDS
             return Failure(Kind.ENDPOINT_UNREACHABLE, f"{name}: {failure.kind}")
         if failure.kind is Kind.NO_ENDPOINT and not failure.may_have_run:
-            for state in self._fleet.serving(progress.service, req.head.inference):
+            inference, software = req.head.inference, progress.software
+            for state in self._fleet.serving(progress.service, inference, software):
                 self._confirmed_until[state.key] = now + CONFIRMED_SECONDS
             return Failure(Kind.ENDPOINT_UNREACHABLE, f"{name} reaches none")
         # That host has retried as far as the route and the budget allow.
@@ -219,6 +228,11 @@
                 del rows[name]
 
 
+def without_software(head: AnswerHead) -> AnswerHead:
+    """Return the head of another host's answer as callers get it."""
+    return replace(head, headers=tuple(row for row in head.headers if row[0] != SOFTWARE_HEADER))
+
+
 def host_state(host: Member, service: str) -> EndpointState:
     """Return a host in the place of an endpoint that answers a request."""
     entry = EndpointEntry(host.fact.host, service, host.fact.relay, host.fact.domain, 1, False)
--- a/peridotdock/relay/item_waits.py
+++ b/peridotdock/relay/item_waits.py
@@ -83,7 +83,8 @@
         deadline: float,
         retry_after: float,
     ) -> Failure | None:
-        while not self._fleet.usable(progress.service, req.head.inference):
+        service, inference, software = progress.service, req.head.inference, progress.software
+        while not self._fleet.usable(service, inference, software):
             if self.can_forward(req, progress):
                 return None
             remaining = deadline - self._ctx.clock.monotonic()
--- a/peridotdock/relay/progress.py
+++ b/peridotdock/relay/progress.py
@@ -8,12 +8,13 @@
     """Counts of a request's sends, with the endpoints already tried in ``avoid``.
 
     ``maybe_ran`` counts the sends that may have run, ``refusals`` those that were refused.
-    ``last_id`` is the id of the last event that was passed on to the caller. ``hosts`` are those
-    that the request was forwarded to; ``forwarded`` is set on a host that it was forwarded to.
-    ``arrived`` is set once a send may have reached an endpoint: the next ones are retries.
+    ``last_id`` is the id of the last event that was passed on to the caller, ``software`` the
+    version of the endpoints' software that began the stream, None until one has. ``hosts`` are
+    those that the request was forwarded to; ``forwarded`` is set on a host that it was forwarded
+    to. ``arrived`` is set once a send may have reached an endpoint: the next ones are retries.
     ``reserved`` is set while a retry is reserved in the budget of the service, ``taken_at`` is the
-    monotonic time at which one was taken for a send that has no outcome yet.
-    ``final`` is set once another host has answered that it can't serve the request.
+    monotonic time at which one was taken for a send that has no outcome yet. ``final`` is set once
+    another host has answered that it can't serve the request.
     """
 
     service: str
@@ -22,6 +23,7 @@
     refusals: int = 0
     sends: int = 0
     last_id: int | None = None
+    software: str | None = None
     hosts: set[str] = field(default_factory=set)
     forwarded: bool = False
     arrived: bool = False
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -29,11 +29,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingAnswer:
-    """An answer of which the head was received and the body is still to be read."""
+    """An answer of which the head was received and the body is still to be read.
+
+    ``software`` is the version of the endpoint's software when it was sent the request, None if it
+    is not known.
+    """
 
     state: EndpointState
     opened: OpenResponse
     head: AnswerHead
+    software: str | None = None
 
 
 class CallerTimeout(IterationTimeout):
@@ -112,7 +117,7 @@
             connect_timeout=connect_timeout(remaining),
             still_wanted=state.accepts_requests,
         )
-        sent_at = self._clock.monotonic()
+        sent_at, software = self._clock.monotonic(), state.entry.software
         work = self._endpoints.open(f"http://{state.entry.address}", call)
         opened = await wait_for(
             work, caller, min(remaining, head_timeout), silence=head_timeout < remaining
@@ -133,7 +138,7 @@
                 self._endpoints.renew_connections(f"http://{state.entry.address}")
             await opened.release()
             return failure
-        return PendingAnswer(state, opened, head)
+        return PendingAnswer(state, opened, head, software)
 
 
 def check_answer_head(head: AnswerHead, attempt_id: str) -> Failure | None:
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -144,6 +144,7 @@
                 self._forwarder.record_lost(req, host.fact.host, found)
         progress.maybe_ran += not failed(found) or found.may_have_run
         self._retries.settle(progress, progress.arrived or has_arrived(found))
+        bind_software(progress, found)
         # A complete answer is the best of the other host's own sends.
         progress.final = progress.final or isinstance(found, CompleteAnswer)
         return found
@@ -207,7 +208,7 @@
         if state.is_host:
             return self._forwarder.can_forward(req, progress)
         now = self.ctx.clock.monotonic()
-        states = self.fleet.usable(progress.service, req.head.inference)
+        states = self.fleet.usable(progress.service, req.head.inference, progress.software)
         return any(other is not state and not other.health.suspect(now) for other in states)
 
     async def _attempt(
@@ -251,6 +252,7 @@
                 else await self._read(req, caller, progress.service, sent, first_event_timeout)
             )
             self._retries.settle(progress, has_arrived(found))
+            bind_software(progress, found)
             self._record_outcome(req, state, found, progress)
             self._record_overdue(req, state, found, prediction.seconds, started_at)
             streaming = isinstance(found, StreamSource)
@@ -297,7 +299,7 @@
         """
         if not req.route.repeatable or progress.maybe_ran + 1 >= req.route.max_sends:
             return req.route.timeout
-        states = self.fleet.usable(progress.service, req.head.inference)
+        states = self.fleet.usable(progress.service, req.head.inference, progress.software)
         if all(state.key in progress.avoid for state in states):
             return req.route.timeout
         return FIRST_EVENT_TIMEOUT_SECONDS + FIRST_EVENT_TIMEOUT_FACTOR * predicted
@@ -313,7 +315,7 @@
         """Read a complete answer, or a stream up to its first events."""
         remaining = req.deadline - self.ctx.clock.monotonic()
         if sent.head.status in SUCCESS and req.route.streams:
-            source = StreamSource(sent.state, sent.head, sent.opened)
+            source = StreamSource(sent.state, sent.head, sent.opened, sent.software)
             caller.disconnected.add_done_callback(source.abort)
             failure = await source.fill(
                 caller, min(remaining, first_event_timeout), silent=first_event_timeout < remaining
@@ -419,6 +421,15 @@
     return not failed(found) or found.kind is not Kind.ENDPOINT_UNREACHABLE
 
 
+def bind_software(progress: Progress, found: CompleteAnswer | StreamSource | Failure) -> None:
+    """Bind a request to the software version that its first events come from.
+
+    What two versions write doesn't fit together, and endpoints don't check it.
+    """
+    if isinstance(found, StreamSource) and progress.software is None:
+        progress.software = found.software
+
+
 def describe_broken(req: RelayRequest, found: Failure, streamed: float | None) -> str:
     """Return log details of a broken-off answer, to find a request that crashes endpoints.
 
--- a/peridotdock/relay/waits.py
+++ b/peridotdock/relay/waits.py
@@ -41,12 +41,15 @@
         self, req: RelayRequest, caller: CallerConnection, progress: Progress
     ) -> Failure | None:
         """Wait until some endpoint may serve the request."""
-        states = self._fleet.usable(progress.service, req.head.inference)
+        service, inference, software = progress.service, req.head.inference, progress.software
+        if software is not None and not self._fleet.has_software(service, software):
+            return Failure(Kind.NO_ENDPOINT, f"none of software {software}")
+        states = self._fleet.usable(service, inference, software)
         if progress.refusals and all(state.key in progress.avoid for state in states):
             refusal = await self._back_off(req, caller, progress)
             if refusal is not None:
                 return refusal
-            states = self._fleet.usable(progress.service, req.head.inference)
+            states = self._fleet.usable(service, inference, software)
         if self._fleet.is_cut_off() and not may_try_cut_off(
             len(states), progress.sends, self._ctx.clock.monotonic() - req.received_at
         ):
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -983,6 +983,10 @@
     """
     Sends to endpoints so far after which the request may have run.
     """
+    software: str = ''
+    """
+    Version of the endpoints' software that began the stream, empty for any.
+    """
 
 
 @dataclass(frozen=True)
--- a/tests/relay/retry_cluster.py
+++ b/tests/relay/retry_cluster.py
@@ -56,7 +56,7 @@
         state = EndpointState(EndpointEntry("p1", SERVICE, "", "north", 8, False), Health())
         fleet = SimpleNamespace(
             states={"p1": state},
-            usable=lambda service, inference: [state],
+            usable=lambda *args: [state],
             estimate_work=lambda service, inference: RequestCost(0, 0, 0.0, 0.01),
             request_sent=lambda *args: None,
             request_ended=lambda *args, **more: None,
