Let a host wait for news of an endpoint that the forwarding host already has

A request that a host without links forwards was refused by the other host, "none that this host reaches", and then by the first one, though an engine had just loaded its model: the first host had heard of it, the other not yet. Found by test_a_holder_that_reaches_no_engine_hands_the_lease_over, which failed once beside load (503 for 200).

Now a host that reaches some endpoint of the service waits for the item as for its own callers; one that reaches none refuses as before.

--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -183,6 +183,11 @@
         now = self._clock.monotonic()
         return any(state.serves(now) for state in self._of_software(service, software))
 
+    def reaches(self, service: str, software: str | None) -> bool:
+        """Return whether any endpoint accepts requests of this host, whatever it holds."""
+        now = self._clock.monotonic()
+        return any(state.usable(now) for state in self._of_software(service, software))
+
     def other_software(self, service: str, software: str) -> set[str]:
         """Return the keys of the endpoints of other software versions."""
         rows = self.by_service.get(service, ())
--- a/peridotdock/relay/waits.py
+++ b/peridotdock/relay/waits.py
@@ -58,7 +58,7 @@
             )
         if states:
             return None
-        if progress.forwarded:
+        if progress.forwarded and not self._fleet.reaches(service, software):
             return Failure(Kind.NO_ENDPOINT, "none that this host reaches")
         if progress.hosts and self._fleet.links_in_doubt():
             reason = f"none of {len(progress.hosts)} hosts took it"
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -254,6 +254,21 @@
         check(self)
 
 
+class NewsTest(unittest.TestCase):
+    """Guards against a refusal by a host that has not yet heard that an endpoint holds the item."""
+
+    @run
+    async def test_a_host_waits_for_the_news_that_the_forwarding_host_has(self):
+        async with gated() as found:
+            await cut_off(found)
+            fleet = found.hosts[1].fleet
+            usable, clock = fleet.usable, asyncio.get_running_loop().time
+            informed_at = clock() + 0.3
+            fleet.usable = lambda *args: usable(*args) if clock() > informed_at else []
+            status, _, body = await found.send("/recap/", "news", model="m0")
+            self.assertEqual(200, status, body)
+
+
 class StreamTest(unittest.TestCase):
     """Guards against streams that break off with the host that they were forwarded to."""
 
