--- a/peridotdock/decisions/retry_budget.py
+++ b/peridotdock/decisions/retry_budget.py
@@ -15,8 +15,8 @@
 from collections import Counter, deque
 from itertools import accumulate
 
-# Seconds from a send until the endpoint has read it, which may be silent for a moment, and one step.
-# A window of arrivals holds sends of a longer time.
+# Seconds from a send until the endpoint has read it, which may be silent for a moment, and one step
+# of the counts. A window of arrivals holds sends of a longer time.
 MAX_ARRIVAL_SECONDS = 1.0
 # Requests and retries are counted by steps of so many seconds.
 STEP_SECONDS = 0.25
