Log and count endpoints that fall silent, and tell how long a refused caller would have stayed

What told the hypotheses of the unfinished answers apart was missing: at the end of a silent connection, which other endpoints there were, whether a retry was left and what the host thought of its links; at a denial of the hub, how long the caller was said to stay. `send_silent` and `peridotdock_silent_sends_total` are new, a denial names the time that is allowed. No decision is changed.

--- a/peridotdock/metrics.py
+++ b/peridotdock/metrics.py
@@ -19,6 +19,9 @@
         self.retries = self._counter(
             "retries", "Retries of requests to endpoints, by decision of the budget.", "decision"
         )
+        self.silent_sends = self._counter(
+            "silent_sends", "Sends whose endpoint sent nothing for longer than expected."
+        )
         self.late_frames = self._counter("late_frames", "Answers that came for nobody.")
         self.orders = self._counter("orders", "Orders sent to engines.", "action", "outcome")
         self.reports = self._counter("reports", "Reports asked of engines.", "outcome")
--- a/peridotdock/relay/grants.py
+++ b/peridotdock/relay/grants.py
@@ -316,7 +316,7 @@
         return (
             GrantedEndpoint(reply.endpoint, reply.ahead / 1000)
             if reply.endpoint
-            else self._deny(reply.wait)
+            else self._deny(reply.wait, frame.stays)
         )
 
     def _deliver(self, hub: str, frame: GrantWanted | GrantDropped) -> bool:
@@ -346,11 +346,15 @@
             reply = await call.next_reply(caller, min(remaining, HUB_CHECK_SECONDS)) or reply
         return reply
 
-    def _deny(self, wait: int) -> Failure:
-        """Refuse a prompt; retry-after covers the prefill of the prompts ahead of it."""
+    def _deny(self, wait: int, stays: int) -> Failure:
+        """Refuse a prompt; retry-after covers the prefill of the prompts ahead of it.
+
+        ``wait`` and ``stays``, the time until the caller disconnects, are in milliseconds.
+        """
         spread = 1 + RETRY_JITTER_SHARE * (self._ctx.rng.random() - 0.5)
         seconds = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait / 1000 * spread))
-        return Failure(Kind.OVERLOADED, f"a wait of {wait / 1000:.2f} s at all engines", seconds)
+        reason = f"a wait of {wait / 1000:.2f} s at all engines, {stays / 1000:.2f} allowed"
+        return Failure(Kind.OVERLOADED, reason, seconds)
 
     def _record_silence(self, hub: str) -> None:
         """Back off from a hub that does not reply, so that prompts don't each wait in vain."""
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -211,6 +211,26 @@
         states = self.fleet.usable(progress.service, req.head.inference, progress.software)
         return any(other is not state and not other.health.suspect(now) for other in states)
 
+    def log_silent(
+        self, req: RelayRequest, progress: Progress, state: EndpointState, seconds: float
+    ) -> None:
+        """Log that an endpoint has sent nothing for a while, and what else could serve."""
+        now = self.ctx.clock.monotonic()
+        states = self.fleet.usable(progress.service, req.head.inference, progress.software)
+        others = [other for other in states if other.key != state.key]
+        suspects = sum(other.health.suspect(now) for other in others)
+        budget = "left" if self._retries.available(progress.service) else "used up"
+        self.ctx.metrics.silent_sends.inc()
+        self.ctx.timeline.add(
+            "send_silent",
+            request=req.id,
+            endpoint=state.key,
+            detail=f"for {seconds:.2f} s, last event {progress.last_id}, {len(others)} others, "
+            f"{suspects} of them suspect, retries {budget}, "
+            f"links {'in doubt' if self.fleet.links_in_doubt() else 'good'}, "
+            f"{req.deadline - now:.2f} s left",
+        )
+
     async def _attempt(
         self,
         req: RelayRequest,
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -131,6 +131,7 @@
 
         It is 0 if another endpoint may resume the stream.
         """
+        service.log_silent(req, progress, source.state, longest)
         if service.may_resume_elsewhere(req, progress, source.state):
             return 0.0
         return req.deadline - service.ctx.clock.monotonic()
