Keep the run at a silent endpoint until another endpoint has answered

Callers' answers ended unfinished while sound endpoints were silent for a second: hosts ended their own connection to such an endpoint if a retry was left and one other endpoint was not suspect, and only then asked for a grant, a place, a permit, a host or a retry. Each of these may be refused.

Now the request is sent elsewhere while the first send stays open. The first one to answer is kept and the other one is ended; if the other endpoint, the hub, the budget or another host refuses, the first goes on until the deadline, and it is tried again while the silence lasts. One place (`Replacement`) serves streams that have begun, first events, plain requests that may be repeated and streams through another host. An endpoint that may still work on a request is never chosen again for it. A connection that is silent for good still costs its caller 1.2 s, as before.

The stand-in left a read behind when its stream went on, so the next request on that connection failed; mended.

--- a/extras/ablation.py
+++ b/extras/ablation.py
@@ -96,13 +96,13 @@
         "patience before another endpoint",
         "relay/service.py",
         "return FIRST_EVENT_TIMEOUT_SECONDS + FIRST_EVENT_TIMEOUT_FACTOR * predicted",
-        "return req.route.timeout",
+        "return 3600.0",
     ),
     Mechanism(
         "silent streams taken up elsewhere",
         "relay/streaming.py",
-        "caller, min(remaining, longest), remaining > longest, extra_wait",
-        "caller, min(remaining, longest), False, extra_wait",
+        "if remaining > 0:",
+        "if False:",
     ),
     Mechanism("refused sends repeated", "relay/service.py", "MAX_REFUSALS = 2", "MAX_REFUSALS = 0"),
     Mechanism(
--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -573,6 +573,20 @@
         "if hosts is None:",
         "tests.relay.test_retry_budget.BudgetTest",
     ),
+    Mutant(
+        "a silent send is kept until another one has answered",
+        "relay/replacing.py",
+        "self._task = asyncio.ensure_future(self._send(self._send_caller))",
+        "self._task = asyncio.ensure_future(self._send(self._send_caller)); self._end_first()",
+        "tests.relay.test_silence.SilentEndpointTest",
+    ),
+    Mutant(
+        "a send is replaced once another one has answered",
+        "relay/replacing.py",
+        "        self._end_first()\n",
+        "        self.found = None\n",
+        "tests.relay.test_silence.DeadConnectionTest",
+    ),
     Mutant(
         "a stream is bound to the software version that began it",
         "relay/service.py",
--- a/peridotdock/relay/attempt.py
+++ b/peridotdock/relay/attempt.py
@@ -8,7 +8,7 @@
 from peridotdock.clients.endpoint import OpenResponse
 from peridotdock.clients.http import TRANSFER_ERRORS
 from peridotdock.errors import Failure, Kind
-from peridotdock.relay.caller import CallerConnection
+from peridotdock.relay.caller import Caller
 from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.events import EventSplitter, StreamEvent
 from peridotdock.relay.requests import AnswerHead
@@ -31,8 +31,8 @@
         return self.head.status >= SERVER_ERROR
 
 
-def no_extension() -> float:
-    """Return 0: the wait is not extended."""
+def end_wait() -> float:
+    """Return 0: a wait ends at its first timeout."""
     return 0.0
 
 
@@ -47,15 +47,13 @@
         self._on_timeout = on_timeout
         self._loop = asyncio.get_running_loop()
         self._deadline = math.inf
-        self._extra_seconds: Callable[[], float] = no_extension
+        self._extend: Callable[[], float] = end_wait
         self._timer: asyncio.TimerHandle | None = None
         self.expired = False
-        self.extended = False
 
-    def begin(self, seconds: float, extra_seconds: Callable[[], float]) -> None:
-        """Start a wait; ``extra_seconds`` returns by how long to extend it once, or 0."""
-        self.extended = False
-        self._extra_seconds = extra_seconds
+    def begin(self, seconds: float, extend: Callable[[], float]) -> None:
+        """Start a wait; ``extend`` is called at its end and returns by how long to go on, or 0."""
+        self._extend = extend
         self._wait(seconds)
 
     def _wait(self, seconds: float) -> None:
@@ -90,9 +88,8 @@
     def _end(self, deadline: float) -> None:
         if deadline != self._deadline:
             return
-        seconds = 0.0 if self.extended else self._extra_seconds()
+        seconds = self._extend()
         if seconds > 0:
-            self.extended = True
             self._wait(seconds)
             return
         self.expired = True
@@ -104,12 +101,14 @@
     """One endpoint's part of a stream. ``ready`` holds complete events not yet passed on.
 
     ``software`` is the version of the endpoint's software when it was sent the request, None if it
-    is not known. ``started_at`` is when the first events arrived (monotonic seconds).
+    is not known. ``started_at`` is when the first events arrived (monotonic seconds). The
+    connection is closed when ``caller`` disconnects.
     """
 
     state: EndpointState
     head: AnswerHead
     opened: OpenResponse
+    caller: Caller
     software: str | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     ready: list[StreamEvent] = field(default_factory=list)
@@ -117,36 +116,28 @@
     started_at: float = 0.0
 
     def __post_init__(self) -> None:
-        """Set up the timeout that aborts the connection to a silent endpoint."""
+        """Set up what ends the connection: the deadline, or the caller's disconnect."""
         self._stall_timeout = StallTimeout(self.opened.abort)
+        self.caller.disconnected.add_done_callback(self.abort)
 
-    async def fill(
-        self,
-        caller: CallerConnection,
-        seconds: float,
-        silent: bool,
-        extra_seconds: Callable[[], float] = no_extension,
-    ) -> Failure | None:
+    async def fill(self, seconds: float, extend: Callable[[], float] = end_wait) -> Failure | None:
         """Read until there are complete events or the stream has ended.
 
-        ``silent`` is set if the end of ``seconds`` is reported as a silent endpoint, not as the
-        deadline. ``extra_seconds`` is called then and returns the seconds until the deadline if the
-        wait continues. A stream that ends in the middle of an event is a cut answer, not an end.
+        After ``seconds`` without events ``extend`` is called; the wait goes on for as long as it
+        returns, and ends with the deadline if that is 0. A stream that ends in the middle of an
+        event is a cut answer, not an end.
         """
-        self._stall_timeout.begin(seconds, extra_seconds)
+        self._stall_timeout.begin(seconds, extend)
         try:
             while not self.ready and not self.ended:
                 part = await self.opened.read_chunk()
                 self.ready += self.splitter.feed(part)
                 self.ended = not part
         except TRANSFER_ERRORS as exc:
-            if caller.is_disconnected():
+            if self.caller.is_disconnected():
                 return loss_failure(RequestState.FIRST_BYTE, Loss.CALLER_GONE)
             if self._stall_timeout.expired:
-                silent = silent and not self._stall_timeout.extended
-                return loss_failure(
-                    RequestState.FIRST_BYTE, Loss.SILENCE if silent else Loss.DEADLINE
-                )
+                return loss_failure(RequestState.FIRST_BYTE, Loss.DEADLINE)
             return Failure(Kind.ANSWER_CUT, type(exc).__name__)
         finally:
             self._stall_timeout.end()
@@ -163,8 +154,8 @@
         """Close the connection; the endpoint stops the request when it sees the close."""
         self.opened.abort()
 
-    async def close(self, caller: CallerConnection) -> None:
+    async def close(self) -> None:
         """Release the connection, which is closed if it was not read to the end."""
         self._stall_timeout.close()
-        caller.disconnected.remove_done_callback(self.abort)
+        self.caller.disconnected.remove_done_callback(self.abort)
         await self.opened.release()
--- a/peridotdock/relay/caller.py
+++ b/peridotdock/relay/caller.py
@@ -2,11 +2,20 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 
 
+class Caller(Protocol):
+    """Whoever waits for an answer; the future ``disconnected`` is done once nobody does."""
+
+    disconnected: asyncio.Future[None]
+
+    def is_disconnected(self) -> bool:
+        """Whether nobody waits for the answer any more."""
+
+
 class CallerConnection:
     """A caller's connection; the future ``disconnected`` is done once the caller closed it."""
 
@@ -28,3 +37,24 @@
     def stop_watching(self) -> None:
         """Cancel the task that waits for the disconnect."""
         self._watching.cancel()
+
+
+class SendCaller:
+    """The caller of one of several sends of a request, which ends if its answer is not needed."""
+
+    def __init__(self, caller: Caller):
+        self.disconnected: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._caller = caller
+        caller.disconnected.add_done_callback(self._on_disconnect)
+
+    def _on_disconnect(self, _: object) -> None:
+        self.end()
+
+    def end(self) -> None:
+        """End this send, as another one has answered."""
+        if not self.disconnected.done():
+            self.disconnected.set_result(None)
+
+    def is_disconnected(self) -> bool:
+        """Whether the send is ended or the caller has closed its connection."""
+        return self.disconnected.done() or self._caller.is_disconnected()
--- a/peridotdock/relay/choosing.py
+++ b/peridotdock/relay/choosing.py
@@ -9,7 +9,7 @@
 from peridotdock.decisions.overload import check_send, retry_after
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.loop_iterations import find_iterations
-from peridotdock.relay.caller import CallerConnection
+from peridotdock.relay.caller import Caller
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.grants import GrantedEndpoint, Grants
 from peridotdock.relay.permits import EndpointPermits
@@ -41,7 +41,7 @@
         self._iterations = find_iterations()
 
     async def choose_endpoint(
-        self, req: RelayRequest, caller: CallerConnection, progress: Progress
+        self, req: RelayRequest, caller: Caller, progress: Progress
     ) -> Prediction | Failure:
         """Choose an endpoint; wait for one if none can serve the request yet."""
         refusal = await self._waits.wait_until_usable(req, caller, progress)
@@ -71,16 +71,17 @@
     def _candidates(self, req: RelayRequest, progress: Progress) -> list[Candidate]:
         """Return the endpoints not tried yet, or all of them if none is left.
 
-        An endpoint that cut a stream may still be able to resume it.
+        An endpoint that cut a stream may still be able to resume it. One that may still work on the
+        request is never among them.
         """
         states = self._fleet.usable(progress.service, req.head.inference, progress.software)
         avoid = frozenset(progress.avoid)
         if all(state.key in avoid for state in states):
-            avoid = frozenset()
+            avoid = frozenset(progress.working)
         return self._fleet.candidates(states, req.head.inference, avoid)
 
     async def _request_grant(
-        self, req: RelayRequest, caller: CallerConnection, progress: Progress
+        self, req: RelayRequest, caller: Caller, progress: Progress
     ) -> GrantedEndpoint | Failure | None:
         """Request a grant for a prompt from the hub; None if this host chooses itself."""
         candidates = self._candidates(req, progress)
@@ -90,6 +91,7 @@
         avoid = find_suspects(accepting) | {row.key for row in candidates if row.backoff}
         if candidates[0].key not in progress.avoid:
             avoid |= progress.avoid
+        avoid |= progress.working
         if progress.software is not None:
             avoid |= self._fleet.other_software(progress.service, progress.software)
         return await self._grants.request_grant(req, progress.service, frozenset(avoid), caller)
@@ -104,7 +106,7 @@
             return None
         now = self._ctx.clock.monotonic()
         usable = state in self._fleet.usable(progress.service, inference, progress.software)
-        if not usable or state.backoff_until > now:
+        if not usable or state.backoff_until > now or state.key in progress.working:
             if state.brittle:
                 self._permits.give_back(state)
             return None
@@ -114,7 +116,7 @@
         return Prediction(row, predict(row, work), granted=True, placed=state.brittle)
 
     async def _choose_locally(
-        self, req: RelayRequest, caller: CallerConnection, progress: Progress
+        self, req: RelayRequest, caller: Caller, progress: Progress
     ) -> Prediction | Failure:
         """Choose among the endpoints that accept requests now, by this host's own state.
 
--- a/peridotdock/relay/forwarding.py
+++ b/peridotdock/relay/forwarding.py
@@ -24,7 +24,7 @@
 from peridotdock.decisions.overload import connect_timeout
 from peridotdock.errors import Failure, Kind, Ran, failed
 from peridotdock.membership import Member, Membership
-from peridotdock.relay.caller import CallerConnection
+from peridotdock.relay.caller import Caller
 from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.progress import Progress
@@ -99,6 +99,10 @@
         """Return whether there is a host to forward a request to."""
         return self.choose_host(req, progress) is not None
 
+    def is_cut_off(self) -> bool:
+        """Return whether this host reaches no endpoint itself."""
+        return self._links.partitioned
+
     def _served_elsewhere(self, req: RelayRequest, progress: Progress) -> bool:
         """Return whether some endpoint may serve the request for a host that reaches it."""
         now = self._ctx.clock.monotonic()
@@ -123,7 +127,7 @@
         ]
 
     async def send(
-        self, req: RelayRequest, caller: CallerConnection, progress: Progress, host: Member
+        self, req: RelayRequest, caller: Caller, progress: Progress, host: Member
     ) -> PendingAnswer | Failure:
         """Forward a request to a host, and wait for the head of the answer.
 
@@ -193,9 +197,13 @@
     def record_lost(self, req: RelayRequest, host: str, failure: Failure) -> None:
         """Avoid a host that was lost, unless the caller or the deadline ended the request."""
         if failure.kind is not Kind.DEADLINE:
-            self._avoided_until[host] = self._ctx.clock.monotonic() + LOST_HOST_SECONDS
+            self.avoid(host)
         self._log_lost(req, host, failure)
 
+    def avoid(self, host: str) -> None:
+        """Send nothing to a host for a while."""
+        self._avoided_until[host] = self._ctx.clock.monotonic() + LOST_HOST_SECONDS
+
     def _log_lost(self, req: RelayRequest, host: str, failure: Failure) -> None:
         detail = f"{host}: {failure.kind}: {failure.reason}"
         self._ctx.timeline.add("forward_lost", failure.answer.level, request=req.id, detail=detail)
@@ -209,7 +217,7 @@
         self._log_lost(req, name, failure)
         now = self._ctx.clock.monotonic()
         if failure.kind in OTHER_HOST_KINDS:
-            self._avoided_until[name] = now + LOST_HOST_SECONDS
+            self.avoid(name)
             return Failure(Kind.ENDPOINT_UNREACHABLE, f"{name}: {failure.kind}")
         if failure.kind is Kind.NO_ENDPOINT and not failure.may_have_run:
             inference, software = req.head.inference, progress.software
--- a/peridotdock/relay/grants.py
+++ b/peridotdock/relay/grants.py
@@ -24,7 +24,7 @@
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure, Kind
 from peridotdock.loop_iterations import LoopIterations
-from peridotdock.relay.caller import CallerConnection
+from peridotdock.relay.caller import Caller
 from peridotdock.relay.endpoint import EndpointState, item_name
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.requests import InferenceSpec, PromptPart, RelayRequest
@@ -231,7 +231,7 @@
             self._reply = asyncio.get_running_loop().create_future()
         self._reply.set_result(reply)
 
-    async def next_reply(self, caller: CallerConnection, seconds: float) -> GrantFrame | None:
+    async def next_reply(self, caller: Caller, seconds: float) -> GrantFrame | None:
         """Return the next reply, or None after ``seconds`` or a disconnect of the caller."""
         if not self._reply.done():
             await asyncio.wait(
@@ -291,7 +291,7 @@
             call.on_reply(frame)
 
     async def request_grant(
-        self, req: RelayRequest, service: str, avoid: frozenset[str], caller: CallerConnection
+        self, req: RelayRequest, service: str, avoid: frozenset[str], caller: Caller
     ) -> GrantedEndpoint | Failure | None:
         """Return the endpoint for a prompt, or None if this host must choose itself."""
         hub = self._find_hub()
@@ -327,7 +327,7 @@
         return True
 
     async def _wait_for_decision(
-        self, call: GrantCall, req: RelayRequest, caller: CallerConnection
+        self, call: GrantCall, req: RelayRequest, caller: Caller
     ) -> GrantFrame | None:
         """Return the hub's decision; None without a reply or if the hub changes meanwhile."""
         reply = await call.next_reply(
--- a/peridotdock/relay/item_waits.py
+++ b/peridotdock/relay/item_waits.py
@@ -7,7 +7,7 @@
 from peridotdock.decisions.waiting import Absence, Wait, decide_wait
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure, Kind
-from peridotdock.relay.caller import CallerConnection
+from peridotdock.relay.caller import Caller
 from peridotdock.relay.endpoint import item_name
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.peers import Peers
@@ -36,9 +36,7 @@
         self.deployment: Deployment | None = None
         self.can_forward: Callable[[RelayRequest, Progress], bool] = lambda req, progress: False
 
-    async def wait(
-        self, req: RelayRequest, progress: Progress, caller: CallerConnection
-    ) -> Failure | None:
+    async def wait(self, req: RelayRequest, progress: Progress, caller: Caller) -> Failure | None:
         """Wait until the request can be sent; return a failure if it can't be."""
         inference, service = req.head.inference, progress.service
         absence = self._describe(req, service, inference)
@@ -79,7 +77,7 @@
         self,
         req: RelayRequest,
         progress: Progress,
-        caller: CallerConnection,
+        caller: Caller,
         deadline: float,
         retry_after: float,
     ) -> Failure | None:
--- a/peridotdock/relay/permits.py
+++ b/peridotdock/relay/permits.py
@@ -14,7 +14,7 @@
 from peridotdock.decisions.places import Places, retry_seconds
 from peridotdock.hub_calls import HubCalls
 from peridotdock.loop_iterations import LoopIterations
-from peridotdock.relay.caller import CallerConnection
+from peridotdock.relay.caller import Caller
 from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.peers import Peers
@@ -65,7 +65,7 @@
         self,
         state: EndpointState,
         max_wait: float = 0.0,
-        caller: CallerConnection | None = None,
+        caller: Caller | None = None,
         needs_slot: bool = True,
     ) -> Permit:
         """Request a permit for one request, which can wait for ``max_wait`` seconds.
@@ -113,7 +113,7 @@
             self._peers.mesh.send_to(hub, PlaceReturned("place_returned", state.key))
 
     async def _call_hub(
-        self, hub: str, state: EndpointState, max_wait: float, caller: CallerConnection | None
+        self, hub: str, state: EndpointState, max_wait: float, caller: Caller | None
     ) -> Permit:
         def send(number: int) -> bool:
             frame = PermitWanted("permit_wanted", number, state.key, int(1000 * max_wait))
--- a/peridotdock/relay/progress.py
+++ b/peridotdock/relay/progress.py
@@ -14,7 +14,8 @@
     to. ``arrived`` is set once a send may have reached an endpoint: the next ones are retries.
     ``reserved`` is set while a retry is reserved in the budget of the service, ``taken_at`` is the
     monotonic time at which one was taken for a send that has no outcome yet. ``final`` is set once
-    another host has answered that it can't serve the request.
+    another host has answered that it can't serve the request. ``working`` are the endpoints that
+    may still work on a send of the request while it is sent to another one.
     """
 
     service: str
@@ -30,3 +31,4 @@
     reserved: bool = False
     taken_at: float | None = None
     final: bool = False
+    working: set[str] = field(default_factory=set)
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -9,7 +9,7 @@
 from peridotdock.decisions.overload import connect_timeout
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.loop_iterations import find_iterations
-from peridotdock.relay.caller import CallerConnection
+from peridotdock.relay.caller import Caller
 from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.requests import AnswerHead, RelayRequest, SendOptions
 from peridotdock.relay.wire import Wire
@@ -48,7 +48,7 @@
     step, and on a host with a late loop each iteration is long.
     """
 
-    def __init__(self, caller: CallerConnection, seconds: float):
+    def __init__(self, caller: Caller, seconds: float):
         super().__init__(seconds)
         self._caller = caller
 
@@ -67,13 +67,8 @@
         self.expire()
 
 
-async def wait_for(
-    work: Awaitable[T], caller: CallerConnection, seconds: float, silence: bool = False
-) -> T | Failure:
-    """Wait for ``work`` until it is done, ``seconds`` pass or the caller disconnects.
-
-    ``silence`` tells whether a timeout is reported as a silent endpoint or as the deadline.
-    """
+async def wait_for(work: Awaitable[T], caller: Caller, seconds: float) -> T | Failure:
+    """Wait for ``work`` until it is done, ``seconds`` pass or the caller disconnects."""
     limit = CallerTimeout(caller, seconds)
     try:
         async with limit:
@@ -83,7 +78,7 @@
             raise
     if caller.is_disconnected():
         return loss_failure(RequestState.SENT, Loss.CALLER_GONE)
-    return loss_failure(RequestState.SENT, Loss.SILENCE if silence else Loss.DEADLINE)
+    return loss_failure(RequestState.SENT, Loss.DEADLINE)
 
 
 class Sender:
@@ -100,12 +95,11 @@
         self,
         req: RelayRequest,
         state: EndpointState,
-        caller: CallerConnection,
+        caller: Caller,
         priority: int,
         resume_after: str,
-        head_timeout: float,
     ) -> PendingAnswer | Failure:
-        """Send, and wait for the head for at most ``head_timeout`` seconds."""
+        """Send, and wait for the head of the answer until the deadline."""
         remaining = req.deadline - self._clock.monotonic()
         options = SendOptions(state.key, remaining, priority, resume_after)
         call = Call(
@@ -119,9 +113,7 @@
         )
         sent_at, software = self._clock.monotonic(), state.entry.software
         work = self._endpoints.open(f"http://{state.entry.address}", call)
-        opened = await wait_for(
-            work, caller, min(remaining, head_timeout), silence=head_timeout < remaining
-        )
+        opened = await wait_for(work, caller, remaining)
         if failed(opened):
             return opened
         head = self._wire.read_answer(opened.status, opened.headers)
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -1,5 +1,6 @@
 """Serves a relayed request: chooses endpoints, sends, and retries where that is safe."""
 
+import asyncio
 from collections.abc import Callable
 
 from peridotdock.blocklist import Blocklist
@@ -13,23 +14,31 @@
 from peridotdock.loop_iterations import find_iterations
 from peridotdock.membership import Member
 from peridotdock.relay.attempt import CompleteAnswer, StreamSource
-from peridotdock.relay.caller import CallerConnection
+from peridotdock.relay.caller import Caller, SendCaller
 from peridotdock.relay.choosing import Chooser
 from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.forwarding import Forwarder
 from peridotdock.relay.item_waits import name_item
 from peridotdock.relay.progress import Progress
+from peridotdock.relay.replacing import Replacement
 from peridotdock.relay.requests import RelayRequest
 from peridotdock.relay.retry_budgets import RetryBudgets
 from peridotdock.relay.sending import NOT_RUN_KINDS, SUCCESS, PendingAnswer, Sender, wait_for
 from peridotdock.relay.wire import Wire
-from peridotdock.requests import RETRY_KINDS, connection_broke, mark_maybe_ran
+from peridotdock.requests import (
+    RETRY_KINDS,
+    Loss,
+    RequestState,
+    connection_broke,
+    loss_failure,
+    mark_maybe_ran,
+)
 
 # Maximum of refused sends of one request; a refused send does not run, but loads the service.
 MAX_REFUSALS = 2
-# The timeout of the first event is a multiple of its predicted time plus a constant. After it
-# another endpoint is tried.
+# Time after which an endpoint counts as silent before the first event: a multiple of the predicted
+# time plus a constant. After it another endpoint is tried.
 FIRST_EVENT_TIMEOUT_FACTOR = 3.0
 FIRST_EVENT_TIMEOUT_SECONDS = 0.8
 # Failures that may come from this host's own link to the endpoint.
@@ -39,6 +48,8 @@
 NO_RETRY_SECONDS = 1.0
 # The answer to a request whose retry was left when it was decided, and none when it was to be sent.
 NO_RETRY_LEFT = Failure(Kind.OVERLOADED, "no retry left", NO_RETRY_SECONDS)
+# The failure of an endpoint that is silent: it may run the request, or not.
+SILENT = loss_failure(RequestState.SENT, Loss.SILENCE)
 # A stream that has lasted for this many seconds did not crash its endpoint: a request that does
 # crashes it as soon as it runs, though its events may still be in transit for a while.
 BLAMELESS_STREAM_SECONDS = 0.3
@@ -66,6 +77,7 @@
         self.sender = Sender(wire, endpoints, ctx.clock)
         self._retries = retries
         self._iterations = find_iterations()
+        self.replacing: set[asyncio.Task[None]] = set()
         self.on_unreachable: Callable[[str], None] = lambda key: None
         self.on_gap: Callable[[str, str, float], None] = lambda service, key, seconds: None
         self.on_lost: Callable[[str], None] = lambda key: None
@@ -79,7 +91,7 @@
         return Progress(name)
 
     async def open_answer(
-        self, req: RelayRequest, caller: CallerConnection, progress: Progress
+        self, req: RelayRequest, caller: Caller, progress: Progress
     ) -> CompleteAnswer | StreamSource | Failure:
         """Send until an endpoint returns a complete answer or the first events of a stream.
 
@@ -91,7 +103,7 @@
             self._retries.release(progress)
 
     async def _send_until_answered(
-        self, req: RelayRequest, caller: CallerConnection, progress: Progress
+        self, req: RelayRequest, caller: Caller, progress: Progress
     ) -> CompleteAnswer | StreamSource | Failure:
         fallback: CompleteAnswer | None = None
         outcome: Failure | None = None
@@ -128,7 +140,7 @@
         return self._forwarder.can_forward(req, progress)
 
     async def _forward(
-        self, req: RelayRequest, caller: CallerConnection, progress: Progress, host: Member
+        self, req: RelayRequest, caller: Caller, progress: Progress, host: Member
     ) -> CompleteAnswer | StreamSource | Failure:
         """Send a request through another host, which reaches the endpoints."""
         refusal = self.blocklist.refusal(req)
@@ -139,7 +151,7 @@
         progress.sends += 1
         found = await self._forwarder.send(req, caller, progress, host)
         if not failed(found):
-            found = await self._read(req, caller, progress.service, found, req.route.timeout)
+            found = await self._read(req, caller, progress.service, found)
             if failed(found):
                 self._forwarder.record_lost(req, host.fact.host, found)
         progress.maybe_ran += not failed(found) or found.may_have_run
@@ -150,7 +162,7 @@
         return found
 
     async def _admit(
-        self, req: RelayRequest, caller: CallerConnection, progress: Progress
+        self, req: RelayRequest, caller: Caller, progress: Progress
     ) -> Prediction | Failure:
         """Choose an endpoint; refuse a request that is blocked before or after the choice."""
         refusal = self.blocklist.refusal(req)
@@ -174,7 +186,7 @@
     def may_retry(
         self,
         req: RelayRequest,
-        caller: CallerConnection,
+        caller: Caller,
         progress: Progress,
         found: CompleteAnswer | Failure,
     ) -> bool:
@@ -192,29 +204,49 @@
         cause = str(found.kind) if failed(found) else f"status {found.head.status}"
         return self._retries.reserve(progress, req.id, cause)
 
-    def may_resume_elsewhere(
-        self, req: RelayRequest, progress: Progress, state: EndpointState
+    def reserve_replacement(
+        self, req: RelayRequest, caller: Caller, progress: Progress, state: EndpointState
     ) -> bool:
-        """Whether a stream that stalls at an endpoint may be resumed at another one.
+        """Return whether a send at a silent endpoint may be replaced; reserve its retry.
 
         Failure guarded against: the only endpoint with the model is overloaded and sends no event
-        for a second. The stream is cancelled and sent there again, queues anew, and is broken off
-        when it stalls once more, though the endpoint was working on it.
+        for a second. The request is sent there once more, and both sends wait longer.
         """
-        if not req.route.resumable or progress.maybe_ran >= req.route.max_sends:
+        if not self._served_elsewhere(req, progress, state):
             return False
         if not self._retries.available(progress.service):
             return False
+        self._retries.settle(progress, arrived=True)
+        if not self.may_retry(req, caller, progress, SILENT):
+            return False
         if state.is_host:
+            self._forwarder.avoid(state.key)
+            return True
+        state.health.record_loss(self.ctx.clock.monotonic())
+        self.on_lost(state.key)
+        return True
+
+    def _served_elsewhere(
+        self, req: RelayRequest, progress: Progress, state: EndpointState
+    ) -> bool:
+        """Return whether another endpoint may serve a request than the silent one."""
+        if state.is_host or self._forwarder.is_cut_off():
             return self._forwarder.can_forward(req, progress)
         now = self.ctx.clock.monotonic()
         states = self.fleet.usable(progress.service, req.head.inference, progress.software)
-        return any(other is not state and not other.health.suspect(now) for other in states)
+        working = progress.working | {state.key}
+        return any(row.key not in working and not row.health.suspect(now) for row in states)
 
-    def log_silent(
-        self, req: RelayRequest, progress: Progress, state: EndpointState, seconds: float
+    async def discard(
+        self, req: RelayRequest, progress: Progress, found: CompleteAnswer | StreamSource | Failure
     ) -> None:
-        """Log that an endpoint has sent nothing for a while, and what else could serve."""
+        """Close the connection of an answer that is not needed."""
+        if isinstance(found, StreamSource):
+            self.fleet.request_ended(found.state, req.id, progress.service, complete=False)
+            await found.close()
+
+    def log_silent(self, req: RelayRequest, progress: Progress, state: EndpointState) -> None:
+        """Log that an endpoint is silent, and what else could serve."""
         now = self.ctx.clock.monotonic()
         states = self.fleet.usable(progress.service, req.head.inference, progress.software)
         others = [other for other in states if other.key != state.key]
@@ -225,7 +257,7 @@
             "send_silent",
             request=req.id,
             endpoint=state.key,
-            detail=f"for {seconds:.2f} s, last event {progress.last_id}, {len(others)} others, "
+            detail=f"last event {progress.last_id}, {len(others)} others, "
             f"{suspects} of them suspect, retries {budget}, "
             f"links {'in doubt' if self.fleet.links_in_doubt() else 'good'}, "
             f"{req.deadline - now:.2f} s left",
@@ -234,7 +266,7 @@
     async def _attempt(
         self,
         req: RelayRequest,
-        caller: CallerConnection,
+        caller: Caller,
         progress: Progress,
         prediction: Prediction,
     ) -> CompleteAnswer | StreamSource | Failure:
@@ -260,24 +292,28 @@
         self.fleet.request_sent(state, req.id, inference, tokens, alone, prediction.placed)
         started_at = self.ctx.clock.monotonic()
         streaming = False
+        first = SendCaller(caller)
+        replacement = Replacement(self, req, caller, progress, state, first.end, counted=False)
+        if req.route.repeatable:
+            replacement.start_timer(first_event_timeout(prediction.seconds))
         try:
             resume = req.head.resume_after if progress.last_id is None else str(progress.last_id)
-            first_event_timeout = self._first_event_timeout(req, progress, prediction.seconds)
-            sent = await self.sender.send(
-                req, state, caller, choose_priority(req), resume, first_event_timeout
-            )
-            found = (
-                sent
-                if failed(sent)
-                else await self._read(req, caller, progress.service, sent, first_event_timeout)
-            )
-            self._retries.settle(progress, has_arrived(found))
-            bind_software(progress, found)
-            self._record_outcome(req, state, found, progress)
-            self._record_overdue(req, state, found, prediction.seconds, started_at)
-            streaming = isinstance(found, StreamSource)
-            return found
+            sent = await self.sender.send(req, state, first, choose_priority(req), resume)
+            found = sent if failed(sent) else await self._read(req, first, progress.service, sent)
+            if replacement.found is None:
+                if not replacement.began:
+                    self._retries.settle(progress, has_arrived(found))
+                bind_software(progress, found)
+                self._record_outcome(req, state, found, progress, replacement.began)
+                self._record_overdue(req, state, found, prediction.seconds, started_at)
+                streaming = isinstance(found, StreamSource)
+                if is_answer(found):
+                    return found
+            elif isinstance(found, StreamSource):
+                await found.close()
+            return await replacement.take() or found
         finally:
+            await replacement.close()
             if not streaming:
                 self.fleet.request_ended(state, req.id, progress.service, complete=False)
 
@@ -308,40 +344,16 @@
             detail=f"after {seconds:.3f} s of {req.route.target:.3f}",
         )
 
-    def _first_event_timeout(
-        self, req: RelayRequest, progress: Progress, predicted: float
-    ) -> float:
-        """Return the seconds to wait for the first event.
-
-        It is the route's whole timeout if no other endpoint can be tried. Failure guarded against:
-        the only endpoint with a model is overloaded, slow requests are cancelled and sent there
-        again, and lose their place in its queue each time.
-        """
-        if not req.route.repeatable or progress.maybe_ran + 1 >= req.route.max_sends:
-            return req.route.timeout
-        states = self.fleet.usable(progress.service, req.head.inference, progress.software)
-        if all(state.key in progress.avoid for state in states):
-            return req.route.timeout
-        return FIRST_EVENT_TIMEOUT_SECONDS + FIRST_EVENT_TIMEOUT_FACTOR * predicted
-
     async def _read(
-        self,
-        req: RelayRequest,
-        caller: CallerConnection,
-        service: str,
-        sent: PendingAnswer,
-        first_event_timeout: float,
+        self, req: RelayRequest, caller: Caller, service: str, sent: PendingAnswer
     ) -> CompleteAnswer | StreamSource | Failure:
         """Read a complete answer, or a stream up to its first events."""
         remaining = req.deadline - self.ctx.clock.monotonic()
         if sent.head.status in SUCCESS and req.route.streams:
-            source = StreamSource(sent.state, sent.head, sent.opened, sent.software)
-            caller.disconnected.add_done_callback(source.abort)
-            failure = await source.fill(
-                caller, min(remaining, first_event_timeout), silent=first_event_timeout < remaining
-            )
+            source = StreamSource(sent.state, sent.head, sent.opened, caller, sent.software)
+            failure = await source.fill(remaining)
             if failure is not None:
-                await source.close(caller)
+                await source.close()
                 return failure
             source.started_at = self.ctx.clock.monotonic()
             self.fleet.first_token_received(sent.state, req.id, req.head.inference)
@@ -364,15 +376,19 @@
         state: EndpointState,
         found: CompleteAnswer | StreamSource | Failure,
         progress: Progress,
+        counted: bool,
     ) -> None:
-        """Update the endpoint's health and the request's progress from the result of a send."""
+        """Update the endpoint's health and the request's progress from the result of a send.
+
+        ``counted`` tells whether the send already counts as one that may have run.
+        """
         now = self.ctx.clock.monotonic()
+        may_have_run = not failed(found) or found.may_have_run
+        progress.maybe_ran += may_have_run and not counted
         if not failed(found):
             erred = isinstance(found, CompleteAnswer) and found.is_server_error
-            progress.maybe_ran += 1
             state.health.record_error(now) if erred else state.health.record_success()
             return
-        progress.maybe_ran += found.may_have_run
         progress.refusals += found.kind in NOT_RUN_KINDS
         self.record_loss(req, state, found)
 
@@ -436,6 +452,16 @@
         )
 
 
+def is_answer(found: CompleteAnswer | StreamSource | Failure) -> bool:
+    """Return whether a result is an answer for the caller, not a failure of an endpoint."""
+    return isinstance(found, StreamSource) or (not failed(found) and not found.is_server_error)
+
+
+def first_event_timeout(predicted: float) -> float:
+    """Return the seconds without an event after which an endpoint counts as silent."""
+    return FIRST_EVENT_TIMEOUT_SECONDS + FIRST_EVENT_TIMEOUT_FACTOR * predicted
+
+
 def has_arrived(found: CompleteAnswer | StreamSource | Failure) -> bool:
     """Return whether a send with this result may have reached an endpoint."""
     return not failed(found) or found.kind is not Kind.ENDPOINT_UNREACHABLE
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -1,16 +1,18 @@
-"""Relays a stream event by event, and resumes it at another endpoint if one is lost."""
+"""Relays a stream event by event, and resumes it at another endpoint if one is lost or silent."""
 
 from collections.abc import AsyncIterator
 
 from peridotdock.errors import Failure, failed
 from peridotdock.relay.attempt import CompleteAnswer, StreamSource
-from peridotdock.relay.caller import CallerConnection
+from peridotdock.relay.caller import Caller
 from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.progress import Progress
+from peridotdock.relay.replacing import CHECK_SECONDS, Replacement
 from peridotdock.relay.requests import RelayRequest
 from peridotdock.relay.service import RelayService
 
-# Seconds without a byte after which a stream is resumed elsewhere; callers disconnect after two.
+# Seconds without an event after which a stream is to be resumed elsewhere; callers disconnect after
+# two. The silent endpoint may still go on first.
 SILENCE_SECONDS = 1.2
 # The same for a stream through another host, which looks for another endpoint first.
 FORWARDED_SILENCE_SECONDS = 1.7
@@ -74,7 +76,7 @@
 async def relay_stream(
     service: RelayService,
     req: RelayRequest,
-    caller: CallerConnection,
+    caller: Caller,
     progress: Progress,
     source: StreamSource,
 ) -> AsyncIterator[bytes]:
@@ -87,23 +89,32 @@
     pauses = PauseTracker(service, req)
     while True:
         outcome: Failure | None = None
+        found: CompleteAnswer | StreamSource | Failure | None = None
+        replacement = Replacement(
+            service, req, caller, progress, source.state, source.abort, counted=True
+        )
         try:
-            async for raw in _relay_source(service, req, caller, progress, source, pauses):
+            async for raw in _relay_source(service, req, progress, source, pauses, replacement):
                 if failed(raw):
                     outcome = raw
                 else:
                     yield raw
+            if outcome is not None:
+                if replacement.found is None:
+                    streamed = service.ctx.clock.monotonic() - source.started_at
+                    service.record_loss(req, source.state, outcome, streamed)
+                found = await replacement.take()
         finally:
             whole = outcome is None and source.ended and not source.ready
             service.fleet.request_ended(source.state, req.id, progress.service, whole)
-            await source.close(caller)
+            await source.close()
+            await replacement.close()
         if outcome is None:
             pauses.report(source.state)
             service.blocklist.record_answer(req)
             return
-        streamed = service.ctx.clock.monotonic() - source.started_at
-        service.record_loss(req, source.state, outcome, streamed)
-        found = await _resume(service, req, caller, progress, outcome)
+        if found is None:
+            found = await _resume(service, req, caller, progress, outcome)
         if failed(found):
             service.ctx.timeline.add(
                 "answer_broken",
@@ -119,26 +130,24 @@
 async def _relay_source(
     service: RelayService,
     req: RelayRequest,
-    caller: CallerConnection,
     progress: Progress,
     source: StreamSource,
     pauses: PauseTracker,
+    replacement: Replacement,
 ) -> AsyncIterator[bytes | Failure]:
-    """Yield one endpoint's events, and finally a failure if the endpoint is lost."""
-
-    def extra_wait() -> float:
-        """Return by how long to extend the wait for a silent endpoint.
+    """Yield one endpoint's events, and finally a failure if the endpoint is lost or replaced."""
 
-        It is 0 if another endpoint may resume the stream.
-        """
-        service.log_silent(req, progress, source.state, longest)
-        if service.may_resume_elsewhere(req, progress, source.state):
-            return 0.0
-        return req.deadline - service.ctx.clock.monotonic()
+    def extend() -> float:
+        """Return how long to wait on for a silent endpoint, 0 at the deadline."""
+        remaining = req.deadline - service.ctx.clock.monotonic()
+        if remaining > 0:
+            replacement.try_now()
+        return min(remaining, CHECK_SECONDS)
 
     while True:
         events = source.pop_ready()
         if events:
+            replacement.drop()
             gap = pauses.note(source.state, events[0].id)
             if gap is not None:
                 service.record_gap(source.state, progress.service, gap, len(events))
@@ -152,9 +161,7 @@
             return
         remaining = req.deadline - service.ctx.clock.monotonic()
         longest = FORWARDED_SILENCE_SECONDS if source.state.is_host else SILENCE_SECONDS
-        failure = await source.fill(
-            caller, min(remaining, longest), remaining > longest, extra_wait
-        )
+        failure = await source.fill(min(remaining, longest), extend)
         if failure is not None:
             yield failure
             return
@@ -163,7 +170,7 @@
 async def _resume(
     service: RelayService,
     req: RelayRequest,
-    caller: CallerConnection,
+    caller: Caller,
     progress: Progress,
     lost: Failure,
 ) -> StreamSource | Failure:
--- a/peridotdock/relay/waits.py
+++ b/peridotdock/relay/waits.py
@@ -9,7 +9,8 @@
 from peridotdock.decisions.permits import Permit, retry_after
 from peridotdock.decisions.waiting import UNREACHABLE_RETRY_SECONDS, may_try_cut_off
 from peridotdock.errors import Failure, Kind
-from peridotdock.relay.caller import CallerConnection
+from peridotdock.relay.caller import Caller
+from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.item_waits import ItemWaits
 from peridotdock.relay.permits import EndpointPermits
@@ -38,18 +39,18 @@
         self.is_draining: Callable[[], bool] = lambda: False
 
     async def wait_until_usable(
-        self, req: RelayRequest, caller: CallerConnection, progress: Progress
+        self, req: RelayRequest, caller: Caller, progress: Progress
     ) -> Failure | None:
         """Wait until some endpoint may serve the request."""
-        service, inference, software = progress.service, req.head.inference, progress.software
+        service, software = progress.service, progress.software
         if software is not None and not self._fleet.has_software(service, software):
             return Failure(Kind.NO_ENDPOINT, f"none of software {software}")
-        states = self._fleet.usable(service, inference, software)
+        states = self._find_usable(req, progress)
         if progress.refusals and all(state.key in progress.avoid for state in states):
             refusal = await self._back_off(req, caller, progress)
             if refusal is not None:
                 return refusal
-            states = self._fleet.usable(service, inference, software)
+            states = self._find_usable(req, progress)
         if self._fleet.is_cut_off() and not may_try_cut_off(
             len(states), progress.sends, self._ctx.clock.monotonic() - req.received_at
         ):
@@ -58,6 +59,8 @@
             )
         if states:
             return None
+        if progress.working:
+            return Failure(Kind.NO_ENDPOINT, "none but those that may work on it")
         if progress.forwarded and not self._fleet.reaches(service, software):
             return Failure(Kind.NO_ENDPOINT, "none that this host reaches")
         if progress.hosts and self._fleet.links_in_doubt():
@@ -65,8 +68,13 @@
             return Failure(Kind.OVERLOADED, reason, UNREACHABLE_RETRY_SECONDS)
         return await self._item_waits.wait(req, progress, caller)
 
+    def _find_usable(self, req: RelayRequest, progress: Progress) -> list[EndpointState]:
+        """Return the endpoints that may serve a request, without those that may work on it."""
+        states = self._fleet.usable(progress.service, req.head.inference, progress.software)
+        return [state for state in states if state.key not in progress.working]
+
     async def _back_off(
-        self, req: RelayRequest, caller: CallerConnection, progress: Progress
+        self, req: RelayRequest, caller: Caller, progress: Progress
     ) -> Failure | None:
         """Wait until an endpoint that refused the request may have capacity for it."""
         remaining = req.first_event_deadline - self._ctx.clock.monotonic()
@@ -81,7 +89,7 @@
     async def wait_until_accepting(
         self,
         req: RelayRequest,
-        caller: CallerConnection,
+        caller: Caller,
         progress: Progress,
         rows: Sequence[Candidate],
     ) -> Prediction | Failure | None:
@@ -114,7 +122,7 @@
         return None if row.backoff else Prediction(row, seconds)
 
     async def _wait_for_place(
-        self, req: RelayRequest, caller: CallerConnection, row: Candidate, count: int
+        self, req: RelayRequest, caller: Caller, row: Candidate, count: int
     ) -> Failure | None:
         """Wait for a free slot of a brittle endpoint, or reject the request."""
         now = self._ctx.clock.monotonic()
--- a/tests/relay/test_silence.py
+++ b/tests/relay/test_silence.py
@@ -102,7 +102,7 @@
 
     @run
     async def test_a_forwarded_stream_goes_on_where_no_other_host_takes_it(self):
-        async with Deployment(hosts=3, engines=ENGINES, gated=True) as found:
+        async with Deployment(hosts=3, engines=ENGINES, pages=("p1", "p2"), gated=True) as found:
             await cut_off(found)
             sent, gate, first, other = await begin_stream(found)
             busy = next(host for host in found.hosts[1:] if host.responder.in_progress)
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -280,9 +280,13 @@
         closed = asyncio.ensure_future(reader.read(1))
         resumed = asyncio.ensure_future(self.halfway_event.wait())
         await asyncio.wait({closed, resumed}, return_when=asyncio.FIRST_COMPLETED)
-        if closed.done():
+        left = closed.done()
+        if left:
             self.disconnected.append(attempt)
-        return not closed.done()
+        for task in (closed, resumed):
+            task.cancel()
+        await asyncio.gather(closed, resumed, return_exceptions=True)
+        return not left
 
     async def _wait_for_close(self, reader, attempt):
         await reader.read(1)
