Limit waits within a stream by its last event, not by the deadline of its first one

Streams whose engine had broken off, or that were to go on elsewhere, were refused at once: the hub, the wait for a load, for a permit, for a place and the pause after a refusal were told that the caller stays until the deadline of its first event. A caller that gets events stays for the same time after each one. The same holds for being in time: within a stream that is the longest pause of the route, after the last event.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -587,6 +587,13 @@
         "        self.found = None\n",
         "tests.relay.test_silence.DeadConnectionTest",
     ),
+    Mutant(
+        "a wait within a stream goes by its last event",
+        "relay/requests.py",
+        "since = self.received_at if last_event_at is None else last_event_at",
+        "since = self.received_at",
+        "tests.relay.test_silence.ResumedStreamTest",
+    ),
     Mutant(
         "a stream is bound to the software version that began it",
         "relay/service.py",
--- a/peridotdock/relay/choosing.py
+++ b/peridotdock/relay/choosing.py
@@ -94,7 +94,7 @@
         avoid |= progress.working
         if progress.software is not None:
             avoid |= self._fleet.other_software(progress.service, progress.software)
-        return await self._grants.request_grant(req, progress.service, frozenset(avoid), caller)
+        return await self._grants.request_grant(req, progress, frozenset(avoid), caller)
 
     def _use_grant(
         self, grant: GrantedEndpoint, req: RelayRequest, progress: Progress
@@ -148,7 +148,8 @@
         found = choose(candidates, work, self._ctx.rng)
         if found is None:
             return Failure(Kind.NO_ENDPOINT, progress.service, NO_ENDPOINT_RETRY_SECONDS)
-        max_wait = req.first_event_deadline - self._ctx.clock.monotonic()
+        deadline = req.next_event_deadline(progress.last_event_at)
+        max_wait = deadline - self._ctx.clock.monotonic()
         excessive = check_wait(found, work, max_wait, req.rank)
         if excessive is None or progress.maybe_ran:
             return found
--- a/peridotdock/relay/grants.py
+++ b/peridotdock/relay/grants.py
@@ -27,6 +27,7 @@
 from peridotdock.relay.caller import Caller
 from peridotdock.relay.endpoint import EndpointState, item_name
 from peridotdock.relay.fleet import RelayFleet
+from peridotdock.relay.progress import Progress
 from peridotdock.relay.requests import InferenceSpec, PromptPart, RelayRequest
 from peridotdock.requests import Loss, RequestState, loss_failure
 from peridotdock.schema.messages import Grant as GrantFrame
@@ -291,7 +292,7 @@
             call.on_reply(frame)
 
     async def request_grant(
-        self, req: RelayRequest, service: str, avoid: frozenset[str], caller: Caller
+        self, req: RelayRequest, progress: Progress, avoid: frozenset[str], caller: Caller
     ) -> GrantedEndpoint | Failure | None:
         """Return the endpoint for a prompt, or None if this host must choose itself."""
         hub = self._find_hub()
@@ -301,10 +302,12 @@
         call = GrantCall(hub, self._last_number)
         self._calls[call.number] = call
         try:
-            frame = write_wanted(call.number, req, service, avoid, self._ctx.clock.monotonic())
+            now = self._ctx.clock.monotonic()
+            frame = write_wanted(call.number, req, progress, avoid, now)
             if not self._deliver(hub, frame):
                 return None
-            reply = await self._wait_for_decision(call, req, caller)
+            deadline = req.next_event_deadline(progress.last_event_at)
+            reply = await self._wait_for_decision(call, deadline, caller)
         finally:
             del self._calls[call.number]
         if reply is None or caller.is_disconnected():
@@ -327,9 +330,12 @@
         return True
 
     async def _wait_for_decision(
-        self, call: GrantCall, req: RelayRequest, caller: Caller
+        self, call: GrantCall, deadline: float, caller: Caller
     ) -> GrantFrame | None:
-        """Return the hub's decision; None without a reply or if the hub changes meanwhile."""
+        """Return the hub's decision; None without a reply or if the hub changes meanwhile.
+
+        ``deadline`` is the monotonic time until which the caller stays.
+        """
         reply = await call.next_reply(
             caller,
             GRANT_TIMEOUT_SECONDS + GRANT_TIMEOUT_ITERATIONS * self._iterations.median_length(),
@@ -340,7 +346,7 @@
             return None
         self._backoff = MIN_HUB_BACKOFF_SECONDS
         while not is_decided(reply):
-            remaining = req.first_event_deadline - self._ctx.clock.monotonic()
+            remaining = deadline - self._ctx.clock.monotonic()
             if remaining <= 0 or caller.is_disconnected() or call.hub != self._find_hub():
                 return None
             reply = await call.next_reply(caller, min(remaining, HUB_CHECK_SECONDS)) or reply
@@ -371,22 +377,22 @@
 
 
 def write_wanted(
-    number: int, req: RelayRequest, service: str, avoid: frozenset[str], now: float
+    number: int, req: RelayRequest, progress: Progress, avoid: frozenset[str], now: float
 ) -> GrantWanted:
     """Return the frame that requests a grant for a prompt."""
     inference = req.head.inference
     return GrantWanted(
         "grant_wanted",
         number,
-        service,
+        progress.service,
         inference.model,
         inference.adapter,
         inference.prompt_tokens,
         [part.id for part in inference.parts],
         [part.tokens for part in inference.parts],
         req.rank,
-        int(1000 * (req.received_at + req.route.target - now)),
-        int(1000 * (req.first_event_deadline - now)),
+        int(1000 * (req.on_time_until(progress.last_event_at) - now)),
+        int(1000 * (req.next_event_deadline(progress.last_event_at) - now)),
         sorted(avoid),
     )
 
--- a/peridotdock/relay/item_waits.py
+++ b/peridotdock/relay/item_waits.py
@@ -39,7 +39,7 @@
     async def wait(self, req: RelayRequest, progress: Progress, caller: Caller) -> Failure | None:
         """Wait until the request can be sent; return a failure if it can't be."""
         inference, service = req.head.inference, progress.service
-        absence = self._describe(req, service, inference)
+        absence = self._describe(req, progress)
         found = decide_wait(absence)
         item = name_item(service, inference)
         self._log_wait(req, item, absence, found)
@@ -101,10 +101,10 @@
                 return loss_failure(RequestState.ADMITTED, Loss.CALLER_GONE)
         return None
 
-    def _describe(
-        self, req: RelayRequest, service: str, inference: InferenceSpec | None
-    ) -> Absence:
-        remaining = req.first_event_deadline - self._ctx.clock.monotonic()
+    def _describe(self, req: RelayRequest, progress: Progress) -> Absence:
+        service, inference = progress.service, req.head.inference
+        deadline = req.next_event_deadline(progress.last_event_at)
+        remaining = deadline - self._ctx.clock.monotonic()
         if inference is None:
             return Absence(remaining, None, PLAIN_SERVICE_WAIT_SECONDS)
         bare = InferenceSpec(inference.model, "", 0, 0, ())
--- a/peridotdock/relay/progress.py
+++ b/peridotdock/relay/progress.py
@@ -8,7 +8,8 @@
     """Counts of a request's sends, with the endpoints already tried in ``avoid``.
 
     ``maybe_ran`` counts the sends that may have run, ``refusals`` those that were refused.
-    ``last_id`` is the id of the last event that was passed on to the caller, ``software`` the
+    ``last_id`` is the id of the last event that was passed on to the caller, ``last_event_at`` the
+    monotonic time of that, None before the first one. ``software`` the
     version of the endpoints' software that began the stream, None until one has. ``hosts`` are
     those that the request was forwarded to; ``forwarded`` is set on a host that it was forwarded
     to. ``arrived`` is set once a send may have reached an endpoint: the next ones are retries.
@@ -24,6 +25,7 @@
     refusals: int = 0
     sends: int = 0
     last_id: int | None = None
+    last_event_at: float | None = None
     software: str | None = None
     hosts: set[str] = field(default_factory=set)
     forwarded: bool = False
--- a/peridotdock/relay/requests.py
+++ b/peridotdock/relay/requests.py
@@ -85,13 +85,19 @@
             return self.route.rank
         return workspace.rank
 
-    @property
-    def first_event_deadline(self) -> float:
-        """Return the monotonic time by which the first event must arrive.
+    def next_event_deadline(self, last_event_at: float | None) -> float:
+        """Return the monotonic time by which the next event must arrive.
 
-        The caller disconnects after that.
+        The caller disconnects after that. ``last_event_at`` is None before the first event.
         """
-        return min(self.deadline, self.received_at + self.route.stall_timeout)
+        since = self.received_at if last_event_at is None else last_event_at
+        return min(self.deadline, since + self.route.stall_timeout)
+
+    def on_time_until(self, last_event_at: float | None) -> float:
+        """Return the monotonic time until which the next event is in time."""
+        if last_event_at is None:
+            return self.received_at + self.route.target
+        return last_event_at + self.route.longest_pause
 
     @property
     def id(self) -> str:
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -156,6 +156,7 @@
                 if progress.last_id is not None and event.id <= progress.last_id:
                     continue
                 progress.last_id = event.id
+            progress.last_event_at = service.ctx.clock.monotonic()
             yield event.raw
         if source.ended:
             return
--- a/peridotdock/relay/waits.py
+++ b/peridotdock/relay/waits.py
@@ -77,7 +77,8 @@
         self, req: RelayRequest, caller: Caller, progress: Progress
     ) -> Failure | None:
         """Wait until an endpoint that refused the request may have capacity for it."""
-        remaining = req.first_event_deadline - self._ctx.clock.monotonic()
+        deadline = req.next_event_deadline(progress.last_event_at)
+        remaining = deadline - self._ctx.clock.monotonic()
         seconds = backoff_seconds(progress.refusals, remaining, self._ctx.rng.random)
         await asyncio.wait({caller.disconnected}, timeout=seconds)
         return (
@@ -99,9 +100,10 @@
         """
         row = min(rows, key=lambda row: row.available_in)
         if row.brittle and not row.backoff:
-            return await self._wait_for_place(req, caller, row, len(rows))
+            return await self._wait_for_place(req, caller, progress, row, len(rows))
         seconds = predict(row, self._fleet.estimate_work(progress.service, req.head.inference))
-        max_wait = max(0.0, req.first_event_deadline - self._ctx.clock.monotonic() - seconds)
+        deadline = req.next_event_deadline(progress.last_event_at)
+        max_wait = max(0.0, deadline - self._ctx.clock.monotonic() - seconds)
         if row.backoff and self.is_draining():
             # Other hosts may send there; this host may stop before an answer is complete.
             permit = Permit(False, 0.0)
@@ -122,13 +124,20 @@
         return None if row.backoff else Prediction(row, seconds)
 
     async def _wait_for_place(
-        self, req: RelayRequest, caller: Caller, row: Candidate, count: int
+        self,
+        req: RelayRequest,
+        caller: Caller,
+        progress: Progress,
+        row: Candidate,
+        count: int,
     ) -> Failure | None:
         """Wait for a free slot of a brittle endpoint, or reject the request."""
         now = self._ctx.clock.monotonic()
-        stays = req.first_event_deadline - req.received_at
+        last_event_at = progress.last_event_at
+        since = req.received_at if last_event_at is None else last_event_at
+        stays = req.next_event_deadline(last_event_at) - since
         longest = min(MAX_PLACE_WAIT_SECONDS, MAX_PLACE_WAIT_SHARE * stays)
-        give_up_at = req.received_at + longest
+        give_up_at = since + longest
         if now + row.available_in > give_up_at:
             reason = f"no free slot at {count} endpoints"
             wait = retry_after(row.available_in, self._ctx.rng.random)
--- a/tests/relay/test_silence.py
+++ b/tests/relay/test_silence.py
@@ -11,6 +11,8 @@
 SOUND_SILENCE_SECONDS = 1.6
 # Seconds after which callers of the streams disconnect if they get no event.
 CALLER_STAYS_SECONDS = 3.2
+# Seconds between two events of an engine that is slow and not silent.
+EVENT_SECONDS = 0.8
 ALL_EVENTS = [1, 2, 3, 4, 5, 6]
 ENGINES = (("e1", ("m0",)), ("e2", ("m0",)))
 
@@ -152,14 +154,18 @@
         engine = ENGINE_CONFIG | {"slots": 1}
         async with Deployment(engines=ENGINES) as found:
             found.configure(version=2, services=[{"name": "engines", "engine": engine}])
-            sent, gate, first, other = await begin_stream(found)
+            for row in found.engines.values():
+                row.delay_seconds = EVENT_SECONDS
+            sent = asyncio.ensure_future(found.send("/recap/", "a1", model="m0"))
             await asyncio.sleep(CALLER_STAYS_SECONDS + 0.2)
+            [first] = [row for row in found.engines.values() if row.executed]
+            [other] = [row for row in found.engines.values() if not row.executed]
+            other.delay_seconds = 0.0
             state = found.hosts[0].fleet.states[other.name]
             running = state.entry.slots
             load = state.load
             state.load = lambda now: (running, 0)
             asyncio.get_running_loop().call_later(0.4, setattr, state, "load", load)
-            other.halfway_event = None
             first.crash()
             status, _, body = await sent
             self.assertEqual((200, ALL_EVENTS), (status, ids(body) if status else body))
