--- a/peridotdock/relay/replacing.py
+++ b/peridotdock/relay/replacing.py
@@ -123,6 +123,8 @@
         finally:
             self._task = None
         if found is None or failed(found):
+            # What another host could not serve may still be retried when the first send is lost.
+            self._progress.final = False
             return
         if caller.is_disconnected() or not self._serves(found):
             await self._sends.discard(self._req, self._progress, found)
--- a/tests/relay/test_silence.py
+++ b/tests/relay/test_silence.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from tests.relay.deployment import ENGINE_CONFIG, Deployment
+from tests.relay.deployment import CONFIG, ENGINE_CONFIG, Deployment
 from tests.relay.test_forwarding import cut_off
 from tests.relay.test_relay import ids, run
 
@@ -53,12 +53,37 @@
     use_up_retries(found)
 
 
+def run_another_version(other, found):
+    other.software = "v2"
+    other.on_change()
+
+
+def ask_for_backoff(other, found):
+    for host in found.hosts:
+        state = host.fleet.states[other.name]
+        state.backoff_until = host.ctx.clock.monotonic() + 9.0
+
+
+def change_configuration(other, found):
+    refuse_all(other, found)
+    found.configure(version=2, routes=[row | {"timeout_ms": 5900} for row in CONFIG["routes"]])
+
+
+def drain_host(other, found):
+    refuse_all(other, found)
+    asyncio.ensure_future(found.hosts[0].drain())
+
+
 # What keeps a silent stream from going on elsewhere, after it was decided to try.
 OBSTACLES = (
     ("the other endpoint refuses", refuse_all),
     ("the other endpoint has no slot", lack_slots),
     ("the hub grants nothing", refuse_grants),
     ("no retry is left", use_up),
+    ("the other endpoint runs another software version", run_another_version),
+    ("the other endpoint asked for a backoff", ask_for_backoff),
+    ("the configuration changes meanwhile", change_configuration),
+    ("the host drains meanwhile", drain_host),
 )
 
 
