Let a frozen stand-in of a runner hold everything

Purpose: a machine that is silent for a second answers no report, order or refusal either, and ends no plain answer that it works on. The stand-in's freeze held the start of requests and the events of streams alone, so reports told hosts meanwhile that the endpoint was well. Change: requests, reports and orders under /v1/, refusals and plain answers after their work wait for the end of a freeze, and go on then. Freezes may overlap. The stand-in also records the attempts that met a scripted fault, for the soak.

--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -18,13 +18,15 @@
 ``halfway_event`` is an event that streams wait for after half of their events. ``room`` is how many
 requests may be there at once; the rest is refused. A brittle runner has ``max_refusals``: it falls
 over when it refuses more in a second: all connections are aborted and nothing listens for
-``FALL_SECONDS``; ``fall_times`` records that. ``freeze`` lets it be silent for some seconds and
-then go on.
+``FALL_SECONDS``; ``fall_times`` records that. ``freeze`` holds everything for some seconds, as a
+machine that does not run: requests, reports, orders and the rest of answers. Connections stay open,
+and what was held goes on afterwards.
 
 Records: ``requests`` received; ids of attempts ``executed``, and ``disconnected`` by the caller;
 ``connection_count``; ``call_times`` of all requests, with reports and orders; ``request_times``:
 the same times with the attempt ids; ``refusals``: time, attempt id, ``retry_after`` and peer port;
-``max_models_held`` at once.
+``max_models_held`` at once; ``spoilt``: ids of attempts that met a behavior other than ``serve``
+and ``refuse``.
 
 ``restart`` starts the runner again under the same id, without models and with its order sequence
 at 0. Connections from before stay open and unanswered, as after a crash behind a network partition.
@@ -54,6 +56,7 @@
         self.requests = []
         self.executed = []
         self.disconnected = []
+        self.spoilt = set()
         self.connection_count = 0
         self.call_times = []
         self.request_times = []
@@ -74,6 +77,7 @@
         self.fall_times = []
         self._full_times = []
         self._in_work = 0
+        self._freeze_count = 0
         self._awake = asyncio.Event()
         self._awake.set()
         self.on_crash = lambda: None
@@ -100,10 +104,15 @@
         self.on_crash()
 
     async def freeze(self, seconds):
-        """Answer nothing for some seconds, then go on."""
+        """Do and answer nothing for some seconds, then go on; freezes may overlap."""
+        self._freeze_count += 1
         self._awake.clear()
-        await asyncio.sleep(seconds)
-        self._awake.set()
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self._freeze_count -= 1
+            if not self._freeze_count:
+                self._awake.set()
 
     def _refuse_full(self):
         """Count a refusal for want of room; fall over at too many in a second."""
@@ -165,13 +174,14 @@
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         self.call_times.append(asyncio.get_running_loop().time())
         self.request_times.append((self.call_times[-1], headers.get("x-attempt-id", "")))
+        if not target.startswith("/v1/"):
+            self.requests.append((method, target, headers, body))
+        await self._awake.wait()
         if target.startswith("/v1/"):
             status, answer = self._control(target, headers, body)
             writer.write(frame(status, json.dumps(answer).encode(), self.extra_headers))
             await writer.drain()
             return True
-        self.requests.append((method, target, headers, body))
-        await self._awake.wait()
         if self._in_work >= self.room:
             self._refuse_full()
             writer.write(frame(503, b"", self.extra_headers | {"x-not-executed": "1"}))
@@ -203,6 +213,8 @@
     async def _answer(self, reader, writer, headers, body):
         behavior = self.script.pop(0) if self.script else "serve"
         attempt = headers.get("x-attempt-id", "")
+        if behavior not in ("serve", "refuse"):
+            self.spoilt.add(attempt)
         if headers.get("x-target-instance") != self.name:
             writer.write(frame(421, b"", self.extra_headers))
             return True
@@ -225,6 +237,7 @@
             writer.write(frame(503, b"", {"x-not-executed": "1", "x-attempt-id": "another"}))
             return True
         await asyncio.sleep(0 if "x-model" in headers else self.delay_seconds)
+        await self._awake.wait()
         if behavior == "silent":
             return await self._wait_for_close(reader, attempt)
         signed = self.extra_headers | {"x-attempt-id": attempt}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import contextlib
+import json
 import math
 import os
 import sys
 import tempfile
+import time
 import unittest
 from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 from unittest import mock
 
+import aiohttp
 from nose2.tools import params
 
 from extras import fleet_processes
@@ -38,6 +41,10 @@
 BIND = replace(PAGE, id="b", route="bind", repeatable=False)
 RECAP = replace(PAGE, id="c", route="recap", body=STREAM)
 ORDER = {"fencing_token": 1, "holder": "h0"}
+ENGINE_ORDER = ORDER | {"expected": 0, "operation": "load", "model": "m1"}
+# Seconds for which a stand-in is frozen, and for which it works on each event or plain answer.
+FREEZE_SECONDS = 0.3
+WORK_SECONDS = 0.1
 
 
 def record(*attempts, ran=(), orders=(), held=0, probes=(PAGE,)):
@@ -255,6 +262,47 @@
         asyncio.run(play())
 
 
+class FrozenRunnerTest(unittest.TestCase):
+    """Guards against a silent machine that still answers reports, orders or plain requests."""
+
+    @params(
+        ("a report", "GET /v1/report", "serve", 0.0, 200),
+        ("an order", "POST /v1/orders", "serve", 0.0, 202),
+        ("a plain request", "GET /fetch/1", "serve", 0.0, 200),
+        ("a plain request in work", "GET /fetch/1", "serve", WORK_SECONDS / 2, 200),
+        ("a refusal", "GET /fetch/1", "refuse", 0.0, 503),
+        ("a stream", "POST /recap/1", "serve", 0.0, 200),
+        ("a stream after its head", "POST /recap/1", "serve", WORK_SECONDS / 2, 200),
+    )
+    def test_a_frozen_runner_holds_everything_and_goes_on(
+        self, name, line, behavior, frozen_after, status
+    ):
+        async def freeze(runner):
+            await asyncio.sleep(frozen_after)
+            await asyncio.gather(runner.freeze(FREEZE_SECONDS), runner.freeze(FREEZE_SECONDS / 2))
+
+        async def play():
+            runner = await RunnerStandin("e1", ("m0",)).start()
+            runner.script, runner.delay_seconds = [behavior], WORK_SECONDS
+            started_at = time.monotonic()
+            frozen = asyncio.ensure_future(freeze(runner))
+            await asyncio.sleep(0)
+            method, path = line.split()
+            headers = {"x-target-instance": "e1"} | ({"x-model": "m0"} if "recap" in path else {})
+            url, order = f"http://{runner.address}{path}", json.dumps(ENGINE_ORDER)
+            async with (
+                aiohttp.ClientSession() as session,
+                session.request(method, url, data=order, headers=headers) as resp,
+            ):
+                await resp.read()
+            self.assertEqual(status, resp.status, name)
+            self.assertGreater(time.monotonic() - started_at, frozen_after + FREEZE_SECONDS, name)
+            await frozen
+            await runner.stop()
+
+        asyncio.run(play())
+
+
 class PlanTest(unittest.TestCase):
     @params(1, 2, 3, 5, 10, 77)
     def test_a_seed_always_gives_the_same_plan(self, seed):
