Play silences of several endpoints in the soak, and count answers that break off

Purpose: answers broke off unfinished while sound endpoints were silent for about a second. The soak's silences were those of one proxied link at a time, and no check counted an answer that ended for no reason. The check reports each answer with a head of an endpoint that ended before its deadline. Excused are the ends that the promise names: the endpoint that signed the head crashed, fell over or was stopped, its proxy was silent or reset within the attempt, the attempt met a scripted fault, or the process of its host was killed or within 0.7 s of SIGKILL after a SIGTERM.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+from dataclasses import replace
 from pathlib import Path
 
 import aiohttp
@@ -22,11 +23,16 @@
 from extras.soak.partitions import silence_endpoints
 from extras.soak.plan import MAX_FAULT_SECONDS, Plan, draw_plan
 from extras.soak.proxy import Proxy
-from tests.standins.runner import EVENTS_PER_STREAM, RunnerStandin
+from extras.soak.silences import silence_in_series
+from tests.standins.runner import EVENTS_PER_STREAM, FALL_SECONDS, RunnerStandin
 
 CALLER_COUNT = 8
 # Callers that use all hosts, also those that the directory leaves out as they are cut off.
 DIRECT_CALLER_COUNT = 20
+# Callers that send streams alone while endpoints are silent, and the seconds of each event then.
+STREAM_CALLER_COUNT = 32
+STREAM_ROUTES = ("recap", "once")
+SLOW_EVENT_SECONDS = 0.15
 # Callers that also repeat one request that crashes endpoints.
 POISON_CALLER_COUNT = 2
 # Seconds that hosts have after the last fault to recover before probes are sent.
@@ -105,6 +111,16 @@
             if plan.brittle:
                 deployment.make_brittle()
                 record.brittle_since = 0.0
+        if plan.silent:
+            rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
+            deployment.slow_streams(SLOW_EVENT_SECONDS)
+            work.append(silence_in_series(deployment, seconds, rng))
+            work += [
+                Caller(n, deployment, record, started_at, plan.seed, routes=STREAM_ROUTES).run(
+                    plan.seconds
+                )
+                for n in range(CALLER_COUNT + 1, CALLER_COUNT + 1 + STREAM_CALLER_COUNT)
+            ]
         if plan.restored:
             rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
             work.append(deployment.restore_store(seconds, rng))
@@ -160,6 +176,10 @@
     if deployment.partitions is not None:
         record.partitions = [row.shifted(started_at) for row in deployment.partitions.done]
     record.disturbed = [row.shifted(started_at) for row in deployment.disturbed]
+    record.host_ends = {name: at - started_at for name, at in deployment.host_ends.items()}
+    for host in deployment.hosts:
+        for attempt_id, name in host.read_forwarded():
+            record.forwarded.setdefault(attempt_id, set()).add(name)
     record.limited_endpoints = deployment.limited_endpoints
     links = deployment.links | deployment.closed_links
     for runner in (*deployment.engines, *deployment.pages, *deployment.stopped_runners):
@@ -168,9 +188,9 @@
         record.orders[runner.name] = runner.orders
         record.max_held[runner.name] = runner.max_models_held
         draining_from = deployment.draining_from.get(runner.name, math.inf)
-        record.endpoint_records.append(
-            read_endpoint_record(runner, links[runner.name], draining_from, started_at)
-        )
+        row = read_endpoint_record(runner, links[runner.name], draining_from, started_at)
+        ended_at = deployment.endpoint_ends.get(runner.name, math.inf) - started_at
+        record.endpoint_records.append(replace(row, ended_at=ended_at))
 
 
 def read_endpoint_record(
@@ -186,7 +206,15 @@
         for at, name, seconds, port in runner.refusals
         if not link.lost(port, at)
     ]
-    return EndpointRecord(requests, backoffs, draining_from - started_at)
+    cuts = [*link.cuts, *((at, at + FALL_SECONDS) for at in runner.fall_times)]
+    return EndpointRecord(
+        requests,
+        backoffs,
+        draining_from - started_at,
+        runner.name,
+        cuts=[(since - started_at, until - started_at) for since, until in cuts],
+        spoilt=frozenset(runner.spoilt),
+    )
 
 
 def describe(plan: Plan) -> str:
--- a/extras/soak/callers.py
+++ b/extras/soak/callers.py
@@ -4,11 +4,13 @@
 import itertools
 import random
 import time
+from collections.abc import Sequence
 
 import aiohttp
 
 from extras.soak.checks import MODEL_ROUTES, NOT_RUN, Attempt, Record
 from extras.soak.deployment import POISON_BODY, SoakDeployment
+from tests.relay.deployment import ROUTES
 
 # Seconds for which a caller caches resolved addresses; every fourth caller uses three times this.
 ADDRESS_TTL_SECONDS = 1.0
@@ -19,13 +21,19 @@
 MEAN_POISON_PAUSE_SECONDS = 0.3
 POISON_MODEL = "m0"
 REPEATABLE_ROUTES = {"recap": True, "once": False, "bind": False, "fetch": True}
+DEADLINE_SECONDS = 6.0
+DEADLINE_MS = str(round(1000 * DEADLINE_SECONDS))
+# Seconds that the routes allow; a route that is added is a copy of the last one.
+ROUTE_SECONDS = {route["name"]: route["timeout_ms"] / 1000 for route in ROUTES}
+EXTRA_ROUTE_SECONDS = ROUTES[-1]["timeout_ms"] / 1000
 CONNECT_ERRORS = (aiohttp.ClientConnectorError,)
 
 
 class Caller:
     """One caller; ``started_at`` is the start of the run in monotonic seconds.
 
-    A ``direct`` one keeps to the addresses of all hosts, whatever the directory says.
+    A ``direct`` one keeps to the addresses of all hosts, whatever the directory says. One with
+    ``routes`` sends requests of these alone.
     """
 
     def __init__(
@@ -36,7 +44,9 @@
         started_at: float,
         seed: int,
         direct: bool = False,
+        routes: Sequence[str] = (),
     ):
+        self._routes = routes
         self._direct = direct
         self._deployment = deployment
         self._record = record
@@ -70,7 +80,7 @@
 
     async def send(self, session: aiohttp.ClientSession, attempts: list[Attempt]) -> None:
         """Send one request, with one retry if it is allowed, and append the attempts to a list."""
-        route = self._rng.choice([*REPEATABLE_ROUTES, *self._extra_routes()])
+        route = self._rng.choice(self._routes or [*REPEATABLE_ROUTES, *self._extra_routes()])
         for _ in range(2):
             attempt = await self._attempt(session, route)
             if attempt is None:
@@ -90,7 +100,8 @@
         if address is None:
             return None
         attempt_id, started_at = next(self._ids), self._now()
-        headers = {"host": "shop.example", "x-attempt-id": attempt_id, "x-deadline-ms": "6000"}
+        seconds = min(ROUTE_SECONDS.get(route, EXTRA_ROUTE_SECONDS), DEADLINE_SECONDS)
+        headers = {"host": "shop.example", "x-attempt-id": attempt_id, "x-deadline-ms": DEADLINE_MS}
         if route in MODEL_ROUTES:
             model = POISON_MODEL if body else self._rng.choice(["m0", "m1"])
             headers |= {"x-model": model, "x-token-counts": "900,20"}
@@ -129,6 +140,7 @@
             answer,
             complete,
             signature,
+            started_at + seconds,
         )
 
     def _discard_address(self, address: str) -> None:
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -38,6 +38,8 @@
 RETRY_SHARE = 0.2
 RETRY_EXTRA = 58
 RETRY_WINDOW_SECONDS = 10
+# Seconds within which an answer breaks off when a host that it came through has ended.
+HOST_LOSS_SECONDS = 0.5
 # Routes whose requests go to engines; all others go to endpoints of the plain service.
 MODEL_ROUTES = frozenset({"recap", "once"})
 # Seconds after which hosts that are cut off must serve, and brittle endpoints stay up. The share of
@@ -69,12 +71,29 @@
 
     ``backoffs`` are its refusals: the time, the attempt id and the seconds of backoff that it asked
     for. ``draining_from`` is when it started to announce that it drains, infinite if it never does.
+    ``ended_at`` is when it crashed, fell over or was stopped. ``cuts`` are the times from and until
+    which a proxy cut its connections. ``spoilt`` are the ids of attempts with a scripted fault.
     Times are in seconds since the start of the run.
     """
 
     requests: list[tuple[float, str]]
     backoffs: list[tuple[float, str, float]]
     draining_from: float = math.inf
+    name: str = ""
+    ended_at: float = math.inf
+    cuts: Sequence[tuple[float, float]] = ()
+    spoilt: frozenset[str] = frozenset()
+
+    def spoils(self, attempt: "Attempt") -> bool:
+        """Return whether the endpoint or its connections may have ended an attempt's answer."""
+        return (
+            attempt.id in self.spoilt
+            or self.ended_at <= attempt.ended_at
+            or any(
+                since <= attempt.ended_at and attempt.started_at <= until
+                for since, until in self.cuts
+            )
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +131,8 @@
     """One attempt of a caller. ``status`` is 0 if the connection ended before a response head.
 
     ``complete`` is true if the response ended properly. Times are in seconds since the start of the
-    run. ``incarnation`` names the host process that received the attempt.
+    run. ``incarnation`` names the host process that received the attempt. ``deadline`` is the time
+    until which it had to be served.
     """
 
     id: str
@@ -125,6 +145,12 @@
     body: bytes
     complete: bool
     signature: str
+    deadline: float = math.inf
+
+    @property
+    def broken_off(self) -> bool:
+        """Return whether the answer of an endpoint ended after its head and before its end."""
+        return self.status != 0 and bool(self.signature) and not self.complete
 
 
 @dataclass
@@ -132,8 +158,11 @@
     """What the callers and endpoints of a run have recorded.
 
     ``ran`` holds the ids of the attempts that endpoints ran, ``missed_changes`` the changes after a
-    restore of the store that a host did not follow in time. ``falls`` are the times and names of
-    endpoints that fell over, ``brittle_since`` when they began to announce that they may.
+    restore of the store that a host did not follow in time. ``host_ends`` are the times by host
+    process from which it may end requests: it was killed, or its grace period was over.
+    ``forwarded`` are the hosts by attempt that other hosts forwarded it to. ``falls``
+    are the times and names of endpoints that fell over, ``brittle_since`` when they began to
+    announce that they may.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -147,6 +176,8 @@
     missed_changes: list[str] = field(default_factory=list)
     partitions: list[Partition] = field(default_factory=list)
     disturbed: list[Disturbance] = field(default_factory=list)
+    host_ends: dict[str, float] = field(default_factory=dict)
+    forwarded: dict[str, set[str]] = field(default_factory=dict)
     falls: list[tuple[float, str]] = field(default_factory=list)
     brittle_since: float = math.inf
 
@@ -222,6 +253,47 @@
             yield f"{attempt.id}: {attempt.route} was cut off by planned work"
 
 
+def check_unbroken(record: Record) -> Iterable[str]:
+    """An answer was broken off before its deadline, though its endpoint and host were sound.
+
+    The endpoint is the one that signed the head.
+    """
+    endpoints = {f"by {row.name}": row for row in record.endpoint_records if row.name}
+    for attempt in (*record.attempts, *record.probes):
+        endpoint = endpoints.get(attempt.signature)
+        if endpoint is None or not attempt.broken_off or attempt.deadline <= attempt.ended_at:
+            continue
+        if not (
+            host_ended(record, attempt) or endpoint.spoils(attempt) or is_cut_off(record, attempt)
+        ):
+            yield (
+                f"{attempt.id}: {attempt.route} of {endpoint.name} at {attempt.incarnation}, begun"
+                f" at {attempt.started_at:.2f} s, was broken off at {attempt.ended_at:.2f} s after"
+                f" {len(attempt.body)} bytes"
+            )
+
+
+def host_ended(record: Record, attempt: Attempt) -> bool:
+    """Return whether an attempt's host, or one that it was forwarded to, may have ended it."""
+    if record.host_ends.get(attempt.incarnation, math.inf) <= attempt.ended_at:
+        return True
+    return any(
+        name_of(process) in record.forwarded.get(attempt.id, ())
+        and 0 <= attempt.ended_at - ended_at <= HOST_LOSS_SECONDS
+        for process, ended_at in record.host_ends.items()
+    )
+
+
+def is_cut_off(record: Record, attempt: Attempt) -> bool:
+    """Return whether an attempt's host was cut off from all endpoints during it."""
+    return any(
+        host_of(attempt) in cut.hosts
+        and cut.since <= attempt.ended_at
+        and attempt.started_at <= cut.until
+        for cut in record.partitions
+    )
+
+
 def check_recovery(record: Record) -> Iterable[str]:
     """Too many requests still fail after all faults have ended."""
     served = sum(1 for probe in record.probes if probe.status == 200 and probe.complete)
@@ -357,7 +429,12 @@
 
 def host_of(attempt: Attempt) -> str:
     """Return the name of the host that received an attempt."""
-    return attempt.incarnation.rpartition("-")[0]
+    return name_of(attempt.incarnation)
+
+
+def name_of(process: str) -> str:
+    """Return the name of a host from that of one of its processes."""
+    return process.rpartition("-")[0]
 
 
 def is_disturbed(record: Record, attempt: Attempt) -> bool:
@@ -403,6 +480,7 @@
         *check_refusals(record),
         *check_orders(record, max_models),
         *check_config(record),
+        *check_unbroken(record),
         *check_recovery(record),
         *check_poison(record),
         *check_limits(record),
--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -34,6 +35,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 ENGINES = 3
 PAGES = 3
+# Text of a log line of a host that forwarded a request to another one.
+FORWARDED_EVENT = '"event": "forwarded"'
 # Models that fit on an engine of the configuration: each uses 60 of 200 MB.
 MODELS_FIT = 3
 EVENT_SECONDS = 0.03
@@ -41,6 +44,8 @@
 # Half of the seconds for which a draining endpoint still serves.
 DRAIN_SECONDS = 2.0
 STOP_SECONDS = 3
+# Seconds before the end of that by which a stopping host ends all answers.
+STOP_MARGIN_SECONDS = 0.7
 # Requests that a brittle endpoint runs at once, and refusals in a second that it bears.
 BRITTLE_SLOTS = 8
 BRITTLE_REFUSALS = 3
@@ -133,6 +138,13 @@
             "cwd": self._checkout,
         }
 
+    def read_forwarded(self) -> Iterator[tuple[str, str]]:
+        """Yield, from the log, the ids of attempts that were forwarded, and the hosts."""
+        for line in self._log.read_text().splitlines():
+            if FORWARDED_EVENT in line:
+                row = json.loads(line)
+                yield row["request"], row["detail"].removeprefix("to ").partition(",")[0]
+
     def signal(self, number: int) -> None:
         """Send a signal to the process, if it is running."""
         if self._child is not None and self._child.poll() is None:
@@ -171,6 +183,8 @@
         self.version = 1
         self.crash_times: list[float] = []
         self.disturbed: list[Disturbance] = []
+        self.host_ends: dict[str, float] = {}
+        self.endpoint_ends: dict[str, float] = {}
         self.limited_endpoints: list[LimitedEndpoint] = []
         self.draining_from: dict[str, float] = {}
         self._draining: dict[str, tuple[RunnerStandin, str]] = {}
@@ -221,6 +235,11 @@
         runner.on_change = lambda: self._register(runner, service)
         runner.on_change()
 
+    def slow_streams(self, seconds: float) -> None:
+        """Let engines take that many seconds for each event."""
+        for runner in self.engines:
+            runner.delay_seconds = seconds
+
     def make_brittle(self) -> None:
         """Let the endpoints of the plain service have few slots and fall over under refusals."""
         for runner in self.pages:
@@ -296,7 +315,7 @@
         self.store.restore(copy)
         await asyncio.sleep(REREAD_SECONDS)
         self.store.faults["forget"] = DROPPED_HISTORIES_PER_HOST * len(self.hosts)
-        self._add_route()
+        self.add_route()
         self._register(after, "pages", state="draining")
         for number in range(2 * LOST_VERSIONS):
             self.store.put("other", "row", str(number).encode())
@@ -305,6 +324,7 @@
     def _on_crash(self, runner: RunnerStandin) -> None:
         """Record that a request has crashed an endpoint, and start to replace the endpoint."""
         self.crash_times.append(time.monotonic())
+        self.endpoint_ends.setdefault(runner.name, time.monotonic())
         if runner not in (*self.engines, *self.pages):
             # The endpoint was draining and has been replaced already.
             return
@@ -352,6 +372,8 @@
         return pools[target]
 
     async def _stop(self, host: HostProcess, seconds: float) -> None:
+        grace = STOP_SECONDS - STOP_MARGIN_SECONDS
+        self.host_ends[host.incarnation] = time.monotonic() + grace
         host.signal(signal.SIGTERM)
         await host.wait(STOP_SECONDS + 0.5)
         host.start()
@@ -361,6 +383,7 @@
         host.signal(signal.SIGHUP)
 
     async def _kill(self, host: HostProcess, seconds: float) -> None:
+        self.host_ends[host.incarnation] = time.monotonic()
         host.signal(signal.SIGKILL)
         await host.wait(1.0)
         await asyncio.sleep(seconds)
@@ -372,9 +395,10 @@
         host.signal(signal.SIGCONT)
 
     async def _config(self, store: TableStandin, seconds: float) -> None:
-        self._add_route()
+        self.add_route()
 
-    def _add_route(self) -> None:
+    def add_route(self) -> None:
+        """Add a route to the configuration."""
         self.version += 3
         route = dict(ROUTES[-1], name=f"extra-{self.version}", prefix=f"/extra-{self.version}/")
         self.routes = [*self.routes, route]
@@ -409,23 +433,19 @@
 
     async def _stop_runner(self, runner: RunnerStandin) -> None:
         self.stopped_runners.append(runner)
+        self.endpoint_ends.setdefault(runner.name, time.monotonic())
         link = self.closed_links[runner.name] = self.links.pop(runner.name)
         await link.stop()
         await runner.stop()
 
-    async def _set_mode(self, link: Proxy, mode: str, seconds: float) -> None:
-        link.mode = mode
-        await asyncio.sleep(seconds)
-        link.mode = "pass"
-
     async def _delay(self, link: Proxy, seconds: float) -> None:
-        await self._set_mode(link, "delay", seconds)
+        await link.play("delay", seconds)
 
     async def _silence(self, link: Proxy, seconds: float) -> None:
-        await self._set_mode(link, "silence", seconds)
+        await link.play("silence", seconds)
 
     async def _one_way(self, link: Proxy, seconds: float) -> None:
-        await self._set_mode(link, "one_way", seconds)
+        await link.play("one_way", seconds)
 
     async def _reset(self, link: Proxy, seconds: float) -> None:
         link.reset()
@@ -436,7 +456,7 @@
         store.faults["down"] = False
 
     async def _store_silent(self, store: TableStandin, seconds: float) -> None:
-        await self._set_mode(self.store_link, "silence", seconds)
+        await self.store_link.play("silence", seconds)
 
     async def _store_loses(self, store: TableStandin, seconds: float) -> None:
         store.faults["lose"] += 3
--- a/extras/soak/plan.py
+++ b/extras/soak/plan.py
@@ -19,6 +19,10 @@
 # One seed in this many has hosts that are cut off from all endpoints, and one in twice as many has
 # endpoints that fall over when they refuse too many requests.
 PARTITIONED_EVERY = 3
+# One seed in this many has endpoints that are silent at once, again and again, while the
+# configuration changes. Beside that it has faults of these kinds, and nothing of other seeds.
+SILENT_EVERY = 7
+KINDS_BESIDE_SILENCE = frozenset({"stop", "reload", "kill", "config"})
 # One seed in this many has a store that comes back from older copies of its rows.
 RESTORED_EVERY = 3
 
@@ -82,20 +86,30 @@
         """Return whether the plan holds planned work alone."""
         return self.seed % PLANNED_EVERY == 0
 
+    @property
+    def silent(self) -> bool:
+        """Return whether endpoints are silent at once, in series."""
+        return is_silent(self.seed)
+
+    @property
+    def _mixed(self) -> bool:
+        """Return whether faults of all kinds are drawn."""
+        return not self.maintenance_only and not self.silent
+
     @property
     def poisoned(self) -> bool:
         """Return whether callers repeat a request that crashes endpoints."""
-        return not self.maintenance_only and self.seed % POISON_EVERY == POISON_EVERY - 1
+        return self._mixed and self.seed % POISON_EVERY == POISON_EVERY - 1
 
     @property
     def overloaded(self) -> bool:
         """Return whether endpoints announce limits, backoffs and draining in their answers."""
-        return self.seed % OVERLOADED_EVERY == 1
+        return not self.silent and self.seed % OVERLOADED_EVERY == 1
 
     @property
     def partitioned(self) -> bool:
         """Return whether hosts are cut off from all endpoints."""
-        return not self.maintenance_only and self.seed % PARTITIONED_EVERY == 0
+        return self._mixed and self.seed % PARTITIONED_EVERY == 0
 
     @property
     def brittle(self) -> bool:
@@ -105,13 +119,25 @@
     @property
     def restored(self) -> bool:
         """Return whether the store comes back from older copies of its rows."""
-        return self.seed % RESTORED_EVERY == 2
+        return not self.silent and self.seed % RESTORED_EVERY == 2
+
+
+def is_silent(seed: int) -> bool:
+    """Return whether endpoints are silent at once in a seed's run; planned work goes first."""
+    return seed % PLANNED_EVERY != 0 and seed % SILENT_EVERY == 0
+
+
+def draws(seed: int, kind: Kind) -> bool:
+    """Return whether faults of a kind are drawn for a seed."""
+    if is_silent(seed):
+        return kind.name in KINDS_BESIDE_SILENCE
+    return kind.planned or seed % PLANNED_EVERY != 0
 
 
 def draw_plan(seed: int, seconds: float) -> Plan:
     """Draw the plan of a run with ``seconds`` of traffic."""
     rng = random.Random(seed)
-    kinds = [kind for kind in KINDS if kind.planned or seed % PLANNED_EVERY]
+    kinds = [kind for kind in KINDS if draws(seed, kind)]
     weights = [kind.weight for kind in kinds]
     faults = []
     at = FIRST_FAULT_SECONDS
--- a/extras/soak/proxy.py
+++ b/extras/soak/proxy.py
@@ -9,6 +9,8 @@
 READ_BYTES = 65536
 # Longest time, in seconds, from the write of an answer by the target to its arrival at the proxy.
 TRANSIT_SECONDS = 0.1
+# Modes that drop bytes.
+CUTTING_MODES = frozenset({"silence", "one_way"})
 # SO_LINGER with a time of 0: closing the socket sends RST instead of FIN.
 RESET = struct.pack("ii", 1, 0)
 
@@ -18,7 +20,8 @@
 
     ``delay`` holds each chunk back for DELAY_SECONDS, ``silence`` reads bytes and drops them, and
     ``one_way`` drops answers alone. A connection that has dropped bytes stays silent when the mode
-    ends, as if a device on the way had lost its state; new connections work.
+    ends, as if a device on the way had lost its state; new connections work. ``cuts`` are the times
+    of the loop from and until which connections were cut: reset, or silent in a direction.
     """
 
     MODES = ("pass", "delay", "silence", "one_way")
@@ -30,6 +33,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._silent_since: dict[int, float] = {}
         self.mode = "pass"
+        self.cuts: list[tuple[float, float]] = []
 
     def lost(self, port: int, at: float) -> bool:
         """Return whether the proxy dropped an answer that the target wrote at a time of the loop.
@@ -54,12 +58,23 @@
 
     def reset(self) -> None:
         """Reset all open connections."""
+        now = asyncio.get_running_loop().time()
+        self.cuts.append((now, now))
         for writer in list(self._writers):
             sock = writer.get_extra_info("socket")
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             writer.transport.abort()
 
+    async def play(self, mode: str, seconds: float) -> None:
+        """Take a mode for some seconds."""
+        since = asyncio.get_running_loop().time()
+        self.mode = mode
+        await asyncio.sleep(seconds)
+        self.mode = "pass"
+        if mode in CUTTING_MODES:
+            self.cuts.append((since, asyncio.get_running_loop().time()))
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         self._tasks.add(task)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -51,6 +51,24 @@
     return Record(list(attempts), list(ran), {"e": list(orders)}, {"e": held}, list(probes))
 
 
+CUT = Partition(0.0, 9.0, frozenset({"h0"}), "reset")
+BROKEN = replace(RECAP, body=STREAM[:14], complete=False, deadline=7.0)
+
+
+def broken_record(attempt=BROKEN, host_ends=math.inf, cut=None, other_ends=None, **endpoint):
+    """Return a record of an answer that broke off, at an endpoint that was sound by default."""
+    rows = [EndpointRecord([(1.0, attempt.id)], [], name="p", **endpoint)]
+    ends = {attempt.incarnation: host_ends, "h1-1": other_ends or math.inf}
+    partitions = [cut] if cut else []
+    found = record(attempt, ran=[attempt.id])
+    return replace(found, endpoint_records=rows, host_ends=ends, partitions=partitions)
+
+
+def forwarded_record(ended_at, **forwarded):
+    """Return a record of an answer broken off at 1.1 s, and of the end of another host."""
+    return replace(broken_record(other_ends=ended_at), forwarded=forwarded)
+
+
 def retry_record(retries, seconds=5.0):
     """Return a record of one request and of its arrivals, which are spread over some time."""
     times = [1.0 + seconds * n / retries for n in range(retries + 1)]
@@ -58,9 +76,6 @@
     return replace(record(PAGE, probes=(PAGE,) * 4), endpoint_records=rows)
 
 
-CUT = Partition(0.0, 9.0, frozenset({"h0"}), "reset")
-
-
 def partition_record(served, cut=CUT):
     """Return a record of 20 attempts at a host that is cut off, and of 20 at another."""
     rows = [
@@ -90,6 +105,29 @@
         ("a lower term", record(orders=[ORDER | {"fencing_token": 2}, ORDER]), True),
         ("too many models", record(held=4), True),
         ("a missed change", replace(record(PAGE), missed_changes=["h0: no route /x/"]), True),
+        ("an answer of a sound endpoint is broken off", broken_record(), True),
+        ("after one from another endpoint", broken_record(spoilt=frozenset({"z"})), True),
+        ("its proxy cut connections before", broken_record(cuts=[(0.2, 0.9)]), True),
+        ("its host was stopped later", broken_record(host_ends=1.2), True),
+        ("a plain answer is broken off", broken_record(replace(BROKEN, route="fetch")), True),
+        ("an error is broken off", broken_record(replace(BROKEN, status=500)), True),
+        (
+            "another host was cut off",
+            broken_record(cut=replace(CUT, hosts=frozenset({"h1"}))),
+            True,
+        ),
+        ("a host that it was not forwarded to was killed", forwarded_record(1.05), True),
+        ("one that it was forwarded to, long before", forwarded_record(0.3, c={"h1"}), True),
+        ("one that it was forwarded to, afterwards", forwarded_record(1.2, c={"h1"}), True),
+        ("a host that it was forwarded to was killed", forwarded_record(1.05, c={"h1"}), False),
+        ("a whole answer", broken_record(RECAP), False),
+        ("no head came", broken_record(replace(BROKEN, status=0, signature="")), False),
+        ("its deadline had passed", broken_record(replace(BROKEN, deadline=1.05)), False),
+        ("its endpoint ended", broken_record(ended_at=1.05), False),
+        ("its answer met a scripted fault", broken_record(spoilt=frozenset({"c"})), False),
+        ("its proxy cut connections", broken_record(cuts=[(0.2, 1.05)]), False),
+        ("its host was killed", broken_record(host_ends=1.05), False),
+        ("its host was cut off", broken_record(cut=CUT), False),
         (
             "a route is forgotten",
             record(PAGE, replace(PAGE, id="d", started_at=2.0, status=404)),
@@ -312,6 +350,16 @@
         if seed % PLANNED_EVERY == 0:
             self.assertTrue(plan.maintenance_only and all(f.kind.planned for f in plan.faults))
 
+    @params((7, True), (14, True), (11, False), (35, False))
+    def test_endpoints_stay_sound_in_seeds_of_silences(self, seed, silent):
+        plan = draw_plan(seed, 60.0)
+        others = (plan.poisoned, plan.overloaded, plan.partitioned, plan.restored)
+        self.assertEqual(silent, plan.silent)
+        if silent:
+            kinds = {fault.kind.name for fault in plan.faults}
+            self.assertEqual({"stop", "reload", "kill", "config"}, kinds)
+            self.assertFalse(any(others))
+
 
 class RunTest(unittest.TestCase):
     @params(2, 3, 4, 5)
