--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -45,6 +45,8 @@
 # Seconds for which a stand-in is frozen, and for which it works on each event or plain answer.
 FREEZE_SECONDS = 0.3
 WORK_SECONDS = 0.1
+# Seconds of traffic, of which the last three are without faults.
+SILENT_RUN_SECONDS = 8.0
 
 
 def record(*attempts, ran=(), orders=(), held=0, probes=(PAGE,)):
@@ -385,3 +387,16 @@
             self.assertEqual(
                 [], asyncio.run(run_plan(draw_plan(seed, seconds), hosts, Path(folder)))
             )
+
+
+class SilentRunTest(unittest.TestCase):
+    @params(7)
+    def test_silent_endpoints_break_off_no_answer(self, seed):
+        """Guards against answers that end unfinished while sound endpoints are silent for a moment.
+
+        The connection to a silent endpoint was ended before another one had begun, and that one was
+        refused.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            found = asyncio.run(run_plan(draw_plan(seed, SILENT_RUN_SECONDS), 3, Path(folder)))
+            self.assertEqual([], found)
