--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import contextlib
+import json
 import math
 import os
 import sys
 import tempfile
+import time
 import unittest
 from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 from unittest import mock
 
+import aiohttp
 from nose2.tools import params
 
 from extras import fleet_processes
@@ -38,12 +41,36 @@
 BIND = replace(PAGE, id="b", route="bind", repeatable=False)
 RECAP = replace(PAGE, id="c", route="recap", body=STREAM)
 ORDER = {"fencing_token": 1, "holder": "h0"}
+ENGINE_ORDER = ORDER | {"expected": 0, "operation": "load", "model": "m1"}
+# Seconds for which a stand-in is frozen, and for which it works on each event or plain answer.
+FREEZE_SECONDS = 0.3
+WORK_SECONDS = 0.1
+# Seconds of traffic, of which the last three are without faults.
+SILENT_RUN_SECONDS = 8.0
 
 
 def record(*attempts, ran=(), orders=(), held=0, probes=(PAGE,)):
     return Record(list(attempts), list(ran), {"e": list(orders)}, {"e": held}, list(probes))
 
 
+CUT = Partition(0.0, 9.0, frozenset({"h0"}), "reset")
+BROKEN = replace(RECAP, body=STREAM[:14], complete=False, deadline=7.0)
+
+
+def broken_record(attempt=BROKEN, host_ends=math.inf, cut=None, other_ends=None, **endpoint):
+    """Return a record of an answer that broke off, at an endpoint that was sound by default."""
+    rows = [EndpointRecord([(1.0, attempt.id)], [], name="p", **endpoint)]
+    ends = {attempt.incarnation: host_ends, "h1-1": other_ends or math.inf}
+    partitions = [cut] if cut else []
+    found = record(attempt, ran=[attempt.id])
+    return replace(found, endpoint_records=rows, host_ends=ends, partitions=partitions)
+
+
+def forwarded_record(ended_at, **forwarded):
+    """Return a record of an answer broken off at 1.1 s, and of the end of another host."""
+    return replace(broken_record(other_ends=ended_at), forwarded=forwarded)
+
+
 def retry_record(retries, seconds=5.0):
     """Return a record of one request and of its arrivals, which are spread over some time."""
     times = [1.0 + seconds * n / retries for n in range(retries + 1)]
@@ -51,9 +78,6 @@
     return replace(record(PAGE, probes=(PAGE,) * 4), endpoint_records=rows)
 
 
-CUT = Partition(0.0, 9.0, frozenset({"h0"}), "reset")
-
-
 def partition_record(served, cut=CUT):
     """Return a record of 20 attempts at a host that is cut off, and of 20 at another."""
     rows = [
@@ -83,6 +107,29 @@
         ("a lower term", record(orders=[ORDER | {"fencing_token": 2}, ORDER]), True),
         ("too many models", record(held=4), True),
         ("a missed change", replace(record(PAGE), missed_changes=["h0: no route /x/"]), True),
+        ("an answer of a sound endpoint is broken off", broken_record(), True),
+        ("after one from another endpoint", broken_record(spoilt=frozenset({"z"})), True),
+        ("its proxy cut connections before", broken_record(cuts=[(0.2, 0.9)]), True),
+        ("its host was stopped later", broken_record(host_ends=1.2), True),
+        ("a plain answer is broken off", broken_record(replace(BROKEN, route="fetch")), True),
+        ("an error is broken off", broken_record(replace(BROKEN, status=500)), True),
+        (
+            "another host was cut off",
+            broken_record(cut=replace(CUT, hosts=frozenset({"h1"}))),
+            True,
+        ),
+        ("a host that it was not forwarded to was killed", forwarded_record(1.05), True),
+        ("one that it was forwarded to, long before", forwarded_record(0.3, c={"h1"}), True),
+        ("one that it was forwarded to, afterwards", forwarded_record(1.2, c={"h1"}), True),
+        ("a host that it was forwarded to was killed", forwarded_record(1.05, c={"h1"}), False),
+        ("a whole answer", broken_record(RECAP), False),
+        ("no head came", broken_record(replace(BROKEN, status=0, signature="")), False),
+        ("its deadline had passed", broken_record(replace(BROKEN, deadline=1.05)), False),
+        ("its endpoint ended", broken_record(ended_at=1.05), False),
+        ("its answer met a scripted fault", broken_record(spoilt=frozenset({"c"})), False),
+        ("its proxy cut connections", broken_record(cuts=[(0.2, 1.05)]), False),
+        ("its host was killed", broken_record(host_ends=1.05), False),
+        ("its host was cut off", broken_record(cut=CUT), False),
         (
             "a route is forgotten",
             record(PAGE, replace(PAGE, id="d", started_at=2.0, status=404)),
@@ -255,6 +302,47 @@
         asyncio.run(play())
 
 
+class FrozenRunnerTest(unittest.TestCase):
+    """Guards against a silent machine that still answers reports, orders or plain requests."""
+
+    @params(
+        ("a report", "GET /v1/report", "serve", 0.0, 200),
+        ("an order", "POST /v1/orders", "serve", 0.0, 202),
+        ("a plain request", "GET /fetch/1", "serve", 0.0, 200),
+        ("a plain request in work", "GET /fetch/1", "serve", WORK_SECONDS / 2, 200),
+        ("a refusal", "GET /fetch/1", "refuse", 0.0, 503),
+        ("a stream", "POST /recap/1", "serve", 0.0, 200),
+        ("a stream after its head", "POST /recap/1", "serve", WORK_SECONDS / 2, 200),
+    )
+    def test_a_frozen_runner_holds_everything_and_goes_on(
+        self, name, line, behavior, frozen_after, status
+    ):
+        async def freeze(runner):
+            await asyncio.sleep(frozen_after)
+            await asyncio.gather(runner.freeze(FREEZE_SECONDS), runner.freeze(FREEZE_SECONDS / 2))
+
+        async def play():
+            runner = await RunnerStandin("e1", ("m0",)).start()
+            runner.script, runner.delay_seconds = [behavior], WORK_SECONDS
+            started_at = time.monotonic()
+            frozen = asyncio.ensure_future(freeze(runner))
+            await asyncio.sleep(0)
+            method, path = line.split()
+            headers = {"x-target-instance": "e1"} | ({"x-model": "m0"} if "recap" in path else {})
+            url, order = f"http://{runner.address}{path}", json.dumps(ENGINE_ORDER)
+            async with (
+                aiohttp.ClientSession() as session,
+                session.request(method, url, data=order, headers=headers) as resp,
+            ):
+                await resp.read()
+            self.assertEqual(status, resp.status, name)
+            self.assertGreater(time.monotonic() - started_at, frozen_after + FREEZE_SECONDS, name)
+            await frozen
+            await runner.stop()
+
+        asyncio.run(play())
+
+
 class PlanTest(unittest.TestCase):
     @params(1, 2, 3, 5, 10, 77)
     def test_a_seed_always_gives_the_same_plan(self, seed):
@@ -264,6 +352,16 @@
         if seed % PLANNED_EVERY == 0:
             self.assertTrue(plan.maintenance_only and all(f.kind.planned for f in plan.faults))
 
+    @params((7, True), (14, True), (11, False), (35, False))
+    def test_endpoints_stay_sound_in_seeds_of_silences(self, seed, silent):
+        plan = draw_plan(seed, 60.0)
+        others = (plan.poisoned, plan.overloaded, plan.partitioned, plan.restored)
+        self.assertEqual(silent, plan.silent)
+        if silent:
+            kinds = {fault.kind.name for fault in plan.faults}
+            self.assertEqual({"stop", "reload", "kill", "config"}, kinds)
+            self.assertFalse(any(others))
+
 
 class RunTest(unittest.TestCase):
     @params(2, 3, 4, 5)
@@ -289,3 +387,16 @@
             self.assertEqual(
                 [], asyncio.run(run_plan(draw_plan(seed, seconds), hosts, Path(folder)))
             )
+
+
+class SilentRunTest(unittest.TestCase):
+    @params(7)
+    def test_silent_endpoints_break_off_no_answer(self, seed):
+        """Guards against answers that end unfinished while sound endpoints are silent for a moment.
+
+        The connection to a silent endpoint was ended before another one had begun, and that one was
+        refused.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            found = asyncio.run(run_plan(draw_plan(seed, SILENT_RUN_SECONDS), 3, Path(folder)))
+            self.assertEqual([], found)
