--- a/peridotdock/relay/attempt.py
+++ b/peridotdock/relay/attempt.py
@@ -8,7 +8,7 @@
 from peridotdock.clients.endpoint import OpenResponse
 from peridotdock.clients.http import TRANSFER_ERRORS
 from peridotdock.errors import Failure, Kind
-from peridotdock.relay.caller import Caller
+from peridotdock.relay.caller import SendCaller
 from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.events import EventSplitter, StreamEvent
 from peridotdock.relay.requests import AnswerHead
@@ -108,7 +108,7 @@
     state: EndpointState
     head: AnswerHead
     opened: OpenResponse
-    caller: Caller
+    caller: SendCaller
     software: str | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     ready: list[StreamEvent] = field(default_factory=list)
@@ -158,4 +158,5 @@
         """Release the connection, which is closed if it was not read to the end."""
         self._stall_timeout.close()
         self.caller.disconnected.remove_done_callback(self.abort)
+        self.caller.close()
         await self.opened.release()
--- a/peridotdock/relay/caller.py
+++ b/peridotdock/relay/caller.py
@@ -50,6 +50,10 @@
     def _on_disconnect(self, _: object) -> None:
         self.end()
 
+    def close(self) -> None:
+        """Stop watching the caller: this send has ended."""
+        self._caller.disconnected.remove_done_callback(self._on_disconnect)
+
     def end(self) -> None:
         """End this send, as another one has answered."""
         if not self.disconnected.done():
--- a/peridotdock/relay/forwarding.py
+++ b/peridotdock/relay/forwarding.py
@@ -87,6 +87,9 @@
         """
         if progress.forwarded or len(progress.hosts) >= MAX_FORWARDS:
             return None
+        if progress.working and not self._links.partitioned:
+            # The other host might choose an endpoint that may work on the request already.
+            return None
         service, inference, software = progress.service, req.head.inference, progress.software
         if not self._links.doubtful and self._fleet.usable(service, inference, software):
             return None
--- a/peridotdock/relay/grants.py
+++ b/peridotdock/relay/grants.py
@@ -270,6 +270,8 @@
         self._calls: dict[int, GrantCall] = {}
         self._backoff = MIN_HUB_BACKOFF_SECONDS
         self._backoff_until = 0.0
+        # Called with the endpoint of a grant whose prompt is not sent.
+        self.on_unused: Callable[[str], None] = lambda endpoint: None
 
     def on_frame(self, host: str, frame: GrantWanted | GrantFrame | GrantDropped) -> None:
         """Handle a frame of another host."""
@@ -313,6 +315,8 @@
         if reply is None or caller.is_disconnected():
             self._deliver(hub, GrantDropped("grant_dropped", call.number))
         if caller.is_disconnected():
+            if reply is not None and reply.endpoint:
+                self.on_unused(reply.endpoint)
             return loss_failure(RequestState.ADMITTED, Loss.CALLER_GONE)
         if reply is None:
             return None
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -124,6 +124,7 @@
         mesh.on_permit = self.permits.on_frame
         self.grants.server.permit_waits = self.permits.wait_and_gap
         self.grants.server.spend_permit = self.permits.spend
+        self.grants.on_unused = self.permits.give_back_unused
         self.grants.server.count_running = self.permits.running
         self.peers.queued = self.grants.server.queued
         self.blocklist = Blocklist(ctx, self.peers.facts, self.fleet.has_ended, self.peers.is_hub)
--- a/peridotdock/relay/permits.py
+++ b/peridotdock/relay/permits.py
@@ -104,6 +104,12 @@
             self.give_back(state)
         return permit
 
+    def give_back_unused(self, key: str) -> None:
+        """Give back the place that came with a grant for the endpoint with this id, if any."""
+        state = self._fleet.states.get(key)
+        if state is not None and state.brittle:
+            self.give_back(state)
+
     def give_back(self, state: EndpointState) -> None:
         """Tell the hub that a request which had a place has ended or was not sent."""
         hub = self._peers.hub()
--- a/peridotdock/relay/replacing.py
+++ b/peridotdock/relay/replacing.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from peridotdock.context import Context
@@ -17,8 +18,15 @@
 from peridotdock.relay.progress import Progress
 from peridotdock.relay.requests import RelayRequest
 
-# Seconds between two checks whether the send of a silent endpoint can be replaced.
+# Seconds without an event after which a stream is to be resumed elsewhere; callers disconnect after
+# two. The silent endpoint may still go on first.
+SILENCE_SECONDS = 1.2
+# The same for a send through another host, which looks for another endpoint first.
+FORWARDED_SILENCE_SECONDS = 1.7
+# Seconds between two checks whether the send of a silent endpoint can be replaced, and between two
+# sends elsewhere.
 CHECK_SECONDS = 0.25
+RETRY_SECONDS = 0.5
 
 Answer = CompleteAnswer | StreamSource
 
@@ -30,14 +38,21 @@
     # Replacements that are under way: the event loop itself refers to tasks only weakly.
     replacing: set[asyncio.Task[None]]
 
-    def reserve_replacement(
-        self, req: RelayRequest, caller: Caller, progress: Progress, state: EndpointState
-    ) -> bool:
-        """Return whether a send at a silent endpoint may be replaced; reserve its retry."""
+    def may_replace(self, silent: "SilentSend", uncounted: int) -> bool:
+        """Return whether the request may be sent elsewhere while a send is silent.
 
-    def log_silent(self, req: RelayRequest, progress: Progress, state: EndpointState) -> None:
+        ``uncounted`` is 1 if that send does not count yet as one that may run, else 0.
+        """
+
+    def reserve_replacement(self, silent: "SilentSend") -> bool:
+        """Reserve a retry for the send elsewhere; return False if none is left."""
+
+    def log_silent(self, silent: "SilentSend") -> None:
         """Log that an endpoint is silent, and what else could serve."""
 
+    def record_silence(self, state: EndpointState) -> None:
+        """Record a silence against an endpoint, so that other requests avoid it for a while."""
+
     async def open_answer(
         self, req: RelayRequest, caller: Caller, progress: Progress
     ) -> Answer | Failure:
@@ -47,36 +62,37 @@
         """Close the connection of an answer that is not needed."""
 
 
+@dataclass(frozen=True, slots=True)
+class SilentSend:
+    """A send whose endpoint may be silent; ``state`` may be a host that it went through.
+
+    ``streaming`` tells whether events have arrived, so that only a stream can go on from there.
+    """
+
+    req: RelayRequest
+    caller: Caller
+    progress: Progress
+    state: EndpointState
+    streaming: bool
+
+
 class Replacement:
     """Replaces one send of a request while its endpoint is silent.
 
-    ``end_first`` ends that send. ``counted`` tells whether it counts in ``progress`` as one that
-    may have run. ``began`` is set once the request was sent elsewhere, ``found`` is the answer to
-    that. An answer to a stream that has begun can only be a stream.
+    ``end_send`` ends that send. ``began`` is set once the request was sent elsewhere, ``found`` is
+    the answer to that.
     """
 
-    def __init__(
-        self,
-        sends: Sends,
-        req: RelayRequest,
-        caller: Caller,
-        progress: Progress,
-        state: EndpointState,
-        end_first: Callable[[], None],
-        counted: bool,
-    ):
+    def __init__(self, sends: Sends, silent: SilentSend, end_send: Callable[[], None]):
         self._sends = sends
-        self._req = req
-        self._caller = caller
-        self._progress = progress
-        self._state = state
-        self._end_first = end_first
-        self._counted = counted
-        self._streaming = counted
+        self._silent = silent
+        self._end_send = end_send
+        self._next_try_at = float("-inf")
         self._logged = False
+        self._recorded = False
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
-        self._send_caller: SendCaller | None = None
+        self._caller: SendCaller | None = None
         self.began = False
         self.found: Answer | None = None
 
@@ -84,73 +100,100 @@
         """Replace the send if it has no answer after ``seconds``."""
         self._timer = asyncio.get_running_loop().call_later(seconds, self._on_timer)
 
+    def stop_timer(self) -> None:
+        """Do not replace the send: its answer arrives."""
+        if self._timer is not None:
+            self._timer.cancel()
+
     def _on_timer(self) -> None:
-        self.try_now()
         self.start_timer(CHECK_SECONDS)
+        self.try_now()
 
     def try_now(self) -> None:
         """Send the request elsewhere, unless that is under way or not possible at present."""
-        if self._task is not None or self.found is not None:
+        now = self._sends.ctx.clock.monotonic()
+        if self._task is not None or self.found is not None or now < self._next_try_at:
             return
         if not self._logged:
             self._logged = True
-            self._sends.log_silent(self._req, self._progress, self._state)
-        # The first send may run: it counts before the next one is allowed.
-        self._count_first(1)
-        if not self._sends.reserve_replacement(
-            self._req, self._caller, self._progress, self._state
-        ):
-            self._count_first(-1)
+            self._sends.log_silent(self._silent)
+        if not self._sends.may_replace(self._silent, self._uncounted()):
             return
-        self.began = self._counted = True
-        self._progress.working.add(self._state.key)
-        self._send_caller = SendCaller(self._caller)
-        self._task = asyncio.ensure_future(self._send(self._send_caller))
+        if not self._sends.reserve_replacement(self._silent):
+            return
+        self._begin()
+
+    def _begin(self) -> None:
+        silent = self._silent
+        if not self._recorded:
+            self._recorded = True
+            self._sends.record_silence(silent.state)
+        # The silent send may run, and counts before the next one.
+        silent.progress.maybe_ran += self._uncounted()
+        self.began = True
+        if not silent.state.is_host:
+            silent.progress.working.add(silent.state.key)
+        self._caller = SendCaller(silent.caller)
+        self._task = asyncio.ensure_future(self._send(self._caller))
         self._sends.replacing.add(self._task)
         self._task.add_done_callback(self._sends.replacing.discard)
 
-    def _count_first(self, number: int) -> None:
-        if not self._counted:
-            self._progress.maybe_ran += number
+    def _uncounted(self) -> int:
+        """Return 1 until the silent send counts as one that may run; a stream counts already."""
+        return 0 if self.began or self._silent.streaming else 1
 
     async def _send(self, caller: SendCaller) -> None:
+        req, progress = self._silent.req, self._silent.progress
+        refusals, hosts = progress.refusals, set(progress.hosts)
         found: Answer | Failure | None = None
         try:
-            found = await self._sends.open_answer(self._req, caller, self._progress)
+            found = await self._sends.open_answer(req, caller, progress)
         except Exception as exc:
-            # The first send goes on, so the request is not lost with this one.
+            # The silent send goes on, so the request is not lost with this one.
             self._log("replacement_failed", "ERROR", f"{type(exc).__name__}: {exc}")
         finally:
             self._task = None
         if found is None or failed(found):
-            # What another host could not serve may still be retried when the first send is lost.
-            self._progress.final = False
+            caller.close()
+            # What refused this send may serve a later one.
+            progress.final, progress.refusals, progress.hosts = False, refusals, hosts
+            self._next_try_at = self._sends.ctx.clock.monotonic() + RETRY_SECONDS
             return
         if caller.is_disconnected() or not self._serves(found):
-            await self._sends.discard(self._req, self._progress, found)
+            await self._sends.discard(req, progress, found)
             return
         self.found = found
         self._log("send_replaced", "INFO", f"by {found.state.key}")
-        self._end_first()
+        self._end_send()
 
     def _serves(self, found: Answer) -> bool:
         if isinstance(found, StreamSource):
             return True
-        return not self._streaming and not found.is_server_error
+        return not self._silent.streaming and not found.is_server_error
 
     def _log(self, event: str, level: str, detail: str) -> None:
+        silent = self._silent
         self._sends.ctx.timeline.add(
-            event, level, request=self._req.id, endpoint=self._state.key, detail=detail
+            event, level, request=silent.req.id, endpoint=silent.state.key, detail=detail
         )
 
     def drop(self) -> None:
-        """End the send elsewhere, as the first endpoint has sent something."""
-        self._logged = False
+        """End the send elsewhere, as the silent endpoint has sent something."""
+        if self._recorded:
+            self._silent.state.health.record_success()
+        self._logged = self._recorded = False
+        self._end()
+
+    def _end(self) -> None:
         if self._task is not None:
-            self._send_caller.end()
+            self._caller.end()
 
     async def take(self) -> Answer | None:
-        """Return the answer from elsewhere, None if there is none; wait while it is under way."""
+        """Return the answer from elsewhere, None if there is none; wait while it is under way.
+
+        The silent send has ended, so its endpoint may be chosen again.
+        """
+        self._silent.progress.working.discard(self._silent.state.key)
         if self._task is not None:
             await asyncio.wait({self._task})
         found, self.found = self.found, None
@@ -158,10 +201,9 @@
 
     async def close(self) -> None:
         """End what is left of the replacement."""
-        if self._timer is not None:
-            self._timer.cancel()
-        self.drop()
-        self._progress.working.discard(self._state.key)
+        self.stop_timer()
+        self._end()
+        self._silent.progress.working.discard(self._silent.state.key)
         found, self.found = self.found, None
         if found is not None:
-            await self._sends.discard(self._req, self._progress, found)
+            await self._sends.discard(self._silent.req, self._silent.progress, found)
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -18,10 +18,10 @@
 from peridotdock.relay.choosing import Chooser
 from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.fleet import RelayFleet
-from peridotdock.relay.forwarding import Forwarder
+from peridotdock.relay.forwarding import Forwarder, host_state
 from peridotdock.relay.item_waits import name_item
 from peridotdock.relay.progress import Progress
-from peridotdock.relay.replacing import Replacement
+from peridotdock.relay.replacing import FORWARDED_SILENCE_SECONDS, Replacement, SilentSend
 from peridotdock.relay.requests import RelayRequest
 from peridotdock.relay.retry_budgets import RetryBudgets
 from peridotdock.relay.sending import NOT_RUN_KINDS, SUCCESS, PendingAnswer, Sender, wait_for
@@ -149,17 +149,45 @@
         if not self._retries.take(progress, req.id):
             return NO_RETRY_LEFT
         progress.sends += 1
+        silent = SilentSend(req, caller, progress, host_state(host, progress.service), False)
+        first = SendCaller(caller)
+        replacement = Replacement(self, silent, first.end)
+        streaming = False
+        try:
+            found = await self._send_through(silent, first, host, replacement)
+            streaming = isinstance(found, StreamSource) and found.caller is first
+            return found
+        finally:
+            await replacement.close()
+            if not streaming:
+                first.close()
+
+    async def _send_through(
+        self, silent: SilentSend, caller: SendCaller, host: Member, replacement: Replacement
+    ) -> CompleteAnswer | StreamSource | Failure:
+        """Send through another host; return its answer, or that of what replaced it."""
+        req, progress = silent.req, silent.progress
+        if req.route.repeatable:
+            replacement.start_timer(FORWARDED_SILENCE_SECONDS)
         found = await self._forwarder.send(req, caller, progress, host)
         if not failed(found):
+            if not begins_stream(req, found):
+                replacement.stop_timer()
             found = await self._read(req, caller, progress.service, found)
-            if failed(found):
+            if failed(found) and not caller.is_disconnected():
                 self._forwarder.record_lost(req, host.fact.host, found)
-        progress.maybe_ran += not failed(found) or found.may_have_run
-        self._retries.settle(progress, progress.arrived or has_arrived(found))
+        if replacement.found is not None:
+            await self.discard(req, progress, found)
+            return await replacement.take()
+        may_have_run = not failed(found) or found.may_have_run
+        progress.maybe_ran += may_have_run - replacement.began
+        if not replacement.began:
+            self._retries.settle(progress, progress.arrived or has_arrived(found))
         bind_software(progress, found)
+        better = None if is_answer(found) else await replacement.take()
         # A complete answer is the best of the other host's own sends.
         progress.final = progress.final or isinstance(found, CompleteAnswer)
-        return found
+        return better or found
 
     async def _admit(
         self, req: RelayRequest, caller: Caller, progress: Progress
@@ -191,6 +219,23 @@
         found: CompleteAnswer | Failure,
     ) -> bool:
         """Whether a retry is safe, allowed by the route, and within the retry budget."""
+        if not self._retry_allowed(req, caller, progress, found):
+            return False
+        cause = str(found.kind) if failed(found) else f"status {found.head.status}"
+        return self._retries.reserve(progress, req.id, cause)
+
+    def _retry_allowed(
+        self,
+        req: RelayRequest,
+        caller: Caller,
+        progress: Progress,
+        found: CompleteAnswer | Failure,
+        uncounted: int = 0,
+    ) -> bool:
+        """Whether a retry is safe and allowed by the route.
+
+        ``uncounted`` is the number of sends that may run and do not count in ``progress`` yet.
+        """
         now = self.ctx.clock.monotonic()
         if caller.is_disconnected() or now >= req.deadline or progress.final:
             return False
@@ -199,43 +244,51 @@
         may_have_run = not failed(found) or found.may_have_run
         if may_have_run and not req.route.repeatable:
             return False
-        if progress.maybe_ran >= req.route.max_sends or progress.refusals > MAX_REFUSALS:
+        sends_left = progress.maybe_ran + uncounted < req.route.max_sends
+        return sends_left and progress.refusals <= MAX_REFUSALS
+
+    def may_replace(self, silent: SilentSend, uncounted: int) -> bool:
+        """Return whether the request may be sent elsewhere while a send is silent.
+
+        ``uncounted`` is 1 if that send does not count yet as one that may run, else 0.
+        """
+        if not self._has_alternative(silent):
             return False
-        cause = str(found.kind) if failed(found) else f"status {found.head.status}"
-        return self._retries.reserve(progress, req.id, cause)
+        return self._retry_allowed(silent.req, silent.caller, silent.progress, SILENT, uncounted)
 
-    def reserve_replacement(
-        self, req: RelayRequest, caller: Caller, progress: Progress, state: EndpointState
-    ) -> bool:
-        """Return whether a send at a silent endpoint may be replaced; reserve its retry.
+    def _has_alternative(self, silent: SilentSend) -> bool:
+        """Return whether another endpoint than the silent one may serve a request.
 
         Failure guarded against: the only endpoint with the model is overloaded and sends no event
         for a second. The request is sent there once more, and both sends wait longer.
         """
-        if not self._served_elsewhere(req, progress, state):
+        req, progress, cut_off = silent.req, silent.progress, self._forwarder.is_cut_off()
+        if (silent.state.is_host or cut_off) and self._forwarder.can_forward(req, progress):
+            return True
+        if cut_off:
             return False
+        now = self.ctx.clock.monotonic()
+        working = progress.working | {silent.state.key}
+        states = self.fleet.usable(progress.service, req.head.inference, progress.software)
+        others = [row for row in states if row.key not in working]
+        # Within a stream the silence is sure, and those that are suspect may be silent as well.
+        return any(not silent.streaming or not row.health.suspect(now) for row in others)
+
+    def reserve_replacement(self, silent: SilentSend) -> bool:
+        """Reserve a retry for the send elsewhere; return False if none is left."""
+        progress = silent.progress
         if not self._retries.available(progress.service):
             return False
         self._retries.settle(progress, arrived=True)
-        if not self.may_retry(req, caller, progress, SILENT):
-            return False
+        return self._retries.reserve(progress, silent.req.id, "silence")
+
+    def record_silence(self, state: EndpointState) -> None:
+        """Record a silence against an endpoint, so that other requests avoid it for a while."""
         if state.is_host:
             self._forwarder.avoid(state.key)
-            return True
+            return
         state.health.record_loss(self.ctx.clock.monotonic())
         self.on_lost(state.key)
-        return True
-
-    def _served_elsewhere(
-        self, req: RelayRequest, progress: Progress, state: EndpointState
-    ) -> bool:
-        """Return whether another endpoint may serve a request than the silent one."""
-        if state.is_host or self._forwarder.is_cut_off():
-            return self._forwarder.can_forward(req, progress)
-        now = self.ctx.clock.monotonic()
-        states = self.fleet.usable(progress.service, req.head.inference, progress.software)
-        working = progress.working | {state.key}
-        return any(row.key not in working and not row.health.suspect(now) for row in states)
 
     async def discard(
         self, req: RelayRequest, progress: Progress, found: CompleteAnswer | StreamSource | Failure
@@ -245,8 +298,9 @@
             self.fleet.request_ended(found.state, req.id, progress.service, complete=False)
             await found.close()
 
-    def log_silent(self, req: RelayRequest, progress: Progress, state: EndpointState) -> None:
+    def log_silent(self, silent: SilentSend) -> None:
         """Log that an endpoint is silent, and what else could serve."""
+        req, progress, state = silent.req, silent.progress, silent.state
         now = self.ctx.clock.monotonic()
         states = self.fleet.usable(progress.service, req.head.inference, progress.software)
         others = [other for other in states if other.key != state.key]
@@ -290,33 +344,50 @@
         )
         alone = prediction.candidate.queued_tokens == 0 if prediction.granted else None
         self.fleet.request_sent(state, req.id, inference, tokens, alone, prediction.placed)
-        started_at = self.ctx.clock.monotonic()
-        streaming = False
+        silent = SilentSend(req, caller, progress, state, streaming=False)
         first = SendCaller(caller)
-        replacement = Replacement(self, req, caller, progress, state, first.end, counted=False)
-        if req.route.repeatable:
-            replacement.start_timer(first_event_timeout(prediction.seconds))
+        replacement = Replacement(self, silent, first.end)
+        streaming = False
         try:
-            resume = req.head.resume_after if progress.last_id is None else str(progress.last_id)
-            sent = await self.sender.send(req, state, first, choose_priority(req), resume)
-            found = sent if failed(sent) else await self._read(req, first, progress.service, sent)
-            if replacement.found is None:
-                if not replacement.began:
-                    self._retries.settle(progress, has_arrived(found))
-                bind_software(progress, found)
-                self._record_outcome(req, state, found, progress, replacement.began)
-                self._record_overdue(req, state, found, prediction.seconds, started_at)
-                streaming = isinstance(found, StreamSource)
-                if is_answer(found):
-                    return found
-            elif isinstance(found, StreamSource):
-                await found.close()
-            return await replacement.take() or found
+            found = await self._send_chosen(silent, first, prediction, replacement)
+            streaming = isinstance(found, StreamSource) and found.caller is first
+            return found
         finally:
             await replacement.close()
             if not streaming:
+                first.close()
                 self.fleet.request_ended(state, req.id, progress.service, complete=False)
 
+    async def _send_chosen(
+        self,
+        silent: SilentSend,
+        caller: SendCaller,
+        prediction: Prediction,
+        replacement: Replacement,
+    ) -> CompleteAnswer | StreamSource | Failure:
+        """Send to the chosen endpoint; return its answer, or that of the one that replaced it."""
+        req, progress, state = silent.req, silent.progress, silent.state
+        started_at = self.ctx.clock.monotonic()
+        if req.route.repeatable:
+            replacement.start_timer(first_event_timeout(prediction.seconds))
+        resume = req.head.resume_after if progress.last_id is None else str(progress.last_id)
+        sent = await self.sender.send(req, state, caller, choose_priority(req), resume)
+        if not failed(sent) and not begins_stream(req, sent):
+            replacement.stop_timer()
+        found = sent if failed(sent) else await self._read(req, caller, progress.service, sent)
+        if replacement.found is not None:
+            # The other endpoint was first, and its software version is bound.
+            await self.discard(req, progress, found)
+            return await replacement.take()
+        if not replacement.began:
+            self._retries.settle(progress, has_arrived(found))
+        bind_software(progress, found)
+        self._record_outcome(req, state, found, progress, replacement.began)
+        self._record_overdue(req, state, found, prediction.seconds, started_at)
+        if is_answer(found):
+            return found
+        return await replacement.take() or found
+
     def _log_send(self, req: RelayRequest, progress: Progress, prediction: Prediction) -> None:
         """Log the chosen endpoint and the state by which it was chosen."""
         chosen, inference = prediction.candidate, req.head.inference
@@ -345,11 +416,11 @@
         )
 
     async def _read(
-        self, req: RelayRequest, caller: Caller, service: str, sent: PendingAnswer
+        self, req: RelayRequest, caller: SendCaller, service: str, sent: PendingAnswer
     ) -> CompleteAnswer | StreamSource | Failure:
         """Read a complete answer, or a stream up to its first events."""
         remaining = req.deadline - self.ctx.clock.monotonic()
-        if sent.head.status in SUCCESS and req.route.streams:
+        if begins_stream(req, sent):
             source = StreamSource(sent.state, sent.head, sent.opened, caller, sent.software)
             failure = await source.fill(remaining)
             if failure is not None:
@@ -384,7 +455,7 @@
         """
         now = self.ctx.clock.monotonic()
         may_have_run = not failed(found) or found.may_have_run
-        progress.maybe_ran += may_have_run and not counted
+        progress.maybe_ran += may_have_run - counted
         if not failed(found):
             erred = isinstance(found, CompleteAnswer) and found.is_server_error
             state.health.record_error(now) if erred else state.health.record_success()
@@ -452,6 +523,11 @@
         )
 
 
+def begins_stream(req: RelayRequest, sent: PendingAnswer) -> bool:
+    """Return whether the body of an answer is a stream of events."""
+    return sent.head.status in SUCCESS and req.route.streams
+
+
 def is_answer(found: CompleteAnswer | StreamSource | Failure) -> bool:
     """Return whether a result is an answer for the caller, not a failure of an endpoint."""
     return isinstance(found, StreamSource) or (not failed(found) and not found.is_server_error)
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -7,16 +7,16 @@
 from peridotdock.relay.caller import Caller
 from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.progress import Progress
-from peridotdock.relay.replacing import CHECK_SECONDS, Replacement
+from peridotdock.relay.replacing import (
+    CHECK_SECONDS,
+    FORWARDED_SILENCE_SECONDS,
+    SILENCE_SECONDS,
+    Replacement,
+    SilentSend,
+)
 from peridotdock.relay.requests import RelayRequest
 from peridotdock.relay.service import RelayService
 
-# Seconds without an event after which a stream is to be resumed elsewhere; callers disconnect after
-# two. The silent endpoint may still go on first.
-SILENCE_SECONDS = 1.2
-# The same for a stream through another host, which looks for another endpoint first.
-FORWARDED_SILENCE_SECONDS = 1.7
-
 
 class PauseTracker:
     """Records the longest pause between events of a stream, and its endpoint's load then.
@@ -90,9 +90,8 @@
     while True:
         outcome: Failure | None = None
         found: CompleteAnswer | StreamSource | Failure | None = None
-        replacement = Replacement(
-            service, req, caller, progress, source.state, source.abort, counted=True
-        )
+        silent = SilentSend(req, caller, progress, source.state, streaming=True)
+        replacement = Replacement(service, silent, source.abort)
         try:
             async for raw in _relay_source(service, req, progress, source, pauses, replacement):
                 if failed(raw):
@@ -137,8 +136,8 @@
 ) -> AsyncIterator[bytes | Failure]:
     """Yield one endpoint's events, and finally a failure if the endpoint is lost or replaced."""
 
-    def extend() -> float:
-        """Return how long to wait on for a silent endpoint, 0 at the deadline."""
+    def send_elsewhere() -> float:
+        """Send the request to another endpoint too; return how long to wait on, 0 to give up."""
         remaining = req.deadline - service.ctx.clock.monotonic()
         if remaining > 0:
             replacement.try_now()
@@ -162,7 +161,7 @@
             return
         remaining = req.deadline - service.ctx.clock.monotonic()
         longest = FORWARDED_SILENCE_SECONDS if source.state.is_host else SILENCE_SECONDS
-        failure = await source.fill(min(remaining, longest), extend)
+        failure = await source.fill(min(remaining, longest), send_elsewhere)
         if failure is not None:
             yield failure
             return
--- /dev/null
+++ b/tests/relay/test_replacing.py
@@ -0,0 +1,228 @@
+"""A second send of a request beside a silent one: what it leaves, and what it may not do."""
+
+import asyncio
+import unittest
+
+from peridotdock.decisions.connectivity import LinkState
+from peridotdock.errors import Failure, Kind
+from tests.relay.deployment import Deployment
+from tests.relay.test_forwarding import cut_off
+from tests.relay.test_relay import ids, run
+from tests.relay.test_silence import ALL_EVENTS, CALLER_STAYS_SECONDS, ENGINES, begin_stream
+from tests.standins.runner import frame
+
+PAGES = ("p1", "p2")
+# Seconds after which a second send to a silent endpoint has surely been made.
+REPLACED_SECONDS = 1.6
+
+
+def suspect_links(host):
+    """Let a host doubt its links to the endpoints, whatever it finds."""
+    links = host.connectivity.links
+    links.state = LinkState.SUSPECTED
+    links.record_probes = lambda *found: False
+    return links
+
+
+def suspect_endpoint(host, name):
+    """Let a host avoid an endpoint for some seconds, as after several losses."""
+    health = host.fleet.states[name].health
+    health._pause = 4.0
+    health.record_loss(host.ctx.clock.monotonic())
+
+
+async def finish(sent, seconds=5.0):
+    """Return the status of a stream and its events, or the error that ended it."""
+    status, _, body = await asyncio.wait_for(sent, seconds)
+    return status, ids(body) if status else body
+
+
+class LeftBehindTest(unittest.TestCase):
+    """Guards against a second send that goes on, or is counted, after the first has answered."""
+
+    @run
+    async def test_a_second_send_ends_when_the_silent_endpoint_goes_on(self):
+        async with Deployment(engines=ENGINES) as found:
+            sent, gate, first, other = await begin_stream(found)
+            progress = []
+            service = found.hosts[0].service
+            open_answer = service.open_answer
+
+            def remember(req, caller, row):
+                progress.append(row)
+                return open_answer(req, caller, row)
+
+            service.open_answer = remember
+            other.script = ["silent"]
+            await found.until(lambda: other.executed)
+            self.assertEqual({first.name}, progress[0].working)
+            gate.set()
+            self.assertEqual((200, ALL_EVENTS), await finish(sent))
+            await found.until(lambda: other.disconnected == ["a1"])
+            await found.until(lambda: not service.replacing)
+            states = found.hosts[0].fleet.states.values()
+            self.assertFalse(any(state.in_flight for state in states))
+            self.assertEqual((set(), 2), (progress[0].working, progress[0].maybe_ran))
+
+    @run
+    async def test_both_sends_end_when_the_caller_leaves(self):
+        async with Deployment(engines=ENGINES) as found:
+            sent, gate, first, other = await begin_stream(found)
+            other.script = ["silent"]
+            await found.until(lambda: other.executed)
+            sent.cancel()
+            await found.until(lambda: [first.disconnected, other.disconnected] == [["a1"]] * 2)
+            await found.until(lambda: not found.hosts[0].service.replacing)
+            self.assertEqual(0, found.hosts[0].responder.in_progress)
+
+    @run
+    async def test_a_silence_counts_once_against_its_endpoint(self):
+        async with Deployment(engines=ENGINES) as found:
+            sent, gate, first, other = await begin_stream(found)
+            host, losses, lost = found.hosts[0], [], []
+            host.fleet.states[first.name].health.record_loss = losses.append
+            host.service.on_lost = lost.append
+
+            async def deny(*call):
+                return Failure(Kind.OVERLOADED, "a wait", 0.5)
+
+            host.grants.request_grant = deny
+            await asyncio.sleep(2.6)
+            gate.set()
+            self.assertEqual((200, ALL_EVENTS), await finish(sent))
+            self.assertEqual((1, [first.name]), (len(losses), lost))
+
+
+class ReplacedTest(unittest.TestCase):
+    """Guards against callers of dead connections that wait in vain for a second send."""
+
+    @run
+    async def test_a_suspect_endpoint_is_tried_before_the_first_byte(self):
+        for path, model in (("/recap/", "m0"), ("/fetch/x", "")):
+            async with Deployment(engines=ENGINES, pages=PAGES) as found:
+                rows = (found.engines if model else found.pages).values()
+                freezes = {row.name: asyncio.ensure_future(row.freeze(20.0)) for row in rows}
+                await asyncio.sleep(0)
+                sent = asyncio.ensure_future(found.send(path, "a1", model=model))
+                await found.until(lambda rows=rows: any(row.requests for row in rows))
+                [other] = [row for row in rows if not row.requests]
+                suspect_endpoint(found.hosts[0], other.name)
+                freezes[other.name].cancel()
+                status, _, body = await asyncio.wait_for(sent, CALLER_STAYS_SECONDS)
+                self.assertEqual((200, ["a1"]), (status, other.executed), body)
+
+    @run
+    async def test_refusals_of_a_second_send_do_not_end_later_ones(self):
+        async with Deployment(engines=ENGINES) as found:
+            sent, gate, first, other = await begin_stream(found)
+            other.halfway_event = None
+            other.script = ["refuse"] * 3
+            self.assertEqual((200, ALL_EVENTS), await finish(sent))
+
+    @run
+    async def test_refusals_in_a_silence_do_not_end_a_later_retry(self):
+        async with Deployment(engines=ENGINES) as found:
+            sent, gate, first, other = await begin_stream(found)
+            other.halfway_event = None
+            other.script = ["refuse"] * 3
+            await found.until(lambda: other.refusals)
+            for row in (first, other):
+                row.delay_seconds = 0.3
+            gate.set()
+            await asyncio.sleep(0.5)
+            first.crash()
+            other.script = []
+            self.assertEqual((200, ALL_EVENTS), await finish(sent))
+
+    @run
+    async def test_a_refusal_of_another_host_does_not_end_later_tries(self):
+        async with Deployment(hosts=2, engines=ENGINES, pages=PAGES, gated=True) as found:
+            sent, gate, first, other = await begin_stream(found)
+            other.halfway_event = None
+            links = found.hosts[0].connectivity.links
+            links.state = LinkState.PARTITIONED
+
+            async def refuse(*call):
+                links.state = LinkState.CONNECTED
+                return Failure(Kind.OVERLOADED, "a wait", 0.2)
+
+            found.hosts[1].responder.respond = refuse
+            self.assertEqual((200, ALL_EVENTS), await finish(sent))
+
+    @run
+    async def test_a_stream_of_a_silent_host_goes_on_over_own_links_that_are_back(self):
+        async with Deployment(hosts=2, engines=ENGINES, pages=PAGES, gated=True) as found:
+            await cut_off(found)
+            sent, gate, first, other = await begin_stream(found)
+            first.halfway_event = other.halfway_event = None
+            await found.mend(0)
+            await found.until(lambda: not found.hosts[0].connectivity.links.doubtful)
+            found.hosts[1].service.may_replace = lambda *call: False
+            self.assertEqual((200, ALL_EVENTS), await finish(sent))
+
+    @run
+    async def test_a_request_goes_through_another_host_where_the_first_never_answers(self):
+        async with Deployment(hosts=3, engines=ENGINES, pages=PAGES, gated=True) as found:
+            await cut_off(found)
+            asked = []
+            for host in found.hosts[1:]:
+                host.responder.respond = self._hang_once(host.responder.respond, asked)
+            status, _, body = await asyncio.wait_for(found.send("/recap/", "a1", model="m0"), 4.0)
+            self.assertEqual((200, ALL_EVENTS, 2), (status, ids(body), len(asked)))
+
+    def _hang_once(self, respond, asked):
+        async def hang_once(*call):
+            asked.append(call)
+            if len(asked) == 1:
+                await asyncio.sleep(30)
+            return await respond(*call)
+
+        return hang_once
+
+
+class NeedlessTest(unittest.TestCase):
+    """Guards against second sends that nobody needs, or that run beside the first."""
+
+    @run
+    async def test_the_silent_endpoint_does_not_get_the_request_through_another_host(self):
+        async with Deployment(hosts=2, engines=ENGINES) as found:
+            sent, gate, first, other = await begin_stream(found)
+            suspect_links(found.hosts[0])
+            suspect_endpoint(found.hosts[1], other.name)
+            await asyncio.sleep(REPLACED_SECONDS)
+            self.assertEqual(["a1"], first.executed)
+            gate.set()
+            self.assertEqual((200, ALL_EVENTS), await finish(sent))
+
+    @run
+    async def test_an_answer_that_arrives_slowly_is_not_sent_for_again(self):
+        async with Deployment(pages=PAGES) as found:
+            for page in found.pages.values():
+                page._answer = self._trickle(page)
+            status, _, body = await found.send("/fetch/x", "a1")
+            self.assertEqual((200, 1000), (status, len(body)))
+            ran = [attempt for page in found.pages.values() for attempt in page.executed]
+            self.assertEqual(["a1"], ran)
+
+    def _trickle(self, page):
+        async def answer(reader, writer, headers, body):
+            attempt = headers.get("x-attempt-id", "")
+            page.executed.append(attempt)
+            signed = {"x-attempt-id": attempt, "x-response-signature": "s"}
+            raw = frame(200, b"x" * 1000, signed)
+            for at in range(0, len(raw), 100):
+                writer.write(raw[at : at + 100])
+                await writer.drain()
+                await asyncio.sleep(0.15)
+            return True
+
+        return answer
+
+    @run
+    async def test_a_request_that_no_endpoint_ran_is_refused_as_not_run(self):
+        async with Deployment(pages=PAGES) as found:
+            for page in found.pages.values():
+                page.script = ["refuse"] * 50
+                asyncio.ensure_future(page.freeze(1.3))
+            status, headers, body = await found.send("/fetch/x", "a1")
+            self.assertEqual(503, status, body)
--- a/tests/relay/test_silence.py
+++ b/tests/relay/test_silence.py
@@ -166,9 +166,10 @@
                 sent = asyncio.ensure_future(found.send(path, "a1", model=model))
                 await found.until(lambda rows=rows: any(row.requests for row in rows))
                 [first] = [row for row in rows if row.requests]
+                [other] = [row for row in rows if not row.requests]
                 asyncio.ensure_future(first.freeze(20.0))
                 status, _, body = await asyncio.wait_for(sent, CALLER_STAYS_SECONDS)
-                self.assertEqual(200, status, body)
+                self.assertEqual((200, ["a1"]), (status, other.executed), body)
 
 
 class ResumedStreamTest(unittest.TestCase):
