Show a stream that ends because its engine is silent for longer than a probe may take, as a known failure

The stand-in engine can fall silent: it holds back every byte, on all connections, while generation goes on.

--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -16,6 +16,9 @@
 ``cut``                 streams break off after this many tokens and cannot be resumed
 ``event_gap``           cache events are numbered but not reported
 
+:meth:`EngineStandin.fall_silent` holds back every byte for some seconds, on all connections, while
+generation goes on.
+
 A prompt that contains ``fatal_text`` crashes the engine: it is down, and starts again after
 ``restart_seconds`` with a new boot id and the same items.
 """
@@ -112,6 +115,7 @@
         self.prefill_left = 0
         self.load_history = []
         self.frozen_connections = 0
+        self.silent_until = 0.0
         self.connections = itertools.count(1)
         self.faults = {
             "drop_orders": 0,
@@ -151,7 +155,10 @@
 
     def _build(self):
         app = make_application()
-        route = partial(add_route, app)
+
+        def route(method, path, handler):
+            add_route(app, method, path, partial(self._answer, handler))
+
         route("POST", "/v1/chat/completions", self.chat)
         route("POST", "/v1/completions", self.complete)
         route("GET", "/v1/streams/{name}", self.resume)
@@ -161,6 +168,19 @@
         route("POST", "/faults", self.set_faults)
         return app
 
+    async def _answer(self, handler, request: Request):
+        await self._wait_for_end_of_silence()
+        response = await handler(request)
+        await self._wait_for_end_of_silence()
+        return response
+
+    def fall_silent(self, seconds):
+        self.silent_until = time.monotonic() + seconds
+
+    async def _wait_for_end_of_silence(self):
+        while (left := self.silent_until - time.monotonic()) > 0:
+            await asyncio.sleep(left)
+
     # Orders and memory
 
     def used(self):
@@ -361,6 +381,7 @@
             while True:
                 if connection <= self.frozen_connections:
                     await asyncio.sleep(3600)
+                await self._wait_for_end_of_silence()
                 if self.faults["cut"] and index >= self.faults["cut"]:
                     stream.cancelled = True
                     self.streams.pop(stream.id, None)
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,65 @@
+"""Tests of callers whose engine is silent for a while: a silence alone must not end an answer."""
+
+import asyncio
+import unittest
+
+from tests.cluster import Cluster, read_stream, wait_for
+
+# Longer than the silence after which a probe is sent, plus the time limit of the probe.
+SILENCE_SECONDS = 1.8
+TOKEN_COUNT = 60
+
+
+class SilenceCase(unittest.IsolatedAsyncioTestCase):
+    engines = 1
+
+    async def asyncSetUp(self):
+        self.cluster = Cluster(
+            engines=self.engines, hosts=1, services=0, models=1, adapters=0, step=0.01
+        )
+        await self.cluster.__aenter__()
+        document = self.cluster.manifest()
+        document["models"][0]["copies"] = self.engines
+        await self.cluster.publish(document)
+
+    async def asyncTearDown(self):
+        await self.cluster.__aexit__()
+
+    def call_count(self):
+        return sum(len(engine.calls) for engine in self.cluster.engines)
+
+    def find_busy_engine(self):
+        return next((engine for engine in self.cluster.engines if engine.running), None)
+
+    async def start(self, token_count=6, **more):
+        """Send a request, and return its task and engine after some tokens were generated."""
+        task = asyncio.create_task(self.cluster.chat(max_tokens=TOKEN_COUNT, **more))
+
+        def has_tokens():
+            streams = [s for engine in self.cluster.engines for s in engine.streams.values()]
+            return any(len(stream.tokens) >= token_count for stream in streams)
+
+        await wait_for(has_tokens, "a request at work")
+        return task, self.find_busy_engine()
+
+    def check_whole(self, raw):
+        texts, ids, whole, errors = read_stream(raw)
+        self.assertEqual((whole, errors, len(ids)), (True, [], 1))
+        numbers = [text.split("-")[0] for text in texts]
+        self.assertEqual(numbers, [f" t{n}" for n in range(TOKEN_COUNT)])
+
+
+class OpenStreamTest(SilenceCase):
+    """Silence on the connection of a stream of which the caller has some tokens."""
+
+    async def test_a_stream_outlasts_a_silence_of_its_engine(self):
+        """
+        The probe of a silent stream is not answered either, and the stream is ended although the
+        engine goes on with it.
+        """
+        task, engine = await self.start(stream=True)
+        engine.fall_silent(SILENCE_SECONDS)
+        status, _, raw = await task
+        self.assertEqual(status, 200)
+        self.check_whole(raw)
+        self.assertEqual(self.call_count(), 1)
