Read a silent stream on until its engine goes on with it over a new connection

Callers saw: a stream ended with an error frame (answer_cut, silence) although its engine, silent for less than two seconds, went on with it; the engine was then told to cancel. Cause: after silence_seconds the relay left its open connection for a probe with a limit of one second. No answer in time, or a resume that was refused, ended the stream. Nothing read the open connection meanwhile, nor were the deadline and the caller's disconnect looked at; opening the rest of a stream had no time limit at all. Change: the engine is asked while the open connection is read on, and whatever arrives first is used. The open connection is closed only once the head of the rest has arrived over a new one. A probe without an answer, or with an error, says nothing of the open connection; an unknown stream and a connection that is refused or reset end the stream as before. Reading takes no task more than before until a stream is silent.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -34,6 +34,17 @@
 NOT_RUN_HEADER = "x-not-run"
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 MAX_REPORT_BYTES = 4 * 1024 * 1024
+# Reasons of failures for which no answer arrived in time.
+TIMEOUT_REASONS = frozenset(
+    kind.__name__
+    for kind in (
+        TimeoutError,
+        aiohttp.ServerTimeoutError,
+        aiohttp.ConnectionTimeoutError,
+        aiohttp.SocketTimeoutError,
+    )
+)
+CONNECTION_KINDS = frozenset({Kind.ENDPOINT_UNREACHABLE, Kind.ENDPOINT_LOST})
 
 T = TypeVar("T")
 
@@ -301,6 +312,15 @@
         task.add_done_callback(self._cancels.discard)
 
 
+def shows_end(failure: Failure) -> bool:
+    """Return whether a failed call shows that the endpoint has ended.
+
+    Its connection was refused or reset. A call without an answer in time, or with an error as its
+    answer, says nothing of the endpoint's other connections.
+    """
+    return failure.kind in CONNECTION_KINDS and failure.reason not in TIMEOUT_REASONS
+
+
 def read_as(outcome: tuple[int, bytes], shape: type[T]) -> T | Failure:
     """Decode a JSON answer into ``shape``; a bad one is a failure of the endpoint."""
     status, raw = outcome
--- a/peridotdock/streams.py
+++ b/peridotdock/streams.py
@@ -1,17 +1,19 @@
 """Relaying of streamed answers: each frame is verified, passed on once, and resumed after a break.
 
 After a stream breaks or goes silent, the engine is probed over a new connection. If it still has
-the stream, the stream resumes where the caller's copy ends. If not, the caller gets an error frame
-and no closing ``[DONE]``, which distinguishes an incomplete answer from a complete one.
+the stream, the stream resumes where the caller's copy ends; a silent connection stays in use until
+then. If the engine lost the stream, the caller gets an error frame and no closing ``[DONE]``, which
+distinguishes an incomplete answer from a complete one.
 """
 
 import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 
-from peridotdock.clients.endpoint import Call, HttpEndpoints, OpenResponse
+from peridotdock.clients.endpoint import Call, HttpEndpoints, OpenResponse, shows_end
 from peridotdock.clients.http import TRANSFER_ERRORS
 from peridotdock.context import Context
 from peridotdock.errors import Failure, Kind, failed
@@ -24,6 +26,7 @@
 MAX_FRAME_BYTES = 1024 * 1024
 MAX_RESUMES = 5
 CHECK_INTERVAL_SECONDS = 0.25
+RESUME_TIMEOUT_SECONDS = 2.0
 
 
 @dataclass(frozen=True)
@@ -69,8 +72,8 @@
     return head
 
 
-class StreamSilent(Exception):
-    """No byte arrived for ``silence_seconds``."""
+class StreamBroke(Exception):
+    """The connection closed before the end of the answer."""
 
 
 class StreamRelay:
@@ -113,13 +116,15 @@
     async def frames(self) -> AsyncIterator[bytes | Failure]:
         """Yield each frame once; a failure ends the iteration."""
         while True:
-            found = await self._next_frame()
+            try:
+                found = await self._next_frame()
+            except StreamBroke:
+                found = await self._recover()
+                if found is None:
+                    continue
             if failed(found):
-                found = await self._recover(found)
-                if failed(found):
-                    yield found
-                    return
-                continue
+                yield found
+                return
             checked = self._check(found)
             if failed(checked):
                 yield checked
@@ -160,30 +165,41 @@
                 return Failure(Kind.ENDPOINT_ERROR, "a frame is too long")
             try:
                 part = await self._read()
-            except StreamSilent:
-                return Failure(Kind.ANSWER_CUT, Loss.SILENCE)
             except TRANSFER_ERRORS as exc:
-                return Failure(Kind.ANSWER_CUT, type(exc).__name__)
+                raise StreamBroke from exc
             if failed(part):
                 return part
             if not part:
-                return Failure(Kind.ANSWER_CUT, "the answer ended early")
+                raise StreamBroke
             self._buffer += part
         frame, _, self._buffer = self._buffer.partition(SEPARATOR)
         return frame
 
     async def _read(self) -> bytes | Failure:
-        """Read some bytes, unless the deadline passes, the caller disconnects or none arrive."""
+        """Read some bytes, unless the deadline passes, the caller disconnects or the engine ends.
+
+        Failure guarded against: a sound engine is silent for longer than a probe may take, and its
+        stream is ended. The open connection stays in use until the engine goes on with the stream
+        over a new one.
+        """
+        while True:
+            found = await self._read_until_silent()
+            if found is None:
+                found = await self._read_beside_search()
+            if found is not None:
+                return found
+
+    async def _read_until_silent(self) -> bytes | Failure | None:
+        """Read some bytes; None if none arrive for ``silence_seconds``."""
         clock = self._ctx.clock
         silence_deadline = clock.monotonic() + self._ctx.cfg.silence_seconds
         while True:
             now = clock.monotonic()
-            if self._caller.is_disconnected():
-                return loss_failure(RequestState.FIRST_BYTE, Loss.CALLER_GONE)
-            if now >= self._req.deadline:
-                return loss_failure(RequestState.FIRST_BYTE, Loss.DEADLINE)
+            ended = self._find_end(now)
+            if ended is not None:
+                return ended
             if now >= silence_deadline:
-                raise StreamSilent
+                return None
             wait = min(CHECK_INTERVAL_SECONDS, silence_deadline - now, self._req.deadline - now)
             try:
                 async with asyncio.timeout(wait):
@@ -191,39 +207,113 @@
             except TimeoutError:
                 continue
 
-    async def _recover(self, failure: Failure) -> Failure | None:
-        """Probe a stream that broke or went silent, and resume it if the engine still has it."""
-        if failure.kind is not Kind.ANSWER_CUT:
-            return failure
-        silent = failure.reason == Loss.SILENCE
+    async def _read_beside_search(self) -> bytes | Failure | None:
+        """Read some bytes while the engine is asked for the stream; None if it had no news."""
+        read = asyncio.ensure_future(self._opened.read_chunk())
+        search = asyncio.ensure_future(self._search(silent=True))
+        try:
+            while not search.done():
+                now = self._ctx.clock.monotonic()
+                ended = self._find_end(now)
+                if ended is not None:
+                    return ended
+                wait = min(CHECK_INTERVAL_SECONDS, self._req.deadline - now)
+                await asyncio.wait(
+                    {read, search}, timeout=wait, return_when=asyncio.FIRST_COMPLETED
+                )
+                if read.done():
+                    return read.result()
+            found, search = search.result(), None
+        finally:
+            await cancel(read)
+            if search is not None:
+                await discard(search)
+        if not isinstance(found, OpenResponse):
+            return found
+        await self._switch_to(found)
+        return None
+
+    def _find_end(self, now: float) -> Failure | None:
+        """Return the failure if the caller has disconnected or its deadline has passed."""
+        if self._caller.is_disconnected():
+            return loss_failure(RequestState.FIRST_BYTE, Loss.CALLER_GONE)
+        if now >= self._req.deadline:
+            return loss_failure(RequestState.FIRST_BYTE, Loss.DEADLINE)
+        return None
+
+    async def _recover(self) -> Failure | None:
+        """Resume a stream whose connection closed, if the engine still has it."""
+        found = await self._search(silent=False)
+        if isinstance(found, OpenResponse):
+            await self._switch_to(found)
+            return None
+        return found or loss_failure(RequestState.FIRST_BYTE, Loss.ENDPOINT_GONE)
+
+    async def _search(self, silent: bool) -> OpenResponse | Failure | None:
+        """Ask the engine for the stream, and open the rest of it over a new connection.
+
+        Return a failure if the engine lost the stream, and None if there is no reason to leave the
+        open connection: the engine has nothing new, or it did not answer.
+        """
+        loss = Loss.SILENCE if silent else Loss.ENDPOINT_GONE
+        lost = loss_failure(RequestState.FIRST_BYTE, loss)
         found = await self._endpoints.probe(self._state.url, self._req.request_id)
-        if failed(found) or found is None:
-            return loss_failure(
-                RequestState.FIRST_BYTE, Loss.SILENCE if silent else Loss.ENDPOINT_GONE
-            )
+        if failed(found):
+            return lost if shows_end(found) else None
+        if found is None:
+            return lost
         if silent and found.tokens <= self._next_offset and not found.done:
             # The engine is slow, not lost: the caller already has all tokens generated so far.
             return None
         if self._resumes >= MAX_RESUMES:
             return loss_failure(RequestState.FIRST_BYTE, Loss.ENDPOINT_GONE, "resumed too often")
-        self._resumes += 1
-        return await self._resume(silent)
-
-    async def _resume(self, silent: bool) -> Failure | None:
         if silent:
             self._endpoints.renew_connections(self._state.url)
-        if self._opened is not None:
-            await self._opened.release()
+        return await self._open_rest(lost)
+
+    async def _open_rest(self, lost: Failure) -> OpenResponse | Failure | None:
         query = f"?offset={self._next_offset}&form={self._req.form}"
         path = f"/v1/streams/{self._req.request_id}{query}"
-        opened = await self._endpoints.open(self._state.url, Call("GET", path, {}, b"", False))
-        if failed(opened) or opened.status != 200:
-            return loss_failure(RequestState.FIRST_BYTE, Loss.ENDPOINT_GONE, "not resumed")
+        try:
+            async with asyncio.timeout(RESUME_TIMEOUT_SECONDS):
+                opened = await self._endpoints.open(
+                    self._state.url, Call("GET", path, {}, b"", False)
+                )
+        except TimeoutError:
+            return None
+        if failed(opened):
+            return lost if shows_end(opened) else None
+        if opened.status == 200:
+            return opened
+        await opened.release()
+        return lost if opened.status == 404 else None
+
+    async def _switch_to(self, opened: OpenResponse) -> None:
+        """Release the present connection and read on from ``opened``."""
+        self._resumes += 1
+        previous = self._opened
         self.attach(opened)
+        if previous is not None:
+            await previous.release()
         self._ctx.timeline.add(
             "stream_resumed",
             request=self._req.request_id,
             endpoint=self._state.name,
             detail=f"at {self._next_offset}",
         )
-        return None
+
+
+async def cancel(task: asyncio.Future[Any]) -> None:
+    """Cancel a task and wait until it has ended."""
+    if not task.done():
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def discard(task: asyncio.Future[Any]) -> None:
+    """Cancel a task that opens an answer, and release the answer if there is one."""
+    await cancel(task)
+    if not task.cancelled() and task.exception() is None:
+        opened = task.result()
+        if isinstance(opened, OpenResponse):
+            await opened.release()
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -177,6 +177,11 @@
     def fall_silent(self, seconds):
         self.silent_until = time.monotonic() + seconds
 
+    def refuse_connections(self):
+        """Stop listening; open connections stay open."""
+        for server in self.server._server.servers:
+            server.close()
+
     async def _wait_for_end_of_silence(self):
         while (left := self.silent_until - time.monotonic()) > 0:
             await asyncio.sleep(left)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -1,6 +1,7 @@
 """Tests of callers whose engine is silent for a while: a silence alone must not end an answer."""
 
 import asyncio
+import time
 import unittest
 
 from tests.cluster import Cluster, read_stream, wait_for
@@ -63,3 +64,31 @@
         self.assertEqual(status, 200)
         self.check_whole(raw)
         self.assertEqual(self.call_count(), 1)
+
+    async def test_a_stream_whose_engine_stays_silent_ends_at_its_deadline(self):
+        """A stream without an answer to its probes lasts beyond its caller's deadline."""
+        task, engine = await self.start(stream=True, headers={"x-deadline-ms": "2500"})
+        began = time.monotonic()
+        engine.fall_silent(30)
+        status, _, raw = await task
+        self.assertLess(time.monotonic() - began, 4)
+        _, _, whole, errors = read_stream(raw)
+        self.assertEqual((status, whole, errors[0]["code"]), (200, False, "deadline"))
+
+    async def test_a_caller_that_leaves_a_silent_stream_frees_the_engine(self):
+        """A caller disconnects while its stream is silent, and the engine generates the rest."""
+        task, engine = await self.start(stream=True)
+        engine.fall_silent(SILENCE_SECONDS)
+        await asyncio.sleep(0.5)
+        task.cancel()
+        await wait_for(lambda: self.cluster.hosts[0].entry.in_flight == 0, "no request in work", 1)
+
+    async def test_a_stream_ends_at_once_when_its_engine_refuses_connections(self):
+        """An engine has ended, and its silent stream waits for the deadline."""
+        task, engine = await self.start(stream=True)
+        engine.fall_silent(30)
+        engine.refuse_connections()
+        began = time.monotonic()
+        _, _, whole, errors = read_stream((await task)[2])
+        self.assertEqual((whole, errors[0]["code"]), (False, "answer_cut"))
+        self.assertLess(time.monotonic() - began, 1.0)
