--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -92,3 +92,72 @@
         _, _, whole, errors = read_stream((await task)[2])
         self.assertEqual((whole, errors[0]["code"]), (False, "answer_cut"))
         self.assertLess(time.monotonic() - began, 1.0)
+
+
+class BeforeFirstByteTest(SilenceCase):
+    """Silence of an endpoint that has a request and has sent nothing of the answer."""
+
+    engines = 2
+    stream = False
+
+    def silence_all(self):
+        for engine in self.cluster.engines:
+            engine.fall_silent(SILENCE_SECONDS)
+
+    def check_answer(self, answer):
+        status, _, body = answer
+        self.assertEqual(status, 200, body)
+        if self.stream:
+            self.check_whole(body)
+        else:
+            self.assertEqual(body["usage"]["completion_tokens"], TOKEN_COUNT)
+
+    async def test_a_request_that_may_run_once_outlasts_a_silence(self):
+        """A request with a key gets 502 because its engine is silent, and may not be sent again."""
+        self.silence_all()
+        headers = {"idempotency-key": "scene-0001"}
+        answer = await self.cluster.chat(
+            stream=self.stream, max_tokens=TOKEN_COUNT, headers=headers
+        )
+        self.check_answer(answer)
+        self.assertEqual(self.call_count(), 1)
+
+    async def test_a_request_without_a_retry_outlasts_a_silence(self):
+        """A request is cancelled on its silent engine, and the retry budget refuses the retry."""
+        budget = self.cluster.hosts[0].host.dispatcher.budget
+        while budget.take():
+            pass
+        self.silence_all()
+        answer = await self.cluster.chat(stream=self.stream, max_tokens=TOKEN_COUNT)
+        self.check_answer(answer)
+        self.assertEqual(self.call_count(), 1)
+
+    async def test_the_first_of_two_endpoints_answers(self):
+        """Two endpoints work at a request, and its caller gets parts of both answers."""
+        self.silence_all()
+        answer = await self.cluster.chat(stream=self.stream, max_tokens=TOKEN_COUNT)
+        self.check_answer(answer)
+        streams = [s for engine in self.cluster.engines for s in engine.streams.values()]
+        await wait_for(lambda: all(s.done for s in streams), "the engines free", 3)
+        self.assertEqual(sum(not s.cancelled for s in streams), 1)
+
+    async def test_another_endpoint_answers_while_the_first_stays_silent(self):
+        """An engine is frozen, and its requests wait for their deadlines."""
+        began = time.monotonic()
+        for engine in self.cluster.engines:
+            engine.fall_silent(0.1)
+        task = asyncio.create_task(self.cluster.chat(stream=self.stream, max_tokens=TOKEN_COUNT))
+        state = await wait_for(self.find_sent, "a request sent", 1)
+        next(e for e in self.cluster.engines if e.url == state.url).fall_silent(30)
+        self.check_answer(await task)
+        self.assertLess(time.monotonic() - began, 4)
+
+    def find_sent(self):
+        states = self.cluster.hosts[0].host.fleet.states.values()
+        return next((state for state in states if state.own_requests), None)
+
+
+class StreamBeforeFirstByteTest(BeforeFirstByteTest):
+    """The same for requests whose answer is streamed."""
+
+    stream = True
