Keep a request on its silent endpoint until another one has answered

Callers saw: 502 (endpoint_lost, silence) for requests whose engine was silent for less than two seconds, where the request may run once, the retry budget was empty or no other endpoint took the retry. Cause: one probe without an answer in time cancelled the request, on its connection and on its engine, before it was known whether anything could replace it. While the probe ran, up to a second, the deadline and the caller's disconnect were not looked at, nor while a finished answer was fetched, up to two more. Change: the probe runs beside the wait. Without an answer the attempt goes on and counts as silent; a request that may be repeated is also sent to an endpoint that has no open attempt of it, as far as the retry budget and the choice allow. The first answer is used, the others are cancelled on their engines then. A request that may run once has one attempt as before. An answer that the engine has finished is fetched over a new connection while the open one stays in use. A refused or reset connection still ends the attempt. What it costs: a request whose only endpoint is frozen now waits for its deadline, where it got 502 after the first probe.

--- a/peridotdock/dispatch.py
+++ b/peridotdock/dispatch.py
@@ -4,10 +4,17 @@
 import json
 from collections.abc import AsyncIterator, Coroutine
 from dataclasses import replace
-from typing import Any, TypeVar
+from typing import Any
 
+from peridotdock.attempts import Attempt, Attempts
 from peridotdock.blocklist import Blocklist
-from peridotdock.clients.endpoint import Call, HttpEndpoints, OpenResponse, read_all
+from peridotdock.clients.endpoint import (
+    Call,
+    HttpEndpoints,
+    OpenResponse,
+    StreamState,
+    read_all,
+)
 from peridotdock.context import Context
 from peridotdock.demand import Demand
 from peridotdock.errors import Failure, Kind, failed
@@ -25,12 +32,10 @@
 )
 from peridotdock.retries import MAX_SENDS, RetryBudget
 from peridotdock.routing import ROUTING_DECISIONS, Choice, admit, choose
+from peridotdock.searches import EngineEnded, Search, discard
 from peridotdock.streams import CHECK_INTERVAL_SECONDS, FrameUsage, StreamRelay, read_head
 
 EVENT_STREAM = "text/event-stream"
-FETCH_READY_SECONDS = 2.0
-ANSWER_READY = "the answer stands ready on the engine"
-T = TypeVar("T")
 
 
 class Dispatcher:
@@ -64,29 +69,50 @@
         return outcome
 
     async def _run_admitted(self, req: ModelRequest, caller: CallerConnection) -> Reply | Failure:
-        maybe_ran = False
-        tried: set[str] = set()
-        outcome: Reply | Failure = Failure(Kind.NO_ENDPOINT)
-        for attempt in range(MAX_SENDS):
-            choice = self._choose(req, tried, first=attempt == 0)
-            if failed(choice):
-                return mark_maybe_ran(choice if attempt == 0 else outcome, maybe_ran)
-            if attempt == 0:
+        attempts = Attempts(
+            lambda attempt: self._attempt(req, attempt, caller),
+            lambda choice, outcome: self._on_attempt_failed(req, choice, outcome),
+            lambda choice: self._on_attempt_silent(req, choice),
+        )
+        try:
+            return await self._send_until_answered(req, attempts)
+        finally:
+            await attempts.close()
+
+    async def _send_until_answered(self, req: ModelRequest, attempts: Attempts) -> Reply | Failure:
+        for number in range(MAX_SENDS):
+            choice = self._choose(req, attempts, first=number == 0)
+            if number == 0:
+                if failed(choice):
+                    return choice
                 self.budget.deposit()
-            elif not self.budget.take():
-                return mark_maybe_ran(outcome, maybe_ran)
-            tried.add(choice.state.name)
-            self._ctx.metrics.sends.labels(str(attempt + 1)).inc()
-            outcome = await self._attempt(req, choice, caller)
+            elif failed(choice) or not self.budget.take():
+                break
+            self._ctx.metrics.sends.labels(str(number + 1)).inc()
+            attempts.start(choice)
+            outcome = await attempts.wait()
             if not failed(outcome):
                 return outcome
-            maybe_ran = maybe_ran or outcome.may_have_run
-            if connection_broke(outcome):
-                self._blocklist.record_end(req, choice.state.start)
-            self._record_failure(req, choice.state, outcome)
-            if not self._may_retry(req, outcome, maybe_ran):
+            if not self._may_retry(req, outcome, attempts.maybe_ran):
                 break
-        return mark_maybe_ran(outcome, maybe_ran)
+        outcome = await attempts.wait_for_all()
+        return mark_maybe_ran(outcome, attempts.maybe_ran) if failed(outcome) else outcome
+
+    def _on_attempt_failed(self, req: ModelRequest, choice: Choice, outcome: Failure) -> None:
+        if connection_broke(outcome):
+            self._blocklist.record_end(req, choice.state.start)
+        self._record_failure(req, choice.state, outcome)
+
+    def _on_attempt_silent(self, req: ModelRequest, choice: Choice) -> None:
+        """Send to other endpoints while one does not answer its probes."""
+        choice.state.record_failure(self._ctx.clock.monotonic())
+        self._ctx.timeline.add(
+            "attempt_silent",
+            "WARNING",
+            request=req.request_id,
+            endpoint=choice.state.name,
+            item=req.profile.item,
+        )
 
     def _count_demand(self, req: ModelRequest) -> None:
         holders = self._fleet.holders(req.profile.item)
@@ -97,7 +123,7 @@
         work = req.profile.tokens / max(1.0, rate) + mean / max(1, limit)
         self.demand.add(req.profile.item, work, self._ctx.clock.monotonic())
 
-    def _choose(self, req: ModelRequest, tried: set[str], first: bool) -> Choice | Failure:
+    def _choose(self, req: ModelRequest, attempts: Attempts, first: bool) -> Choice | Failure:
         now = self._ctx.clock.monotonic()
         if now >= req.deadline:
             return loss_failure(RequestState.ADMITTED, Loss.DEADLINE)
@@ -105,7 +131,8 @@
         if refusal is not None:
             return refusal
         holders = self._fleet.holders(req.profile.item)
-        fresh = [state for state in holders if state.name not in tried] or holders
+        holders = [state for state in holders if not attempts.is_open_on(state.name)]
+        fresh = [state for state in holders if state.name not in attempts.tried] or holders
         choice = choose(fresh, req.profile, now, self._ctx.rng, self._decisions)
         if failed(choice):
             return choice
@@ -136,16 +163,17 @@
         )
 
     async def _attempt(
-        self, req: ModelRequest, choice: Choice, caller: CallerConnection
+        self, req: ModelRequest, attempt: Attempt, caller: CallerConnection
     ) -> Reply | Failure:
+        choice = attempt.choice
         state = choice.state
         now = self._ctx.clock.monotonic()
         state.record_sent(req.request_id, now, req.profile.tokens - choice.cached)
         state.add_cached_blocks(req.profile.blocks, now)
-        relay = StreamRelay(self._ctx, self._endpoints, state, req, caller)
+        relay = StreamRelay(self._ctx, self._endpoints, state, req, caller, attempt.record_probe)
         body_returned = False
         try:
-            opened = await self._open(req, state, caller)
+            opened = await self._open(req, attempt, caller)
             if failed(opened):
                 if opened.may_have_run:
                     self._endpoints.cancel(state.url, req.request_id)
@@ -164,13 +192,16 @@
             body = self._relay_frames(req, choice, relay, first, frames)
             body_returned = True
             return Reply(200, (("x-request-id", req.request_id),), body, EVENT_STREAM)
+        except asyncio.CancelledError:
+            self._endpoints.cancel(state.url, req.request_id)
+            raise
         finally:
             if not body_returned:
                 state.record_finished(req.request_id, self._ctx.clock.monotonic(), False)
                 await relay.release()
 
     async def _open(
-        self, req: ModelRequest, state: EndpointState, caller: CallerConnection
+        self, req: ModelRequest, attempt: Attempt, caller: CallerConnection
     ) -> OpenResponse | Failure:
         headers = {
             "content-type": "application/json",
@@ -180,76 +211,81 @@
             "traceparent": req.traceparent,
         }
         call = Call("POST", req.path, headers, req.body, at_most_once=not req.repeatable)
-        work = self._endpoints.open(state.url, call)
-        outcome = await self._wait_for_answer(work, req.request_id, state, req.deadline, caller)
-        if failed(outcome) and outcome.reason == ANSWER_READY:
-            return await self._fetch_ready(req, state, outcome)
-        return outcome
-
-    async def _fetch_ready(
-        self, req: ModelRequest, state: EndpointState, lost: Failure
-    ) -> OpenResponse | Failure:
-        """Fetch a finished answer from the engine over a new connection; ``lost`` if that fails."""
-        part = "offset=0" if req.stream else "whole=1"
-        path = f"/v1/streams/{req.request_id}?{part}&form={req.form}"
-        try:
-            async with asyncio.timeout(FETCH_READY_SECONDS):
-                opened = await self._endpoints.open(state.url, Call("GET", path, {}, b"", False))
-        except TimeoutError:
-            return lost
-        if failed(opened):
-            return lost
-        if opened.status != 200:
-            await opened.release()
-            return lost
-        return opened
+        url = attempt.choice.state.url
+        search = Search(self._endpoints, url, req, attempt.record_probe)
+        return await self._wait_for_answer(self._endpoints.open(url, call), search, req, caller)
 
     async def _wait_for_answer(
         self,
-        work: Coroutine[Any, Any, T | Failure],
-        request_id: str,
-        state: EndpointState,
-        deadline: float,
+        work: Coroutine[Any, Any, OpenResponse | Failure],
+        search: Search,
+        req: ModelRequest,
         caller: CallerConnection,
-    ) -> T | Failure:
+    ) -> OpenResponse | Failure:
         """Wait for ``work``, at most until the deadline, a disconnect or the loss of the endpoint.
 
-        Failure guarded against: the connection is silent for good although it is open. After
-        ``silence_seconds`` a probe over a new connection asks the engine for the request's state.
-        The wait ends when the engine does not know the request, does not answer, or had already
-        finished it at the previous probe.
+        Failures guarded against: the connection is silent for good although it is open; and a sound
+        engine is silent for longer than a probe may take. After ``silence_seconds`` the engine is
+        asked for the request over a new connection, while the wait goes on. The wait ends when the
+        engine does not know the request, or sends over a new connection the answer that it had
+        already finished at the previous probe.
         """
         clock = self._ctx.clock
         task = asyncio.ensure_future(work)
+        found: asyncio.Future[OpenResponse | StreamState | Failure | None] | None = None
         probe_at = clock.monotonic() + self._ctx.cfg.silence_seconds
         was_done = False
         try:
             while True:
                 now = clock.monotonic()
-                wait = max(0.0, min(CHECK_INTERVAL_SECONDS, deadline - now))
-                await asyncio.wait({task}, timeout=wait)
-                if task.done():
-                    return task.result()
-                now = clock.monotonic()
-                if now >= deadline:
+                if now >= req.deadline:
                     return loss_failure(RequestState.SENT, Loss.DEADLINE)
                 if caller.is_disconnected():
                     return loss_failure(RequestState.SENT, Loss.CALLER_GONE)
-                if now < probe_at:
+                if found is None and now >= probe_at:
+                    found = asyncio.ensure_future(self._find_answer(search, req, was_done))
+                await asyncio.wait(
+                    {task} if found is None else {task, found},
+                    timeout=min(CHECK_INTERVAL_SECONDS, req.deadline - now),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if task.done():
+                    answered, task = task, None
+                    return answered.result()
+                if found is None or not found.done():
                     continue
-                found = await self._endpoints.probe(state.url, request_id)
-                if failed(found) or found is None or was_done:
-                    self._endpoints.renew_connections(state.url)
-                    ready = was_done and not failed(found) and found is not None
-                    return loss_failure(
-                        RequestState.SENT, Loss.SILENCE, ANSWER_READY if ready else ""
-                    )
-                was_done = found.done
+                news, found = found.result(), None
+                if isinstance(news, OpenResponse | Failure):
+                    return news
+                was_done = news.done if news is not None else was_done
                 probe_at = clock.monotonic() + self._ctx.cfg.silence_seconds
         finally:
-            if not task.done():
-                task.cancel()
-                await asyncio.gather(task, return_exceptions=True)
+            for unused in (task, found):
+                if unused is not None:
+                    await discard(unused)
+
+    async def _find_answer(
+        self, search: Search, req: ModelRequest, was_done: bool
+    ) -> OpenResponse | StreamState | Failure | None:
+        """Ask the engine how far a request is, and fetch the answer if ``was_done`` still holds.
+
+        Return a failure if the engine lost the request, and None if it did not answer.
+        """
+        lost = loss_failure(RequestState.SENT, Loss.SILENCE)
+        try:
+            found = await search.probe()
+            if failed(found):
+                return None
+            if found is None:
+                self._endpoints.renew_connections(search.url)
+                return lost
+            if not was_done:
+                return found
+            self._endpoints.renew_connections(search.url)
+            return await search.open("offset=0" if req.stream else "whole=1") or found
+        except EngineEnded:
+            self._endpoints.renew_connections(search.url)
+            return lost
 
     async def _read_whole(
         self, req: ModelRequest, choice: Choice, opened: OpenResponse
--- a/peridotdock/streams.py
+++ b/peridotdock/streams.py
@@ -7,18 +7,18 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 import msgspec
 
-from peridotdock.clients.endpoint import Call, HttpEndpoints, OpenResponse, shows_end
+from peridotdock.clients.endpoint import HttpEndpoints, OpenResponse
 from peridotdock.clients.http import TRANSFER_ERRORS
 from peridotdock.context import Context
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.fleet import EndpointState
 from peridotdock.requests import CallerConnection, Loss, ModelRequest, RequestState, loss_failure
+from peridotdock.searches import EngineEnded, Search, cancel, discard
 
 SEPARATOR = b"\n\n"
 DATA = b"data: "
@@ -26,7 +26,6 @@
 MAX_FRAME_BYTES = 1024 * 1024
 MAX_RESUMES = 5
 CHECK_INTERVAL_SECONDS = 0.25
-RESUME_TIMEOUT_SECONDS = 2.0
 
 
 @dataclass(frozen=True)
@@ -86,9 +85,11 @@
         state: EndpointState,
         req: ModelRequest,
         caller: CallerConnection,
+        on_probe: Callable[[bool], None],
     ):
         self._ctx = ctx
         self._endpoints = endpoints
+        self._search = Search(endpoints, state.url, req, on_probe)
         self._state = state
         self._req = req
         self._caller = caller
@@ -210,7 +211,7 @@
     async def _read_beside_search(self) -> bytes | Failure | None:
         """Read some bytes while the engine is asked for the stream; None if it had no news."""
         read = asyncio.ensure_future(self._opened.read_chunk())
-        search = asyncio.ensure_future(self._search(silent=True))
+        search = asyncio.ensure_future(self._find_rest(silent=True))
         try:
             while not search.done():
                 now = self._ctx.clock.monotonic()
@@ -243,13 +244,13 @@
 
     async def _recover(self) -> Failure | None:
         """Resume a stream whose connection closed, if the engine still has it."""
-        found = await self._search(silent=False)
+        found = await self._find_rest(silent=False)
         if isinstance(found, OpenResponse):
             await self._switch_to(found)
             return None
         return found or loss_failure(RequestState.FIRST_BYTE, Loss.ENDPOINT_GONE)
 
-    async def _search(self, silent: bool) -> OpenResponse | Failure | None:
+    async def _find_rest(self, silent: bool) -> OpenResponse | Failure | None:
         """Ask the engine for the stream, and open the rest of it over a new connection.
 
         Return a failure if the engine lost the stream, and None if there is no reason to leave the
@@ -257,36 +258,24 @@
         """
         loss = Loss.SILENCE if silent else Loss.ENDPOINT_GONE
         lost = loss_failure(RequestState.FIRST_BYTE, loss)
-        found = await self._endpoints.probe(self._state.url, self._req.request_id)
-        if failed(found):
-            return lost if shows_end(found) else None
-        if found is None:
-            return lost
-        if silent and found.tokens <= self._next_offset and not found.done:
-            # The engine is slow, not lost: the caller already has all tokens generated so far.
-            return None
-        if self._resumes >= MAX_RESUMES:
-            return loss_failure(RequestState.FIRST_BYTE, Loss.ENDPOINT_GONE, "resumed too often")
-        if silent:
-            self._endpoints.renew_connections(self._state.url)
-        return await self._open_rest(lost)
-
-    async def _open_rest(self, lost: Failure) -> OpenResponse | Failure | None:
-        query = f"?offset={self._next_offset}&form={self._req.form}"
-        path = f"/v1/streams/{self._req.request_id}{query}"
         try:
-            async with asyncio.timeout(RESUME_TIMEOUT_SECONDS):
-                opened = await self._endpoints.open(
-                    self._state.url, Call("GET", path, {}, b"", False)
+            found = await self._search.probe()
+            if failed(found):
+                return None
+            if found is None:
+                return lost
+            if silent and found.tokens <= self._next_offset and not found.done:
+                # The engine is slow, not lost: the caller has all tokens generated so far.
+                return None
+            if self._resumes >= MAX_RESUMES:
+                return loss_failure(
+                    RequestState.FIRST_BYTE, Loss.ENDPOINT_GONE, "resumed too often"
                 )
-        except TimeoutError:
-            return None
-        if failed(opened):
-            return lost if shows_end(opened) else None
-        if opened.status == 200:
-            return opened
-        await opened.release()
-        return lost if opened.status == 404 else None
+            if silent:
+                self._endpoints.renew_connections(self._state.url)
+            return await self._search.open(f"offset={self._next_offset}")
+        except EngineEnded:
+            return lost
 
     async def _switch_to(self, opened: OpenResponse) -> None:
         """Release the present connection and read on from ``opened``."""
@@ -301,19 +290,3 @@
             endpoint=self._state.name,
             detail=f"at {self._next_offset}",
         )
-
-
-async def cancel(task: asyncio.Future[Any]) -> None:
-    """Cancel a task and wait until it has ended."""
-    if not task.done():
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-
-
-async def discard(task: asyncio.Future[Any]) -> None:
-    """Cancel a task that opens an answer, and release the answer if there is one."""
-    await cancel(task)
-    if not task.cancelled() and task.exception() is None:
-        opened = task.result()
-        if isinstance(opened, OpenResponse):
-            await opened.release()
