Show a request that is given up because its probe overtakes it, as a known failure

An engine takes a request in 0.7 s after it was sent and answers probes at once: with silence_seconds at 0.3 the request gets 502 (endpoint_lost, silence), and the engine runs it. python -m tests tests.test_silence.UnknownRequestTest: 1 passed, 1 failed.

--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -17,7 +17,7 @@
 ``event_gap``           cache events are numbered but not reported
 
 :meth:`EngineStandin.fall_silent` holds back every byte for some seconds, on all connections, while
-generation goes on.
+generation goes on. ``request_delay`` are seconds before a request is taken in.
 
 A prompt that contains ``fatal_text`` crashes the engine: it is down, and starts again after
 ``restart_seconds`` with a new boot id and the same items.
@@ -116,6 +116,7 @@
         self.load_history = []
         self.frozen_connections = 0
         self.silent_until = 0.0
+        self.request_delay = 0.0
         self.connections = itertools.count(1)
         self.faults = {
             "drop_orders": 0,
@@ -272,6 +273,7 @@
         request_id = (header(b"x-request-id") or b"none").decode()
         if self.faults["down"]:
             await abort_connection(request)
+        await asyncio.sleep(self.request_delay)
         if self.fatal_text and self.fatal_text in text:
             self._crash()
             await abort_connection(request)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -161,3 +161,28 @@
     """The same for requests whose answer is streamed."""
 
     stream = True
+
+
+class UnknownRequestTest(SilenceCase):
+    """A probe overtakes the request that it asks for."""
+
+    async def ask(self, delay):
+        self.cluster.engines[0].request_delay = delay
+        headers = {"idempotency-key": "scene-0001"}
+        return await self.cluster.chat(headers=headers)
+
+    async def test_a_request_that_its_probe_overtakes_is_answered(self):
+        """
+        After a silence an engine answers a probe before it takes in the request that was sent
+        earlier. The request is given up as unknown, and the engine runs it for nobody.
+        """
+        status, _, body = await self.ask(0.7)
+        self.assertEqual(status, 200, body)
+        self.assertEqual(self.call_count(), 1)
+
+    async def test_a_request_that_stays_unknown_is_lost(self):
+        """A request never reached its engine, and its caller waits for the deadline."""
+        began = time.monotonic()
+        status, _, body = await self.ask(30)
+        self.assertEqual((status, body["error"]["code"]), (502, "endpoint_lost"))
+        self.assertLess(time.monotonic() - began, 2)
