Give a request up as unknown only when two probes in a row say so

Callers saw: 502 (endpoint_lost, silence) for a request that its engine took in a moment later and ran. Cause: the probe goes over a new connection and can overtake the request: after a silence an engine reads its connections in any order. The first answer "unknown" cancelled the request. Change: a finding of a probe counts when the next probe has it too, as was so for a finished answer; a probe without an answer leaves the last finding as it is. After the first "unknown" a request that may be repeated is sent to another endpoint, as it is during a silence. What it costs: a request that never reached its engine, and may run once, is reported silence_seconds later.

--- a/peridotdock/dispatch.py
+++ b/peridotdock/dispatch.py
@@ -8,13 +8,7 @@
 
 from peridotdock.attempts import Attempt, Attempts
 from peridotdock.blocklist import Blocklist
-from peridotdock.clients.endpoint import (
-    Call,
-    HttpEndpoints,
-    OpenResponse,
-    StreamState,
-    read_all,
-)
+from peridotdock.clients.endpoint import Call, HttpEndpoints, OpenResponse, read_all
 from peridotdock.context import Context
 from peridotdock.demand import Demand
 from peridotdock.errors import Failure, Kind, failed
@@ -32,7 +26,7 @@
 )
 from peridotdock.retries import MAX_SENDS, RetryBudget
 from peridotdock.routing import ROUTING_DECISIONS, Choice, admit, choose
-from peridotdock.searches import EngineEnded, Search, discard
+from peridotdock.searches import EngineEnded, Finding, Search, classify, discard
 from peridotdock.streams import CHECK_INTERVAL_SECONDS, FrameUsage, StreamRelay, read_head
 
 EVENT_STREAM = "text/event-stream"
@@ -224,17 +218,17 @@
     ) -> OpenResponse | Failure:
         """Wait for ``work``, at most until the deadline, a disconnect or the loss of the endpoint.
 
-        Failures guarded against: the connection is silent for good although it is open; and a sound
-        engine is silent for longer than a probe may take. After ``silence_seconds`` the engine is
-        asked for the request over a new connection, while the wait goes on. The wait ends when the
-        engine does not know the request, or sends over a new connection the answer that it had
-        already finished at the previous probe.
+        Failures guarded against: the connection is silent for good although it is open; a sound
+        engine is silent for longer than a probe may take; and a probe overtakes the request. After
+        ``silence_seconds`` the engine is asked for the request over a new connection, while the
+        wait goes on. The wait ends when two probes in a row find the request unknown, or when the
+        engine sends over a new connection an answer that two probes in a row found finished.
         """
         clock = self._ctx.clock
         task = asyncio.ensure_future(work)
-        found: asyncio.Future[OpenResponse | StreamState | Failure | None] | None = None
+        query: asyncio.Future[OpenResponse | Finding | Failure] | None = None
         probe_at = clock.monotonic() + self._ctx.cfg.silence_seconds
-        was_done = False
+        last = Finding.UNANSWERED
         try:
             while True:
                 now = clock.monotonic()
@@ -242,46 +236,46 @@
                     return loss_failure(RequestState.SENT, Loss.DEADLINE)
                 if caller.is_disconnected():
                     return loss_failure(RequestState.SENT, Loss.CALLER_GONE)
-                if found is None and now >= probe_at:
-                    found = asyncio.ensure_future(self._find_answer(search, req, was_done))
+                if query is None and now >= probe_at:
+                    query = asyncio.ensure_future(self._find_answer(search, req, last))
                 await asyncio.wait(
-                    {task} if found is None else {task, found},
+                    {task} if query is None else {task, query},
                     timeout=min(CHECK_INTERVAL_SECONDS, req.deadline - now),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 if task.done():
                     answered, task = task, None
                     return answered.result()
-                if found is None or not found.done():
+                if query is None or not query.done():
                     continue
-                news, found = found.result(), None
-                if isinstance(news, OpenResponse | Failure):
-                    return news
-                was_done = news.done if news is not None else was_done
+                found, query = query.result(), None
+                if not isinstance(found, Finding):
+                    return found
+                last = found
                 probe_at = clock.monotonic() + self._ctx.cfg.silence_seconds
         finally:
-            for unused in (task, found):
+            for unused in (task, query):
                 if unused is not None:
                     await discard(unused)
 
     async def _find_answer(
-        self, search: Search, req: ModelRequest, was_done: bool
-    ) -> OpenResponse | StreamState | Failure | None:
-        """Ask the engine how far a request is, and fetch the answer if ``was_done`` still holds.
+        self, search: Search, req: ModelRequest, last: Finding
+    ) -> OpenResponse | Finding | Failure:
+        """Ask the engine how far a request is; act on a finding that is the same as the ``last``.
 
-        Return a failure if the engine lost the request, and None if it did not answer.
+        Return the answer if the engine has finished it, and a failure if it lost the request. A
+        probe without an answer leaves the last finding as it is.
         """
         lost = loss_failure(RequestState.SENT, Loss.SILENCE)
         try:
-            found = await search.probe()
-            if failed(found):
-                return None
-            if found is None:
-                self._endpoints.renew_connections(search.url)
-                return lost
-            if not was_done:
+            found = classify(await search.probe())
+            if found is Finding.UNANSWERED:
+                return last
+            if found is not last or found is Finding.RUNNING:
                 return found
             self._endpoints.renew_connections(search.url)
+            if found is Finding.UNKNOWN:
+                return lost
             return await search.open("offset=0" if req.stream else "whole=1") or found
         except EngineEnded:
             self._endpoints.renew_connections(search.url)
--- a/peridotdock/searches.py
+++ b/peridotdock/searches.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Any
 
 from peridotdock.clients.endpoint import (
@@ -21,6 +22,15 @@
 OPEN_TIMEOUT_SECONDS = 2.0
 
 
+class Finding(StrEnum):
+    """What an engine says of a request."""
+
+    UNANSWERED = "unanswered"
+    UNKNOWN = "unknown"
+    RUNNING = "running"
+    DONE = "done"
+
+
 class EngineEnded(Exception):
     """The engine refused or reset a new connection, or it no longer has the request."""
 
@@ -28,7 +38,7 @@
 class Search:
     """Asks one engine for one request.
 
-    ``on_probe`` is called after each probe, with whether the engine answered it.
+    ``on_probe`` is called after each probe, with whether the engine said that it has the request.
     """
 
     def __init__(
@@ -51,7 +61,7 @@
         found = await self._endpoints.probe(self.url, self._req.request_id)
         if failed(found) and shows_end(found):
             raise EngineEnded
-        self._on_probe(not failed(found))
+        self._on_probe(isinstance(found, StreamState))
         return found
 
     async def open(self, part: str) -> OpenResponse | None:
@@ -77,6 +87,15 @@
         return None
 
 
+def classify(found: StreamState | Failure | None) -> Finding:
+    """Return the finding of a probe."""
+    if failed(found):
+        return Finding.UNANSWERED
+    if found is None:
+        return Finding.UNKNOWN
+    return Finding.DONE if found.done else Finding.RUNNING
+
+
 async def cancel(task: asyncio.Future[Any]) -> None:
     """Cancel a task and wait until it has ended."""
     if not task.done():
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -134,6 +134,7 @@
 
     async def test_the_first_of_two_endpoints_answers(self):
         """Two endpoints work at a request, and its caller gets parts of both answers."""
+        self.cluster.engines[1].step = 0.1
         self.silence_all()
         answer = await self.cluster.chat(stream=self.stream, max_tokens=TOKEN_COUNT)
         self.check_answer(answer)
