--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -117,6 +117,7 @@
         self.frozen_connections = 0
         self.silent_until = 0.0
         self.request_delay = 0.0
+        self._aborts = set()
         self.connections = itertools.count(1)
         self.faults = {
             "drop_orders": 0,
@@ -382,6 +383,7 @@
 
     async def _read_tokens(self, stream, offset, abort):
         connection = next(self.connections)
+        self._aborts.add(abort)
         stream.readers += 1
         try:
             index = offset
@@ -402,12 +404,18 @@
                 else:
                     await stream.wake.wait()
         finally:
+            self._aborts.discard(abort)
             stream.readers -= 1
             stream.disconnected_at = time.monotonic()
 
     def freeze(self):
         self.frozen_connections = next(self.connections)
 
+    def reset_connections(self):
+        """Close the connections of answers; the streams go on."""
+        for abort in list(self._aborts):
+            abort()
+
     def _usage(self, stream):
         total = count_tokens(stream.text)
         count = len(stream.tokens)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -93,6 +93,26 @@
         self.assertEqual((whole, errors[0]["code"]), (False, "answer_cut"))
         self.assertLess(time.monotonic() - began, 1.0)
 
+    async def test_a_stream_is_resumed_after_a_reset_and_a_silence(self):
+        """A connection is reset as its engine falls silent, and one probe alone is sent."""
+        task, engine = await self.start(stream=True)
+        engine.reset_connections()
+        engine.fall_silent(SILENCE_SECONDS)
+        status, _, raw = await task
+        self.assertEqual(status, 200)
+        self.check_whole(raw)
+        self.assertEqual(self.call_count(), 1)
+
+    async def test_a_stream_that_was_reset_does_not_wait_for_good(self):
+        """A machine has failed, and its caller waits for the deadline with a part of the answer."""
+        task, engine = await self.start(stream=True)
+        began = time.monotonic()
+        engine.reset_connections()
+        engine.fall_silent(30)
+        _, _, whole, errors = read_stream((await task)[2])
+        self.assertEqual((whole, errors[0]["code"]), (False, "answer_cut"))
+        self.assertLess(time.monotonic() - began, 6)
+
 
 class BeforeFirstByteTest(SilenceCase):
     """Silence of an endpoint that has a request and has sent nothing of the answer."""
