Search for a stream whose connection closed for as long as its engine may be silent

Callers saw: a stream ended with an error frame (answer_cut, endpoint_gone) when its connection was reset while its engine was silent; the engine went on with the stream, and was told to cancel. Cause: the engine was asked once, with a limit of one second; no answer in time counted as lost. Change: it is asked again for three seconds, the time after which the kernel takes a silent peer for dead. A refused or reset connection and an unknown stream end the search at once; the deadline and the caller's disconnect are looked at meanwhile. Evidence: test_a_stream_is_resumed_after_a_reset_and_a_silence failed before (answer_cut) and passes now; beside it, a stream whose engine stays silent after the reset ends within 6 s. tests.test_silence, test_failures, test_patches: 300 passed, 0 failed. What it costs: a caller whose endpoint's machine failed gets the error frame up to three seconds later.

--- a/peridotdock/streams.py
+++ b/peridotdock/streams.py
@@ -26,6 +26,9 @@
 MAX_FRAME_BYTES = 1024 * 1024
 MAX_RESUMES = 5
 CHECK_INTERVAL_SECONDS = 0.25
+# Time in which a stream whose connection closed is searched for: a sound engine may be silent for a
+# second or so.
+RECOVERY_SECONDS = 3.0
 
 
 @dataclass(frozen=True)
@@ -211,28 +214,38 @@
     async def _read_beside_search(self) -> bytes | Failure | None:
         """Read some bytes while the engine is asked for the stream; None if it had no news."""
         read = asyncio.ensure_future(self._opened.read_chunk())
-        search = asyncio.ensure_future(self._find_rest(silent=True))
+        try:
+            found = await self._find_rest_beside(read)
+        finally:
+            await cancel(read)
+        if not isinstance(found, OpenResponse):
+            return found
+        await self._switch_to(found)
+        return None
+
+    async def _find_rest_beside(
+        self, read: asyncio.Future[bytes] | None
+    ) -> bytes | OpenResponse | Failure | None:
+        """Ask the engine for the stream until ``read`` ends, if there is an open connection."""
+        search = asyncio.ensure_future(self._find_rest(silent=read is not None))
         try:
             while not search.done():
                 now = self._ctx.clock.monotonic()
                 ended = self._find_end(now)
                 if ended is not None:
                     return ended
-                wait = min(CHECK_INTERVAL_SECONDS, self._req.deadline - now)
                 await asyncio.wait(
-                    {read, search}, timeout=wait, return_when=asyncio.FIRST_COMPLETED
+                    {search} if read is None else {read, search},
+                    timeout=min(CHECK_INTERVAL_SECONDS, self._req.deadline - now),
+                    return_when=asyncio.FIRST_COMPLETED,
                 )
-                if read.done():
+                if read is not None and read.done():
                     return read.result()
             found, search = search.result(), None
+            return found
         finally:
-            await cancel(read)
             if search is not None:
                 await discard(search)
-        if not isinstance(found, OpenResponse):
-            return found
-        await self._switch_to(found)
-        return None
 
     def _find_end(self, now: float) -> Failure | None:
         """Return the failure if the caller has disconnected or its deadline has passed."""
@@ -243,12 +256,23 @@
         return None
 
     async def _recover(self) -> Failure | None:
-        """Resume a stream whose connection closed, if the engine still has it."""
-        found = await self._find_rest(silent=False)
-        if isinstance(found, OpenResponse):
-            await self._switch_to(found)
-            return None
-        return found or loss_failure(RequestState.FIRST_BYTE, Loss.ENDPOINT_GONE)
+        """Resume a stream whose connection closed, if the engine still has it.
+
+        Failure guarded against: the engine is silent at that moment, and the stream is ended after
+        one probe although the engine goes on with it.
+        """
+        clock = self._ctx.clock
+        give_up_at = clock.monotonic() + RECOVERY_SECONDS
+        while True:
+            found = await self._find_rest_beside(None)
+            if isinstance(found, OpenResponse):
+                await self._switch_to(found)
+                return None
+            if found is not None:
+                return found
+            if clock.monotonic() >= give_up_at:
+                return loss_failure(RequestState.FIRST_BYTE, Loss.ENDPOINT_GONE)
+            await clock.sleep(CHECK_INTERVAL_SECONDS)
 
     async def _find_rest(self, silent: bool) -> OpenResponse | Failure | None:
         """Ask the engine for the stream, and open the rest of it over a new connection.
