--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -122,6 +122,35 @@
         "tests.test_failures.EndpointFailures"
         ".test_a_frozen_connection_is_found_and_the_stream_goes_on_elsewhere",
     ),
+    Mutant(
+        "a probe without an answer ends no attempt",
+        "searches.py",
+        "if failed(found) and shows_end(found):",
+        "if failed(found):",
+        "tests.test_silence.OpenStreamTest.test_a_stream_outlasts_a_silence_of_its_engine",
+    ),
+    Mutant(
+        "a silent attempt stays open while no other endpoint takes the request",
+        "dispatch.py",
+        "outcome = await attempts.wait_for_all()",
+        "pass",
+        "tests.test_silence.BeforeFirstByteTest.test_a_request_without_a_retry_outlasts_a_silence",
+    ),
+    Mutant(
+        "a request is unknown only when two probes say so",
+        "dispatch.py",
+        "if found is not last or found is Finding.RUNNING:",
+        "if found is Finding.RUNNING:",
+        "tests.test_silence.UnknownRequestTest"
+        ".test_a_request_that_its_probe_overtakes_is_answered",
+    ),
+    Mutant(
+        "a stream whose connection closed is searched for during a silence",
+        "streams.py",
+        "if clock.monotonic() >= give_up_at:",
+        "if True:",
+        "tests.test_silence.OpenStreamTest.test_a_stream_is_resumed_after_a_reset_and_a_silence",
+    ),
     Mutant(
         "a cut stream ends with an error frame",
         "dispatch.py",
