Show a long stream that ends at its sixth break although it went on after each, as a known failure

A stream whose connection goes silent seven times, and which is resumed each time, ends with an error frame (answer_cut, resumed too often). python -m tests tests.test_silence.OpenStreamTest: 7 passed, 1 failed. The new test beside it guards what the mend must keep: a stream of which each new connection is silent ends.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -113,6 +113,24 @@
         self.assertEqual((whole, errors[0]["code"]), (False, "answer_cut"))
         self.assertLess(time.monotonic() - began, 6)
 
+    async def test_a_stream_is_resumed_each_time_that_it_went_on(self):
+        """A long stream is resumed at each break, and the sixth break in all ends it."""
+        self.cluster.engines[0].step = 0.1
+        task, engine = await self.start(stream=True, token_count=1)
+        for _ in range(7):
+            engine.freeze()
+            await asyncio.sleep(0.7)
+        self.check_whole((await task)[2])
+
+    async def test_a_stream_that_never_goes_on_is_not_resumed_for_good(self):
+        """Each new connection of a stream is silent, and it is resumed until the deadline."""
+        task, engine = await self.start(stream=True)
+        began = time.monotonic()
+        engine.frozen_connections = float("inf")
+        _, _, whole, errors = read_stream((await task)[2])
+        self.assertEqual((whole, errors[0]["code"]), (False, "answer_cut"))
+        self.assertLess(time.monotonic() - began, 5)
+
 
 class BeforeFirstByteTest(SilenceCase):
     """Silence of an endpoint that has a request and has sent nothing of the answer."""
