Count only the resumes of a stream that brought no frame

Callers saw: a stream ended with an error frame (answer_cut, resumed too often) at its sixth break or silence, although its engine went on with it over a new connection each time. Cause: the limit of five resumes held for the whole stream; it is there for a stream of which each new connection is silent. Change: a frame that is passed on sets the count back. Evidence: test_a_stream_is_resumed_each_time_that_it_went_on failed before and passes now; test_a_stream_that_never_goes_on_is_not_resumed_for_good passed before and passes now, within 5 s. tests.test_silence, test_failures.EndpointFailures, test_patches: 294 passed, 0 failed.

--- a/peridotdock/streams.py
+++ b/peridotdock/streams.py
@@ -24,6 +24,7 @@
 DATA = b"data: "
 DONE = b"[DONE]"
 MAX_FRAME_BYTES = 1024 * 1024
+# Resumes of a stream without a new frame between them.
 MAX_RESUMES = 5
 CHECK_INTERVAL_SECONDS = 0.25
 # Time in which a stream whose connection closed is searched for: a sound engine may be silent for a
@@ -161,6 +162,7 @@
             if head.offset > self._next_offset:
                 return Failure(Kind.ANSWER_CUT, f"frame {self._next_offset} is missing")
             self._next_offset += 1
+            self._resumes = 0
         return frame + SEPARATOR
 
     async def _next_frame(self) -> bytes | Failure:
