--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -14,6 +14,7 @@
 ``cross``               answer and frames carry the id of another request
 ``cross_frames``        only the frames carry the id of another request
 ``cut``                 streams break off after this many tokens and cannot be resumed
+``half``                connections of whole answers go silent after half of the body
 ``event_gap``           cache events are numbered but not reported
 
 :meth:`EngineStandin.fall_silent` holds back every byte for some seconds, on all connections, while
@@ -129,6 +130,7 @@
             "cross": False,
             "cross_frames": False,
             "cut": 0,
+            "half": False,
             "event_gap": False,
         }
         self._queue_sequence = itertools.count()
@@ -292,6 +294,8 @@
             return self._stream_answer(stream, form, 0, request.scope["abort"])
         async for _ in self._read_tokens(stream, 0, request.scope["abort"]):
             pass
+        if self.faults["half"]:
+            return self._half_answer(stream, form)
         return reply(
             self._whole_answer(stream, form),
             200,
@@ -448,6 +452,16 @@
         }
         return base | {"choices": choices} | more
 
+    def _half_answer(self, stream, form):
+        raw = json.dumps(self._whole_answer(stream, form)).encode()
+
+        async def body():
+            yield raw[: len(raw) // 2]
+            await asyncio.sleep(3600)
+
+        headers = [(b"x-request-id", stream.id.encode())]
+        return Response(200, headers, StreamedContent(b"application/json", body))
+
     def _stream_answer(self, stream, form, offset, abort):
         async def body():
             kind = "chat.completion.chunk" if form == "chat" else "text_completion"
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -196,6 +196,28 @@
         return next((state for state in states if state.own_requests), None)
 
 
+class WholeAnswerTest(SilenceCase):
+    """The connection of a whole answer goes silent for good within the body."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.cluster.engines[0].faults["half"] = True
+
+    async def test_the_answer_is_fetched_over_a_new_connection(self):
+        """The head has arrived, and nothing looks at the silence of the body."""
+        headers = {"idempotency-key": "scene-0001", "x-deadline-ms": "6000"}
+        async with asyncio.timeout(5):
+            status, _, body = await self.cluster.chat(max_tokens=TOKEN_COUNT, headers=headers)
+        self.assertEqual((status, body["usage"]["completion_tokens"]), (200, TOKEN_COUNT))
+        self.assertEqual(self.call_count(), 1)
+
+    async def test_the_deadline_holds_within_the_body(self):
+        """The head has arrived, and a caller waits for the rest beyond its deadline."""
+        async with asyncio.timeout(5):
+            status, _, body = await self.cluster.chat(headers={"x-deadline-ms": "450"})
+        self.assertEqual((status, body["error"]["code"]), (504, "deadline"))
+
+
 class StreamBeforeFirstByteTest(BeforeFirstByteTest):
     """The same for requests whose answer is streamed."""
 
