Wait for a whole answer to its last byte as for its head

Callers saw: nothing at all, beyond their deadline, when the connection of a whole answer went silent for good within the body; the engine had the answer and gave it over new connections. Cause: the wait with its probes, the deadline and the caller's disconnect ended with the head; the body was read without them. Change: the body is read within that wait. After two probes that find the answer finished it is fetched over a new connection, body and all, while the first stays in use.

--- a/peridotdock/dispatch.py
+++ b/peridotdock/dispatch.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Coroutine
-from dataclasses import replace
+from collections.abc import AsyncIterator, Coroutine, Mapping
+from dataclasses import dataclass, replace
 from typing import Any
 
 from peridotdock.attempts import Attempt, Attempts
@@ -32,6 +32,15 @@
 EVENT_STREAM = "text/event-stream"
 
 
+@dataclass(frozen=True)
+class WholeAnswer:
+    """An answer that was read to its end, or the failure of its head or body."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes | Failure
+
+
 class Dispatcher:
     """Sends callers' requests for models to endpoints."""
 
@@ -172,8 +181,8 @@
                 if opened.may_have_run:
                     self._endpoints.cancel(state.url, req.request_id)
                 return opened
-            if opened.status != 200 or not req.stream:
-                return await self._read_whole(req, choice, opened)
+            if isinstance(opened, WholeAnswer):
+                return self._check_whole(req, choice, opened)
             if opened.headers.get("x-request-id", req.request_id) != req.request_id:
                 await opened.release()
                 return Failure(Kind.WRONG_ANSWER, "head of another request")
@@ -196,7 +205,7 @@
 
     async def _open(
         self, req: ModelRequest, attempt: Attempt, caller: CallerConnection
-    ) -> OpenResponse | Failure:
+    ) -> OpenResponse | WholeAnswer | Failure:
         headers = {
             "content-type": "application/json",
             "x-request-id": req.request_id,
@@ -207,15 +216,15 @@
         call = Call("POST", req.path, headers, req.body, at_most_once=not req.repeatable)
         url = attempt.choice.state.url
         search = Search(self._endpoints, url, req, attempt.record_probe)
-        return await self._wait_for_answer(self._endpoints.open(url, call), search, req, caller)
+        return await self._wait_for_answer(self._send(req, url, call), search, req, caller)
 
     async def _wait_for_answer(
         self,
-        work: Coroutine[Any, Any, OpenResponse | Failure],
+        work: Coroutine[Any, Any, OpenResponse | WholeAnswer | Failure],
         search: Search,
         req: ModelRequest,
         caller: CallerConnection,
-    ) -> OpenResponse | Failure:
+    ) -> OpenResponse | WholeAnswer | Failure:
         """Wait for ``work``, at most until the deadline, a disconnect or the loss of the endpoint.
 
         Failures guarded against: the connection is silent for good although it is open; a sound
@@ -226,7 +235,7 @@
         """
         clock = self._ctx.clock
         task = asyncio.ensure_future(work)
-        query: asyncio.Future[OpenResponse | Finding | Failure] | None = None
+        query: asyncio.Future[OpenResponse | WholeAnswer | Finding | Failure] | None = None
         probe_at = clock.monotonic() + self._ctx.cfg.silence_seconds
         last = Finding.UNANSWERED
         try:
@@ -260,7 +269,7 @@
 
     async def _find_answer(
         self, search: Search, req: ModelRequest, last: Finding
-    ) -> OpenResponse | Finding | Failure:
+    ) -> OpenResponse | WholeAnswer | Finding | Failure:
         """Ask the engine how far a request is; act on a finding that is the same as the ``last``.
 
         Return the answer if the engine has finished it, and a failure if it lost the request. A
@@ -276,28 +285,41 @@
             self._endpoints.renew_connections(search.url)
             if found is Finding.UNKNOWN:
                 return lost
-            return await search.open("offset=0" if req.stream else "whole=1") or found
+            opened = await search.open("offset=0" if req.stream else "whole=1")
+            if opened is None:
+                return found
+            answer = await self._read_unless_stream(req, opened)
+            unread = isinstance(answer, WholeAnswer) and failed(answer.body)
+            return found if unread else answer
         except EngineEnded:
             self._endpoints.renew_connections(search.url)
             return lost
 
-    async def _read_whole(
-        self, req: ModelRequest, choice: Choice, opened: OpenResponse
-    ) -> Reply | Failure:
-        state = choice.state
-        if opened.status >= 500:
-            await opened.release()
-            return Failure(Kind.ENDPOINT_ERROR, f"status {opened.status}")
-        if opened.headers.get("x-request-id", req.request_id) != req.request_id:
-            await opened.release()
-            return Failure(Kind.WRONG_ANSWER, "head of another request")
+    async def _send(
+        self, req: ModelRequest, url: str, call: Call
+    ) -> OpenResponse | WholeAnswer | Failure:
+        opened = await self._endpoints.open(url, call)
+        return opened if failed(opened) else await self._read_unless_stream(req, opened)
+
+    async def _read_unless_stream(
+        self, req: ModelRequest, opened: OpenResponse
+    ) -> OpenResponse | WholeAnswer:
+        if req.stream and opened.status == 200:
+            return opened
         try:
-            body = await read_all(opened)
+            body = find_fault(req, opened) or await read_all(opened)
         finally:
             await opened.release()
+        return WholeAnswer(opened.status, opened.headers, body)
+
+    def _check_whole(
+        self, req: ModelRequest, choice: Choice, answer: WholeAnswer
+    ) -> Reply | Failure:
+        state = choice.state
+        body = answer.body
         if failed(body):
             return body
-        if opened.status == 200:
+        if answer.status == 200:
             checked = read_head(body, req.request_id)
             if failed(checked):
                 return checked
@@ -305,11 +327,11 @@
         now = self._ctx.clock.monotonic()
         state.record_success()
         state.record_finished(req.request_id, now, whole=True)
-        if opened.status == 200:
+        if answer.status == 200:
             self._blocklist.record_answer(req)
-        content_type = opened.headers.get("content-type", "application/json")
+        content_type = answer.headers.get("content-type", "application/json")
         head = (("x-request-id", req.request_id), ("x-endpoint", state.name))
-        return Reply(opened.status, head, body, content_type)
+        return Reply(answer.status, head, body, content_type)
 
     def _record_cache_hits(
         self, req: ModelRequest, choice: Choice, usage: FrameUsage | None
@@ -363,6 +385,15 @@
             await relay.release()
 
 
+def find_fault(req: ModelRequest, opened: OpenResponse) -> Failure | None:
+    """Return the failure of an answer whose head is wrong."""
+    if opened.status >= 500:
+        return Failure(Kind.ENDPOINT_ERROR, f"status {opened.status}")
+    if opened.headers.get("x-request-id", req.request_id) != req.request_id:
+        return Failure(Kind.WRONG_ANSWER, "head of another request")
+    return None
+
+
 def encode_error_frame(failure: Failure, request_id: str) -> bytes:
     """Return the frame that reports a failure to the caller of a stream."""
     return b"data: " + json.dumps(failure.describe(request_id)).encode() + b"\n\n"
