--- a/peridotdock/dispatch.py
+++ b/peridotdock/dispatch.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Coroutine
-from dataclasses import replace
-from typing import Any, TypeVar
+from collections.abc import AsyncIterator, Coroutine, Mapping
+from dataclasses import dataclass, replace
+from typing import Any
 
+from peridotdock.attempts import Attempt, Attempts
 from peridotdock.blocklist import Blocklist
 from peridotdock.clients.endpoint import Call, HttpEndpoints, OpenResponse, read_all
 from peridotdock.context import Context
@@ -25,12 +26,19 @@
 )
 from peridotdock.retries import MAX_SENDS, RetryBudget
 from peridotdock.routing import ROUTING_DECISIONS, Choice, admit, choose
+from peridotdock.searches import EngineEnded, Finding, Search, classify, discard
 from peridotdock.streams import CHECK_INTERVAL_SECONDS, FrameUsage, StreamRelay, read_head
 
 EVENT_STREAM = "text/event-stream"
-FETCH_READY_SECONDS = 2.0
-ANSWER_READY = "the answer stands ready on the engine"
-T = TypeVar("T")
+
+
+@dataclass(frozen=True)
+class WholeAnswer:
+    """An answer that was read to its end, or the failure of its head or body."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes | Failure
 
 
 class Dispatcher:
@@ -64,29 +72,50 @@
         return outcome
 
     async def _run_admitted(self, req: ModelRequest, caller: CallerConnection) -> Reply | Failure:
-        maybe_ran = False
-        tried: set[str] = set()
-        outcome: Reply | Failure = Failure(Kind.NO_ENDPOINT)
-        for attempt in range(MAX_SENDS):
-            choice = self._choose(req, tried, first=attempt == 0)
-            if failed(choice):
-                return mark_maybe_ran(choice if attempt == 0 else outcome, maybe_ran)
-            if attempt == 0:
+        attempts = Attempts(
+            lambda attempt: self._attempt(req, attempt, caller),
+            lambda choice, outcome: self._on_attempt_failed(req, choice, outcome),
+            lambda choice: self._on_attempt_silent(req, choice),
+        )
+        try:
+            return await self._send_until_answered(req, attempts)
+        finally:
+            await attempts.close()
+
+    async def _send_until_answered(self, req: ModelRequest, attempts: Attempts) -> Reply | Failure:
+        for number in range(MAX_SENDS):
+            choice = self._choose(req, attempts, first=number == 0)
+            if number == 0:
+                if failed(choice):
+                    return choice
                 self.budget.deposit()
-            elif not self.budget.take():
-                return mark_maybe_ran(outcome, maybe_ran)
-            tried.add(choice.state.name)
-            self._ctx.metrics.sends.labels(str(attempt + 1)).inc()
-            outcome = await self._attempt(req, choice, caller)
+            elif failed(choice) or not self.budget.take():
+                break
+            self._ctx.metrics.sends.labels(str(number + 1)).inc()
+            attempts.start(choice)
+            outcome = await attempts.wait()
             if not failed(outcome):
                 return outcome
-            maybe_ran = maybe_ran or outcome.may_have_run
-            if connection_broke(outcome):
-                self._blocklist.record_end(req, choice.state.start)
-            self._record_failure(req, choice.state, outcome)
-            if not self._may_retry(req, outcome, maybe_ran):
+            if not self._may_retry(req, outcome, attempts.maybe_ran):
                 break
-        return mark_maybe_ran(outcome, maybe_ran)
+        outcome = await attempts.wait_for_all()
+        return mark_maybe_ran(outcome, attempts.maybe_ran) if failed(outcome) else outcome
+
+    def _on_attempt_failed(self, req: ModelRequest, choice: Choice, outcome: Failure) -> None:
+        if connection_broke(outcome):
+            self._blocklist.record_end(req, choice.state.start)
+        self._record_failure(req, choice.state, outcome)
+
+    def _on_attempt_silent(self, req: ModelRequest, choice: Choice) -> None:
+        """Send to other endpoints while one does not answer its probes."""
+        choice.state.record_failure(self._ctx.clock.monotonic())
+        self._ctx.timeline.add(
+            "attempt_silent",
+            "WARNING",
+            request=req.request_id,
+            endpoint=choice.state.name,
+            item=req.profile.item,
+        )
 
     def _count_demand(self, req: ModelRequest) -> None:
         holders = self._fleet.holders(req.profile.item)
@@ -97,7 +126,7 @@
         work = req.profile.tokens / max(1.0, rate) + mean / max(1, limit)
         self.demand.add(req.profile.item, work, self._ctx.clock.monotonic())
 
-    def _choose(self, req: ModelRequest, tried: set[str], first: bool) -> Choice | Failure:
+    def _choose(self, req: ModelRequest, attempts: Attempts, first: bool) -> Choice | Failure:
         now = self._ctx.clock.monotonic()
         if now >= req.deadline:
             return loss_failure(RequestState.ADMITTED, Loss.DEADLINE)
@@ -105,7 +134,8 @@
         if refusal is not None:
             return refusal
         holders = self._fleet.holders(req.profile.item)
-        fresh = [state for state in holders if state.name not in tried] or holders
+        holders = [state for state in holders if not attempts.is_open_on(state.name)]
+        fresh = [state for state in holders if state.name not in attempts.tried] or holders
         choice = choose(fresh, req.profile, now, self._ctx.rng, self._decisions)
         if failed(choice):
             return choice
@@ -136,22 +166,23 @@
         )
 
     async def _attempt(
-        self, req: ModelRequest, choice: Choice, caller: CallerConnection
+        self, req: ModelRequest, attempt: Attempt, caller: CallerConnection
     ) -> Reply | Failure:
+        choice = attempt.choice
         state = choice.state
         now = self._ctx.clock.monotonic()
         state.record_sent(req.request_id, now, req.profile.tokens - choice.cached)
         state.add_cached_blocks(req.profile.blocks, now)
-        relay = StreamRelay(self._ctx, self._endpoints, state, req, caller)
+        relay = StreamRelay(self._ctx, self._endpoints, state, req, caller, attempt.record_probe)
         body_returned = False
         try:
-            opened = await self._open(req, state, caller)
+            opened = await self._open(req, attempt, caller)
             if failed(opened):
                 if opened.may_have_run:
                     self._endpoints.cancel(state.url, req.request_id)
                 return opened
-            if opened.status != 200 or not req.stream:
-                return await self._read_whole(req, choice, opened)
+            if isinstance(opened, WholeAnswer):
+                return self._check_whole(req, choice, opened)
             if opened.headers.get("x-request-id", req.request_id) != req.request_id:
                 await opened.release()
                 return Failure(Kind.WRONG_ANSWER, "head of another request")
@@ -164,14 +195,17 @@
             body = self._relay_frames(req, choice, relay, first, frames)
             body_returned = True
             return Reply(200, (("x-request-id", req.request_id),), body, EVENT_STREAM)
+        except asyncio.CancelledError:
+            self._endpoints.cancel(state.url, req.request_id)
+            raise
         finally:
             if not body_returned:
                 state.record_finished(req.request_id, self._ctx.clock.monotonic(), False)
                 await relay.release()
 
     async def _open(
-        self, req: ModelRequest, state: EndpointState, caller: CallerConnection
-    ) -> OpenResponse | Failure:
+        self, req: ModelRequest, attempt: Attempt, caller: CallerConnection
+    ) -> OpenResponse | WholeAnswer | Failure:
         headers = {
             "content-type": "application/json",
             "x-request-id": req.request_id,
@@ -180,94 +214,112 @@
             "traceparent": req.traceparent,
         }
         call = Call("POST", req.path, headers, req.body, at_most_once=not req.repeatable)
-        work = self._endpoints.open(state.url, call)
-        outcome = await self._wait_for_answer(work, req.request_id, state, req.deadline, caller)
-        if failed(outcome) and outcome.reason == ANSWER_READY:
-            return await self._fetch_ready(req, state, outcome)
-        return outcome
-
-    async def _fetch_ready(
-        self, req: ModelRequest, state: EndpointState, lost: Failure
-    ) -> OpenResponse | Failure:
-        """Fetch a finished answer from the engine over a new connection; ``lost`` if that fails."""
-        part = "offset=0" if req.stream else "whole=1"
-        path = f"/v1/streams/{req.request_id}?{part}&form={req.form}"
-        try:
-            async with asyncio.timeout(FETCH_READY_SECONDS):
-                opened = await self._endpoints.open(state.url, Call("GET", path, {}, b"", False))
-        except TimeoutError:
-            return lost
-        if failed(opened):
-            return lost
-        if opened.status != 200:
-            await opened.release()
-            return lost
-        return opened
+        url = attempt.choice.state.url
+        search = Search(self._endpoints, url, req, attempt.record_probe)
+        return await self._wait_for_answer(self._send(req, url, call), search, req, caller)
 
     async def _wait_for_answer(
         self,
-        work: Coroutine[Any, Any, T | Failure],
-        request_id: str,
-        state: EndpointState,
-        deadline: float,
+        work: Coroutine[Any, Any, OpenResponse | WholeAnswer | Failure],
+        search: Search,
+        req: ModelRequest,
         caller: CallerConnection,
-    ) -> T | Failure:
+    ) -> OpenResponse | WholeAnswer | Failure:
         """Wait for ``work``, at most until the deadline, a disconnect or the loss of the endpoint.
 
-        Failure guarded against: the connection is silent for good although it is open. After
-        ``silence_seconds`` a probe over a new connection asks the engine for the request's state.
-        The wait ends when the engine does not know the request, does not answer, or had already
-        finished it at the previous probe.
+        Failures guarded against: the connection is silent for good although it is open; a sound
+        engine is silent for longer than a probe may take; and a probe overtakes the request. After
+        ``silence_seconds`` the engine is asked for the request over a new connection, while the
+        wait goes on. The wait ends when two probes in a row find the request unknown, or when the
+        engine sends over a new connection an answer that two probes in a row found finished.
         """
         clock = self._ctx.clock
         task = asyncio.ensure_future(work)
+        query: asyncio.Future[OpenResponse | WholeAnswer | Finding | Failure] | None = None
         probe_at = clock.monotonic() + self._ctx.cfg.silence_seconds
-        was_done = False
+        last = Finding.UNANSWERED
         try:
             while True:
                 now = clock.monotonic()
-                wait = max(0.0, min(CHECK_INTERVAL_SECONDS, deadline - now))
-                await asyncio.wait({task}, timeout=wait)
-                if task.done():
-                    return task.result()
-                now = clock.monotonic()
-                if now >= deadline:
+                if now >= req.deadline:
                     return loss_failure(RequestState.SENT, Loss.DEADLINE)
                 if caller.is_disconnected():
                     return loss_failure(RequestState.SENT, Loss.CALLER_GONE)
-                if now < probe_at:
+                if query is None and now >= probe_at:
+                    query = asyncio.ensure_future(self._find_answer(search, req, last))
+                await asyncio.wait(
+                    {task} if query is None else {task, query},
+                    timeout=min(CHECK_INTERVAL_SECONDS, req.deadline - now),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if task.done():
+                    answered, task = task, None
+                    return answered.result()
+                if query is None or not query.done():
                     continue
-                found = await self._endpoints.probe(state.url, request_id)
-                if failed(found) or found is None or was_done:
-                    self._endpoints.renew_connections(state.url)
-                    ready = was_done and not failed(found) and found is not None
-                    return loss_failure(
-                        RequestState.SENT, Loss.SILENCE, ANSWER_READY if ready else ""
-                    )
-                was_done = found.done
+                found, query = query.result(), None
+                if not isinstance(found, Finding):
+                    return found
+                last = found
                 probe_at = clock.monotonic() + self._ctx.cfg.silence_seconds
         finally:
-            if not task.done():
-                task.cancel()
-                await asyncio.gather(task, return_exceptions=True)
+            for unused in (task, query):
+                if unused is not None:
+                    await discard(unused)
 
-    async def _read_whole(
-        self, req: ModelRequest, choice: Choice, opened: OpenResponse
-    ) -> Reply | Failure:
-        state = choice.state
-        if opened.status >= 500:
-            await opened.release()
-            return Failure(Kind.ENDPOINT_ERROR, f"status {opened.status}")
-        if opened.headers.get("x-request-id", req.request_id) != req.request_id:
-            await opened.release()
-            return Failure(Kind.WRONG_ANSWER, "head of another request")
+    async def _find_answer(
+        self, search: Search, req: ModelRequest, last: Finding
+    ) -> OpenResponse | WholeAnswer | Finding | Failure:
+        """Ask the engine how far a request is; act on a finding that is the same as the ``last``.
+
+        Return the answer if the engine has finished it, and a failure if it lost the request. A
+        probe without an answer leaves the last finding as it is.
+        """
+        lost = loss_failure(RequestState.SENT, Loss.SILENCE)
+        try:
+            found = classify(await search.probe())
+            if found is Finding.UNANSWERED:
+                return last
+            if found is not last or found is Finding.RUNNING:
+                return found
+            self._endpoints.renew_connections(search.url)
+            if found is Finding.UNKNOWN:
+                return lost
+            opened = await search.open("offset=0" if req.stream else "whole=1")
+            if opened is None:
+                return found
+            answer = await self._read_unless_stream(req, opened)
+            unread = isinstance(answer, WholeAnswer) and failed(answer.body)
+            return found if unread else answer
+        except EngineEnded:
+            self._endpoints.renew_connections(search.url)
+            return lost
+
+    async def _send(
+        self, req: ModelRequest, url: str, call: Call
+    ) -> OpenResponse | WholeAnswer | Failure:
+        opened = await self._endpoints.open(url, call)
+        return opened if failed(opened) else await self._read_unless_stream(req, opened)
+
+    async def _read_unless_stream(
+        self, req: ModelRequest, opened: OpenResponse
+    ) -> OpenResponse | WholeAnswer:
+        if req.stream and opened.status == 200:
+            return opened
         try:
-            body = await read_all(opened)
+            body = find_fault(req, opened) or await read_all(opened)
         finally:
             await opened.release()
+        return WholeAnswer(opened.status, opened.headers, body)
+
+    def _check_whole(
+        self, req: ModelRequest, choice: Choice, answer: WholeAnswer
+    ) -> Reply | Failure:
+        state = choice.state
+        body = answer.body
         if failed(body):
             return body
-        if opened.status == 200:
+        if answer.status == 200:
             checked = read_head(body, req.request_id)
             if failed(checked):
                 return checked
@@ -275,11 +327,11 @@
         now = self._ctx.clock.monotonic()
         state.record_success()
         state.record_finished(req.request_id, now, whole=True)
-        if opened.status == 200:
+        if answer.status == 200:
             self._blocklist.record_answer(req)
-        content_type = opened.headers.get("content-type", "application/json")
+        content_type = answer.headers.get("content-type", "application/json")
         head = (("x-request-id", req.request_id), ("x-endpoint", state.name))
-        return Reply(opened.status, head, body, content_type)
+        return Reply(answer.status, head, body, content_type)
 
     def _record_cache_hits(
         self, req: ModelRequest, choice: Choice, usage: FrameUsage | None
@@ -333,6 +385,15 @@
             await relay.release()
 
 
+def find_fault(req: ModelRequest, opened: OpenResponse) -> Failure | None:
+    """Return the failure of an answer whose head is wrong."""
+    if opened.status >= 500:
+        return Failure(Kind.ENDPOINT_ERROR, f"status {opened.status}")
+    if opened.headers.get("x-request-id", req.request_id) != req.request_id:
+        return Failure(Kind.WRONG_ANSWER, "head of another request")
+    return None
+
+
 def encode_error_frame(failure: Failure, request_id: str) -> bytes:
     """Return the frame that reports a failure to the caller of a stream."""
     return b"data: " + json.dumps(failure.describe(request_id)).encode() + b"\n\n"
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -14,8 +14,12 @@
 ``cross``               answer and frames carry the id of another request
 ``cross_frames``        only the frames carry the id of another request
 ``cut``                 streams break off after this many tokens and cannot be resumed
+``half``                connections of whole answers go silent after half of the body
 ``event_gap``           cache events are numbered but not reported
 
+:meth:`EngineStandin.fall_silent` holds back every byte for some seconds, on all connections, while
+generation goes on. ``request_delay`` are seconds before a request is taken in.
+
 A prompt that contains ``fatal_text`` crashes the engine: it is down, and starts again after
 ``restart_seconds`` with a new boot id and the same items.
 """
@@ -112,6 +116,9 @@
         self.prefill_left = 0
         self.load_history = []
         self.frozen_connections = 0
+        self.silent_until = 0.0
+        self.request_delay = 0.0
+        self._aborts = set()
         self.connections = itertools.count(1)
         self.faults = {
             "drop_orders": 0,
@@ -123,6 +130,7 @@
             "cross": False,
             "cross_frames": False,
             "cut": 0,
+            "half": False,
             "event_gap": False,
         }
         self._queue_sequence = itertools.count()
@@ -151,7 +159,10 @@
 
     def _build(self):
         app = make_application()
-        route = partial(add_route, app)
+
+        def route(method, path, handler):
+            add_route(app, method, path, partial(self._answer, handler))
+
         route("POST", "/v1/chat/completions", self.chat)
         route("POST", "/v1/completions", self.complete)
         route("GET", "/v1/streams/{name}", self.resume)
@@ -161,6 +172,24 @@
         route("POST", "/faults", self.set_faults)
         return app
 
+    async def _answer(self, handler, request: Request):
+        await self._wait_for_end_of_silence()
+        response = await handler(request)
+        await self._wait_for_end_of_silence()
+        return response
+
+    def fall_silent(self, seconds):
+        self.silent_until = time.monotonic() + seconds
+
+    def refuse_connections(self):
+        """Stop listening; open connections stay open."""
+        for server in self.server._server.servers:
+            server.close()
+
+    async def _wait_for_end_of_silence(self):
+        while (left := self.silent_until - time.monotonic()) > 0:
+            await asyncio.sleep(left)
+
     # Orders and memory
 
     def used(self):
@@ -247,6 +276,7 @@
         request_id = (header(b"x-request-id") or b"none").decode()
         if self.faults["down"]:
             await abort_connection(request)
+        await asyncio.sleep(self.request_delay)
         if self.fatal_text and self.fatal_text in text:
             self._crash()
             await abort_connection(request)
@@ -264,6 +294,8 @@
             return self._stream_answer(stream, form, 0, request.scope["abort"])
         async for _ in self._read_tokens(stream, 0, request.scope["abort"]):
             pass
+        if self.faults["half"]:
+            return self._half_answer(stream, form)
         return reply(
             self._whole_answer(stream, form),
             200,
@@ -355,12 +387,14 @@
 
     async def _read_tokens(self, stream, offset, abort):
         connection = next(self.connections)
+        self._aborts.add(abort)
         stream.readers += 1
         try:
             index = offset
             while True:
                 if connection <= self.frozen_connections:
                     await asyncio.sleep(3600)
+                await self._wait_for_end_of_silence()
                 if self.faults["cut"] and index >= self.faults["cut"]:
                     stream.cancelled = True
                     self.streams.pop(stream.id, None)
@@ -374,12 +408,18 @@
                 else:
                     await stream.wake.wait()
         finally:
+            self._aborts.discard(abort)
             stream.readers -= 1
             stream.disconnected_at = time.monotonic()
 
     def freeze(self):
         self.frozen_connections = next(self.connections)
 
+    def reset_connections(self):
+        """Close the connections of answers; the streams go on."""
+        for abort in list(self._aborts):
+            abort()
+
     def _usage(self, stream):
         total = count_tokens(stream.text)
         count = len(stream.tokens)
@@ -412,6 +452,16 @@
         }
         return base | {"choices": choices} | more
 
+    def _half_answer(self, stream, form):
+        raw = json.dumps(self._whole_answer(stream, form)).encode()
+
+        async def body():
+            yield raw[: len(raw) // 2]
+            await asyncio.sleep(3600)
+
+        headers = [(b"x-request-id", stream.id.encode())]
+        return Response(200, headers, StreamedContent(b"application/json", body))
+
     def _stream_answer(self, stream, form, offset, abort):
         async def body():
             kind = "chat.completion.chunk" if form == "chat" else "text_completion"
