Take a stream up at the software version that began it, over a caller's tries

Cause: the name of the first attempt was read and logged, and no host knew at which version a stream of another host had begun. Ruled out: the binding within one answer, which holds.

Hosts remember the versions of the streams that their callers have begun to receive, under the first attempt's id. While a service has several versions they tell the hub of new ones, of all where the hub or the link to it is new, and the hub tells the host that would replace it. A host that doesn't know a stream asks the hub, again while there is none or while some hosts have not told it yet. A stream that nobody knows goes on where one version alone can have begun it, else it is refused at once as not run. A host that may have missed a version, as it reaches neither store nor hosts, goes on only with what it knows.

Nothing is sent with one version.

--- /dev/null
+++ b/peridotdock/decisions/stream_versions.py
@@ -0,0 +1,194 @@
+"""At which software version a stream goes on that a caller takes up at any host.
+
+Load pattern: endpoints of several software versions serve side by side, what they write doesn't fit
+together, and callers whose host was killed take their streams up at other hosts by the hundred.
+Refusing them all loses the streams; sending them anywhere mixes versions. A host knows the streams
+that it served, the hub those that all hosts told it of. What neither knows can only go on where
+there was one version for as long as callers wait.
+"""
+
+from collections.abc import Collection, Iterable, Iterator, Mapping
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from math import inf
+
+# Bounds of the seconds for which a stream's version is remembered at least.
+MIN_KEPT_SECONDS = 5.0
+MAX_KEPT_SECONDS = 120.0
+# Age of the list of endpoints from which it may lack a version that other hosts know.
+MAX_LIST_AGE_SECONDS = 2.0
+# Most streams remembered in one table.
+MAX_STREAMS = 50_000
+
+
+class Source(StrEnum):
+    """From what the version of a stream is known."""
+
+    HERE = "here"
+    TOLD = "told"
+    SINGLE = "single"
+    EARLIER = "earlier"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Binding:
+    """The service of a stream, and the version of the endpoints' software that began it."""
+
+    service: str
+    software: str
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What is known of a stream, with the reason; ``software`` is None if nothing is."""
+
+    source: Source
+    service: str
+    software: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The hub's reply on a stream, with the versions of the service that the hub knows.
+
+    ``complete`` is set if all hosts in touch have told the hub of their streams.
+    """
+
+    verdict: Verdict
+    complete: bool
+    versions: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Period:
+    """When a version was first and last seen; the last is infinite while it serves."""
+
+    first: float
+    last: float = inf
+
+
+class StreamTable:
+    """The bindings of streams by id, each kept for once to twice the time asked for."""
+
+    def __init__(self, now: float):
+        self._recent: dict[int, Binding] = {}
+        self._older: dict[int, Binding] = {}
+        self._since = now
+
+    def record(self, stream: int, binding: Binding, now: float, seconds: float) -> None:
+        """Remember a stream's binding; the first one stays."""
+        known = self.find(stream, now, seconds)
+        if len(self._recent) < MAX_STREAMS:
+            self._recent[stream] = known or binding
+
+    def find(self, stream: int, now: float, seconds: float) -> Binding | None:
+        """Return the binding of a stream, None if it is not known."""
+        self._expire(now, seconds)
+        return self._recent.get(stream) or self._older.get(stream)
+
+    def items(self, now: float, seconds: float) -> Iterator[tuple[int, Binding]]:
+        """Return all streams with their bindings."""
+        self._expire(now, seconds)
+        yield from (self._older | self._recent).items()
+
+    def _expire(self, now: float, seconds: float) -> None:
+        passed = now - self._since
+        if passed >= seconds:
+            self._older = self._recent if passed < 2 * seconds else {}
+            self._recent = {}
+            self._since = now
+
+
+class VersionHistory:
+    """When which software versions of each service were seen. Times are monotonic seconds."""
+
+    def __init__(self) -> None:
+        self._periods: dict[str, dict[str, Period]] = {}
+
+    def observe(self, serving: Mapping[str, Collection[str]], now: float) -> None:
+        """Record the versions of each service in the list of endpoints."""
+        for service, periods in self._periods.items():
+            gone = periods.keys() - set(serving.get(service, ()))
+            for software in gone:
+                periods[software] = replace(
+                    periods[software], last=min(now, periods[software].last)
+                )
+        for service, versions in serving.items():
+            periods = self._periods.setdefault(service, {})
+            for software in versions:
+                known = periods.get(software)
+                lately = known is not None and known.last >= now - MAX_KEPT_SECONDS
+                periods[software] = Period(known.first if known and lately else now)
+
+    def versions(self, service: str, now: float, seconds: float) -> dict[str, Period]:
+        """Return the versions of a service that were seen in the last ``seconds``."""
+        periods = self._periods.get(service, {})
+        return {name: row for name, row in periods.items() if row.last >= now - seconds}
+
+    def mixed(self, now: float, seconds: float) -> frozenset[str]:
+        """Return the services that had several versions in the last ``seconds``."""
+        return frozenset(
+            service
+            for service, periods in self._periods.items()
+            if len(periods) > 1 and len(self.versions(service, now, seconds)) > 1
+        )
+
+
+def kept_seconds(timeouts: Iterable[float]) -> float:
+    """Return how long streams are remembered: as long as callers of any route go on."""
+    return min(MAX_KEPT_SECONDS, max(MIN_KEPT_SECONDS, *timeouts, 0.0))
+
+
+def judge_alone(
+    binding: Binding | None, service: str, versions: Collection[str], sure: bool
+) -> Verdict | None:
+    """Return what a host finds without asking, None if it has to ask the hub.
+
+    ``sure`` tells whether ``versions`` are all of the service's for as long as callers go on.
+    """
+    if binding is not None:
+        return Verdict(Source.HERE, binding.service, binding.software)
+    if sure and len(versions) == 1:
+        return Verdict(Source.SINGLE, service, *versions)
+    return None
+
+
+def judge_as_hub(
+    binding: Binding | None,
+    service: str,
+    periods: Mapping[str, Period],
+    told_since: float,
+    now: float,
+    seconds: float,
+) -> Verdict:
+    """Return what the hub knows of a stream, where it was told of all streams since a time.
+
+    A stream that it was not told of began before there was a second version, if that is less than
+    ``seconds`` ago.
+    """
+    if binding is not None:
+        return Verdict(Source.TOLD, binding.service, binding.software)
+    ordered = sorted(periods.items(), key=lambda row: row[1].first)
+    if len(ordered) > 1:
+        (earliest, period), (_, second) = ordered[:2]
+        alone = max(period.first, told_since) < second.first
+        if alone and now - second.first < seconds:
+            return Verdict(Source.EARLIER, service, earliest)
+    return Verdict(Source.UNKNOWN, service)
+
+
+def judge_replied(
+    service: str, versions: Collection[str], reply: Reply | None, in_touch: bool
+) -> Verdict:
+    """Return what a host finds after it has asked; ``reply`` is None if the hub gave none.
+
+    ``in_touch`` tells whether the host's list of endpoints, or a host that it reaches, would show
+    other versions.
+    """
+    if reply is not None and reply.verdict.software is not None:
+        return reply.verdict
+    known = {*versions, *(reply.versions if reply is not None else ())}
+    if in_touch and len(known) == 1:
+        return Verdict(Source.SINGLE, service, *known)
+    return Verdict(Source.UNKNOWN, service)
--- a/peridotdock/frames.py
+++ b/peridotdock/frames.py
@@ -30,6 +30,9 @@
     RowsWanted,
     StockGiven,
     StockWanted,
+    StreamFound,
+    StreamsBegun,
+    StreamWanted,
     TrialDropped,
     TrialGiven,
     TrialWanted,
@@ -66,6 +69,9 @@
     "trial_wanted": TrialWanted,
     "trial_given": TrialGiven,
     "trial_dropped": TrialDropped,
+    "streams_begun": StreamsBegun,
+    "stream_wanted": StreamWanted,
+    "stream_found": StreamFound,
 }
 # The encoded parts of an update before its array of facts and after it, up to the stamp's value: a
 # CBOR map of three pairs.
@@ -93,6 +99,9 @@
     | TrialWanted
     | TrialGiven
     | TrialDropped
+    | StreamsBegun
+    | StreamWanted
+    | StreamFound
 )
 
 
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -46,6 +46,9 @@
     RowsWanted,
     StockGiven,
     StockWanted,
+    StreamFound,
+    StreamsBegun,
+    StreamWanted,
     TrialDropped,
     TrialGiven,
     TrialWanted,
@@ -72,6 +75,8 @@
 QuotaFrame = QuotaWanted | QuotaGiven | QuotaReturned | StockWanted | StockGiven
 PermitFrame = PermitWanted | PermitGiven | PlaceReturned
 TrialFrame = TrialWanted | TrialGiven | TrialDropped
+StreamFrame = StreamsBegun | StreamWanted | StreamFound
+CallFrame = GrantFrame | QuotaFrame | PermitFrame | TrialFrame | StreamFrame
 LINK_OPTIONS = {
     "max_size": MAX_FRAME_BYTES,
     "compression": None,
@@ -108,6 +113,7 @@
         self.on_quota: Callable[[str, QuotaFrame], None] = lambda host, frame: None
         self.on_permit: Callable[[str, PermitFrame], None] = lambda host, frame: None
         self.on_trial: Callable[[str, TrialFrame], None] = lambda host, frame: None
+        self.on_stream: Callable[[str, StreamFrame], None] = lambda host, frame: None
         self._links: set[Link] = set()
         self._dialling: set[str] = set()
         self._bytes_in = ctx.metrics.peer_bytes.labels("in")
@@ -293,6 +299,8 @@
             self.on_permit(link.peer.host, frame)
         elif isinstance(frame, TrialFrame):
             self.on_trial(link.peer.host, frame)
+        elif isinstance(frame, StreamFrame):
+            self.on_stream(link.peer.host, frame)
         elif isinstance(frame, Ping):
             self._ctx.timeline.clock.witness(frame.stamp)
         elif isinstance(frame, Fetch):
@@ -303,12 +311,16 @@
             if waiter is not None and frame.body and not waiter.done():
                 waiter.set_result(frame.body)
 
-    def send_to(self, host: str, frame: GrantFrame | QuotaFrame | PermitFrame | TrialFrame) -> bool:
-        """Send a frame to a linked host; return False if there is no link to it."""
+    def find_link(self, host: str) -> Link | None:
+        """Return the newest link to a host, None if there is none."""
         links = [link for link in self._links if link.peer.host == host]
-        if not links:
+        return max(links, key=lambda link: link.up_at, default=None)
+
+    def send_to(self, host: str, frame: CallFrame) -> bool:
+        """Send a frame to a linked host; return False if there is no link to it."""
+        link = self.find_link(host)
+        if link is None:
             return False
-        link = max(links, key=lambda link: link.up_at)
         self._spawn(self._sender.send_raw(link, encode(frame)))
         return True
 
--- a/peridotdock/metrics.py
+++ b/peridotdock/metrics.py
@@ -30,6 +30,11 @@
         self.quota_units = self._counter(
             "quota_units", "Units of workspaces' quotas, by decision.", "decision"
         )
+        self.streams_taken_up = self._counter(
+            "streams_taken_up",
+            "Streams that callers took up again, by how their software version is known.",
+            "source",
+        )
         self.quota_share = Gauge(
             "peridotdock_quota_share",
             "Part of all quotas that this host grants to others, 0 if it is not the hub.",
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -41,6 +41,7 @@
 from peridotdock.relay.service import RelayService
 from peridotdock.relay.settings import HostSettings
 from peridotdock.relay.shares import Shares
+from peridotdock.relay.stream_versions import StreamVersions
 from peridotdock.relay.views import Views
 from peridotdock.relay.waits import EndpointWaits
 from peridotdock.serving import Server, make_application
@@ -180,6 +181,10 @@
         mesh.on_quota = self.quotas.on_frame
         identifier = Identifier(settings.bounds, self._config_age)
         self.responder = Responder(ctx, self.service)
+        self.stream_versions = StreamVersions(
+            ctx, settings.host, self.peers, self.fleet, find_iterations(), self._endpoints_age
+        )
+        self.responder.on_stream = self.stream_versions.record
         self.request_handler = RequestHandler(
             ctx,
             adapter.wire,
@@ -189,6 +194,7 @@
             self.host_monitor,
             identifier,
             self.quotas,
+            self.stream_versions,
         )
         lease = settings.bounds.order_lease
         machine = str(settings.listen.peers)
@@ -297,6 +303,9 @@
     def _config_age(self) -> float:
         return self.views.age(self.adapter.config_table)
 
+    def _endpoints_age(self) -> float:
+        return self.views.age(self.adapter.endpoint_table)
+
     def _follow_tables(self) -> list[Follower]:
         adapter, bounds = self.adapter, self.settings.bounds
         config = self.views.follow(
@@ -327,6 +336,7 @@
         self.peers.publish_loads()
         self.quotas.publish()
         self.notices.publish()
+        self.stream_versions.publish()
         self.permits.refresh()
         self.blocklist.publish_changes()
         self.views.publish_unchanged()
@@ -510,6 +520,7 @@
         self.item_waits.deployment = found
         self.grants.server.set_deployment(found)
         self.quotas.set_deployment(found)
+        self.stream_versions.set_deployment(found)
         self._publish_state()
         if current is None:
             self.lease_due.set()
@@ -518,6 +529,7 @@
 
     def _apply_endpoints(self, rows: Mapping[str, bytes | None], whole: bool) -> None:
         self._entries.apply_rows(rows, whole)
+        self.stream_versions.observe()
         self.orderer.changed.set()
 
     def _drop_connections(self, address: str) -> None:
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -82,6 +82,7 @@
             0,
             int(settings.can_be_hub),
             str(settings.listen.relay or ""),
+            streams=True,
         )
         reach = Reachability(
             self.facts, ctx.clock, settings.host, self.mesh.peers, self.mesh.last_received
--- a/peridotdock/relay/request_handler.py
+++ b/peridotdock/relay/request_handler.py
@@ -20,6 +20,7 @@
 from peridotdock.relay.requests import Identity, RelayRequest, RequestHead
 from peridotdock.relay.responding import Responder
 from peridotdock.relay.service import RelayService
+from peridotdock.relay.stream_versions import StreamVersions
 from peridotdock.relay.wire import Wire
 from peridotdock.serving import ARRIVAL_KEY, read_body
 
@@ -46,6 +47,7 @@
         monitor: HostMonitor,
         identifier: Identifier,
         quotas: Quotas,
+        stream_versions: StreamVersions,
     ):
         self._ctx = ctx
         self._wire = wire
@@ -55,6 +57,7 @@
         self._monitor = monitor
         self._identifier = identifier
         self._quotas = quotas
+        self._stream_versions = stream_versions
         self.deployment: Deployment | None = None
         self.closed = False
 
@@ -100,15 +103,14 @@
         if limited is not None:
             return limited
         progress = self._service.choose_service(req.route)
-        if req.head.resumed_attempt:
-            self._log_resumed(req)
+        if req.head.resumed_attempt and req.route.streams:
+            unknown = await self._stream_versions.bind(req, caller, progress)
+            if unknown is not None:
+                self.refund(req)
+                return unknown
         self._count_demand(req, progress)
         return progress
 
-    def _log_resumed(self, req: RelayRequest) -> None:
-        detail = f"after event {req.head.resume_after} of attempt {req.head.resumed_attempt}"
-        self._ctx.timeline.add("stream_taken_up", request=req.id, detail=detail)
-
     def refund(self, req: RelayRequest) -> None:
         """Return the quota units of a request that did not run."""
         self._quotas.refund(req)
--- a/peridotdock/relay/responding.py
+++ b/peridotdock/relay/responding.py
@@ -1,6 +1,6 @@
 """Serves requests that were admitted, and counts those in progress."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
 from blacksheep import Request, Response
@@ -38,6 +38,7 @@
         self._ctx = ctx
         self._service = service
         self.in_progress = 0
+        self.on_stream: Callable[[RelayRequest, Progress], None] = lambda req, progress: None
 
     async def respond(
         self, request: Request, req: RelayRequest, admission: Admission
@@ -61,6 +62,7 @@
             if isinstance(found, CompleteAnswer):
                 return answer_reply(Reply(head.status, head.headers, found.body, head.content_type))
             streaming = True
+            self.on_stream(req, progress)
             body = self._stream_body(req, caller, progress, found)
             return answer_reply(Reply(head.status, head.headers, body, head.content_type))
         finally:
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -353,6 +353,10 @@
     """
     Whether the origin can connect to no endpoint; its state is then starting.
     """
+    streams: bool = False
+    """
+    Whether the origin, as the hub, keeps the software versions of streams that other hosts began.
+    """
 
 
 @dataclass(frozen=True)
@@ -909,6 +913,97 @@
     """
 
 
+@dataclass(frozen=True)
+class StreamGroup:
+    """
+    Streams that endpoints of one software version began.
+    """
+
+    service: str
+    """
+    Service of the endpoints.
+    """
+    software: str
+    """
+    Version of their software.
+    """
+    ids: list[int]
+    """
+    The streams: hashes of the attempts that brought their first events.
+    """
+
+
+@dataclass(frozen=True)
+class StreamsBegun:
+    """
+    Notice to the hub: the streams that the sender's callers have begun to receive.
+    """
+
+    kind: Literal['streams_begun']
+    whole: bool
+    """
+    Whether these are all that the sender remembers, and not only those since the last notice.
+    """
+    streams: list[StreamGroup]
+    """
+    The streams, by software version.
+    """
+
+
+@dataclass(frozen=True)
+class StreamWanted:
+    """
+    Request to the hub: which software version began a stream.
+    """
+
+    kind: Literal['stream_wanted']
+    number: int
+    """
+    The requesting host's number of this call.
+    """
+    stream: int
+    """
+    Hash of the attempt that brought the stream's first event.
+    """
+    service: str
+    """
+    Service that the stream is to go on at.
+    """
+
+
+@dataclass(frozen=True)
+class StreamFound:
+    """
+    The hub's reply on a stream.
+    """
+
+    kind: Literal['stream_found']
+    number: int
+    """
+    The requesting host's number of this call.
+    """
+    service: str
+    """
+    Service that began the stream, or the one asked for.
+    """
+    software: str
+    """
+    Software version that began the stream, empty if it is not known.
+    """
+    source: Literal['told', 'earlier', 'unknown']
+    """
+    Whether a host told of the stream, or it began before there was a second version, or neither is known.
+    """
+    complete: bool
+    """
+    Whether all hosts in touch have told the hub of their streams.
+    """
+    versions: list[str]
+    """
+    Software versions of the service that the hub has seen lately.
+    """
+
+
 @dataclass(frozen=True)
 class EndpointWord:
     """
--- /dev/null
+++ b/tests/relay/test_stream_versions.py
@@ -0,0 +1,345 @@
+"""Streams that callers take up at other hosts, in a service of several software versions."""
+
+import asyncio
+import unittest
+
+from nose2.tools import params
+
+from peridotdock.decisions.stream_versions import (
+    MAX_KEPT_SECONDS,
+    MAX_LIST_AGE_SECONDS,
+    MIN_KEPT_SECONDS,
+    Binding,
+    Period,
+    Reply,
+    Source,
+    StreamTable,
+    Verdict,
+    VersionHistory,
+    judge_alone,
+    judge_as_hub,
+    judge_replied,
+    kept_seconds,
+)
+from peridotdock.events import Filter
+from peridotdock.schema.messages import StreamsBegun
+from tests.relay.test_forwarding import abort
+from tests.relay.test_partition import MAX_REFUSAL_SECONDS, wait_linked
+from tests.relay.test_relay import ids, run
+from tests.relay.test_software_versions import PAIRS, deploy, versions
+
+OLD, NEW = Binding("s", "v1"), Binding("s", "v2")
+SECONDS = 10.0
+UNKNOWN = Verdict(Source.UNKNOWN, "s")
+ALL_OLD = tuple((name, "v1") for name, _ in PAIRS)
+# Streams that are begun and taken up, by turns at engines that serve both versions.
+STREAMS = 6
+# Seconds within which all hosts have told the hub of their streams.
+TOLD_SECONDS = 0.5
+# Seconds within which a stream goes on although its host or the hub has just been killed.
+TAKEN_UP_SECONDS = 2.0
+
+
+async def begin(found, attempt, to=0):
+    """Receive the first events of a stream at a host, and leave."""
+    engines = found.engines.values()
+    for engine in engines:
+        engine.halfway_event = asyncio.Event()
+    sent = asyncio.ensure_future(found.send("/recap/", attempt, model="m0", to=to))
+    timeline = found.hosts[to].ctx.timeline
+    wanted = Filter(request=attempt)
+    await found.until(lambda: any(event.name == "first_event" for event in timeline.select(wanted)))
+    await asyncio.sleep(0.02)
+    sent.cancel()
+    for engine in engines:
+        engine.halfway_event = None
+
+
+async def take_up(found, first, second, to):
+    """Take a stream up at a host; its own endpoint and one other refuse. Return status and ids."""
+    for engine in found.engines.values():
+        engine.script = ["refuse"] if first in engine.executed else []
+    more = {"resumes": first, "last_event_id": "3"}
+    status, _, body = await found.send("/recap/", second, model="m0", to=to, **more)
+    return status, ids(body)
+
+
+def hub_of(found):
+    """Return the number of the host that is the hub."""
+    names = [host.settings.host for host in found.hosts]
+    return names.index(found.hosts[0].peers.hub())
+
+
+def count_sources(found, host):
+    """Return how many streams each source was found for at a host."""
+    counter = found.hosts[host].ctx.metrics.streams_taken_up
+    return {
+        sample.labels["source"]: sample.value
+        for metric in counter.collect()
+        for sample in metric.samples
+        if sample.name.endswith("_total")
+    }
+
+
+class StreamTableTest(unittest.TestCase):
+    def test_a_stream_is_kept_for_once_to_twice_the_time(self):
+        for begun in (0.0, 5.0, 9.9):
+            table = StreamTable(0.0)
+            table.record(1, OLD, begun, SECONDS)
+            self.assertEqual(OLD, table.find(1, begun + SECONDS, SECONDS), begun)
+            self.assertIsNone(table.find(1, begun + 2 * SECONDS + 0.1, SECONDS), begun)
+
+    def test_the_first_binding_stays(self):
+        """A second report of a stream binds it to another version than began it."""
+        table = StreamTable(0.0)
+        table.record(1, OLD, 0.0, SECONDS)
+        table.record(1, NEW, 12.0, SECONDS)
+        self.assertEqual([(1, OLD)], list(table.items(13.0, SECONDS)))
+
+
+class VersionHistoryTest(unittest.TestCase):
+    def test_a_version_counts_until_callers_of_its_streams_have_given_up(self):
+        history = VersionHistory()
+        history.observe({"s": {"v1"}, "t": {"v1"}}, 0.0)
+        self.assertEqual(frozenset(), history.mixed(1.0, SECONDS))
+        history.observe({"s": {"v1", "v2"}, "t": {"v1"}}, 2.0)
+        history.observe({"s": {"v2"}, "t": {"v1"}}, 3.0)
+        self.assertEqual({"s"}, history.mixed(12.9, SECONDS))
+        self.assertEqual(
+            {"v1": Period(0.0, 3.0), "v2": Period(2.0)}, history.versions("s", 4.0, SECONDS)
+        )
+        self.assertEqual(frozenset(), history.mixed(13.1, SECONDS))
+
+    def test_a_version_that_comes_back_after_long_is_a_new_one(self):
+        """A stream counts as begun before a second version that has served long ago as well."""
+        history = VersionHistory()
+        history.observe({"s": {"v1", "v2"}}, 0.0)
+        history.observe({"s": {"v1"}}, 1.0)
+        later = 2.0 + MAX_KEPT_SECONDS
+        history.observe({"s": {"v1", "v2"}}, later)
+        self.assertEqual(later, history.versions("s", later, SECONDS)["v2"].first)
+
+    def test_a_service_that_is_gone(self):
+        history = VersionHistory()
+        history.observe({"s": {"v1"}}, 0.0)
+        history.observe({}, 1.0)
+        history.observe({}, 5.0)
+        self.assertEqual({"v1": Period(0.0, 1.0)}, history.versions("s", 6.0, SECONDS))
+
+    @params(
+        ((), MIN_KEPT_SECONDS),
+        ((1.0, 6.0, 30.0), 30.0),
+        ((600.0,), MAX_KEPT_SECONDS),
+    )
+    def test_streams_are_kept_for_the_longest_route(self, timeouts, expected):
+        self.assertEqual(expected, kept_seconds(iter(timeouts)))
+
+
+class VerdictTest(unittest.TestCase):
+    """Guards against a stream that is taken up at a version that its host merely supposes."""
+
+    @params(
+        ("known here", NEW, {"v1"}, True, Verdict(Source.HERE, "s", "v2")),
+        ("one version", None, {"v1"}, True, Verdict(Source.SINGLE, "s", "v1")),
+        ("one version, but the list is old", None, {"v1"}, False, None),
+        ("two versions", None, {"v1", "v2"}, True, None),
+        ("no endpoint", None, (), True, None),
+    )
+    def test_without_the_hub(self, name, binding, seen, sure, expected):
+        self.assertEqual(expected, judge_alone(binding, "s", seen, sure), name)
+
+    @params(
+        ("told", NEW, (Period(0.0), Period(50.0)), 10.0, 55.0, "v2"),
+        ("begun before the second", None, (Period(0.0), Period(50.0)), 10.0, 55.0, "v1"),
+        ("the second has served for long", None, (Period(0.0), Period(50.0)), 10.0, 61.0, None),
+        ("the hub is new", None, (Period(0.0), Period(50.0)), 51.0, 55.0, None),
+        ("both at once", None, (Period(50.0), Period(50.0)), 10.0, 55.0, None),
+        ("one version", None, (Period(0.0),), 10.0, 55.0, None),
+        ("the third", None, (Period(0.0), Period(9.0), Period(50.0)), 1.0, 55.0, None),
+    )
+    def test_as_the_hub(self, name, binding, periods, told_since, now, expected):
+        rows = {f"v{number}": row for number, row in enumerate(periods, 1)}
+        found = judge_as_hub(binding, "s", rows, told_since, now, SECONDS)
+        self.assertEqual(expected, found.software, name)
+        self.assertEqual(expected is None, found.source is Source.UNKNOWN, name)
+
+    @params(
+        ("told", {"v1"}, Reply(Verdict(Source.TOLD, "s", "v2"), True, frozenset()), False, "v2"),
+        ("one version", {"v1"}, Reply(UNKNOWN, True, frozenset({"v1"})), True, "v1"),
+        ("the hub knows another", {"v1"}, Reply(UNKNOWN, True, frozenset({"v2"})), True, None),
+        ("only the hub knows one", (), Reply(UNKNOWN, True, frozenset({"v2"})), True, "v2"),
+        ("two versions", {"v1", "v2"}, Reply(UNKNOWN, True, frozenset()), True, None),
+        ("no reply, one version", {"v1"}, None, True, "v1"),
+        ("cut off", {"v1"}, None, False, None),
+        ("cut off, its own hub", {"v1"}, Reply(UNKNOWN, True, frozenset({"v1"})), False, None),
+    )
+    def test_with_the_hub(self, name, seen, reply, in_touch, expected):
+        self.assertEqual(expected, judge_replied("s", seen, reply, in_touch).software, name)
+
+
+class TriesTest(unittest.TestCase):
+    """Guards against a stream that a caller takes up at another version than began it."""
+
+    def check_one_version(self, found, number):
+        """Check that the attempts at a stream ran at one version only."""
+        seen = set().union(*(versions(found, f"{try_}{number}") for try_ in "abc"))
+        self.assertEqual(1, len(seen), number)
+
+    @run
+    async def test_three_tries_at_three_hosts(self):
+        """The last host asks for the first attempt, and only the host between them is alive."""
+        async with deploy(hosts=3) as found:
+            await wait_linked(found)
+            for number in range(STREAMS):
+                await begin(found, f"a{number}")
+                found_here = await take_up(found, f"a{number}", f"b{number}", 1)
+                self.assertEqual((200, [4, 5, 6]), found_here)
+            await asyncio.sleep(TOLD_SECONDS)
+            await abort(found.hosts[0])
+            for number in range(STREAMS):
+                found_here = await take_up(found, f"a{number}", f"c{number}", 2)
+                self.assertEqual((200, [4, 5, 6]), found_here)
+                self.check_one_version(found, number)
+            found.hosts.pop(0)
+
+    @params("the hub", "another host")
+    def test_the_first_host_is_killed(self, victim):
+        @run
+        async def check(self):
+            async with deploy(hosts=3) as found:
+                await wait_linked(found)
+                hub = hub_of(found)
+                first = hub if victim == "the hub" else (hub + 1) % 3
+                for number in range(STREAMS):
+                    await begin(found, f"a{number}", first)
+                await asyncio.sleep(TOLD_SECONDS)
+                killed = found.hosts.pop(first)
+                await abort(killed)
+                began = asyncio.get_running_loop().time()
+                tries = [
+                    asyncio.ensure_future(take_up(found, f"a{number}", f"b{number}", number % 2))
+                    for number in range(STREAMS)
+                ]
+                self.assertEqual([(200, [4, 5, 6])] * STREAMS, await asyncio.gather(*tries))
+                self.assertLess(asyncio.get_running_loop().time() - began, TAKEN_UP_SECONDS)
+                for number in range(STREAMS):
+                    self.check_one_version(found, number)
+
+        check(self)
+
+    @run
+    async def test_a_host_that_has_just_started(self):
+        async with deploy(hosts=2) as found:
+            await wait_linked(found)
+            for number in range(STREAMS):
+                await begin(found, f"a{number}", number % 2)
+            await asyncio.sleep(TOLD_SECONDS)
+            host = await found.add_host("late", (found.hosts[0].settings.listen.peers,))
+            await found.until(lambda: host.request_handler.deployment)
+            await found.until(lambda: len(host.fleet.states) == 5)
+            for number in range(STREAMS):
+                found_here = await take_up(found, f"a{number}", f"b{number}", 2)
+                self.assertEqual((200, [4, 5, 6]), found_here)
+                self.check_one_version(found, number)
+
+    @run
+    async def test_a_host_that_is_cut_off_from_the_others(self):
+        """It goes on with the streams that it knows, and would go on with others at any version."""
+        async with deploy(hosts=3) as found:
+            await wait_linked(found)
+            await begin(found, "a0", 1)
+            await found.hosts[1].peers.mesh.stop()
+            await begin(found, "a1", 0)
+            await found.until(lambda: len(found.hosts[1].peers.live_hosts()) == 1)
+            self.assertEqual((200, [4, 5, 6]), await take_up(found, "a0", "b0", 1))
+            self.check_one_version(found, 0)
+            self.assertEqual((503, []), await take_up(found, "a1", "b1", 1))
+            self.assertEqual(set(), versions(found, "b1"))
+
+    @run
+    async def test_a_host_that_is_cut_off_from_the_store_as_well(self):
+        """It does not know that there is a second version, and takes the only one that it knows."""
+        async with deploy(ALL_OLD, hosts=2) as found:
+            await wait_linked(found)
+            alone = found.hosts[1]
+            await alone.peers.mesh.stop()
+            for follower in alone._tasks[:2]:
+                follower.cancel()
+            await asyncio.sleep(MAX_LIST_AGE_SECONDS + 0.2)
+            for engine in found.engines.values():
+                engine.software = "v2"
+                engine.on_change()
+            await found.until(lambda: found.hosts[0].fleet.has_software("engines", "v2"))
+            await begin(found, "a0", 0)
+            self.assertFalse(alone.fleet.has_software("engines", "v2"))
+            self.assertEqual((503, []), await take_up(found, "a0", "b0", 1))
+            self.assertEqual(set(), versions(found, "b0"))
+
+    @run
+    async def test_an_unknown_stream(self):
+        """A stream of which nobody knows goes on where there is one version, and nowhere else."""
+        for pairs, expected, source in ((ALL_OLD, 200, "single"), (PAIRS, 503, "unknown")):
+            async with deploy(pairs, hosts=2) as found:
+                await wait_linked(found)
+                await asyncio.sleep(TOLD_SECONDS)
+                began = asyncio.get_running_loop().time()
+                status, _ = await take_up(found, "a0", "b0", 1)
+                self.assertEqual(expected, status)
+                self.assertLess(asyncio.get_running_loop().time() - began, MAX_REFUSAL_SECONDS)
+                self.assertEqual({source: 1}, count_sources(found, 1))
+
+    @run
+    async def test_a_stream_that_began_before_the_second_version(self):
+        """Its host had nobody to tell of one version, and is killed before there are two."""
+        async with deploy(ALL_OLD, hosts=3) as found:
+            await wait_linked(found)
+            first = (hub_of(found) + 1) % 3
+            for number in range(STREAMS):
+                await begin(found, f"a{number}", first)
+            killed = found.hosts.pop(first)
+            await abort(killed)
+            for engine in list(found.engines.values())[1::2]:
+                engine.software = "v2"
+                engine.on_change()
+            await found.until(
+                lambda: all(host.fleet.has_software("engines", "v2") for host in found.hosts)
+            )
+            for number in range(STREAMS):
+                found_here = await take_up(found, f"a{number}", f"b{number}", number % 2)
+                self.assertEqual((200, [4, 5, 6]), found_here)
+                engines = [row for row in found.engines.values() if f"b{number}" in row.executed]
+                self.assertEqual({"v1"}, {engine.software for engine in engines})
+
+
+class CostTest(unittest.TestCase):
+    """Guards against a price for streams that nobody takes up."""
+
+    async def count_frames(self, pairs):
+        """Return the notices that hosts send while they begin streams."""
+        frames = []
+        async with deploy(pairs, hosts=3) as found:
+            await wait_linked(found)
+            for host in found.hosts:
+                mesh = host.peers.mesh
+                send = mesh.send_to
+
+                def record(to, frame, send=send):
+                    frames.append(frame)
+                    return send(to, frame)
+
+                mesh.send_to = record
+            for number in range(2 * STREAMS):
+                await found.send("/recap/", f"a{number}", model="m0", to=number % 3)
+            await asyncio.sleep(TOLD_SECONDS)
+        return [frame for frame in frames if isinstance(frame, StreamsBegun)]
+
+    @run
+    async def test_one_version_costs_nothing(self):
+        self.assertEqual([], await self.count_frames(ALL_OLD))
+
+    @run
+    async def test_each_stream_is_told_once(self):
+        frames = await self.count_frames(PAIRS)
+        told = [row for frame in frames for group in frame.streams for row in group.ids]
+        self.assertEqual(2 * STREAMS, len(set(told)))
+        self.assertEqual(len(set(told)), len(told))
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -41,6 +41,10 @@
     Hello,
     OrdersFact,
     Ping,
+    StreamFound,
+    StreamGroup,
+    StreamsBegun,
+    StreamWanted,
     Update,
 )
 from tests import builders
@@ -61,6 +65,9 @@
         Hello("hello", "h0", "h0-1", b"n", b"p"),
         Update("update", [ENTRY], 5),
         Ping("ping", 3, 4),
+        StreamsBegun("streams_begun", True, [StreamGroup("s", "v1", [0, 2**64 - 1])]),
+        StreamWanted("stream_wanted", 1, 2**64 - 1, "s"),
+        StreamFound("stream_found", 1, "s", "", "unknown", False, ["v1", "v2"]),
     )
     def test_round_trip(self, frame):
         self.assertEqual(decode(encode(frame)), frame)
