Keep the software versions of streams in the store while a service has several

Cause: what hosts and hub know of streams ends with their processes. A host cut off from the other hosts alone refused others' streams as well, and took those that had begun elsewhere at a new version for older ones: it is its own hub, and nobody tells it anything.

The hub writes the streams that it was told of once a second, only while a service has several versions, into rows by the second of the time of day. A hub that may lack streams, as it is new or some host is not in touch, reads the rows when it is asked for a stream that it doesn't know, at most once in two seconds; a store that can't be read is passed over. That a stream began before there was a second version is concluded by more than half of all hosts only.

A cut-off host goes on with streams that are in the store. The price is one write a second from the hub, nothing with one version.

--- a/peridotdock/decisions/stream_versions.py
+++ b/peridotdock/decisions/stream_versions.py
@@ -17,6 +17,10 @@
 MAX_KEPT_SECONDS = 120.0
 # Age of the list of endpoints from which it may lack a version that other hosts know.
 MAX_LIST_AGE_SECONDS = 2.0
+# Rows of the store in which streams are written by turns, one a second.
+ROW_SLOTS = 150
+# Seconds by which the times of day of hosts may differ.
+CLOCK_SECONDS = 10.0
 # Most streams remembered in one table.
 MAX_STREAMS = 50_000
 
@@ -140,6 +144,20 @@
     return min(MAX_KEPT_SECONDS, max(MIN_KEPT_SECONDS, *timeouts, 0.0))
 
 
+def row_slot(now: float) -> int:
+    """Return the slot of the store's rows to write at a time of day, in seconds.
+
+    A slot is written again only when what it holds is too old for any host.
+    """
+    return int(now) % ROW_SLOTS
+
+
+def kept_rows(written_at: Mapping[str, float], now: float, seconds: float) -> frozenset[str]:
+    """Return the rows whose streams may still be taken up, by the times they were written."""
+    oldest, newest = now - seconds - CLOCK_SECONDS, now + CLOCK_SECONDS
+    return frozenset(key for key, at in written_at.items() if oldest <= at <= newest)
+
+
 def judge_alone(
     binding: Binding | None, service: str, versions: Collection[str], sure: bool
 ) -> Verdict | None:
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -41,6 +41,7 @@
 from peridotdock.relay.service import RelayService
 from peridotdock.relay.settings import HostSettings
 from peridotdock.relay.shares import Shares
+from peridotdock.relay.stream_rows import WRITE_SECONDS, StreamRows
 from peridotdock.relay.stream_versions import StreamVersions
 from peridotdock.relay.views import Views
 from peridotdock.relay.waits import EndpointWaits
@@ -185,6 +186,7 @@
             ctx, settings.host, self.peers, self.fleet, find_iterations(), self._endpoints_age
         )
         self.responder.on_stream = self.stream_versions.record
+        self.stream_rows = StreamRows(ctx, self.store, settings.host, self.stream_versions)
         self.request_handler = RequestHandler(
             ctx,
             adapter.wire,
@@ -292,6 +294,7 @@
             "block list",
             self.blocklist_due,
         )
+        every(lambda: WRITE_SECONDS, self.stream_rows.step, "stream rows", self.stream_rows.due)
         every(self._lease_seconds, self._step_lease, "lease", self.lease_due)
         self._tasks.append(asyncio.create_task(self._order()))
         self.ctx.timeline.add("started", detail=str(self.settings.listen.callers))
--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Mapping
+from math import inf
 
 import xxhash
 
@@ -44,14 +45,14 @@
 LOST_HUB_SECONDS = 1.5
 # Part of the time in which the first event must arrive that is left for serving the request.
 SERVING_SECONDS = 0.5
-# Services whose streams are told of, and where each goes: nothing while none has two versions.
 NO_SERVICES: frozenset[str] = frozenset()
 
 
 class StreamVersions:
     """Remembers the software versions of streams on one host, which may be the hub.
 
-    ``list_age`` returns the age in seconds of this host's list of endpoints.
+    ``list_age`` returns the age in seconds of this host's list of endpoints. Streams are remembered
+    for ``seconds`` at least.
     """
 
     def __init__(
@@ -70,9 +71,9 @@
         self._list_age = list_age
         self._calls: HubCalls[StreamFound] = HubCalls(iterations)
         now = ctx.clock.monotonic()
-        self._seconds = kept_seconds(())
+        self.seconds = kept_seconds(())
         self._history = VersionHistory()
-        self._observed_at = float("inf")
+        self._observed_at = inf
         self._own = StreamTable(now)
         self._told = StreamTable(now)
         # Streams not told to the hub yet, the link over which it was told, and of which services.
@@ -81,6 +82,11 @@
         self._told_services = NO_SERVICES
         self._hub_since: float | None = None
         self._told_by: set[str] = set()
+        self._mixed = NO_SERVICES
+        # Streams that are not in the store yet, on the hub.
+        self._unwritten: dict[int, Binding] = {}
+        # Whether the store's rows are still to be read; they are then being read.
+        self.needs_rows: Callable[[], bool] = lambda: False
         peers.mesh.on_stream = self.on_frame
 
     # What this host sees
@@ -88,7 +94,7 @@
     def set_deployment(self, deployment: Deployment) -> None:
         """Remember streams for as long as callers of the deployment's routes go on."""
         routes = [row for rows in deployment.routes.values() for row in rows.values()]
-        self._seconds = kept_seconds(row.timeout for row in routes if row.streams)
+        self.seconds = kept_seconds(row.timeout for row in routes if row.streams)
 
     def observe(self) -> None:
         """Record the software versions in the list of endpoints, after a change of it."""
@@ -105,9 +111,10 @@
             return
         stream = find_stream(req)
         binding = Binding(progress.service, progress.software)
-        self._own.record(stream, binding, self._ctx.clock.monotonic(), self._seconds)
+        self._own.record(stream, binding, self._ctx.clock.monotonic(), self.seconds)
         if binding.service in self._told_services:
             self._untold[stream] = binding
+        self._add_unwritten(stream, binding)
 
     # Streams that callers take up
 
@@ -132,15 +139,15 @@
 
     async def _find(self, req: RelayRequest, caller: CallerConnection, service: str) -> Verdict:
         now, stream = self._ctx.clock.monotonic(), find_stream(req)
-        versions = self._history.versions(service, now, self._seconds)
-        sure = self._list_is_new() and now - self._observed_at >= self._seconds
+        versions = self._history.versions(service, now, self.seconds)
+        sure = self._list_is_new() and now - self._observed_at >= self.seconds
         verdict = judge_alone(self._find_binding(stream), service, versions, sure)
         return verdict or await self._find_with_hub(req, caller, service)
 
     def _find_binding(self, stream: int) -> Binding | None:
         now = self._ctx.clock.monotonic()
-        return self._own.find(stream, now, self._seconds) or self._told.find(
-            stream, now, self._seconds
+        return self._own.find(stream, now, self.seconds) or self._told.find(
+            stream, now, self.seconds
         )
 
     async def _find_with_hub(
@@ -152,7 +159,7 @@
         while True:
             reply = await self._ask(stream, caller, service)
             now = clock.monotonic()
-            versions = self._history.versions(service, now, self._seconds)
+            versions = self._history.versions(service, now, self.seconds)
             verdict = judge_replied(service, versions, reply, self._in_touch())
             if reply is not None and verdict.source in (Source.TOLD, Source.SINGLE):
                 return verdict
@@ -201,8 +208,8 @@
     def publish(self) -> None:
         """Tell the hub of new streams; of all of them where the hub or the link to it is new."""
         now = self._ctx.clock.monotonic()
-        self._refresh_role(now)
-        mixed = self._history.mixed(now, self._seconds)
+        mixed = self._history.mixed(now, self.seconds)
+        self._refresh_role(now, mixed)
         target = self._find_target() if mixed else ""
         link = self._peers.mesh.find_link(target) if self._takes_streams(target) else None
         if link is None:
@@ -223,7 +230,7 @@
         return next(iter(self._peers.rank(self._peers.live_hosts() - {self._host})), "")
 
     def _all_own(self, services: frozenset[str], now: float) -> dict[int, Binding]:
-        rows = self._own.items(now, self._seconds)
+        rows = self._own.items(now, self.seconds)
         return {stream: row for stream, row in rows if row.service in services}
 
     def _takes_streams(self, host: str) -> bool:
@@ -236,12 +243,37 @@
 
     # On the hub
 
-    def _refresh_role(self, now: float) -> None:
-        if not self._peers.is_hub():
-            self._hub_since = None
-        elif self._hub_since is None:
-            self._hub_since = now
+    def _refresh_role(self, now: float, mixed: frozenset[str]) -> None:
+        known, self._mixed = self._mixed, mixed
+        began = self._hub_since is None
+        self._hub_since = (now if began else self._hub_since) if self._peers.is_hub() else None
         self._told_by &= self._peers.mesh.peers()
+        if self._hub_since is None:
+            self._unwritten = {}
+        elif began or mixed - known:
+            for table in (self._told, self._own):
+                for stream, binding in table.items(now, self.seconds):
+                    self._add_unwritten(stream, binding)
+
+    def _add_unwritten(self, stream: int, binding: Binding) -> None:
+        if self._hub_since is not None and binding.service in self._mixed:
+            self._unwritten[stream] = binding
+
+    def take_unwritten(self) -> dict[int, Binding]:
+        """Return the streams to write to the store, which count as written from now on."""
+        streams, self._unwritten = self._unwritten, {}
+        return streams
+
+    def restore_unwritten(self, streams: Mapping[int, Binding]) -> None:
+        """Take back streams that could not be written."""
+        for stream, binding in streams.items():
+            self._add_unwritten(stream, binding)
+
+    def add_stored(self, streams: Mapping[int, Binding]) -> None:
+        """Remember streams that the store's rows name."""
+        now = self._ctx.clock.monotonic()
+        for stream, binding in streams.items():
+            self._told.record(stream, binding, now, self.seconds)
 
     def on_frame(self, host: str, frame: StreamFrame) -> None:
         """Handle a frame of another host."""
@@ -268,21 +300,45 @@
         for group in frame.streams:
             binding = Binding(group.service, group.software)
             for stream in group.ids:
-                self._told.record(stream, binding, now, self._seconds)
+                self._told.record(stream, binding, now, self.seconds)
+                self._add_unwritten(stream, binding)
         if frame.whole:
             self._told_by.add(host)
 
     def _reply(self, stream: int, service: str) -> Reply:
         """Return what this host knows of a stream as the hub."""
         now = self._ctx.clock.monotonic()
-        periods = self._history.versions(service, now, self._seconds)
-        others = self._peers.live_hosts() - {self._host}
-        complete = self._hub_since is not None and others <= self._told_by
-        told_since = self._hub_since if complete and self._hub_since is not None else float("inf")
-        binding = self._find_binding(stream)
-        verdict = judge_as_hub(binding, service, periods, told_since, now, self._seconds)
+        periods = self._history.versions(service, now, self.seconds)
+        binding, told_since = self._find_binding(stream), self._told_since()
+        verdict = judge_as_hub(binding, service, periods, told_since, now, self.seconds)
+        complete = self._is_told_by(self._peers.live_hosts())
+        doubtful = verdict.source is not Source.TOLD and len(periods) > 1
+        if doubtful and self._may_lack_streams(now) and self.needs_rows():
+            verdict, complete = Verdict(Source.UNKNOWN, service), False
         return Reply(verdict, complete, frozenset(periods))
 
+    def _is_told_by(self, hosts: set[str]) -> bool:
+        return self._hub_since is not None and hosts - {self._host} <= self._told_by
+
+    def _told_since(self) -> float:
+        """Return since when this host has been told of all streams, infinite if it has not.
+
+        Failure guarded against: a host cut off from the others takes itself for the hub, which no
+        other host tells of its streams, and takes all that it does not know for old ones.
+        """
+        live = self._peers.live_hosts()
+        most = 2 * len(live) > self._peers.host_count()
+        if self._hub_since is None or not most or not self._is_told_by(live):
+            return inf
+        return self._hub_since
+
+    def _may_lack_streams(self, now: float) -> bool:
+        """Return whether streams that still go on may have been told to another hub alone."""
+        if self._hub_since is None:
+            return False
+        new = now - self._hub_since < self.seconds
+        return new or self._peers.host_count() > len(self._peers.live_hosts())
+
 
 def find_stream(req: RelayRequest) -> int:
     """Return the id of a request's stream: a hash of the attempt that brought its first event."""
