--- a/peridotdock/decisions/stream_versions.py
+++ b/peridotdock/decisions/stream_versions.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 from enum import StrEnum
+from functools import lru_cache
 from math import inf
 
 # Bounds of the seconds for which a stream's version is remembered at least.
@@ -23,6 +24,8 @@
 CLOCK_SECONDS = 10.0
 # Most streams remembered in one table.
 MAX_STREAMS = 50_000
+# Bindings that are shared by their streams.
+MAX_CACHED_BINDINGS = 200
 
 
 class Source(StrEnum):
@@ -43,6 +46,12 @@
     software: str
 
 
+@lru_cache(maxsize=MAX_CACHED_BINDINGS)
+def make_binding(service: str, software: str) -> Binding:
+    """Return a binding, the same object for equal ones: a hub holds one for each stream."""
+    return Binding(service, software)
+
+
 @dataclass(frozen=True, slots=True)
 class Verdict:
     """What is known of a stream, with the reason; ``software`` is None if nothing is."""
--- a/peridotdock/relay/stream_rows.py
+++ b/peridotdock/relay/stream_rows.py
@@ -15,7 +15,12 @@
 
 from peridotdock.clients.platform import Platform, Row, Transaction
 from peridotdock.context import Context
-from peridotdock.decisions.stream_versions import Binding, kept_rows, row_slot
+from peridotdock.decisions.stream_versions import (
+    Binding,
+    kept_rows,
+    make_binding,
+    row_slot,
+)
 from peridotdock.errors import failed
 from peridotdock.relay.stream_versions import StreamVersions
 
@@ -120,7 +125,7 @@
 
 def decode_row(value: Mapping[str, Any]) -> list[tuple[int, Binding]]:
     """Return the streams in a row; raises one of :data:`DECODE_ERRORS` for a bad one."""
-    binding = Binding(str(value["service"]), str(value["software"]))
+    binding = make_binding(str(value["service"]), str(value["software"]))
     raw = base64.b64decode(value["streams"], validate=True)
     if len(raw) % 8:
         raise ValueError("streams are cut")
--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -22,6 +22,7 @@
     judge_as_hub,
     judge_replied,
     kept_seconds,
+    make_binding,
 )
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure, Kind
@@ -110,7 +111,7 @@
         if progress.software is None:
             return
         stream = find_stream(req)
-        binding = Binding(progress.service, progress.software)
+        binding = make_binding(progress.service, progress.software)
         self._own.record(stream, binding, self._ctx.clock.monotonic(), self.seconds)
         if binding.service in self._told_services:
             self._untold[stream] = binding
@@ -298,7 +299,7 @@
     def _add_told(self, host: str, frame: StreamsBegun) -> None:
         now = self._ctx.clock.monotonic()
         for group in frame.streams:
-            binding = Binding(group.service, group.software)
+            binding = make_binding(group.service, group.software)
             for stream in group.ids:
                 self._told.record(stream, binding, now, self.seconds)
                 self._add_unwritten(stream, binding)
