--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -37,6 +37,9 @@
 from peridotdock.relay.requests import RelayRequest
 from peridotdock.schema.messages import StreamFound, StreamGroup, StreamsBegun, StreamWanted
 
+# Seconds between two notices to the hub of new streams, beside those of the periodic work. One
+# that is sent at once keeps the time short in which a stream is lost with its host.
+TELL_PAUSE_SECONDS = 0.15
 # Seconds between two calls to the hub for a stream that it does not know.
 ASK_PAUSE_SECONDS = 0.1
 # Seconds after which a stream stays unknown: hosts tell the hub of new ones in less than that.
@@ -81,6 +84,7 @@
         self._untold: dict[int, Binding] = {}
         self._told_over: Link | None = None
         self._told_services = NO_SERVICES
+        self._told_at = -inf
         self._hub_since: float | None = None
         self._told_by: set[str] = set()
         self._mixed = NO_SERVICES
@@ -113,9 +117,11 @@
         stream = find_stream(req)
         binding = make_binding(progress.service, progress.software)
         self._own.record(stream, binding, self._ctx.clock.monotonic(), self.seconds)
+        self._add_unwritten(stream, binding)
         if binding.service in self._told_services:
             self._untold[stream] = binding
-        self._add_unwritten(stream, binding)
+            if self._ctx.clock.monotonic() - self._told_at >= TELL_PAUSE_SECONDS:
+                self.publish()
 
     # Streams that callers take up
 
@@ -221,6 +227,7 @@
         if whole or streams:
             frame = StreamsBegun("streams_begun", whole, group_streams(streams))
             self._peers.mesh.send_to(target, frame)
+            self._told_at = now
         self._told_over, self._told_services, self._untold = link, mixed, {}
 
     def _find_target(self) -> str:
