--- a/tests/relay/test_stream_versions.py
+++ b/tests/relay/test_stream_versions.py
@@ -25,7 +25,7 @@
 from peridotdock.relay.stream_rows import DECODE_ERRORS, PREFIX, decode_row, encode_rows
 from peridotdock.relay.stream_versions import hash_attempt
 from peridotdock.schema.messages import StreamsBegun
-from tests.relay.test_forwarding import abort
+from tests.relay.test_forwarding import abort, cut_off
 from tests.relay.test_partition import MAX_REFUSAL_SECONDS, wait_linked
 from tests.relay.test_relay import ids, run
 from tests.relay.test_software_versions import PAIRS, allow_retries, begin, deploy, turn, versions
@@ -232,6 +232,36 @@
                 self.assertEqual((200, [4, 5, 6]), found_here)
                 self.check_one_version(found, number)
 
+    @run
+    async def test_a_host_that_reaches_no_endpoint(self):
+        """The host that a stream is forwarded to takes any version, or the first one knows none."""
+        async with deploy(hosts=3, gated=True) as found:
+            await cut_off(found)
+            for number in range(STREAMS):
+                first, second = (0, 1) if number % 3 else (1, 0)
+                await begin(found, f"a{number}", first, turn(number))
+                found_here = await take_up(found, f"a{number}", f"b{number}", second)
+                self.assertEqual((200, [4, 5, 6]), found_here)
+                self.check_one_version(found, number)
+
+    @run
+    async def test_a_version_that_serves_no_more(self):
+        """The caller waits until its deadline for a version that is gone, or gets another one."""
+        async with deploy(PAIRS[:2], hosts=2) as found:
+            await wait_linked(found)
+            await begin(found, "a0", 0, "v1")
+            await asyncio.sleep(TOLD_SECONDS)
+            old = next(row for row in found.engines.values() if "a0" in row.executed)
+            old.software = "v2"
+            old.on_change()
+            await found.until(
+                lambda: not any(host.fleet.has_software("engines", "v1") for host in found.hosts)
+            )
+            began = asyncio.get_running_loop().time()
+            self.assertEqual((503, []), await take_up(found, "a0", "b0", 1))
+            self.assertLess(asyncio.get_running_loop().time() - began, MAX_REFUSAL_SECONDS)
+            self.assertLessEqual(count_sources(found, 1).keys(), {"here", "told"})
+
     @run
     async def test_a_host_that_is_cut_off_from_the_others(self):
         """It goes on with others' streams at any version, or with none of them."""
