Don't wait for a hub of an earlier version to know a stream

A host whose hub is of an earlier version asked it, in vain, for 1.4 s before it took a stream up at the only version (seen in the new test without the change). Such a hub knows nothing, now or later: it is passed over, and a stream goes on or is refused within 0.3 s. The link to it stays.

--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Mapping
 from math import inf
+from typing import Literal
 
 import xxhash
 
@@ -50,6 +51,12 @@
 # Part of the time in which the first event must arrive that is left for serving the request.
 SERVING_SECONDS = 0.5
 NO_SERVICES: frozenset[str] = frozenset()
+# How the hub knows of a stream, in its replies.
+REPLY_SOURCES: dict[Source, Literal["told", "earlier", "unknown"]] = {
+    Source.TOLD: "told",
+    Source.EARLIER: "earlier",
+    Source.UNKNOWN: "unknown",
+}
 
 
 class StreamVersions:
@@ -183,7 +190,8 @@
         if hub == self._host:
             return self._reply(stream, service)
         if not self._takes_streams(hub):
-            return None
+            # A hub of an earlier version knows nothing, now or later.
+            return Reply(Verdict(Source.UNKNOWN, service), True, frozenset())
 
         def send(number: int) -> bool:
             frame = StreamWanted("stream_wanted", number, stream, service)
@@ -297,7 +305,7 @@
                 frame.number,
                 found.service,
                 found.software or "",
-                found.source.value,
+                REPLY_SOURCES[found.source],
                 reply.complete,
                 sorted(reply.versions),
             )
--- a/tests/relay/test_stream_versions.py
+++ b/tests/relay/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from nose2.tools import params
 
@@ -333,6 +334,27 @@
                 self.assertLess(asyncio.get_running_loop().time() - began, MAX_REFUSAL_SECONDS)
                 self.assertEqual({source: 1}, count_sources(found, 1))
 
+    @run
+    async def test_a_hub_of_an_earlier_version(self):
+        """It ends the link over which it gets a frame that it doesn't know, and callers wait."""
+        for pairs, expected in ((ALL_OLD, 200), (PAIRS, 503)):
+            async with deploy(pairs, hosts=2) as found:
+                await wait_linked(found)
+                hub = hub_of(found)
+                membership = found.hosts[hub].peers.membership
+                membership.own = replace(membership.own, streams=False)
+                membership.set_state("live")
+                other = found.hosts[1 - hub].peers
+                name = found.hosts[hub].settings.host
+                await found.until(
+                    lambda rows=other.membership, name=name: not rows.members()[name].fact.streams
+                )
+                link = other.mesh.find_link(name)
+                began = asyncio.get_running_loop().time()
+                self.assertEqual(expected, (await take_up(found, "a0", "b0", 1 - hub))[0])
+                self.assertLess(asyncio.get_running_loop().time() - began, MAX_REFUSAL_SECONDS)
+                self.assertIs(link, other.mesh.find_link(name))
+
     @run
     async def test_a_stream_that_began_before_the_second_version(self):
         """Its host had nobody to tell of one version, and is killed before there are two."""
