Charge each further run of a request to its workspace's quota

What callers saw: a workspace over its quota got more of the endpoints than its quota allows while answers were cut.

Cause: a request was charged once, when it was admitted. The rule counts each run at an endpoint, so also those of retries, resumed streams, replacements of silent sends and the sends of a host that a request was forwarded to.

Change: a send that begins when an earlier send of the request may have run is charged as it begins, on the host that sends it. It takes units of that host's stock, then of the hub's bucket, which may fall below any debt. It is not refused: its caller's answer is under way, and later requests get fewer units. A host without a link to the hub keeps what it owes as a stock below zero and passes it on later. A send that did not run is given back. Repeats of a forwarded request are charged by the host that sends them, as the one that admitted it learns of them with the answer or never.

Not mended: repeats of one moment. The retry budget of the service bounds it.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -538,6 +538,27 @@
         "if level > 0:",
         "tests.relay.test_quotas.CounterTest",
     ),
+    Mutant(
+        "a further send that may run is charged",
+        "relay/service.py",
+        "is_repeat = progress.maybe_ran > 0",
+        "is_repeat = False",
+        "tests.relay.test_quota_repeats.ChargeTest",
+    ),
+    Mutant(
+        "a repeat that did not run is given back",
+        "relay/service.py",
+        "self.on_repeat_not_run(req)",
+        "pass",
+        "tests.relay.test_quota_repeats.ChargeTest",
+    ),
+    Mutant(
+        "a stock owes units until a hub is linked",
+        "relay/quotas.py",
+        "if self._give_back(name, -round(units)):",
+        "if self._give_back(name, -round(units)) or True:",
+        "tests.relay.test_quota_repeats.OwedUnitsTest",
+    ),
     Mutant(
         "a request larger than a share is admitted at random",
         "decisions/quotas.py",
--- a/peridotdock/decisions/quotas.py
+++ b/peridotdock/decisions/quotas.py
@@ -161,7 +161,11 @@
         return units
 
     def give_back(self, name: str, units: float) -> None:
-        """Put back units that were taken and not used."""
+        """Put back units that were taken and not used.
+
+        Negative units are those of repeats, which have been used: the bucket may fall below any
+        debt, and grants nothing until it is above zero again.
+        """
         quota = self._quotas.get(name)
         if quota is not None:
             self._levels[name] = min(self._capacity(quota), self._levels[name] + units)
@@ -222,6 +226,19 @@
         self._levels[name] = max(level, min(full, level + units))
         return units - (self._levels[name] - level)
 
+    def charge(self, name: str, quota: Quota, cost: float, hosts: int) -> None:
+        """Take the units of a repeat; the stock may fall below zero."""
+        full = self._tolerance.stock(quota, hosts)
+        self._levels[name] = min(full, self._levels.get(name, 0.0)) - cost
+
+    def debts(self) -> Levels:
+        """Return by how much each stock is below zero, for those that are."""
+        return {name: -level for name, level in self._levels.items() if level < 0}
+
+    def clear_debt(self, name: str) -> None:
+        """Set a stock to zero, as its debt was taken from a bucket."""
+        self._levels[name] = 0.0
+
     def missing(self, quotas: Mapping[str, Quota], hosts: int) -> dict[str, int]:
         """Return the units that the stocks lack which were used and are low."""
         found = {}
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -178,6 +178,8 @@
             uptime,
         )
         mesh.on_quota = self.quotas.on_frame
+        self.service.on_repeat = self.quotas.charge_repeat
+        self.service.on_repeat_not_run = self.quotas.refund
         identifier = Identifier(settings.bounds, self._config_age)
         self.responder = Responder(ctx, self.service)
         self.request_handler = RequestHandler(
--- a/peridotdock/relay/quota_usage.py
+++ b/peridotdock/relay/quota_usage.py
@@ -15,6 +15,7 @@
     STOCK = "stock"
     HUB = "hub"
     ALONE = "alone"
+    REPEAT = "repeat"
     REFUSED = "refused"
     RETURNED = "returned"
 
--- a/peridotdock/relay/quotas.py
+++ b/peridotdock/relay/quotas.py
@@ -114,6 +114,33 @@
         if charge is not None:
             self._return(charge)
 
+    def charge_repeat(self, req: RelayRequest) -> None:
+        """Charge a further send of a request that may have run already, whatever is left.
+
+        Its caller's answer is under way, so later requests are refused in its place.
+        """
+        charge = self._find_charge(req)
+        if charge is None:
+            return
+        self._usage.add(charge.name, Decision.REPEAT, charge.cost)
+        self.stocks.charge(charge.name, charge.quota, charge.cost, self._peers.host_count())
+        self._settle_debts()
+
+    def _settle_debts(self) -> None:
+        """Take what the stocks owe from the buckets; without a link to these they go on owing."""
+        for name, units in self.stocks.debts().items():
+            if self._give_back(name, -round(units)):
+                self.stocks.clear_debt(name)
+
+    def _give_back(self, name: str, units: int) -> bool:
+        """Put units into the bucket, or take them if negative; return False without a link."""
+        grantor = self._shares.grantor()
+        if grantor == self._host:
+            self.server.give_back(name, units)
+            return True
+        frame = QuotaReturned("quota_returned", name, units)
+        return self._understands(grantor) and self._peers.mesh.send_to(grantor, frame)
+
     def _find_charge(self, req: RelayRequest) -> Charge | None:
         """Return the units and quota of a request; None if its workspace has no quota."""
         workspace = req.identity.workspace
@@ -127,12 +154,8 @@
         self._usage.add(charge.name, Decision.RETURNED, charge.cost)
         hosts = self._peers.host_count()
         rest = round(self.stocks.add(charge.name, charge.quota, charge.cost, hosts))
-        grantor = self._shares.grantor()
-        if rest and grantor == self._host:
-            self.server.give_back(charge.name, rest)
-        elif rest and self._understands(grantor):
-            frame = QuotaReturned("quota_returned", charge.name, rest)
-            self._peers.mesh.send_to(grantor, frame)
+        if rest:
+            self._give_back(charge.name, rest)
 
     def _understands(self, host: str) -> bool:
         """Return whether a host offers to use shares, as versions before did not."""
@@ -231,6 +254,7 @@
         self._usage.log_due()
         self._shares.refresh()
         self.server.advance()
+        self._settle_debts()
         self._fill_stocks()
         oldest = self._ctx.clock.monotonic() - MAX_REPLY_AGE_SECONDS
         self._asked = {number: row for number, row in self._asked.items() if row[0] > oldest}
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -81,6 +81,8 @@
         self.on_unreachable: Callable[[str], None] = lambda key: None
         self.on_gap: Callable[[str, str, float], None] = lambda service, key, seconds: None
         self.on_lost: Callable[[str], None] = lambda key: None
+        self.on_repeat: Callable[[RelayRequest], None] = lambda req: None
+        self.on_repeat_not_run: Callable[[RelayRequest], None] = lambda req: None
 
     def choose_service(self, route: Route) -> Progress:
         """Choose a request's service at random by the route's weights, and count the request."""
@@ -276,6 +278,9 @@
         if not self._retries.take(progress, req.id):
             self._chooser.withdraw(prediction)
             return NO_RETRY_LEFT
+        is_repeat = progress.maybe_ran > 0
+        if is_repeat:
+            self.on_repeat(req)
         progress.sends += 1
         progress.avoid.add(state.key)
         self.ctx.metrics.sends.labels(str(progress.sends)).inc()
@@ -305,6 +310,9 @@
                     self._retries.settle(progress, has_arrived(found))
                 bind_software(progress, found)
                 self._record_outcome(req, state, found, progress, replacement.began)
+                # Of a send and its replacement, the second to begin was charged as a repeat.
+                if (is_repeat or replacement.began) and failed(found) and not found.may_have_run:
+                    self.on_repeat_not_run(req)
                 self._record_overdue(req, state, found, prediction.seconds, started_at)
                 streaming = isinstance(found, StreamSource)
                 if is_answer(found):
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -570,7 +570,7 @@
     """
     units: int
     """
-    Units that were not used.
+    Units that were not used; negative for those of repeats, which take units whatever is left.
     """
 
 
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -88,8 +88,11 @@
     from all of them. Hosts that are added while ``cut_from_start`` names a way start behind a cut.
     """
 
-    def __init__(self, hosts=1, engines=(("e1", ("m0",)),), pages=("p1",), gated=False):
+    def __init__(
+        self, hosts=1, engines=(("e1", ("m0",)),), pages=("p1",), gated=False, bounds=BOUNDS
+    ):
         self._count = hosts
+        self._bounds = bounds
         self._gated = gated
         self._gates = []
         self.cut_from_start = ""
@@ -177,7 +180,7 @@
     async def add_host(self, name, seeds):
         listen = Listen(*(free_address() for _ in range(5)))
         settings = HostSettings(
-            name, "north", listen, seeds, parse_address(self.store.address), BOUNDS
+            name, "north", listen, seeds, parse_address(self.store.address), self._bounds
         )
         cfg = Settings(
             host_id=name,
--- a/tests/relay/quota_cluster.py
+++ b/tests/relay/quota_cluster.py
@@ -45,6 +45,8 @@
 SAMPLE_SECONDS = 0.05
 # Seconds for which a host's view of the hub is kept.
 VIEW_SECONDS = 0.02
+# Longest time in seconds until a request whose answer was cut runs again.
+REPEAT_SECONDS = 1.0
 WORKSPACE = "w"
 # Topics of facts that hosts send to the hub alone.
 HUB_ONLY_TOPICS = ("share_accepted",)
@@ -228,12 +230,24 @@
     """Hosts, the callers of one workspace, and faults. Times are seconds from the start.
 
     ``load`` returns the demand at a time as a share of the quota's rate. ``lag`` is the longest
-    time of a fact on its way, a frame takes a hundredth of it.
+    time of a fact on its way, a frame takes a hundredth of it. ``repeats`` returns the share of the
+    requests admitted at a time that run once more, some time later.
     """
 
-    def __init__(self, quota, tolerance, load, cost, hosts=86, lag=0.25, seed=1, discovery=0.5):
+    def __init__(
+        self,
+        quota,
+        tolerance,
+        load,
+        cost,
+        hosts=86,
+        lag=0.25,
+        seed=1,
+        discovery=0.5,
+        repeats=lambda now: 0.0,
+    ):
         self.quota, self.tolerance, self.load, self.cost = quota, tolerance, load, cost
-        self.lag, self.discovery = lag, discovery
+        self.lag, self.discovery, self.repeats = lag, discovery, repeats
         self.rng = random.Random(seed)
         self.names = [f"h{number}" for number in range(hosts)]
         self.rank = {name: number for number, name in enumerate(self.names)}
@@ -321,9 +335,20 @@
         if failure is None:
             self.served.append((self.now(), cost))
             self.waits.append(self.now() - sent_at)
+            await self._repeat(host, req, cost)
         else:
             self.refused.append((self.now() - self.warm, cost))
 
+    async def _repeat(self, host, req, cost):
+        """Run a share of the requests again, as their answers were cut."""
+        share = self.repeats(self.now() - self.warm)
+        if not share or self.rng.random() >= share:
+            return
+        await asyncio.sleep(REPEAT_SECONDS * self.rng.random())
+        if self.hosts.get(host.name) is host:
+            host.quotas.charge_repeat(req)
+            self.served.append((self.now(), cost))
+
     # Links
 
     def is_frozen(self, name):
--- a/tests/relay/test_quota_cluster.py
+++ b/tests/relay/test_quota_cluster.py
@@ -71,6 +71,14 @@
         self.assertLessEqual(found.max_in_window(), found.bound())
         self.assertLessEqual(found.max_part, 1.0 + 1e-9)
 
+    @params(*itertools.product((SMALL, LARGE, REQUESTS), ("none", "cut off, and the hub killed")))
+    def test_runs_of_repeats_count(self, quota, fault):
+        """Guards against repeats that run beside a full quota, as they take no units."""
+        more = {"hosts": 8, "seconds": 17.0, "repeats": lambda now: 0.4}
+        found = play(quota, FAULTS[fault], **more)
+        self.assertLessEqual(found.max_in_window(), found.bound())
+        self.assertGreater(found.units(), 0.8 * quota.rate * 11.0)
+
     @params(1, 2, 3)
     def test_a_hub_that_hands_over_uses_no_share(self, seed):
         """Guards against the hub of the time in between, which goes on when the first is back."""
--- a/tests/relay/test_quotas.py
+++ b/tests/relay/test_quotas.py
@@ -131,6 +131,15 @@
         counter.give_back("w", PROMPT)
         self.assertEqual(full, counter.level("w"))
 
+    def test_repeats_take_units_that_later_requests_do_not_get(self):
+        """Guards against runs beyond the quota, as a request's repeats take nothing."""
+        counter = make_counter()
+        taken = counter.level("w") + TOLERANCE.debt(TOKENS) + TOKENS.rate
+        counter.give_back("w", -taken)
+        self.assertGreater(counter.take("w", 1.0), 0.0)
+        counter.advance({"w": TOKENS}, 1.0, 1.0)
+        self.assertAlmostEqual(-TOLERANCE.debt(TOKENS), counter.level("w"))
+
     def test_a_low_bucket_fills_no_stocks(self):
         """Guards against stocks that take the units of requests which wait for them."""
         counter = make_counter()
@@ -209,6 +218,16 @@
         self.stocks.add("w", TOKENS, self.full, 86)
         self.assertEqual({}, self.stocks.missing({"w": TOKENS}, 86))
 
+    def test_a_stock_owes_what_repeats_take_beyond_it(self):
+        self.stocks.add("w", TOKENS, 100.0, 86)
+        self.stocks.charge("w", TOKENS, 60.0, 86)
+        self.assertEqual({}, self.stocks.debts())
+        self.stocks.charge("w", TOKENS, 60.0, 86)
+        self.assertEqual({"w": 20.0}, self.stocks.debts())
+        self.assertFalse(self.stocks.take("w", TOKENS, 1.0, 86))
+        self.stocks.clear_debt("w")
+        self.assertEqual({}, self.stocks.debts())
+
     def test_shares_of_hosts_would_refuse_what_is_within(self):
         """With the quota divided among forty hosts, one request exceeds a host's share."""
         rng, now, refused, count = random.Random(1), 0.0, 0, 0
@@ -307,6 +326,10 @@
             (("w", Decision.HUB, 5.0, "h1"), ("w", Decision.STOCK, 2.0, "")),
             ["workspace w, units in 1.00 s: hub by h1 5, stock 2"],
         ),
+        (
+            (("w", Decision.STOCK, 5.0, ""), ("w", Decision.REPEAT, 5.0, "")),
+            ["workspace w, units in 1.00 s: repeat 5, stock 5"],
+        ),
         (
             (("w", Decision.ALONE, 5.0, ""), ("w", Decision.ALONE, 4.0, "")),
             ["workspace w, units in 1.00 s: alone 9"],
