--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -81,6 +81,8 @@
         self.on_unreachable: Callable[[str], None] = lambda key: None
         self.on_gap: Callable[[str, str, float], None] = lambda service, key, seconds: None
         self.on_lost: Callable[[str], None] = lambda key: None
+        self.on_repeat: Callable[[RelayRequest], None] = lambda req: None
+        self.on_repeat_not_run: Callable[[RelayRequest], None] = lambda req: None
 
     def choose_service(self, route: Route) -> Progress:
         """Choose a request's service at random by the route's weights, and count the request."""
@@ -330,6 +332,9 @@
         if not self._retries.take(progress, req.id):
             self._chooser.withdraw(prediction)
             return NO_RETRY_LEFT
+        is_repeat = progress.maybe_ran > 0
+        if is_repeat:
+            self.on_repeat(req)
         progress.sends += 1
         progress.avoid.add(state.key)
         self.ctx.metrics.sends.labels(str(progress.sends)).inc()
@@ -349,7 +354,7 @@
         replacement = Replacement(self, silent, first.end)
         streaming = False
         try:
-            found = await self._send_chosen(silent, first, prediction, replacement)
+            found = await self._send_chosen(silent, first, prediction, replacement, is_repeat)
             streaming = isinstance(found, StreamSource) and found.caller is first
             return found
         finally:
@@ -364,6 +369,7 @@
         caller: SendCaller,
         prediction: Prediction,
         replacement: Replacement,
+        is_repeat: bool,
     ) -> CompleteAnswer | StreamSource | Failure:
         """Send to the chosen endpoint; return its answer, or that of the one that replaced it."""
         req, progress, state = silent.req, silent.progress, silent.state
@@ -383,6 +389,9 @@
             self._retries.settle(progress, has_arrived(found))
         bind_software(progress, found)
         self._record_outcome(req, state, found, progress, replacement.began)
+        # Of a send and its replacement, the second to begin was charged as a repeat.
+        if (is_repeat or replacement.began) and failed(found) and not found.may_have_run:
+            self.on_repeat_not_run(req)
         self._record_overdue(req, state, found, prediction.seconds, started_at)
         if is_answer(found):
             return found
