Play workspaces' quotas in the soak while hosts are lost one after the other

Purpose: no run of real processes had callers with keys and quotas. Change: every eleventh seed has four workspaces with quotas, two by requests and two by tokens; of each kind one sends three times its quota and one half of it, evenly, to all hosts, without retries. Plans of earlier seeds that are multiples of eleven change. One check holds the units that ran in any window of quota_window_s, by their first arrival at an endpoint, against (rate x window + burst) x (1 + quota_over) + quota_slack; the other reports each refusal by its quota of a workspace that sends half of it. A reload is not signalled to a host that isn't up: SIGHUP ends a process that has no handler yet.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -23,6 +23,7 @@
 from extras.soak.partitions import silence_endpoints
 from extras.soak.plan import MAX_FAULT_SECONDS, Plan, draw_plan
 from extras.soak.proxy import Proxy
+from extras.soak.quotas import LOADS, describe_workspaces, load_workspaces
 from extras.soak.silences import silence_in_series
 from tests.standins.runner import EVENTS_PER_STREAM, FALL_SECONDS, RunnerStandin
 
@@ -42,22 +43,6 @@
 CHANGE_SECONDS = 2.0
 REQUESTS_AFTER_CHANGE = 4
 UNKNOWN_ROUTE = 404
-START_TIMEOUT_SECONDS = 60.0
-
-
-async def wait_ready(deployment: SoakDeployment) -> None:
-    """Wait until the ready listener of every host answers 200."""
-    async with aiohttp.ClientSession() as session, asyncio.timeout(START_TIMEOUT_SECONDS):
-        for host in deployment.hosts:
-            while True:
-                try:
-                    async with session.get(f"http://{host.address('ready')}/v1/ready") as resp:
-                        if resp.status == 200:
-                            break
-                except aiohttp.ClientError:
-                    # The host does not listen yet; START_TIMEOUT_SECONDS bounds the wait.
-                    pass
-                await asyncio.sleep(0.05)
 
 
 async def inject_faults(deployment: SoakDeployment, plan: Plan, started_at: float) -> None:
@@ -78,9 +63,12 @@
     """Run one plan against new processes and return the violated guarantees, one line each."""
     partitioned = plan.partitioned and beside is None
     record, deployment = Record(), SoakDeployment(hosts, folder, beside, partitioned)
+    if plan.limited:
+        deployment.workspaces = describe_workspaces()
+        record.loads = LOADS
     await deployment.start()
     try:
-        await wait_ready(deployment)
+        await deployment.wait_ready()
         started_at = time.monotonic()
         callers = [
             Caller(n, deployment, record, started_at, plan.seed) for n in range(CALLER_COUNT)
@@ -121,6 +109,8 @@
                 )
                 for n in range(CALLER_COUNT + 1, CALLER_COUNT + 1 + STREAM_CALLER_COUNT)
             ]
+        if plan.limited:
+            work += load_workspaces(deployment, record, started_at, plan)
         if plan.restored:
             rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
             work.append(deployment.restore_store(seconds, rng))
--- a/extras/soak/callers.py
+++ b/extras/soak/callers.py
@@ -33,7 +33,7 @@
     """One caller; ``started_at`` is the start of the run in monotonic seconds.
 
     A ``direct`` one keeps to the addresses of all hosts, whatever the directory says. One with
-    ``routes`` sends requests of these alone.
+    ``routes`` sends requests of these alone. ``workspace`` is the one whose key it sends.
     """
 
     def __init__(
@@ -45,7 +45,9 @@
         seed: int,
         direct: bool = False,
         routes: Sequence[str] = (),
+        workspace: str = "",
     ):
+        self._workspace = workspace or deployment.open_workspace
         self._routes = routes
         self._direct = direct
         self._deployment = deployment
@@ -57,10 +59,14 @@
         self._addresses: list[str] = []
         self._resolved_at = float("-inf")
 
+    def open_session(self) -> aiohttp.ClientSession:
+        """Return a session that keeps connections open."""
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=5)
+        return aiohttp.ClientSession(connector=connector, auto_decompress=False)
+
     async def run(self, until: float) -> None:
         """Send requests until ``until``, in seconds since the start of the run."""
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=5)
-        async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as session:
+        async with self.open_session() as session:
             while self._now() < until:
                 await self.send(session, self._record.attempts)
                 await asyncio.sleep(MEAN_PAUSE_SECONDS * self._rng.random() * 2)
@@ -80,7 +86,7 @@
 
     async def send(self, session: aiohttp.ClientSession, attempts: list[Attempt]) -> None:
         """Send one request, with one retry if it is allowed, and append the attempts to a list."""
-        route = self._rng.choice(self._routes or [*REPEATABLE_ROUTES, *self._extra_routes()])
+        route = self._choose_route()
         for _ in range(2):
             attempt = await self._attempt(session, route)
             if attempt is None:
@@ -90,6 +96,15 @@
             if not repeatable and attempt.status not in NOT_RUN:
                 return
 
+    async def send_once(self, session: aiohttp.ClientSession) -> None:
+        """Send one request without a retry, and record the attempt."""
+        attempt = await self._attempt(session, self._choose_route())
+        if attempt is not None:
+            self._record.attempts.append(attempt)
+
+    def _choose_route(self) -> str:
+        return self._rng.choice(self._routes or [*REPEATABLE_ROUTES, *self._extra_routes()])
+
     def _extra_routes(self) -> list[str]:
         return [route["name"] for route in self._deployment.routes[len(REPEATABLE_ROUTES) :]]
 
@@ -102,6 +117,8 @@
         attempt_id, started_at = next(self._ids), self._now()
         seconds = min(ROUTE_SECONDS.get(route, EXTRA_ROUTE_SECONDS), DEADLINE_SECONDS)
         headers = {"host": "shop.example", "x-attempt-id": attempt_id, "x-deadline-ms": DEADLINE_MS}
+        if self._workspace:
+            headers["authorization"] = f"Bearer {self._workspace}"
         if route in MODEL_ROUTES:
             model = POISON_MODEL if body else self._rng.choice(["m0", "m1"])
             headers |= {"x-model": model, "x-token-counts": "900,20"}
@@ -141,6 +158,7 @@
             complete,
             signature,
             started_at + seconds,
+            self._workspace,
         )
 
     def _discard_address(self, address: str) -> None:
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -38,6 +38,14 @@
 RETRY_SHARE = 0.2
 RETRY_EXTRA = 58
 RETRY_WINDOW_SECONDS = 10
+# Window over which a workspace's units are counted, and by how much they may pass its quota: a
+# share of what the quota allows, and units.
+QUOTA_WINDOW_SECONDS = 8.0
+QUOTA_OVER = 0.1
+QUOTA_SLACK_UNITS = 10
+# Share of its quota up to which a workspace is not refused, and what a refusal by a quota names.
+WITHIN_SHARE = 0.5
+QUOTA_KIND = b'"caller_limit"'
 # Seconds within which an answer breaks off when a host that it came through has ended.
 HOST_LOSS_SECONDS = 0.5
 # Routes whose requests go to engines; all others go to endpoints of the plain service.
@@ -65,6 +73,21 @@
     request_times: list[float]
 
 
+@dataclass(frozen=True, slots=True)
+class WorkspaceLoad:
+    """A workspace's quota, and what its callers send.
+
+    ``rate`` is in units per second, ``burst`` in units, ``cost`` the units of a request, ``load``
+    what is sent as a share of the rate.
+    """
+
+    name: str
+    rate: float
+    burst: float
+    cost: float
+    load: float
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointRecord:
     """The requests that reached an endpoint, as times and attempt ids, and what it announced.
@@ -132,7 +155,7 @@
 
     ``complete`` is true if the response ended properly. Times are in seconds since the start of the
     run. ``incarnation`` names the host process that received the attempt. ``deadline`` is the time
-    until which it had to be served.
+    until which it had to be served. ``workspace`` is the one whose key it had, if any.
     """
 
     id: str
@@ -146,6 +169,7 @@
     complete: bool
     signature: str
     deadline: float = math.inf
+    workspace: str = ""
 
     @property
     def broken_off(self) -> bool:
@@ -178,6 +202,7 @@
     disturbed: list[Disturbance] = field(default_factory=list)
     host_ends: dict[str, float] = field(default_factory=dict)
     forwarded: dict[str, set[str]] = field(default_factory=dict)
+    loads: Sequence[WorkspaceLoad] = ()
     falls: list[tuple[float, str]] = field(default_factory=list)
     brittle_since: float = math.inf
 
@@ -465,6 +490,41 @@
         yield f"{len(later)} falls of endpoints: {dict(Counter(later))}"
 
 
+def check_quotas(record: Record) -> Iterable[str]:
+    """A workspace had more units run in a window than its quota and the tolerance allow."""
+    ran = set(record.ran)
+    first: dict[str, float] = {}
+    for endpoint in record.endpoint_records:
+        for at, name in endpoint.requests:
+            first[name] = min(at, first.get(name, math.inf))
+    for row in record.loads:
+        names = {a.id for a in record.attempts if a.workspace == row.name} & ran
+        times = sorted(first[name] for name in names)
+        rated = row.rate * QUOTA_WINDOW_SECONDS + row.burst
+        allowed = rated * (1 + QUOTA_OVER) + QUOTA_SLACK_UNITS
+        counts = [(count_between(times, at, QUOTA_WINDOW_SECONDS), at) for at in times]
+        count, since = max(counts, default=(0, 0.0))
+        units = row.cost * count
+        if units > allowed:
+            yield f"workspace {row.name}: {units} units from {since:.2f} s, {allowed} allowed"
+
+
+def check_within_quota(record: Record) -> Iterable[str]:
+    """A workspace that was well within its quota was refused by it."""
+    for row in record.loads:
+        refused = [
+            attempt
+            for attempt in record.attempts
+            if attempt.workspace == row.name and QUOTA_KIND in attempt.body
+        ]
+        if refused and row.load <= WITHIN_SHARE:
+            first = refused[0]
+            yield (
+                f"workspace {row.name}: {len(refused)} requests refused at {row.load:.2f} of its"
+                f" quota, the first {first.id} at {first.ended_at:.2f} s by {first.incarnation}"
+            )
+
+
 def check_changes(record: Record) -> Iterable[str]:
     """A host did not follow a change that was made after the store was restored."""
     yield from record.missed_changes
@@ -490,5 +550,7 @@
         *check_changes(record),
         *check_partitions(record),
         *check_falls(record),
+        *check_quotas(record),
+        *check_within_quota(record),
     ]
     return found + list(check_planned(record)) if planned else found
--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -11,11 +11,16 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
+import aiohttp
+
 from extras.soak.checks import (
+    QUOTA_OVER,
+    QUOTA_SLACK_UNITS,
+    QUOTA_WINDOW_SECONDS,
     RETRY_EXTRA,
     RETRY_SHARE,
     RETRY_WINDOW_SECONDS,
@@ -43,6 +48,8 @@
 PAGE_SECONDS = 0.02
 # Half of the seconds for which a draining endpoint still serves.
 DRAIN_SECONDS = 2.0
+START_TIMEOUT_SECONDS = 60.0
+READY = 200
 STOP_SECONDS = 3
 # Seconds before the end of that by which a stopping host ends all answers.
 STOP_MARGIN_SECONDS = 0.7
@@ -83,6 +90,9 @@
     "ceiling_window_s": 5,
     "ceiling_over": 1.1,
     "ttl_max_s": 5,
+    "quota_window_s": QUOTA_WINDOW_SECONDS,
+    "quota_over": QUOTA_OVER,
+    "quota_slack": QUOTA_SLACK_UNITS,
 }
 
 
@@ -160,6 +170,15 @@
         self._child.wait()
 
 
+async def ready_status(session: aiohttp.ClientSession, host: HostProcess) -> int:
+    """Return what the ready listener of a host answers, 0 while it does not listen."""
+    try:
+        async with session.get(f"http://{host.address('ready')}/v1/ready") as resp:
+            return resp.status
+    except aiohttp.ClientError:
+        return 0
+
+
 class SoakDeployment:
     """All processes and stand-ins of a run, and the faults that can be injected into them.
 
@@ -180,6 +199,7 @@
         self.links: dict[str, Proxy] = {}
         self.closed_links: dict[str, Proxy] = {}
         self.routes = list(ROUTES)
+        self.workspaces: Sequence[Mapping[str, Any]] = ()
         self.version = 1
         self.crash_times: list[float] = []
         self.disturbed: list[Disturbance] = []
@@ -192,6 +212,11 @@
         self._replacing: set[asyncio.Task] = set()
         self._numbers = iter(range(1, 10_000))
 
+    @property
+    def open_workspace(self) -> str:
+        """Return the workspace without a quota, the first; empty if there are no workspaces."""
+        return self.workspaces[0]["name"] if self.workspaces else ""
+
     async def start(self) -> None:
         """Start the stand-ins and the host processes, without waiting until hosts are ready."""
         self.store = await TableStandin().start()
@@ -206,6 +231,13 @@
             host.write_settings(self.store_link.address, seeds)
             host.start()
 
+    async def wait_ready(self) -> None:
+        """Wait until the ready listener of every host answers 200."""
+        async with aiohttp.ClientSession() as session, asyncio.timeout(START_TIMEOUT_SECONDS):
+            for host in self.hosts:
+                while await ready_status(session, host) != READY:
+                    await asyncio.sleep(0.05)
+
     async def stop(self) -> None:
         """Kill the host processes and stop the stand-ins and proxies."""
         for task in self._replacing:
@@ -338,6 +370,7 @@
 
     def _write_config(self) -> None:
         changed = CONFIG | {"version": self.version, "routes": self.routes}
+        changed["tenants"] = list(self.workspaces)
         changed["services"] = [{"name": "engines", "engine": ENGINE_CONFIG}, {"name": "pages"}]
         self.store.put("op", "config", json.dumps(changed).encode())
 
@@ -380,7 +413,10 @@
         await asyncio.sleep(seconds)
 
     async def _reload(self, host: HostProcess, seconds: float) -> None:
-        host.signal(signal.SIGHUP)
+        """Signal a host that is up: the signal ends a process that does not handle it yet."""
+        async with aiohttp.ClientSession() as session:
+            if await ready_status(session, host):
+                host.signal(signal.SIGHUP)
 
     async def _kill(self, host: HostProcess, seconds: float) -> None:
         self.host_ends[host.incarnation] = time.monotonic()
--- a/extras/soak/plan.py
+++ b/extras/soak/plan.py
@@ -23,6 +23,10 @@
 # configuration changes. Beside that it has faults of these kinds, and nothing of other seeds.
 SILENT_EVERY = 7
 KINDS_BESIDE_SILENCE = frozenset({"stop", "reload", "kill", "config"})
+# One seed in this many has workspaces with quotas, and hosts that are lost one after the other.
+# Beside that it has faults of these kinds, and nothing of other seeds.
+QUOTA_EVERY = 11
+KINDS_BESIDE_QUOTAS = frozenset({"reload", "config"})
 # One seed in this many has a store that comes back from older copies of its rows.
 RESTORED_EVERY = 3
 
@@ -91,10 +95,15 @@
         """Return whether endpoints are silent at once, in series."""
         return is_silent(self.seed)
 
+    @property
+    def limited(self) -> bool:
+        """Return whether workspaces have quotas."""
+        return is_limited(self.seed)
+
     @property
     def _mixed(self) -> bool:
         """Return whether faults of all kinds are drawn."""
-        return not self.maintenance_only and not self.silent
+        return not (self.maintenance_only or self.silent or self.limited)
 
     @property
     def poisoned(self) -> bool:
@@ -104,7 +113,7 @@
     @property
     def overloaded(self) -> bool:
         """Return whether endpoints announce limits, backoffs and draining in their answers."""
-        return not self.silent and self.seed % OVERLOADED_EVERY == 1
+        return not (self.silent or self.limited) and self.seed % OVERLOADED_EVERY == 1
 
     @property
     def partitioned(self) -> bool:
@@ -119,7 +128,7 @@
     @property
     def restored(self) -> bool:
         """Return whether the store comes back from older copies of its rows."""
-        return not self.silent and self.seed % RESTORED_EVERY == 2
+        return not (self.silent or self.limited) and self.seed % RESTORED_EVERY == 2
 
 
 def is_silent(seed: int) -> bool:
@@ -127,10 +136,17 @@
     return seed % PLANNED_EVERY != 0 and seed % SILENT_EVERY == 0
 
 
+def is_limited(seed: int) -> bool:
+    """Return whether workspaces have quotas in a seed's run; silences and planned work go first."""
+    return seed % PLANNED_EVERY != 0 and seed % QUOTA_EVERY == 0 and not is_silent(seed)
+
+
 def draws(seed: int, kind: Kind) -> bool:
     """Return whether faults of a kind are drawn for a seed."""
     if is_silent(seed):
         return kind.name in KINDS_BESIDE_SILENCE
+    if is_limited(seed):
+        return kind.name in KINDS_BESIDE_QUOTAS
     return kind.planned or seed % PLANNED_EVERY != 0
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,6 +27,7 @@
     LimitedEndpoint,
     Partition,
     Record,
+    WorkspaceLoad,
     find_violations,
 )
 from extras.soak.deployment import ROOT, SoakDeployment
@@ -71,6 +72,23 @@
     return replace(broken_record(other_ends=ended_at), forwarded=forwarded)
 
 
+def quota_record(count, seconds=7.0, units=1.0, ran=True):
+    """Return a record of a workspace's requests, spread over some time; 109 of cost 1 may run."""
+    load = WorkspaceLoad("w", rate=10.0 * units, burst=10.0 * units, cost=units, load=3.0)
+    rows = [replace(PAGE, id=f"w{n}", workspace="w") for n in range(count)]
+    times = [(seconds * n / count, row.id) for n, row in enumerate(rows)]
+    found = record(*rows, ran=[row.id for row in rows] if ran else ())
+    return replace(found, loads=[load], endpoint_records=[EndpointRecord(times, [])])
+
+
+def refused_record(share, status=429, kind="caller_limit"):
+    """Return a record of a workspace that sends this share of its quota and is refused once."""
+    body = json.dumps({"error": {"type": kind}}).encode()
+    refused = replace(PAGE, id="w1", workspace="w", status=status, body=body)
+    load = WorkspaceLoad("w", rate=10.0, burst=10.0, cost=1.0, load=share)
+    return replace(record(refused), loads=[load])
+
+
 def retry_record(retries, seconds=5.0):
     """Return a record of one request and of its arrivals, which are spread over some time."""
     times = [1.0 + seconds * n / retries for n in range(retries + 1)]
@@ -228,6 +246,14 @@
         ("retries within the budget", retry_record(58), False),
         ("more retries than the budget allows", retry_record(59), True),
         ("as many in two windows", retry_record(59, seconds=12.0), False),
+        ("as much as a quota allows", quota_record(109), False),
+        ("more than a quota allows", quota_record(110), True),
+        ("as much in two windows", quota_record(110, seconds=12.0), False),
+        ("what a host let pass and no endpoint ran", quota_record(110, ran=False), False),
+        ("more tokens than a quota allows", quota_record(110, units=920.0), True),
+        ("half of a quota is refused", refused_record(0.5), True),
+        ("three times a quota is refused", refused_record(3.0), False),
+        ("half of a quota meets another refusal", refused_record(0.5, 503, "overloaded"), False),
         ("no recovery", record(probes=[replace(PAGE, status=503)]), True),
     )
     def test_planted_faults_are_found(self, name, found, broken):
@@ -362,6 +388,16 @@
             self.assertEqual({"stop", "reload", "kill", "config"}, kinds)
             self.assertFalse(any(others))
 
+    @params((11, True), (22, True), (77, False), (55, False), (12, False))
+    def test_seeds_of_quotas_have_no_faults_of_endpoints(self, seed, limited):
+        plan = draw_plan(seed, 60.0)
+        self.assertEqual(limited, plan.limited)
+        if limited:
+            kinds = {fault.kind.name for fault in plan.faults}
+            self.assertEqual({"reload", "config"}, kinds)
+            others = (plan.silent, plan.poisoned, plan.overloaded, plan.partitioned, plan.restored)
+            self.assertFalse(any(others))
+
 
 class RunTest(unittest.TestCase):
     @params(2, 3, 4, 5)
