Play two software versions in the soak, with callers that resume streams

Purpose: a stream's events must come from one software version, and no run of real processes had two. Change: every thirteenth seed has four engines with all models and two versions by turns; each cuts a stream every 0.6 s. A caller whose stream breaks off resumes it once, with the id of its last event and of the attempt in the headers that tests.relay.test_software_versions uses. The seed's other work goes on beside that. The check reports streams with whole events of endpoints of two versions; a resumed stream counts with the attempt that it resumes.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -28,9 +28,10 @@
 from tests.standins.runner import EVENTS_PER_STREAM, FALL_SECONDS, RunnerStandin
 
 CALLER_COUNT = 8
+SOFTWARE_VERSIONS = ("v1", "v2")
 # Callers that use all hosts, also those that the directory leaves out as they are cut off.
 DIRECT_CALLER_COUNT = 20
-# Callers that send streams alone while endpoints are silent, and the seconds of each event then.
+# Callers that send streams alone in some seeds, and the seconds of each event then.
 STREAM_CALLER_COUNT = 32
 STREAM_ROUTES = ("recap", "once")
 SLOW_EVENT_SECONDS = 0.15
@@ -63,6 +64,8 @@
     """Run one plan against new processes and return the violated guarantees, one line each."""
     partitioned = plan.partitioned and beside is None
     record, deployment = Record(), SoakDeployment(hosts, folder, beside, partitioned)
+    if plan.versioned:
+        deployment.versions = SOFTWARE_VERSIONS
     if plan.limited:
         deployment.workspaces = describe_workspaces()
         record.loads = LOADS
@@ -101,13 +104,17 @@
                 record.brittle_since = 0.0
         if plan.silent:
             rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
-            deployment.slow_streams(SLOW_EVENT_SECONDS)
             work.append(silence_in_series(deployment, seconds, rng))
+        if plan.versioned:
+            work.append(deployment.cut_streams(plan.seconds - MAX_FAULT_SECONDS))
+        if plan.silent or plan.versioned:
+            deployment.slow_streams(SLOW_EVENT_SECONDS)
+            numbers = range(CALLER_COUNT + 1, CALLER_COUNT + 1 + STREAM_CALLER_COUNT)
             work += [
                 Caller(n, deployment, record, started_at, plan.seed, routes=STREAM_ROUTES).run(
                     plan.seconds
                 )
-                for n in range(CALLER_COUNT + 1, CALLER_COUNT + 1 + STREAM_CALLER_COUNT)
+                for n in numbers
             ]
         if plan.limited:
             work += load_workspaces(deployment, record, started_at, plan)
@@ -175,6 +182,7 @@
     for runner in (*deployment.engines, *deployment.pages, *deployment.stopped_runners):
         record.falls += [(at - started_at, runner.name) for at in runner.fall_times]
         record.ran += runner.executed
+        record.software[runner.name] = runner.software
         record.orders[runner.name] = runner.orders
         record.max_held[runner.name] = runner.max_models_held
         draining_from = deployment.draining_from.get(runner.name, math.inf)
--- a/extras/soak/callers.py
+++ b/extras/soak/callers.py
@@ -86,15 +86,17 @@
 
     async def send(self, session: aiohttp.ClientSession, attempts: list[Attempt]) -> None:
         """Send one request, with one retry if it is allowed, and append the attempts to a list."""
-        route = self._choose_route()
+        route, earlier = self._choose_route(), None
         for _ in range(2):
-            attempt = await self._attempt(session, route)
+            attempt = await self._attempt(session, route, earlier=earlier)
             if attempt is None:
                 return
             attempts.append(attempt)
             repeatable = attempt.repeatable and not (attempt.status == 200 and attempt.complete)
             if not repeatable and attempt.status not in NOT_RUN:
                 return
+            resumable = self._deployment.versions and route in MODEL_ROUTES and attempt.last_event
+            earlier = attempt if resumable else None
 
     async def send_once(self, session: aiohttp.ClientSession) -> None:
         """Send one request without a retry, and record the attempt."""
@@ -109,14 +111,22 @@
         return [route["name"] for route in self._deployment.routes[len(REPEATABLE_ROUTES) :]]
 
     async def _attempt(
-        self, session: aiohttp.ClientSession, route: str, body: bytes = b""
+        self,
+        session: aiohttp.ClientSession,
+        route: str,
+        body: bytes = b"",
+        earlier: Attempt | None = None,
     ) -> Attempt | None:
+        """Send one attempt, which resumes the stream of an earlier one if that is given."""
         address = await self._choose_address(session)
         if address is None:
             return None
         attempt_id, started_at = next(self._ids), self._now()
         seconds = min(ROUTE_SECONDS.get(route, EXTRA_ROUTE_SECONDS), DEADLINE_SECONDS)
         headers = {"host": "shop.example", "x-attempt-id": attempt_id, "x-deadline-ms": DEADLINE_MS}
+        resumes, after = (earlier.id, earlier.last_event) if earlier is not None else ("", 0)
+        if resumes:
+            headers |= {"resumes": resumes, "last-event-id": str(after)}
         if self._workspace:
             headers["authorization"] = f"Bearer {self._workspace}"
         if route in MODEL_ROUTES:
@@ -159,6 +169,8 @@
             signature,
             started_at + seconds,
             self._workspace,
+            resumes,
+            after,
         )
 
     def _discard_address(self, address: str) -> None:
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -156,6 +156,7 @@
     ``complete`` is true if the response ended properly. Times are in seconds since the start of the
     run. ``incarnation`` names the host process that received the attempt. ``deadline`` is the time
     until which it had to be served. ``workspace`` is the one whose key it had, if any.
+    ``resumes`` is the id of the attempt whose stream it resumes, ``after`` the last event there.
     """
 
     id: str
@@ -170,6 +171,25 @@
     signature: str
     deadline: float = math.inf
     workspace: str = ""
+    resumes: str = ""
+    after: int = 0
+
+    @property
+    def whole_events(self) -> bytes:
+        """Return the body up to the end of its last whole event."""
+        rows, end, _ = self.body.rpartition(b"\n\n")
+        return rows + end
+
+    @property
+    def last_event(self) -> int:
+        """Return the id of the last whole event of a stream, 0 without one."""
+        return max(read_ids(self.whole_events), default=0)
+
+    @property
+    def event_sources(self) -> set[str]:
+        """Return the names of the endpoints whose whole events a stream has."""
+        rows = self.whole_events.split(b"\n")
+        return {row.split()[1].decode() for row in rows if row.startswith(b"data: ")}
 
     @property
     def broken_off(self) -> bool:
@@ -184,9 +204,9 @@
     ``ran`` holds the ids of the attempts that endpoints ran, ``missed_changes`` the changes after a
     restore of the store that a host did not follow in time. ``host_ends`` are the times by host
     process from which it may end requests: it was killed, or its grace period was over.
-    ``forwarded`` are the hosts by attempt that other hosts forwarded it to. ``falls``
-    are the times and names of endpoints that fell over, ``brittle_since`` when they began to
-    announce that they may.
+    ``forwarded`` are the hosts by attempt that other hosts forwarded it to, ``software`` the
+    versions of endpoints by name. ``falls`` are the times and names of endpoints that fell over,
+    ``brittle_since`` when they began to announce that they may.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -203,10 +223,16 @@
     host_ends: dict[str, float] = field(default_factory=dict)
     forwarded: dict[str, set[str]] = field(default_factory=dict)
     loads: Sequence[WorkspaceLoad] = ()
+    software: dict[str, str] = field(default_factory=dict)
     falls: list[tuple[float, str]] = field(default_factory=list)
     brittle_since: float = math.inf
 
 
+def read_ids(events: bytes) -> list[int]:
+    """Return the ids of the events of a stream."""
+    return [int(row[4:]) for row in events.split(b"\n") if row.startswith(b"id: ")]
+
+
 def check_answers(record: Record, event_count: int) -> Iterable[str]:
     """A caller got another caller's answer, a partial one as complete, or wrong events.
 
@@ -218,8 +244,8 @@
         if not attempt.signature:
             yield f"{attempt.id}: a success without the signature of the endpoint"
         if attempt.route in ("recap", "once"):
-            ids = [int(row[4:]) for row in attempt.body.split(b"\n") if row.startswith(b"id: ")]
-            if ids != list(range(1, event_count + 1)):
+            ids = read_ids(attempt.body)
+            if ids != list(range(attempt.after + 1, event_count + 1)):
                 yield f"{attempt.id}: a complete stream has the events {ids}"
         elif attempt.body != b"whole answer":
             yield f"{attempt.id}: {attempt.body!r} instead of the complete answer"
@@ -525,6 +551,24 @@
             )
 
 
+def check_software(record: Record) -> Iterable[str]:
+    """A stream has events of endpoints of two software versions.
+
+    A stream that a caller resumes goes on with the events of the attempt that it names.
+    """
+    attempts = {attempt.id: attempt for attempt in record.attempts}
+    for attempt in record.attempts:
+        if attempt.status != SUCCESS or attempt.route not in MODEL_ROUTES:
+            continue
+        sources = attempt.event_sources
+        earlier = attempts.get(attempt.resumes)
+        resumed = earlier.event_sources if earlier is not None else set()
+        versions = {record.software.get(name, "") for name in sources | resumed}
+        if len(versions) > 1:
+            began = f", resuming {attempt.resumes} of {sorted(resumed)}" if resumed else ""
+            yield f"{attempt.id}: events of {sorted(sources)}{began}, versions {sorted(versions)}"
+
+
 def check_changes(record: Record) -> Iterable[str]:
     """A host did not follow a change that was made after the store was restored."""
     yield from record.missed_changes
@@ -550,6 +594,7 @@
         *check_changes(record),
         *check_partitions(record),
         *check_falls(record),
+        *check_software(record),
         *check_quotas(record),
         *check_within_quota(record),
     ]
--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -40,6 +40,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 ENGINES = 3
 PAGES = 3
+# Engines of a deployment with several software versions, each with all models.
+VERSIONED_ENGINES = 4
 # Text of a log line of a host that forwarded a request to another one.
 FORWARDED_EVENT = '"event": "forwarded"'
 # Models that fit on an engine of the configuration: each uses 60 of 200 MB.
@@ -66,6 +68,8 @@
 # Seconds of backoff that a refusing endpoint asks for, and seconds between two refusals.
 BACKOFF_SECONDS = 1.5
 REFUSAL_INTERVAL_SECONDS = 0.7
+# Seconds between two streams that engines cut.
+CUT_INTERVAL_SECONDS = 0.15
 # Age of the copy that the store comes back from, how long it is away before, and how long after it
 # operators and endpoints write again, in seconds.
 MIN_COPY_AGE_SECONDS = 0.5
@@ -199,6 +203,7 @@
         self.links: dict[str, Proxy] = {}
         self.closed_links: dict[str, Proxy] = {}
         self.routes = list(ROUTES)
+        self.versions: Sequence[str] = ()
         self.workspaces: Sequence[Mapping[str, Any]] = ()
         self.version = 1
         self.crash_times: list[float] = []
@@ -221,8 +226,9 @@
         """Start the stand-ins and the host processes, without waiting until hosts are ready."""
         self.store = await TableStandin().start()
         self.store_link = await Proxy(self.store.address).start()
-        for number in range(ENGINES):
-            await self._add_runner("engines", (f"m{number % 2}",))
+        for number in range(VERSIONED_ENGINES if self.versions else ENGINES):
+            models = ("m0", "m1") if self.versions else (f"m{number % 2}",)
+            await self._add_runner("engines", models)
         for _ in range(PAGES):
             await self._add_runner("pages", ())
         self._write_config()
@@ -255,7 +261,10 @@
         await self.store.stop()
 
     async def _add_runner(self, service: str, models: tuple[str, ...]) -> None:
-        runner = await RunnerStandin(f"{service}-{next(self._numbers)}", models).start()
+        number = next(self._numbers)
+        runner = await RunnerStandin(f"{service}-{number}", models).start()
+        if self.versions:
+            runner.software = self.versions[number % len(self.versions)]
         runner.fatal_bodies = {POISON_BODY}
         runner.on_crash = lambda: self._on_crash(runner)
         runner.delay_seconds = EVENT_SECONDS if service == "engines" else PAGE_SECONDS
@@ -294,6 +303,14 @@
                 runner.script += ["refuse"]
             await asyncio.sleep(REFUSAL_INTERVAL_SECONDS)
 
+    async def cut_streams(self, seconds: float) -> None:
+        """Let engines cut a stream now and then, one engine after the other."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            for runner in list(self.engines):
+                runner.script.append("cut")
+                await asyncio.sleep(CUT_INTERVAL_SECONDS)
+
     async def announce_limits(self, seconds: float) -> None:
         """Let an engine and an endpoint of a plain service announce a limit for some seconds."""
         announced_at = time.monotonic()
--- a/extras/soak/plan.py
+++ b/extras/soak/plan.py
@@ -27,6 +27,8 @@
 # Beside that it has faults of these kinds, and nothing of other seeds.
 QUOTA_EVERY = 11
 KINDS_BESIDE_QUOTAS = frozenset({"reload", "config"})
+# One seed in this many has engines of two software versions, and callers that resume streams.
+VERSIONS_EVERY = 13
 # One seed in this many has a store that comes back from older copies of its rows.
 RESTORED_EVERY = 3
 
@@ -110,6 +112,11 @@
         """Return whether callers repeat a request that crashes endpoints."""
         return self._mixed and self.seed % POISON_EVERY == POISON_EVERY - 1
 
+    @property
+    def versioned(self) -> bool:
+        """Return whether engines have two software versions."""
+        return self._mixed and self.seed % VERSIONS_EVERY == 0
+
     @property
     def overloaded(self) -> bool:
         """Return whether endpoints announce limits, backoffs and draining in their answers."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -89,6 +89,18 @@
     return replace(record(refused), loads=[load])
 
 
+def mixed_record(first="e1", second="e1", resumed="e1"):
+    """Return a record of a stream with events of two endpoints, and of one that resumes it."""
+    texts = [
+        b"id: %d\ndata: %s x\n\n" % (n, name.encode()) for n, name in enumerate((first, second), 1)
+    ]
+    began = replace(RECAP, body=b"".join(texts), complete=False)
+    last = replace(
+        RECAP, id="d", body=b"id: 3\ndata: %s x\n\n" % resumed.encode(), resumes="c", after=2
+    )
+    return replace(record(began, last), software={"e1": "v1", "e2": "v2", "e3": "v1"})
+
+
 def retry_record(retries, seconds=5.0):
     """Return a record of one request and of its arrivals, which are spread over some time."""
     times = [1.0 + seconds * n / retries for n in range(retries + 1)]
@@ -254,6 +266,9 @@
         ("half of a quota is refused", refused_record(0.5), True),
         ("three times a quota is refused", refused_record(3.0), False),
         ("half of a quota meets another refusal", refused_record(0.5, 503, "overloaded"), False),
+        ("a stream of one software version", mixed_record(second="e3", resumed="e3"), False),
+        ("a stream of two software versions", mixed_record(second="e2"), True),
+        ("a caller resumes it at another version", mixed_record(resumed="e2"), True),
         ("no recovery", record(probes=[replace(PAGE, status=503)]), True),
     )
     def test_planted_faults_are_found(self, name, found, broken):
@@ -399,6 +414,12 @@
             self.assertFalse(any(others))
 
 
+class WholeEventsTest(unittest.TestCase):
+    @params((b"", 0), (b"id: 1\ndata", 0), (STREAM, 3), (STREAM[:-1], 2), (STREAM + b"id: 4\n", 3))
+    def test_a_stream_is_resumed_after_its_last_whole_event(self, body, last):
+        self.assertEqual(last, replace(RECAP, body=body).last_event)
+
+
 class RunTest(unittest.TestCase):
     @params(2, 3, 4, 5)
     def test_a_short_run_keeps_every_promise(self, seed):
