--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -23,13 +23,15 @@
 from extras.soak.partitions import silence_endpoints
 from extras.soak.plan import MAX_FAULT_SECONDS, Plan, draw_plan
 from extras.soak.proxy import Proxy
+from extras.soak.quotas import LOADS, describe_workspaces, load_workspaces
 from extras.soak.silences import silence_in_series
 from tests.standins.runner import EVENTS_PER_STREAM, FALL_SECONDS, RunnerStandin
 
 CALLER_COUNT = 8
+SOFTWARE_VERSIONS = ("v1", "v2")
 # Callers that use all hosts, also those that the directory leaves out as they are cut off.
 DIRECT_CALLER_COUNT = 20
-# Callers that send streams alone while endpoints are silent, and the seconds of each event then.
+# Callers that send streams alone in some seeds, and the seconds of each event then.
 STREAM_CALLER_COUNT = 32
 STREAM_ROUTES = ("recap", "once")
 SLOW_EVENT_SECONDS = 0.15
@@ -42,22 +44,6 @@
 CHANGE_SECONDS = 2.0
 REQUESTS_AFTER_CHANGE = 4
 UNKNOWN_ROUTE = 404
-START_TIMEOUT_SECONDS = 60.0
-
-
-async def wait_ready(deployment: SoakDeployment) -> None:
-    """Wait until the ready listener of every host answers 200."""
-    async with aiohttp.ClientSession() as session, asyncio.timeout(START_TIMEOUT_SECONDS):
-        for host in deployment.hosts:
-            while True:
-                try:
-                    async with session.get(f"http://{host.address('ready')}/v1/ready") as resp:
-                        if resp.status == 200:
-                            break
-                except aiohttp.ClientError:
-                    # The host does not listen yet; START_TIMEOUT_SECONDS bounds the wait.
-                    pass
-                await asyncio.sleep(0.05)
 
 
 async def inject_faults(deployment: SoakDeployment, plan: Plan, started_at: float) -> None:
@@ -78,9 +64,14 @@
     """Run one plan against new processes and return the violated guarantees, one line each."""
     partitioned = plan.partitioned and beside is None
     record, deployment = Record(), SoakDeployment(hosts, folder, beside, partitioned)
+    if plan.versioned:
+        deployment.versions = SOFTWARE_VERSIONS
+    if plan.limited:
+        deployment.workspaces = describe_workspaces()
+        record.loads = LOADS
     await deployment.start()
     try:
-        await wait_ready(deployment)
+        await deployment.wait_ready()
         started_at = time.monotonic()
         callers = [
             Caller(n, deployment, record, started_at, plan.seed) for n in range(CALLER_COUNT)
@@ -113,14 +104,20 @@
                 record.brittle_since = 0.0
         if plan.silent:
             rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
-            deployment.slow_streams(SLOW_EVENT_SECONDS)
             work.append(silence_in_series(deployment, seconds, rng))
+        if plan.versioned:
+            work.append(deployment.cut_streams(plan.seconds - MAX_FAULT_SECONDS))
+        if plan.silent or plan.versioned:
+            deployment.slow_streams(SLOW_EVENT_SECONDS)
+            numbers = range(CALLER_COUNT + 1, CALLER_COUNT + 1 + STREAM_CALLER_COUNT)
             work += [
                 Caller(n, deployment, record, started_at, plan.seed, routes=STREAM_ROUTES).run(
                     plan.seconds
                 )
-                for n in range(CALLER_COUNT + 1, CALLER_COUNT + 1 + STREAM_CALLER_COUNT)
+                for n in numbers
             ]
+        if plan.limited:
+            work += load_workspaces(deployment, record, started_at, plan)
         if plan.restored:
             rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
             work.append(deployment.restore_store(seconds, rng))
@@ -185,6 +182,7 @@
     for runner in (*deployment.engines, *deployment.pages, *deployment.stopped_runners):
         record.falls += [(at - started_at, runner.name) for at in runner.fall_times]
         record.ran += runner.executed
+        record.software[runner.name] = runner.software
         record.orders[runner.name] = runner.orders
         record.max_held[runner.name] = runner.max_models_held
         draining_from = deployment.draining_from.get(runner.name, math.inf)
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -38,6 +38,14 @@
 RETRY_SHARE = 0.2
 RETRY_EXTRA = 58
 RETRY_WINDOW_SECONDS = 10
+# Window over which a workspace's units are counted, and by how much they may pass its quota: a
+# share of what the quota allows, and units.
+QUOTA_WINDOW_SECONDS = 8.0
+QUOTA_OVER = 0.1
+QUOTA_SLACK_UNITS = 10
+# Share of its quota up to which a workspace is not refused, and what a refusal by a quota names.
+WITHIN_SHARE = 0.5
+QUOTA_KIND = b'"caller_limit"'
 # Seconds within which an answer breaks off when a host that it came through has ended.
 HOST_LOSS_SECONDS = 0.5
 # Routes whose requests go to engines; all others go to endpoints of the plain service.
@@ -65,6 +73,21 @@
     request_times: list[float]
 
 
+@dataclass(frozen=True, slots=True)
+class WorkspaceLoad:
+    """A workspace's quota, and what its callers send.
+
+    ``rate`` is in units per second, ``burst`` in units, ``cost`` the units of a request, ``load``
+    what is sent as a share of the rate.
+    """
+
+    name: str
+    rate: float
+    burst: float
+    cost: float
+    load: float
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointRecord:
     """The requests that reached an endpoint, as times and attempt ids, and what it announced.
@@ -132,7 +155,8 @@
 
     ``complete`` is true if the response ended properly. Times are in seconds since the start of the
     run. ``incarnation`` names the host process that received the attempt. ``deadline`` is the time
-    until which it had to be served.
+    until which it had to be served. ``workspace`` is the one whose key it had, if any.
+    ``resumes`` is the id of the attempt whose stream it resumes, ``after`` the last event there.
     """
 
     id: str
@@ -146,6 +170,26 @@
     complete: bool
     signature: str
     deadline: float = math.inf
+    workspace: str = ""
+    resumes: str = ""
+    after: int = 0
+
+    @property
+    def whole_events(self) -> bytes:
+        """Return the body up to the end of its last whole event."""
+        rows, end, _ = self.body.rpartition(b"\n\n")
+        return rows + end
+
+    @property
+    def last_event(self) -> int:
+        """Return the id of the last whole event of a stream, 0 without one."""
+        return max(read_ids(self.whole_events), default=0)
+
+    @property
+    def event_sources(self) -> set[str]:
+        """Return the names of the endpoints whose whole events a stream has."""
+        rows = self.whole_events.split(b"\n")
+        return {row.split()[1].decode() for row in rows if row.startswith(b"data: ")}
 
     @property
     def broken_off(self) -> bool:
@@ -160,9 +204,9 @@
     ``ran`` holds the ids of the attempts that endpoints ran, ``missed_changes`` the changes after a
     restore of the store that a host did not follow in time. ``host_ends`` are the times by host
     process from which it may end requests: it was killed, or its grace period was over.
-    ``forwarded`` are the hosts by attempt that other hosts forwarded it to. ``falls``
-    are the times and names of endpoints that fell over, ``brittle_since`` when they began to
-    announce that they may.
+    ``forwarded`` are the hosts by attempt that other hosts forwarded it to, ``software`` the
+    versions of endpoints by name. ``falls`` are the times and names of endpoints that fell over,
+    ``brittle_since`` when they began to announce that they may.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -178,10 +222,17 @@
     disturbed: list[Disturbance] = field(default_factory=list)
     host_ends: dict[str, float] = field(default_factory=dict)
     forwarded: dict[str, set[str]] = field(default_factory=dict)
+    loads: Sequence[WorkspaceLoad] = ()
+    software: dict[str, str] = field(default_factory=dict)
     falls: list[tuple[float, str]] = field(default_factory=list)
     brittle_since: float = math.inf
 
 
+def read_ids(events: bytes) -> list[int]:
+    """Return the ids of the events of a stream."""
+    return [int(row[4:]) for row in events.split(b"\n") if row.startswith(b"id: ")]
+
+
 def check_answers(record: Record, event_count: int) -> Iterable[str]:
     """A caller got another caller's answer, a partial one as complete, or wrong events.
 
@@ -193,8 +244,8 @@
         if not attempt.signature:
             yield f"{attempt.id}: a success without the signature of the endpoint"
         if attempt.route in ("recap", "once"):
-            ids = [int(row[4:]) for row in attempt.body.split(b"\n") if row.startswith(b"id: ")]
-            if ids != list(range(1, event_count + 1)):
+            ids = read_ids(attempt.body)
+            if ids != list(range(attempt.after + 1, event_count + 1)):
                 yield f"{attempt.id}: a complete stream has the events {ids}"
         elif attempt.body != b"whole answer":
             yield f"{attempt.id}: {attempt.body!r} instead of the complete answer"
@@ -465,6 +516,59 @@
         yield f"{len(later)} falls of endpoints: {dict(Counter(later))}"
 
 
+def check_quotas(record: Record) -> Iterable[str]:
+    """A workspace had more units run in a window than its quota and the tolerance allow."""
+    ran = set(record.ran)
+    first: dict[str, float] = {}
+    for endpoint in record.endpoint_records:
+        for at, name in endpoint.requests:
+            first[name] = min(at, first.get(name, math.inf))
+    for row in record.loads:
+        names = {a.id for a in record.attempts if a.workspace == row.name} & ran
+        times = sorted(first[name] for name in names)
+        rated = row.rate * QUOTA_WINDOW_SECONDS + row.burst
+        allowed = rated * (1 + QUOTA_OVER) + QUOTA_SLACK_UNITS
+        counts = [(count_between(times, at, QUOTA_WINDOW_SECONDS), at) for at in times]
+        count, since = max(counts, default=(0, 0.0))
+        units = row.cost * count
+        if units > allowed:
+            yield f"workspace {row.name}: {units} units from {since:.2f} s, {allowed} allowed"
+
+
+def check_within_quota(record: Record) -> Iterable[str]:
+    """A workspace that was well within its quota was refused by it."""
+    for row in record.loads:
+        refused = [
+            attempt
+            for attempt in record.attempts
+            if attempt.workspace == row.name and QUOTA_KIND in attempt.body
+        ]
+        if refused and row.load <= WITHIN_SHARE:
+            first = refused[0]
+            yield (
+                f"workspace {row.name}: {len(refused)} requests refused at {row.load:.2f} of its"
+                f" quota, the first {first.id} at {first.ended_at:.2f} s by {first.incarnation}"
+            )
+
+
+def check_software(record: Record) -> Iterable[str]:
+    """A stream has events of endpoints of two software versions.
+
+    A stream that a caller resumes goes on with the events of the attempt that it names.
+    """
+    attempts = {attempt.id: attempt for attempt in record.attempts}
+    for attempt in record.attempts:
+        if attempt.status != SUCCESS or attempt.route not in MODEL_ROUTES:
+            continue
+        sources = attempt.event_sources
+        earlier = attempts.get(attempt.resumes)
+        resumed = earlier.event_sources if earlier is not None else set()
+        versions = {record.software.get(name, "") for name in sources | resumed}
+        if len(versions) > 1:
+            began = f", resuming {attempt.resumes} of {sorted(resumed)}" if resumed else ""
+            yield f"{attempt.id}: events of {sorted(sources)}{began}, versions {sorted(versions)}"
+
+
 def check_changes(record: Record) -> Iterable[str]:
     """A host did not follow a change that was made after the store was restored."""
     yield from record.missed_changes
@@ -490,5 +594,8 @@
         *check_changes(record),
         *check_partitions(record),
         *check_falls(record),
+        *check_software(record),
+        *check_quotas(record),
+        *check_within_quota(record),
     ]
     return found + list(check_planned(record)) if planned else found
--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -11,11 +11,16 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
+import aiohttp
+
 from extras.soak.checks import (
+    QUOTA_OVER,
+    QUOTA_SLACK_UNITS,
+    QUOTA_WINDOW_SECONDS,
     RETRY_EXTRA,
     RETRY_SHARE,
     RETRY_WINDOW_SECONDS,
@@ -35,6 +40,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 ENGINES = 3
 PAGES = 3
+# Engines of a deployment with several software versions, each with all models.
+VERSIONED_ENGINES = 4
 # Text of a log line of a host that forwarded a request to another one.
 FORWARDED_EVENT = '"event": "forwarded"'
 # Models that fit on an engine of the configuration: each uses 60 of 200 MB.
@@ -43,6 +50,8 @@
 PAGE_SECONDS = 0.02
 # Half of the seconds for which a draining endpoint still serves.
 DRAIN_SECONDS = 2.0
+START_TIMEOUT_SECONDS = 60.0
+READY = 200
 STOP_SECONDS = 3
 # Seconds before the end of that by which a stopping host ends all answers.
 STOP_MARGIN_SECONDS = 0.7
@@ -59,6 +68,8 @@
 # Seconds of backoff that a refusing endpoint asks for, and seconds between two refusals.
 BACKOFF_SECONDS = 1.5
 REFUSAL_INTERVAL_SECONDS = 0.7
+# Seconds between two streams that engines cut.
+CUT_INTERVAL_SECONDS = 0.15
 # Age of the copy that the store comes back from, how long it is away before, and how long after it
 # operators and endpoints write again, in seconds.
 MIN_COPY_AGE_SECONDS = 0.5
@@ -83,6 +94,9 @@
     "ceiling_window_s": 5,
     "ceiling_over": 1.1,
     "ttl_max_s": 5,
+    "quota_window_s": QUOTA_WINDOW_SECONDS,
+    "quota_over": QUOTA_OVER,
+    "quota_slack": QUOTA_SLACK_UNITS,
 }
 
 
@@ -160,6 +174,15 @@
         self._child.wait()
 
 
+async def ready_status(session: aiohttp.ClientSession, host: HostProcess) -> int:
+    """Return what the ready listener of a host answers, 0 while it does not listen."""
+    try:
+        async with session.get(f"http://{host.address('ready')}/v1/ready") as resp:
+            return resp.status
+    except aiohttp.ClientError:
+        return 0
+
+
 class SoakDeployment:
     """All processes and stand-ins of a run, and the faults that can be injected into them.
 
@@ -180,6 +203,8 @@
         self.links: dict[str, Proxy] = {}
         self.closed_links: dict[str, Proxy] = {}
         self.routes = list(ROUTES)
+        self.versions: Sequence[str] = ()
+        self.workspaces: Sequence[Mapping[str, Any]] = ()
         self.version = 1
         self.crash_times: list[float] = []
         self.disturbed: list[Disturbance] = []
@@ -192,12 +217,18 @@
         self._replacing: set[asyncio.Task] = set()
         self._numbers = iter(range(1, 10_000))
 
+    @property
+    def open_workspace(self) -> str:
+        """Return the workspace without a quota, the first; empty if there are no workspaces."""
+        return self.workspaces[0]["name"] if self.workspaces else ""
+
     async def start(self) -> None:
         """Start the stand-ins and the host processes, without waiting until hosts are ready."""
         self.store = await TableStandin().start()
         self.store_link = await Proxy(self.store.address).start()
-        for number in range(ENGINES):
-            await self._add_runner("engines", (f"m{number % 2}",))
+        for number in range(VERSIONED_ENGINES if self.versions else ENGINES):
+            models = ("m0", "m1") if self.versions else (f"m{number % 2}",)
+            await self._add_runner("engines", models)
         for _ in range(PAGES):
             await self._add_runner("pages", ())
         self._write_config()
@@ -206,6 +237,13 @@
             host.write_settings(self.store_link.address, seeds)
             host.start()
 
+    async def wait_ready(self) -> None:
+        """Wait until the ready listener of every host answers 200."""
+        async with aiohttp.ClientSession() as session, asyncio.timeout(START_TIMEOUT_SECONDS):
+            for host in self.hosts:
+                while await ready_status(session, host) != READY:
+                    await asyncio.sleep(0.05)
+
     async def stop(self) -> None:
         """Kill the host processes and stop the stand-ins and proxies."""
         for task in self._replacing:
@@ -223,7 +261,10 @@
         await self.store.stop()
 
     async def _add_runner(self, service: str, models: tuple[str, ...]) -> None:
-        runner = await RunnerStandin(f"{service}-{next(self._numbers)}", models).start()
+        number = next(self._numbers)
+        runner = await RunnerStandin(f"{service}-{number}", models).start()
+        if self.versions:
+            runner.software = self.versions[number % len(self.versions)]
         runner.fatal_bodies = {POISON_BODY}
         runner.on_crash = lambda: self._on_crash(runner)
         runner.delay_seconds = EVENT_SECONDS if service == "engines" else PAGE_SECONDS
@@ -262,6 +303,14 @@
                 runner.script += ["refuse"]
             await asyncio.sleep(REFUSAL_INTERVAL_SECONDS)
 
+    async def cut_streams(self, seconds: float) -> None:
+        """Let engines cut a stream now and then, one engine after the other."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            for runner in list(self.engines):
+                runner.script.append("cut")
+                await asyncio.sleep(CUT_INTERVAL_SECONDS)
+
     async def announce_limits(self, seconds: float) -> None:
         """Let an engine and an endpoint of a plain service announce a limit for some seconds."""
         announced_at = time.monotonic()
@@ -338,6 +387,7 @@
 
     def _write_config(self) -> None:
         changed = CONFIG | {"version": self.version, "routes": self.routes}
+        changed["tenants"] = list(self.workspaces)
         changed["services"] = [{"name": "engines", "engine": ENGINE_CONFIG}, {"name": "pages"}]
         self.store.put("op", "config", json.dumps(changed).encode())
 
@@ -380,7 +430,10 @@
         await asyncio.sleep(seconds)
 
     async def _reload(self, host: HostProcess, seconds: float) -> None:
-        host.signal(signal.SIGHUP)
+        """Signal a host that is up: the signal ends a process that does not handle it yet."""
+        async with aiohttp.ClientSession() as session:
+            if await ready_status(session, host):
+                host.signal(signal.SIGHUP)
 
     async def _kill(self, host: HostProcess, seconds: float) -> None:
         self.host_ends[host.incarnation] = time.monotonic()
