Ignore the links that a host published before it started again

Log: the hub loses its power at 20.3 s, all links to it are silent by 21.75; a host that was linked to it loses its power at 22.1, starts again at 26.20, and from 26.4 on others name the hub. Cause: that host's last links, which the others knew, still named the hub, as its newer word went through the hub and never came; the hub's own last links named that host. As soon as the host was linked anew, before its links came, the hub counted as reachable. Now links count only for the process that published them: its host fact is not newer, and the other end of an own link is that process. Test: RestartedHostTest, two rows, fails without the change; test_reachability 18, test_hubs and test_patches passed with it.

--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -156,6 +156,11 @@
         """Return the names of the linked hosts."""
         return {link.peer.host for link in self._links}
 
+    def incarnation(self, host: str) -> str:
+        """Return the incarnation at the other end of the newest link to a host, "" without one."""
+        link = self.find_link(host)
+        return link.peer.incarnation if link is not None else ""
+
     def last_received(self, host: str) -> float:
         """Return when the last frame came over the most recent ended link to a host."""
         return self._last_received.get(host, float("-inf"))
--- a/peridotdock/relay/peers.py
+++ b/peridotdock/relay/peers.py
@@ -85,7 +85,12 @@
             streams=True,
         )
         reach = Reachability(
-            self.facts, ctx.clock, settings.host, self.mesh.peers, self.mesh.last_received
+            self.facts,
+            ctx.clock,
+            settings.host,
+            self.mesh.peers,
+            self.mesh.last_received,
+            self.mesh.incarnation,
         )
         self.membership = Membership(self.facts, own, ctx.clock, reach)
         self.demand_meter = DemandMeter(DEMAND_PEAK_SECONDS)
--- a/peridotdock/relay/reachability.py
+++ b/peridotdock/relay/reachability.py
@@ -16,7 +16,8 @@
 
     A link counts when both ends publish it: a host that is gone for good publishes no more, but its
     last published links remain known. ``peers`` returns the hosts at the other ends of this host's
-    links, ``last_received`` when the last frame came from a host whose link has ended.
+    links, ``last_received`` when the last frame came from a host whose link has ended,
+    ``incarnation`` the one of a linked host.
     """
 
     def __init__(
@@ -26,12 +27,14 @@
         host: str,
         peers: Callable[[], set[str]],
         last_received: Callable[[str], float],
+        incarnation: Callable[[str], str],
     ):
         self._facts = facts
         self._clock = clock
         self._host = host
         self._peers = peers
         self._last_received = last_received
+        self._incarnation = incarnation
         self._direct: frozenset[str] = frozenset()
         self._found: frozenset[str] = frozenset()
         self._unreachable_since: dict[str, float] = {}
@@ -84,5 +87,17 @@
         return frozenset(found - {self._host})
 
     def _published_links(self, host: str) -> Collection[str]:
-        known = self._facts.get(host, "links")
-        return known.fact.peers if known is not None else ()
+        """Return the links that the present process of a host has published, as far as known.
+
+        Failure guarded against: a host that has started again is linked before its links are known
+        anew, and those of the process before make a host reachable that is off.
+        """
+        links, fact = self._facts.get(host, "links"), self._facts.get(host, "host")
+        if links is None:
+            return ()
+        if fact is not None and fact.entry.epoch > links.entry.epoch:
+            return ()
+        linked = fact is not None and host in self._peers()
+        if linked and self._incarnation(host) != fact.fact.incarnation:
+            return ()
+        return links.fact.peers
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -151,7 +151,8 @@
         if not self._retries.take(progress, req.id):
             return NO_RETRY_LEFT
         progress.sends += 1
-        silent = SilentSend(req, caller, progress, host_state(host, progress.service), False)
+        state = host_state(host, progress.service)
+        silent = SilentSend(req, caller, progress, state, streaming=False)
         first = SendCaller(caller)
         replacement = Replacement(self, silent, first.end)
         streaming = False
@@ -273,7 +274,8 @@
         working = progress.working | {silent.state.key}
         states = self.fleet.usable(progress.service, req.head.inference, progress.software)
         others = [row for row in states if row.key not in working]
-        # Within a stream the silence is sure, and those that are suspect may be silent as well.
+        # A suspect endpoint is worth a try before the first byte; within a stream it may as well be
+        # silent too.
         return any(not silent.streaming or not row.health.suspect(now) for row in others)
 
     def reserve_replacement(self, silent: SilentSend) -> bool:
--- a/tests/relay/test_reachability.py
+++ b/tests/relay/test_reachability.py
@@ -30,12 +30,14 @@
         self.facts = FactTable(own, 1, self.clock)
         self.peers = set()
         self.heard_at = {}
+        self.incarnations = {}
         self.reachability = Reachability(
             self.facts,
             self.clock,
             own,
             lambda: self.peers,
             lambda host: self.heard_at.get(host, self.clock.monotonic()),
+            lambda host: self.incarnations.get(host, f"{host}-1"),
         )
         self.members = Membership(self.facts, host_fact(own), self.clock, self.reachability)
         self.fact_tables = {own: self.facts}
@@ -57,6 +59,30 @@
         return self.members.live()
 
 
+class RestartedHostTest(unittest.TestCase):
+    """Guards against links of a process that has ended: they made a host that is off reachable.
+
+    The hub loses its power, and a host that was linked to it a moment later. That host starts again
+    and is linked to others before it has published its links anew.
+    """
+
+    @params(("its host fact came first", True), ("nothing of it came yet", False))
+    def test_links_of_the_process_before_do_not_count(self, name, told):
+        world = World()
+        world.link(h1=["hub"], hub=["h1", "h2"], h2=["hub"])
+        for host in ("hub", "h2"):
+            world.receive(host, "host", host_fact(host))
+        world.link(h1=[])
+        world.clock.advance(ISOLATED_SECONDS + 1.0)
+        self.assertNotIn("hub", world.live())
+        world.fact_tables["h2"] = FactTable("h2", 2, world.clock)
+        world.peers, world.incarnations["h2"] = {"h2"}, "h2-2"
+        if told:
+            world.receive("h2", "host", replace(host_fact("h2"), incarnation="h2-2"))
+        world.link(h1=["h2"])
+        self.assertNotIn("hub", world.live())
+
+
 class LinkTest(unittest.TestCase):
     @params(
         ("no links", {"a": ""}, ""),
