Test that a second send ends while the first goes on, and that no more sends run than the route allows

Two of the mutants of second sends were not caught: the first send's count, and the end of the second send, which also ended with its request.

--- a/tests/relay/test_replacing.py
+++ b/tests/relay/test_replacing.py
@@ -12,6 +12,9 @@
 from tests.standins.runner import frame
 
 PAGES = ("p1", "p2")
+THREE_ENGINES = (*ENGINES, ("e3", ("m0",)))
+# Seconds between two events of an engine that goes on slowly.
+EVENT_SECONDS = 0.6
 # Seconds after which a second send to a silent endpoint has surely been made.
 REPLACED_SECONDS = 1.6
 
@@ -56,9 +59,11 @@
             other.script = ["silent"]
             await found.until(lambda: other.executed)
             self.assertEqual({first.name}, progress[0].working)
+            first.delay_seconds = EVENT_SECONDS
             gate.set()
-            self.assertEqual((200, ALL_EVENTS), await finish(sent))
             await found.until(lambda: other.disconnected == ["a1"])
+            self.assertFalse(sent.done())
+            self.assertEqual((200, ALL_EVENTS), await finish(sent))
             await found.until(lambda: not service.replacing)
             states = found.hosts[0].fleet.states.values()
             self.assertFalse(any(state.in_flight for state in states))
@@ -194,6 +199,17 @@
             gate.set()
             self.assertEqual((200, ALL_EVENTS), await finish(sent))
 
+    @run
+    async def test_no_more_sends_run_than_the_route_allows(self):
+        async with Deployment(engines=THREE_ENGINES) as found:
+            for engine in found.engines.values():
+                engine.script = ["silent"] * 3
+            sent = asyncio.ensure_future(found.send("/recap/", "a1", model="m0"))
+            await asyncio.sleep(4.0)
+            ran = [engine.executed for engine in found.engines.values()]
+            self.assertEqual([[], ["a1"], ["a1"]], sorted(ran))
+            sent.cancel()
+
     @run
     async def test_an_answer_that_arrives_slowly_is_not_sent_for_again(self):
         async with Deployment(pages=PAGES) as found:
