Let tests that cut a host off send to two plain endpoints

A whole run of the tests failed once: test_a_forwarded_stream_is_resumed_at_its_version_where_the_other_host_is_lost waited ten seconds for a host that was cut off to know it.

Cause: the host takes its links for lost after failures at two endpoints. The holder orders one load soon after the start; if that came before the cut, no second failure followed.

--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -46,7 +46,7 @@
 
 
 async def cut_off(found, host=0, way="reset"):
-    """Cut a host off and wait until it knows."""
+    """Cut a host off and wait until it knows, by its requests to two plain endpoints or more."""
     await wait_linked(found)
     found.cut(host, way)
     links = found.hosts[host].connectivity.links
--- a/tests/relay/test_software_versions.py
+++ b/tests/relay/test_software_versions.py
@@ -6,7 +6,7 @@
 
 from peridotdock.events import Filter
 from tests.relay.deployment import BOUNDS, Deployment
-from tests.relay.test_forwarding import abort, cut_off
+from tests.relay.test_forwarding import PAGES, abort, cut_off
 from tests.relay.test_partition import MAX_REFUSAL_SECONDS
 from tests.relay.test_relay import ids, run
 
@@ -17,7 +17,8 @@
 
 def deploy(pairs=PAIRS, hosts=1, gated=False):
     """Return a deployment of engines with the same model and the given software versions."""
-    found = Deployment(hosts=hosts, engines=[(name, ("m0",)) for name, _ in pairs], gated=gated)
+    engines = [(name, ("m0",)) for name, _ in pairs]
+    found = Deployment(hosts=hosts, engines=engines, pages=PAGES, gated=gated)
     for name, software in pairs:
         found.engines[name].software = software
     return found
--- a/tests/relay/test_stream_versions.py
+++ b/tests/relay/test_stream_versions.py
@@ -227,7 +227,9 @@
             await asyncio.sleep(TOLD_SECONDS)
             host = await found.add_host("late", (found.hosts[0].settings.listen.peers,))
             await found.until(lambda: host.request_handler.deployment)
-            await found.until(lambda: len(host.fleet.states) == 5)
+            await found.until(
+                lambda: len(host.fleet.states) == len(found.engines) + len(found.pages)
+            )
             for number in range(STREAMS):
                 found_here = await take_up(found, f"a{number}", f"b{number}", 2)
                 self.assertEqual((200, [4, 5, 6]), found_here)
