Number the soak's callers apart where a seed cuts hosts off and has two software versions

Seen: seed 20007 failed with some 270 requests that ran twice, 40 that were refused and ran, and retries over the budget. Cause: the callers that use all hosts and those that send streams alone both began at number 9, so that two callers sent requests under the same attempt ids; one id in the hosts' logs went to an engine and to a plain endpoint within 0.05 s. Both kinds of callers were never together before the seeds of software versions.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -60,6 +60,16 @@
             raise outcome
 
 
+def number_callers(partitioned: bool) -> tuple[range, range]:
+    """Return the numbers of the callers that use all hosts, and of those that send streams alone.
+
+    A number is the first part of a caller's attempt ids, and no other caller of the run has it.
+    """
+    first = CALLER_COUNT + 1
+    direct = range(first, first + DIRECT_CALLER_COUNT * partitioned)
+    return direct, range(direct.stop, direct.stop + STREAM_CALLER_COUNT)
+
+
 async def run_plan(plan: Plan, hosts: int, folder: Path, beside: Path | None = None) -> list[str]:
     """Run one plan against new processes and return the violated guarantees, one line each."""
     partitioned = plan.partitioned and beside is None
@@ -73,6 +83,7 @@
     try:
         await deployment.wait_ready()
         started_at = time.monotonic()
+        direct, streaming = number_callers(partitioned)
         callers = [
             Caller(n, deployment, record, started_at, plan.seed) for n in range(CALLER_COUNT)
         ]
@@ -94,7 +105,6 @@
                 deployment.partitions.run(seconds, names, rng),
                 silence_endpoints(seconds, sound, random.Random(plan.seed)),
             ]
-            direct = range(CALLER_COUNT + 1, CALLER_COUNT + 1 + DIRECT_CALLER_COUNT)
             work += [
                 Caller(n, deployment, record, started_at, plan.seed, direct=True).run(plan.seconds)
                 for n in direct
@@ -109,12 +119,11 @@
             work.append(deployment.cut_streams(plan.seconds - MAX_FAULT_SECONDS))
         if plan.silent or plan.versioned:
             deployment.slow_streams(SLOW_EVENT_SECONDS)
-            numbers = range(CALLER_COUNT + 1, CALLER_COUNT + 1 + STREAM_CALLER_COUNT)
             work += [
                 Caller(n, deployment, record, started_at, plan.seed, routes=STREAM_ROUTES).run(
                     plan.seconds
                 )
-                for n in numbers
+                for n in streaming
             ]
         if plan.limited:
             work += load_workspaces(deployment, record, started_at, plan)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,7 +19,7 @@
 
 from extras import fleet_processes
 from extras.samples import HANEUL
-from extras.soak.__main__ import read_endpoint_record, run_plan
+from extras.soak.__main__ import CALLER_COUNT, number_callers, read_endpoint_record, run_plan
 from extras.soak.checks import (
     Attempt,
     Disturbance,
@@ -33,6 +33,7 @@
 from extras.soak.deployment import ROOT, SoakDeployment
 from extras.soak.plan import MAX_FAULT_SECONDS, PLANNED_EVERY, draw_plan
 from extras.soak.proxy import Proxy
+from extras.soak.quotas import FIRST_CALLER
 from peridotdock.clients.endpoint import Call, HttpEndpoints
 from tests.standins.runner import RunnerStandin
 
@@ -414,6 +415,18 @@
             self.assertFalse(any(others))
 
 
+class CallersTest(unittest.TestCase):
+    """Guards against two callers whose attempts have the same ids, which look like repeats."""
+
+    @params(False, True)
+    def test_no_two_callers_of_a_run_have_the_same_number(self, partitioned):
+        direct, streaming = number_callers(partitioned)
+        numbers = [*range(CALLER_COUNT + 1), *direct, *streaming]
+        self.assertEqual(partitioned, bool(direct))
+        self.assertEqual(len(numbers), len(set(numbers)))
+        self.assertLess(max(numbers), FIRST_CALLER)
+
+
 class WholeEventsTest(unittest.TestCase):
     @params((b"", 0), (b"id: 1\ndata", 0), (STREAM, 3), (STREAM[:-1], 2), (STREAM + b"id: 4\n", 3))
     def test_a_stream_is_resumed_after_its_last_whole_event(self, body, last):
