Leave a host that doubts its links alone for as long as that doubt may last

Cause, from the hosts' logs: nobody confirmed anything; "reaches none" was never answered. As two endpoints of the plain service crash, the only host in touch suspects its links for 0.01 to 0.16 s and answers "not ready" to what is forwarded meanwhile. A host that refused was avoided for a second, so no host was left to forward to, and all was refused.

A host in doubt now names with its refusal the time in which it will know, 0.25 s, and is avoided for that. One that is partitioned, or that names no time, is avoided for a second as before.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -812,6 +812,13 @@
         "if False:",
         "tests.relay.test_forwarding.RefusalTest",
     ),
+    Mutant(
+        "a host is left alone only for as long as its refusal says",
+        "relay/forwarding.py",
+        "self.avoid(name, failure.retry_after)",
+        "self.avoid(name)",
+        "tests.relay.test_forwarding.OnlyHostTest",
+    ),
     Mutant(
         "no older configuration serves a forwarded request",
         "relay/forwarded.py",
--- a/peridotdock/relay/forwarded.py
+++ b/peridotdock/relay/forwarded.py
@@ -13,7 +13,7 @@
 
 from peridotdock.context import Context
 from peridotdock.decisions.connectivity import Connectivity
-from peridotdock.decisions.overload import takes_forwarded
+from peridotdock.decisions.overload import CONNECT_SECONDS, takes_forwarded
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.loop_iterations import LoopIterations
@@ -124,7 +124,8 @@
         if self._is_stopping():
             return Failure(Kind.STOPPING)
         if self._links.doubtful:
-            return Failure(Kind.NOT_READY, "reaches no endpoint")
+            verdict_in = None if self._links.partitioned else CONNECT_SECONDS
+            return Failure(Kind.NOT_READY, f"links {self._links.state}", verdict_in)
         if deployment is None or deployment.version < forward.version:
             return Failure(Kind.NOT_READY, "older configuration")
         if not takes_forwarded(self._iterations.lag()):
--- a/peridotdock/relay/forwarding.py
+++ b/peridotdock/relay/forwarding.py
@@ -46,7 +46,7 @@
 SOFTWARE_HEADER = "x-peridotdock-software"
 # Hosts to which one request is forwarded at most.
 MAX_FORWARDS = 3
-# Seconds without requests to a host that was lost or could not take one.
+# Seconds without requests to a host that was lost, or that took none and did not say until when.
 LOST_HOST_SECONDS = 1.0
 # Seconds for which an endpoint counts as unreachable for other hosts too, after one reported so.
 CONFIRMED_SECONDS = 1.0
@@ -203,9 +203,10 @@
             self.avoid(host)
         self._log_lost(req, host, failure)
 
-    def avoid(self, host: str) -> None:
+    def avoid(self, host: str, seconds: float | None = None) -> None:
         """Send nothing to a host for a while."""
-        self._avoided_until[host] = self._ctx.clock.monotonic() + LOST_HOST_SECONDS
+        wait = LOST_HOST_SECONDS if seconds is None else seconds
+        self._avoided_until[host] = self._ctx.clock.monotonic() + wait
 
     def _log_lost(self, req: RelayRequest, host: str, failure: Failure) -> None:
         detail = f"{host}: {failure.kind}: {failure.reason}"
@@ -220,7 +221,7 @@
         self._log_lost(req, name, failure)
         now = self._ctx.clock.monotonic()
         if failure.kind in OTHER_HOST_KINDS:
-            self.avoid(name)
+            self.avoid(name, failure.retry_after)
             return Failure(Kind.ENDPOINT_UNREACHABLE, f"{name}: {failure.kind}")
         if failure.kind is Kind.NO_ENDPOINT and not failure.may_have_run:
             inference, software = req.head.inference, progress.software
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -11,7 +11,7 @@
 
 from extras.soak.gates import Gate
 from peridotdock.decisions.connectivity import Connectivity, LinkState
-from peridotdock.decisions.overload import FORWARDED_LAG_SECONDS
+from peridotdock.decisions.overload import CONNECT_SECONDS, FORWARDED_LAG_SECONDS
 from peridotdock.errors import Failure, Kind, Ran
 from peridotdock.relay.forwarded import ForwardedHandler
 from peridotdock.relay.forwarding import (
@@ -269,19 +269,37 @@
             self.assertEqual(200, status, body)
 
 
+async def open_stream(found, path="/recap/"):
+    """Send a request for a stream that stops halfway; return its task and its other host."""
+    for engine in found.engines.values():
+        engine.halfway_event = asyncio.Event()
+    sent = asyncio.ensure_future(found.send(path, "s1", model="m0"))
+    await found.until(lambda: any(engine.executed for engine in found.engines.values()))
+    (busy,) = [host for host in found.hosts[1:] if host.responder.in_progress]
+    return sent, busy
+
+
+class OnlyHostTest(unittest.TestCase):
+    """Guards against callers that are refused for a second as the only host in touch is avoided."""
+
+    @run
+    async def test_a_host_whose_doubt_has_ended_is_asked_again(self):
+        """Two endpoints crash, and the host that loses them doubts its links for a moment."""
+        async with gated() as found:
+            await cut_off(found)
+            links = found.hosts[1].connectivity.links
+            links.state = LinkState.SUSPECTED
+            status, _, body = await found.send("/fetch/", "in doubt")
+            self.assertEqual(503, status, body)
+            links.state = LinkState.CONNECTED
+            await asyncio.sleep(CONNECT_SECONDS)
+            status, _, body = await found.send("/fetch/", "after")
+            self.assertEqual(200, status, body)
+
+
 class StreamTest(unittest.TestCase):
     """Guards against streams that break off with the host that they were forwarded to."""
 
-    async def open_stream(self, found):
-        """Send a request for a stream that stops halfway; return its task and its other host."""
-        for engine in found.engines.values():
-            engine.halfway_event = asyncio.Event()
-        sent = asyncio.ensure_future(found.send("/recap/", "s1", model="m0"))
-        await found.until(lambda: any(engine.executed for engine in found.engines.values()))
-        busy = [host for host in found.hosts[1:] if host.responder.in_progress]
-        self.assertEqual(1, len(busy))
-        return sent, busy[0]
-
     def let_go(self, found):
         for engine in found.engines.values():
             engine.halfway_event.set()
@@ -290,7 +308,7 @@
     async def test_a_planned_stop_of_the_other_host_cuts_nothing_off(self):
         async with gated() as found:
             await cut_off(found)
-            sent, other = await self.open_stream(found)
+            sent, other = await open_stream(found)
             stopping = asyncio.ensure_future(other.drain())
             await asyncio.sleep(0.3)
             self.assertFalse(stopping.done())
@@ -303,7 +321,7 @@
     async def test_a_stream_is_resumed_where_the_other_host_is_lost(self):
         async with gated(hosts=3) as found:
             await cut_off(found)
-            sent, other = await self.open_stream(found)
+            sent, other = await open_stream(found)
             await asyncio.sleep(0.1)
             found.hosts.remove(other)
             await abort(other)
