Don't avoid a host for an answer that broke off with its endpoint

Cause: an engine crashed in the middle of a stream. The host that the request was forwarded to could not go on with it and broke its answer off, as there is nothing else to say after the head. The forwarding host took that for the loss of the host and avoided it for a second.

A cut answer is no reason to avoid a host now. One that was really lost refuses the next connection, or lets it time out, and is avoided for that; a host that is silent is avoided as before. Requests that a lost host did not take go on to the next, as before.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -819,6 +819,13 @@
         "self.avoid(name)",
         "tests.relay.test_forwarding.OnlyHostTest",
     ),
+    Mutant(
+        "a host is not avoided for the end of an endpoint",
+        "relay/forwarding.py",
+        "if failure.kind not in NOT_THE_HOST_KINDS:",
+        "if failure.kind is not Kind.DEADLINE:",
+        "tests.relay.test_forwarding.OnlyHostTest",
+    ),
     Mutant(
         "no older configuration serves a forwarded request",
         "relay/forwarded.py",
--- a/peridotdock/relay/forwarding.py
+++ b/peridotdock/relay/forwarding.py
@@ -50,6 +50,9 @@
 LOST_HOST_SECONDS = 1.0
 # Seconds for which an endpoint counts as unreachable for other hosts too, after one reported so.
 CONFIRMED_SECONDS = 1.0
+# Kinds that say nothing of a host: the caller or the deadline ended the request, or an endpoint may
+# have ended in its answer. Where the host was lost, the next connection to it fails as well.
+NOT_THE_HOST_KINDS = frozenset({Kind.DEADLINE, Kind.ANSWER_CUT})
 # Kinds with which a host says that another one may take the request.
 OTHER_HOST_KINDS = frozenset({Kind.STOPPING, Kind.HOST_BEHIND, Kind.NOT_READY})
 
@@ -198,8 +201,8 @@
         return headers
 
     def record_lost(self, req: RelayRequest, host: str, failure: Failure) -> None:
-        """Avoid a host that was lost, unless the caller or the deadline ended the request."""
-        if failure.kind is not Kind.DEADLINE:
+        """Avoid a host that was lost, unless something else may have ended the request."""
+        if failure.kind not in NOT_THE_HOST_KINDS:
             self.avoid(host)
         self._log_lost(req, host, failure)
 
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -13,6 +13,7 @@
 from peridotdock.decisions.connectivity import Connectivity, LinkState
 from peridotdock.decisions.overload import CONNECT_SECONDS, FORWARDED_LAG_SECONDS
 from peridotdock.errors import Failure, Kind, Ran
+from peridotdock.events import Filter
 from peridotdock.relay.forwarded import ForwardedHandler
 from peridotdock.relay.forwarding import (
     FORWARD_HEADER,
@@ -296,6 +297,21 @@
             status, _, body = await found.send("/fetch/", "after")
             self.assertEqual(200, status, body)
 
+    @run
+    async def test_a_host_that_passes_on_the_end_of_an_endpoint_is_not_avoided(self):
+        """An engine crashes, and its stream ends at the host that it was forwarded to."""
+        async with gated() as found:
+            await cut_off(found)
+            sent, _ = await open_stream(found, "/once/")
+            logged = found.hosts[0].ctx.timeline.select
+            await found.until(lambda: any(row.name == "first_event" for row in logged(Filter())))
+            (engine,) = [row for row in found.engines.values() if row.executed]
+            engine.crash()
+            status, _, body = await sent
+            self.assertEqual((0, "ClientPayloadError"), (status, type(body).__name__))
+            status, _, body = await found.send("/fetch/", "after")
+            self.assertEqual(200, status, body)
+
 
 class StreamTest(unittest.TestCase):
     """Guards against streams that break off with the host that they were forwarded to."""
