Refuse forwarded requests only while the loop is behind, and say for how long

Cause: a host refused what was forwarded for as long as any timer of the last second or two had been 0.05 s late, and each host that it refused avoided it for a second more. On a busy machine one late timer follows the other, while the host's own callers are served as ever. As the only host in touch it left three hosts without any.

A host is behind now where timers are late and the median of the last iterations is above the time up to which a host is not behind (0.016 s), as for its own callers' requests. It names 0.15 to 0.25 s with its refusal, which is what its own callers get, and is avoided for that.

tests.relay.test_forwarding: RefusalTest's row "behind" had a late timer alone and now has long iterations with it, as the rule has changed; a late timer alone is the new row "paused once". That and OnlyHostTest.test_a_host_that_was_behind_is_asked_again failed before (None expected, HOST_BEHIND got; 503 for 200) and pass. tests.relay.test_forwarding and test_lag: 49 pass.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -836,10 +836,17 @@
     Mutant(
         "a host that is late takes no forwarded request",
         "relay/forwarded.py",
-        "if not takes_forwarded(self._iterations.lag()):",
+        "if not takes_forwarded(self._iterations.lag(), self._iterations.median_length()):",
         "if False:",
         "tests.relay.test_forwarding.RefusalTest",
     ),
+    Mutant(
+        "one late timer refuses no forwarded request",
+        "decisions/overload.py",
+        "return lag < FORWARDED_LAG_SECONDS or iteration <= NORMAL_ITERATION_SECONDS",
+        "return lag < FORWARDED_LAG_SECONDS",
+        "tests.relay.test_forwarding.RefusalTest",
+    ),
     Mutant(
         "the headers between hosts stay between hosts",
         "relay/forwarded.py",
--- a/peridotdock/decisions/overload.py
+++ b/peridotdock/decisions/overload.py
@@ -39,8 +39,8 @@
 CONNECT_SHARE = 0.8
 
 
-# Timer lateness from which a host takes no requests of other hosts, so that its own callers don't
-# wait for them.
+# Timer lateness from which a host with long iterations takes no requests of other hosts, so that
+# its own callers don't wait for them.
 FORWARDED_LAG_SECONDS = 0.05
 
 
@@ -71,13 +71,16 @@
     return None
 
 
-def takes_forwarded(lag: float) -> bool:
+def takes_forwarded(lag: float, iteration: float) -> bool:
     """Return whether a host takes requests of hosts that reach no endpoint.
 
     Load pattern: most hosts lose their links at once, and all their requests go to the few that
-    are left. ``lag`` is the most by which a timer was late lately, in seconds.
+    are left. ``lag`` is the most by which a timer was late lately, ``iteration`` the current
+    duration of a loop iteration, both in seconds.
+
+    Failure guarded against: one pause of the last host in touch makes it refuse for seconds.
     """
-    return lag < FORWARDED_LAG_SECONDS
+    return lag < FORWARDED_LAG_SECONDS or iteration <= NORMAL_ITERATION_SECONDS
 
 
 def check_send(left: float, expected: float, iteration: float) -> RefusalReason | None:
--- a/peridotdock/relay/forwarded.py
+++ b/peridotdock/relay/forwarded.py
@@ -13,7 +13,7 @@
 
 from peridotdock.context import Context
 from peridotdock.decisions.connectivity import Connectivity
-from peridotdock.decisions.overload import CONNECT_SECONDS, takes_forwarded
+from peridotdock.decisions.overload import CONNECT_SECONDS, retry_after, takes_forwarded
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.loop_iterations import LoopIterations
@@ -128,8 +128,8 @@
             return Failure(Kind.NOT_READY, f"links {self._links.state}", verdict_in)
         if deployment is None or deployment.version < forward.version:
             return Failure(Kind.NOT_READY, "older configuration")
-        if not takes_forwarded(self._iterations.lag()):
-            return Failure(Kind.HOST_BEHIND)
+        if not takes_forwarded(self._iterations.lag(), self._iterations.median_length()):
+            return Failure(Kind.HOST_BEHIND, "", retry_after(self._ctx.rng.random))
         return None
 
     async def _make_request(
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import unittest
 from collections import Counter
 from types import SimpleNamespace
@@ -11,7 +12,13 @@
 
 from extras.soak.gates import Gate
 from peridotdock.decisions.connectivity import Connectivity, LinkState
-from peridotdock.decisions.overload import CONNECT_SECONDS, FORWARDED_LAG_SECONDS
+from peridotdock.decisions.overload import (
+    CONNECT_SECONDS,
+    FORWARDED_LAG_SECONDS,
+    NORMAL_ITERATION_SECONDS,
+    RETRY_SECONDS,
+    RETRY_SPREAD,
+)
 from peridotdock.errors import Failure, Kind, Ran
 from peridotdock.events import Filter
 from peridotdock.relay.forwarded import ForwardedHandler
@@ -35,10 +42,13 @@
 ENGINES = (("e1", ("m0",)), ("e2", ("m0",)))
 PAGES = ("p1", "p2")
 FORWARD = Forward("h0", 1, "pages", "", 0)
+# The shortest iteration of a loop that is behind.
+LONG_SECONDS = math.nextafter(NORMAL_ITERATION_SECONDS, math.inf)
 # Statuses that say that a request has not run and will not.
 NOT_RUN = {429, 503}
 # Seconds within which an endpoint sees that the caller at the other host has left.
 LEFT_SECONDS = 0.5
+TAKES_FORWARDED = "peridotdock.relay.forwarded.takes_forwarded"
 numbers = itertools.count()
 
 
@@ -98,13 +108,16 @@
         ("no configuration", {"version": None}, Kind.NOT_READY),
         ("an older configuration", {"version": 0}, Kind.NOT_READY),
         ("a newer configuration", {"version": 2}, None),
-        ("behind", {"lag": FORWARDED_LAG_SECONDS}, Kind.HOST_BEHIND),
+        ("behind", {"lag": FORWARDED_LAG_SECONDS, "iteration": LONG_SECONDS}, Kind.HOST_BEHIND),
+        ("paused once", {"lag": FORWARDED_LAG_SECONDS}, None),
     )
     def test_reasons(self, name, changes, expected):
-        row = {"stopping": False, "state": LinkState.CONNECTED, "version": 1, "lag": 0.0} | changes
+        row = {"stopping": False, "state": LinkState.CONNECTED, "version": 1} | changes
         links = Connectivity()
         links.state = row["state"]
-        iterations = SimpleNamespace(lag=lambda: row["lag"])
+        iterations = SimpleNamespace(
+            lag=lambda: row.get("lag", 0.0), median_length=lambda: row.get("iteration", 0.001)
+        )
         handler = ForwardedHandler(
             make_ctx(FakeClock()), None, None, links, iterations, None, lambda: row["stopping"]
         )
@@ -244,7 +257,7 @@
             # One more than a request is forwarded to.
             async with gated(hosts=MAX_FORWARDS + 2) as found:
                 await cut_off(found)
-                with mock.patch("peridotdock.relay.forwarded.takes_forwarded", lambda lag: False):
+                with mock.patch(TAKES_FORWARDED, return_value=False):
                     began = asyncio.get_running_loop().time()
                     status, headers, _ = await found.send(path, "late", model=model)
                     seconds = asyncio.get_running_loop().time() - began
@@ -297,6 +310,18 @@
             status, _, body = await found.send("/fetch/", "after")
             self.assertEqual(200, status, body)
 
+    @run
+    async def test_a_host_that_was_behind_is_asked_again(self):
+        """Its own callers, whom it refuses as well, are told to come back sooner."""
+        async with gated() as found:
+            await cut_off(found)
+            with mock.patch(TAKES_FORWARDED, return_value=False):
+                status, _, body = await found.send("/fetch/", "behind")
+            self.assertEqual(503, status, body)
+            await asyncio.sleep(RETRY_SECONDS * (1 + RETRY_SPREAD / 2))
+            status, _, body = await found.send("/fetch/", "after")
+            self.assertEqual(200, status, body)
+
     @run
     async def test_a_host_that_passes_on_the_end_of_an_endpoint_is_not_avoided(self):
         """An engine crashes, and its stream ends at the host that it was forwarded to."""
