--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -812,6 +812,20 @@
         "if False:",
         "tests.relay.test_forwarding.RefusalTest",
     ),
+    Mutant(
+        "a host is left alone only for as long as its refusal says",
+        "relay/forwarding.py",
+        "self.avoid(name, failure.retry_after)",
+        "self.avoid(name)",
+        "tests.relay.test_forwarding.OnlyHostTest",
+    ),
+    Mutant(
+        "a host is not avoided for the end of an endpoint",
+        "relay/forwarding.py",
+        "if failure.kind not in NOT_THE_HOST_KINDS:",
+        "if failure.kind is not Kind.DEADLINE:",
+        "tests.relay.test_forwarding.OnlyHostTest",
+    ),
     Mutant(
         "no older configuration serves a forwarded request",
         "relay/forwarded.py",
@@ -822,10 +836,17 @@
     Mutant(
         "a host that is late takes no forwarded request",
         "relay/forwarded.py",
-        "if not takes_forwarded(self._iterations.lag()):",
+        "if not takes_forwarded(self._iterations.lag(), self._iterations.median_length()):",
         "if False:",
         "tests.relay.test_forwarding.RefusalTest",
     ),
+    Mutant(
+        "one late timer refuses no forwarded request",
+        "decisions/overload.py",
+        "return lag < FORWARDED_LAG_SECONDS or iteration <= NORMAL_ITERATION_SECONDS",
+        "return lag < FORWARDED_LAG_SECONDS",
+        "tests.relay.test_forwarding.RefusalTest",
+    ),
     Mutant(
         "the headers between hosts stay between hosts",
         "relay/forwarded.py",
