Serve quotas by a host's own share while no hub has it

Cause: a loan that ended while the hub was silent went back to its lender, which used it only after its callers had waited for the hub for two seconds. A request that the hub had told to wait asked it a last time without time for the reply, and was refused as if the hub were silent.

Change: a share that no host may use any more is used by its owner at the next publication, until the next offer is accepted. The last call of a request has time for its reply, and a request that was told to wait is refused with the wait that it was told.

--- a/peridotdock/relay/quotas.py
+++ b/peridotdock/relay/quotas.py
@@ -34,6 +34,8 @@
 # host is asked. A lost hub is replaced in less.
 PATIENCE_SECONDS = 2.0
 RETRY_SECONDS = 0.25
+# Least seconds in which a host may reply, also to the last call of a request.
+LAST_REPLY_SECONDS = 0.1
 # Seconds for which a call is remembered whose reply may come after its request has gone on.
 MAX_REPLY_AGE_SECONDS = 10.0
 # Retry-after in seconds where no host counts.
@@ -175,9 +177,12 @@
                 if wait == 0:
                     self._usage.add(name, Decision.HUB, cost, grantor)
                 return wait
-            if caller.is_disconnected() or self._ctx.clock.monotonic() >= until:
+            left = until - self._ctx.clock.monotonic()
+            if caller.is_disconnected() or left <= 0:
                 break
-            await self._ctx.clock.sleep(RETRY_SECONDS if wait is None else -wait)
+            await self._ctx.clock.sleep(min(left, RETRY_SECONDS if wait is None else -wait))
+        if wait is not None:
+            return -wait
         if not caller.is_disconnected():
             self._record_silence(grantor, name)
         return self._take_own(charge)
@@ -204,7 +209,7 @@
             frame = QuotaWanted("quota_wanted", number, charge.name, round(charge.cost))
             return self._peers.mesh.send_to(grantor, frame)
 
-        seconds = until - self._ctx.clock.monotonic()
+        seconds = max(LAST_REPLY_SECONDS, until - self._ctx.clock.monotonic())
         wait = await self._calls.call_while(
             send, caller, seconds, lambda: self._shares.grantor() == grantor
         )
--- a/peridotdock/relay/shares.py
+++ b/peridotdock/relay/shares.py
@@ -206,7 +206,7 @@
             self.on_handover(Handover(fact.share, fact.levels))
 
     def _lend(self) -> None:
-        """Lend the own share to the hub, or use it where this host is the hub."""
+        """Lend the own share to the hub; use it where this host is the hub, or while none has it."""
         hub = self._peers.hub()
         reported = self._has_lost_borrower(hub) and self._report_loss(hub)
         if hub == self._host:
@@ -217,12 +217,19 @@
             return
         if reported:
             self._accept(hub, 0, 0)
+        if not self._lend_to(hub) and not self._closed:
+            self.use_own()
+
+    def _lend_to(self, hub: str) -> bool:
+        """Lend the own share on the hub's last offer, and return whether that was possible."""
         known = self._peers.facts.get(hub, "share_offer")
         if known is None or not known.fact.loan or hub not in self._peers.mesh.peers():
-            return
+            return False
         now, seconds = self._clock.seconds(), known.fact.loan / 1000
-        if self._own.lend(hub, now - self._age(known.at), seconds, now):
-            self._accept(hub, known.fact.number, known.fact.loan)
+        if not self._own.lend(hub, now - self._age(known.at), seconds, now):
+            return False
+        self._accept(hub, known.fact.number, known.fact.loan)
+        return True
 
     def _accept(self, hub: str, number: int, loan: int) -> None:
         """Publish that the share is lent to a hub, unless that was published before."""
--- a/tests/relay/test_quota_cluster.py
+++ b/tests/relay/test_quota_cluster.py
@@ -125,3 +125,19 @@
         faults = [(12.0, "freeze_hub", 0.6)]
         found = play(LARGE, faults, seed, lambda now: 0.6, 18.0, hosts=FEW_HOSTS)
         self.assertEqual([], found.refused)
+
+    @params(*itertools.product((LARGE, REQUESTS), (1.2, 1.6, 2.0), (1, 2, 3)))
+    def test_hosts_serve_by_their_own_shares_while_the_hub_is_silent(self, quota, seconds, seed):
+        """Guards against a 429 within a quota where no host uses the shares of a paused hub."""
+        faults = [(8.0, "freeze_hub", seconds)]
+        found = play(quota, faults, seed, lambda now: 0.5, 14.0, hosts=4)
+        self.assertEqual([], found.refused)
+        self.assertLessEqual(found.max_part, 1.0 + 1e-9)
+
+    @params(*itertools.product((LARGE, REQUESTS), (1, 2, 3)))
+    def test_a_host_that_is_cut_off_serves_by_its_own_share(self, quota, seed):
+        """Guards against a 429 within a quota on a host that waits for a hub it can't reach."""
+        faults = [(8.0, "part", 0.25, True, 5.0)]
+        found = play(quota, faults, seed, lambda now: 0.5, 16.0, hosts=4)
+        self.assertEqual([], found.refused)
+        self.assertLessEqual(found.max_part, 1.0 + 1e-9)
