Keep the units of shares that a hub gets back soon

Cause: a hub whose loans are over for a moment, as it was paused, cut its buckets to its own share at once. With its shares back it refused callers within their quota, as requests that had waited took what accrued; it let requests wait for one loan only, less than they had waited before.

Change: such units are parked. They can't be used while the shares are away, and become fewer by what other hosts may accrue by all other shares meanwhile, so that none is held twice. Requests wait for two seconds while the buckets are filled, as long as the first of them have waited.

Test: test_units_of_shares_that_come_back_soon_are_kept and test_a_hub_has_units_again_once_it_has_its_shares failed before.

--- a/peridotdock/decisions/quotas.py
+++ b/peridotdock/decisions/quotas.py
@@ -91,6 +91,7 @@
         self._draw = draw
         self._quotas: Mapping[str, Quota] = {}
         self._levels: dict[str, float] = {}
+        self._parked: dict[str, float] = {}
         self._filled_at = now
         self._held = 0.0
         self._adopted, self._adopted_until = 0.0, now
@@ -104,9 +105,10 @@
         workspace that is new has what accrued since the shares were lent; after one window it has
         a full bucket.
         """
-        seconds = (now - self._filled_at) * min(share, self.share)
-        if share < self.share:
-            self._held *= share / self.share
+        elapsed, least = now - self._filled_at, min(share, self.share)
+        seconds, before, old = elapsed * least, self.share, self._levels
+        if share < before:
+            self._held *= share / before
         full = 0 < share * self._tolerance.window <= self._held
         self._quotas, self.share, self._filled_at = quotas, share, now
         self._reserves = [row for row in self._reserves if now < row[0]]
@@ -119,6 +121,27 @@
             for name, quota in quotas.items()
         }
         self._held += seconds
+        self._park(old, before, elapsed * (1 - least))
+
+    def _park(self, old: Levels, before: float, away_seconds: float) -> None:
+        """Keep the units of shares that are lent no more, for when they are lent again.
+
+        They become fewer by what other hosts may have accrued by all other shares meanwhile, so
+        that no unit is held twice.
+        """
+        earlier, self._parked = self._parked, {}
+        for name, quota in self._quotas.items():
+            bucket, capacity = self._tolerance.bucket(quota), self._capacity(quota)
+            parked = earlier.get(name, 0.0)
+            if self.share < before:
+                fit = capacity + (before - self.share) * bucket
+                parked += max(0.0, min(fit, old.get(name, 0.0)) - capacity)
+            parked = max(0.0, parked - away_seconds * quota.rate)
+            if self.share > before:
+                back = min(parked, max(0.0, capacity - self._levels[name]))
+                self._levels[name] += back
+                parked -= back
+            self._parked[name] = min(parked, (1 - self.share) * bucket)
 
     def _capacity(self, quota: Quota) -> float:
         share = max(self.share, self._adopted if self._filled_at < self._adopted_until else 0.0)
@@ -173,7 +196,7 @@
     def hand_over(self) -> Levels:
         """Return the levels for the next counter, and grant nothing any more."""
         levels, self._levels = self._levels, dict.fromkeys(self._levels, 0.0)
-        self._reserves = []
+        self._reserves, self._parked = [], {}
         self._adopted_until = self._filled_at
         self.share = self._held = 0.0
         return levels
--- a/peridotdock/relay/quota_counter.py
+++ b/peridotdock/relay/quota_counter.py
@@ -23,9 +23,9 @@
 # Part of the shares of all live hosts below which further shares are expected.
 COMPLETE_PART = 0.8
 # Requests wait for units, and are not refused, while shares are expected, for so many loans at the
-# most, and for so many more while the buckets are filled.
+# most, and for so many seconds more while the buckets are filled and those that waited are served.
 EXPECTED_LOANS = 3.0
-FILLING_LOANS = 1.0
+FILLING_SECONDS = 2.0
 # Longest time in seconds for which a request waits for units meanwhile, and the units that requests
 # of one workspace may wait for together, in seconds of its rate.
 MAX_HELD_SECONDS = 1.0
@@ -84,7 +84,7 @@
                 detail = f"{len(self._quotas)} workspaces, {share:.3f} of all shares"
                 self._ctx.timeline.add("quotas_kept", detail=detail)
         if not complete and now < self._incomplete_since + EXPECTED_LOANS * loan:
-            self._settled_at = now + FILLING_LOANS * loan
+            self._settled_at = now + FILLING_SECONDS
 
     def take(self, name: str, cost: float) -> float:
         """Take a request's units; return 0, or the seconds until its caller may retry.
--- a/peridotdock/relay/shares.py
+++ b/peridotdock/relay/shares.py
@@ -206,7 +206,7 @@
             self.on_handover(Handover(fact.share, fact.levels))
 
     def _lend(self) -> None:
-        """Lend the own share to the hub; use it where this host is the hub, or while none has it."""
+        """Lend the own share to the hub, or use it here while no other host may."""
         hub = self._peers.hub()
         reported = self._has_lost_borrower(hub) and self._report_loss(hub)
         if hub == self._host:
--- a/tests/relay/test_quota_cluster.py
+++ b/tests/relay/test_quota_cluster.py
@@ -134,6 +134,14 @@
         self.assertEqual([], found.refused)
         self.assertLessEqual(found.max_part, 1.0 + 1e-9)
 
+    @params(*itertools.product((LARGE, REQUESTS), (0.6, 1.5), (2, 3)))
+    def test_a_hub_has_units_again_once_it_has_its_shares(self, quota, seconds, seed):
+        """Guards against a 429 within a quota by a hub whose loans were over for a moment."""
+        faults = [(8.0, "freeze_hub", seconds)]
+        found = play(quota, faults, seed, lambda now: 0.5, 14.0, hosts=8)
+        self.assertEqual([], found.refused)
+        self.assertLessEqual(found.max_part, 1.0 + 1e-9)
+
     @params(*itertools.product((LARGE, REQUESTS), (1, 2, 3)))
     def test_a_host_that_is_cut_off_serves_by_its_own_share(self, quota, seed):
         """Guards against a 429 within a quota on a host that waits for a hub it can't reach."""
--- a/tests/relay/test_quotas.py
+++ b/tests/relay/test_quotas.py
@@ -82,6 +82,39 @@
         counter.advance({"w": TOKENS}, 0.25, 0.0)
         self.assertAlmostEqual(TOLERANCE.bucket(TOKENS) / 4, counter.level("w"))
 
+    @params((0.2, 0.4), (0.5, 0.25), (5.0, 0.0))
+    def test_units_of_shares_that_come_back_soon_are_kept(self, seconds, least):
+        """Guards against a hub without units after an interval in which its loans were over."""
+        counter = make_counter()
+        full = TOLERANCE.bucket(TOKENS)
+        counter.advance({"w": TOKENS}, 0.25, 0.0)
+        self.assertAlmostEqual(0.25 * full, counter.level("w"))
+        counter.advance({"w": TOKENS}, 0.25, seconds)
+        counter.advance({"w": TOKENS}, 1.0, seconds)
+        kept = counter.level("w") - 0.25 * full
+        self.assertGreaterEqual(kept, least * full)
+        self.assertLessEqual(kept, max(0.0, 0.75 * (full - seconds * TOKENS.rate)) + 1e-6)
+
+    @params(*range(10))
+    def test_units_are_held_once_whoever_has_the_shares(self, seed):
+        """Guards against units that one host keeps while another accrues the same."""
+        rng, now, used, rest = random.Random(seed), 0.0, 0.0, 1.0
+        counters = [QuotaCounter(TOLERANCE, lambda: 1.0, 0.0) for _ in range(4)]
+        shares, burst = [0.25] * 4, TOLERANCE.bucket(TOKENS) + TOLERANCE.debt(TOKENS)
+        while now < 30.0:
+            now += rest
+            rest = 0.05 if rng.random() < 0.9 else 0.5
+            if rng.random() < 0.3:
+                holders = [rng.randrange(4) for _ in range(4)]
+                shares = [holders.count(number) / 4 for number in range(4)]
+            for counter, share in sorted(
+                zip(counters, shares, strict=True), key=lambda row: row[1]
+            ):
+                counter.advance({"w": TOKENS}, share, now)
+            while now > 20.0 and any(c.share and c.take("w", 500.0) == 0 for c in counters):
+                used += 500.0
+            self.assertLessEqual(used, burst + TOKENS.rate * max(0.0, now - 20.0) + 2_000.0)
+
     @params(0.1, 0.5, 1.0)
     def test_an_overloaded_workspace_gets_its_share_and_no_more(self, share):
         counter, now, taken = make_counter(share=share), 0.0, 0.0
