Tell the forwarding host which endpoint a stream is from

Cause: a host that forwards a stream did not know at which endpoint the other host runs it. `Progress.working` held only endpoints of its own sends. After 1.7 s of silence the stream was sent through a third host, or over links that were back, and either might choose the silent endpoint: the second run waited there beside the first, and with one endpoint only that was certain.

What callers saw: no event until the silent endpoint went on; a caller of a dead connection left.

Change: the other host's answer has a header with the endpoint's id, beside the software version's. It is not passed on to callers. While the stream is silent the endpoint is left out here, and named in the next Forward message (`working`), where it is left out too until that host has an answer. The field is null in messages of earlier versions, which then get no header, as they would pass it on. A silent send whose endpoint is the only one that serves is not replaced, as on one host.

Open: the header is sent once. Where the other host has gone on at another endpoint since, or has no events yet, the forwarding host does not know which endpoint is silent. Endpoints are named by id, as `Progress.working` holds them; a new start under the same id is left out as well.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -661,10 +661,17 @@
     Mutant(
         "a silent send is not forwarded to its own endpoint",
         "relay/forwarding.py",
-        "if progress.working and not self._links.partitioned:",
+        "if own and not self._links.partitioned:",
         "if False:",
         "tests.relay.test_replacing.NeedlessTest",
     ),
+    Mutant(
+        "the next host is told where a silent stream runs",
+        "relay/forwarding.py",
+        "sorted(progress.working),",
+        "[],",
+        "tests.relay.test_replacing.NeedlessTest",
+    ),
     Mutant(
         "a wait within a stream goes by its last event",
         "relay/requests.py",
--- a/peridotdock/relay/attempt.py
+++ b/peridotdock/relay/attempt.py
@@ -101,8 +101,9 @@
     """One endpoint's part of a stream. ``ready`` holds complete events not yet passed on.
 
     ``software`` is the version of the endpoint's software when it was sent the request, None if it
-    is not known. ``started_at`` is when the first events arrived (monotonic seconds). The
-    connection is closed when ``caller`` disconnects.
+    is not known. ``endpoint`` is the endpoint's id, empty if another host did not tell it.
+    ``started_at`` is when the first events arrived (monotonic seconds). The connection is closed
+    when ``caller`` disconnects.
     """
 
     state: EndpointState
@@ -110,6 +111,7 @@
     opened: OpenResponse
     caller: SendCaller
     software: str | None = None
+    endpoint: str = ""
     splitter: EventSplitter = field(default_factory=EventSplitter)
     ready: list[StreamEvent] = field(default_factory=list)
     ended: bool = False
--- a/peridotdock/relay/forwarded.py
+++ b/peridotdock/relay/forwarded.py
@@ -19,6 +19,7 @@
 from peridotdock.loop_iterations import LoopIterations
 from peridotdock.relay.caller import CallerConnection
 from peridotdock.relay.forwarding import (
+    ENDPOINT_HEADER,
     FORWARD_HEADER,
     PROOF_HEADER,
     REFUSAL_HEADER,
@@ -90,17 +91,25 @@
         if failed(req):
             return self._refuse(req, head.attempt_id)
         self._ctx.timeline.add("forward_taken", request=req.id, detail=f"from {forward.host}")
+        working = forward.working or ()
         progress = Progress(
             forward.service,
+            avoid=set(working),
             maybe_ran=forward.sends,
             software=forward.software or None,
             forwarded=True,
+            working=set(working),
         )
         found = await self._responder.respond(request, req, ForwardAdmission(progress))
         if failed(found):
             return self._refuse(found, req.id, progress.arrived)
         if progress.software is not None:
             found.headers.add(SOFTWARE_HEADER.encode(), quote(progress.software).encode())
+        # A host of an earlier version would pass the header on to its caller.
+        if progress.endpoint and forward.working is not None:
+            found.headers.add(ENDPOINT_HEADER.encode(), quote(progress.endpoint).encode())
+        # The forwarding host ends its other send now.
+        progress.working.clear()
         return found
 
     def _read_forward(self, request: Request, head: RequestHead) -> Forward | Failure:
--- a/peridotdock/relay/forwarding.py
+++ b/peridotdock/relay/forwarding.py
@@ -44,6 +44,10 @@
 REFUSAL_HEADER = "x-peridotdock-refusal"
 # Header of a host's answer: the version of the software of the endpoint that the answer is from.
 SOFTWARE_HEADER = "x-peridotdock-software"
+# Header of a host's stream: the id of the endpoint that it is from.
+ENDPOINT_HEADER = "x-peridotdock-endpoint"
+# Headers of a host's answer that callers don't get.
+HOST_HEADERS = frozenset({SOFTWARE_HEADER, ENDPOINT_HEADER})
 # Hosts to which one request is forwarded at most.
 MAX_FORWARDS = 3
 # Seconds without requests to a host that was lost or could not take one.
@@ -87,8 +91,9 @@
         """
         if progress.forwarded or len(progress.hosts) >= MAX_FORWARDS:
             return None
-        if progress.working and not self._links.partitioned:
-            # The other host might choose an endpoint that may work on the request already.
+        own = progress.working - progress.relayed
+        if own and not self._links.partitioned:
+            # A host of an earlier version might choose an endpoint that may work on the request.
             return None
         service, inference, software = progress.service, req.head.inference, progress.software
         if not self._links.doubtful and self._fleet.usable(service, inference, software):
@@ -172,7 +177,8 @@
         if failure is None:
             software = unquote(opened.headers.get(SOFTWARE_HEADER, "")) or None
             state = host_state(host, progress.service)
-            return PendingAnswer(state, opened, without_software(head), software)
+            endpoint = unquote(opened.headers.get(ENDPOINT_HEADER, ""))
+            return PendingAnswer(state, opened, without_host_headers(head), software, endpoint)
         opened.abort()
         await opened.release()
         self.record_lost(req, host.fact.host, failure)
@@ -190,6 +196,7 @@
             workspace.name if workspace is not None else "",
             progress.maybe_ran,
             progress.software or "",
+            sorted(progress.working),
         )
         text = write_header(forward)
         headers = self._wire.write_send(req, SendOptions("", remaining, 0, resume))
@@ -239,9 +246,9 @@
                 del rows[name]
 
 
-def without_software(head: AnswerHead) -> AnswerHead:
+def without_host_headers(head: AnswerHead) -> AnswerHead:
     """Return the head of another host's answer as callers get it."""
-    return replace(head, headers=tuple(row for row in head.headers if row[0] != SOFTWARE_HEADER))
+    return replace(head, headers=tuple(row for row in head.headers if row[0] not in HOST_HEADERS))
 
 
 def host_state(host: Member, service: str) -> EndpointState:
--- a/peridotdock/relay/progress.py
+++ b/peridotdock/relay/progress.py
@@ -16,7 +16,8 @@
     ``reserved`` is set while a retry is reserved in the budget of the service, ``taken_at`` is the
     monotonic time at which one was taken for a send that has no outcome yet. ``final`` is set once
     another host has answered that it can't serve the request. ``working`` are the endpoints that
-    may still work on a send of the request while it is sent to another one.
+    may still work on a send of the request while it is sent to another one, ``relayed`` those of
+    them that another host sent it to. ``endpoint`` is the one that a stream comes from.
     """
 
     service: str
@@ -34,3 +35,5 @@
     taken_at: float | None = None
     final: bool = False
     working: set[str] = field(default_factory=set)
+    relayed: set[str] = field(default_factory=set)
+    endpoint: str = ""
--- a/peridotdock/relay/replacing.py
+++ b/peridotdock/relay/replacing.py
@@ -66,13 +66,15 @@
 class SilentSend:
     """A send whose endpoint may be silent; ``state`` may be a host that it went through.
 
-    ``streaming`` tells whether events have arrived, so that only a stream can go on from there.
+    ``endpoint`` is the endpoint's id, empty if the host did not tell it. ``streaming`` is set once
+    events have arrived, so that only a stream can go on from there.
     """
 
     req: RelayRequest
     caller: Caller
     progress: Progress
     state: EndpointState
+    endpoint: str
     streaming: bool
 
 
@@ -131,13 +133,25 @@
         # The silent send may run, and counts before the next one.
         silent.progress.maybe_ran += self._uncounted()
         self.began = True
-        if not silent.state.is_host:
-            silent.progress.working.add(silent.state.key)
+        self._set_working()
         self._caller = SendCaller(silent.caller)
         self._task = asyncio.ensure_future(self._send(self._caller))
         self._sends.replacing.add(self._task)
         self._task.add_done_callback(self._sends.replacing.discard)
 
+    def _set_working(self) -> None:
+        silent = self._silent
+        if not silent.endpoint:
+            return
+        silent.progress.avoid.add(silent.endpoint)
+        silent.progress.working.add(silent.endpoint)
+        if silent.state.is_host:
+            silent.progress.relayed.add(silent.endpoint)
+
+    def _unset_working(self) -> None:
+        self._silent.progress.working.discard(self._silent.endpoint)
+        self._silent.progress.relayed.discard(self._silent.endpoint)
+
     def _uncounted(self) -> int:
         """Return 1 until the silent send counts as one that may run; a stream counts already."""
         return 0 if self.began or self._silent.streaming else 1
@@ -193,7 +207,7 @@
 
         The silent send has ended, so its endpoint may be chosen again.
         """
-        self._silent.progress.working.discard(self._silent.state.key)
+        self._unset_working()
         if self._task is not None:
             await asyncio.wait({self._task})
         found, self.found = self.found, None
@@ -203,7 +217,7 @@
         """End what is left of the replacement."""
         self.stop_timer()
         self._end()
-        self._silent.progress.working.discard(self._silent.state.key)
+        self._unset_working()
         found, self.found = self.found, None
         if found is not None:
             await self._sends.discard(self._silent.req, self._silent.progress, found)
--- a/peridotdock/relay/responding.py
+++ b/peridotdock/relay/responding.py
@@ -62,6 +62,7 @@
             if isinstance(found, CompleteAnswer):
                 return answer_reply(Reply(head.status, head.headers, found.body, head.content_type))
             streaming = True
+            progress.endpoint = found.endpoint
             self.on_stream(req, progress)
             body = self._stream_body(req, caller, progress, found)
             return answer_reply(Reply(head.status, head.headers, body, head.content_type))
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -32,13 +32,14 @@
     """An answer of which the head was received and the body is still to be read.
 
     ``software`` is the version of the endpoint's software when it was sent the request, None if it
-    is not known.
+    is not known. ``endpoint`` is the id of the endpoint, empty if another host did not tell it.
     """
 
     state: EndpointState
     opened: OpenResponse
     head: AnswerHead
     software: str | None = None
+    endpoint: str = ""
 
 
 class CallerTimeout(IterationTimeout):
@@ -130,7 +131,7 @@
                 self._endpoints.renew_connections(f"http://{state.entry.address}")
             await opened.release()
             return failure
-        return PendingAnswer(state, opened, head, software)
+        return PendingAnswer(state, opened, head, software, state.key)
 
 
 def check_answer_head(head: AnswerHead, attempt_id: str) -> Failure | None:
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -152,7 +152,7 @@
             return NO_RETRY_LEFT
         progress.sends += 1
         state = host_state(host, progress.service)
-        silent = SilentSend(req, caller, progress, state, streaming=False)
+        silent = SilentSend(req, caller, progress, state, endpoint="", streaming=False)
         first = SendCaller(caller)
         replacement = Replacement(self, silent, first.end)
         streaming = False
@@ -266,12 +266,15 @@
         for a second. The request is sent there once more, and both sends wait longer.
         """
         req, progress, cut_off = silent.req, silent.progress, self._forwarder.is_cut_off()
+        working = progress.working | {silent.endpoint}
+        serving = self.fleet.serving(progress.service, req.head.inference, progress.software)
+        if all(row.key in working for row in serving):
+            return False
         if (silent.state.is_host or cut_off) and self._forwarder.can_forward(req, progress):
             return True
         if cut_off:
             return False
         now = self.ctx.clock.monotonic()
-        working = progress.working | {silent.state.key}
         states = self.fleet.usable(progress.service, req.head.inference, progress.software)
         others = [row for row in states if row.key not in working]
         # A suspect endpoint is worth a try before the first byte; within a stream it may as well be
@@ -351,7 +354,7 @@
         )
         alone = prediction.candidate.queued_tokens == 0 if prediction.granted else None
         self.fleet.request_sent(state, req.id, inference, tokens, alone, prediction.placed)
-        silent = SilentSend(req, caller, progress, state, streaming=False)
+        silent = SilentSend(req, caller, progress, state, state.key, streaming=False)
         first = SendCaller(caller)
         replacement = Replacement(self, silent, first.end)
         streaming = False
@@ -432,7 +435,9 @@
         """Read a complete answer, or a stream up to its first events."""
         remaining = req.deadline - self.ctx.clock.monotonic()
         if begins_stream(req, sent):
-            source = StreamSource(sent.state, sent.head, sent.opened, caller, sent.software)
+            source = StreamSource(
+                sent.state, sent.head, sent.opened, caller, sent.software, sent.endpoint
+            )
             failure = await source.fill(remaining)
             if failure is not None:
                 await source.close()
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -90,7 +90,7 @@
     while True:
         outcome: Failure | None = None
         found: CompleteAnswer | StreamSource | Failure | None = None
-        silent = SilentSend(req, caller, progress, source.state, streaming=True)
+        silent = SilentSend(req, caller, progress, source.state, source.endpoint, streaming=True)
         replacement = Replacement(service, silent, source.abort)
         try:
             async for raw in _relay_source(service, req, progress, source, pauses, replacement):
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -1082,6 +1082,10 @@
     """
     Version of the endpoints' software that began the stream, empty for any.
     """
+    working: list[str] | None = None
+    """
+    Ids of the endpoints that may still work on the request; null if the host does not read which endpoint an answer is from.
+    """
 
 
 @dataclass(frozen=True)
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -1,12 +1,14 @@
 """Requests that a host without links to the endpoints forwards to another host."""
 
 import asyncio
+import base64
 import itertools
 import unittest
 from collections import Counter
 from types import SimpleNamespace
 from unittest import mock
 
+import cbor2
 from nose2.tools import params
 
 from extras.soak.gates import Gate
@@ -15,6 +17,7 @@
 from peridotdock.errors import Failure, Kind, Ran
 from peridotdock.relay.forwarded import ForwardedHandler
 from peridotdock.relay.forwarding import (
+    ENDPOINT_HEADER,
     FORWARD_HEADER,
     MAX_FORWARDS,
     PROOF_HEADER,
@@ -233,6 +236,45 @@
     return admitted
 
 
+class EndpointHeaderTest(unittest.TestCase):
+    """Guards against headers between hosts that reach callers, or break a host without them."""
+
+    @params(("a host that reads it", [], True), ("a host of an earlier version", None, False))
+    def test_the_endpoint_is_told_only_to_hosts_that_read_it(self, name, working, told):
+        @run
+        async def check(self):
+            async with gated() as found:
+                await wait_linked(found)
+                text = write_header(Forward("h0", 1, "engines", "", 0, "", working))
+                rows = {"host": "shop.example", "x-attempt-id": "a1", "x-deadline-ms": "6000"}
+                rows |= {"x-model": "m0", "x-token-counts": "900,20", "x-prompt-prefix": "aa:600"}
+                rows |= {FORWARD_HEADER: text, PROOF_HEADER: sign("a key of sixteen", text, "a1")}
+                relay = found.hosts[1].settings.listen.relay
+                async with found.session.post(f"http://{relay}/recap/", headers=rows) as resp:
+                    ran = [row.name for row in found.engines.values() if row.executed]
+                    self.assertEqual((200, told), (resp.status, ENDPOINT_HEADER in resp.headers))
+                    self.assertIn(resp.headers.get(ENDPOINT_HEADER, *ran), ran)
+                    self.assertEqual([1, 2, 3, 4, 5, 6], ids(await resp.read()))
+
+        check(self)
+
+    def test_a_message_of_an_earlier_version_names_no_endpoints(self):
+        rows = {"host": "h0", "version": 1, "service": "pages", "workspace": "", "sends": 0}
+        text = base64.b64encode(cbor2.dumps(rows)).decode()
+        self.assertEqual(FORWARD, read_header({"x": text}, "x", Forward))
+
+    @run
+    async def test_callers_and_endpoints_get_no_header_of_hosts(self):
+        async with gated() as found:
+            await cut_off(found)
+            status, headers, body = await found.send("/recap/", "a1", model="m0")
+            self.assertEqual((200, [1, 2, 3, 4, 5, 6]), (status, ids(body)))
+            requests = [row for engine in found.engines.values() for row in engine.requests]
+            sent = [name.lower() for _, _, row, _ in requests for name in row]
+            names = [name.lower() for name in headers] + sent
+            self.assertEqual([], [name for name in names if "peridotdock" in name])
+
+
 class OverloadTest(unittest.TestCase):
     """Guards against callers that wait at a host although no other host takes their requests."""
 
--- a/tests/relay/test_replacing.py
+++ b/tests/relay/test_replacing.py
@@ -17,6 +17,8 @@
 EVENT_SECONDS = 0.6
 # Seconds after which a second send to a silent endpoint has surely been made.
 REPLACED_SECONDS = 1.6
+# The same through another host.
+FORWARDED_REPLACED_SECONDS = 2.3
 
 
 def suspect_links(host):
@@ -199,6 +201,34 @@
             gate.set()
             self.assertEqual((200, ALL_EVENTS), await finish(sent))
 
+    @run
+    async def test_the_silent_endpoint_of_another_host_does_not_get_the_stream_again(self):
+        async with Deployment(hosts=3, engines=ENGINES, pages=PAGES, gated=True) as found:
+            await cut_off(found)
+            sent, gate, first, other = await begin_stream(found)
+            other.halfway_event = None
+            [busy] = [host for host in found.hosts[1:] if host.responder.in_progress]
+            [idle] = [host for host in found.hosts[1:] if host is not busy]
+            busy.service.may_replace = lambda *call: False
+            # By its own state alone the next host chooses the silent endpoint.
+            suspect_endpoint(idle, other.name)
+            self.assertEqual((200, ALL_EVENTS), await finish(sent, CALLER_STAYS_SECONDS))
+            self.assertEqual((["a1"], ["a1"]), (first.executed, other.executed))
+
+    @run
+    async def test_a_forwarded_stream_whose_only_endpoint_is_silent_is_not_sent_again(self):
+        async with Deployment(hosts=3, engines=ENGINES[:1], pages=PAGES, gated=True) as found:
+            await cut_off(found)
+            gate = asyncio.Event()
+            [engine] = found.engines.values()
+            engine.halfway_event = gate
+            sent = asyncio.ensure_future(found.send("/recap/", "a1", model="m0"))
+            await found.until(lambda: engine.executed)
+            await asyncio.sleep(FORWARDED_REPLACED_SECONDS)
+            gate.set()
+            self.assertEqual((200, ALL_EVENTS), await finish(sent))
+            self.assertEqual(["a1"], engine.executed)
+
     @run
     async def test_no_more_sends_run_than_the_route_allows(self):
         async with Deployment(engines=THREE_ENGINES) as found:
