Resume a silent stream at an endpoint that failed lately

Cause: within a stream, `_has_alternative` counted no suspect endpoint at all. A stream on a connection that is silent for good then waited until its deadline where all other endpoints were suspect, and its caller left after two seconds.

Weighed: a second send costs a retry of the budget and the reading of its prompt, and where all endpoints are silent at once none of them answers. So a suspect endpoint is tried only 0.25 s after a stream counts as silent (at the check after 1.2 s), when a silence of 1.3 s is over, and not where this host has another silent send (`EndpointState.silent_sends`). A second send also goes past silent endpoints where it has a choice, in the choice of the host and in what it asks of the hub.

Open: a host knows silences of its own sends only. With no stream of its own at the suspect endpoint it sends once more in a silence of all endpoints that lasts for more than 1.45 s.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -672,6 +672,20 @@
         "[],",
         "tests.relay.test_replacing.NeedlessTest",
     ),
+    Mutant(
+        "a suspect endpoint that is silent too is not tried within a stream",
+        "relay/service.py",
+        "(suspects and not row.silent_sends)",
+        "suspects",
+        "tests.relay.test_replacing.SuspectTest",
+    ),
+    Mutant(
+        "a second send does not go to a silent endpoint",
+        "relay/choosing.py",
+        "return avoid | silent if len(silent) < len(rest) else avoid",
+        "return avoid",
+        "tests.relay.test_replacing.SuspectTest",
+    ),
     Mutant(
         "a wait within a stream goes by its last event",
         "relay/requests.py",
--- a/peridotdock/relay/choosing.py
+++ b/peridotdock/relay/choosing.py
@@ -10,6 +10,7 @@
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.loop_iterations import find_iterations
 from peridotdock.relay.caller import Caller
+from peridotdock.relay.endpoint import EndpointState
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.grants import GrantedEndpoint, Grants
 from peridotdock.relay.permits import EndpointPermits
@@ -72,13 +73,10 @@
         """Return the endpoints not tried yet, or all of them if none is left.
 
         An endpoint that cut a stream may still be able to resume it. One that may still work on the
-        request is never among them.
+        request is never among them; the others that are silent too are left out if possible.
         """
         states = self._fleet.usable(progress.service, req.head.inference, progress.software)
-        avoid = frozenset(progress.avoid)
-        if all(state.key in avoid for state in states):
-            avoid = frozenset(progress.working)
-        return self._fleet.candidates(states, req.head.inference, avoid)
+        return self._fleet.candidates(states, req.head.inference, find_avoided(states, progress))
 
     async def _request_grant(
         self, req: RelayRequest, caller: Caller, progress: Progress
@@ -89,9 +87,9 @@
         if req.head.inference is None or not accepting:
             return None
         avoid = find_suspects(accepting) | {row.key for row in candidates if row.backoff}
-        if candidates[0].key not in progress.avoid:
-            avoid |= progress.avoid
-        avoid |= progress.working
+        if progress.avoid:
+            states = self._fleet.usable(progress.service, req.head.inference, progress.software)
+            avoid |= find_avoided(states, progress)
         if progress.software is not None:
             avoid |= self._fleet.other_software(progress.service, progress.software)
         return await self._grants.request_grant(req, progress, frozenset(avoid), caller)
@@ -157,6 +155,18 @@
         return Failure(Kind.OVERLOADED, reason, excessive.retry_after(self._ctx.rng.random))
 
 
+def find_avoided(states: Sequence[EndpointState], progress: Progress) -> frozenset[str]:
+    """Return the endpoints not to be chosen for the next send of a request."""
+    avoid = frozenset(progress.avoid)
+    if all(state.key in avoid for state in states):
+        avoid = frozenset(progress.working)
+    if not progress.working:
+        return avoid
+    rest = [state for state in states if state.key not in avoid]
+    silent = {state.key for state in rest if state.silent_sends}
+    return avoid | silent if len(silent) < len(rest) else avoid
+
+
 def find_suspects(candidates: Sequence[Candidate]) -> set[str]:
     """Return the candidates that failed recently on this host, or none if all did."""
     suspects = {candidate.key for candidate in candidates if candidate.suspect}
--- a/peridotdock/relay/endpoint.py
+++ b/peridotdock/relay/endpoint.py
@@ -107,7 +107,8 @@
     ``announced_leaving`` is set when the endpoint announced in an answer that it drains. Until
     ``backoff_until`` it accepts nothing from this host. Both remain set until the end of this
     start, whatever its entry shows. Until ``left_out_until`` nothing shows that the endpoint is
-    still there. ``is_host`` is set for a host in the place of an endpoint.
+    still there. ``is_host`` is set for a host in the place of an endpoint. ``silent_sends`` counts
+    this host's open sends to it that are silent.
     """
 
     entry: EndpointEntry
@@ -128,6 +129,7 @@
     backoff_until: float = float("-inf")
     left_out_until: float = float("-inf")
     is_host: bool = False
+    silent_sends: int = 0
 
     def accepts_requests(self) -> bool:
         """Return whether requests may still be sent to the endpoint."""
--- a/peridotdock/relay/replacing.py
+++ b/peridotdock/relay/replacing.py
@@ -23,6 +23,8 @@
 SILENCE_SECONDS = 1.2
 # The same for a send through another host, which looks for another endpoint first.
 FORWARDED_SILENCE_SECONDS = 1.7
+# Seconds of a stream's silence after that until endpoints that failed lately are tried too.
+SUSPECTS_SECONDS = 0.2
 # Seconds between two checks whether the send of a silent endpoint can be replaced, and between two
 # sends elsewhere.
 CHECK_SECONDS = 0.25
@@ -38,10 +40,11 @@
     # Replacements that are under way: the event loop itself refers to tasks only weakly.
     replacing: set[asyncio.Task[None]]
 
-    def may_replace(self, silent: "SilentSend", uncounted: int) -> bool:
+    def may_replace(self, silent: "SilentSend", uncounted: int, suspects: bool) -> bool:
         """Return whether the request may be sent elsewhere while a send is silent.
 
-        ``uncounted`` is 1 if that send does not count yet as one that may run, else 0.
+        ``uncounted`` is 1 if that send does not count yet as one that may run, else 0. ``suspects``
+        tells whether it may go to an endpoint that failed lately.
         """
 
     def reserve_replacement(self, silent: "SilentSend") -> bool:
@@ -90,7 +93,7 @@
         self._silent = silent
         self._end_send = end_send
         self._next_try_at = float("-inf")
-        self._logged = False
+        self._silent_since: float | None = None
         self._recorded = False
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
@@ -116,10 +119,12 @@
         now = self._sends.ctx.clock.monotonic()
         if self._task is not None or self.found is not None or now < self._next_try_at:
             return
-        if not self._logged:
-            self._logged = True
+        if self._silent_since is None:
+            self._silent_since = now
+            self._silent.state.silent_sends += 1
             self._sends.log_silent(self._silent)
-        if not self._sends.may_replace(self._silent, self._uncounted()):
+        suspects = not self._silent.streaming or now >= self._silent_since + SUSPECTS_SECONDS
+        if not self._sends.may_replace(self._silent, self._uncounted(), suspects):
             return
         if not self._sends.reserve_replacement(self._silent):
             return
@@ -195,9 +200,15 @@
         """End the send elsewhere, as the silent endpoint has sent something."""
         if self._recorded:
             self._silent.state.health.record_success()
-        self._logged = self._recorded = False
+        self._recorded = False
+        self._end_silence()
         self._end()
 
+    def _end_silence(self) -> None:
+        if self._silent_since is not None:
+            self._silent.state.silent_sends -= 1
+        self._silent_since = None
+
     def _end(self) -> None:
         if self._task is not None:
             self._caller.end()
@@ -216,6 +227,7 @@
     async def close(self) -> None:
         """End what is left of the replacement."""
         self.stop_timer()
+        self._end_silence()
         self._end()
         self._unset_working()
         found, self.found = self.found, None
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -250,16 +250,17 @@
         sends_left = progress.maybe_ran + uncounted < req.route.max_sends
         return sends_left and progress.refusals <= MAX_REFUSALS
 
-    def may_replace(self, silent: SilentSend, uncounted: int) -> bool:
+    def may_replace(self, silent: SilentSend, uncounted: int, suspects: bool) -> bool:
         """Return whether the request may be sent elsewhere while a send is silent.
 
-        ``uncounted`` is 1 if that send does not count yet as one that may run, else 0.
+        ``uncounted`` is 1 if that send does not count yet as one that may run, else 0. ``suspects``
+        tells whether it may go to an endpoint that failed lately.
         """
-        if not self._has_alternative(silent):
+        if not self._has_alternative(silent, suspects):
             return False
         return self._retry_allowed(silent.req, silent.caller, silent.progress, SILENT, uncounted)
 
-    def _has_alternative(self, silent: SilentSend) -> bool:
+    def _has_alternative(self, silent: SilentSend, suspects: bool) -> bool:
         """Return whether another endpoint than the silent one may serve a request.
 
         Failure guarded against: the only endpoint with the model is overloaded and sends no event
@@ -277,9 +278,13 @@
         now = self.ctx.clock.monotonic()
         states = self.fleet.usable(progress.service, req.head.inference, progress.software)
         others = [row for row in states if row.key not in working]
-        # A suspect endpoint is worth a try before the first byte; within a stream it may as well be
-        # silent too.
-        return any(not silent.streaming or not row.health.suspect(now) for row in others)
+        if not silent.streaming:
+            return bool(others)
+        # Within a stream a suspect endpoint is worth a try unless it is silent too, as where all
+        # endpoints are silent at once.
+        return any(
+            not row.health.suspect(now) or (suspects and not row.silent_sends) for row in others
+        )
 
     def reserve_replacement(self, silent: SilentSend) -> bool:
         """Reserve a retry for the send elsewhere; return False if none is left."""
--- a/tests/relay/test_replacing.py
+++ b/tests/relay/test_replacing.py
@@ -17,6 +17,10 @@
 EVENT_SECONDS = 0.6
 # Seconds after which a second send to a silent endpoint has surely been made.
 REPLACED_SECONDS = 1.6
+# Seconds without an event after which callers of streams disconnect.
+CALLER_PATIENCE_SECONDS = 2.0
+# Seconds for which all endpoints may be silent without a loss, and go on.
+MOMENT_SECONDS = 1.3
 # The same through another host.
 FORWARDED_REPLACED_SECONDS = 2.3
 
@@ -36,6 +40,18 @@
     health.record_loss(host.ctx.clock.monotonic())
 
 
+async def use_third_host(found, busy):
+    """Return the host that a cut-off host sends the stream of a busy host to."""
+    return next(host for host in found.hosts[1:] if host is not busy)
+
+
+async def use_own_links(found, busy):
+    """Let the first host reach the endpoints itself again, and return it."""
+    await found.mend(0)
+    await found.until(lambda: not found.hosts[0].connectivity.links.doubtful)
+    return found.hosts[0]
+
+
 async def finish(sent, seconds=5.0):
     """Return the status of a stream and its events, or the error that ended it."""
     status, _, body = await asyncio.wait_for(sent, seconds)
@@ -187,6 +203,71 @@
         return hang_once
 
 
+class SuspectTest(unittest.TestCase):
+    """Guards against streams of dead connections that wait as all other endpoints are suspect."""
+
+    @run
+    async def test_a_stream_goes_on_at_a_suspect_endpoint_before_its_caller_leaves(self):
+        async with Deployment(engines=ENGINES) as found:
+            sent, gate, first, other = await begin_stream(found)
+            other.halfway_event = None
+            suspect_endpoint(found.hosts[0], other.name)
+            self.assertEqual((200, ALL_EVENTS), await finish(sent, CALLER_PATIENCE_SECONDS))
+
+    @run
+    async def test_a_suspect_endpoint_that_is_silent_too_is_left_out(self):
+        async with Deployment(engines=THREE_ENGINES) as found:
+            sent, gate, first, *others = await self._begin_streams(found, 2)
+            [(also_silent, second), sound] = others
+            sound.halfway_event = None
+            self.assertEqual((200, ALL_EVENTS), await finish(sent, CALLER_PATIENCE_SECONDS))
+            self.assertEqual(["a1"], also_silent.executed)
+            gate.set()
+            self.assertEqual((200, ALL_EVENTS), await finish(second))
+
+    @run
+    async def test_nothing_is_sent_again_while_all_endpoints_are_silent(self):
+        async with Deployment(engines=ENGINES) as found:
+            sent, gate, first, (other, second) = await self._begin_streams(found, 2)
+            await asyncio.sleep(2.5)
+            gate.set()
+            self.assertEqual((200, ALL_EVENTS), await finish(sent))
+            self.assertEqual((200, ALL_EVENTS), await finish(second))
+            self.assertEqual((["a0"], ["a1"]), (first.executed, other.executed))
+
+    @run
+    async def test_nothing_is_sent_to_a_suspect_endpoint_in_a_silence_of_a_moment(self):
+        async with Deployment(engines=ENGINES) as found:
+            sent, gate, first, other = await begin_stream(found)
+            suspect_endpoint(found.hosts[0], other.name)
+            await asyncio.sleep(MOMENT_SECONDS)
+            gate.set()
+            self.assertEqual((200, ALL_EVENTS), await finish(sent))
+            self.assertEqual(([], []), (other.executed, first.disconnected))
+
+    async def _begin_streams(self, found, count):
+        """Begin streams at as many engines, all of which are suspect from then on.
+
+        Return the first one's task, the gate of all, its engine, rows of the next engine with its
+        task, and the engines without a stream.
+        """
+        gate, rows, engines = asyncio.Event(), [], found.engines.values()
+        for engine in engines:
+            engine.halfway_event = gate
+        for number in range(count):
+            attempt = f"a{number}"
+            sent = asyncio.ensure_future(found.send("/recap/", attempt, model="m0"))
+            await found.until(lambda a=attempt: any(a in row.executed for row in engines))
+            [engine] = [row for row in engines if attempt in row.executed]
+            rows.append((engine, sent))
+            suspect_endpoint(found.hosts[0], engine.name)
+        idle = [row for row in engines if not row.executed]
+        for engine in idle:
+            suspect_endpoint(found.hosts[0], engine.name)
+        (first, sent), *others = rows
+        return sent, gate, first, *others, *idle
+
+
 class NeedlessTest(unittest.TestCase):
     """Guards against second sends that nobody needs, or that run beside the first."""
 
@@ -201,17 +282,25 @@
             gate.set()
             self.assertEqual((200, ALL_EVENTS), await finish(sent))
 
+    def test_the_silent_endpoint_of_another_host_does_not_get_the_stream_again(self):
+        for name, prepare in (
+            ("through a third host", use_third_host),
+            ("over own links that are back", use_own_links),
+        ):
+            with self.subTest(name):
+                self._resume_elsewhere(prepare)
+
     @run
-    async def test_the_silent_endpoint_of_another_host_does_not_get_the_stream_again(self):
+    async def _resume_elsewhere(self, prepare):
         async with Deployment(hosts=3, engines=ENGINES, pages=PAGES, gated=True) as found:
             await cut_off(found)
             sent, gate, first, other = await begin_stream(found)
             other.halfway_event = None
             [busy] = [host for host in found.hosts[1:] if host.responder.in_progress]
-            [idle] = [host for host in found.hosts[1:] if host is not busy]
             busy.service.may_replace = lambda *call: False
+            next_host = await prepare(found, busy)
             # By its own state alone the next host chooses the silent endpoint.
-            suspect_endpoint(idle, other.name)
+            suspect_endpoint(next_host, other.name)
             self.assertEqual((200, ALL_EVENTS), await finish(sent, CALLER_STAYS_SECONDS))
             self.assertEqual((["a1"], ["a1"]), (first.executed, other.executed))
 
