Test that the endpoint of an ended send may be chosen again

`Replacement.take` clears the endpoint of the first send from `Progress.working` when that send ends, and no test failed without the line. The new one: an endpoint is silent, a second one takes the stream and is silent too, the first connection is reset. The third send must go to the first endpoint. With the line taken out of a copy it ends in a TimeoutError after 3.2 s; with it, passed in 2.5 s.

--- a/tests/relay/test_replacing.py
+++ b/tests/relay/test_replacing.py
@@ -5,7 +5,7 @@
 
 from peridotdock.decisions.connectivity import LinkState
 from peridotdock.errors import Failure, Kind
-from tests.relay.deployment import Deployment
+from tests.relay.deployment import STREAM, Deployment
 from tests.relay.test_forwarding import cut_off
 from tests.relay.test_relay import ids, run
 from tests.relay.test_silence import ALL_EVENTS, CALLER_STAYS_SECONDS, ENGINES, begin_stream
@@ -134,6 +134,20 @@
                 status, _, body = await asyncio.wait_for(sent, CALLER_STAYS_SECONDS)
                 self.assertEqual((200, ["a1"]), (status, other.executed), body)
 
+    @run
+    async def test_the_first_endpoint_may_be_chosen_again_once_its_send_has_ended(self):
+        async with Deployment(engines=ENGINES) as found:
+            found.configure(version=2, routes=[STREAM | {"max_attempts": 3}])
+            handler = found.hosts[0].request_handler
+            await found.until(lambda: handler.deployment.version == 2)
+            sent, gate, first, other = await begin_stream(found)
+            other.script = ["silent"]
+            await found.until(lambda: other.executed)
+            first.halfway_event = None
+            first.abort_connections()
+            self.assertEqual((200, ALL_EVENTS), await finish(sent, CALLER_STAYS_SECONDS))
+            self.assertEqual((["a1"] * 2, ["a1"]), (first.executed, other.executed))
+
     @run
     async def test_refusals_of_a_second_send_do_not_end_later_ones(self):
         async with Deployment(engines=ENGINES) as found:
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -103,6 +103,11 @@
             writer.transport.abort()
         self.on_crash()
 
+    def abort_connections(self):
+        """Reset all connections, as a device between them does, and go on."""
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def freeze(self, seconds):
         """Do and answer nothing for some seconds, then go on; freezes may overlap."""
         self._freeze_count += 1
