--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -152,7 +152,7 @@
             return NO_RETRY_LEFT
         progress.sends += 1
         state = host_state(host, progress.service)
-        silent = SilentSend(req, caller, progress, state, streaming=False)
+        silent = SilentSend(req, caller, progress, state, endpoint="", streaming=False)
         first = SendCaller(caller)
         replacement = Replacement(self, silent, first.end)
         streaming = False
@@ -250,33 +250,41 @@
         sends_left = progress.maybe_ran + uncounted < req.route.max_sends
         return sends_left and progress.refusals <= MAX_REFUSALS
 
-    def may_replace(self, silent: SilentSend, uncounted: int) -> bool:
+    def may_replace(self, silent: SilentSend, uncounted: int, suspects: bool) -> bool:
         """Return whether the request may be sent elsewhere while a send is silent.
 
-        ``uncounted`` is 1 if that send does not count yet as one that may run, else 0.
+        ``uncounted`` is 1 if that send does not count yet as one that may run, else 0. ``suspects``
+        tells whether it may go to an endpoint that failed lately.
         """
-        if not self._has_alternative(silent):
+        if not self._has_alternative(silent, suspects):
             return False
         return self._retry_allowed(silent.req, silent.caller, silent.progress, SILENT, uncounted)
 
-    def _has_alternative(self, silent: SilentSend) -> bool:
+    def _has_alternative(self, silent: SilentSend, suspects: bool) -> bool:
         """Return whether another endpoint than the silent one may serve a request.
 
         Failure guarded against: the only endpoint with the model is overloaded and sends no event
         for a second. The request is sent there once more, and both sends wait longer.
         """
         req, progress, cut_off = silent.req, silent.progress, self._forwarder.is_cut_off()
+        working = progress.working | {silent.endpoint}
+        serving = self.fleet.serving(progress.service, req.head.inference, progress.software)
+        if all(row.key in working for row in serving):
+            return False
         if (silent.state.is_host or cut_off) and self._forwarder.can_forward(req, progress):
             return True
         if cut_off:
             return False
         now = self.ctx.clock.monotonic()
-        working = progress.working | {silent.state.key}
         states = self.fleet.usable(progress.service, req.head.inference, progress.software)
         others = [row for row in states if row.key not in working]
-        # A suspect endpoint is worth a try before the first byte; within a stream it may as well be
-        # silent too.
-        return any(not silent.streaming or not row.health.suspect(now) for row in others)
+        if not silent.streaming:
+            return bool(others)
+        # Within a stream a suspect endpoint is worth a try unless it is silent too, as where all
+        # endpoints are silent at once.
+        return any(
+            not row.health.suspect(now) or (suspects and not row.silent_sends) for row in others
+        )
 
     def reserve_replacement(self, silent: SilentSend) -> bool:
         """Reserve a retry for the send elsewhere; return False if none is left."""
@@ -351,7 +359,7 @@
         )
         alone = prediction.candidate.queued_tokens == 0 if prediction.granted else None
         self.fleet.request_sent(state, req.id, inference, tokens, alone, prediction.placed)
-        silent = SilentSend(req, caller, progress, state, streaming=False)
+        silent = SilentSend(req, caller, progress, state, state.key, streaming=False)
         first = SendCaller(caller)
         replacement = Replacement(self, silent, first.end)
         streaming = False
@@ -432,7 +440,9 @@
         """Read a complete answer, or a stream up to its first events."""
         remaining = req.deadline - self.ctx.clock.monotonic()
         if begins_stream(req, sent):
-            source = StreamSource(sent.state, sent.head, sent.opened, caller, sent.software)
+            source = StreamSource(
+                sent.state, sent.head, sent.opened, caller, sent.software, sent.endpoint
+            )
             failure = await source.fill(remaining)
             if failure is not None:
                 await source.close()
