Give back a repeat's charge only as often as it was charged

What callers saw: 503, not run, and their workspace's quota grew by one request each time: two sends beside each other, of which neither ran, were given back twice beside the charge of the admission (-200 units for 0 runs), also where the second one found no endpoint and had not been charged.

Cause: a send that was replaced while silent was given back on its own refusal whether or not its replacement was charged.

Change: the request counts its repeats that are charged. A send that has not run gives one of them back while there is one; of a send and its replacement either is covered by the charge of the first run.

--- a/peridotdock/relay/progress.py
+++ b/peridotdock/relay/progress.py
@@ -14,7 +14,8 @@
     those that the request was forwarded to; ``forwarded`` is set on a host that it was forwarded
     to. ``arrived`` is set once a send may have reached an endpoint: the next ones are retries.
     ``reserved`` is set while a retry is reserved in the budget of the service, ``taken_at`` is the
-    monotonic time at which one was taken for a send that has no outcome yet. ``final`` is set once
+    monotonic time at which one was taken for a send that has no outcome yet. ``charged`` counts the
+    sends that were charged to the workspace as repeats and not given back. ``final`` is set once
     another host has answered that it can't serve the request. ``working`` are the endpoints that
     may still work on a send of the request while it is sent to another one, ``relayed`` those of
     them that another host sent it to. ``endpoint`` is the one that a stream comes from.
@@ -33,6 +34,7 @@
     arrived: bool = False
     reserved: bool = False
     taken_at: float | None = None
+    charged: int = 0
     final: bool = False
     working: set[str] = field(default_factory=set)
     relayed: set[str] = field(default_factory=set)
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -342,8 +342,8 @@
         if not self._retries.take(progress, req.id):
             self._chooser.withdraw(prediction)
             return NO_RETRY_LEFT
-        is_repeat = progress.maybe_ran > 0
-        if is_repeat:
+        if progress.maybe_ran > 0:
+            progress.charged += 1
             self.on_repeat(req)
         progress.sends += 1
         progress.avoid.add(state.key)
@@ -364,7 +364,7 @@
         replacement = Replacement(self, silent, first.end)
         streaming = False
         try:
-            found = await self._send_chosen(silent, first, prediction, replacement, is_repeat)
+            found = await self._send_chosen(silent, first, prediction, replacement)
             streaming = isinstance(found, StreamSource) and found.caller is first
             return found
         finally:
@@ -379,7 +379,6 @@
         caller: SendCaller,
         prediction: Prediction,
         replacement: Replacement,
-        is_repeat: bool,
     ) -> CompleteAnswer | StreamSource | Failure:
         """Send to the chosen endpoint; return its answer, or that of the one that replaced it."""
         req, progress, state = silent.req, silent.progress, silent.state
@@ -399,8 +398,9 @@
             self._retries.settle(progress, has_arrived(found))
         bind_software(progress, found)
         self._record_outcome(req, state, found, progress, replacement.began)
-        # Of a send and its replacement, the second to begin was charged as a repeat.
-        if (is_repeat or replacement.began) and failed(found) and not found.may_have_run:
+        # Of a send and its replacement, either is covered by the charge of the first run.
+        if progress.charged and failed(found) and not found.may_have_run:
+            progress.charged -= 1
             self.on_repeat_not_run(req)
         self._record_overdue(req, state, found, prediction.seconds, started_at)
         if is_answer(found):
--- a/tests/relay/test_quota_repeats.py
+++ b/tests/relay/test_quota_repeats.py
@@ -27,6 +27,8 @@
 SECONDS = 5.0
 # How the units of each decision count as taken.
 SIGNS = dict.fromkeys(Decision, 1) | {Decision.REFUSED: 0, Decision.RETURNED: -1}
+# Seconds for which endpoints are silent: second sends begin after one.
+FROZEN_SECONDS = 1.3
 CUT_A_THIRD = ["cut", "serve", "serve"] * 1000
 
 
@@ -155,6 +157,26 @@
             self.assertEqual(200, status)
             await self._check(found, cost, runs)
 
+    @params(("both are refused", 50), ("the first is refused late", 1))
+    @run
+    async def test_what_did_not_run_beside_a_silent_send_is_not_charged(self, name, count):
+        """Guards against refunds of more than was charged, which let a workspace run too much."""
+        path, model, cost = FETCH
+        async with Deployment(engines=ENGINES, pages=("p1", "p2")) as found:
+            await self._prepare(found)
+            for page in found.pages.values():
+                page.script = ["refuse"] * count
+                asyncio.ensure_future(page.freeze(FROZEN_SECONDS))
+            sent = asyncio.ensure_future(found.send(path, "a1", model, authorization=KEY))
+            await found.until(lambda: any(page.requests for page in found.pages.values()))
+            if count == 1:
+                [other] = [page for page in found.pages.values() if not page.requests]
+                host = found.hosts[0]
+                # The second send gets no endpoint.
+                host.fleet.states[other.name].backoff_until = host.ctx.clock.monotonic() + 9.0
+            await sent
+            await self._check(found, cost, (0,))
+
     @params((FETCH, cut_first, (2,)), (FETCH, refuse_first, (1,)), (STREAM, cut_first, (2, 3)))
     @run
     async def test_repeats_of_a_forwarded_request_are_charged(self, request, fault, runs):
