Keep a send counted at its endpoint when an earlier one there has ended

What happened: an endpoint was silent, the send beside it was refused and went on to retry, and the first connection broke. The retry then went to the first endpoint, and the end of the first send took the new one's row away: the endpoint counted as idle, and its place was given back, while it ran the stream. Callers saw nothing of it.

Cause: rows of requests under way are found by endpoint and request alone, and the first send's was removed after its endpoint could be chosen again.

Change: the row goes before that, and the cleanup after removes only the row of its own send.

--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -358,7 +358,7 @@
         tokens: int,
         alone: bool | None = None,
         placed: bool = False,
-    ) -> None:
+    ) -> InFlightRequest:
         """Count a request on an endpoint, with ``tokens`` to prefill, from when it is sent.
 
         ``alone`` tells whether no other prompt is prefilled there; None derives it from the hosts'
@@ -368,10 +368,12 @@
         if alone is None:
             alone = state.load(now)[1] == 0
         item = item_name(inference) if inference is not None else ""
-        state.in_flight[request_id] = InFlightRequest(now, tokens, alone, item, placed=placed)
+        sent = InFlightRequest(now, tokens, alone, item, placed=placed)
+        state.in_flight[request_id] = sent
         state.pending_tokens += tokens
         if inference is not None:
             state.add_cached_parts(inference)
+        return sent
 
     def first_token_received(
         self, state: EndpointState, request_id: str, inference: InferenceSpec | None
@@ -400,12 +402,21 @@
             )
 
     def request_ended(
-        self, state: EndpointState, request_id: str, service: str, complete: bool
+        self,
+        state: EndpointState,
+        request_id: str,
+        service: str,
+        complete: bool,
+        sent: InFlightRequest | None = None,
     ) -> None:
-        """Record that a request ended; complete answers show how long one takes."""
-        request = state.in_flight.pop(request_id, None)
-        if request is None:
+        """Record that a request ended; complete answers show how long one takes.
+
+        With ``sent`` only that send is ended: the request may have gone to the endpoint again.
+        """
+        request = state.in_flight.get(request_id)
+        if request is None or (sent is not None and request is not sent):
             return
+        del state.in_flight[request_id]
         if request.placed:
             self.on_place_left(state)
         if request.awaits_first_token:
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -358,7 +358,7 @@
             else 0
         )
         alone = prediction.candidate.queued_tokens == 0 if prediction.granted else None
-        self.fleet.request_sent(state, req.id, inference, tokens, alone, prediction.placed)
+        sent = self.fleet.request_sent(state, req.id, inference, tokens, alone, prediction.placed)
         silent = SilentSend(req, caller, progress, state, state.key, streaming=False)
         first = SendCaller(caller)
         replacement = Replacement(self, silent, first.end)
@@ -371,7 +371,7 @@
             await replacement.close()
             if not streaming:
                 first.close()
-                self.fleet.request_ended(state, req.id, progress.service, complete=False)
+                self.fleet.request_ended(state, req.id, progress.service, complete=False, sent=sent)
 
     async def _send_chosen(
         self,
@@ -405,6 +405,8 @@
         self._record_overdue(req, state, found, prediction.seconds, started_at)
         if is_answer(found):
             return found
+        # The send elsewhere may go to this endpoint from now on.
+        self.fleet.request_ended(state, req.id, progress.service, complete=False)
         return await replacement.take() or found
 
     def _log_send(self, req: RelayRequest, progress: Progress, prediction: Prediction) -> None:
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -90,6 +90,7 @@
     while True:
         outcome: Failure | None = None
         found: CompleteAnswer | StreamSource | Failure | None = None
+        sent = source.state.in_flight.get(req.id)
         silent = SilentSend(req, caller, progress, source.state, source.endpoint, streaming=True)
         replacement = Replacement(service, silent, source.abort)
         try:
@@ -102,12 +103,16 @@
                 if replacement.found is None:
                     streamed = service.ctx.clock.monotonic() - source.started_at
                     service.record_loss(req, source.state, outcome, streamed)
+                # The send elsewhere may go to this endpoint from now on.
+                service.fleet.request_ended(source.state, req.id, progress.service, complete=False)
                 found = await replacement.take()
         finally:
             whole = outcome is None and source.ended and not source.ready
-            service.fleet.request_ended(source.state, req.id, progress.service, whole)
-            await source.close()
-            await replacement.close()
+            service.fleet.request_ended(source.state, req.id, progress.service, whole, sent)
+            try:
+                await source.close()
+            finally:
+                await replacement.close()
         if outcome is None:
             pauses.report(source.state)
             service.blocklist.record_answer(req)
--- a/tests/relay/test_replacing.py
+++ b/tests/relay/test_replacing.py
@@ -98,6 +98,22 @@
             await found.until(lambda: not found.hosts[0].service.replacing)
             self.assertEqual(0, found.hosts[0].responder.in_progress)
 
+    @run
+    async def test_a_send_that_goes_to_the_first_endpoint_again_stays_counted_there(self):
+        async with Deployment(engines=ENGINES) as found:
+            sent, gate, first, other = await begin_stream(found)
+            states = found.hosts[0].fleet.states
+            other.script = ["refuse"] * 50
+            await found.until(lambda: other.refusals)
+            states[other.name].announced_leaving = True
+            first.halfway_event, first.delay_seconds = None, EVENT_SECONDS / 2
+            first.abort_connections()
+            await found.until(lambda: len(first.executed) == 2)
+            await asyncio.sleep(EVENT_SECONDS)
+            self.assertEqual(["a1"], list(states[first.name].in_flight))
+            self.assertEqual((200, ALL_EVENTS), await finish(sent))
+            self.assertEqual([], list(states[first.name].in_flight))
+
     @run
     async def test_a_silence_counts_once_against_its_endpoint(self):
         async with Deployment(engines=ENGINES) as found:
