Count an ended second send before its stream is resumed

What happened: an endpoint that had been silent sent its first event and lost its connection in the same moment. The send beside it was just being ended and not counted yet, so the stream was resumed at a third endpoint: three runs where the route allows two.

Change: a request goes on only when the send that was ended has returned, which takes some milliseconds.

--- a/peridotdock/relay/replacing.py
+++ b/peridotdock/relay/replacing.py
@@ -230,6 +230,9 @@
         self._end_silence()
         self._end()
         self._unset_working()
+        if self._task is not None:
+            # It counts as a send that may have run, before the request is sent again.
+            await asyncio.wait({self._task})
         found, self.found = self.found, None
         if found is not None:
             await self._sends.discard(self._silent.req, self._silent.progress, found)
--- a/tests/relay/test_replacing.py
+++ b/tests/relay/test_replacing.py
@@ -15,6 +15,13 @@
 THREE_ENGINES = (*ENGINES, ("e3", ("m0",)))
 # Seconds between two events of an engine that goes on slowly.
 EVENT_SECONDS = 0.6
+# The head of an answer and its first event.
+EVENT = b"id: 1\ndata: x 1\n\n"
+ONE_EVENT = (
+    b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-attempt-id: a1\r\n"
+    b"x-response-signature: by e\r\ntransfer-encoding: chunked\r\n\r\n"
+    b"%x\r\n%s\r\n" % (len(EVENT), EVENT)
+)
 # Seconds after which a second send to a silent endpoint has surely been made.
 REPLACED_SECONDS = 1.6
 # Seconds without an event after which callers of streams disconnect.
@@ -114,6 +121,21 @@
             self.assertEqual((200, ALL_EVENTS), await finish(sent))
             self.assertEqual([], list(states[first.name].in_flight))
 
+    @run
+    async def test_a_second_send_counts_before_a_stream_that_was_cut_is_resumed(self):
+        async with Deployment(engines=THREE_ENGINES) as found:
+            engines = found.engines.values()
+            for engine in engines:
+                engine.script = ["silent"]
+            sent = asyncio.ensure_future(found.send("/recap/", "a1", model="m0"))
+            await found.until(lambda: sum(bool(engine.executed) for engine in engines) == 2)
+            began = {at: row for row in engines for at, name in row.request_times if name == "a1"}
+            for engine in engines:
+                engine.script = []
+            began[min(began)].abort_after(ONE_EVENT)
+            self.assertEqual(0, (await finish(sent))[0])
+            self.assertEqual(STREAM["max_attempts"], sum(len(row.executed) for row in engines))
+
     @run
     async def test_a_silence_counts_once_against_its_endpoint(self):
         async with Deployment(engines=ENGINES) as found:
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -108,6 +108,12 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    def abort_after(self, raw):
+        """Send some bytes on all connections and close them."""
+        for writer in self._writers:
+            writer.write(raw)
+            writer.close()
+
     async def freeze(self, seconds):
         """Do and answer nothing for some seconds, then go on; freezes may overlap."""
         self._freeze_count += 1
