Answer with the second endpoint's server error where the first one is lost

What callers saw: 502, connection lost, where another endpoint had answered the request with an error of its own; that tells more, and without a send beside a silent one it is what callers get.

Cause: the answer to a second send that is a server error was dropped, without a log line, and the next try was made at once.

Change: it is kept as the answer if the first send fails, logged, and the next try waits as after a refusal.

--- a/peridotdock/relay/replacing.py
+++ b/peridotdock/relay/replacing.py
@@ -98,6 +98,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
         self._caller: SendCaller | None = None
+        self._fallback: CompleteAnswer | None = None
         self.began = False
         self.found: Answer | None = None
 
@@ -178,9 +179,14 @@
             progress.final, progress.refusals, progress.hosts = False, refusals, hosts
             self._next_try_at = self._sends.ctx.clock.monotonic() + RETRY_SECONDS
             return
-        if caller.is_disconnected() or not self._serves(found):
+        if caller.is_disconnected():
             await self._sends.discard(req, progress, found)
             return
+        if not self._serves(found):
+            self._fallback = None if self._silent.streaming else found
+            self._next_try_at = self._sends.ctx.clock.monotonic() + RETRY_SECONDS
+            self._log("replacement_failed", "INFO", f"{found.state.key}: {found.head.status}")
+            return
         self.found = found
         self._log("send_replaced", "INFO", f"by {found.state.key}")
         self._end_send()
@@ -216,13 +222,14 @@
     async def take(self) -> Answer | None:
         """Return the answer from elsewhere, None if there is none; wait while it is under way.
 
-        The silent send has ended, so its endpoint may be chosen again.
+        An endpoint's server error is returned if there is nothing better. The silent send has
+        ended, so its endpoint may be chosen again.
         """
         self._unset_working()
         if self._task is not None:
             await asyncio.wait({self._task})
         found, self.found = self.found, None
-        return found
+        return found or self._fallback
 
     async def close(self) -> None:
         """End what is left of the replacement."""
--- a/tests/relay/test_replacing.py
+++ b/tests/relay/test_replacing.py
@@ -136,6 +136,21 @@
             self.assertEqual(0, (await finish(sent))[0])
             self.assertEqual(STREAM["max_attempts"], sum(len(row.executed) for row in engines))
 
+    @run
+    async def test_a_server_error_of_the_second_endpoint_is_better_than_a_loss(self):
+        async with Deployment(pages=PAGES) as found:
+            for page in found.pages.values():
+                page.script = ["silent"]
+            sent = asyncio.ensure_future(found.send("/fetch/", "a1"))
+            await found.until(lambda: any(page.requests for page in found.pages.values()))
+            [first] = [page for page in found.pages.values() if page.requests]
+            [other] = [page for page in found.pages.values() if page is not first]
+            other.script = ["error"]
+            await found.until(lambda: other.executed)
+            await asyncio.sleep(EVENT_SECONDS / 2)
+            first.abort_connections()
+            self.assertEqual(500, (await sent)[0])
+
     @run
     async def test_a_silence_counts_once_against_its_endpoint(self):
         async with Deployment(engines=ENGINES) as found:
