Lengthen loans of shares where their acceptances take long

Cause: where an offer and its acceptance together took longer than a loan, it was over before the hub heard of it, and nearly all requests were refused, also within a quota.

Change: a hub takes the median of its lenders' quickest of three acceptances, and offers loans of 1.6 times that and 0.4 s, of the usual length at least and 3.0 s at most. The length is in the offer and its acceptance, so the borrower still stops before the lender lends again.

--- a/peridotdock/decisions/quotas.py
+++ b/peridotdock/decisions/quotas.py
@@ -129,6 +129,8 @@
         They become fewer by what other hosts may have accrued by all other shares meanwhile, so
         that no unit is held twice.
         """
+        if self.share == before and not self._parked:
+            return
         earlier, self._parked = self._parked, {}
         for name, quota in self._quotas.items():
             bucket, capacity = self._tolerance.bucket(quota), self._capacity(quota)
@@ -141,7 +143,9 @@
                 back = min(parked, max(0.0, capacity - self._levels[name]))
                 self._levels[name] += back
                 parked -= back
-            self._parked[name] = min(parked, (1 - self.share) * bucket)
+            parked = min(parked, (1 - self.share) * bucket)
+            if parked > 0:
+                self._parked[name] = parked
 
     def _capacity(self, quota: Quota) -> float:
         share = max(self.share, self._adopted if self._filled_at < self._adopted_until else 0.0)
--- a/peridotdock/decisions/shares.py
+++ b/peridotdock/decisions/shares.py
@@ -15,6 +15,14 @@
 # hub's queues the more hosts there are.
 LOAN_SECONDS = 1.0
 LOAN_SECONDS_PER_HOST = 0.005
+# Longest loan that slow acceptances make, in seconds; nobody may use a share for as long when its
+# borrower is silent. How many times as long as a quick one an acceptance may take, and the seconds
+# between two offers that reach a host.
+MAX_LOAN_SECONDS = 3.0
+ACCEPTANCE_FACTOR = 1.6
+BETWEEN_OFFERS_SECONDS = 0.4
+# Number of a lender's last acceptances of which the quickest counts, so that a pause does not.
+KEPT_ACCEPTANCES = 3
 # Share of a loan after which the borrower stops, as clocks of two hosts differ in speed.
 BORROWER_SHARE = 0.95
 # Seconds after the start of a process for which its share is not lent: a borrower ends the loan of
@@ -24,10 +32,41 @@
 
 
 def loan_seconds(hosts: int) -> float:
-    """Return the duration of a loan among so many hosts."""
+    """Return the duration of a loan among so many hosts where acceptances arrive quickly."""
     return LOAN_SECONDS + LOAN_SECONDS_PER_HOST * hosts
 
 
+class LoanLength:
+    """How long a hub's loans are: at least as long as its lenders' acceptances take to arrive."""
+
+    def __init__(self) -> None:
+        self._times: dict[str, tuple[int, tuple[float, ...]]] = {}
+
+    def add(self, lender: str, number: int, seconds: float) -> None:
+        """Add the time from an offer until its acceptance has arrived, the first time it does."""
+        last, times = self._times.get(lender, (-1, ()))
+        if number > last:
+            self._times[lender] = number, (*times, seconds)[-KEPT_ACCEPTANCES:]
+
+    def remove(self, lender: str) -> None:
+        """Forget a lender."""
+        self._times.pop(lender, None)
+
+    def clear(self) -> None:
+        """Forget all lenders."""
+        self._times.clear()
+
+    def seconds(self, hosts: int) -> float:
+        """Return the duration of a loan among so many hosts."""
+        usual = loan_seconds(hosts)
+        quickest = sorted(min(times) for _, times in self._times.values())
+        if not quickest:
+            return usual
+        median = quickest[(len(quickest) - 1) // 2]
+        needed = BETWEEN_OFFERS_SECONDS + ACCEPTANCE_FACTOR * median
+        return max(usual, min(MAX_LOAN_SECONDS, needed))
+
+
 class OwnShare:
     """A host's own share: which host may use it, and until when.
 
@@ -102,6 +141,11 @@
         self._offered_at[number] = now
         return number
 
+    def age(self, number: int, now: float) -> float | None:
+        """Return the seconds since an offer was made; None for one that is not known any more."""
+        offered_at = self._offered_at.get(number)
+        return None if offered_at is None else now - offered_at
+
     def borrow(self, lender: str, number: int, seconds: float) -> None:
         """Use a lender's share for ``seconds`` from the offer that it has accepted."""
         offered_at = self._offered_at.get(number)
--- a/peridotdock/relay/quota_counter.py
+++ b/peridotdock/relay/quota_counter.py
@@ -4,7 +4,6 @@
 
 from peridotdock.context import Context
 from peridotdock.decisions.quotas import GONE_PART, QuotaCounter, Tolerance
-from peridotdock.decisions.shares import loan_seconds
 from peridotdock.limits import Bucket
 from peridotdock.relay.clocks import UptimeClock
 from peridotdock.relay.shares import Handover, Shares
@@ -76,15 +75,17 @@
 
     def _settle(self, share: float) -> None:
         """Let requests wait for a while where live hosts have not lent their shares yet."""
-        now, loan = self._clock.seconds(), loan_seconds(self._shares.host_count())
+        now = self._clock.seconds()
         complete = share >= COMPLETE_PART * self._shares.expected_part()
         if complete != self._is_complete:
             self._is_complete, self._incomplete_since = complete, now
             if complete:
                 detail = f"{len(self._quotas)} workspaces, {share:.3f} of all shares"
                 self._ctx.timeline.add("quotas_kept", detail=detail)
-        if not complete and now < self._incomplete_since + EXPECTED_LOANS * loan:
-            self._settled_at = now + FILLING_SECONDS
+        if not complete:
+            expected = EXPECTED_LOANS * self._shares.loan_seconds()
+            if now < self._incomplete_since + expected:
+                self._settled_at = now + FILLING_SECONDS
 
     def take(self, name: str, cost: float) -> float:
         """Take a request's units; return 0, or the seconds until its caller may retry.
@@ -149,8 +150,7 @@
 
     def _adopt(self, handover: Handover) -> None:
         self.advance()
-        seconds = loan_seconds(self._shares.host_count())
-        self._counter.adopt(handover.levels, handover.share, seconds)
+        self._counter.adopt(handover.levels, handover.share, self._shares.loan_seconds())
         if handover.share > 0:
             detail = f"{handover.share:.3f} of all shares, handed over"
             self._ctx.timeline.add("quotas_kept", detail=detail)
--- a/peridotdock/relay/shares.py
+++ b/peridotdock/relay/shares.py
@@ -9,7 +9,13 @@
 from dataclasses import dataclass
 
 from peridotdock.context import Context
-from peridotdock.decisions.shares import NEVER, BorrowedShares, OwnShare, loan_seconds
+from peridotdock.decisions.shares import (
+    MAX_LOAN_SECONDS,
+    NEVER,
+    BorrowedShares,
+    LoanLength,
+    OwnShare,
+)
 from peridotdock.fact_table import KnownFact, Slot
 from peridotdock.relay.clocks import UptimeClock
 from peridotdock.relay.peers import Peers
@@ -54,6 +60,7 @@
         self._started_at = clock.seconds()
         self._own = OwnShare(host, self._started_at)
         self._borrowed = BorrowedShares(ctx.epoch * NUMBERS_PER_EPOCH)
+        self._length = LoanLength()
         self._offered_at: float | None = None
         self._losses = 0
         self._loss_reported_at = NEVER
@@ -93,16 +100,13 @@
             return borrower
         return self._peers.hub()
 
-    def host_count(self) -> int:
-        """Return the number of hosts, each of which has one share."""
-        return self._peers.host_count()
-
     def use_own(self) -> bool:
         """Use this host's own share if no other host may, and return whether it is used."""
         return self.knows_hosts() and self._own.use(self._clock.seconds())
 
-    def _loan_seconds(self) -> float:
-        return loan_seconds(self._peers.host_count())
+    def loan_seconds(self) -> float:
+        """Return the duration of the loans that this host offers."""
+        return self._length.seconds(self._peers.host_count())
 
     def knows_hosts(self) -> bool:
         """Return whether the number of hosts is known, of which each has a share."""
@@ -114,7 +118,7 @@
     def refresh(self) -> None:
         """Offer as the hub, resign where this host is the hub no more, and lend the own share."""
         now = self._clock.seconds()
-        self._borrowed.prune(self._loan_seconds(), now)
+        self._borrowed.prune(max(MAX_LOAN_SECONDS, self.loan_seconds()), now)
         if self._peers.is_hub() and not self._closed:
             self._offer(now)
         elif self._offered_at is not None:
@@ -135,7 +139,7 @@
             return
         self._offered_at = now
         number = self._borrowed.offer(now)
-        fact = ShareOfferFact(number, round(1000 * self._loan_seconds()))
+        fact = ShareOfferFact(number, round(1000 * self.loan_seconds()))
         self._peers.facts.publish("share_offer", fact)
 
     def _resign(self, successor: str) -> None:
@@ -144,6 +148,7 @@
         self._offered_at = None
         number = self._borrowed.offer(self._clock.seconds())
         self._borrowed.drop()
+        self._length.clear()
         fact = ShareOfferFact(number, 0, successor, round(part, 4), levels)
         self._peers.facts.publish("share_offer", fact)
         if part > 0:
@@ -164,6 +169,9 @@
 
     def _borrow(self, lender: str, known: KnownFact) -> None:
         fact = known.fact
+        age = self._borrowed.age(fact.number, self._clock.seconds())
+        if age is not None:
+            self._length.add(lender, fact.number, age)
         self._borrowed.borrow(lender, fact.number, fact.loan / 1000)
         if fact.losses and self._is_new("loss", lender, known.entry.epoch, fact.losses, known.at):
             self.on_loss(1 / self._peers.host_count())
@@ -176,6 +184,7 @@
         ended, self._linked = self._linked - linked, linked
         for host in ended:
             self._borrowed.end(host)
+            self._length.remove(host)
             if self._age(self._peers.mesh.last_received(host)) < SILENT_SECONDS:
                 self._own.shorten(host, self._clock.seconds() + RESET_SECONDS)
         if ended:
--- a/tests/relay/test_quota_cluster.py
+++ b/tests/relay/test_quota_cluster.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+import random
 import unittest
 
 from nose2.tools import params
@@ -31,6 +32,22 @@
     return 0.6 if now < 6 or now > 18 else 4.2
 
 
+def lose_hosts_at_random(seed, hosts, kind):
+    """Return faults of any hosts: some are frozen again and again, others killed or cut off."""
+    rng, faults, at, healed_at = random.Random(seed), [], 2.0, 0.0
+    while at < 14.0:
+        name, lasts = f"h{rng.randrange(hosts)}", rng.uniform(0.3, 3.0)
+        if rng.random() < 0.5:
+            faults.append((at, "freeze", name, lasts))
+        elif kind == "kill":
+            faults.append((at, "kill", name, lasts))
+        elif at >= healed_at:
+            healed_at = at + lasts
+            faults.append((at, "part", 0.3, rng.random() < 0.5, lasts))
+        at += rng.uniform(0.2, 1.5)
+    return faults
+
+
 def play(quota, faults, seed=1, load=overload, seconds=22.0, **more):
     cluster = Cluster(quota, TOLERANCE[quota], load, COSTS[quota], seed=seed, **more)
     return cluster.play(seconds, faults)
@@ -91,6 +108,21 @@
         found = play(quota, HUBS_LOST, hosts=FEW_HOSTS, seconds=17.0, lag=lag)
         self.assertLessEqual(found.max_in_window(), found.bound())
 
+    @params(*itertools.product((SMALL, REQUESTS), (0.8, 1.2), FAULTS))
+    def test_longer_loans_let_no_window_hold_more(self, quota, lag, fault):
+        """Guards against a share that two hosts use, as a hub lengthens its loans."""
+        found = play(quota, FAULTS[fault], hosts=8, seconds=17.0, lag=lag)
+        self.assertLessEqual(found.max_in_window(), found.bound())
+        self.assertLessEqual(found.max_part, 1.0 + 1e-9)
+
+    @params(*itertools.product((LARGE, REQUESTS), (0.25, 0.8), ("kill", "part"), (1, 2)))
+    def test_hosts_lost_at_random_let_no_window_hold_more(self, quota, lag, kind, seed):
+        """Guards against a share used by its host while the hub that has it may still be there."""
+        faults = lose_hosts_at_random(seed, 8, kind)
+        found = play(quota, faults, seed, hosts=8, seconds=17.0, lag=lag)
+        self.assertLessEqual(found.max_in_window(), found.bound())
+        self.assertLessEqual(found.max_part, 1.0 + 1e-9)
+
 
 class ServiceTest(unittest.TestCase):
     """What is within a quota is served, whatever one fault does."""
@@ -149,3 +181,10 @@
         found = play(quota, faults, seed, lambda now: 0.5, 16.0, hosts=4)
         self.assertEqual([], found.refused)
         self.assertLessEqual(found.max_part, 1.0 + 1e-9)
+
+    @params(*itertools.product((LARGE, REQUESTS), (0.8, 1.2), (8, FEW_HOSTS), (1, 2)))
+    def test_nothing_within_is_refused_where_facts_take_long(self, quota, lag, hosts, seed):
+        """Guards against loans that are over before the hub hears of their acceptance."""
+        found = play(quota, [], seed, lambda now: 0.5, 14.0, hosts=hosts, lag=lag)
+        self.assertEqual([], found.refused)
+        self.assertLessEqual(found.max_part, 1.0 + 1e-9)
--- a/tests/relay/test_shares.py
+++ b/tests/relay/test_shares.py
@@ -1,5 +1,6 @@
 """Shares of what all hosts have in common: each is used by one host at a time."""
 
+import itertools
 import random
 import unittest
 
@@ -7,8 +8,10 @@
 
 from peridotdock.decisions.shares import (
     LOAN_SECONDS,
+    MAX_LOAN_SECONDS,
     START_SECONDS,
     BorrowedShares,
+    LoanLength,
     OwnShare,
     loan_seconds,
 )
@@ -109,9 +112,9 @@
 
 
 class ExclusiveUseTest(unittest.TestCase):
-    @params(*range(40))
-    def test_a_share_is_used_by_one_host_at_a_time(self, seed):
-        """Guards against two hubs that both grant a host's share.
+    @params(*itertools.product(range(40), ((LOAN,), (LOAN, 2.2, MAX_LOAN_SECONDS))))
+    def test_a_share_is_used_by_one_host_at_a_time(self, seed, loans):
+        """Guards against two hubs that both grant a host's share, for as long as each offers.
 
         Hubs offer, a lender changes its mind at random about which of them is the hub, and offers
         and answers take up to a second, are lost, or arrive twice.
@@ -123,15 +126,17 @@
             now += 0.05
             for name, borrowed in hubs.items():
                 if rng.random() < 0.2:
-                    offer = now + rng.random(), "offer", name, borrowed.offer(now)
-                    messages += [offer] * rng.choice((0, 1, 1, 2))
+                    row = borrowed.offer(now), rng.choice(loans)
+                    messages += [(now + rng.random(), "offer", name, row)] * rng.choice(
+                        (0, 1, 1, 2)
+                    )
             due = [row for row in messages if row[0] <= now]
             messages = [row for row in messages if row[0] > now]
-            for _, kind, name, number in due:
+            for _, kind, name, (number, loan) in due:
                 if kind == "answer":
-                    hubs[name].borrow("h", number, LOAN)
-                elif rng.random() < 0.5 and own.lend(name, now, LOAN, now):
-                    answer = now + rng.random(), "answer", name, number
+                    hubs[name].borrow("h", number, loan)
+                elif rng.random() < 0.5 and own.lend(name, now, loan, now):
+                    answer = now + rng.random(), "answer", name, (number, loan)
                     messages += [answer] * rng.choice((0, 1, 1, 2))
             if rng.random() < 0.05:
                 own.use(now)
@@ -144,3 +149,29 @@
     @params((1, LOAN_SECONDS + 0.005), (86, 1.43), (350, 2.75))
     def test_a_loan_lasts_longer_the_more_hosts_there_are(self, hosts, seconds):
         self.assertAlmostEqual(seconds, loan_seconds(hosts))
+
+    @params(
+        ("quick links", [(0.1, 0.2, 0.1)] * 4, loan_seconds(4)),
+        ("slow links", [(1.2, 1.6, 1.4)] * 4, 2.2),
+        ("one slow host", [(0.1, 0.1, 0.1)] * 3 + [(2.0, 2.0, 2.0)], loan_seconds(4)),
+        ("a hub that was paused", [(0.1, 0.1, 2.0)] * 4, loan_seconds(4)),
+        ("links that were slow", [(2.0, 2.0, 0.1)] * 4, loan_seconds(4)),
+        ("very slow links", [(9.0,)] * 4, MAX_LOAN_SECONDS),
+        ("no acceptance yet", [], loan_seconds(4)),
+    )
+    def test_a_loan_lasts_as_long_as_acceptances_need(self, name, lenders, least):
+        """Guards against loans that end before the hub hears of them, or long after a hub's end."""
+        length = LoanLength()
+        for lender, times in enumerate(lenders):
+            for number, seconds in enumerate(times):
+                length.add(str(lender), number, seconds)
+        self.assertGreaterEqual(length.seconds(4), least, name)
+        self.assertLess(length.seconds(4), 1.2 * least, name)
+
+    def test_an_acceptance_that_is_told_again_counts_once(self):
+        """Guards against long loans after each new link, over which facts are sent again."""
+        length = LoanLength()
+        length.add("a", 1, 0.1)
+        for _ in range(3):
+            length.add("a", 1, 2.5)
+        self.assertAlmostEqual(loan_seconds(4), length.seconds(4))
