Notice that the link which a grant was to come over has ended

Cause: a prompt that is queued at the hub waits for its grant until its caller's patience ends. The host checks each 0.2 s that the hub is still the same one. Permits and quotas are not the same: their calls end after some hundredths of a second.

What callers saw: with two idle engines, the answer 3.195 and 3.201 s after the request, which is the moment at which the caller disconnects (1.7 s after the new link was up).

Change: a call remembers its link, and ends without a reply once that has ended. The host then chooses itself, as where the hub changes, and tells the hub to drop the prompt.

Open: the prompt still waits while the hub is silent, up to the end of the link after 1.2 to 1.5 s. The place of a brittle endpoint that came with a lost grant is kept until it expires.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -686,6 +686,13 @@
         "return avoid",
         "tests.relay.test_replacing.SuspectTest",
     ),
+    Mutant(
+        "a grant is not waited for that a link has lost",
+        "relay/grants.py",
+        "return call.link is not None and not self.is_up(call.link)",
+        "return False",
+        "tests.relay.test_pacing.LostGrantTest",
+    ),
     Mutant(
         "a wait within a stream goes by its last event",
         "relay/requests.py",
--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -321,6 +321,10 @@
         links = [link for link in self._links if link.peer.host == host]
         return max(links, key=lambda link: link.up_at, default=None)
 
+    def is_up(self, link: Link) -> bool:
+        """Return whether a link has not ended."""
+        return link in self._links
+
     def send_to(self, host: str, frame: CallFrame) -> bool:
         """Send a frame to a linked host; return False if there is no link to it."""
         link = self.find_link(host)
--- a/peridotdock/relay/grants.py
+++ b/peridotdock/relay/grants.py
@@ -23,6 +23,7 @@
 )
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure, Kind
+from peridotdock.links import Link
 from peridotdock.loop_iterations import LoopIterations
 from peridotdock.relay.caller import Caller
 from peridotdock.relay.endpoint import EndpointState, item_name
@@ -219,10 +220,14 @@
 
 
 class GrantCall:
-    """A call to the hub for a grant; replies report it as queued, granted or denied."""
+    """A call to the hub for a grant; replies report it as queued, granted or denied.
 
-    def __init__(self, hub: str, number: int):
+    ``link`` is the link that it went over, None where this host is the hub.
+    """
+
+    def __init__(self, hub: str, number: int, link: Link | None):
         self.hub = hub
+        self.link = link
         self.number = number
         self._reply: asyncio.Future[GrantFrame] = asyncio.get_running_loop().create_future()
 
@@ -272,6 +277,8 @@
         self._backoff_until = 0.0
         # Called with the endpoint of a grant whose prompt is not sent.
         self.on_unused: Callable[[str], None] = lambda endpoint: None
+        self.find_link: Callable[[str], Link | None] = lambda host: None
+        self.is_up: Callable[[Link], bool] = lambda link: True
 
     def on_frame(self, host: str, frame: GrantWanted | GrantFrame | GrantDropped) -> None:
         """Handle a frame of another host."""
@@ -301,7 +308,7 @@
         if hub != self._host and self._ctx.clock.monotonic() < self._backoff_until:
             return None
         self._last_number += 1
-        call = GrantCall(hub, self._last_number)
+        call = GrantCall(hub, self._last_number, self.find_link(hub))
         self._calls[call.number] = call
         try:
             now = self._ctx.clock.monotonic()
@@ -336,7 +343,10 @@
     async def _wait_for_decision(
         self, call: GrantCall, deadline: float, caller: Caller
     ) -> GrantFrame | None:
-        """Return the hub's decision; None without a reply or if the hub changes meanwhile.
+        """Return the hub's decision; None without a reply or if the hub or the link changes.
+
+        Failure guarded against: a hub is silent for a second, the link to it is replaced, and the
+        grant that it sent over the old one is waited for until the caller disconnects.
 
         ``deadline`` is the monotonic time until which the caller stays.
         """
@@ -351,11 +361,17 @@
         self._backoff = MIN_HUB_BACKOFF_SECONDS
         while not is_decided(reply):
             remaining = deadline - self._ctx.clock.monotonic()
-            if remaining <= 0 or caller.is_disconnected() or call.hub != self._find_hub():
+            if remaining <= 0 or caller.is_disconnected() or self._is_lost(call):
                 return None
             reply = await call.next_reply(caller, min(remaining, HUB_CHECK_SECONDS)) or reply
         return reply
 
+    def _is_lost(self, call: GrantCall) -> bool:
+        """Return whether the reply to a call may never arrive."""
+        if call.hub != self._find_hub():
+            return True
+        return call.link is not None and not self.is_up(call.link)
+
     def _deny(self, wait: int, stays: int) -> Failure:
         """Refuse a prompt; retry-after covers the prefill of the prompts ahead of it.
 
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -119,6 +119,7 @@
             self.peers.membership.find_domain,
         )
         mesh.on_grant = self.grants.on_frame
+        self.grants.find_link, self.grants.is_up = mesh.find_link, mesh.is_up
         self.permits = EndpointPermits(
             ctx, settings.host, self.peers, self.fleet, find_iterations()
         )
--- a/tests/relay/test_pacing.py
+++ b/tests/relay/test_pacing.py
@@ -25,7 +25,10 @@
 from peridotdock.relay.grants import GrantServer, shortest_pauses
 from peridotdock.schema.messages import GrantDropped, GrantWanted
 from tests.relay.deployment import Deployment
-from tests.relay.test_relay import run
+from tests.relay.test_relay import ids, run
+
+# Seconds after a new link within which a prompt is sent whose grant the old one has lost.
+LINK_LOST_SECONDS = 1.0
 
 # Three models get all requests of two routes, the first of them half; eight others are rare.
 MODELS = (0.5, 0.27, 0.23)
@@ -490,3 +493,45 @@
             state.in_flight.clear()
             await asyncio.sleep(2 * FULL_RECHECK_SECONDS)
             self.assertEqual([], found.engines["e1"].requests)
+
+
+class LostGrantTest(unittest.TestCase):
+    """Guards against prompts that wait until their deadline for a grant that a link has lost."""
+
+    @run
+    async def test_a_prompt_is_sent_where_its_grant_was_lost_with_the_link(self):
+        async with Deployment(hosts=2) as found:
+            await found.until(lambda: len({host.peers.hub() for host in found.hosts}) == 1)
+            number = next(n for n, host in enumerate(found.hosts) if not host.peers.is_hub())
+            hub, host = found.hosts[1 - number], found.hosts[number]
+            server, [link] = hub.grants.server, host.peers.mesh.links()
+            schedule, server._schedule = server._schedule, lambda service: None
+            sent = asyncio.ensure_future(found.send("/recap/", "a1", model="m0", to=number))
+            await found.until(lambda: server._queued_grants)
+            awake = hold_frames(hub)
+            server._schedule = schedule
+            schedule("engines")
+            # The host ends the link to the silent hub, and has a new one at once.
+            await found.until(
+                lambda: link not in host.peers.mesh.links() and host.peers.mesh.links()
+            )
+            awake()
+            status, _, body = await asyncio.wait_for(sent, LINK_LOST_SECONDS)
+            self.assertEqual((200, [1, 2, 3, 4, 5, 6]), (status, ids(body)))
+
+
+def hold_frames(host):
+    """Let a host send nothing over its links; return what lets it go on."""
+    awake, sender = asyncio.Event(), host.peers.mesh._sender
+    send_raw = sender.send_raw
+
+    async def hold(link, raw):
+        await awake.wait()
+        await send_raw(link, raw)
+
+    def go_on():
+        sender.send_raw = send_raw
+        awake.set()
+
+    sender.send_raw = hold
+    return go_on
