--- a/tests/relay/test_overload.py
+++ b/tests/relay/test_overload.py
@@ -9,6 +9,7 @@
 import time
 import unittest
 
+from peridotdock.events import Filter
 from peridotdock.loop_iterations import MeasuredLoop
 from peridotdock.relay.lag import DescriptorCount
 from tests.relay.deployment import Deployment
@@ -216,7 +217,8 @@
                 await asyncio.sleep(3.5)
             await self.check_refuses(found)
             await asyncio.sleep(2.5)
-            self.assertEqual(200, (await found.send("/bind/", "a2"))[0])
+            status, _, body = await found.send("/bind/", "a2")
+            self.assertEqual(200, status, (body, found.hosts[0].ctx.timeline.select(Filter())))
 
 
 class NamedTest(unittest.TestCase):
