--- a/peridotdock/relay/quotas.py
+++ b/peridotdock/relay/quotas.py
@@ -209,10 +209,14 @@
             frame = QuotaWanted("quota_wanted", number, charge.name, round(charge.cost))
             return self._peers.mesh.send_to(grantor, frame)
 
+        ends = self._shares.link_ends(grantor)
+
+        def is_valid() -> bool:
+            same_link = self._shares.link_ends(grantor) == ends
+            return same_link and self._shares.grantor() == grantor
+
         seconds = max(LAST_REPLY_SECONDS, until - self._ctx.clock.monotonic())
-        wait = await self._calls.call_while(
-            send, caller, seconds, lambda: self._shares.grantor() == grantor
-        )
+        wait = await self._calls.call_while(send, caller, seconds, is_valid)
         return None if wait is None else wait / 1000
 
     def _record_silence(self, grantor: str, name: str) -> None:
--- a/peridotdock/relay/shares.py
+++ b/peridotdock/relay/shares.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -66,6 +67,7 @@
         self._loss_reported_at = NEVER
         self._loss_reported_to = ""
         self._linked: frozenset[str] = frozenset()
+        self._link_ends: Counter[str] = Counter()
         self._seen: dict[tuple[str, str], tuple[int, int]] = {}
         self._closed = False
         self.on_resign: Callable[[], dict[str, int]] = dict
@@ -100,6 +102,10 @@
             return borrower
         return self._peers.hub()
 
+    def link_ends(self, host: str) -> int:
+        """Return how many links to a host have ended; replies are lost with them."""
+        return self._link_ends[host]
+
     def use_own(self) -> bool:
         """Use this host's own share if no other host may, and return whether it is used."""
         return self.knows_hosts() and self._own.use(self._clock.seconds())
@@ -182,6 +188,7 @@
         The loan to a host that was silent goes on, as it may not know of the end.
         """
         ended, self._linked = self._linked - linked, linked
+        self._link_ends.update(ended)
         for host in ended:
             self._borrowed.end(host)
             self._length.remove(host)
--- a/tests/relay/quota_cluster.py
+++ b/tests/relay/quota_cluster.py
@@ -256,6 +256,7 @@
         self.epochs = dict.fromkeys(self.names, 0)
         self.group = dict.fromkeys(self.names, 0)
         self.apart_since = {}
+        self.reset_at = {}
         self.ended_at = {}
         self.frozen_from, self.frozen_until = {}, {}
         self.served, self.refused, self.waits = [], [], []
@@ -418,12 +419,15 @@
     def _deliver(self, one, other, lag, act):
         sender, receiver = self.hosts.get(one), self.hosts.get(other)
 
+        sent_at = self.now()
+
         async def arrive():
             await asyncio.sleep(lag * (0.5 + self.rng.random() / 2))
             await self.awake(one)
             await self.awake(other)
             same = self.hosts.get(one) is sender and self.hosts.get(other) is receiver
-            if same and self.reaches(one, other):
+            lost = sent_at < max(self.reset_at.get(name, -math.inf) for name in (one, other))
+            if same and not lost and self.reaches(one, other):
                 act(receiver)
 
         if sender is not None and receiver is not None:
@@ -485,6 +489,14 @@
             if name in self.hosts and not self.is_frozen(name):
                 self.hosts[name].view.update_links()
 
+    def reset_links(self, name):
+        """Reset a host's links, which are up again a moment later; what is on its way is lost."""
+        self.reset_at[name] = self.now()
+        facts = self.hosts[name].view.facts
+        for slot in [slot for slot in facts.slots() if slot[0] == name]:
+            asyncio.get_running_loop().call_later(LINK_CHECK_SECONDS, self.spread, name, [slot])
+        facts.publish("links", LinksFact([]))
+
     def kill_hub(self, back=0.6):
         self.kill(self._hub(), back)
 
--- a/tests/relay/test_quota_cluster.py
+++ b/tests/relay/test_quota_cluster.py
@@ -182,6 +182,18 @@
         self.assertEqual([], found.refused)
         self.assertLessEqual(found.max_part, 1.0 + 1e-9)
 
+    @params(1, 2, 3)
+    def test_a_call_that_is_lost_with_its_link_is_made_again(self, seed):
+        """Guards against a request that waits for two seconds for a reply which can't come."""
+        faults = [
+            (8.0, "freeze", "h0", 0.5),
+            (8.4, "reset_links", "h1"),
+            (8.4, "reset_links", "h2"),
+        ]
+        found = play(LARGE, faults, seed, lambda now: 0.5, 12.0, hosts=4)
+        self.assertEqual([], found.refused)
+        self.assertLess(max(found.waits), PATIENCE_SECONDS - 0.5)
+
     @params(*itertools.product((LARGE, REQUESTS), (0.8, 1.2), (8, FEW_HOSTS), (1, 2)))
     def test_nothing_within_is_refused_where_facts_take_long(self, quota, lag, hosts, seed):
         """Guards against loans that are over before the hub hears of their acceptance."""
