--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -556,8 +556,8 @@
     Mutant(
         "the shares of the time before count",
         "decisions/quotas.py",
-        "seconds = (now - self._filled_at) * min(share, self.share)",
-        "seconds = (now - self._filled_at) * share",
+        "elapsed, least = now - self._filled_at, min(share, self.share)",
+        "elapsed, least = now - self._filled_at, share",
         "tests.relay.test_quotas.CounterTest",
     ),
     Mutant(
