Give each send of a request an id of its own on its endpoint

Callers saw: status 200 with a few of their tokens as if the answer were whole, after the connection to the only holder was reset. Cause: a lost send is cancelled by its id without a wait for the answer, and the request is sent to the same engine at once, with the same id and over another connection. A cancel that arrives second stopped the new run, and the engine closed its answer as a whole one. Change: the first send has the request's id, each further one that with its number (ID-2). Sends are searched for, resumed and cancelled by it, and frames and heads are checked against it. X-Request-Id, error frames and the log keep the request's id. Considered: to wait for the answer to the cancel. That delays each retry on the same engine by a round trip, and by the time limit of the call at an engine that is silent; a cancel that is given up may still arrive later; and a lost send that is still on its way would take the place of the next one under the same id. Engines that run an id once are no way out either: they would answer with the cancelled run. What it costs: the id within an answer to a retried request differs from X-Request-Id by that number.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -110,10 +110,17 @@
     Mutant(
         "each frame is checked for whose it is",
         "streams.py",
-        "if head.id != request_id:",
+        "if head.id != send_id:",
         "if False:",
         "tests.test_failures.EndpointFailures.test_another_callers_answer_is_never_passed_on",
     ),
+    Mutant(
+        "each send has an id of its own",
+        "requests.py",
+        'return self.request_id if self.send == 1 else f"{self.request_id}-{self.send}"',
+        "return self.request_id",
+        "tests.test_silence.LateCancelTest",
+    ),
     Mutant(
         "a stream that went silent is looked for over a fresh connection",
         "streams.py",
--- a/peridotdock/attempts.py
+++ b/peridotdock/attempts.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
 
@@ -14,10 +15,14 @@
 
 
 class Attempt:
-    """One attempt; it is silent while the last probe of its endpoint was not answered."""
+    """One attempt; it is silent while the last probe of its endpoint was not answered.
 
-    def __init__(self, choice: Choice, on_silence: Callable[["Attempt"], None]):
+    ``number`` counts the attempts of a request, from one.
+    """
+
+    def __init__(self, choice: Choice, number: int, on_silence: Callable[["Attempt"], None]):
         self.choice = choice
+        self.number = number
         self.is_silent = False
         self._on_silence = on_silence
 
@@ -50,6 +55,7 @@
         self._open: dict[asyncio.Task[Reply | Failure], Attempt] = {}
         self._changed = asyncio.Event()
         self._last: Failure = Failure(Kind.NO_ENDPOINT)
+        self._numbers = itertools.count(1)
         self.tried: set[str] = set()
         self.maybe_ran = False
 
@@ -60,7 +66,7 @@
     def start(self, choice: Choice) -> None:
         """Start an attempt."""
         self.tried.add(choice.state.name)
-        attempt = Attempt(choice, self._record_silence)
+        attempt = Attempt(choice, next(self._numbers), self._record_silence)
         task = asyncio.create_task(self._run(attempt))
         self._open[task] = attempt
         task.add_done_callback(lambda _: self._changed.set())
--- a/peridotdock/dispatch.py
+++ b/peridotdock/dispatch.py
@@ -73,7 +73,7 @@
 
     async def _run_admitted(self, req: ModelRequest, caller: CallerConnection) -> Reply | Failure:
         attempts = Attempts(
-            lambda attempt: self._attempt(req, attempt, caller),
+            lambda attempt: self._attempt(replace(req, send=attempt.number), attempt, caller),
             lambda choice, outcome: self._on_attempt_failed(req, choice, outcome),
             lambda choice: self._on_attempt_silent(req, choice),
         )
@@ -179,11 +179,11 @@
             opened = await self._open(req, attempt, caller)
             if failed(opened):
                 if opened.may_have_run:
-                    self._endpoints.cancel(state.url, req.request_id)
+                    self._endpoints.cancel(state.url, req.send_id)
                 return opened
             if isinstance(opened, WholeAnswer):
                 return self._check_whole(req, choice, opened)
-            if opened.headers.get("x-request-id", req.request_id) != req.request_id:
+            if opened.headers.get("x-request-id", req.send_id) != req.send_id:
                 await opened.release()
                 return Failure(Kind.WRONG_ANSWER, "head of another request")
             relay.attach(opened)
@@ -196,7 +196,7 @@
             body_returned = True
             return Reply(200, (("x-request-id", req.request_id),), body, EVENT_STREAM)
         except asyncio.CancelledError:
-            self._endpoints.cancel(state.url, req.request_id)
+            self._endpoints.cancel(state.url, req.send_id)
             raise
         finally:
             if not body_returned:
@@ -208,7 +208,7 @@
     ) -> OpenResponse | WholeAnswer | Failure:
         headers = {
             "content-type": "application/json",
-            "x-request-id": req.request_id,
+            "x-request-id": req.send_id,
             "x-item": req.profile.item,
             "x-priority": str(req.profile.priority),
             "traceparent": req.traceparent,
@@ -320,7 +320,7 @@
         if failed(body):
             return body
         if answer.status == 200:
-            checked = read_head(body, req.request_id)
+            checked = read_head(body, req.send_id)
             if failed(checked):
                 return checked
             self._record_cache_hits(req, choice, checked.usage)
@@ -389,7 +389,7 @@
     """Return the failure of an answer whose head is wrong."""
     if opened.status >= 500:
         return Failure(Kind.ENDPOINT_ERROR, f"status {opened.status}")
-    if opened.headers.get("x-request-id", req.request_id) != req.request_id:
+    if opened.headers.get("x-request-id", req.send_id) != req.send_id:
         return Failure(Kind.WRONG_ANSWER, "head of another request")
     return None
 
--- a/peridotdock/requests.py
+++ b/peridotdock/requests.py
@@ -125,7 +125,10 @@
 
 @dataclass(frozen=True)
 class ModelRequest:
-    """A request for a model or adapter; ``deadline`` is in monotonic seconds."""
+    """A request for a model or adapter; ``deadline`` is in monotonic seconds.
+
+    ``send`` counts the sends of the request to endpoints, from one.
+    """
 
     request_id: str
     caller_id: str
@@ -137,6 +140,16 @@
     repeatable: bool
     deadline: float
     traceparent: str
+    send: int = 1
+
+    @property
+    def send_id(self) -> str:
+        """Return the ID of this send on its endpoint.
+
+        Failure guarded against: the cancel of a send that was lost arrives after the next send to
+        the same endpoint, and stops it.
+        """
+        return self.request_id if self.send == 1 else f"{self.request_id}-{self.send}"
 
     @property
     def content_id(self) -> str:
--- a/peridotdock/searches.py
+++ b/peridotdock/searches.py
@@ -58,7 +58,7 @@
 
         Raises EngineEnded if the connection is refused or reset.
         """
-        found = await self._endpoints.probe(self.url, self._req.request_id)
+        found = await self._endpoints.probe(self.url, self._req.send_id)
         if failed(found) and shows_end(found):
             raise EngineEnded
         self._on_probe(isinstance(found, StreamState))
@@ -69,7 +69,7 @@
 
         Raises EngineEnded if the connection is refused or reset, or the request is unknown.
         """
-        path = f"/v1/streams/{self._req.request_id}?{part}&form={self._req.form}"
+        path = f"/v1/streams/{self._req.send_id}?{part}&form={self._req.form}"
         try:
             async with asyncio.timeout(OPEN_TIMEOUT_SECONDS):
                 opened = await self._endpoints.open(self.url, Call("GET", path, {}, b"", False))
--- a/peridotdock/streams.py
+++ b/peridotdock/streams.py
@@ -59,18 +59,18 @@
 HEAD_DECODER = msgspec.json.Decoder(FrameHead)
 
 
-def read_head(data: bytes, request_id: str) -> FrameHead | Failure:
+def read_head(data: bytes, send_id: str) -> FrameHead | Failure:
     """Parse and check the head of a frame or of a whole answer.
 
     Failure guarded against: answers are mixed up within an engine or on the network path, and a
-    caller gets part of another caller's answer. The engine sets the request ID in each frame; any
-    other ID ends the attempt.
+    caller gets part of another caller's answer. The engine sets the ID of the send in each frame;
+    any other ID ends the attempt.
     """
     try:
         head = HEAD_DECODER.decode(data)
     except msgspec.MsgspecError as exc:
         return Failure(Kind.ENDPOINT_ERROR, f"unreadable answer: {exc}")
-    if head.id != request_id:
+    if head.id != send_id:
         return Failure(Kind.WRONG_ANSWER, f"answer to {head.id!r}")
     return head
 
@@ -116,7 +116,7 @@
             return
         await opened.release()
         if not self.whole:
-            self._endpoints.cancel(self._state.url, self._req.request_id)
+            self._endpoints.cancel(self._state.url, self._req.send_id)
 
     async def frames(self) -> AsyncIterator[bytes | Failure]:
         """Yield each frame once; a failure ends the iteration."""
@@ -147,7 +147,7 @@
             return frame + SEPARATOR
         if not data:
             return b""
-        head = read_head(data, self._req.request_id)
+        head = read_head(data, self._req.send_id)
         if failed(head):
             return head
         if head.usage is not None:
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -18,7 +18,8 @@
 ``event_gap``           cache events are numbered but not reported
 
 :meth:`EngineStandin.fall_silent` holds back every byte for some seconds, on all connections, while
-generation goes on. ``request_delay`` are seconds before a request is taken in.
+generation goes on. ``request_delay`` are seconds before a request is taken in, ``cancel_delay``
+seconds before a cancel is.
 
 A prompt that contains ``fatal_text`` crashes the engine: it is down, and starts again after
 ``restart_seconds`` with a new boot id and the same items.
@@ -118,6 +119,7 @@
         self.frozen_connections = 0
         self.silent_until = 0.0
         self.request_delay = 0.0
+        self.cancel_delay = 0.0
         self._aborts = set()
         self.connections = itertools.count(1)
         self.faults = {
@@ -494,6 +496,7 @@
         return self._stream_answer(stream, form, offset, request.scope["abort"])
 
     async def cancel(self, request: Request):
+        await asyncio.sleep(self.cancel_delay)
         stream = self.streams.get(request.route_values["name"])
         if stream is not None:
             stream.cancelled = True
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -247,3 +247,36 @@
         status, _, body = await self.ask(30)
         self.assertEqual((status, body["error"]["code"]), (502, "endpoint_lost"))
         self.assertLess(time.monotonic() - began, 2)
+
+
+class LateCancelTest(SilenceCase):
+    """The cancel of a send that was lost reaches the engine after the retry."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.cluster.engines[0].cancel_delay = 0.05
+
+    async def get_body(self, task):
+        status, _, body = await task
+        self.assertEqual((status, self.call_count()), (200, 2), body)
+        return body
+
+    async def test_a_retry_on_the_same_engine_runs_to_its_end(self):
+        """The cancel stops the retry, and its caller gets the tokens so far as the whole answer."""
+        task, engine = await self.start()
+        lost = next(iter(engine.streams.values()))
+        engine.reset_connections()
+        body = await self.get_body(task)
+        self.assertEqual(body["usage"]["completion_tokens"], TOKEN_COUNT)
+        self.assertTrue(lost.cancelled)
+
+    async def test_a_stream_that_is_sent_again_runs_to_its_end(self):
+        """The same for a stream whose first frame was of another request."""
+        engine = self.cluster.engines[0]
+        engine.step = 0.1
+        engine.faults["cross_frames"] = True
+        task, _ = await self.start(token_count=0, stream=True)
+        await wait_for(lambda: self.call_count() == 2, "the retry")
+        engine.step = 0.01
+        engine.faults["cross_frames"] = False
+        self.check_whole(await self.get_body(task))
