Write down what callers of an engine see that closes its listener to drain

Callers see: a stream that its engine interrupts for longer than silence_seconds ends with answer_cut, and an answer that is not streamed and takes longer than that is lost (502, or 503 where nobody else holds the item), although the engine goes on over the open connection. Cause: a refused new connection counts as the end of the engine; hosts can't tell it from a listener that was closed. Change: none of the code.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -93,6 +93,12 @@
         self.assertEqual((whole, errors[0]["code"]), (False, "answer_cut"))
         self.assertLess(time.monotonic() - began, 1.0)
 
+    async def test_a_stream_outlasts_the_listener_of_its_engine(self):
+        """An engine closes its listener to drain, and its streams end although they go on."""
+        task, engine = await self.start(stream=True)
+        engine.refuse_connections()
+        self.check_whole((await task)[2])
+
     async def test_a_stream_is_resumed_after_a_reset_and_a_silence(self):
         """A connection is reset as its engine falls silent, and one probe alone is sent."""
         task, engine = await self.start(stream=True)
