--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -93,6 +93,12 @@
         self.assertEqual((whole, errors[0]["code"]), (False, "answer_cut"))
         self.assertLess(time.monotonic() - began, 1.0)
 
+    async def test_a_stream_outlasts_the_listener_of_its_engine(self):
+        """An engine closes its listener to drain, and its streams end although they go on."""
+        task, engine = await self.start(stream=True)
+        engine.refuse_connections()
+        self.check_whole((await task)[2])
+
     async def test_a_stream_is_resumed_after_a_reset_and_a_silence(self):
         """A connection is reset as its engine falls silent, and one probe alone is sent."""
         task, engine = await self.start(stream=True)
@@ -247,3 +253,36 @@
         status, _, body = await self.ask(30)
         self.assertEqual((status, body["error"]["code"]), (502, "endpoint_lost"))
         self.assertLess(time.monotonic() - began, 2)
+
+
+class LateCancelTest(SilenceCase):
+    """The cancel of a send that was lost reaches the engine after the retry."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.cluster.engines[0].cancel_delay = 0.05
+
+    async def get_body(self, task):
+        status, _, body = await task
+        self.assertEqual((status, self.call_count()), (200, 2), body)
+        return body
+
+    async def test_a_retry_on_the_same_engine_runs_to_its_end(self):
+        """The cancel stops the retry, and its caller gets the tokens so far as the whole answer."""
+        task, engine = await self.start()
+        lost = next(iter(engine.streams.values()))
+        engine.reset_connections()
+        body = await self.get_body(task)
+        self.assertEqual(body["usage"]["completion_tokens"], TOKEN_COUNT)
+        self.assertTrue(lost.cancelled)
+
+    async def test_a_stream_that_is_sent_again_runs_to_its_end(self):
+        """The same for a stream whose first frame was of another request."""
+        engine = self.cluster.engines[0]
+        engine.step = 0.1
+        engine.faults["cross_frames"] = True
+        task, _ = await self.start(token_count=0, stream=True)
+        await wait_for(lambda: self.call_count() == 2, "the retry")
+        engine.step = 0.01
+        engine.faults["cross_frames"] = False
+        self.check_whole(await self.get_body(task))
