--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -549,8 +549,8 @@
     Mutant(
         "a host that is the hub no more uses no share",
         "relay/shares.py",
-        "        self._borrowed.drop()\n        fact",
-        "        fact",
+        "        self._borrowed.drop()\n        self._length",
+        "        self._length",
         "tests.relay.test_quota_cluster.WindowTest.test_a_hub_that_hands_over_uses_no_share",
     ),
     Mutant(
@@ -577,8 +577,8 @@
     Mutant(
         "a further send that may run is charged",
         "relay/service.py",
-        "is_repeat = progress.maybe_ran > 0",
-        "is_repeat = False",
+        "if progress.maybe_ran > 0:\n            progress.charged",
+        "if False:\n            progress.charged",
         "tests.relay.test_quota_repeats.ChargeTest",
     ),
     Mutant(
