Let a forwarded stream be bound by the host of its caller alone

What callers saw: a stream that was taken up went on at another software version than the caller had events of.

Cause, from the hosts' logs. h0 reached no endpoint and forwarded the stream to h3, which sent it to engines-1. Nothing came for 1.7 s, so h0 forwarded it to h2 as well, got the first events of engines-8 from there at 0.915 s, passed them on and ended the send through h3. h3 was paused. It got its own first event at 1.181 s, before it saw the end of its connection, and remembered the stream at v2. The caller lost its answer at 0.97 s and took the stream up at h3, which knew it: 'software v2, here'.

Change: a host remembers the version of its own callers' streams alone. Whoever a caller takes a stream up at asks the hub, which the caller's host has told.

test_a_host_does_not_remember_the_streams_of_another_hosts_callers failed before (the host that it was forwarded to had a binding) and passes; tests.relay.test_stream_versions and test_software_versions: 55 pass.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -700,6 +700,13 @@
         "return False",
         "tests.relay.test_pacing.LostGrantTest",
     ),
+    Mutant(
+        "a host does not remember the streams of another host's callers",
+        "relay/stream_versions.py",
+        "if progress.software is None or progress.forwarded:",
+        "if progress.software is None:",
+        "tests.relay.test_stream_versions.TriesTest",
+    ),
     Mutant(
         "a wait within a stream goes by its last event",
         "relay/requests.py",
--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -118,8 +118,11 @@
         )
 
     def record(self, req: RelayRequest, progress: Progress) -> None:
-        """Remember the version of a stream whose first events go to the caller now."""
-        if progress.software is None:
+        """Remember the version of a stream whose first events go to the caller now.
+
+        A forwarded stream is remembered by its caller's host alone, which may have replaced it.
+        """
+        if progress.software is None or progress.forwarded:
             return
         stream = find_stream(req)
         binding = make_binding(progress.service, progress.software)
--- a/tests/relay/test_stream_versions.py
+++ b/tests/relay/test_stream_versions.py
@@ -247,6 +247,20 @@
                 self.assertEqual((200, [4, 5, 6]), found_here)
                 self.check_one_version(found, number)
 
+    @run
+    async def test_a_host_does_not_remember_the_streams_of_another_hosts_callers(self):
+        """A forwarded stream is replaced by one of another version, before the caller has events.
+
+        The host that it was forwarded to first binds it all the same when its own events arrive.
+        """
+        async with deploy(hosts=3, gated=True) as found:
+            await cut_off(found)
+            await begin(found, "a0", 0, "v1")
+            own = [host.stream_versions._own for host in found.hosts]
+            now, stream = found.hosts[0].ctx.clock.monotonic(), hash_attempt("a0")
+            bindings = [table.find(stream, now, SECONDS) for table in own]
+            self.assertEqual([Binding("engines", "v1"), None, None], bindings)
+
     @run
     async def test_a_version_that_serves_no_more(self):
         """The caller waits until its deadline for a version that is gone, or gets another one."""
