--- a/tests/relay/retry_cluster.py
+++ b/tests/relay/retry_cluster.py
@@ -4,11 +4,11 @@
 """
 
 import asyncio
-import bisect
 import math
 import random
 from types import SimpleNamespace
 
+from extras.soak.checks import count_between
 from peridotdock.decisions.choice import Candidate, Prediction, RequestCost
 from peridotdock.decisions.health import Health
 from peridotdock.deployment import Route, RouteKind, Share
@@ -205,15 +205,11 @@
         window = BOUNDS.retry_window
         found = -math.inf, 0, 0.0
         for start in self.arrivals:
-            retries = between(self.arrivals, start, window)
+            retries = count_between(self.arrivals, start, window)
             most = max(
-                between(self.requests, start - back, window) for back in (0, window / 2, window)
+                count_between(self.requests, start - back, window)
+                for back in (0, window / 2, window)
             )
             bound = BOUNDS.retry_share * most + BOUNDS.retry_extra
             found = max(found, (retries - bound, retries, bound))
         return found[1:]
-
-
-def between(times, start, seconds):
-    """Return how many sorted times are in a window."""
-    return bisect.bisect_left(times, start + seconds) - bisect.bisect_left(times, start)
