--- a/tests/relay/test_stream_versions.py
+++ b/tests/relay/test_stream_versions.py
@@ -45,6 +45,12 @@
 TAKEN_UP_SECONDS = 2.0
 
 
+async def begin_streams(found, hosts):
+    """Begin streams, by turns at the hosts and at engines of both versions."""
+    for number in range(STREAMS):
+        await begin(found, f"a{number}", number % hosts, turn(number))
+
+
 async def take_up(found, first, second, to):
     """Take a stream up at a host; its own endpoint and one other refuse. Return status and ids."""
     allow_retries(found)
@@ -222,8 +228,7 @@
     async def test_a_host_that_has_just_started(self):
         async with deploy(hosts=2) as found:
             await wait_linked(found)
-            for number in range(STREAMS):
-                await begin(found, f"a{number}", number % 2, turn(number))
+            await begin_streams(found, 2)
             await asyncio.sleep(TOLD_SECONDS)
             host = await found.add_host("late", (found.hosts[0].settings.listen.peers,))
             await found.until(lambda: host.request_handler.deployment)
@@ -401,8 +406,7 @@
     async def test_all_hosts_are_replaced(self):
         async with deploy(hosts=3) as found:
             await wait_linked(found)
-            for number in range(STREAMS):
-                await begin(found, f"a{number}", number % 3, turn(number))
+            await begin_streams(found, 3)
             await asyncio.sleep(WRITTEN_SECONDS)
             await found.replace_hosts()
             tries = [take_up(found, f"a{n}", f"b{n}", n % 3) for n in range(STREAMS)]
@@ -428,8 +432,7 @@
         async with deploy(hosts=2) as found:
             await wait_linked(found)
             found.store.faults["down"] = True
-            for number in range(STREAMS):
-                await begin(found, f"a{number}", number % 2, turn(number))
+            await begin_streams(found, 2)
             await asyncio.sleep(WRITTEN_SECONDS)
             found.store.faults["down"] = False
             await asyncio.sleep(WRITTEN_SECONDS)
