Log the software version and start that an endpoint's entry names when a stream begins

What callers saw: streams with events of two software versions. Beside the operators' record of starts, a line that names version and start at a stream's first event tells whether the entry was behind the endpoint, or two sends of one stream were open.

--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -433,7 +433,7 @@
             "first_event",
             request=req.id,
             endpoint=state.key,
-            detail=f"after {seconds:.3f} s of {req.route.target:.3f}",
+            detail=f"after {seconds:.3f} s of {req.route.target:.3f}{describe_start(state)}",
         )
 
     async def _read(
@@ -575,6 +575,12 @@
         progress.software = found.software
 
 
+def describe_start(state: EndpointState) -> str:
+    """Return log details of the start of an endpoint that its entry names; none for a host."""
+    entry = state.entry
+    return "" if state.is_host else f", software {entry.software}, born {entry.started_ms}"
+
+
 def describe_broken(req: RelayRequest, found: Failure, streamed: float | None) -> str:
     """Return log details of a broken-off answer, to find a request that crashes endpoints.
 
--- a/tests/test_reasons.py
+++ b/tests/test_reasons.py
@@ -7,7 +7,7 @@
 
 from nose2.tools import params
 
-from peridotdock.reasons import find_reasons, name_reason
+from peridotdock.reasons import LATE_FIRST_TOKEN, find_reasons, name_reason
 from tests.test_cli import invoke
 
 
@@ -49,6 +49,7 @@
         ("answer_broken", "deadline: caller_gone, last event 7", "broken off: deadline"),
         ("first_event", "after 0.300 s of 0.300", ""),
         ("first_event", "after 0.300 s", ""),
+        ("first_event", "after 0.400 s of 0.300, software v1, born 1700", LATE_FIRST_TOKEN),
         ("sent", "send 1", ""),
     )
     def test_the_reason_of_a_line(self, event, detail, reason):
