Add failing tests of streams at an endpoint that restarted at another software version

What callers saw: streams with events of two software versions, although each stream is bound to the version that began it. An endpoint that starts again under its id and address at another version serves under the entry of the start before for about a second. Streams that begin there are bound to the version before; streams of that version go on there.

--- /dev/null
+++ b/tests/relay/test_restarted_versions.py
@@ -0,0 +1,117 @@
+"""Streams at endpoints that have restarted at another software version, under the entry before."""
+
+import asyncio
+import math
+import unittest
+
+from nose2.tools import params
+
+from tests.relay.test_forwarding import cut_off
+from tests.relay.test_partition import wait_linked
+from tests.relay.test_relay import ids, run
+from tests.relay.test_software_versions import allow_retries, begin, deploy
+
+MIXED = (("e1", "v1"), ("e2", "v1"), ("e3", "v2"))
+ALL_OLD = tuple((name, "v1") for name, _ in MIXED)
+STREAMS = 8
+# Seconds between two events, in which other engines accept requests again.
+EVENT_SECONDS = 0.03
+SERVICES = (("two versions", MIXED), ("one version", ALL_OLD))
+WAYS = (("by the caller's host", False), ("by another host", True))
+ROWS = tuple((*service, *way) for service in SERVICES for way in WAYS)
+
+
+def versions(found, *attempts):
+    """Return the software versions at which attempts ran."""
+    rows = (row.software_by_attempt for row in found.engines.values())
+    return set().union(*(row.get(attempt, ()) for row in rows for attempt in attempts))
+
+
+async def receive_cut(found, name, attempt, full=""):
+    """Send a stream that one engine begins and cuts, while another is full; return the ids."""
+    allow_retries(found)
+    first = found.engines[name]
+    for engine in found.engines.values():
+        engine.script = ["cut"] if engine is first else []
+        engine.room = math.inf if engine is first else 0
+        engine.delay_seconds = EVENT_SECONDS
+    sent = asyncio.ensure_future(found.send("/recap/", attempt, model="m0"))
+    await found.until(lambda: attempt in first.executed or sent.done())
+    for engine in found.engines.values():
+        engine.room = 0 if engine.name == full else math.inf
+    _, _, body = await sent
+    return ids(body) if isinstance(body, bytes) else []
+
+
+class OneAnswerTest(unittest.TestCase):
+    """Guards against an answer of two software versions, one of them not in any entry yet."""
+
+    @params(*ROWS)
+    def test_a_stream_that_began_at_a_restarted_endpoint(self, name, pairs, way, cut):
+        @run
+        async def check(self):
+            async with deploy(pairs, hosts=3 if cut else 1, gated=cut) as found:
+                if cut:
+                    await cut_off(found)
+                found.engines["e1"].restart_unseen("v2")
+                for number in range(STREAMS):
+                    await receive_cut(found, "e1", f"a{number}")
+                    self.assertEqual({"v2"}, versions(found, f"a{number}"), (name, way))
+
+        check(self)
+
+    @params(*ROWS)
+    def test_a_stream_that_goes_on_where_a_restarted_endpoint_is(self, name, pairs, way, cut):
+        @run
+        async def check(self):
+            async with deploy(pairs, hosts=3 if cut else 1, gated=cut) as found:
+                if cut:
+                    await cut_off(found)
+                found.engines["e1"].restart_unseen("v2")
+                for number in range(STREAMS):
+                    arrived = await receive_cut(found, "e2", f"a{number}", full="e3")
+                    self.assertEqual({"v1"}, versions(found, f"a{number}"), (name, way))
+                    self.assertEqual([1, 2, 3, 4, 5, 6][: len(arrived)], arrived)
+
+        check(self)
+
+
+class TriesTest(unittest.TestCase):
+    """Guards against a caller's stream at two software versions, one not in any entry yet."""
+
+    async def take_up(self, found, first, second):
+        """Take a stream up at another host, where the endpoint that began it refuses."""
+        allow_retries(found)
+        for engine in found.engines.values():
+            engine.script = ["refuse"] * 3 if first in engine.executed else []
+        more = {"resumes": first, "last_event_id": "3"}
+        return await found.send("/recap/", second, model="m0", to=1, **more)
+
+    @run
+    async def test_a_stream_that_began_at_a_restarted_endpoint(self):
+        async with deploy(MIXED, hosts=2) as found:
+            await wait_linked(found)
+            found.engines["e1"].restart_unseen("v2")
+            for number in range(STREAMS):
+                first, second = f"a{number}", f"b{number}"
+                await receive_cut(found, "e1", first)
+                await self.take_up(found, first, second)
+                self.assertEqual({"v2"}, versions(found, first, second), number)
+
+    @params(*SERVICES)
+    def test_a_stream_that_goes_on_where_a_restarted_endpoint_is(self, name, pairs):
+        @run
+        async def check(self):
+            async with deploy(pairs, hosts=2) as found:
+                await wait_linked(found)
+                for engine in found.engines.values():
+                    engine.room = math.inf if engine.name == "e2" else 0
+                for number in range(STREAMS):
+                    await begin(found, f"a{number}", 0)
+                found.engines["e1"].room = math.inf
+                found.engines["e1"].restart_unseen("v2")
+                for number in range(STREAMS):
+                    await self.take_up(found, f"a{number}", f"b{number}")
+                    self.assertEqual({"v1"}, versions(found, f"a{number}", f"b{number}"), name)
+
+        check(self)
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -15,6 +15,7 @@
 ``retry_after`` seconds that a refusal asks for; ``fatal_bodies``: a request with one of these
 bodies crashes the runner when it executes, so that all connections are aborted and nothing listens.
 ``software`` is the version of its software, which it neither compares nor tells in answers.
+``software_by_attempt`` are the versions at which it executed attempts.
 ``halfway_event`` is an event that streams wait for after half of their events. ``room`` is how many
 requests may be there at once; the rest is refused. A brittle runner has ``max_refusals``: it falls
 over when it refuses more in a second: all connections are aborted and nothing listens for
@@ -30,6 +31,8 @@
 
 ``restart`` starts the runner again under the same id, without models and with its order sequence
 at 0. Connections from before stay open and unanswered, as after a crash behind a network partition.
+``restart_unseen`` closes them, keeps the models, and leaves the entry of the start before in the
+store.
 """
 
 import asyncio
@@ -55,6 +58,7 @@
         self.script = []
         self.requests = []
         self.executed = []
+        self.software_by_attempt = {}
         self.disconnected = []
         self.spoilt = set()
         self.connection_count = 0
@@ -149,6 +153,13 @@
         self.models = {}
         self.on_change()
 
+    def restart_unseen(self, software):
+        """Start again at a software version, and do not register yet."""
+        self.started_ms += RESTART_INTERVAL_MS
+        self.seq = 0
+        self.software = software
+        self.abort_connections()
+
     def entry(self, service, **more):
         rows = [
             {"name": name, "version": 1, "adapters": sorted(adapters)}
@@ -241,6 +252,7 @@
             writer.write(frame(503, b"", self.extra_headers | hint | {"x-not-executed": "1"}))
             return True
         self.executed.append(attempt)
+        self.software_by_attempt.setdefault(attempt, set()).add(self.software)
         if body in self.fatal_bodies:
             self.crash()
             return False
