--- a/tests/relay/test_restarted_versions.py
+++ b/tests/relay/test_restarted_versions.py
@@ -32,7 +32,7 @@
     allow_retries(found)
     first = found.engines[name]
     for engine in found.engines.values():
-        engine.script = ["cut"] if engine is first else []
+        engine.script = ["cut", "refuse"] if engine is first else []
         engine.room = math.inf if engine is first else 0
         engine.delay_seconds = EVENT_SECONDS
     sent = asyncio.ensure_future(found.send("/recap/", attempt, model="m0"))
