Let streams go on only where the start in an endpoint's entry was just seen to run

What callers saw: streams with events of two software versions, within one answer and over their tries. Cause: an entry is a claim of some time ago, and was taken for what runs. An endpoint that starts again under its id and address at another version serves before its entry says so: streams that began there were bound to the version before, and streams of that version went on there.

Change: reports of engines name their start. A stream goes on at an engine only right after a report of the start in its entry. Where it began is known by its connection, which leads to one start only. A stream of unknown version ends and is remembered as such.

With one version in a service nothing is asked until a stream breaks off.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -125,7 +125,7 @@
 
 
 class OpenResponse:
-    """An answer whose head has arrived.
+    """An answer whose head has arrived; ``connection`` is the same object for all on it.
 
     It must be released. Its connection is reused only if the answer was read to its end.
     """
@@ -135,6 +135,7 @@
         self._stack = stack
         self.status = resp.status
         self.headers = resp.headers
+        self.connection = resp.connection_key
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes, empty at the end. Raises the errors in :data:`TRANSFER_ERRORS`."""
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -80,9 +80,15 @@
     """
 
     connection_closed: asyncio.Future[None] | None = None
+    connection_key: object = None
 
     async def start(self, connection: Any) -> "ConnectionAwareResponse":
-        """Start to read, and keep the future that completes when the connection closes."""
+        """Start to read, and keep what outlives the end of the answer.
+
+        That is an object that stands for the connection, the same for all answers on it, and the
+        future that completes when the connection closes.
+        """
+        self.connection_key = connection.protocol
         self.connection_closed = connection.protocol.closed
         if self.connection_closed is not None:
             self.connection_closed.add_done_callback(asyncio.Future.exception)
--- a/peridotdock/decisions/stream_versions.py
+++ b/peridotdock/decisions/stream_versions.py
@@ -24,6 +24,8 @@
 CLOCK_SECONDS = 10.0
 # Most streams remembered in one table.
 MAX_STREAMS = 50_000
+# Stands for the version of a stream of which it is known that nobody can know its version.
+UNKNOWN_SOFTWARE = "\0"
 # Bindings that are shared by their streams.
 MAX_CACHED_BINDINGS = 200
 
@@ -167,6 +169,13 @@
     return frozenset(key for key, at in written_at.items() if oldest <= at <= newest)
 
 
+def judge_bound(binding: Binding, source: Source) -> Verdict:
+    """Return what the binding of a stream tells, which may be that its version is unknown."""
+    if binding.software == UNKNOWN_SOFTWARE:
+        return Verdict(Source.UNKNOWN, binding.service)
+    return Verdict(source, binding.service, binding.software)
+
+
 def judge_alone(
     binding: Binding | None, service: str, versions: Collection[str], sure: bool
 ) -> Verdict | None:
@@ -175,7 +184,7 @@
     ``sure`` tells whether ``versions`` are all of the service's for as long as callers go on.
     """
     if binding is not None:
-        return Verdict(Source.HERE, binding.service, binding.software)
+        return judge_bound(binding, Source.HERE)
     if sure and len(versions) == 1:
         return Verdict(Source.SINGLE, service, *versions)
     return None
@@ -195,7 +204,7 @@
     ``seconds`` ago.
     """
     if binding is not None:
-        return Verdict(Source.TOLD, binding.service, binding.software)
+        return judge_bound(binding, Source.TOLD)
     ordered = sorted(periods.items(), key=lambda row: row[1].first)
     if len(ordered) > 1:
         (earliest, period), (_, second) = ordered[:2]
--- a/peridotdock/relay/endpoint.py
+++ b/peridotdock/relay/endpoint.py
@@ -4,6 +4,7 @@
 from collections import OrderedDict
 from collections.abc import Collection
 from dataclasses import dataclass, field
+from weakref import WeakSet
 
 from peridotdock.blocklist import EndpointStart
 from peridotdock.decisions.health import Health
@@ -108,7 +109,9 @@
     ``backoff_until`` it accepts nothing from this host. Both remain set until the end of this
     start, whatever its entry shows. Until ``left_out_until`` nothing shows that the endpoint is
     still there. ``is_host`` is set for a host in the place of an endpoint. ``silent_sends`` counts
-    this host's open sends to it that are silent.
+    this host's open sends to it that are silent. ``seen_start`` is the newest start that the
+    endpoint itself has reported, as Unix milliseconds, 0 for none. ``checked_connections`` are
+    known to lead to the start in the entry.
     """
 
     entry: EndpointEntry
@@ -130,6 +133,8 @@
     left_out_until: float = float("-inf")
     is_host: bool = False
     silent_sends: int = 0
+    seen_start: int = 0
+    checked_connections: WeakSet[object] = field(default_factory=WeakSet)
 
     def accepts_requests(self) -> bool:
         """Return whether requests may still be sent to the endpoint."""
@@ -148,6 +153,15 @@
         """Return whether the endpoint drains, by its entry or by its announcement in an answer."""
         return self.entry.draining or self.announced_leaving
 
+    @property
+    def superseded(self) -> bool:
+        """Return whether a later start runs than the one in the entry.
+
+        Its software version is unknown until its own entry.
+        """
+        told = self.last_update.update.born if self.last_update is not None else 0
+        return 0 < self.entry.started_ms < max(self.seen_start, told)
+
     @property
     def key(self) -> str:
         """Return the endpoint's id."""
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -176,7 +176,7 @@
         rows = self.by_service.get(service, ())
         if software is None:
             return rows
-        return [state for state in rows if state.entry.software == software]
+        return [row for row in rows if row.entry.software == software and not row.superseded]
 
     def has_software(self, service: str, software: str) -> bool:
         """Return whether any endpoint of a software version takes requests, whatever it holds."""
@@ -189,9 +189,9 @@
         return any(state.usable(now) for state in self._of_software(service, software))
 
     def other_software(self, service: str, software: str) -> set[str]:
-        """Return the keys of the endpoints of other software versions."""
+        """Return the keys of the endpoints of other software versions, or of unknown ones."""
         rows = self.by_service.get(service, ())
-        return {state.key for state in rows if state.entry.software != software}
+        return {row.key for row in rows if row.entry.software != software or row.superseded}
 
     def grantable(self, service: str, inference: InferenceSpec | None) -> list[EndpointState]:
         """Return the endpoints that the hub may grant to other hosts.
@@ -344,7 +344,7 @@
             preferred=preferred,
             slowness=state.health.slowness(now),
             same_domain=state.entry.domain == domain,
-            suspect=state.health.suspect(now),
+            suspect=state.health.suspect(now) or state.superseded,
             permit_wait=max(0.0, state.next_permit_at - now) if state.needs_permit else 0.0,
             permit_interval=permit_interval(state.limit.rate),
             brittle=state.brittle,
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -20,6 +20,7 @@
 from peridotdock.relay.clocks import BootClock
 from peridotdock.relay.connectivity import ConnectivityMonitor
 from peridotdock.relay.endpoint_notices import EndpointNotices
+from peridotdock.relay.endpoint_starts import EndpointStarts
 from peridotdock.relay.entries import EntryReader
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.following import Follower
@@ -155,6 +156,7 @@
         # Unreachable hosts count: they go on to send retries.
         self.retries.host_count = self.peers.host_count
         self.retries.knows_hosts = lambda: self.shares.knows_hosts()
+        engines = adapter.open_engines(self.endpoints)
         self.service = RelayService(
             ctx,
             adapter.wire,
@@ -164,6 +166,7 @@
             chooser,
             self.blocklist,
             self.forwarder,
+            EndpointStarts(ctx, engines),
         )
         self.service.sender.on_answer = self.notices.record_answer
         self.service.on_gap = self.grants.server.record_gap
@@ -190,6 +193,7 @@
             ctx, settings.host, self.peers, self.fleet, find_iterations(), self._endpoints_age
         )
         self.responder.on_stream = self.stream_versions.record
+        self.service.has_versions = self.stream_versions.has_versions
         self.stream_rows = StreamRows(ctx, self.store, settings.host, self.stream_versions)
         self.request_handler = RequestHandler(
             ctx,
@@ -215,7 +219,6 @@
         self.blocklist_store = BlocklistStore(
             ctx, self.store, self.leadership.holds, self.blocklist
         )
-        engines = adapter.open_engines(self.endpoints)
         self.orderer = Orderer(ctx, self.fleet, engines, self.leadership, settings.bounds)
         self.orderer.find_holder_loads = self.peers.holder_loads
         self.orderer.request_permit = self.permits.request_by_key
--- a/peridotdock/relay/progress.py
+++ b/peridotdock/relay/progress.py
@@ -1,6 +1,16 @@
 """The progress of one relayed request over its sends."""
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from peridotdock.relay.endpoint import EndpointState
+
+
+class Origin(NamedTuple):
+    """The endpoint that began a stream, and the connection that its first events came over."""
+
+    state: EndpointState
+    connection: object
 
 
 @dataclass
@@ -10,7 +20,9 @@
     ``maybe_ran`` counts the sends that may have run, ``refusals`` those that were refused.
     ``last_id`` is the id of the last event that was passed on to the caller, ``last_event_at`` the
     monotonic time of that, None before the first one. ``software`` the
-    version of the endpoints' software that began the stream, None until one has. ``hosts`` are
+    version of the endpoints' software that began the stream, None until one has;
+    ``software_unknown`` is set if one has and its version is not known. ``origin`` is where it
+    began, as long as that is to be checked. ``hosts`` are
     those that the request was forwarded to; ``forwarded`` is set on a host that it was forwarded
     to. ``arrived`` is set once a send may have reached an endpoint: the next ones are retries.
     ``reserved`` is set while a retry is reserved in the budget of the service, ``taken_at`` is the
@@ -29,6 +41,8 @@
     last_id: int | None = None
     last_event_at: float | None = None
     software: str | None = None
+    software_unknown: bool = False
+    origin: Origin | None = None
     hosts: set[str] = field(default_factory=set)
     forwarded: bool = False
     arrived: bool = False
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -1,5 +1,6 @@
 """Sends a request to one endpoint and waits for the head of its answer."""
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any, Self, TypeVar
@@ -99,8 +100,12 @@
         caller: Caller,
         priority: int,
         resume_after: str,
+        valid_until: float = math.inf,
     ) -> PendingAnswer | Failure:
-        """Send, and wait for the head of the answer until the deadline."""
+        """Send, and wait for the head of the answer until the deadline.
+
+        The request is not sent after ``valid_until`` (monotonic seconds).
+        """
         remaining = req.deadline - self._clock.monotonic()
         options = SendOptions(state.key, remaining, priority, resume_after)
         call = Call(
@@ -110,9 +115,12 @@
             req.body,
             at_most_once=True,
             connect_timeout=connect_timeout(remaining),
-            still_wanted=state.accepts_requests,
+            still_wanted=lambda: (
+                state.accepts_requests() and self._clock.monotonic() <= valid_until
+            ),
         )
-        sent_at, software = self._clock.monotonic(), state.entry.software
+        sent_at = self._clock.monotonic()
+        software = None if state.superseded else state.entry.software
         work = self._endpoints.open(f"http://{state.entry.address}", call)
         opened = await wait_for(work, caller, remaining)
         if failed(opened):
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -1,6 +1,7 @@
 """Serves a relayed request: chooses endpoints, sends, and retries where that is safe."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from peridotdock.blocklist import Blocklist
@@ -17,10 +18,11 @@
 from peridotdock.relay.caller import Caller, SendCaller
 from peridotdock.relay.choosing import Chooser
 from peridotdock.relay.endpoint import EndpointState
+from peridotdock.relay.endpoint_starts import CHECKED_SECONDS, EndpointStarts, Running
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.forwarding import Forwarder, host_state
 from peridotdock.relay.item_waits import name_item
-from peridotdock.relay.progress import Progress
+from peridotdock.relay.progress import Origin, Progress
 from peridotdock.relay.replacing import FORWARDED_SILENCE_SECONDS, Replacement, SilentSend
 from peridotdock.relay.requests import RelayRequest
 from peridotdock.relay.retry_budgets import RetryBudgets
@@ -50,6 +52,8 @@
 NO_RETRY_LEFT = Failure(Kind.OVERLOADED, "no retry left", NO_RETRY_SECONDS)
 # The failure of an endpoint that is silent: it may run the request, or not.
 SILENT = loss_failure(RequestState.SENT, Loss.SILENCE)
+# The end of a stream that was begun at a software version that nobody knows.
+SOFTWARE_UNKNOWN = Failure(Kind.NO_ENDPOINT, "software of the stream unknown")
 # A stream that has lasted for this many seconds did not crash its endpoint: a request that does
 # crashes it as soon as it runs, though its events may still be in transit for a while.
 BLAMELESS_STREAM_SECONDS = 0.3
@@ -68,12 +72,14 @@
         chooser: Chooser,
         blocklist: Blocklist,
         forwarder: Forwarder,
+        starts: EndpointStarts,
     ):
         self.ctx = ctx
         self.fleet = fleet
         self._chooser = chooser
         self.blocklist = blocklist
         self._forwarder = forwarder
+        self._starts = starts
         self.sender = Sender(wire, endpoints, ctx.clock)
         self._retries = retries
         self._iterations = find_iterations()
@@ -83,6 +89,8 @@
         self.on_lost: Callable[[str], None] = lambda key: None
         self.on_repeat: Callable[[RelayRequest], None] = lambda req: None
         self.on_repeat_not_run: Callable[[RelayRequest], None] = lambda req: None
+        # Whether endpoints of several software versions may serve a service.
+        self.has_versions: Callable[[str], bool] = lambda service: False
 
     def choose_service(self, route: Route) -> Progress:
         """Choose a request's service at random by the route's weights, and count the request."""
@@ -176,7 +184,7 @@
         if not failed(found):
             if not begins_stream(req, found):
                 replacement.stop_timer()
-            found = await self._read(req, caller, progress.service, found)
+            found = await self._read(req, caller, progress, found)
             if failed(found) and not caller.is_disconnected():
                 self._forwarder.record_lost(req, host.fact.host, found)
         if replacement.found is not None:
@@ -242,6 +250,8 @@
         now = self.ctx.clock.monotonic()
         if caller.is_disconnected() or now >= req.deadline or progress.final:
             return False
+        if progress.software_unknown:
+            return False
         if failed(found) and found.kind not in RETRY_KINDS:
             return False
         may_have_run = not failed(found) or found.may_have_run
@@ -339,6 +349,10 @@
         state = self.fleet.states.get(prediction.candidate.key)
         if state is None:
             return Failure(Kind.ENDPOINT_UNREACHABLE, "gone meanwhile")
+        unproven = await self._check_software(req, progress, state)
+        if unproven is not None:
+            self._chooser.withdraw(prediction)
+            return unproven
         if not self._retries.take(progress, req.id):
             self._chooser.withdraw(prediction)
             return NO_RETRY_LEFT
@@ -386,10 +400,13 @@
         if req.route.repeatable:
             replacement.start_timer(first_event_timeout(prediction.seconds))
         resume = req.head.resume_after if progress.last_id is None else str(progress.last_id)
-        sent = await self.sender.send(req, state, caller, choose_priority(req), resume)
+        valid_until = math.inf
+        if needs_software(req, progress):
+            valid_until = started_at + CHECKED_SECONDS
+        sent = await self.sender.send(req, state, caller, choose_priority(req), resume, valid_until)
         if not failed(sent) and not begins_stream(req, sent):
             replacement.stop_timer()
-        found = sent if failed(sent) else await self._read(req, caller, progress.service, sent)
+        found = sent if failed(sent) else await self._read(req, caller, progress, sent)
         if replacement.found is not None:
             # The other endpoint was first, and its software version is bound.
             await self.discard(req, progress, found)
@@ -436,34 +453,85 @@
             detail=f"after {seconds:.3f} s of {req.route.target:.3f}{describe_start(state)}",
         )
 
+    async def _check_software(
+        self, req: RelayRequest, progress: Progress, state: EndpointState
+    ) -> Failure | None:
+        """Return why a stream may not go on at an endpoint, or None.
+
+        Failure guarded against: an endpoint has restarted at another software version, and its
+        entry does not say so yet. Streams go on there, or go on elsewhere after it began them.
+        """
+        if not needs_software(req, progress):
+            return None
+        origin, progress.origin = progress.origin, None
+        if origin is not None:
+            began_at = await self._starts.find_answering(origin.state, origin.connection)
+            if began_at is Running.ANOTHER:
+                progress.software_unknown = True
+                return SOFTWARE_UNKNOWN
+        running = await self._starts.find_running(state)
+        if running is Running.NAMED:
+            return None
+        progress.avoid.add(state.key)
+        failure = Failure(Kind.ENDPOINT_UNREACHABLE, f"{running} start")
+        if running is Running.UNKNOWN:
+            self.record_loss(req, state, failure)
+        return failure
+
     async def _read(
-        self, req: RelayRequest, caller: SendCaller, service: str, sent: PendingAnswer
+        self, req: RelayRequest, caller: SendCaller, progress: Progress, sent: PendingAnswer
     ) -> CompleteAnswer | StreamSource | Failure:
         """Read a complete answer, or a stream up to its first events."""
         remaining = req.deadline - self.ctx.clock.monotonic()
         if begins_stream(req, sent):
-            source = StreamSource(
-                sent.state, sent.head, sent.opened, caller, sent.software, sent.endpoint
-            )
-            failure = await source.fill(remaining)
-            if failure is not None:
-                await source.close()
-                return failure
-            source.started_at = self.ctx.clock.monotonic()
-            self.fleet.first_token_received(sent.state, req.id, req.head.inference)
-            self._log_first_event(req, sent.state, req.received_at)
-            return source
+            return await self._read_first_events(req, caller, progress, sent)
         try:
             body = await wait_for(read_all(sent.opened), caller, remaining)
         finally:
             await sent.opened.release()
         if failed(body):
             return body
-        self.fleet.request_ended(sent.state, req.id, service, complete=True)
+        self.fleet.request_ended(sent.state, req.id, progress.service, complete=True)
         if sent.head.status in SUCCESS:
             self.blocklist.record_answer(req)
         return CompleteAnswer(sent.state, sent.head, body)
 
+    async def _read_first_events(
+        self, req: RelayRequest, caller: SendCaller, progress: Progress, sent: PendingAnswer
+    ) -> StreamSource | Failure:
+        """Read a stream up to its first events, and find the software version that it is from."""
+        source = StreamSource(
+            sent.state, sent.head, sent.opened, caller, sent.software, sent.endpoint
+        )
+        check = self._begin_check(req, progress, source)
+        try:
+            failure = await source.fill(req.deadline - self.ctx.clock.monotonic())
+            if failure is not None:
+                await source.close()
+                return failure
+            if check is not None and await check is not Running.NAMED:
+                source.software = None
+        finally:
+            if check is not None:
+                check.cancel()
+        source.started_at = self.ctx.clock.monotonic()
+        self.fleet.first_token_received(sent.state, req.id, req.head.inference)
+        self._log_first_event(req, sent.state, req.received_at)
+        return source
+
+    def _begin_check(
+        self, req: RelayRequest, progress: Progress, source: StreamSource
+    ) -> asyncio.Task[Running] | None:
+        """Begin to find out which start an answer is from, if that is needed and not known."""
+        state, connection = source.state, source.opened.connection
+        if req.head.inference is None or state.is_host or source.software is None:
+            return None
+        # The host of a forwarded stream's caller can't ask the endpoint once this host is lost.
+        needed = progress.forwarded or self.has_versions(progress.service)
+        if progress.software is not None or not needed or connection in state.checked_connections:
+            return None
+        return asyncio.ensure_future(self._starts.find_answering(state, connection))
+
     def _record_outcome(
         self,
         req: RelayRequest,
@@ -573,6 +641,14 @@
     """
     if isinstance(found, StreamSource) and progress.software is None:
         progress.software = found.software
+        progress.software_unknown = found.software is None
+        if not found.state.is_host:
+            progress.origin = Origin(found.state, found.opened.connection)
+
+
+def needs_software(req: RelayRequest, progress: Progress) -> bool:
+    """Return whether a send must go to an engine of a certain software version."""
+    return progress.software is not None and req.head.inference is not None
 
 
 def describe_start(state: EndpointState) -> str:
--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -13,6 +13,7 @@
 from peridotdock.context import Context
 from peridotdock.decisions.stream_versions import (
     MAX_LIST_AGE_SECONDS,
+    UNKNOWN_SOFTWARE,
     Binding,
     Reply,
     Source,
@@ -117,15 +118,22 @@
             {service: {state.entry.software for state in states} for service, states in rows}, now
         )
 
+    def has_versions(self, service: str) -> bool:
+        """Return whether endpoints of several software versions may serve a service."""
+        now = self._ctx.clock.monotonic()
+        if len(self._history.versions(service, now, self.seconds)) > 1:
+            return True
+        return any(state.superseded for state in self._fleet.by_service.get(service, ()))
+
     def record(self, req: RelayRequest, progress: Progress) -> None:
         """Remember the version of a stream whose first events go to the caller now.
 
         A forwarded stream is remembered by its caller's host alone, which may have replaced it.
         """
-        if progress.software is None or progress.forwarded:
+        if (progress.software is None and not progress.software_unknown) or progress.forwarded:
             return
         stream = find_stream(req)
-        binding = make_binding(progress.service, progress.software)
+        binding = make_binding(progress.service, progress.software or UNKNOWN_SOFTWARE)
         self._own.record(stream, binding, self._ctx.clock.monotonic(), self.seconds)
         self._add_unwritten(stream, binding)
         if binding.service in self._told_services:
--- a/tests/relay/retry_cluster.py
+++ b/tests/relay/retry_cluster.py
@@ -67,7 +67,7 @@
         self.retries.host_count = lambda: cluster.known
         self.retries.knows_hosts = lambda: cluster.known > 1
         self.service = RelayService(
-            ctx, None, fleet, None, self.retries, Chooser(cluster), blocklist, forwarder
+            ctx, None, fleet, None, self.retries, Chooser(cluster), blocklist, forwarder, None
         )
         self.service.sender = SimpleNamespace(send=cluster.send)
         self.tasks = set()
@@ -181,7 +181,7 @@
         progress = host.service.choose_service(ROUTE)
         await host.service.open_answer(req, Caller(), progress)
 
-    async def send(self, req, state, caller, priority, resume_after):
+    async def send(self, req, state, caller, priority, resume_after, valid_until):
         """Refuse a request at the endpoint, once that reads it, or end it without a retry."""
         await asyncio.sleep(LINK_SECONDS)
         while self.silent(self.now()):
