Take unknown streams for older ones only while no host is out of touch with the hub

What callers saw: streams with events of two software versions over their tries. Cause: for as long as callers go on after a second version has come, the hub took each stream that it was not told of for one that began at the first version. A host that is cut off from the hub can't tell it, and begins streams at the second version meanwhile. More than half of the hosts in touch was enough.

Evidence: tests.relay.test_stream_versions.UntoldTest failed before (its first stream ran at both versions) and passes. Whether this is what the users saw is open: there is no recording.

Change: the hub notes when a host that may serve was last out of touch with it, by the last frame over its link, and takes nothing for older that may have begun since.

One test is replaced. It demanded that streams of a host that is killed before the second version comes go on while that host is away. To the hub that is the same as a host behind a cut, whose streams are not older: the test demanded what mixes versions. It now asks the same of a host that is back before the second version comes, with the same number of streams, all of which must go on at the first version.

--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -49,6 +49,9 @@
 # The same while the hub does not answer, or has not been told by all hosts yet: the time in which
 # another one takes the place of a silent hub. Callers wait for a first event for longer.
 LOST_HUB_SECONDS = 1.5
+# Seconds without a frame of a host, three times the interval of its pings, after which the hub may
+# not know of its newest streams.
+MAX_SILENCE_SECONDS = 1.0
 # Part of the time in which the first event must arrive that is left for serving the request.
 SERVING_SECONDS = 0.5
 NO_SERVICES: frozenset[str] = frozenset()
@@ -95,6 +98,8 @@
         self._told_at = -inf
         self._hub_since: float | None = None
         self._told_by: set[str] = set()
+        # When some known host was out of touch with this one, for the last time.
+        self._apart_at = -inf
         self._mixed = NO_SERVICES
         # Streams that are not in the store yet, on the hub.
         self._unwritten: dict[int, Binding] = {}
@@ -274,6 +279,7 @@
         known, self._mixed = self._mixed, mixed
         began = self._hub_since is None
         self._hub_since = (now if began else self._hub_since) if self._peers.is_hub() else None
+        self._check_touch(now)
         self._told_by &= self._peers.mesh.peers()
         if self._hub_since is None:
             self._unwritten = {}
@@ -336,6 +342,7 @@
         """Return what this host knows of a stream as the hub."""
         now = self._ctx.clock.monotonic()
         periods = self._history.versions(service, now, self.seconds)
+        self._check_touch(now)
         binding, told_since = self._find_binding(stream), self._told_since()
         verdict = judge_as_hub(binding, service, periods, told_since, now, self.seconds)
         complete = self._is_told_by(self._peers.live_hosts())
@@ -351,13 +358,22 @@
         """Return since when this host has been told of all streams, infinite if it has not.
 
         Failure guarded against: a host cut off from the others takes itself for the hub, which no
-        other host tells of its streams, and takes all that it does not know for old ones.
+        other host tells of its streams, and takes all that it does not know for old ones. Or a host
+        is cut off from the hub, and begins streams at a new version meanwhile.
         """
         live = self._peers.live_hosts()
         most = 2 * len(live) > self._peers.host_count()
         if self._hub_since is None or not most or not self._is_told_by(live):
             return inf
-        return self._hub_since
+        return max(self._hub_since, self._apart_at)
+
+    def _check_touch(self, now: float) -> None:
+        """Note if a host that may serve can't tell this one of its streams at present."""
+        received_at = {link.peer.host: link.received_at for link in self._peers.mesh.links()}
+        others = set(self._peers.known_hosts()) - {self._host}
+        apart = any(received_at.get(name, -inf) < now - MAX_SILENCE_SECONDS for name in others)
+        if apart or self._peers.host_count() > len(others) + 1:
+            self._apart_at = now
 
     def _may_lack_streams(self, now: float) -> bool:
         """Return whether streams that still go on may have been told to another hub alone."""
