Bind a stream to the version of the events that are passed on

What callers saw: streams with events of two software versions. Cause: a stream was bound when any of its sends had its first events. Where an endpoint is silent before its first event, the request is sent to another one too, perhaps of another version. If the silent one goes on first, while the other send is being ended, its events went to the caller under the version of the other one, at which the stream was resumed or taken up.

Nothing shows that this is what the users saw: the moment is short unless a third send is being ended too.

Change: the one place that passes an answer on binds it.

--- a/peridotdock/relay/responding.py
+++ b/peridotdock/relay/responding.py
@@ -12,7 +12,7 @@
 from peridotdock.relay.caller import CallerConnection
 from peridotdock.relay.progress import Progress
 from peridotdock.relay.requests import RelayRequest
-from peridotdock.relay.service import RelayService
+from peridotdock.relay.service import RelayService, bind_software
 from peridotdock.relay.streaming import relay_stream
 from peridotdock.requests import Reply
 
@@ -62,6 +62,7 @@
             if isinstance(found, CompleteAnswer):
                 return answer_reply(Reply(head.status, head.headers, found.body, head.content_type))
             streaming = True
+            bind_software(progress, found)
             progress.endpoint = found.endpoint
             self.on_stream(req, progress)
             body = self._stream_body(req, caller, progress, found)
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -194,7 +194,6 @@
         progress.maybe_ran += may_have_run - replacement.began
         if not replacement.began:
             self._retries.settle(progress, progress.arrived or has_arrived(found))
-        bind_software(progress, found)
         better = None if is_answer(found) else await replacement.take()
         # A complete answer is the best of the other host's own sends.
         progress.final = progress.final or isinstance(found, CompleteAnswer)
@@ -408,12 +407,11 @@
             replacement.stop_timer()
         found = sent if failed(sent) else await self._read(req, caller, progress, sent)
         if replacement.found is not None:
-            # The other endpoint was first, and its software version is bound.
+            # The other endpoint was first.
             await self.discard(req, progress, found)
             return await replacement.take()
         if not replacement.began:
             self._retries.settle(progress, has_arrived(found))
-        bind_software(progress, found)
         self._record_outcome(req, state, found, progress, replacement.began)
         # Of a send and its replacement, either is covered by the charge of the first run.
         if progress.charged and failed(found) and not found.may_have_run:
@@ -634,12 +632,13 @@
     return not failed(found) or found.kind is not Kind.ENDPOINT_UNREACHABLE
 
 
-def bind_software(progress: Progress, found: CompleteAnswer | StreamSource | Failure) -> None:
-    """Bind a request to the software version that its first events come from.
+def bind_software(progress: Progress, found: StreamSource) -> None:
+    """Bind a request to the software version of the events that its caller gets first.
 
-    What two versions write doesn't fit together, and endpoints don't check it.
+    What two versions write doesn't fit together, and endpoints don't check it. Another send of the
+    request may have had events too.
     """
-    if isinstance(found, StreamSource) and progress.software is None:
+    if progress.software is None:
         progress.software = found.software
         progress.software_unknown = found.software is None
         if not found.state.is_host:
--- a/tests/relay/test_software_versions.py
+++ b/tests/relay/test_software_versions.py
@@ -1,10 +1,13 @@
 """Streams in a service whose endpoints have several software versions."""
 
 import asyncio
+import math
 import unittest
 from dataclasses import replace
 
+from peridotdock.decisions.stream_versions import Binding
 from peridotdock.events import Filter
+from peridotdock.relay.stream_versions import hash_attempt
 from tests.relay.deployment import BOUNDS, Deployment
 from tests.relay.test_forwarding import PAGES, abort, cut_off
 from tests.relay.test_partition import MAX_REFUSAL_SECONDS
@@ -13,6 +16,8 @@
 PAIRS = (("e1", "v1"), ("e2", "v2"), ("e3", "v1"), ("e4", "v2"))
 STREAMS = 12
 MANY_RETRIES = 1000.0
+# Seconds until an engine's first event, longer than a host waits before it tries another engine.
+FIRST_EVENT_SECONDS = 1.4
 
 
 def deploy(pairs=PAIRS, hosts=1, gated=False):
@@ -112,6 +117,38 @@
             self.assertEqual(1, len(versions(found, "a1")))
 
 
+class SilentTest(unittest.TestCase):
+    """Guards against a stream bound to the version of a send whose events were not passed on."""
+
+    @run
+    async def test_a_silent_endpoint_goes_on_while_another_one_answers(self):
+        async with deploy(PAIRS[:2]) as found:
+            host, first = found.hosts[0], found.engines["e1"]
+            first.delay_seconds = FIRST_EVENT_SECONDS
+            answer = host.service.open_answer
+
+            async def answer_late(req, caller, progress):
+                result = await answer(req, caller, progress)
+                if progress.working:
+                    await asyncio.sleep(FIRST_EVENT_SECONDS)
+                return result
+
+            host.service.open_answer = answer_late
+            found.engines["e2"].room = 0
+            sent = asyncio.ensure_future(found.send("/recap/", "a0", model="m0"))
+            await found.until(lambda: "a0" in first.executed)
+            found.engines["e2"].room = math.inf
+            await found.until(lambda: "a0" in found.engines["e2"].executed)
+            first.delay_seconds = 0
+            status, _, body = await sent
+            self.assertEqual((200, [1, 2, 3, 4, 5, 6]), (status, ids(body)))
+            self.assertIn(b"e1", body)
+            versions = host.stream_versions
+            now = host.ctx.clock.monotonic()
+            bound = versions._own.find(hash_attempt("a0"), now, versions.seconds)
+            self.assertEqual(Binding("engines", "v1"), bound)
+
+
 class TriesTest(unittest.TestCase):
     """Guards against a stream that a caller takes up at another version than began it."""
 
