Let the simulated hosts of the retry budget's tests fail where a request raises

A changed signature made each send of these tests raise, and all of them passed: no request arrived, so no bound was passed.

--- a/tests/relay/retry_cluster.py
+++ b/tests/relay/retry_cluster.py
@@ -91,6 +91,7 @@
         self.rng = random.Random(seed)
         self._wait = wait or (lambda draw: BACKOFF_SECONDS * (0.5 + draw()))
         self.requests, self.arrivals = [], []
+        self.errors = []
         self._arrived = set()
 
     def wait(self):
@@ -113,6 +114,8 @@
                 task.cancel()
             self.loop.run_until_complete(asyncio.sleep(0))
             self.loop.close()
+        if self.errors:
+            raise self.errors[0]
         return self
 
     async def _play(self, seconds, changes):
@@ -171,6 +174,11 @@
             task = asyncio.ensure_future(self._request(host, f"r{number}"))
             host.tasks.add(task)
             task.add_done_callback(host.tasks.discard)
+            task.add_done_callback(self._note_error)
+
+    def _note_error(self, task):
+        if not task.cancelled() and task.exception() is not None:
+            self.errors.append(task.exception())
 
     async def _request(self, host, name):
         self.requests.append(self.now())
