Let the stand-in engine crash on a prompt part

Named parts of a prompt crash the stand-in as it begins to write the answer: before the head, after it, or after the head of an answer with neither length nor chunks. It can come back under its id and address as another start, and answer without a framing that tells the end. Nothing uses it yet.

tests.relay.test_poison and tests.relay.test_endings: 46 tests, OK.

--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -14,6 +14,10 @@
 Settings: ``delay_seconds`` before each event or answer; ``extra_headers`` for each answer;
 ``retry_after`` seconds that a refusal asks for; ``fatal_bodies``: a request with one of these
 bodies crashes the runner when it executes, so that all connections are aborted and nothing listens.
+``fatal_parts``: the same for a prompt that holds one of these part ids, at the moment when the
+runner begins to write the answer, ``delay_seconds`` after it got the request; ``fatal_head`` tells
+what it has written by then: nothing, the ``chunked`` head, or the ``unframed`` head, with neither
+length nor chunks. ``unframed``: answers have neither length nor chunks and end with the connection.
 ``software`` is the version of its software, which it neither compares nor tells in answers.
 ``halfway_event`` is an event that streams wait for after half of their events. ``room`` is how many
 requests may be there at once; the rest is refused. A brittle runner has ``max_refusals``: it falls
@@ -30,6 +34,7 @@
 
 ``restart`` starts the runner again under the same id, without models and with its order sequence
 at 0. Connections from before stay open and unanswered, as after a crash behind a network partition.
+``recover`` starts a crashed runner again under its id and address, with the models that it held.
 """
 
 import asyncio
@@ -40,6 +45,8 @@
 # Unix time of the first start of a runner, and the interval between two starts.
 FIRST_START_MS = 1_700_000_000_000
 RESTART_INTERVAL_MS = 60_000
+# Framing headers of an answer, by its kind; an unframed one ends with its connection.
+FRAMING = {"chunked": "transfer-encoding: chunked\r\n", "unframed": "connection: close\r\n"}
 # Seconds for which a runner that has fallen over listens to nobody.
 FALL_SECONDS = 1.0
 
@@ -70,6 +77,9 @@
         self.max_models_held = len(self.models)
         self.on_change = lambda: None
         self.fatal_bodies = set()
+        self.fatal_parts = set()
+        self.fatal_head = ""
+        self.unframed = False
         self.crashed = False
         self.room = math.inf
         self.slots = 8
@@ -103,6 +113,15 @@
             writer.transport.abort()
         self.on_crash()
 
+    async def recover(self):
+        """Listen again after a crash, as another start under the same id and address."""
+        self.started_ms += RESTART_INTERVAL_MS
+        self.seq = 0
+        ip, port = self.address.split(":")
+        self._server = await asyncio.start_server(self._serve, ip, int(port))
+        self.crashed = False
+        self.on_change()
+
     def abort_connections(self):
         """Reset all connections, as a device between them does, and go on."""
         for writer in self._writers:
@@ -244,6 +263,8 @@
         if body in self.fatal_bodies:
             self.crash()
             return False
+        if self.fatal_parts.intersection(read_parts(headers)):
+            return await self._crash_writing(writer, attempt)
         if behavior == "refuse another":
             writer.write(frame(503, b"", {"x-not-executed": "1", "x-attempt-id": "another"}))
             return True
@@ -263,12 +284,26 @@
         if "x-model" in headers:
             return await self._stream(reader, writer, headers, signed, behavior)
         raw = frame(200, b"whole answer", signed)
+        if self.unframed:
+            raw = stream_head(signed, "unframed") + b"whole answer"
         if behavior == "cut":
             writer.write(raw[:-4])
             return False
         writer.write(raw + (raw if behavior == "extra" else b""))
         await writer.drain()
-        return True
+        return not self.unframed
+
+    async def _crash_writing(self, writer, attempt):
+        """Crash at the moment when the answer to a request begins."""
+        await asyncio.sleep(self.delay_seconds)
+        await self._awake.wait()
+        if self.fatal_head and not self.crashed:
+            signed = self.extra_headers | {"x-attempt-id": attempt}
+            signed["x-response-signature"] = f"by {self.name}"
+            writer.write(stream_head(signed, self.fatal_head))
+        if not self.crashed:
+            self.crash()
+        return False
 
     def _holds(self, item):
         model, _, adapter = item.partition("/")
@@ -276,16 +311,12 @@
 
     async def _stream(self, reader, writer, headers, signed, behavior):
         first = int(headers.get("last-event-id", 0)) + 1
-        rows = "".join(f"{name}: {value}\r\n" for name, value in signed.items())
-        writer.write(
-            f"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{rows}"
-            "transfer-encoding: chunked\r\n\r\n".encode()
-        )
+        writer.write(stream_head(signed, "unframed" if self.unframed else "chunked"))
         for number in range(first, self.events + 1):
             event = b"id: %d\ndata: %s %d\n\n" % (number, self.name.encode(), number)
             if behavior == "cut" and number > self.events // 2:
                 half = event[: len(event) // 2]
-                writer.write(b"%x\r\n%s\r\n" % (len(half), half))
+                writer.write(self._frame_event(half))
                 await writer.drain()
                 return False
             halfway = self.halfway_event is not None and number == self.events // 2
@@ -293,11 +324,14 @@
                 return False
             await asyncio.sleep(self.delay_seconds)
             await self._awake.wait()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            writer.write(self._frame_event(event))
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
+        writer.write(b"" if self.unframed else b"0\r\n\r\n")
         await writer.drain()
-        return True
+        return not self.unframed
+
+    def _frame_event(self, event):
+        return event if self.unframed else b"%x\r\n%s\r\n" % (len(event), event)
 
     async def _wait_halfway(self, reader, attempt):
         """Wait for ``halfway_event``; return False if the caller disconnects first."""
@@ -318,6 +352,19 @@
         return False
 
 
+def read_parts(headers):
+    """Return the ids of the parts in a request's prompt."""
+    rows = headers.get("x-prompt-prefix", "").split(",")
+    return {row.partition(":")[0].strip() for row in rows if row}
+
+
+def stream_head(headers, framing):
+    """Return the head of an answer that is ``chunked``, or ``unframed`` to the connection's end."""
+    rows = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    head = f"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{rows}{FRAMING[framing]}\r\n"
+    return head.encode()
+
+
 def frame(status, body, headers):
     rows = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
     head = f"HTTP/1.1 {status} OK\r\ncontent-length: {len(body)}\r\n{rows}\r\n"
