Name the prompt parts in the lines of sent and lost requests

Engines ended one after the other under requests that are alike in a prompt part alone. No line held anything of the parts, so a cause in common could not be told from engines that end by themselves. `sent` and `send_lost` name the parts but the last; a counter tells broken-off answers by what had arrived of them.

tests.relay.test_poison: 41 tests, OK; the new test fails without the change, as no line names parts.

--- a/peridotdock/metrics.py
+++ b/peridotdock/metrics.py
@@ -22,6 +22,11 @@
         self.silent_sends = self._counter(
             "silent_sends", "Sends whose endpoint sent nothing for longer than expected."
         )
+        self.broken_answers = self._counter(
+            "broken_answers",
+            "Answers that broke off with the connection to their endpoint, by what had arrived.",
+            "begun",
+        )
         self.late_frames = self._counter("late_frames", "Answers that came for nobody.")
         self.orders = self._counter("orders", "Orders sent to engines.", "action", "outcome")
         self.reports = self._counter("reports", "Reports asked of engines.", "outcome")
--- a/peridotdock/relay/requests.py
+++ b/peridotdock/relay/requests.py
@@ -115,6 +115,12 @@
         item = f"{inference.model}/{inference.adapter}" if inference is not None else ""
         return hash_content(self.body, self.head.host, self.method, self.target, item)
 
+    @property
+    def part_ids(self) -> tuple[str, ...]:
+        """Return the ids of the prompt's parts that other requests may share, all but the last."""
+        inference = self.head.inference
+        return tuple(part.id for part in inference.parts[:-1]) if inference is not None else ()
+
 
 @dataclass(frozen=True, slots=True)
 class LoadedModel:
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -421,7 +421,8 @@
             f"{chosen.running} running, {chosen.queued_tokens} tokens ahead, "
             f"{inference.prompt_tokens if inference else 0} to read, {chosen.cached_tokens} cached"
             f"{', preferred' if chosen.preferred else ''}, {chosen.slowness:.2f} times slower, "
-            f"software {self.fleet.states[chosen.key].entry.software}",
+            f"software {self.fleet.states[chosen.key].entry.software}, "
+            f"parts {' '.join(req.part_ids)}",
         )
 
     def _log_first_event(self, req: RelayRequest, state: EndpointState, started_at: float) -> None:
@@ -535,8 +536,11 @@
         just_begun = streamed is None or streamed < BLAMELESS_STREAM_SECONDS
         if found.kind in LOST_KINDS:
             self.on_lost(state.key)
-        if connection_broke(found) and just_begun:
-            self.blocklist.record_end(req, state.start)
+        if connection_broke(found):
+            begun = "nothing" if streamed is None else "start" if just_begun else "stream"
+            self.ctx.metrics.broken_answers.labels(begun).inc()
+            if just_begun:
+                self.blocklist.record_end(req, state.start)
         self.ctx.timeline.add(
             "send_lost",
             found.answer.level,
@@ -578,13 +582,14 @@
 def describe_broken(req: RelayRequest, found: Failure, streamed: float | None) -> str:
     """Return log details of a broken-off answer, to find a request that crashes endpoints.
 
-    The content id is the same in all attempts at one request. A request that crashes its endpoint
-    as it starts to run has no event yet; others on that endpoint have streamed for a while.
+    The content id is the same in all attempts at one request, and a prompt part in all requests
+    that hold it. A request that crashes its endpoint as it starts to run has no event yet; others
+    on that endpoint have streamed for a while.
     """
     if not connection_broke(found):
         return ""
     since = "no event" if streamed is None else f"streamed for {streamed:.3f} s"
-    return f", content {req.content_id}, {since}"
+    return f", content {req.content_id}, {since}, parts {' '.join(req.part_ids)}"
 
 
 def choose_priority(req: RelayRequest) -> int:
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -216,13 +216,13 @@
         A client error gives status 0 and the exception in place of the body.
         """
         request_headers = {"host": "shop.example", "x-attempt-id": attempt, "x-deadline-ms": "6000"}
-        request_headers |= {name.replace("_", "-"): value for name, value in headers.items()}
         if model:
             request_headers |= {
                 "x-model": model,
                 "x-token-counts": "900,20",
                 "x-prompt-prefix": "aa:600,bb:300",
             }
+        request_headers |= {name.replace("_", "-"): value for name, value in headers.items()}
         try:
             async with self.session.post(
                 self.url(path, to), headers=request_headers, data=body
--- a/tests/relay/test_poison.py
+++ b/tests/relay/test_poison.py
@@ -92,6 +92,27 @@
             self.assertEqual(contents["a1"], contents["a2"])
             self.assertNotEqual(contents["a1"], contents["a3"])
 
+    @run
+    async def test_log_lines_name_the_prompt_parts_of_lost_requests(self):
+        """Operators see engines end under requests that share nothing but a prompt part."""
+        async with Deployment(engines=ENGINES) as found:
+            for runner in found.engines.values():
+                runner.fatal_parts = {"bad"}
+            for number in range(3):
+                parts = f"s{number}:300,bad:200,t{number}:100"
+                await found.send(
+                    "/once/", f"a{number}", "m0", body=b"%d" % number, x_prompt_prefix=parts
+                )
+            events = found.hosts[0].ctx.timeline.select(ALL)
+            lost = [event.detail for event in events if event.name == "send_lost"]
+            sent = [event.detail for event in events if event.name == "sent"]
+            for number in range(3):
+                self.assertTrue(lost[number].endswith(f"parts s{number} bad"), lost[number])
+                self.assertTrue(sent[number].endswith(f"parts s{number} bad"), sent[number])
+            read = found.hosts[0].ctx.metrics.registry.get_sample_value
+            name = "peridotdock_broken_answers_total"
+            self.assertEqual(3, read(name, {"begun": "nothing"}))
+
 
 class ManyHostsTest(unittest.TestCase):
     """Streams of all callers break off every second or two, for half a minute.
