Show that a prompt part ends engine after engine

Four real hosts and five engines that are back 1 s after a crash. Requests of which no two are alike share one prompt part, which ends each engine that begins an answer on it.

--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -179,6 +179,16 @@
             host = await self.add_host(f"{prefix}{number}", seeds)
             seeds = (host.settings.listen.peers,)
 
+    async def replace_host(self, place):
+        """Start a host at another address in place of one that is stopped."""
+        old = self.hosts.pop(place)
+        await old.stop()
+        seeds = tuple(host.settings.listen.peers for host in self.hosts)
+        host = await self.add_host(f"{old.settings.host}r", seeds)
+        self.hosts.remove(host)
+        await self.until(lambda: host.request_handler.deployment)
+        self.hosts.insert(place, host)
+
     async def add_host(self, name, seeds):
         listen = Listen(*(free_address() for _ in range(5)))
         settings = HostSettings(
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -26,7 +26,8 @@
 machine that does not run: requests, reports, orders and the rest of answers. Connections stay open,
 and what was held goes on afterwards.
 
-Records: ``requests`` received; ids of attempts ``executed``, and ``disconnected`` by the caller;
+Records: ``requests`` received; ids of attempts ``executed``, ``disconnected`` by the caller, and
+``fatal``, by their prompt part;
 ``connection_count``; ``call_times`` of all requests, with reports and orders; ``request_times``:
 the same times with the attempt ids; ``refusals``: time, attempt id, ``retry_after`` and peer port;
 ``max_models_held`` at once; ``spoilt``: ids of attempts that met a behavior other than ``serve``
@@ -80,6 +81,7 @@
         self.fatal_parts = set()
         self.fatal_head = ""
         self.unframed = False
+        self.fatal = []
         self.crashed = False
         self.room = math.inf
         self.slots = 8
@@ -302,6 +304,7 @@
             signed["x-response-signature"] = f"by {self.name}"
             writer.write(stream_head(signed, self.fatal_head))
         if not self.crashed:
+            self.fatal.append(attempt)
             self.crash()
         return False
 
