Show that an answer without framing counts as whole where its endpoint ends

An engine that ends closes its connections. A caller gets 200 without an event, 2 of 6 events or an empty body as a whole answer, and the request is cleared of what it should be blamed for.

--- a/tests/relay/test_endings.py
+++ b/tests/relay/test_endings.py
@@ -9,6 +9,8 @@
 
 from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
 from peridotdock.errors import Kind, failed
+from tests.relay.deployment import Deployment
+from tests.relay.test_relay import run
 
 HEAD = b"HTTP/1.1 200 OK\r\nx-attempt-id: a1\r\n"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -84,3 +86,55 @@
             self.assertEqual(Kind.ANSWER_CUT, found.kind)
         else:
             self.assertEqual(expected, found, name)
+
+
+class UnframedAnswerTest(unittest.TestCase):
+    """An answer with neither length nor chunks ends with its connection, as does its endpoint.
+
+    An engine that ends closes its connections like one that has written its answer, so a caller
+    gets a stream without an event, or with some of its events, as a whole one.
+    """
+
+    def deployment(self):
+        engines = tuple((f"e{number}", ("m0",)) for number in range(2))
+        found = Deployment(engines=engines, pages=("p0", "p1"))
+        for runner in (*found.engines.values(), *found.pages.values()):
+            runner.unframed = True
+        return found
+
+    @params(("a stream", "/recap/", "m0"), ("a plain answer", "/fetch/", ""))
+    @run
+    async def test_the_head_of_an_answer_is_no_answer(self, name, path, model):
+        async with self.deployment() as found:
+            for runner in (*found.engines.values(), *found.pages.values()):
+                runner.fatal_parts, runner.fatal_head = {"bad"}, "unframed"
+            status, _, _ = await found.send(path, "a1", model, x_prompt_prefix="bad:300,last:100")
+            self.assertNotEqual(200, status)
+
+    @run
+    async def test_a_stream_that_ends_with_its_engine_is_not_whole(self):
+        async with self.deployment() as found:
+            for runner in found.engines.values():
+                runner.halfway_event = asyncio.Event()
+            asking = asyncio.create_task(found.send("/recap/", "a1", "m0"))
+            runners = found.engines.values()
+            await found.until(lambda: any(runner.executed for runner in runners))
+            await asyncio.sleep(0.3)
+            for runner in runners:
+                if runner.executed:
+                    runner.crash()
+                runner.halfway_event.set()
+            status, _, body = await asking
+            self.assertTrue(status == 0 or body.count(b"id: ") == 6, body)
+
+    @params(("a stream", "/recap/", "m0", 6), ("a plain answer", "/fetch/", "", 0))
+    @run
+    async def test_an_answer_of_an_endpoint_that_lives_is_whole(self, name, path, model, events):
+        async with self.deployment() as found:
+            status, _, body = await found.send(path, "a1", model)
+            self.assertEqual((200, events), (status, body.count(b"id: ")))
+            self.assertEqual(
+                1,
+                sum(len(row.executed) for row in found.engines.values())
+                + sum(len(row.executed) for row in found.pages.values()),
+            )
