Take an answer without framing as whole only if its endpoint still listens

Callers got 200 without an event, some of the events or an empty body as a whole answer where an engine crashed in an answer with neither length nor chunks. Cause: a process that ends closes its connections cleanly, as the end of such an answer does. The answer then also cleared the request of ends that it had caused.

An answer of this kind is whole if its connection was closed cleanly and a new connection to the endpoint can be opened, or the endpoint has announced that it leaves. A process that ends closes its listener with its connections and is back seconds later. A new stream of this kind without an event is broken off in any case. Answers with a length or chunks cost nothing more.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -24,6 +24,7 @@
     Pool,
     Withdrawn,
     always,
+    never,
     read_retry_after,
     send_once,
 )
@@ -104,7 +105,9 @@
 
     ``at_most_once`` disables the HTTP library's own retry. ``connect_timeout`` is the limit for
     opening a new connection, in seconds. ``still_wanted`` is called once there is a connection; the
-    request is sent only if it returns true.
+    request is sent only if it returns true. ``may_stop`` tells whether the endpoint may stop
+    listening once it has answered; otherwise an answer that ends with its connection is complete
+    only if the endpoint still listens.
     """
 
     method: str
@@ -114,6 +117,7 @@
     at_most_once: bool
     connect_timeout: float = CONNECT_TIMEOUT_SECONDS
     still_wanted: Callable[[], bool] = always
+    may_stop: Callable[[], bool] = never
 
 
 @dataclass(frozen=True)
@@ -130,17 +134,21 @@
     It must be released. Its connection is reused only if the answer was read to its end.
     """
 
-    def __init__(self, resp: ConnectionAwareResponse, stack: AsyncExitStack):
+    def __init__(
+        self, resp: ConnectionAwareResponse, stack: AsyncExitStack, may_stop: Callable[[], bool]
+    ):
         self._resp = resp
         self._stack = stack
+        self._may_stop = may_stop
+        self.framed = resp.framed
         self.status = resp.status
         self.headers = resp.headers
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes, empty at the end. Raises the errors in :data:`TRANSFER_ERRORS`."""
         part = await self._resp.content.readany()
-        if not part and not await self._resp.is_complete():
-            raise aiohttp.ClientPayloadError("connection was reset before the end of the answer")
+        if not part and not await self._resp.is_complete(self._may_stop):
+            raise aiohttp.ClientPayloadError("connection ended before the end of the answer")
         return part
 
     def abort(self) -> None:
@@ -238,7 +246,7 @@
             return Failure(
                 Kind.ENDPOINT_REFUSED, retry_after=read_retry_after(resp.headers) or None
             )
-        return OpenResponse(resp, stack)
+        return OpenResponse(resp, stack, call.may_stop)
 
     async def control_call(
         self,
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -77,6 +77,7 @@
 
     Failure guarded against: a response without a length ends when its connection closes, and
     aiohttp treats a reset as that end too. A truncated answer would be relayed as a complete one.
+    A process that crashes also closes its connections cleanly; then nothing listens any more.
     """
 
     connection_closed: asyncio.Future[None] | None = None
@@ -89,15 +90,26 @@
         await super().start(connection)
         return self
 
-    async def is_complete(self) -> bool:
-        """Return whether the answer is complete; call it after the end was read."""
-        framed = "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
-        if framed or self.method == "HEAD":
+    @property
+    def framed(self) -> bool:
+        """Whether the end of the body is marked by something other than the connection's end."""
+        named = "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+        return named or self.method == "HEAD"
+
+    async def is_complete(self, may_stop: Callable[[], bool]) -> bool:
+        """Return whether the answer is complete; call it after the end was read.
+
+        ``may_stop`` tells whether the server may stop listening once it has answered.
+        """
+        if self.framed:
             return True
         if self.connection_closed is None:
             return False
         await asyncio.wait({self.connection_closed}, timeout=CONNECT_TIMEOUT_SECONDS)
-        return self.connection_closed.done() and self.connection_closed.exception() is None
+        if not self.connection_closed.done() or self.connection_closed.exception() is not None:
+            return False
+        address = f"{self.url.host}:{self.url.port}"
+        return may_stop() or await can_connect(address, CONNECT_TIMEOUT_SECONDS)
 
 
 class Withdrawn(aiohttp.ClientError):
@@ -109,6 +121,11 @@
     return True
 
 
+def never() -> bool:
+    """Return False."""
+    return False
+
+
 # Called when a request has its connection, right before its first byte is sent.
 STILL_WANTED: ContextVar[Callable[[], bool]] = ContextVar("STILL_WANTED", default=always)
 
--- a/peridotdock/relay/attempt.py
+++ b/peridotdock/relay/attempt.py
@@ -147,6 +147,11 @@
             return Failure(Kind.ANSWER_CUT, "ended in the middle of an event")
         return None
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether the stream has ended without an event, and nothing but its connection's end."""
+        return self.ended and not self.ready and not self.opened.framed
+
     def pop_ready(self) -> list[StreamEvent]:
         """Return the ready events and remove them."""
         ready, self.ready = self.ready, []
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -111,6 +111,7 @@
             at_most_once=True,
             connect_timeout=connect_timeout(remaining),
             still_wanted=state.accepts_requests,
+            may_stop=lambda: state.leaving,
         )
         sent_at, software = self._clock.monotonic(), state.entry.software
         work = self._endpoints.open(f"http://{state.entry.address}", call)
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -176,7 +176,7 @@
         if not failed(found):
             if not begins_stream(req, found):
                 replacement.stop_timer()
-            found = await self._read(req, caller, progress.service, found)
+            found = await self._read(req, caller, progress, found)
             if failed(found) and not caller.is_disconnected():
                 self._forwarder.record_lost(req, host.fact.host, found)
         if replacement.found is not None:
@@ -389,7 +389,7 @@
         sent = await self.sender.send(req, state, caller, choose_priority(req), resume)
         if not failed(sent) and not begins_stream(req, sent):
             replacement.stop_timer()
-        found = sent if failed(sent) else await self._read(req, caller, progress.service, sent)
+        found = sent if failed(sent) else await self._read(req, caller, progress, sent)
         if replacement.found is not None:
             # The other endpoint was first, and its software version is bound.
             await self.discard(req, progress, found)
@@ -438,7 +438,7 @@
         )
 
     async def _read(
-        self, req: RelayRequest, caller: SendCaller, service: str, sent: PendingAnswer
+        self, req: RelayRequest, caller: SendCaller, progress: Progress, sent: PendingAnswer
     ) -> CompleteAnswer | StreamSource | Failure:
         """Read a complete answer, or a stream up to its first events."""
         remaining = req.deadline - self.ctx.clock.monotonic()
@@ -447,6 +447,9 @@
                 sent.state, sent.head, sent.opened, caller, sent.software, sent.endpoint
             )
             failure = await source.fill(remaining)
+            new = not req.head.resume_after and progress.last_id is None
+            if failure is None and new and source.is_empty:
+                failure = Failure(Kind.ANSWER_CUT, "ended before the first event")
             if failure is not None:
                 await source.close()
                 return failure
@@ -460,7 +463,7 @@
             await sent.opened.release()
         if failed(body):
             return body
-        self.fleet.request_ended(sent.state, req.id, service, complete=True)
+        self.fleet.request_ended(sent.state, req.id, progress.service, complete=True)
         if sent.head.status in SUCCESS:
             self.blocklist.record_answer(req)
         return CompleteAnswer(sent.state, sent.head, body)
--- a/tests/relay/test_endings.py
+++ b/tests/relay/test_endings.py
@@ -138,3 +138,19 @@
                 sum(len(row.executed) for row in found.engines.values())
                 + sum(len(row.executed) for row in found.pages.values()),
             )
+
+    @run
+    async def test_the_last_answer_of_a_leaving_endpoint_is_whole(self):
+        """Guards against a planned stop that breaks answers: the endpoint listens no more."""
+        async with self.deployment() as found:
+            for runner in found.engines.values():
+                runner.halfway_event = asyncio.Event()
+            asking = asyncio.create_task(found.send("/once/", "a1", "m0"))
+            runners = found.engines.values()
+            await found.until(lambda: any(runner.executed for runner in runners))
+            for runner in runners:
+                found.hosts[0].fleet.states[runner.name].announced_leaving = True
+                runner.stop_listening()
+                runner.halfway_event.set()
+            status, _, body = await asking
+            self.assertEqual((200, 6), (status, body.count(b"id: ")))
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -124,6 +124,10 @@
         self.crashed = False
         self.on_change()
 
+    def stop_listening(self):
+        """Accept no more connections, and go on with those that are open."""
+        self._server.close()
+
     def abort_connections(self):
         """Reset all connections, as a device between them does, and go on."""
         for writer in self._writers:
