--- a/peridotdock/relay/requests.py
+++ b/peridotdock/relay/requests.py
@@ -9,6 +9,9 @@
 from peridotdock.requests import hash_content
 from peridotdock.workspaces import Workspace
 
+# Longer ids of prompt parts are hashed where hosts tell them to each other.
+MAX_PART_ID = 32
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -115,6 +118,16 @@
         item = f"{inference.model}/{inference.adapter}" if inference is not None else ""
         return hash_content(self.body, self.head.host, self.method, self.target, item)
 
+    @property
+    def part_ids(self) -> tuple[str, ...]:
+        """Return the ids of the prompt's parts that other requests may share, all but the last."""
+        inference = self.head.inference
+        parts = inference.parts[:-1] if inference is not None else ()
+        return tuple(
+            part.id if len(part.id) <= MAX_PART_ID else hash_content(part.id.encode())
+            for part in parts
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class LoadedModel:
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -1,6 +1,5 @@
 """Sends a request to one endpoint and waits for the head of its answer."""
 
-import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any, Self, TypeVar
@@ -100,11 +99,12 @@
         caller: Caller,
         priority: int,
         resume_after: str,
-        valid_until: float = math.inf,
+        still_wanted: Callable[[], bool],
     ) -> PendingAnswer | Failure:
         """Send, and wait for the head of the answer until the deadline.
 
-        The request is not sent after ``valid_until`` (monotonic seconds).
+        ``still_wanted`` is called once there is a connection; the request is sent only if it
+        returns true.
         """
         remaining = req.deadline - self._clock.monotonic()
         options = SendOptions(state.key, remaining, priority, resume_after)
@@ -115,9 +115,8 @@
             req.body,
             at_most_once=True,
             connect_timeout=connect_timeout(remaining),
-            still_wanted=lambda: (
-                state.accepts_requests() and self._clock.monotonic() <= valid_until
-            ),
+            still_wanted=still_wanted,
+            may_stop=lambda: state.leaving,
         )
         sent_at = self._clock.monotonic()
         software = None if state.superseded else state.entry.software
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -45,6 +45,8 @@
 FIRST_EVENT_TIMEOUT_SECONDS = 0.8
 # Failures that may come from this host's own link to the endpoint.
 LOST_KINDS = frozenset({Kind.ENDPOINT_UNREACHABLE, Kind.ENDPOINT_LOST, Kind.ANSWER_CUT})
+# Failures of sends that reached no endpoint.
+NOT_SENT_KINDS = frozenset({Kind.ENDPOINT_UNREACHABLE, Kind.BLOCKED})
 # Retry-after in seconds of a request that needs a retry when none is left: others that were refused
 # with it return within this time.
 NO_RETRY_SECONDS = 1.0
@@ -402,7 +404,7 @@
         valid_until = math.inf
         if needs_software(req, progress):
             valid_until = started_at + CHECKED_SECONDS
-        sent = await self.sender.send(req, state, caller, choose_priority(req), resume, valid_until)
+        sent = await self._send(req, state, caller, resume, valid_until)
         if not failed(sent) and not begins_stream(req, sent):
             replacement.stop_timer()
         found = sent if failed(sent) else await self._read(req, caller, progress, sent)
@@ -424,6 +426,28 @@
         self.fleet.request_ended(state, req.id, progress.service, complete=False)
         return await replacement.take() or found
 
+    async def _send(
+        self,
+        req: RelayRequest,
+        state: EndpointState,
+        caller: SendCaller,
+        resume: str,
+        valid_until: float,
+    ) -> PendingAnswer | Failure:
+        """Send to an endpoint, unless the request is blocked while the connection is opened.
+
+        It is not sent after ``valid_until`` (monotonic seconds) either.
+        """
+
+        def is_wanted() -> bool:
+            late = self.ctx.clock.monotonic() > valid_until
+            return state.accepts_requests() and not late and self.blocklist.refusal(req) is None
+
+        sent = await self.sender.send(req, state, caller, choose_priority(req), resume, is_wanted)
+        if failed(sent) and sent.kind is Kind.ENDPOINT_UNREACHABLE:
+            return self.blocklist.refusal(req) or sent
+        return sent
+
     def _log_send(self, req: RelayRequest, progress: Progress, prediction: Prediction) -> None:
         """Log the chosen endpoint and the state by which it was chosen."""
         chosen, inference = prediction.candidate, req.head.inference
@@ -436,7 +460,8 @@
             f"{chosen.running} running, {chosen.queued_tokens} tokens ahead, "
             f"{inference.prompt_tokens if inference else 0} to read, {chosen.cached_tokens} cached"
             f"{', preferred' if chosen.preferred else ''}, {chosen.slowness:.2f} times slower, "
-            f"software {self.fleet.states[chosen.key].entry.software}",
+            f"software {self.fleet.states[chosen.key].entry.software}, "
+            f"parts {' '.join(req.part_ids)}",
         )
 
     def _log_first_event(self, req: RelayRequest, state: EndpointState, started_at: float) -> None:
@@ -504,6 +529,9 @@
         check = self._begin_check(req, progress, source)
         try:
             failure = await source.fill(req.deadline - self.ctx.clock.monotonic())
+            new = not req.head.resume_after and progress.last_id is None
+            if failure is None and new and source.is_empty:
+                failure = Failure(Kind.ANSWER_CUT, "ended before the first event")
             if failure is not None:
                 await source.close()
                 return failure
@@ -575,6 +603,28 @@
             state.health.record_overdue(now)
             self.on_lost(state.key)
 
+    def record_streaming(self, req: RelayRequest, source: StreamSource) -> None:
+        """Record that a stream goes on, which shows that its prompt's parts are harmless.
+
+        It is recorded once after each end of an endpoint.
+        """
+        if source.recorded == self.blocklist.revision:
+            return
+        if self.ctx.clock.monotonic() - source.started_at >= BLAMELESS_STREAM_SECONDS:
+            source.recorded = self.blocklist.revision
+            self.blocklist.record_streaming(req)
+
+    def record_lost_stream(
+        self, req: RelayRequest, source: StreamSource, progress: Progress, found: Failure
+    ) -> None:
+        """Record that a stream was lost, and what that tells of its prompt's parts."""
+        streamed = self.ctx.clock.monotonic() - source.started_at
+        last = progress.last_event_at
+        since_first = last - source.started_at if last is not None else 0.0
+        if connection_broke(found) and since_first >= BLAMELESS_STREAM_SECONDS:
+            self.blocklist.record_lost_stream(req)
+        self.record_loss(req, source.state, found, streamed)
+
     def record_loss(
         self, req: RelayRequest, state: EndpointState, found: Failure, streamed: float | None = None
     ) -> None:
@@ -601,8 +651,11 @@
         just_begun = streamed is None or streamed < BLAMELESS_STREAM_SECONDS
         if found.kind in LOST_KINDS:
             self.on_lost(state.key)
-        if connection_broke(found) and just_begun:
-            self.blocklist.record_end(req, state.start)
+        if connection_broke(found):
+            begun = "nothing" if streamed is None else "start" if just_begun else "stream"
+            self.ctx.metrics.broken_answers.labels(begun).inc()
+            if just_begun:
+                self.blocklist.record_end(req, state.start)
         self.ctx.timeline.add(
             "send_lost",
             found.answer.level,
@@ -629,7 +682,7 @@
 
 def has_arrived(found: CompleteAnswer | StreamSource | Failure) -> bool:
     """Return whether a send with this result may have reached an endpoint."""
-    return not failed(found) or found.kind is not Kind.ENDPOINT_UNREACHABLE
+    return not failed(found) or found.kind not in NOT_SENT_KINDS
 
 
 def bind_software(progress: Progress, found: StreamSource) -> None:
@@ -659,13 +712,14 @@
 def describe_broken(req: RelayRequest, found: Failure, streamed: float | None) -> str:
     """Return log details of a broken-off answer, to find a request that crashes endpoints.
 
-    The content id is the same in all attempts at one request. A request that crashes its endpoint
-    as it starts to run has no event yet; others on that endpoint have streamed for a while.
+    The content id is the same in all attempts at one request, and a prompt part in all requests
+    that hold it. A request that crashes its endpoint as it starts to run has no event yet; others
+    on that endpoint have streamed for a while.
     """
     if not connection_broke(found):
         return ""
     since = "no event" if streamed is None else f"streamed for {streamed:.3f} s"
-    return f", content {req.content_id}, {since}"
+    return f", content {req.content_id}, {since}, parts {' '.join(req.part_ids)}"
 
 
 def choose_priority(req: RelayRequest) -> int:
