Block prompt parts that end engine after engine

Cause: blame went to the content id, a hash of the whole request, so a part that such requests share never came to three ends.

Hosts now record at each end the prompt parts, the last one aside, of the requests that an engine had just begun, beside their contents, and judge both by the same rule. What speaks for a part is each request that holds it and was answered, has streamed for 0.3 s since the end, or had done so when an end broke it off, at any host. So the first part, which is at every end too, is cleared within moments. Where nothing tells harmless parts from a bad one, all are in doubt, and only a request that holds none of the others is tried. A request that is blocked while its connection is opened is not sent, and a host that starts reads the stored row. Without an end nothing is recorded.

--- a/peridotdock/blocklist_store.py
+++ b/peridotdock/blocklist_store.py
@@ -2,7 +2,8 @@
 
 Failure guarded against: all hosts lose power at once, and a request that ended three engines before
 arrives again. Hosts have no persistent state, so it would end three more. The cost is one row,
-written when a request is newly blocked and read by each host that becomes the writer.
+written when a request or a prompt part is newly blocked and read by each host that becomes the
+writer, and by each host that starts: the hosts that saw the ends may be gone by then.
 """
 
 from collections.abc import Callable
@@ -10,10 +11,11 @@
 
 import msgspec
 
-from peridotdock.blocklist import REMEMBERED_SECONDS, Blocklist
+from peridotdock.blocklist import PART_REMEMBERED_SECONDS, Blocklist, causes_of
 from peridotdock.clients.platform import Platform, Transaction, commit_and_resolve
 from peridotdock.clients.versions import ABSENT
 from peridotdock.context import Context
+from peridotdock.decisions.poison import describe
 from peridotdock.errors import failed
 from peridotdock.schema.messages import EndpointEnd
 
@@ -22,6 +24,8 @@
 BLOCKLIST_CHECK_SECONDS = 1.0
 # Newest ends that the row holds, well below the size limit of a row.
 MAX_STORED_ENDS = 200
+# Calls in which a host that starts tries to read the row.
+MAX_READS_AT_START = 3
 # Exceptions that decoding a row written by another version may raise.
 DECODE_ERRORS = (KeyError, TypeError, ValueError, msgspec.ValidationError)
 
@@ -37,9 +41,10 @@
         self._is_writer = is_writer
         self._blocklist = blocklist
         self._has_read = False
+        self._reads_at_start = MAX_READS_AT_START
         self._era = 0
         self._version = ABSENT
-        self._stored_contents: frozenset[str] = frozenset()
+        self._stored_causes: frozenset[str] = frozenset()
 
     async def step(self) -> None:
         """Read the row once after becoming the writer; write it when a request is newly blocked.
@@ -49,14 +54,27 @@
         if not self._is_writer() or self._era != self._store.era.current:
             self._has_read = False
         if not self._is_writer():
+            await self._read_at_start()
             return
         if not self._has_read and not await self._read():
             return
         ends = self._blocklist.ends_of_blocked()
         self._blocklist.adopt(ends)
-        contents = frozenset(content for end in ends for content in end.contents)
-        if contents - self._stored_contents:
-            await self._write(ends, contents)
+        causes = frozenset().union(*map(causes_of, ends))
+        if causes - self._stored_causes:
+            await self._write(ends, causes)
+
+    async def _read_at_start(self) -> None:
+        """Read the row without becoming the host that keeps it."""
+        if not self._reads_at_start:
+            return
+        self._reads_at_start -= 1
+        rows = await self._store.read([BLOCKED_KEY])
+        if failed(rows):
+            return
+        self._reads_at_start = 0
+        row = rows.get(BLOCKED_KEY)
+        self._blocklist.learn(self._decode(row.value) if row else [])
 
     async def _read(self) -> bool:
         rows = await self._store.read([BLOCKED_KEY])
@@ -65,12 +83,13 @@
         row = rows.get(BLOCKED_KEY)
         self._version = row.version if row else ABSENT
         ends = self._decode(row.value) if row else []
-        self._stored_contents = frozenset(content for end in ends for content in end.contents)
+        self._stored_causes = frozenset().union(*map(causes_of, ends))
+        self._reads_at_start = 0
         self._blocklist.adopt(ends)
         self._has_read, self._era = True, self._store.era.current
         return True
 
-    async def _write(self, ends: list[EndpointEnd], contents: frozenset[str]) -> None:
+    async def _write(self, ends: list[EndpointEnd], causes: frozenset[str]) -> None:
         written_at = self._ctx.clock.now().timestamp()
         newest = sorted(ends, key=lambda end: end.age)[:MAX_STORED_ENDS]
         value = {"written_at": written_at, "ends": [asdict(end) for end in newest]}
@@ -81,8 +100,8 @@
             self._has_read = False
             self._ctx.timeline.add("blocked_not_kept", "WARNING", detail=outcome.reason)
             return
-        self._version, self._stored_contents = outcome.version, contents
-        self._ctx.timeline.add("blocked_kept", detail=f"contents {' '.join(sorted(contents))}")
+        self._version, self._stored_causes = outcome.version, causes
+        self._ctx.timeline.add("blocked_kept", detail=", ".join(map(describe, sorted(causes))))
 
     def _decode(self, value: dict) -> list[EndpointEnd]:
         """Return the ends in a row, with their ages corrected by the time of day.
@@ -98,4 +117,4 @@
             self._ctx.timeline.add("rows_refused", "ERROR", detail=detail)
             return []
         ends = [replace(row, age=row.age + passed) for row in rows]
-        return [end for end in ends if end.age < REMEMBERED_SECONDS]
+        return [end for end in ends if end.age < PART_REMEMBERED_SECONDS]
--- a/peridotdock/decisions/poison.py
+++ b/peridotdock/decisions/poison.py
@@ -1,46 +1,94 @@
-"""Finds requests that crash endpoints, by what was running on each when it ended.
+"""Finds what crashes endpoints, by what was running on each when it ended.
 
-Load pattern: one request ends every endpoint that starts it, within a tenth of a second. Its caller
-repeats it every second or two, several attempts at a time, at any host. Up to sixty other requests
-are on each endpoint when it ends; some of them are retried and are on the next one, too.
+A cause is a whole request, by its content id, or a part of a prompt that many requests may hold.
+
+Load patterns: one request ends every endpoint that starts it, within a tenth of a second. Its
+caller repeats it every second or two, several attempts at a time, at any host. Up to sixty other
+requests are on each endpoint when it ends; some of them are retried and are on the next one, too.
+Or requests of which no two are alike share a prompt part that ends every endpoint; they share other
+parts with harmless requests, which are at every end as well.
 """
 
 from collections import Counter
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
 
-# Ended endpoints from which a request is blamed. Two may be a coincidence: a request from a failed
+# Ended endpoints from which a cause is blamed. Two may be a coincidence: a request from a failed
 # endpoint is sent to another, which may fail as well. At each end an engine loses all that it holds
 # and every stream on it, so the bound is as low as certainty allows.
 MIN_CRASHES = 3
+# Ended endpoints from which another prompt part is an explanation too.
+MIN_RIVAL_CRASHES = 2
+# A part's cause is this and its id; a content id consists of hexadecimal digits.
+PART_PREFIX = "part "
 
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """Requests that must not be sent; ``doubtful`` are those of them that may be harmless."""
+    """Causes that must not be sent; ``doubtful`` are those of them that may be harmless.
+
+    ``rivals`` has for each doubtful cause the others that would explain the same ends: a request
+    that holds none of them tells whether the cause is harmless.
+    """
+
+    blocked: frozenset[str] = frozenset()
+    doubtful: frozenset[str] = frozenset()
+    rivals: Mapping[str, frozenset[str]] = field(default_factory=dict)
+
+
+def part_cause(part: str) -> str:
+    """Return the cause that stands for a prompt part."""
+    return PART_PREFIX + part
 
-    blocked: frozenset[str]
-    doubtful: frozenset[str]
+
+def is_part(cause: str) -> bool:
+    """Return whether a cause is a prompt part."""
+    return cause.startswith(PART_PREFIX)
+
+
+def describe(cause: str) -> str:
+    """Return a cause as log lines name it."""
+    return cause if is_part(cause) else f"content {cause}"
 
 
 def find_poison(crashes: Iterable[frozenset[str]]) -> Verdict:
-    """Return the requests that explain why endpoints ended.
+    """Return the causes that explain why endpoints ended.
 
-    ``crashes`` has for each ended endpoint the requests that it had just started. The request with
-    the most ended endpoints is blamed for these, which then count against no other request.
-    Requests with equally many are blocked together; they are doubtful if no endpoint had just one
-    of them. One more ended endpoint, or an answer, tells them apart.
+    ``crashes`` has for each ended endpoint the causes that it had just started. The cause with the
+    most ended endpoints is blamed for these, which then count against no other cause. Causes with
+    equally many are blocked together; they are doubtful if no endpoint had just one of them. One
+    more ended endpoint, or an answer, tells them apart. A part is doubtful too if other parts
+    explain all of its ends: harmless parts are shared by requests that hold different bad ones.
     """
     unexplained = list(crashes)
     blocked: set[str] = set()
-    doubtful: set[str] = set()
+    rivals: dict[str, frozenset[str]] = {}
     while True:
-        counts = Counter(content for end in unexplained for content in end)
+        counts = Counter(cause for end in unexplained for cause in end)
         most = max(counts.values(), default=0)
         if most < MIN_CRASHES:
-            return Verdict(frozenset(blocked), frozenset(doubtful))
-        blamed = {content for content, count in counts.items() if count == most}
+            return Verdict(frozenset(blocked), frozenset(rivals), rivals)
+        blamed = {cause for cause, count in counts.items() if count == most}
         alone = [end & blamed for end in unexplained if len(end & blamed) == 1]
+        doubtful = blamed.difference(*alone)
         blocked |= blamed
-        doubtful |= blamed.difference(*alone)
+        rivals |= {cause: frozenset(blamed - {cause}) for cause in doubtful}
+        for part in filter(is_part, blamed - doubtful):
+            others = find_rivals(part, unexplained, counts)
+            if others:
+                rivals[part] = others
         unexplained = [end for end in unexplained if not end & blamed]
+
+
+def find_rivals(
+    part: str, crashes: Iterable[frozenset[str]], counts: Mapping[str, int]
+) -> frozenset[str]:
+    """Return the other parts that together explain all ends of a part, empty if they don't."""
+    ends = [end for end in crashes if part in end]
+    others = frozenset(
+        other
+        for end in ends
+        for other in end
+        if other != part and is_part(other) and counts[other] >= MIN_RIVAL_CRASHES
+    )
+    return others if all(end & others for end in ends) else frozenset()
--- a/peridotdock/metrics.py
+++ b/peridotdock/metrics.py
@@ -22,6 +22,12 @@
         self.silent_sends = self._counter(
             "silent_sends", "Sends whose endpoint sent nothing for longer than expected."
         )
+        self.blocked = Gauge(
+            "peridotdock_blocked",
+            "Requests and prompt parts that this host does not send, as they end endpoints.",
+            ["kind"],
+            registry=self.registry,
+        )
         self.broken_answers = self._counter(
             "broken_answers",
             "Answers that broke off with the connection to their endpoint, by what had arrived.",
--- a/peridotdock/relay/attempt.py
+++ b/peridotdock/relay/attempt.py
@@ -102,7 +102,8 @@
 
     ``software`` is the version of the endpoint's software when it was sent the request, None if it
     is not known. ``endpoint`` is the endpoint's id, empty if another host did not tell it.
-    ``started_at`` is when the first events arrived (monotonic seconds). The connection is closed
+    ``started_at`` is when the first events arrived (monotonic seconds). ``recorded`` is the block
+    list's revision for which this stream was recorded as one that goes on. The connection is closed
     when ``caller`` disconnects.
     """
 
@@ -116,6 +117,7 @@
     ready: list[StreamEvent] = field(default_factory=list)
     ended: bool = False
     started_at: float = 0.0
+    recorded: int = 0
 
     def __post_init__(self) -> None:
         """Set up what ends the connection: the deadline, or the caller's disconnect."""
--- a/peridotdock/relay/requests.py
+++ b/peridotdock/relay/requests.py
@@ -9,6 +9,9 @@
 from peridotdock.requests import hash_content
 from peridotdock.workspaces import Workspace
 
+# Longer ids of prompt parts are hashed where hosts tell them to each other.
+MAX_PART_ID = 32
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -119,7 +122,11 @@
     def part_ids(self) -> tuple[str, ...]:
         """Return the ids of the prompt's parts that other requests may share, all but the last."""
         inference = self.head.inference
-        return tuple(part.id for part in inference.parts[:-1]) if inference is not None else ()
+        parts = inference.parts[:-1] if inference is not None else ()
+        return tuple(
+            part.id if len(part.id) <= MAX_PART_ID else hash_content(part.id.encode())
+            for part in parts
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -99,8 +99,13 @@
         caller: Caller,
         priority: int,
         resume_after: str,
+        still_wanted: Callable[[], bool],
     ) -> PendingAnswer | Failure:
-        """Send, and wait for the head of the answer until the deadline."""
+        """Send, and wait for the head of the answer until the deadline.
+
+        ``still_wanted`` is called once there is a connection; the request is sent only if it
+        returns true.
+        """
         remaining = req.deadline - self._clock.monotonic()
         options = SendOptions(state.key, remaining, priority, resume_after)
         call = Call(
@@ -110,7 +115,7 @@
             req.body,
             at_most_once=True,
             connect_timeout=connect_timeout(remaining),
-            still_wanted=state.accepts_requests,
+            still_wanted=still_wanted,
             may_stop=lambda: state.leaving,
         )
         sent_at, software = self._clock.monotonic(), state.entry.software
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -43,6 +43,8 @@
 FIRST_EVENT_TIMEOUT_SECONDS = 0.8
 # Failures that may come from this host's own link to the endpoint.
 LOST_KINDS = frozenset({Kind.ENDPOINT_UNREACHABLE, Kind.ENDPOINT_LOST, Kind.ANSWER_CUT})
+# Failures of sends that reached no endpoint.
+NOT_SENT_KINDS = frozenset({Kind.ENDPOINT_UNREACHABLE, Kind.BLOCKED})
 # Retry-after in seconds of a request that needs a retry when none is left: others that were refused
 # with it return within this time.
 NO_RETRY_SECONDS = 1.0
@@ -386,7 +388,7 @@
         if req.route.repeatable:
             replacement.start_timer(first_event_timeout(prediction.seconds))
         resume = req.head.resume_after if progress.last_id is None else str(progress.last_id)
-        sent = await self.sender.send(req, state, caller, choose_priority(req), resume)
+        sent = await self._send(req, state, caller, resume)
         if not failed(sent) and not begins_stream(req, sent):
             replacement.stop_timer()
         found = sent if failed(sent) else await self._read(req, caller, progress, sent)
@@ -409,6 +411,19 @@
         self.fleet.request_ended(state, req.id, progress.service, complete=False)
         return await replacement.take() or found
 
+    async def _send(
+        self, req: RelayRequest, state: EndpointState, caller: SendCaller, resume: str
+    ) -> PendingAnswer | Failure:
+        """Send to an endpoint, unless the request is blocked while the connection is opened."""
+
+        def is_wanted() -> bool:
+            return state.accepts_requests() and self.blocklist.refusal(req) is None
+
+        sent = await self.sender.send(req, state, caller, choose_priority(req), resume, is_wanted)
+        if failed(sent) and sent.kind is Kind.ENDPOINT_UNREACHABLE:
+            return self.blocklist.refusal(req) or sent
+        return sent
+
     def _log_send(self, req: RelayRequest, progress: Progress, prediction: Prediction) -> None:
         """Log the chosen endpoint and the state by which it was chosen."""
         chosen, inference = prediction.candidate, req.head.inference
@@ -513,6 +528,28 @@
             state.health.record_overdue(now)
             self.on_lost(state.key)
 
+    def record_streaming(self, req: RelayRequest, source: StreamSource) -> None:
+        """Record that a stream goes on, which shows that its prompt's parts are harmless.
+
+        It is recorded once after each end of an endpoint.
+        """
+        if source.recorded == self.blocklist.revision:
+            return
+        if self.ctx.clock.monotonic() - source.started_at >= BLAMELESS_STREAM_SECONDS:
+            source.recorded = self.blocklist.revision
+            self.blocklist.record_streaming(req)
+
+    def record_lost_stream(
+        self, req: RelayRequest, source: StreamSource, progress: Progress, found: Failure
+    ) -> None:
+        """Record that a stream was lost, and what that tells of its prompt's parts."""
+        streamed = self.ctx.clock.monotonic() - source.started_at
+        last = progress.last_event_at
+        since_first = last - source.started_at if last is not None else 0.0
+        if connection_broke(found) and since_first >= BLAMELESS_STREAM_SECONDS:
+            self.blocklist.record_lost_stream(req)
+        self.record_loss(req, source.state, found, streamed)
+
     def record_loss(
         self, req: RelayRequest, state: EndpointState, found: Failure, streamed: float | None = None
     ) -> None:
@@ -570,7 +607,7 @@
 
 def has_arrived(found: CompleteAnswer | StreamSource | Failure) -> bool:
     """Return whether a send with this result may have reached an endpoint."""
-    return not failed(found) or found.kind is not Kind.ENDPOINT_UNREACHABLE
+    return not failed(found) or found.kind not in NOT_SENT_KINDS
 
 
 def bind_software(progress: Progress, found: CompleteAnswer | StreamSource | Failure) -> None:
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -101,8 +101,7 @@
                     yield raw
             if outcome is not None:
                 if replacement.found is None:
-                    streamed = service.ctx.clock.monotonic() - source.started_at
-                    service.record_loss(req, source.state, outcome, streamed)
+                    service.record_lost_stream(req, source, progress, outcome)
                 # The send elsewhere may go to this endpoint from now on.
                 service.fleet.request_ended(source.state, req.id, progress.service, complete=False)
                 found = await replacement.take()
@@ -152,6 +151,7 @@
         events = source.pop_ready()
         if events:
             replacement.drop()
+            service.record_streaming(req, source)
             gap = pauses.note(source.state, events[0].id)
             if gap is not None:
                 service.record_gap(source.state, progress.service, gap, len(events))
--- a/peridotdock/requests.py
+++ b/peridotdock/requests.py
@@ -159,6 +159,11 @@
         """
         return hash_content(self.body, self.caller_id, self.path, self.profile.item)
 
+    @property
+    def part_ids(self) -> tuple[str, ...]:
+        """Return nothing: callers of this interface do not name the parts of their prompts."""
+        return ()
+
 
 @dataclass(frozen=True)
 class ServiceRequest:
--- a/peridotdock/schema/messages.py
+++ b/peridotdock/schema/messages.py
@@ -802,6 +802,10 @@
     """
     Content ids of the requests.
     """
+    parts: list[str] = field(default_factory=list)
+    """
+    Ids of the prompt parts of these requests that others may share; hosts of earlier versions do not send them.
+    """
 
 
 @dataclass(frozen=True)
@@ -818,6 +822,10 @@
     """
     Seconds since a request that was in progress at an end was answered, by content id.
     """
+    answered_parts: dict[str, float] = field(default_factory=dict)
+    """
+    Seconds since a request with a prompt part was answered or had streamed for a while, by part; hosts of earlier versions do not send it.
+    """
 
 
 @dataclass(frozen=True)
--- a/peridotdock/trial_calls.py
+++ b/peridotdock/trial_calls.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from peridotdock.context import Context
+from peridotdock.decisions.poison import describe
 from peridotdock.hub_calls import HubCalls
 from peridotdock.loop_iterations import LoopIterations
 from peridotdock.mesh import Mesh, TrialFrame
@@ -53,7 +54,7 @@
 
         reply = await self._calls.call(send)
         if reply is None:
-            detail = f"{coordinator}, on a trial of content {content}"
+            detail = f"{coordinator}, on a trial of {describe(content)}"
             self._ctx.timeline.add("hub_silent", "WARNING", detail=detail)
         return reply is not None and reply.given
 
--- a/peridotdock/trials.py
+++ b/peridotdock/trials.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from peridotdock.context import Context
+from peridotdock.decisions.poison import describe
 
 # Seconds after which a trial without an outcome (an answer or the end of an endpoint) is replaced
 # by the next.
@@ -30,13 +31,16 @@
 class Trials:
     """The trial that this host runs or, as the coordinator, has allowed another host to run.
 
-    ``may_try`` returns whether this host is the coordinator. ``ask`` asks the coordinator for a
-    trial of a content; ``on_dropped`` tells it that the trial has ended without an outcome.
+    ``may_try`` returns whether this host is the coordinator, ``is_due`` whether by what it knows a
+    content or a prompt part may be tried now. ``ask`` asks the coordinator for a
+    trial of a content or a prompt part; ``on_dropped`` tells it that the trial has ended without an
+    outcome.
     """
 
     def __init__(self, ctx: Context, may_try: Callable[[], bool]):
         self._ctx = ctx
         self._may_try = may_try
+        self.is_due: Callable[[str], bool] = lambda content: True
         self.ask: Callable[[str], Awaitable[bool]] = deny
         self.on_dropped: Callable[[str], None] = lambda content: None
         self._req: Any = None
@@ -45,11 +49,14 @@
         self._until = NEVER
         self._ask_at = NEVER
 
-    def allows(self, req: Any) -> bool:
-        """Return whether a request is on trial; as the coordinator, start its trial if possible."""
+    def allows(self, req: Any, cause: str = "") -> bool:
+        """Return whether a request is on trial; as the coordinator, start its trial if possible.
+
+        ``cause`` is what the trial is about: a prompt part, or the content of the request.
+        """
         if self._req is req:
             return True
-        if not self.reserve(req.content_id):
+        if not self.reserve(cause or req.content_id):
             return False
         self._start(req)
         return True
@@ -57,22 +64,23 @@
     def reserve(self, content: str) -> bool:
         """As the coordinator, begin a trial of a content unless another one is in progress."""
         now = self._ctx.clock.monotonic()
-        if now < self._until or not self._may_try():
+        if now < self._until or not self._may_try() or not self.is_due(content):
             return False
         self._begin(content, now)
         return True
 
-    async def request(self, req: Any) -> bool:
+    async def request(self, req: Any, cause: str = "") -> bool:
         """Return whether a request may be sent as a trial, asking the coordinator if needed."""
-        if self.allows(req):
+        cause = cause or req.content_id
+        if self.allows(req, cause):
             return True
         now = self._ctx.clock.monotonic()
         if self._may_try() or now < max(self._until, self._ask_at):
             return False
         self._ask_at = now + ASK_INTERVAL_SECONDS
-        if not await self.ask(req.content_id):
+        if not await self.ask(cause):
             return False
-        self._begin(req.content_id, self._ctx.clock.monotonic())
+        self._begin(cause, self._ctx.clock.monotonic())
         self._start(req)
         return True
 
@@ -95,7 +103,7 @@
 
     def _start(self, req: Any) -> None:
         self._req = req
-        self._ctx.timeline.add("request_tried", detail=f"content {req.content_id}")
+        self._ctx.timeline.add("request_tried", detail=describe(self._content))
 
     def _clear(self) -> None:
         self._req, self._content, self._started_at, self._until = None, "", NEVER, NEVER
--- a/tests/relay/retry_cluster.py
+++ b/tests/relay/retry_cluster.py
@@ -181,7 +181,7 @@
         progress = host.service.choose_service(ROUTE)
         await host.service.open_answer(req, Caller(), progress)
 
-    async def send(self, req, state, caller, priority, resume_after):
+    async def send(self, req, state, caller, priority, resume_after, still_wanted):
         """Refuse a request at the endpoint, once that reads it, or end it without a retry."""
         await asyncio.sleep(LINK_SECONDS)
         while self.silent(self.now()):
--- a/tests/relay/test_poison.py
+++ b/tests/relay/test_poison.py
@@ -199,7 +199,7 @@
         """
         pages = tuple(f"p{number}" for number in range(6))
         page = SimpleNamespace(
-            content_id=hash_content(b"page", "shop.example", "POST", "/fetch/", "")
+            content_id=hash_content(b"page", "shop.example", "POST", "/fetch/", ""), part_ids=()
         )
         async with Deployment(pages=pages) as found:
             for runner in found.pages.values():
@@ -233,7 +233,9 @@
                     content = hash_content(body, "shop.example", "POST", "/fetch/", "")
                     start = EndpointStart(name, str(found.pages[name].started_ms))
                     for host in found.hosts:
-                        host.blocklist.record_end(SimpleNamespace(content_id=content), start)
+                        host.blocklist.record_end(
+                            SimpleNamespace(content_id=content, part_ids=()), start
+                        )
             for host in found.hosts:
                 host.blocklist._has_ended = lambda start, at: True
             others = [place for place, host in enumerate(found.hosts) if not host.peers.is_hub()]
@@ -266,6 +268,9 @@
             host.blocklist.refusal = refusal
             status, _, _ = await waiting
             self.assertEqual((503, 3), (status, len(ended())))
+            events = host.ctx.timeline.select(ALL)
+            sent = [row.endpoint for row in events if (row.name, row.request) == ("sent", "waits")]
+            self.assertNotIn("e9", sent)
 
 
 class FindPoisonTest(unittest.TestCase):
@@ -338,7 +343,7 @@
         return found
 
     def ask(self, content):
-        return SimpleNamespace(content_id=content)
+        return SimpleNamespace(content_id=content, part_ids=())
 
     def end(self, host, *names, contents=("p",)):
         for name in names:
@@ -445,7 +450,7 @@
         self.clock = FakeClock()
         self.coordinator = Trials(make_ctx(self.clock, "h0"), lambda: True)
         self.hosts = [self.host(name) for name in ("h1", "h2")]
-        self.page = SimpleNamespace(content_id="page")
+        self.page = SimpleNamespace(content_id="page", part_ids=())
 
     def host(self, name):
         async def ask(content):
@@ -460,19 +465,19 @@
         first, second = self.hosts
         self.assertTrue(await first.request(self.page))
         self.assertTrue(first.allows(self.page))
-        self.assertFalse(await second.request(SimpleNamespace(content_id="page")))
-        self.assertFalse(self.coordinator.allows(SimpleNamespace(content_id="other")))
+        self.assertFalse(await second.request(SimpleNamespace(content_id="page", part_ids=())))
+        self.assertFalse(self.coordinator.allows(SimpleNamespace(content_id="other", part_ids=())))
         self.clock.advance(TRIAL_SECONDS)
-        self.assertTrue(await second.request(SimpleNamespace(content_id="page")))
+        self.assertTrue(await second.request(SimpleNamespace(content_id="page", part_ids=())))
 
     async def test_a_trial_without_an_outcome_makes_room_for_the_next(self):
         """Guards against seconds of refusals after a trial that found no endpoint."""
         first, second = self.hosts
         await first.request(self.page)
-        first.drop(SimpleNamespace(content_id="page"))
+        first.drop(SimpleNamespace(content_id="page", part_ids=()))
         self.assertFalse(self.coordinator.reserve("other"))
         first.drop(self.page)
-        self.assertTrue(await second.request(SimpleNamespace(content_id="other")))
+        self.assertTrue(await second.request(SimpleNamespace(content_id="other", part_ids=())))
 
     async def test_an_outcome_at_another_host_ends_the_trial(self):
         first, second = self.hosts
@@ -529,7 +534,9 @@
 
     def end(self, blocklist, *names, content="p"):
         for name in names:
-            blocklist.record_end(SimpleNamespace(content_id=content), EndpointStart(name, ""))
+            blocklist.record_end(
+                SimpleNamespace(content_id=content, part_ids=()), EndpointStart(name, "")
+            )
 
     async def test_the_next_writer_reads_the_stored_ends_with_their_age(self):
         blocklist, blocklist_store = self.host("h0")
@@ -538,7 +545,7 @@
         self.clock.advance(100)
         blocklist, blocklist_store = self.host("h1")
         await blocklist_store.step()
-        refusal = blocklist.refusal(SimpleNamespace(content_id="p"))
+        refusal = blocklist.refusal(SimpleNamespace(content_id="p", part_ids=()))
         self.assertAlmostEqual(BLOCKED_SECONDS - 100, refusal.retry_after)
 
     async def test_it_writes_once_for_each_request_and_only_as_the_writer(self):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -364,7 +364,7 @@
         async with Cluster(engines=1, hosts=1, services=0, models=1, adapters=0) as cluster:
             host = cluster.hosts[0].host
             host.membership.set_state("leaving")
-            asks = [SimpleNamespace(content_id=content) for content in ("p", "x")]
+            asks = [SimpleNamespace(content_id=content, part_ids=()) for content in ("p", "x")]
             for number in range(3):
                 for ask in asks:
                     host.blocklist.record_end(ask, EndpointStart(f"gone{number}", ""))
