Let engines start again at another software version in the soak

Cause: streams went on at another version where an engine had started again under its id and address and its entry told so about a second later. The soak's engines kept their version for as long as they had their id.

Change: in every second seed of two versions (multiples of 26) engines start again one after the other at the other version, with their models: connections end, nothing listens for up to 0.4 s, and the entry tells of version and start a second after that. Events name the start that wrote them. A stream counts once, with all tries of its caller; more than two of two versions fail such a seed, one fails any other, as before. Attempts that resume a stream are grouped with the one that they name, so what was found is found still. Limits, rests and draining that engines announce are left out of these seeds: a new start isn't bound by what the one before it announced. Seeds 52 and 208 lose those; 13 keeps them.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -25,6 +25,7 @@
 from extras.soak.proxy import Proxy
 from extras.soak.quotas import LOADS, describe_workspaces, load_workspaces
 from extras.soak.silences import silence_in_series
+from extras.soak.updates import update_in_series
 from tests.standins.runner import EVENTS_PER_STREAM, FALL_SECONDS, RunnerStandin
 
 CALLER_COUNT = 8
@@ -42,6 +43,8 @@
 PROBE_COUNT = 40
 # Seconds within which a change must be in force on all hosts, and the requests that each then gets.
 CHANGE_SECONDS = 2.0
+# Streams that may have events of two software versions where an entry tells of a new one late.
+MIXED_WITH_UPDATES = 2
 REQUESTS_AFTER_CHANGE = 4
 UNKNOWN_ROUTE = 404
 
@@ -117,6 +120,10 @@
             work.append(silence_in_series(deployment, seconds, rng))
         if plan.versioned:
             work.append(deployment.cut_streams(plan.seconds - MAX_FAULT_SECONDS))
+        if plan.updated:
+            record.allowed_mixed = MIXED_WITH_UPDATES
+            rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
+            work.append(update_in_series(deployment, seconds, rng))
         if plan.silent or plan.versioned:
             deployment.slow_streams(SLOW_EVENT_SECONDS)
             work += [
@@ -187,11 +194,11 @@
         for attempt_id, name in host.read_forwarded():
             record.forwarded.setdefault(attempt_id, set()).add(name)
     record.limited_endpoints = deployment.limited_endpoints
+    record.software = deployment.software
     links = deployment.links | deployment.closed_links
     for runner in (*deployment.engines, *deployment.pages, *deployment.stopped_runners):
         record.falls += [(at - started_at, runner.name) for at in runner.fall_times]
         record.ran += runner.executed
-        record.software[runner.name] = runner.software
         record.orders[runner.name] = runner.orders
         record.max_held[runner.name] = runner.max_models_held
         draining_from = deployment.draining_from.get(runner.name, math.inf)
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -205,8 +205,9 @@
     restore of the store that a host did not follow in time. ``host_ends`` are the times by host
     process from which it may end requests: it was killed, or its grace period was over.
     ``forwarded`` are the hosts by attempt that other hosts forwarded it to, ``software`` the
-    versions of endpoints by name. ``falls`` are the times and names of endpoints that fell over,
-    ``brittle_since`` when they began to announce that they may.
+    versions of endpoints by the name in their events, of which ``allowed_mixed`` streams may have
+    two. ``falls`` are the times and names of endpoints that fell over, ``brittle_since`` when they
+    began to announce that they may.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -224,6 +225,7 @@
     forwarded: dict[str, set[str]] = field(default_factory=dict)
     loads: Sequence[WorkspaceLoad] = ()
     software: dict[str, str] = field(default_factory=dict)
+    allowed_mixed: int = 0
     falls: list[tuple[float, str]] = field(default_factory=list)
     brittle_since: float = math.inf
 
@@ -552,21 +554,26 @@
 
 
 def check_software(record: Record) -> Iterable[str]:
-    """A stream has events of endpoints of two software versions.
+    """More streams than allowed have events of endpoints of two software versions.
 
     A stream that a caller resumes goes on with the events of the attempt that it names.
     """
-    attempts = {attempt.id: attempt for attempt in record.attempts}
+    tries: dict[str, list[Attempt]] = {}
     for attempt in record.attempts:
-        if attempt.status != SUCCESS or attempt.route not in MODEL_ROUTES:
-            continue
-        sources = attempt.event_sources
-        earlier = attempts.get(attempt.resumes)
-        resumed = earlier.event_sources if earlier is not None else set()
-        versions = {record.software.get(name, "") for name in sources | resumed}
-        if len(versions) > 1:
-            began = f", resuming {attempt.resumes} of {sorted(resumed)}" if resumed else ""
-            yield f"{attempt.id}: events of {sorted(sources)}{began}, versions {sorted(versions)}"
+        if attempt.status == SUCCESS and attempt.route in MODEL_ROUTES:
+            tries.setdefault(attempt.resumes or attempt.id, []).append(attempt)
+    mixed = [line for rows in tries.values() for line in describe_mixed(record, rows)]
+    if len(mixed) > record.allowed_mixed:
+        yield f"{len(mixed)} of {len(tries)} streams have events of two software versions"
+        yield from mixed
+
+
+def describe_mixed(record: Record, tries: Sequence[Attempt]) -> Iterable[str]:
+    """Yield a line for a stream, given all tries of its caller, if it has two software versions."""
+    versions = {record.software.get(name, "") for row in tries for name in row.event_sources}
+    if len(versions) > 1:
+        sources = [f"{row.id} from {sorted(row.event_sources)}" for row in tries]
+        yield f"{', then '.join(sources)}: versions {sorted(versions)}"
 
 
 def check_changes(record: Record) -> Iterable[str]:
--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -204,6 +204,9 @@
         self.closed_links: dict[str, Proxy] = {}
         self.routes = list(ROUTES)
         self.versions: Sequence[str] = ()
+        # Software versions by the name in events, and endpoints whose changes no entry tells yet.
+        self.software: dict[str, str] = {}
+        self.unannounced: set[str] = set()
         self.workspaces: Sequence[Mapping[str, Any]] = ()
         self.version = 1
         self.crash_times: list[float] = []
@@ -265,6 +268,7 @@
         runner = await RunnerStandin(f"{service}-{number}", models).start()
         if self.versions:
             runner.software = self.versions[number % len(self.versions)]
+        self.software[runner.source] = runner.software
         runner.fatal_bodies = {POISON_BODY}
         runner.on_crash = lambda: self._on_crash(runner)
         runner.delay_seconds = EVENT_SECONDS if service == "engines" else PAGE_SECONDS
@@ -273,7 +277,7 @@
         if self.partitions is not None:
             await self.partitions.add_endpoint(runner.name, link.address)
         (self.engines if service == "engines" else self.pages).append(runner)
-        runner.on_change = lambda: self._register(runner, service)
+        runner.on_change = lambda: self._announce(runner, service)
         runner.on_change()
 
     def slow_streams(self, seconds: float) -> None:
@@ -381,6 +385,10 @@
         self._replacing.add(task)
         task.add_done_callback(self._replacing.discard)
 
+    def _announce(self, runner: RunnerStandin, service: str) -> None:
+        if runner.name not in self.unannounced:
+            self._register(runner, service)
+
     def _register(self, runner: RunnerStandin, service: str, **more) -> None:
         address = self.links[runner.name].address
         self.store.put("servers", runner.name, runner.entry(service, address=address, **more))
--- a/extras/soak/plan.py
+++ b/extras/soak/plan.py
@@ -27,7 +27,9 @@
 # Beside that it has faults of these kinds, and nothing of other seeds.
 QUOTA_EVERY = 11
 KINDS_BESIDE_QUOTAS = frozenset({"reload", "config"})
-# One seed in this many has engines of two software versions, and callers that resume streams.
+# One seed in this many has engines of two software versions, and callers that resume streams. One
+# in twice as many has engines that start again at the other version under their ids. It has no
+# engines that announce limits or ask for a rest, as a new start isn't bound by what was announced.
 VERSIONS_EVERY = 13
 # One seed in this many has a store that comes back from older copies of its rows.
 RESTORED_EVERY = 3
@@ -117,10 +119,16 @@
         """Return whether engines have two software versions."""
         return self._mixed and self.seed % VERSIONS_EVERY == 0
 
+    @property
+    def updated(self) -> bool:
+        """Return whether engines start again at the other software version under their ids."""
+        return self.versioned and self.seed % 2 == 0
+
     @property
     def overloaded(self) -> bool:
         """Return whether endpoints announce limits, backoffs and draining in their answers."""
-        return not (self.silent or self.limited) and self.seed % OVERLOADED_EVERY == 1
+        announces = not (self.silent or self.limited or self.updated)
+        return announces and self.seed % OVERLOADED_EVERY == 1
 
     @property
     def partitioned(self) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 import json
 import math
 import os
+import random
 import sys
 import tempfile
 import time
@@ -34,6 +35,7 @@
 from extras.soak.plan import MAX_FAULT_SECONDS, PLANNED_EVERY, draw_plan
 from extras.soak.proxy import Proxy
 from extras.soak.quotas import FIRST_CALLER
+from extras.soak.updates import ENTRY_LAG_SECONDS, choose_engine, update
 from peridotdock.clients.endpoint import Call, HttpEndpoints
 from tests.standins.runner import RunnerStandin
 
@@ -102,6 +104,17 @@
     return replace(record(began, last), software={"e1": "v1", "e2": "v2", "e3": "v1"})
 
 
+def late_record(count, allowed=2):
+    """Return a record of streams that hold two versions within an answer and over two tries."""
+    one = mixed_record(second="e2", resumed="e2")
+    rows = [
+        replace(row, id=f"{row.id}{n}", resumes=row.resumes and f"{row.resumes}{n}")
+        for n in range(count)
+        for row in one.attempts
+    ]
+    return replace(one, attempts=rows, allowed_mixed=allowed)
+
+
 def retry_record(retries, seconds=5.0):
     """Return a record of one request and of its arrivals, which are spread over some time."""
     times = [1.0 + seconds * n / retries for n in range(retries + 1)]
@@ -270,6 +283,9 @@
         ("a stream of one software version", mixed_record(second="e3", resumed="e3"), False),
         ("a stream of two software versions", mixed_record(second="e2"), True),
         ("a caller resumes it at another version", mixed_record(resumed="e2"), True),
+        ("two streams where entries tell of a version late", late_record(2), False),
+        ("three streams where entries tell of a version late", late_record(3), True),
+        ("one stream where entries tell of it in time", late_record(1, allowed=0), True),
         ("no recovery", record(probes=[replace(PAGE, status=503)]), True),
     )
     def test_planted_faults_are_found(self, name, found, broken):
@@ -414,6 +430,44 @@
             others = (plan.silent, plan.poisoned, plan.overloaded, plan.partitioned, plan.restored)
             self.assertFalse(any(others))
 
+    @params((26, True), (52, True), (13, False), (130, False), (182, False), (286, False))
+    def test_engines_start_again_at_another_version_in_some_seeds(self, seed, updated):
+        plan = draw_plan(seed, 60.0)
+        self.assertEqual(updated, plan.updated)
+        self.assertLessEqual(plan.updated, plan.versioned and not plan.overloaded)
+
+
+class UpdateTest(unittest.TestCase):
+    @params(("goes on", True, ["v2"]), ("was replaced meanwhile", False, ["v1"]))
+    def test_the_entry_tells_of_a_new_start_some_time_later(self, name, stays, expected):
+        async def play():
+            runner = await RunnerStandin("e1", ("m0",)).start()
+            link = await Proxy(runner.address).start()
+            found = SimpleNamespace(
+                engines=[runner] if stays else [],
+                links={"e1": link},
+                versions=("v1", "v2"),
+                software={},
+                unannounced=set(),
+            )
+            entries = []
+            runner.on_change = lambda: "e1" in found.unannounced or entries.append(runner.software)
+            started_at = time.monotonic()
+            await update(found, runner, random.Random(1))
+            lag = ENTRY_LAG_SECONDS if stays else 0.0
+            self.assertGreaterEqual(time.monotonic() - started_at, lag, name)
+            self.assertEqual((expected, {"m0"}), (entries, set(runner.models)), name)
+            self.assertEqual(1, len(link.cuts), name)
+            await link.stop()
+            await runner.stop()
+
+        asyncio.run(play())
+
+    @params((["v1", "v2", "v2"], "v2"), (["v1", "v1", "v2"], "v1"), (["v2"], "v2"))
+    def test_both_versions_serve_afterwards(self, versions, expected):
+        engines = [SimpleNamespace(software=version) for version in versions]
+        self.assertEqual(expected, choose_engine(engines, random.Random(1)).software)
+
 
 class CallersTest(unittest.TestCase):
     """Guards against two callers whose attempts have the same ids, which look like repeats."""
