--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -21,10 +21,12 @@
 from extras.soak.checks import EndpointRecord, Record, find_violations
 from extras.soak.deployment import MODELS_FIT, SoakDeployment
 from extras.soak.partitions import silence_endpoints
+from extras.soak.parts import load_prompts, plant_part
 from extras.soak.plan import MAX_FAULT_SECONDS, Plan, draw_plan
 from extras.soak.proxy import Proxy
 from extras.soak.quotas import LOADS, describe_workspaces, load_workspaces
 from extras.soak.silences import silence_in_series
+from extras.soak.updates import update_in_series
 from tests.standins.runner import EVENTS_PER_STREAM, FALL_SECONDS, RunnerStandin
 
 CALLER_COUNT = 8
@@ -42,6 +44,8 @@
 PROBE_COUNT = 40
 # Seconds within which a change must be in force on all hosts, and the requests that each then gets.
 CHANGE_SECONDS = 2.0
+# Streams that may have events of two software versions where an entry tells of a new one late.
+MIXED_WITH_UPDATES = 2
 REQUESTS_AFTER_CHANGE = 4
 UNKNOWN_ROUTE = 404
 
@@ -76,6 +80,8 @@
     record, deployment = Record(), SoakDeployment(hosts, folder, beside, partitioned)
     if plan.versioned:
         deployment.versions = SOFTWARE_VERSIONS
+    if plan.fatal_part:
+        plant_part(deployment, plan.seed)
     if plan.limited:
         deployment.workspaces = describe_workspaces()
         record.loads = LOADS
@@ -117,6 +123,10 @@
             work.append(silence_in_series(deployment, seconds, rng))
         if plan.versioned:
             work.append(deployment.cut_streams(plan.seconds - MAX_FAULT_SECONDS))
+        if plan.updated:
+            record.allowed_mixed = MIXED_WITH_UPDATES
+            rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
+            work.append(update_in_series(deployment, seconds, rng))
         if plan.silent or plan.versioned:
             deployment.slow_streams(SLOW_EVENT_SECONDS)
             work += [
@@ -125,6 +135,8 @@
                 )
                 for n in streaming
             ]
+        if plan.fatal_part:
+            work += load_prompts(deployment, record, started_at, plan)
         if plan.limited:
             work += load_workspaces(deployment, record, started_at, plan)
         if plan.restored:
@@ -178,7 +190,10 @@
 
 def collect_observations(deployment: SoakDeployment, record: Record, started_at: float) -> None:
     """Copy what the endpoints have recorded into the record of the run."""
-    record.crash_times = deployment.crash_times
+    if deployment.fatal_parts:
+        record.part_crashes = [at - started_at for at in deployment.crash_times]
+    else:
+        record.crash_times = deployment.crash_times
     if deployment.partitions is not None:
         record.partitions = [row.shifted(started_at) for row in deployment.partitions.done]
     record.disturbed = [row.shifted(started_at) for row in deployment.disturbed]
@@ -187,11 +202,11 @@
         for attempt_id, name in host.read_forwarded():
             record.forwarded.setdefault(attempt_id, set()).add(name)
     record.limited_endpoints = deployment.limited_endpoints
+    record.software = deployment.software
     links = deployment.links | deployment.closed_links
     for runner in (*deployment.engines, *deployment.pages, *deployment.stopped_runners):
         record.falls += [(at - started_at, runner.name) for at in runner.fall_times]
         record.ran += runner.executed
-        record.software[runner.name] = runner.software
         record.orders[runner.name] = runner.orders
         record.max_held[runner.name] = runner.max_models_held
         draining_from = deployment.draining_from.get(runner.name, math.inf)
