Close a connection on which an endpoint sends heads or framing without end

What callers saw: an endpoint that answers with interim heads or the extension of a chunk until its caller closes was read until the deadline, and its callers got 504 while other endpoints of the service were sound. Bytes that followed a complete answer on a kept connection were read into memory until the connection was reused or had been idle for fifteen seconds.

Cause: the HTTP library limits single lines and fields of a head. It limits neither interim heads, nor the extension of a chunk, nor answers that nobody asked for.

Change: a connection counts the bytes of an answer that are not its body. Over 256 KB and eight times the body it is closed. Outside of a body few bytes are parsed at once, as parsed heads take up many times their size. The failure is endpoint_error: the endpoint is avoided and the request sent again elsewhere, but neither the request nor this host's links are blamed for a connection that the host has closed itself. A whole answer that bytes follow is still served. Unread bytes of a body are held back from 32 KB on, in place of 256.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -21,6 +21,7 @@
     STILL_WANTED,
     TRANSFER_ERRORS,
     ConnectionAwareResponse,
+    EndlessAnswer,
     Pool,
     Withdrawn,
     always,
@@ -224,7 +225,7 @@
             return Failure(Kind.ENDPOINT_UNREACHABLE, type(exc).__name__)
         except TRANSFER_ERRORS as exc:
             await stack.aclose()
-            return Failure(Kind.ENDPOINT_LOST, type(exc).__name__)
+            return transfer_failure(exc, Kind.ENDPOINT_LOST)
         except BaseException:
             await stack.aclose()
             raise
@@ -268,7 +269,7 @@
         except TRANSFER_ERRORS as exc:
             if isinstance(exc, asyncio.TimeoutError):
                 pool.renew()
-            return Failure(Kind.ENDPOINT_LOST, type(exc).__name__)
+            return transfer_failure(exc, Kind.ENDPOINT_LOST)
 
     async def report(self, url: str, since: int) -> Report | Failure:
         """Read a report; one that can't be decoded is a failure of the endpoint."""
@@ -321,6 +322,15 @@
     return failure.kind in CONNECTION_KINDS and failure.reason not in TIMEOUT_REASONS
 
 
+def transfer_failure(exc: Exception, lost: Kind) -> Failure:
+    """Return the failure for an error in a transfer; ``lost`` is the kind if the connection broke.
+
+    An endpoint that sends too much has not ended, and its connection was closed on purpose.
+    """
+    kind = Kind.ENDPOINT_ERROR if isinstance(exc, EndlessAnswer) else lost
+    return Failure(kind, type(exc).__name__)
+
+
 def read_as(outcome: tuple[int, bytes], shape: type[T]) -> T | Failure:
     """Decode a JSON answer into ``shape``; a bad one is a failure of the endpoint."""
     status, raw = outcome
@@ -352,7 +362,7 @@
         try:
             part = await opened.read_chunk()
         except TRANSFER_ERRORS as exc:
-            yield Failure(Kind.ANSWER_CUT, type(exc).__name__)
+            yield transfer_failure(exc, Kind.ANSWER_CUT)
             return
         if not part:
             return
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -12,9 +12,11 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from contextvars import ContextVar
+from functools import partial
 from typing import Any
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 
 from peridotdock.timeouts import IterationTimeout
 
@@ -25,6 +27,16 @@
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 TRANSFER_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError)
 
+# Bytes that one answer may have besides its body: heads and the framing of chunks, which may be a
+# multiple of a body in small chunks.
+MAX_FRAMING_BYTES = 256 * 1024
+FRAMING_FACTOR = 8
+# Interim and further answers that a connection holds unread, and bytes that are parsed at once
+# outside of a body: heads take up many times their size.
+MAX_UNREAD_HEADS = 16
+PARSED_BYTES = 16 * 1024
+# Bytes from which a connection holds unread bytes of a body back.
+READ_BYTES = 32 * 1024
 
 # Failure guarded against: a network device drops the state of a connection, or the peer's machine
 # fails, and the connection stays open forever. The kernel probes idle connections after 1 s and
@@ -72,6 +84,75 @@
     return middleware
 
 
+class EndlessAnswer(aiohttp.ClientPayloadError):
+    """A peer sends more bytes than its answer may have; its connection is closed."""
+
+
+class BoundedProtocol(ResponseHandler):
+    """A connection that is closed once its peer sends too much that is no body.
+
+    Failure guarded against: a peer sends heads one after another or the extension of a chunk
+    without end. The request waits until its deadline; on an idle connection nobody waits, and the
+    heads fill the memory.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        super().__init__(loop)
+        self._received = 0
+        self._body: aiohttp.StreamReader | None = None
+        self._endless = False
+
+    def set_response_params(self, **params: Any) -> None:
+        """Begin the next answer of the connection."""
+        self._received, self._body = 0, None
+        super().set_response_params(**params)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Take in a parsed head; those over the limit are dropped."""
+        message, body = data
+        interim = 100 <= message.code < 200 and message.code != 101
+        if self._body is None and not interim:
+            self._body = body
+        if len(self._buffer) < MAX_UNREAD_HEADS:
+            super().feed_data(data, size)
+        else:
+            self._endless = True
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, few at once unless they belong to a body."""
+        in_body = self._body is not None and not self._body.is_eof()
+        step = max(1, len(data)) if in_body else PARSED_BYTES
+        for begin in range(0, max(1, len(data)), step):
+            self._parse(data[begin : begin + step])
+            if self._endless:
+                return
+
+    def _parse(self, part: bytes) -> None:
+        super().data_received(part)
+        self._received += len(part)
+        if self._reading_paused or self._parser is None:
+            # Bytes that are not parsed yet may belong to the body.
+            return
+        body = 0 if self._body is None else self._body.total_bytes
+        framing = self._received - body
+        self._endless |= framing > MAX_FRAMING_BYTES + FRAMING_FACTOR * body
+        if self._endless:
+            self._give_up()
+
+    def _give_up(self) -> None:
+        """Close the connection; an answer that has arrived whole can still be read."""
+        exc = EndlessAnswer("bytes without end that are no body")
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(exc)
+        self._parser = self._payload = None
+        own = [row for row in self._buffer if row[0][1] is self._body]
+        self._buffer.clear()
+        self._buffer.extend(own)
+        self.set_exception(exc)
+        if self.transport is not None:
+            self.transport.abort()
+
+
 class ConnectionAwareResponse(aiohttp.ClientResponse):
     """A response that knows whether its connection was closed cleanly.
 
@@ -122,6 +203,10 @@
     for unreachable, so the connect timeout also requires iterations of the event loop.
     """
 
+    def __init__(self, **options: Any):
+        super().__init__(**options)
+        self._factory = partial(BoundedProtocol, loop=self._loop)
+
     async def connect(self, req: Any, traces: Any, timeout: aiohttp.ClientTimeout) -> Any:
         """Return a connection; raises Withdrawn if the request is no longer wanted by then."""
         if timeout.sock_connect is None:
@@ -165,6 +250,7 @@
                 cookie_jar=aiohttp.DummyCookieJar(),
                 skip_auto_headers=AUTO_HEADERS,
                 response_class=ConnectionAwareResponse,
+                read_bufsize=READ_BYTES,
                 timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
             )
         return self._current
--- a/peridotdock/relay/attempt.py
+++ b/peridotdock/relay/attempt.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from peridotdock.clients.endpoint import OpenResponse
+from peridotdock.clients.endpoint import OpenResponse, transfer_failure
 from peridotdock.clients.http import TRANSFER_ERRORS
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.caller import SendCaller
@@ -140,7 +140,7 @@
                 return loss_failure(RequestState.FIRST_BYTE, Loss.CALLER_GONE)
             if self._stall_timeout.expired:
                 return loss_failure(RequestState.FIRST_BYTE, Loss.DEADLINE)
-            return Failure(Kind.ANSWER_CUT, type(exc).__name__)
+            return transfer_failure(exc, Kind.ANSWER_CUT)
         finally:
             self._stall_timeout.end()
         if self.ended and self.splitter.partial:
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -10,6 +10,7 @@
 ``foreign``         the answer carries the id of another attempt
 ``unsigned``        the answer lacks ``x-response-signature``
 ``extra``           a second answer follows the first on the same connection
+a key of ENDLESS    an answer that goes on until its caller closes the connection
 
 Settings: ``delay_seconds`` before each event or answer; ``extra_headers`` for each answer;
 ``retry_after`` seconds that a refusal asks for; ``fatal_bodies``: a request with one of these
@@ -25,8 +26,8 @@
 Records: ``requests`` received; ids of attempts ``executed``, and ``disconnected`` by the caller;
 ``connection_count``; ``call_times`` of all requests, with reports and orders; ``request_times``:
 the same times with the attempt ids; ``refusals``: time, attempt id, ``retry_after`` and peer port;
-``max_models_held`` at once; ``spoilt``: ids of attempts that met a behavior other than ``serve``
-and ``refuse``.
+``babbling``: endless answers under way; ``max_models_held`` at once; ``spoilt``: ids of attempts
+that met a behavior other than ``serve`` and ``refuse``.
 
 ``restart`` starts the runner again under the same id, without models and with its order sequence
 at 0. Connections from before stay open and unanswered, as after a crash behind a network partition.
@@ -42,6 +43,37 @@
 RESTART_INTERVAL_MS = 60_000
 # Seconds for which a runner that has fallen over listens to nobody.
 FALL_SECONDS = 1.0
+# Bytes of an endless answer that are sent at once.
+BABBLE_BYTES = 65536
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
+EMPTY_HEAD = OK + b"content-length: 0\r\n\r\n"
+WHOLE = OK + b"%scontent-length: 4\r\n\r\nbody"
+PAGE = OK + b"content-length: 4096\r\n\r\n" + b"x" * 4096
+# Endless answers: the first bytes with the signature's place, the bytes that follow without end,
+# and the seconds before each write of them.
+ENDLESS = {
+    "head line": (OK + b"x: ", b"a", 0),
+    "head fields": (OK, b"x: a\r\n", 0),
+    "interim heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n", 0),
+    "heads": (WHOLE, EMPTY_HEAD, 0.05),
+    "answers": (WHOLE, PAGE, 0.05),
+    "chunk extension": (OK + b"%s" + CHUNKED + b"4;", b"a", 0),
+    "chunk extensions": (OK + b"%s" + CHUNKED, b"1;" + b"a" * 4096 + b"\r\nx\r\n", 0),
+    "trailers": (OK + b"%s" + CHUNKED + b"0\r\n", b"x: a\r\n", 0),
+    "body": (OK + b"%s\r\n", b"x", 0),
+    "body in chunks": (OK + b"%s" + CHUNKED, b"4\r\nbody\r\n", 0),
+    "body of a huge length": (OK + b"%scontent-length: 1000000000000000\r\n\r\n", b"x", 0),
+    "slow body": (OK + b"%s\r\n", b"x", 0.05),
+    "server error": (b"HTTP/1.1 500 Error\r\n%s\r\n", b"x", 0),
+    "refusal": (b"HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\n\r\n", b"x", 0),
+    "event": (OK + b"%s\r\ndata: ", b"x", 0),
+    "event of many lines": (OK + b"%s\r\n", b"data: x\n", 0),
+    "comment": (OK + b"%s\r\n", b": x\n", 0),
+    "comments": (OK + b"%s\r\n", b": x\n\n", 0),
+    "blank lines": (OK + b"%s\r\n", b"\n", 0),
+    "event after others": (OK + b"%s\r\nid: 1\ndata: e 1\n\n", b"data: x\n", 0),
+}
 
 
 class RunnerStandin:
@@ -68,6 +100,7 @@
         self.halfway_event = None
         self.delay_seconds = 0.0
         self.max_models_held = len(self.models)
+        self.babbling = 0
         self.on_change = lambda: None
         self.fatal_bodies = set()
         self.crashed = False
@@ -253,6 +286,8 @@
             return await self._wait_for_close(reader, attempt)
         signed = self.extra_headers | {"x-attempt-id": attempt}
         signed["x-response-signature"] = f"by {self.name}"
+        if behavior in ENDLESS:
+            return await self._babble(writer, ENDLESS[behavior], signed)
         if behavior == "foreign":
             signed["x-attempt-id"] = "another"
         if behavior == "unsigned":
@@ -299,6 +334,20 @@
         await writer.drain()
         return True
 
+    async def _babble(self, writer, answer, signed):
+        begin, unit, seconds = answer
+        rows = "".join(f"{name}: {value}\r\n" for name, value in signed.items()).encode()
+        writer.write(begin.replace(b"%s", rows))
+        part = unit * (BABBLE_BYTES // len(unit))
+        self.babbling += 1
+        try:
+            while True:
+                await asyncio.sleep(seconds)
+                writer.write(part)
+                await writer.drain()
+        finally:
+            self.babbling -= 1
+
     async def _wait_halfway(self, reader, attempt):
         """Wait for ``halfway_event``; return False if the caller disconnects first."""
         closed = asyncio.ensure_future(reader.read(1))
