Bound the memory of unfinished whole answers together

What callers saw: nothing until the host's process reached its memory limit. Eight answers whose body never ends held 538 MB in one host: each was read up to 64 MB, and the number of them at once was not limited.

Cause: the limit is one for each answer, and a head that names a length over it did not end it.

Change: an answer that names a length over the limit is given up at its head. Unfinished answers share 96 MB: one that names its length is read once there is memory for it, of the others the longest are given up where there is not, and 64 KB of each count for nothing. A reservation whose bytes don't arrive within half a second is given up if others wait for it. What is given up is endpoint_error: the endpoint is avoided and the request sent elsewhere if it may be. The body of a refusal is read up to 64 KB.

Why: an answer without end is the longest sooner or later, and answers of the usual sizes are never in the way. To let all wait for the longest one would make sound answers wait for those without end.

--- /dev/null
+++ b/peridotdock/clients/answer_memory.py
@@ -0,0 +1,111 @@
+"""Limits the memory that unfinished answers take up together.
+
+An answer of unknown length may never end. While there is not enough memory for all, the longest of
+these are given up: short ones are never in the way. An answer that names its length is waited for.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Bytes of all unfinished answers together. Answers that name their length leave room for others.
+MAX_UNFINISHED_BYTES = MAX_ANSWER_BYTES * 3 // 2
+# Bytes of each answer that are not counted: a connection holds about as many.
+FREE_BYTES = 64 * 1024
+# Seconds for which an answer waits for others that named their length and then arrive slowly.
+WAIT_SECONDS = 0.5
+
+
+class HeldBytes:
+    """What one unfinished answer holds. ``give_up`` is called if it is to be given up."""
+
+    def __init__(self, memory: "AnswerMemory", give_up: Callable[[], None]):
+        self._memory = memory
+        self.give_up = give_up
+        self.given_up = False
+        self.size = 0
+        self.counted = 0
+        self.reserved = 0
+
+    def set_size(self, size: int) -> bool:
+        """Record how many bytes are held; return whether the answer may go on."""
+        self.size = size
+        if not self.reserved and not self.given_up:
+            self._memory.count(self, max(0, size - FREE_BYTES))
+        return not self.given_up
+
+    async def reserve(self, size: int) -> None:
+        """Wait until there is memory for an answer that names its length."""
+        if size > FREE_BYTES:
+            await self._memory.reserve(self, size)
+
+    def release(self) -> None:
+        """Give the memory back."""
+        self._memory.release(self)
+
+
+class AnswerMemory:
+    """Counts the bytes of unfinished answers: reserved ones, and those of unknown length."""
+
+    def __init__(self, limit: int = MAX_UNFINISHED_BYTES, reservable: int = MAX_ANSWER_BYTES):
+        self._limit = limit
+        self._reservable = reservable
+        self._held: set[HeldBytes] = set()
+        self._reservations: set[HeldBytes] = set()
+        self._counted = 0
+        self._reserved = 0
+        self._turn = asyncio.Lock()
+        self._freed = asyncio.Event()
+
+    def begin(self, give_up: Callable[[], None]) -> HeldBytes:
+        """Return the count of a new answer."""
+        return HeldBytes(self, give_up)
+
+    def count(self, held: HeldBytes, size: int) -> None:
+        """Set the bytes of an answer, and give up the longest ones if these are too many."""
+        self._counted += size - held.counted
+        held.counted = size
+        if size:
+            self._held.add(held)
+        self._make_room()
+
+    async def reserve(self, held: HeldBytes, size: int) -> None:
+        """Wait, in the order of the calls, until ``size`` bytes can be reserved.
+
+        Failure guarded against: an endpoint names the length of a long answer and sends a few bytes
+        of it. All other long answers wait for it.
+        """
+        async with self._turn:
+            while self._reservations and self._reserved + size > self._reservable:
+                await self._wait_until_freed()
+            self._reserved += size
+            held.reserved = size
+            self._reservations.add(held)
+        self._make_room()
+
+    async def _wait_until_freed(self) -> None:
+        """Wait until an answer ends; after a while, give up the one that lacks the most bytes."""
+        self._freed.clear()
+        try:
+            async with asyncio.timeout(WAIT_SECONDS):
+                await self._freed.wait()
+        except TimeoutError:
+            self._give_up(max(self._reservations, key=lambda held: held.reserved - held.size))
+
+    def release(self, held: HeldBytes) -> None:
+        """Forget an answer that has ended."""
+        self._held.discard(held)
+        self._reservations.discard(held)
+        self._counted -= held.counted
+        self._reserved -= held.reserved
+        held.counted = held.reserved = 0
+        self._freed.set()
+
+    def _make_room(self) -> None:
+        while self._held and self._counted + self._reserved > self._limit:
+            self._give_up(max(self._held, key=lambda held: held.counted))
+
+    def _give_up(self, held: HeldBytes) -> None:
+        held.given_up = True
+        self.release(held)
+        held.give_up()
--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -15,6 +15,7 @@
 import msgspec
 from yarl import URL
 
+from peridotdock.clients.answer_memory import MAX_ANSWER_BYTES, AnswerMemory
 from peridotdock.clients.http import (
     CONNECT_ERRORS,
     CONNECT_TIMEOUT_SECONDS,
@@ -33,7 +34,7 @@
 REPORT_TIMEOUT_SECONDS = 1.0
 PROBE_TIMEOUT_SECONDS = 1.0
 NOT_RUN_HEADER = "x-not-run"
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_REFUSAL_BYTES = 64 * 1024
 MAX_REPORT_BYTES = 4 * 1024 * 1024
 # Reasons of failures for which no answer arrived in time.
 TIMEOUT_REASONS = frozenset(
@@ -45,6 +46,7 @@
         aiohttp.SocketTimeoutError,
     )
 )
+TOO_LONG = Failure(Kind.ENDPOINT_ERROR, "the answer is too long")
 CONNECTION_KINDS = frozenset({Kind.ENDPOINT_UNREACHABLE, Kind.ENDPOINT_LOST})
 
 T = TypeVar("T")
@@ -131,15 +133,35 @@
     It must be released. Its connection is reused only if the answer was read to its end.
     """
 
-    def __init__(self, resp: ConnectionAwareResponse, stack: AsyncExitStack):
+    def __init__(self, resp: ConnectionAwareResponse, stack: AsyncExitStack, memory: AnswerMemory):
         self._resp = resp
         self._stack = stack
+        self._held = memory.begin(self.abort)
         self.status = resp.status
         self.headers = resp.headers
 
+    @property
+    def length(self) -> int | None:
+        """The length of the body that the head names, None without one or without a body."""
+        return None if self._resp.content.at_eof() else self._resp.content_length
+
+    async def reserve(self, size: int) -> None:
+        """Wait until there is memory for an answer of ``size`` bytes."""
+        await self._held.reserve(size)
+
+    def hold(self, size: int) -> None:
+        """Record that ``size`` bytes are held; raises EndlessAnswer if there is no memory left."""
+        if not self._held.set_size(size):
+            raise EndlessAnswer("too many bytes are held of unfinished answers")
+
     async def read_chunk(self) -> bytes:
         """Return the next bytes, empty at the end. Raises the errors in :data:`TRANSFER_ERRORS`."""
-        part = await self._resp.content.readany()
+        try:
+            part = await self._resp.content.readany()
+        except TRANSFER_ERRORS as exc:
+            if self._held.given_up:
+                raise EndlessAnswer("too many bytes are held of unfinished answers") from exc
+            raise
         if not part and not await self._resp.is_complete():
             raise aiohttp.ClientPayloadError("connection was reset before the end of the answer")
         return part
@@ -150,6 +172,7 @@
 
     async def release(self) -> None:
         """Close the connection unless the answer was read to its end."""
+        self._held.release()
         if not self._resp.content.at_eof():
             self._resp.close()
         await self._stack.aclose()
@@ -178,11 +201,15 @@
     """Endpoints over HTTP, with one connection pool per endpoint.
 
     ``not_run_header`` is the response header that marks a request that the endpoint did not run;
-    None when the sender checks the head of the answer itself.
+    None when the sender checks the head of the answer itself. ``memory`` is for what is read of
+    unfinished answers.
     """
 
-    def __init__(self, not_run_header: str | None = NOT_RUN_HEADER) -> None:
+    def __init__(
+        self, not_run_header: str | None = NOT_RUN_HEADER, memory: AnswerMemory | None = None
+    ) -> None:
         self._not_run_header = not_run_header
+        self._memory = memory or AnswerMemory()
         self._pools: dict[str, Pool] = {}
         self._control: dict[str, Pool] = {}
         self._cancels: set[asyncio.Future[Any]] = set()
@@ -239,7 +266,7 @@
             return Failure(
                 Kind.ENDPOINT_REFUSED, retry_after=read_retry_after(resp.headers) or None
             )
-        return OpenResponse(resp, stack)
+        return OpenResponse(resp, stack, self._memory)
 
     async def control_call(
         self,
@@ -343,7 +370,14 @@
 
 
 async def read_all(opened: OpenResponse, limit: int = MAX_ANSWER_BYTES) -> bytes | Failure:
-    """Read an answer to its end; one that is cut off or exceeds ``limit`` bytes is a failure."""
+    """Read an answer to its end; one that is cut off or exceeds ``limit`` bytes is a failure.
+
+    Failure guarded against: an endpoint sends a body without end. Several of these fill the memory
+    of the host, and each is read for so long that the deadline passes.
+    """
+    if (opened.length or 0) > limit:
+        return TOO_LONG
+    await opened.reserve(opened.length or 0)
     parts: list[bytes] = []
     size = 0
     async for part in iter_chunks(opened):
@@ -351,7 +385,11 @@
             return part
         size += len(part)
         if size > limit:
-            return Failure(Kind.ENDPOINT_ERROR, "the answer is too long")
+            return TOO_LONG
+        try:
+            opened.hold(size)
+        except EndlessAnswer as exc:
+            return transfer_failure(exc, Kind.ANSWER_CUT)
         parts.append(part)
     return b"".join(parts)
 
--- a/peridotdock/relay/forwarding.py
+++ b/peridotdock/relay/forwarding.py
@@ -17,7 +17,13 @@
 import cbor2
 import msgspec
 
-from peridotdock.clients.endpoint import Call, HttpEndpoints, OpenResponse, read_all
+from peridotdock.clients.endpoint import (
+    MAX_REFUSAL_BYTES,
+    Call,
+    HttpEndpoints,
+    OpenResponse,
+    read_all,
+)
 from peridotdock.context import Context
 from peridotdock.decisions.connectivity import Connectivity
 from peridotdock.decisions.health import Health
@@ -167,7 +173,7 @@
             return opened
         refusal = read_header(opened.headers, REFUSAL_HEADER, ForwardRefusal)
         if refusal is not None:
-            await wait_for(read_all(opened), caller, REFUSAL_BODY_SECONDS)
+            await wait_for(read_all(opened, MAX_REFUSAL_BYTES), caller, REFUSAL_BODY_SECONDS)
             await opened.release()
             return self._apply_refusal(req, progress, name, refusal)
         return await self._check_answer(req, progress, host, opened)
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -7,6 +7,7 @@
 
 from peridotdock.blocklist import Blocklist
 from peridotdock.blocklist_store import BLOCKLIST_CHECK_SECONDS, BlocklistStore
+from peridotdock.clients.answer_memory import AnswerMemory
 from peridotdock.clients.endpoint import HttpEndpoints
 from peridotdock.clients.store_time import StoreTime
 from peridotdock.context import Context
@@ -104,7 +105,8 @@
         uptime = BootClock()
         store_time = StoreTime(uptime.seconds)
         self.store = adapter.open_store(settings.store, ctx.metrics, store_time)
-        self.endpoints = HttpEndpoints(not_run_header=None)
+        memory = AnswerMemory()
+        self.endpoints = HttpEndpoints(not_run_header=None, memory=memory)
         self.fleet = RelayFleet(settings.domain, ctx.clock)
         self.peers = Peers(ctx, settings, self.fleet, lambda digest: b"")
         self.item_waits = ItemWaits(ctx, self.fleet, self.peers)
@@ -140,7 +142,7 @@
         self.connectivity.on_change = self._on_connectivity
         self.fleet.links_in_doubt = lambda: self.connectivity.links.doubtful
         self.fleet.links_explain = self.connectivity.links.explains
-        self.host_connections = HttpEndpoints(not_run_header=None)
+        self.host_connections = HttpEndpoints(not_run_header=None, memory=memory)
         self.forwarder = Forwarder(
             ctx,
             adapter.wire,
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -4,7 +4,13 @@
 from dataclasses import dataclass
 from typing import Any, Self, TypeVar
 
-from peridotdock.clients.endpoint import Call, HttpEndpoints, OpenResponse, read_all
+from peridotdock.clients.endpoint import (
+    MAX_REFUSAL_BYTES,
+    Call,
+    HttpEndpoints,
+    OpenResponse,
+    read_all,
+)
 from peridotdock.clock import Clock
 from peridotdock.decisions.overload import connect_timeout
 from peridotdock.errors import Failure, Kind, failed
@@ -123,7 +129,7 @@
         failure = check_answer_head(head, req.id)
         if failure is not None:
             if failure.kind in NOT_RUN_KINDS:
-                await wait_for(read_all(opened), caller, REFUSAL_BODY_SECONDS)
+                await wait_for(read_all(opened, MAX_REFUSAL_BYTES), caller, REFUSAL_BODY_SECONDS)
             else:
                 # A second answer may follow and be read as the next request's. The connection of an
                 # answer that was read to its end is already back in the pool.
