Ask another endpoint where the body of a whole answer takes too long

What callers saw: 504 while an endpoint sent a body that does not end, slowly or in small chunks, so that no limit of bytes was reached before the deadline.

Cause: a whole answer counted as arriving once its head had come, and nothing watched the body.

Change: half of the time that is left at the head later the request is sent to another endpoint too, while the first send stays open, as beside a silent one; the first answer is kept, the other connection is closed and its endpoint avoided. A body of a known length is spared as long as it arrives fast enough to end in time. A connection receives 32 KB at once in place of 256: to parse that many bytes of small chunks on eight connections held up the loop, and with it all callers.

Before: the rows "body in chunks", "body in small chunks" and "slow body" of tests.relay.test_endless fail with 504 (8 of 8 requests).

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -145,6 +145,10 @@
         """The length of the body that the head names, None without one or without a body."""
         return None if self._resp.content.at_eof() else self._resp.content_length
 
+    def read_share(self) -> float:
+        """Return which share of the body has arrived, 0 if its length is unknown."""
+        return self._resp.content.total_bytes / self.length if self.length else 0.0
+
     async def reserve(self, size: int) -> None:
         """Wait until there is memory for an answer of ``size`` bytes."""
         await self._held.reserve(size)
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -102,6 +102,13 @@
         self._body: aiohttp.StreamReader | None = None
         self._endless = False
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to read, few bytes at once."""
+        super().connection_made(transport)
+        # asyncio receives 256 KB at once; parsing as many bytes of small chunks holds up the loop.
+        if hasattr(transport, "max_size"):
+            transport.max_size = READ_BYTES
+
     def set_response_params(self, **params: Any) -> None:
         """Begin the next answer of the connection."""
         self._received, self._body = 0, None
--- a/peridotdock/relay/replacing.py
+++ b/peridotdock/relay/replacing.py
@@ -29,6 +29,9 @@
 # sends elsewhere.
 CHECK_SECONDS = 0.25
 RETRY_SECONDS = 0.5
+# Share of the time that is left at the head of a whole answer after which the answer counts as
+# silent, unless its body arrives so fast that it ends in time.
+BODY_SHARE = 0.5
 
 Answer = CompleteAnswer | StreamSource
 
@@ -97,6 +100,7 @@
         self._recorded = False
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
+        self._is_on_time: Callable[[], bool] = lambda: False
         self._caller: SendCaller | None = None
         self._fallback: CompleteAnswer | None = None
         self.began = False
@@ -106,14 +110,34 @@
         """Replace the send if it has no answer after ``seconds``."""
         self._timer = asyncio.get_running_loop().call_later(seconds, self._on_timer)
 
+    def await_body(self, read_share: Callable[[], float]) -> None:
+        """Replace the send only if the answer that has begun takes too long.
+
+        ``read_share`` returns which share of the body has arrived, 0 if its length is unknown.
+        Failure guarded against: a body never ends, and the request waits for it until its deadline
+        while another endpoint could answer.
+        """
+        if self._timer is None:
+            return
+        self.stop_timer()
+        begun_at = self._sends.ctx.clock.monotonic()
+        left = max(0.0, self._silent.req.deadline - begun_at)
+
+        def is_on_time() -> bool:
+            return self._sends.ctx.clock.monotonic() <= begun_at + left * read_share()
+
+        self._is_on_time = is_on_time
+        self.start_timer(BODY_SHARE * left)
+
     def stop_timer(self) -> None:
-        """Do not replace the send: its answer arrives."""
+        """Do not replace the send."""
         if self._timer is not None:
             self._timer.cancel()
 
     def _on_timer(self) -> None:
         self.start_timer(CHECK_SECONDS)
-        self.try_now()
+        if not self._is_on_time():
+            self.try_now()
 
     def try_now(self) -> None:
         """Send the request elsewhere, unless that is under way or not possible at present."""
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -175,7 +175,7 @@
         found = await self._forwarder.send(req, caller, progress, host)
         if not failed(found):
             if not begins_stream(req, found):
-                replacement.stop_timer()
+                replacement.await_body(found.opened.read_share)
             found = await self._read(req, caller, progress.service, found)
             if failed(found) and not caller.is_disconnected():
                 self._forwarder.record_lost(req, host.fact.host, found)
@@ -388,7 +388,7 @@
         resume = req.head.resume_after if progress.last_id is None else str(progress.last_id)
         sent = await self.sender.send(req, state, caller, choose_priority(req), resume)
         if not failed(sent) and not begins_stream(req, sent):
-            replacement.stop_timer()
+            replacement.await_body(sent.opened.read_share)
         found = sent if failed(sent) else await self._read(req, caller, progress.service, sent)
         if replacement.found is not None:
             # The other endpoint was first, and its software version is bound.
--- a/tests/relay/test_endless.py
+++ b/tests/relay/test_endless.py
@@ -90,7 +90,10 @@
         ("trailers", CONTROL_BYTES),
         ("refusal", CONTROL_BYTES),
         ("body", HOST_BYTES),
+        ("body in chunks", HOST_BYTES),
+        ("body in small chunks", None),
         ("body of a huge length", CONTROL_BYTES),
+        ("slow body", CONTROL_BYTES),
         ("server error", HOST_BYTES),
     )
     def test_requests_are_answered_by_another_endpoint(self, kind, most):
