Give up a stream whose event never ends

What callers saw: a stream on an endpoint that sends an event, comments or blank lines without end gave nothing until its deadline, or comments alone, while other endpoints held the model. All bytes of the unfinished event were held, and scanned from the start at each arrival; each of the comments and blank lines was kept as an event of its own, many times its size.

Cause: an event had no limit, and comments counted as the first event of an answer.

Change: a stream is endpoint_error once a megabyte has come without the end of an event that has an id or data, the limit of the product's own interface. It goes on at another endpoint, and the first one is avoided. Unfinished events count in the memory that unfinished answers share. Only new bytes are searched for the end of an event, and ignored ones in a row are one event.

Before: all five rows of test_a_stream_without_an_alternative_is_given_up_early fail (ended after 6.3 s, at the deadline of 6; blank lines not within 30), and the rows "comments" and "blank lines" of test_streams_come_from_another_endpoint; its rows "event", "event of many lines" and "comment" passed, as a silent endpoint is replaced after 0.8 s. After: all pass.

--- a/peridotdock/relay/attempt.py
+++ b/peridotdock/relay/attempt.py
@@ -15,6 +15,7 @@
 from peridotdock.requests import Loss, RequestState, loss_failure
 
 SERVER_ERROR = 500
+ENDLESS = Failure(Kind.ENDPOINT_ERROR, "an event without end")
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +136,9 @@
                 part = await self.opened.read_chunk()
                 self.ready += self.splitter.feed(part)
                 self.ended = not part
+                self.opened.hold(len(self.splitter.partial))
+                if self.splitter.is_endless:
+                    return ENDLESS
         except TRANSFER_ERRORS as exc:
             if self.caller.is_disconnected():
                 return loss_failure(RequestState.FIRST_BYTE, Loss.CALLER_GONE)
--- a/tests/relay/test_endless.py
+++ b/tests/relay/test_endless.py
@@ -13,7 +13,7 @@
 from peridotdock.errors import Failure, Kind, failed
 from tests.relay.deployment import BOUNDS, Deployment
 from tests.relay.test_endings import HEAD, Endpoint, fetch
-from tests.relay.test_relay import run
+from tests.relay.test_relay import ids, run
 
 MB = 1024 * 1024
 # A host's process may grow to 300 MB and has 60 MB without load; 32 MB are for its control.
@@ -28,6 +28,7 @@
 GET = Call("GET", "/", {}, b"", at_most_once=True)
 GIVEN_UP = Failure(Kind.ENDPOINT_ERROR, "EndlessAnswer")
 PAGES = ("p1", "p2", "p3")
+ENGINES = tuple((name, ("m0",)) for name in ("e1", "e2", "e3"))
 
 
 def avoid_others(found, babbler):
@@ -114,6 +115,42 @@
 
         check(self)
 
+    @params("event", "event of many lines", "comment", "comments", "blank lines")
+    def test_streams_come_from_another_endpoint(self, kind):
+        self._stream(kind)
+
+    @params("event", "event of many lines", "comment", "comments", "blank lines")
+    def test_a_stream_without_an_alternative_is_given_up_early(self, kind):
+        """The memory of a host is not filled until the deadline of the stream."""
+
+        @run
+        async def check(self):
+            async with Deployment(engines=ENGINES[:1]) as found:
+                babbler = found.engines["e1"]
+                babbler.script = [kind] * 10
+                began_at = asyncio.get_running_loop().time()
+                await found.send("/once/", "a1", model="m0")
+                took = asyncio.get_running_loop().time() - began_at
+                self.assertLess(took, 3.0, kind)
+                await found.until(lambda: not babbler.babbling)
+
+        check(self)
+
+    def test_a_stream_goes_on_at_another_endpoint(self):
+        self._stream("event after others")
+
+    @run
+    async def _stream(self, kind):
+        async with Deployment(engines=ENGINES, bounds=RETRIES) as found:
+            babbler = found.engines["e1"]
+            answers, peak, *seen = await answer_beside(
+                found, babbler, kind, lambda attempt: found.send("/recap/", attempt, model="m0")
+            )
+            for status, _, body in answers:
+                self.assertEqual((200, [1, 2, 3, 4, 5, 6]), (status, ids(body)), kind)
+            self.check(kind, found, babbler, peak, CONTROL_BYTES, *seen)
+            await found.until(lambda: not babbler.babbling)
+
     @params("heads", "answers")
     def test_what_follows_an_answer_is_not_kept(self, kind):
         @run
--- a/tests/relay/test_events.py
+++ b/tests/relay/test_events.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from peridotdock.relay.events import EventSplitter
+from peridotdock.relay.events import MAX_EVENT_BYTES, EventSplitter
 
 STREAM = b"".join(b"id: %d\ndata: %s\n\n" % (n, b"x" * n) for n in range(1, 9))
 
@@ -39,3 +39,19 @@
     def test_carriage_returns_and_missing_ids_are_understood(self):
         found, _ = split([b"weights: 3\r\nid: 4\r\ndata: a\r\n\r\ndata: b\n\n"])
         self.assertEqual([4, None], [event.id for event in found])
+
+    @given(st.lists(st.sampled_from([b"\n", b": c\n", b": c\n\n", b"id: 1\ndata: a\n\n", b"\r\n"])))
+    def test_comments_and_blank_lines_are_passed_on(self, lines):
+        raw = b"".join(lines)
+        for parts in ([raw], [raw[at : at + 1] for at in range(len(raw))]):
+            found, partial = split(parts)
+            self.assertEqual(raw, b"".join(event.raw for event in found) + partial)
+            self.assertEqual(raw.count(b"id: 1"), sum(event.id == 1 for event in found))
+
+    def test_a_long_event_is_not_endless(self):
+        splitter = EventSplitter()
+        raw = b"data: " + b"x" * (MAX_EVENT_BYTES - 8) + b"\n\n"
+        for at in range(0, len(raw), 4096):
+            found = splitter.feed(raw[at : at + 4096])
+            self.assertFalse(splitter.is_endless)
+        self.assertEqual([raw], [event.raw for event in found])
