Read the whole answer to a control call

What was seen: a report or another control answer that arrived in two parts was cut after the first one, so that it could not be decoded and counted as a failure of its engine. An answer without end was taken for a whole one of its first bytes.

Cause: the read that was limited to four megabytes returns what has arrived when it is made.

Change: control answers are read to their end. One over four megabytes, or for which the memory of unfinished answers does not suffice, is endpoint_error at once.

Before: both tests of the new ControlCallTest fail; after: they pass.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -26,6 +26,7 @@
     Pool,
     Withdrawn,
     always,
+    read_body,
     read_retry_after,
     send_once,
 )
@@ -283,7 +284,8 @@
     ) -> tuple[int, bytes] | Failure:
         """Make a small control call, on connections apart from those of requests.
 
-        Returns the status and at most ``MAX_REPORT_BYTES`` of the body.
+        Returns the status and the body, which has at most ``MAX_REPORT_BYTES``.
+        Failure guarded against: a report arrives in two parts, and the first one alone is read.
         """
         limit = aiohttp.ClientTimeout(total=timeout, sock_connect=timeout)
         pool = self._control_pool(url)
@@ -294,7 +296,7 @@
                     method, url + path, json=body, headers=headers, timeout=limit
                 ) as resp,
             ):
-                return resp.status, await resp.content.read(MAX_REPORT_BYTES)
+                return resp.status, await read_body(resp, self._memory, MAX_REPORT_BYTES)
         except CONNECT_ERRORS as exc:
             return Failure(Kind.ENDPOINT_UNREACHABLE, type(exc).__name__)
         except TRANSFER_ERRORS as exc:
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -18,6 +18,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from peridotdock.clients.answer_memory import AnswerMemory
 from peridotdock.timeouts import IterationTimeout
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -321,6 +322,26 @@
     return True
 
 
+async def read_body(resp: aiohttp.ClientResponse, memory: AnswerMemory, limit: int) -> bytes:
+    """Read a small answer to its end; raises EndlessAnswer if it takes up too much memory."""
+    if (resp.content_length or 0) > limit:
+        raise EndlessAnswer("the answer is too long")
+    held = memory.begin(resp.close)
+    body = bytearray()
+    try:
+        while part := await resp.content.readany():
+            body += part
+            if len(body) > limit or not held.set_size(len(body)):
+                raise EndlessAnswer("the answer is too long")
+    except aiohttp.ClientError as exc:
+        if held.given_up:
+            raise EndlessAnswer("too many bytes are held of unfinished answers") from exc
+        raise
+    finally:
+        held.release()
+    return bytes(body)
+
+
 def read_retry_after(headers: Mapping[str, str]) -> float:
     """Return the seconds of Retry-After; 0 when it is missing or can't be parsed.
 
--- a/tests/relay/test_endless.py
+++ b/tests/relay/test_endless.py
@@ -31,6 +31,32 @@
 ENGINES = tuple((name, ("m0",)) for name in ("e1", "e2", "e3"))
 
 
+class Talker:
+    """Sends some bytes after each head, then others again and again, until its caller closes."""
+
+    def __init__(self, begin, part, repeat=10**9):
+        self._begin, self._part, self._repeat = begin, part, repeat
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "{}:{}".format(*self._server.sockets[0].getsockname())
+        self.url = f"http://{self.address}"
+        return self
+
+    async def __aexit__(self, *exc):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self._begin)
+        with contextlib.suppress(ConnectionError):
+            for _ in range(self._repeat):
+                await asyncio.sleep(0.05 if self._repeat == 1 else 0)
+                writer.write(self._part)
+                await writer.drain()
+        writer.close()
+
+
 def avoid_others(found, babbler):
     """Let the host send its next requests to one endpoint."""
     [host] = found.hosts
@@ -262,3 +288,24 @@
 
         asyncio.run(check())
         self.assertEqual([], self.given_up)
+
+
+class ControlCallTest(unittest.TestCase):
+    """Reports, orders and the store, whose answers are read whole."""
+
+    @run
+    async def test_a_report_in_two_parts_is_whole(self):
+        """Guards against an engine that counts as failing as its long report arrives in parts."""
+        async with Talker(HEAD + b"content-length: 6\r\n\r\n[1, ", b"2]", repeat=1) as talker:
+            endpoints = HttpEndpoints()
+            found = await endpoints.control_call("GET", talker.url, "/", 1.0)
+            await endpoints.close()
+        self.assertEqual((200, b"[1, 2]"), found)
+
+    @run
+    async def test_a_report_without_end_is_given_up_at_once(self):
+        async with Talker(HEAD + b"\r\n", b"x" * 65536) as talker:
+            endpoints = HttpEndpoints()
+            found = await endpoints.control_call("GET", talker.url, "/", 10.0)
+            await endpoints.close()
+        self.assertEqual(GIVEN_UP, found)
