Bound the memory of a store's answers

What was seen: a store whose answer never ends was read until the call timed out. Eight calls at once held 703 MB (the users' store, 1.5 s) and 877 MB (the product's own platform, 2 s) in one process.

Cause: the answers were read without a limit.

Change: an answer of up to 8 MB is read, and 16 MB of all unfinished ones together, half of a host's memory for control. What is over that is given up at once, like an answer that was lost. All rows of the own table at the size designed for are 1.5 MB in one answer.

Before: both rows of test_the_answers_of_a_store_have_a_bounded_memory fail (32 MB allowed).

--- a/peridotdock/clients/answer_memory.py
+++ b/peridotdock/clients/answer_memory.py
@@ -10,6 +10,9 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # Bytes of all unfinished answers together. Answers that name their length leave room for others.
 MAX_UNFINISHED_BYTES = MAX_ANSWER_BYTES * 3 // 2
+# The same for a store: a page of a table or an object, and all answers of it together.
+MAX_STORE_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_STORE_BYTES = 2 * MAX_STORE_ANSWER_BYTES
 # Bytes of each answer that are not counted: a connection holds about as many.
 FREE_BYTES = 64 * 1024
 # Seconds for which an answer waits for others that named their length and then arrive slowly.
@@ -109,3 +112,8 @@
         held.given_up = True
         self.release(held)
         held.give_up()
+
+
+def make_store_memory() -> AnswerMemory:
+    """Return the memory for a store's answers, which is part of that for a host's control."""
+    return AnswerMemory(MAX_STORE_BYTES, MAX_STORE_ANSWER_BYTES)
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -327,11 +327,13 @@
     if (resp.content_length or 0) > limit:
         raise EndlessAnswer("the answer is too long")
     held = memory.begin(resp.close)
-    body = bytearray()
+    parts: list[bytes] = []
+    size = 0
     try:
         while part := await resp.content.readany():
-            body += part
-            if len(body) > limit or not held.set_size(len(body)):
+            parts.append(part)
+            size += len(part)
+            if size > limit or not held.set_size(size):
                 raise EndlessAnswer("the answer is too long")
     except aiohttp.ClientError as exc:
         if held.given_up:
@@ -339,7 +341,7 @@
         raise
     finally:
         held.release()
-    return bytes(body)
+    return b"".join(parts)
 
 
 def read_retry_after(headers: Mapping[str, str]) -> float:
--- a/peridotdock/clients/platform.py
+++ b/peridotdock/clients/platform.py
@@ -13,7 +13,8 @@
 
 import aiohttp
 
-from peridotdock.clients.http import CONNECT_ERRORS, TRANSFER_ERRORS, Pool
+from peridotdock.clients.answer_memory import MAX_STORE_ANSWER_BYTES, make_store_memory
+from peridotdock.clients.http import CONNECT_ERRORS, TRANSFER_ERRORS, Pool, read_body
 from peridotdock.clients.versions import (
     StoreEra,
     all_of_era,
@@ -143,6 +144,7 @@
         self._url = url.rstrip("/")
         self._timeout = aiohttp.ClientTimeout(total=timeout, sock_connect=timeout)
         self._pool = Pool(limit=16)
+        self._memory = make_store_memory()
         self.era = StoreEra()
 
     async def close(self) -> None:
@@ -159,7 +161,7 @@
                     method, self._url + path, json=body, data=data, timeout=self._timeout
                 ) as resp,
             ):
-                raw = await resp.read()
+                raw = await read_body(resp, self._memory, MAX_STORE_ANSWER_BYTES)
         except CONNECT_ERRORS as exc:
             return Failure(Kind.PLATFORM_DOWN, type(exc).__name__)
         except TRANSFER_ERRORS as exc:
--- a/peridotdock/platform/store.py
+++ b/peridotdock/platform/store.py
@@ -11,7 +11,8 @@
 import aiohttp
 import msgspec
 
-from peridotdock.clients.http import CONNECT_ERRORS, TRANSFER_ERRORS, Pool
+from peridotdock.clients.answer_memory import MAX_STORE_ANSWER_BYTES, make_store_memory
+from peridotdock.clients.http import CONNECT_ERRORS, TRANSFER_ERRORS, Pool, read_body
 from peridotdock.clients.platform import RESTORED, Committed, ListedHost, Row, Transaction
 from peridotdock.clients.store_time import StoreTime
 from peridotdock.clients.tables import TableChanges, TableView
@@ -80,6 +81,7 @@
         self._url = f"http://{address}"
         self._time = time
         self._pool = Pool(limit=16)
+        self._memory = make_store_memory()
         self._metrics = metrics
         self.era = StoreEra()
 
@@ -108,7 +110,7 @@
                     method, self._url + path, data=body, headers=headers, timeout=limit
                 ) as resp,
             ):
-                raw = await resp.read()
+                raw = await read_body(resp, self._memory, MAX_STORE_ANSWER_BYTES)
         except CONNECT_ERRORS as exc:
             self._metrics.platform.labels(call, "unreachable").inc()
             return Failure(Kind.PLATFORM_DOWN, type(exc).__name__)
--- a/tests/relay/test_endless.py
+++ b/tests/relay/test_endless.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 import tracemalloc
 import unittest
 from dataclasses import replace
@@ -10,7 +11,12 @@
 
 from peridotdock.clients.answer_memory import FREE_BYTES, WAIT_SECONDS, AnswerMemory
 from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
+from peridotdock.clients.platform import HttpPlatform
+from peridotdock.clients.store_time import StoreTime
 from peridotdock.errors import Failure, Kind, failed
+from peridotdock.metrics import Metrics
+from peridotdock.platform.store import TableStore
+from peridotdock.relay.settings import parse_address
 from tests.relay.deployment import BOUNDS, Deployment
 from tests.relay.test_endings import HEAD, Endpoint, fetch
 from tests.relay.test_relay import ids, run
@@ -57,6 +63,10 @@
         writer.close()
 
 
+def open_table_store(talker):
+    return TableStore(parse_address(talker.address), Metrics(), StoreTime(time.monotonic))
+
+
 def avoid_others(found, babbler):
     """Let the host send its next requests to one endpoint."""
     [host] = found.hosts
@@ -309,3 +319,39 @@
             found = await endpoints.control_call("GET", talker.url, "/", 10.0)
             await endpoints.close()
         self.assertEqual(GIVEN_UP, found)
+
+    @params(
+        ("the platform's store", open_table_store),
+        ("the product's own platform", lambda talker: HttpPlatform(talker.url)),
+    )
+    def test_the_answers_of_a_store_have_a_bounded_memory(self, name, open_store):
+        """Guards against a host that ends for want of memory while its store babbles."""
+
+        @run
+        async def check(self):
+            async with Talker(HEAD + b"\r\n", b"x" * 65536) as talker:
+                store = open_store(talker)
+                tracemalloc.start()
+                try:
+                    calls = (store.get_object("a") for _ in range(AT_ONCE))
+                    found = await asyncio.gather(*calls)
+                    peak = tracemalloc.get_traced_memory()[1]
+                finally:
+                    tracemalloc.stop()
+                await store.close()
+            self.assertLessEqual(peak, CONTROL_BYTES, name)
+            self.assertEqual([Failure(Kind.PLATFORM_DOWN, "EndlessAnswer")] * AT_ONCE, found, name)
+
+        check(self)
+
+    @params(1000, 8 * MB)
+    def test_a_long_object_is_whole(self, size):
+        async def check():
+            head = HEAD + b"content-length: %d\r\n\r\n" % size
+            async with Talker(head, b"x" * size, repeat=1) as talker:
+                store = open_table_store(talker)
+                found = await store.get_object("a")
+                await store.close()
+            return found
+
+        self.assertTrue(asyncio.run(check()) == b"x" * size)
