--- a/tests/relay/test_endless.py
+++ b/tests/relay/test_endless.py
@@ -19,6 +19,7 @@
 from peridotdock.relay.settings import parse_address
 from tests.relay.deployment import BOUNDS, Deployment
 from tests.relay.test_endings import HEAD, Endpoint, fetch
+from tests.relay.test_forwarding import cut_off
 from tests.relay.test_relay import ids, run
 
 MB = 1024 * 1024
@@ -42,6 +43,7 @@
 
     def __init__(self, begin, part, repeat=10**9):
         self._begin, self._part, self._repeat = begin, part, repeat
+        self.called = False
 
     async def __aenter__(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -54,6 +56,7 @@
 
     async def _serve(self, reader, writer):
         await reader.readuntil(b"\r\n\r\n")
+        self.called = True
         writer.write(self._begin)
         with contextlib.suppress(ConnectionError):
             for _ in range(self._repeat):
@@ -355,3 +358,36 @@
             return found
 
         self.assertTrue(asyncio.run(check()) == b"x" * size)
+
+
+class EndlessHostTest(unittest.TestCase):
+    """Guards against a caller that gets 504 as another host, or what answers for it, babbles."""
+
+    @params(
+        ("a body", b"\r\n", b"x" * 65536),
+        ("a chunk's extension", CHUNKED + b"4;", b"a" * 65536),
+    )
+    def test_a_request_is_answered_through_a_third_host(self, name, begin, part):
+        @run
+        async def check(self):
+            head = HEAD + b"x-response-signature: s\r\n"
+            async with (
+                Talker(head + begin, part) as talker,
+                Deployment(hosts=3, pages=PAGES, gated=True) as found,
+            ):
+                await cut_off(found)
+                forwarder = found.hosts[0].forwarder
+                find_hosts = forwarder._find_hosts
+
+                def find(tried):
+                    rows = find_hosts(tried)
+                    if tried or not rows:
+                        return rows
+                    return [replace(rows[0], fact=replace(rows[0].fact, relay=talker.address))]
+
+                forwarder._find_hosts = find
+                answer = await found.send("/fetch/", "a1", x_deadline_ms="3000")
+                self.assertTrue(talker.called, name)
+                self.assertEqual((200, b"whole answer"), answer[::2], name)
+
+        check(self)
