--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -15,16 +15,19 @@
 import msgspec
 from yarl import URL
 
+from peridotdock.clients.answer_memory import MAX_ANSWER_BYTES, AnswerMemory
 from peridotdock.clients.http import (
     CONNECT_ERRORS,
     CONNECT_TIMEOUT_SECONDS,
     STILL_WANTED,
     TRANSFER_ERRORS,
     ConnectionAwareResponse,
+    EndlessAnswer,
     Pool,
     Withdrawn,
     always,
     never,
+    read_body,
     read_retry_after,
     send_once,
 )
@@ -33,7 +36,7 @@
 REPORT_TIMEOUT_SECONDS = 1.0
 PROBE_TIMEOUT_SECONDS = 1.0
 NOT_RUN_HEADER = "x-not-run"
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_REFUSAL_BYTES = 64 * 1024
 MAX_REPORT_BYTES = 4 * 1024 * 1024
 # Reasons of failures for which no answer arrived in time.
 TIMEOUT_REASONS = frozenset(
@@ -45,6 +48,7 @@
         aiohttp.SocketTimeoutError,
     )
 )
+TOO_LONG = Failure(Kind.ENDPOINT_ERROR, "the answer is too long")
 CONNECTION_KINDS = frozenset({Kind.ENDPOINT_UNREACHABLE, Kind.ENDPOINT_LOST})
 
 T = TypeVar("T")
@@ -135,19 +139,47 @@
     """
 
     def __init__(
-        self, resp: ConnectionAwareResponse, stack: AsyncExitStack, may_stop: Callable[[], bool]
+        self,
+        resp: ConnectionAwareResponse,
+        stack: AsyncExitStack,
+        may_stop: Callable[[], bool],
+        memory: AnswerMemory,
     ):
         self._resp = resp
         self._stack = stack
         self._may_stop = may_stop
+        self._held = memory.begin(self.abort)
         self.framed = resp.framed
         self.status = resp.status
         self.headers = resp.headers
         self.connection = resp.connection_key
 
+    @property
+    def length(self) -> int | None:
+        """The length of the body that the head names, None without one or without a body."""
+        return None if self._resp.content.at_eof() else self._resp.content_length
+
+    def read_share(self) -> float:
+        """Return which share of the body has arrived, 0 if its length is unknown."""
+        return self._resp.content.total_bytes / self.length if self.length else 0.0
+
+    async def reserve(self, size: int) -> None:
+        """Wait until there is memory for an answer of ``size`` bytes."""
+        await self._held.reserve(size)
+
+    def hold(self, size: int) -> None:
+        """Record that ``size`` bytes are held; raises EndlessAnswer if there is no memory left."""
+        if not self._held.set_size(size):
+            raise EndlessAnswer("too many bytes are held of unfinished answers")
+
     async def read_chunk(self) -> bytes:
         """Return the next bytes, empty at the end. Raises the errors in :data:`TRANSFER_ERRORS`."""
-        part = await self._resp.content.readany()
+        try:
+            part = await self._resp.content.readany()
+        except TRANSFER_ERRORS as exc:
+            if self._held.given_up:
+                raise EndlessAnswer("too many bytes are held of unfinished answers") from exc
+            raise
         if not part and not await self._resp.is_complete(self._may_stop):
             raise aiohttp.ClientPayloadError("connection ended before the end of the answer")
         return part
@@ -158,6 +190,7 @@
 
     async def release(self) -> None:
         """Close the connection unless the answer was read to its end."""
+        self._held.release()
         if not self._resp.content.at_eof():
             self._resp.close()
         await self._stack.aclose()
@@ -186,11 +219,15 @@
     """Endpoints over HTTP, with one connection pool per endpoint.
 
     ``not_run_header`` is the response header that marks a request that the endpoint did not run;
-    None when the sender checks the head of the answer itself.
+    None when the sender checks the head of the answer itself. ``memory`` is for what is read of
+    unfinished answers.
     """
 
-    def __init__(self, not_run_header: str | None = NOT_RUN_HEADER) -> None:
+    def __init__(
+        self, not_run_header: str | None = NOT_RUN_HEADER, memory: AnswerMemory | None = None
+    ) -> None:
         self._not_run_header = not_run_header
+        self._memory = memory or AnswerMemory()
         self._pools: dict[str, Pool] = {}
         self._control: dict[str, Pool] = {}
         self._cancels: set[asyncio.Future[Any]] = set()
@@ -233,7 +270,7 @@
             return Failure(Kind.ENDPOINT_UNREACHABLE, type(exc).__name__)
         except TRANSFER_ERRORS as exc:
             await stack.aclose()
-            return Failure(Kind.ENDPOINT_LOST, type(exc).__name__)
+            return transfer_failure(exc, Kind.ENDPOINT_LOST)
         except BaseException:
             await stack.aclose()
             raise
@@ -247,7 +284,7 @@
             return Failure(
                 Kind.ENDPOINT_REFUSED, retry_after=read_retry_after(resp.headers) or None
             )
-        return OpenResponse(resp, stack, call.may_stop)
+        return OpenResponse(resp, stack, call.may_stop, self._memory)
 
     async def control_call(
         self,
@@ -260,7 +297,8 @@
     ) -> tuple[int, bytes] | Failure:
         """Make a small control call, on connections apart from those of requests.
 
-        Returns the status and at most ``MAX_REPORT_BYTES`` of the body.
+        Returns the status and the body, which has at most ``MAX_REPORT_BYTES``.
+        Failure guarded against: a report arrives in two parts, and the first one alone is read.
         """
         limit = aiohttp.ClientTimeout(total=timeout, sock_connect=timeout)
         pool = self._control_pool(url)
@@ -271,13 +309,13 @@
                     method, url + path, json=body, headers=headers, timeout=limit
                 ) as resp,
             ):
-                return resp.status, await resp.content.read(MAX_REPORT_BYTES)
+                return resp.status, await read_body(resp, self._memory, MAX_REPORT_BYTES)
         except CONNECT_ERRORS as exc:
             return Failure(Kind.ENDPOINT_UNREACHABLE, type(exc).__name__)
         except TRANSFER_ERRORS as exc:
             if isinstance(exc, asyncio.TimeoutError):
                 pool.renew()
-            return Failure(Kind.ENDPOINT_LOST, type(exc).__name__)
+            return transfer_failure(exc, Kind.ENDPOINT_LOST)
 
     async def report(self, url: str, since: int) -> Report | Failure:
         """Read a report; one that can't be decoded is a failure of the endpoint."""
@@ -330,6 +368,15 @@
     return failure.kind in CONNECTION_KINDS and failure.reason not in TIMEOUT_REASONS
 
 
+def transfer_failure(exc: Exception, lost: Kind) -> Failure:
+    """Return the failure for an error in a transfer; ``lost`` is the kind if the connection broke.
+
+    An endpoint that sends too much has not ended, and its connection was closed on purpose.
+    """
+    kind = Kind.ENDPOINT_ERROR if isinstance(exc, EndlessAnswer) else lost
+    return Failure(kind, type(exc).__name__)
+
+
 def read_as(outcome: tuple[int, bytes], shape: type[T]) -> T | Failure:
     """Decode a JSON answer into ``shape``; a bad one is a failure of the endpoint."""
     status, raw = outcome
@@ -342,7 +389,14 @@
 
 
 async def read_all(opened: OpenResponse, limit: int = MAX_ANSWER_BYTES) -> bytes | Failure:
-    """Read an answer to its end; one that is cut off or exceeds ``limit`` bytes is a failure."""
+    """Read an answer to its end; one that is cut off or exceeds ``limit`` bytes is a failure.
+
+    Failure guarded against: an endpoint sends a body without end. Several of these fill the memory
+    of the host, and each is read for so long that the deadline passes.
+    """
+    if (opened.length or 0) > limit:
+        return TOO_LONG
+    await opened.reserve(opened.length or 0)
     parts: list[bytes] = []
     size = 0
     async for part in iter_chunks(opened):
@@ -350,7 +404,11 @@
             return part
         size += len(part)
         if size > limit:
-            return Failure(Kind.ENDPOINT_ERROR, "the answer is too long")
+            return TOO_LONG
+        try:
+            opened.hold(size)
+        except EndlessAnswer as exc:
+            return transfer_failure(exc, Kind.ANSWER_CUT)
         parts.append(part)
     return b"".join(parts)
 
@@ -361,7 +419,7 @@
         try:
             part = await opened.read_chunk()
         except TRANSFER_ERRORS as exc:
-            yield Failure(Kind.ANSWER_CUT, type(exc).__name__)
+            yield transfer_failure(exc, Kind.ANSWER_CUT)
             return
         if not part:
             return
--- a/peridotdock/relay/attempt.py
+++ b/peridotdock/relay/attempt.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from peridotdock.clients.endpoint import OpenResponse
+from peridotdock.clients.endpoint import OpenResponse, transfer_failure
 from peridotdock.clients.http import TRANSFER_ERRORS
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.caller import SendCaller
@@ -16,6 +16,7 @@
 from peridotdock.requests import Loss, RequestState, loss_failure
 
 SERVER_ERROR = 500
+ENDLESS = Failure(Kind.ENDPOINT_ERROR, "an event without end")
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,12 +141,15 @@
                 part = await self.opened.read_chunk()
                 self.ready += self.splitter.feed(part)
                 self.ended = not part
+                self.opened.hold(len(self.splitter.partial))
+                if self.splitter.is_endless:
+                    return ENDLESS
         except TRANSFER_ERRORS as exc:
             if self.caller.is_disconnected():
                 return loss_failure(RequestState.FIRST_BYTE, Loss.CALLER_GONE)
             if self._stall_timeout.expired:
                 return loss_failure(RequestState.FIRST_BYTE, Loss.DEADLINE)
-            return Failure(Kind.ANSWER_CUT, type(exc).__name__)
+            return transfer_failure(exc, Kind.ANSWER_CUT)
         finally:
             self._stall_timeout.end()
         if self.ended and self.splitter.partial:
