Log which host refused a request by its quota, and which requests waited in vain

quota_used and the metric told how many units were refused, not whether a host that counts refused them at once or nobody counted them within two seconds. They now tell these apart, with the host that was asked last: refused by h1, expired by h1.

Test: tests.relay.test_quota_cluster.UsageTest fails before, both rows.

--- a/peridotdock/relay/quota_usage.py
+++ b/peridotdock/relay/quota_usage.py
@@ -10,13 +10,17 @@
 
 
 class Decision(StrEnum):
-    """Who admitted a request's units, or what became of them."""
+    """Who admitted a request's units, or what became of them.
+
+    A host that counts refuses a request; one that has waited in vain is expired.
+    """
 
     STOCK = "stock"
     HUB = "hub"
     ALONE = "alone"
     REPEAT = "repeat"
     REFUSED = "refused"
+    EXPIRED = "expired"
     RETURNED = "returned"
 
 
--- a/peridotdock/relay/quotas.py
+++ b/peridotdock/relay/quotas.py
@@ -59,6 +59,18 @@
     cost: float
 
 
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What was decided on a request, and by which host, if another one may have done it.
+
+    ``wait`` is 0 for an admitted request, else the seconds until its caller may retry.
+    """
+
+    wait: float
+    decision: Decision
+    by: str = ""
+
+
 class Quotas:
     """Checks quotas on one host, which may itself be the one that counts."""
 
@@ -99,16 +111,17 @@
         charge = self._find_charge(req)
         if charge is None:
             return None
-        wait = await self._wait_for(charge, caller, req.deadline)
-        if wait == 0 and caller.is_disconnected():
+        verdict = await self._decide(charge, caller, req.deadline)
+        if verdict.wait == 0 or not caller.is_disconnected():
+            self._usage.add(charge.name, verdict.decision, charge.cost, verdict.by)
+        if verdict.wait == 0 and caller.is_disconnected():
             self._return(charge)
         if caller.is_disconnected():
             return loss_failure(RequestState.ADMITTED, Loss.CALLER_GONE)
-        if wait == 0:
+        if verdict.wait == 0:
             return None
-        self._usage.add(charge.name, Decision.REFUSED, charge.cost)
         spread = 1 + RETRY_JITTER_SHARE * (self._ctx.rng.random() - 0.5)
-        return Failure(Kind.CALLER_LIMIT, f"workspace {charge.name}", wait * spread)
+        return Failure(Kind.CALLER_LIMIT, f"workspace {charge.name}", verdict.wait * spread)
 
     def refund(self, req: RelayRequest) -> None:
         """Return the units of an admitted request that did not run."""
@@ -163,36 +176,32 @@
         """Return whether a host offers to use shares, as versions before did not."""
         return self._peers.facts.get(host, "share_offer") is not None
 
-    async def _wait_for(self, charge: Charge, caller: CallerConnection, deadline: float) -> float:
-        """Return 0 for an admitted request, else the seconds until it may be retried."""
-        name, cost = charge.name, charge.cost
-        if self.stocks.take(name, charge.quota, cost, self._peers.host_count()):
-            self._usage.add(name, Decision.STOCK, cost)
-            return 0.0
+    async def _decide(self, charge: Charge, caller: CallerConnection, deadline: float) -> Verdict:
+        """Decide on a request, which may wait until a host counts its units."""
+        if self.stocks.take(charge.name, charge.quota, charge.cost, self._peers.host_count()):
+            return Verdict(0.0, Decision.STOCK)
         until = min(deadline, self._ctx.clock.monotonic() + PATIENCE_SECONDS)
         while True:
             grantor = self._shares.grantor()
             wait = await self._ask(grantor, charge, caller, until)
             if wait is not None and wait >= 0:
-                if wait == 0:
-                    self._usage.add(name, Decision.HUB, cost, grantor)
-                return wait
+                return Verdict(wait, Decision.REFUSED if wait else Decision.HUB, grantor)
             left = until - self._ctx.clock.monotonic()
             if caller.is_disconnected() or left <= 0:
                 break
             await self._ctx.clock.sleep(min(left, RETRY_SECONDS if wait is None else -wait))
         if wait is not None:
-            return -wait
+            return Verdict(-wait, Decision.EXPIRED, grantor)
         if not caller.is_disconnected():
-            self._record_silence(grantor, name)
-        return self._take_own(charge)
+            self._record_silence(grantor, charge.name)
+        return self._take_own(charge, grantor)
 
-    def _take_own(self, charge: Charge) -> float:
+    def _take_own(self, charge: Charge, grantor: str) -> Verdict:
         """Take a request's units from this host's own share, if no other host may use that."""
         wait = self.server.take(charge.name, charge.cost) if self._shares.use_own() else -1.0
         if wait == 0:
-            self._usage.add(charge.name, Decision.ALONE, charge.cost)
-        return wait if wait >= 0 else SILENT_RETRY_SECONDS
+            return Verdict(0.0, Decision.ALONE)
+        return Verdict(wait if wait > 0 else SILENT_RETRY_SECONDS, Decision.EXPIRED, grantor)
 
     async def _ask(
         self, grantor: str, charge: Charge, caller: CallerConnection, until: float
--- a/tests/relay/test_quota_cluster.py
+++ b/tests/relay/test_quota_cluster.py
@@ -8,6 +8,7 @@
 from nose2.tools import params
 
 from peridotdock.decisions.quotas import Tolerance
+from peridotdock.events import Filter
 from peridotdock.relay.quotas import PATIENCE_SECONDS
 from peridotdock.workspaces import Quota
 from tests.relay.quota_cluster import Cluster
@@ -124,6 +125,19 @@
         self.assertLessEqual(found.max_part, 1.0 + 1e-9)
 
 
+class UsageTest(unittest.TestCase):
+    @params(("refused by h0", 0.5, 4.0), ("expired by h0", 100.0, 0.5))
+    def test_the_log_tells_what_was_refused_at_once_and_what_waited_in_vain(
+        self, label, discovery, load
+    ):
+        """Guards against a 429 of which nobody can tell whether units or a counter were missing."""
+        more = {"hosts": 1, "discovery": discovery}
+        found = play(REQUESTS, [], 1, lambda now: load, 6.0, **more)
+        rows = found.hosts["h0"].ctx.timeline.select(Filter())
+        lines = [row.detail for row in rows if row.name == "quota_used"]
+        self.assertTrue(any(label in line for line in lines), lines)
+
+
 class ServiceTest(unittest.TestCase):
     """What is within a quota is served, whatever one fault does."""
 
--- a/tests/relay/test_quotas.py
+++ b/tests/relay/test_quotas.py
@@ -367,6 +367,10 @@
             (("w", Decision.ALONE, 5.0, ""), ("w", Decision.ALONE, 4.0, "")),
             ["workspace w, units in 1.00 s: alone 9"],
         ),
+        (
+            (("w", Decision.REFUSED, 5.0, "h1"), ("w", Decision.EXPIRED, 4.0, "h2")),
+            ["workspace w, units in 1.00 s: expired by h2 4, refused by h1 5"],
+        ),
         ((("w", Decision.REFUSED, 5.0, ""),), ["workspace w, units in 1.00 s: refused 5"]),
     )
     def test_a_line_a_second_tells_who_admitted_a_workspaces_units(self, counts, lines):
