Pass units of a quota on to the request that waits for longest

Cause: each waiting request asks anew every 0.25 s, and what accrues goes to whoever asks next. Requests that have just arrived ask at once, so one that has waited may lose until its time is over.

All six refused requests were expired, none refused by a host that counts; in that second the same host admitted one to four others of the workspace.

Change: a host gives the units that a request is granted to the request of the same workspace that waits for longest and takes no more; the later one waits in its place. It grants no more units than before.

--- a/peridotdock/relay/quotas.py
+++ b/peridotdock/relay/quotas.py
@@ -17,6 +17,7 @@
 from peridotdock.relay.peers import Peers
 from peridotdock.relay.quota_counter import CounterServer
 from peridotdock.relay.quota_usage import Decision, QuotaUsage
+from peridotdock.relay.quota_waits import QuotaWaits, WaitingRequest
 from peridotdock.relay.requests import RelayRequest
 from peridotdock.relay.settings import Bounds
 from peridotdock.relay.shares import Shares
@@ -97,6 +98,7 @@
         self._quotas: Mapping[str, Quota] = {}
         self._calls: HubCalls[int] = HubCalls(iterations)
         self._asked: dict[int, tuple[float, Charge]] = {}
+        self._waits = QuotaWaits()
         self._silent_count = 0
         self._silence_logged_at = float("-inf")
 
@@ -167,8 +169,10 @@
     def _return(self, charge: Charge) -> None:
         """Put a request's units into the stock, and those that don't fit back into the bucket."""
         self._usage.add(charge.name, Decision.RETURNED, charge.cost)
-        hosts = self._peers.host_count()
-        rest = round(self.stocks.add(charge.name, charge.quota, charge.cost, hosts))
+        self._put_back(charge, charge.cost)
+
+    def _put_back(self, charge: Charge, units: float) -> None:
+        rest = round(self.stocks.add(charge.name, charge.quota, units, self._peers.host_count()))
         if rest:
             self._give_back(charge.name, rest)
 
@@ -180,22 +184,40 @@
         """Decide on a request, which may wait until a host counts its units."""
         if self.stocks.take(charge.name, charge.quota, charge.cost, self._peers.host_count()):
             return Verdict(0.0, Decision.STOCK)
-        until = min(deadline, self._ctx.clock.monotonic() + PATIENCE_SECONDS)
+        since = self._ctx.clock.monotonic()
+        until, waiting = min(deadline, since + PATIENCE_SECONDS), WaitingRequest(charge.cost, since)
         while True:
             grantor = self._shares.grantor()
             wait = await self._ask(grantor, charge, caller, until)
+            if wait == 0 and self._pass_on(charge, waiting, grantor, until):
+                wait = -RETRY_SECONDS
             if wait is not None and wait >= 0:
                 return Verdict(wait, Decision.REFUSED if wait else Decision.HUB, grantor)
             left = until - self._ctx.clock.monotonic()
             if caller.is_disconnected() or left <= 0:
                 break
-            await self._ctx.clock.sleep(min(left, RETRY_SECONDS if wait is None else -wait))
+            seconds = min(left, RETRY_SECONDS if wait is None else -wait)
+            granted_by = await self._waits.wait(charge.name, waiting, seconds)
+            if granted_by is not None:
+                return Verdict(0.0, Decision.HUB, granted_by)
         if wait is not None:
             return Verdict(-wait, Decision.EXPIRED, grantor)
         if not caller.is_disconnected():
             self._record_silence(grantor, charge.name)
         return self._take_own(charge, grantor)
 
+    def _pass_on(self, charge: Charge, waiting: WaitingRequest, grantor: str, until: float) -> bool:
+        """Pass a request's units on to one that waits for longer; return whether there is one.
+
+        What that one does not need is put back. A request without time left keeps its units.
+        """
+        if self._ctx.clock.monotonic() >= until:
+            return False
+        first = self._waits.pass_on(charge.name, waiting, grantor)
+        if first is not None and first.cost < charge.cost:
+            self._put_back(charge, charge.cost - first.cost)
+        return first is not None
+
     def _take_own(self, charge: Charge, grantor: str) -> Verdict:
         """Take a request's units from this host's own share, if no other host may use that."""
         wait = self.server.take(charge.name, charge.cost) if self._shares.use_own() else -1.0
--- a/tests/relay/test_quota_cluster.py
+++ b/tests/relay/test_quota_cluster.py
@@ -189,6 +189,16 @@
         self.assertEqual([], found.refused)
         self.assertLessEqual(found.max_part, 1.0 + 1e-9)
 
+    @params(*itertools.product((LARGE, REQUESTS), (1.2, 2.0), (0.02, 0.25), (4, 8), (1, 2)))
+    def test_later_requests_do_not_take_what_an_earlier_one_waits_for(
+        self, quota, seconds, lag, hosts, seed
+    ):
+        """Guards against a 429 within a quota after two seconds in which others were admitted."""
+        more = {"hosts": hosts, "lag": lag, "warm": 3.0}
+        found = play(quota, [(2.0, "freeze_hub", seconds)], seed, lambda now: 0.5, 9.0, **more)
+        self.assertEqual([], found.refused)
+        self.assertLessEqual(found.max_part, 1.0 + 1e-9)
+
     @params(*itertools.product((LARGE, REQUESTS), (0.6, 1.5), (2, 3)))
     def test_a_hub_has_units_again_once_it_has_its_shares(self, quota, seconds, seed):
         """Guards against a 429 within a quota by a hub whose loans were over for a moment."""
--- a/tests/relay/test_quotas.py
+++ b/tests/relay/test_quotas.py
@@ -20,6 +20,7 @@
 from peridotdock.events import Filter
 from peridotdock.limits import Bucket
 from peridotdock.relay.quota_usage import LOG_INTERVAL_SECONDS, Decision, QuotaUsage
+from peridotdock.relay.quota_waits import QuotaWaits, WaitingRequest
 from peridotdock.relay.quotas import RETRY_JITTER_SHARE
 from peridotdock.workspaces import Quota
 from tests.builders import make_ctx
@@ -351,6 +352,40 @@
             self.assertLessEqual(len(lines), 8)
 
 
+class WaitsTest(unittest.TestCase):
+    @params(
+        ([(1.0, 5.0), (1.0, 4.0)], (1.0, 6.0), 1),
+        ([(1.0, 5.0), (2.0, 4.0)], (1.0, 6.0), 0),
+        ([(1.0, 5.0), (1.0, 4.0)], (2.0, 6.0), 1),
+        ([(1.0, 5.0)], (1.0, 5.0), None),
+        ([(2.0, 5.0)], (1.0, 6.0), None),
+        ([], (1.0, 6.0), None),
+    )
+    @run
+    async def test_units_go_to_the_request_that_waits_for_longest(self, rows, later, index):
+        """Guards against requests that wait in vain while later ones get the units."""
+        waits = QuotaWaits()
+        requests = [WaitingRequest(*row) for row in rows]
+        tasks = [asyncio.ensure_future(waits.wait("w", row, 0.05)) for row in requests]
+        await asyncio.sleep(0)
+        self.assertIsNone(waits.pass_on("other", WaitingRequest(*later), "h1"))
+        found = waits.pass_on("w", WaitingRequest(*later), "h1")
+        self.assertIs(None if index is None else requests[index], found)
+        expected = ["h1" if number == index else None for number in range(len(rows))]
+        self.assertEqual(expected, await asyncio.gather(*tasks))
+        self.assertIsNone(waits.pass_on("w", WaitingRequest(*later), "h1"))
+
+    @run
+    async def test_units_are_passed_on_once(self):
+        waits = QuotaWaits()
+        task = asyncio.ensure_future(waits.wait("w", WaitingRequest(1.0, 5.0), 0.05))
+        await asyncio.sleep(0)
+        later = WaitingRequest(1.0, 6.0)
+        self.assertIsNotNone(waits.pass_on("w", later, "h1"))
+        self.assertIsNone(waits.pass_on("w", later, "h1"))
+        self.assertEqual("h1", await task)
+
+
 class UsageLogTest(unittest.TestCase):
     @params(
         ((("w", Decision.STOCK, 5.0, ""),), []),
