Let a play of simulated hosts fail with the error of a request

A play counted what was served and what was refused. The first error of a request now ends the play, unless its host is gone by then.

--- a/tests/relay/quota_cluster.py
+++ b/tests/relay/quota_cluster.py
@@ -259,7 +259,7 @@
         self.reset_at = {}
         self.ended_at = {}
         self.frozen_from, self.frozen_until = {}, {}
-        self.served, self.refused, self.waits = [], [], []
+        self.served, self.refused, self.waits, self.requests = [], [], [], []
         self.max_part = 0.0
         self.kept = {}
         self.deployment = SimpleNamespace(
@@ -272,6 +272,8 @@
     def play(self, seconds, faults=(), warm=8.0):
         """Play ``seconds`` after ``warm`` seconds without requests, and return the cluster.
 
+        Raises the first error of a request on a host that is still there.
+
         ``faults`` are rows of a time, a method and its arguments.
         """
         loop = SimulatedLoop()
@@ -297,6 +299,9 @@
             getattr(self, name)(*args)
         await asyncio.sleep(self.warm + seconds - self.now())
         work.cancel()
+        for host, request in self.requests:
+            if request.done() and self.hosts.get(host.name) is host:
+                request.result()
 
     async def _arrive(self):
         await asyncio.sleep(self.warm)
@@ -310,9 +315,9 @@
                 if self.now() >= host.started_at + BOOT_SECONDS and not self.is_frozen(host.name)
             ]
             if ready:
-                asyncio.ensure_future(
-                    self._request(self.rng.choice(ready), self.rng.choice(self.cost))
-                )
+                host = self.rng.choice(ready)
+                request = self._request(host, self.rng.choice(self.cost))
+                self.requests.append((host, asyncio.ensure_future(request)))
 
     async def _sample(self):
         """Record the most shares that were used at a time, as parts of all."""
