Begin a request's time to wait for units anew when a host counts

Cause: the two seconds begin when a request arrives. While the hub is silent no host may use its shares, 1.1 s; what a host's own share accrues after that is dropped when the hub is back, whose buckets are empty, and the soak kills that hub soon after.

Change: the two seconds begin anew with the first reply of a host that counts, once a request and within its deadline. No unit is granted that was not before.

--- a/peridotdock/relay/quotas.py
+++ b/peridotdock/relay/quotas.py
@@ -31,8 +31,8 @@
 )
 from peridotdock.workspaces import Quota
 
-# Seconds for which a request waits until some host counts its workspace's units, and until another
-# host is asked. A lost hub is replaced in less.
+# Seconds for which a request waits until some host counts its workspace's units, and for units from
+# when one does; and until another host is asked. A lost hub is replaced in less.
 PATIENCE_SECONDS = 2.0
 RETRY_SECONDS = 0.25
 # Least seconds in which a host may reply, also to the last call of a request.
@@ -184,8 +184,8 @@
         """Decide on a request, which may wait until a host counts its units."""
         if self.stocks.take(charge.name, charge.quota, charge.cost, self._peers.host_count()):
             return Verdict(0.0, Decision.STOCK)
-        since = self._ctx.clock.monotonic()
-        until, waiting = min(deadline, since + PATIENCE_SECONDS), WaitingRequest(charge.cost, since)
+        until, is_counted = self._patience_end(deadline), False
+        waiting = WaitingRequest(charge.cost, self._ctx.clock.monotonic())
         while True:
             grantor = self._shares.grantor()
             wait = await self._ask(grantor, charge, caller, until)
@@ -193,6 +193,8 @@
                 wait = -RETRY_SECONDS
             if wait is not None and wait >= 0:
                 return Verdict(wait, Decision.REFUSED if wait else Decision.HUB, grantor)
+            if wait is not None and not is_counted:
+                until, is_counted = self._patience_end(deadline), True
             left = until - self._ctx.clock.monotonic()
             if caller.is_disconnected() or left <= 0:
                 break
@@ -206,6 +208,10 @@
             self._record_silence(grantor, charge.name)
         return self._take_own(charge, grantor)
 
+    def _patience_end(self, deadline: float) -> float:
+        """Return until when a request waits from now on."""
+        return min(deadline, self._ctx.clock.monotonic() + PATIENCE_SECONDS)
+
     def _pass_on(self, charge: Charge, waiting: WaitingRequest, grantor: str, until: float) -> bool:
         """Pass a request's units on to one that waits for longer; return whether there is one.
 
