--- a/peridotdock/relay/quotas.py
+++ b/peridotdock/relay/quotas.py
@@ -17,6 +17,7 @@
 from peridotdock.relay.peers import Peers
 from peridotdock.relay.quota_counter import CounterServer
 from peridotdock.relay.quota_usage import Decision, QuotaUsage
+from peridotdock.relay.quota_waits import QuotaWaits, WaitingRequest
 from peridotdock.relay.requests import RelayRequest
 from peridotdock.relay.settings import Bounds
 from peridotdock.relay.shares import Shares
@@ -30,8 +31,8 @@
 )
 from peridotdock.workspaces import Quota
 
-# Seconds for which a request waits until some host counts its workspace's units, and until another
-# host is asked. A lost hub is replaced in less.
+# Seconds for which a request waits until some host counts its workspace's units, and for units from
+# when one does; and until another host is asked. A lost hub is replaced in less.
 PATIENCE_SECONDS = 2.0
 RETRY_SECONDS = 0.25
 # Least seconds in which a host may reply, also to the last call of a request.
@@ -59,6 +60,18 @@
     cost: float
 
 
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What was decided on a request, and by which host, if another one may have done it.
+
+    ``wait`` is 0 for an admitted request, else the seconds until its caller may retry.
+    """
+
+    wait: float
+    decision: Decision
+    by: str = ""
+
+
 class Quotas:
     """Checks quotas on one host, which may itself be the one that counts."""
 
@@ -85,6 +98,7 @@
         self._quotas: Mapping[str, Quota] = {}
         self._calls: HubCalls[int] = HubCalls(iterations)
         self._asked: dict[int, tuple[float, Charge]] = {}
+        self._waits = QuotaWaits()
         self._silent_count = 0
         self._silence_logged_at = float("-inf")
 
@@ -99,16 +113,17 @@
         charge = self._find_charge(req)
         if charge is None:
             return None
-        wait = await self._wait_for(charge, caller, req.deadline)
-        if wait == 0 and caller.is_disconnected():
+        verdict = await self._decide(charge, caller, req.deadline)
+        if verdict.wait == 0 or not caller.is_disconnected():
+            self._usage.add(charge.name, verdict.decision, charge.cost, verdict.by)
+        if verdict.wait == 0 and caller.is_disconnected():
             self._return(charge)
         if caller.is_disconnected():
             return loss_failure(RequestState.ADMITTED, Loss.CALLER_GONE)
-        if wait == 0:
+        if verdict.wait == 0:
             return None
-        self._usage.add(charge.name, Decision.REFUSED, charge.cost)
         spread = 1 + RETRY_JITTER_SHARE * (self._ctx.rng.random() - 0.5)
-        return Failure(Kind.CALLER_LIMIT, f"workspace {charge.name}", wait * spread)
+        return Failure(Kind.CALLER_LIMIT, f"workspace {charge.name}", verdict.wait * spread)
 
     def refund(self, req: RelayRequest) -> None:
         """Return the units of an admitted request that did not run."""
@@ -154,8 +169,10 @@
     def _return(self, charge: Charge) -> None:
         """Put a request's units into the stock, and those that don't fit back into the bucket."""
         self._usage.add(charge.name, Decision.RETURNED, charge.cost)
-        hosts = self._peers.host_count()
-        rest = round(self.stocks.add(charge.name, charge.quota, charge.cost, hosts))
+        self._put_back(charge, charge.cost)
+
+    def _put_back(self, charge: Charge, units: float) -> None:
+        rest = round(self.stocks.add(charge.name, charge.quota, units, self._peers.host_count()))
         if rest:
             self._give_back(charge.name, rest)
 
@@ -163,36 +180,56 @@
         """Return whether a host offers to use shares, as versions before did not."""
         return self._peers.facts.get(host, "share_offer") is not None
 
-    async def _wait_for(self, charge: Charge, caller: CallerConnection, deadline: float) -> float:
-        """Return 0 for an admitted request, else the seconds until it may be retried."""
-        name, cost = charge.name, charge.cost
-        if self.stocks.take(name, charge.quota, cost, self._peers.host_count()):
-            self._usage.add(name, Decision.STOCK, cost)
-            return 0.0
-        until = min(deadline, self._ctx.clock.monotonic() + PATIENCE_SECONDS)
+    async def _decide(self, charge: Charge, caller: CallerConnection, deadline: float) -> Verdict:
+        """Decide on a request, which may wait until a host counts its units."""
+        if self.stocks.take(charge.name, charge.quota, charge.cost, self._peers.host_count()):
+            return Verdict(0.0, Decision.STOCK)
+        until, is_counted = self._patience_end(deadline), False
+        waiting = WaitingRequest(charge.cost, self._ctx.clock.monotonic())
         while True:
             grantor = self._shares.grantor()
             wait = await self._ask(grantor, charge, caller, until)
+            if wait == 0 and self._pass_on(charge, waiting, grantor, until):
+                wait = -RETRY_SECONDS
             if wait is not None and wait >= 0:
-                if wait == 0:
-                    self._usage.add(name, Decision.HUB, cost, grantor)
-                return wait
+                return Verdict(wait, Decision.REFUSED if wait else Decision.HUB, grantor)
+            if wait is not None and not is_counted:
+                until, is_counted = self._patience_end(deadline), True
             left = until - self._ctx.clock.monotonic()
             if caller.is_disconnected() or left <= 0:
                 break
-            await self._ctx.clock.sleep(min(left, RETRY_SECONDS if wait is None else -wait))
+            seconds = min(left, RETRY_SECONDS if wait is None else -wait)
+            granted_by = await self._waits.wait(charge.name, waiting, seconds)
+            if granted_by is not None:
+                return Verdict(0.0, Decision.HUB, granted_by)
         if wait is not None:
-            return -wait
+            return Verdict(-wait, Decision.EXPIRED, grantor)
         if not caller.is_disconnected():
-            self._record_silence(grantor, name)
-        return self._take_own(charge)
+            self._record_silence(grantor, charge.name)
+        return self._take_own(charge, grantor)
+
+    def _patience_end(self, deadline: float) -> float:
+        """Return until when a request waits from now on."""
+        return min(deadline, self._ctx.clock.monotonic() + PATIENCE_SECONDS)
 
-    def _take_own(self, charge: Charge) -> float:
+    def _pass_on(self, charge: Charge, waiting: WaitingRequest, grantor: str, until: float) -> bool:
+        """Pass a request's units on to one that waits for longer; return whether there is one.
+
+        What that one does not need is put back. A request without time left keeps its units.
+        """
+        if self._ctx.clock.monotonic() >= until:
+            return False
+        first = self._waits.pass_on(charge.name, waiting, grantor)
+        if first is not None and first.cost < charge.cost:
+            self._put_back(charge, charge.cost - first.cost)
+        return first is not None
+
+    def _take_own(self, charge: Charge, grantor: str) -> Verdict:
         """Take a request's units from this host's own share, if no other host may use that."""
         wait = self.server.take(charge.name, charge.cost) if self._shares.use_own() else -1.0
         if wait == 0:
-            self._usage.add(charge.name, Decision.ALONE, charge.cost)
-        return wait if wait >= 0 else SILENT_RETRY_SECONDS
+            return Verdict(0.0, Decision.ALONE)
+        return Verdict(wait if wait > 0 else SILENT_RETRY_SECONDS, Decision.EXPIRED, grantor)
 
     async def _ask(
         self, grantor: str, charge: Charge, caller: CallerConnection, until: float
