Send prompts with a part that crashes engines in the soak

Cause: requests that share one part of their prompt ended engine after engine. The soak's requests that crash engines are all alike, and no check followed a part.

Change: in every seventeenth seed, not one of silences, quotas or planned work, prompts with a bad part come at any host, 2.5 a second; the part is the first, second or third of four by the seed. 16 sound prompts a second have the other parts, and no two prompts have the same last part and body. Engines crash before the head, after it, or after an unframed one, by the seed, and are back two seconds later, empty under another id or as another start under their own by turns. One check counts requests with the part that reach engines later than 1.5 s after the fifth crash, sent by hosts that had no fault in the last three seconds; more than three fail. The other compares the shares of sound prompts of the route that begin at the first attempt, before the first crash and from 3 s after the fifth, or the first of fewer: hosts that know the part after four crashes would not be judged otherwise. Multiples of 17 lose what else their seeds had, as those of silences and quotas.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -21,6 +21,7 @@
 from extras.soak.checks import EndpointRecord, Record, find_violations
 from extras.soak.deployment import MODELS_FIT, SoakDeployment
 from extras.soak.partitions import silence_endpoints
+from extras.soak.parts import load_prompts, plant_part
 from extras.soak.plan import MAX_FAULT_SECONDS, Plan, draw_plan
 from extras.soak.proxy import Proxy
 from extras.soak.quotas import LOADS, describe_workspaces, load_workspaces
@@ -79,6 +80,8 @@
     record, deployment = Record(), SoakDeployment(hosts, folder, beside, partitioned)
     if plan.versioned:
         deployment.versions = SOFTWARE_VERSIONS
+    if plan.fatal_part:
+        plant_part(deployment, plan.seed)
     if plan.limited:
         deployment.workspaces = describe_workspaces()
         record.loads = LOADS
@@ -132,6 +135,8 @@
                 )
                 for n in streaming
             ]
+        if plan.fatal_part:
+            work += load_prompts(deployment, record, started_at, plan)
         if plan.limited:
             work += load_workspaces(deployment, record, started_at, plan)
         if plan.restored:
@@ -185,7 +190,10 @@
 
 def collect_observations(deployment: SoakDeployment, record: Record, started_at: float) -> None:
     """Copy what the endpoints have recorded into the record of the run."""
-    record.crash_times = deployment.crash_times
+    if deployment.fatal_parts:
+        record.part_crashes = [at - started_at for at in deployment.crash_times]
+    else:
+        record.crash_times = deployment.crash_times
     if deployment.partitions is not None:
         record.partitions = [row.shifted(started_at) for row in deployment.partitions.done]
     record.disturbed = [row.shifted(started_at) for row in deployment.disturbed]
--- a/extras/soak/callers.py
+++ b/extras/soak/callers.py
@@ -4,11 +4,12 @@
 import itertools
 import random
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
 
 import aiohttp
 
-from extras.soak.checks import MODEL_ROUTES, NOT_RUN, Attempt, Record
+from extras.soak.checks import FATAL_ROUTE, MODEL_ROUTES, NOT_RUN, Attempt, Record
 from extras.soak.deployment import POISON_BODY, SoakDeployment
 from tests.relay.deployment import ROUTES
 
@@ -20,6 +21,9 @@
 # Mean seconds between two attempts of a request that crashes endpoints, and the model it names.
 MEAN_POISON_PAUSE_SECONDS = 0.3
 POISON_MODEL = "m0"
+# Tokens by part of a sound prompt, and tokens of an answer.
+PARTS = {"aa": 600, "bb": 300}
+OUTPUT_TOKENS = 20
 REPEATABLE_ROUTES = {"recap": True, "once": False, "bind": False, "fetch": True}
 DEADLINE_SECONDS = 6.0
 DEADLINE_MS = str(round(1000 * DEADLINE_SECONDS))
@@ -87,11 +91,11 @@
     async def send(self, session: aiohttp.ClientSession, attempts: list[Attempt]) -> None:
         """Send one request, with one retry if it is allowed, and append the attempts to a list."""
         route, earlier = self._choose_route(), None
-        for _ in range(2):
+        for number in (1, 2):
             attempt = await self._attempt(session, route, earlier=earlier)
             if attempt is None:
                 return
-            attempts.append(attempt)
+            attempts.append(replace(attempt, number=number))
             repeatable = attempt.repeatable and not (attempt.status == 200 and attempt.complete)
             if not repeatable and attempt.status not in NOT_RUN:
                 return
@@ -104,6 +108,18 @@
         if attempt is not None:
             self._record.attempts.append(attempt)
 
+    async def send_prompt(
+        self,
+        session: aiohttp.ClientSession,
+        parts: Mapping[str, int],
+        body: bytes,
+        attempts: list[Attempt],
+    ) -> None:
+        """Send a prompt with these parts without a retry, and append the attempt to a list."""
+        attempt = await self._attempt(session, FATAL_ROUTE, body, parts=parts)
+        if attempt is not None:
+            attempts.append(attempt)
+
     def _choose_route(self) -> str:
         return self._rng.choice(self._routes or [*REPEATABLE_ROUTES, *self._extra_routes()])
 
@@ -116,6 +132,7 @@
         route: str,
         body: bytes = b"",
         earlier: Attempt | None = None,
+        parts: Mapping[str, int] = PARTS,
     ) -> Attempt | None:
         """Send one attempt, which resumes the stream of an earlier one if that is given."""
         address = await self._choose_address(session)
@@ -130,9 +147,10 @@
         if self._workspace:
             headers["authorization"] = f"Bearer {self._workspace}"
         if route in MODEL_ROUTES:
-            model = POISON_MODEL if body else self._rng.choice(["m0", "m1"])
-            headers |= {"x-model": model, "x-token-counts": "900,20"}
-            headers |= {"x-prompt-prefix": "aa:600,bb:300"}
+            model = POISON_MODEL if body == POISON_BODY else self._rng.choice(["m0", "m1"])
+            tokens = f"{sum(parts.values())},{OUTPUT_TOKENS}"
+            prefix = ",".join(f"{name}:{count}" for name, count in parts.items())
+            headers |= {"x-model": model, "x-token-counts": tokens, "x-prompt-prefix": prefix}
         method = "GET" if route == "fetch" or route.startswith("extra") else "POST"
         incarnation = next(
             (h.incarnation for h in self._deployment.hosts if h.address("front") == address), ""
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -19,6 +19,14 @@
 CRASHES_BEFORE_BLOCK = 3
 BLOCK_DELAY_SECONDS = 3.0
 MAX_LATER_CRASHES = 3
+# Crashes of engines under one part of a prompt after which hosts know it, the seconds until they
+# all do, and the most requests with it that may reach engines after that. Requests that must have
+# been sent before and after it for their shares to be compared, and the least share that remains.
+CRASHES_BEFORE_KNOWN = 5
+PART_WINDOW_SECONDS = 1.5
+MAX_LATER_REQUESTS = 3
+MIN_COMPARED = 20
+LEAST_BEGUN_SHARE = 0.5
 # Seconds after the first announcement of a limit from which requests are counted: before that, not
 # every host has received it.
 LIMIT_COUNTED_AFTER_SECONDS = 0.5
@@ -50,6 +58,8 @@
 HOST_LOSS_SECONDS = 0.5
 # Routes whose requests go to engines; all others go to endpoints of the plain service.
 MODEL_ROUTES = frozenset({"recap", "once"})
+# The route of prompts that crash engines.
+FATAL_ROUTE = "recap"
 # Seconds after which hosts that are cut off must serve, and brittle endpoints stay up. The share of
 # what other hosts serve that they must reach, unless no more attempts fail there than this number
 # and share of all. Falls that are allowed.
@@ -157,6 +167,7 @@
     run. ``incarnation`` names the host process that received the attempt. ``deadline`` is the time
     until which it had to be served. ``workspace`` is the one whose key it had, if any.
     ``resumes`` is the id of the attempt whose stream it resumes, ``after`` the last event there.
+    ``number`` is that of the caller's try of one request.
     """
 
     id: str
@@ -173,6 +184,7 @@
     workspace: str = ""
     resumes: str = ""
     after: int = 0
+    number: int = 1
 
     @property
     def whole_events(self) -> bytes:
@@ -207,7 +219,8 @@
     ``forwarded`` are the hosts by attempt that other hosts forwarded it to, ``software`` the
     versions of endpoints by the name in their events, of which ``allowed_mixed`` streams may have
     two. ``falls`` are the times and names of endpoints that fell over, ``brittle_since`` when they
-    began to announce that they may.
+    began to announce that they may. ``fatal_attempts`` had a part that crashes engines, which
+    happened at the times ``part_crashes``.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -226,6 +239,8 @@
     loads: Sequence[WorkspaceLoad] = ()
     software: dict[str, str] = field(default_factory=dict)
     allowed_mixed: int = 0
+    fatal_attempts: list[Attempt] = field(default_factory=list)
+    part_crashes: list[float] = field(default_factory=list)
     falls: list[tuple[float, str]] = field(default_factory=list)
     brittle_since: float = math.inf
 
@@ -370,6 +385,63 @@
         )
 
 
+def known_from(record: Record) -> float:
+    """Return the time from which hosts must know a part that crashes engines, if there is one."""
+    crashes = sorted(record.part_crashes)[CRASHES_BEFORE_KNOWN - 1 :]
+    return crashes[0] + PART_WINDOW_SECONDS if crashes else math.inf
+
+
+def check_fatal_part(record: Record) -> Iterable[str]:
+    """Hosts in touch sent engines too many requests with a part that had crashed five engines."""
+    since = known_from(record)
+    counted = {
+        attempt.id
+        for attempt in record.fatal_attempts
+        if not any(is_disturbed(record, attempt, host) for host in hosts_of(record, attempt))
+    }
+    times = [at for row in record.endpoint_records for at, name in row.requests if name in counted]
+    later = [at for at in times if at > since]
+    if len(later) > MAX_LATER_REQUESTS:
+        yield (
+            f"{len(later)} of {len(times)} requests with a part that crashes engines were sent more"
+            f" than {PART_WINDOW_SECONDS} s after the fifth of {len(record.part_crashes)} crashes"
+        )
+
+
+def check_sound_prompts(record: Record) -> Iterable[str]:
+    """Sound prompts begin far less often at the first attempt than before the first crash.
+
+    They are compared from two windows after the fifth crash, or after the first one of fewer.
+    """
+    crashes = sorted(record.part_crashes)
+    known = crashes[CRASHES_BEFORE_KNOWN - 1 :] or crashes
+    since = known[0] + 2 * PART_WINDOW_SECONDS if known else math.inf
+    rows = [
+        row
+        for row in record.attempts
+        if row.route == FATAL_ROUTE and row.number == 1 and not is_disturbed(record, row)
+    ]
+    before = [row for row in rows if crashes and row.ended_at < crashes[0]]
+    after = [row for row in rows if row.started_at >= since]
+    if min(len(before), len(after)) < MIN_COMPARED:
+        return
+    if begun_share(after) < LEAST_BEGUN_SHARE * begun_share(before):
+        yield (
+            f"{begun_share(after):.2f} of {len(after)} sound prompts began at the first attempt,"
+            f" {begun_share(before):.2f} of {len(before)} before an engine crashed"
+        )
+
+
+def begun_share(rows: Sequence[Attempt]) -> float:
+    """Return the share of attempts whose stream began."""
+    return sum(row.status == SUCCESS and row.last_event > 0 for row in rows) / len(rows)
+
+
+def hosts_of(record: Record, attempt: Attempt) -> set[str]:
+    """Return the names of the hosts that an attempt came to, also from another host."""
+    return {host_of(attempt), *record.forwarded.get(attempt.id, ())}
+
+
 def check_limits(record: Record) -> Iterable[str]:
     """An endpoint got more requests from all hosts together than the limit that it announced."""
     for row in record.limited_endpoints:
@@ -490,10 +562,13 @@
     return process.rpartition("-")[0]
 
 
-def is_disturbed(record: Record, attempt: Attempt) -> bool:
-    """Return whether the process of an attempt's host had a fault shortly before or during it."""
+def is_disturbed(record: Record, attempt: Attempt, host: str = "") -> bool:
+    """Return whether the process of an attempt's host had a fault shortly before or during it.
+
+    ``host`` is the name of another host that the attempt was forwarded to.
+    """
     return any(
-        row.host == host_of(attempt)
+        row.host == (host or host_of(attempt))
         and row.since <= attempt.ended_at
         and attempt.started_at <= row.until + SETTLING_SECONDS
         for row in record.disturbed
@@ -594,6 +669,8 @@
         *check_unbroken(record),
         *check_recovery(record),
         *check_poison(record),
+        *check_fatal_part(record),
+        *check_sound_prompts(record),
         *check_limits(record),
         *check_draining(record),
         *check_backoffs(record),
--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -40,8 +40,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 ENGINES = 3
 PAGES = 3
-# Engines of a deployment with several software versions, each with all models.
-VERSIONED_ENGINES = 4
+# Engines of a deployment where each has all models.
+ALIKE_ENGINES = 4
 # Text of a log line of a host that forwarded a request to another one.
 FORWARDED_EVENT = '"event": "forwarded"'
 # Models that fit on an engine of the configuration: each uses 60 of 200 MB.
@@ -62,6 +62,8 @@
 # another endpoint replaces a crashed one.
 POISON_BODY = b"a request that no endpoint survives"
 REPLACEMENT_SECONDS = 1.0
+# Seconds until an engine that a part of a prompt has crashed is back.
+FATAL_PART_SECONDS = 2.0
 # Limits, in requests per second, that an engine and an endpoint of a plain service announce.
 ENGINE_LIMIT_PER_SECOND = 1.0
 PAGE_LIMIT_PER_SECOND = 2.0
@@ -207,6 +209,9 @@
         # Software versions by the name in events, and endpoints whose changes no entry tells yet.
         self.software: dict[str, str] = {}
         self.unannounced: set[str] = set()
+        # Parts of prompts that crash engines, and what an engine has written by then.
+        self.fatal_parts: frozenset[str] = frozenset()
+        self.fatal_head = ""
         self.workspaces: Sequence[Mapping[str, Any]] = ()
         self.version = 1
         self.crash_times: list[float] = []
@@ -229,8 +234,9 @@
         """Start the stand-ins and the host processes, without waiting until hosts are ready."""
         self.store = await TableStandin().start()
         self.store_link = await Proxy(self.store.address).start()
-        for number in range(VERSIONED_ENGINES if self.versions else ENGINES):
-            models = ("m0", "m1") if self.versions else (f"m{number % 2}",)
+        alike = bool(self.versions or self.fatal_parts)
+        for number in range(ALIKE_ENGINES if alike else ENGINES):
+            models = ("m0", "m1") if alike else (f"m{number % 2}",)
             await self._add_runner("engines", models)
         for _ in range(PAGES):
             await self._add_runner("pages", ())
@@ -270,6 +276,7 @@
             runner.software = self.versions[number % len(self.versions)]
         self.software[runner.source] = runner.software
         runner.fatal_bodies = {POISON_BODY}
+        runner.fatal_parts, runner.fatal_head = self.fatal_parts, self.fatal_head
         runner.on_crash = lambda: self._on_crash(runner)
         runner.delay_seconds = EVENT_SECONDS if service == "engines" else PAGE_SECONDS
         link = await Proxy(runner.address).start()
@@ -375,13 +382,21 @@
         return self.routes[-1]["prefix"], [before, after]
 
     def _on_crash(self, runner: RunnerStandin) -> None:
-        """Record that a request has crashed an endpoint, and start to replace the endpoint."""
+        """Record that a request has crashed an endpoint, and start to replace the endpoint.
+
+        Of those that a part of a prompt has crashed, every second one comes back under its id.
+        """
         self.crash_times.append(time.monotonic())
-        self.endpoint_ends.setdefault(runner.name, time.monotonic())
-        if runner not in (*self.engines, *self.pages):
+        replaced = runner not in (*self.engines, *self.pages)
+        recovers = self.fatal_parts and not replaced and len(self.crash_times) % 2 == 0
+        if not recovers:
+            self.endpoint_ends.setdefault(runner.name, time.monotonic())
+        if replaced:
             # The endpoint was draining and has been replaced already.
             return
-        task = asyncio.ensure_future(self._crash(runner, REPLACEMENT_SECONDS))
+        seconds = FATAL_PART_SECONDS if self.fatal_parts else REPLACEMENT_SECONDS
+        work = self._recover if recovers else self._crash
+        task = asyncio.ensure_future(work(runner, seconds))
         self._replacing.add(task)
         task.add_done_callback(self._replacing.discard)
 
@@ -492,6 +507,14 @@
         self.store.remove("servers", runner.name)
         await self._add_runner("engines" if engines else "pages", ())
 
+    async def _recover(self, runner: RunnerStandin, seconds: float) -> None:
+        """Let a crashed engine listen again under its id and address, as another start."""
+        since = time.monotonic()
+        self.links[runner.name].cuts.append((since, since + seconds))
+        await asyncio.sleep(seconds)
+        if runner in self.engines:
+            await runner.recover()
+
     async def _stop_runner(self, runner: RunnerStandin) -> None:
         self.stopped_runners.append(runner)
         self.endpoint_ends.setdefault(runner.name, time.monotonic())
--- a/extras/soak/plan.py
+++ b/extras/soak/plan.py
@@ -31,6 +31,9 @@
 # in twice as many has engines that start again at the other version under their ids. It has no
 # engines that announce limits or ask for a rest, as a new start isn't bound by what was announced.
 VERSIONS_EVERY = 13
+# One seed in this many has prompts with a part that crashes engines, and nothing of other seeds
+# beside the faults that are drawn.
+FATAL_PART_EVERY = 17
 # One seed in this many has a store that comes back from older copies of its rows.
 RESTORED_EVERY = 3
 
@@ -104,10 +107,20 @@
         """Return whether workspaces have quotas."""
         return is_limited(self.seed)
 
+    @property
+    def fatal_part(self) -> bool:
+        """Return whether prompts have a part that crashes engines."""
+        return has_fatal_part(self.seed)
+
+    @property
+    def _alone(self) -> bool:
+        """Return whether the run has nothing of other seeds."""
+        return self.silent or self.limited or self.fatal_part
+
     @property
     def _mixed(self) -> bool:
-        """Return whether faults of all kinds are drawn."""
-        return not (self.maintenance_only or self.silent or self.limited)
+        """Return whether the run may have several kinds of work beside the faults."""
+        return not (self.maintenance_only or self._alone)
 
     @property
     def poisoned(self) -> bool:
@@ -127,7 +140,7 @@
     @property
     def overloaded(self) -> bool:
         """Return whether endpoints announce limits, backoffs and draining in their answers."""
-        announces = not (self.silent or self.limited or self.updated)
+        announces = not (self._alone or self.updated)
         return announces and self.seed % OVERLOADED_EVERY == 1
 
     @property
@@ -143,7 +156,7 @@
     @property
     def restored(self) -> bool:
         """Return whether the store comes back from older copies of its rows."""
-        return not (self.silent or self.limited) and self.seed % RESTORED_EVERY == 2
+        return not self._alone and self.seed % RESTORED_EVERY == 2
 
 
 def is_silent(seed: int) -> bool:
@@ -156,6 +169,12 @@
     return seed % PLANNED_EVERY != 0 and seed % QUOTA_EVERY == 0 and not is_silent(seed)
 
 
+def has_fatal_part(seed: int) -> bool:
+    """Return whether prompts have a part that crashes engines; the other two kinds go first."""
+    alone = is_silent(seed) or is_limited(seed)
+    return seed % PLANNED_EVERY != 0 and seed % FATAL_PART_EVERY == 0 and not alone
+
+
 def draws(seed: int, kind: Kind) -> bool:
     """Return whether faults of a kind are drawn for a seed."""
     if is_silent(seed):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import math
 import os
@@ -21,6 +22,7 @@
 from extras import fleet_processes
 from extras.samples import HANEUL
 from extras.soak.__main__ import CALLER_COUNT, number_callers, read_endpoint_record, run_plan
+from extras.soak.callers import PARTS
 from extras.soak.checks import (
     Attempt,
     Disturbance,
@@ -32,12 +34,21 @@
     find_violations,
 )
 from extras.soak.deployment import ROOT, SoakDeployment
+from extras.soak.parts import (
+    FATAL_CALLER,
+    FATAL_PART,
+    POSITIONS,
+    SOUND_CALLER,
+    draw_fatal_prompts,
+    draw_sound_prompts,
+)
 from extras.soak.plan import MAX_FAULT_SECONDS, PLANNED_EVERY, draw_plan
 from extras.soak.proxy import Proxy
-from extras.soak.quotas import FIRST_CALLER
+from extras.soak.quotas import FIRST_CALLER, LOADS
 from extras.soak.updates import ENTRY_LAG_SECONDS, choose_engine, update
 from peridotdock.clients.endpoint import Call, HttpEndpoints
-from tests.standins.runner import RunnerStandin
+from tests.standins.runner import FIRST_START_MS, RESTART_INTERVAL_MS, RunnerStandin
+from tests.standins.tables import TableStandin
 
 EVENTS = 3
 STREAM = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, EVENTS + 1))
@@ -115,6 +126,36 @@
     return replace(one, attempts=rows, allowed_mixed=allowed)
 
 
+BEGUN = replace(RECAP, body=STREAM[:15], complete=False)
+
+
+def fatal_record(count, at=6.6, ran_at=5.0, hosts=("h0",), **more):
+    """Return a record of prompts that reach an engine after five crashes, the fifth at 5 s."""
+    rows = [
+        replace(
+            RECAP,
+            id=f"f{n}",
+            incarnation=f"{hosts[n % len(hosts)]}-1",
+            started_at=at,
+            ended_at=at,
+        )
+        for n in range(count)
+    ]
+    times = [(at, row.id) for row in rows]
+    found = record(PAGE, probes=(PAGE,) * 4)
+    found = replace(found, part_crashes=[1.0, 2.0, 3.0, 4.0, ran_at], fatal_attempts=rows)
+    return replace(found, endpoint_records=[EndpointRecord(times, [])], **more)
+
+
+def sound_record(begun, before=20, after=20, at=8.1, crashes=5, **changes):
+    """Return a record of sound prompts before the first crash, and after hosts know the part."""
+    rows = [replace(BEGUN, id=f"s{n}", started_at=0.1, ended_at=0.9) for n in range(before)]
+    for n in range(after):
+        refused = {} if n < begun else {"status": 503, "body": b""}
+        rows.append(replace(BEGUN, id=f"t{n}", started_at=at, ended_at=at, **refused | changes))
+    return replace(record(*rows), part_crashes=[1.0, 2.0, 3.0, 4.0, 5.0][:crashes])
+
+
 def retry_record(retries, seconds=5.0):
     """Return a record of one request and of its arrivals, which are spread over some time."""
     times = [1.0 + seconds * n / retries for n in range(retries + 1)]
@@ -286,6 +327,35 @@
         ("two streams where entries tell of a version late", late_record(2), False),
         ("three streams where entries tell of a version late", late_record(3), True),
         ("one stream where entries tell of it in time", late_record(1, allowed=0), True),
+        ("three prompts with a part that crashes engines", fatal_record(3), False),
+        ("four of them", fatal_record(4), True),
+        ("four of them, some forwarded", fatal_record(4, forwarded={"f0": {"h1"}}), True),
+        ("four of them before all hosts know the part", fatal_record(4, at=6.4), False),
+        (
+            "four of them, one from a host that was killed before",
+            fatal_record(4, hosts=("h0", "h0", "h0", "h1"), disturbed=[Disturbance("h1", 3, 4)]),
+            False,
+        ),
+        (
+            "four of them, one forwarded to such a host",
+            fatal_record(4, forwarded={"f0": {"h1"}}, disturbed=[Disturbance("h1", 3, 4)]),
+            False,
+        ),
+        (
+            "four of them, from a host that was killed long before",
+            fatal_record(4, disturbed=[Disturbance("h0", 1, 2)]),
+            True,
+        ),
+        ("half of the sound prompts begin", sound_record(10), False),
+        ("fewer of the sound prompts begin", sound_record(9), True),
+        ("fewer begin after the first of three crashes", sound_record(9, crashes=3, at=4.1), True),
+        ("fewer begin right after it", sound_record(9, crashes=3, at=3.9), False),
+        ("they begin at the second attempt", sound_record(0, number=2), False),
+        ("they are too few to compare", sound_record(0, after=19), False),
+        ("they were too few before", sound_record(0, before=19), False),
+        ("they come before all hosts know the part", sound_record(0, at=7.9), False),
+        ("they are of another route", sound_record(0, route="once"), False),
+        ("a head without an event", sound_record(20, body=b""), True),
         ("no recovery", record(probes=[replace(PAGE, status=503)]), True),
     )
     def test_planted_faults_are_found(self, name, found, broken):
@@ -436,6 +506,51 @@
         self.assertEqual(updated, plan.updated)
         self.assertLessEqual(plan.updated, plan.versioned and not plan.overloaded)
 
+    @params((17, True), (34, True), (221, True), (85, False), (119, False), (187, False))
+    def test_seeds_of_a_fatal_part_have_nothing_of_others(self, seed, fatal):
+        plan = draw_plan(seed, 60.0)
+        others = (plan.poisoned, plan.overloaded, plan.partitioned, plan.versioned, plan.restored)
+        self.assertEqual(fatal, plan.fatal_part)
+        if fatal:
+            self.assertFalse(any(others))
+
+
+class FatalPromptsTest(unittest.TestCase):
+    @params(*POSITIONS)
+    def test_the_fatal_part_is_not_the_last_and_no_two_prompts_are_alike(self, position):
+        fatal, sound = [
+            [tuple(prompt) for prompt in itertools.islice(prompts, 200)]
+            for prompts in (draw_fatal_prompts(position), draw_sound_prompts())
+        ]
+        self.assertEqual(400, len({prompt[-1] for prompt in fatal + sound}))
+        self.assertEqual({FATAL_PART}, {prompt[position] for prompt in fatal})
+        for prompt in fatal + sound:
+            self.assertEqual([*PARTS], [part for part in prompt[:-1] if part != FATAL_PART])
+        self.assertFalse([prompt for prompt in sound if FATAL_PART in prompt])
+
+    @params((1, "engines-2", 0), (2, "engines-1", 1))
+    def test_every_second_crashed_engine_comes_back_under_its_id(self, crashes, name, starts):
+        async def play(folder):
+            found = SoakDeployment(1, folder)
+            found.fatal_parts = frozenset({FATAL_PART})
+            found.store = await TableStandin().start()
+            await found._add_runner("engines", ("m0",))
+            found.crash_times = [0.0] * (crashes - 1)
+            with mock.patch("extras.soak.deployment.FATAL_PART_SECONDS", 0.0):
+                found.engines[0].crash()
+                await asyncio.gather(*found._replacing)
+            [engine] = found.engines
+            self.assertEqual(name, engine.name)
+            self.assertEqual(starts, (engine.started_ms - FIRST_START_MS) // RESTART_INTERVAL_MS)
+            self.assertEqual([("servers", name)], list(found.store.rows))
+            for link in found.links.values():
+                await link.stop()
+            await engine.stop()
+            await found.store.stop()
+
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(play(Path(folder)))
+
 
 class UpdateTest(unittest.TestCase):
     @params(("goes on", True, ["v2"]), ("was replaced meanwhile", False, ["v1"]))
@@ -479,6 +594,8 @@
         self.assertEqual(partitioned, bool(direct))
         self.assertEqual(len(numbers), len(set(numbers)))
         self.assertLess(max(numbers), FIRST_CALLER)
+        self.assertLess(FIRST_CALLER + len(LOADS), min(FATAL_CALLER, SOUND_CALLER))
+        self.assertNotEqual(FATAL_CALLER, SOUND_CALLER)
 
 
 class WholeEventsTest(unittest.TestCase):
