--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -411,10 +411,11 @@
 def check_sound_prompts(record: Record) -> Iterable[str]:
     """Sound prompts begin far less often at the first attempt than before the first crash.
 
-    They are compared from two windows after the fifth crash, or the last one of fewer.
+    They are compared from two windows after the fifth crash, or after the first one of fewer.
     """
-    crashes = sorted(record.part_crashes)[:CRASHES_BEFORE_KNOWN]
-    since = crashes[-1] + 2 * PART_WINDOW_SECONDS if crashes else math.inf
+    crashes = sorted(record.part_crashes)
+    known = crashes[CRASHES_BEFORE_KNOWN - 1 :] or crashes
+    since = known[0] + 2 * PART_WINDOW_SECONDS if known else math.inf
     rows = [
         row
         for row in record.attempts
