Ask the hub for a stream even where this host's list shows one version

What callers saw: streams with events of two software versions over their tries. Cause: a host whose list of endpoints showed one version for long, and was at most two seconds old, went on there with any stream without asking. Other hosts may know of a second version up to two seconds earlier, and begin streams at it.

Change: a host that is not alone asks the hub first, which names the versions that it knows. Where the hub does not answer, the list counts as before.

--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -172,8 +172,9 @@
         now, stream = self._ctx.clock.monotonic(), find_stream(req)
         versions = self._history.versions(service, now, self.seconds)
         sure = self._list_is_new() and now - self._observed_at >= self.seconds
-        verdict = judge_alone(self._find_binding(stream), service, versions, sure)
-        return verdict or await self._find_with_hub(req, caller, service)
+        alone = self._peers.host_count() <= 1
+        verdict = judge_alone(self._find_binding(stream), service, versions, sure and alone)
+        return verdict or await self._find_with_hub(req, caller, service, sure)
 
     def _find_binding(self, stream: int) -> Binding | None:
         now = self._ctx.clock.monotonic()
@@ -182,9 +183,13 @@
         )
 
     async def _find_with_hub(
-        self, req: RelayRequest, caller: CallerConnection, service: str
+        self, req: RelayRequest, caller: CallerConnection, service: str, sure: bool
     ) -> Verdict:
-        """Ask the hub until it knows, or will not know any more."""
+        """Ask the hub until it knows, or will not know any more.
+
+        Without its reply the only version in this host's list counts if the list is ``sure``. With
+        one, the hub may know of another version.
+        """
         clock, stream = self._ctx.clock, find_stream(req)
         began = clock.monotonic()
         while True:
@@ -192,7 +197,8 @@
             now = clock.monotonic()
             versions = self._history.versions(service, now, self.seconds)
             verdict = judge_replied(service, versions, reply, self._in_touch())
-            if reply is not None and verdict.source in (Source.TOLD, Source.SINGLE):
+            known = reply is not None or sure
+            if known and verdict.source in (Source.TOLD, Source.SINGLE):
                 return verdict
             complete = reply is not None and reply.complete
             until = began + (UNKNOWN_SECONDS if complete else LOST_HUB_SECONDS)
--- a/tests/relay/test_stream_versions.py
+++ b/tests/relay/test_stream_versions.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from math import inf
 
 from nose2.tools import params
 
@@ -356,6 +357,32 @@
             self.assertEqual((503, []), await take_up(found, "a0", "b0", 1))
             self.assertEqual(set(), versions(found, "b0"))
 
+    @run
+    async def test_a_host_whose_list_lacks_the_second_version(self):
+        """It goes on with another host's stream at the only version that it knows."""
+        async with deploy(ALL_OLD, hosts=3) as found:
+            await wait_linked(found)
+            names = [host.settings.host for host in found.hosts]
+            hub = hub_of(found)
+            standby = names.index(found.hosts[hub].stream_versions._find_target())
+            [number_late] = {0, 1, 2} - {hub, standby}
+            late = found.hosts[number_late]
+            late._entries.apply_rows = lambda rows, whole: None
+            late.stream_versions._list_age = lambda: MAX_LIST_AGE_SECONDS / 2
+            late.stream_versions._observed_at = -inf
+            for engine in list(found.engines.values())[1::2]:
+                engine.software = "v2"
+                engine.on_change()
+            fleets = [found.hosts[number].fleet for number in (hub, standby)]
+            await found.until(lambda: all(row.has_software("engines", "v2") for row in fleets))
+            for number in range(STREAMS):
+                await begin(found, f"a{number}", standby, "v2")
+                for engine in found.engines.values():
+                    engine.script = ["refuse"] if engine.software == "v2" else []
+                more = {"resumes": f"a{number}", "last_event_id": "3"}
+                await found.send("/recap/", f"b{number}", model="m0", to=number_late, **more)
+                self.check_one_version(found, number)
+
     @run
     async def test_an_unknown_stream(self):
         """A stream of which nobody knows goes on where there is one version, and nowhere else."""
