Count the end of an endpoint's start once its next start has answered

What callers saw: engines that a request or a prompt part ends went on ending. Cause: where an endpoint is back under its id before its entry says so, its answers counted as signs of life of the start before, and that start's end did not count against what had ended it.

Evidence: found by a review.

--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -250,7 +250,7 @@
         mistaken for the cause of the endpoints' end.
         """
         state = self.states.get(start.endpoint)
-        if state is None or state.start != start:
+        if state is None or state.start != start or state.superseded:
             return True
         if state.answered_sent_at > broken_at or self.links_explain(broken_at):
             return False
--- a/tests/relay/test_starts.py
+++ b/tests/relay/test_starts.py
@@ -86,6 +86,14 @@
         self.fleet.request_ended(state, "a1", "s", complete=False)
         self.assertEqual((0, 0), found.load(now))
 
+    async def test_an_end_counts_once_the_next_start_has_answered(self):
+        """Guards against a crash that counts for nothing, as the next start answers at once."""
+        state, broken_at = self.state(), self.clock.monotonic()
+        state.answered_sent_at = broken_at + 1.0
+        self.assertFalse(self.fleet.has_ended(state.start, broken_at))
+        state.seen_start = SECOND
+        self.assertTrue(self.fleet.has_ended(state.start, broken_at))
+
     async def test_a_heartbeat_of_the_same_start_keeps_what_is_known(self):
         state = self.state()
         self.fleet.request_sent(state, "a1", WISH, 900)
