--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -464,8 +464,8 @@
     Mutant(
         "a prompt part: blocked while a request connects",
         "relay/service.py",
-        "return state.accepts_requests() and self.blocklist.refusal(req) is None",
-        "return state.accepts_requests()",
+        "return state.accepts_requests() and not late and self.blocklist.refusal(req) is None",
+        "return state.accepts_requests() and not late",
         "tests.relay.test_prompt_parts.SendingTest",
     ),
     Mutant(
@@ -759,10 +759,31 @@
     Mutant(
         "a host does not remember the streams of another host's callers",
         "relay/stream_versions.py",
-        "if progress.software is None or progress.forwarded:",
-        "if progress.software is None:",
+        "if (progress.software is None and not progress.software_unknown) or progress.forwarded:",
+        "if progress.software is None and not progress.software_unknown:",
         "tests.relay.test_stream_versions.TriesTest",
     ),
+    Mutant(
+        "a stream goes on only where the start in the entry runs",
+        "relay/service.py",
+        "if target.running is Running.ANOTHER:",
+        "if False:",
+        "tests.relay.test_restarted_versions.OneAnswerTest",
+    ),
+    Mutant(
+        "a stream that began at an unknown start does not go on",
+        "relay/service.py",
+        "if any(check.running is Running.ANOTHER for check in began):",
+        "if False:",
+        "tests.relay.test_restarted_versions.OneAnswerTest",
+    ),
+    Mutant(
+        "the hub takes nothing for older while a host is out of touch",
+        "relay/stream_versions.py",
+        "return max(self._hub_since, self._apart_at)",
+        "return self._hub_since",
+        "tests.relay.test_stream_versions.UntoldTest",
+    ),
     Mutant(
         "a wait within a stream goes by its last event",
         "relay/requests.py",
@@ -773,14 +794,14 @@
     Mutant(
         "a stream is bound to the software version that began it",
         "relay/service.py",
-        "if isinstance(found, StreamSource) and progress.software is None:",
-        "if False:",
+        "    progress.software = found.software\n",
+        "    pass\n",
         "tests.relay.test_software_versions.OneAnswerTest",
     ),
     Mutant(
         "a forwarded stream tells which software version began it",
         "relay/forwarded.py",
-        "if progress.software is not None:",
+        "if software is not None:",
         "if False:",
         "tests.relay.test_software_versions.OneAnswerTest",
     ),
