Keep a stream's unknown software version in one place

A flag beside the version said that it is unknown, and each place that used the version had to look at both; tables, rows and links between hosts had one value for it already. That value now stands for it in a request's progress too.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -759,8 +759,8 @@
     Mutant(
         "a host does not remember the streams of another host's callers",
         "relay/stream_versions.py",
-        "if (progress.software is None and not progress.software_unknown) or progress.forwarded:",
-        "if progress.software is None and not progress.software_unknown:",
+        "if progress.software is None or progress.forwarded:",
+        "if progress.software is None:",
         "tests.relay.test_stream_versions.TriesTest",
     ),
     Mutant(
@@ -794,14 +794,14 @@
     Mutant(
         "a stream is bound to the software version that began it",
         "relay/service.py",
-        "    progress.software = found.software\n",
-        "    pass\n",
+        "progress.software = UNKNOWN_SOFTWARE if found.is_of_another_start() else found.software",
+        "pass",
         "tests.relay.test_software_versions.OneAnswerTest",
     ),
     Mutant(
         "a forwarded stream tells which software version began it",
         "relay/forwarded.py",
-        "if software is not None:",
+        "if progress.software is not None:",
         "if False:",
         "tests.relay.test_software_versions.OneAnswerTest",
     ),
--- a/peridotdock/relay/forwarded.py
+++ b/peridotdock/relay/forwarded.py
@@ -14,7 +14,6 @@
 from peridotdock.context import Context
 from peridotdock.decisions.connectivity import Connectivity
 from peridotdock.decisions.overload import CONNECT_SECONDS, retry_after, takes_forwarded
-from peridotdock.decisions.stream_versions import UNKNOWN_SOFTWARE
 from peridotdock.deployment import Deployment
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.loop_iterations import LoopIterations
@@ -104,9 +103,8 @@
         found = await self._responder.respond(request, req, ForwardAdmission(progress))
         if failed(found):
             return self._refuse(found, req.id, progress.arrived)
-        software = UNKNOWN_SOFTWARE if progress.software_unknown else progress.software
-        if software is not None:
-            found.headers.add(SOFTWARE_HEADER.encode(), quote(software).encode())
+        if progress.software is not None:
+            found.headers.add(SOFTWARE_HEADER.encode(), quote(progress.software).encode())
         # A host of an earlier version would pass the header on to its caller.
         if progress.endpoint and forward.working is not None:
             found.headers.add(ENDPOINT_HEADER.encode(), quote(progress.endpoint).encode())
--- a/peridotdock/relay/progress.py
+++ b/peridotdock/relay/progress.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from peridotdock.decisions.stream_versions import UNKNOWN_SOFTWARE
 from peridotdock.relay.endpoint import EndpointState
 
 
@@ -19,12 +20,11 @@
 
     ``maybe_ran`` counts the sends that may have run, ``refusals`` those that were refused.
     ``last_id`` is the id of the last event that was passed on to the caller, ``last_event_at`` the
-    monotonic time of that, None before the first one. ``software`` the
-    version of the endpoints' software that began the stream, None until one has;
-    ``software_unknown`` is set if one has and its version is not known. ``origin`` is where it
-    began, as long as that is to be checked. ``hosts`` are
-    those that the request was forwarded to; ``forwarded`` is set on a host that it was forwarded
-    to. ``arrived`` is set once a send may have reached an endpoint: the next ones are retries.
+    monotonic time of that, None before the first one. ``software`` the version of the endpoints'
+    software that began the stream, None until one has, UNKNOWN_SOFTWARE if its version is not
+    known. ``origin`` is where it began, as long as that is to be checked. ``hosts`` are those that
+    the request was forwarded to; ``forwarded`` is set on a host that it was forwarded to.
+    ``arrived`` is set once a send may have reached an endpoint: the next ones are retries.
     ``reserved`` is set while a retry is reserved in the budget of the service, ``taken_at`` is the
     monotonic time at which one was taken for a send that has no outcome yet. ``charged`` counts the
     sends that were charged to the workspace as repeats and not given back. ``final`` is set once
@@ -41,7 +41,6 @@
     last_id: int | None = None
     last_event_at: float | None = None
     software: str | None = None
-    software_unknown: bool = False
     origin: Origin | None = None
     hosts: set[str] = field(default_factory=set)
     forwarded: bool = False
@@ -56,4 +55,4 @@
 
     def unbind(self) -> None:
         """Note that the version of the software that began the stream is not known."""
-        self.software, self.software_unknown, self.origin = None, True, None
+        self.software, self.origin = UNKNOWN_SOFTWARE, None
--- a/peridotdock/relay/responding.py
+++ b/peridotdock/relay/responding.py
@@ -7,6 +7,7 @@
 
 from peridotdock.answers import answer_reply
 from peridotdock.context import Context
+from peridotdock.decisions.stream_versions import UNKNOWN_SOFTWARE
 from peridotdock.errors import Failure, failed
 from peridotdock.relay.attempt import CompleteAnswer, StreamSource
 from peridotdock.relay.caller import CallerConnection
@@ -76,7 +77,7 @@
         """Take a stream's software version back if another start turns out to have begun it."""
 
         def on_checked(_: object) -> None:
-            if progress.software is not None and source.is_of_another_start():
+            if progress.software != UNKNOWN_SOFTWARE and source.is_of_another_start():
                 progress.unbind()
                 self.on_stream(req, progress)
 
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -257,7 +257,7 @@
         now = self.ctx.clock.monotonic()
         if caller.is_disconnected() or now >= req.deadline or progress.final:
             return False
-        if progress.software_unknown:
+        if progress.software == UNKNOWN_SOFTWARE:
             return False
         if failed(found) and found.kind not in RETRY_KINDS:
             return False
@@ -691,12 +691,9 @@
     What two versions write doesn't fit together, and endpoints don't check it. Another send of the
     request may have had events too.
     """
-    if progress.software is not None or progress.software_unknown:
+    if progress.software is not None:
         return
-    if found.software == UNKNOWN_SOFTWARE or found.is_of_another_start():
-        progress.unbind()
-        return
-    progress.software = found.software
+    progress.software = UNKNOWN_SOFTWARE if found.is_of_another_start() else found.software
     if not found.state.is_host:
         progress.origin = Origin(found.state, found.opened.connection)
 
--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -13,7 +13,6 @@
 from peridotdock.context import Context
 from peridotdock.decisions.stream_versions import (
     MAX_LIST_AGE_SECONDS,
-    UNKNOWN_SOFTWARE,
     Binding,
     Reply,
     Source,
@@ -135,11 +134,10 @@
 
         A forwarded stream is remembered by its caller's host alone, which may have replaced it.
         """
-        if (progress.software is None and not progress.software_unknown) or progress.forwarded:
+        if progress.software is None or progress.forwarded:
             return
         stream = find_stream(req)
-        software = UNKNOWN_SOFTWARE if progress.software is None else progress.software
-        binding = make_binding(progress.service, software)
+        binding = make_binding(progress.service, progress.software)
         self._own.record(stream, binding, self._ctx.clock.monotonic(), self.seconds)
         self._add_unwritten(stream, binding)
         if binding.service in self._told_services:
