Refuse requests at once in a cut where open connections hang

What was seen: AllCutOffTest.test_all_are_refused_at_once_and_served_again_soon, row 1 (hang), failed once in the whole run on: 504 after the deadline, "ran: maybe", for a request that runs once, where 503 at once is asked for. Sixty runs of its steps on, twelve at a time: one more, a 504 after 3 s.

Cause, by the lines of that run: the host had known for nine seconds that it reaches no endpoint and no other host does, and sent the request on a connection from before the cut that no request had used since. Open connections are tried then, as they may live on where new ones are refused; nothing recorded that these were silent. Whether one is left depends on which endpoints were chosen early in the cut.

Change: a host records at which endpoints a send was silent and has not been answered since. In a confirmed cut two of them, or the only one, show that open connections hang, and requests are refused at once. An answer, or the next event of a stream, takes that back.

Evidence: the new test keeps several connections to each endpoint before the cut: 3 of 3 runs failed before (504 for 503), 3 of 3 pass. AllCutOffTest with open connections that live on passes.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -1022,6 +1022,13 @@
         "if False and not may_try_cut_off(",
         "tests.relay.test_partition.AllCutOffTest",
     ),
+    Mutant(
+        "open connections that hang are not used in a cut",
+        "decisions/waiting.py",
+        "endpoints > 0 and not hang and",
+        "endpoints > 0 and",
+        "tests.relay.test_partition.AllCutOffTest",
+    ),
     Mutant(
         "open connections are used where no host opens new ones",
         "relay/fleet.py",
--- a/peridotdock/decisions/connectivity.py
+++ b/peridotdock/decisions/connectivity.py
@@ -64,8 +64,11 @@
         self.state = LinkState.CONNECTED
         self._failed_at: dict[str, float] = {}
         self._since = float("-inf")
+        self._min_failed = MIN_FAILED_ENDPOINTS
         self._refuted_at = float("-inf")
         self._partition: Period | None = None
+        # Since when endpoints have been silent on open connections.
+        self._silent_at: dict[str, float] = {}
 
     @property
     def doubtful(self) -> bool:
@@ -77,6 +80,23 @@
         """Whether this host reaches no endpoint."""
         return self.state is LinkState.PARTITIONED
 
+    @property
+    def connections_hang(self) -> bool:
+        """Whether open connections are silent too while no new ones can be made.
+
+        A single endpoint may be silent by itself for a moment.
+        """
+        silent = sum(at >= self._since for at in self._silent_at.values())
+        return self.partitioned and silent >= self._min_failed
+
+    def record_silence(self, endpoint: str, now: float) -> None:
+        """Record that an endpoint is silent on an open connection."""
+        self._silent_at[endpoint] = now
+
+    def record_answer(self, endpoint: str) -> None:
+        """Record that an endpoint has answered."""
+        self._silent_at.pop(endpoint, None)
+
     def record_failure(self, endpoint: str, known: int, now: float) -> bool:
         """Record a lost or refused connection; return whether the links became suspected.
 
@@ -85,7 +105,8 @@
         oldest = now - FAILURE_WINDOW_SECONDS
         self._failed_at = {key: at for key, at in self._failed_at.items() if at >= oldest}
         self._failed_at[endpoint] = now
-        few = len(self._failed_at) < min(MIN_FAILED_ENDPOINTS, known)
+        self._min_failed = min(MIN_FAILED_ENDPOINTS, known)
+        few = len(self._failed_at) < self._min_failed
         if few or self.doubtful or now < self._refuted_at + REFUTED_SECONDS:
             return False
         self._since = min(self._failed_at.values()) - ONSET_SECONDS
@@ -98,6 +119,7 @@
         self._apply(Finding.REACHED if reached else Finding.UNREACHED)
         if self.state is LinkState.CONNECTED and before is not LinkState.CONNECTED:
             self._failed_at.clear()
+            self._silent_at.clear()
             self._refuted_at = now
             if before is LinkState.PARTITIONED:
                 self._partition = Period(self._since, now)
--- a/peridotdock/relay/connectivity.py
+++ b/peridotdock/relay/connectivity.py
@@ -37,6 +37,10 @@
             self._report(before, f"after a failure at {key}")
             self.due.set()
 
+    def record_silence(self, key: str) -> None:
+        """Record that an endpoint is silent on an open connection."""
+        self.links.record_silence(key, self._ctx.clock.monotonic())
+
     def interval(self) -> float:
         """Return the seconds until the next step."""
         return PROBE_INTERVAL_SECONDS if self.links.doubtful else IDLE_INTERVAL_SECONDS
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -72,6 +72,8 @@
         self.on_place_left: Callable[[EndpointState], None] = lambda state: None
         # Whether this host reaches no endpoint, and no host that does.
         self.is_cut_off: Callable[[], bool] = lambda: False
+        # Whether its open connections to endpoints are silent as well.
+        self.connections_hang: Callable[[], bool] = lambda: False
         self.links_in_doubt: Callable[[], bool] = lambda: False
         # Whether this host's own links explain that a connection was lost at a time.
         self.links_explain: Callable[[float], bool] = lambda lost_at: False
--- a/peridotdock/relay/replacing.py
+++ b/peridotdock/relay/replacing.py
@@ -53,8 +53,8 @@
     def reserve_replacement(self, silent: "SilentSend") -> bool:
         """Reserve a retry for the send elsewhere; return False if none is left."""
 
-    def log_silent(self, silent: "SilentSend") -> None:
-        """Log that an endpoint is silent, and what else could serve."""
+    def report_silent(self, silent: "SilentSend") -> None:
+        """Report that an endpoint is silent, and log what else could serve."""
 
     def record_silence(self, state: EndpointState) -> None:
         """Record a silence against an endpoint, so that other requests avoid it for a while."""
@@ -147,7 +147,7 @@
         if self._silent_since is None:
             self._silent_since = now
             self._silent.state.silent_sends += 1
-            self._sends.log_silent(self._silent)
+            self._sends.report_silent(self._silent)
         suspects = not self._silent.streaming or now >= self._silent_since + SUSPECTS_SECONDS
         if not self._sends.may_replace(self._silent, self._uncounted(), suspects):
             return
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -95,6 +95,8 @@
         self.on_unreachable: Callable[[str], None] = lambda key: None
         self.on_gap: Callable[[str, str, float], None] = lambda service, key, seconds: None
         self.on_lost: Callable[[str], None] = lambda key: None
+        self.on_silent: Callable[[str], None] = lambda key: None
+        self.on_answered: Callable[[str], None] = lambda key: None
         self.on_repeat: Callable[[RelayRequest], None] = lambda req: None
         self.on_repeat_not_run: Callable[[RelayRequest], None] = lambda req: None
         # Whether endpoints of several software versions may serve a service.
@@ -226,6 +228,7 @@
         """Record the seconds since the previous events of a stream; ``events`` arrived at once."""
         if state.is_host:
             return
+        self.on_answered(state.key)
         self.fleet.record_event_gap(service, seconds / events)
         self.on_gap(service, state.key, seconds)
 
@@ -327,9 +330,11 @@
             self.fleet.request_ended(found.state, req.id, progress.service, complete=False)
             await found.close()
 
-    def log_silent(self, silent: SilentSend) -> None:
-        """Log that an endpoint is silent, and what else could serve."""
+    def report_silent(self, silent: SilentSend) -> None:
+        """Report that an endpoint is silent, and log what else could serve."""
         req, progress, state = silent.req, silent.progress, silent.state
+        if not state.is_host:
+            self.on_silent(state.key)
         now = self.ctx.clock.monotonic()
         states = self.fleet.usable(progress.service, req.head.inference, progress.software)
         others = [other for other in states if other.key != state.key]
@@ -574,6 +579,7 @@
         may_have_run = not failed(found) or found.may_have_run
         progress.maybe_ran += may_have_run - counted
         if not failed(found):
+            self.on_answered(state.key)
             erred = isinstance(found, CompleteAnswer) and found.is_server_error
             state.health.record_error(now) if erred else state.health.record_success()
             return
@@ -601,6 +607,7 @@
             now - started_at, expected, ITERATIONS_TO_ANSWER * self._iterations.median_length()
         ):
             state.health.record_overdue(now)
+            self.on_silent(state.key)
             self.on_lost(state.key)
 
     def record_streaming(self, req: RelayRequest, source: StreamSource) -> None:
--- a/peridotdock/relay/waits.py
+++ b/peridotdock/relay/waits.py
@@ -52,7 +52,10 @@
                 return refusal
             states = self._find_usable(req, progress)
         if self._fleet.is_cut_off() and not may_try_cut_off(
-            len(states), progress.sends, self._ctx.clock.monotonic() - req.received_at
+            len(states),
+            progress.sends,
+            self._ctx.clock.monotonic() - req.received_at,
+            self._fleet.connections_hang(),
         ):
             return Failure(
                 Kind.NO_ENDPOINT, "no host reaches an endpoint", UNREACHABLE_RETRY_SECONDS
--- a/tests/relay/test_connectivity.py
+++ b/tests/relay/test_connectivity.py
@@ -82,6 +82,35 @@
         links.record_probes(True, 12.0)
         self.assertEqual(expected, links.explains(lost_at), name)
 
+    @params(
+        ("no silence", [], 9, False),
+        ("one of many is silent", ["e1"], 9, False),
+        ("two are silent", ["e1", "e2"], 9, True),
+        ("the only one is silent", ["e1"], 1, True),
+        ("one of two has answered since", ["e1", "e2", "answer"], 9, False),
+        ("links were found good", ["e1", "e2", True, "e1", "e2"], 9, False),
+        ("a second cut", ["e1", "e2", True, False], 9, False),
+    )
+    def test_open_connections_hang(self, name, findings, known, expected):
+        """Guards against requests on connections that are silent for as long as a cut lasts."""
+        links = Connectivity()
+        for endpoint in ("e1", "e2"):
+            links.record_failure(endpoint, known, 10.0)
+        links.record_probes(False, 10.2)
+        self.assertFalse(links.connections_hang, name)
+        for found in findings:
+            if found == "answer":
+                links.record_answer("e1")
+            elif found is True:
+                links.record_probes(True, 12.0)
+            elif found is False:
+                for endpoint in ("e1", "e2"):
+                    links.record_failure(endpoint, known, 15.0)
+                links.record_probes(False, 15.2)
+            else:
+                links.record_silence(found, 10.5)
+        self.assertEqual(expected, links.connections_hang, name)
+
     def test_endpoints_that_have_not_failed_are_tried_first(self):
         """Guards against a host that takes two ended endpoints for the loss of its own links."""
         links = Connectivity()
--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -25,6 +25,8 @@
 # Requests on each route to each host, with seconds between two rounds at least.
 ROUNDS = 8
 ROUND_SECONDS = 0.1
+# Requests that each host sends at once, so that it keeps several connections to each endpoint.
+KEPT = 48
 REQUESTS = (("/recap/", "m0"), ("/once/", "m1"), ("/bind/", ""), ("/fetch/", ""))
 # Reports of three engines in about a second: each may be read a few times.
 MAX_REPORTS = 20
@@ -327,6 +329,24 @@
                 statuses.append((await found.send("/fetch/", f"o{number}-{host}", to=host))[0])
             self.assertGreaterEqual(statuses.count(200), LEAST_SHARE * len(statuses), statuses)
 
+    @run
+    async def test_requests_that_run_once_are_refused_where_open_connections_hang(self):
+        """They are sent on connections from before the cut, and wait until their deadlines."""
+        async with gated() as found:
+            await wait_linked(found)
+            hosts = range(len(found.hosts))
+            await asyncio.gather(*(send(found, host, "/fetch/", "") for host in [*hosts] * KEPT))
+            for host in hosts:
+                found.cut(host, "hang")
+            await send_rounds(found, 3)
+            await found.until(
+                lambda: all(host.connectivity.links.partitioned for host in found.hosts)
+            )
+            await asyncio.sleep(SETTLING_SECONDS)
+            for path, status, seconds, body in await send_one_by_one(found, 3):
+                self.assertEqual(503, status, (path, body))
+                self.assertLess(seconds, MAX_REFUSAL_SECONDS, path)
+
     @params(*Gate.WAYS[:2])
     def test_all_are_refused_at_once_and_served_again_soon(self, way):
         @run
