End a send that waits for a report once it is not needed any more

What callers saw: a stream that was silent for a moment ended up to 0.4 s late. While it was silent it was sent for elsewhere, and that send waited for the other engine's report; the silent engine went on and finished, and the end of the answer waited for the send. The send then went out, and the other engine ran a stream that nobody read.

Cause: the check of the start that an engine runs did not look at the caller of the send, as all other waits of a send do. Looked for elsewhere: of the waits in relay/ one more, before the head of a forwarded stream, was of this kind; a host that lost its caller there stopped the engine up to 0.4 s later.

Change: both end with their caller.

The second wait has no test of its own.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -1022,6 +1022,13 @@
         "if False and not may_try_cut_off(",
         "tests.relay.test_partition.AllCutOffTest",
     ),
+    Mutant(
+        "a send that is not needed any more waits for no report",
+        "relay/service.py",
+        "found = await wait_for(asyncio.gather(*checks), caller, remaining)",
+        "found = await asyncio.gather(*checks)",
+        "tests.relay.test_software_versions.SilentTest",
+    ),
     Mutant(
         "open connections that hang are not used in a cut",
         "decisions/waiting.py",
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -361,7 +361,7 @@
         state = self.fleet.states.get(prediction.candidate.key)
         if state is None:
             return Failure(Kind.ENDPOINT_UNREACHABLE, "gone meanwhile")
-        valid_until = await self._check_software(req, progress, state)
+        valid_until = await self._check_software(req, caller, progress, state)
         if failed(valid_until):
             self._chooser.withdraw(prediction)
             return valid_until
@@ -486,7 +486,7 @@
         )
 
     async def _check_software(
-        self, req: RelayRequest, progress: Progress, state: EndpointState
+        self, req: RelayRequest, caller: Caller, progress: Progress, state: EndpointState
     ) -> float | Failure:
         """Return until when a stream may be sent on to an endpoint (monotonic seconds), or why not.
 
@@ -498,7 +498,13 @@
         checks = [self._starts.find_running(state)]
         if progress.origin is not None:
             checks.append(self._starts.find_answering(*progress.origin))
-        target, *began = await asyncio.gather(*checks)
+        remaining = req.deadline - self.ctx.clock.monotonic()
+        found = await wait_for(asyncio.gather(*checks), caller, remaining)
+        if failed(found):
+            # Nothing was sent yet.
+            loss = Loss.CALLER_GONE if caller.is_disconnected() else Loss.DEADLINE
+            return loss_failure(RequestState.ADMITTED, loss)
+        target, *began = found
         progress.origin = None
         if any(check.running is Running.ANOTHER for check in began):
             progress.unbind()
@@ -544,7 +550,8 @@
             return failure
         if progress.forwarded and source.check is not None:
             # The head of the answer tells the caller's host the version.
-            await asyncio.wait({source.check})
+            waits = {source.check, caller.disconnected}
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
         source.started_at = self.ctx.clock.monotonic()
         self.fleet.first_token_received(sent.state, req.id, req.head.inference)
         self._log_first_event(req, sent.state, req.received_at)
--- a/tests/relay/test_software_versions.py
+++ b/tests/relay/test_software_versions.py
@@ -18,6 +18,9 @@
 MANY_RETRIES = 1000.0
 # Seconds until an engine's first event, longer than a host waits before it tries another engine.
 FIRST_EVENT_SECONDS = 1.4
+# Seconds until a late report, and within which a stream ends after its last event.
+LATE_REPORT_SECONDS = 1.0
+MAX_END_SECONDS = 0.2
 
 
 def deploy(pairs=PAIRS, hosts=1, gated=False):
@@ -148,6 +151,25 @@
             bound = versions._own.find(hash_attempt("a0"), now, versions.seconds)
             self.assertEqual(Binding("engines", "v1"), bound)
 
+    @run
+    async def test_a_stream_ends_while_a_send_elsewhere_waits_for_a_report(self):
+        """The answer's end waits for a send that is not needed any more."""
+        async with deploy((("e1", "v1"), ("e2", "v1"))) as found:
+            engines = found.engines
+            engines["e2"].room = 0
+            engines["e1"].halfway_event = asyncio.Event()
+            sent = asyncio.ensure_future(found.send("/recap/", "a0", model="m0"))
+            await found.until(lambda: "a0" in engines["e1"].executed)
+            engines["e2"].room = math.inf
+            engines["e2"].report_delay_seconds = LATE_REPORT_SECONDS
+            await found.until(lambda: found.hosts[0].service._starts._reading)
+            began = asyncio.get_running_loop().time()
+            engines["e1"].halfway_event.set()
+            status, _, body = await sent
+            self.assertEqual((200, [1, 2, 3, 4, 5, 6]), (status, ids(body)))
+            self.assertEqual([], engines["e2"].executed)
+            self.assertLess(asyncio.get_running_loop().time() - began, MAX_END_SECONDS)
+
 
 class TriesTest(unittest.TestCase):
     """Guards against a stream that a caller takes up at another version than began it."""
