Forget silences of endpoints that are too old to belong to a cut

No suspicion reaches back further than three seconds, so older entries go where nothing is suspected. The new test failed before (1000 entries).

--- a/peridotdock/decisions/connectivity.py
+++ b/peridotdock/decisions/connectivity.py
@@ -6,7 +6,7 @@
 endpoints confirm or refute it.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
@@ -67,7 +67,7 @@
         self._min_failed = MIN_FAILED_ENDPOINTS
         self._refuted_at = float("-inf")
         self._partition: Period | None = None
-        # Since when endpoints have been silent on open connections.
+        # When endpoints were last silent on open connections, unless they have answered since.
         self._silent_at: dict[str, float] = {}
 
     @property
@@ -91,6 +91,10 @@
 
     def record_silence(self, endpoint: str, now: float) -> None:
         """Record that an endpoint is silent on an open connection."""
+        if not self.doubtful:
+            # No suspicion reaches back further.
+            oldest = now - FAILURE_WINDOW_SECONDS - ONSET_SECONDS
+            self._silent_at = keep_since(self._silent_at, oldest)
         self._silent_at[endpoint] = now
 
     def record_answer(self, endpoint: str) -> None:
@@ -102,8 +106,7 @@
 
         ``known`` is the number of endpoints that this host knows.
         """
-        oldest = now - FAILURE_WINDOW_SECONDS
-        self._failed_at = {key: at for key, at in self._failed_at.items() if at >= oldest}
+        self._failed_at = keep_since(self._failed_at, now - FAILURE_WINDOW_SECONDS)
         self._failed_at[endpoint] = now
         self._min_failed = min(MIN_FAILED_ENDPOINTS, known)
         few = len(self._failed_at) < self._min_failed
@@ -142,3 +145,8 @@
         """Return the endpoints to try next, at random, those that have not failed lately first."""
         drawn = rng.sample(endpoints, len(endpoints))
         return sorted(drawn, key=lambda key: key in self._failed_at)[:PROBED_ENDPOINTS]
+
+
+def keep_since(times: Mapping[str, float], oldest: float) -> dict[str, float]:
+    """Return the endpoints' times without those before ``oldest``."""
+    return {key: at for key, at in times.items() if at >= oldest}
--- a/tests/relay/test_connectivity.py
+++ b/tests/relay/test_connectivity.py
@@ -111,6 +111,13 @@
                 links.record_silence(found, 10.5)
         self.assertEqual(expected, links.connections_hang, name)
 
+    def test_silences_are_forgotten_while_links_are_good(self):
+        """Guards against memory that grows with each endpoint that was silent before it ended."""
+        links = Connectivity()
+        for number in range(1000):
+            links.record_silence(f"e{number}", float(number))
+        self.assertLess(len(links._silent_at), 10)
+
     def test_endpoints_that_have_not_failed_are_tried_first(self):
         """Guards against a host that takes two ended endpoints for the loss of its own links."""
         links = Connectivity()
