Check in the soak that a workspace well within its quota is served

What was seen: the soak checked that such a workspace is not refused by its quota, not that it is served.

Change: of first attempts on the same routes, at hosts that were not disturbed shortly before, those of a workspace that sends half of its quota must be served at least half as often as those of callers without a quota. Fewer than 20 of either are not compared. The bound is that of the users' rules for a part of a kind of request beside the whole of it (less than half as often), not a measured one.

--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -52,8 +52,10 @@
 QUOTA_OVER = 0.1
 QUOTA_SLACK_UNITS = 10
 # Share of its quota up to which a workspace is not refused, and what a refusal by a quota names.
+# Up to there it must be served at least this share as often as callers without a quota.
 WITHIN_SHARE = 0.5
 QUOTA_KIND = b'"caller_limit"'
+LEAST_WITHIN_SHARE = 0.5
 # Seconds within which an answer breaks off when a host that it came through has ended.
 HOST_LOSS_SECONDS = 0.5
 # Routes whose requests go to engines; all others go to endpoints of the plain service.
@@ -628,6 +630,29 @@
             )
 
 
+def check_served_within_quota(record: Record) -> Iterable[str]:
+    """A workspace well within its quota is served less than half as often as callers without one.
+
+    First attempts on the same routes are compared, at hosts that had not been disturbed shortly
+    before.
+    """
+    names = {row.name for row in record.loads}
+    rows = [row for row in record.attempts if row.number == 1 and not is_disturbed(record, row)]
+    for load in record.loads:
+        if load.load > WITHIN_SHARE:
+            continue
+        own = [row for row in rows if row.workspace == load.name]
+        routes = {row.route for row in own}
+        others = [row for row in rows if row.workspace not in names and row.route in routes]
+        if min(len(own), len(others)) < MIN_COMPARED:
+            continue
+        if share(own) < LEAST_WITHIN_SHARE * share(others):
+            yield (
+                f"workspace {load.name}: served {share(own):.2f} of {len(own)} at {load.load:.2f}"
+                f" of its quota, callers without one {share(others):.2f} of {len(others)}"
+            )
+
+
 def check_software(record: Record) -> Iterable[str]:
     """More streams than allowed have events of endpoints of two software versions.
 
@@ -681,5 +706,6 @@
         *check_software(record),
         *check_quotas(record),
         *check_within_quota(record),
+        *check_served_within_quota(record),
     ]
     return found + list(check_planned(record)) if planned else found
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -103,6 +103,22 @@
     return replace(record(refused), loads=[load])
 
 
+def served_record(served, load=0.5, count=20, others=20, host="h1", cause=None, **changes):
+    """Return a record of a workspace's attempts, and of 20 of callers without a quota.
+
+    ``served`` and ``others`` are how many of them get a success, ``cause`` how the rest ends.
+    """
+    failure = cause or {"status": 500, "body": b""}
+    own = replace(PAGE, workspace="w", incarnation="h0-1")
+    other = replace(PAGE, workspace="open", incarnation=f"{host}-1")
+    rows = [
+        replace(own, id=f"w{n}", **{} if n < served else failure, **changes) for n in range(count)
+    ]
+    rows += [replace(other, id=f"o{n}", **{} if n < others else failure) for n in range(20)]
+    loads = [WorkspaceLoad("w", rate=10.0, burst=10.0, cost=1.0, load=load)]
+    return replace(record(*rows), loads=loads)
+
+
 def mixed_record(first="e1", second="e1", resumed="e1"):
     """Return a record of a stream with events of two endpoints, and of one that resumes it."""
     texts = [
@@ -321,6 +337,31 @@
         ("half of a quota is refused", refused_record(0.5), True),
         ("three times a quota is refused", refused_record(3.0), False),
         ("half of a quota meets another refusal", refused_record(0.5, 503, "overloaded"), False),
+        ("half of a quota is served", served_record(20), False),
+        ("half of a quota is served half as often", served_record(10), False),
+        ("half of a quota is served less", served_record(9), True),
+        ("half of a quota gets nearly nothing but 500", served_record(1), True),
+        ("half of a quota is cut short", served_record(1, cause={"complete": False}), True),
+        ("half of a quota is served as rarely as others", served_record(1, others=2), False),
+        ("three times a quota gets nearly nothing but 500", served_record(1, 3.0), False),
+        ("too few requests to compare", served_record(0, count=19), False),
+        ("others have other routes", served_record(1, route="bind"), False),
+        ("its second attempts fail", served_record(1, number=2), False),
+        (
+            "its host was killed",
+            replace(served_record(1), disturbed=[Disturbance("h0", 0.5, 0.6)]),
+            False,
+        ),
+        (
+            "another host was killed",
+            replace(served_record(1), disturbed=[Disturbance("h2", 0.5, 0.6)]),
+            True,
+        ),
+        (
+            "the host of the others was killed",
+            replace(served_record(1), disturbed=[Disturbance("h1", 0.5, 0.6)]),
+            False,
+        ),
         ("a stream of one software version", mixed_record(second="e3", resumed="e3"), False),
         ("a stream of two software versions", mixed_record(second="e2"), True),
         ("a caller resumes it at another version", mixed_record(resumed="e2"), True),
