Let a lost host's stream meet engines of its version that refuse first

What was seen: the mutant "a forwarded stream tells which software version began it" was caught in 3 of 6 runs of its tests.

Cause: the one stream of the test that loses the other host is resumed at an engine chosen at random, of the version that began it in about half of the runs even if the caller's host doesn't know that version.

Change: after the loss both engines of that version refuse their next request, and those of the other would take it. A host that doesn't know the version comes to the other one in every run, one that knows it waits for its own. The test also asserts that both engines have refused.

--- a/tests/relay/test_software_versions.py
+++ b/tests/relay/test_software_versions.py
@@ -101,20 +101,26 @@
     async def test_a_forwarded_stream_is_resumed_at_its_version_where_the_other_host_is_lost(self):
         async with deploy(hosts=3, gated=True) as found:
             await cut_off(found)
+            allow_retries(found)
             for engine in found.engines.values():
                 engine.halfway_event = asyncio.Event()
             sent = asyncio.ensure_future(found.send("/recap/", "a1", model="m0"))
             await found.until(lambda: versions(found, "a1"))
+            [began] = versions(found, "a1")
             busy = next(host for host in found.hosts[1:] if host.responder.in_progress)
             await asyncio.sleep(0.1)
-            # The engine that began it, and one other of each version, are left to choose from.
+            # Both engines of the version that began it refuse first, those of the other take it.
+            for engine in found.engines.values():
+                engine.script = ["refuse"] * (engine.software == began)
             found.hosts.remove(busy)
             await abort(busy)
             for engine in found.engines.values():
                 engine.halfway_event.set()
             status, _, body = await sent
             self.assertEqual((200, [1, 2, 3, 4, 5, 6]), (status, ids(body)))
-            self.assertEqual(1, len(versions(found, "a1")))
+            self.assertEqual({began}, versions(found, "a1"))
+            refusing = [engine for engine in found.engines.values() if engine.software == began]
+            self.assertEqual(2, sum(len(engine.refusals) for engine in refusing))
 
 
 class SilentTest(unittest.TestCase):
