Tell the hub of streams of unknown software version where hosts see one version

What callers saw: events of two software versions over their tries at different hosts. Cause: a host knew that a stream began at another start than the entry's, so that nobody knows its version, but told the hub of streams only where the entries show several versions. And the hub named "unknown" to the host that asked both what it had not been told of and what it knows to be unknown: with one version in the lists the stream went on there.

Change: services with a restarted engine count among those whose streams are told; unknown versions are told at once; the hub answers with the version that stands for unknown, which hosts of earlier versions take for one that no endpoint has (read, not run).

Cost: after a restart at the same version such streams are refused at other hosts too until the entry follows; they were refused at their own host before.

--- a/peridotdock/decisions/stream_versions.py
+++ b/peridotdock/decisions/stream_versions.py
@@ -56,7 +56,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """What is known of a stream, with the reason; ``software`` is None if nothing is."""
+    """What is known of a stream, with the reason; ``software`` is None if nothing is.
+
+    It is UNKNOWN_SOFTWARE if it is known that nobody can know the version.
+    """
 
     source: Source
     service: str
@@ -171,13 +174,6 @@
     return frozenset(key for key, at in written_at.items() if oldest <= at <= newest)
 
 
-def judge_bound(binding: Binding, source: Source) -> Verdict:
-    """Return what the binding of a stream tells, which may be that its version is unknown."""
-    if binding.software == UNKNOWN_SOFTWARE:
-        return Verdict(Source.UNKNOWN, binding.service)
-    return Verdict(source, binding.service, binding.software)
-
-
 def judge_alone(
     binding: Binding | None, service: str, versions: Collection[str], sure: bool
 ) -> Verdict | None:
@@ -186,7 +182,7 @@
     ``sure`` tells whether ``versions`` are all of the service's for as long as callers go on.
     """
     if binding is not None:
-        return judge_bound(binding, Source.HERE)
+        return Verdict(Source.HERE, binding.service, binding.software)
     if sure and len(versions) == 1:
         return Verdict(Source.SINGLE, service, *versions)
     return None
@@ -206,7 +202,7 @@
     ``seconds`` ago.
     """
     if binding is not None:
-        return judge_bound(binding, Source.TOLD)
+        return Verdict(Source.TOLD, binding.service, binding.software)
     ordered = sorted(periods.items(), key=lambda row: row[1].first)
     if len(ordered) > 1:
         (earliest, period), (_, second) = ordered[:2]
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -190,6 +190,10 @@
         now = self._clock.monotonic()
         return any(state.usable(now) for state in self._of_software(service, software))
 
+    def restarted_services(self) -> set[str]:
+        """Return the services of which an endpoint runs another start than its entry names."""
+        return {row.entry.service for row in self.states.values() if row.superseded}
+
     def other_software(self, service: str, software: str) -> set[str]:
         """Return the keys of the endpoints of other software versions, or of unknown ones."""
         rows = self.by_service.get(service, ())
--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -13,6 +13,7 @@
 from peridotdock.context import Context
 from peridotdock.decisions.stream_versions import (
     MAX_LIST_AGE_SECONDS,
+    UNKNOWN_SOFTWARE,
     Binding,
     Reply,
     Source,
@@ -140,10 +141,13 @@
         binding = make_binding(progress.service, progress.software)
         self._own.record(stream, binding, self._ctx.clock.monotonic(), self.seconds)
         self._add_unwritten(stream, binding)
-        if binding.service in self._told_services:
+        told = binding.service in self._told_services
+        if told:
             self._untold[stream] = binding
-            if self._ctx.clock.monotonic() - self._told_at >= TELL_PAUSE_SECONDS:
-                self.publish()
+        # Hosts that see one version let the stream go on there until the hub tells them.
+        urgent = binding.software == UNKNOWN_SOFTWARE
+        if urgent or (told and self._ctx.clock.monotonic() - self._told_at >= TELL_PAUSE_SECONDS):
+            self.publish()
 
     # Streams that callers take up
 
@@ -157,13 +161,14 @@
         verdict = await self._find(req, caller, progress.service)
         self._ctx.metrics.streams_taken_up.labels(verdict.source.value).inc()
         detail = f"after event {req.head.resume_after} of attempt {req.head.resumed_attempt}"
-        detail += f", software {verdict.software}, {verdict.source}"
+        software = None if verdict.software == UNKNOWN_SOFTWARE else verdict.software
+        detail += f", software {software}, {verdict.source}"
         self._ctx.timeline.add("stream_taken_up", request=req.id, detail=detail)
-        if verdict.software is None:
+        if software is None:
             return Failure(Kind.NO_ENDPOINT, "software of the stream unknown")
         if verdict.service in [share.service for share in req.route.shares]:
             progress.service = verdict.service
-        progress.software = verdict.software
+        progress.software = software
         return None
 
     async def _find(self, req: RelayRequest, caller: CallerConnection, service: str) -> Verdict:
@@ -244,7 +249,7 @@
     def publish(self) -> None:
         """Tell the hub of new streams; of all of them where the hub or the link to it is new."""
         now = self._ctx.clock.monotonic()
-        mixed = self._history.mixed(now, self.seconds)
+        mixed = self._history.mixed(now, self.seconds) | self._fleet.restarted_services()
         self._refresh_role(now, mixed)
         target = self._find_target() if mixed else ""
         link = self._peers.mesh.find_link(target) if self._takes_streams(target) else None
--- a/tests/relay/test_restarted_versions.py
+++ b/tests/relay/test_restarted_versions.py
@@ -18,6 +18,8 @@
 EVENT_SECONDS = 0.03
 # Seconds until a late report, longer than hosts wait for one.
 LATE_SECONDS = 0.6
+# Seconds in which a frame reaches the hub in this process.
+TELLING_SECONDS = 0.02
 SERVICES = (("two versions", MIXED), ("one version", ALL_OLD))
 WAYS = (("by the caller's host", False), ("by another host", True))
 ROWS = tuple((*service, *way) for service in SERVICES for way in WAYS)
@@ -101,6 +103,19 @@
                 await take_up(found, first, second)
                 self.assertEqual({"v2"}, versions(found, first, second), number)
 
+    @run
+    async def test_a_stream_that_began_at_a_restarted_endpoint_of_the_only_version(self):
+        """Its host knows that the version is unknown, and the others see a single one."""
+        async with deploy(ALL_OLD, hosts=3) as found:
+            await wait_linked(found)
+            found.engines["e1"].restart_unseen("v2")
+            for number in range(STREAMS):
+                first, second = f"a{number}", f"b{number}"
+                await receive_cut(found, "e1", first)
+                await asyncio.sleep(TELLING_SECONDS)
+                await take_up(found, first, second, to=1 + number % 2)
+                self.assertEqual({"v2"}, versions(found, first, second), number)
+
     @params(*SERVICES)
     def test_a_stream_that_its_host_could_not_resume(self, name, pairs):
         """The host finds where it began only as it breaks off, and forgets that at once."""
