Read the streams in the store also where a new hub sees one version

What callers saw: events of two software versions over their tries, after all hosts were lost and the endpoints of one version had ended. Cause: that the lists of hosts which have just started show one version was taken for proof that there was no other. The hub had written the streams, but looked there only with several versions in its list.

Change: for as long as callers go on after its start, the hub reads the rows before it lets an unknown stream go on at a single version, and names a further, unknown version until it has read them.

--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -356,10 +356,14 @@
         binding, told_since = self._find_binding(stream), self._told_since()
         verdict = judge_as_hub(binding, service, periods, told_since, now, self.seconds)
         complete = self._is_told_by(self._peers.live_hosts())
-        doubtful = verdict.source is not Source.TOLD and len(periods) > 1
+        versions = frozenset(periods)
+        # All endpoints of a version may have ended before this host first saw a list.
+        seen_all = now - self._observed_at >= self.seconds
+        doubtful = verdict.source is not Source.TOLD and (len(versions) > 1 or not seen_all)
         if doubtful and self._may_lack_streams(now) and self.needs_rows():
             verdict, complete = Verdict(Source.UNKNOWN, service), False
-        return Reply(verdict, complete, frozenset(periods))
+            versions |= {UNKNOWN_SOFTWARE}
+        return Reply(verdict, complete, versions)
 
     def _is_told_by(self, hosts: set[str]) -> bool:
         return self._hub_since is not None and hosts - {self._host} <= self._told_by
--- a/tests/relay/test_stream_versions.py
+++ b/tests/relay/test_stream_versions.py
@@ -488,6 +488,24 @@
                 self.assertEqual(1, len(ran), number)
             self.assertEqual((503, []), await take_up(found, "a9", "b9", 0))
 
+    @run
+    async def test_all_hosts_are_replaced_after_a_version_has_gone(self):
+        """They see one version, and let streams that began at the other one go on there."""
+        async with deploy(hosts=3) as found:
+            await wait_linked(found)
+            for number in range(STREAMS):
+                await begin(found, f"a{number}", number % 3, "v2")
+            await asyncio.sleep(WRITTEN_SECONDS)
+            for engine in found.engines.values():
+                if engine.software == "v2":
+                    engine.crash()
+            await found.until(lambda: not found.hosts[0].fleet.has_software("engines", "v2"))
+            await found.replace_hosts()
+            for number in range(STREAMS):
+                first, second = f"a{number}", f"b{number}"
+                self.assertEqual((503, []), await take_up(found, first, second, number % 3))
+                self.assertEqual({"v2"}, versions(found, first) | versions(found, second))
+
     @run
     async def test_the_store_is_away(self):
         """Callers wait for the store, or a stream goes on at any version, as it can't be read."""
