Serve requests in a cut over open connections that live on, though others hang

What callers saw: in a test only (503 for requests whose endpoints answer). Where a host can open no new connection, two endpoints that are silent on open ones had all requests refused, of all services, for as long as the cut lasts: only these two could take that back, and nothing was sent to them any more.

Cause: the silence of two endpoints was taken for that of all, and for good.

Change: each endpoint that is silent is left out by itself. All are left out, as before, where several are silent and no other has answered since half a second before the first of these.

Open: with so few requests that none was answered in that time, all are still refused until a new connection can be made.

--- a/peridotdock/decisions/connectivity.py
+++ b/peridotdock/decisions/connectivity.py
@@ -23,6 +23,8 @@
 # Seconds before the first failure from which on losses are blamed on the partition: the connections
 # that were open break first.
 ONSET_SECONDS = 1.0
+# Seconds for which an endpoint has been silent at least when its silence is recorded.
+SILENCE_SECONDS = 0.5
 
 
 class LinkState(StrEnum):
@@ -69,6 +71,7 @@
         self._partition: Period | None = None
         # Since when endpoints have been silent on open connections.
         self._silent_at: dict[str, float] = {}
+        self._answered_at = float("-inf")
 
     @property
     def doubtful(self) -> bool:
@@ -80,22 +83,27 @@
         """Whether this host reaches no endpoint."""
         return self.state is LinkState.PARTITIONED
 
-    @property
-    def connections_hang(self) -> bool:
-        """Whether open connections are silent too while no new ones can be made.
+    def hangs(self, endpoint: str) -> bool:
+        """Return whether open connections to an endpoint hang too while no new ones can be made.
 
-        A single endpoint may be silent by itself for a moment.
+        Those to silent ones do, and all do if several endpoints are silent and no other has
+        answered meanwhile: a single one may be silent by itself for a moment.
         """
-        silent = sum(at >= self._since for at in self._silent_at.values())
-        return self.partitioned and silent >= self._min_failed
+        if not self.partitioned:
+            return False
+        silent = {key: at for key, at in self._silent_at.items() if at >= self._since}
+        if endpoint in silent or len(silent) < self._min_failed:
+            return endpoint in silent
+        return self._answered_at < min(silent.values()) - SILENCE_SECONDS
 
     def record_silence(self, endpoint: str, now: float) -> None:
         """Record that an endpoint is silent on an open connection."""
         self._silent_at[endpoint] = now
 
-    def record_answer(self, endpoint: str) -> None:
+    def record_answer(self, endpoint: str, now: float) -> None:
         """Record that an endpoint has answered."""
         self._silent_at.pop(endpoint, None)
+        self._answered_at = now
 
     def record_failure(self, endpoint: str, known: int, now: float) -> bool:
         """Record a lost or refused connection; return whether the links became suspected.
--- a/peridotdock/decisions/waiting.py
+++ b/peridotdock/decisions/waiting.py
@@ -49,14 +49,14 @@
     retry_after: float
 
 
-def may_try_cut_off(endpoints: int, sends: int, age: float, hang: bool) -> bool:
+def may_try_cut_off(endpoints: int, sends: int, age: float) -> bool:
     """Return whether to try an endpoint though no host can connect to any.
 
     Load pattern: new connections are refused, and some open ones live on. A request is refused as
-    soon as a few tries have failed. It is refused at once where the open connections ``hang``: one
-    that may run only once would wait until its deadline.
+    soon as a few tries have failed. It is refused at once where all open connections hang, so that
+    no ``endpoints`` are left: one that may run only once would wait until its deadline.
     """
-    return endpoints > 0 and not hang and sends < MAX_CUT_OFF_SENDS and age < MAX_CUT_OFF_SECONDS
+    return endpoints > 0 and sends < MAX_CUT_OFF_SENDS and age < MAX_CUT_OFF_SECONDS
 
 
 def decide_wait(absence: Absence) -> Wait:
--- a/peridotdock/relay/connectivity.py
+++ b/peridotdock/relay/connectivity.py
@@ -41,6 +41,10 @@
         """Record that an endpoint is silent on an open connection."""
         self.links.record_silence(key, self._ctx.clock.monotonic())
 
+    def record_answer(self, key: str) -> None:
+        """Record that an endpoint has answered on an open connection."""
+        self.links.record_answer(key, self._ctx.clock.monotonic())
+
     def interval(self) -> float:
         """Return the seconds until the next step."""
         return PROBE_INTERVAL_SECONDS if self.links.doubtful else IDLE_INTERVAL_SECONDS
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -72,8 +72,8 @@
         self.on_place_left: Callable[[EndpointState], None] = lambda state: None
         # Whether this host reaches no endpoint, and no host that does.
         self.is_cut_off: Callable[[], bool] = lambda: False
-        # Whether its open connections to endpoints are silent as well.
-        self.connections_hang: Callable[[], bool] = lambda: False
+        # Whether its open connections to an endpoint are silent as well.
+        self.connections_hang: Callable[[str], bool] = lambda key: False
         self.links_in_doubt: Callable[[], bool] = lambda: False
         # Whether this host's own links explain that a connection was lost at a time.
         self.links_explain: Callable[[float], bool] = lambda lost_at: False
@@ -157,11 +157,13 @@
     ) -> list[EndpointState]:
         """Return the endpoints that accept requests of this host and hold the requested item.
 
-        Where no host reaches any endpoint, all are left: open connections may live on although new
-        ones fail. ``software`` is the version that they must have, None for any.
+        Where no host reaches any endpoint, those are left to which open connections don't hang:
+        they may live on although new ones fail. ``software`` is the version that they must have,
+        None for any.
         """
         if self.is_cut_off():
-            return self.serving(service, inference, software)
+            found = self.serving(service, inference, software)
+            return [state for state in found if not self.connections_hang(state.key)]
         now = self._clock.monotonic()
         rows = [state for state in self._of_software(service, software) if state.usable(now)]
         return filter_holders(rows, inference, now)
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -143,7 +143,7 @@
         self.connectivity.on_change = self._on_connectivity
         self.fleet.links_in_doubt = lambda: self.connectivity.links.doubtful
         self.fleet.links_explain = self.connectivity.links.explains
-        self.fleet.connections_hang = lambda: self.connectivity.links.connections_hang
+        self.fleet.connections_hang = self.connectivity.links.hangs
         self.host_connections = HttpEndpoints(not_run_header=None, memory=memory)
         self.forwarder = Forwarder(
             ctx,
@@ -176,7 +176,7 @@
         self.service.on_unreachable = lambda key: self.peers.publish_wants()
         self.service.on_lost = self.connectivity.record_lost
         self.service.on_silent = self.connectivity.record_silence
-        self.service.on_answered = self.connectivity.links.record_answer
+        self.service.on_answered = self.connectivity.record_answer
         self.host_monitor = HostMonitor(ctx, find_iterations(), lambda: self.responder.in_progress)
         self.host_monitor.on_change = self._publish_state
         self.shares = Shares(ctx, settings.host, self.peers, uptime)
--- a/peridotdock/relay/waits.py
+++ b/peridotdock/relay/waits.py
@@ -55,7 +55,6 @@
             len(states),
             progress.sends,
             self._ctx.clock.monotonic() - req.received_at,
-            self._fleet.connections_hang(),
         ):
             return Failure(
                 Kind.NO_ENDPOINT, "no host reaches an endpoint", UNREACHABLE_RETRY_SECONDS
--- a/tests/relay/test_partition.py
+++ b/tests/relay/test_partition.py
@@ -347,6 +347,25 @@
                 self.assertEqual(503, status, (path, body))
                 self.assertLess(seconds, MAX_REFUSAL_SECONDS, path)
 
+    @run
+    async def test_requests_are_served_where_open_connections_to_others_hang(self):
+        """Two endpoints are silent, and all requests are refused though the rest answers."""
+        async with gated(hosts=1) as found:
+            await wait_linked(found)
+            served = (("/fetch/", ""), ("/once/", "m1"))
+            for request in (("/recap/", "m0"), *served):
+                await asyncio.gather(*(send(found, 0, *request) for _ in range(KEPT // 3)))
+            for number, gate in enumerate(found._gates[0]):
+                gate.cut("hang" if number < 2 else "refuse")
+            silent = [asyncio.ensure_future(send(found, 0, "/recap/", "m0")) for _ in range(4)]
+            links, rows, in_cut = found.hosts[0].connectivity.links, [], 0
+            while in_cut < 3 * ROUNDS:
+                rows += await asyncio.gather(*(send(found, 0, *request) for request in served))
+                in_cut += links.partitioned
+                await asyncio.sleep(ROUND_SECONDS)
+            self.assertEqual(1.0, served_share(rows), explain(found, rows))
+            await asyncio.gather(*silent)
+
     @params(*Gate.WAYS[:2])
     def test_all_are_refused_at_once_and_served_again_soon(self, way):
         @run
