Remember streams for as long as their callers go on, though later ones may last less long

What callers saw: events of two software versions over their tries. Cause: the time for which streams and versions are remembered followed the newest configuration. One that shortens the streaming routes made all hosts forget streams that go on by the one before, and versions that served until then: a stream of a version that had just ended went on at the only one that was left.

--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -110,9 +110,13 @@
     # What this host sees
 
     def set_deployment(self, deployment: Deployment) -> None:
-        """Remember streams for as long as callers of the deployment's routes go on."""
+        """Remember streams for as long as callers of the deployment's routes go on.
+
+        Callers of earlier streams go on by the configuration of that time.
+        """
         routes = [row for rows in deployment.routes.values() for row in rows.values()]
-        self.seconds = kept_seconds(row.timeout for row in routes if row.streams)
+        kept = kept_seconds(row.timeout for row in routes if row.streams)
+        self.seconds = max(self.seconds, kept)
 
     def observe(self) -> None:
         """Record the software versions in the list of endpoints, after a change of it."""
--- a/tests/relay/test_stream_versions.py
+++ b/tests/relay/test_stream_versions.py
@@ -27,6 +27,7 @@
 from peridotdock.relay.stream_rows import DECODE_ERRORS, PREFIX, decode_row, encode_rows
 from peridotdock.relay.stream_versions import hash_attempt
 from peridotdock.schema.messages import StreamsBegun
+from tests.relay.deployment import ROUTES
 from tests.relay.test_forwarding import abort, cut_off
 from tests.relay.test_partition import MAX_REFUSAL_SECONDS, wait_linked
 from tests.relay.test_relay import ids, run
@@ -42,6 +43,8 @@
 TOLD_SECONDS = 0.5
 # Seconds for which no host was out of touch with the hub, where a test waits for that.
 CLOCK_STEP_SECONDS = 0.05
+# Seconds of the longest streaming route of the deployment.
+ROUTE_SECONDS = 6.0
 # Seconds within which streams are in the store.
 WRITTEN_SECONDS = 1.7
 # Seconds within which a stream goes on although its host or the hub has just been killed.
@@ -471,6 +474,35 @@
                 self.assertEqual({"v2"}, versions(found, first) | versions(found, second))
 
 
+class ShorterTimeoutTest(unittest.TestCase):
+    """Guards against a stream whose version is forgotten, as later ones may last less long."""
+
+    @run
+    async def test_a_configuration_shortens_the_time_of_the_streaming_routes(self):
+        """The version that it began at has ended, and it goes on at the only one that is left."""
+        async with deploy(PAIRS[:2], hosts=2) as found:
+            await wait_linked(found)
+            longer = [row | {"timeout_ms": 30_000} for row in ROUTES]
+            for version, routes in ((2, longer), (3, ROUTES)):
+                found.configure(version=version, routes=routes)
+                await found.until(
+                    lambda number=version: all(
+                        host.request_handler.deployment.version == number for host in found.hosts
+                    )
+                )
+                if version == 2:
+                    await begin(found, "a0", 0, "v1")
+                    begun_at = asyncio.get_running_loop().time()
+            old = next(row for row in found.engines.values() if "a0" in row.executed)
+            old.software = "v2"
+            old.on_change()
+            await asyncio.sleep(begun_at + 2 * ROUTE_SECONDS - asyncio.get_running_loop().time())
+            self.assertEqual((503, []), await take_up(found, "a0", "b0", 1))
+            ran = [row.software_by_attempt for row in found.engines.values()]
+            self.assertEqual({"v1"}, set().union(*(row.get("a0", ()) for row in ran)))
+            self.assertEqual([], [row["b0"] for row in ran if "b0" in row])
+
+
 class StoredTest(unittest.TestCase):
     """Guards against streams that all hosts forget at once, which are all refused."""
 
