--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -13,6 +13,7 @@
 from peridotdock.context import Context
 from peridotdock.decisions.stream_versions import (
     MAX_LIST_AGE_SECONDS,
+    UNKNOWN_SOFTWARE,
     Binding,
     Reply,
     Source,
@@ -109,9 +110,13 @@
     # What this host sees
 
     def set_deployment(self, deployment: Deployment) -> None:
-        """Remember streams for as long as callers of the deployment's routes go on."""
+        """Remember streams for as long as callers of the deployment's routes go on.
+
+        Callers of earlier streams go on by the configuration of that time.
+        """
         routes = [row for rows in deployment.routes.values() for row in rows.values()]
-        self.seconds = kept_seconds(row.timeout for row in routes if row.streams)
+        kept = kept_seconds(row.timeout for row in routes if row.streams)
+        self.seconds = max(self.seconds, kept)
 
     def observe(self) -> None:
         """Record the software versions in the list of endpoints, after a change of it."""
@@ -140,10 +145,13 @@
         binding = make_binding(progress.service, progress.software)
         self._own.record(stream, binding, self._ctx.clock.monotonic(), self.seconds)
         self._add_unwritten(stream, binding)
-        if binding.service in self._told_services:
+        told = binding.service in self._told_services
+        if told:
             self._untold[stream] = binding
-            if self._ctx.clock.monotonic() - self._told_at >= TELL_PAUSE_SECONDS:
-                self.publish()
+        # Hosts that see one version let the stream go on there until the hub tells them.
+        urgent = binding.software == UNKNOWN_SOFTWARE
+        if urgent or (told and self._ctx.clock.monotonic() - self._told_at >= TELL_PAUSE_SECONDS):
+            self.publish()
 
     # Streams that callers take up
 
@@ -157,13 +165,14 @@
         verdict = await self._find(req, caller, progress.service)
         self._ctx.metrics.streams_taken_up.labels(verdict.source.value).inc()
         detail = f"after event {req.head.resume_after} of attempt {req.head.resumed_attempt}"
-        detail += f", software {verdict.software}, {verdict.source}"
+        software = None if verdict.software == UNKNOWN_SOFTWARE else verdict.software
+        detail += f", software {software}, {verdict.source}"
         self._ctx.timeline.add("stream_taken_up", request=req.id, detail=detail)
-        if verdict.software is None:
+        if software is None:
             return Failure(Kind.NO_ENDPOINT, "software of the stream unknown")
         if verdict.service in [share.service for share in req.route.shares]:
             progress.service = verdict.service
-        progress.software = verdict.software
+        progress.software = software
         return None
 
     async def _find(self, req: RelayRequest, caller: CallerConnection, service: str) -> Verdict:
@@ -244,7 +253,7 @@
     def publish(self) -> None:
         """Tell the hub of new streams; of all of them where the hub or the link to it is new."""
         now = self._ctx.clock.monotonic()
-        mixed = self._history.mixed(now, self.seconds)
+        mixed = self._history.mixed(now, self.seconds) | self._fleet.restarted_services()
         self._refresh_role(now, mixed)
         target = self._find_target() if mixed else ""
         link = self._peers.mesh.find_link(target) if self._takes_streams(target) else None
@@ -351,10 +360,14 @@
         binding, told_since = self._find_binding(stream), self._told_since()
         verdict = judge_as_hub(binding, service, periods, told_since, now, self.seconds)
         complete = self._is_told_by(self._peers.live_hosts())
-        doubtful = verdict.source is not Source.TOLD and len(periods) > 1
+        versions = frozenset(periods)
+        # All endpoints of a version may have ended before this host first saw a list.
+        seen_all = now - self._observed_at >= self.seconds
+        doubtful = verdict.source is not Source.TOLD and (len(versions) > 1 or not seen_all)
         if doubtful and self._may_lack_streams(now) and self.needs_rows():
             verdict, complete = Verdict(Source.UNKNOWN, service), False
-        return Reply(verdict, complete, frozenset(periods))
+            versions |= {UNKNOWN_SOFTWARE}
+        return Reply(verdict, complete, versions)
 
     def _is_told_by(self, hosts: set[str]) -> bool:
         return self._hub_since is not None and hosts - {self._host} <= self._told_by
