Take a head that is none for an endpoint's error, not for a lost connection

Cause, by the lines of all five: the HTTP client's parser refuses such a head by itself, and that error counted as endpoint_lost, as if the connection had broken. Two endpoints that do so raise the suspicion that the host has lost its links; the retry is then forwarded, and the other host sends it to the same engine. Heads that our own bound ends were endpoint_error already.

Change: the parser's refusal of a head is endpoint_error too. The endpoint is avoided and the request goes elsewhere as before; neither the host's links nor the request are blamed.

Evidence: the new test, three kinds of heads at an engine and a plain endpoint: two rows failed in 2 of 2 runs before (links suspected), all pass in 3 of 3 runs after. Modules endless, endings, connections, lost, patches: 49, 12, 16, 13, 333 passed, 0 failed.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -1022,6 +1022,13 @@
         "if False and not may_try_cut_off(",
         "tests.relay.test_partition.AllCutOffTest",
     ),
+    Mutant(
+        "a head that is none is not a lost connection",
+        "clients/endpoint.py",
+        "NO_ANSWER_ERRORS = (EndlessAnswer, aiohttp.ClientResponseError)",
+        "NO_ANSWER_ERRORS = (EndlessAnswer,)",
+        "tests.relay.test_endless.EndlessAnswersTest",
+    ),
     Mutant(
         "a send that is not needed any more waits for no report",
         "relay/service.py",
--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -48,6 +48,8 @@
         aiohttp.SocketTimeoutError,
     )
 )
+# Errors of bytes that are no answer.
+NO_ANSWER_ERRORS = (EndlessAnswer, aiohttp.ClientResponseError)
 TOO_LONG = Failure(Kind.ENDPOINT_ERROR, "the answer is too long")
 CONNECTION_KINDS = frozenset({Kind.ENDPOINT_UNREACHABLE, Kind.ENDPOINT_LOST})
 
@@ -371,9 +373,10 @@
 def transfer_failure(exc: Exception, lost: Kind) -> Failure:
     """Return the failure for an error in a transfer; ``lost`` is the kind if the connection broke.
 
-    An endpoint that sends too much has not ended, and its connection was closed on purpose.
+    An endpoint that sends too much, or a head that is none, has not ended, and its connection was
+    closed on purpose.
     """
-    kind = Kind.ENDPOINT_ERROR if isinstance(exc, EndlessAnswer) else lost
+    kind = Kind.ENDPOINT_ERROR if isinstance(exc, NO_ANSWER_ERRORS) else lost
     return Failure(kind, type(exc).__name__)
 
 
--- a/tests/relay/test_endless.py
+++ b/tests/relay/test_endless.py
@@ -14,6 +14,7 @@
 from peridotdock.clients.platform import HttpPlatform
 from peridotdock.clients.store_time import StoreTime
 from peridotdock.errors import Failure, Kind, failed
+from peridotdock.events import Filter
 from peridotdock.metrics import Metrics
 from peridotdock.platform.store import TableStore
 from peridotdock.relay.settings import parse_address
@@ -70,11 +71,11 @@
     return TableStore(parse_address(talker.address), Metrics(), StoreTime(time.monotonic))
 
 
-def avoid_others(found, babbler):
-    """Let the host send its next requests to one endpoint."""
+def avoid_others(found, *babblers):
+    """Let the host send its next requests to some endpoints."""
     [host] = found.hosts
     for key, state in host.fleet.states.items():
-        if key != babbler.name:
+        if key not in {babbler.name for babbler in babblers}:
             state.health.record_loss(host.ctx.clock.monotonic())
 
 
@@ -158,6 +159,29 @@
     def test_streams_come_from_another_endpoint(self, kind):
         self._stream(kind)
 
+    @params("head line", "head fields", "interim heads")
+    def test_the_links_of_a_host_are_not_blamed(self, kind):
+        """A stream is forwarded to a host that sends it to the same endpoint, and is lost."""
+
+        @run
+        async def check(self):
+            async with Deployment(engines=ENGINES, pages=PAGES, bounds=RETRIES) as found:
+                babblers = found.engines["e1"], found.pages["p1"]
+                for babbler in babblers:
+                    babbler.script = [kind] * 10 * AT_ONCE
+                avoid_others(found, *babblers)
+                sends = [found.send("/recap/", f"s{n}", model="m0") for n in range(AT_ONCE)]
+                sends += [found.send("/fetch/", f"f{n}") for n in range(AT_ONCE)]
+                answers = await asyncio.gather(*sends)
+                [host] = found.hosts
+                events = host.ctx.timeline.select(Filter())
+                lost = {event.endpoint for event in events if event.name == "send_lost"}
+                self.assertEqual({babbler.name for babbler in babblers}, lost)
+                self.assertNotIn("endpoint_links_suspected", {event.name for event in events})
+                self.assertEqual([200] * 2 * AT_ONCE, [status for status, _, _ in answers])
+
+        check(self)
+
     @params("event", "event of many lines", "comment", "comments", "blank lines")
     def test_a_stream_without_an_alternative_is_given_up_early(self, kind):
         """The memory of a host is not filled until the deadline of the stream."""
