Find out which start began a stream before it goes on through another host

What callers saw: a stream began at an engine that had restarted at another software version, under the entry of the start before; it broke off, and its answer went on at the version of the entry.

Cause: failing engines make a host doubt its links just when the streams there break off, and it then sends them on through another host. The report that tells which start began a stream was waited for only before a send of the host itself. The other host got the version of the entry as if it were known, and can't find out better: the connection is gone, and not its own.

Change: the report is waited for before a stream goes on through another host too. A host that reaches no endpoint can't ask, and does not wait.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -777,6 +777,13 @@
         "if False:",
         "tests.relay.test_restarted_versions.OneAnswerTest",
     ),
+    Mutant(
+        "a stream goes on through another host only if its start is the entry's",
+        "relay/service.py",
+        "if found.running is Running.ANOTHER:",
+        "if False:",
+        "tests.relay.test_restarted_versions.SuspectedLinksTest",
+    ),
     Mutant(
         "the hub takes nothing for older while a host is out of touch",
         "relay/stream_versions.py",
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -166,6 +166,9 @@
         refusal = self.blocklist.refusal(req)
         if refusal is not None:
             return refusal
+        failure = await self._check_origin(req, caller, progress)
+        if failure is not None:
+            return failure
         if not self._retries.take(progress, req.id):
             return NO_RETRY_LEFT
         progress.sends += 1
@@ -509,6 +512,30 @@
         named = target.running is Running.NAMED
         return target.asked_at + CHECKED_SECONDS if named else math.inf
 
+    async def _check_origin(
+        self, req: RelayRequest, caller: Caller, progress: Progress
+    ) -> Failure | None:
+        """Return why a stream may not go on through another host, or None.
+
+        Only this host has the connection that tells which start began the stream. A host that
+        reaches no endpoint can't ask, and the entry counts.
+        """
+        asks = req.head.inference is not None and not self._forwarder.is_cut_off()
+        if progress.origin is None or not asks:
+            return None
+        remaining = req.deadline - self.ctx.clock.monotonic()
+        check = self._starts.find_answering(*progress.origin)
+        found = await wait_for(check, caller, remaining)
+        if failed(found):
+            # Nothing was sent yet.
+            loss = Loss.CALLER_GONE if caller.is_disconnected() else Loss.DEADLINE
+            return loss_failure(RequestState.ADMITTED, loss)
+        progress.origin = None
+        if found.running is Running.ANOTHER:
+            progress.unbind()
+            return SOFTWARE_UNKNOWN
+        return None
+
     async def _read(
         self, req: RelayRequest, caller: SendCaller, progress: Progress, sent: PendingAnswer
     ) -> CompleteAnswer | StreamSource | Failure:
--- a/tests/relay/test_restarted_versions.py
+++ b/tests/relay/test_restarted_versions.py
@@ -6,6 +6,7 @@
 
 from nose2.tools import params
 
+from peridotdock.decisions.connectivity import LinkState
 from tests.relay.test_forwarding import cut_off
 from tests.relay.test_partition import wait_linked
 from tests.relay.test_relay import ids, run
@@ -18,6 +19,8 @@
 EVENT_SECONDS = 0.03
 # Seconds until a late report, longer than hosts wait for one.
 LATE_SECONDS = 0.6
+# Seconds until a report that hosts wait for, longer than a stream that its engine cuts.
+REPORT_SECONDS = 0.2
 SERVICES = (("two versions", MIXED), ("one version", ALL_OLD))
 WAYS = (("by the caller's host", False), ("by another host", True))
 ROWS = tuple((*service, *way) for service in SERVICES for way in WAYS)
@@ -29,8 +32,11 @@
     return set().union(*(row.get(attempt, ()) for row in rows for attempt in attempts))
 
 
-async def receive_cut(found, name, attempt, full=""):
-    """Send a stream that one engine begins and cuts, while another is full; return the ids."""
+async def receive_cut(found, name, attempt, full="", on_begun=lambda: None):
+    """Send a stream that one engine begins and cuts, while another is full; return the ids.
+
+    ``on_begun`` is called once the engine runs it.
+    """
     allow_retries(found)
     first = found.engines[name]
     for engine in found.engines.values():
@@ -41,6 +47,7 @@
     await found.until(lambda: attempt in first.executed or sent.done())
     for engine in found.engines.values():
         engine.room = 0 if engine.name == full else math.inf
+    on_begun()
     _, _, body = await sent
     return ids(body) if isinstance(body, bytes) else []
 
@@ -87,6 +94,52 @@
         check(self)
 
 
+class SuspectedLinksTest(unittest.TestCase):
+    """Guards against an answer that goes on through another host at another version.
+
+    Failing endpoints make a host doubt its links just when the streams there break off, before it
+    knows which start began them. The other host can't find that out.
+    """
+
+    async def receive_through(self, found, attempt):
+        """Receive a stream that e1 cuts while its host doubts its links; return the ids."""
+        found.engines["e1"].report_delay_seconds = REPORT_SECONDS
+        links = found.hosts[0].connectivity.links
+
+        def suspect():
+            links.state = LinkState.SUSPECTED
+
+        arrived = await receive_cut(found, "e1", attempt, on_begun=suspect)
+        links.state = LinkState.CONNECTED
+        return arrived
+
+    @params(*SERVICES)
+    def test_a_stream_that_began_at_a_restarted_endpoint(self, name, pairs):
+        @run
+        async def check(self):
+            async with deploy(pairs, hosts=2) as found:
+                await wait_linked(found)
+                found.engines["e1"].restart_unseen("v2")
+                for number in range(STREAMS):
+                    await self.receive_through(found, f"a{number}")
+                    self.assertEqual({"v2"}, versions(found, f"a{number}"), (name, number))
+
+        check(self)
+
+    @params(*SERVICES)
+    def test_a_stream_that_began_at_a_sound_endpoint(self, name, pairs):
+        @run
+        async def check(self):
+            async with deploy(pairs, hosts=2) as found:
+                await wait_linked(found)
+                for number in range(STREAMS):
+                    arrived = await self.receive_through(found, f"a{number}")
+                    self.assertEqual({"v1"}, versions(found, f"a{number}"), (name, number))
+                    self.assertEqual([1, 2, 3, 4, 5, 6], arrived, (name, number))
+
+        check(self)
+
+
 class TriesTest(unittest.TestCase):
     """Guards against a caller's stream at two software versions, one not in any entry yet."""
 
