--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -777,6 +777,13 @@
         "if False:",
         "tests.relay.test_restarted_versions.OneAnswerTest",
     ),
+    Mutant(
+        "a stream goes on through another host only if its start is the entry's",
+        "relay/service.py",
+        "return self._unbind(req, progress) if found.running is Running.ANOTHER else None",
+        "return None",
+        "tests.relay.test_restarted_versions.SuspectedLinksTest",
+    ),
     Mutant(
         "the hub takes nothing for older while a host is out of touch",
         "relay/stream_versions.py",
@@ -1032,8 +1039,8 @@
     Mutant(
         "a send that is not needed any more waits for no report",
         "relay/service.py",
-        "found = await wait_for(asyncio.gather(*checks), caller, remaining)",
-        "found = await asyncio.gather(*checks)",
+        "found = await wait_for(work, caller, req.deadline - self.ctx.clock.monotonic())",
+        "found = await work",
         "tests.relay.test_software_versions.SilentTest",
     ),
     Mutant(
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from peridotdock.blocklist import Blocklist
 from peridotdock.clients.endpoint import HttpEndpoints, read_all
@@ -43,6 +44,7 @@
     mark_maybe_ran,
 )
 
+T = TypeVar("T")
 # Maximum of refused sends of one request; a refused send does not run, but loads the service.
 MAX_REFUSALS = 2
 # Time after which an endpoint counts as silent before the first event: a multiple of the predicted
@@ -167,6 +169,9 @@
         refusal = self.blocklist.refusal(req)
         if refusal is not None:
             return refusal
+        failure = await self._check_origin(req, caller, progress)
+        if failure is not None:
+            return failure
         if not self._retries.take(progress, req.id):
             return NO_RETRY_LEFT
         progress.sends += 1
@@ -499,24 +504,53 @@
         checks = [self._starts.find_running(state)]
         if progress.origin is not None:
             checks.append(self._starts.find_answering(*progress.origin))
-        remaining = req.deadline - self.ctx.clock.monotonic()
-        found = await wait_for(asyncio.gather(*checks), caller, remaining)
+        found = await self._wait_unsent(asyncio.gather(*checks), req, caller)
         if failed(found):
-            # Nothing was sent yet.
-            loss = Loss.CALLER_GONE if caller.is_disconnected() else Loss.DEADLINE
-            return loss_failure(RequestState.ADMITTED, loss)
+            return found
         target, *began = found
         progress.origin = None
         if any(check.running is Running.ANOTHER for check in began):
-            progress.unbind()
-            self.on_unbound(req, progress)
-            return SOFTWARE_UNKNOWN
+            return self._unbind(req, progress)
         if target.running is Running.ANOTHER:
             progress.avoid.add(state.key)
             return Failure(Kind.ENDPOINT_UNREACHABLE, "another start runs")
         named = target.running is Running.NAMED
         return target.asked_at + CHECKED_SECONDS if named else math.inf
 
+    async def _check_origin(
+        self, req: RelayRequest, caller: Caller, progress: Progress
+    ) -> Failure | None:
+        """Return why a stream may not go on through another host, or None.
+
+        Only this host has the connection that tells which start began the stream. A host that
+        reaches no endpoint can't ask, and the entry counts.
+        """
+        asks = req.head.inference is not None and not self._forwarder.is_cut_off()
+        if progress.origin is None or not asks:
+            return None
+        check = self._starts.find_answering(*progress.origin)
+        found = await self._wait_unsent(check, req, caller)
+        if failed(found):
+            return found
+        progress.origin = None
+        return self._unbind(req, progress) if found.running is Running.ANOTHER else None
+
+    async def _wait_unsent(
+        self, work: Awaitable[T], req: RelayRequest, caller: Caller
+    ) -> T | Failure:
+        """Wait for what must be known before a send, until the caller leaves or the deadline."""
+        found = await wait_for(work, caller, req.deadline - self.ctx.clock.monotonic())
+        if not failed(found):
+            return found
+        loss = Loss.CALLER_GONE if caller.is_disconnected() else Loss.DEADLINE
+        return loss_failure(RequestState.ADMITTED, loss)
+
+    def _unbind(self, req: RelayRequest, progress: Progress) -> Failure:
+        """Record that nobody knows the software version of a stream; return why it ends."""
+        progress.unbind()
+        self.on_unbound(req, progress)
+        return SOFTWARE_UNKNOWN
+
     async def _read(
         self, req: RelayRequest, caller: SendCaller, progress: Progress, sent: PendingAnswer
     ) -> CompleteAnswer | StreamSource | Failure:
