Pass nothing on of an engine that has restarted between its report and the send

What callers saw: a stream went on at an engine that had just restarted at another software version, and got the events of both.

Cause: the report that an engine still runs the start in its entry counted for 0.5 s. An engine that restarts in that time gets the stream over a new connection, and nothing asked again: the check by connection was made only for streams that begin.

Change: a stream that goes on over a connection that is not known to lead to the entry's start has its first events held until a second report, asked for with the head of the answer. If that names another start, the answer is dropped, and the stream goes on elsewhere as after any lost send. Not if the first report was late, so that late reports don't hold a stream twice. A wait for it ends with its caller.

Evidence: the new tests (within an answer, forwarded or not, and taken up at another host; one and two versions) failed in 6 of 6 rows, in 3 of 3 runs before, and pass. Module restarted_versions 24 passed in 2 of 2 runs of this code; stream_versions 53, forwarding 39, silence with software_versions 21, replacing 25, test_patches 333 passed, 0 failed.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -784,6 +784,13 @@
         "if False:",
         "tests.relay.test_restarted_versions.SuspectedLinksTest",
     ),
+    Mutant(
+        "a stream goes on over a new connection only if the entry's start is at its end",
+        "relay/service.py",
+        "if failure is None and confirm and source.is_of_another_start():",
+        "if False:",
+        "tests.relay.test_restarted_versions.RestartAfterReportTest",
+    ),
     Mutant(
         "the hub takes nothing for older while a host is out of touch",
         "relay/stream_versions.py",
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -419,7 +419,8 @@
         sent = await self._send(req, state, caller, resume, valid_until)
         if not failed(sent) and not begins_stream(req, sent):
             replacement.await_body(sent.opened.read_share)
-        found = sent if failed(sent) else await self._read(req, caller, progress, sent)
+        confirm = valid_until < math.inf
+        found = sent if failed(sent) else await self._read(req, caller, progress, sent, confirm)
         if replacement.found is not None:
             # The other endpoint was first.
             await self.discard(req, progress, found)
@@ -537,12 +538,20 @@
         return None
 
     async def _read(
-        self, req: RelayRequest, caller: SendCaller, progress: Progress, sent: PendingAnswer
+        self,
+        req: RelayRequest,
+        caller: SendCaller,
+        progress: Progress,
+        sent: PendingAnswer,
+        confirm: bool = False,
     ) -> CompleteAnswer | StreamSource | Failure:
-        """Read a complete answer, or a stream up to its first events."""
+        """Read a complete answer, or a stream up to its first events.
+
+        ``confirm`` tells whether the stream must be from the start in the endpoint's entry.
+        """
         remaining = req.deadline - self.ctx.clock.monotonic()
         if begins_stream(req, sent):
-            return await self._read_first_events(req, caller, progress, sent)
+            return await self._read_first_events(req, caller, progress, sent, confirm)
         try:
             body = await wait_for(read_all(sent.opened), caller, remaining)
         finally:
@@ -555,38 +564,54 @@
         return CompleteAnswer(sent.state, sent.head, body)
 
     async def _read_first_events(
-        self, req: RelayRequest, caller: SendCaller, progress: Progress, sent: PendingAnswer
+        self,
+        req: RelayRequest,
+        caller: SendCaller,
+        progress: Progress,
+        sent: PendingAnswer,
+        confirm: bool,
     ) -> StreamSource | Failure:
-        """Read a stream up to its first events, and find the software version that it is from."""
+        """Read a stream up to its first events, and find the software version that it is from.
+
+        Failure guarded against: an endpoint restarts at another version after the report that it
+        runs the start in its entry, and the stream goes on there over a new connection.
+        """
         source = StreamSource(
             sent.state, sent.head, sent.opened, caller, sent.software, sent.endpoint
         )
-        source.check = self._begin_check(req, progress, source)
+        source.check = self._begin_check(req, progress, source, confirm)
         failure = await source.fill(req.deadline - self.ctx.clock.monotonic())
         new = not req.head.resume_after and progress.last_id is None
         if failure is None and new and source.is_empty:
             failure = Failure(Kind.ANSWER_CUT, "ended before the first event")
+        if failure is None and source.check is not None and (progress.forwarded or confirm):
+            # The head of a forwarded answer tells the caller's host the version. A stream that goes
+            # on has its events held back until then.
+            waits = {source.check, caller.disconnected}
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            if caller.is_disconnected():
+                failure = loss_failure(RequestState.FIRST_BYTE, Loss.CALLER_GONE)
+        if failure is None and confirm and source.is_of_another_start():
+            failure = Failure(Kind.WRONG_ANSWER, "another start runs")
         if failure is not None:
             await source.close()
             return failure
-        if progress.forwarded and source.check is not None:
-            # The head of the answer tells the caller's host the version.
-            await asyncio.wait({source.check})
         source.started_at = self.ctx.clock.monotonic()
         self.fleet.first_token_received(sent.state, req.id, req.head.inference)
         self._log_first_event(req, sent.state, req.received_at)
         return source
 
     def _begin_check(
-        self, req: RelayRequest, progress: Progress, source: StreamSource
+        self, req: RelayRequest, progress: Progress, source: StreamSource, confirm: bool
     ) -> asyncio.Task[StartCheck] | None:
         """Begin to find out which start an answer is from, if that is needed and not known."""
         state, connection = source.state, source.opened.connection
         if req.head.inference is None or state.is_host:
             return None
         # The host of a forwarded stream's caller can't ask the endpoint once this host is lost.
-        needed = progress.forwarded or self.has_versions(progress.service)
-        if progress.software is not None or not needed or connection in state.checked_connections:
+        new = progress.forwarded or self.has_versions(progress.service)
+        needed = confirm or (new and progress.software is None)
+        if not needed or connection in state.checked_connections:
             return None
         return asyncio.ensure_future(self._starts.find_answering(state, connection))
 
--- a/tests/relay/test_restarted_versions.py
+++ b/tests/relay/test_restarted_versions.py
@@ -33,7 +33,12 @@
 
 
 async def receive_cut(found, name, attempt, full="", on_begun=lambda: None):
-    """Send a stream that one engine begins and cuts, while another is full; return the ids.
+    """Send a stream that one engine begins and cuts, while another is full; return the ids."""
+    return ids(await send_cut(found, name, attempt, full, on_begun))
+
+
+async def send_cut(found, name, attempt, full="", on_begun=lambda: None):
+    """Send such a stream; return its body, empty if the answer broke off.
 
     ``on_begun`` is called once the engine runs it.
     """
@@ -49,7 +54,27 @@
         engine.room = 0 if engine.name == full else math.inf
     on_begun()
     _, _, body = await sent
-    return ids(body) if isinstance(body, bytes) else []
+    return body if isinstance(body, bytes) else b""
+
+
+def restart_after_report(found, name):
+    """Let an engine restart at another version as soon as a host has asked which start runs."""
+
+    def wrap(find):
+        async def find_and_restart(state, after=None):
+            check = await find(state, after)
+            engine = found.engines[name]
+            if state.key == name and engine.software == "v1":
+                engine.restart_unseen("v2")
+                # Hosts notice that their connections to the start before have ended.
+                await asyncio.sleep(EVENT_SECONDS)
+            return check
+
+        return find_and_restart
+
+    for host in found.hosts:
+        starts = host.service._starts
+        starts.find_running = wrap(starts.find_running)
 
 
 async def take_up(found, first, second):
@@ -94,6 +119,43 @@
         check(self)
 
 
+class RestartAfterReportTest(unittest.TestCase):
+    """Guards against a stream that goes on at an endpoint which restarts before it gets it."""
+
+    @params(*ROWS)
+    def test_a_stream_does_not_go_on_within_its_answer(self, name, pairs, way, cut):
+        @run
+        async def check(self):
+            async with deploy(pairs, hosts=3 if cut else 1, gated=cut) as found:
+                if cut:
+                    await cut_off(found)
+                found.engines["e2"].source = "another"
+                restart_after_report(found, "e2")
+                body = await send_cut(found, "e1", "a1", full="e3")
+                self.assertIn("a1", found.engines["e2"].executed, (name, way))
+                self.assertNotIn(b"another", body, (name, way))
+
+        check(self)
+
+    @params(*SERVICES)
+    def test_a_caller_takes_a_stream_up(self, name, pairs):
+        @run
+        async def check(self):
+            async with deploy(pairs, hosts=2) as found:
+                await wait_linked(found)
+                for engine in found.engines.values():
+                    engine.room = math.inf if engine.name == "e1" else 0
+                await begin(found, "a1", 0)
+                found.engines["e2"].room = math.inf
+                found.engines["e2"].source = "another"
+                restart_after_report(found, "e2")
+                _, _, body = await take_up(found, "a1", "b1")
+                self.assertIn("b1", found.engines["e2"].executed, name)
+                self.assertNotIn(b"another", body, name)
+
+        check(self)
+
+
 class SuspectedLinksTest(unittest.TestCase):
     """Guards against an answer that goes on through another host at another version.
 
