--- a/tests/relay/test_brittle.py
+++ b/tests/relay/test_brittle.py
@@ -3,11 +3,13 @@
 import asyncio
 import itertools
 import unittest
+from collections import Counter
 
 from nose2.tools import params
 
 from peridotdock.blocklist import EndpointStart
 from peridotdock.decisions.places import HOLD_SECONDS, Places
+from peridotdock.events import Filter
 from peridotdock.platform.wire import PlatformWire
 from tests.relay.deployment import Deployment
 from tests.relay.test_partition import wait_linked
@@ -43,6 +45,14 @@
     return [row[0] for row in await asyncio.gather(*tasks)]
 
 
+def explain(found, statuses):
+    """Return how many requests had each status, why hosts refused, and what else they logged."""
+    events = [event for host in found.hosts for event in host.ctx.timeline.select(Filter())]
+    names = Counter(event.name for event in events)
+    reasons = Counter(event.detail for event in events if event.name == "refused")
+    return f"{Counter(statuses)}, {reasons.most_common(5)}, {names}"
+
+
 class HeaderTest(unittest.TestCase):
     @params(("5", 5.0), ("0", 0.0), ("2.5", 2.5), ("many", None), ("-1", None))
     def test_an_answer_names_the_refusals(self, text, expected):
@@ -111,6 +121,6 @@
                 self.assertLessEqual(falls, MAX_FALLS, name)
                 capacity = ROOM * len(rows) / SERVICE_SECONDS
                 least = 0.5 * min(rate, capacity) * LOAD_SECONDS
-                self.assertGreater(statuses.count(200), least, name)
+                self.assertGreater(statuses.count(200), least, explain(found, statuses))
 
         check(self)
