--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -516,6 +516,8 @@
 def run_case(case, folder):
     """Run a case and exit with its status: 1 if the rule was broken, 0 if it held, 2 otherwise."""
     record = Record(folder)
+    # Stopping the script ends what it has started.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(case(record), 115))
     except Exception as exc:
