--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -127,14 +127,17 @@
         """Return the address of a listener of the host, as IP:PORT."""
         return f"127.0.0.1:{self.ports[listener]}"
 
-    def write_settings(self, store: str, seeds: list[str]) -> None:
-        """Write the settings file, which the process reads at each start."""
+    def write_settings(self, store: str, seeds: list[str], **bounds: float) -> None:
+        """Write the settings file, which the process reads at each start.
+
+        ``bounds`` replace those of :data:`BOUNDS`.
+        """
         rows = [f'node_name = "{self.name}"', 'ip = "127.0.0.1"', 'zone = "north"']
         rows += [f"inner_ports = [{self.relay_port}, {self.relay_port}]"]
         rows += [f"seeds = {json.dumps(seeds)}", "[listen]"]
         rows += [f'{listener} = "{self.address(listener)}"' for listener in self.ports]
         rows += ["[platform]", f'address = "{store}"', "[bounds]"]
-        rows += [f"{name} = {value}" for name, value in BOUNDS.items()]
+        rows += [f"{name} = {value}" for name, value in (BOUNDS | bounds).items()]
         self._settings.write_text("\n".join(rows) + "\n")
 
     def start(self) -> None:
