Log what a stopping host leaves unfinished

Cause of the change: the log of a planned stop had a number of requests left and nothing else, so that the three hypotheses of the incident could not be told apart. Change: one line a request that ends with the process (when it was read, what is left of its time), and in the last line how many requests came during the stop and how many bytes are unsent.

--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -589,7 +589,8 @@
         clock, bounds = self.ctx.clock, self.settings.bounds
         began = clock.monotonic()
         self.leaving = True
-        self.ctx.timeline.add("leaving")
+        before = self.responder.admitted
+        self.ctx.timeline.add("leaving", detail=f"{self.responder.in_progress} in progress")
         self.peers.membership.set_state("leaving")
         await self.leadership.release()
         await clock.sleep(min(ADDRESS_SECONDS * ADDRESS_CACHE_FACTOR, bounds.stopping / 2))
@@ -600,4 +601,14 @@
         self.request_handler.closed = True
         self.shares.close()
         self.peers.membership.set_state("gone")
-        self.ctx.timeline.add("stopped", detail=f"{self.responder.in_progress} requests left")
+        self._log_stopped(self.responder.admitted - before)
+
+    def _log_stopped(self, admitted: int) -> None:
+        """Log each request that ends with the process; ``admitted`` came during the stop."""
+        now, unfinished = self.ctx.clock.monotonic(), self.responder.unfinished()
+        for req in unfinished:
+            detail = f"read {now - req.received_at:.2f} s ago, {req.deadline - now:.2f} s left"
+            self.ctx.timeline.add("cut_by_stop", "WARNING", request=req.id, detail=detail)
+        detail = f"{len(unfinished)} requests left, {admitted} came meanwhile, "
+        detail += f"{self.server.unsent_bytes()} bytes unsent"
+        self.ctx.timeline.add("stopped", detail=detail)
--- a/peridotdock/relay/responding.py
+++ b/peridotdock/relay/responding.py
@@ -1,6 +1,6 @@
 """Serves requests that were admitted, and counts those in progress."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Collection
 from typing import Protocol
 
 from blacksheep import Request, Response
@@ -33,21 +33,35 @@
 
 
 class Responder:
-    """Serves requests until their answers have ended, and counts those in progress."""
+    """Serves requests until their answers have ended, and knows those in progress.
+
+    ``admitted`` counts all requests since the start.
+    """
 
     def __init__(self, ctx: Context, service: RelayService):
         self._ctx = ctx
         self._service = service
-        self.in_progress = 0
+        self._open: dict[CallerConnection, RelayRequest] = {}
+        self.admitted = 0
         self.on_stream: Callable[[RelayRequest, Progress], None] = lambda req, progress: None
 
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that were read and whose answers have not ended."""
+        return len(self._open)
+
+    def unfinished(self) -> Collection[RelayRequest]:
+        """Return the requests in progress."""
+        return self._open.values()
+
     async def respond(
         self, request: Request, req: RelayRequest, admission: Admission
     ) -> Response | Failure:
         """Return the response to a request, or why it is refused."""
         caller = CallerConnection(request.scope["receive"])
         streaming = False
-        self.in_progress += 1
+        self._open[caller] = req
+        self.admitted += 1
         try:
             progress = await admission.admit(req, caller)
             if failed(progress):
@@ -103,6 +117,6 @@
             self._finish(req, caller)
 
     def _finish(self, req: RelayRequest, caller: CallerConnection) -> None:
-        self.in_progress -= 1
+        del self._open[caller]
         self._service.blocklist.trials.drop(req)
         caller.stop_watching()
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -165,6 +165,13 @@
             scope["receive"] = receive
         await self.app(scope, receive, send)
 
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes of answers that the kernel has not taken yet."""
+        if self._server is None:
+            return 0
+        connections = self._server.server_state.connections
+        return sum(row.transport.get_write_buffer_size() for row in connections)
+
     async def stop(self) -> None:
         """Close the sockets and the remaining connections."""
         if self._server is None or self._task is None:
