Refuse what a stopping host can't finish, and end connections with their answers

What callers saw: streams with status 200 cut at 7.3 s after SIGTERM, 0.7 s before the end of the grace period, though they were sent 3 s and more after it. Cause: a stopping host took every request that it read, until its last moment. Its answers never said that it stops, so callers that had not heard of it stayed; it was never without a request. Change: from the SIGTERM on the head of an answer says that the connection ends, unless requests wait behind it. A request is refused as not run, with no time to wait, if neither its deadline nor the longest recent answer of its route plus 1.5 s of silence lies before the end; as it is read and again before it is sent, as it may wait for a load or a grant between. After the 3 s for which callers may not know, no connection is accepted and idle ones are closed. 0.3 s before the end what has no answer gets one: not run where it was not sent, else 502; it was a 500 of the HTTP server. The lease is given up beside that: a silent store held the stop up. Why it works: no request that may outlast the host reaches an endpoint after the SIGTERM. Measured: tests.relay.test_planned_stop 5 passed, 0 failed; before, three of the five failed.

--- /dev/null
+++ b/peridotdock/decisions/stopping.py
@@ -0,0 +1,45 @@
+"""Decision of a stopping host: whether a request that it reads can still be answered whole.
+
+Load pattern: a host is told to stop and has some seconds left. Callers learn late that it has left,
+and some use their open connections until the process is gone. Other hosts serve them at once.
+"""
+
+# Seconds for which a sound endpoint may fall silent within an answer.
+SILENCE_SECONDS = 1.5
+# Share of the longest answer that is still expected after one more answer.
+DECAY = 0.98
+# Routes whose answers are remembered.
+MAX_ROUTES = 2000
+
+
+def can_finish(left: float, longest: float, expected: float | None) -> bool:
+    """Return whether a request will have ended before its host does.
+
+    ``left`` is the time until the host ends, ``longest`` that until the request's deadline, and
+    ``expected`` how long its answer may take, None if nothing is known of that; in seconds.
+
+    Failure guarded against: a request is read while its host stops, an endpoint runs it, and the
+    answer is cut as the host ends. It may not be allowed to run again.
+    """
+    if longest <= left:
+        return True
+    return expected is not None and expected + SILENCE_SECONDS <= left
+
+
+class AnswerTimes:
+    """The longest of the recent answers of each route, in proportion to their tokens."""
+
+    def __init__(self) -> None:
+        self._longest: dict[str, float] = {}
+
+    def record(self, route: str, tokens: int, seconds: float) -> None:
+        """Record a whole answer; ``tokens`` are the most that it could have, 0 if unknown."""
+        if len(self._longest) >= MAX_ROUTES and route not in self._longest:
+            self._longest.clear()
+        found = seconds / max(1, tokens)
+        self._longest[route] = max(found, DECAY * self._longest.get(route, 0.0))
+
+    def expect(self, route: str, tokens: int) -> float | None:
+        """Return the seconds that an answer may take, None before the first one of its route."""
+        longest = self._longest.get(route)
+        return None if longest is None else longest * max(1, tokens)
--- a/peridotdock/relay/caller.py
+++ b/peridotdock/relay/caller.py
@@ -17,11 +17,15 @@
 
 
 class CallerConnection:
-    """A caller's connection; the future ``disconnected`` is done once the caller closed it."""
+    """A caller's connection; the future ``disconnected`` is done once the caller closed it.
+
+    ``given_up`` tells that the host ends the request, and the caller still waits.
+    """
 
     def __init__(self, receive: Receive):
         self.disconnected: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._watching = asyncio.ensure_future(self._watch(receive))
+        self.given_up = False
 
     async def _watch(self, receive: Receive) -> None:
         """Wait for the disconnect message, which is the next one after the body."""
@@ -34,6 +38,12 @@
         """Whether the caller has closed its connection."""
         return self.disconnected.done()
 
+    def give_up(self) -> None:
+        """End the request as if the caller had left: the host must answer it now."""
+        self.given_up = True
+        if not self.disconnected.done():
+            self.disconnected.set_result(None)
+
     def stop_watching(self) -> None:
         """Cancel the task that waits for the disconnect."""
         self._watching.cancel()
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -35,7 +35,7 @@
 from peridotdock.relay.ordering import Orderer
 from peridotdock.relay.peers import Peers
 from peridotdock.relay.permits import EndpointPermits
-from peridotdock.relay.port_router import ADDRESS_SECONDS, PortRouter
+from peridotdock.relay.port_router import PortRouter
 from peridotdock.relay.quotas import Quotas
 from peridotdock.relay.request_handler import RequestHandler
 from peridotdock.relay.responding import Responder
@@ -43,6 +43,7 @@
 from peridotdock.relay.service import RelayService
 from peridotdock.relay.settings import HostSettings
 from peridotdock.relay.shares import Shares
+from peridotdock.relay.stopping import PlannedStop
 from peridotdock.relay.stream_rows import WRITE_SECONDS, StreamRows
 from peridotdock.relay.stream_versions import StreamVersions
 from peridotdock.relay.views import Views
@@ -53,11 +54,6 @@
 # Seconds between a change of the configuration and the next call on it: changes in quick succession
 # are seen one by one.
 CONFIG_PAUSE_SECONDS = 0.05
-# Factor by which some callers cache an address answer longer than they should.
-ADDRESS_CACHE_FACTOR = 3.0
-# Seconds before the platform's SIGKILL at which a planned stop ends.
-STOP_MARGIN_SECONDS = 0.7
-DRAIN_POLL_SECONDS = 0.05
 # Seconds between two updates of the members and of the links.
 MEMBERSHIP_REFRESH_SECONDS = 1.0
 # Seconds between two facts to the hub on load at endpoints, on running requests and on demand, and
@@ -106,6 +102,7 @@
         uptime = BootClock()
         store_time = StoreTime(uptime.seconds)
         self.store = adapter.open_store(settings.store, ctx.metrics, store_time)
+        self.planned_stop = PlannedStop(ctx, settings.bounds.stopping)
         memory = AnswerMemory()
         self.endpoints = HttpEndpoints(not_run_header=None, memory=memory)
         self.fleet = RelayFleet(settings.domain, ctx.clock)
@@ -177,6 +174,7 @@
         self.service.on_lost = self.connectivity.record_lost
         self.service.on_silent = self.connectivity.record_silence
         self.service.on_answered = self.connectivity.record_answer
+        self.service.stop_refusal = self.planned_stop.refusal
         self.host_monitor = HostMonitor(ctx, find_iterations(), lambda: self.responder.in_progress)
         self.host_monitor.on_change = self._publish_state
         self.shares = Shares(ctx, settings.host, self.peers, uptime)
@@ -193,7 +191,7 @@
         self.service.on_repeat = self.quotas.charge_repeat
         self.service.on_repeat_not_run = self.quotas.refund
         identifier = Identifier(settings.bounds, self._config_age)
-        self.responder = Responder(ctx, self.service)
+        self.responder = Responder(ctx, self.service, self.planned_stop)
         self.stream_versions = StreamVersions(
             ctx, settings.host, self.peers, self.fleet, find_iterations(), self._endpoints_age
         )
@@ -211,6 +209,7 @@
             identifier,
             self.quotas,
             self.stream_versions,
+            self.planned_stop,
         )
         lease = settings.bounds.order_lease
         machine = str(settings.listen.peers)
@@ -586,19 +585,18 @@
 
     async def drain(self) -> None:
         """Drain: leave the address answers first, then wait for all requests to end, then close."""
-        clock, bounds = self.ctx.clock, self.settings.bounds
-        began = clock.monotonic()
         self.leaving = True
+        self.planned_stop.begin()
         before = self.responder.admitted
         self.ctx.timeline.add("leaving", detail=f"{self.responder.in_progress} in progress")
         self.peers.membership.set_state("leaving")
-        await self.leadership.release()
-        await clock.sleep(min(ADDRESS_SECONDS * ADDRESS_CACHE_FACTOR, bounds.stopping / 2))
-        until = began + bounds.stopping - STOP_MARGIN_SECONDS
-        while self.responder.in_progress and clock.monotonic() < until:
-            await clock.sleep(DRAIN_POLL_SECONDS)
+        releasing = asyncio.ensure_future(self.leadership.release())
+        await self.planned_stop.drain(
+            self.server, lambda: self.responder.in_progress, self.responder.end_unanswered
+        )
         # No request is taken between this check and the end of the process.
         self.request_handler.closed = True
+        releasing.cancel()
         self.shares.close()
         self.peers.membership.set_state("gone")
         self._log_stopped(self.responder.admitted - before)
--- a/peridotdock/relay/port_router.py
+++ b/peridotdock/relay/port_router.py
@@ -11,11 +11,9 @@
 from peridotdock.relay.forwarded import ForwardedHandler
 from peridotdock.relay.request_handler import RequestHandler
 from peridotdock.relay.settings import Listen
+from peridotdock.relay.stopping import ADDRESS_SECONDS
 from peridotdock.serving import Handler
 
-# Seconds for which callers may cache the list of host addresses.
-ADDRESS_SECONDS = 1.0
-
 
 class PortRouter:
     """Passes each request to the handler of the port that it arrived at."""
--- a/peridotdock/relay/request_handler.py
+++ b/peridotdock/relay/request_handler.py
@@ -20,6 +20,7 @@
 from peridotdock.relay.requests import Identity, RelayRequest, RequestHead
 from peridotdock.relay.responding import Responder
 from peridotdock.relay.service import RelayService
+from peridotdock.relay.stopping import PlannedStop
 from peridotdock.relay.stream_versions import StreamVersions
 from peridotdock.relay.wire import Wire
 from peridotdock.serving import ARRIVAL_KEY, read_body
@@ -48,6 +49,7 @@
         identifier: Identifier,
         quotas: Quotas,
         stream_versions: StreamVersions,
+        stop: PlannedStop,
     ):
         self._ctx = ctx
         self._wire = wire
@@ -58,6 +60,7 @@
         self._identifier = identifier
         self._quotas = quotas
         self._stream_versions = stream_versions
+        self._stop = stop
         self.deployment: Deployment | None = None
         self.closed = False
 
@@ -94,6 +97,9 @@
         if self.closed:
             failure = Failure(Kind.NOT_READY, "the host has stopped", NOT_READY_RETRY_SECONDS)
             return self._refuse_and_close(failure, req.id)
+        stopping = self._stop.refusal(req)
+        if stopping is not None:
+            return self._refuse(stopping, req.id)
         found = await self._responder.respond(request, req, self)
         return self._refuse(found, req.id) if failed(found) else found
 
--- a/peridotdock/relay/responding.py
+++ b/peridotdock/relay/responding.py
@@ -8,12 +8,13 @@
 from peridotdock.answers import answer_reply
 from peridotdock.context import Context
 from peridotdock.decisions.stream_versions import UNKNOWN_SOFTWARE
-from peridotdock.errors import Failure, failed
+from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.attempt import CompleteAnswer, StreamSource
 from peridotdock.relay.caller import CallerConnection
 from peridotdock.relay.progress import Progress
 from peridotdock.relay.requests import RelayRequest
 from peridotdock.relay.service import RelayService, bind_software
+from peridotdock.relay.stopping import RETRY_SECONDS, PlannedStop
 from peridotdock.relay.streaming import relay_stream
 from peridotdock.requests import Reply
 
@@ -38,9 +39,11 @@
     ``admitted`` counts all requests since the start.
     """
 
-    def __init__(self, ctx: Context, service: RelayService):
+    def __init__(self, ctx: Context, service: RelayService, stop: PlannedStop):
         self._ctx = ctx
         self._service = service
+        self._stop = stop
+        self._unanswered: set[CallerConnection] = set()
         self._open: dict[CallerConnection, RelayRequest] = {}
         self.admitted = 0
         self.on_stream: Callable[[RelayRequest, Progress], None] = lambda req, progress: None
@@ -61,20 +64,23 @@
         caller = CallerConnection(request.scope["receive"])
         streaming = False
         self._open[caller] = req
+        self._unanswered.add(caller)
         self.admitted += 1
         try:
             progress = await admission.admit(req, caller)
             if failed(progress):
-                return progress
+                return explain_end(progress, caller)
             found = await self._service.open_answer(req, caller, progress)
+            self._unanswered.discard(caller)
             self._count_late(req)
             if failed(found):
                 if not found.may_have_run:
                     admission.refund(req)
-                return found
+                return explain_end(found, caller)
             self._ctx.metrics.requests.labels("answered").inc()
             head = found.head
             if isinstance(found, CompleteAnswer):
+                self._stop.record_answer(req)
                 return answer_reply(Reply(head.status, head.headers, found.body, head.content_type))
             streaming = True
             bind_software(progress, found)
@@ -87,6 +93,11 @@
             if not streaming:
                 self._finish(req, caller)
 
+    def end_unanswered(self) -> None:
+        """End the requests whose answers have not begun, as the host ends now."""
+        for caller in self._unanswered:
+            caller.give_up()
+
     def _follow_check(self, req: RelayRequest, progress: Progress, source: StreamSource) -> None:
         """Take a stream's software version back if another start turns out to have begun it."""
 
@@ -113,10 +124,21 @@
         try:
             async for part in relay_stream(self._service, req, caller, progress, source):
                 yield part
+            self._stop.record_answer(req)
         finally:
             self._finish(req, caller)
 
     def _finish(self, req: RelayRequest, caller: CallerConnection) -> None:
         del self._open[caller]
+        self._unanswered.discard(caller)
         self._service.blocklist.trials.drop(req)
         caller.stop_watching()
+
+
+def explain_end(found: Failure, caller: CallerConnection) -> Failure:
+    """Return why a request failed, which is the host's stop if that has ended it."""
+    if not caller.given_up:
+        return found
+    if found.may_have_run:
+        return Failure(Kind.ANSWER_CUT, "the host stops")
+    return Failure(Kind.STOPPING, "not sent in time", RETRY_SECONDS)
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -102,6 +102,8 @@
         self.on_repeat: Callable[[RelayRequest], None] = lambda req: None
         self.on_repeat_not_run: Callable[[RelayRequest], None] = lambda req: None
         self.on_unbound: Callable[[RelayRequest, Progress], None] = lambda req, progress: None
+        # Why a request that has not run is not sent any more, as this host stops.
+        self.stop_refusal: Callable[[RelayRequest], Failure | None] = lambda req: None
         # Whether endpoints of several software versions may serve a service.
         self.has_versions: Callable[[str], bool] = lambda service: False
 
@@ -166,7 +168,7 @@
         self, req: RelayRequest, caller: Caller, progress: Progress, host: Member
     ) -> CompleteAnswer | StreamSource | Failure:
         """Send a request through another host, which reaches the endpoints."""
-        refusal = self.blocklist.refusal(req)
+        refusal = self.blocklist.refusal(req) or self._stop_refusal(req, progress)
         if refusal is not None:
             return refusal
         failure = await self._check_origin(req, caller, progress)
@@ -225,11 +227,15 @@
         prediction = await self._chooser.choose_endpoint(req, caller, progress)
         if failed(prediction):
             return prediction
-        refusal = self.blocklist.refusal(req)
+        refusal = self.blocklist.refusal(req) or self._stop_refusal(req, progress)
         if refusal is not None:
             self._chooser.withdraw(prediction)
         return refusal or prediction
 
+    def _stop_refusal(self, req: RelayRequest, progress: Progress) -> Failure | None:
+        """Return why a request is not sent as this host stops; a stream that has begun goes on."""
+        return self.stop_refusal(req) if progress.last_event_at is None else None
+
     def record_gap(self, state: EndpointState, service: str, seconds: float, events: int) -> None:
         """Record the seconds since the previous events of a stream; ``events`` arrived at once."""
         if state.is_host:
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -8,7 +8,7 @@
 
 import uvicorn
 from blacksheep import Application, Request, Response, Router
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from peridotdock.errors import Failure, Kind
 from peridotdock.loop_iterations import ACCEPTS_PER_ITERATION, find_iterations
@@ -75,17 +75,21 @@
         yield
 
 
-class TimedConnection(HttpToolsProtocol):
-    """A connection that records the earliest time at which each of its requests can have arrived.
+class Connection(HttpToolsProtocol):
+    """A connection that knows when its requests can have arrived, and what it still has to send.
 
     Failure guarded against: the loop lags, requests wait in kernel buffers, and their deadlines are
     counted from when they are read. Requests are then kept after their deadline, endpoints are
     given more time than is left, and answers arrive long after the timeout of their route.
     """
 
+    # Whether answers from now on are the last ones of their connections.
+    is_closing: Callable[[], bool]
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Record the earliest arrival of the connection, which its first request may share."""
         super().connection_made(transport)
+        self._answering: RequestResponseCycle | None = None
         self._iterations = find_iterations()
         self._arrived_at = self._iterations.count_accept()
         self._after_first_read = self._iterations.count + FIRST_READ_ITERATIONS + 1
@@ -101,6 +105,38 @@
             self._arrived_at if with_connection else self._iterations.earliest_arrival()
         )
 
+    def on_headers_complete(self) -> None:
+        """Keep the connection for a request that comes while the one before it has no answer."""
+        super().on_headers_complete()
+        cycle = self._answering
+        if self.pipeline and cycle is not None and not cycle.response_started:
+            cycle.keep_alive = True
+
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        self._answering = cycle
+        super()._start_asgi_task(cycle, app)
+        if self.is_closing():
+            self.end_with_answer()
+
+    def end_with_answer(self) -> None:
+        """Let the connection end with the answer under way, and let its head say so.
+
+        Requests that were read behind that one get their answers first.
+        """
+        cycle = self._answering
+        if cycle is not None and not cycle.response_started and not self.pipeline:
+            cycle.keep_alive = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being read or answered."""
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def close_idle(self) -> None:
+        """Close the connection if nothing of it is under way; what is unsent is sent first."""
+        if not self.is_busy and not self.transport.is_closing():
+            self.transport.close()
+
 
 def bind_socket(ip: str, port: int) -> socket.socket:
     """Return a bound socket whose connections detect a dead peer."""
@@ -128,6 +164,12 @@
         self.url = f"http://{self.address}"
         self._server: _SignalFreeServer | None = None
         self._task: asyncio.Task[None] | None = None
+        self._closing = False
+
+    def _connect(self, **arguments: Any) -> Connection:
+        connection = Connection(**arguments)
+        connection.is_closing = lambda: self._closing
+        return connection
 
     async def start(self) -> "Server":
         """Start the server; return once it accepts connections."""
@@ -135,7 +177,7 @@
         cfg = uvicorn.Config(
             self._serve,
             loop="asyncio",
-            http=TimedConnection,
+            http=self._connect,
             lifespan="off",
             interface="asgi3",
             proxy_headers=False,
@@ -165,12 +207,30 @@
             scope["receive"] = receive
         await self.app(scope, receive, send)
 
+    # Draining
+
+    def _connections(self) -> list[Connection]:
+        return list(self._server.server_state.connections) if self._server is not None else []
+
+    def announce_close(self) -> None:
+        """End connections with their next answers, whose heads say so."""
+        self._closing = True
+        for connection in self._connections():
+            connection.end_with_answer()
+
+    def stop_listening(self) -> None:
+        """Accept no more connections at the first address."""
+        if self._server is not None:
+            self._server.servers[0].close()
+
+    def close_idle(self) -> None:
+        """Close the connections without a request under way."""
+        for connection in self._connections():
+            connection.close_idle()
+
     def unsent_bytes(self) -> int:
-        """Return the number of bytes of answers that the kernel has not taken yet."""
-        if self._server is None:
-            return 0
-        connections = self._server.server_state.connections
-        return sum(row.transport.get_write_buffer_size() for row in connections)
+        """Return the number of bytes of answers that are not sent yet."""
+        return sum(row.transport.get_write_buffer_size() for row in self._connections())
 
     async def stop(self) -> None:
         """Close the sockets and the remaining connections."""
