Let a stopping host end only when its answers are sent and its requests read

Cause: what held a host back was the number of requests between their admission and the moment when their answers were given to the HTTP server. Neither a body that arrives nor bytes in a connection's buffer count in it. The class: a host counts as done what it still owes. Change: the connections themselves tell: none may have a request under way or bytes unsent. A request that has arrived in part only is refused with a 503 as the host ends.

--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -591,9 +591,7 @@
         self.ctx.timeline.add("leaving", detail=f"{self.responder.in_progress} in progress")
         self.peers.membership.set_state("leaving")
         releasing = asyncio.ensure_future(self.leadership.release())
-        await self.planned_stop.drain(
-            self.server, lambda: self.responder.in_progress, self.responder.end_unanswered
-        )
+        await self.planned_stop.drain(self.server, self.responder.end_unanswered)
         # No request is taken between this check and the end of the process.
         self.request_handler.closed = True
         releasing.cancel()
--- a/peridotdock/relay/stopping.py
+++ b/peridotdock/relay/stopping.py
@@ -65,9 +65,7 @@
             return None
         return Failure(Kind.STOPPING, f"{left:.2f} s left", RETRY_SECONDS)
 
-    async def drain(
-        self, server: Server, in_progress: Callable[[], int], end_unanswered: Callable[[], None]
-    ) -> None:
+    async def drain(self, server: Server, end_unanswered: Callable[[], None]) -> None:
         """Serve until callers have had the time to leave, then until all answers are sent.
 
         ``end_unanswered`` lets the requests end whose answers have not begun.
@@ -78,16 +76,15 @@
         server.announce_close()
         await self._sleep_until(self._began + min(LEARNING_SECONDS, self._seconds / 2))
         server.stop_listening()
-        await self._wait_drained(server, in_progress, self.ends_at - LAST_ANSWERS_SECONDS)
+        await self._wait_drained(server, self.ends_at - LAST_ANSWERS_SECONDS)
         end_unanswered()
-        await self._wait_drained(server, in_progress, self.ends_at)
+        server.refuse_unread()
+        await self._wait_drained(server, self.ends_at)
 
-    async def _wait_drained(
-        self, server: Server, in_progress: Callable[[], int], until: float
-    ) -> None:
+    async def _wait_drained(self, server: Server, until: float) -> None:
         clock = self._ctx.clock
         server.close_idle()
-        while in_progress() and clock.monotonic() < until:
+        while not server.is_drained() and clock.monotonic() < until:
             await clock.sleep(DRAIN_POLL_SECONDS)
             server.close_idle()
 
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -34,6 +34,12 @@
 # Key of a request's scope for the earliest monotonic time at which it can have arrived.
 ARRIVAL_KEY = "came"
 
+# The answer to a request that has not arrived when the server ends.
+UNREAD_ANSWER = (
+    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 0\r\ncontent-length: 0\r\n"
+    b"connection: close\r\n\r\n"
+)
+
 Handler = Callable[[Request], Awaitable[Response]]
 
 
@@ -132,11 +138,23 @@
         """Whether a request is being read or answered."""
         return self.cycle is not None and not self.cycle.response_complete
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes of answers that the kernel has not taken yet."""
+        return self.transport.get_write_buffer_size()
+
     def close_idle(self) -> None:
         """Close the connection if nothing of it is under way; what is unsent is sent first."""
         if not self.is_busy and not self.transport.is_closing():
             self.transport.close()
 
+    def refuse_unread(self) -> None:
+        """Answer a request of which a part has not arrived, so that it can't have run."""
+        cycle = self._answering
+        if self.is_busy and not cycle.response_started and cycle.more_body:
+            self.transport.write(UNREAD_ANSWER)
+            self.transport.close()
+
 
 def bind_socket(ip: str, port: int) -> socket.socket:
     """Return a bound socket whose connections detect a dead peer."""
@@ -228,9 +246,18 @@
         for connection in self._connections():
             connection.close_idle()
 
+    def refuse_unread(self) -> None:
+        """Refuse the requests that have arrived in part only."""
+        for connection in self._connections():
+            connection.refuse_unread()
+
+    def is_drained(self) -> bool:
+        """Return whether all requests are answered, and all answers are sent."""
+        return not any(row.is_busy or row.unsent_bytes for row in self._connections())
+
     def unsent_bytes(self) -> int:
         """Return the number of bytes of answers that are not sent yet."""
-        return sum(row.transport.get_write_buffer_size() for row in self._connections())
+        return sum(row.unsent_bytes for row in self._connections())
 
     async def stop(self) -> None:
         """Close the sockets and the remaining connections."""
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import aiohttp
+from nose2.tools import params
 
 from extras.soak.deployment import READY, HostProcess, ready_status
 from tests.kept_connection import Answer, KeptConnection, make_request
@@ -215,6 +216,50 @@
         self.assertLess(took, GRACE_SECONDS)
 
 
+class SlowReaderTest(unittest.TestCase):
+    """Guards against answers cut in a stopping host's buffers, which endpoints have sent whole."""
+
+    @params(("whole answer", "/files/x", ""), ("stream", "/recap/x", "m0"))
+    def test_an_answer_that_is_read_slowly_ends_whole(self, name, path, model):
+        async def scenario(found):
+            found.fast.event_padding = b"x" * (BIG_ANSWER_BYTES // found.fast.events)
+            found.fast.delay_seconds = 0.0
+            callers = []
+            for number in range(CALLERS_PER_KIND):
+                conn = await KeptConnection.open(found.hosts[0].address("front"), SLOW_RATE)
+                attempt = f"s-{number}"
+                request = make_request(path, attempt, DEADLINE_MS, model)
+                callers.append(asyncio.ensure_future(found.call(conn, request, attempt)))
+            await asyncio.sleep(0.5)
+            await found.stop_first()
+            return await asyncio.gather(*callers)
+
+        _, answers = play(scenario)
+        self.assertEqual([(200, True)] * 3, [(row.status, row.whole) for row in answers])
+
+
+class ArrivingBodyTest(unittest.TestCase):
+    """Guards against requests that a stopping host has begun to read and never answers."""
+
+    def test_a_request_whose_body_arrives_during_the_stop_is_answered(self):
+        async def scenario(found):
+            conn = await KeptConnection.open(found.hosts[0].address("front"))
+            raw = make_request("/bind/x", "slow", DEADLINE_MS, body=b"x" * 2000)
+            conn.send(raw[:-1000])
+            await asyncio.sleep(0.2)
+            stopping = asyncio.ensure_future(found.stop_first())
+            # The host would end after UNKNOWN_SECONDS if it owed no answer.
+            await asyncio.sleep(UNKNOWN_SECONDS + 0.5)
+            conn.send(raw[-1000:])
+            answer = await conn.read_answer()
+            await stopping
+            return answer
+
+        _, answer = play(scenario)
+        self.assertTrue(answer.whole, answer)
+        self.assertIn(answer.status, {200} | NOT_RUN)
+
+
 class PipelineTest(unittest.TestCase):
     """Guards against requests that wait behind another one, and are dropped with the connection."""
 
