Let the own interface's host end only when its answers are sent too

What callers would see: an answer that is read slowly breaks off as its host stops. The drain counted requests until their answers were given to the server, and the server waited one second for its connections. Change: the drain waits for the connections, too, up to the time that a stop may take; answers during it end their connections, and after the addresses' time to live none is accepted. Test: tests.test_operations.Leaving.test_a_host_ends_after_slow_callers_have_read_their_answers, which failed before with bytes unsent at the end of the drain (0 asked for). Conclusion: found by looking for the class elsewhere, not seen by anybody.

--- a/peridotdock/core.py
+++ b/peridotdock/core.py
@@ -40,23 +40,29 @@
         return self
 
     async def drain(self) -> bool:
-        """Drain: leave the address lists, then refuse new work, then wait for all streams to end.
+        """Drain: leave the address lists, then refuse new work, then wait for all answers to end.
 
         Callers cache an address list for its time to live, so this host accepts new work for that
-        long after it has left the lists. True when no request had to be cut off.
+        long after it has left the lists. Their connections end with their next answers. True when
+        no request had to be cut off.
         """
         clock, cfg = self.ctx.clock, self.ctx.cfg
         started_at = clock.monotonic()
         self.ctx.timeline.add("leaving")
         self.host.membership.set_state("leaving")
+        self.server.announce_close()
         await self._wait_until(lambda: False, started_at + cfg.address_seconds)
         self.host.membership.set_state("gone")
-        done = await self._wait_until(
-            lambda: self.entry.in_flight == 0, started_at + cfg.stop_seconds
-        )
+        self.server.stop_listening()
+        done = await self._wait_until(self._is_drained, started_at + cfg.stop_seconds)
         self.ctx.timeline.add("drained", detail=f"{clock.monotonic() - started_at:.1f} s")
         return done
 
+    def _is_drained(self) -> bool:
+        """Return whether nothing is owed to a caller: connections know more than the requests."""
+        self.server.close_idle()
+        return self.entry.in_flight == 0 and self.server.is_drained()
+
     async def _wait_until(self, condition: Any, deadline: float) -> bool:
         while not condition():
             if self.ctx.clock.monotonic() >= deadline:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -4,12 +4,23 @@
 import json
 import unittest
 
+from blacksheep import Content, Response
+
 from peridotdock import manifest as manifests
 from peridotdock.clients.platform import Committed, Row
 from peridotdock.errors import Failure, Kind
 from peridotdock.manifest import Accepted
 from peridotdock.publishing import HEAD_KEY, Published, make_head, publish
 from tests.cluster import OPERATOR_TOKEN, Cluster, read_stream, wait_for
+from tests.kept_connection import KeptConnection
+
+BIG_ANSWER_BYTES = 4 * 1024 * 1024
+# A slow caller reads such an answer in two seconds, longer than a host waits as it closes.
+SLOW_RATE = BIG_ANSWER_BYTES / 2
+
+
+async def send_big_answer(request):
+    return Response(200, None, Content(b"text/plain", b"x" * BIG_ANSWER_BYTES))
 
 
 class RestoringPlatform:
@@ -280,6 +291,24 @@
                 self.assertEqual((status, read_stream(raw)[2]), (200, True))
             self.assertTrue(await stopping)
 
+    async def test_a_host_ends_after_slow_callers_have_read_their_answers(self):
+        """Guards against answers cut in the buffers of a host that has given them to its server."""
+        keep = {"address_seconds": 0.2}
+        async with Cluster(engines=1, hosts=1, models=1, settings=keep) as cluster:
+            await cluster.publish()
+            host = cluster.hosts[0]
+            address = host.server.address
+            conn = await KeptConnection.open(address, SLOW_RATE)
+            host.server.app.router.fallback = send_big_answer
+            conn.send(f"GET /big HTTP/1.1\r\nhost: {address}\r\n\r\n".encode())
+            reading = asyncio.create_task(conn.read_answer())
+            await asyncio.sleep(0.2)
+            self.assertTrue(await host.drain())
+            # The process may end here, and with it what its connections hold.
+            self.assertEqual(0, host.server.unsent_bytes())
+            answer = await reading
+            self.assertEqual((True, BIG_ANSWER_BYTES), (answer.whole, len(answer.body)))
+
     async def test_all_hosts_are_replaced_under_load_without_a_failed_request(self):
         """
         A release replaces every host, one after another. Callers fetch addresses, cache them for
