Test what a stopping host takes, and what it answers in its last moments

Tests of the decision (deadline, expected time, silence, routes that go), and of a request that runs at a silent endpoint until the host ends: 502, where the host before gave a 500 at its end. Measured: on the product before, the last one failed (500); all pass now.

--- a/peridotdock/decisions/stopping.py
+++ b/peridotdock/decisions/stopping.py
@@ -32,6 +32,9 @@
     def __init__(self) -> None:
         self._longest: dict[str, float] = {}
 
+    def __len__(self) -> int:
+        return len(self._longest)
+
     def record(self, route: str, tokens: int, seconds: float) -> None:
         """Record a whole answer; ``tokens`` are the most that it could have, 0 if unknown."""
         if len(self._longest) >= MAX_ROUTES and route not in self._longest:
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -21,6 +21,12 @@
 )
 from peridotdock.decisions.placing import make_plan
 from peridotdock.decisions.retry_budget import SharedRetryBudget
+from peridotdock.decisions.stopping import (
+    MAX_ROUTES,
+    SILENCE_SECONDS,
+    AnswerTimes,
+    can_finish,
+)
 from peridotdock.decisions.waiting import Absence, decide_wait
 from peridotdock.deployment import EngineSpec, Model
 
@@ -592,3 +598,33 @@
         self.assertGreater(len(times), 10)
         self.assertLess(max(times) - min(times), 0.11)
         self.assertGreater(min(times), 0.14)
+
+
+class StoppingTest(unittest.TestCase):
+    @params(
+        ("its deadline comes first", 4.0, 3.9, None, True),
+        ("its deadline comes later, and nothing is known", 4.0, 6.0, None, False),
+        ("it ends in time though its endpoint falls silent", 4.0, 6.0, 2.4, True),
+        ("it ends too late if its endpoint falls silent", 4.0, 6.0, 2.6, False),
+        ("no time is left", -0.1, 0.5, 0.0, False),
+    )
+    def test_a_stopping_host_takes_what_it_can_finish(self, name, left, longest, expected, taken):
+        self.assertEqual(taken, can_finish(left, longest, expected), name)
+        self.assertGreaterEqual(SILENCE_SECONDS, 1.0)
+
+    def test_an_answer_is_expected_to_take_as_long_as_the_longest_lately(self):
+        times = AnswerTimes()
+        self.assertIsNone(times.expect("recap", 100))
+        for seconds in (1.0, 3.0, 2.0):
+            times.record("recap", 100, seconds)
+        self.assertAlmostEqual(3.0, times.expect("recap", 100), delta=0.1)
+        self.assertAlmostEqual(6.0, times.expect("recap", 200), delta=0.2)
+        for _ in range(200):
+            times.record("recap", 100, 1.0)
+        self.assertAlmostEqual(1.0, times.expect("recap", 100), delta=0.1)
+
+    def test_routes_that_are_gone_do_not_pile_up(self):
+        times = AnswerTimes()
+        for number in range(3 * MAX_ROUTES):
+            times.record(f"route-{number}", 0, 1.0)
+        self.assertLessEqual(len(times), MAX_ROUTES)
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -35,6 +35,7 @@
 # Slow callers read their answers within six seconds.
 SLOW_RATE = BIG_ANSWER_BYTES / 6
 NOT_RUN = {429, 503}
+MAYBE_RAN = 502
 FILES = {
     "name": "files",
     "host": "shop.example",
@@ -260,6 +261,24 @@
         self.assertIn(answer.status, {200} | NOT_RUN)
 
 
+class UnansweredTest(unittest.TestCase):
+    """Guards against a request that ran and has no answer, or a 500, as its host ends."""
+
+    def test_a_request_at_a_silent_endpoint_is_answered_before_the_end(self):
+        async def scenario(found):
+            found.files.script = ["silent"]
+            conn = await KeptConnection.open(found.hosts[0].address("front"))
+            request = make_request("/files/x", "last", DEADLINE_MS)
+            asked = asyncio.ensure_future(found.call(conn, request, "last"))
+            await asyncio.sleep(0.2)
+            await found.stop_first()
+            return await asked
+
+        found, answer = play(scenario)
+        self.assertEqual((MAYBE_RAN, True), (answer.status, answer.whole))
+        self.assertIn("last", found.executed())
+
+
 class PipelineTest(unittest.TestCase):
     """Guards against requests that wait behind another one, and are dropped with the connection."""
 
