--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import aiohttp
+from nose2.tools import params
 
 from extras.soak.deployment import READY, HostProcess, ready_status
 from tests.kept_connection import Answer, KeptConnection, make_request
@@ -25,14 +26,16 @@
 # Seconds before its connection ends within which an unanswered request may have been sent.
 CROSSING_SECONDS = 0.2
 START_SECONDS = 30.0
-# Seconds of traffic before the stop.
+# Seconds of traffic before the stop; of long streams the second one begins just after it.
 CALM_SECONDS = 1.5
+LONG_CALM_SECONDS = 3.6
 CALLERS_PER_KIND = 3
 DEADLINE_MS = 9000
 BIG_ANSWER_BYTES = 4 * 1024 * 1024
 # Slow callers read their answers within six seconds.
 SLOW_RATE = BIG_ANSWER_BYTES / 6
 NOT_RUN = {429, 503}
+MAYBE_RAN = 502
 FILES = {
     "name": "files",
     "host": "shop.example",
@@ -191,13 +194,17 @@
 
     def test_callers_that_stay_get_whole_answers_or_refusals(self):
         """Short streams, long ones, and requests that run once."""
-        for path, model in (("/recap/x", "m0"), ("/long/x", "m1"), ("/bind/x", "")):
-            self._check(path, model)
-
-    def _check(self, path, model):
+        for path, model, calm in (
+            ("/recap/x", "m0", CALM_SECONDS),
+            ("/long/x", "m1", LONG_CALM_SECONDS),
+            ("/bind/x", "", CALM_SECONDS),
+        ):
+            self._check(path, model, calm)
+
+    def _check(self, path, model, calm):
         async def scenario(found):
             callers = found.start_callers(path, model)
-            await asyncio.sleep(CALM_SECONDS)
+            await asyncio.sleep(calm)
             took = await found.stop_first()
             await asyncio.gather(*callers)
             return took
@@ -210,6 +217,118 @@
         self.assertLess(took, GRACE_SECONDS)
 
 
+class SlowReaderTest(unittest.TestCase):
+    """Guards against answers cut in a stopping host's buffers, which endpoints have sent whole."""
+
+    @params(("whole answer", "/files/x", ""), ("stream", "/recap/x", "m0"))
+    def test_an_answer_that_is_read_slowly_ends_whole(self, name, path, model):
+        async def scenario(found):
+            found.fast.event_padding = b"x" * (BIG_ANSWER_BYTES // found.fast.events)
+            found.fast.delay_seconds = 0.0
+            callers = []
+            for number in range(CALLERS_PER_KIND):
+                conn = await KeptConnection.open(found.hosts[0].address("front"), SLOW_RATE)
+                attempt = f"s-{number}"
+                request = make_request(path, attempt, DEADLINE_MS, model)
+                callers.append(asyncio.ensure_future(found.call(conn, request, attempt)))
+            await asyncio.sleep(0.5)
+            await found.stop_first()
+            return await asyncio.gather(*callers)
+
+        _, answers = play(scenario)
+        self.assertEqual([(200, True)] * 3, [(row.status, row.whole) for row in answers])
+
+
+class ArrivingBodyTest(unittest.TestCase):
+    """Guards against requests that a stopping host has begun to read and never answers."""
+
+    def test_a_request_whose_body_arrives_during_the_stop_is_answered(self):
+        async def scenario(found):
+            conn = await KeptConnection.open(found.hosts[0].address("front"))
+            raw = make_request("/bind/x", "slow", DEADLINE_MS, body=b"x" * 2000)
+            conn.send(raw[:-1000])
+            await asyncio.sleep(0.2)
+            stopping = asyncio.ensure_future(found.stop_first())
+            # The host would end after UNKNOWN_SECONDS if it owed no answer.
+            await asyncio.sleep(UNKNOWN_SECONDS + 0.5)
+            conn.send(raw[-1000:])
+            answer = await conn.read_answer()
+            await stopping
+            return answer
+
+        _, answer = play(scenario)
+        self.assertTrue(answer.whole, answer)
+        self.assertIn(answer.status, {200} | NOT_RUN)
+
+
+class UnansweredTest(unittest.TestCase):
+    """Guards against a request that ran and has no answer, or a 500, as its host ends."""
+
+    def test_a_request_at_a_silent_endpoint_is_answered_before_the_end(self):
+        async def scenario(found):
+            found.files.script = ["silent"]
+            conn = await KeptConnection.open(found.hosts[0].address("front"))
+            request = make_request("/files/x", "last", DEADLINE_MS)
+            asked = asyncio.ensure_future(found.call(conn, request, "last"))
+            await asyncio.sleep(0.2)
+            await found.stop_first()
+            return await asked
+
+        found, answer = play(scenario)
+        self.assertEqual((MAYBE_RAN, True), (answer.status, answer.whole))
+        self.assertIn("last", found.executed())
+
+
+class PipelineTest(unittest.TestCase):
+    """Guards against requests that wait behind another one, and are dropped with the connection."""
+
+    def test_requests_in_a_pipeline_are_all_answered(self):
+        async def scenario(found):
+            conn = await KeptConnection.open(found.hosts[0].address("front"))
+            stopping = asyncio.ensure_future(found.stop_first())
+            await asyncio.sleep(UNKNOWN_SECONDS - 0.2)
+            paths = (("/recap/x", "m0"), ("/bind/x", ""), ("/fetch/x", ""))
+            raw = [
+                make_request(*row[:1], f"p{n}", DEADLINE_MS, row[1]) for n, row in enumerate(paths)
+            ]
+            conn.send(b"".join(raw))
+            answers = [await conn.read_answer() for _ in raw]
+            await stopping
+            return answers
+
+        _, answers = play(scenario)
+        self.assertEqual([True] * 3, [row.whole for row in answers])
+
+
+class AnnouncedTest(unittest.TestCase):
+    """Guards against callers that go on using a connection as nobody told them that it ends."""
+
+    def test_answers_of_a_stopping_host_end_their_connections(self):
+        async def scenario(found):
+            conn = await KeptConnection.open(found.hosts[0].address("front"))
+            before = await found.call(conn, make_request("/fetch/x", "a1", DEADLINE_MS), "a1")
+            stopping = asyncio.ensure_future(found.stop_first())
+            await asyncio.sleep(0.2)
+            after = await found.call(conn, make_request("/fetch/x", "a2", DEADLINE_MS), "a2")
+            await stopping
+            return before, after
+
+        _, (before, after) = play(scenario)
+        self.assertFalse(before.closes)
+        self.assertEqual((200, True), (after.status, after.closes))
+
+    def test_an_idle_connection_does_not_hold_the_host(self):
+        async def scenario(found):
+            conn = await KeptConnection.open(found.hosts[0].address("front"))
+            await found.call(conn, make_request("/fetch/x", "a1", DEADLINE_MS), "a1")
+            took = await found.stop_first()
+            return took, await conn.read_answer()
+
+        _, (took, after) = play(scenario)
+        self.assertLess(took, GRACE_SECONDS - LAST_SECONDS)
+        self.assertFalse(after.whole)
+
+
 class SilentEngineTest(unittest.TestCase):
     """Guards against streams that last longer than foreseen, as sound engines fall silent."""
 
