Forget requests while their connections to endpoints stay open

A host grows with each request that it relays. Cause: each answer added a callback to the future that completes when its connection closes. The callback holds the context of the request, in it the check whether it is still wanted, and with that the request and its body. The one for which a connection was opened is held by the connection's own callbacks too. The class: what lives as long as a connection keeps what lives as long as a request. Change: one callback a connection, in a context of its own; the check forgets its request when that was sent or given up. Whole answers that wait for slow callers still count against no memory: open.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -19,11 +19,12 @@
 from peridotdock.clients.http import (
     CONNECT_ERRORS,
     CONNECT_TIMEOUT_SECONDS,
-    STILL_WANTED,
+    SEND_CHECK,
     TRANSFER_ERRORS,
     ConnectionAwareResponse,
     EndlessAnswer,
     Pool,
+    SendCheck,
     Withdrawn,
     always,
     never,
@@ -255,7 +256,8 @@
         """Send a request and wait for the head of its answer."""
         stack = AsyncExitStack()
         pool = self._pool(url)
-        wanted = STILL_WANTED.set(call.still_wanted)
+        check = SendCheck(call.still_wanted)
+        token = SEND_CHECK.set(check)
         try:
             session = await stack.enter_async_context(pool.use())
             resp = await session.request(
@@ -277,7 +279,8 @@
             await stack.aclose()
             raise
         finally:
-            STILL_WANTED.reset(wanted)
+            SEND_CHECK.reset(token)
+            check.close()
         pool.apply_keep_alive(resp.headers)
         refused = self._not_run_header is not None and self._not_run_header in resp.headers
         if refused and resp.status in (429, 503):
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -11,7 +11,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
-from contextvars import ContextVar
+from contextvars import Context, ContextVar
 from functools import partial
 from typing import Any
 
@@ -102,6 +102,19 @@
         self._received = 0
         self._body: aiohttp.StreamReader | None = None
         self._endless = False
+        self._watched: asyncio.Future[None] | None = None
+
+    def watch_closed(self) -> asyncio.Future[None] | None:
+        """Return the future that completes when the connection closes, None if it has.
+
+        Its error counts as seen. The callback for that is added once, in a context of its own: it
+        stays until the connection closes, and would hold the request of the current one.
+        """
+        closed = self.closed
+        if closed is not None and closed is not self._watched:
+            closed.add_done_callback(asyncio.Future.exception, context=Context())
+            self._watched = closed
+        return closed
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to read, few bytes at once."""
@@ -179,9 +192,7 @@
         future that completes when the connection closes.
         """
         self.connection_key = connection.protocol
-        self.connection_closed = connection.protocol.closed
-        if self.connection_closed is not None:
-            self.connection_closed.add_done_callback(asyncio.Future.exception)
+        self.connection_closed = connection.protocol.watch_closed()
         await super().start(connection)
         return self
 
@@ -221,8 +232,23 @@
     return False
 
 
-# Called when a request has its connection, right before its first byte is sent.
-STILL_WANTED: ContextVar[Callable[[], bool]] = ContextVar("STILL_WANTED", default=always)
+class SendCheck:
+    """Whether a request is still wanted once it has a connection, until it is sent or given up.
+
+    Failure guarded against: a connection keeps the context in which it was opened, and with it the
+    request for which that was done, for as long as it lives.
+    """
+
+    def __init__(self, still_wanted: Callable[[], bool] = always):
+        self.still_wanted = still_wanted
+
+    def close(self) -> None:
+        """Forget the request."""
+        self.still_wanted = always
+
+
+# Checked when a request has its connection, right before its first byte is sent.
+SEND_CHECK: ContextVar[SendCheck] = ContextVar("SEND_CHECK", default=SendCheck())  # noqa: B039
 
 
 class Connector(aiohttp.TCPConnector):
@@ -245,7 +271,7 @@
         else:
             async with IterationTimeout(timeout.sock_connect, CONNECT_ITERATIONS):
                 conn = await super().connect(req, traces, aiohttp.ClientTimeout(total=None))
-        if STILL_WANTED.get()():
+        if SEND_CHECK.get().still_wanted():
             return conn
         conn.release()
         raise Withdrawn("request was withdrawn before it was sent")
