Go on serving when the reader of the logs has gone away

What callers saw: nothing was answered any more once a host's standard output was closed; the request that logged a line ended with the error of the pipe. Cause: the handler expected a pipe to be full, not to be closed. Change: after such an error lines are counted and dropped. Test: ClosedPipeTest; before, BrokenPipeError.

--- a/peridotdock/logs.py
+++ b/peridotdock/logs.py
@@ -17,7 +17,8 @@
 
     Failure guarded against: the reader of the logs stops reading, the pipe fills up, and the next
     line blocks every stream of the host. The handler writes only as many bytes as the pipe takes
-    and buffers the rest; a later line reports how many lines were dropped.
+    and buffers the rest; a later line reports how many lines were dropped. If the reader goes away
+    for good, an error of a line would end the request that logs it: all lines are dropped then.
     """
 
     def __init__(self, stream: TextIO, max_lines: int = MAX_BUFFERED_LINES):
@@ -26,11 +27,15 @@
         self._max_lines = max_lines
         self._lines: deque[bytes] = deque()
         self._unwritten = b""
+        self._closed = False
         self.lost = 0
         os.set_blocking(self._fd, False)
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a line and write as much as the stream accepts without blocking."""
+        if self._closed:
+            self.lost += 1
+            return
         try:
             self._lines.append(self.format(record).encode() + b"\n")
         except Exception:
@@ -49,6 +54,12 @@
                 written = os.write(self._fd, self._unwritten)
             except BlockingIOError:
                 return
+            except OSError:
+                # The reader has closed the pipe, so there is nobody to tell.
+                self._closed = True
+                self.lost += len(self._lines) + 1
+                self._lines.clear()
+                return
             self._unwritten = self._unwritten[written:]
 
     def _next_line(self) -> bytes:
--- a/tests/relay/test_logs.py
+++ b/tests/relay/test_logs.py
@@ -34,3 +34,17 @@
         self.assertIn("log_lines_lost", lines)
         self.assertTrue(lines[0].startswith("line 0 "))
         self.assertTrue(all(line.startswith(("line ", "log_", "last")) for line in lines))
+
+
+class ClosedPipeTest(unittest.TestCase):
+    """Guards against a host that answers nothing once the reader of its logs has gone away."""
+
+    def test_a_line_for_nobody_raises_nothing(self):
+        reader, writer = os.pipe()
+        with open(writer, "w") as stream:
+            handler = BoundedHandler(stream)
+            handler.emit(record("read"))
+            os.close(reader)
+            for _ in range(3):
+                handler.emit(record("for nobody"))
+            self.assertEqual(3, handler.lost)
