Take an answer with status 204 or 304 for whole at its head

What callers saw: 502, or a repeat, a second after an endpoint's 204 or 304 on a kept connection. Cause: such an answer has no framing header and its connection stays open, so it counted as one that its connection's end would have to complete. Test: BodilessAnswerTest, two rows; before, both gave a failure in place of an empty body.

--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -50,6 +50,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3_000),
 )
+# Statuses of answers that end with their head.
+BODILESS_STATUSES = frozenset({204, 304})
 KEEP_ALIVE_PATTERN = re.compile(r"timeout\s*=\s*(\d+)")
 # An idle connection is not reused in the last seconds before the server closes it: a request may
 # take that long to arrive when the event loop or the link is slow.
@@ -200,7 +202,7 @@
     def framed(self) -> bool:
         """Whether the end of the body is marked by something other than the connection's end."""
         named = "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
-        return named or self.method == "HEAD"
+        return named or self.method == "HEAD" or self.status in BODILESS_STATUSES
 
     async def is_complete(self, may_stop: Callable[[], bool]) -> bool:
         """Return whether the answer is complete; call it after the end was read.
--- a/tests/relay/test_endings.py
+++ b/tests/relay/test_endings.py
@@ -88,6 +88,26 @@
             self.assertEqual(expected, found, name)
 
 
+class BodilessAnswerTest(unittest.TestCase):
+    """Guards against answers without a body that are taken for cut after a second."""
+
+    @params((204, "No Content"), (304, "Not Modified"))
+    @run
+    async def test_an_answer_that_ends_with_its_head_is_whole(self, status, text):
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(f"HTTP/1.1 {status} {text}\r\nx-attempt-id: a1\r\n\r\n".encode())
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        url = "http://{}:{}".format(*server.sockets[0].getsockname())
+        endpoints = HttpEndpoints("x-not-run")
+        opened = await endpoints.open(url, Call("GET", "/", {}, b"", at_most_once=True))
+        self.assertEqual(b"", await read_all(opened))
+        await opened.release()
+        await endpoints.close()
+        server.close()
+
+
 class UnframedAnswerTest(unittest.TestCase):
     """An answer with neither length nor chunks ends with its connection, as does its endpoint.
 
