Pass the bytes of an endpoint's headers on as they came

What callers saw: a 500 for an answer with a byte above 127 in a header; a stream that began so stayed counted and open. Cause: headers are read as UTF-8, with other bytes kept as surrogates, and were written as Latin-1. Test: HeaderBytesTest, a plain answer and a stream; before, both got a 500.

--- a/peridotdock/answers.py
+++ b/peridotdock/answers.py
@@ -65,8 +65,8 @@
 
 def answer_reply(reply: Reply) -> Response:
     """Return the response for an endpoint's reply, whole or streamed."""
-    headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in reply.headers]
-    content_type = reply.content_type.encode("latin-1")
+    headers = [(name.encode("latin-1"), encode_header(value)) for name, value in reply.headers]
+    content_type = encode_header(reply.content_type)
     if isinstance(reply.body, bytes):
         return Response(reply.status, headers, Content(content_type, reply.body))
     return Response(
@@ -74,6 +74,11 @@
     )
 
 
+def encode_header(value: str) -> bytes:
+    """Return the bytes of a header's value as they came: aiohttp decodes them in this way."""
+    return value.encode("utf-8", "surrogateescape")
+
+
 def make_body_reader(body: AsyncIterator[bytes]) -> Callable[[], AsyncIterator[bytes]]:
     """Return the generator function that blacksheep calls once to read a streamed body."""
 
--- a/tests/relay/test_endings.py
+++ b/tests/relay/test_endings.py
@@ -9,6 +9,7 @@
 
 from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
 from peridotdock.errors import Kind, failed
+from tests.kept_connection import KeptConnection, make_request
 from tests.relay.deployment import Deployment
 from tests.relay.test_relay import run
 
@@ -108,6 +109,23 @@
         server.close()
 
 
+class HeaderBytesTest(unittest.TestCase):
+    """Guards against a 500, and a stream that stays open, for one odd byte in an answer's head."""
+
+    @params(("plain", "/fetch/x", ""), ("stream", "/recap/x", "m0"))
+    @run
+    async def test_bytes_of_a_header_reach_the_caller_as_they_came(self, name, path, model):
+        async with Deployment() as found:
+            for runner in (found.pages["p1"], found.engines["e1"]):
+                runner.extra_headers = {"x-note": "caf\udce9"}
+            conn = await KeptConnection.open(str(found.hosts[0].settings.listen.callers))
+            conn.send(make_request(path, "a1", 6000, model))
+            answer = await conn.read_answer()
+            self.assertEqual((200, True), (answer.status, answer.whole))
+            self.assertEqual("caf\xe9", answer.headers["x-note"])
+            self.assertEqual(0, found.hosts[0].responder.in_progress)
+
+
 class UnframedAnswerTest(unittest.TestCase):
     """An answer with neither length nor chunks ends with its connection, as does its endpoint.
 
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -441,10 +441,10 @@
     """Return the head of an answer that is ``chunked``, or ``unframed`` to the connection's end."""
     rows = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
     head = f"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{rows}{FRAMING[framing]}\r\n"
-    return head.encode()
+    return head.encode("utf-8", "surrogateescape")
 
 
 def frame(status, body, headers):
     rows = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
     head = f"HTTP/1.1 {status} OK\r\ncontent-length: {len(body)}\r\n{rows}\r\n"
-    return head.encode() + body
+    return head.encode("utf-8", "surrogateescape") + body
