Ignore a reload signal that comes while the daemon starts

What operators saw: SIGHUP within 0.3 s of the start ended the process. Cause: the daemon handles the signal once its imports, most of a start, are done. Test: EarlySignalTest; before, the signal's default was in force. The interpreter's own start, some tens of milliseconds, remains.

--- a/peridotdock/cli/relay.py
+++ b/peridotdock/cli/relay.py
@@ -6,6 +6,7 @@
 
 import gc
 import os
+import signal
 import sys
 from collections.abc import MutableMapping
 
@@ -23,7 +24,11 @@
 
 
 def main() -> None:
-    """Run the daemon with the process's environment and streams, and exit with its status."""
+    """Run the daemon with the process's environment and streams, and exit with its status.
+
+    A reload signal that comes before the daemon handles it would end the process.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     speed_up_imports(os.environ)
     from peridotdock.context import Streams
     from peridotdock.relay.daemon import run
--- a/tests/relay/test_start.py
+++ b/tests/relay/test_start.py
@@ -3,11 +3,13 @@
 import gc
 import json
 import os
+import signal
 import subprocess
 import sys
 import unittest
+from unittest import mock
 
-from peridotdock.cli.relay import speed_up_imports
+from peridotdock.cli.relay import main, speed_up_imports
 
 # Modules that only the product's own interface needs; none of them serves the relaying daemon's
 # callers.
@@ -50,3 +52,20 @@
             with self.subTest(environ=environ):
                 speed_up_imports(environ)
                 self.assertEqual(expected, (environ["SSL_CERT_FILE"], environ["SSL_CERT_DIR"]))
+
+
+class EarlySignalTest(unittest.TestCase):
+    """Guards against a process that ends as its settings change while it starts."""
+
+    def test_a_reload_signal_is_ignored_until_the_daemon_handles_it(self):
+        self.addCleanup(signal.signal, signal.SIGHUP, signal.getsignal(signal.SIGHUP))
+        self.addCleanup(gc.enable)
+        signal.signal(signal.SIGHUP, signal.SIG_DFL)
+        found = []
+
+        def run(environ, streams):
+            found.append(signal.getsignal(signal.SIGHUP))
+
+        with mock.patch("peridotdock.relay.daemon.run", run), self.assertRaises(SystemExit):
+            main()
+        self.assertEqual([signal.SIG_IGN], found)
