Keep that a forwarded request may have run where the other host then refuses its retry

What callers see: a request of an idempotent route is forwarded, an endpoint runs it and breaks off, and the other host refuses the retry as it stops, or is behind. The caller gets 503 and "ran": "no", its quota units are given back, and the send does not count against the route's most sends.

Cause: Forwarder._apply_refusal made a new failure of kinds by which another host may take the request, and dropped what the refusal said of earlier sends. Since a stopping host checks each send again, such a refusal may follow a send.

Change: the failure keeps it, where an endpoint may have got the request from that host.

Conclusion: the refusal is true now. Requests that run once were not concerned, as they are not sent again.

--- a/peridotdock/relay/forwarding.py
+++ b/peridotdock/relay/forwarding.py
@@ -238,7 +238,9 @@
         now = self._ctx.clock.monotonic()
         if failure.kind in OTHER_HOST_KINDS:
             self.avoid(name, failure.retry_after)
-            return Failure(Kind.ENDPOINT_UNREACHABLE, f"{name}: {failure.kind}")
+            # A send before the refusal may have run.
+            ran = failure.ran if refusal.arrived else None
+            return Failure(Kind.ENDPOINT_UNREACHABLE, f"{name}: {failure.kind}", ran=ran)
         if failure.kind is Kind.NO_ENDPOINT and not failure.may_have_run:
             inference, software = req.head.inference, progress.software
             for state in self._fleet.serving(progress.service, inference, software):
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -156,6 +156,19 @@
 
         check(self)
 
+    @run
+    async def test_a_request_that_ran_is_not_promised_as_not_run_by_a_stopping_host(self):
+        """Guards against a retry that a stopping host refuses, which hides the send that ran."""
+        async with gated() as found:
+            await cut_off(found)
+            for page in found.pages.values():
+                page.script, page.delay_seconds = ["cut"], 0.3
+            sent = asyncio.ensure_future(found.send("/fetch/", "ran"))
+            await found.until(lambda: any("ran" in row.executed for row in found.pages.values()))
+            found.hosts[1].service.stop_refusal = lambda req: Failure(Kind.STOPPING, "", 0.0)
+            status, _, body = await sent
+            self.assertNotIn(status, NOT_RUN, body)
+
     @run
     async def test_an_endpoint_sees_that_the_caller_has_left(self):
         """Work goes on at an endpoint for a caller who has closed its connection long ago."""
