Expect a short answer to a long prompt to begin as late as others of its route

What callers see: a route's answers had many tokens each. A stopping host then takes a request of few tokens whose prompt is read, or waits, for seconds, and cuts it, or answers 502 at its end.

Cause: AnswerTimes took the whole time of an answer as proportional to the tokens that it allows. The time until its first event doesn't depend on them: 5 s at 2,000 tokens became 0.05 s at 20.

Change: the time until answers begin and the pace after that are remembered apart.

Conclusion: such requests are refused as not run. A request that is slower than all recent ones of its route is still cut.

--- a/peridotdock/decisions/stopping.py
+++ b/peridotdock/decisions/stopping.py
@@ -27,22 +27,33 @@
 
 
 class AnswerTimes:
-    """The longest of the recent answers of each route, in proportion to their tokens."""
+    """The longest of the recent answers of each route.
+
+    The time until an answer begins does not depend on its tokens, the rest is in proportion to
+    them. Failure guarded against: a long prompt with a short answer is taken for a short request,
+    as the route's other answers had many tokens, and is cut.
+    """
 
     def __init__(self) -> None:
-        self._longest: dict[str, float] = {}
+        self._longest: dict[str, tuple[float, float]] = {}
 
     def __len__(self) -> int:
         return len(self._longest)
 
-    def record(self, route: str, tokens: int, seconds: float) -> None:
-        """Record a whole answer; ``tokens`` are the most that it could have, 0 if unknown."""
+    def record(self, route: str, tokens: int, begun: float, ended: float) -> None:
+        """Record a whole answer that had ``begun`` and ``ended`` so many seconds after its arrival.
+
+        ``tokens`` are the most that it could have, 0 if unknown.
+        """
         if len(self._longest) >= MAX_ROUTES and route not in self._longest:
             self._longest.clear()
-        found = seconds / max(1, tokens)
-        self._longest[route] = max(found, DECAY * self._longest.get(route, 0.0))
+        begin, pace = self._longest.get(route, (0.0, 0.0))
+        found = (ended - begun) / max(1, tokens)
+        self._longest[route] = max(begun, DECAY * begin), max(found, DECAY * pace)
 
     def expect(self, route: str, tokens: int) -> float | None:
         """Return the seconds that an answer may take, None before the first one of its route."""
-        longest = self._longest.get(route)
-        return None if longest is None else longest * max(1, tokens)
+        if route not in self._longest:
+            return None
+        begin, pace = self._longest[route]
+        return begin + pace * max(1, tokens)
--- a/peridotdock/relay/responding.py
+++ b/peridotdock/relay/responding.py
@@ -124,7 +124,7 @@
         try:
             async for part in relay_stream(self._service, req, caller, progress, source):
                 yield part
-            self._stop.record_answer(req)
+            self._stop.record_answer(req, source.started_at)
         finally:
             self._finish(req, caller)
 
--- a/peridotdock/relay/stopping.py
+++ b/peridotdock/relay/stopping.py
@@ -46,10 +46,14 @@
         """Begin the stop now."""
         self._began = self._ctx.clock.monotonic()
 
-    def record_answer(self, req: RelayRequest) -> None:
-        """Learn from a whole answer, whose end was just given to the server."""
-        seconds = self._ctx.clock.monotonic() - req.received_at
-        self._times.record(req.route.name, count_tokens(req), seconds)
+    def record_answer(self, req: RelayRequest, begun_at: float | None = None) -> None:
+        """Learn from a whole answer, whose end was just given to the server.
+
+        ``begun_at`` is the monotonic time of a stream's first events.
+        """
+        ended = self._ctx.clock.monotonic() - req.received_at
+        begun = ended if begun_at is None else begun_at - req.received_at
+        self._times.record(req.route.name, count_tokens(req), begun, ended)
 
     def refusal(self, req: RelayRequest) -> Failure | None:
         """Return why a request that has not run is not sent, or None.
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -616,15 +616,22 @@
         times = AnswerTimes()
         self.assertIsNone(times.expect("recap", 100))
         for seconds in (1.0, 3.0, 2.0):
-            times.record("recap", 100, seconds)
+            times.record("recap", 100, 0.0, seconds)
         self.assertAlmostEqual(3.0, times.expect("recap", 100), delta=0.1)
         self.assertAlmostEqual(6.0, times.expect("recap", 200), delta=0.2)
         for _ in range(200):
-            times.record("recap", 100, 1.0)
+            times.record("recap", 100, 0.0, 1.0)
         self.assertAlmostEqual(1.0, times.expect("recap", 100), delta=0.1)
 
+    def test_the_time_until_an_answer_begins_does_not_depend_on_its_tokens(self):
+        """Guards against short answers to long prompts that are taken and cut."""
+        times = AnswerTimes()
+        times.record("recap", 2000, 2.0, 4.0)
+        for tokens, seconds in ((2000, 4.0), (20, 2.02), (0, 2.001), (4000, 6.0)):
+            self.assertAlmostEqual(seconds, times.expect("recap", tokens), delta=0.001)
+
     def test_routes_that_are_gone_do_not_pile_up(self):
         times = AnswerTimes()
         for number in range(3 * MAX_ROUTES):
-            times.record(f"route-{number}", 0, 1.0)
+            times.record(f"route-{number}", 0, 0.0, 1.0)
         self.assertLessEqual(len(times), MAX_ROUTES)
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -329,6 +329,30 @@
         self.assertFalse(after.whole)
 
 
+class LongPromptTest(unittest.TestCase):
+    """Guards against answers that are cut as few tokens were to follow a prompt read for long."""
+
+    def test_an_answer_of_few_tokens_is_refused_where_its_prompt_takes_too_long(self):
+        async def scenario(found):
+            # All the time passes before the first event, whatever tokens are allowed.
+            found.slow.events, found.slow.delay_seconds = 1, 5.0
+            conn = await KeptConnection.open(found.hosts[0].address("front"))
+            raw = make_request("/long/x", "many", DEADLINE_MS, "m1", x_token_counts="900,2000")
+            before = await found.call(conn, raw, "many")
+            stopping = asyncio.ensure_future(found.stop_first())
+            await asyncio.sleep(UNKNOWN_SECONDS - 0.5)
+            raw = make_request("/long/x", "few", DEADLINE_MS, "m1", x_token_counts="900,20")
+            after = await found.call(conn, raw, "few")
+            await stopping
+            return before, after
+
+        found, (before, after) = play(scenario)
+        self.assertEqual((200, True), (before.status, before.whole))
+        self.assertTrue(after.whole, after)
+        self.assertIn(after.status, NOT_RUN)
+        self.assertNotIn("few", found.executed())
+
+
 class SilentEngineTest(unittest.TestCase):
     """Guards against streams that last longer than foreseen, as sound engines fall silent."""
 
