Let a request that waits for quota units end as soon as its caller is gone or given up

What callers see: a request that waits for units of its workspace as its host ends can be cut or get a 500, though it has not run. A caller that leaves is noticed up to a second late.

Cause: QuotaWaits.wait slept for what the counting host named, up to MAX_HELD_SECONDS (1 s), without the caller. A stopping host gives the requests without an answer 0.3 s to end.

Change: the wait ends with the caller too.

Not shown with real processes.

--- a/peridotdock/relay/quota_waits.py
+++ b/peridotdock/relay/quota_waits.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from peridotdock.relay.caller import Caller
+
 
 def _new_future() -> asyncio.Future[str]:
     return asyncio.get_running_loop().create_future()
@@ -30,12 +32,18 @@
     def __init__(self) -> None:
         self._waiting: dict[str, list[WaitingRequest]] = {}
 
-    async def wait(self, name: str, request: WaitingRequest, seconds: float) -> str | None:
-        """Wait for some seconds; return at once the host whose units are passed on, if any are."""
+    async def wait(
+        self, name: str, request: WaitingRequest, caller: Caller, seconds: float
+    ) -> str | None:
+        """Wait for some seconds, or until the caller disconnects.
+
+        Return at once the host whose units are passed on, if any are.
+        """
         rows = self._waiting.setdefault(name, [])
         rows.append(request)
         try:
-            await asyncio.wait({request.granted}, timeout=seconds)
+            waits = {request.granted, caller.disconnected}
+            await asyncio.wait(waits, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
         finally:
             rows.remove(request)
         return request.granted.result() if request.granted.done() else None
--- a/peridotdock/relay/quotas.py
+++ b/peridotdock/relay/quotas.py
@@ -199,7 +199,7 @@
             if caller.is_disconnected() or left <= 0:
                 break
             seconds = min(left, RETRY_SECONDS if wait is None else -wait)
-            granted_by = await self._waits.wait(charge.name, waiting, seconds)
+            granted_by = await self._waits.wait(charge.name, waiting, caller, seconds)
             if granted_by is not None:
                 return Verdict(0.0, Decision.HUB, granted_by)
         if wait is not None:
--- a/tests/relay/test_quotas.py
+++ b/tests/relay/test_quotas.py
@@ -19,13 +19,16 @@
 )
 from peridotdock.events import Filter
 from peridotdock.limits import Bucket
+from peridotdock.relay.quota_counter import MAX_HELD_SECONDS
 from peridotdock.relay.quota_usage import LOG_INTERVAL_SECONDS, Decision, QuotaUsage
 from peridotdock.relay.quota_waits import QuotaWaits, WaitingRequest
 from peridotdock.relay.quotas import RETRY_JITTER_SHARE
+from peridotdock.relay.stopping import LAST_ANSWERS_SECONDS
 from peridotdock.workspaces import Quota
 from tests.builders import make_ctx
 from tests.fakes import FakeClock
 from tests.relay.deployment import Deployment
+from tests.relay.quota_cluster import Caller
 from tests.relay.test_relay import run
 from tests.relay.test_workspaces import HILL, RIVER, configure
 
@@ -366,7 +369,7 @@
         """Guards against requests that wait in vain while later ones get the units."""
         waits = QuotaWaits()
         requests = [WaitingRequest(*row) for row in rows]
-        tasks = [asyncio.ensure_future(waits.wait("w", row, 0.05)) for row in requests]
+        tasks = [asyncio.ensure_future(waits.wait("w", row, Caller(), 0.05)) for row in requests]
         await asyncio.sleep(0)
         self.assertIsNone(waits.pass_on("other", WaitingRequest(*later), "h1"))
         found = waits.pass_on("w", WaitingRequest(*later), "h1")
@@ -378,13 +381,25 @@
     @run
     async def test_units_are_passed_on_once(self):
         waits = QuotaWaits()
-        task = asyncio.ensure_future(waits.wait("w", WaitingRequest(1.0, 5.0), 0.05))
+        task = asyncio.ensure_future(waits.wait("w", WaitingRequest(1.0, 5.0), Caller(), 0.05))
         await asyncio.sleep(0)
         later = WaitingRequest(1.0, 6.0)
         self.assertIsNotNone(waits.pass_on("w", later, "h1"))
         self.assertIsNone(waits.pass_on("w", later, "h1"))
         self.assertEqual("h1", await task)
 
+    @run
+    async def test_a_request_whose_caller_is_given_up_waits_no_longer(self):
+        """Guards against a request without an answer as its host ends while it waits for units."""
+        waits, caller = QuotaWaits(), Caller()
+        request = WaitingRequest(1.0, 5.0)
+        task = asyncio.ensure_future(waits.wait("w", request, caller, MAX_HELD_SECONDS))
+        await asyncio.sleep(0)
+        caller.disconnected.set_result(None)
+        async with asyncio.timeout(LAST_ANSWERS_SECONDS):
+            self.assertIsNone(await task)
+        self.assertIsNone(waits.pass_on("w", WaitingRequest(1.0, 6.0), "h1"))
+
 
 class UsageLogTest(unittest.TestCase):
     @params(
