Refuse a request in part also if it begins while its host gives the last answers

What callers see: a request whose body arrives waits in a pipeline behind one that gets its 502 as the host ends. It gets a 500, which says nothing of whether it ran; it was never read whole.

Cause: requests in part were refused once, 7.0 s after the SIGTERM. The one behind begins after that.

Change: they are refused at each look until the host ends. A connection that is closing is left alone, so that none gets two answers.

Conclusion: such a request is told that it has not run.

--- a/peridotdock/relay/stopping.py
+++ b/peridotdock/relay/stopping.py
@@ -82,15 +82,20 @@
         server.stop_listening()
         await self._wait_drained(server, self.ends_at - LAST_ANSWERS_SECONDS)
         end_unanswered()
-        server.refuse_unread()
-        await self._wait_drained(server, self.ends_at)
+        await self._wait_drained(server, self.ends_at, refuses_unread=True)
 
-    async def _wait_drained(self, server: Server, until: float) -> None:
+    async def _wait_drained(
+        self, server: Server, until: float, refuses_unread: bool = False
+    ) -> None:
+        """Wait until all is sent; a request that is read in part may have waited behind another."""
         clock = self._ctx.clock
-        server.close_idle()
-        while not server.is_drained() and clock.monotonic() < until:
-            await clock.sleep(DRAIN_POLL_SECONDS)
+        while True:
             server.close_idle()
+            if refuses_unread:
+                server.refuse_unread()
+            if server.is_drained() or clock.monotonic() >= until:
+                return
+            await clock.sleep(DRAIN_POLL_SECONDS)
 
     async def _sleep_until(self, until: float) -> None:
         await self._ctx.clock.sleep(max(0.0, until - self._ctx.clock.monotonic()))
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -151,7 +151,9 @@
     def refuse_unread(self) -> None:
         """Answer a request of which a part has not arrived, so that it can't have run."""
         cycle = self._answering
-        if self.is_busy and not cycle.response_started and cycle.more_body:
+        if self.transport.is_closing() or not self.is_busy:
+            return
+        if not cycle.response_started and cycle.more_body:
             self.transport.write(UNREAD_ANSWER)
             self.transport.close()
 
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -299,6 +299,23 @@
         _, answers = play(scenario)
         self.assertEqual([True] * 3, [row.whole for row in answers])
 
+    def test_a_request_in_part_behind_an_unanswered_one_is_refused(self):
+        """Guards against a 500 for a request that begins only as the one before it is given up."""
+
+        async def scenario(found):
+            found.files.script = ["silent"]
+            conn = await KeptConnection.open(found.hosts[0].address("front"))
+            part = make_request("/bind/x", "part", DEADLINE_MS, body=b"x" * 2000)[:-1000]
+            conn.send(make_request("/files/x", "first", DEADLINE_MS) + part)
+            await asyncio.sleep(0.5)
+            stopping = asyncio.ensure_future(found.stop_first())
+            answers = [await conn.read_answer() for _ in range(2)]
+            await stopping
+            return answers
+
+        _, answers = play(scenario)
+        self.assertEqual([(MAYBE_RAN, True), (503, True)], [(a.status, a.whole) for a in answers])
+
 
 class AnnouncedTest(unittest.TestCase):
     """Guards against callers that go on using a connection as nobody told them that it ends."""
