--- a/peridotdock/relay/stopping.py
+++ b/peridotdock/relay/stopping.py
@@ -46,10 +46,14 @@
         """Begin the stop now."""
         self._began = self._ctx.clock.monotonic()
 
-    def record_answer(self, req: RelayRequest) -> None:
-        """Learn from a whole answer, whose end was just given to the server."""
-        seconds = self._ctx.clock.monotonic() - req.received_at
-        self._times.record(req.route.name, count_tokens(req), seconds)
+    def record_answer(self, req: RelayRequest, begun_at: float | None = None) -> None:
+        """Learn from a whole answer, whose end was just given to the server.
+
+        ``begun_at`` is the monotonic time of a stream's first events.
+        """
+        ended = self._ctx.clock.monotonic() - req.received_at
+        begun = ended if begun_at is None else begun_at - req.received_at
+        self._times.record(req.route.name, count_tokens(req), begun, ended)
 
     def refusal(self, req: RelayRequest) -> Failure | None:
         """Return why a request that has not run is not sent, or None.
@@ -78,15 +82,20 @@
         server.stop_listening()
         await self._wait_drained(server, self.ends_at - LAST_ANSWERS_SECONDS)
         end_unanswered()
-        server.refuse_unread()
-        await self._wait_drained(server, self.ends_at)
+        await self._wait_drained(server, self.ends_at, refuses_unread=True)
 
-    async def _wait_drained(self, server: Server, until: float) -> None:
+    async def _wait_drained(
+        self, server: Server, until: float, refuses_unread: bool = False
+    ) -> None:
+        """Wait until all is sent; a request that is read in part may have waited behind another."""
         clock = self._ctx.clock
-        server.close_idle()
-        while not server.is_drained() and clock.monotonic() < until:
-            await clock.sleep(DRAIN_POLL_SECONDS)
+        while True:
             server.close_idle()
+            if refuses_unread:
+                server.refuse_unread()
+            if server.is_drained() or clock.monotonic() >= until:
+                return
+            await clock.sleep(DRAIN_POLL_SECONDS)
 
     async def _sleep_until(self, until: float) -> None:
         await self._ctx.clock.sleep(max(0.0, until - self._ctx.clock.monotonic()))
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -299,6 +299,23 @@
         _, answers = play(scenario)
         self.assertEqual([True] * 3, [row.whole for row in answers])
 
+    def test_a_request_in_part_behind_an_unanswered_one_is_refused(self):
+        """Guards against a 500 for a request that begins only as the one before it is given up."""
+
+        async def scenario(found):
+            found.files.script = ["silent"]
+            conn = await KeptConnection.open(found.hosts[0].address("front"))
+            part = make_request("/bind/x", "part", DEADLINE_MS, body=b"x" * 2000)[:-1000]
+            conn.send(make_request("/files/x", "first", DEADLINE_MS) + part)
+            await asyncio.sleep(0.5)
+            stopping = asyncio.ensure_future(found.stop_first())
+            answers = [await conn.read_answer() for _ in range(2)]
+            await stopping
+            return answers
+
+        _, answers = play(scenario)
+        self.assertEqual([(MAYBE_RAN, True), (503, True)], [(a.status, a.whole) for a in answers])
+
 
 class AnnouncedTest(unittest.TestCase):
     """Guards against callers that go on using a connection as nobody told them that it ends."""
@@ -329,6 +346,30 @@
         self.assertFalse(after.whole)
 
 
+class LongPromptTest(unittest.TestCase):
+    """Guards against answers that are cut as few tokens were to follow a prompt read for long."""
+
+    def test_an_answer_of_few_tokens_is_refused_where_its_prompt_takes_too_long(self):
+        async def scenario(found):
+            # All the time passes before the first event, whatever tokens are allowed.
+            found.slow.events, found.slow.delay_seconds = 1, 5.0
+            conn = await KeptConnection.open(found.hosts[0].address("front"))
+            raw = make_request("/long/x", "many", DEADLINE_MS, "m1", x_token_counts="900,2000")
+            before = await found.call(conn, raw, "many")
+            stopping = asyncio.ensure_future(found.stop_first())
+            await asyncio.sleep(UNKNOWN_SECONDS - 0.5)
+            raw = make_request("/long/x", "few", DEADLINE_MS, "m1", x_token_counts="900,20")
+            after = await found.call(conn, raw, "few")
+            await stopping
+            return before, after
+
+        found, (before, after) = play(scenario)
+        self.assertEqual((200, True), (before.status, before.whole))
+        self.assertTrue(after.whole, after)
+        self.assertIn(after.status, NOT_RUN)
+        self.assertNotIn("few", found.executed())
+
+
 class SilentEngineTest(unittest.TestCase):
     """Guards against streams that last longer than foreseen, as sound engines fall silent."""
 
