Take requests of routes not served yet while callers may not know of a stop

Cause: without a recent answer of its route a request counted as one that can't end in time. Test: UnknownRouteTest; before, 503.

--- a/peridotdock/decisions/stopping.py
+++ b/peridotdock/decisions/stopping.py
@@ -12,18 +12,22 @@
 MAX_ROUTES = 2000
 
 
-def can_finish(left: float, longest: float, expected: float | None) -> bool:
+def can_finish(left: float, longest: float, expected: float | None, announced: bool) -> bool:
     """Return whether a request will have ended before its host does.
 
     ``left`` is the time until the host ends, ``longest`` that until the request's deadline, and
     ``expected`` how long its answer may take, None if nothing is known of that; in seconds.
+    ``announced`` is set once all callers may know that the host stops: until then a request of
+    which nothing is known is taken, as several hosts may stop at once.
 
     Failure guarded against: a request is read while its host stops, an endpoint runs it, and the
     answer is cut as the host ends. It may not be allowed to run again.
     """
     if longest <= left:
         return True
-    return expected is not None and expected + SILENCE_SECONDS <= left
+    if expected is None:
+        return not announced
+    return expected + SILENCE_SECONDS <= left
 
 
 class AnswerTimes:
--- a/peridotdock/relay/responding.py
+++ b/peridotdock/relay/responding.py
@@ -14,7 +14,7 @@
 from peridotdock.relay.progress import Progress
 from peridotdock.relay.requests import RelayRequest
 from peridotdock.relay.service import RelayService, bind_software
-from peridotdock.relay.stopping import RETRY_SECONDS, PlannedStop
+from peridotdock.relay.stopping import PlannedStop
 from peridotdock.relay.streaming import relay_stream
 from peridotdock.requests import Reply
 
@@ -69,14 +69,14 @@
         try:
             progress = await admission.admit(req, caller)
             if failed(progress):
-                return explain_end(progress, caller)
+                return self._explain_end(progress, caller)
             found = await self._service.open_answer(req, caller, progress)
             self._unanswered.discard(caller)
             self._count_late(req)
             if failed(found):
                 if not found.may_have_run:
                     admission.refund(req)
-                return explain_end(found, caller)
+                return self._explain_end(found, caller)
             self._ctx.metrics.requests.labels("answered").inc()
             head = found.head
             if isinstance(found, CompleteAnswer):
@@ -128,17 +128,16 @@
         finally:
             self._finish(req, caller)
 
+    def _explain_end(self, found: Failure, caller: CallerConnection) -> Failure:
+        """Return why a request failed, which is the host's stop if that has ended it."""
+        if not caller.given_up:
+            return found
+        if found.may_have_run:
+            return Failure(Kind.ANSWER_CUT, "the host stops")
+        return self._stop.refuse("not sent in time")
+
     def _finish(self, req: RelayRequest, caller: CallerConnection) -> None:
         del self._open[caller]
         self._unanswered.discard(caller)
         self._service.blocklist.trials.drop(req)
         caller.stop_watching()
-
-
-def explain_end(found: Failure, caller: CallerConnection) -> Failure:
-    """Return why a request failed, which is the host's stop if that has ended it."""
-    if not caller.given_up:
-        return found
-    if found.may_have_run:
-        return Failure(Kind.ANSWER_CUT, "the host stops")
-    return Failure(Kind.STOPPING, "not sent in time", RETRY_SECONDS)
--- a/peridotdock/relay/stopping.py
+++ b/peridotdock/relay/stopping.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from peridotdock.context import Context
+from peridotdock.decisions.overload import retry_after
 from peridotdock.decisions.stopping import AnswerTimes, can_finish
 from peridotdock.errors import Failure, Kind
 from peridotdock.relay.requests import RelayRequest
@@ -19,8 +20,6 @@
 STOP_MARGIN_SECONDS = 0.7
 LAST_ANSWERS_SECONDS = 0.3
 DRAIN_POLL_SECONDS = 0.05
-# Retry-after in seconds: other hosts serve the request now.
-RETRY_SECONDS = 0.0
 
 
 class PlannedStop:
@@ -42,6 +41,11 @@
         """Monotonic time at which the process ends, whatever is unfinished."""
         return self._began + self._seconds - STOP_MARGIN_SECONDS
 
+    @property
+    def announced_at(self) -> float:
+        """Monotonic time from which no caller should come any more."""
+        return self._began + min(LEARNING_SECONDS, self._seconds / 2)
+
     def begin(self) -> None:
         """Begin the stop now."""
         self._began = self._ctx.clock.monotonic()
@@ -65,9 +69,13 @@
         now = self._ctx.clock.monotonic()
         left = self.ends_at - LAST_ANSWERS_SECONDS - now
         expected = self._times.expect(req.route.name, count_tokens(req))
-        if can_finish(left, req.deadline - now, expected):
+        if can_finish(left, req.deadline - now, expected, announced=now >= self.announced_at):
             return None
-        return Failure(Kind.STOPPING, f"{left:.2f} s left", RETRY_SECONDS)
+        return self.refuse(f"{left:.2f} s left")
+
+    def refuse(self, reason: str) -> Failure:
+        """Return the refusal of a request that has not run; other hosts may serve it."""
+        return Failure(Kind.STOPPING, reason, retry_after(self._ctx.rng.random))
 
     async def drain(self, server: Server, end_unanswered: Callable[[], None]) -> None:
         """Serve until callers have had the time to leave, then until all answers are sent.
@@ -78,7 +86,7 @@
         request, and what it has read last is cut as it ends.
         """
         server.announce_close()
-        await self._sleep_until(self._began + min(LEARNING_SECONDS, self._seconds / 2))
+        await self._sleep_until(self.announced_at)
         server.stop_listening()
         await self._wait_drained(server, self.ends_at - LAST_ANSWERS_SECONDS)
         end_unanswered()
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -370,6 +370,21 @@
         self.assertNotIn("few", found.executed())
 
 
+class UnknownRouteTest(unittest.TestCase):
+    """Guards against hosts that refuse all requests of routes that they have not served yet."""
+
+    def test_a_short_answer_is_served_at_the_start_of_a_stop(self):
+        async def scenario(found):
+            stopping = asyncio.ensure_future(found.stop_first())
+            await asyncio.sleep(0.2)
+            conn = await KeptConnection.open(found.hosts[0].address("front"))
+            answer = await found.call(conn, make_request("/files/x", "new", DEADLINE_MS), "new")
+            await stopping
+            return answer
+
+        self.assertEqual(200, play(scenario)[1].status)
+
+
 class SilentEngineTest(unittest.TestCase):
     """Guards against streams that last longer than foreseen, as sound engines fall silent."""
 
