Count whole answers in a host's memory until their callers have read them

Cause: an answer's bytes counted until it was read from its endpoint; then it waited for its caller and counted nowhere. The class: what a host still owes is forgotten once it is given to the server. Change: a whole answer of more than 64 KiB counts until its last part is given to the connection, or nothing refers to it any more. Others wait at their endpoints meanwhile, whose connections are not read, until their own deadline. An unfinished answer of unknown length is given up first. The bound follows from the host's memory: 0.6 of what is left of it beside 110 MB, at most 96 MB as before. Conclusion: answers are bounded. Long requests on their way in are not counted yet: open.

--- a/peridotdock/clients/answer_memory.py
+++ b/peridotdock/clients/answer_memory.py
@@ -1,15 +1,21 @@
-"""Limits the memory that unfinished answers take up together.
+"""Limits the memory that answers take up together, until they are sent.
 
 An answer of unknown length may never end. While there is not enough memory for all, the longest of
 these are given up: short ones are never in the way. An answer that names its length is waited for.
+A whole answer counts until its caller has read it, and others wait for that at their endpoints.
 """
 
 import asyncio
+import weakref
 from collections.abc import Callable
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # Bytes of all unfinished answers together. Answers that name their length leave room for others.
 MAX_UNFINISHED_BYTES = MAX_ANSWER_BYTES * 3 // 2
+# What a host takes up beside answers, and the share of the rest of its memory that these may have.
+OTHER_BYTES = 110_000_000
+ANSWER_SHARE = 0.6
+MIN_UNFINISHED_BYTES = 8 * 1024 * 1024
 # The same for a store: a page of a table or an object, and all answers of it together.
 MAX_STORE_ANSWER_BYTES = 8 * 1024 * 1024
 MAX_STORE_BYTES = 2 * MAX_STORE_ANSWER_BYTES
@@ -19,13 +25,23 @@
 WAIT_SECONDS = 0.5
 
 
+class KeptAnswer:
+    """Stands for a whole answer: its bytes count until nothing refers to this any more."""
+
+    __slots__ = ("__weakref__",)
+
+
 class HeldBytes:
-    """What one unfinished answer holds. ``give_up`` is called if it is to be given up."""
+    """What one answer holds. ``give_up`` is called if it is to be given up.
+
+    ``kept`` is set once it is whole and waits for its caller; it is not given up for others then.
+    """
 
     def __init__(self, memory: "AnswerMemory", give_up: Callable[[], None]):
         self._memory = memory
         self.give_up = give_up
         self.given_up = False
+        self.kept = False
         self.size = 0
         self.counted = 0
         self.reserved = 0
@@ -42,9 +58,19 @@
         if size > FREE_BYTES:
             await self._memory.reserve(self, size)
 
+    def keep(self) -> KeptAnswer | None:
+        """Count a whole answer until the returned object is gone; None if it is a short one."""
+        if self.size <= FREE_BYTES or self.given_up:
+            return None
+        self._memory.keep(self)
+        answer = KeptAnswer()
+        weakref.finalize(answer, self._memory.release, self)
+        return answer
+
     def release(self) -> None:
-        """Give the memory back."""
-        self._memory.release(self)
+        """Give the memory back, unless a whole answer is kept."""
+        if not self.kept:
+            self._memory.release(self)
 
 
 class AnswerMemory:
@@ -60,6 +86,11 @@
         self._turn = asyncio.Lock()
         self._freed = asyncio.Event()
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes that answers hold, beside those of short ones."""
+        return self._counted + self._reserved
+
     def begin(self, give_up: Callable[[], None]) -> HeldBytes:
         """Return the count of a new answer."""
         return HeldBytes(self, give_up)
@@ -72,6 +103,16 @@
             self._held.add(held)
         self._make_room()
 
+    def keep(self, held: HeldBytes) -> None:
+        """Reserve the bytes of an answer that is whole now."""
+        held.kept = True
+        self._held.discard(held)
+        self._counted -= held.counted
+        self._reserved += held.size - held.reserved
+        held.counted, held.reserved = 0, held.size
+        self._reservations.add(held)
+        self._make_room()
+
     async def reserve(self, held: HeldBytes, size: int) -> None:
         """Wait, in the order of the calls, until ``size`` bytes can be reserved.
 
@@ -87,13 +128,18 @@
         self._make_room()
 
     async def _wait_until_freed(self) -> None:
-        """Wait until an answer ends; after a while, give up the one that lacks the most bytes."""
+        """Wait until an answer ends; after a while, give up the one that lacks the most bytes.
+
+        One that is whole lacks none: its caller may read it slowly.
+        """
         self._freed.clear()
         try:
             async with asyncio.timeout(WAIT_SECONDS):
                 await self._freed.wait()
         except TimeoutError:
-            self._give_up(max(self._reservations, key=lambda held: held.reserved - held.size))
+            unfinished = [held for held in self._reservations if not held.kept]
+            if unfinished:
+                self._give_up(max(unfinished, key=lambda held: held.reserved - held.size))
 
     def release(self, held: HeldBytes) -> None:
         """Forget an answer that has ended."""
@@ -114,6 +160,13 @@
         held.give_up()
 
 
+def make_host_memory(total: int) -> AnswerMemory:
+    """Return the memory for endpoints' answers of a host that may use ``total`` bytes."""
+    share = int(ANSWER_SHARE * (total - OTHER_BYTES))
+    limit = min(MAX_UNFINISHED_BYTES, max(MIN_UNFINISHED_BYTES, share))
+    return AnswerMemory(limit, limit * 2 // 3)
+
+
 def make_store_memory() -> AnswerMemory:
     """Return the memory for a store's answers, which is part of that for a host's control."""
     return AnswerMemory(MAX_STORE_BYTES, MAX_STORE_ANSWER_BYTES)
--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -15,7 +15,7 @@
 import msgspec
 from yarl import URL
 
-from peridotdock.clients.answer_memory import MAX_ANSWER_BYTES, AnswerMemory
+from peridotdock.clients.answer_memory import MAX_ANSWER_BYTES, AnswerMemory, KeptAnswer
 from peridotdock.clients.http import (
     CONNECT_ERRORS,
     CONNECT_TIMEOUT_SECONDS,
@@ -191,6 +191,10 @@
         """Close the connection now: a pending read fails, and the endpoint sees the close."""
         self._resp.close()
 
+    def keep(self) -> KeptAnswer | None:
+        """Count the bytes of an answer that was read whole until the returned object is gone."""
+        return self._held.keep()
+
     async def release(self) -> None:
         """Close the connection unless the answer was read to its end."""
         self._held.release()
--- a/peridotdock/platform/settings.py
+++ b/peridotdock/platform/settings.py
@@ -48,14 +48,17 @@
 
 
 def decode_machine(raw: Mapping[str, Any]) -> dict[str, float]:
-    """Return the capacity of the machine's link and processor, empty where the file has none.
+    """Return the capacity of the machine's link, processor and memory, as far as the file has it.
 
     The result's ``cores`` is the file's ``cpu_share`` times its ``cores``.
     """
-    if "link_mbps" not in raw:
-        return {}
-    cores = float(raw.get("cpu_share", 1.0)) * float(raw.get("cores", 1))
-    return {"link_mbps": float(raw["link_mbps"]), "cores": cores}
+    found = {}
+    if "memory_mb" in raw:
+        found["memory_bytes"] = int(float(raw["memory_mb"]) * 1_000_000)
+    if "link_mbps" in raw:
+        found["link_mbps"] = float(raw["link_mbps"])
+        found["cores"] = float(raw.get("cpu_share", 1.0)) * float(raw.get("cores", 1))
+    return found
 
 
 def decode_metrics(raw: Mapping[str, Any]) -> Address | None:
--- a/peridotdock/relay/attempt.py
+++ b/peridotdock/relay/attempt.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from peridotdock.clients.answer_memory import KeptAnswer
 from peridotdock.clients.endpoint import OpenResponse, transfer_failure
 from peridotdock.clients.http import TRANSFER_ERRORS
 from peridotdock.errors import Failure, Kind
@@ -21,11 +22,12 @@
 
 @dataclass(frozen=True, slots=True)
 class CompleteAnswer:
-    """A complete answer of an endpoint, with its body."""
+    """A complete answer of an endpoint, with its body, which counts in the host's memory."""
 
     state: EndpointState
     head: AnswerHead
     body: bytes
+    kept: KeptAnswer | None = None
 
     @property
     def is_server_error(self) -> bool:
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -7,7 +7,7 @@
 
 from peridotdock.blocklist import Blocklist
 from peridotdock.blocklist_store import BLOCKLIST_CHECK_SECONDS, BlocklistStore
-from peridotdock.clients.answer_memory import AnswerMemory
+from peridotdock.clients.answer_memory import make_host_memory
 from peridotdock.clients.endpoint import HttpEndpoints
 from peridotdock.clients.store_time import StoreTime
 from peridotdock.context import Context
@@ -103,7 +103,7 @@
         store_time = StoreTime(uptime.seconds)
         self.store = adapter.open_store(settings.store, ctx.metrics, store_time)
         self.planned_stop = PlannedStop(ctx, settings.bounds.stopping)
-        memory = AnswerMemory()
+        self.answer_memory = memory = make_host_memory(settings.memory_bytes)
         self.endpoints = HttpEndpoints(not_run_header=None, memory=memory)
         self.fleet = RelayFleet(settings.domain, ctx.clock)
         self.peers = Peers(ctx, settings, self.fleet, lambda digest: b"")
--- a/peridotdock/relay/responding.py
+++ b/peridotdock/relay/responding.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator, Callable, Collection
 from typing import Protocol
 
-from blacksheep import Request, Response
+from blacksheep import Request, Response, StreamedContent
 
 from peridotdock.answers import answer_reply
 from peridotdock.context import Context
@@ -21,6 +21,8 @@
 # Seconds after its deadline from which an answer counts as late. Timers fire some milliseconds late
 # even on a host that keeps up.
 LATE_TOLERANCE_SECONDS = 0.05
+# Bytes of a long answer that are given to the server at once.
+PART_BYTES = 64 * 1024
 
 
 class Admission(Protocol):
@@ -81,7 +83,7 @@
             head = found.head
             if isinstance(found, CompleteAnswer):
                 self._stop.record_answer(req)
-                return answer_reply(Reply(head.status, head.headers, found.body, head.content_type))
+                return send_whole(found)
             streaming = True
             bind_software(progress, found)
             progress.endpoint = found.endpoint
@@ -135,6 +137,22 @@
         caller.stop_watching()
 
 
+def send_whole(found: CompleteAnswer) -> Response:
+    """Return the response for a complete answer, which keeps a long one until it is sent."""
+    head = found.head
+    response = answer_reply(Reply(head.status, head.headers, found.body, head.content_type))
+    if found.kept is None:
+        return response
+
+    async def parts() -> AsyncIterator[bytes]:
+        body = found.body
+        for begin in range(0, len(body), PART_BYTES):
+            yield body[begin : begin + PART_BYTES]
+
+    response.content = StreamedContent(response.content.type, parts, len(found.body))
+    return response
+
+
 def explain_end(found: Failure, caller: CallerConnection) -> Failure:
     """Return why a request failed, which is the host's stop if that has ended it."""
     if not caller.given_up:
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -575,6 +575,7 @@
             return await self._read_first_events(req, caller, progress, sent, confirm)
         try:
             body = await wait_for(read_all(sent.opened), caller, remaining)
+            kept = None if failed(body) else sent.opened.keep()
         finally:
             await sent.opened.release()
         if failed(body):
@@ -582,7 +583,7 @@
         self.fleet.request_ended(sent.state, req.id, progress.service, complete=True)
         if sent.head.status in SUCCESS:
             self.blocklist.record_answer(req)
-        return CompleteAnswer(sent.state, sent.head, body)
+        return CompleteAnswer(sent.state, sent.head, body, kept)
 
     async def _read_first_events(
         self,
