Don't take an answer for whole that ends as its endpoint is taken away

Cause: of any endpoint that leaves, the question whether it still listens was left out, as one that drains stops listening before its last answer. That it is taken away (remaining_ms) was not read. Change: it is read; such an endpoint must still listen after an answer that its connection ends. Test: UnframedAnswerTest, a stream; before, 2 of 6 events and status 200. Undecidable: without an entry (store away) only the header of an answer says that it leaves.

--- a/peridotdock/platform/endpoints.py
+++ b/peridotdock/platform/endpoints.py
@@ -40,7 +40,8 @@
 
     ``version`` is that of the endpoint's software, unlike the ``version`` of a model. ``seq``
     counts its heartbeats, unlike the ``seq`` of a report. ``born`` is the start time in Unix
-    milliseconds, 0 when unknown.
+    milliseconds, 0 when unknown. ``remaining_ms`` is the time until the endpoint is taken away,
+    whatever it runs; one that drains without it ends after its last answer.
     """
 
     service: str
@@ -54,6 +55,7 @@
     born: NonNegativeInt = 0
     models: list[LoadedModelRow] | None = None
     at_hand: CachedWeightsRow | None = None
+    remaining_ms: float | None = None
 
 
 class ReportRow(msgspec.Struct):
@@ -94,6 +96,7 @@
         on_disk=frozenset(cached.on_disk or ()),
         started_ms=row.born,
         software=row.version,
+        taken_away=row.remaining_ms is not None,
     )
 
 
--- a/peridotdock/relay/fleet.py
+++ b/peridotdock/relay/fleet.py
@@ -448,7 +448,9 @@
 def keep_draining(entry: EndpointEntry, known: EndpointState) -> EndpointEntry:
     """Return the entry of a start, draining if the known one drains."""
     same = entry.started_ms == known.entry.started_ms
-    return replace(entry, draining=True) if same and known.entry.draining else entry
+    if not same or not known.entry.draining:
+        return entry
+    return replace(entry, draining=True, taken_away=entry.taken_away or known.entry.taken_away)
 
 
 def load_seconds(entry: EndpointEntry, model: Model) -> float:
--- a/peridotdock/relay/requests.py
+++ b/peridotdock/relay/requests.py
@@ -144,7 +144,8 @@
     A restarted endpoint may reuse its ``endpoint_id`` with another ``started_ms``, the Unix
     milliseconds of its start, 0 if the endpoint does not report it. Nothing known of one start
     (loaded items, behaviour) applies to the next. ``software`` is the version of its software, not
-    of the weights that it holds.
+    of the weights that it holds. ``taken_away`` is set if it drains and ends at a fixed time,
+    whatever it runs.
     """
 
     endpoint_id: str
@@ -158,6 +159,7 @@
     on_disk: frozenset[str] = frozenset()
     started_ms: int = 0
     software: str = ""
+    taken_away: bool = False
 
     def items(self) -> set[str]:
         """Return the names of the loaded models and adapters."""
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -123,7 +123,7 @@
             at_most_once=True,
             connect_timeout=connect_timeout(remaining),
             still_wanted=still_wanted,
-            may_stop=lambda: state.leaving,
+            may_stop=state.may_stop_listening,
         )
         sent_at = self._clock.monotonic()
         software = UNKNOWN_SOFTWARE if state.superseded else state.entry.software
--- a/tests/relay/test_endings.py
+++ b/tests/relay/test_endings.py
@@ -165,6 +165,26 @@
             status, _, body = await asking
             self.assertTrue(status == 0 or body.count(b"id: ") == 6, body)
 
+    @run
+    async def test_a_stream_that_ends_as_its_engine_is_taken_away_is_not_whole(self):
+        async with self.deployment() as found:
+            for runner in found.engines.values():
+                runner.halfway_event = asyncio.Event()
+            asking = asyncio.create_task(found.send("/recap/", "a1", "m0"))
+            runners = found.engines.values()
+            await found.until(lambda: any(runner.executed for runner in runners))
+            leaving = next(runner for runner in runners if runner.executed)
+            notice = leaving.entry("engines", state="draining", remaining_ms=500)
+            found.store.put("servers", leaving.name, notice)
+            states = found.hosts[0].fleet.states
+            await found.until(lambda: states[leaving.name].leaving)
+            await asyncio.sleep(0.3)
+            leaving.crash()
+            for runner in runners:
+                runner.halfway_event.set()
+            status, _, body = await asking
+            self.assertEqual((200, 6), (status, body.count(b"id: ")), body)
+
     @params(("a stream", "/recap/", "m0", 6), ("a plain answer", "/fetch/", "", 0))
     @run
     async def test_an_answer_of_an_endpoint_that_lives_is_whole(self, name, path, model, events):
