Ask whether an endpoint still listens until its listener must have ended

Cause: of a killed process the connections end some moments before the listener, which takes one more connection. That counted as a sign of life. The same for any endpoint that crashes. Change: the new connection is watched for 50 ms; if it ends, a second one must open. Tests: StillListensTest, three rows; it fails without the function, as the one connection sufficed. Costs 50 ms at the end of answers that their connection ends, none of others.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -478,7 +478,7 @@
     Mutant(
         "unframed: an answer is whole if its endpoint still listens",
         "clients/http.py",
-        "return may_stop() or await can_connect(address, CONNECT_TIMEOUT_SECONDS)",
+        "return may_stop() or await still_listens(address, CONNECT_TIMEOUT_SECONDS)",
         "return True",
         "tests.relay.test_endings.UnframedAnswerTest",
     ),
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -50,6 +50,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3_000),
 )
+# Seconds for which a new connection is watched: a listener that ends resets it by then.
+WATCH_SECONDS = 0.05
 # Statuses of answers that end with their head.
 BODILESS_STATUSES = frozenset({204, 304})
 KEEP_ALIVE_PATTERN = re.compile(r"timeout\s*=\s*(\d+)")
@@ -217,7 +219,7 @@
         if not self.connection_closed.done() or self.connection_closed.exception() is not None:
             return False
         address = f"{self.url.host}:{self.url.port}"
-        return may_stop() or await can_connect(address, CONNECT_TIMEOUT_SECONDS)
+        return may_stop() or await still_listens(address, CONNECT_TIMEOUT_SECONDS)
 
 
 class Withdrawn(aiohttp.ClientError):
@@ -361,16 +363,57 @@
         await asyncio.gather(*self._closing, return_exceptions=True)
 
 
+async def still_listens(address: str, seconds: float) -> bool:
+    """Return whether a process listens at IP:PORT, and goes on to.
+
+    Failure guarded against: of a process that is killed, connections end some moments before its
+    listener, which still takes a connection then and resets it. A server with too many connections
+    resets one too, and takes the next one.
+    """
+    for _ in range(2):
+        ended = await open_and_watch(address, seconds)
+        if ended is None:
+            return False
+        if not ended:
+            return True
+    return True
+
+
+async def open_and_watch(address: str, seconds: float) -> bool | None:
+    """Return whether a new connection to IP:PORT ends at once, None if none can be opened."""
+    found = await try_connect(address, seconds)
+    if found is None:
+        return None
+    reader, writer = found
+    try:
+        async with asyncio.timeout(WATCH_SECONDS):
+            return not await reader.read(1)
+    except TimeoutError:
+        return False
+    except OSError:
+        return True
+    finally:
+        writer.close()
+
+
 async def can_connect(address: str, seconds: float) -> bool:
     """Return whether a connection to IP:PORT can be opened in time; it is closed at once."""
+    found = await try_connect(address, seconds)
+    if found is not None:
+        found[1].close()
+    return found is not None
+
+
+async def try_connect(
+    address: str, seconds: float
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+    """Return a new connection to IP:PORT, or None."""
     ip, _, port = address.rpartition(":")
     try:
         async with IterationTimeout(seconds, CONNECT_ITERATIONS):
-            _, writer = await asyncio.open_connection(ip, int(port))
+            return await asyncio.open_connection(ip, int(port))
     except (OSError, ValueError):
-        return False
-    writer.close()
-    return True
+        return None
 
 
 async def read_body(resp: aiohttp.ClientResponse, memory: AnswerMemory, limit: int) -> bytes:
--- a/tests/relay/test_endings.py
+++ b/tests/relay/test_endings.py
@@ -8,6 +8,7 @@
 from nose2.tools import params
 
 from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
+from peridotdock.clients.http import still_listens
 from peridotdock.errors import Kind, failed
 from tests.kept_connection import KeptConnection, make_request
 from tests.relay.deployment import Deployment
@@ -89,6 +90,33 @@
             self.assertEqual(expected, found, name)
 
 
+class StillListensTest(unittest.TestCase):
+    """Guards against an answer that counts as whole as a killed process still took a connection."""
+
+    @params(
+        ("it goes on", 0, False, True),
+        ("it resets one connection, as it has too many", 1, False, True),
+        ("it resets one and ends", 1, True, False),
+    )
+    @run
+    async def test_a_listener_must_outlive_the_answer(self, name, resets, ends, expected):
+        count = 0
+
+        async def serve(reader, writer):
+            nonlocal count
+            count += 1
+            if count > resets:
+                return
+            writer.transport.abort()
+            if ends:
+                server.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        self.assertEqual(expected, await still_listens(address, 1.0), name)
+        server.close()
+
+
 class BodilessAnswerTest(unittest.TestCase):
     """Guards against answers without a body that are taken for cut after a second."""
 
