--- a/tests/relay/test_endings.py
+++ b/tests/relay/test_endings.py
@@ -8,6 +8,7 @@
 from nose2.tools import params
 
 from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
+from peridotdock.clients.http import still_listens
 from peridotdock.errors import Kind, failed
 from tests.kept_connection import KeptConnection, make_request
 from tests.relay.deployment import Deployment
@@ -89,6 +90,33 @@
             self.assertEqual(expected, found, name)
 
 
+class StillListensTest(unittest.TestCase):
+    """Guards against an answer that counts as whole as a killed process still took a connection."""
+
+    @params(
+        ("it goes on", 0, False, True),
+        ("it resets one connection, as it has too many", 1, False, True),
+        ("it resets one and ends", 1, True, False),
+    )
+    @run
+    async def test_a_listener_must_outlive_the_answer(self, name, resets, ends, expected):
+        count = 0
+
+        async def serve(reader, writer):
+            nonlocal count
+            count += 1
+            if count > resets:
+                return
+            writer.transport.abort()
+            if ends:
+                server.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        self.assertEqual(expected, await still_listens(address, 1.0), name)
+        server.close()
+
+
 class BodilessAnswerTest(unittest.TestCase):
     """Guards against answers without a body that are taken for cut after a second."""
 
@@ -165,6 +193,26 @@
             status, _, body = await asking
             self.assertTrue(status == 0 or body.count(b"id: ") == 6, body)
 
+    @run
+    async def test_a_stream_that_ends_as_its_engine_is_taken_away_is_not_whole(self):
+        async with self.deployment() as found:
+            for runner in found.engines.values():
+                runner.halfway_event = asyncio.Event()
+            asking = asyncio.create_task(found.send("/recap/", "a1", "m0"))
+            runners = found.engines.values()
+            await found.until(lambda: any(runner.executed for runner in runners))
+            leaving = next(runner for runner in runners if runner.executed)
+            notice = leaving.entry("engines", state="draining", remaining_ms=500)
+            found.store.put("servers", leaving.name, notice)
+            states = found.hosts[0].fleet.states
+            await found.until(lambda: states[leaving.name].leaving)
+            await asyncio.sleep(0.3)
+            leaving.crash()
+            for runner in runners:
+                runner.halfway_event.set()
+            status, _, body = await asking
+            self.assertEqual((200, 6), (status, body.count(b"id: ")), body)
+
     @params(("a stream", "/recap/", "m0", 6), ("a plain answer", "/fetch/", "", 0))
     @run
     async def test_an_answer_of_an_endpoint_that_lives_is_whole(self, name, path, model, events):
