Count what engines hold by the sizes it was loaded with

Callers saw: 503 for seconds and cut answers. Cause: memory in use was added up by the sizes in the newest configuration, so a model that it does not name counted as nothing and a resized one by its new size. Class: what is there measured by what is wanted. Members: Draft.free_mb, find_victims, adapters (ordered without regard to memory), and a plan that waits for a permit while the configuration changes. Change: an engine's record keeps the largest size of each model since its load; hosts remember the sizes of all versions, also while another one orders; where none knows a size, nothing is loaded beside the model. What nobody names goes first when room is needed, while used only for requests that wait. Adapters are loaded where their memory is free. A plan made by an older configuration is not sent.

--- a/peridotdock/decisions/adapters.py
+++ b/peridotdock/decisions/adapters.py
@@ -6,7 +6,8 @@
 
 from peridotdock.clients.engines import Action
 from peridotdock.decisions.copies import SPARE_COPY_DEMAND
-from peridotdock.decisions.draft import Draft, EngineView, Step, peak_demand
+from peridotdock.decisions.draft import Draft, EngineView, Step, count_adapters, peak_demand
+from peridotdock.decisions.eviction import EvictionLevel, rank_victims
 
 # Adapter slots of an engine that preloading leaves free, so that the next adapter requested can be
 # loaded without an unload first.
@@ -38,6 +39,7 @@
                 engine
                 for engine in engines_for_adapter(draft, model.name)
                 if count_adapters(engine) < draft.spec.adapter_slots - SPARE_ADAPTER_SLOTS
+                and draft.fits_adapter(engine)
             ]
             if not free:
                 break
@@ -62,10 +64,14 @@
     if not holders:
         return
     slots = draft.spec.adapter_slots
-    engine = min(holders, key=lambda e: (count_adapters(e) >= slots, e.queued_tokens, e.key))
-    if count_adapters(engine) < slots:
+    free = [engine for engine in holders if count_adapters(engine) < slots]
+    fitting = [engine for engine in free if draft.fits_adapter(engine)]
+    if fitting:
+        engine = min(fitting, key=lambda e: (e.queued_tokens, e.key))
         draft.add(Step(engine.key, Action.LOAD, model, adapter, "requested"))
         return
+    if any(free_adapter_memory(draft, engine, model, adapter) for engine in free):
+        return
     found = [(engine, least_wanted_adapter(draft, engine)) for engine in holders]
     options = [(e, victim) for e, victim in found if victim is not None and not e.freeing_adapter]
     if options:
@@ -76,13 +82,22 @@
         draft.add(Step(engine.key, Action.UNLOAD, *victim, f"for {model}/{adapter}"))
 
 
-def count_adapters(engine: EngineView) -> int:
-    """Return how many adapter slots are occupied, or may be by an unanswered order."""
-    count = sum(map(len, engine.models.values()))
-    if engine.unanswered:
-        held = {f"{model}/{name}" for model, names in engine.models.items() for name in names}
-        count += sum("/" in item for item in engine.unanswered - held)
-    return count
+def free_adapter_memory(draft: Draft, engine: EngineView, model: str, adapter: str) -> bool:
+    """Order the unload of a model where an adapter's slot is free and its memory is not.
+
+    Failure guarded against: a new configuration has larger adapters, or the engine holds a model
+    that it names no longer, and no adapter fits beside the models for as long as they stay.
+    """
+    if model not in draft.spec.models or not draft.running_known:
+        return False
+    for level in (EvictionLevel.IDLE, EvictionLevel.USED):
+        victims = [name for name in rank_victims(draft, engine, model, level) if name != model]
+        if victims and draft.fits_adapter(engine, victims):
+            reason = f"for {model}/{adapter}"
+            running = engine.running_requests(victims[0])
+            draft.add(Step(engine.key, Action.UNLOAD, victims[0], "", reason, running=running))
+            return True
+    return False
 
 
 def least_wanted_adapter(draft: Draft, engine: EngineView) -> tuple[str, str] | None:
--- a/peridotdock/decisions/draft.py
+++ b/peridotdock/decisions/draft.py
@@ -1,15 +1,18 @@
 """Input and state of a plan: engines and demand as the planning host knows them, and the steps."""
 
-from collections.abc import Mapping, Sequence, Set
+import math
+from collections.abc import Collection, Mapping, Sequence, Set
 from dataclasses import dataclass, field
 from functools import cached_property
 
 from peridotdock.clients.engines import Action
-from peridotdock.deployment import EngineSpec
+from peridotdock.deployment import EngineSpec, ModelSize
 
 # Demand in engine seconds per second below which a model counts as idle: that of a single long
 # prompt decays below this within a minute.
 IDLE_DEMAND = 0.02
+# Size of a model that no known configuration has named: nothing fits beside it.
+UNKNOWN_SIZE = ModelSize(math.inf, 0.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,7 +29,8 @@
     wait there, averaged over some seconds. ``recently_loaded`` models were loaded a moment ago.
     ``unanswered`` are models, and adapters as MODEL/NAME, that the engine may still load by orders
     that got no answer: they occupy memory and serve no requests. ``running`` counts the requests
-    there, by model without its adapters and by adapter as MODEL/NAME.
+    there, by model without its adapters and by adapter as MODEL/NAME. ``sizes`` are the sizes of
+    models there, where they may differ from those of the newest configuration.
     """
 
     key: str
@@ -42,6 +46,7 @@
     recently_loaded: frozenset[str] = frozenset()
     unanswered: frozenset[str] = frozenset()
     running: Mapping[str, int] = field(default_factory=dict)
+    sizes: Mapping[str, ModelSize] = field(default_factory=dict)
 
     def running_requests(self, model: str) -> int:
         """Return how many requests for a model and its adapters run there."""
@@ -186,15 +191,40 @@
 
         Memory for every adapter slot is always kept free: the load of an adapter then never depends
         on the models, and a load under way that is not known cannot overfill the engine. The same
-        holds for models whose load is unanswered.
+        holds for models whose load is unanswered. A new configuration may leave less than nothing.
         """
-        sizes = {name: model.weights_mb for name, model in self.spec.models.items()}
-        largest = max((model.adapter_mb for model in self.spec.models.values()), default=0.0)
-        capacity_mb = self.spec.weights_mb - self.spec.adapter_slots * largest
-        return {
-            key: capacity_mb - sum(sizes.get(name, 0.0) for name in engine.retained_items())
-            for key, engine in self.engines.items()
-        }
+        return {key: self.free_mb_without(engine, ()) for key, engine in self.engines.items()}
+
+    @cached_property
+    def _named_sizes(self) -> dict[str, ModelSize]:
+        """The sizes of the models that the newest configuration names."""
+        return {name: model.size for name, model in self.spec.models.items()}
+
+    @cached_property
+    def _largest_adapter_mb(self) -> float:
+        return max((size.adapter_mb for size in self._named_sizes.values()), default=0.0)
+
+    def free_mb_without(self, engine: EngineView, victims: Collection[str]) -> float:
+        """Return the free memory for models on an engine once some of its models are unloaded."""
+        return self._free_mb(engine, victims, self.spec.adapter_slots)
+
+    def fits_adapter(self, engine: EngineView, victims: Collection[str] = ()) -> bool:
+        """Return whether an engine has memory for one more adapter, once models are unloaded."""
+        if not victims and self.free_mb[engine.key] >= 0:
+            return True
+        return self._free_mb(engine, victims, 1 + count_adapters(engine)) >= 0
+
+    def _free_mb(self, engine: EngineView, victims: Collection[str], adapters: int) -> float:
+        """Return the free memory beside at least some adapters, and at least those there."""
+        items = engine.retained_items() - set(victims)
+        sizes = [self.size_of(engine, item) for item in items if "/" not in item]
+        largest = max([self._largest_adapter_mb, *(size.adapter_mb for size in sizes)])
+        slots = max(adapters, count_adapters(engine))
+        return self.spec.weights_mb - slots * largest - sum(size.weights_mb for size in sizes)
+
+    def size_of(self, engine: EngineView, model: str) -> ModelSize:
+        """Return what a model occupies on an engine that holds it, or may hold it."""
+        return engine.sizes.get(model) or self._named_sizes.get(model, UNKNOWN_SIZE)
 
     @cached_property
     def utilization(self) -> dict[str, float]:
@@ -237,6 +267,15 @@
         self.overloaded.clear()
 
 
+def count_adapters(engine: EngineView) -> int:
+    """Return how many adapter slots are occupied, or may be by an unanswered order."""
+    count = sum(map(len, engine.models.values()))
+    if engine.unanswered:
+        held = {f"{model}/{name}" for model, names in engine.models.items() for name in names}
+        count += sum("/" in item for item in engine.unanswered - held)
+    return count
+
+
 def model_demand(draft: Draft, model: str) -> Demand:
     """Return the demand for a model with all its adapters."""
     return draft.by_model.get(model, NO_DEMAND)
--- a/peridotdock/decisions/eviction.py
+++ b/peridotdock/decisions/eviction.py
@@ -49,17 +49,14 @@
     cannot know yet, and each unload waits for such requests to end.
     """
     needed = 0.0 if model.name in engine.unanswered else model.weights_mb
-    missing = needed - draft.free_mb[engine.key]
-    if missing <= 0:
+    if draft.free_mb[engine.key] >= needed:
         return ()
     if engine.unloading or level is EvictionLevel.NOTHING or not draft.running_known:
         return None
     victims = []
     for name in rank_victims(draft, engine, model.name, level):
-        spec = draft.spec.models.get(name)
         victims.append(name)
-        missing -= spec.weights_mb if spec else 0.0
-        if missing <= 0:
+        if draft.free_mb_without(engine, victims) >= needed:
             return victims
     return None
 
@@ -86,7 +83,9 @@
 ) -> Sequence[str]:
     """Compute which models on an engine may be evicted, least valuable first."""
     allowed = [n for n in engine.models if may_evict(draft, engine, n, wanted, level)]
-    return sorted(allowed, key=lambda name: copy_value(draft, engine, name))
+    return sorted(
+        allowed, key=lambda name: (name in draft.spec.models, copy_value(draft, engine, name))
+    )
 
 
 def may_evict(
@@ -97,10 +96,16 @@
     Failure guarded against: a copy in use is unloaded, its engine takes no order for five seconds
     until the last of its streams has ended, and meanwhile the model is requested again. A copy in
     use is therefore evicted only for requests that wait and find no other memory.
+
+    A model that the newest configuration does not name any more is spared only while it is used.
     """
-    if name in engine.loading or model_demand(draft, name).waiting:
-        return False
     used = in_use(draft, name) or engine.running_requests(name) > 0
+    if name in engine.loading:
+        return False
+    if name not in draft.spec.models:
+        return not used or level is EvictionLevel.USED
+    if model_demand(draft, name).waiting:
+        return False
     if level is EvictionLevel.USED:
         return not used or outweighs(draft, wanted, name)
     if used:
--- a/peridotdock/deployment.py
+++ b/peridotdock/deployment.py
@@ -60,6 +60,20 @@
         return self.kind is RouteKind.STREAM
 
 
+@dataclass(frozen=True, slots=True)
+class ModelSize:
+    """What a model and each of its adapters occupy on an engine, in megabytes."""
+
+    weights_mb: float
+    adapter_mb: float
+
+    def largest(self, other: "ModelSize") -> "ModelSize":
+        """Return the larger of each of two sizes."""
+        return ModelSize(
+            max(self.weights_mb, other.weights_mb), max(self.adapter_mb, other.adapter_mb)
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class Model:
     """A model that an engine can load, with its sizes and load times.
@@ -76,6 +90,11 @@
     adapters: int
     adapter_mb: float
 
+    @property
+    def size(self) -> ModelSize:
+        """What the model occupies where it is loaded by this configuration."""
+        return ModelSize(self.weights_mb, self.adapter_mb)
+
 
 @dataclass(frozen=True, slots=True)
 class EngineSpec:
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -449,6 +449,8 @@
             for event in events:
                 event.clear()
             deployment = self.request_handler.deployment
+            if deployment is not None:
+                self.orderer.follow_deployment(deployment)
             if deployment is not None and self.leadership.holds():
                 began = self.ctx.clock.monotonic()
                 await self._try_plan(deployment)
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -14,7 +14,7 @@
     OrderAnswer,
 )
 from peridotdock.context import Context
-from peridotdock.decisions.draft import Demand, Step
+from peridotdock.decisions.draft import Demand, EngineView, Step
 from peridotdock.decisions.loads import LoadRateLimiter
 from peridotdock.decisions.permits import NO_WAIT, Permit
 from peridotdock.decisions.placing import make_plan
@@ -22,6 +22,7 @@
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.leadership import Leadership
+from peridotdock.relay.model_sizes import ModelSizes
 from peridotdock.relay.records import NO_REQUESTS, EngineRecord, order_seconds
 from peridotdock.relay.requests import EndpointEntry
 from peridotdock.relay.settings import Bounds
@@ -90,6 +91,8 @@
         self._leadership = leadership
         self._bounds = bounds
         self._load_limiters: dict[str, LoadRateLimiter] = {}
+        self._sizes: dict[str, ModelSizes] = {}
+        self._specs: dict[str, EngineSpec] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._reservations: dict[str, Reservation] = {}
         self._unanswered = UnansweredOrders()
@@ -117,6 +120,7 @@
         ``down`` are endpoints that some host could not connect to, or that refused a request for an
         item that they were listed with: reading their report shows their state.
         """
+        self.follow_deployment(deployment)
         if not self._leadership.holds():
             return
         if self._term != self._leadership.term:
@@ -127,6 +131,16 @@
             if service.engine is not None:
                 self._plan(service, service.engine, demand, running)
 
+    def follow_deployment(self, deployment: Deployment) -> None:
+        """Apply the newest configuration: sizes of models, also while another host orders."""
+        self._specs = {
+            service.name: service.engine
+            for service in deployment.services.values()
+            if service.engine is not None
+        }
+        for name, spec in self._specs.items():
+            self._sizes.setdefault(name, ModelSizes()).follow(spec)
+
     def _take_over(self, deployment: Deployment) -> None:
         """Reset all state: what the previous holder had in progress is unknown."""
         self._term = self._leadership.term
@@ -233,12 +247,9 @@
             return
         for record in records:
             record.pressure.update(self._pending_tokens(record, now), now)
+            record.follow_sizes(self._sizes[service.name])
         views = [
-            record.view(
-                now,
-                self.unanswered_items(record),
-                running.get(record.entry.endpoint_id, NO_REQUESTS),
-            )
+            self._view(record, running.get(record.entry.endpoint_id, NO_REQUESTS), now)
             for record in records
         ]
         excluded = {
@@ -273,6 +284,13 @@
             record.in_flight = True
             self._spawn(self._execute(record, service, spec, step))
 
+    def _view(self, record: EngineRecord, running: Mapping[str, int], now: float) -> EngineView:
+        """Return an engine as plans see it."""
+        unanswered = self.unanswered_items(record)
+        known = self._sizes[record.entry.service]
+        sizes = {item: size for item in unanswered if (size := known.largest(item)) is not None}
+        return record.view(now, unanswered, running, sizes)
+
     def _is_leaving(self, record: EngineRecord) -> bool:
         """Return whether an engine drains: nothing is loaded there, and its copies don't count."""
         state = self._fleet.states.get(record.entry.endpoint_id)
@@ -372,13 +390,21 @@
             self._load_limiter(service).record(begun)
         try:
             engine = record.entry.endpoint_id
-            if not await self._permitted(record) or not self._leadership.may_order(engine):
-                self._load_limiter(service).undo(begun)
+            if (
+                not await self._permitted(record)
+                or not self._leadership.may_order(engine)
+                or self._specs.get(service.name) is not spec
+            ):
+                # A plan is not carried out once a newer configuration has come.
+                self._undo_load(service, begun)
                 return
             self._leadership.record_order(engine)
+            record.order_sent(order, spec)
             outcome = await self._send_order(record, order)
             if outcome in REJECTED:
-                self._load_limiter(service).undo(begun)
+                self._undo_load(service, begun)
+            elif outcome is OrderAnswer.ACCEPTED and loads and model:
+                record.sizes[step.model] = model.size
             # Logged before the pauses that follow some answers, so that the log line has the right
             # time.
             self._log_order(record, step, order, outcome)
@@ -387,6 +413,12 @@
             record.in_flight = False
             self.changed.set()
 
+    def _undo_load(self, service: Service, begun: float) -> None:
+        """Remove a load that its engine has not begun from the count."""
+        found = self._load_limiters.get(service.name)
+        if found is not None:
+            found.undo(begun)
+
     async def _send_order(self, record: EngineRecord, order: EngineOrder) -> OrderAnswer | Failure:
         """Send an order; one without an answer may reach a later start of the engine."""
         key = record.entry.endpoint_id
--- a/peridotdock/relay/records.py
+++ b/peridotdock/relay/records.py
@@ -7,8 +7,9 @@
 from peridotdock.averages import MovingAverage
 from peridotdock.clients.engines import Action, EngineOrder, EngineState
 from peridotdock.decisions.draft import EngineView
-from peridotdock.deployment import EngineSpec
+from peridotdock.deployment import EngineSpec, ModelSize
 from peridotdock.relay.fleet import load_seconds
+from peridotdock.relay.model_sizes import ModelSizes
 from peridotdock.relay.requests import EndpointEntry
 from peridotdock.schema.messages import EngineNews
 
@@ -28,6 +29,7 @@
 
 
 NO_REQUESTS: Mapping[str, int] = MappingProxyType({})
+NO_SIZES: Mapping[str, ModelSize] = MappingProxyType({})
 
 
 @dataclass
@@ -43,6 +45,9 @@
     ``unreported`` is set until the first report. ``needs_report`` is set while the count is
     unknown: at first, and after an order without an answer. The engine's report resolves it;
     ``unreachable`` is set when the report can't be read because nothing listens there.
+
+    ``sizes`` are the largest sizes that models have had since they were loaded there: a new
+    configuration changes nothing in an engine's memory.
     """
 
     entry: EndpointEntry
@@ -55,6 +60,7 @@
     needs_report: bool = True
     unreported: bool = True
     unreachable: bool = False
+    sizes: dict[str, ModelSize] = field(default_factory=dict)
     loaded_at: dict[str, float] = field(default_factory=dict)
     pressure: MovingAverage = field(default_factory=lambda: MovingAverage(PRESSURE_SECONDS))
     ordered_at: float = float("-inf")
@@ -143,6 +149,19 @@
         else:
             self.unloading[order.model] = now
 
+    def follow_sizes(self, known: ModelSizes) -> None:
+        """Record the sizes of what the engine holds, so that they outlive the configuration."""
+        for name in {*self.models, *self.loading}:
+            size = self.sizes.get(name) or known.largest(name)
+            if size is not None:
+                self.sizes[name] = size.largest(known.newest.get(name, size))
+
+    def order_sent(self, order: EngineOrder, spec: EngineSpec) -> None:
+        """Record the size of a model that is ordered; without an answer it may be there or not."""
+        model = spec.models.get(order.model)
+        if model is not None and order.action is Action.LOAD:
+            self.sizes[order.model] = model.size.largest(self.sizes.get(order.model, model.size))
+
     def report_due(self, now: float) -> bool:
         """Return whether a report is needed to know the engine's state."""
         overdue = any(at + LOAD_SLACK_SECONDS < now for at in self.loading.values())
@@ -158,11 +177,12 @@
         now: float,
         unanswered: frozenset[str] = frozenset(),
         running: Mapping[str, int] = NO_REQUESTS,
+        unanswered_sizes: Mapping[str, ModelSize] = NO_SIZES,
     ) -> EngineView:
         """Return the engine as plans see it.
 
-        ``unanswered`` are the items that it may still load by lost orders, ``running`` the requests
-        there by item.
+        ``unanswered`` are the items that it may still load by lost orders, ``unanswered_sizes`` the
+        sizes of their models, and ``running`` the requests there by item.
         """
         models = {name: frozenset(adapters) for name, adapters in self.models.items()}
         models |= {name: frozenset() for name in self.loading if name not in models}
@@ -179,6 +199,7 @@
             freeing_adapter=bool(self.freeing_adapters),
             unanswered=unanswered,
             running=running,
+            sizes={**unanswered_sizes, **self.sizes},
             recently_loaded=frozenset(
                 name for name, at in self.loaded_at.items() if now - at < SETTLING_SECONDS
             ),
