Apply a new rate of loads from the weight store at once

Callers saw: nothing yet; more loads began than the newest configuration allowed, or fewer. Cause: Orderer made one limiter for a service and kept its first rate. Change: the limiter gets the rate of the newest configuration whenever it is used; loads that began before the change still count. Result: LoadRateTest.test_a_new_rate_of_loads_applies_at_once failed with the limiter unchanged (both parameters: it still allowed what the old rate allows) and passes; 2 of 2. Conclusion: a class of its own, state made once from a configuration; in the orders' code no other such state was found (capacity, sizes and load times are read from each plan's configuration).

--- a/peridotdock/decisions/loads.py
+++ b/peridotdock/decisions/loads.py
@@ -22,11 +22,17 @@
     """Loads started recently, over all engines. Times are seconds of any monotonic clock."""
 
     def __init__(self, per_second: float, window: float, over: float):
-        self._max_loads = max(1, int(per_second * window * over + EXTRA_LOADS) - RESERVED_LOADS)
+        self._per_window = window * over
+        self.set_rate(per_second)
         # One second of slack for the time that an order takes to reach its engine.
         self._window = window + 1.0
         self._started: deque[float] = deque()
 
+    def set_rate(self, per_second: float) -> None:
+        """Apply the rate of the newest configuration; what started before still counts."""
+        most = int(per_second * self._per_window + EXTRA_LOADS) - RESERVED_LOADS
+        self._max_loads = max(1, most)
+
     def available(self, now: float) -> int:
         """Return how many loads may start now."""
         while self._started and self._started[0] <= now - self._window:
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -186,6 +186,7 @@
                 service.engine.loads_per_second, bounds.loads_window, bounds.loads_over
             )
             self._load_limiters[service.name] = found
+        found.set_rate(self._specs[service.name].loads_per_second)
         return found
 
     def recent_loads(self) -> dict[str, tuple[float, ...]]:
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -177,6 +177,14 @@
 
 
 class LoadRateLimiterTest(unittest.TestCase):
+    def test_a_new_rate_applies_to_what_was_started_before_it(self):
+        """Guards against more loads than the newest configuration allows."""
+        limiter = LoadRateLimiter(2.0, 5.0, 1.0)
+        most = limiter.available(0.0)
+        limiter.record(0.0)
+        limiter.set_rate(1.0)
+        self.assertEqual(most - 5 - 1, limiter.available(0.0))
+
     def test_loads_in_any_window_stay_within_the_bound(self):
         limiter, begun, now = LoadRateLimiter(1.1, 5.0, 1.1), [], 0.0
         for step in range(600):
--- a/tests/relay/test_model_changes.py
+++ b/tests/relay/test_model_changes.py
@@ -9,6 +9,7 @@
 
 from peridotdock.clients.engines import OrderAnswer
 from peridotdock.decisions.draft import Demand
+from peridotdock.decisions.loads import LoadRateLimiter
 from peridotdock.deployment import Deployment, Service
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.ordering import Orderer
@@ -154,3 +155,24 @@
         self.assertEqual(0, played.engine.overfilled)
         self.assertIn(played.wanted[0], played.engine.models)
         self.assertGreater(played.engine.seq, 15)
+
+
+async def loads_after_change(rate):
+    """Return how many loads may begin once a configuration has changed their rate."""
+    clock, rng = FakeClock(), random.Random(1)
+    fleet, engine = RelayFleet("north", clock), SizedEngine(clock, rng)
+    orderer = Orderer(make_ctx(clock), fleet, engine, PermanentLease(), BOUNDS)
+    for number in (4.0, rate):
+        spec = replace(SPEC, loads_per_second=number)
+        deployment = Deployment(1, {"s": Service("s", "", 0, spec)}, None, {})
+        orderer.plan_orders(deployment, {}, (), {})
+        limiter = orderer._load_limiter(deployment.services["s"])
+    return limiter.available(clock.monotonic())
+
+
+class LoadRateTest(unittest.TestCase):
+    @params(0.1, 40.0)
+    def test_a_new_rate_of_loads_applies_at_once(self, rate):
+        """Guards against more loads from the weight store than the newest configuration allows."""
+        limiter = LoadRateLimiter(rate, BOUNDS.loads_window, BOUNDS.loads_over)
+        self.assertEqual(limiter.available(0.0), asyncio.run(loads_after_change(rate)))
