Hand the sizes of held models on in the lease's row

Cause: what a host remembers ends with it. Change: the holder writes the sizes of all held models into the lease's row; a new holder reads them before it writes its own, and hands them on for 30 s. Conclusion: what remains is a change and a loss within one renewal, and a store that has lost the row.

--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -225,6 +225,8 @@
             ctx, self.store, self.leadership.holds, self.blocklist
         )
         self.orderer = Orderer(ctx, self.fleet, engines, self.leadership, settings.bounds)
+        self.leadership.make_sizes = self.orderer.make_sizes
+        self.leadership.on_sizes = self.orderer.learn_sizes
         self.orderer.find_holder_loads = self.peers.holder_loads
         self.orderer.request_permit = self.permits.request_by_key
         self.orderer.on_lost = self.connectivity.record_lost
--- a/peridotdock/relay/leadership.py
+++ b/peridotdock/relay/leadership.py
@@ -14,7 +14,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import asdict, dataclass, field, replace
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from peridotdock.clients.http import DEAD_PEER_SECONDS
 from peridotdock.clients.platform import Platform, Row, Transaction, commit_and_resolve
@@ -74,7 +74,8 @@
     another host to the same engine. ``address`` is this host's address, which shows whether the
     holder in the row was an earlier process of this host; ``holder_address`` is the one in the row
     when it was last read. ``count_hosts`` returns the number of hosts, which the holder writes into
-    the row; ``host_count`` is the one that was read.
+    the row; ``host_count`` is the one that was read. ``make_sizes`` returns the sizes of models for
+    the row, and ``on_sizes`` gets those that were read.
     """
 
     def __init__(
@@ -116,6 +117,8 @@
         self.term = 0
         self.resigned_term = 0
         self.holder_address = ""
+        self.make_sizes: Callable[[], Mapping[str, Any]] = dict
+        self.on_sizes: Callable[[Any], None] = lambda raw: None
         self.count_hosts: Callable[[], int] = lambda: 0
         self.host_count = 0
 
@@ -307,6 +310,7 @@
         if wait is None:
             return
         term = self._next_term(row)
+        self.on_sizes(row.value.get("sizes") if row else None)
         # Set before the row is written, as the row includes the remaining waits.
         self._orders_from = now + wait.wait
         self._engines_from = {engine: now + more for engine, more in wait.engines.items()}
@@ -405,6 +409,7 @@
             "term": term,
             "hosts": self.count_hosts(),
             "acts_until": None if at_most is None else at_most + HOLDER_ACT_SECONDS,
+            "sizes": self.make_sizes(),
             "handover": asdict(self.handover()),
             "inherited": asdict(self.inherited_handover()),
         }
--- a/peridotdock/relay/model_sizes.py
+++ b/peridotdock/relay/model_sizes.py
@@ -1,6 +1,7 @@
 """The sizes of all models that a configuration has named, also of those it names no longer."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from typing import Any
 
 from peridotdock.deployment import EngineSpec, ModelSize
 
@@ -26,6 +27,30 @@
         for name, size in self.newest.items():
             self._largest[name] = size.largest(self._largest.get(name, size))
 
+    def learn(self, name: str, size: ModelSize) -> None:
+        """Record a size that an earlier holder of the lease has handed on."""
+        self._largest[name] = size.largest(self._largest.get(name, size))
+
     def largest(self, name: str) -> ModelSize | None:
         """Return the largest size that a model has had; None where no configuration named it."""
         return self._largest.get(name)
+
+
+def encode_sizes(sizes: Mapping[str, Mapping[str, ModelSize]]) -> dict[str, Any]:
+    """Return sizes by service and model as they stand in the lease's row."""
+    return {
+        service: {name: [size.weights_mb, size.adapter_mb] for name, size in rows.items()}
+        for service, rows in sizes.items()
+    }
+
+
+def decode_sizes(raw: Any) -> Iterator[tuple[str, str, ModelSize]]:
+    """Yield service, model and size from the lease's row; what can't be read is left out."""
+    rows = raw.items() if isinstance(raw, dict) else ()
+    for service, sizes in rows:
+        for name, found in sizes.items() if isinstance(sizes, dict) else ():
+            try:
+                weights_mb, adapter_mb = map(float, found)
+            except (TypeError, ValueError):
+                continue
+            yield service, name, ModelSize(weights_mb, adapter_mb)
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -18,11 +18,11 @@
 from peridotdock.decisions.loads import LoadRateLimiter
 from peridotdock.decisions.permits import NO_WAIT, Permit
 from peridotdock.decisions.placing import make_plan
-from peridotdock.deployment import Deployment, EngineSpec, Service
+from peridotdock.deployment import Deployment, EngineSpec, ModelSize, Service
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.leadership import Leadership
-from peridotdock.relay.model_sizes import ModelSizes
+from peridotdock.relay.model_sizes import ModelSizes, decode_sizes, encode_sizes
 from peridotdock.relay.records import NO_REQUESTS, EngineRecord, order_seconds
 from peridotdock.relay.requests import EndpointEntry
 from peridotdock.relay.settings import Bounds
@@ -51,6 +51,9 @@
 # Seconds between two reports of an engine that hosts publish as unreachable while the lease holder
 # reads its reports.
 DOWN_REPORT_SECONDS = 1.0
+# Seconds for which a new holder hands on all sizes that it has inherited: the engines that it has
+# not heard of by then have lost their entries.
+INHERITED_SIZES_SECONDS = 30.0
 # Answers that mean that an order is not carried out, now or later.
 REJECTED = frozenset(
     {OrderAnswer.BUSY, OrderAnswer.REFUSED, OrderAnswer.FENCED, OrderAnswer.WRONG_ENGINE}
@@ -93,6 +96,7 @@
         self._load_limiters: dict[str, LoadRateLimiter] = {}
         self._sizes: dict[str, ModelSizes] = {}
         self._specs: dict[str, EngineSpec] = {}
+        self._inherited_sizes: dict[str, dict[str, ModelSize]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._reservations: dict[str, Reservation] = {}
         self._unanswered = UnansweredOrders()
@@ -141,6 +145,28 @@
         for name, spec in self._specs.items():
             self._sizes.setdefault(name, ModelSizes()).follow(spec)
 
+    def learn_sizes(self, raw: Any) -> None:
+        """Record the sizes in the lease's row, which may be older than this host."""
+        self._inherited_sizes = {}
+        for service, name, size in decode_sizes(raw):
+            self._inherited_sizes.setdefault(service, {})[name] = size
+            self._sizes.setdefault(service, ModelSizes()).learn(name, size)
+
+    def make_sizes(self) -> dict[str, Any]:
+        """Return the sizes of all held models for the lease's row.
+
+        Failure guarded against: a configuration gives a held model another size, and a host that
+        knows that configuration alone fills the engine by it.
+        """
+        taken_over = self._term == self._leadership.term
+        settled = taken_over and self._ctx.clock.monotonic() - self._began > INHERITED_SIZES_SECONDS
+        found = {} if settled else {name: dict(row) for name, row in self._inherited_sizes.items()}
+        for record in self.records.values():
+            rows = found.setdefault(record.entry.service, {})
+            for name, size in record.held_sizes().items():
+                rows[name] = size.largest(rows.get(name, size))
+        return encode_sizes(found)
+
     def _take_over(self, deployment: Deployment) -> None:
         """Reset all state: what the previous holder had in progress is unknown."""
         self._term = self._leadership.term
--- a/peridotdock/relay/records.py
+++ b/peridotdock/relay/records.py
@@ -156,6 +156,10 @@
             if size is not None:
                 self.sizes[name] = size.largest(known.newest.get(name, size))
 
+    def held_sizes(self) -> dict[str, ModelSize]:
+        """Return the known sizes of what the engine holds."""
+        return {name: self.sizes[name] for name in {*self.models, *self.loading} & {*self.sizes}}
+
     def order_sent(self, order: EngineOrder, spec: EngineSpec) -> None:
         """Record the size of a model that is ordered; without an answer it may be there or not."""
         model = spec.models.get(order.model)
--- a/tests/relay/test_model_changes.py
+++ b/tests/relay/test_model_changes.py
@@ -10,6 +10,7 @@
 from peridotdock.clients.engines import OrderAnswer
 from peridotdock.decisions.draft import Demand
 from peridotdock.decisions.loads import LoadRateLimiter
+from peridotdock.decisions.permits import NO_WAIT
 from peridotdock.deployment import Deployment, Service
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.ordering import Orderer
@@ -94,12 +95,22 @@
 
     async def take_over(self):
         """Let the other host order, which has followed the configurations meanwhile."""
+        row = self.orderer.make_sizes()
         await self.orderer.stop()
         self.orderer, self.standby = self.standby, self.orderer
+        self.orderer.learn_sizes(row if self.resizes else {})
         self.terms += 1
         for lease in self.leases:
             lease.term = self.terms
 
+    async def replace_host(self):
+        """Replace the host that orders by one that has only read the lease's row."""
+        row = self.orderer.make_sizes()
+        await self.orderer.stop()
+        self.terms += 1
+        self.start_host()
+        self.orderer.learn_sizes(row if self.resizes else {})
+
     def change_spec(self):
         spec = random_spec(self.rng, self.resizes)
         self.engine.spec = spec
@@ -127,8 +138,8 @@
                 self.change_demand()
             if self.rng.random() < CHANGE_SHARE:
                 await self.take_over()
-                if not self.resizes:
-                    self.start_host()
+            if self.rng.random() < CHANGE_SHARE:
+                await self.replace_host()
             await self.step()
         self.wanted = [next(iter(self.deployment.services["s"].engine.models))]
         for _ in range(CALM_STEPS):
@@ -148,8 +159,9 @@
     def test_no_engine_is_overfilled_and_what_is_requested_is_loaded(self, seed, resizes):
         """Guards against engines that crash all at once when a model is left out or resized.
 
-        Configurations name other models, or give other sizes to those that are held; in the first
-        case the host that orders is replaced too, by one that has never seen an older version.
+        Configurations name other models, or give other sizes to those that are held; the host
+        that orders is replaced by one that has never seen an older version, and in the first case
+        does not know of them by the lease's row either.
         """
         played = asyncio.run(play(seed, resizes))
         self.assertEqual(0, played.engine.overfilled)
@@ -176,3 +188,36 @@
         """Guards against more loads from the weight store than the newest configuration allows."""
         limiter = LoadRateLimiter(rate, BOUNDS.loads_window, BOUNDS.loads_over)
         self.assertEqual(limiter.available(0.0), asyncio.run(loads_after_change(rate)))
+
+
+async def orders_after_change():
+    """Plan an order that has to wait, and change the configuration; return the orders accepted."""
+    clock, may_call = FakeClock(), asyncio.Event()
+    fleet, engine = RelayFleet("north", clock), SizedEngine(clock, random.Random(1))
+    orderer = Orderer(make_ctx(clock), fleet, engine, PermanentLease(), BOUNDS)
+
+    async def wait_for_permit(key):
+        await may_call.wait()
+        return NO_WAIT
+
+    fleet.replace([engine.entry()])
+    before, after = (
+        Deployment(1, {"s": Service("s", "", 0, replace(SPEC, weights_mb=size))}, None, {})
+        for size in (SPEC.weights_mb, 50.0)
+    )
+    orderer.plan_orders(before, {"m0": Demand(1, 0.1)}, (), {})
+    await settle()
+    orderer.request_permit = wait_for_permit
+    orderer.plan_orders(before, {"m0": Demand(1, 0.1)}, (), {})
+    await settle()
+    orderer.follow_deployment(after)
+    may_call.set()
+    await settle()
+    await orderer.stop()
+    return engine.seq
+
+
+class PlannedOrderTest(unittest.TestCase):
+    def test_an_order_planned_by_an_older_configuration_is_not_sent(self):
+        """Guards against an engine overfilled by a plan that waited while the sizes changed."""
+        self.assertEqual(0, asyncio.run(orders_after_change()))
--- a/tests/relay/test_ordering.py
+++ b/tests/relay/test_ordering.py
@@ -316,6 +316,16 @@
         self.assertTrue(hosts.all[2].holds())
         self.assertFalse(hosts.all[2].may_order("e1"))
 
+    def test_sizes_of_models_are_handed_on_in_the_row(self):
+        """Guards against a new holder that fills engines by a size that came after their loads."""
+        hosts, found = Hosts(), []
+        hosts.all[0].make_sizes = lambda: {"s": {"m0": [60.0, 1.0]}}
+        hosts.all[1].on_sizes = found.append
+        hosts.step(0, 1)
+        hosts.step(1, after=LEASE_LAPSE_SECONDS)
+        self.assertTrue(hosts.all[1].holds())
+        self.assertEqual({"s": {"m0": [60.0, 1.0]}}, found[-1])
+
     def test_a_restarted_holder_keeps_inherited_waits(self):
         """Guards against alternating orders of two hosts when the second restarted in between."""
         hosts = Hosts(1)
