Compute the memory that unloads free once a plan

Cause: the memory on an engine was added up again for each model that might be loaded there. Change: it is kept for a plan by engine and models unloaded, as what engines hold doesn't change then.

--- a/peridotdock/decisions/draft.py
+++ b/peridotdock/decisions/draft.py
@@ -122,8 +122,9 @@
     ``running_known`` is set when the requests that run on engines are known. ``stream_seconds`` is
     how long a request runs on an engine on average.
 
-    ``overloaded``, ``copy_values`` and ``victims`` cache results: by model, by engine and model,
-    and by engine, eviction level and whether the model to load is overloaded.
+    ``overloaded``, ``copy_values``, ``victims`` and ``freed_mb`` cache results: by model, by engine
+    and model, by engine, eviction level and whether the model to load is overloaded, and by engine
+    and models unloaded.
     """
 
     spec: EngineSpec
@@ -140,6 +141,7 @@
     overloaded: dict[str, bool] = field(default_factory=dict)
     copy_values: dict[tuple[str, str], float] = field(default_factory=dict)
     victims: dict[tuple[str, int, bool], Sequence[str]] = field(default_factory=dict)
+    freed_mb: dict[tuple[str, tuple[str, ...]], float] = field(default_factory=dict)
 
     def demand_for(self, item: str) -> Demand:
         """Return the demand for an item."""
@@ -206,7 +208,10 @@
 
     def free_mb_without(self, engine: EngineView, victims: Collection[str]) -> float:
         """Return the free memory for models on an engine once some of its models are unloaded."""
-        return self._free_mb(engine, victims, self.spec.adapter_slots)
+        key = engine.key, tuple(victims)
+        if key not in self.freed_mb:
+            self.freed_mb[key] = self._free_mb(engine, victims, self.spec.adapter_slots)
+        return self.freed_mb[key]
 
     def fits_adapter(self, engine: EngineView, victims: Collection[str] = ()) -> bool:
         """Return whether an engine has memory for one more adapter, once models are unloaded."""
