Count a held model as the holder before knew it

After a change of the holder, a model that had become smaller and was loaded again would have counted by its largest size, and others would have been unloaded for what fits. Cause: a new holder counted each held model by the largest size of all versions that it had seen. Change: where the lease's row tells the size, that one counts, or the newest where it is larger. Conclusion: sizes that were handed on are better than sizes that were seen.

--- a/peridotdock/relay/model_sizes.py
+++ b/peridotdock/relay/model_sizes.py
@@ -16,6 +16,7 @@
     def __init__(self) -> None:
         self._spec: EngineSpec | None = None
         self._largest: dict[str, ModelSize] = {}
+        self.inherited: Mapping[str, ModelSize] = {}
         self.newest: Mapping[str, ModelSize] = {}
 
     def follow(self, spec: EngineSpec) -> None:
@@ -27,9 +28,19 @@
         for name, size in self.newest.items():
             self._largest[name] = size.largest(self._largest.get(name, size))
 
-    def learn(self, name: str, size: ModelSize) -> None:
-        """Record a size that an earlier holder of the lease has handed on."""
-        self._largest[name] = size.largest(self._largest.get(name, size))
+    def inherit(self, sizes: Mapping[str, ModelSize]) -> None:
+        """Record the sizes of the models that engines hold, as the holder before knew them."""
+        self.inherited = sizes
+        for name, size in sizes.items():
+            self._largest[name] = size.largest(self._largest.get(name, size))
+
+    def held(self, name: str) -> ModelSize | None:
+        """Return the size of a model that an engine holds and that this host did not load.
+
+        Failure guarded against: a model became smaller and was loaded again, and each new holder
+        counts it by its largest size and unloads others for what would fit.
+        """
+        return self.inherited.get(name) or self._largest.get(name)
 
     def largest(self, name: str) -> ModelSize | None:
         """Return the largest size that a model has had; None where no configuration named it."""
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -150,7 +150,9 @@
         self._inherited_sizes = {}
         for service, name, size in decode_sizes(raw):
             self._inherited_sizes.setdefault(service, {})[name] = size
-            self._sizes.setdefault(service, ModelSizes()).learn(name, size)
+        for service in {*self._sizes, *self._inherited_sizes}:
+            sizes = self._inherited_sizes.get(service, {})
+            self._sizes.setdefault(service, ModelSizes()).inherit(sizes)
 
     def make_sizes(self) -> dict[str, Any]:
         """Return the sizes of all held models for the lease's row.
--- a/peridotdock/relay/records.py
+++ b/peridotdock/relay/records.py
@@ -152,7 +152,7 @@
     def follow_sizes(self, known: ModelSizes) -> None:
         """Record the sizes of what the engine holds, so that they outlive the configuration."""
         for name in {*self.models, *self.loading}:
-            size = self.sizes.get(name) or known.largest(name)
+            size = self.sizes.get(name) or known.held(name)
             if size is not None:
                 self.sizes[name] = size.largest(known.newest.get(name, size))
 
--- a/tests/relay/test_model_changes.py
+++ b/tests/relay/test_model_changes.py
@@ -11,8 +11,9 @@
 from peridotdock.decisions.draft import Demand
 from peridotdock.decisions.loads import LoadRateLimiter
 from peridotdock.decisions.permits import NO_WAIT
-from peridotdock.deployment import Deployment, Service
+from peridotdock.deployment import Deployment, ModelSize, Service
 from peridotdock.relay.fleet import RelayFleet
+from peridotdock.relay.model_sizes import ModelSizes
 from peridotdock.relay.ordering import Orderer
 from tests.builders import make_ctx
 from tests.fakes import FakeClock, PermanentLease, settle
@@ -221,3 +222,18 @@
     def test_an_order_planned_by_an_older_configuration_is_not_sent(self):
         """Guards against an engine overfilled by a plan that waited while the sizes changed."""
         self.assertEqual(0, asyncio.run(orders_after_change()))
+
+
+class ModelSizesTest(unittest.TestCase):
+    @params(
+        ("loaded again since", {"m0": ModelSize(20.0, 1.0)}, 20.0),
+        ("not loaded again", {"m0": ModelSize(90.0, 1.0)}, 90.0),
+        ("not told", {}, 90.0),
+    )
+    def test_a_held_model_counts_as_the_holder_before_knew_it(self, name, inherited, expected):
+        """Guards against models that are unloaded for others that would have fitted."""
+        sizes = ModelSizes()
+        for size in (90.0, 20.0):
+            sizes.follow(replace(SPEC, models={"m0": model("m0", size)}))
+        sizes.inherit(inherited)
+        self.assertEqual(expected, sizes.held("m0").weights_mb, name)
