--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -225,6 +225,8 @@
             ctx, self.store, self.leadership.holds, self.blocklist
         )
         self.orderer = Orderer(ctx, self.fleet, engines, self.leadership, settings.bounds)
+        self.leadership.make_sizes = self.orderer.make_sizes
+        self.leadership.on_sizes = self.orderer.learn_sizes
         self.orderer.find_holder_loads = self.peers.holder_loads
         self.orderer.request_permit = self.permits.request_by_key
         self.orderer.on_lost = self.connectivity.record_lost
@@ -449,6 +451,8 @@
             for event in events:
                 event.clear()
             deployment = self.request_handler.deployment
+            if deployment is not None:
+                self.orderer.follow_deployment(deployment)
             if deployment is not None and self.leadership.holds():
                 began = self.ctx.clock.monotonic()
                 await self._try_plan(deployment)
--- a/peridotdock/relay/ordering.py
+++ b/peridotdock/relay/ordering.py
@@ -14,14 +14,15 @@
     OrderAnswer,
 )
 from peridotdock.context import Context
-from peridotdock.decisions.draft import Demand, Step
+from peridotdock.decisions.draft import Demand, EngineView, Step
 from peridotdock.decisions.loads import LoadRateLimiter
 from peridotdock.decisions.permits import NO_WAIT, Permit
 from peridotdock.decisions.placing import make_plan
-from peridotdock.deployment import Deployment, EngineSpec, Service
+from peridotdock.deployment import Deployment, EngineSpec, ModelSize, Service
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.leadership import Leadership
+from peridotdock.relay.model_sizes import ModelSizes, decode_sizes, encode_sizes
 from peridotdock.relay.records import NO_REQUESTS, EngineRecord, order_seconds
 from peridotdock.relay.requests import EndpointEntry
 from peridotdock.relay.settings import Bounds
@@ -50,6 +51,9 @@
 # Seconds between two reports of an engine that hosts publish as unreachable while the lease holder
 # reads its reports.
 DOWN_REPORT_SECONDS = 1.0
+# Seconds for which a new holder hands on all sizes that it has inherited: the engines that it has
+# not heard of by then have lost their entries.
+INHERITED_SIZES_SECONDS = 30.0
 # Answers that mean that an order is not carried out, now or later.
 REJECTED = frozenset(
     {OrderAnswer.BUSY, OrderAnswer.REFUSED, OrderAnswer.FENCED, OrderAnswer.WRONG_ENGINE}
@@ -90,6 +94,9 @@
         self._leadership = leadership
         self._bounds = bounds
         self._load_limiters: dict[str, LoadRateLimiter] = {}
+        self._sizes: dict[str, ModelSizes] = {}
+        self._specs: dict[str, EngineSpec] = {}
+        self._inherited_sizes: dict[str, dict[str, ModelSize]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._reservations: dict[str, Reservation] = {}
         self._unanswered = UnansweredOrders()
@@ -117,6 +124,7 @@
         ``down`` are endpoints that some host could not connect to, or that refused a request for an
         item that they were listed with: reading their report shows their state.
         """
+        self.follow_deployment(deployment)
         if not self._leadership.holds():
             return
         if self._term != self._leadership.term:
@@ -127,6 +135,40 @@
             if service.engine is not None:
                 self._plan(service, service.engine, demand, running)
 
+    def follow_deployment(self, deployment: Deployment) -> None:
+        """Apply the newest configuration: sizes of models, also while another host orders."""
+        self._specs = {
+            service.name: service.engine
+            for service in deployment.services.values()
+            if service.engine is not None
+        }
+        for name, spec in self._specs.items():
+            self._sizes.setdefault(name, ModelSizes()).follow(spec)
+
+    def learn_sizes(self, raw: Any) -> None:
+        """Record the sizes in the lease's row, which may be older than this host."""
+        self._inherited_sizes = {}
+        for service, name, size in decode_sizes(raw):
+            self._inherited_sizes.setdefault(service, {})[name] = size
+        for service in {*self._sizes, *self._inherited_sizes}:
+            sizes = self._inherited_sizes.get(service, {})
+            self._sizes.setdefault(service, ModelSizes()).inherit(sizes)
+
+    def make_sizes(self) -> dict[str, Any]:
+        """Return the sizes of all held models for the lease's row.
+
+        Failure guarded against: a configuration gives a held model another size, and a host that
+        knows that configuration alone fills the engine by it.
+        """
+        taken_over = self._term == self._leadership.term
+        settled = taken_over and self._ctx.clock.monotonic() - self._began > INHERITED_SIZES_SECONDS
+        found = {} if settled else {name: dict(row) for name, row in self._inherited_sizes.items()}
+        for record in self.records.values():
+            rows = found.setdefault(record.entry.service, {})
+            for name, size in record.held_sizes().items():
+                rows[name] = size.largest(rows.get(name, size))
+        return encode_sizes(found)
+
     def _take_over(self, deployment: Deployment) -> None:
         """Reset all state: what the previous holder had in progress is unknown."""
         self._term = self._leadership.term
@@ -172,6 +214,7 @@
                 service.engine.loads_per_second, bounds.loads_window, bounds.loads_over
             )
             self._load_limiters[service.name] = found
+        found.set_rate(self._specs[service.name].loads_per_second)
         return found
 
     def recent_loads(self) -> dict[str, tuple[float, ...]]:
@@ -233,12 +276,9 @@
             return
         for record in records:
             record.pressure.update(self._pending_tokens(record, now), now)
+            record.follow_sizes(self._sizes[service.name])
         views = [
-            record.view(
-                now,
-                self.unanswered_items(record),
-                running.get(record.entry.endpoint_id, NO_REQUESTS),
-            )
+            self._view(record, running.get(record.entry.endpoint_id, NO_REQUESTS), now)
             for record in records
         ]
         excluded = {
@@ -273,6 +313,13 @@
             record.in_flight = True
             self._spawn(self._execute(record, service, spec, step))
 
+    def _view(self, record: EngineRecord, running: Mapping[str, int], now: float) -> EngineView:
+        """Return an engine as plans see it."""
+        unanswered = self.unanswered_items(record)
+        known = self._sizes[record.entry.service]
+        sizes = {item: size for item in unanswered if (size := known.largest(item)) is not None}
+        return record.view(now, unanswered, running, sizes)
+
     def _is_leaving(self, record: EngineRecord) -> bool:
         """Return whether an engine drains: nothing is loaded there, and its copies don't count."""
         state = self._fleet.states.get(record.entry.endpoint_id)
@@ -323,6 +370,7 @@
             if failed(report):
                 self.on_lost(record.entry.endpoint_id)
             if not failed(report):
+                self._leadership.record_report(record.entry.endpoint_id)
                 record = self._check_restart(record, report)
                 record.apply_report(report, now)
             # Reading it again before it can have changed would only load the engine.
@@ -372,13 +420,23 @@
             self._load_limiter(service).record(begun)
         try:
             engine = record.entry.endpoint_id
-            if not await self._permitted(record) or not self._leadership.may_order(engine):
-                self._load_limiter(service).undo(begun)
+            if (
+                not await self._permitted(record)
+                or not self._leadership.may_order(engine)
+                or self._specs.get(service.name) is not spec
+            ):
+                # A plan is not carried out once a newer configuration has come.
+                self._undo_load(service, begun)
                 return
-            self._leadership.record_order(engine)
+            sent_at = self._leadership.record_order(engine)
+            record.order_sent(order, spec)
             outcome = await self._send_order(record, order)
+            if not failed(outcome) or outcome.kind is Kind.ENDPOINT_UNREACHABLE:
+                self._leadership.record_answer(engine, sent_at)
             if outcome in REJECTED:
-                self._load_limiter(service).undo(begun)
+                self._undo_load(service, begun)
+            elif outcome is OrderAnswer.ACCEPTED and loads and model:
+                record.sizes[step.model] = model.size
             # Logged before the pauses that follow some answers, so that the log line has the right
             # time.
             self._log_order(record, step, order, outcome)
@@ -387,6 +445,12 @@
             record.in_flight = False
             self.changed.set()
 
+    def _undo_load(self, service: Service, begun: float) -> None:
+        """Remove a load that its engine has not begun from the count."""
+        found = self._load_limiters.get(service.name)
+        if found is not None:
+            found.undo(begun)
+
     async def _send_order(self, record: EngineRecord, order: EngineOrder) -> OrderAnswer | Failure:
         """Send an order; one without an answer may reach a later start of the engine."""
         key = record.entry.endpoint_id
