Refuse streams whose version left before all hosts were lost

Seen by callers: all hosts were killed at once; streams taken up at the hosts that came back were answered 200 and ran to the end at another version than began them.

Cause: hosts that have just started take the only version in their list for that of each stream that no row of the store names. Three ways, each shown by a test in tests.relay.test_rejoined_streams: - the last engines of a version left just before, and a stream of the last second was not written yet; - the store's rows could not be read, which counted as rows without it; - a host was asked as the hub that was not the hub by its own view, and replied without the store.

Change: the hub records in the store which versions serve, at a change and each 30 s; a hub reads the record as it begins, and counts those versions as seen. Until it was read, and where it can't be, a host that has not served for as long as callers go on takes no version for the only one. A host that is asked and is not the hub reads the store too.

--- a/peridotdock/decisions/stream_versions.py
+++ b/peridotdock/decisions/stream_versions.py
@@ -141,6 +141,19 @@
                 lately = known is not None and known.last >= now - MAX_KEPT_SECONDS
                 periods[software] = Period(known.first if known and lately else now)
 
+    def add_recorded(self, serving: Mapping[str, Collection[str]], now: float) -> None:
+        """Add versions that served before this host did; until when is not known."""
+        for service, versions in serving.items():
+            periods = self._periods.setdefault(service, {})
+            for software in versions:
+                known = periods.get(software)
+                periods[software] = Period(-inf, known.last if known else now)
+
+    def serving(self, now: float, seconds: float) -> dict[str, list[str]]:
+        """Return the versions of each service that were seen in the last ``seconds``."""
+        found = {name: sorted(self.versions(name, now, seconds)) for name in self._periods}
+        return {name: versions for name, versions in found.items() if versions}
+
     def versions(self, service: str, now: float, seconds: float) -> dict[str, Period]:
         """Return the versions of a service that were seen in the last ``seconds``."""
         periods = self._periods.get(service, {})
--- a/peridotdock/relay/stream_rows.py
+++ b/peridotdock/relay/stream_rows.py
@@ -25,7 +25,11 @@
 from peridotdock.relay.stream_versions import StreamVersions
 
 PREFIX = "stream/"
+# Rows, one a hub, with the versions of each service that its callers' streams may have begun at.
+VERSIONS_PREFIX = "stream-versions/"
 WRITE_SECONDS = 1.0
+# Seconds after which unchanged versions are written again, so that rows of lost hosts grow old.
+REWRITE_SECONDS = 30.0
 # Seconds for which rows that were read count as new.
 REREAD_SECONDS = 2.0
 # Streams in one row, well below the size limit of a row.
@@ -44,6 +48,8 @@
         self._versions = versions
         self._read_at = -inf
         self._read_wanted = False
+        self._recorded: dict[str, list[str]] = {}
+        self._recorded_at = -inf
         self.due = asyncio.Event()
         versions.needs_rows = self._needs_rows
 
@@ -63,6 +69,33 @@
         streams = self._versions.take_unwritten()
         if streams and not await self._write(streams):
             self._versions.restore_unwritten(streams)
+        await self._record()
+
+    async def _record(self) -> None:
+        """Write which versions serve, if that has changed or was written long ago."""
+        serving, now = self._versions.find_recorded(), self._ctx.clock.monotonic()
+        if not serving:
+            return
+        if serving == self._recorded and now - self._recorded_at < REWRITE_SECONDS:
+            return
+        value = {"written_at": self._ctx.clock.now().timestamp(), "services": serving}
+        key = f"{VERSIONS_PREFIX}{self._host}"
+        if not failed(await self._store.commit(Transaction({}, {key: value}))):
+            self._recorded, self._recorded_at = serving, now
+
+    async def _read_recorded(self) -> None:
+        """Read which versions have served lately; none where the rows can't be read."""
+        found = await self._store.scan(VERSIONS_PREFIX)
+        if failed(found):
+            self._ctx.timeline.add("streams_not_read", "WARNING", detail=found.reason)
+            return
+        now = self._ctx.clock.now().timestamp()
+        times = {key: read_time(row) for key, row in found.items()}
+        kept = kept_rows(times, now, self._versions.seconds + REWRITE_SECONDS)
+        self._versions.add_recorded(merge_versions(found[key].value for key in kept))
+        old = found.keys() - kept
+        if old:
+            await self._store.commit(Transaction({}, dict.fromkeys(old)))
 
     async def _read(self) -> None:
         found = await self._store.scan(PREFIX)
@@ -77,6 +110,7 @@
         )
         streams = dict(self._decode({key: found[key] for key in kept}))
         self._versions.add_stored(streams)
+        await self._read_recorded()
         self._ctx.timeline.add("streams_read", detail=f"{len(streams)} in {len(kept)} rows")
         old = found.keys() - kept
         if old:
@@ -101,6 +135,17 @@
                 self._ctx.timeline.add("rows_refused", "ERROR", detail=detail)
 
 
+def merge_versions(values: Iterable[Mapping[str, Any]]) -> dict[str, set[str]]:
+    """Return the versions of each service in some rows, as far as they can be read."""
+    merged: dict[str, set[str]] = {}
+    for value in values:
+        services = value.get("services")
+        for service, versions in services.items() if isinstance(services, dict) else ():
+            if isinstance(versions, list):
+                merged.setdefault(service, set()).update(map(str, versions))
+    return merged
+
+
 def read_time(row: Row) -> float:
     """Return when a row was written, in seconds of the time of day; 0 if it does not say so."""
     found = row.value.get("written_at")
--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -4,7 +4,7 @@
 versions, it tells the hub of them, and a host that does not know a stream asks the hub.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from math import inf
 from typing import Literal
 
@@ -105,6 +105,8 @@
         self._unwritten: dict[int, Binding] = {}
         # Whether the store's rows are still to be read; they are then being read.
         self.needs_rows: Callable[[], bool] = lambda: False
+        # Whether the versions that the store names from before this host began are known.
+        self._knows_recorded = False
         peers.mesh.on_stream = self.on_frame
 
     # What this host sees
@@ -297,7 +299,10 @@
         self._told_by &= self._peers.mesh.peers()
         if self._hub_since is None:
             self._unwritten = {}
-        elif began or mixed - known:
+        elif began:
+            # What served before is read at once: callers are back as soon as this host is.
+            self.needs_rows()
+        if self._hub_since is not None and (began or mixed - known):
             for table in (self._told, self._own):
                 for stream, binding in table.items(now, self.seconds):
                     self._add_unwritten(stream, binding)
@@ -316,6 +321,27 @@
         for stream, binding in streams.items():
             self._add_unwritten(stream, binding)
 
+    def find_recorded(self) -> dict[str, list[str]] | None:
+        """Return the versions of each service to record in the store, None if it is not the hub.
+
+        A host that has not read yet what served before it would record too few.
+        """
+        if self._hub_since is None or not self._knows_recorded:
+            return None
+        return self._history.serving(self._ctx.clock.monotonic(), self.seconds)
+
+    def add_recorded(self, serving: Mapping[str, Collection[str]]) -> None:
+        """Remember the versions that the store names, where they served before this host did.
+
+        Failure guarded against: the last endpoint of a version leaves just before all hosts are
+        lost, and hosts that have just started take its streams, of which the last are in no row,
+        for streams of the version that they see.
+        """
+        now = self._ctx.clock.monotonic()
+        if not self._knows_recorded and now - self._observed_at < self.seconds:
+            self._history.add_recorded(serving, now)
+        self._knows_recorded = True
+
     def add_stored(self, streams: Mapping[int, Binding]) -> None:
         """Remember streams that the store's rows name."""
         now = self._ctx.clock.monotonic()
@@ -364,9 +390,11 @@
         # All endpoints of a version may have ended before this host first saw a list.
         seen_all = now - self._observed_at >= self.seconds
         doubtful = verdict.source is not Source.TOLD and (len(versions) > 1 or not seen_all)
-        if doubtful and self._may_lack_streams(now) and self.needs_rows():
-            verdict, complete = Verdict(Source.UNKNOWN, service), False
-            versions |= {UNKNOWN_SOFTWARE}
+        if doubtful and self._may_lack_streams(now):
+            unread = self.needs_rows()
+            if unread or not (seen_all or self._knows_recorded):
+                verdict, complete = Verdict(Source.UNKNOWN, service), False
+                versions |= {UNKNOWN_SOFTWARE}
         return Reply(verdict, complete, versions)
 
     def _is_told_by(self, hosts: set[str]) -> bool:
@@ -394,9 +422,13 @@
             self._apart_at = now
 
     def _may_lack_streams(self, now: float) -> bool:
-        """Return whether streams that still go on may have been told to another hub alone."""
+        """Return whether streams that still go on may have been told to another hub alone.
+
+        Failure guarded against: hosts that have just started do not agree on the hub, and one that
+        is asked, but is not the hub by its own view, replies without the store.
+        """
         if self._hub_since is None:
-            return False
+            return True
         new = now - self._hub_since < self.seconds
         return new or self._peers.host_count() > len(self._peers.live_hosts())
 
--- /dev/null
+++ b/tests/relay/test_rejoined_streams.py
@@ -0,0 +1,215 @@
+"""Streams that callers take up at hosts that have just started, or that were out of step."""
+
+import asyncio
+import unittest
+
+from nose2.tools import params
+
+from peridotdock.errors import Failure, Kind
+from tests.relay.deployment import ENTRY_EXPIRY_SECONDS
+from tests.relay.test_forwarding import abort
+from tests.relay.test_partition import wait_linked
+from tests.relay.test_relay import ids, run
+from tests.relay.test_software_versions import allow_retries, begin, deploy, turn
+
+HOSTS = 3
+STREAMS = 6
+# Seconds within which streams, and the versions that serve, are in the store.
+WRITTEN_SECONDS = 1.7
+# Seconds after the hosts are back at which callers take streams up.
+TRY_TIMES = (0.0, 0.4, 1.5)
+
+
+def ran_at(found, *attempts):
+    """Return the software versions at which attempts ran."""
+    rows = [row.software_by_attempt for row in found.engines.values()]
+    return set().union(*(row.get(attempt, ()) for row in rows for attempt in attempts))
+
+
+async def kill_all(found):
+    """End all hosts at once, as if they were killed; return how many there were."""
+    killed, found.hosts = found.hosts, []
+    await asyncio.gather(*(abort(host) for host in killed))
+    return len(killed)
+
+
+async def end_version(found, software):
+    """End all engines of a version, and wait until the store has none of their entries."""
+    for engine in found.engines.values():
+        if engine.software == software:
+            engine.crash()
+    await asyncio.sleep(ENTRY_EXPIRY_SECONDS + 0.1)
+
+
+async def start_hosts(found, count, prefix="n"):
+    """Start hosts at other addresses, and wait until each of them can send to engines."""
+    seeds = ()
+    for number in range(count):
+        host = await found.add_host(f"{prefix}{number}", seeds)
+        seeds = (host.settings.listen.peers,)
+    names = {row.name for row in (*found.engines.values(), *found.pages.values())}
+    names -= {row.name for row in found.engines.values() if row.crashed}
+    for host in found.hosts:
+        await found.until(lambda host=host: host.request_handler.deployment)
+        await found.until(lambda host=host: host.fleet.states.keys() == names)
+
+
+async def take_up_as_hosts_start(found, count):
+    """Start hosts one by one, and take all streams up at each as soon as it can send to engines."""
+    statuses = {number: [] for number in range(STREAMS)}
+    seeds = ()
+    for to in range(count):
+        host = await found.add_host(f"n{to}", seeds)
+        seeds = (host.settings.listen.peers,)
+        allow_retries(found)
+        await found.until(lambda host=host: host.request_handler.deployment)
+        await found.until(lambda host=host: host.fleet.has_software("engines", "v1"))
+        for number, rows in statuses.items():
+            attempt = f"b{number}-{to}"
+            rows.append((attempt, (await take_up(found, f"a{number}", attempt, to))[0]))
+    return statuses
+
+
+async def take_up(found, stream, attempt, to):
+    """Take a stream up at a host once; return the status and the ids of the events."""
+    more = {"resumes": stream, "last_event_id": "3"}
+    status, _, body = await found.send("/recap/", attempt, model="m0", to=to, **more)
+    return status, ids(body) if isinstance(body, bytes) else []
+
+
+async def take_all_up(found, streams=STREAMS, times=TRY_TIMES, hosts=None):
+    """Take each stream up at some hosts, at several times; return the statuses by stream.
+
+    Engines accept whatever they get.
+    """
+    allow_retries(found)
+    for engine in found.engines.values():
+        engine.script = []
+    hosts = range(len(found.hosts)) if hosts is None else hosts
+    statuses = {number: [] for number in range(streams)}
+    began = asyncio.get_running_loop().time()
+
+    async def take_one_up(number, to, at):
+        await asyncio.sleep(max(0.0, began + at - asyncio.get_running_loop().time()))
+        attempt = f"b{number}-{to}-{at}"
+        status, _ = await take_up(found, f"a{number}", attempt, to)
+        statuses[number].append((attempt, status))
+
+    rows = [(number, to, at) for at in times for to in hosts for number in statuses]
+    await asyncio.gather(*(take_one_up(*row) for row in rows))
+    return statuses
+
+
+class KilledTest(unittest.TestCase):
+    """Guards against streams that go on at another version after all hosts were lost at once."""
+
+    def check_one_version(self, found, statuses):
+        """Check that no stream ran at two versions."""
+        mixed = [
+            number
+            for number, rows in statuses.items()
+            if len(ran_at(found, f"a{number}", *(attempt for attempt, _ in rows))) > 1
+        ]
+        self.assertEqual([], mixed, statuses)
+
+    @params(
+        ("in the store, their version has gone", True, "v2", 0.0),
+        ("not in the store, their version has gone", False, "v2", 0.0),
+        ("in the store, both serve", True, "", 0.6),
+        ("not in the store, both serve", False, "", 0.0),
+    )
+    def test_all_hosts_are_killed_at_once(self, name, written, ends, least):
+        @run
+        async def check(self):
+            async with deploy(hosts=HOSTS) as found:
+                await wait_linked(found)
+                await asyncio.sleep(WRITTEN_SECONDS)
+                for number in range(STREAMS):
+                    await begin(found, f"a{number}", number % HOSTS, ends or turn(number))
+                await asyncio.sleep(WRITTEN_SECONDS if written else 0)
+                count = await kill_all(found)
+                await end_version(found, ends)
+                await start_hosts(found, count)
+                statuses = await take_all_up(found)
+                self.check_one_version(found, statuses)
+                found_here = [status for rows in statuses.values() for _, status in rows]
+                self.assertLessEqual(set(found_here), {200, 503})
+                went_on = found_here.count(200) / len(found_here)
+                self.assertGreaterEqual(went_on, least, statuses)
+
+        check(self)
+
+    @run
+    async def test_hosts_that_are_just_ready(self):
+        """A host that does not know yet whether it is the hub replies before it reads the store."""
+        async with deploy(hosts=HOSTS) as found:
+            await wait_linked(found)
+            for number in range(STREAMS):
+                await begin(found, f"a{number}", number % HOSTS, "v2")
+            await asyncio.sleep(WRITTEN_SECONDS)
+            count = await kill_all(found)
+            await end_version(found, "v2")
+            self.check_one_version(found, await take_up_as_hosts_start(found, count))
+
+    @run
+    async def test_another_host_takes_it_for_the_hub(self):
+        """A host that is asked as the hub, and is not, replies without the store."""
+        async with deploy(hosts=HOSTS) as found:
+            await wait_linked(found)
+            for number in range(STREAMS):
+                await begin(found, f"a{number}", number % HOSTS, "v2")
+            await asyncio.sleep(WRITTEN_SECONDS)
+            count = await kill_all(found)
+            await end_version(found, "v2")
+            await start_hosts(found, count)
+            await wait_linked(found)
+            names = [host.settings.host for host in found.hosts]
+            hub = names.index(found.hosts[0].peers.hub())
+            asking = (hub + 1) % HOSTS
+            found.hosts[asking].peers._hub = lambda: names[hub]
+            found.hosts[hub].peers._hub = lambda: names[asking]
+            await asyncio.sleep(2 * 0.2)
+            statuses = {number: [] for number in range(STREAMS)}
+            for number, rows in statuses.items():
+                attempt = f"b{number}"
+                rows.append((attempt, (await take_up(found, f"a{number}", attempt, asking))[0]))
+            self.check_one_version(found, statuses)
+
+    @run
+    async def test_the_rows_can_not_be_read(self):
+        """What was not read is taken for rows without the stream."""
+        async with deploy(hosts=HOSTS) as found:
+            await wait_linked(found)
+            for number in range(STREAMS):
+                await begin(found, f"a{number}", number % HOSTS, "v2")
+            await asyncio.sleep(WRITTEN_SECONDS)
+            count = await kill_all(found)
+            await end_version(found, "v2")
+            await start_hosts(found, count)
+            for host in found.hosts:
+                host.stream_rows._store = UnreadStore()
+            self.check_one_version(found, await take_all_up(found))
+
+    @run
+    async def test_one_version_serves_before_and_after(self):
+        """Streams are refused where there is no doubt."""
+        async with deploy((("e1", "v1"), ("e2", "v1")), hosts=HOSTS) as found:
+            await wait_linked(found)
+            await asyncio.sleep(WRITTEN_SECONDS)
+            for number in range(STREAMS):
+                await begin(found, f"a{number}", number % HOSTS)
+            count = await kill_all(found)
+            await start_hosts(found, count)
+            statuses = await take_all_up(found)
+            found_here = [status for rows in statuses.values() for _, status in rows]
+            self.assertEqual({200}, set(found_here))
+
+
+class UnreadStore:
+    """A store of which no row can be read or written."""
+
+    async def scan(self, prefix):
+        return Failure(Kind.PLATFORM_DOWN, "no answer")
+
+    async def commit(self, transaction):
+        return Failure(Kind.PLATFORM_DOWN, "no answer")
