Refuse streams at a host out of step until its list is known to be new

Seen by callers: one host was cut off from the others or stood still while the first engines of a new version joined. Streams that had begun there through other hosts were taken up at that host, and went on at the version before.

Cause: a host without a reply of the hub took the only version of a list that was up to two seconds old for that of each stream, and so did a host that took itself for the hub, whatever the age of its list, while its links looked alive. A machine that is suspended does not count that time on its steady clock: when it goes on its list seems new, its links alive and itself the hub.

Change: without a reply, or as a hub that hears less than half of the hosts, the only version counts if the list was found to match the store since the caller came; the host waits for that as long as for a silent hub. A host notes by the clock that counts suspensions that it stood still; until the store or another host has confirmed its list after that, it knows no more than the streams that it was told of, and takes nothing for older. A list older than two seconds that is the only thing known is refused, no longer believed.

Conclusion: the row "single" holds only for a list that is known to be newer than the caller's question. Real processes that are suspended were not run.

--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -45,7 +45,7 @@
 from peridotdock.relay.shares import Shares
 from peridotdock.relay.stopping import PlannedStop
 from peridotdock.relay.stream_rows import WRITE_SECONDS, StreamRows
-from peridotdock.relay.stream_versions import StreamVersions
+from peridotdock.relay.stream_versions import AWAKE_CHECK_SECONDS, StreamVersions
 from peridotdock.relay.views import Views
 from peridotdock.relay.waits import EndpointWaits
 from peridotdock.serving import Server, make_application
@@ -193,7 +193,13 @@
         identifier = Identifier(settings.bounds, self._config_age)
         self.responder = Responder(ctx, self.service, self.planned_stop)
         self.stream_versions = StreamVersions(
-            ctx, settings.host, self.peers, self.fleet, find_iterations(), self._endpoints_age
+            ctx,
+            settings.host,
+            self.peers,
+            self.fleet,
+            find_iterations(),
+            self._endpoints_age,
+            uptime,
         )
         self.responder.on_stream = self.stream_versions.record
         self.service.on_unbound = self.stream_versions.record
@@ -306,6 +312,7 @@
             "block list",
             self.blocklist_due,
         )
+        every(lambda: AWAKE_CHECK_SECONDS, self.stream_versions.check_awake, "awake")
         every(lambda: WRITE_SECONDS, self.stream_rows.step, "stream rows", self.stream_rows.due)
         every(self._lease_seconds, self._step_lease, "lease", self.lease_due)
         self._tasks.append(asyncio.create_task(self._order()))
--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -33,6 +33,7 @@
 from peridotdock.loop_iterations import LoopIterations
 from peridotdock.mesh import StreamFrame
 from peridotdock.relay.caller import CallerConnection
+from peridotdock.relay.clocks import UptimeClock
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.peers import Peers
 from peridotdock.relay.progress import Progress
@@ -52,6 +53,11 @@
 # Seconds without a frame of a host, three times the interval of its pings, after which the hub may
 # not know of its newest streams.
 MAX_SILENCE_SECONDS = 1.0
+# Seconds between two checks whether this host stood still, after which it counts as having done so,
+# and for which it may read what others sent before it went on.
+AWAKE_CHECK_SECONDS = 0.2
+STANDSTILL_SECONDS = 0.6
+BACKLOG_SECONDS = 0.3
 # Part of the time in which the first event must arrive that is left for serving the request.
 SERVING_SECONDS = 0.5
 NO_SERVICES: frozenset[str] = frozenset()
@@ -66,8 +72,8 @@
 class StreamVersions:
     """Remembers the software versions of streams on one host, which may be the hub.
 
-    ``list_age`` returns the age in seconds of this host's list of endpoints. Streams are remembered
-    for ``seconds`` at least.
+    ``list_age`` returns the age in seconds of this host's list of endpoints, and ``uptime`` counts
+    the time for which the machine stood still. Streams are remembered for ``seconds`` at least.
     """
 
     def __init__(
@@ -78,12 +84,16 @@
         fleet: RelayFleet,
         iterations: LoopIterations,
         list_age: Callable[[], float],
+        uptime: UptimeClock,
     ):
         self._ctx = ctx
         self._host = host
         self._peers = peers
         self._fleet = fleet
         self._list_age = list_age
+        self._uptime = uptime
+        self._checked_at = uptime.seconds()
+        self._awake_since = -inf
         self._calls: HubCalls[StreamFound] = HubCalls(iterations)
         now = ctx.clock.monotonic()
         self.seconds = kept_seconds(())
@@ -124,6 +134,7 @@
         """Record the software versions in the list of endpoints, after a change of it."""
         now = self._ctx.clock.monotonic()
         self._observed_at = min(self._observed_at, now)
+        self._check_touch(now)
         rows = self._fleet.by_service.items()
         self._history.observe(
             {service: {state.entry.software for state in states} for service, states in rows}, now
@@ -178,6 +189,7 @@
         return None
 
     async def _find(self, req: RelayRequest, caller: CallerConnection, service: str) -> Verdict:
+        self._check_awake()
         now, stream = self._ctx.clock.monotonic(), find_stream(req)
         versions = self._history.versions(service, now, self.seconds)
         sure = self._list_is_new() and now - self._observed_at >= self.seconds
@@ -196,8 +208,10 @@
     ) -> Verdict:
         """Ask the hub until it knows, or will not know any more.
 
-        Without its reply the only version in this host's list counts if the list is ``sure``. With
-        one, the hub may know of another version.
+        Without its reply the only version in this host's list counts if the list is ``sure``, and
+        was found to match the store since the caller came. With one, the hub may know of another.
+        Failure guarded against: this host is cut off from the others, or stood still, and the first
+        endpoint of another version joined meanwhile.
         """
         clock, stream = self._ctx.clock, find_stream(req)
         began = clock.monotonic()
@@ -206,8 +220,11 @@
             now = clock.monotonic()
             versions = self._history.versions(service, now, self.seconds)
             verdict = judge_replied(service, versions, reply, self._in_touch())
-            known = reply is not None or sure
-            if known and verdict.source in (Source.TOLD, Source.SINGLE):
+            replied = reply is not None and (self._peers.hub() != self._host or self._hears_most())
+            known = replied or (sure and self._list_is_newer(began))
+            if not known and verdict.source is Source.SINGLE:
+                verdict = Verdict(Source.UNKNOWN, service)
+            if verdict.source in (Source.TOLD, Source.SINGLE):
                 return verdict
             complete = reply is not None and reply.complete
             until = began + (UNKNOWN_SECONDS if complete else LOST_HUB_SECONDS)
@@ -241,6 +258,11 @@
     def _list_is_new(self) -> bool:
         return self._list_age() <= MAX_LIST_AGE_SECONDS
 
+    def _list_is_newer(self, than: float) -> bool:
+        """Return whether the list of endpoints matched the store at some time after another."""
+        as_of = self._ctx.clock.monotonic() - self._list_age()
+        return as_of >= max(than, self._awake_since + BACKLOG_SECONDS)
+
     def _in_touch(self) -> bool:
         """Return whether this host would hear of an endpoint of another version.
 
@@ -289,6 +311,22 @@
         member = self._peers.membership.members().get(host)
         return host != self._host and member is not None and member.fact.streams
 
+    async def check_awake(self) -> None:
+        """Note if this host stood still, as often as that shows its length."""
+        self._check_awake()
+
+    def _check_awake(self) -> None:
+        """Note if this host stood still: what it knows is as old as that, whatever its clock says.
+
+        Failure guarded against: the machine was suspended, which the steady clock does not count.
+        The host takes its list of endpoints for new, and itself for the hub, while another host has
+        become the hub and streams have begun at another version.
+        """
+        before, self._checked_at = self._checked_at, self._uptime.seconds()
+        if self._checked_at - before > STANDSTILL_SECONDS:
+            self._awake_since = self._ctx.clock.monotonic()
+            self._ctx.timeline.add("stood_still", detail=f"{self._checked_at - before:.2f} s")
+
     # On the hub
 
     def _refresh_role(self, now: float, mixed: frozenset[str]) -> None:
@@ -380,6 +418,7 @@
 
     def _reply(self, stream: int, service: str) -> Reply:
         """Return what this host knows of a stream as the hub."""
+        self._check_awake()
         now = self._ctx.clock.monotonic()
         periods = self._history.versions(service, now, self.seconds)
         self._check_touch(now)
@@ -395,6 +434,9 @@
             if unread or not (seen_all or self._knows_recorded):
                 verdict, complete = Verdict(Source.UNKNOWN, service), False
                 versions |= {UNKNOWN_SOFTWARE}
+        if verdict.source is not Source.TOLD and not self._list_is_newer(-inf):
+            verdict, complete = Verdict(Source.UNKNOWN, service), False
+            versions |= {UNKNOWN_SOFTWARE}
         return Reply(verdict, complete, versions)
 
     def _is_told_by(self, hosts: set[str]) -> bool:
@@ -414,13 +456,26 @@
         return max(self._hub_since, self._apart_at)
 
     def _check_touch(self, now: float) -> None:
-        """Note if a host that may serve can't tell this one of its streams at present."""
-        received_at = {link.peer.host: link.received_at for link in self._peers.mesh.links()}
+        """Note if a host that may serve can't tell this one of its streams at present.
+
+        A host that stood still may see another version late, which has served meanwhile.
+        """
         others = set(self._peers.known_hosts()) - {self._host}
-        apart = any(received_at.get(name, -inf) < now - MAX_SILENCE_SECONDS for name in others)
+        apart = bool(others - self._heard(now)) or not self._list_is_newer(-inf)
         if apart or self._peers.host_count() > len(others) + 1:
             self._apart_at = now
 
+    def _heard(self, now: float) -> set[str]:
+        """Return the hosts of which frames have come lately."""
+        oldest = now - MAX_SILENCE_SECONDS
+        links = self._peers.mesh.links()
+        return {link.peer.host for link in links if link.received_at >= oldest}
+
+    def _hears_most(self) -> bool:
+        """Return whether frames of most hosts have come lately, this one included."""
+        heard = self._heard(self._ctx.clock.monotonic()) - {self._host}
+        return 2 * (len(heard) + 1) > self._peers.host_count()
+
     def _may_lack_streams(self, now: float) -> bool:
         """Return whether streams that still go on may have been told to another hub alone.
 
--- a/tests/relay/test_rejoined_streams.py
+++ b/tests/relay/test_rejoined_streams.py
@@ -1,6 +1,8 @@
 """Streams that callers take up at hosts that have just started, or that were out of step."""
 
 import asyncio
+import math
+import time
 import unittest
 
 from nose2.tools import params
@@ -10,14 +12,21 @@
 from tests.relay.test_forwarding import abort
 from tests.relay.test_partition import wait_linked
 from tests.relay.test_relay import ids, run
-from tests.relay.test_software_versions import allow_retries, begin, deploy, turn
+from tests.relay.test_software_versions import PAIRS, allow_retries, begin, deploy, turn
 
 HOSTS = 3
 STREAMS = 6
 # Seconds within which streams, and the versions that serve, are in the store.
 WRITTEN_SECONDS = 1.7
+ALL_OLD = tuple((name, "v1") for name, _ in PAIRS)
 # Seconds after the hosts are back at which callers take streams up.
 TRY_TIMES = (0.0, 0.4, 1.5)
+# Seconds for which a host stands still, longer than links stay open in silence; how much later than
+# it goes on it has the store's next answer; and when callers take streams up there.
+STANDING_SECONDS = 2.5
+LATE_SECONDS = 0.3
+LATE_LIST_SECONDS = 1.2
+RETURN_TIMES = (0.0, 0.1, 0.5, 1.5, 4.0)
 
 
 def ran_at(found, *attempts):
@@ -213,3 +222,213 @@
 
     async def commit(self, transaction):
         return Failure(Kind.PLATFORM_DOWN, "no answer")
+
+
+class Suspension:
+    """One host that stands still for a while, as its machine does.
+
+    Its steady clock does not count that time. Its links to other hosts end meanwhile, with what was
+    sent over them; new ones, and the store's answers, take ``LATE_SECONDS`` after it goes on.
+    """
+
+    def __init__(self, host):
+        self._host = host
+        self._awake = asyncio.Event()
+        self._awake.set()
+        self._stood_since = 0.0
+        self._lost = 0.0
+        clock, mesh = host.ctx.clock, host.peers.mesh
+        handle, greet = mesh._handle, mesh._greet
+        sleep = clock.sleep
+        clock.monotonic = self._monotonic
+
+        async def sleep_awake(seconds):
+            await sleep(seconds)
+            await self._awake.wait()
+
+        async def handle_awake(link, frame):
+            if not self._awake.is_set():
+                await self._awake.wait()
+                raise ConnectionResetError
+            await handle(link, frame)
+
+        async def greet_awake(*args, **more):
+            lost = self._lost
+            await self._awake.wait()
+            if self._lost > lost:
+                await asyncio.sleep(LATE_SECONDS)
+            return await greet(*args, **more)
+
+        clock.sleep, mesh._handle, mesh._greet = sleep_awake, handle_awake, greet_awake
+        for row in host.views._followed.values():
+            row.follower._call_store = self._hold(row.follower._call_store)
+
+    def _monotonic(self):
+        now = time.monotonic() if self._awake.is_set() else self._stood_since
+        return now - self._lost
+
+    def _hold(self, call):
+        async def call_awake(after):
+            lost = self._lost
+            found = await call(after)
+            await self._awake.wait()
+            if self._lost > lost:
+                await asyncio.sleep(LATE_SECONDS)
+            return found
+
+        return call_awake
+
+    async def stand(self, seconds):
+        """Stand still."""
+        self._stood_since = time.monotonic()
+        self._awake.clear()
+        await asyncio.sleep(seconds)
+
+    def wake(self):
+        """Go on."""
+        self._lost += time.monotonic() - self._stood_since
+        self._awake.set()
+
+
+def seem_old(host):
+    """Let a host take itself for one that has served for long."""
+    versions = host.stream_versions
+    versions._observed_at = -math.inf
+    if versions._hub_since is not None:
+        versions._hub_since = -math.inf
+
+
+class OutOfStepTest(unittest.TestCase):
+    """Guards against streams that go on at the version that a host knew before it stood still."""
+
+    @params(("the hub", True), ("another host", False))
+    def test_a_host_stands_still_while_a_version_comes(self, name, is_hub):
+        @run
+        async def check(self):
+            async with deploy(ALL_OLD, hosts=HOSTS) as found:
+                await wait_linked(found)
+                await asyncio.sleep(WRITTEN_SECONDS)
+                names = [host.settings.host for host in found.hosts]
+                hub = names.index(found.hosts[0].peers.hub())
+                late = hub if is_hub else (hub + 1) % HOSTS
+                others = [host for host in found.hosts if host is not found.hosts[late]]
+                for host in found.hosts:
+                    seem_old(host)
+                suspension = Suspension(found.hosts[late])
+                await asyncio.sleep(1.0)
+                standing = asyncio.ensure_future(suspension.stand(STANDING_SECONDS))
+                await asyncio.sleep(0.3)
+                set_versions(found, "v2")
+                await found.until(
+                    lambda: all(host.fleet.has_software("engines", "v2") for host in others)
+                )
+                for number in range(STREAMS):
+                    to = found.hosts.index(others[number % 2])
+                    await begin(found, f"a{number}", to, "v2")
+                await standing
+                self.assertFalse(found.hosts[late].fleet.has_software("engines", "v2"))
+                suspension.wake()
+                statuses = await take_all_up(found, times=RETURN_TIMES, hosts=(late,))
+                mixed = {
+                    number: rows
+                    for number, rows in statuses.items()
+                    if ran_at(found, *(attempt for attempt, _ in rows)) - {"v2"}
+                }
+                self.assertEqual({}, mixed)
+                last = [rows[-1][1] for rows in statuses.values()]
+                self.assertEqual([200] * STREAMS, last, statuses)
+
+        check(self)
+
+    @params(
+        ("its list is late", False, True),
+        ("its list is late, its links are silent", True, True),
+        ("it reaches the store", False, False),
+    )
+    def test_a_host_is_cut_off_while_a_version_comes(self, name, silent, late):
+        """What it read before the cut is new enough for its clock, and lacks the version."""
+
+        @run
+        async def check(self):
+            async with deploy(ALL_OLD, hosts=HOSTS) as found:
+                await wait_linked(found)
+                await asyncio.sleep(WRITTEN_SECONDS)
+                names = [host.settings.host for host in found.hosts]
+                to = (names.index(found.hosts[0].peers.hub()) + 1) % HOSTS
+                others = [host for host in found.hosts if host is not found.hosts[to]]
+                for host in found.hosts:
+                    seem_old(host)
+                await cut_links(found.hosts[to], silent)
+                if late:
+                    delay_store(found.hosts[to], LATE_LIST_SECONDS)
+                set_versions(found, "v2")
+                await found.until(
+                    lambda: all(host.fleet.has_software("engines", "v2") for host in others)
+                )
+                for number in range(STREAMS):
+                    await begin(found, f"a{number}", found.hosts.index(others[number % 2]), "v2")
+                statuses = await take_all_up(found, times=TRY_TIMES, hosts=(to,))
+                mixed = {
+                    number: rows
+                    for number, rows in statuses.items()
+                    if ran_at(found, *(attempt for attempt, _ in rows)) - {"v2"}
+                }
+                self.assertEqual({}, mixed)
+
+        check(self)
+
+    @run
+    async def test_a_host_that_was_cut_off_for_long_and_one_version_serves(self):
+        """Streams are refused at a host that is the hub again, though one version serves."""
+        async with deploy(ALL_OLD, hosts=HOSTS) as found:
+            await wait_linked(found)
+            await asyncio.sleep(WRITTEN_SECONDS)
+            names = [host.settings.host for host in found.hosts]
+            late = names.index(found.hosts[0].peers.hub())
+            for number in range(STREAMS):
+                await begin(found, f"a{number}", (late + 1) % HOSTS)
+            for host in found.hosts:
+                seem_old(host)
+            suspension = Suspension(found.hosts[late])
+            await asyncio.sleep(1.0)
+            await suspension.stand(STANDING_SECONDS)
+            suspension.wake()
+            statuses = await take_all_up(found, times=RETURN_TIMES, hosts=(late,))
+            self.assertEqual({200}, {status for rows in statuses.values() for _, status in rows})
+
+
+async def cut_links(host, silent):
+    """Cut a host off from the others, whose links end or only fall silent."""
+    if not silent:
+        await host.peers.mesh.stop()
+        return
+
+    async def drop(*args, **more):
+        await asyncio.sleep(0)
+
+    async def refuse(*args, **more):
+        raise ConnectionRefusedError
+
+    mesh = host.peers.mesh
+    mesh._handle = mesh._sender.send_raw = mesh._sender.send = drop
+    mesh._greet = refuse
+
+
+def delay_store(host, seconds):
+    """Let each answer of the store on a table reach a host later."""
+    for row in host.views._followed.values():
+        call = row.follower._call_store
+
+        async def call_late(after, call=call):
+            found = await call(after)
+            await asyncio.sleep(seconds)
+            return found
+
+        row.follower._call_store = call_late
+
+
+def set_versions(found, software):
+    """Let every second engine serve a version from now on, with its entry."""
+    for engine in list(found.engines.values())[1::2]:
+        engine.software = software
+        engine.on_change()
