Write new streams each 0.3 s, so that fewer are lost with all hosts

Seen by callers: after all hosts were killed, streams of the last second before it were refused with 503 although engines of their version served.

Cause: the hub wrote new streams once a second.

Change: it writes them each 0.3 s, with all streams of the same second in the row of that second. With one version nothing is written.

--- a/peridotdock/relay/stream_rows.py
+++ b/peridotdock/relay/stream_rows.py
@@ -1,9 +1,10 @@
 """Keeps the software versions of streams in the platform's store, so that they outlive all hosts.
 
 Failure guarded against: all hosts lose power at once, and callers take up streams of which no host
-knows the version: all are refused. The hub writes the streams that it was told of, once a second
-and only while a service has several versions. A hub that has just taken over reads the rows when
-it is asked for a stream that it does not know.
+knows the version: all are refused, or go on at the only version that is left. The hub writes the
+streams that it was told of, at most each 0.3 s and only while a service has several versions, and
+which versions serve. A hub reads that as it takes over, and again when it is asked for a stream
+that it does not know.
 """
 
 import asyncio
@@ -27,7 +28,8 @@
 PREFIX = "stream/"
 # Rows, one a hub, with the versions of each service that its callers' streams may have begun at.
 VERSIONS_PREFIX = "stream-versions/"
-WRITE_SECONDS = 1.0
+# Seconds between two writes of new streams: those that were not written are lost with all hosts.
+WRITE_SECONDS = 0.3
 # Seconds after which unchanged versions are written again, so that rows of lost hosts grow old.
 REWRITE_SECONDS = 30.0
 # Seconds for which rows that were read count as new.
@@ -48,6 +50,9 @@
         self._versions = versions
         self._read_at = -inf
         self._read_wanted = False
+        # The slot that was written last, with its streams: a row holds all of its second.
+        self._slot = -1
+        self._written: dict[int, Binding] = {}
         self._recorded: dict[str, list[str]] = {}
         self._recorded_at = -inf
         self.due = asyncio.Event()
@@ -119,12 +124,16 @@
     async def _write(self, streams: Mapping[int, Binding]) -> bool:
         """Write streams under the slot of this second; return whether they are in the store."""
         now = self._ctx.clock.now().timestamp()
-        rows = list(encode_rows(streams, now))
-        names = (f"{PREFIX}{row_slot(now):03}/{self._host}/{part}" for part in range(len(rows)))
+        slot = row_slot(now)
+        both = {**(self._written if slot == self._slot else {}), **streams}
+        rows = list(encode_rows(both, now))
+        names = (f"{PREFIX}{slot:03}/{self._host}/{part}" for part in range(len(rows)))
         outcome = await self._store.commit(Transaction({}, dict(zip(names, rows, strict=True))))
         if failed(outcome):
             self._ctx.timeline.add("streams_not_kept", "WARNING", detail=outcome.reason)
-        return not failed(outcome)
+            return False
+        self._slot, self._written = slot, both
+        return True
 
     def _decode(self, rows: Mapping[str, Row]) -> Iterator[tuple[int, Binding]]:
         for key, row in rows.items():
--- a/tests/relay/test_rejoined_streams.py
+++ b/tests/relay/test_rejoined_streams.py
@@ -18,6 +18,7 @@
 STREAMS = 6
 # Seconds within which streams, and the versions that serve, are in the store.
 WRITTEN_SECONDS = 1.7
+BETWEEN_SECONDS = 0.06
 ALL_OLD = tuple((name, "v1") for name, _ in PAIRS)
 # Seconds after the hosts are back at which callers take streams up.
 TRY_TIMES = (0.0, 0.4, 1.5)
@@ -148,6 +149,23 @@
 
         check(self)
 
+    @run
+    async def test_streams_that_began_shortly_before(self):
+        """Most of them are refused, although engines of their version serve."""
+        async with deploy(hosts=HOSTS) as found:
+            await wait_linked(found)
+            await asyncio.sleep(WRITTEN_SECONDS)
+            for number in range(2 * STREAMS):
+                await begin(found, f"a{number}", number % HOSTS, turn(number))
+                # Streams begin at all times within a second.
+                await asyncio.sleep(BETWEEN_SECONDS)
+            count = await kill_all(found)
+            await start_hosts(found, count)
+            statuses = await take_all_up(found, 2 * STREAMS, times=(0.4,), hosts=(0,))
+            self.check_one_version(found, statuses)
+            last = [rows[-1][1] for rows in statuses.values()][-STREAMS:]
+            self.assertGreaterEqual(last.count(200), STREAMS / 2, statuses)
+
     @run
     async def test_hosts_that_are_just_ready(self):
         """A host that does not know yet whether it is the hub replies before it reads the store."""
