--- a/tests/relay/test_rejoined_streams.py
+++ b/tests/relay/test_rejoined_streams.py
@@ -4,10 +4,19 @@
 import math
 import time
 import unittest
+from datetime import UTC, datetime
 
 from nose2.tools import params
 
+from peridotdock.decisions.stream_versions import (
+    Source,
+    VersionHistory,
+    judge_as_hub,
+    make_binding,
+    row_slot,
+)
 from peridotdock.errors import Failure, Kind
+from peridotdock.relay.stream_rows import PREFIX, decode_row, merge_versions
 from tests.relay.deployment import ENTRY_EXPIRY_SECONDS
 from tests.relay.test_forwarding import abort
 from tests.relay.test_partition import wait_linked
@@ -110,6 +119,51 @@
     return statuses
 
 
+class RecordedTest(unittest.TestCase):
+    """Guards against versions that a host forgets, or takes for new, as it has just started."""
+
+    @params(
+        ("rows of two hubs", ({"s": ["v1"]}, {"s": ["v2"], "t": ["v1"]}), {"v1", "v2"}),
+        ("a row of another shape", ({"s": "v1"}, {"s": ["v2"]}), {"v2"}),
+        ("no services", (None, {"s": ["v2"]}), {"v2"}),
+    )
+    def test_rows_are_merged(self, name, rows, expected):
+        found = merge_versions({"services": services} for services in rows)
+        self.assertEqual(expected, found["s"], name)
+
+    def test_a_recorded_version_counts_until_callers_have_given_up(self):
+        history = VersionHistory()
+        history.observe({"s": {"v2"}}, 5.0)
+        history.add_recorded({"s": {"v1", "v2"}}, 6.0)
+        self.assertEqual({"s": ["v1", "v2"]}, history.serving(15.9, 10.0))
+        self.assertEqual({"s": ["v2"]}, history.serving(16.1, 10.0))
+
+    def test_no_stream_is_older_than_a_recorded_version(self):
+        """The second version was there before this host, and counts as one that came later."""
+        history = VersionHistory()
+        history.observe({"s": {"v1"}}, 5.0)
+        history.add_recorded({"s": {"v1", "v2"}}, 6.0)
+        history.observe({"s": {"v1", "v2"}}, 7.0)
+        periods = history.versions("s", 8.0, 10.0)
+        found = judge_as_hub(None, "s", periods, 5.5, 8.0, 10.0)
+        self.assertIs(Source.UNKNOWN, found.source)
+
+    @run
+    async def test_a_row_keeps_all_streams_of_its_second(self):
+        """A second write within a second replaces the streams of the first one."""
+        async with deploy() as found:
+            host = found.hosts[0]
+            await found.until(lambda: host.leadership.holds())
+            rows = host.stream_rows
+            host.ctx.clock.now = lambda: datetime.fromtimestamp(1000.5, UTC)
+            binding = make_binding("engines", "v1")
+            for stream in (1, 2):
+                self.assertTrue(await rows._write({stream: binding}))
+            stored = await host.store.scan(f"{PREFIX}{row_slot(1000.5):03}/")
+            kept = [stream for row in stored.values() for stream, _ in decode_row(row.value)]
+            self.assertEqual([1, 2], sorted(kept))
+
+
 class KilledTest(unittest.TestCase):
     """Guards against streams that go on at another version after all hosts were lost at once."""
 
