Let a hub that stood still go on with streams while the store is away

Change: three seconds after it went on a hub that hears most hosts counts its list as known: hosts with a newer one have said so by then.

--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -58,6 +58,8 @@
 AWAKE_CHECK_SECONDS = 0.2
 STANDSTILL_SECONDS = 0.6
 BACKLOG_SECONDS = 0.3
+# Seconds after which a host that hears most others has heard of what it missed.
+RETURN_SECONDS = 3.0
 # Part of the time in which the first event must arrive that is left for serving the request.
 SERVING_SECONDS = 0.5
 NO_SERVICES: frozenset[str] = frozenset()
@@ -263,6 +265,17 @@
         as_of = self._ctx.clock.monotonic() - self._list_age()
         return as_of >= max(than, self._awake_since + BACKLOG_SECONDS)
 
+    def _knows_list(self) -> bool:
+        """Return whether this host would have heard of endpoints that joined while it stood still.
+
+        Failure guarded against: the store is away after the hub stood still, so nothing confirms
+        its list, and it refuses all streams of services with one version. Hosts that have a newer
+        list say so within that time.
+        """
+        stood_at = self._awake_since + RETURN_SECONDS
+        returned = self._ctx.clock.monotonic() > stood_at and self._hears_most()
+        return returned or self._list_is_newer(-inf)
+
     def _in_touch(self) -> bool:
         """Return whether this host would hear of an endpoint of another version.
 
@@ -434,7 +447,7 @@
             if unread or not (seen_all or self._knows_recorded):
                 verdict, complete = Verdict(Source.UNKNOWN, service), False
                 versions |= {UNKNOWN_SOFTWARE}
-        if verdict.source is not Source.TOLD and not self._list_is_newer(-inf):
+        if verdict.source is not Source.TOLD and not self._knows_list():
             verdict, complete = Verdict(Source.UNKNOWN, service), False
             versions |= {UNKNOWN_SOFTWARE}
         return Reply(verdict, complete, versions)
@@ -461,7 +474,7 @@
         A host that stood still may see another version late, which has served meanwhile.
         """
         others = set(self._peers.known_hosts()) - {self._host}
-        apart = bool(others - self._heard(now)) or not self._list_is_newer(-inf)
+        apart = bool(others - self._heard(now)) or not self._knows_list()
         if apart or self._peers.host_count() > len(others) + 1:
             self._apart_at = now
 
--- a/tests/relay/test_rejoined_streams.py
+++ b/tests/relay/test_rejoined_streams.py
@@ -36,6 +36,7 @@
 STANDING_SECONDS = 2.5
 LATE_SECONDS = 0.3
 LATE_LIST_SECONDS = 1.2
+LATE_RETURN_SECONDS = 5.0
 RETURN_TIMES = (0.0, 0.1, 0.5, 1.5, 4.0)
 
 
@@ -449,24 +450,34 @@
 
         check(self)
 
-    @run
-    async def test_a_host_that_was_cut_off_for_long_and_one_version_serves(self):
-        """Streams are refused at a host that is the hub again, though one version serves."""
-        async with deploy(ALL_OLD, hosts=HOSTS) as found:
-            await wait_linked(found)
-            await asyncio.sleep(WRITTEN_SECONDS)
-            names = [host.settings.host for host in found.hosts]
-            late = names.index(found.hosts[0].peers.hub())
-            for number in range(STREAMS):
-                await begin(found, f"a{number}", (late + 1) % HOSTS)
-            for host in found.hosts:
-                seem_old(host)
-            suspension = Suspension(found.hosts[late])
-            await asyncio.sleep(1.0)
-            await suspension.stand(STANDING_SECONDS)
-            suspension.wake()
-            statuses = await take_all_up(found, times=RETURN_TIMES, hosts=(late,))
-            self.assertEqual({200}, {status for rows in statuses.values() for _, status in rows})
+    @params(
+        ("the store is there", False, RETURN_TIMES),
+        ("the store is away", True, (LATE_RETURN_SECONDS,)),
+    )
+    def test_the_hub_stands_still_while_one_version_serves(self, name, down, times):
+        """Streams are refused after its return, although there is no other version."""
+
+        @run
+        async def check(self):
+            async with deploy(ALL_OLD, hosts=HOSTS) as found:
+                await wait_linked(found)
+                await asyncio.sleep(WRITTEN_SECONDS)
+                names = [host.settings.host for host in found.hosts]
+                late = names.index(found.hosts[0].peers.hub())
+                for number in range(STREAMS):
+                    await begin(found, f"a{number}", (late + 1) % HOSTS)
+                for host in found.hosts:
+                    seem_old(host)
+                suspension = Suspension(found.hosts[late])
+                await asyncio.sleep(1.0)
+                found.store.faults["down"] = down
+                await suspension.stand(STANDING_SECONDS)
+                suspension.wake()
+                statuses = await take_all_up(found, times=times, hosts=(late,))
+                found_here = {status for rows in statuses.values() for _, status in rows}
+                self.assertEqual({200}, found_here, statuses)
+
+        check(self)
 
 
 async def cut_links(host, silent):
