Refuse numbers and names out of range in entries and reports

Callers saw: one entry whose slots were 1 and 400 zeros beside sound engines, and requests for the service were answered with 500 for as long as it stood. Cause: the decoder took integers of any size in slots, born, seq and models' versions, floats up to the largest, and texts of any length. The choice of an endpoint divides by the slots, which raises OverflowError where no float can hold them, for each request. Change: peridotdock/ranges.py states the ranges once, as types for msgspec's decoders. A value out of its range makes its row invalid: it names no endpoint, is logged once, and all others hold. Conclusion: what computes with entries and reports gets only values that floats and clocks can hold.

--- a/peridotdock/platform/endpoints.py
+++ b/peridotdock/platform/endpoints.py
@@ -3,36 +3,33 @@
 Failure guarded against: another writer overwrites an entry, with fields missing or of another type.
 If it were accepted in part, requests would be sent to an invalid address, or a host that reads the
 other fields would crash. So an entry is accepted only if every field that endpoints always write is
-present with its type.
+present with its type, and in its range (see :mod:`peridotdock.ranges`).
 """
 
-from typing import Annotated, Literal
+from typing import Literal
 
 import msgspec
 
 from peridotdock.clients.engines import EngineState
 from peridotdock.errors import Failure, Kind
+from peridotdock.ranges import ROW_ERRORS, Counter, Name, RemainingMs, SlotCount, UnixMs
 from peridotdock.relay.requests import EndpointEntry, LoadedModel
 from peridotdock.relay.settings import parse_address
 
-# parse_address raises ValueError, and msgspec a subclass of it; deep nesting raises RecursionError.
-ROW_ERRORS = (ValueError, RecursionError)
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
-
 
 class LoadedModelRow(msgspec.Struct):
     """A model that an endpoint has loaded; adapters are NAME or NAME@VERSION."""
 
-    name: str
-    version: int = 0
-    adapters: list[str] | None = None
+    name: Name
+    version: Counter = 0
+    adapters: list[Name] | None = None
 
 
 class CachedWeightsRow(msgspec.Struct):
     """Models whose weights an endpoint has cached in its memory or on its disk."""
 
-    in_memory: list[str] | None = None
-    on_disk: list[str] | None = None
+    in_memory: list[Name] | None = None
+    on_disk: list[Name] | None = None
 
 
 class EntryRow(msgspec.Struct):
@@ -43,15 +40,15 @@
     milliseconds, 0 when unknown.
     """
 
-    service: str
+    service: Name
     address: str
-    zone: str
-    version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    zone: Name
+    version: Name
+    slots: SlotCount
     state: Literal["ready", "draining"]
-    cold_remaining_ms: float
-    seq: int
-    born: NonNegativeInt = 0
+    cold_remaining_ms: RemainingMs
+    seq: Counter
+    born: UnixMs = 0
     models: list[LoadedModelRow] | None = None
     at_hand: CachedWeightsRow | None = None
 
@@ -62,11 +59,11 @@
     ``coming`` are adapters that are being loaded, as MODEL/NAME@VERSION.
     """
 
-    seq: NonNegativeInt
+    seq: Counter
     busy: bool
     models: list[LoadedModelRow]
-    born: NonNegativeInt = 0
-    coming: list[str] | None = None
+    born: UnixMs = 0
+    coming: list[Name] | None = None
     at_hand: CachedWeightsRow | None = None
 
 
--- /dev/null
+++ b/peridotdock/ranges.py
@@ -0,0 +1,43 @@
+"""Ranges of the values that other writers send, as types for msgspec's decoders.
+
+Failure guarded against: JSON has no largest number. Another writer leaves one that no float can
+hold, every request that computes with it raises, and no request of the service is served. So a
+value out of its range makes its row invalid where the row is decoded, and nothing behind a decoder
+has to expect it. The ranges are far above what deployments have, and far below what floats, clocks
+and the machine's memory can hold.
+"""
+
+from typing import Annotated
+
+import msgspec
+
+# The largest integer that all JSON readers hold exactly.
+MAX_COUNTER = 2**53 - 1
+# The last millisecond of the year 9999, since 1970.
+MAX_UNIX_MS = 253_402_300_799_999
+# Requests that an endpoint processes at once.
+MAX_SLOTS = 100_000
+# Thirty days in milliseconds.
+MAX_DURATION_MS = 30 * 86_400_000
+# Characters of a name, such as that of a model, a zone or a software version.
+MAX_NAME_LENGTH = 512
+
+# A number that only increases, as of orders, heartbeats or versions.
+Counter = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
+UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
+SlotCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+# A time that is left; a writer may go on counting when it has passed.
+RemainingMs = Annotated[float, msgspec.Meta(ge=-MAX_DURATION_MS, le=MAX_DURATION_MS)]
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+
+# What decoding by these types may raise for a row of another writer. msgspec's errors and
+# OverflowError's cause are ValueErrors or ArithmeticErrors; deep nesting raises RecursionError.
+ROW_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    MemoryError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
--- a/tests/relay/test_entries.py
+++ b/tests/relay/test_entries.py
@@ -13,6 +13,7 @@
 from peridotdock.events import Filter
 from peridotdock.metrics import Metrics
 from peridotdock.platform.adapter import PlatformAdapter
+from peridotdock.platform.endpoints import decode_report
 from peridotdock.platform.store import OWN_TABLE
 from peridotdock.relay.settings import parse_address
 from tests.relay.deployment import Deployment
@@ -70,6 +71,33 @@
     ("at_hand", {"in_memory": "m0"}),
 )
 UNREADABLE = (b"", b"{", b"{}", b"[]", b'"x"', b"null", b"7", b"\xff\xfe\x00", b"[" * 5000)
+# JSON texts of numbers that no count, time or version of an endpoint can be.
+ODD_NUMBERS = {
+    "beyond all floats": "1" + "0" * 400,
+    "beyond the digits that are read": "9" * 5000,
+    "beyond 64 bits": str(2**64),
+    "beyond exact floats": str(2**53),
+    "the largest float": "1e308",
+    "infinite": "1e999",
+    "not a number": "NaN",
+    "far below zero": "-1" + "0" * 400,
+}
+DEEP = "[" * 50_000 + "]" * 50_000
+DEEP_OBJECTS = '{"a":' * 50_000 + "1" + "}" * 50_000
+HUGE_TEXT = json.dumps("x" * 2_000_000)
+LONE_SURROGATE = '"\\ud800"'
+NESTED = (DEEP, DEEP_OBJECTS)
+ENTRY_NUMBERS = ("slots", "cold_remaining_ms", "seq", "born")
+ENTRY_TEXTS = ("service", "zone", "version")
+ODD_TEXTS = (HUGE_TEXT, LONE_SURROGATE, *NESTED)
+REPORT = {
+    "seq": 4,
+    "busy": False,
+    "born": 1_700_000_000_000,
+    "models": ENTRY["models"],
+    "coming": ["m0/a2@3"],
+    "at_hand": ENTRY["at_hand"],
+}
 
 
 def decode(raw):
@@ -111,6 +139,73 @@
         self.assertTrue(failed(decode(raw)), raw[:20])
 
 
+def spliced(row, name, text):
+    """Return a row as JSON in which a field has a JSON text that Python does not write."""
+    return json.dumps(row | {name: "SPLICED"}).replace('"SPLICED"', text).encode()
+
+
+def odd_values():
+    """Return the name of each case, the row that it changes, the field, and its JSON text."""
+    numbers = [
+        (f"{name} {field}", row, field, text)
+        for name, text in ODD_NUMBERS.items()
+        for row, fields in ((ENTRY, ENTRY_NUMBERS), (REPORT, ("seq", "born")))
+        for field in fields
+    ]
+    versions = [
+        (f"{name} models' version", row, "models", f'[{{"name": "m0", "version": {text}}}]')
+        for name, text in ODD_NUMBERS.items()
+        for row in (ENTRY, REPORT)
+    ]
+    texts = [
+        (f"odd {field} {place}", ENTRY, field, text)
+        for field in ENTRY_TEXTS
+        for place, text in enumerate(ODD_TEXTS)
+    ]
+    names = [
+        (f"odd names {place}", row, field, shape % text)
+        for row in (ENTRY, REPORT)
+        for place, text in enumerate(ODD_TEXTS)
+        for field, shape in (
+            ("models", '[{"name": %s, "version": 3}]'),
+            ("models", '[{"name": "m0", "version": 3, "adapters": [%s]}]'),
+            ("at_hand", '{"in_memory": [%s]}'),
+            ("at_hand", '{"on_disk": [%s]}'),
+        )
+    ]
+    coming = [("odd coming", REPORT, "coming", f"[{text}]") for text in ODD_TEXTS]
+    negative = [("negative", row, "seq", "-1") for row in (ENTRY, REPORT)]
+    return [*numbers, *versions, *texts, *names, *coming, *negative]
+
+
+class OddValuesTest(unittest.TestCase):
+    @params(*odd_values())
+    def test_a_row_with_an_odd_value_is_refused(self, name, row, field, text):
+        """Guards against requests that all fail because one number of an entry is too large.
+
+        Its slots were more than a float holds, and each choice of an endpoint divided by them.
+        """
+        raw = spliced(row, field, text)
+        found = decode(raw) if row is ENTRY else decode_report(raw)
+        self.assertTrue(failed(found), (name, field))
+        self.assertLess(len(found.reason), 500)
+
+    @params(
+        ("slots", 100_000),
+        ("seq", 2**53 - 1),
+        ("born", 253_402_300_799_999),
+        ("cold_remaining_ms", 2_592_000_000),
+        ("cold_remaining_ms", -0.5),
+        ("version", "v" * 512),
+    )
+    def test_the_last_values_of_the_ranges_are_taken(self, field, value):
+        self.assertFalse(failed(decode(changed(**{field: value}))))
+
+    def test_an_unread_field_may_hold_anything_but_endless_nesting(self):
+        self.assertFalse(failed(decode(spliced(ENTRY, "more", "9" * 5000))))
+        self.assertTrue(failed(decode(spliced(ENTRY, "more", DEEP))))
+
+
 def refusals(host, name="entry_refused"):
     return [event for event in host.ctx.timeline.select(Filter()) if event.name == name]
 
@@ -159,6 +254,40 @@
         asyncio.run(play())
 
 
+def odd_rows(runner, cases):
+    """Return odd entries of a runner's service, each as the only change of a sound entry."""
+    row = runner.entry("engines")
+    return {f"odd{place}": spliced(row, *case) for place, case in enumerate(cases)}
+
+
+class OddEntriesBesideSoundOnesTest(unittest.TestCase):
+    @params(
+        ("numbers", [(name, text) for name in ENTRY_NUMBERS for text in ODD_NUMBERS.values()]),
+        ("nesting", [(name, text) for name in ("slots", "models", "more") for text in NESTED]),
+        ("texts", [(name, text) for name in ENTRY_TEXTS for text in (HUGE_TEXT, LONE_SURROGATE)]),
+    )
+    def test_requests_are_served_and_a_new_engine_is_found(self, name, cases):
+        """Guards against a service that fails as long as one odd entry stands among sound ones."""
+
+        async def play():
+            engines = (("e1", ("m0",)), ("e2", ("m0",)), ("e3", ("m0",)))
+            async with Deployment(engines=engines) as found:
+                host, late = found.hosts[0], found.engines["e3"]
+                found.store.remove("servers", "e3")
+                for key, raw in odd_rows(late, cases).items():
+                    found.store.put("servers", key, raw)
+                await found.until(lambda: len(refusals(host)) == len(cases), 5.0)
+                for attempt in range(12):
+                    status, _, _ = await found.send("/recap/", f"a{attempt}", "m0")
+                    self.assertEqual(200, status)
+                late.on_change()
+                await found.until(lambda: used(host) == ["e1", "e2", "e3"], 3.0)
+                self.assertEqual({"e1", "e2", "e3", "p1"}, set(host.fleet.states))
+                self.assertEqual([], refusals(host, "rows_refused"))
+
+        asyncio.run(play())
+
+
 def used(host):
     return sorted(state.key for state in host.fleet.usable("engines", None))
 
