Take only the IPv4 address and port of one machine as an endpoint's address

Callers saw: a request on a route that may run once was answered with 502 after another writer had left entries with odd addresses beside two sound engines. Cause: an entry's address needed only a colon and digits of any script behind it: port 0, line breaks, user info, a path, names, IPv6 and 0.0.0.0 (this machine) all named an endpoint. Requests were sent there, or failed where the URL was made; one that may run only once then counts as lost and is not sent again. Change: an endpoint's address is an IPv4 address of one machine and a port from 1 to 65535, both in the usual notation. Addresses in the settings file, which operators write, are read as before. Conclusion: no request is sent by an entry whose address is none.

--- a/peridotdock/platform/endpoints.py
+++ b/peridotdock/platform/endpoints.py
@@ -12,9 +12,16 @@
 
 from peridotdock.clients.engines import EngineState
 from peridotdock.errors import Failure, Kind
-from peridotdock.ranges import ROW_ERRORS, Counter, Name, RemainingMs, SlotCount, UnixMs
+from peridotdock.ranges import (
+    ROW_ERRORS,
+    Counter,
+    Name,
+    RemainingMs,
+    SlotCount,
+    UnixMs,
+    check_endpoint_address,
+)
 from peridotdock.relay.requests import EndpointEntry, LoadedModel
-from peridotdock.relay.settings import parse_address
 
 
 class LoadedModelRow(msgspec.Struct):
@@ -75,7 +82,7 @@
     """Decode the row in which an endpoint registered itself; the row's key is its id."""
     try:
         row = ENTRY.decode(raw)
-        parse_address(row.address)
+        check_endpoint_address(row.address)
     except ROW_ERRORS as exc:
         return Failure(Kind.BAD_REQUEST, f"entry {endpoint_id}: {type(exc).__name__}: {exc}")
     cached = row.at_hand or CachedWeightsRow()
--- a/peridotdock/ranges.py
+++ b/peridotdock/ranges.py
@@ -7,6 +7,7 @@
 and the machine's memory can hold.
 """
 
+from ipaddress import IPv4Address
 from typing import Annotated
 
 import msgspec
@@ -21,6 +22,9 @@
 MAX_DURATION_MS = 30 * 86_400_000
 # Characters of a name, such as that of a model, a zone or a software version.
 MAX_NAME_LENGTH = 512
+# Characters of the longest IP:PORT of IPv4.
+MAX_ADDRESS_LENGTH = len("255.255.255.255:65535")
+MAX_PORT = 65_535
 
 # A number that only increases, as of orders, heartbeats or versions.
 Counter = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
@@ -41,3 +45,19 @@
     TypeError,
     ValueError,
 )
+
+
+def check_endpoint_address(text: str) -> None:
+    """Raise ValueError unless ``text`` is the IP:PORT of one machine, in the usual notation.
+
+    It becomes part of URLs: a user, a path or a line break would be sent to another place.
+    """
+    if len(text) > MAX_ADDRESS_LENGTH:
+        raise ValueError("address too long")
+    ip, _, port = text.rpartition(":")
+    number = int(port) if port.isascii() and port.isdigit() else 0
+    if str(number) != port or not 1 <= number <= MAX_PORT:
+        raise ValueError(f"no port from 1 to {MAX_PORT}")
+    found = IPv4Address(ip)
+    if found.is_unspecified or found.is_multicast or found.is_reserved:
+        raise ValueError("not the address of one machine")
--- a/tests/relay/test_entries.py
+++ b/tests/relay/test_entries.py
@@ -70,6 +70,40 @@
     ("at_hand", ["m0"]),
     ("at_hand", {"in_memory": "m0"}),
 )
+# Those that a host could reach are of the network for documentation, which has no machines.
+ODD_ADDRESSES = (
+    "192.0.2.1:0",
+    "192.0.2.1:70000",
+    "192.0.2.1:-1",
+    "192.0.2.1:080",
+    "192.0.2.1:" + "9" * 5000,
+    "192.0.2.1:\u0668\u0660",
+    "192.0.2.1:8\u00b2",
+    "\u0661\u0669\u0662.0.2.1:80",
+    "192.0.2.1:80\r\nx: y:1",
+    "192.0.2.1\r\nx: y:80",
+    "192.0.2.1:80\n",
+    " 192.0.2.1:80",
+    "user:word@192.0.2.1:80",
+    "192.0.2.1/path:80",
+    "192.0.2.1:80/path",
+    "192.0.2.1?query:80",
+    "http://192.0.2.1:80",
+    "::1:80",
+    "[::1]:80",
+    "[::1:80",
+    "engine.example:80",
+    "192.0.2:80",
+    "0192.0.2.1:80",
+    "192.0.2.256:80",
+    "0.0.0.0:80",
+    "224.0.0.1:80",
+    "255.255.255.255:80",
+    "192.0.2.1",
+    "",
+    ":",
+    "x" * 2_000_000 + ":80",
+)
 UNREADABLE = (b"", b"{", b"{}", b"[]", b'"x"', b"null", b"7", b"\xff\xfe\x00", b"[" * 5000)
 # JSON texts of numbers that no count, time or version of an endpoint can be.
 ODD_NUMBERS = {
@@ -88,7 +122,7 @@
 LONE_SURROGATE = '"\\ud800"'
 NESTED = (DEEP, DEEP_OBJECTS)
 ENTRY_NUMBERS = ("slots", "cold_remaining_ms", "seq", "born")
-ENTRY_TEXTS = ("service", "zone", "version")
+ENTRY_TEXTS = ("service", "address", "zone", "version")
 ODD_TEXTS = (HUGE_TEXT, LONE_SURROGATE, *NESTED)
 REPORT = {
     "seq": 4,
@@ -190,6 +224,17 @@
         self.assertTrue(failed(found), (name, field))
         self.assertLess(len(found.reason), 500)
 
+    @params(*ODD_ADDRESSES)
+    def test_an_address_that_is_no_ip_and_port_is_refused(self, address):
+        """Guards against requests that are sent, in part, to what another writer chose."""
+        found = decode(changed(address=address))
+        self.assertTrue(failed(found), address[:40])
+        self.assertLess(len(found.reason), 500)
+
+    @params("10.0.0.1:1", "223.1.2.3:65535", "127.0.0.1:80")
+    def test_an_ip_and_a_port_are_taken(self, address):
+        self.assertEqual(address, getattr(decode(changed(address=address)), "address", ""))
+
     @params(
         ("slots", 100_000),
         ("seq", 2**53 - 1),
@@ -264,7 +309,10 @@
     @params(
         ("numbers", [(name, text) for name in ENTRY_NUMBERS for text in ODD_NUMBERS.values()]),
         ("nesting", [(name, text) for name in ("slots", "models", "more") for text in NESTED]),
-        ("texts", [(name, text) for name in ENTRY_TEXTS for text in (HUGE_TEXT, LONE_SURROGATE)]),
+        (
+            "texts",
+            [(name, text) for name in ENTRY_TEXTS[1:] for text in (HUGE_TEXT, LONE_SURROGATE)],
+        ),
     )
     def test_requests_are_served_and_a_new_engine_is_found(self, name, cases):
         """Guards against a service that fails as long as one odd entry stands among sound ones."""
@@ -287,6 +335,23 @@
 
         asyncio.run(play())
 
+    def test_requests_that_may_run_once_are_served(self):
+        """Guards against requests that fail as they count as lost at an address that is none."""
+
+        async def play():
+            async with Deployment(engines=(("e1", ("m0",)), ("e2", ("m0",)))) as found:
+                row = found.engines["e1"].entry("engines")
+                for place, address in enumerate(ODD_ADDRESSES):
+                    found.store.put("servers", f"odd{place}", row | {"address": address})
+                found.store.put("servers", "mark", row | {"zone": "mark"})
+                await found.until(lambda: zone_of(found.hosts[0], "mark") == "mark", 3.0)
+                found.store.remove("servers", "mark")
+                await found.until(lambda: "mark" not in found.hosts[0].fleet.states, 3.0)
+                sent = [await found.send("/once/", f"a{place}", "m0") for place in range(20)]
+                self.assertEqual([200] * 20, [status for status, _, _ in sent])
+
+        asyncio.run(play())
+
 
 def used(host):
     return sorted(state.key for state in host.fleet.usable("engines", None))
