Take only visible ASCII as an endpoint's id

Callers saw: of 20 requests that may run once, two got 503 and one 502, after entries under keys with line breaks, blanks, other scripts or two million characters were left beside sound engines (all named the address of a sound engine; which key gave which status was not traced). Cause: the key of an entry's row is the endpoint's id, which each request carries in a header. Any text was taken; a request that can't be written fails where it is sent and counts as lost. Change: an id has 1 to 512 visible ASCII characters, else the entry names no endpoint. The log shows the first 64 characters of a refused one. Conclusion: ids that were taken can be sent as they are.

--- a/peridotdock/platform/endpoints.py
+++ b/peridotdock/platform/endpoints.py
@@ -15,6 +15,7 @@
 from peridotdock.ranges import (
     ROW_ERRORS,
     Counter,
+    Id,
     Name,
     RemainingMs,
     SlotCount,
@@ -23,6 +24,9 @@
 )
 from peridotdock.relay.requests import EndpointEntry, LoadedModel
 
+# Characters of a row's key that are logged if it is no endpoint's id.
+MAX_LOGGED_ID = 64
+
 
 class LoadedModelRow(msgspec.Struct):
     """A model that an endpoint has loaded; adapters are NAME or NAME@VERSION."""
@@ -81,10 +85,12 @@
 def decode_endpoint(endpoint_id: str, raw: bytes) -> EndpointEntry | Failure:
     """Decode the row in which an endpoint registered itself; the row's key is its id."""
     try:
+        msgspec.convert(endpoint_id, Id)
         row = ENTRY.decode(raw)
         check_endpoint_address(row.address)
     except ROW_ERRORS as exc:
-        return Failure(Kind.BAD_REQUEST, f"entry {endpoint_id}: {type(exc).__name__}: {exc}")
+        name = endpoint_id[:MAX_LOGGED_ID]
+        return Failure(Kind.BAD_REQUEST, f"entry {name!r}: {type(exc).__name__}: {exc}")
     cached = row.at_hand or CachedWeightsRow()
     return EndpointEntry(
         endpoint_id=endpoint_id,
--- a/peridotdock/ranges.py
+++ b/peridotdock/ranges.py
@@ -32,6 +32,8 @@
 SlotCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 # A time that is left; a writer may go on counting when it has passed.
 RemainingMs = Annotated[float, msgspec.Meta(ge=-MAX_DURATION_MS, le=MAX_DURATION_MS)]
+# An id that is a header's value as it is.
+Id = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH, pattern=r"\A[!-~]+\Z")]
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 
 # What decoding by these types may raise for a row of another writer. msgspec's errors and
--- a/tests/relay/test_entries.py
+++ b/tests/relay/test_entries.py
@@ -104,6 +104,17 @@
     ":",
     "x" * 2_000_000 + ":80",
 )
+ODD_KEYS = (
+    "",
+    "odd\r\nx: y",
+    "odd\n",
+    "o\0d",
+    "odd one",
+    "\u00f6dd",
+    "\u2603",
+    "x" * 513,
+    "x" * 2_000_000,
+)
 UNREADABLE = (b"", b"{", b"{}", b"[]", b'"x"', b"null", b"7", b"\xff\xfe\x00", b"[" * 5000)
 # JSON texts of numbers that no count, time or version of an endpoint can be.
 ODD_NUMBERS = {
@@ -231,6 +242,13 @@
         self.assertTrue(failed(found), address[:40])
         self.assertLess(len(found.reason), 500)
 
+    @params(*ODD_KEYS)
+    def test_a_key_that_is_no_id_is_refused(self, key):
+        """Guards against a request that can't be written, as its endpoint's id is in its head."""
+        found = PlatformAdapter.decode_endpoint(key, changed())
+        self.assertTrue(failed(found), key[:40])
+        self.assertLess(len(found.reason), 500)
+
     @params("10.0.0.1:1", "223.1.2.3:65535", "127.0.0.1:80")
     def test_an_ip_and_a_port_are_taken(self, address):
         self.assertEqual(address, getattr(decode(changed(address=address)), "address", ""))
@@ -335,14 +353,19 @@
 
         asyncio.run(play())
 
-    def test_requests_that_may_run_once_are_served(self):
-        """Guards against requests that fail as they count as lost at an address that is none."""
+    @params(
+        ("addresses", {f"odd{place}": address for place, address in enumerate(ODD_ADDRESSES)}),
+        ("keys", dict.fromkeys(ODD_KEYS)),
+    )
+    def test_requests_that_may_run_once_are_served(self, name, addresses):
+        """Guards against requests that fail as they count as lost at an endpoint that is none."""
 
         async def play():
             async with Deployment(engines=(("e1", ("m0",)), ("e2", ("m0",)))) as found:
                 row = found.engines["e1"].entry("engines")
-                for place, address in enumerate(ODD_ADDRESSES):
-                    found.store.put("servers", f"odd{place}", row | {"address": address})
+                for key, address in addresses.items():
+                    odd = row | {"address": address or row["address"]}
+                    found.store.put("servers", key, odd)
                 found.store.put("servers", "mark", row | {"zone": "mark"})
                 await found.until(lambda: zone_of(found.hosts[0], "mark") == "mark", 3.0)
                 found.store.remove("servers", "mark")
