Take odd answers of the store for failed calls, and follow changes too large for one answer

Callers saw: nothing yet; this was found by tests. A host that got such an answer logged a traceback in place of a failed call, or took a number for the newest version and all later ones for outdated. Cause: versions, eras and times were taken as any integer, deep nesting and bodies of another shape raised out of reads and commits. A feed's answer that is too long was a failed call, which is made again from the same version, and is answered with the same changes. If the changes are too long for one answer, the table is read whole, which the store pages. Measured: 61 of 104 cases of tests.relay.test_odd_answers failed before, among them the large change, with a time-out after 5 s. Now all pass. Conclusion: an odd answer costs one call.

--- a/peridotdock/clients/versions.py
+++ b/peridotdock/clients/versions.py
@@ -17,6 +17,8 @@
 # The era of a store that was never restored. Some stores count from 1 instead; these are taken for
 # restored ones.
 FIRST_ERA = 0
+# The largest era that is taken. A store begins one when it returns from an older copy of its rows.
+MAX_ERA = 2**31 - 1
 
 
 def make_version(era: int, number: int) -> int:
@@ -80,5 +82,12 @@
 
 
 def parse_era(text: str | None) -> int | None:
-    """Return the era named in an answer, None if it names none that can be read."""
-    return int(text) if text and text.isascii() and text.isdigit() else None
+    """Return the era named in an answer, None if it names none that can be read.
+
+    Failure guarded against: one answer names an era beyond all that are possible, and all later
+    answers count as those of an earlier era.
+    """
+    if not text or len(text) > len(str(MAX_ERA)) or not (text.isascii() and text.isdigit()):
+        return None
+    era = int(text)
+    return era if era <= MAX_ERA else None
--- a/peridotdock/platform/store.py
+++ b/peridotdock/platform/store.py
@@ -12,7 +12,13 @@
 import msgspec
 
 from peridotdock.clients.answer_memory import MAX_STORE_ANSWER_BYTES, make_store_memory
-from peridotdock.clients.http import CONNECT_ERRORS, TRANSFER_ERRORS, Pool, read_body
+from peridotdock.clients.http import (
+    CONNECT_ERRORS,
+    TRANSFER_ERRORS,
+    EndlessAnswer,
+    Pool,
+    read_body,
+)
 from peridotdock.clients.platform import RESTORED, Committed, ListedHost, Row, Transaction
 from peridotdock.clients.store_time import StoreTime
 from peridotdock.clients.tables import TableChanges, TableView
@@ -27,6 +33,7 @@
 )
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.metrics import Metrics
+from peridotdock.ranges import MAX_UNIX_MS, ROW_ERRORS, StoreNumber, read_value
 from peridotdock.relay.settings import Address
 
 # The table of the product's own rows; all are in the empty part, so that one transaction can change
@@ -41,7 +48,8 @@
 TOMBSTONE_FIELD = "tombstone"
 # Counts the store's returns from an older copy of its rows.
 ERA_HEADER = "Store-Era"
-READ_ERRORS = (LookupError, AttributeError, TypeError, ValueError, msgspec.DecodeError)
+# The reason of a call whose answer was given up as too long.
+TOO_LONG = EndlessAnswer.__name__
 COMMIT_KINDS = {412: Kind.CONFLICT, 429: Kind.PLATFORM_DOWN, 503: Kind.PLATFORM_DOWN}
 
 
@@ -137,13 +145,13 @@
             return Failure(Kind.PLATFORM_DOWN, f"status {answer.status}")
         try:
             return Page(msgspec.json.decode(answer.raw), answer.era)
-        except msgspec.DecodeError as exc:
+        except ROW_ERRORS as exc:
             return Failure(Kind.PLATFORM_DOWN, f"bad body: {exc}")
 
     def _record_time(self, found: Mapping[str, Any], sent_at: float) -> None:
         """Record the store's time from the answer to a call that is not a long poll."""
         now_ms = found.get("now_ms")
-        if isinstance(now_ms, int):
+        if isinstance(now_ms, int) and 0 <= now_ms <= MAX_UNIX_MS:
             self._time.record(now_ms / 1000, sent_at)
 
     async def _read_pages(self, table: str, start: str = "", end: str = "") -> Pages | Failure:
@@ -168,11 +176,11 @@
                 self._record_time(page.body, sent_at)
                 rows += page.body["rows"]
                 if version is None:
-                    version = make_version(page.era, int(page.body["ver"]))
+                    version = make_version(page.era, read_value(page.body["ver"], StoreNumber))
                 if not page.body.get("has_more"):
                     return Pages(rows, version)
                 start = rows[-1]["key"] + "\0"
-            except READ_ERRORS as exc:
+            except ROW_ERRORS as exc:
                 return Failure(Kind.PLATFORM_DOWN, f"bad page: {exc!r}")
 
     async def read_table(self, table: str) -> TableView | Failure:
@@ -182,7 +190,7 @@
             return found
         try:
             return TableView({row["key"]: decode_value(row) for row in found.rows}, found.version)
-        except READ_ERRORS as exc:
+        except ROW_ERRORS as exc:
             return Failure(Kind.PLATFORM_DOWN, f"bad row: {exc!r}")
 
     async def follow(
@@ -192,7 +200,9 @@
 
         Failure guarded against: the store has returned from an older copy, and its new numbers have
         passed the one in ``after``. It answers with the changes after that number, and those
-        before it, made under numbers given out again, are never seen.
+        before it, made under numbers given out again, are never seen. Or the changes are too many
+        for one answer: the next call would be answered with the same again, so the table has to be
+        read in pages.
         """
         if after != ABSENT and era_of(after) < self.era.current:
             return Failure(Kind.HISTORY_GONE, "the store was restored")
@@ -200,7 +210,8 @@
         query = urlencode({"table": table, "after": number_of(after), "wait_ms": hold_ms})
         page = await self._fetch("/v1/rows-feed?" + query, hold_seconds + answer_seconds)
         if failed(page):
-            return page
+            too_long = page.reason == TOO_LONG
+            return Failure(Kind.HISTORY_GONE, "too many changes") if too_long else page
         if not all_of_era([after], page.era):
             return Failure(Kind.HISTORY_GONE, "the store was restored")
         try:
@@ -208,8 +219,10 @@
                 row["key"]: None if row.get(TOMBSTONE_FIELD) else decode_value(row)
                 for row in page.body["rows"]
             }
-            return TableChanges(values, make_version(page.era, int(page.body["ver"])))
-        except READ_ERRORS as exc:
+            return TableChanges(
+                values, make_version(page.era, read_value(page.body["ver"], StoreNumber))
+            )
+        except ROW_ERRORS as exc:
             return Failure(Kind.PLATFORM_DOWN, f"bad row: {exc!r}")
 
     async def read(self, keys: Iterable[str]) -> dict[str, Row] | Failure:
@@ -233,11 +246,11 @@
         try:
             era = era_of(found.version)
             return {
-                row["key"]: Row(value, make_version(era, int(row["ver"])))
+                row["key"]: Row(value, make_version(era, read_value(row["ver"], StoreNumber)))
                 for row in found.rows
                 if (value := decode_own_row(row)) is not None
             }
-        except READ_ERRORS as exc:
+        except ROW_ERRORS as exc:
             return Failure(Kind.PLATFORM_DOWN, f"bad row: {exc!r}")
 
     async def commit(self, tx: Transaction) -> Committed | Failure:
@@ -268,9 +281,12 @@
             return Failure(kind, f"status {answer.status}")
         if not all_of_era(tx.checks.values(), answer.era):
             return RESTORED
-        found = msgspec.json.decode(answer.raw)
-        self._record_time(found, sent_at)
-        return Committed(make_version(answer.era, int(found["ver"])))
+        try:
+            found = msgspec.json.decode(answer.raw)
+            self._record_time(found, sent_at)
+            return Committed(make_version(answer.era, read_value(found["ver"], StoreNumber)))
+        except ROW_ERRORS as exc:
+            return Failure(Kind.OUTCOME_UNKNOWN, f"bad body: {exc!r}")
 
     async def get_object(self, name: str) -> bytes | None | Failure:
         """Fetch an object."""
--- a/peridotdock/ranges.py
+++ b/peridotdock/ranges.py
@@ -8,10 +8,12 @@
 """
 
 from ipaddress import IPv4Address
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 
+from peridotdock.clients.versions import NUMBER_MASK
+
 # The largest integer that all JSON readers hold exactly.
 MAX_COUNTER = 2**53 - 1
 # The last millisecond of the year 9999, since 1970.
@@ -29,6 +31,8 @@
 # A number that only increases, as of orders, heartbeats or versions.
 Counter = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
 UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
+# A version in the answers of a store, which has as many bits as are left for it beside the era.
+StoreNumber = Annotated[int, msgspec.Meta(ge=0, le=NUMBER_MASK)]
 SlotCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 # A time that is left; a writer may go on counting when it has passed.
 RemainingMs = Annotated[float, msgspec.Meta(ge=-MAX_DURATION_MS, le=MAX_DURATION_MS)]
@@ -36,8 +40,8 @@
 Id = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH, pattern=r"\A[!-~]+\Z")]
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 
-# What decoding by these types may raise for a row of another writer. msgspec's errors and
-# OverflowError's cause are ValueErrors or ArithmeticErrors; deep nesting raises RecursionError.
+# What decoding may raise for a row of another writer: msgspec's errors are ValueErrors, a number
+# too large for a float raises OverflowError, an ArithmeticError, and deep nesting RecursionError.
 ROW_ERRORS = (
     ArithmeticError,
     AttributeError,
@@ -49,6 +53,14 @@
 )
 
 
+def read_value(value: Any, kind: Any) -> Any:
+    """Return a decoded value as one of the types above; raises ValueError if it is out of range.
+
+    Numbers may be written as text.
+    """
+    return msgspec.convert(value, kind, strict=False)
+
+
 def check_endpoint_address(text: str) -> None:
     """Raise ValueError unless ``text`` is the IP:PORT of one machine, in the usual notation.
 
