Let no single entry keep the others from being applied, and log refused rows once

Callers saw: nothing yet; found by tests. If decoding an entry raised what its decoder doesn't expect, none of the rows read with it was applied, again at each read, and each was logged. Cause: only the follower caught such an exception, around all rows of an answer. Change: the reader of entries takes a row at which decoding raises for an invalid one. The follower, which goes on after any exception as before, logs the same refusal once until a step succeeds. Conclusion: one row that can't be decoded costs that row, whatever it raises.

--- a/peridotdock/relay/entries.py
+++ b/peridotdock/relay/entries.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 
 from peridotdock.context import Context
-from peridotdock.errors import Failure, failed
+from peridotdock.errors import Failure, Kind, failed
 from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.requests import EndpointEntry
 
@@ -48,7 +48,7 @@
         are still sent to the address in the previous entry. An invalid row is logged once until it
         is valid again, however often it is read.
         """
-        found = None if raw is None else self._decode(key, raw)
+        found = None if raw is None else self._try_decode(key, raw)
         if found is not None and failed(found):
             if key not in self._refused:
                 self._ctx.timeline.add("entry_refused", "WARNING", detail=found.reason)
@@ -61,6 +61,13 @@
             self._check_start(found)
         return found
 
+    def _try_decode(self, key: str, raw: bytes) -> EndpointEntry | Failure:
+        """Decode a row; one at which decoding raises is invalid, and the others still apply."""
+        try:
+            return self._decode(key, raw)
+        except Exception as exc:
+            return Failure(Kind.BAD_REQUEST, f"entry {key}: {type(exc).__name__}: {exc}")
+
     def _log(self, key: str, entry: EndpointEntry | None) -> None:
         state = self._fleet.states.get(key)
         if entry is None:
--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -77,6 +77,7 @@
         self._failed_calls = 0
         self._logged_as_old = False
         self._logged_as_behind = False
+        self._logged_refusal = ""
         self.connected = False
         self.rows: dict[str, bytes] = {}
         self.must_read = lambda: True
@@ -107,6 +108,7 @@
         while True:
             try:
                 await self.step()
+                self._logged_refusal = ""
             except Exception as exc:
                 self._log_refused_rows(exc)
                 await self._sleep(MAX_RETRY_SECONDS)
@@ -259,7 +261,11 @@
     # Lost and restored contact with the store
 
     def _log_refused_rows(self, exc: Exception) -> None:
+        """Log rows that can't be applied once, however often they are read."""
         detail = f"{self.table}: {type(exc).__name__}: {exc}"
+        if detail == self._logged_refusal:
+            return
+        self._logged_refusal = detail
         self._ctx.timeline.add("rows_refused", "ERROR", detail=detail)
 
     def _log_frame_behind(self, behind: bool, frame: Rows, known: int) -> None:
--- a/tests/relay/test_entries.py
+++ b/tests/relay/test_entries.py
@@ -15,7 +15,11 @@
 from peridotdock.platform.adapter import PlatformAdapter
 from peridotdock.platform.endpoints import decode_report
 from peridotdock.platform.store import OWN_TABLE
+from peridotdock.relay.entries import EntryReader
+from peridotdock.relay.fleet import RelayFleet
 from peridotdock.relay.settings import parse_address
+from tests.builders import make_ctx
+from tests.fakes import FakeClock
 from tests.relay.deployment import Deployment
 from tests.standins.tables import TableStandin
 
@@ -317,6 +321,30 @@
         asyncio.run(play())
 
 
+class RaisingDecoderTest(unittest.TestCase):
+    @params(RecursionError, MemoryError, OverflowError, RuntimeError)
+    def test_an_entry_at_which_decoding_raises_names_no_endpoint(self, kind):
+        """Guards against hosts that see no change of any entry as long as one can't be decoded."""
+
+        def decode_or_raise(key, raw):
+            if raw == b"odd":
+                raise kind("too much")
+            return PlatformAdapter.decode_endpoint(key, raw)
+
+        async def play():
+            ctx = make_ctx(FakeClock())
+            fleet = RelayFleet("north", ctx.clock)
+            reader = EntryReader(ctx, fleet, decode_or_raise, lambda address: None)
+            reader.apply_rows({"e1": changed(), "e2": changed(), "odd": b"odd"}, True)
+            self.assertEqual({"e1", "e2"}, set(fleet.states))
+            reader.apply_rows({"e1": b"odd", "e3": changed(), "odd": b"odd"}, False)
+            self.assertEqual({"e2", "e3"}, set(fleet.states))
+            found = [e for e in ctx.timeline.select(Filter()) if e.name == "entry_refused"]
+            self.assertEqual(2, len(found))
+
+        asyncio.run(play())
+
+
 def odd_rows(runner, cases):
     """Return odd entries of a runner's service, each as the only change of a sound entry."""
     row = runner.entry("engines")
--- a/tests/relay/test_lost.py
+++ b/tests/relay/test_lost.py
@@ -8,6 +8,7 @@
 from peridotdock.clients.tables import TableView
 from peridotdock.decisions.freshness import retry_delay
 from peridotdock.errors import Failure, Kind
+from peridotdock.events import Filter
 from peridotdock.fact_table import FactTable
 from peridotdock.membership import Membership
 from peridotdock.relay.fleet import RelayFleet
@@ -54,6 +55,31 @@
         self.assertTrue(any("good" in rows for rows in applied))
         task.cancel()
 
+    async def test_rows_that_cannot_be_applied_are_logged_once(self):
+        """Guards against a log that holds only one line, again and again, as one row is odd."""
+        for kind in (RecursionError, MemoryError, OverflowError):
+            with self.subTest(kind):
+                ctx = make_ctx(clock := FakeClock())
+                tables, raised = FlakyTables(clock), []
+
+                def apply_rows(rows, whole, kind=kind, raised=raised):
+                    if rows.get("odd") == b"odd":
+                        raised.append(kind)
+                        raise kind("too much")
+
+                follower = Follower(ctx, tables, "t", apply_rows, lambda: 0.0)
+                task = asyncio.ensure_future(follower.run())
+                for value in (b"odd", b"sound", b"odd"):
+                    tables.change("odd", value)
+                    for _ in range(300):
+                        await settle()
+                        clock.advance(TICK)
+                self.assertFalse(task.done())
+                self.assertGreater(len(raised), 4)
+                found = [e for e in ctx.timeline.select(Filter()) if e.name == "rows_refused"]
+                self.assertEqual(2, len(found))
+                task.cancel()
+
     async def test_an_update_that_cannot_be_applied_is_fetched_again(self):
         clock = FakeClock()
 
