Refuse a configuration with a number or a name out of range

Callers saw: nothing yet; found by tests. After a configuration whose version was 2^64, 10^400, 1e308 or 2^53, hosts applied no later one until they restarted, and went on to serve by it. Cause: the configuration was decoded with int() and float(), which take any size, and a number too large for a float raised OverflowError, which was not expected: the follower then read the row again and again. A version beyond all others is never followed by a newer one. Counts of adapters, from which names are derived, and times, limits and weights were not limited either. Change: the rows of a configuration are msgspec structs, as entries are, with the ranges of peridotdock.ranges. One with a value out of range is refused as a whole, as another bad one is, and the last valid one stays in force. Fields may still be missing, null or numbers as text. A fraction where a count is asked for, and a negative rate, which meant no limit, are refused now. Conclusion: an odd configuration leaves hosts as they were, and the next one is applied.

--- a/peridotdock/ranges.py
+++ b/peridotdock/ranges.py
@@ -22,6 +22,19 @@
 MAX_SLOTS = 100_000
 # Thirty days in milliseconds.
 MAX_DURATION_MS = 30 * 86_400_000
+# Places for adapters at an engine, or connections to an endpoint.
+MAX_PLACES = 1_000_000
+# Adapters of a model, each of which is planned for.
+MAX_ADAPTERS = 10_000
+# The lowest priority, and the attempts that a request may take.
+MAX_RANK = 1_000
+MAX_SENDS = 1_000
+# Bytes that a request of a caller may have, a terabyte.
+MAX_BYTES = 2**40
+# Megabytes, tokens, requests a second, or a share's weight: sums of these stay exact enough.
+MAX_AMOUNT = 1e15
+# Characters of a host name or a path.
+MAX_URL_PART_LENGTH = 4_096
 # Characters of a name, such as that of a model, a zone or a software version.
 MAX_NAME_LENGTH = 512
 # Characters of the longest IP:PORT of IPv4.
@@ -36,6 +49,15 @@
 SlotCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 # A time that is left; a writer may go on counting when it has passed.
 RemainingMs = Annotated[float, msgspec.Meta(ge=-MAX_DURATION_MS, le=MAX_DURATION_MS)]
+DurationMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
+DurationSeconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS / 1000)]
+PlaceCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_PLACES)]
+AdapterCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_ADAPTERS)]
+Rank = Annotated[int, msgspec.Meta(ge=0, le=MAX_RANK)]
+SendCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_SENDS)]
+ByteCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_BYTES)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+UrlPart = Annotated[str, msgspec.Meta(max_length=MAX_URL_PART_LENGTH)]
 # An id that is a header's value as it is.
 Id = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH, pattern=r"\A[!-~]+\Z")]
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
--- a/tests/relay/test_adapter.py
+++ b/tests/relay/test_adapter.py
@@ -9,7 +9,7 @@
 
 from peridotdock.deployment import RouteKind
 from peridotdock.errors import Kind, failed
-from peridotdock.platform.documents import decode_deployment
+from peridotdock.platform.documents import decode_deployment, hide_keys
 from peridotdock.platform.settings import load_settings
 from peridotdock.platform.wire import PlatformWire
 from peridotdock.relay.requests import RelayRequest, SendOptions
@@ -66,6 +66,79 @@
     return decode_deployment(json.dumps(document(**changes)).encode())
 
 
+TENANT = {"name": "w1", "api_keys": ["k"], "rate_per_s": 5, "burst": 7, "priority": 1}
+TENANT |= {"unit": "tokens", "plain_tokens": 200}
+ENGINE = {"slots": 4, "weights_mb": 300, "adapter_slots": 8, "models": [MODEL]}
+ENGINE |= {"kv_capacity_tokens": 9, "kv_token_bytes": 9, "loads_per_s": 1}
+LIMITS = {"max_header_bytes": 16_384, "max_body_bytes": 4_194_304, "idle_timeout_ms": 15_000}
+# JSON texts of numbers that no configuration holds.
+ODD_NUMBERS = ("1" + "0" * 400, "9" * 5000, "1e308", "1e999", "NaN", "-1", "-1e308")
+# Each part of a configuration, with the fields of it that hold numbers.
+NUMBER_FIELDS = {
+    "document": ("version",),
+    "route": ("timeout_ms", "target_latency_ms", "gap_aim_ms", "priority", "max_attempts"),
+    "share": ("weight",),
+    "service": ("max_connections",),
+    "engine": (
+        "slots",
+        "weights_mb",
+        "adapter_slots",
+        "kv_capacity_tokens",
+        "kv_token_bytes",
+        "loads_per_s",
+    ),
+    "model": ("weights_mb", "load_s", "disk_s", "warm_s", "adapters", "adapter_mb"),
+    "limits": ("max_header_bytes", "max_body_bytes", "idle_timeout_ms"),
+    "tenant": ("rate_per_s", "burst", "plain_tokens", "priority"),
+}
+# Each part of a configuration, with the fields of it that hold names.
+NAME_FIELDS = {
+    "route": ("name", "host", "prefix"),
+    "share": ("service",),
+    "service": ("name", "health_path"),
+    "model": ("name",),
+    "tenant": ("name",),
+}
+
+
+def odd_document(part="", field="", text=""):
+    """Return a configuration in which one field of a part has a JSON text that is spliced in."""
+
+    def change(name, row):
+        return row | {field: "SPLICED"} if name == part else row
+
+    engine = ENGINE | {"models": [change("model", MODEL)]}
+    service = {"name": "s1", "health_path": "/health", "engine": change("engine", engine)}
+    split = [change("share", SPLIT[0]), SPLIT[1]]
+    whole = {
+        "version": 7,
+        "routes": [change("route", ROUTE | {"traffic_split": split})],
+        "services": [change("service", service), {"name": "s2"}],
+        "limits": change("limits", LIMITS),
+        "tenants": [change("tenant", TENANT)],
+    }
+    return json.dumps(change("document", whole)).replace('"SPLICED"', text).encode()
+
+
+def odd_documents():
+    numbers = [
+        (part, field, text)
+        for part, fields in NUMBER_FIELDS.items()
+        for field in fields
+        for text in ODD_NUMBERS
+    ]
+    deep = "[" * 50_000 + "]" * 50_000
+    names = [
+        (part, field, text)
+        for part, fields in NAME_FIELDS.items()
+        for field in fields
+        for text in ("7", "[]", "{}", "null", deep, json.dumps("x" * 2_000_000), '"\\ud800"')
+    ]
+    # A service without a status check may say so.
+    names.remove(("service", "health_path", "null"))
+    return [*numbers, *names, ("model", "adapters", "1000000000000")]
+
+
 def head(**headers):
     rows = {"host": "shop.example:80", "x-attempt-id": "a1"} | headers
     return [(k.replace("_", "-").encode(), v.encode()) for k, v in rows.items()]
@@ -143,6 +216,27 @@
         self.assertEqual(Kind.MANIFEST_INVALID, found.kind)
 
 
+class OddDocumentTest(unittest.TestCase):
+    def test_the_document_without_odd_values_is_taken(self):
+        self.assertFalse(failed(decode_deployment(odd_document())))
+
+    @params(*odd_documents())
+    def test_a_configuration_with_an_odd_value_is_refused(self, part, field, text):
+        """Guards against hosts that apply no later configuration.
+
+        Its version was beyond all later ones, or decoding it raised what was not expected.
+        """
+        raw = odd_document(part, field, text)
+        found = decode_deployment(raw)
+        self.assertTrue(failed(found), (part, field, text[:20]))
+        self.assertEqual(Kind.MANIFEST_INVALID, found.kind)
+        self.assertLess(len(found.reason), 500)
+
+    @params(*odd_documents())
+    def test_the_keys_of_an_odd_configuration_are_hidden(self, part, field, text):
+        self.assertNotIn(b"api_keys", hide_keys(odd_document(part, field, text)))
+
+
 class WireTest(unittest.TestCase):
     wire = PlatformWire()
 
--- a/tests/relay/test_entries.py
+++ b/tests/relay/test_entries.py
@@ -20,7 +20,7 @@
 from peridotdock.relay.settings import parse_address
 from tests.builders import make_ctx
 from tests.fakes import FakeClock
-from tests.relay.deployment import Deployment
+from tests.relay.deployment import CONFIG, Deployment
 from tests.standins.tables import TableStandin
 
 ENTRY = {
@@ -404,6 +404,25 @@
         asyncio.run(play())
 
 
+class OddConfigurationTest(unittest.TestCase):
+    @params(*(text for text in ODD_NUMBERS.values() if not text.startswith("-")))
+    def test_a_later_configuration_is_applied(self, text):
+        """Guards against hosts that keep a configuration for good, as its version is the last."""
+
+        async def play():
+            async with Deployment() as found:
+                host = found.hosts[0]
+                found.store.put("op", "config", spliced(CONFIG, "version", text))
+                await found.until(lambda: refusals(host, "config_refused"), 3.0)
+                found.configure(version=2)
+                await found.until(lambda: host.request_handler.deployment.version == 2, 3.0)
+                self.assertEqual([], refusals(host, "rows_refused"))
+                status, _, _ = await found.send("/recap/", "a1", "m0")
+                self.assertEqual(200, status)
+
+        asyncio.run(play())
+
+
 def used(host):
     return sorted(state.key for state in host.fleet.usable("engines", None))
 
