Refuse odd rows of streams and blocked requests, and replace own rows that can't be decoded

Callers saw: nothing yet; found by tests. One stream row whose time is 10^400 made the read of all stream rows raise, so streams whose version only the store knew would be refused; a block list with such a time was neither read nor written again. An own row that is no JSON object counted as absent, so that no transaction could replace it: each named version 0, which is a conflict. Cause: float() of any number; json.loads takes NaN, lone surrogates and infinity; texts were made of any value by str(). Change: times, ages and names have the ranges of peridotdock.ranges, a row has at most 5,000 streams. A row of a store read by its key has an empty value if it can't be decoded, which its reader refuses; a scan leaves it out, as before. Conclusion: an odd row costs what it holds, and the next writer replaces it.

--- a/peridotdock/blocklist_store.py
+++ b/peridotdock/blocklist_store.py
@@ -17,6 +17,7 @@
 from peridotdock.context import Context
 from peridotdock.decisions.poison import describe
 from peridotdock.errors import failed
+from peridotdock.ranges import ROW_ERRORS, AgeSeconds, ClockSeconds
 from peridotdock.schema.messages import EndpointEnd
 
 BLOCKED_KEY = "blocked"
@@ -27,7 +28,7 @@
 # Calls in which a host that starts tries to read the row.
 MAX_READS_AT_START = 3
 # Exceptions that decoding a row written by another version may raise.
-DECODE_ERRORS = (KeyError, TypeError, ValueError, msgspec.ValidationError)
+DECODE_ERRORS = ROW_ERRORS
 
 
 class BlocklistStore:
@@ -110,8 +111,11 @@
         an end counts.
         """
         try:
-            passed = max(0.0, self._ctx.clock.now().timestamp() - float(value["written_at"]))
+            written_at = msgspec.convert(value["written_at"], ClockSeconds)
+            passed = max(0.0, self._ctx.clock.now().timestamp() - written_at)
             rows = msgspec.convert(value["ends"], list[EndpointEnd])
+            for row in rows:
+                msgspec.convert(row.age, AgeSeconds)
         except DECODE_ERRORS as exc:
             detail = f"{BLOCKED_KEY}: {type(exc).__name__}: {exc}"
             self._ctx.timeline.add("rows_refused", "ERROR", detail=detail)
--- a/peridotdock/platform/store.py
+++ b/peridotdock/platform/store.py
@@ -226,10 +226,14 @@
             return Failure(Kind.PLATFORM_DOWN, f"bad row: {exc!r}")
 
     async def read(self, keys: Iterable[str]) -> dict[str, Row] | Failure:
-        """Return the product's rows that exist among ``keys``."""
+        """Return the product's rows that exist among ``keys``.
+
+        Failure guarded against: a row can't be decoded, and as it counts as absent, no transaction
+        that would replace it names the right version. So its value counts as empty.
+        """
         found: dict[str, Row] = {}
         for key in keys:
-            rows = await self._own_rows(key, key + "\0")
+            rows = await self._own_rows(key, key + "\0", unreadable={})
             if failed(rows):
                 return rows
             found |= rows
@@ -239,7 +243,10 @@
         """Return the product's rows whose key starts with ``prefix``."""
         return await self._own_rows(prefix, prefix + "\x7f")
 
-    async def _own_rows(self, start: str, end: str) -> dict[str, Row] | Failure:
+    async def _own_rows(
+        self, start: str, end: str, unreadable: dict[str, Any] | None = None
+    ) -> dict[str, Row] | Failure:
+        """Return the rows in a range of keys, those that can't be decoded with a value or not."""
         found = await self._read_pages(OWN_TABLE, start, end)
         if failed(found):
             return found
@@ -248,7 +255,7 @@
             return {
                 row["key"]: Row(value, make_version(era, read_value(row["ver"], StoreNumber)))
                 for row in found.rows
-                if (value := decode_own_row(row)) is not None
+                if (value := decode_own_row(row, unreadable)) is not None
             }
         except ROW_ERRORS as exc:
             return Failure(Kind.PLATFORM_DOWN, f"bad row: {exc!r}")
@@ -340,13 +347,15 @@
         return b""
 
 
-def decode_own_row(row: Mapping[str, Any]) -> dict[str, Any] | None:
-    """Return the value of one of the product's rows, None when it can't be decoded."""
+def decode_own_row(
+    row: Mapping[str, Any], unreadable: dict[str, Any] | None = None
+) -> dict[str, Any] | None:
+    """Return the value of one of the product's rows, ``unreadable`` when it can't be decoded."""
     try:
-        value = json.loads(decode_value(row))
-    except (ValueError, RecursionError):
-        return None
-    return value if isinstance(value, dict) else None
+        value = msgspec.json.decode(decode_value(row))
+    except ROW_ERRORS:
+        return unreadable
+    return value if isinstance(value, dict) else unreadable
 
 
 def own_row_key(key: str) -> dict[str, Any]:
--- a/peridotdock/ranges.py
+++ b/peridotdock/ranges.py
@@ -33,6 +33,12 @@
 MAX_BYTES = 2**40
 # Megabytes, tokens, requests a second, or a share's weight: sums of these stay exact enough.
 MAX_AMOUNT = 1e15
+# Hosts of one deployment.
+MAX_HOSTS = 100_000
+# Seconds for which a new holder of the lease may have to wait with orders.
+MAX_HANDOVER_SECONDS = 60.0
+# Seconds of a clock, either of a time of day or since a machine's start.
+MAX_CLOCK_SECONDS = MAX_UNIX_MS / 1000
 # Characters of a host name or a path.
 MAX_URL_PART_LENGTH = 4_096
 # Characters of a name, such as that of a model, a zone or a software version.
@@ -57,6 +63,10 @@
 SendCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_SENDS)]
 ByteCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_BYTES)]
 Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+HostCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_HOSTS)]
+HandoverSeconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_HANDOVER_SECONDS)]
+ClockSeconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_CLOCK_SECONDS)]
+AgeSeconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS / 1000)]
 UrlPart = Annotated[str, msgspec.Meta(max_length=MAX_URL_PART_LENGTH)]
 # An id that is a header's value as it is.
 Id = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH, pattern=r"\A[!-~]+\Z")]
@@ -97,3 +107,8 @@
     found = IPv4Address(ip)
     if found.is_unspecified or found.is_multicast or found.is_reserved:
         raise ValueError("not the address of one machine")
+
+
+def check_text(text: str) -> None:
+    """Raise ValueError if a text has a lone surrogate, so that no frame can hold it."""
+    text.encode()
--- a/peridotdock/relay/stream_rows.py
+++ b/peridotdock/relay/stream_rows.py
@@ -13,6 +13,8 @@
 from math import inf
 from typing import Any
 
+import msgspec
+
 from peridotdock.clients.platform import Platform, Row, Transaction
 from peridotdock.context import Context
 from peridotdock.decisions.stream_versions import (
@@ -22,6 +24,7 @@
     row_slot,
 )
 from peridotdock.errors import failed
+from peridotdock.ranges import ROW_ERRORS, ClockSeconds, Name, check_text
 from peridotdock.relay.stream_versions import StreamVersions
 
 PREFIX = "stream/"
@@ -30,8 +33,10 @@
 REREAD_SECONDS = 2.0
 # Streams in one row, well below the size limit of a row.
 STREAMS_PER_ROW = 500
+# Streams that are read from one row; other versions may write larger ones.
+MAX_STREAMS_READ = 10 * STREAMS_PER_ROW
 # Exceptions that decoding a row written by another version may raise.
-DECODE_ERRORS = (KeyError, TypeError, ValueError)
+DECODE_ERRORS = ROW_ERRORS
 
 
 class StreamRows:
@@ -103,8 +108,10 @@
 
 def read_time(row: Row) -> float:
     """Return when a row was written, in seconds of the time of day; 0 if it does not say so."""
-    found = row.value.get("written_at")
-    return float(found) if isinstance(found, int | float) else 0.0
+    try:
+        return msgspec.convert(row.value.get("written_at"), ClockSeconds)
+    except DECODE_ERRORS:
+        return 0.0
 
 
 def encode_rows(streams: Mapping[int, Binding], now: float) -> Iterator[dict[str, Any]]:
@@ -125,10 +132,12 @@
 
 def decode_row(value: Mapping[str, Any]) -> list[tuple[int, Binding]]:
     """Return the streams in a row; raises one of :data:`DECODE_ERRORS` for a bad one."""
-    binding = make_binding(str(value["service"]), str(value["software"]))
+    service, software = (msgspec.convert(value[name], Name) for name in ("service", "software"))
+    check_text(service + software)
+    binding = make_binding(service, software)
     raw = base64.b64decode(value["streams"], validate=True)
-    if len(raw) % 8:
-        raise ValueError("streams are cut")
+    if len(raw) % 8 or len(raw) > 8 * MAX_STREAMS_READ:
+        raise ValueError("streams are cut or too many")
     return [(int.from_bytes(raw[at : at + 8], "big"), binding) for at in range(0, len(raw), 8)]
 
 
--- /dev/null
+++ b/tests/relay/test_own_rows.py
@@ -0,0 +1,87 @@
+"""Tests that odd rows of the hosts themselves in the store cost no lease, no list and no stream."""
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+
+from nose2.tools import params
+
+from peridotdock.blocklist import Blocklist
+from peridotdock.blocklist_store import BLOCKED_KEY, BlocklistStore
+from peridotdock.clients.platform import Row
+from peridotdock.events import Filter
+from peridotdock.fact_table import FactTable
+from peridotdock.platform.store import OWN_TABLE
+from peridotdock.relay.endpoint import EndpointStart
+from peridotdock.relay.leadership import LEASE_KEY
+from peridotdock.relay.stream_rows import DECODE_ERRORS, PREFIX, decode_row, read_time
+from tests.builders import make_ctx
+from tests.fakes import FakeClock, FakePlatform
+from tests.relay.test_entries import DEEP, LONE_SURROGATE, SpoiltStore
+
+# Numbers as they are after decoding; JSON has no infinite ones, but other decoders take them.
+ODD_NUMBERS = (10**400, -(10**400), 2**64, -1, 1e308, -1e308, float("inf"), float("nan"))
+ODD_VALUES = (*ODD_NUMBERS, None, True, "x", [], {}, "x" * 2_000_000, "\ud800")
+END = {"endpoint": "e1", "start": "1", "age": 1.0, "contents": ["p"], "parts": []}
+
+
+class OddBlocklistTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_odd_row_is_read_as_empty_and_written_again(self):
+        """Guards against requests that end engines again, as the row of those is never written."""
+        ends = [END | {field: value} for field in ("age", "contents") for value in ODD_NUMBERS]
+        rows = [{"written_at": value, "ends": [END]} for value in ODD_VALUES]
+        rows += [{"written_at": 1.0, "ends": [end]} for end in ends]
+        for value in [*rows, {}, {"written_at": 1.0, "ends": 10**400}]:
+            with self.subTest(str(value)[:60]):
+                clock, store = FakeClock(), FakePlatform()
+                store.version = 4
+                store.rows[BLOCKED_KEY] = Row(value, 4)
+                ctx = make_ctx(clock, "h0")
+                facts = FactTable("h0", 1, clock)
+                blocklist = Blocklist(ctx, facts, lambda start, at: True, lambda: False)
+                found = BlocklistStore(ctx, store, lambda: True, blocklist)
+                for name in ("e1", "e2", "e3"):
+                    request = SimpleNamespace(content_id="q", part_ids=())
+                    blocklist.record_end(request, EndpointStart(name, ""))
+                await found.step()
+                self.assertEqual(1, store.writes)
+                refused = [e for e in ctx.timeline.select(Filter()) if e.name == "rows_refused"]
+                self.assertEqual(1, len(refused))
+
+
+def odd_stream_rows():
+    rows = [(field, value) for field in ("service", "software") for value in ODD_VALUES]
+    named = [row for row in rows if row[1] not in ("x", "\ud800")]
+    return [*named, *(("streams", value) for value in ODD_VALUES)]
+
+
+class OddStreamRowsTest(unittest.TestCase):
+    @params(*ODD_VALUES)
+    def test_the_time_of_an_odd_row_is_none(self, value):
+        """Guards against streams that are all refused as one row's time is beyond all floats."""
+        self.assertEqual(0.0, read_time(Row({"written_at": value}, 1)))
+
+    @params(*odd_stream_rows())
+    def test_an_odd_row_is_refused(self, field, value):
+        row = {"service": "s", "software": "v1", "streams": "AAAAAAAAAAE="}
+        self.assertEqual(1, len(decode_row(row)))
+        with self.assertRaises(DECODE_ERRORS):
+            decode_row(row | {field: value})
+
+
+class OddOwnRowTest(unittest.TestCase):
+    @params(
+        b"", b"\xff", b"[]", b"7", DEEP.encode(), b'{"a": %s}' % LONE_SURROGATE.encode(), b"NaN"
+    )
+    def test_a_row_that_cannot_be_decoded_can_be_replaced(self, raw):
+        """Guards against a row that no host can write, as none knows the version to check."""
+
+        async def play():
+            async with SpoiltStore() as store:
+                store.put(OWN_TABLE, LEASE_KEY, raw)
+                version = store.standin.version
+                found = await store.client.read([LEASE_KEY])
+                self.assertEqual({LEASE_KEY: Row({}, version)}, found)
+                self.assertEqual({}, await store.client.scan(PREFIX))
+
+        asyncio.run(play())
