Take an odd row of the lease for that of an unknown holder

Callers saw: nothing yet; found by tests. With an odd number, another type or a missing field in the lease's row, no host took the lease again, or its holder waited without end: models that are not loaded are never loaded then. Cause: the row was used as decoded. int() and comparisons raised at each step, waits of 1e308 s and terms of 10^400 were taken over into the next row. Change: the row is checked against a struct with the ranges of peridotdock.ranges. An odd one counts as that of an unknown holder, which may act until the lease lapses; its term is taken to be the number of the row's version, as each term has cost a write. It is logged once a version. Conclusion: an odd lease costs as long as one that is no longer renewed.

--- a/peridotdock/relay/leadership.py
+++ b/peridotdock/relay/leadership.py
@@ -16,11 +16,22 @@
 from dataclasses import asdict, dataclass, field
 from typing import TypeVar
 
+import msgspec
+
 from peridotdock.clients.platform import Platform, Row, Transaction, commit_and_resolve
 from peridotdock.clients.store_time import StoreTime
-from peridotdock.clients.versions import ABSENT, era_of
+from peridotdock.clients.versions import ABSENT, era_of, number_of
 from peridotdock.context import Context
 from peridotdock.errors import Failure, Kind, failed
+from peridotdock.ranges import (
+    ROW_ERRORS,
+    ClockSeconds,
+    Counter,
+    HandoverSeconds,
+    HostCount,
+    Name,
+    check_text,
+)
 from peridotdock.relay.clocks import UptimeClock
 
 LEASE_KEY = "leader"
@@ -38,6 +49,28 @@
 TERMS_PER_ERA = 1_000_000
 NEVER = float("-inf")
 T = TypeVar("T")
+# Holder of a lease whose row can't be decoded; no incarnation of a host is called so.
+UNKNOWN_HOLDER = "unknown"
+
+
+class HandoverRow(msgspec.Struct, frozen=True):
+    """A handover as it is stored in the lease's row."""
+
+    wait: HandoverSeconds
+    engines: dict[str, HandoverSeconds]
+
+
+class LeaseRow(msgspec.Struct, frozen=True):
+    """The lease's row; ``acts_until`` is when its holder stops, by the store's clock."""
+
+    term: Counter
+    holder: Name
+    era: Counter = 0
+    machine: Name = ""
+    hosts: HostCount = 0
+    acts_until: ClockSeconds | None = None
+    handover: HandoverRow | None = None
+    inherited: HandoverRow | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +127,7 @@
         self._seen_at = 0.0
         self._lapses_at = 0.0
         self._version = ABSENT
+        self._odd_version = ABSENT
         self._era: int | None = None
         self._era_seen_at = 0.0
         self.on_renewed: Callable[[int, int], None] = lambda term, version: None
@@ -183,6 +217,28 @@
             return self._store.era.rows_may_be_lost
         return row.value.get("era", 0) != self._era
 
+    def _check_row(self, row: Row | None) -> Row | None:
+        """Return the lease's row; one of an unknown holder in place of one that is odd.
+
+        Failure guarded against: another writer leaves an odd row. Hosts that compute with it raise
+        at each step, and no host orders engines any more. Its holder may still act, so the lease
+        lapses as one that is no longer renewed. Each term has cost a write of the row, so the
+        number of the row's version is above all terms of its era.
+        """
+        try:
+            if row is not None:
+                found = msgspec.convert(row.value, LeaseRow)
+                check_text(found.holder + found.machine)
+            return row
+        except ROW_ERRORS as exc:
+            if row.version != self._odd_version:
+                detail = f"{LEASE_KEY}: {type(exc).__name__}: {exc}"
+                self._ctx.timeline.add("rows_refused", "ERROR", detail=detail)
+            self._odd_version = row.version
+        era = era_of(row.version)
+        term = max(self.resigned_term, self.term, era * TERMS_PER_ERA + number_of(row.version))
+        return Row({"era": era, "holder": UNKNOWN_HOLDER, "term": term}, row.version)
+
     async def _with_timeout(self, work: Awaitable[T]) -> T | Failure:
         """Wait for a call of the store, no longer than the lease allows.
 
@@ -212,7 +268,7 @@
         if failed(rows):
             return
         self.observe_era()
-        row = rows.get(LEASE_KEY)
+        row = self._check_row(rows.get(LEASE_KEY))
         if self._is_of_copy(row):
             # While this host's lease is valid, no other host can have taken it in the era before.
             self._version = row.version if row else ABSENT
@@ -251,7 +307,7 @@
         if failed(rows):
             return
         self.observe_era()
-        row = rows.get(LEASE_KEY)
+        row = self._check_row(rows.get(LEASE_KEY))
         version = row.version if row else ABSENT
         now = self._clock.seconds()
         self.holder_address = row.value.get("machine", "") if row else ""
--- a/tests/relay/test_own_rows.py
+++ b/tests/relay/test_own_rows.py
@@ -1,6 +1,7 @@
 """Tests that odd rows of the hosts themselves in the store cost no lease, no list and no stream."""
 
 import asyncio
+import json
 import unittest
 from types import SimpleNamespace
 
@@ -13,18 +14,66 @@
 from peridotdock.fact_table import FactTable
 from peridotdock.platform.store import OWN_TABLE
 from peridotdock.relay.endpoint import EndpointStart
-from peridotdock.relay.leadership import LEASE_KEY
+from peridotdock.relay.leadership import LEASE_KEY, Leadership
 from peridotdock.relay.stream_rows import DECODE_ERRORS, PREFIX, decode_row, read_time
 from tests.builders import make_ctx
 from tests.fakes import FakeClock, FakePlatform
 from tests.relay.test_entries import DEEP, LONE_SURROGATE, SpoiltStore
+from tests.relay.test_ordering import GAP, Uptime
 
 # Numbers as they are after decoding; JSON has no infinite ones, but other decoders take them.
 ODD_NUMBERS = (10**400, -(10**400), 2**64, -1, 1e308, -1e308, float("inf"), float("nan"))
 ODD_VALUES = (*ODD_NUMBERS, None, True, "x", [], {}, "x" * 2_000_000, "\ud800")
+WAITS = {"wait": 0.0, "engines": {}}
+LEASE = {
+    "era": 0,
+    "holder": "another",
+    "machine": "10.0.0.1:80",
+    "term": 7,
+    "hosts": 3,
+    "acts_until": 4.0,
+    "handover": WAITS,
+    "inherited": WAITS,
+}
 END = {"endpoint": "e1", "start": "1", "age": 1.0, "contents": ["p"], "parts": []}
 
 
+def odd_leases():
+    rows = [(field, LEASE | {field: value}) for field in LEASE for value in ODD_VALUES]
+    waits = [
+        (f"{name} {field}", LEASE | {"holder": "", name: WAITS | {field: value}})
+        for name in ("handover", "inherited")
+        for field in WAITS
+        for value in (*ODD_VALUES, {"e1": 10**400}, {"e1": float("inf")}, {"e1": float("nan")})
+    ]
+    return [*rows, *waits, ("no row", {}), ("no term", {"holder": ""})]
+
+
+class OddLeaseTest(unittest.TestCase):
+    @params(*odd_leases())
+    def test_another_host_takes_the_lease(self, name, value):
+        """Guards against engines that get no orders for good, as no host can read the lease."""
+        store, clock = FakePlatform(), Uptime()
+        store.version = 20
+        store.rows[LEASE_KEY] = Row(value, 20)
+        host = Leadership(make_ctx(FakeClock()), store, GAP, clock, "10.0.0.2:80")
+        asyncio.run(host.step())
+        clock.now += 0.0 if host.term else 3.0
+        asyncio.run(host.step())
+        self.assertTrue(host.term, name)
+        clock.now += 0.1
+        self.assertLessEqual(host.inherited_handover().wait, GAP + 1.0)
+        self.assertGreater(host.term, 7)
+        self.assertLess(host.term, 2**53)
+        self.assertLess(host.host_count, 1_000_000)
+        written = json.dumps(store.rows[LEASE_KEY].value, allow_nan=False).encode()
+        self.assertLess(len(written), 1000)
+        for _ in range(5):
+            clock.now += 0.5
+            asyncio.run(host.step())
+        self.assertTrue(host.may_order("e1"), name)
+
+
 class OddBlocklistTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_odd_row_is_read_as_empty_and_written_again(self):
         """Guards against requests that end engines again, as the row of those is never written."""
