Wait before an address that is none is dialled again, and log it once

Callers saw: nothing; found by tests. A lease's row that names a machine at no address, as [::1 or a port of 70000, made hosts dial it at each step, each time with the traceback of a lost exception. Cause: what the URL's parser raises, a ValueError, was not expected where hosts dial each other. Change: it counts as a dial that failed, so the next one waits; the first is logged as dial_failed. Conclusion: an odd address costs one dial each half second at most.

--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -56,6 +56,8 @@
 )
 
 REDIAL_SECONDS = 0.5
+# Characters of an address that are logged if it is none.
+MAX_LOGGED_ADDRESS = 64
 HANDSHAKE_SECONDS = 3.0
 FLUSH_SECONDS = 0.02
 # Upper bound on the flushes of a host per second over all links: with more links, each waits longer
@@ -225,7 +227,11 @@
                 self._dialling.discard(address)
                 if await self._run(conn, peer, dialled=True, address=address):
                     self._failed_at[name] = self._ctx.clock.monotonic()
-        except (OSError, WebSocketException, TimeoutError):
+        except (OSError, WebSocketException, TimeoutError, ValueError) as exc:
+            # An address that is none raises ValueError; it may be another writer's.
+            if isinstance(exc, ValueError) and name not in self._failed_at:
+                detail = f"{address[:MAX_LOGGED_ADDRESS]!r}: {type(exc).__name__}: {exc}"
+                self._ctx.timeline.add("dial_failed", "WARNING", detail=detail)
             self._failed_at[name] = self._ctx.clock.monotonic()
             await self._ctx.clock.sleep(REDIAL_SECONDS)
         finally:
--- a/tests/relay/test_own_rows.py
+++ b/tests/relay/test_own_rows.py
@@ -1,6 +1,7 @@
 """Tests that odd rows of the hosts themselves in the store cost no lease, no list and no stream."""
 
 import asyncio
+import gc
 import json
 import unittest
 from types import SimpleNamespace
@@ -18,6 +19,7 @@
 from peridotdock.relay.stream_rows import DECODE_ERRORS, PREFIX, decode_row, read_time
 from tests.builders import make_ctx
 from tests.fakes import FakeClock, FakePlatform
+from tests.relay.deployment import Deployment
 from tests.relay.test_entries import DEEP, LONE_SURROGATE, SpoiltStore
 from tests.relay.test_ordering import GAP, Uptime
 
@@ -74,6 +76,29 @@
         self.assertTrue(host.may_order("e1"), name)
 
 
+class OddMachineTest(unittest.TestCase):
+    @params("127.0.0.1:70000", "[::1", "127.0.0.1:1\r\nx:1", "x" * 300 + ":1", "127.0.0.1:x")
+    def test_an_address_that_cannot_be_dialled_is_dialled_seldom(self, address):
+        """Guards against a traceback at each step, as the lease's row names an odd address."""
+
+        async def play():
+            raised = []
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda loop, found: raised.append(found))
+            async with Deployment() as found:
+                mesh = found.hosts[0].peers.mesh
+                for _ in range(5):
+                    found.hosts[0].peers.connect_unless_known(address)
+                    await asyncio.sleep(0.05)
+                self.assertIn(address, mesh._dialling)
+                gc.collect()
+                self.assertEqual([], raised)
+                events = found.hosts[0].ctx.timeline.select(Filter())
+                self.assertEqual(1, len([e for e in events if e.name == "dial_failed"]))
+
+        asyncio.run(play())
+
+
 class OddBlocklistTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_odd_row_is_read_as_empty_and_written_again(self):
         """Guards against requests that end engines again, as the row of those is never written."""
