--- a/peridotdock/relay/model_sizes.py
+++ b/peridotdock/relay/model_sizes.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from peridotdock.deployment import EngineSpec, ModelSize
+from peridotdock.ranges import MAX_AMOUNT
 
 
 class ModelSizes:
@@ -62,6 +63,7 @@
         for name, found in sizes.items() if isinstance(sizes, dict) else ():
             try:
                 weights_mb, adapter_mb = map(float, found)
-            except (TypeError, ValueError):
+            except (TypeError, ValueError, OverflowError):
                 continue
-            yield service, name, ModelSize(weights_mb, adapter_mb)
+            if 0 <= weights_mb <= MAX_AMOUNT and 0 <= adapter_mb <= MAX_AMOUNT:
+                yield service, name, ModelSize(weights_mb, adapter_mb)
