Soak: play planned stops in series under callers that keep their connections

Cause: the soak's planned stops had 3 s where the platform gives 8, and its callers left within that time, so no seed of it cut a request as the operators see it. Change: a kind of seed of its own, 18 modulo 19, with hosts that get SIGTERM in turn and at once, and callers that use their connections until the process is gone; checks of lost requests, of untrue refusals, of 500s, of refusals that are too early and of hosts that are killed. Other kinds go first, so that plans of older seeds that they have stay as they were. Conclusion: the checks have yet to be shown to find faults.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -19,13 +19,16 @@
 
 from extras.soak.callers import Caller
 from extras.soak.checks import EndpointRecord, Record, find_violations
-from extras.soak.deployment import MODELS_FIT, SoakDeployment
+from extras.soak.deployment import GRACE_SECONDS, MODELS_FIT, STOP_SECONDS, SoakDeployment
+from extras.soak.kept_callers import load_kept
 from extras.soak.partitions import silence_endpoints
 from extras.soak.parts import load_prompts, plant_part
 from extras.soak.plan import MAX_FAULT_SECONDS, Plan, draw_plan
 from extras.soak.proxy import Proxy
 from extras.soak.quotas import LOADS, describe_workspaces, load_workspaces
 from extras.soak.silences import silence_in_series
+from extras.soak.stop_checks import find_lost, summarise
+from extras.soak.stops import add_services, stop_in_series
 from extras.soak.updates import update_in_series
 from tests.standins.runner import EVENTS_PER_STREAM, FALL_SECONDS, RunnerStandin
 
@@ -74,8 +77,17 @@
     return direct, range(direct.stop, direct.stop + STREAM_CALLER_COUNT)
 
 
-async def run_plan(plan: Plan, hosts: int, folder: Path, beside: Path | None = None) -> list[str]:
-    """Run one plan against new processes and return the violated guarantees, one line each."""
+async def run_plan(
+    plan: Plan,
+    hosts: int,
+    folder: Path,
+    beside: Path | None = None,
+    grace: float = STOP_SECONDS,
+) -> list[str]:
+    """Run one plan against new processes and return the violated guarantees, one line each.
+
+    ``grace`` are the seconds from SIGTERM to SIGKILL; stops in series have the platform's.
+    """
     partitioned = plan.partitioned and beside is None
     record, deployment = Record(), SoakDeployment(hosts, folder, beside, partitioned)
     if plan.versioned:
@@ -85,6 +97,10 @@
     if plan.limited:
         deployment.workspaces = describe_workspaces()
         record.loads = LOADS
+    deployment.grace = grace
+    if plan.stopping:
+        deployment.grace = GRACE_SECONDS
+        add_services(deployment)
     await deployment.start()
     try:
         await deployment.wait_ready()
@@ -139,6 +155,9 @@
             work += load_prompts(deployment, record, started_at, plan)
         if plan.limited:
             work += load_workspaces(deployment, record, started_at, plan)
+        if plan.stopping:
+            work += stop_in_series(deployment, record, started_at, plan)
+            work += load_kept(deployment, record, started_at, plan)
         if plan.restored:
             rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
             work.append(deployment.restore_store(seconds, rng))
@@ -148,7 +167,10 @@
             record.missed_changes = await change_after_restore(deployment)
         await probe(deployment, record, started_at, plan.seed)
         collect_observations(deployment, record, started_at)
-        return list(find_violations(record, plan.maintenance_only, EVENTS_PER_STREAM, MODELS_FIT))
+        broken = find_violations(record, plan.maintenance_only, EVENTS_PER_STREAM, MODELS_FIT)
+        if plan.stopping:
+            click.echo(f"seed {plan.seed}: {summarise(record)}")
+        return [*broken, *find_lost(record)]
     finally:
         await deployment.stop()
 
@@ -204,7 +226,9 @@
     record.limited_endpoints = deployment.limited_endpoints
     record.software = deployment.software
     links = deployment.links | deployment.closed_links
-    for runner in (*deployment.engines, *deployment.pages, *deployment.stopped_runners):
+    sound = (*deployment.engines, *deployment.pages, *deployment.more_runners)
+    for runner in (*sound, *deployment.stopped_runners):
+        record.worked_until |= {name: at - started_at for name, at in runner.ended_at.items()}
         record.falls += [(at - started_at, runner.name) for at in runner.fall_times]
         record.ran += runner.executed
         record.orders[runner.name] = runner.orders
@@ -252,6 +276,11 @@
 @click.option("--seeds", default=5, help="Number of seeds, run one after the other.")
 @click.option("--seconds", default=15.0, help="Seconds of traffic in each run.")
 @click.option("--hosts", default=4, help="Number of host processes in each run.")
+@click.option(
+    "--grace",
+    default=float(GRACE_SECONDS),
+    help="Seconds from SIGTERM to SIGKILL of planned stops.",
+)
 @click.option("--keep", default="", help="Folder that gets the plans and logs of seeds that fail.")
 @click.option(
     "--beside",
@@ -260,7 +289,13 @@
     help="Another checkout; every second host runs from it, so that two versions run side by side.",
 )
 def main(
-    first: int, seeds: int, seconds: float, hosts: int, keep: str, beside: Path | None
+    first: int,
+    seeds: int,
+    seconds: float,
+    hosts: int,
+    grace: float,
+    keep: str,
+    beside: Path | None,
 ) -> None:
     """Run seeded plans of faults against real processes and check the guarantees to callers."""
     logging.disable(logging.CRITICAL)
@@ -269,7 +304,7 @@
         plan = draw_plan(seed, seconds)
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         try:
-            broken = asyncio.run(run_plan(plan, hosts, folder, beside))
+            broken = asyncio.run(run_plan(plan, hosts, folder, beside, grace))
         except Exception as exc:
             # A run that raised an error has checked nothing, so it counts as failed.
             broken = [f"not run: {exc!r}"]
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -58,6 +58,8 @@
 LEAST_WITHIN_SHARE = 0.5
 # Seconds within which an answer breaks off when a host that it came through has ended.
 HOST_LOSS_SECONDS = 0.5
+# Kinds of callers that keep their connections whose requests need less than a second.
+BRIEF_KINDS = frozenset({"short", "once", "page"})
 # Routes whose requests go to engines; all others go to endpoints of the plain service.
 MODEL_ROUTES = frozenset({"recap", "once"})
 # The route of prompts that crash engines.
@@ -161,6 +163,37 @@
         return replace(self, since=self.since - started_at, until=self.until - started_at)
 
 
+@dataclass(frozen=True, slots=True)
+class PlannedStop:
+    """A planned stop of a host process: when it got SIGTERM, and whether it had to be killed.
+
+    ``grace`` are the seconds that it had. The time is in seconds since the start of the run.
+    """
+
+    at: float
+    grace: float
+    killed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """One request of a caller that keeps its connections, and what it got.
+
+    ``whole`` is true if its answer arrived to the end, and has all that a success should have.
+    Other fields are those of an attempt.
+    """
+
+    id: str
+    kind: str
+    incarnation: str
+    started_at: float
+    ended_at: float
+    status: int
+    whole: bool
+    deadline: float
+    repeatable: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """One attempt of a caller. ``status`` is 0 if the connection ended before a response head.
@@ -222,7 +255,9 @@
     versions of endpoints by the name in their events, of which ``allowed_mixed`` streams may have
     two. ``falls`` are the times and names of endpoints that fell over, ``brittle_since`` when they
     began to announce that they may. ``fatal_attempts`` had a part that crashes engines, which
-    happened at the times ``part_crashes``.
+    happened at the times ``part_crashes``. ``kept`` are the requests of callers that keep their
+    connections, ``stops`` the planned stops by host process, ``worked_until`` the times by attempt
+    until which an endpoint worked at it.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -245,6 +280,9 @@
     part_crashes: list[float] = field(default_factory=list)
     falls: list[tuple[float, str]] = field(default_factory=list)
     brittle_since: float = math.inf
+    kept: list[Kept] = field(default_factory=list)
+    stops: dict[str, PlannedStop] = field(default_factory=dict)
+    worked_until: dict[str, float] = field(default_factory=dict)
 
 
 def read_ids(events: bytes) -> list[int]:
--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -53,6 +53,8 @@
 START_TIMEOUT_SECONDS = 60.0
 READY = 200
 STOP_SECONDS = 3
+# The platform's own, in seconds.
+GRACE_SECONDS = 8
 # Seconds before the end of that by which a stopping host ends all answers.
 STOP_MARGIN_SECONDS = 0.7
 # Requests that a brittle endpoint runs at once, and refusals in a second that it bears.
@@ -169,14 +171,19 @@
         if self._child is not None and self._child.poll() is None:
             self._child.send_signal(number)
 
-    async def wait(self, seconds: float) -> None:
-        """Wait for the process to end, and kill it if it has not ended within ``seconds``."""
-        for _ in range(int(seconds / 0.05)):
-            if self._child.poll() is not None:
-                return
+    async def wait(self, seconds: float) -> bool:
+        """Wait for the process to end, and kill it if it has not ended within ``seconds``.
+
+        Return whether it ended by itself.
+        """
+        until = time.monotonic() + seconds
+        while self._child.poll() is None and time.monotonic() < until:
             await asyncio.sleep(0.05)
+        if self._child.poll() is not None:
+            return True
         self._child.kill()
         self._child.wait()
+        return False
 
 
 async def ready_status(session: aiohttp.ClientSession, host: HostProcess) -> int:
@@ -204,10 +211,18 @@
             host.gates = gate_ip(number) if partitioned else ""
         self.engines: list[RunnerStandin] = []
         self.pages: list[RunnerStandin] = []
+        # Endpoints of services that only some seeds have, and the routes to them.
+        self.more_runners: list[RunnerStandin] = []
+        self.more_services: Sequence[Mapping[str, Any]] = ()
+        self.more_routes: Sequence[Mapping[str, Any]] = ()
+        self.more_endpoints = 0
+        self.engine_count = ENGINES
         self.stopped_runners: list[RunnerStandin] = []
         self.links: dict[str, Proxy] = {}
         self.closed_links: dict[str, Proxy] = {}
         self.routes = list(ROUTES)
+        # Seconds from SIGTERM to SIGKILL of a planned stop.
+        self.grace: float = STOP_SECONDS
         self.versions: Sequence[str] = ()
         # Software versions by the name in events, and endpoints whose changes no entry tells yet.
         self.software: dict[str, str] = {}
@@ -238,15 +253,19 @@
         self.store = await TableStandin().start()
         self.store_link = await Proxy(self.store.address).start()
         alike = bool(self.versions or self.fatal_parts)
-        for number in range(ALIKE_ENGINES if alike else ENGINES):
+        for number in range(ALIKE_ENGINES if alike else self.engine_count):
             models = ("m0", "m1") if alike else (f"m{number % 2}",)
             await self._add_runner("engines", models)
         for _ in range(PAGES):
             await self._add_runner("pages", ())
+        for row in self.more_services:
+            models = tuple(model["name"] for model in row.get("engine", {}).get("models", ()))
+            for _ in range(self.more_endpoints):
+                await self._add_runner(row["name"], models)
         self._write_config()
         seeds = [host.address("control") for host in self.hosts[:3]]
         for host in self.hosts:
-            host.write_settings(self.store_link.address, seeds)
+            host.write_settings(self.store_link.address, seeds, grace_s=self.grace)
             host.start()
 
     async def wait_ready(self) -> None:
@@ -268,7 +287,7 @@
             await self.partitions.stop()
         for link in (*self.links.values(), self.store_link):
             await link.stop()
-        for runner in (*self.engines, *self.pages):
+        for runner in (*self.engines, *self.pages, *self.more_runners):
             await runner.stop()
         await self.store.stop()
 
@@ -286,7 +305,8 @@
         self.links[runner.name] = link
         if self.partitions is not None:
             await self.partitions.add_endpoint(runner.name, link.address)
-        (self.engines if service == "engines" else self.pages).append(runner)
+        groups = {"engines": self.engines, "pages": self.pages}
+        groups.get(service, self.more_runners).append(runner)
         runner.on_change = lambda: self._announce(runner, service)
         runner.on_change()
 
@@ -412,9 +432,11 @@
         self.store.put("servers", runner.name, runner.entry(service, address=address, **more))
 
     def _write_config(self) -> None:
-        changed = CONFIG | {"version": self.version, "routes": self.routes}
+        routes = [*self.more_routes, *self.routes]
+        changed = CONFIG | {"version": self.version, "routes": routes}
         changed["tenants"] = list(self.workspaces)
-        changed["services"] = [{"name": "engines", "engine": ENGINE_CONFIG}, {"name": "pages"}]
+        services = [{"name": "engines", "engine": ENGINE_CONFIG}, {"name": "pages"}]
+        changed["services"] = [*services, *self.more_services]
         self.store.put("op", "config", json.dumps(changed).encode())
 
     # Faults
@@ -448,10 +470,10 @@
         return pools[target]
 
     async def _stop(self, host: HostProcess, seconds: float) -> None:
-        grace = STOP_SECONDS - STOP_MARGIN_SECONDS
+        grace = self.grace - STOP_MARGIN_SECONDS
         self.host_ends[host.incarnation] = time.monotonic() + grace
         host.signal(signal.SIGTERM)
-        await host.wait(STOP_SECONDS + 0.5)
+        await host.wait(self.grace + 0.5)
         host.start()
         await asyncio.sleep(seconds)
 
--- a/extras/soak/plan.py
+++ b/extras/soak/plan.py
@@ -34,6 +34,10 @@
 # One seed in this many has prompts with a part that crashes engines, and nothing of other seeds
 # beside the faults that are drawn.
 FATAL_PART_EVERY = 17
+# One seed in this many has hosts that are stopped in series, within the platform's grace
+# period. Beside that it has faults of these kinds, and nothing of other seeds.
+STOPPING_EVERY = 19
+KINDS_BESIDE_STOPS = frozenset({"reload", "config"})
 # One seed in this many has a store that comes back from older copies of its rows.
 RESTORED_EVERY = 3
 
@@ -95,7 +99,7 @@
     @property
     def maintenance_only(self) -> bool:
         """Return whether the plan holds planned work alone."""
-        return self.seed % PLANNED_EVERY == 0
+        return self.seed % PLANNED_EVERY == 0 or self.stopping
 
     @property
     def silent(self) -> bool:
@@ -112,10 +116,15 @@
         """Return whether prompts have a part that crashes engines."""
         return has_fatal_part(self.seed)
 
+    @property
+    def stopping(self) -> bool:
+        """Return whether hosts are stopped in series, under callers that stay."""
+        return is_stopping(self.seed)
+
     @property
     def _alone(self) -> bool:
         """Return whether the run has nothing of other seeds."""
-        return self.silent or self.limited or self.fatal_part
+        return self.silent or self.limited or self.fatal_part or self.stopping
 
     @property
     def _mixed(self) -> bool:
@@ -175,12 +184,23 @@
     return seed % PLANNED_EVERY != 0 and seed % FATAL_PART_EVERY == 0 and not alone
 
 
+def is_stopping(seed: int) -> bool:
+    """Return whether hosts are stopped in series in a seed's run; all other kinds go first.
+
+    They are not the multiples, of which one is known to fail and must stay as it is.
+    """
+    alone = is_silent(seed) or is_limited(seed) or has_fatal_part(seed)
+    return seed % PLANNED_EVERY != 0 and seed % STOPPING_EVERY == STOPPING_EVERY - 1 and not alone
+
+
 def draws(seed: int, kind: Kind) -> bool:
     """Return whether faults of a kind are drawn for a seed."""
     if is_silent(seed):
         return kind.name in KINDS_BESIDE_SILENCE
     if is_limited(seed):
         return kind.name in KINDS_BESIDE_QUOTAS
+    if is_stopping(seed):
+        return kind.name in KINDS_BESIDE_STOPS
     return kind.planned or seed % PLANNED_EVERY != 0
 
 
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -36,7 +36,8 @@
 ``connection_count``; ``call_times`` of all requests, with reports and orders; ``request_times``:
 the same times with the attempt ids; ``refusals``: time, attempt id, ``retry_after`` and peer port;
 ``babbling``: endless answers under way; ``max_models_held`` at once; ``spoilt``: ids of attempts
-that met a behavior other than ``serve`` and ``refuse``.
+that met a behavior other than ``serve`` and ``refuse``; ``ended_at``: when it was last done with an
+attempt.
 
 ``restart`` starts the runner again under the same id, without models and with its order sequence
 at 0. Connections from before stay open and unanswered, as after a crash behind a network partition.
@@ -106,6 +107,7 @@
         self.software_by_attempt = {}
         self.disconnected = []
         self.spoilt = set()
+        self.ended_at = {}
         self.connection_count = 0
         self.call_times = []
         self.request_times = []
@@ -281,6 +283,7 @@
             return await self._answer(reader, writer, headers, body)
         finally:
             self._in_work -= 1
+            self.ended_at[headers.get("x-attempt-id", "")] = asyncio.get_running_loop().time()
 
     def _control(self, target, headers, body):
         if target == "/v1/report":
