--- a/extras/soak/kept_callers.py
+++ b/extras/soak/kept_callers.py
@@ -98,9 +98,10 @@
     async def _keep(self, conn: KeptConnection, process: str, until: float) -> None:
         """Use a connection until an answer ends it."""
         while self._now() < until:
-            if await self._use(conn, process):
-                return
+            closes = await self._use(conn, process)
             await asyncio.sleep(MEAN_PAUSE_SECONDS * 2 * self._rng.random())
+            if closes:
+                return
 
     async def _use(self, conn: KeptConnection, process: str) -> bool:
         """Send requests and read their answers; return whether the connection ends."""
--- a/extras/soak/stop_checks.py
+++ b/extras/soak/stop_checks.py
@@ -122,9 +122,13 @@
     served = sum(row.whole and row.status == SUCCESS for row in rows)
     refused = sum(row.status in REFUSED for row in rows)
     cut = sum(not row.whole for row in rows)
+    brief = [row for row in rows if row.kind in BRIEF_KINDS and is_unknowing(record, row)]
+    early = sum(row.status in REFUSED for row in brief)
+    kinds = Counter(row.kind for row in rows if row.status in REFUSED)
     return (
         f"{len(record.stops)} stops, {len(record.kept)} requests, {len(rows)} ended during a stop:"
-        f" {served} served, {refused} refused, {cut} without a whole answer"
+        f" {served} served, {refused} refused {dict(kinds)}, {cut} without a whole answer;"
+        f" {early} of {len(brief)} brief ones refused before callers may know"
     )
 
 
