--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -170,7 +170,7 @@
         broken = find_violations(record, plan.maintenance_only, EVENTS_PER_STREAM, MODELS_FIT)
         if plan.stopping:
             click.echo(f"seed {plan.seed}: {summarise(record)}")
-        return [*broken, *find_lost(record)]
+        return [*broken, *find_lost(record, plan.stopping)]
     finally:
         await deployment.stop()
 
--- a/extras/soak/stop_checks.py
+++ b/extras/soak/stop_checks.py
@@ -95,6 +95,12 @@
             yield f"{process}: killed {stop.grace} s after the SIGTERM at {stop.at:.2f} s"
 
 
+def check_played(record: Record) -> Iterable[str]:
+    """A run of planned stops sent nothing to a stopping host, so it has shown nothing."""
+    if not any(is_unknowing(record, row) for row in record.kept):
+        yield f"no request came to a stopping host, of which there were {len(record.stops)}"
+
+
 def describe(record: Record, row: Kept) -> str:
     """Return which request it was and when, also in relation to its host's stop."""
     stop = record.stops.get(row.incarnation)
@@ -132,9 +138,14 @@
     )
 
 
-def find_lost(record: Record) -> Sequence[str]:
-    """Return the violated promises of planned stops, one line each."""
+def find_lost(record: Record, stopping: bool) -> Sequence[str]:
+    """Return the violated promises of planned stops, one line each.
+
+    ``stopping`` is true for runs in which hosts are stopped in series.
+    """
+    played = check_played(record) if stopping else ()
     return [
+        *played,
         *check_lost(record),
         *check_kept_refusals(record),
         *check_errors(record),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,13 +27,16 @@
     Attempt,
     Disturbance,
     EndpointRecord,
+    Kept,
     LimitedEndpoint,
     Partition,
+    PlannedStop,
     Record,
     WorkspaceLoad,
     find_violations,
 )
-from extras.soak.deployment import ROOT, SoakDeployment
+from extras.soak.deployment import ROOT, HostProcess, SoakDeployment
+from extras.soak.kept_callers import KINDS, is_right
 from extras.soak.parts import (
     FATAL_CALLER,
     FATAL_PART,
@@ -45,9 +48,17 @@
 from extras.soak.plan import MAX_FAULT_SECONDS, PLANNED_EVERY, draw_plan
 from extras.soak.proxy import Proxy
 from extras.soak.quotas import FIRST_CALLER, LOADS
+from extras.soak.stop_checks import find_lost
+from extras.soak.stops import FILE_BYTES, WAYS, Stops
 from extras.soak.updates import ENTRY_LAG_SECONDS, choose_engine, update
 from peridotdock.clients.endpoint import Call, HttpEndpoints
-from tests.standins.runner import FIRST_START_MS, RESTART_INTERVAL_MS, RunnerStandin
+from tests.kept_connection import Answer
+from tests.standins.runner import (
+    EVENTS_PER_STREAM,
+    FIRST_START_MS,
+    RESTART_INTERVAL_MS,
+    RunnerStandin,
+)
 from tests.standins.tables import TableStandin
 
 EVENTS = 3
@@ -62,6 +73,8 @@
 WORK_SECONDS = 0.1
 # Seconds of traffic, of which the last three are without faults.
 SILENT_RUN_SECONDS = 8.0
+# Seconds of traffic, in the last eight of which no stop begins.
+STOPPING_RUN_SECONDS = 14.0
 
 
 def record(*attempts, ran=(), orders=(), held=0, probes=(PAGE,)):
@@ -192,6 +205,133 @@
     return replace(record(*rows), partitions=[cut])
 
 
+STOP = PlannedStop(10.0, 8.0)
+# A request that may run once, sent one second after its host's SIGTERM.
+KEPT = Kept("k", "once", "h0-1", 11.0, 11.1, 200, True, 20.0)
+UNANSWERED = replace(KEPT, status=0, whole=False, ended_at=11.15)
+UNFINISHED = replace(KEPT, whole=False, ended_at=16.9)
+
+
+def stop_record(*kept, ran=(), stop=STOP, until=None, **more):
+    """Return a record of a stop, and of requests of callers that keep their connections.
+
+    ``until`` is when the endpoint was done with the first of them, None if it never was.
+    """
+    worked = {kept[0].id: until} if until is not None else {}
+    stops = {"h0-1": stop} if stop else {}
+    return Record(ran=list(ran), kept=list(kept), stops=stops, worked_until=worked, **more)
+
+
+def brief_record(refused, count=20, status=503, **changes):
+    """Return a record of brief requests, of which the first ones are refused."""
+    rows = [replace(KEPT, id=f"k{n}", **changes) for n in range(count)]
+    rows = [replace(row, status=status) if n < refused else row for n, row in enumerate(rows)]
+    return stop_record(*rows)
+
+
+class StopChecksTest(unittest.TestCase):
+    """Guards against a soak that doesn't see what a stopping host cuts, refuses or leaves open."""
+
+    @params(
+        ("no violation", stop_record(KEPT, ran=["k"]), False),
+        ("an answer is unfinished", stop_record(UNFINISHED, ran=["k"], until=12.0), True),
+        ("without a stop", stop_record(UNFINISHED, ran=["k"], stop=None), True),
+        ("a refusal is unfinished", stop_record(replace(UNFINISHED, status=503)), True),
+        ("its deadline had passed", stop_record(replace(UNFINISHED, deadline=16.8)), False),
+        ("its endpoint worked till the end", stop_record(UNFINISHED, ran=["k"]), False),
+        ("nearly so", stop_record(UNFINISHED, ran=["k"], until=16.7), False),
+        ("it did, and the end came early", stop_record(replace(UNFINISHED, ended_at=16.6)), True),
+        (
+            "and the request came late",
+            stop_record(replace(UNFINISHED, started_at=13.1), ran=["k"]),
+            True,
+        ),
+        ("no answer, and it ran", stop_record(UNANSWERED, ran=["k"], until=11.1), True),
+        ("no answer, and it crossed the end", stop_record(UNANSWERED), False),
+        ("no answer, and it had been sent", stop_record(replace(UNANSWERED, ended_at=11.3)), True),
+        ("refused and ran", stop_record(replace(KEPT, status=503), ran=["k"]), True),
+        ("turned away and ran", stop_record(replace(KEPT, status=429), ran=["k"]), True),
+        (
+            "refused and ran, where that is allowed",
+            stop_record(replace(KEPT, status=503, repeatable=True), ran=["k"]),
+            False,
+        ),
+        ("refused", stop_record(replace(KEPT, status=503)), False),
+        ("perhaps run", stop_record(replace(KEPT, status=502), ran=["k"]), False),
+        ("a server error", stop_record(replace(KEPT, status=500)), True),
+        (
+            "one of another caller",
+            stop_record(KEPT, attempts=[replace(PAGE, status=500)]),
+            True,
+        ),
+        (
+            "one of an endpoint's own",
+            stop_record(
+                KEPT,
+                attempts=[replace(PAGE, status=500)],
+                endpoint_records=[EndpointRecord([], [], spoilt=frozenset({"a"}))],
+            ),
+            False,
+        ),
+        ("a tenth of the brief ones refused", brief_record(2), False),
+        ("more of them refused", brief_record(3), True),
+        ("more of them turned away", brief_record(3, status=429), True),
+        ("more of them refused later", brief_record(3, started_at=13.1, ended_at=13.2), False),
+        ("more of the long ones refused", brief_record(3, kind="long"), False),
+        ("too few to tell", brief_record(3, count=19), False),
+        ("killed", stop_record(KEPT, stop=replace(STOP, killed=True)), True),
+    )
+    def test_planted_faults_of_stops_are_found(self, name, found, broken):
+        self.assertEqual(broken, bool(find_lost(found, False)), name)
+
+    @params(
+        ("a request during a stop", stop_record(KEPT), False),
+        ("requests before it alone", stop_record(replace(KEPT, started_at=9.0)), True),
+        ("no stop", stop_record(KEPT, stop=None), True),
+        ("no request", stop_record(), True),
+    )
+    def test_a_run_that_shows_nothing_fails(self, name, found, broken):
+        self.assertEqual(broken, bool(find_lost(found, True)), name)
+
+
+class KeptCallersTest(unittest.TestCase):
+    """Guards against answers that count as whole with less than their endpoint sent."""
+
+    @params(
+        ("a page", "page", b"whole answer", 200, True),
+        ("a part of a page", "once", b"whole", 200, False),
+        ("a stream", "short", b"".join(b"id: %d\n\n" % n for n in range(1, 7)), 200, True),
+        ("a stream without its last event", "short", b"id: 1\n\n", 200, False),
+        ("a file", "slow reader", b"x" * FILE_BYTES, 200, True),
+        ("a file without its last byte", "slow reader", b"x" * 9, 200, False),
+        ("a refusal", "short", b"", 503, True),
+    )
+    def test_a_whole_answer_has_all_that_was_sent(self, name, kind, body, status, right):
+        self.assertEqual(6, EVENTS_PER_STREAM)
+        self.assertEqual(right, is_right(Answer(status, {}, body, True), KINDS[kind][0]), name)
+
+
+class StopsTest(unittest.TestCase):
+    """Guards against stops that leave no host, and hosts that are killed without a word."""
+
+    @params(*WAYS)
+    def test_one_host_is_left_alone(self, way):
+        with tempfile.TemporaryDirectory() as folder:
+            found = Stops(SoakDeployment(3, Path(folder)), Record(), 0.0, random.Random(1))
+            chosen = [host.name for _ in range(9) for host in found._choose(way)]
+            self.assertEqual(len(chosen), len(set(chosen)))
+            self.assertTrue(0 < len(chosen) < 3)
+
+    @params(("ends", ["true"], 9.0, True), ("is killed", ["sleep", "60"], 0.2, False))
+    def test_it_is_told_whether_a_process_ended_by_itself(self, name, command, seconds, ended):
+        with tempfile.TemporaryDirectory() as folder:
+            host = HostProcess("h0", Path(folder))
+            options = {"args": command, "env": os.environ, "cwd": folder}
+            with mock.patch.object(host, "command", return_value=options):
+                host.start()
+            self.assertEqual(ended, asyncio.run(host.wait(seconds)), name)
+
+
 class ChecksTest(unittest.TestCase):
     @params(
         ("no violation", record(PAGE, BIND, RECAP, ran=["a", "b", "c"], orders=[ORDER]), False),
@@ -555,6 +695,16 @@
         if fatal:
             self.assertFalse(any(others))
 
+    @params((18, True), (37, True), (75, False), (132, False), (56, False), (170, False))
+    def test_seeds_of_stops_have_planned_work_alone(self, seed, stopping):
+        plan = draw_plan(seed, 60.0)
+        others = (plan.poisoned, plan.overloaded, plan.partitioned, plan.versioned, plan.restored)
+        self.assertEqual(stopping, plan.stopping)
+        if stopping:
+            self.assertEqual({"reload", "config"}, {fault.kind.name for fault in plan.faults})
+            self.assertTrue(plan.maintenance_only)
+            self.assertFalse(any(others))
+
 
 class FatalPromptsTest(unittest.TestCase):
     @params(*POSITIONS)
@@ -682,3 +832,12 @@
         with tempfile.TemporaryDirectory() as folder:
             found = asyncio.run(run_plan(draw_plan(seed, SILENT_RUN_SECONDS), 3, Path(folder)))
             self.assertEqual([], found)
+
+
+class StoppingRunTest(unittest.TestCase):
+    @params(18)
+    def test_stopping_hosts_answer_callers_that_stay(self, seed):
+        """Guards against answers that are cut as a host ends under callers that don't leave."""
+        with tempfile.TemporaryDirectory() as folder:
+            found = asyncio.run(run_plan(draw_plan(seed, STOPPING_RUN_SECONDS), 3, Path(folder)))
+            self.assertEqual([], found)
