Answer a whole pipeline at a stopping host that is behind

Cause: a host that is behind or out of descriptors refuses with 'connection: close', and the server closes the connection after that answer. What the host had read behind it in a pipeline got none, though a stopping host owes each request an answer. Change: a stopping host leaves the end of the connection to its server, which closes it with the last answer of the pipeline. A host that doesn't stop refuses as before.

--- a/peridotdock/relay/request_handler.py
+++ b/peridotdock/relay/request_handler.py
@@ -138,7 +138,9 @@
 
     def _refuse_and_close(self, failure: Failure, attempt_id: str) -> Response:
         response = self._refuse(failure, attempt_id)
-        response.headers.add(b"connection", b"close")
+        # The server of a stopping host ends each connection with the last answer of its pipeline.
+        if not self._stop.begun:
+            response.headers.add(b"connection", b"close")
         return response
 
     def _refuse(self, failure: Failure, attempt_id: str) -> Response:
--- a/tests/relay/test_overload.py
+++ b/tests/relay/test_overload.py
@@ -13,6 +13,7 @@
 from peridotdock.events import Filter
 from peridotdock.loop_iterations import MeasuredLoop
 from peridotdock.relay.lag import DescriptorCount
+from tests.kept_connection import KeptConnection, make_request
 from tests.relay.deployment import Deployment
 
 HEAD = (
@@ -235,6 +236,26 @@
             self.assertEqual(200, status, (body, found.hosts[0].ctx.timeline.select(Filter())))
 
 
+class StoppingTest(unittest.TestCase):
+    """Guards against a pipeline that a stopping host drops, as it refuses its first request."""
+
+    @run
+    async def test_a_host_without_descriptors_answers_a_whole_pipeline_as_it_stops(self):
+        async with Deployment() as found:
+            host = found.hosts[0]
+            conn = await KeptConnection.open(host.server.address)
+            host.host_monitor.count = lambda: DescriptorCount(4090, 4100)
+            await host.host_monitor.check()
+            stopping = asyncio.ensure_future(host.drain())
+            await asyncio.sleep(0.1)
+            conn.send(b"".join(make_request("/bind/", f"p{n}", 6000) for n in range(3)))
+            answers = [await conn.read_answer() for _ in range(3)]
+            await stopping
+            conn.close()
+        self.assertEqual([(503, True)] * 3, [(row.status, row.whole) for row in answers])
+        self.assertEqual([False, False, True], [row.closes for row in answers])
+
+
 class NamedTest(unittest.TestCase):
     @run
     async def test_callers_are_not_sent_to_a_host_that_is_not_ready(self):
