Serve what has reached the kernel when a stopping host closes its listener and idle connections

Cause: a lagging loop reads late. As a stopping host closes its listener, the kernel resets the connections that wait to be accepted, with the requests on them; as it closes idle connections, it closes those on which a request waits unread. Callers had sent both long before. Change: the server accepts what waits before it closes its listener, and neither closes a connection with unread bytes nor counts as drained while there is one. Conclusion: what remains is a connection that is opened after the last accept.

--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -1,7 +1,10 @@
 """An HTTP server for an application on pre-bound sockets, within the running event loop."""
 
+import array
 import asyncio
+import fcntl
 import socket
+import termios
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from contextlib import contextmanager
 from typing import Any
@@ -143,9 +146,18 @@
         """Number of bytes of answers that the kernel has not taken yet."""
         return self.transport.get_write_buffer_size()
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether the caller has sent bytes that are not read yet, and may still be answered."""
+        if self.transport.is_closing():
+            return False
+        found = array.array("i", [0])
+        fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, found)
+        return found[0] > 0
+
     def close_idle(self) -> None:
         """Close the connection if nothing of it is under way; what is unsent is sent first."""
-        if not self.is_busy and not self.transport.is_closing():
+        if not (self.is_busy or self.transport.is_closing() or self.has_unread):
             self.transport.close()
 
     def refuse_unread(self) -> None:
@@ -166,6 +178,18 @@
     return sock
 
 
+def accept_waiting(listener: socket.socket) -> list[socket.socket]:
+    """Accept all connections that wait at a listening socket, as far as descriptors last."""
+    found = []
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except OSError:
+            return found
+        sock.setblocking(False)
+        found.append(sock)
+
+
 class Server:
     """A server for an application on bound sockets; ``address`` is IP:PORT of the first."""
 
@@ -183,6 +207,7 @@
         self._server: _SignalFreeServer | None = None
         self._task: asyncio.Task[None] | None = None
         self._closing = False
+        self._adopting: set[asyncio.Task[None]] = set()
 
     def _connect(self, **arguments: Any) -> Connection:
         connection = Connection(**arguments)
@@ -237,9 +262,29 @@
             connection.end_with_answer()
 
     def stop_listening(self) -> None:
-        """Accept no more connections at the first address."""
-        if self._server is not None:
-            self._server.servers[0].close()
+        """Accept no more connections at the first address than those that wait there.
+
+        Failure guarded against: the loop lags, callers have connected and sent requests meanwhile,
+        and the kernel resets what was not accepted as the socket is closed.
+        """
+        if self._server is None:
+            return
+        waiting = accept_waiting(self._socks[0])
+        self._server.servers[0].close()
+        for sock in waiting:
+            task = asyncio.ensure_future(self._adopt(self._server, sock))
+            self._adopting.add(task)
+            task.add_done_callback(self._adopting.discard)
+
+    async def _adopt(self, server: uvicorn.Server, sock: socket.socket) -> None:
+        """Serve a connection that the loop has not accepted itself."""
+        loop = asyncio.get_running_loop()
+        arguments = {
+            "config": server.config,
+            "server_state": server.server_state,
+            "app_state": server.lifespan.state,
+        }
+        await loop.connect_accepted_socket(lambda: self._connect(**arguments), sock)
 
     def close_idle(self) -> None:
         """Close the connections without a request under way."""
@@ -252,8 +297,10 @@
             connection.refuse_unread()
 
     def is_drained(self) -> bool:
-        """Return whether all requests are answered, and all answers are sent."""
-        return not any(row.is_busy or row.unsent_bytes for row in self._connections())
+        """Return whether all requests that came are answered, and all answers are sent."""
+        rows = self._connections()
+        left = any(row.is_busy or row.unsent_bytes or row.has_unread for row in rows)
+        return not (left or self._adopting)
 
     def unsent_bytes(self) -> int:
         """Return the number of bytes of answers that are not sent yet."""
