Soak: count for how long its callers were late when a connection's end is judged

The callers of 24 hosts share one process; where that runs late, a request is noted as sent too early and an end as seen too late. Change: the run records when its own loop was late. Only the time in which it was late between a request and its end is added to the 0.2 s, and only for a request that did not run and got no byte. The line of a run tells the longest time.

--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -258,7 +258,8 @@
     two. ``falls`` are the times and names of endpoints that fell over, ``brittle_since`` when they
     began to announce that they may. ``fatal_attempts`` had a part that crashes engines, which
     happened at the times ``part_crashes``. ``kept`` are the requests of callers that keep their
-    connections, ``stops`` the planned stops by host process, ``worked_until`` the times by attempt
+    connections, ``lags`` the times from and until which this process ran none of its callers,
+    ``stops`` the planned stops by host process, ``worked_until`` the times by attempt
     until which an endpoint worked at it.
     """
 
@@ -283,6 +284,7 @@
     falls: list[tuple[float, str]] = field(default_factory=list)
     brittle_since: float = math.inf
     kept: list[Kept] = field(default_factory=list)
+    lags: list[tuple[float, float]] = field(default_factory=list)
     stops: dict[str, PlannedStop] = field(default_factory=dict)
     worked_until: dict[str, float] = field(default_factory=dict)
 
--- a/extras/soak/kept_callers.py
+++ b/extras/soak/kept_callers.py
@@ -24,6 +24,9 @@
 BODY_BYTES = 2000
 MIN_LATE_SECONDS = 0.2
 MAX_LATE_SECONDS = 4.0
+# Seconds between two looks at the loop of this process, and by which one must be late to count.
+TICK_SECONDS = 0.02
+MIN_LAG_SECONDS = 0.02
 PAGE_BODY = b"whole answer"
 
 
@@ -55,13 +58,25 @@
 def load_kept(
     deployment: SoakDeployment, record: Record, started_at: float, plan: Plan
 ) -> list[Awaitable[None]]:
-    """Return the work of the callers: one of each kind at each host."""
+    """Return the work of the callers: one of each kind at each host; and of a look at their lag."""
     rng = random.Random(plan.seed)
-    return [
+    work = [
         KeptCaller(host, kind, record, started_at, random.Random(rng.random())).run(plan.seconds)
         for host in deployment.hosts
         for kind in KINDS
     ]
+    return [record_lags(record, started_at, plan.seconds), *work]
+
+
+async def record_lags(record: Record, started_at: float, until: float) -> None:
+    """Record when this process came late to a timer, in seconds since the start of the run."""
+    before = time.monotonic() - started_at
+    while before < until:
+        await asyncio.sleep(TICK_SECONDS)
+        now = time.monotonic() - started_at
+        if now - before > TICK_SECONDS + MIN_LAG_SECONDS:
+            record.lags.append((before, now))
+        before = now
 
 
 class KeptCaller:
--- a/extras/soak/stop_checks.py
+++ b/extras/soak/stop_checks.py
@@ -30,7 +30,7 @@
     for row in record.kept:
         if row.whole or row.deadline <= row.ended_at:
             continue
-        sent_in_time = row.ended_at - row.started_at > CROSSING_SECONDS
+        sent_in_time = row.ended_at - row.started_at > CROSSING_SECONDS + lag(record, row)
         # A host that is behind and doesn't stop refuses a request and ends the connection with it.
         left_behind = row.behind_end and row.incarnation not in record.stops
         known = row.status != 0 or row.id in ran or (sent_in_time and not left_behind)
@@ -39,6 +39,12 @@
             yield f"{describe(record, row)} {what}{', and ran' if row.id in ran else ''}"
 
 
+def lag(record: Record, row: Kept) -> float:
+    """Return for how long this process may not have seen the end of a request's connection."""
+    found = [min(until, row.ended_at) - max(since, row.started_at) for since, until in record.lags]
+    return sum(seconds for seconds in found if seconds > 0)
+
+
 def may_be_cut(record: Record, row: Kept, ran: bool) -> bool:
     """Return whether an endpoint still worked at a request in the last part of a stop."""
     stop = record.stops.get(row.incarnation)
@@ -133,8 +139,10 @@
     brief = [row for row in rows if row.kind in BRIEF_KINDS and is_unknowing(record, row)]
     early = sum(row.status in REFUSED for row in brief)
     kinds = Counter(row.kind for row in rows if row.status in REFUSED)
+    longest = max((until - since for since, until in record.lags), default=0.0)
     return (
-        f"{len(record.stops)} stops, {len(record.kept)} requests, {len(rows)} ended during a stop:"
+        f"callers late by {longest:.2f} s at most; {len(record.stops)} stops,"
+        f" {len(record.kept)} requests, {len(rows)} ended during a stop:"
         f" {served} served, {refused} refused {dict(kinds)}, {cut} without a whole answer;"
         f" {early} of {len(brief)} brief ones refused before callers may know"
     )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -267,6 +267,21 @@
             stop_record(replace(UNANSWERED, ended_at=11.3), stop=None),
             True,
         ),
+        (
+            "its end was seen late",
+            stop_record(replace(UNANSWERED, ended_at=11.3), lags=[(10.5, 11.12)]),
+            False,
+        ),
+        (
+            "not that late",
+            stop_record(replace(UNANSWERED, ended_at=11.3), lags=[(10.5, 11.08), (11.31, 12.0)]),
+            True,
+        ),
+        (
+            "late, and it ran",
+            stop_record(replace(UNANSWERED, ended_at=11.3), ran=["k"], lags=[(10.5, 11.3)]),
+            True,
+        ),
         ("refused and ran", stop_record(replace(KEPT, status=503), ran=["k"]), True),
         ("turned away and ran", stop_record(replace(KEPT, status=429), ran=["k"]), True),
         (
