--- a/extras/soak/kept_callers.py
+++ b/extras/soak/kept_callers.py
@@ -100,13 +100,16 @@
         """Use connections until ``until``, in seconds since the start of the run."""
         rate = SLOW_RATE if self._kind == "slow reader" else 0
         while self._now() < until:
+            process = self._host.incarnation
             try:
                 conn = await KeptConnection.open(self._host.address("front"), rate)
             except OSError:
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             try:
-                await self._keep(conn, self._host.incarnation, until)
+                # Another process may have started meanwhile; then nobody knows which one took it.
+                if process == self._host.incarnation:
+                    await self._keep(conn, process, until)
             finally:
                 conn.close()
 
