--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -36,7 +36,7 @@
     find_violations,
 )
 from extras.soak.deployment import ROOT, HostProcess, SoakDeployment
-from extras.soak.kept_callers import KINDS, is_right
+from extras.soak.kept_callers import KINDS, is_right, record_lags
 from extras.soak.parts import (
     FATAL_CALLER,
     FATAL_PART,
@@ -344,6 +344,22 @@
         self.assertEqual(right, is_right(Answer(status, {}, body, True), KINDS[kind][0]), name)
 
 
+class LagTest(unittest.TestCase):
+    """Guards against ends of connections that count as late as the run itself was late."""
+
+    @params(("late", 0.2, True), ("in time", 0.0, False))
+    def test_a_loop_that_does_not_run_is_recorded(self, name, seconds, late):
+        async def play():
+            found = Record()
+            looking = asyncio.ensure_future(record_lags(found, time.monotonic(), 0.5))
+            await asyncio.sleep(0.1)
+            time.sleep(seconds)
+            await looking
+            return max((until - since for since, until in found.lags), default=0.0)
+
+        self.assertEqual(late, asyncio.run(play()) >= 0.2, name)
+
+
 class StopsTest(unittest.TestCase):
     """Guards against stops that leave no host, and hosts that are killed without a word."""
 
