--- a/extras/soak/stops.py
+++ b/extras/soak/stops.py
@@ -93,7 +93,9 @@
     ]
 
 
-async def silence_in_turn(engines: Sequence[RunnerStandin], until: float, rng) -> None:
+async def silence_in_turn(
+    engines: Sequence[RunnerStandin], until: float, rng: random.Random
+) -> None:
     """Let engines be silent for a moment, one after the other."""
     while time.monotonic() < until:
         await rng.choice(engines).freeze(SILENCE_SECONDS)
