Soak: count a first request's deadline from when its connection was opened

Hosts count the time of a connection's first request from when that may have arrived with the connection, so the check's deadline was later than theirs. Change: the deadline of the first request on a connection counts from when the caller began to open it. Later ones count from when they were sent, as before.

--- a/extras/soak/kept_callers.py
+++ b/extras/soak/kept_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 import time
 from collections.abc import Awaitable
@@ -100,7 +101,7 @@
         """Use connections until ``until``, in seconds since the start of the run."""
         rate = SLOW_RATE if self._kind == "slow reader" else 0
         while self._now() < until:
-            process = self._host.incarnation
+            process, opened_at = self._host.incarnation, self._now()
             try:
                 conn = await KeptConnection.open(self._host.address("front"), rate)
             except OSError:
@@ -109,20 +110,30 @@
             try:
                 # Another process may have started meanwhile; then nobody knows which one took it.
                 if process == self._host.incarnation:
-                    await self._keep(conn, process, until)
+                    await self._keep(conn, process, opened_at, until)
             finally:
                 conn.close()
 
-    async def _keep(self, conn: KeptConnection, process: str, until: float) -> None:
-        """Use a connection until an answer ends it."""
+    async def _keep(
+        self, conn: KeptConnection, process: str, opened_at: float, until: float
+    ) -> None:
+        """Use a connection until an answer ends it.
+
+        A host may count the time of its first request from when the connection was opened.
+        """
+        came_at = opened_at
         while self._now() < until:
-            closes = await self._use(conn, process)
+            closes = await self._use(conn, process, came_at)
+            came_at = math.inf
             await asyncio.sleep(MEAN_PAUSE_SECONDS * 2 * self._rng.random())
             if closes:
                 return
 
-    async def _use(self, conn: KeptConnection, process: str) -> bool:
-        """Send requests and read their answers; return whether the connection ends."""
+    async def _use(self, conn: KeptConnection, process: str, came_at: float) -> bool:
+        """Send requests and read their answers; return whether the connection ends.
+
+        ``came_at`` is the earliest time from which the host may count, if it is before now.
+        """
         rows = [(next(self._ids), row) for row in KINDS[self._kind]]
         late = BODY_BYTES // 2 if self._kind == "late body" else 0
         raw = b"".join(
@@ -133,7 +144,8 @@
         )
         sent_at = self._now()
         conn.send(raw[: len(raw) - late])
-        reading = asyncio.ensure_future(self._read(conn, process, sent_at, rows))
+        times = sent_at, min(sent_at, came_at)
+        reading = asyncio.ensure_future(self._read(conn, process, times, rows))
         if late:
             seconds = self._rng.uniform(MIN_LATE_SECONDS, MAX_LATE_SECONDS)
             await asyncio.wait([reading], timeout=seconds)
@@ -142,8 +154,13 @@
         return await reading
 
     async def _read(
-        self, conn: KeptConnection, process: str, sent_at: float, rows: list[tuple[str, Request]]
+        self,
+        conn: KeptConnection,
+        process: str,
+        times: tuple[float, float],
+        rows: list[tuple[str, Request]],
     ) -> bool:
+        sent_at, came_at = times
         closes = ended = False
         for name, row in rows:
             answer = await conn.read_answer()
@@ -156,7 +173,7 @@
                     self._now(),
                     answer.status,
                     answer.whole and is_right(answer, row),
-                    sent_at + min(row.seconds, DEADLINE_SECONDS),
+                    came_at + min(row.seconds, DEADLINE_SECONDS),
                     row.repeatable,
                     ended,
                 )
