Give up a whole answer whose caller reads on after its deadline if others wait for its memory

What callers see: callers stop reading long answers and keep their connections. Once these fill the memory for answers of a known length (64 MB, two thirds of that of a smaller host), every other answer of more than 64 KiB ends in 504 at that host, although an endpoint has run the request. Cause: a whole answer counts until its caller has read it, and is never given up. Only the kernel ends such a connection, 20 s after its last progress; a caller that reads a little never ends. Change: where others wait for memory, the longest whole answer is given up whose caller's deadline has passed, and its connection ends. That comes before unfinished answers, which sound callers want. Measured: two callers that stop reading 4 MiB answers, with memory for two: 6 of 6 sound callers got 504, until the kernel ended the two 19.7 s later. Test before: 504 with 172 bytes instead of 200 with 4194304, and the row of the memory alone timed out. After: tests.relay.test_slow_callers 10 passed, test_endings and test_unread 24 passed. Conclusion: a caller holds memory that others need until its deadline, no longer.

--- a/peridotdock/clients/answer_memory.py
+++ b/peridotdock/clients/answer_memory.py
@@ -2,7 +2,8 @@
 
 An answer of unknown length may never end. While there is not enough memory for all, the longest of
 these are given up: short ones are never in the way. An answer that names its length is waited for.
-A whole answer counts until its caller has read it, and others wait for that at their endpoints.
+A whole answer counts until its caller has read it, and others wait for that at their endpoints,
+but not for a caller that is still reading after its deadline.
 """
 
 import asyncio
@@ -26,15 +27,23 @@
 
 
 class KeptAnswer:
-    """Stands for a whole answer: its bytes count until nothing refers to this any more."""
+    """Stands for a whole answer: its bytes count until nothing refers to this any more.
 
-    __slots__ = ("__weakref__",)
+    ``overdue`` tells whether its caller should have read it by now, and ``cut`` ends its sending.
+    """
+
+    __slots__ = ("__weakref__", "cut", "overdue")
+
+    def __init__(self) -> None:
+        self.overdue: Callable[[], bool] = lambda: False
+        self.cut: Callable[[], None] = lambda: None
 
 
 class HeldBytes:
     """What one answer holds. ``give_up`` is called if it is to be given up.
 
-    ``kept`` is set once it is whole and waits for its caller; it is not given up for others then.
+    ``kept`` is set once it is whole and waits for its caller; it is given up for others then only
+    if it is overdue.
     """
 
     def __init__(self, memory: "AnswerMemory", give_up: Callable[[], None]):
@@ -42,6 +51,7 @@
         self.give_up = give_up
         self.given_up = False
         self.kept = False
+        self.is_overdue: Callable[[], bool] = lambda: False
         self.size = 0
         self.counted = 0
         self.reserved = 0
@@ -64,6 +74,9 @@
             return None
         self._memory.keep(self)
         answer = KeptAnswer()
+        found = weakref.ref(answer)
+        self.is_overdue = lambda: (kept := found()) is not None and kept.overdue()
+        self.give_up = lambda: kept.cut() if (kept := found()) is not None else None
         weakref.finalize(answer, self._memory.release, self)
         return answer
 
@@ -130,7 +143,8 @@
     async def _wait_until_freed(self) -> None:
         """Wait until an answer ends; after a while, give up the one that lacks the most bytes.
 
-        One that is whole lacks none: its caller may read it slowly.
+        One that is whole lacks none: its caller may read it slowly, until its deadline. Failure
+        guarded against: callers stop reading, and all other long answers wait for them.
         """
         self._freed.clear()
         try:
@@ -138,7 +152,7 @@
                 await self._freed.wait()
         except TimeoutError:
             unfinished = [held for held in self._reservations if not held.kept]
-            if unfinished:
+            if not self._give_up_overdue() and unfinished:
                 self._give_up(max(unfinished, key=lambda held: held.reserved - held.size))
 
     def release(self, held: HeldBytes) -> None:
@@ -152,7 +166,15 @@
 
     def _make_room(self) -> None:
         while self._held and self._counted + self._reserved > self._limit:
-            self._give_up(max(self._held, key=lambda held: held.counted))
+            if not self._give_up_overdue():
+                self._give_up(max(self._held, key=lambda held: held.counted))
+
+    def _give_up_overdue(self) -> bool:
+        """Give up the longest whole answer that its caller should have read; return if any was."""
+        overdue = [held for held in self._reservations if held.kept and held.is_overdue()]
+        if overdue:
+            self._give_up(max(overdue, key=lambda held: held.size))
+        return bool(overdue)
 
     def _give_up(self, held: HeldBytes) -> None:
         held.given_up = True
--- a/peridotdock/relay/responding.py
+++ b/peridotdock/relay/responding.py
@@ -17,6 +17,7 @@
 from peridotdock.relay.stopping import PlannedStop
 from peridotdock.relay.streaming import relay_stream
 from peridotdock.requests import Reply
+from peridotdock.serving import CUT_KEY
 
 # Seconds after its deadline from which an answer counts as late. Timers fire some milliseconds late
 # even on a host that keeps up.
@@ -83,6 +84,9 @@
             head = found.head
             if isinstance(found, CompleteAnswer):
                 self._stop.record_answer(req)
+                if found.kept is not None:
+                    found.kept.overdue = lambda: self._ctx.clock.monotonic() > req.deadline
+                    found.kept.cut = request.scope.get(CUT_KEY, found.kept.cut)
                 return send_whole(found)
             streaming = True
             bind_software(progress, found)
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -36,6 +36,8 @@
 FIRST_READ_ITERATIONS = 1
 # Key of a request's scope for the earliest monotonic time at which it can have arrived.
 ARRIVAL_KEY = "came"
+# Key of a request's scope for the function that ends its connection at once.
+CUT_KEY = "cut"
 
 # The answer to a request that has not arrived when the server ends.
 UNREAD_ANSWER = (
@@ -104,7 +106,7 @@
         self._after_first_read = self._iterations.count + FIRST_READ_ITERATIONS + 1
 
     def on_message_begin(self) -> None:
-        """Record the earliest arrival of the request in its scope.
+        """Record the earliest arrival of the request, and how to end its connection, in its scope.
 
         A request that begins after the connection's first read arrived after the connection.
         """
@@ -113,6 +115,7 @@
         self.scope[ARRIVAL_KEY] = (
             self._arrived_at if with_connection else self._iterations.earliest_arrival()
         )
+        self.scope[CUT_KEY] = self.transport.abort
 
     def on_headers_complete(self) -> None:
         """Keep the connection for a request that comes while the one before it has no answer."""
--- a/tests/kept_connection.py
+++ b/tests/kept_connection.py
@@ -50,6 +50,10 @@
     def send(self, raw):
         self._writer.write(raw)
 
+    def stop_reading(self):
+        """Leave what comes from now on in the kernel's buffers, until these are full."""
+        self._writer.transport.pause_reading()
+
     def close(self):
         self._writer.close()
 
--- a/tests/relay/test_slow_callers.py
+++ b/tests/relay/test_slow_callers.py
@@ -61,6 +61,36 @@
     def test_the_bound_follows_from_the_memory_of_the_host(self, megabytes, expected):
         self.assertEqual(expected, make_host_memory(megabytes * 1_000_000)._limit)
 
+    async def test_an_overdue_answer_is_cut_before_an_unfinished_one(self):
+        memory, cut = AnswerMemory(limit=5 * FREE_BYTES, reservable=4 * FREE_BYTES), []
+        kept = hold(memory, 2 * FREE_BYTES)
+        kept.cut = lambda: cut.append("overdue")
+        await memory.begin(self.fail).reserve(2 * FREE_BYTES)
+        waiting = asyncio.ensure_future(memory.begin(self.fail).reserve(2 * FREE_BYTES))
+        kept.overdue = lambda: True
+        await asyncio.wait_for(waiting, 2 * WAIT_SECONDS)
+        self.assertEqual(["overdue"], cut)
+
+    @run
+    async def test_callers_that_stop_reading_do_not_hold_up_others_after_their_deadline(self):
+        async with Deployment() as found:
+            found.pages["p1"].page = b"x" * ANSWER_BYTES
+            host = found.hosts[0]
+            host.answer_memory._reservable = 2 * ANSWER_BYTES
+            address = str(host.settings.listen.callers)
+            stopped = [await KeptConnection.open(address) for _ in range(2)]
+            for number, conn in enumerate(stopped):
+                conn.stop_reading()
+                conn.send(make_request("/fetch/x", f"s{number}", 1500))
+            await found.until(lambda: host.answer_memory.held_bytes == 2 * ANSWER_BYTES)
+            conn = await KeptConnection.open(address)
+            conn.send(make_request("/fetch/x", "a", 6000))
+            answer = await conn.read_answer()
+            self.assertEqual((200, ANSWER_BYTES), (answer.status, len(answer.body)))
+            await found.until(lambda: host.answer_memory.held_bytes <= ANSWER_BYTES)
+            for row in (conn, *stopped):
+                row.close()
+
     @run
     async def test_an_answer_counts_until_its_caller_has_read_it(self):
         async with Deployment() as found:
