Read the versions that serve again if a hub could not read them at first

What callers see: nothing until all hosts are lost. Then a stream may go on at the only version that is left where another began it. Cause: a hub reads the store's rows once as it begins. If the store is away then, and no caller takes up a stream of doubtful version, they are not read again, and the hub writes no versions at all. Measured: tests.relay.test_rejoined_streams.RecordedTest before: 6 passed, 1 failed (no versions written, None, 3.7 s after the store was back); after: 7 passed. The other classes of that file were not run. Conclusion: the versions are in the store soon after it is back.

--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -375,9 +375,13 @@
     def find_recorded(self) -> dict[str, list[str]] | None:
         """Return the versions of each service to record in the store, None if it is not the hub.
 
-        A host that has not read yet what served before it would record too few.
+        A host that has not read yet what served before it would record too few, so it reads that
+        again if it could not at first.
         """
-        if self._hub_since is None or not self._knows_recorded:
+        if self._hub_since is None:
+            return None
+        if not self._knows_recorded:
+            self.needs_rows()
             return None
         return self._history.serving(self._ctx.clock.monotonic(), self.seconds)
 
--- a/tests/relay/test_rejoined_streams.py
+++ b/tests/relay/test_rejoined_streams.py
@@ -16,7 +16,7 @@
     row_slot,
 )
 from peridotdock.errors import Failure, Kind
-from peridotdock.relay.stream_rows import PREFIX, decode_row, merge_versions
+from peridotdock.relay.stream_rows import PREFIX, REREAD_SECONDS, decode_row, merge_versions
 from tests.relay.deployment import ENTRY_EXPIRY_SECONDS
 from tests.relay.test_forwarding import abort
 from tests.relay.test_partition import wait_linked
@@ -164,6 +164,21 @@
             kept = [stream for row in stored.values() for stream, _ in decode_row(row.value)]
             self.assertEqual([1, 2], sorted(kept))
 
+    @run
+    async def test_a_hub_that_could_not_read_the_rows_at_first_writes_versions_later(self):
+        """The store was away as a hub began, and no row ever says which versions serve."""
+        async with deploy() as found:
+            host = found.hosts[0]
+            rows, versions = host.stream_rows, host.stream_versions
+            await found.until(versions.find_recorded)
+            store, rows._store = rows._store, UnreadStore()
+            versions._knows_recorded, rows._read_wanted = False, True
+            began = rows._read_at
+            await found.until(lambda: rows._read_at > began)
+            rows._store, rows._recorded = store, {}
+            await asyncio.sleep(REREAD_SECONDS + WRITTEN_SECONDS)
+            self.assertEqual(["v1", "v2"], rows._recorded.get("engines"))
+
 
 class KilledTest(unittest.TestCase):
     """Guards against streams that go on at another version after all hosts were lost at once."""
