--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -36,6 +36,8 @@
 FIRST_READ_ITERATIONS = 1
 # Key of a request's scope for the earliest monotonic time at which it can have arrived.
 ARRIVAL_KEY = "came"
+# Key of a request's scope for the function that ends its connection at once.
+ABORT_KEY = "abort"
 
 # The answer to a request that has not arrived when the server ends.
 UNREAD_ANSWER = (
@@ -252,7 +254,7 @@
     async def _serve(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         if scope["type"] == "http":
             transport = send.__self__.transport
-            scope["abort"] = transport.abort
+            scope[ABORT_KEY] = transport.abort
             scope["receive"] = receive
         await self.app(scope, receive, send)
 
