Run test modules in processes of their own, four at once where there are cores

The whole check took 36 minutes on eight cores, as all modules ran one after the other in one process, so that it could not run on the last code of a change twice. `python -m tests` now does that, four at once at most and one per two cores; the verdict, the known failures and the last line stay as they were.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,5 +1,8 @@
 """Run the tests and print ``N passed, N failed``.
 
+``python -m tests`` runs all modules, each in a process of its own, several at once. With names it
+runs these tests in this process; ``--report FILE`` then writes the ids of those passed and failed.
+
 ``KNOWN-RED.txt`` lists the tests that are known to fail, one a line: test id, cause, issue. The
 exit code is 0 only if at least one test passed, every failure is listed, no listed test passed
 unless its line has the field ``flaky``, and at most ``MAX_KNOWN_RED`` of the tests that run here
@@ -7,6 +10,7 @@
 number.
 """
 
+import asyncio
 import logging
 import sys
 from pathlib import Path
@@ -14,11 +18,13 @@
 import nose2
 
 from tests import count
+from tests.parallel import Outcome, count_workers, find_modules, run_all
 
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 MAX_KNOWN_RED = 5
 FLAKY_FIELD = ", flaky,"
 TEST_PREFIX = "tests."
+REPORT_OPTION = "--report"
 
 
 def read_known_red():
@@ -33,19 +39,28 @@
     return {name.split("\n")[0] for name in names}
 
 
-def main():
+def run_here(names):
+    """Run tests in this process and return the outcome."""
     logging.getLogger().addHandler(logging.NullHandler())
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     logging.getLogger("peridotdock").setLevel(logging.CRITICAL)
-    known = read_known_red()
-    names = sys.argv[1:] or ["tests"]
     nose2.discover(
         argv=["nose2", "-s", ".", "-t", ".", *names],
         plugins=["tests.collection", "tests.count"],
         exit=False,
     )
     failed = first_lines(count.failed)
-    passed = first_lines(count.passed) - failed
+    return Outcome(first_lines(count.passed) - failed, failed)
+
+
+def main():
+    names = sys.argv[1:]
+    if names[:1] == [REPORT_OPTION]:
+        run_here(names[2:]).write(Path(names[1]))
+        return 0
+    known = read_known_red()
+    outcome = run_here(names) if names else asyncio.run(run_all(find_modules(), count_workers()))
+    passed, failed = outcome.passed, outcome.failed
     for name in sorted(failed & set(known)):
         print(f"known red: {known[name]}")
     flaky = {name for name, line in known.items() if FLAKY_FIELD in line}
