Count the bodies of callers' requests in a host's memory while they arrive and are served

Callers could make a host pass its memory: with 4 MiB each, fifty bodies at a time are 200 MB, and a host that passes its memory is killed with all its requests. Cause: answers count against a bound, bodies of requests counted nowhere. Class: what a host holds for others without an account. A body now counts from its first byte until its request has been answered, since it may be sent again. While there is no room no more of it is read, which slows its caller's connection down; after half a second the body that has been arriving for the longest time is given up, so that a slow caller costs itself first, and is refused as not run. Short bodies, and one alone, are never in the way. Not measured: a whole host's peak memory under such a load as a process.

--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -7,6 +7,7 @@
 
 from peridotdock.blocklist import Blocklist
 from peridotdock.blocklist_store import BLOCKLIST_CHECK_SECONDS, BlocklistStore
+from peridotdock.body_memory import make_body_memory
 from peridotdock.clients.answer_memory import make_host_memory
 from peridotdock.clients.endpoint import HttpEndpoints
 from peridotdock.clients.store_time import StoreTime
@@ -280,7 +281,8 @@
         addresses = [listen.readiness, listen.directory]
         addresses += [address for address in (listen.relay, settings.metrics) if address]
         more = [(address.ip, address.port) for address in addresses]
-        self.server = Server(app, listen.callers.ip, listen.callers.port, more)
+        bodies = make_body_memory(ctx.clock, ctx.rng.random, settings.memory_bytes)
+        self.server = Server(app, listen.callers.ip, listen.callers.port, more, bodies)
 
     async def start(self) -> None:
         """Listen, and begin to follow the store and the other hosts."""
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -3,6 +3,7 @@
 import array
 import asyncio
 import fcntl
+import random
 import socket
 import termios
 from collections.abc import Awaitable, Callable, Iterable, Iterator
@@ -13,6 +14,8 @@
 from blacksheep import Application, Request, Response, Router
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
+from peridotdock.body_memory import BodyMemory, HeldBody
+from peridotdock.clock import SystemClock
 from peridotdock.errors import Failure, Kind
 from peridotdock.loop_iterations import ACCEPTS_PER_ITERATION, find_iterations
 
@@ -38,6 +41,8 @@
 ARRIVAL_KEY = "came"
 # Key of a request's scope for the function that ends its connection at once.
 ABORT_KEY = "abort"
+# Key of a request's scope for what is held of its body, which counts until it is answered.
+BODY_KEY = "body"
 
 # The answer to a request that has not arrived when the server ends.
 UNREAD_ANSWER = (
@@ -68,14 +73,14 @@
     length = request.get_first_header(b"content-length")
     if length is not None and length.isdigit() and int(length) > max_bytes:
         return too_large
-    parts: list[bytes] = []
-    size = 0
+    held: HeldBody = request.scope[BODY_KEY]
     async for part in request.stream():
-        size += len(part)
-        if size > max_bytes:
+        if held.size + len(part) > max_bytes:
             return too_large
-        parts.append(part)
-    return b"".join(parts)
+        refusal = await held.add(part)
+        if refusal is not None:
+            return refusal
+    return held.take()
 
 
 class _SignalFreeServer(uvicorn.Server):
@@ -199,7 +204,10 @@
 
 
 class Server:
-    """A server for an application on bound sockets; ``address`` is IP:PORT of the first."""
+    """A server for an application on bound sockets; ``address`` is IP:PORT of the first.
+
+    ``bodies`` is the memory for the bodies of its requests.
+    """
 
     def __init__(
         self,
@@ -207,8 +215,10 @@
         ip: str = "127.0.0.1",
         port: int = 0,
         more_addresses: Iterable[tuple[str, int]] = (),
+        bodies: BodyMemory | None = None,
     ):
         self.app = app
+        self.bodies = bodies or BodyMemory(SystemClock(), random.random)
         self._socks = [bind_socket(*address) for address in ((ip, port), *more_addresses)]
         self.address = "{}:{}".format(*self._socks[0].getsockname())
         self.url = f"http://{self.address}"
@@ -256,7 +266,11 @@
             transport = send.__self__.transport
             scope[ABORT_KEY] = transport.abort
             scope["receive"] = receive
-        await self.app(scope, receive, send)
+        scope[BODY_KEY] = held = self.bodies.begin()
+        try:
+            await self.app(scope, receive, send)
+        finally:
+            held.release()
 
     # Draining
 
