Don't pass on events of a send that another one has replaced

Callers saw a stream whose events come from two runs that do not follow each other: events 1 to 3 of the first endpoint, then 4 to 6 of another that was asked to go on after event 2.

Cause: a silent endpoint's send is replaced once another endpoint has answered, and is ended then. Ending it closes its connection, but events that had arrived in the same iteration of the event loop are read nevertheless. They were passed on, and the other answer followed, which had begun after the event before them; its own copies were skipped by their ids. Class: what a send that was ended still delivers. It needs endpoints that go on at the same moment, as those that fell silent together do, and is likelier the longer an iteration of the host is. Ruled out: answers before the first event and whole answers, which check for the other answer after they were read; two answers of one endpoint, which are told apart by the attempt id.

Test: failed 1 of 1 before (3 events of the first endpoint where the other was asked to go on after 2), passes 5 of 5. tests.relay.test_replacing 26 of 26, tests.relay.test_silence 16 of 16.

--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -15,7 +15,7 @@
     SilentSend,
 )
 from peridotdock.relay.requests import RelayRequest
-from peridotdock.relay.service import RelayService
+from peridotdock.relay.service import SILENT, RelayService
 
 
 class PauseTracker:
@@ -167,6 +167,10 @@
         remaining = req.deadline - service.ctx.clock.monotonic()
         longest = FORWARDED_SILENCE_SECONDS if source.state.is_host else SILENCE_SECONDS
         failure = await source.fill(min(remaining, longest), send_elsewhere)
+        if replacement.found is not None:
+            # The other answer goes on after the last event that was passed on, so events that the
+            # replaced send delivered before it was ended must not follow it.
+            failure = failure or SILENT
         if failure is not None:
             yield failure
             return
--- a/tests/relay/test_replacing.py
+++ b/tests/relay/test_replacing.py
@@ -270,6 +270,34 @@
         return hang_once
 
 
+class SameMomentTest(unittest.TestCase):
+    """Guards against a stream that joins events of a send that was replaced to the next one's."""
+
+    @run
+    async def test_what_a_replaced_send_still_delivers_is_not_passed_on(self):
+        async with Deployment(engines=ENGINES) as found:
+            service, sources = found.hosts[0].service, []
+            open_answer = service.open_answer
+
+            async def answer_together(*call):
+                """Let the silent endpoint's next event arrive just before the second answer."""
+                sources.append(await open_answer(*call))
+                if len(sources) == 2:
+                    content = sources[0].opened._resp.content
+                    content.feed_data(b"id: 3\ndata: %s 3\n\n" % first.name.encode())
+                return sources[-1]
+
+            service.open_answer = answer_together
+            sent, gate, first, other = await begin_stream(found)
+            other.halfway_event = None
+            status, _, body = await asyncio.wait_for(sent, CALLER_STAYS_SECONDS)
+            self.assertEqual((200, ALL_EVENTS), (status, ids(body) if status else body))
+            resumed = int(other.requests[0][2]["last-event-id"])
+            first_events, rest = ids(body)[:resumed], ids(body)[resumed:]
+            self.assertEqual(len(first_events), body.count(first.name.encode()), body)
+            self.assertEqual(len(rest), body.count(other.name.encode()), body)
+
+
 class SuspectTest(unittest.TestCase):
     """Guards against streams of dead connections that wait as all other endpoints are suspect."""
 
