Make a host ready only once it has read the endpoints too

Such hosts answered their readiness check with 200, were among the addresses where to connect, and other hosts counted them as able to serve and forward.

Cause: readiness and the published state went by the configuration alone. The endpoints are another table, read by another call, which may fail or be late by itself. A host knows both, or is starting.

Change: a host is ready, and live for others, once it has read the endpoints as well, if only that there are none. The log tells when (endpoints_known). A host that was ready stays ready while the store is away.

The store's stand-in can refuse to read single tables now. No existing test changed.

--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -253,6 +253,7 @@
             ctx, self.fleet, adapter.decode_endpoint, self._drop_connections
         )
         self._failed_plans = 0
+        self._knows_endpoints = False
         listen = settings.listen
         forwarded_handler = ForwardedHandler(
             ctx,
@@ -493,10 +494,18 @@
         updates, loads = self.orderer.make_updates(), self.orderer.recent_loads()
         self.peers.publish_orders(self.leadership.term, updates, loads)
 
+    def _knows_tables(self) -> bool:
+        """Return whether this host has read the configuration and the endpoints, if only none.
+
+        Failure guarded against: the configuration is there first, callers are sent to this host,
+        and it refuses them as it knows no endpoint. Hosts that start in turn do so one by one.
+        """
+        return self.request_handler.deployment is not None and self._knows_endpoints
+
     def _ready(self) -> bool:
         """Return whether callers may be sent to this host."""
-        known = self.request_handler.deployment is not None
-        return known and not self.leaving and self.host_monitor.refusal_reason is None
+        able = self.host_monitor.refusal_reason is None
+        return able and not self.leaving and self._knows_tables()
 
     # Changes of the store's tables
 
@@ -512,7 +521,7 @@
 
     def _publish_state(self) -> None:
         """Publish to other hosts whether callers may be sent to this host, as readiness does."""
-        if self.leaving or self.request_handler.deployment is None:
+        if self.leaving or not self._knows_tables():
             return
         partitioned = self.connectivity.links.partitioned
         live = self._ready() and not partitioned
@@ -555,6 +564,10 @@
 
     def _apply_endpoints(self, rows: Mapping[str, bytes | None], whole: bool) -> None:
         self._entries.apply_rows(rows, whole)
+        if not self._knows_endpoints:
+            self._knows_endpoints = True
+            self._publish_state()
+            self.ctx.timeline.add("endpoints_known", detail=f"{len(self.fleet.states)} endpoints")
         self.stream_versions.observe()
         self.orderer.changed.set()
 
--- a/tests/standins/tables.py
+++ b/tests/standins/tables.py
@@ -6,6 +6,7 @@
 ``lose``    number of transactions that are applied, and whose connection is aborted unanswered
 ``forget``  number of feed calls that are answered with 410
 ``late``    number of answers that name the era before the current one
+``unread``  tables of which no row can be read: these calls are answered with 503
 
 :meth:`TableStandin.restore` brings back an older copy: rows and versions written since are lost,
 version numbers are given out again, and the era in all answers rises by one.
@@ -44,7 +45,7 @@
         self.rows = {}
         self.version = 0
         self.era = 0
-        self.faults = {"down": False, "lose": 0, "forget": 0, "late": 0}
+        self.faults = {"down": False, "lose": 0, "forget": 0, "late": 0, "unread": ()}
         self.calls = []
         self._tombstones = {}
         self._changed = asyncio.Event()
@@ -125,9 +126,9 @@
 
     async def get(self, request: Request):
         self.calls.append("rows-get")
-        if self.faults["down"]:
-            return self._reply({}, 503)
         query = {name: values[0] for name, values in request.query.items()}
+        if self.faults["down"] or query["table"] in self.faults["unread"]:
+            return self._reply({}, 503)
         start, end = query.get("from", ""), query.get("to")
         keys = sorted(key for table, key in self.rows if table == query["table"] and key >= start)
         rows = [self._row(query["table"], key) for key in keys if end is None or key < end]
