Don't take an unframed stream for whole whose engine has started again

Callers saw the first events of a stream, or none of the rest that they had asked for, and a proper end of the answer.

Cause: an answer with neither length nor chunks that ends with its connection counts as whole if its endpoint still listens. An engine that crashes and listens again at its address before the host asks passes for the one that ended: the host stood still or is late, or the engine is back at once. An answer without any event was caught for new streams alone, not for those that go on after an event. Class: another start taken for the one before. Change: once an unframed answer of an engine has ended, a report is asked for, and the answer is cut if another start than that of the send runs. A host that knew at the send that the entry is out of date can't tell, and believes the end. Ruled out: ends inside an event, resets, an engine that does not listen, which were told apart.

Remains: plain endpoints, whose starts have no name in a report.

--- a/peridotdock/relay/attempt.py
+++ b/peridotdock/relay/attempt.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from peridotdock.clients.answer_memory import KeptAnswer
@@ -18,6 +18,7 @@
 
 SERVER_ERROR = 500
 ENDLESS = Failure(Kind.ENDPOINT_ERROR, "an event without end")
+ENDED_WITH_ENDPOINT = Failure(Kind.ANSWER_CUT, "ended with its endpoint")
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +36,11 @@
         return self.head.status >= SERVER_ERROR
 
 
+async def assume_sound() -> bool:
+    """Return False: nothing shows that the endpoint has ended."""
+    return False
+
+
 def end_wait() -> float:
     """Return 0: a wait ends at its first timeout."""
     return 0.0
@@ -108,8 +114,9 @@
     is not known. ``endpoint`` is the endpoint's id, empty if another host did not tell it.
     ``started_at`` is when the first events arrived (monotonic seconds). ``recorded`` is the block
     list's revision for which this stream was recorded as one that goes on. ``check`` finds out
-    which start of the endpoint it is from, None if that is known. The connection is closed when
-    ``caller`` disconnects.
+    which start of the endpoint it is from, None if that is known. ``has_ended`` is called once an
+    answer has ended with its connection, and returns whether its endpoint is known to have ended
+    too. The connection is closed when ``caller`` disconnects.
     """
 
     state: EndpointState
@@ -124,6 +131,7 @@
     started_at: float = 0.0
     recorded: int = 0
     check: asyncio.Task[StartCheck] | None = None
+    has_ended: Callable[[], Awaitable[bool]] = assume_sound
 
     def __post_init__(self) -> None:
         """Set up what ends the connection: the deadline, or the caller's disconnect."""
@@ -156,6 +164,8 @@
             self._stall_timeout.end()
         if self.ended and self.splitter.partial:
             return Failure(Kind.ANSWER_CUT, "ended in the middle of an event")
+        if self.ended and not self.opened.framed and await self.has_ended():
+            return ENDED_WITH_ENDPOINT
         return None
 
     @property
--- a/peridotdock/relay/endpoint_starts.py
+++ b/peridotdock/relay/endpoint_starts.py
@@ -98,3 +98,8 @@
         if found.running is Running.NAMED:
             state.checked_connections.add(connection)
         return found
+
+    async def has_ended(self, state: EndpointState) -> bool:
+        """Return whether another start of an engine than the one in its entry is known to run."""
+        found = await self.find_running(state, after=self._ctx.clock.monotonic())
+        return found.running is Running.ANOTHER
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TypeVar
 
 from peridotdock.blocklist import Blocklist
@@ -16,7 +17,7 @@
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.loop_iterations import find_iterations
 from peridotdock.membership import Member
-from peridotdock.relay.attempt import CompleteAnswer, StreamSource
+from peridotdock.relay.attempt import ENDED_WITH_ENDPOINT, CompleteAnswer, StreamSource
 from peridotdock.relay.caller import Caller, SendCaller
 from peridotdock.relay.choosing import Chooser
 from peridotdock.relay.endpoint import EndpointState
@@ -575,6 +576,8 @@
             return await self._read_first_events(req, caller, progress, sent, confirm)
         try:
             body = await wait_for(read_all(sent.opened), caller, remaining)
+            if not failed(body) and not sent.opened.framed and await self._has_ended(req, sent):
+                body = ENDED_WITH_ENDPOINT
             kept = None if failed(body) else sent.opened.keep()
         finally:
             await sent.opened.release()
@@ -602,6 +605,7 @@
             sent.state, sent.head, sent.opened, caller, sent.software, sent.endpoint
         )
         source.check = self._begin_check(req, progress, source, confirm)
+        source.has_ended = partial(self._has_ended, req, sent)
         failure = await source.fill(req.deadline - self.ctx.clock.monotonic())
         new = not req.head.resume_after and progress.last_id is None
         if failure is None and new and source.is_empty:
@@ -623,6 +627,16 @@
         self._log_first_event(req, sent.state, req.received_at)
         return source
 
+    async def _has_ended(self, req: RelayRequest, sent: PendingAnswer) -> bool:
+        """Return whether the start of an engine that was sent a request is known to have ended.
+
+        Failure guarded against: an engine crashes, which ends an answer with neither length nor
+        chunks, and its next start listens at its address before this host asks.
+        """
+        if req.head.inference is None or sent.state.is_host or sent.software == UNKNOWN_SOFTWARE:
+            return False
+        return await self._starts.has_ended(sent.state)
+
     def _begin_check(
         self, req: RelayRequest, progress: Progress, source: StreamSource, confirm: bool
     ) -> asyncio.Task[StartCheck] | None:
--- a/tests/relay/test_endings.py
+++ b/tests/relay/test_endings.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import unittest
+from functools import partial
 
 from nose2.tools import params
 
@@ -193,6 +194,47 @@
             status, _, body = await asking
             self.assertTrue(status == 0 or body.count(b"id: ") == 6, body)
 
+    def _recover(self, runner):
+        self.recovering = asyncio.ensure_future(runner.recover())
+
+    @params(
+        ("an entry that tells of the new start", "/recap/", True),
+        ("an entry of the start before", "/recap/", False),
+        ("a stream that can't go on elsewhere", "/once/", False),
+    )
+    @run
+    async def test_a_stream_that_ends_as_its_engine_starts_again_is_not_whole(
+        self, name, path, told
+    ):
+        """Guards against a listener of the next start that is taken for the one that ended."""
+        async with self.deployment() as found:
+            runners, gate = found.engines.values(), asyncio.Event()
+            for runner in runners:
+                runner.halfway_event = gate
+                runner.on_crash = lambda: None
+                runner.on_change = runner.on_change if told else lambda: None
+            asking = asyncio.create_task(found.send(path, "a1", "m0"))
+            await found.until(lambda: any(runner.executed for runner in runners))
+            await asyncio.sleep(0.3)
+            ended = next(runner for runner in runners if runner.executed)
+            ended.crash()
+            await ended.recover()
+            gate.set()
+            status, _, body = await asking
+            self.assertTrue(status == 0 or body.count(b"id: ") == 6, body)
+
+    @run
+    async def test_a_stream_that_goes_on_at_an_engine_that_starts_again_is_not_whole(self):
+        """Guards against an answer without events that is taken for the rest of a stream."""
+        async with self.deployment() as found:
+            for runner in found.engines.values():
+                runner.fatal_parts, runner.fatal_head = {"bad"}, "unframed"
+                runner.on_crash = partial(self._recover, runner)
+            status, _, body = await found.send(
+                "/recap/", "a1", "m0", x_prompt_prefix="bad:300,last:100", last_event_id="3"
+            )
+            self.assertTrue(status != 200 or body.count(b"id: ") == 3, (status, body))
+
     @run
     async def test_a_stream_that_ends_as_its_engine_is_taken_away_is_not_whole(self):
         async with self.deployment() as found:
