Let a request end whose caller leaves with others in a pipeline behind it

What callers saw: nothing, as they had left. Endpoints worked on at a request whose caller had closed its connection, and one that waited for an endpoint was still sent, if another request had been read behind it. Endpoints got work for nobody until its deadline.

Cause: the server keeps requests of a pipeline until the one before has its answer, and tells the end of the connection only to the request that it has read last. The one under way never heard of it.

Ruled out: a request behind of which only a part of the head has come, and one alone; both heard of it.

Test: tests.relay.test_caller_connections, a caller that leaves an endpoint that is silent, which must see that within 0.5 s.

Conclusion: the connection tells its request under way itself.

--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -105,6 +105,14 @@
         self._arrived_at = self._iterations.count_accept()
         self._after_first_read = self._iterations.count + FIRST_READ_ITERATIONS + 1
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the request under way too; the server tells only the last one of a pipeline."""
+        cycle = self._answering
+        if cycle is not None and not cycle.response_complete:
+            cycle.disconnected = True
+            cycle.message_event.set()
+        super().connection_lost(exc)
+
     def on_message_begin(self) -> None:
         """Record the earliest arrival of the request in its scope.
 
