Take an answer in another transfer coding than chunks for cut after a reset

Callers would get a 200 with an empty or short body, whole by its framing. An answer whose head names a transfer coding that does not end with chunked is read until its connection ends; as its head had that field, it counted as framed, and neither a reset nor the end of its endpoint was looked at. The body of another coding was also passed on without the field that names it, so that no caller could decode it.

Now only chunks and a length mark an end, an answer in "identity" ends with its connection like one without the field, and one in any other coding is an error of its endpoint.

Ruled out, as guards: answers with a length, chunks, trailers, folded fields, bare LF, after 100 and 103, cut around each line end, each field's name and in the last bytes, ended by close, half-close and reset, the first and a later one of a connection, and parsed by aiohttp's C and Python parsers: all are cut, and count as a broken connection.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -25,6 +25,7 @@
     EndlessAnswer,
     Pool,
     SendCheck,
+    UnreadableBody,
     Withdrawn,
     always,
     never,
@@ -50,7 +51,7 @@
     )
 )
 # Errors of bytes that are no answer.
-NO_ANSWER_ERRORS = (EndlessAnswer, aiohttp.ClientResponseError)
+NO_ANSWER_ERRORS = (EndlessAnswer, UnreadableBody, aiohttp.ClientResponseError)
 TOO_LONG = Failure(Kind.ENDPOINT_ERROR, "the answer is too long")
 CONNECTION_KINDS = frozenset({Kind.ENDPOINT_UNREACHABLE, Kind.ENDPOINT_LOST})
 
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -55,6 +55,8 @@
 WATCH_SECONDS = 0.05
 # Statuses of answers that end with their head.
 BODILESS_STATUSES = frozenset({204, 304})
+# Transfer codings that a host reads; it passes none on.
+READ_CODINGS = frozenset({"", "identity", "chunked"})
 KEEP_ALIVE_PATTERN = re.compile(r"timeout\s*=\s*(\d+)")
 # An idle connection is not reused in the last seconds before the server closes it: a request may
 # take that long to arrive when the event loop or the link is slow.
@@ -179,6 +181,10 @@
             self.transport.abort()
 
 
+class UnreadableBody(aiohttp.ClientError):
+    """The head of an answer does not tell in a known way how its body is to be read."""
+
+
 class ConnectionAwareResponse(aiohttp.ClientResponse):
     """A response that knows whether its connection was closed cleanly.
 
@@ -199,12 +205,22 @@
         self.connection_key = connection.protocol
         self.connection_closed = connection.protocol.watch_closed()
         await super().start(connection)
+        if self._transfer_coding not in READ_CODINGS:
+            raise UnreadableBody(f"transfer coding {self._transfer_coding}")
         return self
 
+    @property
+    def _transfer_coding(self) -> str:
+        return ", ".join(self.headers.getall("Transfer-Encoding", ())).strip().lower()
+
     @property
     def framed(self) -> bool:
-        """Whether the end of the body is marked by something other than the connection's end."""
-        named = "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+        """Whether the end of the body is marked by something other than the connection's end.
+
+        Failure guarded against: a body in another coding than chunks ends with its connection, and
+        counts as whole after a reset.
+        """
+        named = "Content-Length" in self.headers or self._transfer_coding == "chunked"
         return named or self.method == "HEAD" or self.status in BODILESS_STATUSES
 
     async def is_complete(self, may_stop: Callable[[], bool]) -> bool:
--- /dev/null
+++ b/tests/relay/test_cut_answers.py
@@ -0,0 +1,203 @@
+"""Answers that stop midway, at all places and with all ends, over both of aiohttp's parsers."""
+
+import asyncio
+import contextlib
+import re
+import socket
+import unittest
+from unittest import mock
+
+from aiohttp import http_parser
+from nose2.tools import params
+
+from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
+from peridotdock.errors import Kind, failed
+from peridotdock.requests import BROKEN_CONNECTION_KINDS
+from tests.relay.test_endings import HEAD, RESET_ON_CLOSE
+from tests.relay.test_relay import run
+
+GET = Call("GET", "/", {}, b"", at_most_once=True)
+BODY = b"0123456789"
+CHUNKS = b"5\r\n01234\r\n5\r\n56789\r\n"
+CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n" + CHUNKS
+LENGTH = HEAD + b"content-length: 10\r\n\r\n" + BODY
+# Answers whose end is marked, so that none is whole without its last byte.
+FRAMED = {
+    "length": LENGTH,
+    "length, then other fields": LENGTH.replace(b"\r\n\r\n", b"\r\nx-a: b\r\n\r\n"),
+    "length in a folded field": LENGTH.replace(b"th: 10", b"th:\r\n 10"),
+    "line ends without CR": LENGTH.replace(b"\r\n", b"\n"),
+    "no reason": LENGTH.replace(b"200 OK", b"200"),
+    "chunks": CHUNKED + b"0\r\n\r\n",
+    "chunks and trailers": CHUNKED + b"0\r\nx-a: b\r\nx-c: d\r\n\r\n",
+    "100 Continue": b"HTTP/1.1 100 Continue\r\n\r\n" + LENGTH,
+    "103 and chunks": b"HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n" + CHUNKED + b"0\r\n\r\n",
+}
+# The C parser is missing where aiohttp was built without it.
+PARSERS = {
+    name: getattr(http_parser, name)
+    for name in ("HttpResponseParserC", "HttpResponseParserPy")
+    if hasattr(http_parser, name)
+}
+ENDS = ("close", "half-close", "reset")
+RESET_AFTER_SECONDS = 0.005
+
+
+class CuttingEndpoint:
+    """Sends the first ``cut`` bytes of ``raw`` after a request's head, those after ``split`` later.
+
+    ``earlier`` answers go before it on the same connection.
+    """
+
+    def __init__(self, raw, earlier=0):
+        self.raw = raw
+        self.cut = len(raw)
+        self.end = "close"
+        self.split = 0
+        self._earlier = earlier
+        self._tasks = set()
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.url = "http://{}:{}".format(*self._server.sockets[0].getsockname())
+        return self
+
+    async def __aexit__(self, *exc):
+        self._server.close()
+        await asyncio.gather(*self._tasks)
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            for _ in range(self._earlier):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(LENGTH)
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.raw[: self.split])
+            await asyncio.sleep(RESET_AFTER_SECONDS if self.split else 0)
+            writer.write(self.raw[self.split : self.cut])
+            await writer.drain()
+            await self._end(reader, writer)
+        writer.close()
+        with contextlib.suppress(ConnectionError):
+            await writer.wait_closed()
+
+    async def _end(self, reader, writer):
+        if self.end == "half-close":
+            writer.write_eof()
+            await reader.read()
+        elif self.end == "reset":
+            # The reset discards unread bytes, so the client must have read them first.
+            await asyncio.sleep(RESET_AFTER_SECONDS)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+
+
+async def fetch(endpoint, earlier=0):
+    """Return the body of the endpoint's answer, or why it is none."""
+    endpoints = HttpEndpoints("x-not-run")
+    try:
+        for _ in range(earlier + 1):
+            opened = await endpoints.open(endpoint.url, GET)
+            if failed(opened):
+                return opened
+            body = await read_all(opened)
+            await opened.release()
+        return body
+    finally:
+        await endpoints.close()
+
+
+def use_parser(name):
+    return mock.patch("aiohttp.client_proto.HttpResponseParser", PARSERS[name])
+
+
+def places(raw):
+    """Return where an answer is cut: around each line's end and field's name, and in its body."""
+    found = [found.start() for found in re.finditer(rb"\r|\n|: ", raw)]
+    cuts = {0, 1, *found, *(place + 1 for place in found), *range(len(raw) - 12, len(raw))}
+    return sorted(cuts - {len(raw)})
+
+
+def all_ways(answers):
+    return [(parser, end, name) for parser in PARSERS for end in ENDS for name in answers]
+
+
+class CutAnswerTest(unittest.TestCase):
+    """Failure guarded against: an answer that stops midway counts as whole.
+
+    Or as an answer of a sound endpoint, so that nothing is recorded against that endpoint.
+    """
+
+    @params(*all_ways(FRAMED))
+    @run
+    async def test_an_answer_without_its_last_bytes_is_cut(self, parser, end, name):
+        with use_parser(parser):
+            async with CuttingEndpoint(FRAMED[name]) as endpoint:
+                endpoint.end = end
+                for cut in places(endpoint.raw):
+                    endpoint.cut = cut
+                    found = await fetch(endpoint)
+                    self.assertTrue(failed(found), f"{cut}: {found}")
+                    self.assertIn(found.kind, BROKEN_CONNECTION_KINDS, cut)
+
+    @params(*((parser, name) for parser in PARSERS for name in FRAMED))
+    @run
+    async def test_a_later_answer_of_a_connection_is_cut(self, parser, name):
+        with use_parser(parser):
+            async with CuttingEndpoint(FRAMED[name], earlier=1) as endpoint:
+                for cut in places(endpoint.raw):
+                    endpoint.cut = cut
+                    found = await fetch(endpoint, earlier=1)
+                    self.assertTrue(failed(found), f"{cut}: {found}")
+
+    @params(*((parser, name) for parser in PARSERS for name in FRAMED))
+    @run
+    async def test_an_answer_that_pauses_midway_is_whole(self, parser, name):
+        with use_parser(parser):
+            async with CuttingEndpoint(FRAMED[name]) as endpoint:
+                for split in places(endpoint.raw):
+                    endpoint.split = split
+                    self.assertEqual(BODY, await fetch(endpoint), split)
+
+
+# Codings of a body that only the end of the connection ends.
+OTHER_CODINGS = ("gzip", "identity", "chunked, gzip", "xchunked")
+
+
+class TransferCodingTest(unittest.TestCase):
+    """Failure guarded against: a caller gets half of an answer as whole after a reset.
+
+    Its head names a transfer coding, but not chunks at last, so that it ends with its connection.
+    """
+
+    @params(*((parser, coding) for parser in PARSERS for coding in OTHER_CODINGS))
+    @run
+    async def test_a_reset_is_no_end(self, parser, coding):
+        raw = HEAD + f"transfer-encoding: {coding}\r\n\r\n".encode() + BODY
+        with use_parser(parser):
+            async with CuttingEndpoint(raw) as endpoint:
+                endpoint.end = "reset"
+                for cut in range(len(raw) - len(BODY), len(raw) + 1):
+                    endpoint.cut = cut
+                    found = await fetch(endpoint)
+                    self.assertTrue(failed(found), f"{cut}: {found}")
+
+    @params(*((parser, coding) for parser in PARSERS for coding in ("gzip", "gzip, chunked")))
+    @run
+    async def test_a_body_in_an_unknown_coding_is_none(self, parser, coding):
+        """Guards against a body that its caller can't decode, as the coding is not passed on."""
+        raw = HEAD + f"transfer-encoding: {coding}\r\n\r\n".encode() + CHUNKS + b"0\r\n\r\n"
+        with use_parser(parser):
+            async with CuttingEndpoint(raw) as endpoint:
+                found = await fetch(endpoint)
+                self.assertEqual(Kind.ENDPOINT_ERROR, found.kind)
+
+    @params(*((parser, coding) for parser in PARSERS for coding in ("Chunked", " chunked ")))
+    @run
+    async def test_chunks_by_another_spelling_are_read(self, parser, coding):
+        raw = CHUNKED.replace(b"chunked", coding.encode()) + b"0\r\n\r\n"
+        with use_parser(parser):
+            async with CuttingEndpoint(raw) as endpoint:
+                self.assertEqual(BODY, await fetch(endpoint))
