Take an answer of two different lengths for an error of its endpoint

Where aiohttp's C parser is missing, its Python one reads an answer by the first length that the head names. If that is the shorter one, a caller would get a part of the body, framed as whole. The C parser refuses such a head; which one a machine has depends on its wheel.

The check is now the client's own, for both parsers. Ruled out: a list of lengths, and a length beside chunks in either order, which both parsers refuse.

--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -207,6 +207,9 @@
         await super().start(connection)
         if self._transfer_coding not in READ_CODINGS:
             raise UnreadableBody(f"transfer coding {self._transfer_coding}")
+        if len(set(self.headers.getall("Content-Length", ()))) > 1:
+            # aiohttp's Python parser, used where the C one is missing, goes by the first length.
+            raise UnreadableBody("two lengths")
         return self
 
     @property
--- a/tests/relay/test_cut_answers.py
+++ b/tests/relay/test_cut_answers.py
@@ -11,7 +11,7 @@
 from nose2.tools import params
 
 from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
-from peridotdock.errors import Kind, failed
+from peridotdock.errors import Failure, Kind, failed
 from peridotdock.requests import BROKEN_CONNECTION_KINDS
 from tests.relay.test_endings import HEAD, RESET_ON_CLOSE
 from tests.relay.test_relay import run
@@ -201,3 +201,27 @@
         with use_parser(parser):
             async with CuttingEndpoint(raw) as endpoint:
                 self.assertEqual(BODY, await fetch(endpoint))
+
+
+# Heads that name two lengths, or a length beside chunks.
+TWO_LENGTHS = {
+    "the shorter one first": b"content-length: 5\r\ncontent-length: 10\r\n\r\n" + BODY,
+    "the longer one first": b"content-length: 10\r\ncontent-length: 5\r\n\r\n" + BODY,
+    "a list": b"content-length: 5, 10\r\n\r\n" + BODY,
+    "before chunks": b"content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n"
+    + CHUNKS
+    + b"0\r\n\r\n",
+    "behind chunks": b"transfer-encoding: chunked\r\ncontent-length: 5\r\n\r\n"
+    + CHUNKS
+    + b"0\r\n\r\n",
+}
+
+
+class TwoLengthsTest(unittest.TestCase):
+    @params(*((parser, name) for parser in PARSERS for name in TWO_LENGTHS))
+    @run
+    async def test_an_answer_of_two_lengths_is_none(self, parser, name):
+        """Guards against a body that ends at the shorter one: a part of it, framed as whole."""
+        with use_parser(parser):
+            async with CuttingEndpoint(HEAD + TWO_LENGTHS[name]) as endpoint:
+                self.assertEqual(Failure(Kind.ENDPOINT_ERROR, mock.ANY), await fetch(endpoint))
