Read on after a connection was closed, so that no answer is lost to a reset

Callers saw: a reset in place of an answer that a host had sent before the end of a long body (404, 413, 503 of a host that stops or is behind).

Cause: the host closed its socket with bytes unread or under way. The kernel then resets the connection, which also discards what is unsent. Four places: answers that end their connection; connections that are idle in the eyes of a stopping host, as their early answer is complete and their body is not; the refusal of requests in part at the end of a stop; the answer to bytes that are no request. Ruled out: the caller's reading (a caller that reads while it writes got its answer).

Change: the transport of a connection lingers (RFC 9112, 9.6). A request that is under way at the close sees it as the caller's end. A stopping host waits for bodies that are due, within its grace period.

No existing test changed.

--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -14,6 +14,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from peridotdock.errors import Failure, Kind
+from peridotdock.lingering import LingeringTransport
 from peridotdock.loop_iterations import ACCEPTS_PER_ITERATION, find_iterations
 
 # Connections that may wait in the kernel's accept queue. Beyond them a caller's SYN packet is
@@ -99,12 +100,20 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Record the earliest arrival of the connection, which its first request may share."""
-        super().connection_made(transport)
+        self._linger = LingeringTransport(transport, self._on_close)
+        super().connection_made(self._linger)
         self._answering: RequestResponseCycle | None = None
         self._iterations = find_iterations()
         self._arrived_at = self._iterations.count_accept()
         self._after_first_read = self._iterations.count + FIRST_READ_ITERATIONS + 1
 
+    def data_received(self, data: bytes) -> None:
+        """Read requests, until the connection is closed; drop what comes after that."""
+        if self._linger.lingers:
+            self._linger.drop(data)
+        else:
+            super().data_received(data)
+
     def on_message_begin(self) -> None:
         """Record the earliest arrival of the request in its scope.
 
@@ -123,6 +132,18 @@
         if self.pipeline and cycle is not None and not cycle.response_started:
             cycle.keep_alive = True
 
+    def on_message_complete(self) -> None:
+        """Record the end of a body also where the answer went out before."""
+        self.cycle.more_body = False
+        super().on_message_complete()
+
+    def _on_close(self) -> None:
+        """Let the request under way see that its caller gets nothing more."""
+        cycle = self._answering
+        if cycle is not None and not cycle.response_complete:
+            cycle.disconnected = True
+            cycle.message_event.set()
+
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         self._answering = cycle
         super()._start_asgi_task(cycle, app)
@@ -143,6 +164,11 @@
         """Whether a request is being read or answered."""
         return self.cycle is not None and not self.cycle.response_complete
 
+    @property
+    def awaits_body(self) -> bool:
+        """Whether the rest of a body is due, and is read so that the answer before it arrives."""
+        return self._linger.lingers and self.cycle is not None and self.cycle.more_body
+
     @property
     def unsent_bytes(self) -> int:
         """Number of bytes of answers that the kernel has not taken yet."""
@@ -307,7 +333,9 @@
     def is_drained(self) -> bool:
         """Return whether all requests that came are answered, and all answers are sent."""
         rows = self._connections()
-        left = any(row.is_busy or row.unsent_bytes or row.has_unread for row in rows)
+        left = any(
+            row.is_busy or row.unsent_bytes or row.has_unread or row.awaits_body for row in rows
+        )
         return not (left or self._adopting)
 
     def unsent_bytes(self) -> int:
