Tell the reader of a body at once that its next bytes can't be parsed

A chunk whose size is no number, or whose bytes go on beyond its size, made aiohttp close the connection without a word to the body's reader: the request waited until its deadline, and was answered 504 in place of being sent elsewhere or answered 502. Nothing was recorded against the endpoint. With the Python parser the reader got an error of a kind that no one caught.

The connection now ends the unfinished body with an error of its endpoint, feeds no more bytes to a parser that has failed, and that parser's errors count as errors of a transfer. Ruled out: a bad chunk that arrives together with the head was refused before too.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 import msgspec
+from aiohttp.http import HttpProcessingError
 from yarl import URL
 
 from peridotdock.clients.answer_memory import MAX_ANSWER_BYTES, AnswerMemory, KeptAnswer
@@ -51,7 +52,12 @@
     )
 )
 # Errors of bytes that are no answer.
-NO_ANSWER_ERRORS = (EndlessAnswer, UnreadableBody, aiohttp.ClientResponseError)
+NO_ANSWER_ERRORS = (
+    EndlessAnswer,
+    UnreadableBody,
+    HttpProcessingError,
+    aiohttp.ClientResponseError,
+)
 TOO_LONG = Failure(Kind.ENDPOINT_ERROR, "the answer is too long")
 CONNECTION_KINDS = frozenset({Kind.ENDPOINT_UNREACHABLE, Kind.ENDPOINT_LOST})
 
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -17,6 +17,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import HttpProcessingError
 
 from peridotdock.clients.answer_memory import AnswerMemory
 from peridotdock.timeouts import IterationTimeout
@@ -26,7 +27,13 @@
 # use of that connection.
 CONNECT_ITERATIONS = 4
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
-TRANSFER_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError)
+TRANSFER_ERRORS = (
+    aiohttp.ClientError,
+    HttpProcessingError,
+    asyncio.TimeoutError,
+    OSError,
+    ValueError,
+)
 
 # Bytes that one answer may have besides its body: heads and the framing of chunks, which may be a
 # multiple of a body in small chunks.
@@ -96,6 +103,10 @@
     """A peer sends more bytes than its answer may have; its connection is closed."""
 
 
+class UnreadableBody(aiohttp.ClientError):
+    """The body of an answer can't be read, by its head or by its own bytes."""
+
+
 class BoundedProtocol(ResponseHandler):
     """A connection that is closed once its peer sends too much that is no body.
 
@@ -152,11 +163,14 @@
         step = max(1, len(data)) if in_body else PARSED_BYTES
         for begin in range(0, max(1, len(data)), step):
             self._parse(data[begin : begin + step])
-            if self._endless:
+            if self._endless or self.exception() is not None:
                 return
 
     def _parse(self, part: bytes) -> None:
         super().data_received(part)
+        if self.exception() is not None:
+            self._end_body(UnreadableBody("bytes that are no body"))
+            return
         self._received += len(part)
         if self._reading_paused or self._parser is None:
             # Bytes that are not parsed yet may belong to the body.
@@ -167,11 +181,19 @@
         if self._endless:
             self._give_up()
 
+    def _end_body(self, exc: Exception) -> None:
+        """Let the reader of an unfinished body know why no more of it comes.
+
+        Failure guarded against: bytes in a body can't be parsed. aiohttp closes the connection, and
+        the reader waits until the request's deadline.
+        """
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(exc)
+
     def _give_up(self) -> None:
         """Close the connection; an answer that has arrived whole can still be read."""
         exc = EndlessAnswer("bytes without end that are no body")
-        if self._body is not None and not self._body.is_eof():
-            self._body.set_exception(exc)
+        self._end_body(exc)
         self._parser = self._payload = None
         own = [row for row in self._buffer if row[0][1] is self._body]
         self._buffer.clear()
@@ -181,10 +203,6 @@
             self.transport.abort()
 
 
-class UnreadableBody(aiohttp.ClientError):
-    """The head of an answer does not tell in a known way how its body is to be read."""
-
-
 class ConnectionAwareResponse(aiohttp.ClientResponse):
     """A response that knows whether its connection was closed cleanly.
 
--- a/tests/relay/test_cut_answers.py
+++ b/tests/relay/test_cut_answers.py
@@ -86,6 +86,8 @@
         if self.end == "half-close":
             writer.write_eof()
             await reader.read()
+        elif self.end == "none":
+            await reader.read()
         elif self.end == "reset":
             # The reset discards unread bytes, so the client must have read them first.
             await asyncio.sleep(RESET_AFTER_SECONDS)
@@ -225,3 +227,29 @@
         with use_parser(parser):
             async with CuttingEndpoint(HEAD + TWO_LENGTHS[name]) as endpoint:
                 self.assertEqual(Failure(Kind.ENDPOINT_ERROR, mock.ANY), await fetch(endpoint))
+
+
+BAD_CHUNKS = (b"-5\r\n01234\r\n", b"x\r\n", b"5\r\n0123456789", b"5;a\n\r\n01234\r\n")
+# The Python parser reads a line that ends without CR, and a size of any number of digits.
+LENIENT_CHUNKS = (b"5\n01234", b"f" * 20 + b"\r\n")
+
+
+def unreadable_chunks(parser):
+    return BAD_CHUNKS + (LENIENT_CHUNKS if parser == "HttpResponseParserC" else ())
+
+
+class BadChunkTest(unittest.TestCase):
+    @params(*((parser, chunk) for parser in PARSERS for chunk in unreadable_chunks(parser)))
+    @run
+    async def test_an_answer_ends_with_a_chunk_that_is_none(self, parser, chunk):
+        """Guards against a request that waits until its deadline for a body that was given up.
+
+        Its connection was closed, and the body's reader not told, or told by an error of another
+        kind than those of transfers.
+        """
+        with use_parser(parser):
+            async with CuttingEndpoint(CHUNKED + chunk) as endpoint:
+                endpoint.split, endpoint.end = len(CHUNKED), "none"
+                async with asyncio.timeout(1.0):
+                    found = await fetch(endpoint)
+                self.assertEqual(Failure(Kind.ENDPOINT_ERROR, mock.ANY), found)
