Answer a request whose endpoint names a status that no answer has

Callers' connections ended without an answer: an endpoint's head with a status of 099, or of 600 and above, was taken for an answer, and the server, which has status lines for 100 to 599 only, raised an error and closed the connection. A 101 was passed on to callers, for whom the next bytes are another protocol.

The client takes such a head for an error of the endpoint, which may have run the request: 502, or another endpoint where the route allows it. Ruled out: 102 to 199 are interim answers and skipped.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -26,7 +26,7 @@
     EndlessAnswer,
     Pool,
     SendCheck,
-    UnreadableBody,
+    UnreadableAnswer,
     Withdrawn,
     always,
     never,
@@ -54,7 +54,7 @@
 # Errors of bytes that are no answer.
 NO_ANSWER_ERRORS = (
     EndlessAnswer,
-    UnreadableBody,
+    UnreadableAnswer,
     HttpProcessingError,
     aiohttp.ClientResponseError,
 )
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -62,6 +62,7 @@
 WATCH_SECONDS = 0.05
 # Statuses of answers that end with their head.
 BODILESS_STATUSES = frozenset({204, 304})
+FINAL_STATUSES = range(200, 600)
 # Transfer codings that a host reads; it passes none on.
 READ_CODINGS = frozenset({"", "identity", "chunked"})
 KEEP_ALIVE_PATTERN = re.compile(r"timeout\s*=\s*(\d+)")
@@ -103,8 +104,8 @@
     """A peer sends more bytes than its answer may have; its connection is closed."""
 
 
-class UnreadableBody(aiohttp.ClientError):
-    """The body of an answer can't be read, by its head or by its own bytes."""
+class UnreadableAnswer(aiohttp.ClientError):
+    """An answer has a head that callers can't be given, or a body that can't be read."""
 
 
 class BoundedProtocol(ResponseHandler):
@@ -169,7 +170,7 @@
     def _parse(self, part: bytes) -> None:
         super().data_received(part)
         if self.exception() is not None:
-            self._end_body(UnreadableBody("bytes that are no body"))
+            self._end_body(UnreadableAnswer("bytes that are no body"))
             return
         self._received += len(part)
         if self._reading_paused or self._parser is None:
@@ -220,16 +221,28 @@
         That is an object that stands for the connection, the same for all answers on it, and the
         future that completes when the connection closes.
         """
-        self.connection_key = connection.protocol
-        self.connection_closed = connection.protocol.watch_closed()
+        protocol = connection.protocol
+        self.connection_key = protocol
+        self.connection_closed = protocol.watch_closed()
         await super().start(connection)
-        if self._transfer_coding not in READ_CODINGS:
-            raise UnreadableBody(f"transfer coding {self._transfer_coding}")
-        if len(set(self.headers.getall("Content-Length", ()))) > 1:
-            # aiohttp's Python parser, used where the C one is missing, goes by the first length.
-            raise UnreadableBody("two lengths")
+        fault = self._find_fault()
+        if fault:
+            # An answer that has arrived whole has given its connection back already.
+            protocol.close()
+            raise UnreadableAnswer(fault)
         return self
 
+    def _find_fault(self) -> str:
+        """Return what makes the head unreadable, or an empty string."""
+        if self.status not in FINAL_STATUSES:
+            # The server has no status line for it, or 101 would begin another protocol.
+            return f"status {self.status}"
+        if self._transfer_coding not in READ_CODINGS:
+            return f"transfer coding {self._transfer_coding}"
+        # aiohttp's Python parser, used where the C one is missing, goes by the first length.
+        lengths = set(self.headers.getall("Content-Length", ()))
+        return "two lengths" if len(lengths) > 1 else ""
+
     @property
     def _transfer_coding(self) -> str:
         return ", ".join(self.headers.getall("Transfer-Encoding", ())).strip().lower()
--- a/tests/relay/test_cut_answers.py
+++ b/tests/relay/test_cut_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import re
 import socket
 import unittest
@@ -13,8 +14,10 @@
 from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
 from peridotdock.errors import Failure, Kind, failed
 from peridotdock.requests import BROKEN_CONNECTION_KINDS
+from tests.relay.deployment import Deployment
 from tests.relay.test_endings import HEAD, RESET_ON_CLOSE
 from tests.relay.test_relay import run
+from tests.standins.runner import RunnerStandin
 
 GET = Call("GET", "/", {}, b"", at_most_once=True)
 BODY = b"0123456789"
@@ -253,3 +256,50 @@
                 async with asyncio.timeout(1.0):
                     found = await fetch(endpoint)
                 self.assertEqual(Failure(Kind.ENDPOINT_ERROR, mock.ANY), found)
+
+
+class ScriptedRunner(RunnerStandin):
+    """A runner that answers requests with fixed bytes, by a function of its own headers."""
+
+    def __init__(self, name, models=()):
+        super().__init__(name, models)
+        self.write_answer = None
+        self.after = "close"
+
+    async def _answer(self, reader, writer, headers, body):
+        if self.write_answer is None:
+            return await super()._answer(reader, writer, headers, body)
+        attempt = headers["x-attempt-id"]
+        self.executed.append(attempt)
+        signed = f"x-attempt-id: {attempt}\r\nx-response-signature: by {self.name}\r\n"
+        writer.write(self.write_answer(signed.encode()))
+        await writer.drain()
+        return self.after == "keep"
+
+
+def scripted(write_answer, after="close"):
+    """Return a deployment whose runners all answer so."""
+    found = Deployment()
+    found.engines = {"e1": ScriptedRunner("e1", ("m0",))}
+    found.pages = {"p1": ScriptedRunner("p1")}
+    for runner in (*found.engines.values(), *found.pages.values()):
+        runner.write_answer, runner.after = write_answer, after
+    return found
+
+
+ROUTES = (("/fetch/", ""), ("/bind/", ""), ("/once/", "m0"), ("/recap/", "m0"))
+
+
+class OddStatusTest(unittest.TestCase):
+    @params(
+        *((path, model, status) for path, model in ROUTES for status in (99, 101, 600, 700, 999))
+    )
+    @run
+    async def test_a_status_of_no_answer_is_an_error(self, path, model, status):
+        """Guards against a caller without an answer, as the server can't write such a status."""
+        head = b"HTTP/1.1 %03d Odd\r\n" % status
+        framing = b"content-length: 4\r\n\r\nbody"
+        async with scripted(lambda signed: head + signed + framing) as found:
+            answered, _, body = await found.send(path, "a1", model)
+            self.assertEqual(502, answered, body)
+            self.assertEqual("endpoint_error", json.loads(body)["error"]["code"])
