Tell a host that starts the tables that it has not read itself

Trace: host h18 started at 28.53, had a configuration at 29.33 and its endpoints at 38.04. It took the lease at 29.85, knowing no engine, so no model was loaded at any host until 38.

A host could take the lease, and order engines, before it knew of any. And a host that starts had no other way to a table than the store, while the hosts beside it knew the table.

Change: a host leaves the lease to another live one until it knows the endpoints. Each second it requests the tables that it has not read from another host, by the frames that hosts already use where the store refuses one of them.

In the tests of readiness, other hosts don't answer these requests.

--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -218,6 +218,8 @@
             self._last_beats[frame.origin] = frame.beat
         known = self._version
         if known is None:
+            if frame.direct and frame.whole:
+                self._begin_with(frame)
             return True
         self._log_frame_behind(frame.version < known, frame, known)
         if era_of(frame.version) < era_of(known):
@@ -243,6 +245,26 @@
             self._interrupt()
         return True
 
+    def _begin_with(self, frame: Rows) -> None:
+        """Begin with another host's table, as this one has not read it from the store so far.
+
+        Failure guarded against: a host that starts refuses all requests for as long as the store
+        takes to be read, while the hosts beside it know what it lacks. An old table is only used
+        where the store does not answer.
+        """
+        if frame.age / 1000 >= self.limits.age and not self._failed_calls:
+            return
+        try:
+            self._apply(inflate_rows(frame), True, frame.version)
+        except Exception as exc:
+            self._log_refused_rows(exc)
+            return
+        self._version, self._whole_due = frame.version, False
+        self._as_of = self._ctx.clock.monotonic() - frame.age / 1000
+        detail = f"{self.table}: version {describe_version(frame.version)} from {frame.origin}"
+        self._ctx.timeline.add("rows_told", detail=detail)
+        self._interrupt()
+
     def _interrupt(self) -> None:
         if self._interruptible_work is not None:
             self._interruptible_work.cancel()
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -346,6 +346,7 @@
         self.peers.membership.sweep()
         self.peers.link()
         self.retries.refresh()
+        self.views.request_unread()
         self.views.record_ages()
         self.forwarder.prune()
 
@@ -433,8 +434,11 @@
         return self.request_handler.deployment is not None or started_for >= DISCOVERY_SECONDS
 
     def _yields_lease(self) -> bool:
-        """Return whether to leave the lease to another host, as this one reaches no engine."""
-        if not self.connectivity.links.partitioned:
+        """Return whether to leave the lease to another host.
+
+        A host that reaches no engine, or knows of none yet, would let no model be loaded.
+        """
+        if self._knows_endpoints and not self.connectivity.links.partitioned:
             return False
         return any(name != self.settings.host for name in self.peers.membership.live())
 
--- a/peridotdock/relay/views.py
+++ b/peridotdock/relay/views.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 
 from peridotdock.clients.tables import TableChanges, Tables, TableView
+from peridotdock.clients.versions import ABSENT
 from peridotdock.context import Context
 from peridotdock.decisions.freshness import divide_bound
 from peridotdock.frames import deflate_rows
@@ -142,6 +143,12 @@
         frame = self._frame(row, wanted.after, version, row.follower.rows)
         return replace(frame, whole=True, direct=True)
 
+    def request_unread(self) -> None:
+        """Request the tables that this host has not read from the store so far from other hosts."""
+        for table, row in self._followed.items():
+            if row.follower.version is None:
+                self._peers.mesh.request_rows(table, ABSENT)
+
     def refresh(self) -> None:
         """Call the store again for all tables: after a possible outage, it may have lost calls."""
         for row in self._followed.values():
