Answer each request of a pipeline that an overloaded host has read

Callers saw: a host that is behind, or short of descriptors, answered the first request of a pipeline with 503 and closed the connection. The requests behind it had been read, and got nothing.

Cause: the refusal bore "connection: close" itself, whatever waited behind it. Only a host that stopped kept the connection until the last answer. Ruled out: an endless pipeline as the reason to drop it; what is read at once is bounded.

Change: the handler tells the connection to end. From then on it reads no more requests than the one in hand, each one that was read gets an answer, and the last of them says that the connection ends. The special case of a stop is gone.

No existing test changed.

--- a/peridotdock/relay/request_handler.py
+++ b/peridotdock/relay/request_handler.py
@@ -23,7 +23,7 @@
 from peridotdock.relay.stopping import PlannedStop
 from peridotdock.relay.stream_versions import StreamVersions
 from peridotdock.relay.wire import Wire
-from peridotdock.serving import ARRIVAL_KEY, read_body
+from peridotdock.serving import ARRIVAL_KEY, END_KEY, read_body
 
 # Retry-after in seconds while a host has no configuration: by then it has read one, or the caller
 # has fetched other host addresses.
@@ -70,7 +70,8 @@
         if failed(head):
             return self._refuse(head, "")
         if self._monitor.refusal_reason is not None:
-            return self._reject_overloaded(self._monitor.refusal_reason, head.attempt_id)
+            reason = self._monitor.refusal_reason
+            return self._reject_overloaded(request, reason, head.attempt_id)
         deployment = self.deployment
         if deployment is None:
             return self._refuse(
@@ -96,7 +97,7 @@
     async def _serve(self, request: Request, req: RelayRequest) -> Response:
         if self.closed:
             failure = Failure(Kind.NOT_READY, "the host has stopped", NOT_READY_RETRY_SECONDS)
-            return self._refuse_and_close(failure, req.id)
+            return self._refuse_and_close(request, failure, req.id)
         stopping = self._stop.refusal(req)
         if stopping is not None:
             return self._refuse(stopping, req.id)
@@ -131,17 +132,17 @@
             now = self._ctx.clock.monotonic()
             self._peers.demand_meter.add(name_item(progress.service, inference), seconds, now)
 
-    def _reject_overloaded(self, refusal_reason: RefusalReason, attempt_id: str) -> Response:
+    def _reject_overloaded(
+        self, request: Request, refusal_reason: RefusalReason, attempt_id: str
+    ) -> Response:
         """Refuse a request while the host is overloaded, and close its connection."""
         failure = Failure(Kind.HOST_BEHIND, refusal_reason, retry_after(self._ctx.rng.random))
-        return self._refuse_and_close(failure, attempt_id)
-
-    def _refuse_and_close(self, failure: Failure, attempt_id: str) -> Response:
-        response = self._refuse(failure, attempt_id)
-        # The server of a stopping host ends each connection with the last answer of its pipeline.
-        if not self._stop.begun:
-            response.headers.add(b"connection", b"close")
-        return response
+        return self._refuse_and_close(request, failure, attempt_id)
+
+    def _refuse_and_close(self, request: Request, failure: Failure, attempt_id: str) -> Response:
+        """Refuse a request; its connection ends once what was read of it is answered."""
+        request.scope[END_KEY]()
+        return self._refuse(failure, attempt_id)
 
     def _refuse(self, failure: Failure, attempt_id: str) -> Response:
         self._ctx.metrics.requests.labels(failure.kind.value).inc()
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -40,6 +40,9 @@
 # Key of a request's scope for the function that ends its connection at once.
 ABORT_KEY = "abort"
 
+# Key of a request's scope for the function that ends its connection with the requests read by then.
+END_KEY = "end"
+
 # The answer to a request that has not arrived when the server ends.
 UNREAD_ANSWER = (
     b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 0\r\ncontent-length: 0\r\n"
@@ -103,15 +106,19 @@
         self._linger = LingeringTransport(transport, self._on_close)
         super().connection_made(self._linger)
         self._answering: RequestResponseCycle | None = None
+        self._ending = False
         self._iterations = find_iterations()
         self._arrived_at = self._iterations.count_accept()
         self._after_first_read = self._iterations.count + FIRST_READ_ITERATIONS + 1
 
     def data_received(self, data: bytes) -> None:
-        """Read requests, until the connection is closed; drop what comes after that."""
+        """Read requests, until the connection is closed or is to end; drop what comes then.
+
+        A request of which the head was read is read to its end.
+        """
         if self._linger.lingers:
             self._linger.drop(data)
-        else:
+        elif not (self._ending and self.is_busy and not self.cycle.more_body):
             super().data_received(data)
 
     def on_message_begin(self) -> None:
@@ -124,6 +131,7 @@
         self.scope[ARRIVAL_KEY] = (
             self._arrived_at if with_connection else self._iterations.earliest_arrival()
         )
+        self.scope[END_KEY] = self._end_soon
 
     def on_headers_complete(self) -> None:
         """Keep the connection for a request that comes while the one before it has no answer."""
@@ -147,9 +155,18 @@
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         self._answering = cycle
         super()._start_asgi_task(cycle, app)
-        if self.is_closing():
+        if self._ending or self.is_closing():
             self.end_with_answer()
 
+    def _end_soon(self) -> None:
+        """End the connection with the last answer to what was read, and read no more requests.
+
+        Failure guarded against: the connection ends with a refusal, and what waits behind it in
+        the pipeline was read and is never answered.
+        """
+        self._ending = True
+        self.end_with_answer()
+
     def end_with_answer(self) -> None:
         """Let the connection end with the answer under way, and let its head say so.
 
--- a/tests/relay/test_overload.py
+++ b/tests/relay/test_overload.py
@@ -24,6 +24,8 @@
 REST_STEP_SECONDS = 0.05
 # Timeout of the route /bind/, whose requests may run once at most.
 BIND_SECONDS = 0.7
+# Seconds within which a host that is behind closes a connection, whatever its caller sends.
+ENDLESS_SECONDS = 2.0
 
 
 def run(test):
@@ -256,6 +258,53 @@
         self.assertEqual([False, False, True], [row.closes for row in answers])
 
 
+class PipelineTest(unittest.TestCase):
+    """Guards against a pipeline that a host reads and drops, as it refuses its first request."""
+
+    async def _ask(self, found, count):
+        """Return the answers to a pipeline at a host without descriptors, and what comes after."""
+        host = found.hosts[0]
+        host.host_monitor.count = lambda: DescriptorCount(4090, 4100)
+        await host.host_monitor.check()
+        conn = await KeptConnection.open(host.server.address)
+        conn.send(b"".join(make_request("/bind/", f"p{n}", 6000) for n in range(count)))
+        answers = [await conn.read_answer() for _ in range(count)]
+        after = await conn.read_answer()
+        conn.close()
+        return answers, after
+
+    @run
+    async def test_each_request_that_was_read_is_refused(self):
+        for count in (1, 2, 30):
+            async with Deployment() as found:
+                answers, after = await self._ask(found, count)
+            with self.subTest(count):
+                self.assertEqual([(503, True)] * count, [(a.status, a.whole) for a in answers])
+                self.assertEqual([False] * (count - 1) + [True], [row.closes for row in answers])
+                self.assertFalse(after.whole)
+                self.assertEqual([], found.pages["p1"].requests)
+
+    @run
+    async def test_an_endless_pipeline_does_not_hold_the_host(self):
+        """Guards against callers that keep a host without descriptors from closing a connection."""
+        async with Deployment() as found:
+            host = found.hosts[0]
+            host.host_monitor.count = lambda: DescriptorCount(4090, 4100)
+            await host.host_monitor.check()
+            conn = await KeptConnection.open(host.server.address)
+            sending = asyncio.ensure_future(self._send_on(conn))
+            async with asyncio.timeout(ENDLESS_SECONDS):
+                while not (answer := await conn.read_answer()).closes:
+                    self.assertEqual(503, answer.status)
+            sending.cancel()
+            conn.close()
+
+    async def _send_on(self, conn):
+        while True:
+            conn.send(make_request("/bind/", "p", 6000))
+            await asyncio.sleep(0)
+
+
 class NamedTest(unittest.TestCase):
     @run
     async def test_callers_are_not_sent_to_a_host_that_is_not_ready(self):
