Read the body of a request that offers an upgrade

What callers saw: a request that offers HTTP/2 by Upgrade, as some clients do by default, ran with an empty body and was answered 200. What followed it was lost or, where it came a moment later, was read as the next request: a 400 in place of the answer, or, if the body looked like a request, that one ran. An offer of a web socket got a 400.

Cause: httptools takes a request with an offered upgrade for ended at its head, and the server takes that end for the end of the body. The server takes up no upgrade, so the body is one.

Ruled out: an Upgrade header that Connection does not name; it was read well.

Change: the parser reads a second head for such a request, with its length or chunks alone, and goes on in its body. Web sockets are not taken up.

Test: tests.relay.test_caller_connections.UpgradeTest.

Conclusion: an offer that is not taken up changes nothing of the request.

--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -9,6 +9,7 @@
 from contextlib import contextmanager
 from typing import Any
 
+import httptools
 import uvicorn
 from blacksheep import Application, Request, Response, Router
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
@@ -45,6 +46,9 @@
     b"connection: close\r\n\r\n"
 )
 
+# Headers that tell where a request ends.
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+
 Handler = Callable[[Request], Awaitable[Response]]
 
 
@@ -86,6 +90,38 @@
         yield
 
 
+class RequestParser(httptools.HttpRequestParser):
+    """Parses a request that offers an upgrade like any other, as none is taken up.
+
+    Failure guarded against: the base class ends such a request at its head. It runs without its
+    body, and the bytes of the body are read as the next request.
+    """
+
+    def __init__(self, conn: "Connection"):
+        super().__init__(conn)
+        self.set_dangerous_leniencies(lenient_data_after_close=True)
+        self._conn = conn
+
+    def feed_data(self, data: bytes) -> None:
+        """Parse received bytes."""
+        rest = memoryview(data)
+        while rest:
+            try:
+                super().feed_data(rest)
+                return
+            except httptools.HttpParserUpgrade as exc:
+                rest = rest[exc.args[0] :]
+                self._conn.in_second_head = True
+                super().feed_data(write_framing(self._conn.headers))
+                self._conn.in_second_head = False
+
+
+def write_framing(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Return a request's head with nothing but what tells where the request ends."""
+    rows = [b"%s: %s" % row for row in headers if row[0] in FRAMING_HEADERS]
+    return b"\r\n".join([b"POST / HTTP/1.1", *rows, b"", b""])
+
+
 class Connection(HttpToolsProtocol):
     """A connection that knows when its requests can have arrived, and what it still has to send.
 
@@ -97,6 +133,12 @@
     # Whether answers from now on are the last ones of their connections.
     is_closing: Callable[[], bool]
 
+    def __init__(self, **arguments: Any):
+        super().__init__(**arguments)
+        self.parser = RequestParser(self)
+        # Set while the parser reads a second head for a request that has begun.
+        self.in_second_head = False
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Record the earliest arrival of the connection, which its first request may share."""
         super().connection_made(transport)
@@ -118,6 +160,9 @@
 
         A request that begins after the connection's first read arrived after the connection.
         """
+        if self.in_second_head:
+            self.headers = []
+            return
         super().on_message_begin()
         with_connection = self._iterations.count < self._after_first_read
         self.scope[ARRIVAL_KEY] = (
@@ -126,11 +171,18 @@
 
     def on_headers_complete(self) -> None:
         """Keep the connection for a request that comes while the one before it has no answer."""
+        if self.in_second_head:
+            return
         super().on_headers_complete()
         cycle = self._answering
         if self.pipeline and cycle is not None and not cycle.response_started:
             cycle.keep_alive = True
 
+    def on_message_complete(self) -> None:
+        """Note the end of a request, which is not that of the head that offers an upgrade."""
+        if not self.parser.should_upgrade():
+            super().on_message_complete()
+
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         self._answering = cycle
         super()._start_asgi_task(cycle, app)
@@ -237,6 +289,7 @@
             self._serve,
             loop="asyncio",
             http=self._connect,
+            ws="none",
             lifespan="off",
             interface="asgi3",
             proxy_headers=False,
--- a/tests/relay/test_caller_connections.py
+++ b/tests/relay/test_caller_connections.py
@@ -1,5 +1,6 @@
 """Callers' connections that end while requests on them are read, wait or are answered."""
 
+import asyncio
 import unittest
 
 from nose2.tools import params
@@ -36,3 +37,58 @@
             conn.close()
             await found.until(lambda: page.disconnected == ["first"], LEFT_SECONDS)
             self.assertEqual(["first"], page.executed, name)
+
+
+class UpgradeTest(unittest.TestCase):
+    """Guards against a request that offers an upgrade, and runs without its body.
+
+    Some clients offer HTTP/2 with the first request of each connection. The bytes of the body are
+    then read as the next request, and run as one if they look like it.
+    """
+
+    @params(
+        ("HTTP/2, length, at once", "h2c", False, False),
+        ("HTTP/2, length, in parts", "h2c", False, True),
+        ("HTTP/2, chunks, at once", "h2c", True, False),
+        ("HTTP/2, chunks, in parts", "h2c", True, True),
+        ("a web socket, length, at once", "websocket", False, False),
+        ("a web socket, length, in parts", "websocket", False, True),
+        ("no upgrade, length, in parts", "", False, True),
+    )
+    @run
+    async def test_a_request_that_offers_an_upgrade_is_read_whole(
+        self, name, offer, chunked, split
+    ):
+        body = make_request("/bind/x", "inside", DEADLINE_MS)
+        head, raw = make_request("/bind/x", "first", DEADLINE_MS, body=body).split(b"\r\n\r\n", 1)
+        if offer:
+            head += b"\r\nconnection: Upgrade\r\nupgrade: " + offer.encode()
+        if chunked:
+            head = head.replace(b"content-length: %d" % len(body), b"transfer-encoding: chunked")
+            raw = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        second = make_request("/bind/x", "second", DEADLINE_MS, body=b"more")
+        parts = [head + b"\r\n\r\n", raw, second]
+        async with Deployment() as found:
+            (page,) = found.pages.values()
+            conn = await KeptConnection.open(str(found.hosts[0].settings.listen.callers))
+            for part in parts if split else [b"".join(parts)]:
+                conn.send(part)
+                await asyncio.sleep(0.05)
+            answers = [await conn.read_answer() for _ in range(2)]
+            ran = [(row[2]["x-attempt-id"], row[3]) for row in page.requests]
+        self.assertEqual([(200, True)] * 2, [(row.status, row.whole) for row in answers], name)
+        self.assertEqual([("first", body), ("second", b"more")], ran, name)
+
+    @run
+    async def test_many_offers_in_one_pipeline_are_read(self):
+        rows = [
+            make_request("/bind/x", f"a{n}", DEADLINE_MS, connection="Upgrade", upgrade="h2c")
+            for n in range(50)
+        ]
+        async with Deployment() as found:
+            (page,) = found.pages.values()
+            conn = await KeptConnection.open(str(found.hosts[0].settings.listen.callers))
+            conn.send(b"".join(rows))
+            answers = [await conn.read_answer() for _ in rows]
+        self.assertEqual([200] * len(rows), [row.status for row in answers])
+        self.assertEqual([f"a{n}" for n in range(len(rows))], page.executed)
