Don't take the copy of a refusal for the answer to the next request

Callers saw a request that may run once run twice, or "not run" for one that ran. An endpoint sends a refusal twice, the copy late: it is read as the answer to the next request on that connection, which runs. A refusal names no attempt, so the id doesn't tell; a named one doesn't either where its own request is sent again on the same connection. And a pooled connection was looked at for unread bytes when it was released, not when it was taken.

Connections with unread bytes are not used again. One whose last answer names no attempt, or the attempt to be sent, is not used for what may run once; for what may be repeated it is, and a refusal there that may be the copy closes it, so that an endpoint that runs the request stops. The log tells which refusals name no request.

Ruled out: a copy in the same segment as the first, whose connection was closed before too. Not mended: a copy that names another request is detected, but ends what may run once with 502.

The number of open connections stays the same, as the new one takes the place of one that is closed.

The stand-in's "silent" counted the next request on its connection as the caller's disconnect; it waits for the close now.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -952,6 +952,27 @@
         "async with IterationTimeout(timeout.sock_connect):",
         "tests.relay.test_connections.StallTest",
     ),
+    Mutant(
+        "a connection with unread bytes is used again",
+        "clients/http.py",
+        "if conn.should_close:",
+        "if False:",
+        "tests.relay.test_copied_refusals",
+    ),
+    Mutant(
+        "a refusal that may be a copy counts for what may run once",
+        "clients/http.py",
+        "return not conn.may_copy_answer(exchange.attempt_id)",
+        "return True",
+        "tests.relay.test_copied_refusals",
+    ),
+    Mutant(
+        "an endpoint goes on with what it may have refused",
+        "relay/sending.py",
+        "opened.close_connection(exchange)",
+        "pass",
+        "tests.relay.test_copied_refusals",
+    ),
     Mutant(
         "requests of a host without links go through another one",
         "relay/forwarding.py",
--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -23,6 +23,7 @@
     TRANSFER_ERRORS,
     ConnectionAwareResponse,
     EndlessAnswer,
+    Exchange,
     Pool,
     SendCheck,
     Withdrawn,
@@ -114,7 +115,8 @@
     opening a new connection, in seconds. ``still_wanted`` is called once there is a connection; the
     request is sent only if it returns true. ``may_stop`` tells whether the endpoint may stop
     listening once it has answered; otherwise an answer that ends with its connection is complete
-    only if the endpoint still listens.
+    only if the endpoint still listens. ``exchange`` is set if the endpoint's answers name the
+    request that they belong to.
     """
 
     method: str
@@ -125,6 +127,7 @@
     connect_timeout: float = CONNECT_TIMEOUT_SECONDS
     still_wanted: Callable[[], bool] = always
     may_stop: Callable[[], bool] = never
+    exchange: Exchange | None = None
 
 
 @dataclass(frozen=True)
@@ -191,6 +194,12 @@
         """Close the connection now: a pending read fails, and the endpoint sees the close."""
         self._resp.close()
 
+    def close_connection(self, exchange: Exchange) -> None:
+        """Close the connection, even one that is idle again, unless another request has it."""
+        self._resp.close()
+        if self.connection is not None and self.connection.exchange is exchange:
+            self.connection.abort()
+
     def keep(self) -> KeptAnswer | None:
         """Count the bytes of an answer that was read whole until the returned object is gone."""
         return self._held.keep()
@@ -260,7 +269,7 @@
         """Send a request and wait for the head of its answer."""
         stack = AsyncExitStack()
         pool = self._pool(url)
-        check = SendCheck(call.still_wanted)
+        check = SendCheck(call.still_wanted, call.exchange)
         token = SEND_CHECK.set(check)
         try:
             session = await stack.enter_async_context(pool.use())
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -8,10 +8,11 @@
 import math
 import re
 import socket
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from contextvars import Context, ContextVar
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -94,6 +95,20 @@
     """A peer sends more bytes than its answer may have; its connection is closed."""
 
 
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """A request on its connection, and the id in its answer.
+
+    ``named`` is the attempt id in the answer, empty if there is none or no answer yet. ``in_doubt``
+    is set if the answer may be a copy of the one before it on the connection.
+    """
+
+    attempt_id: str
+    repeatable: bool
+    named: str = ""
+    in_doubt: bool = False
+
+
 class BoundedProtocol(ResponseHandler):
     """A connection that is closed once its peer sends too much that is no body.
 
@@ -108,6 +123,16 @@
         self._body: aiohttp.StreamReader | None = None
         self._endless = False
         self._watched: asyncio.Future[None] | None = None
+        self.exchange: Exchange | None = None
+
+    def may_copy_answer(self, attempt_id: str) -> bool:
+        """Return whether a copy of the last answer could be taken for the one to an attempt."""
+        return self.exchange is not None and self.exchange.named in ("", attempt_id)
+
+    def begin(self, exchange: Exchange) -> None:
+        """Begin an exchange: its request is sent now."""
+        exchange.in_doubt = self.may_copy_answer(exchange.attempt_id)
+        self.exchange = exchange
 
     def watch_closed(self) -> asyncio.Future[None] | None:
         """Return the future that completes when the connection closes, None if it has.
@@ -188,7 +213,7 @@
     """
 
     connection_closed: asyncio.Future[None] | None = None
-    connection_key: object = None
+    connection_key: BoundedProtocol | None = None
 
     async def start(self, connection: Any) -> "ConnectionAwareResponse":
         """Start to read, and keep what outlives the end of the answer.
@@ -224,7 +249,7 @@
 
 
 class Withdrawn(aiohttp.ClientError):
-    """A request was not sent, as it was withdrawn while it waited for its connection."""
+    """A request was not sent: it was withdrawn, or its new connection can't be used."""
 
 
 def always() -> bool:
@@ -244,8 +269,22 @@
     request for which that was done, for as long as it lives.
     """
 
-    def __init__(self, still_wanted: Callable[[], bool] = always):
+    def __init__(self, still_wanted: Callable[[], bool] = always, exchange: Exchange | None = None):
         self.still_wanted = still_wanted
+        self.exchange = exchange
+
+    def may_use(self, conn: BoundedProtocol) -> bool:
+        """Return whether the request may be sent on an idle connection.
+
+        Failure guarded against: a server sends an answer twice. The copy is read as the answer to
+        the next request on the connection: a request that runs counts as refused.
+        """
+        if conn.should_close:
+            return False
+        exchange = self.exchange
+        if exchange is None or exchange.repeatable:
+            return True
+        return not conn.may_copy_answer(exchange.attempt_id)
 
     def close(self) -> None:
         """Forget the request."""
@@ -276,10 +315,31 @@
         else:
             async with IterationTimeout(timeout.sock_connect, CONNECT_ITERATIONS):
                 conn = await super().connect(req, traces, aiohttp.ClientTimeout(total=None))
-        if SEND_CHECK.get().still_wanted():
-            return conn
-        conn.release()
-        raise Withdrawn("request was withdrawn before it was sent")
+        check = SEND_CHECK.get()
+        if conn.protocol.should_close or not check.still_wanted():
+            conn.release()
+            raise Withdrawn("request was not sent")
+        if check.exchange is not None:
+            conn.protocol.begin(check.exchange)
+        return conn
+
+    async def _get(self, key: Any, traces: Any) -> Any:
+        """Return a pooled connection that the request may use, or None.
+
+        If there are only others, the one that is idle for longest is closed: a new connection takes
+        its place at the server.
+        """
+        check, idle = SEND_CHECK.get(), self._conns.pop(key, ())
+        usable = deque(row for row in idle if check.may_use(row[0]))
+        others = deque(row for row in idle if not check.may_use(row[0]))
+        if usable:
+            self._conns[key] = usable
+        elif others:
+            others.popleft()[0].close()
+        conn = await super()._get(key, traces)
+        if others:
+            self._conns[key].extend(others)
+        return conn
 
     def limit_idle_time(self, seconds: float) -> None:
         """Stop reusing connections that have been idle for more than ``seconds``."""
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -11,6 +11,7 @@
     OpenResponse,
     read_all,
 )
+from peridotdock.clients.http import Exchange
 from peridotdock.clock import Clock
 from peridotdock.decisions.overload import connect_timeout
 from peridotdock.decisions.stream_versions import UNKNOWN_SOFTWARE
@@ -115,6 +116,7 @@
         """
         remaining = req.deadline - self._clock.monotonic()
         options = SendOptions(state.key, remaining, priority, resume_after)
+        exchange = Exchange(req.id, req.route.repeatable)
         call = Call(
             req.method,
             req.target,
@@ -124,6 +126,7 @@
             connect_timeout=connect_timeout(remaining),
             still_wanted=still_wanted,
             may_stop=state.may_stop_listening,
+            exchange=exchange,
         )
         sent_at = self._clock.monotonic()
         software = UNKNOWN_SOFTWARE if state.superseded else state.entry.software
@@ -132,11 +135,15 @@
         if failed(opened):
             return opened
         head = self._wire.read_answer(opened.status, opened.headers)
+        exchange.named = head.attempt_id
         if head.attempt_id in ("", req.id):
             self.on_answer(req, state, head, sent_at)
-        failure = check_answer_head(head, req.id)
+        failure = check_answer_head(head, req.id, exchange.in_doubt)
         if failure is not None:
-            if failure.kind in NOT_RUN_KINDS:
+            if failure.kind in NOT_RUN_KINDS and exchange.in_doubt:
+                # If it is a copy, the endpoint runs the request, until it sees the close.
+                opened.close_connection(exchange)
+            elif failure.kind in NOT_RUN_KINDS:
                 await wait_for(read_all(opened, MAX_REFUSAL_BYTES), caller, REFUSAL_BODY_SECONDS)
             else:
                 # A second answer may follow and be read as the next request's. The connection of an
@@ -148,19 +155,24 @@
         return PendingAnswer(state, opened, head, software, state.key)
 
 
-def check_answer_head(head: AnswerHead, attempt_id: str) -> Failure | None:
+def check_answer_head(head: AnswerHead, attempt_id: str, in_doubt: bool = False) -> Failure | None:
     """Return why an answer can't be passed on, or None.
 
+    ``in_doubt`` tells whether it may be a copy of the answer before it on its connection.
     Failure guarded against: an endpoint sends a second answer after its first, which is read as the
     answer to the next request; or another service now runs at its address. The first is detected by
     the attempt id, the second by the missing receipt. The connection is not reused.
     """
     if head.attempt_id and head.attempt_id != attempt_id:
         return Failure(Kind.WRONG_ANSWER, "id of another request")
+    named = "" if head.attempt_id else ", names no request"
+    detail = f"status {head.status}{named}{', may be a copy' if in_doubt else ''}"
     if head.misdirected:
-        return Failure(Kind.ENDPOINT_LACKS, f"status {head.status}")
+        return Failure(Kind.ENDPOINT_LACKS, detail)
     if head.not_run:
-        return Failure(Kind.ENDPOINT_REFUSED, f"status {head.status}")
+        return Failure(Kind.ENDPOINT_REFUSED, detail)
     if head.status in SUCCESS and not (head.receipt and head.attempt_id):
         return Failure(Kind.WRONG_ANSWER, "no receipt")
+    if in_doubt and not head.attempt_id:
+        return Failure(Kind.WRONG_ANSWER, detail)
     return None
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -3,6 +3,7 @@
 Each request takes its behavior from the queue ``script``; the default is ``serve``:
 
 ``refuse``          503 with ``x-not-executed``; the request is not executed
+``refuse twice``    a refusal, and a copy of it at ``copy_at``
 ``refuse another``  503 that names another attempt, although this one is executed
 ``error``           500
 ``cut``             part of the answer, then the connection closes
@@ -14,8 +15,10 @@
 
 Settings: ``delay_seconds`` before each event or answer, ``report_delay_seconds`` before a report;
 ``extra_headers`` for each answer;
-``retry_after`` seconds that a refusal asks for; ``fatal_bodies``: a request with one of these
-bodies crashes the runner when it executes, so that all connections are aborted and nothing listens.
+``retry_after`` seconds that a refusal asks for; ``names_refusals``: refusals carry the attempt id;
+``copy_at``: when the copy of a refusal is sent, one of ``COPY_TIMES``;
+``fatal_bodies``: a request with one of these bodies crashes the runner when it executes, so that
+all connections are aborted and nothing listens.
 ``fatal_parts``: the same for a prompt that holds one of these part ids, at the moment when the
 runner begins to write the answer, ``delay_seconds`` after it got the request; ``fatal_head`` tells
 what it has written by then: nothing, the ``chunked`` head, or the ``unframed`` head, with neither
@@ -58,6 +61,11 @@
 FRAMING = {"chunked": "transfer-encoding: chunked\r\n", "unframed": "connection: close\r\n"}
 # Seconds for which a runner that has fallen over listens to nobody.
 FALL_SECONDS = 1.0
+# When the copy of a refusal is sent: in the same segment, with the body of the first, while the
+# connection is idle, or once the next request has come.
+COPY_TIMES = ("at once", "with the body", "idle", "next request")
+# Seconds between two segments of an answer.
+SEGMENT_SECONDS = 0.01
 # Bytes of an endless answer that are sent at once.
 BABBLE_BYTES = 65536
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -112,6 +120,9 @@
         self.call_times = []
         self.request_times = []
         self.retry_after = 0.0
+        self.names_refusals = False
+        self.copy_at = COPY_TIMES[0]
+        self._copies = {}
         self.refusals = []
         self.extra_headers = {}
         self.orders = []
@@ -252,6 +263,7 @@
         finally:
             self._tasks.discard(task)
             self._writers.discard(writer)
+            self._copies.pop(writer, None)
             writer.close()
 
     async def _handle_request(self, reader, writer, started_ms):
@@ -268,6 +280,7 @@
         if not target.startswith("/v1/"):
             self.requests.append((method, target, headers, body))
         await self._awake.wait()
+        writer.write(self._copies.pop(writer, b""))
         if target.startswith("/v1/"):
             await asyncio.sleep(self.report_delay_seconds if target == "/v1/report" else 0)
             status, answer = self._control(target, headers, body)
@@ -306,7 +319,7 @@
     async def _answer(self, reader, writer, headers, body):
         behavior = self.script.pop(0) if self.script else "serve"
         attempt = headers.get("x-attempt-id", "")
-        if behavior not in ("serve", "refuse"):
+        if behavior not in ("serve", "refuse", "refuse twice"):
             self.spoilt.add(attempt)
         if headers.get("x-target-instance") != self.name:
             writer.write(frame(421, b"", self.extra_headers))
@@ -314,13 +327,8 @@
         if "x-model" in headers and not self._holds(headers["x-model"]):
             writer.write(frame(421, b"", self.extra_headers | {"x-attempt-id": attempt}))
             return True
-        if behavior == "refuse":
-            hint = {"retry-after": str(self.retry_after)} if self.retry_after else {}
-            port = writer.get_extra_info("peername")[1]
-            self.refusals.append(
-                (asyncio.get_running_loop().time(), attempt, self.retry_after, port)
-            )
-            writer.write(frame(503, b"", self.extra_headers | hint | {"x-not-executed": "1"}))
+        if behavior in ("refuse", "refuse twice"):
+            await self._refuse(writer, attempt, twice=behavior == "refuse twice")
             return True
         self.executed.append(attempt)
         self.software_by_attempt.setdefault(attempt, set()).add(self.software)
@@ -359,6 +367,31 @@
         await writer.drain()
         return not self.unframed
 
+    async def _refuse(self, writer, attempt, twice):
+        port = writer.get_extra_info("peername")[1]
+        self.refusals.append((asyncio.get_running_loop().time(), attempt, self.retry_after, port))
+        rows = self.extra_headers | {"x-not-executed": "1"}
+        if self.retry_after:
+            rows["retry-after"] = str(self.retry_after)
+        if self.names_refusals:
+            rows["x-attempt-id"] = attempt
+        raw = frame(503, b"full", rows)
+        if not twice:
+            writer.write(raw)
+        elif self.copy_at == "at once":
+            writer.write(raw + raw)
+        elif self.copy_at == "with the body":
+            writer.write(raw[:-4])
+            await asyncio.sleep(SEGMENT_SECONDS)
+            writer.write(raw[-4:] + raw)
+        elif self.copy_at == "idle":
+            writer.write(raw)
+            await asyncio.sleep(SEGMENT_SECONDS)
+            writer.write(raw)
+        else:
+            writer.write(raw)
+            self._copies[writer] = raw
+
     async def _crash_writing(self, writer, attempt):
         """Crash at the moment when the answer to a request begins."""
         await asyncio.sleep(self.delay_seconds)
@@ -429,7 +462,8 @@
         return not left
 
     async def _wait_for_close(self, reader, attempt):
-        await reader.read(1)
+        while await reader.read(1024):
+            pass
         self.disconnected.append(attempt)
         return False
 
