Take a success that ends with its head for cut if nothing frames its body

Callers got a 200 with an empty body, framed as whole: an answer with neither length nor chunks ends with its connection, and an endpoint that stops right after such a head, closes, and still listens looked like one with an empty body. For new streams that was ruled out before; for plain answers it was not.

Answers that have no body by their status or method stay whole, and so do errors. An endpoint that answers with an empty body and marks no end is no longer served; servers mark an empty body by its length. Left as it was: a stream that goes on after its last event may be empty.

--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -59,6 +59,8 @@
     aiohttp.ClientResponseError,
 )
 TOO_LONG = Failure(Kind.ENDPOINT_ERROR, "the answer is too long")
+HEAD_ALONE = Failure(Kind.ANSWER_CUT, "ended with its head")
+SUCCESS = range(200, 300)
 CONNECTION_KINDS = frozenset({Kind.ENDPOINT_UNREACHABLE, Kind.ENDPOINT_LOST})
 
 T = TypeVar("T")
@@ -169,6 +171,11 @@
         """The length of the body that the head names, None without one or without a body."""
         return None if self._resp.content.at_eof() else self._resp.content_length
 
+    @property
+    def is_head_alone(self) -> bool:
+        """Whether the head frames no body, and no byte of one has arrived."""
+        return not self.framed and not self._resp.content.total_bytes
+
     def read_share(self) -> float:
         """Return which share of the body has arrived, 0 if its length is unknown."""
         return self._resp.content.total_bytes / self.length if self.length else 0.0
@@ -408,8 +415,9 @@
 async def read_all(opened: OpenResponse, limit: int = MAX_ANSWER_BYTES) -> bytes | Failure:
     """Read an answer to its end; one that is cut off or exceeds ``limit`` bytes is a failure.
 
-    Failure guarded against: an endpoint sends a body without end. Several of these fill the memory
-    of the host, and each is read for so long that the deadline passes.
+    Failures guarded against: an endpoint sends a body without end. Several of these fill the memory
+    of the host, and each is read for so long that the deadline passes. Or it stops after the head,
+    which frames no body, and an empty one counts as whole.
     """
     if (opened.length or 0) > limit:
         return TOO_LONG
@@ -427,6 +435,8 @@
         except EndlessAnswer as exc:
             return transfer_failure(exc, Kind.ANSWER_CUT)
         parts.append(part)
+    if opened.is_head_alone and opened.status in SUCCESS:
+        return HEAD_ALONE
     return b"".join(parts)
 
 
--- a/tests/relay/test_cut_answers.py
+++ b/tests/relay/test_cut_answers.py
@@ -303,3 +303,19 @@
             answered, _, body = await found.send(path, "a1", model)
             self.assertEqual(502, answered, body)
             self.assertEqual("endpoint_error", json.loads(body)["error"]["code"])
+
+
+class HeadAloneTest(unittest.TestCase):
+    """Failure guarded against: a caller gets a 200 with an empty body, framed as whole.
+
+    The answer has neither length nor chunks, and its endpoint stops right after the head, and
+    closes the connection.
+    """
+
+    @params(("/fetch/", ""), ("/bind/", ""), ("/once/", "m0"), ("/recap/", "m0"))
+    @run
+    async def test_a_head_alone_is_no_answer(self, path, model):
+        async with scripted(lambda signed: b"HTTP/1.1 200 OK\r\n" + signed + b"\r\n") as found:
+            status, _, body = await found.send(path, "a1", model)
+            self.assertEqual(502, status, body)
+            self.assertEqual("answer_cut", json.loads(body)["error"]["code"])
