Check the end of the store's and engines' answers as that of relayed ones

A part of an object of the store counted as the whole one after a reset, where the answer names neither length nor chunks: calls to the store, orders and reports read an answer until its end and did not ask how it ended. Bodies in JSON were safe, as half of one can't be decoded; objects and the own interface's were not.

These reads now use the check that relayed answers have: closed without a reset, by a peer that still listens. Ruled out: the store's and reports' answers with a length or chunks, which both parsers take for cut.

--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -467,8 +467,12 @@
         return None
 
 
-async def read_body(resp: aiohttp.ClientResponse, memory: AnswerMemory, limit: int) -> bytes:
-    """Read a small answer to its end; raises EndlessAnswer if it takes up too much memory."""
+async def read_body(resp: ConnectionAwareResponse, memory: AnswerMemory, limit: int) -> bytes:
+    """Read a small answer to its end; raises EndlessAnswer if it takes up too much memory.
+
+    Failure guarded against: a part of an object counts as the whole one, as its connection was
+    reset and it has neither length nor chunks.
+    """
     if (resp.content_length or 0) > limit:
         raise EndlessAnswer("the answer is too long")
     held = memory.begin(resp.close)
@@ -480,6 +484,8 @@
             size += len(part)
             if size > limit or not held.set_size(size):
                 raise EndlessAnswer("the answer is too long")
+        if not await resp.is_complete(never):
+            raise aiohttp.ClientPayloadError("connection ended before the end of the answer")
     except aiohttp.ClientError as exc:
         if held.given_up:
             raise EndlessAnswer("too many bytes are held of unfinished answers") from exc
--- a/tests/relay/test_cut_answers.py
+++ b/tests/relay/test_cut_answers.py
@@ -5,6 +5,7 @@
 import json
 import re
 import socket
+import time
 import unittest
 from unittest import mock
 
@@ -12,7 +13,11 @@
 from nose2.tools import params
 
 from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
+from peridotdock.clients.store_time import StoreTime
 from peridotdock.errors import Failure, Kind, failed
+from peridotdock.metrics import Metrics
+from peridotdock.platform.store import TableStore
+from peridotdock.relay.settings import parse_address
 from peridotdock.requests import BROKEN_CONNECTION_KINDS
 from tests.relay.deployment import Deployment
 from tests.relay.test_endings import HEAD, RESET_ON_CLOSE
@@ -319,3 +324,19 @@
             status, _, body = await found.send(path, "a1", model)
             self.assertEqual(502, status, body)
             self.assertEqual("answer_cut", json.loads(body)["error"]["code"])
+
+
+class CutObjectTest(unittest.TestCase):
+    @params(*PARSERS)
+    @run
+    async def test_an_object_that_a_reset_cuts_is_no_object(self, parser):
+        """Guards against a part of an object of the store, read as the whole one."""
+        raw = HEAD + b"\r\n" + BODY
+        with use_parser(parser):
+            async with CuttingEndpoint(raw) as endpoint:
+                endpoint.end, endpoint.cut = "reset", len(raw) - 5
+                address = parse_address(endpoint.url.removeprefix("http://"))
+                store = TableStore(address, Metrics(), StoreTime(time.monotonic))
+                found = await store.get_object("x")
+                await store.close()
+                self.assertTrue(failed(found), found)
