--- a/tests/relay/test_cut_answers.py
+++ b/tests/relay/test_cut_answers.py
@@ -5,6 +5,7 @@
 import json
 import re
 import socket
+import time
 import unittest
 from unittest import mock
 
@@ -12,7 +13,11 @@
 from nose2.tools import params
 
 from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
+from peridotdock.clients.store_time import StoreTime
 from peridotdock.errors import Failure, Kind, failed
+from peridotdock.metrics import Metrics
+from peridotdock.platform.store import TableStore
+from peridotdock.relay.settings import parse_address
 from peridotdock.requests import BROKEN_CONNECTION_KINDS
 from tests.relay.deployment import Deployment
 from tests.relay.test_endings import HEAD, RESET_ON_CLOSE
@@ -303,3 +308,35 @@
             answered, _, body = await found.send(path, "a1", model)
             self.assertEqual(502, answered, body)
             self.assertEqual("endpoint_error", json.loads(body)["error"]["code"])
+
+
+class HeadAloneTest(unittest.TestCase):
+    """Failure guarded against: a caller gets a 200 with an empty body, framed as whole.
+
+    The answer has neither length nor chunks, and its endpoint stops right after the head, and
+    closes the connection.
+    """
+
+    @params(("/fetch/", ""), ("/bind/", ""), ("/once/", "m0"), ("/recap/", "m0"))
+    @run
+    async def test_a_head_alone_is_no_answer(self, path, model):
+        async with scripted(lambda signed: b"HTTP/1.1 200 OK\r\n" + signed + b"\r\n") as found:
+            status, _, body = await found.send(path, "a1", model)
+            self.assertEqual(502, status, body)
+            self.assertEqual("answer_cut", json.loads(body)["error"]["code"])
+
+
+class CutObjectTest(unittest.TestCase):
+    @params(*PARSERS)
+    @run
+    async def test_an_object_that_a_reset_cuts_is_no_object(self, parser):
+        """Guards against a part of an object of the store, read as the whole one."""
+        raw = HEAD + b"\r\n" + BODY
+        with use_parser(parser):
+            async with CuttingEndpoint(raw) as endpoint:
+                endpoint.end, endpoint.cut = "reset", len(raw) - 5
+                address = parse_address(endpoint.url.removeprefix("http://"))
+                store = TableStore(address, Metrics(), StoreTime(time.monotonic))
+                found = await store.get_object("x")
+                await store.close()
+                self.assertTrue(failed(found), found)
