Go on with a stream only after an event that a second endpoint would not repeat

Callers saw pieces twice or not at all where events have odd ids, and a 502 after the whole run where lines end with CR, or with LF and CR LF by turns.

Cause: the place at which a stream goes on is the highest id that was passed on. Events without a number were passed on and not part of it, so a second endpoint sent them again: a stream without ids began anew. Events of one endpoint whose ids do not rise were dropped as if an earlier endpoint had sent them, and the stream ended as whole. A blank line was found after LF LF and CR LF CR LF alone, and an id behind a byte order mark not at all. Class: what tells that a piece was passed on holds for the usual way of writing alone. Change: a stream goes on only after an event that raised the highest id; only what an earlier endpoint has sent is skipped; all line ends of the format end a line. Ruled out: chunk boundaries, comments, several events at once, CR LF, a last event without its blank line (broken off, as an event that is not complete).

The platform's events have rising ids and LF ends, so this does not explain the incident's record.

--- a/peridotdock/relay/events.py
+++ b/peridotdock/relay/events.py
@@ -3,22 +3,33 @@
 import re
 from dataclasses import dataclass
 
-EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+# An event ends with a blank line; a line ends with CR LF, LF or CR. Written without a group for the
+# line end, which would make the search several times slower.
+EVENT_END = re.compile(rb"\n(?:\n|\r\n?)|\r(?:\r\n?|\n(?:\n|\r\n?))")
 # Bytes that an endpoint may send without the end of an event that has a number or data.
 MAX_EVENT_BYTES = 1024 * 1024
 # Events that clients of a stream ignore: comments and blank lines.
-IGNORED_EVENTS = re.compile(rb"(?:(?::[^\n]*\n)*[\r\n]*\n)*")
+IGNORED_EVENTS = re.compile(rb"(?:(?::[^\r\n]*(?>\r\n|\n|\r))*[\r\n]+)*")
 IGNORED_STARTS = frozenset({b":", b"\r", b"\n"})
-DATA_FIELD = re.compile(rb"^data\b", re.MULTILINE)
-ID_FIELD = re.compile(rb"^id:(.*)$", re.MULTILINE)
+# A name at the start of a line, where a byte order mark may precede it. The name comes first, as a
+# search for fixed bytes is several times faster.
+FIELD = rb"%b(?:(?<=\A%b)|(?<=[\r\n]%b)|(?<=\A\xef\xbb\xbf%b))"
+DATA_FIELD = re.compile(FIELD % ((b"data",) * 4) + rb"\b")
+ID_FIELD = re.compile(FIELD % ((b"id:",) * 4) + rb"([^\r\n]*)")
+# Longer ids are no numbers.
+MAX_ID_DIGITS = 20
 
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
-    """One complete event as received, with its blank line; ``id`` is None if it has none."""
+    """One complete event as received, with its blank line; ``id`` is None if it has none.
+
+    ``has_content`` is unset if clients ignore it.
+    """
 
     id: int | None
     raw: bytes
+    has_content: bool = True
 
 
 class EventSplitter:
@@ -66,7 +77,7 @@
         number = read_id(raw)
         has_content = number is not None or DATA_FIELD.search(raw) is not None
         self._without_content = 0 if has_content else self._without_content + len(raw)
-        return StreamEvent(number, raw)
+        return StreamEvent(number, raw, has_content)
 
 
 def read_id(raw: bytes) -> int | None:
@@ -75,4 +86,4 @@
     if found is None:
         return None
     text = found[1].strip()
-    return int(text) if text.isdigit() else None
+    return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
--- a/peridotdock/relay/progress.py
+++ b/peridotdock/relay/progress.py
@@ -5,6 +5,7 @@
 
 from peridotdock.decisions.stream_versions import UNKNOWN_SOFTWARE
 from peridotdock.relay.endpoint import EndpointState
+from peridotdock.relay.events import StreamEvent
 
 
 class Origin(NamedTuple):
@@ -19,8 +20,9 @@
     """Counts of a request's sends, with the endpoints already tried in ``avoid``.
 
     ``maybe_ran`` counts the sends that may have run, ``refusals`` those that were refused.
-    ``last_id`` is the id of the last event that was passed on to the caller, ``last_event_at`` the
-    monotonic time of that, None before the first one. ``software`` the version of the endpoints'
+    ``last_id`` is the highest id of the events that were passed on to the caller, ``unnumbered`` is
+    set while a later event has none or no higher one. ``last_event_at`` is the monotonic time of
+    the last event, None before the first one. ``software`` the version of the endpoints'
     software that began the stream, None until one has, UNKNOWN_SOFTWARE if its version is not
     known. ``origin`` is where it began, as long as that is to be checked. ``hosts`` are those that
     the request was forwarded to; ``forwarded`` is set on a host that it was forwarded to.
@@ -39,6 +41,7 @@
     refusals: int = 0
     sends: int = 0
     last_id: int | None = None
+    unnumbered: bool = False
     last_event_at: float | None = None
     software: str | None = None
     origin: Origin | None = None
@@ -53,6 +56,14 @@
     relayed: set[str] = field(default_factory=set)
     endpoint: str = ""
 
+    def record_event(self, event: StreamEvent, now: float) -> None:
+        """Record an event that is passed on to the caller."""
+        self.last_event_at = now
+        if event.id is not None and (self.last_id is None or event.id > self.last_id):
+            self.last_id, self.unnumbered = event.id, False
+        elif event.has_content:
+            self.unnumbered = True
+
     def unbind(self) -> None:
         """Note that the version of the software that began the stream is not known."""
         self.software, self.origin = UNKNOWN_SOFTWARE, None
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -273,7 +273,7 @@
         now = self.ctx.clock.monotonic()
         if caller.is_disconnected() or now >= req.deadline or progress.final:
             return False
-        if progress.software == UNKNOWN_SOFTWARE:
+        if progress.software == UNKNOWN_SOFTWARE or progress.unnumbered:
             return False
         if failed(found) and found.kind not in RETRY_KINDS:
             return False
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -82,9 +82,10 @@
 ) -> AsyncIterator[bytes]:
     """Yield each event once and in order, until the stream has ended.
 
-    An event that a second endpoint repeats is skipped by its id. A stream that can't be completed
-    raises :class:`AnswerBrokenError`: the server then closes the connection without the final
-    chunk that would make the answer look complete.
+    An event that a second endpoint repeats is skipped by its id. If the last event had no higher id
+    than those before, a second endpoint would repeat it, so the stream does not go on there. One
+    that can't be completed raises :class:`AnswerBrokenError`: the server then closes the connection
+    without the final chunk that would make the answer look complete.
     """
     pauses = PauseTracker(service, req)
     while True:
@@ -147,6 +148,8 @@
             replacement.try_now()
         return min(remaining, CHECK_SECONDS)
 
+    # Only what an earlier endpoint has sent is skipped: one endpoint's events are its own answer.
+    passed_on = progress.last_id
     while True:
         events = source.pop_ready()
         if events:
@@ -156,11 +159,9 @@
             if gap is not None:
                 service.record_gap(source.state, progress.service, gap, len(events))
         for event in events:
-            if event.id is not None:
-                if progress.last_id is not None and event.id <= progress.last_id:
-                    continue
-                progress.last_id = event.id
-            progress.last_event_at = service.ctx.clock.monotonic()
+            if event.id is not None and passed_on is not None and event.id <= passed_on:
+                continue
+            progress.record_event(event, service.ctx.clock.monotonic())
             yield event.raw
         if source.ended:
             return
--- a/tests/relay/test_events.py
+++ b/tests/relay/test_events.py
@@ -1,15 +1,63 @@
-"""Streams are split into complete events, whatever the chunk boundaries."""
+"""Streams are split into complete events, whatever the chunk boundaries and the way of writing."""
 
+import re
 import unittest
 
 from hypothesis import given
 from hypothesis import strategies as st
+from nose2.tools import params
 
 from peridotdock.relay.events import MAX_EVENT_BYTES, EventSplitter
+from tests.relay.deployment import Deployment
+from tests.relay.test_relay import run
 
 STREAM = b"".join(b"id: %d\ndata: %s\n\n" % (n, b"x" * n) for n in range(1, 9))
 
 
+# Ways of writing a stream's first event, and the others.
+NUMBERED = (
+    ("LF", b"id: %d\ndata: x %d\n\n", b""),
+    ("CR LF", b"id: %d\r\ndata: x %d\r\n\r\n", b""),
+    ("CR", b"id: %d\rdata: x %d\r\r", b""),
+    ("LF, then CR LF", b"id: %d\ndata: x %d\n\r\n", b""),
+    ("CR LF, then LF", b"id: %d\r\ndata: x %d\r\n\n", b""),
+    ("byte order mark", b"id: %d\ndata: x %d\n\n", b"\xef\xbb\xbf"),
+    ("comments", b": c\n\nid: %d\n: c\ndata: x %d\n\n", b""),
+    ("comments with CR", b": c\r\rid: %d\r: c\rdata: x %d\r\r", b""),
+)
+# Events of which a second endpoint would send some again.
+UNNUMBERED = (
+    ("no ids", lambda number: b"data: x %d\n\n" % number),
+    ("no id in each second event", lambda number: write_some(number)),
+    ("ids that are no numbers", lambda number: b"id: e%d\ndata: x %d\n\n" % (number, number)),
+    ("one id", lambda number: b"id: 1\ndata: x %d\n\n" % number),
+    ("ids that go back", lambda number: b"id: %d\ndata: x %d\n\n" % (9 - number, number)),
+    ("a huge id", lambda number: b"id: %s\ndata: x %d\n\n" % (b"9" * 5000, number)),
+)
+ALL_PIECES = [1, 2, 3, 4, 5, 6]
+
+
+def write_some(number):
+    """Return an event that has an id if its number is even."""
+    return (b"" if number % 2 else b"id: %d\n" % number) + b"data: x %d\n\n" % number
+
+
+def pieces(body):
+    """Return the numbers in the data of events."""
+    return [int(found) for found in re.findall(rb"data: x (\d+)", body)]
+
+
+async def send_cut(write_event, behavior):
+    """Send a stream whose first endpoint has a behavior; return its status and body."""
+    async with Deployment(engines=(("e1", ("m0",)), ("e2", ("m0",)))) as found:
+        script = [behavior]
+        for engine in found.engines.values():
+            engine.write_event = lambda number, data: write_event(number)
+            engine.script = script
+        status, _, body = await found.send("/recap/", "a1", model="m0")
+        return status, body
+
+
 def split(parts):
     splitter = EventSplitter()
     return [event for part in parts for event in splitter.feed(part)], splitter.partial
@@ -48,6 +96,16 @@
             self.assertEqual(raw, b"".join(event.raw for event in found) + partial)
             self.assertEqual(raw.count(b"id: 1"), sum(event.id == 1 for event in found))
 
+    @params(*NUMBERED)
+    def test_events_and_ids_are_found_in_each_way_of_writing(self, name, form, mark):
+        raw = mark + b"".join(form % (number, number) for number in ALL_PIECES)
+        for parts in ([raw], [raw[at : at + 1] for at in range(len(raw))]):
+            found, partial = split(parts)
+            self.assertEqual(raw, b"".join(event.raw for event in found) + partial)
+            self.assertEqual(b"", partial)
+            self.assertEqual(ALL_PIECES, [event.id for event in found if event.id])
+            self.assertTrue(all(len(pieces(event.raw)) < 2 for event in found))
+
     def test_a_long_event_is_not_endless(self):
         splitter = EventSplitter()
         raw = b"data: " + b"x" * (MAX_EVENT_BYTES - 8) + b"\n\n"
@@ -55,3 +113,28 @@
             found = splitter.feed(raw[at : at + 4096])
             self.assertFalse(splitter.is_endless)
         self.assertEqual([raw], [event.raw for event in found])
+
+
+class OddEventsTest(unittest.TestCase):
+    """Guards against streams with missing or repeated events, as their ids or line ends are odd."""
+
+    @params(*NUMBERED)
+    @run
+    async def test_a_stream_goes_on_after_its_last_id(self, name, form, mark):
+        def write(number):
+            return mark * (number == 1) + form % (number, number)
+
+        status, body = await send_cut(write, "cut")
+        self.assertEqual((200, ALL_PIECES), (status, pieces(body)))
+
+    @params(*UNNUMBERED)
+    @run
+    async def test_a_stream_does_not_go_on_after_an_event_without_a_higher_id(self, name, write):
+        status, body = await send_cut(write, "cut")
+        self.assertTrue(status == 0 or pieces(body) == ALL_PIECES, body)
+
+    @params(*UNNUMBERED)
+    @run
+    async def test_a_whole_stream_is_passed_on_whatever_its_ids(self, name, write):
+        status, body = await send_cut(write, "serve")
+        self.assertEqual((200, ALL_PIECES), (status, pieces(body)))
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -23,7 +23,8 @@
 ``software`` is the version of its software, which it neither compares nor tells in answers.
 ``software_by_attempt`` are the versions at which it executed attempts.
 ``source`` is the name in its events, its id unless that is set. ``page`` is the body of its plain
-answers, ``event_padding`` what follows each event's data.
+answers, ``event_padding`` what follows each event's data, and ``write_event`` returns the bytes of
+an event from its number and data.
 ``halfway_event`` is an event that streams wait for after half of their events. ``room`` is how many
 requests may be there at once; the rest is refused. A brittle runner has ``max_refusals``: it falls
 over when it refuses more in a second: all connections are aborted and nothing listens for
@@ -118,6 +119,7 @@
         self.events = EVENTS_PER_STREAM
         self.page = b"whole answer"
         self.event_padding = b""
+        self.write_event = write_event
         self.halfway_event = None
         self.delay_seconds = 0.0
         self.report_delay_seconds = 0.0
@@ -381,7 +383,7 @@
         writer.write(stream_head(signed, "unframed" if self.unframed else "chunked"))
         for number in range(first, self.events + 1):
             data = b"%s %d%s" % (self.source.encode(), number, self.event_padding)
-            event = b"id: %d\ndata: %s\n\n" % (number, data)
+            event = self.write_event(number, data)
             if behavior == "cut" and number > self.events // 2:
                 half = event[: len(event) // 2]
                 writer.write(self._frame_event(half))
@@ -434,6 +436,11 @@
         return False
 
 
+def write_event(number, data):
+    """Return an event as engines write it."""
+    return b"id: %d\ndata: %s\n\n" % (number, data)
+
+
 def read_parts(headers):
     """Return the ids of the parts in a request's prompt."""
     rows = headers.get("x-prompt-prefix", "").split(",")
