--- a/peridotdock/relay/events.py
+++ b/peridotdock/relay/events.py
@@ -11,8 +11,11 @@
 # Events that clients of a stream ignore: comments and blank lines.
 IGNORED_EVENTS = re.compile(rb"(?:(?::[^\r\n]*(?>\r\n|\n|\r))*[\r\n]+)*")
 IGNORED_STARTS = frozenset({b":", b"\r", b"\n"})
-DATA_FIELD = re.compile(rb"(?:\A|[\r\n])(?:\xef\xbb\xbf)?data\b")
-ID_FIELD = re.compile(rb"(?:\A|[\r\n])(?:\xef\xbb\xbf)?id:([^\r\n]*)")
+# A name at the start of a line, where a byte order mark may precede it. The name comes first, as a
+# search for fixed bytes is several times faster.
+FIELD = rb"%b(?:(?<=\A%b)|(?<=[\r\n]%b)|(?<=\A\xef\xbb\xbf%b))"
+DATA_FIELD = re.compile(FIELD % ((b"data",) * 4) + rb"\b")
+ID_FIELD = re.compile(FIELD % ((b"id:",) * 4) + rb"([^\r\n]*)")
 # Longer ids are no numbers.
 MAX_ID_DIGITS = 20
 
