Answer the requests before invalid bytes first

What callers saw: a 400 in place of the answer to a request that an endpoint ran, and the end of the connection, where bytes that are no request followed it before it was answered. All requests of the pipeline were lost with it. A request refused before its body had come got a second answer if that body was not valid.

Cause: the server answers invalid bytes as soon as it has read them, whatever is under way. The application goes on with the request and gives its answer to a closed connection.

Ruled out: invalid bytes in the body of the request under way; it has not run, and the 400 is its answer.

Change: the 400 waits for the answers before it; a request of the pipeline that is invalid is dropped, and nothing behind it is read. Behind an answer that has begun, the connection is closed.

Test: tests.relay.test_caller_connections.InvalidBytesTest. The second answer to a request refused in its body is by reading; no test.

Conclusion: what ran is answered as it ran; the connection's end comes after that.

--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -138,6 +138,8 @@
         self.parser = RequestParser(self)
         # Set while the parser reads a second head for a request that has begun.
         self.in_second_head = False
+        # What is wrong with the bytes behind the requests that are still to be answered.
+        self._invalid: str | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Record the earliest arrival of the connection, which its first request may share."""
@@ -155,6 +157,35 @@
             cycle.message_event.set()
         super().connection_lost(exc)
 
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; nothing can be read behind invalid ones."""
+        if self._invalid is None:
+            super().data_received(data)
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer invalid bytes, once the requests before them have their answers.
+
+        Failure guarded against: a request runs, and its caller gets the answer to what follows it.
+        """
+        cycle = self._answering
+        in_body = cycle is not None and cycle is self.cycle and cycle.more_body
+        if in_body and cycle.response_started:
+            self.transport.close()
+        elif in_body or cycle is None or cycle.response_complete:
+            super().send_400_response(msg)
+        else:
+            self._invalid = msg
+            if self.cycle.more_body:
+                # The newest request of the pipeline is the invalid one.
+                self.pipeline.popleft()
+
+    def on_response_complete(self) -> None:
+        """Answer the next request of the pipeline, or the invalid bytes behind the last one."""
+        super().on_response_complete()
+        all_answered = self._answering is not None and self._answering.response_complete
+        if self._invalid is not None and all_answered and not self.transport.is_closing():
+            super().send_400_response(self._invalid)
+
     def on_message_begin(self) -> None:
         """Record the earliest arrival of the request in its scope.
 
--- a/tests/relay/test_caller_connections.py
+++ b/tests/relay/test_caller_connections.py
@@ -92,3 +92,32 @@
             answers = [await conn.read_answer() for _ in rows]
         self.assertEqual([200] * len(rows), [row.status for row in answers])
         self.assertEqual([f"a{n}" for n in range(len(rows))], page.executed)
+
+
+class InvalidBytesTest(unittest.TestCase):
+    """Guards against a request that runs, and whose caller gets the answer to invalid bytes."""
+
+    @params(
+        ("behind it", b"\0\r\n\r\n", []),
+        ("behind another one", make_request("/fetch/x", "second", DEADLINE_MS) + b"\0", [200]),
+        (
+            "in the body behind it",
+            make_request("/bind/x", "second", DEADLINE_MS, transfer_encoding="chunked").replace(
+                b"content-length: 0\r\n", b""
+            )
+            + b"no length\r\n",
+            [],
+        ),
+    )
+    @run
+    async def test_requests_before_invalid_bytes_get_their_answers(self, name, behind, statuses):
+        async with Deployment() as found:
+            (page,) = found.pages.values()
+            page.delay_seconds = 0.3
+            conn = await KeptConnection.open(str(found.hosts[0].settings.listen.callers))
+            conn.send(make_request("/bind/x", "first", DEADLINE_MS) + behind)
+            answers = [await conn.read_answer() for _ in range(len(statuses) + 3)]
+            ran = page.executed
+        expected = [200, *statuses, 400, 0]
+        self.assertEqual(expected, [row.status for row in answers][: len(expected)], name)
+        self.assertEqual(["first", "second"][: len(statuses) + 1], ran, name)
