--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -147,6 +147,8 @@
         self.parser = RequestParser(self)
         # Set while the parser reads a second head for a request that has begun.
         self.in_second_head = False
+        # What is wrong with the bytes behind the requests that are still to be answered.
+        self._invalid: str | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Record the earliest arrival of the connection, which its first request may share."""
@@ -166,13 +168,39 @@
     def data_received(self, data: bytes) -> None:
         """Read requests, until the connection is closed or is to end; drop what comes then.
 
-        A request of which the head was read is read to its end.
+        A request of which the head was read is read to its end. Nothing can be read behind invalid
+        bytes.
         """
+        ends_now = self._ending and self.is_busy and not self.cycle.more_body
         if self._linger.lingers:
             self._linger.drop(data)
-        elif not (self._ending and self.is_busy and not self.cycle.more_body):
+        elif self._invalid is None and not ends_now:
             super().data_received(data)
 
+    def send_400_response(self, msg: str) -> None:
+        """Answer invalid bytes, once the requests before them have their answers.
+
+        Failure guarded against: a request runs, and its caller gets the answer to what follows it.
+        """
+        cycle = self._answering
+        in_body = cycle is not None and cycle is self.cycle and cycle.more_body
+        if in_body and cycle.response_started:
+            self.transport.close()
+        elif in_body or cycle is None or cycle.response_complete:
+            super().send_400_response(msg)
+        else:
+            self._invalid = msg
+            if self.cycle.more_body:
+                # The newest request of the pipeline is the invalid one.
+                self.pipeline.popleft()
+
+    def on_response_complete(self) -> None:
+        """Answer the next request of the pipeline, or the invalid bytes behind the last one."""
+        super().on_response_complete()
+        all_answered = self._answering is not None and self._answering.response_complete
+        if self._invalid is not None and all_answered and not self.transport.is_closing():
+            super().send_400_response(self._invalid)
+
     def on_message_begin(self) -> None:
         """Record the earliest arrival of the request in its scope.
 
