Don't pass on an endpoint's failure that promises that the request has not run

Callers of requests that may run once got a 503, 429 or 408 as their endpoint sent it, without the mark that it did not run. An endpoint that fails with such a status may have run the request; for callers it is this system's promise that it has not and never will, and they send it again.

For what may run once the host answers 502 instead, without the endpoint's signature, and logs `answer_replaced`. Failures with any other status, and all of requests that may be repeated, are passed on unchanged as before. The decision is made where the answer of all sends is known, so that it covers plain answers, streams before their first event, and answers that came through another host, of an earlier version too.

Ruled out: 421 and marked refusals, which have not run; the other way in, where the body states whether the request ran, not the status.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -973,6 +973,13 @@
         "pass",
         "tests.relay.test_copied_refusals",
     ),
+    Mutant(
+        "an endpoint's own status promises a caller that its request has not run",
+        "decisions/promises.py",
+        "return repeatable or status not in NOT_RUN_STATUSES",
+        "return True",
+        "tests.relay.test_own_failures",
+    ),
     Mutant(
         "requests of a host without links go through another one",
         "relay/forwarding.py",
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -11,6 +11,7 @@
 from peridotdock.decisions.choice import Prediction, uncached_tokens
 from peridotdock.decisions.health import is_overdue
 from peridotdock.decisions.overload import ITERATIONS_TO_ANSWER
+from peridotdock.decisions.promises import may_pass_on
 from peridotdock.decisions.stream_versions import UNKNOWN_SOFTWARE
 from peridotdock.deployment import Route
 from peridotdock.errors import Failure, Kind, failed
@@ -123,9 +124,22 @@
         An endpoint's own 5xx answer is passed on unchanged if no other endpoint does better.
         """
         try:
-            return await self._send_until_answered(req, caller, progress)
+            found = await self._send_until_answered(req, caller, progress)
         finally:
             self._retries.release(progress)
+        if not isinstance(found, CompleteAnswer):
+            return found
+        if may_pass_on(found.head.status, req.route.repeatable):
+            return found
+        failure = Failure(Kind.ENDPOINT_ERROR, f"status {found.head.status}, but it may have run")
+        self.ctx.timeline.add(
+            "answer_replaced",
+            failure.answer.level,
+            request=req.id,
+            endpoint=found.state.key,
+            detail=failure.reason,
+        )
+        return failure
 
     async def _send_until_answered(
         self, req: RelayRequest, caller: Caller, progress: Progress
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -6,6 +6,7 @@
 ``refuse twice``    a refusal, and a copy of it at ``copy_at``
 ``refuse another``  503 that names another attempt, although this one is executed
 ``error``           500
+``status N``        the status N as its own failure
 ``cut``             part of the answer, then the connection closes
 ``silent``          no answer
 ``foreign``         the answer carries the id of another attempt
@@ -352,8 +353,9 @@
             signed["x-attempt-id"] = "another"
         if behavior == "unsigned":
             del signed["x-response-signature"]
-        if behavior == "error":
-            writer.write(frame(500, b"failed", signed))
+        if behavior == "error" or behavior.startswith("status "):
+            status = 500 if behavior == "error" else int(behavior.partition(" ")[2])
+            writer.write(frame(status, b"failed", signed))
             return True
         if "x-model" in headers:
             return await self._stream(reader, writer, headers, signed, behavior)
