Soak: endpoints that send refusals twice, or fail with their status

No seed had endpoints whose refusals come twice, so that no run could show a request that is refused and runs. Every twenty-third seed has them now, unless it is of a kind with nothing beside it. The plans of all other seeds stay as they were.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -139,6 +139,8 @@
             work.append(silence_in_series(deployment, seconds, rng))
         if plan.versioned:
             work.append(deployment.cut_streams(plan.seconds - MAX_FAULT_SECONDS))
+        if plan.copied:
+            work.append(deployment.copy_refusals(plan.seconds - MAX_FAULT_SECONDS))
         if plan.updated:
             record.allowed_mixed = MIXED_WITH_UPDATES
             rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import os
 import random
@@ -34,7 +35,7 @@
 from extras.soak.ports import free_port
 from extras.soak.proxy import Proxy
 from tests.relay.deployment import CONFIG, ENGINE_CONFIG, ROUTES
-from tests.standins.runner import RunnerStandin
+from tests.standins.runner import COPY_TIMES, RunnerStandin
 from tests.standins.tables import TableStandin
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -72,6 +73,9 @@
 # Seconds of backoff that a refusing endpoint asks for, and seconds between two refusals.
 BACKOFF_SECONDS = 1.5
 REFUSAL_INTERVAL_SECONDS = 0.7
+# What endpoints that copy refusals do by turns, and seconds between two of these at each of them.
+COPIED_BEHAVIORS = ("refuse twice", "refuse", "status 503")
+COPY_INTERVAL_SECONDS = 0.15
 # Seconds between two streams that engines cut.
 CUT_INTERVAL_SECONDS = 0.15
 # Age of the copy that the store comes back from, how long it is away before, and how long after it
@@ -337,6 +341,16 @@
                 runner.script += ["refuse"]
             await asyncio.sleep(REFUSAL_INTERVAL_SECONDS)
 
+    async def copy_refusals(self, seconds: float) -> None:
+        """Let endpoints refuse often and send refusals twice, or fail with such a status."""
+        until = time.monotonic() + seconds
+        rows = itertools.cycle(itertools.product(COPY_TIMES, COPIED_BEHAVIORS))
+        while time.monotonic() < until:
+            for runner in (*self.engines, *self.pages):
+                runner.copy_at, behavior = next(rows)
+                runner.script.append(behavior)
+            await asyncio.sleep(COPY_INTERVAL_SECONDS)
+
     async def cut_streams(self, seconds: float) -> None:
         """Let engines cut a stream now and then, one engine after the other."""
         until = time.monotonic() + seconds
--- a/extras/soak/plan.py
+++ b/extras/soak/plan.py
@@ -38,6 +38,9 @@
 # period. Beside that it has faults of these kinds, and nothing of other seeds.
 STOPPING_EVERY = 19
 KINDS_BESIDE_STOPS = frozenset({"reload", "config"})
+# One seed in this many has endpoints that refuse often and send refusals twice, and that fail with
+# statuses of refusals.
+COPIES_EVERY = 23
 # One seed in this many has a store that comes back from older copies of its rows.
 RESTORED_EVERY = 3
 
@@ -141,6 +144,11 @@
         """Return whether engines have two software versions."""
         return self._mixed and self.seed % VERSIONS_EVERY == 0
 
+    @property
+    def copied(self) -> bool:
+        """Return whether endpoints refuse often, and send refusals twice."""
+        return self._mixed and self.seed % COPIES_EVERY == COPIES_EVERY - 1
+
     @property
     def updated(self) -> bool:
         """Return whether engines start again at the other software version under their ids."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -744,6 +744,13 @@
         if fatal:
             self.assertFalse(any(others))
 
+    @params((22, False), (68, False), (91, False), (114, True), (137, True), (45, False))
+    def test_refusals_are_copied_in_some_seeds_of_mixed_faults(self, seed, copied):
+        plan = draw_plan(seed, 60.0)
+        self.assertEqual(copied, plan.copied)
+        if copied:
+            self.assertFalse(plan.silent or plan.limited or plan.fatal_part or plan.stopping)
+
     @params((18, True), (37, True), (75, False), (132, False), (56, False), (170, False))
     def test_seeds_of_stops_have_planned_work_alone(self, seed, stopping):
         plan = draw_plan(seed, 60.0)
