Guard the answers that callers get of endpoints that stop midway

A table over four routes, answers with a length, with chunks, and with an interim head and trailers, cut in the head and the body, and ended by close, reset and a close 1.2 s later: no caller gets a success with a short body, and what ran is answered 502 or 504 or broken off, never as not run.

--- a/tests/relay/test_cut_answers.py
+++ b/tests/relay/test_cut_answers.py
@@ -49,6 +49,9 @@
 }
 ENDS = ("close", "half-close", "reset")
 RESET_AFTER_SECONDS = 0.005
+# Seconds after which an endpoint that has stopped midway closes its connection: longer than the
+# shortest timeout of a route, and than a silence after which a request is sent elsewhere.
+LATE_SECONDS = 1.2
 
 
 class CuttingEndpoint:
@@ -264,31 +267,36 @@
 
 
 class ScriptedRunner(RunnerStandin):
-    """A runner that answers requests with fixed bytes, by a function of its own headers."""
+    """A runner that answers with the bytes that a function of attempt and signature returns."""
 
     def __init__(self, name, models=()):
         super().__init__(name, models)
         self.write_answer = None
-        self.after = "close"
+        self.end = "close"
 
     async def _answer(self, reader, writer, headers, body):
-        if self.write_answer is None:
-            return await super()._answer(reader, writer, headers, body)
         attempt = headers["x-attempt-id"]
         self.executed.append(attempt)
         signed = f"x-attempt-id: {attempt}\r\nx-response-signature: by {self.name}\r\n"
-        writer.write(self.write_answer(signed.encode()))
+        writer.write(self.write_answer(attempt, signed.encode()))
         await writer.drain()
-        return self.after == "keep"
+        if self.end == "reset":
+            await asyncio.sleep(RESET_AFTER_SECONDS)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+        elif self.end == "late close":
+            await asyncio.sleep(LATE_SECONDS)
+        return False
 
 
-def scripted(write_answer, after="close"):
+def scripted(write_answer, end="close"):
     """Return a deployment whose runners all answer so."""
     found = Deployment()
     found.engines = {"e1": ScriptedRunner("e1", ("m0",))}
     found.pages = {"p1": ScriptedRunner("p1")}
     for runner in (*found.engines.values(), *found.pages.values()):
-        runner.write_answer, runner.after = write_answer, after
+        runner.write_answer, runner.end = write_answer, end
     return found
 
 
@@ -304,7 +312,7 @@
         """Guards against a caller without an answer, as the server can't write such a status."""
         head = b"HTTP/1.1 %03d Odd\r\n" % status
         framing = b"content-length: 4\r\n\r\nbody"
-        async with scripted(lambda signed: head + signed + framing) as found:
+        async with scripted(lambda _, signed: head + signed + framing) as found:
             answered, _, body = await found.send(path, "a1", model)
             self.assertEqual(502, answered, body)
             self.assertEqual("endpoint_error", json.loads(body)["error"]["code"])
@@ -320,7 +328,7 @@
     @params(("/fetch/", ""), ("/bind/", ""), ("/once/", "m0"), ("/recap/", "m0"))
     @run
     async def test_a_head_alone_is_no_answer(self, path, model):
-        async with scripted(lambda signed: b"HTTP/1.1 200 OK\r\n" + signed + b"\r\n") as found:
+        async with scripted(lambda _, signed: b"HTTP/1.1 200 OK\r\n" + signed + b"\r\n") as found:
             status, _, body = await found.send(path, "a1", model)
             self.assertEqual(502, status, body)
             self.assertEqual("answer_cut", json.loads(body)["error"]["code"])
@@ -340,3 +348,62 @@
                 found = await store.get_object("x")
                 await store.close()
                 self.assertTrue(failed(found), found)
+
+
+EVENTS = b"".join(b"id: %d\ndata: e %d\n\n" % (number, number) for number in range(1, 4))
+# Heads and bodies of relayed answers, with the signature's place.
+RELAYED = {
+    "length": b"HTTP/1.1 200 OK\r\n%%scontent-length: %d\r\n\r\n%s" % (len(EVENTS), EVENTS),
+    "chunks": b"HTTP/1.1 200 OK\r\n%%stransfer-encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n"
+    % (len(EVENTS), EVENTS),
+}
+RELAYED["100 and trailers"] = b"HTTP/1.1 100 Continue\r\n\r\n" + RELAYED["chunks"].replace(
+    b"0\r\n\r\n", b"0\r\nx-a: b\r\n\r\n"
+)
+AT_ONCE = 8
+# Of the places at which answers are cut, each so many is played through a host.
+PLACE_STEP = 5
+
+
+RELAYED_ENDS = (
+    *((name, end) for name in RELAYED for end in ("close", "reset")),
+    ("length", "late close"),
+)
+
+
+class RelayedCutAnswerTest(unittest.TestCase):
+    """Failure guarded against: a caller gets a success whose body is short, framed as whole.
+
+    Or "not run" for a request that may have run, where its endpoint stopped midway in its answer.
+    """
+
+    async def play(self, found, path, model, raw, to):
+        """Send a request for each place at which the answer is cut; check all that ran."""
+        runner = found.engines["e1"] if model else found.pages["p1"]
+        cuts = {f"a{cut}": cut for cut in places(raw.replace(b"%s", b"x" * 60))[::-PLACE_STEP]}
+        for running in (*found.engines.values(), *found.pages.values()):
+            running.write_answer = lambda attempt, signed: raw.replace(b"%s", signed)[
+                : cuts.get(attempt)
+            ]
+        limit = asyncio.Semaphore(AT_ONCE)
+
+        async def ask(attempt):
+            async with limit:
+                parts = f"{attempt[1:]}:9"
+                return await found.send(path, attempt, model, to, x_prompt_prefix=parts)
+
+        answers = await asyncio.gather(*map(ask, cuts))
+        executed = set(runner.executed)
+        self.assertTrue(executed)
+        for attempt, (status, _, body) in zip(cuts, answers, strict=True):
+            if status == 200:
+                self.assertEqual(EVENTS, body, cuts[attempt])
+            elif attempt in executed:
+                # A stream that has begun is broken off, and the client raises an error.
+                self.assertIn(status, (502, 504, 0), cuts[attempt])
+
+    @params(*((path, model, name, end) for path, model in ROUTES for name, end in RELAYED_ENDS))
+    @run
+    async def test_a_cut_answer_is_no_success(self, path, model, name, end):
+        async with scripted(None, end) as found:
+            await self.play(found, path, model, RELAYED[name], to=0)
