Refuse a request whose body its caller broke off, without a stack trace

A caller that left before the end of its body raised an error in the handler that no one caught: a stack trace for each, and no line that names the request. Nothing of it was relayed.

The host now counts and logs it as a refused request. Guard for callers' side: requests with a length, chunks or trailers, cut around each line end and in the last bytes, and ended by close, half-close or reset, and requests with two ends or an unknown one, are never relayed.

--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -11,6 +11,7 @@
 
 import uvicorn
 from blacksheep import Application, Request, Response, Router
+from blacksheep.exceptions import MessageAborted
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from peridotdock.errors import Failure, Kind
@@ -70,11 +71,14 @@
         return too_large
     parts: list[bytes] = []
     size = 0
-    async for part in request.stream():
-        size += len(part)
-        if size > max_bytes:
-            return too_large
-        parts.append(part)
+    try:
+        async for part in request.stream():
+            size += len(part)
+            if size > max_bytes:
+                return too_large
+            parts.append(part)
+    except MessageAborted:
+        return Failure(Kind.BAD_REQUEST, "the caller left before the end of the body")
     return b"".join(parts)
 
 
