Take another host's refusal that can't be read for one of a request that may have run

Where a host forwards a request and the other one refuses it, a header says whether a send may have run; the status beside it does not. A refusal whose header could not be read, as of a host of another version, was passed on as an answer: the caller got its 503, which promises that nothing has run, and the other host's text as the body.

It is now a wrong answer of that host: it is avoided for a moment, and the caller gets 502.

--- a/peridotdock/relay/forwarding.py
+++ b/peridotdock/relay/forwarding.py
@@ -66,6 +66,8 @@
 # Kinds with which a host says that another one may take the request.
 OTHER_HOST_KINDS = frozenset({Kind.STOPPING, Kind.HOST_BEHIND, Kind.NOT_READY})
 
+UNREADABLE_REFUSAL = Failure(Kind.WRONG_ANSWER, "refusal of an unknown form")
+
 T = TypeVar("T")
 
 
@@ -176,6 +178,9 @@
             await wait_for(read_all(opened, MAX_REFUSAL_BYTES), caller, REFUSAL_BODY_SECONDS)
             await opened.release()
             return self._apply_refusal(req, progress, name, refusal)
+        if REFUSAL_HEADER in opened.headers:
+            # Its status would tell the caller that nothing has run, which the header may deny.
+            return await self._give_up(req, name, opened, UNREADABLE_REFUSAL)
         return await self._check_answer(req, progress, host, opened)
 
     async def _check_answer(
@@ -188,9 +193,15 @@
             state = host_state(host, progress.service)
             endpoint = unquote(opened.headers.get(ENDPOINT_HEADER, ""))
             return PendingAnswer(state, opened, without_host_headers(head), software, endpoint)
+        return await self._give_up(req, host.fact.host, opened, failure)
+
+    async def _give_up(
+        self, req: RelayRequest, host: str, opened: OpenResponse, failure: Failure
+    ) -> Failure:
+        """Close the connection of an answer that can't be passed on, and return why."""
         opened.abort()
         await opened.release()
-        self.record_lost(req, host.fact.host, failure)
+        self.record_lost(req, host, failure)
         return failure
 
     def _write_headers(
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -101,6 +101,27 @@
         self.assertEqual((Kind.INTERNAL, False), (found.kind, found.may_have_run))
 
 
+class UnreadableRefusalTest(unittest.TestCase):
+    @run
+    async def test_a_refusal_that_can_not_be_read_may_have_run(self):
+        """Guards against a caller told "not run" by the status of a refusal that says otherwise."""
+        async with Deployment(hosts=2, pages=("p1", "p2"), gated=True) as found:
+            await cut_off(found)
+            refused = write_refusal(Failure(Kind.ENDPOINT_REFUSED, "", None, Ran.MAYBE), True)
+            with (
+                mock.patch(
+                    "peridotdock.relay.forwarded.write_refusal", return_value=refused[:-4] + "%"
+                ),
+                mock.patch.object(found.hosts[1].responder, "respond", refuse_after_a_send),
+            ):
+                status, _, body = await found.send("/bind/", "x1")
+            self.assertEqual(502, status, body)
+
+
+async def refuse_after_a_send(request, req, admission):
+    return Failure(Kind.ENDPOINT_REFUSED, "full", None, Ran.MAYBE)
+
+
 class RefusalTest(unittest.TestCase):
     """Guards against a host that takes a forwarded request which it can't serve as well."""
 
