--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -13,6 +13,7 @@
 import httptools
 import uvicorn
 from blacksheep import Application, Request, Response, Router
+from blacksheep.exceptions import MessageAborted
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from peridotdock.body_memory import BodyMemory, HeldBody
@@ -82,12 +83,15 @@
     if length is not None and length.isdigit() and int(length) > max_bytes:
         return too_large
     held: HeldBody = request.scope[BODY_KEY]
-    async for part in request.stream():
-        if held.size + len(part) > max_bytes:
-            return too_large
-        refusal = await held.add(part)
-        if refusal is not None:
-            return refusal
+    try:
+        async for part in request.stream():
+            if held.size + len(part) > max_bytes:
+                return too_large
+            refusal = await held.add(part)
+            if refusal is not None:
+                return refusal
+    except MessageAborted:
+        return Failure(Kind.BAD_REQUEST, "the caller left before the end of the body")
     return held.take()
 
 
