Let requests that take no room pass while one long body is held

What callers saw: while a body longer than the memory for bodies was held (a route may allow one, and a body alone may be as long as that), every other request waited for 0.5 s, even one without a body; then it was refused with 503, or the long body was given up if it was still arriving. Cause: the host is over its limit then, and a part of no counted bytes was checked against it too. Ruled out: limits passed by several bodies together; they wait before they pass it. Before: 6 of 6 tests failed (0, 1 and 65,536 bytes beside a long body, arriving and arrived). After: 6 of 6 pass, without a wait. A second long body still waits, as before. The older test of short bodies passed as the long one was given up; it stays as it is.

--- a/peridotdock/body_memory.py
+++ b/peridotdock/body_memory.py
@@ -93,8 +93,14 @@
         return True
 
     def _lacks_room(self, held: HeldBody, size: int) -> bool:
-        """Return whether others leave no room; a body alone may be as long as its route allows."""
+        """Return whether others leave no room; a body alone may be as long as its route allows.
+
+        Failure guarded against: one body is longer than the limit, and requests that need no room
+        are refused, or end it, for as long as it is held.
+        """
         more = max(0, held.size + size - FREE_BYTES) - held.counted
+        if not more:
+            return False
         return self.held_bytes > held.counted and self.held_bytes + more > self._limit
 
     async def _wait_until_freed(self, held: HeldBody) -> None:
--- a/tests/relay/test_arriving_bodies.py
+++ b/tests/relay/test_arriving_bodies.py
@@ -3,6 +3,7 @@
 import asyncio
 import tracemalloc
 import unittest
+from itertools import product
 
 from nose2.tools import params
 
@@ -74,6 +75,21 @@
         self.assertEqual(expected, memory._limit)
 
 
+class HeldBodyTest(unittest.TestCase):
+    @params(*product((False, True), (0, 1, FREE_BYTES)))
+    @run
+    async def test_requests_that_take_no_room_do_not_wait_for_it(self, arrived, size):
+        """Guards against refusals of requests without a body while one long body is held."""
+        memory = make_memory(FREE_BYTES)
+        long, short = memory.begin(), memory.begin()
+        self.assertIsNone(await long.add(bytes(8 * FREE_BYTES)))
+        if arrived:
+            long.take()
+        async with asyncio.timeout(WAIT_SECONDS / 4):
+            self.assertIsNone(await short.add(bytes(size)))
+        self.assertFalse(long.given_up)
+
+
 class ArrivingTest(unittest.TestCase):
     """Guards against callers that stop in the middle of long bodies, which a host keeps."""
 
