Keep in doubt a connection on which a copy may follow another request's answer

What callers saw: a request that may run once ran twice, at an endpoint that sends a refusal twice. Cause: only the last answer on a connection counted. A refusal without an id, then a repeatable request that is answered with its id, and the connection counted as sound; the copy of the refusal, later than that answer, was read as the answer to the next request, which ran and was sent again. Ruled out: copies that name their attempt; they are another request's, and end as 502. Tests: copies have one more time, 'request after next', which all tests of this module play.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -966,6 +966,13 @@
         "return True",
         "tests.relay.test_copied_refusals",
     ),
+    Mutant(
+        "an answer that names its request ends the doubt about earlier ones",
+        "clients/http.py",
+        "maxlen=KEPT_EXCHANGES",
+        "maxlen=1",
+        "tests.relay.test_copied_refusals",
+    ),
     Mutant(
         "an endpoint goes on with what it may have refused",
         "relay/sending.py",
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -66,6 +66,8 @@
 FINAL_STATUSES = range(200, 600)
 # Transfer codings that a host reads; it passes none on.
 READ_CODINGS = frozenset({"", "identity", "chunked"})
+# Answers on a connection of which a copy may still come.
+KEPT_EXCHANGES = 16
 KEEP_ALIVE_PATTERN = re.compile(r"timeout\s*=\s*(\d+)")
 # An idle connection is not reused in the last seconds before the server closes it: a request may
 # take that long to arrive when the event loop or the link is slow.
@@ -114,7 +116,7 @@
     """A request on its connection, and the id in its answer.
 
     ``named`` is the attempt id in the answer, empty if there is none or no answer yet. ``in_doubt``
-    is set if the answer may be a copy of the one before it on the connection.
+    is set if the answer may be a copy of one before it on the connection.
     """
 
     attempt_id: str
@@ -138,15 +140,20 @@
         self._endless = False
         self._watched: asyncio.Future[None] | None = None
         self.exchange: Exchange | None = None
+        self._exchanges: deque[Exchange] = deque(maxlen=KEPT_EXCHANGES)
 
     def may_copy_answer(self, attempt_id: str) -> bool:
-        """Return whether a copy of the last answer could be taken for the one to an attempt."""
-        return self.exchange is not None and self.exchange.named in ("", attempt_id)
+        """Return whether a copy of an earlier answer could be taken for the one to an attempt.
+
+        A copy may be so late that answers to other requests have come before it.
+        """
+        return any(row.named in ("", attempt_id) for row in self._exchanges)
 
     def begin(self, exchange: Exchange) -> None:
         """Begin an exchange: its request is sent now."""
         exchange.in_doubt = self.may_copy_answer(exchange.attempt_id)
         self.exchange = exchange
+        self._exchanges.append(exchange)
 
     def watch_closed(self) -> asyncio.Future[None] | None:
         """Return the future that completes when the connection closes, None if it has.
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -158,7 +158,7 @@
 def check_answer_head(head: AnswerHead, attempt_id: str, in_doubt: bool = False) -> Failure | None:
     """Return why an answer can't be passed on, or None.
 
-    ``in_doubt`` tells whether it may be a copy of the answer before it on its connection.
+    ``in_doubt`` tells whether it may be a copy of an answer before it on its connection.
     Failure guarded against: an endpoint sends a second answer after its first, which is read as the
     answer to the next request; or another service now runs at its address. The first is detected by
     the attempt id, the second by the missing receipt. The connection is not reused.
--- a/tests/relay/test_copied_refusals.py
+++ b/tests/relay/test_copied_refusals.py
@@ -65,6 +65,26 @@
             if not named:
                 self.assertEqual([200] * 3, served)
 
+    @params(*COPIES)
+    @run
+    async def test_a_copy_does_not_answer_a_request_after_one_that_was_answered(
+        self, copy_at, named
+    ):
+        """Guards against a connection that counts as sound once an answer on it has an id."""
+        async with Deployment(bounds=RETRIES) as found:
+            runner = found.pages["p1"]
+            runner.copy_at, runner.names_refusals = copy_at, named
+            runner.script = ["refuse twice"]
+            answers = {"first": await found.send("/fetch/", "first")}
+            answers["second"] = await found.send("/bind/", "second")
+            self.assertEqual(200, answers["first"][0])
+            once = {"second": answers["second"]}
+            broken = broken_promises(once, [runner])
+            broken["twice"] = [at for at in broken["twice"] if at in once]
+            self.assertEqual(NOTHING, broken)
+            if not named:
+                self.assertEqual(200, answers["second"][0])
+
     @params(*COPIES)
     @run
     async def test_many_requests_at_endpoints_that_refuse_often(self, copy_at, named):
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -64,8 +64,8 @@
 # Seconds for which a runner that has fallen over listens to nobody.
 FALL_SECONDS = 1.0
 # When the copy of a refusal is sent: in the same segment, with the body of the first, while the
-# connection is idle, or once the next request has come.
-COPY_TIMES = ("at once", "with the body", "idle", "next request")
+# connection is idle, or once the next request has come, or the one after that.
+COPY_TIMES = ("at once", "with the body", "idle", "next request", "request after next")
 # Seconds between two segments of an answer.
 SEGMENT_SECONDS = 0.01
 # Bytes of an endless answer that are sent at once.
@@ -283,7 +283,8 @@
         if not target.startswith("/v1/"):
             self.requests.append((method, target, headers, body))
         await self._awake.wait()
-        writer.write(self._copies.pop(writer, b""))
+        copies = self._copies.get(writer)
+        writer.write(copies.pop(0) if copies else b"")
         if target.startswith("/v1/"):
             await asyncio.sleep(self.report_delay_seconds if target == "/v1/report" else 0)
             status, answer = self._control(target, headers, body)
@@ -394,7 +395,7 @@
             writer.write(raw)
         else:
             writer.write(raw)
-            self._copies[writer] = raw
+            self._copies[writer] = [raw] if self.copy_at == "next request" else [b"", raw]
 
     async def _crash_writing(self, writer, attempt):
         """Crash at the moment when the answer to a request begins."""
