Keep trailer fields out of a request's headers

What callers saw: a request in chunks with trailer fields, read at once, was handled by the fields of its trailer: an attempt id there replaced its own, in the answer too, and a deadline of 1 ms there ended it with 504. An endpoint would run a request whose id or model is not that of its head.

Cause: the parser reports trailer fields as it reports headers, and the server adds both to the same list, which the application reads once the whole request has been parsed.

Ruled out: a trailer that comes after the application has read the head; and trailers of endpoints' answers, by reading aiohttp's parser, which copies the headers at the end of the head (no test).

Test: tests.relay.test_caller_connections.TrailerTest.

Conclusion: the list is closed with the head; trailer fields are dropped.

--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -112,7 +112,7 @@
             except httptools.HttpParserUpgrade as exc:
                 rest = rest[exc.args[0] :]
                 self._conn.in_second_head = True
-                super().feed_data(write_framing(self._conn.headers))
+                super().feed_data(write_framing(self._conn.scope["headers"]))
                 self._conn.in_second_head = False
 
 
@@ -201,10 +201,15 @@
         )
 
     def on_headers_complete(self) -> None:
-        """Keep the connection for a request that comes while the one before it has no answer."""
+        """Keep the connection for a request that comes while the one before it has no answer.
+
+        Failure guarded against: the parser reads trailer fields as it reads headers, and they
+        replace headers of the request, such as its attempt id.
+        """
         if self.in_second_head:
             return
         super().on_headers_complete()
+        self.headers = []
         cycle = self._answering
         if self.pipeline and cycle is not None and not cycle.response_started:
             cycle.keep_alive = True
--- a/tests/relay/test_caller_connections.py
+++ b/tests/relay/test_caller_connections.py
@@ -121,3 +121,26 @@
         expected = [200, *statuses, 400, 0]
         self.assertEqual(expected, [row.status for row in answers][: len(expected)], name)
         self.assertEqual(["first", "second"][: len(statuses) + 1], ran, name)
+
+
+class TrailerTest(unittest.TestCase):
+    """Guards against trailer fields that replace a request's headers, such as its attempt id."""
+
+    @params(("at once", "", False), ("in parts", "", True), ("with an offer", "h2c", False))
+    @run
+    async def test_trailer_fields_are_no_headers(self, name, offer, split):
+        raw = make_request("/bind/x", "first", DEADLINE_MS, connection="Upgrade", upgrade=offer)
+        if not offer:
+            raw = make_request("/bind/x", "first", DEADLINE_MS)
+        raw = raw.replace(b"content-length: 0", b"transfer-encoding: chunked")
+        trailer = b"4\r\nbody\r\n0\r\nx-attempt-id: other\r\nx-deadline-ms: 1\r\nx-note: a\r\n\r\n"
+        async with Deployment() as found:
+            (page,) = found.pages.values()
+            conn = await KeptConnection.open(str(found.hosts[0].settings.listen.callers))
+            for part in (raw, trailer) if split else (raw + trailer,):
+                conn.send(part)
+                await asyncio.sleep(0.05)
+            answer = await conn.read_answer()
+            ran = [(row[2]["x-attempt-id"], row[2].get("x-note"), row[3]) for row in page.requests]
+        self.assertEqual((200, "first"), (answer.status, answer.headers["x-attempt-id"]), name)
+        self.assertEqual([("first", None, b"body")], ran, name)
