Tell connections that can't be accepted from none that wait

Callers saw: nothing yet; found by reading. A host that stops accepts what waits at its socket and closes it. The kernel resets what is left there.

Cause: each error of accept(2) counted as an empty queue, without a log line: no descriptors, no memory, and a connection that was reset while it waited, behind which sound ones may wait.

Change: errors of one connection are passed over. Without descriptors the socket stays open, the stop tries again at each look and does not count as drained meanwhile, within its grace period; the first such error is logged.

--- a/peridotdock/core.py
+++ b/peridotdock/core.py
@@ -53,13 +53,13 @@
         self.server.announce_close()
         await self._wait_until(lambda: False, started_at + cfg.address_seconds)
         self.host.membership.set_state("gone")
-        self.server.stop_listening()
         done = await self._wait_until(self._is_drained, started_at + cfg.stop_seconds)
         self.ctx.timeline.add("drained", detail=f"{clock.monotonic() - started_at:.1f} s")
         return done
 
     def _is_drained(self) -> bool:
         """Return whether nothing is owed to a caller: connections know more than the requests."""
+        self.server.stop_listening()
         self.server.close_idle()
         return self.entry.in_flight == 0 and self.server.is_drained()
 
--- a/peridotdock/relay/stopping.py
+++ b/peridotdock/relay/stopping.py
@@ -87,7 +87,6 @@
         """
         server.announce_close()
         await self._sleep_until(self.announced_at)
-        server.stop_listening()
         await self._wait_drained(server, self.ends_at - LAST_ANSWERS_SECONDS)
         end_unanswered()
         await self._wait_drained(server, self.ends_at, refuses_unread=True)
@@ -98,6 +97,7 @@
         """Wait until all is sent; a request that is read in part may have waited behind another."""
         clock = self._ctx.clock
         while True:
+            server.stop_listening()
             server.close_idle()
             if refuses_unread:
                 server.refuse_unread()
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -2,12 +2,15 @@
 
 import array
 import asyncio
+import errno
 import fcntl
+import logging
 import random
 import socket
 import termios
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from typing import Any
 
 import httptools
@@ -58,9 +61,29 @@
 
 # Headers that tell where a request ends.
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+# Errors of accept(2) when the process or the machine can open no more connections for now.
+EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+# Errors of accept(2) that belong to one connection, which was lost while it waited.
+LOST_IN_QUEUE = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.ECONNRESET,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.EPERM,
+        errno.EPROTO,
+        errno.ETIMEDOUT,
+    }
+)
 
 Handler = Callable[[Request], Awaitable[Response]]
 
+log = logging.getLogger("peridotdock")
+
 
 def make_application() -> Application:
     """Return an application with a separate router; blacksheep's default router is shared."""
@@ -328,14 +351,31 @@
     return sock
 
 
-def accept_waiting(listener: socket.socket) -> list[socket.socket]:
-    """Accept all connections that wait at a listening socket, as far as descriptors last."""
-    found = []
+@dataclass(frozen=True)
+class Accepted:
+    """Connections that waited at a listening socket, and the error after them, if any."""
+
+    socks: list[socket.socket]
+    error: OSError | None = None
+
+    @property
+    def more_wait(self) -> bool:
+        """Whether more connections may wait, which can't be accepted for now."""
+        return self.error is not None and self.error.errno in EXHAUSTED
+
+
+def accept_waiting(listener: socket.socket) -> Accepted:
+    """Accept the connections that wait at a listening socket, as far as descriptors last."""
+    found: list[socket.socket] = []
     while True:
         try:
             sock, _ = listener.accept()
-        except OSError:
-            return found
+        except BlockingIOError:
+            return Accepted(found)
+        except OSError as exc:
+            if exc.errno in LOST_IN_QUEUE:
+                continue
+            return Accepted(found, exc)
         sock.setblocking(False)
         found.append(sock)
 
@@ -362,6 +402,8 @@
         self._server: _SignalFreeServer | None = None
         self._task: asyncio.Task[None] | None = None
         self._closing = False
+        self._listening = True
+        self._exhausted = False
         self._adopting: set[asyncio.Task[None]] = set()
 
     def _connect(self, **arguments: Any) -> Connection:
@@ -424,14 +466,21 @@
     def stop_listening(self) -> None:
         """Accept no more connections at the first address than those that wait there.
 
+        Without descriptors for them the socket stays open, and the next call tries again.
+
         Failure guarded against: the loop lags, callers have connected and sent requests meanwhile,
         and the kernel resets what was not accepted as the socket is closed.
         """
-        if self._server is None:
+        if self._server is None or not self._listening:
             return
         waiting = accept_waiting(self._socks[0])
-        self._server.servers[0].close()
-        for sock in waiting:
+        if waiting.error is not None and not self._exhausted:
+            log.warning("can't accept what waits", extra={"error": str(waiting.error)})
+        self._exhausted = waiting.more_wait
+        if not waiting.more_wait:
+            self._listening = False
+            self._server.servers[0].close()
+        for sock in waiting.socks:
             task = asyncio.ensure_future(self._adopt(self._server, sock))
             self._adopting.add(task)
             task.add_done_callback(self._adopting.discard)
@@ -459,10 +508,9 @@
     def is_drained(self) -> bool:
         """Return whether all requests that came are answered, and all answers are sent."""
         rows = self._connections()
-        left = any(
-            row.is_busy or row.unsent_bytes or row.has_unread or row.awaits_body for row in rows
-        )
-        return not (left or self._adopting)
+        left = any(row.is_busy or row.unsent_bytes or row.has_unread for row in rows)
+        arriving = any(row.awaits_body for row in rows)
+        return not (left or arriving or self._adopting or self._exhausted)
 
     def unsent_bytes(self) -> int:
         """Return the number of bytes of answers that are not sent yet."""
--- a/tests/test_unread.py
+++ b/tests/test_unread.py
@@ -1,14 +1,17 @@
 """Tests of what has reached the kernel when a server stops: connections and requests unread."""
 
 import asyncio
+import errno
+import os
 import socket
 import unittest
+from unittest import mock
 
 from blacksheep import Content, Request, Response
 from nose2.tools import params
 
 from peridotdock.loop_iterations import MeasuredLoop
-from peridotdock.serving import Server, add_route, make_application
+from peridotdock.serving import Accepted, Server, accept_waiting, add_route, make_application
 from tests.kept_connection import KeptConnection, make_request
 
 DEADLINE_MS = 1000
@@ -101,3 +104,63 @@
             return answer
 
         self.assertFalse(run(play()).whole)
+
+
+class Listener:
+    """A listening socket with connections that wait, and errors of the kernel between them."""
+
+    def __init__(self, found):
+        self._found = [*found, errno.EAGAIN]
+        self.socks = [mock.Mock() for row in found if row is None]
+        self._left = iter(self.socks)
+
+    def accept(self):
+        found = self._found.pop(0)
+        if found is not None:
+            raise OSError(found, os.strerror(found))
+        return next(self._left), None
+
+
+class AcceptTest(unittest.TestCase):
+    """Guards against connections that a stopping host takes for none, as one can't be accepted."""
+
+    @params(
+        ("none wait", [], 0, None, False),
+        ("one waits", [None], 1, None, False),
+        ("one was reset while it waited", [errno.ECONNABORTED, None], 1, None, False),
+        ("a link is down", [None, errno.ENETDOWN, None], 2, None, False),
+        ("no descriptor is left", [None, errno.EMFILE, None], 1, errno.EMFILE, True),
+        ("no descriptor is left on the machine", [errno.ENFILE], 0, errno.ENFILE, True),
+        ("no memory is left", [errno.ENOBUFS], 0, errno.ENOBUFS, True),
+        ("the socket is closed", [errno.EBADF], 0, errno.EBADF, False),
+    )
+    def test_errors_of_the_kernel(self, name, found, count, error, more_wait):
+        listener = Listener(found)
+        accepted = accept_waiting(listener)
+        self.assertEqual(listener.socks[:count], accepted.socks, name)
+        self.assertEqual(error, accepted.error.errno if accepted.error else None)
+        self.assertEqual(more_wait, accepted.more_wait)
+
+    def test_connections_wait_until_there_are_descriptors(self):
+        """Guards against a listening socket that is closed with connections waiting at it."""
+
+        async def play():
+            server = await start_server()
+            sock = connect(server)
+            sock.sendall(make_request("/x", "a1", DEADLINE_MS))
+            with (
+                mock.patch("peridotdock.serving.accept_waiting") as accept,
+                self.assertLogs("peridotdock", "WARNING") as logs,
+            ):
+                accept.return_value = Accepted([], OSError(errno.EMFILE, "none left"))
+                server.stop_listening()
+                server.stop_listening()
+            drained = server.is_drained()
+            stopping = asyncio.ensure_future(end(server))
+            answer = await (await keep(sock)).read_answer()
+            await stopping
+            return drained, len(logs.output), answer
+
+        drained, lines, answer = run(play())
+        self.assertEqual((False, 1), (drained, lines))
+        self.assertEqual((200, True), (answer.status, answer.whole))
