--- a/tests/relay/test_own_failures.py
+++ b/tests/relay/test_own_failures.py
@@ -52,7 +52,7 @@
         async with Deployment() as found:
             await self.check(found, request, failure)
 
-    @params(*CASES[:6:2], *CASES[6:12:2])
+    @params(*CASES[:12:2])
     @run
     async def test_the_same_through_another_host(self, request, failure):
         async with gated() as found:
