See that a caller leaves who sent another request meanwhile

What callers saw: nothing, as they had left. Endpoints worked on at their request until its deadline, where the caller had sent another one on the connection after the first was under way. Cause: the server stops reading a connection once a request is read behind one without an answer, and the end of a connection that is not read is not seen. Nothing read on before the answer. Ruled out: requests that come in one segment; the first one's handler reads on afterwards, which is why the tests of leaving callers passed. Change: a connection is read on for 64 KiB behind requests without an answer, then as before. Remains: a caller that sends more than 64 KiB behind and leaves is not seen before the answer.

--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -39,6 +39,8 @@
 )
 # Iterations of the loop from the one that sets a connection up to its first read.
 FIRST_READ_ITERATIONS = 1
+# Bytes that are read behind requests without an answer, so that the end of the connection is seen.
+AHEAD_BYTES = 65536
 # Key of a request's scope for the earliest monotonic time at which it can have arrived.
 ARRIVAL_KEY = "came"
 # Key of a request's scope for the function that ends its connection at once.
@@ -147,6 +149,7 @@
         self.parser = RequestParser(self)
         # Set while the parser reads a second head for a request that has begun.
         self.in_second_head = False
+        self._bytes_ahead = 0
         # What is wrong with the bytes behind the requests that are still to be answered.
         self._invalid: str | None = None
 
@@ -176,6 +179,17 @@
             self._linger.drop(data)
         elif self._invalid is None and not ends_now:
             super().data_received(data)
+            self._read_ahead(len(data))
+
+    def _read_ahead(self, size: int) -> None:
+        """Go on reading behind a request without an answer, up to a limit.
+
+        Failure guarded against: a caller sends another request and leaves. Nothing is read until
+        the one before has its answer, so its endpoint works on for nobody.
+        """
+        self._bytes_ahead = self._bytes_ahead + size if self.pipeline else 0
+        if 0 < self._bytes_ahead <= AHEAD_BYTES:
+            self.flow.resume_reading()
 
     def send_400_response(self, msg: str) -> None:
         """Answer invalid bytes, once the requests before them have their answers.
--- a/tests/relay/test_caller_connections.py
+++ b/tests/relay/test_caller_connections.py
@@ -38,6 +38,23 @@
             await found.until(lambda: page.disconnected == ["first"], LEFT_SECONDS)
             self.assertEqual(["first"], page.executed, name)
 
+    @params(1, 3)
+    @run
+    async def test_an_endpoint_sees_it_though_more_was_sent_meanwhile(self, count):
+        """Guards against a connection that is not read, so that its end is not seen either."""
+        async with Deployment() as found:
+            (page,) = found.pages.values()
+            page.script = ["silent"]
+            conn = await KeptConnection.open(str(found.hosts[0].settings.listen.callers))
+            conn.send(make_request("/bind/x", "first", DEADLINE_MS))
+            await found.until(lambda: page.executed == ["first"])
+            for number in range(count):
+                conn.send(make_request("/bind/x", f"behind{number}", DEADLINE_MS))
+                await asyncio.sleep(0.02)
+            conn.close()
+            await found.until(lambda: page.disconnected == ["first"], LEFT_SECONDS)
+            self.assertEqual(["first"], page.executed)
+
 
 class UpgradeTest(unittest.TestCase):
     """Guards against a request that offers an upgrade, and runs without its body.
