Give test modules that run at once ports of their own

Hosts of tests that restart look for a free port and bind it a moment later. Two test processes whose process ids are some forty apart begin their search at the same ports, so that both may find one port free, and a host waits until its test's timeout. Since modules run at once this is likelier: one run in seven of tests.relay.test_planned_stop had an error beside other test processes, whose text was not kept, so that this was its cause is not shown. Each worker has an eighth of the range now, and those that it starts too; a test shows that no two parts have a port in common.

--- a/tests/parallel.py
+++ b/tests/parallel.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from extras.soak.ports import PART_VARIABLE
+
 ROOT = Path(__file__).resolve().parent.parent
 # Modules that run at once at most, and the cores that each of them needs: hosts, stand-ins and
 # callers of a test share one of them, and tests measure time.
@@ -46,14 +48,16 @@
     return max(1, min(MAX_AT_ONCE, (os.cpu_count() or 1) // CORES_PER_MODULE))
 
 
-async def run_module(name: str, report: Path, outcome: Outcome) -> None:
+async def run_module(name: str, worker: int, report: Path, outcome: Outcome) -> None:
     """Run one module and add its outcome; print what it wrote if any of its tests failed.
 
-    A module that ends without a report counts as one failed test of its name.
+    Each ``worker`` has ports of its own. A module that ends without a report counts as one failed
+    test of its name.
     """
     proc = await asyncio.create_subprocess_exec(
         *(sys.executable, "-m", "tests", "--report", str(report), name),
         cwd=ROOT,
+        env=os.environ | {PART_VARIABLE: str(worker)},
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
     )
@@ -75,10 +79,10 @@
     outcome, waiting = Outcome(), list(names)
     with tempfile.TemporaryDirectory() as folder:
 
-        async def work() -> None:
+        async def work(worker: int) -> None:
             while waiting:
                 name = waiting.pop(0)
-                await run_module(name, Path(folder) / f"{name}.json", outcome)
+                await run_module(name, worker, Path(folder) / f"{name}.json", outcome)
 
-        await asyncio.gather(*(work() for _ in range(workers)))
+        await asyncio.gather(*(work(worker) for worker in range(workers)))
     return outcome
--- a/tests/test_parallel.py
+++ b/tests/test_parallel.py
@@ -4,10 +4,12 @@
 import contextlib
 import io
 import unittest
+from itertools import combinations, islice
 
 from nose2.tools import params
 
-from tests.parallel import find_modules, run_all
+from extras.soak.ports import PARTS, walk_ports
+from tests.parallel import MAX_AT_ONCE, find_modules, run_all
 
 
 class RunAllTest(unittest.TestCase):
@@ -22,3 +24,9 @@
         with contextlib.redirect_stdout(io.StringIO()):
             outcome = asyncio.run(run_all([name], 2))
         self.assertEqual((passed, failed), (len(outcome.passed), len(outcome.failed)))
+
+    def test_modules_that_run_at_once_have_no_port_in_common(self):
+        """Guards against two hosts of different tests that listen at the same port."""
+        self.assertLessEqual(MAX_AT_ONCE, PARTS)
+        found = [set(islice(walk_ports(str(part), 41), 5000)) for part in range(PARTS)]
+        self.assertTrue(all(one.isdisjoint(other) for one, other in combinations(found, 2)))
