Don't let idle connections that their callers keep open hold up the end of a process

What callers saw: nothing. Hosts ended a second later at each planned stop, and one that used its whole grace period would be killed before its end: its stop has 0.7 s after the last answers. Cause: since closed connections are read on, so that no answer is lost to a reset, the server waited for those too whose callers do not close their side, for its whole second. Ruled out: requests under way; the server was idle and drained. Change: at the end of the server a closed connection is ended at once unless a body is due or bytes have arrived that are not read; those are read on as before. Remains: a connection whose body is due at the end of the grace still takes the server's second.

--- a/peridotdock/lingering.py
+++ b/peridotdock/lingering.py
@@ -58,6 +58,10 @@
         self._loop.call_later(IDLE_SECONDS, self._check)
         self._on_close()
 
+    def end(self) -> None:
+        """End the connection once what is unsent has been sent."""
+        self._transport.close()
+
     def drop(self, data: bytes) -> None:
         """Drop what has arrived after the close; end the connection at the limit of bytes."""
         self._last_byte_at = self._loop.time()
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -298,15 +298,27 @@
     @property
     def has_unread(self) -> bool:
         """Whether the caller has sent bytes that are not read yet, and may still be answered."""
-        if self.transport.is_closing():
-            return False
+        return not self.transport.is_closing() and self._count_unread() > 0
+
+    def _count_unread(self) -> int:
+        """Return the number of bytes that have arrived and are not read yet."""
         found = array.array("i", [0])
         try:
             fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, found)
         except OSError:
             # The kernel can't tell; what comes now crosses the close.
-            return False
-        return found[0] > 0
+            return 0
+        return found[0]
+
+    def shutdown(self) -> None:
+        """Close the connection as the server ends; only one that gets bytes is read on.
+
+        Failure guarded against: the server waits for callers that keep their side open, and the
+        process is killed before it has ended.
+        """
+        super().shutdown()
+        if self._linger.lingers and not self.awaits_body and not self._count_unread():
+            self._linger.end()
 
     def close_idle(self) -> None:
         """Close the connection if nothing of it is under way; what is unsent is sent first."""
--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -10,6 +10,7 @@
 from nose2.tools import params
 
 from peridotdock.loop_iterations import MeasuredLoop
+from peridotdock.relay.stopping import STOP_MARGIN_SECONDS
 from peridotdock.serving import Server, add_route, make_application
 from tests.kept_connection import make_request
 
@@ -149,6 +150,30 @@
         self.assertEqual([[b"503"]] * TRIES, [status_lines(row) for row in run(play())])
 
 
+class StopTest(unittest.TestCase):
+    @params(False, True)
+    def test_callers_that_keep_connections_open_do_not_hold_up_a_stop(self, closed_before):
+        """Guards against a process that is killed at the end of its grace while it stops."""
+        raw = make_request("/read", "a1", 1000)
+
+        async def play():
+            server = await start_server()
+            loop = asyncio.get_running_loop()
+            socks = [connect(server) for _ in range(TRIES)]
+            for sock in socks:
+                sock.setblocking(False)
+                await loop.sock_sendall(sock, raw)
+                self.assertIn(b"served", await loop.sock_recv(sock, READ_BYTES))
+            if closed_before:
+                server.close_idle()
+            async with asyncio.timeout(STOP_MARGIN_SECONDS):
+                await server.stop()
+            for sock in socks:
+                sock.close()
+
+        run(play())
+
+
 class LimitTest(unittest.TestCase):
     """Guards against callers that hold a connection, which has ended for the host, for good."""
 
