Let a call for missing changes end though further ones are announced meanwhile

Callers got a 404 for a route 3 s after its configuration was acknowledged: two hosts of 86 kept version 28 for over 4.5 s, while versions up to 78 came into force on all others. Cause: a host that missed a frame, as the one that it gets them through stood still, calls the store for what it lacks. Each further frame names a newer version, and cancelled that call to begin it anew, over a new connection. In a series of changes that come faster than an answer the host gets none of them until the series ends. Class: work that each further request for it starts anew. Ruled out: the store (none of its calls was logged as lost), the other table (entries went on to change on these hosts). A call that is under way for missing changes is left alone now; if it is lost, its own time limit begins the next one, and what came meanwhile is read after it. Test: test_a_gap_is_filled_while_changes_come_faster_than_answers failed before (never seen in 9 s), passes after; tests.relay.test_views, test_restored, test_outages: 137 passed.

--- a/peridotdock/relay/following.py
+++ b/peridotdock/relay/following.py
@@ -273,12 +273,16 @@
         """Read changes from the store that the reader has but did not include in its frame.
 
         Its next frames name the same version: they must neither count as proof that nothing is
-        missing nor cancel the call in flight for it.
+        missing nor cancel the call in flight for it. Nor does one that names a newer version.
+        Failure guarded against: changes come faster than the store's answers, and each starts the
+        call anew, so that this host gets none of them.
         """
         self._last_frame_at = NEVER
         if version > self._wanted_version:
+            fetching = self._behind_reader() and self._call_in_flight
             self._wanted_version = version
-            self.refresh()
+            if not fetching:
+                self.refresh()
 
     # Lost and restored contact with the store
 
--- a/tests/relay/test_views.py
+++ b/tests/relay/test_views.py
@@ -19,6 +19,8 @@
 # Seconds within which a change must be seen everywhere.
 BOUND = 2.0
 TICK = 0.01
+# Seconds between two changes of a series.
+STORM_SECONDS = 0.1
 # Seconds that the client waits beyond the time for which the store may hold a call.
 MARGIN = 1.0
 
@@ -40,14 +42,16 @@
     """A store on a fake clock.
 
     Calls that it holds or gets before ``answers_from`` are never answered: the client gives them
-    up after the time for which it let the store hold them, plus its margin. ``calls`` are the
-    times of its calls. Several instances may share the stored contents.
+    up after the time for which it let the store hold them, plus its margin. An answer takes
+    ``answer_seconds``. ``calls`` are the times of its calls. Several instances may share the stored
+    contents.
     """
 
     def __init__(self, clock, stored=None):
         self.clock = clock
         self.stored = stored or Stored()
         self.answers_from = float("-inf")
+        self.answer_seconds = 0.0
         self.calls = []
 
     @property
@@ -82,7 +86,9 @@
                 break
             await self.clock.sleep(TICK)
         rows = {key: row[0] for key, row in self.values.items() if row[1] > after}
-        return TableChanges(rows, self.version)
+        found = TableChanges(rows, self.version)
+        await self.clock.sleep(self.answer_seconds)
+        return found
 
 
 class View:
@@ -238,6 +244,26 @@
         self.assertIn("config", view.seen)
         self.assertLess(view.seen["config"][1] - accepted, BOUND)
 
+    async def test_a_gap_is_filled_while_changes_come_faster_than_answers(self):
+        """Guards against a call for missing changes that each further change starts anew."""
+        view = View(self.clock, self.tables)
+        await self.run_for(0.05)
+        self.tables.answer_seconds = 3 * STORM_SECONDS
+        self.tables.change("missed", b"new")
+        missed, last = self.clock.monotonic(), [self.clock.monotonic()]
+
+        def change_often():
+            if self.clock.monotonic() - last[0] >= STORM_SECONDS:
+                last[0] = self.clock.monotonic()
+                known = self.tables.version
+                self.tables.change(f"change{known}", b"new")
+                self.send_frame(view, known, self.tables.version, {f"change{known}": b"new"})
+
+        await self.run_for(9.0, change_often)
+        view.task.cancel()
+        self.assertIn("missed", view.seen)
+        self.assertLess(view.seen["missed"][1] - missed, BOUND)
+
     async def test_a_host_without_a_reader_calls_again_in_time(self):
         """Guards against requests of a single host to a drained endpoint after a lost call.
 
