Log for how long a stream's two sends are at work beside each other

What callers saw: nothing; the logs told of a silence and of a replacement, not when the second send went out. Change: a send tells whoever made it when it is written to its endpoint's connection and when it has failed; send_replaced names the time from there to the end of the silent send. No decision changes.

--- a/peridotdock/relay/caller.py
+++ b/peridotdock/relay/caller.py
@@ -49,14 +49,38 @@
         self._watching.cancel()
 
 
+class SendWatch(Protocol):
+    """Whoever has to know when a request is at an endpoint."""
+
+    def record_written(self) -> None:
+        """Record that the request is written to an endpoint's connection now."""
+
+    def record_failed(self) -> None:
+        """Record that the endpoint has refused or lost the request, or never got it."""
+
+
 class SendCaller:
-    """The caller of one of several sends of a request, which ends if its answer is not needed."""
+    """The caller of one of several sends of a request, which ends if its answer is not needed.
 
-    def __init__(self, caller: Caller):
+    ``watch`` is told of the sends that are made for this caller.
+    """
+
+    def __init__(self, caller: Caller, watch: SendWatch | None = None):
         self.disconnected: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._caller = caller
+        self._watch = watch or (caller if isinstance(caller, SendCaller) else None)
         caller.disconnected.add_done_callback(self._on_disconnect)
 
+    def record_written(self) -> None:
+        """Record that the request is written to an endpoint's connection now."""
+        if self._watch is not None:
+            self._watch.record_written()
+
+    def record_failed(self) -> None:
+        """Record that the endpoint has refused or lost the request, or never got it."""
+        if self._watch is not None:
+            self._watch.record_failed()
+
     def _on_disconnect(self, _: object) -> None:
         self.end()
 
--- a/peridotdock/relay/replacing.py
+++ b/peridotdock/relay/replacing.py
@@ -103,6 +103,8 @@
         self._is_on_time: Callable[[], bool] = lambda: False
         self._caller: SendCaller | None = None
         self._fallback: CompleteAnswer | None = None
+        # When the send elsewhere was written, None while no endpoint has it.
+        self._written_at: float | None = None
         self.began = False
         self.found: Answer | None = None
 
@@ -164,7 +166,7 @@
         silent.progress.maybe_ran += self._uncounted()
         self.began = True
         self._set_working()
-        self._caller = SendCaller(silent.caller)
+        self._caller = SendCaller(silent.caller, self)
         self._task = asyncio.ensure_future(self._send(self._caller))
         self._sends.replacing.add(self._task)
         self._task.add_done_callback(self._sends.replacing.discard)
@@ -212,9 +214,24 @@
             self._log("replacement_failed", "INFO", f"{found.state.key}: {found.head.status}")
             return
         self.found = found
-        self._log("send_replaced", "INFO", f"by {found.state.key}")
+        self._log("send_replaced", "INFO", f"by {found.state.key}{self._describe_overlap()}")
         self._end_send()
 
+    def record_written(self) -> None:
+        """Record that the send elsewhere is at an endpoint, beside the silent one."""
+        self._written_at = self._sends.ctx.clock.monotonic()
+
+    def record_failed(self) -> None:
+        """Record that the send elsewhere is at no endpoint."""
+        self._written_at = None
+
+    def _describe_overlap(self) -> str:
+        """Return for how long both sends were at an endpoint, as log details."""
+        if self._written_at is None:
+            return ""
+        seconds = self._sends.ctx.clock.monotonic() - self._written_at
+        return f", both at work for {seconds:.3f} s at most"
+
     def _serves(self, found: Answer) -> bool:
         if isinstance(found, StreamSource):
             return True
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -445,6 +445,8 @@
             replacement.await_body(sent.opened.read_share)
         confirm = valid_until < math.inf
         found = sent if failed(sent) else await self._read(req, caller, progress, sent, confirm)
+        if failed(found):
+            caller.record_failed()
         if replacement.found is not None:
             # The other endpoint was first.
             await self.discard(req, progress, found)
@@ -478,7 +480,10 @@
 
         def is_wanted() -> bool:
             late = self.ctx.clock.monotonic() > valid_until
-            return state.accepts_requests() and not late and self.blocklist.refusal(req) is None
+            wanted = not late and state.accepts_requests() and self.blocklist.refusal(req) is None
+            if wanted:
+                caller.record_written()
+            return wanted
 
         sent = await self.sender.send(req, state, caller, choose_priority(req), resume, is_wanted)
         if failed(sent) and sent.kind is Kind.ENDPOINT_UNREACHABLE:
