Show streams at work at two engines for longer than allowed, in tests and soak

What callers may see: none of it; an engine reads and writes for nobody, and the operators count the request as run twice. Cause, to be mended: the silent engine's send is kept until the second engine's first event, however long that takes.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -18,7 +18,7 @@
 import click
 
 from extras.soak.callers import Caller
-from extras.soak.checks import EndpointRecord, Record, find_violations
+from extras.soak.checks import EndpointRecord, EngineRun, Record, find_violations
 from extras.soak.deployment import GRACE_SECONDS, MODELS_FIT, STOP_SECONDS, SoakDeployment
 from extras.soak.kept_callers import load_kept
 from extras.soak.partitions import silence_endpoints
@@ -26,7 +26,7 @@
 from extras.soak.plan import MAX_FAULT_SECONDS, Plan, draw_plan
 from extras.soak.proxy import Proxy
 from extras.soak.quotas import LOADS, describe_workspaces, load_workspaces
-from extras.soak.silences import silence_in_series
+from extras.soak.silences import silence_in_series, slow_engines
 from extras.soak.stop_checks import find_lost, summarise
 from extras.soak.stops import add_services, stop_in_series
 from extras.soak.updates import update_in_series
@@ -136,6 +136,7 @@
                 record.brittle_since = 0.0
         if plan.silent:
             rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
+            slow_engines(deployment, random.Random(plan.seed))
             work.append(silence_in_series(deployment, seconds, rng))
         if plan.versioned:
             work.append(deployment.cut_streams(plan.seconds - MAX_FAULT_SECONDS))
@@ -168,7 +169,7 @@
         if plan.restored:
             record.missed_changes = await change_after_restore(deployment)
         await probe(deployment, record, started_at, plan.seed)
-        collect_observations(deployment, record, started_at)
+        collect_observations(deployment, record, started_at, plan)
         broken = find_violations(record, plan.maintenance_only, EVENTS_PER_STREAM, MODELS_FIT)
         if plan.stopping:
             click.echo(f"seed {plan.seed}: {summarise(record)}")
@@ -212,7 +213,9 @@
                 return
 
 
-def collect_observations(deployment: SoakDeployment, record: Record, started_at: float) -> None:
+def collect_observations(
+    deployment: SoakDeployment, record: Record, started_at: float, plan: Plan
+) -> None:
     """Copy what the endpoints have recorded into the record of the run."""
     if deployment.fatal_parts:
         record.part_crashes = [at - started_at for at in deployment.crash_times]
@@ -233,6 +236,17 @@
         record.worked_until |= {name: at - started_at for name, at in runner.ended_at.items()}
         record.falls += [(at - started_at, runner.name) for at in runner.fall_times]
         record.ran += runner.executed
+        if plan.silent:
+            record.engine_runs += [
+                EngineRun(
+                    runner.name,
+                    run.attempt,
+                    run.began_at - started_at,
+                    run.awake_since - started_at,
+                    run.ended_at - started_at,
+                )
+                for run in runner.runs
+            ]
         record.orders[runner.name] = runner.orders
         record.max_held[runner.name] = runner.max_models_held
         draining_from = deployment.draining_from.get(runner.name, math.inf)
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -3,6 +3,7 @@
 The docstring of each check says which violation it reports.
 """
 
+import itertools
 import math
 from bisect import bisect_left
 from collections import Counter
@@ -72,6 +73,8 @@
 ALLOWED_FAILURES = 10
 ALLOWED_SHARE = 1 / 50
 MAX_FALLS = 2
+# Seconds after which an engine may not work any more on a request that goes on at another one.
+MAX_OVERLAP_SECONDS = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -246,6 +249,20 @@
         return self.status != 0 and bool(self.signature) and not self.complete
 
 
+@dataclass(frozen=True, slots=True)
+class EngineRun:
+    """One run of an attempt at an engine, which was last frozen until ``awake_since``, if ever.
+
+    Times are in seconds since the start of the run.
+    """
+
+    engine: str
+    attempt: str
+    began_at: float
+    awake_since: float
+    ended_at: float
+
+
 @dataclass
 class Record:
     """What the callers and endpoints of a run have recorded.
@@ -260,7 +277,8 @@
     happened at the times ``part_crashes``. ``kept`` are the requests of callers that keep their
     connections, ``lags`` the times from and until which this process ran none of its callers,
     ``stops`` the planned stops by host process, ``worked_until`` the times by attempt
-    until which an endpoint worked at it.
+    until which an endpoint worked at it. ``engine_runs`` are kept where no link to an engine is
+    disturbed.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -287,6 +305,7 @@
     lags: list[tuple[float, float]] = field(default_factory=list)
     stops: dict[str, PlannedStop] = field(default_factory=dict)
     worked_until: dict[str, float] = field(default_factory=dict)
+    engine_runs: list[EngineRun] = field(default_factory=list)
 
 
 def read_ids(events: bytes) -> list[int]:
@@ -328,6 +347,30 @@
             yield f"{attempt.id}: got status {attempt.status} and ran"
 
 
+def check_overlaps(record: Record) -> Iterable[str]:
+    """A request went on at another engine while the one before worked on it for too long.
+
+    The time for which that engine was frozen doesn't count, nor do hosts disturbed shortly before.
+    """
+    attempts = {row.id: row for row in record.attempts}
+    runs: dict[str, list[EngineRun]] = {}
+    for run in sorted(record.engine_runs, key=lambda run: run.began_at):
+        runs.setdefault(run.attempt, []).append(run)
+    for name, rows in runs.items():
+        attempt = attempts.get(name)
+        if attempt is None or any(
+            is_disturbed(record, attempt, host) for host in hosts_of(record, attempt)
+        ):
+            continue
+        for before, after in itertools.combinations(rows, 2):
+            seconds = before.ended_at - max(after.began_at, before.awake_since)
+            if before.engine != after.engine and seconds > MAX_OVERLAP_SECONDS:
+                yield (
+                    f"{name}: {before.engine} worked on for {seconds:.2f} s after"
+                    f" {after.engine} had begun at {after.began_at:.2f} s"
+                )
+
+
 def check_orders(record: Record, max_models: int) -> Iterable[str]:
     """An engine got orders of two hosts for one term, a lower term, or too many models."""
     for engine, rows in record.orders.items():
@@ -731,6 +774,7 @@
         *check_answers(record, event_count),
         *check_at_most_once(record),
         *check_refusals(record),
+        *check_overlaps(record),
         *check_orders(record, max_models),
         *check_config(record),
         *check_unbroken(record),
--- a/extras/soak/silences.py
+++ b/extras/soak/silences.py
@@ -18,6 +18,16 @@
 MAX_PAUSE_SECONDS = 1.2
 # Requests that an endpoint refuses during a silence, at most.
 MAX_REFUSALS = 4
+# Seconds for which engines read a prompt, and for which their reports are late.
+PROMPT_SECONDS = (0.0, 0.3, 0.6)
+REPORT_SECONDS = (0.0, 0.2, 0.38)
+
+
+def slow_engines(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Let each engine take its own time to read a prompt and to answer a call for its report."""
+    for engine in deployment.engines:
+        engine.prompt_seconds = rng.choice(PROMPT_SECONDS)
+        engine.report_delay_seconds = rng.choice(REPORT_SECONDS)
 
 
 async def silence_in_series(deployment: SoakDeployment, seconds: float, rng: random.Random) -> None:
--- /dev/null
+++ b/tests/relay/test_overlapping_runs.py
@@ -0,0 +1,73 @@
+"""A stream that goes on at another engine while its first one is silent, and both at work."""
+
+import asyncio
+import unittest
+
+from tests.relay.deployment import Deployment
+from tests.relay.test_relay import ids
+from tests.relay.test_silence import ALL_EVENTS, ENGINES, begin_stream
+
+# Seconds after which the engine before may not work on a stream that goes on at another one.
+MAX_OVERLAP_SECONDS = 0.4
+# Seconds for which an engine reads a long prompt, and for which reports are late.
+LONG_PROMPT_SECONDS = 0.8
+LATE_REPORT_SECONDS = 0.38
+# Seconds between two events of an engine that is slow and not silent.
+EVENT_SECONDS = 0.3
+
+# What a second engine takes its time with: its prompt, its reports and its events, in seconds.
+SLOW_SECONDS = (
+    ("a long prompt", LONG_PROMPT_SECONDS, 0.0, 0.0),
+    ("late reports", 0.0, LATE_REPORT_SECONDS, 0.0),
+    ("a long prompt and late reports", LONG_PROMPT_SECONDS, LATE_REPORT_SECONDS, 0.0),
+    ("slow events", 0.0, 0.0, EVENT_SECONDS),
+)
+
+
+def slow_down(engine, prompt, report, event):
+    engine.prompt_seconds, engine.delay_seconds = prompt, event
+    engine.report_delay_seconds = report
+
+
+def find_overlaps(play):
+    """Return by name for how long both engines worked, where that is too long."""
+    rows = {name: asyncio.run(play(*seconds)) for name, *seconds in SLOW_SECONDS}
+    return {name: seconds for name, seconds in rows.items() if seconds >= MAX_OVERLAP_SECONDS}
+
+
+class OverlappingRunsTest(unittest.TestCase):
+    """Guards against streams that two engines are at work on for longer than allowed."""
+
+    def test_a_stream_is_not_left_at_two_engines(self):
+        self.assertEqual({}, find_overlaps(self._go_on))
+
+    async def _go_on(self, prompt, report, event):
+        async with Deployment(engines=ENGINES) as found:
+            sent, gate, first, other = await begin_stream(found)
+            other.halfway_event = None
+            slow_down(other, prompt, report, event)
+            return await self._finish(found, sent, first, other)
+
+    def test_a_request_without_an_event_is_not_left_at_two_engines(self):
+        self.assertEqual({}, find_overlaps(self._begin))
+
+    async def _begin(self, prompt, report, event):
+        async with Deployment(engines=ENGINES) as found:
+            engines = list(found.engines.values())
+            for engine in engines:
+                engine.script = ["silent"]
+            sent = asyncio.ensure_future(found.send("/recap/", "a1", model="m0"))
+            await found.until(lambda: any(row.runs for row in engines))
+            [first] = [row for row in engines if row.runs]
+            [other] = [row for row in engines if not row.runs]
+            other.script = []
+            slow_down(other, prompt, report, event)
+            return await self._finish(found, sent, first, other)
+
+    async def _finish(self, found, sent, first, other):
+        """Return for how long both engines worked at once on a stream that arrives whole."""
+        status, _, body = await sent
+        self.assertEqual((200, ALL_EVENTS), (status, ids(body) if status else body))
+        await found.until(lambda: first.disconnected)
+        [before], [after] = first.runs, other.runs
+        return before.ended_at - max(after.began_at, before.awake_since)
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -15,6 +15,7 @@
 a key of ENDLESS    an answer that goes on until its caller closes the connection
 
 Settings: ``delay_seconds`` before each event or answer, ``report_delay_seconds`` before a report;
+``prompt_seconds`` before the head of a stream, while the runner reads the prompt;
 ``extra_headers`` for each answer;
 ``retry_after`` seconds that a refusal asks for; ``names_refusals``: refusals carry the attempt id;
 ``copy_at``: when the copy of a refusal is sent, one of ``COPY_TIMES``;
@@ -42,7 +43,7 @@
 the same times with the attempt ids; ``refusals``: time, attempt id, ``retry_after`` and peer port;
 ``babbling``: endless answers under way; ``max_models_held`` at once; ``spoilt``: ids of attempts
 that met a behavior other than ``serve`` and ``refuse``; ``ended_at``: when it was last done with an
-attempt.
+attempt; ``runs`` by attempt id.
 
 ``restart`` starts the runner again under the same id, without models and with its order sequence
 at 0. Connections from before stay open and unanswered, as after a crash behind a network partition.
@@ -54,6 +55,7 @@
 import asyncio
 import json
 import math
+from dataclasses import dataclass
 
 EVENTS_PER_STREAM = 6
 # Unix time of the first start of a runner, and the interval between two starts.
@@ -102,6 +104,23 @@
 }
 
 
+# Seconds between two looks of a runner at work whether its caller has closed the connection.
+LOOK_SECONDS = 0.01
+
+
+@dataclass
+class Run:
+    """One run of an attempt at one runner, in seconds of the loop's clock.
+
+    A runner that was frozen meanwhile has worked on it since ``awake_since`` at the earliest.
+    """
+
+    attempt: str
+    began_at: float
+    awake_since: float
+    ended_at: float = math.inf
+
+
 class RunnerStandin:
     def __init__(self, name, models=(), adapters=()):
         self.name = name
@@ -118,6 +137,7 @@
         self.disconnected = []
         self.spoilt = set()
         self.ended_at = {}
+        self.runs = []
         self.connection_count = 0
         self.call_times = []
         self.request_times = []
@@ -134,6 +154,7 @@
         self.write_event = write_event
         self.halfway_event = None
         self.delay_seconds = 0.0
+        self.prompt_seconds = 0.0
         self.report_delay_seconds = 0.0
         self.max_models_held = len(self.models)
         self.babbling = 0
@@ -155,6 +176,7 @@
         self._awake.set()
         self.on_crash = lambda: None
         self._tasks = set()
+        self._running = {}
         self._writers = set()
 
     async def start(self):
@@ -210,6 +232,9 @@
             self._freeze_count -= 1
             if not self._freeze_count:
                 self._awake.set()
+                for run in self.runs:
+                    if run.ended_at == math.inf:
+                        run.awake_since = asyncio.get_running_loop().time()
 
     def _refuse_full(self):
         """Count a refusal for want of room; fall over at too many in a second."""
@@ -300,7 +325,32 @@
             return await self._answer(reader, writer, headers, body)
         finally:
             self._in_work -= 1
-            self.ended_at[headers.get("x-attempt-id", "")] = asyncio.get_running_loop().time()
+            self._end(headers.get("x-attempt-id", ""), asyncio.current_task())
+
+    def _begin(self, attempt):
+        """Record that a run begins; it belongs to the task of its connection."""
+        now = asyncio.get_running_loop().time()
+        self._running[asyncio.current_task()] = run = Run(attempt, now, now)
+        self.runs.append(run)
+
+    def _end(self, attempt, task):
+        now = asyncio.get_running_loop().time()
+        self.ended_at[attempt] = now
+        run = self._running.pop(task, None)
+        if run is not None:
+            run.ended_at = now
+
+    async def _work(self, seconds, reader):
+        """Work for some seconds; return False once the caller has closed the connection."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while not reader.at_eof():
+            left = until - loop.time()
+            if left <= 0:
+                return True
+            await asyncio.sleep(min(left, LOOK_SECONDS))
+            await self._awake.wait()
+        return False
 
     def _control(self, target, headers, body):
         if target == "/v1/report":
@@ -335,6 +385,7 @@
             await self._refuse(writer, attempt, twice=behavior == "refuse twice")
             return True
         self.executed.append(attempt)
+        self._begin(attempt)
         self.software_by_attempt.setdefault(attempt, set()).add(self.software)
         if body in self.fatal_bodies:
             self.crash()
@@ -416,6 +467,9 @@
 
     async def _stream(self, reader, writer, headers, signed, behavior):
         first = int(headers.get("last-event-id", 0)) + 1
+        if not await self._work(self.prompt_seconds, reader):
+            self.disconnected.append(signed["x-attempt-id"])
+            return False
         writer.write(stream_head(signed, "unframed" if self.unframed else "chunked"))
         for number in range(first, self.events + 1):
             data = b"%s %d%s" % (self.source.encode(), number, self.event_padding)
@@ -428,7 +482,9 @@
             halfway = self.halfway_event is not None and number == self.events // 2
             if halfway and not await self._wait_halfway(reader, signed["x-attempt-id"]):
                 return False
-            await asyncio.sleep(self.delay_seconds)
+            if not await self._work(self.delay_seconds, reader):
+                self.disconnected.append(signed["x-attempt-id"])
+                return False
             await self._awake.wait()
             writer.write(self._frame_event(event))
             await writer.drain()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,6 +27,7 @@
     Attempt,
     Disturbance,
     EndpointRecord,
+    EngineRun,
     Kept,
     LimitedEndpoint,
     Partition,
@@ -94,6 +95,15 @@
     return replace(found, endpoint_records=rows, host_ends=ends, partitions=partitions)
 
 
+def overlap_record(ended_at, *disturbed, engine="e1", awake_since=0.2):
+    """Return a record of a stream that goes on at the engine e2 after 1.05 s."""
+    rows = [
+        EngineRun(engine, "c", 0.2, awake_since, ended_at),
+        EngineRun("e2", "c", 1.05, 1.05, 1.8),
+    ]
+    return replace(record(RECAP), engine_runs=rows, disturbed=list(disturbed))
+
+
 def forwarded_record(ended_at, **forwarded):
     """Return a record of an answer broken off at 1.1 s, and of the end of another host."""
     return replace(broken_record(other_ends=ended_at), forwarded=forwarded)
@@ -392,6 +402,12 @@
         ("ran twice", record(BIND, ran=["b", "b"]), True),
         ("repeated where that is allowed", record(PAGE, ran=["a", "a"]), False),
         ("refused and ran", record(replace(BIND, status=503), ran=["b"]), True),
+        ("two engines at work for a while", overlap_record(1.4), False),
+        ("two engines at work for too long", overlap_record(1.5), True),
+        ("the one before was frozen and stops soon", overlap_record(2.4, awake_since=2.1), False),
+        ("the one before was frozen and works on", overlap_record(2.6, awake_since=2.1), True),
+        ("the same engine twice", overlap_record(1.5, engine="e2"), False),
+        ("their host was paused", overlap_record(1.5, Disturbance("h0", 0.5, 0.9)), False),
         ("failed and ran", record(replace(BIND, status=502), ran=["b"]), False),
         ("one term, two holders", record(orders=[ORDER, ORDER | {"holder": "h1"}]), True),
         ("a lower term", record(orders=[ORDER | {"fencing_token": 2}, ORDER]), True),
