End a silent send once another engine has taken its request

What callers saw: nothing. Engines did: a stream that went on at a second engine was still worked on by the first, as something that must run once and runs twice.

Cause: a silent engine's send was kept until the second engine's first event. How long that takes is up to the second engine: it reads the prompt first, and the host then waits up to 0.4 s for its report. Class: the end of one piece of work hangs on an event of another party, with no bound of its own.

Evidence: tests.relay.test_overlapping_runs failed in four of eight cases with 0.80 to 0.81 s where 0.4 s are allowed, and passes.

Why this works: the bound starts with the second send's write, 0.2 s, and holds whatever the second engine does. A second send goes only to an engine that sends something, so ending the first one leaves the request where it is served; engines that are silent together keep theirs.

tests.relay.test_replacing: its first engine goes on 0.08 s after the second send in place of 0.6 s, as its send is ended after 0.2 s now; the check that the second send ends is the same, and a request at two engines for 0.6 s is what test_overlapping_runs forbids.

--- a/peridotdock/relay/endpoint.py
+++ b/peridotdock/relay/endpoint.py
@@ -111,7 +111,7 @@
     still there. ``is_host`` is set for a host in the place of an endpoint. ``silent_sends`` counts
     this host's open sends to it that are silent. ``seen_start`` is the newest start that the
     endpoint itself has reported, as Unix milliseconds, 0 for none. ``checked_connections`` are
-    known to lead to the start in the entry.
+    known to lead to the start in the entry. ``heard_at`` is when it last sent this host anything.
     """
 
     entry: EndpointEntry
@@ -135,6 +135,7 @@
     silent_sends: int = 0
     seen_start: int = 0
     checked_connections: WeakSet[object] = field(default_factory=WeakSet)
+    heard_at: float = float("-inf")
 
     def accepts_requests(self) -> bool:
         """Return whether requests may still be sent to the endpoint."""
--- a/peridotdock/relay/endpoint_starts.py
+++ b/peridotdock/relay/endpoint_starts.py
@@ -20,6 +20,8 @@
 # Seconds to wait for a report, and after its request those in which a stream may be sent on.
 REPORT_SECONDS = 0.4
 CHECKED_SECONDS = 0.5
+# Seconds after which an engine that has sent nothing may be silent.
+HEARD_SECONDS = 0.25
 
 
 class Running(StrEnum):
@@ -58,14 +60,29 @@
             return StartCheck(Running.ANOTHER, now)
         if not state.entry.started_ms:
             return StartCheck(Running.NAMED, now)
+        task, asked_at = self._ask(state, now, after)
+        await asyncio.wait({task}, timeout=REPORT_SECONDS)
+        return StartCheck(task.result() if task.done() else Running.UNKNOWN, asked_at)
+
+    async def is_answering(self, state: EndpointState) -> bool:
+        """Return whether an engine sends something now: it has lately, or answers with a report."""
+        now = self._ctx.clock.monotonic()
+        if state.heard_at >= now - HEARD_SECONDS:
+            return True
+        task, _ = self._ask(state, now)
+        await asyncio.wait({task}, timeout=REPORT_SECONDS)
+        return state.heard_at >= now
+
+    def _ask(
+        self, state: EndpointState, now: float, after: float | None = None
+    ) -> tuple[asyncio.Task[Running], float]:
+        """Return the report that is being read, and when it was asked for; ask if needed."""
         reading = self._reading.get(state.start)
         if reading is None or (after is not None and reading[1] < after):
             reading = asyncio.ensure_future(self._read(state)), now
             self._reading[state.start] = reading
             reading[0].add_done_callback(lambda task: self._forget(state.start, task))
-        task, asked_at = reading
-        await asyncio.wait({task}, timeout=REPORT_SECONDS)
-        return StartCheck(task.result() if task.done() else Running.UNKNOWN, asked_at)
+        return reading
 
     def _forget(self, start: EndpointStart, task: asyncio.Task[Running]) -> None:
         reading = self._reading.get(start)
@@ -78,6 +95,8 @@
         if failed(found) and shows_end(found):
             # A kept connection of the start before has ended: a new one leads to what runs.
             found = await self._engines.report(state.entry)
+        if not failed(found):
+            state.heard_at = self._ctx.clock.monotonic()
         if failed(found) or 0 < found.started_ms < named:
             # A report may be some hundred milliseconds old, and of the start before.
             return Running.UNKNOWN
--- a/peridotdock/relay/progress.py
+++ b/peridotdock/relay/progress.py
@@ -32,7 +32,9 @@
     sends that were charged to the workspace as repeats and not given back. ``final`` is set once
     another host has answered that it can't serve the request. ``working`` are the endpoints that
     may still work on a send of the request while it is sent to another one, ``relayed`` those of
-    them that another host sent it to. ``endpoint`` is the one that a stream comes from.
+    them that another host sent it to. ``beside`` counts the sends under way beside a silent one;
+    ``asks_reports`` tells whether they go only to engines that answer a call for their report.
+    ``endpoint`` is the one that a stream comes from.
     """
 
     service: str
@@ -54,8 +56,15 @@
     final: bool = False
     working: set[str] = field(default_factory=set)
     relayed: set[str] = field(default_factory=set)
+    beside: int = 0
+    asks_reports: bool = True
     endpoint: str = ""
 
+    @property
+    def works_elsewhere(self) -> bool:
+        """Whether an endpoint may be at work on the request, on this host or the one before it."""
+        return self.beside > 0 or (self.forwarded and bool(self.working))
+
     def record_event(self, event: StreamEvent, now: float) -> None:
         """Record an event that is passed on to the caller."""
         self.last_event_at = now
--- a/peridotdock/relay/replacing.py
+++ b/peridotdock/relay/replacing.py
@@ -2,7 +2,9 @@
 
 An endpoint that is silent for a second may be sound and go on. Its send is therefore kept open
 while the request is sent elsewhere, as the other endpoint, the hub or the retry budget may refuse
-it. The first one to answer is kept and the other send is ended.
+it. The first one to answer is kept and the other send is ended. An engine that has not refused the
+request soon after it was sent there has taken it: the silent send is then ended without an answer,
+so that two engines are not at work on one request.
 """
 
 import asyncio
@@ -29,6 +31,11 @@
 # sends elsewhere.
 CHECK_SECONDS = 0.25
 RETRY_SECONDS = 0.5
+# Seconds for which a request may be at two engines. One without room refuses it sooner.
+OVERLAP_SECONDS = 0.2
+# Seconds of a silence after which the request also goes to an engine that doesn't answer a call for
+# its report. The silent send is then ended at once: either engine may be gone.
+LONG_SILENCE_SECONDS = 1.8
 # Share of the time that is left at the head of a whole answer after which the answer counts as
 # silent, unless its body arrives so fast that it ends in time.
 BODY_SHARE = 0.5
@@ -88,7 +95,7 @@
     """Replaces one send of a request while its endpoint is silent.
 
     ``end_send`` ends that send. ``began`` is set once the request was sent elsewhere, ``found`` is
-    the answer to that.
+    the answer to that, ``handed_over`` is set if the silent send was ended before there was one.
     """
 
     def __init__(self, sends: Sends, silent: SilentSend, end_send: Callable[[], None]):
@@ -105,9 +112,18 @@
         self._fallback: CompleteAnswer | None = None
         # When the send elsewhere was written, None while no endpoint has it.
         self._written_at: float | None = None
+        self._overlap: asyncio.TimerHandle | None = None
+        # Whether the silence was long as the send elsewhere began.
+        self._is_long = False
         self.began = False
+        self.handed_over = False
         self.found: Answer | None = None
 
+    @property
+    def took_over(self) -> bool:
+        """Whether the silent send was ended, so that its outcome means nothing."""
+        return self.found is not None or self.handed_over
+
     def start_timer(self, seconds: float) -> None:
         """Replace the send if it has no answer after ``seconds``."""
         self._timer = asyncio.get_running_loop().call_later(seconds, self._on_timer)
@@ -164,6 +180,11 @@
             self._sends.record_silence(silent.state)
         # The silent send may run, and counts before the next one.
         silent.progress.maybe_ran += self._uncounted()
+        silent.progress.beside += 1
+        self._is_long = (
+            self._sends.ctx.clock.monotonic() >= self._silent_since + LONG_SILENCE_SECONDS
+        )
+        silent.progress.asks_reports = not self._is_long
         self.began = True
         self._set_working()
         self._caller = SendCaller(silent.caller, self)
@@ -199,6 +220,8 @@
             self._log("replacement_failed", "ERROR", f"{type(exc).__name__}: {exc}")
         finally:
             self._task = None
+            progress.beside -= 1
+            self._stop_overlap()
         if found is None or failed(found):
             caller.close()
             # What refused this send may serve a later one.
@@ -214,16 +237,39 @@
             self._log("replacement_failed", "INFO", f"{found.state.key}: {found.head.status}")
             return
         self.found = found
-        self._log("send_replaced", "INFO", f"by {found.state.key}{self._describe_overlap()}")
-        self._end_send()
+        if not self.handed_over:
+            self._log("send_replaced", "INFO", f"by {found.state.key}{self._describe_overlap()}")
+            self._end_send()
 
     def record_written(self) -> None:
         """Record that the send elsewhere is at an endpoint, beside the silent one."""
         self._written_at = self._sends.ctx.clock.monotonic()
+        self._stop_overlap()
+        if self._silent.req.head.inference is not None:
+            seconds = 0.0 if self._is_long else OVERLAP_SECONDS
+            self._overlap = asyncio.get_running_loop().call_later(seconds, self._hand_over)
 
     def record_failed(self) -> None:
         """Record that the send elsewhere is at no endpoint."""
         self._written_at = None
+        self._stop_overlap()
+
+    def _stop_overlap(self) -> None:
+        if self._overlap is not None:
+            self._overlap.cancel()
+        self._overlap = None
+
+    def _hand_over(self) -> None:
+        """End the silent send before there is an answer, as another engine has the request.
+
+        Failure guarded against: the other engine reads a long prompt or its report is late, and
+        both are at work on one request all the while.
+        """
+        if self._task is None or self._caller.is_disconnected():
+            return
+        self.handed_over = True
+        self._log("send_handed_over", "INFO", f"without an answer yet{self._describe_overlap()}")
+        self._end_send()
 
     def _describe_overlap(self) -> str:
         """Return for how long both sends were at an endpoint, as log details."""
@@ -257,6 +303,7 @@
         self._silent_since = None
 
     def _end(self) -> None:
+        self._stop_overlap()
         if self._task is not None:
             self._caller.end()
 
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -134,6 +134,7 @@
         opened = await wait_for(work, caller, remaining)
         if failed(opened):
             return opened
+        state.heard_at = self._clock.monotonic()
         head = self._wire.read_answer(opened.status, opened.headers)
         exchange.named = head.attempt_id
         if head.attempt_id in ("", req.id):
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -32,7 +32,12 @@
 from peridotdock.relay.forwarding import Forwarder, host_state
 from peridotdock.relay.item_waits import name_item
 from peridotdock.relay.progress import Origin, Progress
-from peridotdock.relay.replacing import FORWARDED_SILENCE_SECONDS, Replacement, SilentSend
+from peridotdock.relay.replacing import (
+    FORWARDED_SILENCE_SECONDS,
+    OVERLAP_SECONDS,
+    Replacement,
+    SilentSend,
+)
 from peridotdock.relay.requests import RelayRequest
 from peridotdock.relay.retry_budgets import RetryBudgets
 from peridotdock.relay.sending import NOT_RUN_KINDS, SUCCESS, PendingAnswer, Sender, wait_for
@@ -62,6 +67,8 @@
 NO_RETRY_SECONDS = 1.0
 # The answer to a request whose retry was left when it was decided, and none when it was to be sent.
 NO_RETRY_LEFT = Failure(Kind.OVERLOADED, "no retry left", NO_RETRY_SECONDS)
+# The failure of a send beside a silent one for which no other engine is known to work.
+NOT_ANSWERING = Failure(Kind.OVERLOADED, "the other engine is silent too", NO_RETRY_SECONDS)
 # The failure of an endpoint that is silent: it may run the request, or not.
 SILENT = loss_failure(RequestState.SENT, Loss.SILENCE)
 # The end of a stream that was begun at a software version that nobody knows.
@@ -220,9 +227,9 @@
             found = await self._read(req, caller, progress, found)
             if failed(found) and not caller.is_disconnected():
                 self._forwarder.record_lost(req, host.fact.host, found)
-        if replacement.found is not None:
+        if replacement.took_over:
             await self.discard(req, progress, found)
-            return await replacement.take()
+            return await replacement.take() or SILENT
         may_have_run = not failed(found) or found.may_have_run
         progress.maybe_ran += may_have_run - replacement.began
         if not replacement.began:
@@ -255,6 +262,7 @@
         """Record the seconds since the previous events of a stream; ``events`` arrived at once."""
         if state.is_host:
             return
+        state.heard_at = self.ctx.clock.monotonic()
         self.on_answered(state.key)
         self.fleet.record_event_gap(service, seconds / events)
         self.on_gap(service, state.key, seconds)
@@ -389,9 +397,10 @@
         if state is None:
             return Failure(Kind.ENDPOINT_UNREACHABLE, "gone meanwhile")
         valid_until = await self._check_software(req, caller, progress, state)
-        if failed(valid_until):
+        silence = await self._check_answering(req, caller, progress, state)
+        if failed(valid_until) or silence is not None:
             self._chooser.withdraw(prediction)
-            return valid_until
+            return valid_until if failed(valid_until) else silence
         if not self._retries.take(progress, req.id):
             self._chooser.withdraw(prediction)
             return NO_RETRY_LEFT
@@ -447,10 +456,10 @@
         found = sent if failed(sent) else await self._read(req, caller, progress, sent, confirm)
         if failed(found):
             caller.record_failed()
-        if replacement.found is not None:
-            # The other endpoint was first.
+        if replacement.took_over:
+            # The other endpoint was first, or has the request.
             await self.discard(req, progress, found)
-            return await replacement.take()
+            return await replacement.take() or SILENT
         if not replacement.began:
             self._retries.settle(progress, has_arrived(found))
         self._record_outcome(req, state, found, progress, replacement.began)
@@ -544,6 +553,26 @@
         named = target.running is Running.NAMED
         return target.asked_at + CHECKED_SECONDS if named else math.inf
 
+    async def _check_answering(
+        self, req: RelayRequest, caller: Caller, progress: Progress, state: EndpointState
+    ) -> Failure | None:
+        """Return why a request may not be sent to an engine beside a silent one, or None.
+
+        Failure guarded against: engines fall silent together, a request is sent from one to the
+        other, and the silent send is ended though it would have gone on first.
+        """
+        asks = progress.works_elsewhere and progress.asks_reports
+        if not asks or req.head.inference is None:
+            return None
+        found = await self._wait_unsent(self._starts.is_answering(state), req, caller)
+        if failed(found):
+            return found
+        if found:
+            return None
+        # Another one is chosen the next time.
+        progress.avoid.add(state.key)
+        return NOT_ANSWERING
+
     async def _check_origin(
         self, req: RelayRequest, caller: Caller, progress: Progress
     ) -> Failure | None:
@@ -633,7 +662,9 @@
             # The head of a forwarded answer tells the caller's host the version. A stream that goes
             # on has its events held back until then.
             waits = {source.check, caller.disconnected}
-            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            # The other host ends the silent send once it has the head.
+            seconds = OVERLAP_SECONDS if progress.forwarded and progress.working else None
+            await asyncio.wait(waits, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
             if caller.is_disconnected():
                 failure = loss_failure(RequestState.FIRST_BYTE, Loss.CALLER_GONE)
         if failure is None and confirm and source.is_of_another_start():
--- a/peridotdock/relay/streaming.py
+++ b/peridotdock/relay/streaming.py
@@ -101,7 +101,7 @@
                 else:
                     yield raw
             if outcome is not None:
-                if replacement.found is None:
+                if not replacement.took_over:
                     service.record_lost_stream(req, source, progress, outcome)
                 # The send elsewhere may go to this endpoint from now on.
                 service.fleet.request_ended(source.state, req.id, progress.service, complete=False)
@@ -168,10 +168,10 @@
         remaining = req.deadline - service.ctx.clock.monotonic()
         longest = FORWARDED_SILENCE_SECONDS if source.state.is_host else SILENCE_SECONDS
         failure = await source.fill(min(remaining, longest), send_elsewhere)
-        if replacement.found is not None:
+        if replacement.took_over:
             # The other answer goes on after the last event that was passed on, so events that the
             # replaced send delivered before it was ended must not follow it.
-            failure = failure or SILENT
+            failure = SILENT
         if failure is not None:
             yield failure
             return
--- a/tests/relay/test_overlapping_runs.py
+++ b/tests/relay/test_overlapping_runs.py
@@ -3,8 +3,9 @@
 import asyncio
 import unittest
 
-from tests.relay.deployment import Deployment
-from tests.relay.test_relay import ids
+from tests.relay.deployment import STREAM, Deployment
+from tests.relay.test_relay import ids, run
+from tests.relay.test_replacing import THREE_ENGINES
 from tests.relay.test_silence import ALL_EVENTS, ENGINES, begin_stream
 
 # Seconds after which the engine before may not work on a stream that goes on at another one.
@@ -15,6 +16,9 @@
 # Seconds between two events of an engine that is slow and not silent.
 EVENT_SECONDS = 0.3
 
+# Seconds for which two engines are silent together.
+SILENCE_SECONDS = 2.0
+
 # What a second engine takes its time with: its prompt, its reports and its events, in seconds.
 SLOW_SECONDS = (
     ("a long prompt", LONG_PROMPT_SECONDS, 0.0, 0.0),
@@ -24,6 +28,17 @@
 )
 
 
+async def begin_first(found):
+    """Begin a stream that stops half way at any engine; return its task and its engine."""
+    gate = asyncio.Event()
+    for engine in found.engines.values():
+        engine.halfway_event = gate
+    sent = asyncio.ensure_future(found.send("/recap/", "a1", model="m0"))
+    await found.until(lambda: any(row.runs for row in found.engines.values()))
+    await asyncio.sleep(0.1)
+    return sent, gate, next(row for row in found.engines.values() if row.runs)
+
+
 def slow_down(engine, prompt, report, event):
     engine.prompt_seconds, engine.delay_seconds = prompt, event
     engine.report_delay_seconds = report
@@ -71,3 +86,33 @@
         await found.until(lambda: first.disconnected)
         [before], [after] = first.runs, other.runs
         return before.ended_at - max(after.began_at, before.awake_since)
+
+    @run
+    async def test_a_stream_does_not_go_to_an_engine_that_is_silent_too(self):
+        """Nothing shows that such an engine would serve it sooner than the first one."""
+        async with Deployment(engines=ENGINES) as found:
+            sent, gate, first, other = await begin_stream(found)
+            freeze = asyncio.ensure_future(other.freeze(SILENCE_SECONDS + 0.2))
+            await asyncio.sleep(SILENCE_SECONDS)
+            gate.set()
+            status, _, body = await sent
+            await freeze
+            self.assertEqual((200, ALL_EVENTS), (status, ids(body) if status else body))
+            self.assertEqual([], other.executed)
+
+    @run
+    async def test_a_stream_whose_second_engine_ends_goes_on_at_a_third(self):
+        """The silent send may have been ended by then."""
+        async with Deployment(engines=THREE_ENGINES) as found:
+            found.configure(version=2, routes=[STREAM | {"max_attempts": 3}])
+            await found.until(lambda: found.hosts[0].request_handler.deployment.version == 2)
+            engines = list(found.engines.values())
+            sent, gate, first = await begin_first(found)
+            for engine in engines:
+                engine.halfway_event, engine.prompt_seconds = None, LONG_PROMPT_SECONDS
+            rest = [row for row in engines if row is not first]
+            await found.until(lambda: any(row.runs for row in rest))
+            await found.until(lambda: first.disconnected)
+            next(row for row in rest if row.runs).crash()
+            status, _, body = await sent
+            self.assertEqual((200, ALL_EVENTS), (status, ids(body) if status else body))
--- a/tests/relay/test_replacing.py
+++ b/tests/relay/test_replacing.py
@@ -15,6 +15,8 @@
 THREE_ENGINES = (*ENGINES, ("e3", ("m0",)))
 # Seconds between two events of an engine that goes on slowly.
 EVENT_SECONDS = 0.6
+# The same of one that goes on before its send is ended for the sake of the second one.
+PROMPT_EVENT_SECONDS = 0.08
 # The head of an answer and its first event.
 EVENT = b"id: 1\ndata: x 1\n\n"
 ONE_EVENT = (
@@ -84,7 +86,7 @@
             other.script = ["silent"]
             await found.until(lambda: other.executed)
             self.assertEqual({first.name}, progress[0].working)
-            first.delay_seconds = EVENT_SECONDS
+            first.delay_seconds = PROMPT_EVENT_SECONDS
             gate.set()
             await found.until(lambda: other.disconnected == ["a1"])
             self.assertFalse(sent.done())
