End a silent send with the head of another engine's answer

What callers saw: nothing. Cause: between the head of the second engine's answer and its first event for the caller the host asks that engine which start has sent it, for up to 0.4 s. If the silent engine goes on meanwhile, the second send was ended though it had begun, and the first worked on: the request had gone on at another engine while the one before worked on it.

The soak's check was wrong in two ways, and is replaced by one as strict. It took the arrival of a request for its beginning; by the protocol a run begins with the answer. Now counted: a run before that goes on 0.4 s after the other's answer has begun, whatever becomes of that one, and two engines that have the request for longer than that.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -241,8 +241,9 @@
                 EngineRun(
                     runner.name,
                     run.attempt,
-                    run.began_at - started_at,
+                    run.taken_at - started_at,
                     run.awake_since - started_at,
+                    run.began_at - started_at,
                     run.ended_at - started_at,
                 )
                 for run in runner.runs
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -253,13 +253,15 @@
 class EngineRun:
     """One run of an attempt at an engine, which was last frozen until ``awake_since``, if ever.
 
-    Times are in seconds since the start of the run.
+    ``taken_at`` is when the engine got the request, ``began_at`` when it wrote the head of its
+    answer, infinite if it didn't. Times are in seconds since the start of the soak's run.
     """
 
     engine: str
     attempt: str
-    began_at: float
+    taken_at: float
     awake_since: float
+    began_at: float
     ended_at: float
 
 
@@ -350,11 +352,13 @@
 def check_overlaps(record: Record) -> Iterable[str]:
     """A request went on at another engine while the one before worked on it for too long.
 
-    The time for which that engine was frozen doesn't count, nor do hosts disturbed shortly before.
+    That one may work on for some time after the other one's answer has begun, and both may have the
+    request for as long. The time for which the one before was frozen doesn't count, nor do hosts
+    disturbed shortly before.
     """
     attempts = {row.id: row for row in record.attempts}
     runs: dict[str, list[EngineRun]] = {}
-    for run in sorted(record.engine_runs, key=lambda run: run.began_at):
+    for run in sorted(record.engine_runs, key=lambda run: run.taken_at):
         runs.setdefault(run.attempt, []).append(run)
     for name, rows in runs.items():
         attempt = attempts.get(name)
@@ -363,11 +367,12 @@
         ):
             continue
         for before, after in itertools.combinations(rows, 2):
-            seconds = before.ended_at - max(after.began_at, before.awake_since)
+            both = min(before.ended_at, after.ended_at) - max(after.taken_at, before.awake_since)
+            seconds = max(both, before.ended_at - max(after.began_at, before.awake_since))
             if before.engine != after.engine and seconds > MAX_OVERLAP_SECONDS:
                 yield (
                     f"{name}: {before.engine} worked on for {seconds:.2f} s after"
-                    f" {after.engine} had begun at {after.began_at:.2f} s"
+                    f" {after.engine} had the request at {after.taken_at:.2f} s"
                 )
 
 
--- a/peridotdock/relay/caller.py
+++ b/peridotdock/relay/caller.py
@@ -55,6 +55,9 @@
     def record_written(self) -> None:
         """Record that the request is written to an endpoint's connection now."""
 
+    def record_answered(self) -> None:
+        """Record that the endpoint has begun to answer the request."""
+
     def record_failed(self) -> None:
         """Record that the endpoint has refused or lost the request, or never got it."""
 
@@ -76,6 +79,11 @@
         if self._watch is not None:
             self._watch.record_written()
 
+    def record_answered(self) -> None:
+        """Record that the endpoint has begun to answer the request."""
+        if self._watch is not None:
+            self._watch.record_answered()
+
     def record_failed(self) -> None:
         """Record that the endpoint has refused or lost the request, or never got it."""
         if self._watch is not None:
--- a/peridotdock/relay/replacing.py
+++ b/peridotdock/relay/replacing.py
@@ -2,9 +2,10 @@
 
 An endpoint that is silent for a second may be sound and go on. Its send is therefore kept open
 while the request is sent elsewhere, as the other endpoint, the hub or the retry budget may refuse
-it. The first one to answer is kept and the other send is ended. An engine that has not refused the
-request soon after it was sent there has taken it: the silent send is then ended without an answer,
-so that two engines are not at work on one request.
+it. The first one to answer is kept and the other send is ended. An engine begins to run a request
+with the head of its answer, and one that has not refused it soon after it was sent there has taken
+it: the silent send is then ended before there are events, so that two engines are not at work on
+one request.
 """
 
 import asyncio
@@ -249,6 +250,11 @@
             seconds = 0.0 if self._is_long else OVERLAP_SECONDS
             self._overlap = asyncio.get_running_loop().call_later(seconds, self._hand_over)
 
+    def record_answered(self) -> None:
+        """Record that another endpoint has begun to answer the request."""
+        if self._silent.req.head.inference is not None:
+            self._hand_over()
+
     def record_failed(self) -> None:
         """Record that the send elsewhere is at no endpoint."""
         self._written_at = None
@@ -260,15 +266,15 @@
         self._overlap = None
 
     def _hand_over(self) -> None:
-        """End the silent send before there is an answer, as another engine has the request.
+        """End the silent send before there are events, as another engine has the request.
 
         Failure guarded against: the other engine reads a long prompt or its report is late, and
         both are at work on one request all the while.
         """
-        if self._task is None or self._caller.is_disconnected():
+        if self._task is None or self._caller.is_disconnected() or self.handed_over:
             return
         self.handed_over = True
-        self._log("send_handed_over", "INFO", f"without an answer yet{self._describe_overlap()}")
+        self._log("send_handed_over", "INFO", f"without events yet{self._describe_overlap()}")
         self._end_send()
 
     def _describe_overlap(self) -> str:
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -452,6 +452,8 @@
         sent = await self._send(req, state, caller, resume, valid_until)
         if not failed(sent) and not begins_stream(req, sent):
             replacement.await_body(sent.opened.read_share)
+        elif not failed(sent):
+            caller.record_answered()
         confirm = valid_until < math.inf
         found = sent if failed(sent) else await self._read(req, caller, progress, sent, confirm)
         if failed(found):
