--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -133,10 +133,13 @@
         """Return the address of a listener of the host, as IP:PORT."""
         return f"127.0.0.1:{self.ports[listener]}"
 
-    def write_settings(self, store: str, seeds: list[str], **bounds: float) -> None:
+    def write_settings(
+        self, store: str, seeds: list[str], memory_mb: int | None = None, **bounds: float
+    ) -> None:
         """Write the settings file, which the process reads at each start.
 
-        ``bounds`` replace those of :data:`BOUNDS`.
+        ``memory_mb`` is the memory of the host's machine, ``bounds`` replace those of
+        :data:`BOUNDS`.
         """
         rows = [f'node_name = "{self.name}"', 'ip = "127.0.0.1"', 'zone = "north"']
         rows += [f"inner_ports = [{self.relay_port}, {self.relay_port}]"]
@@ -144,6 +147,7 @@
         rows += [f'{listener} = "{self.address(listener)}"' for listener in self.ports]
         rows += ["[platform]", f'address = "{store}"', "[bounds]"]
         rows += [f"{name} = {value}" for name, value in (BOUNDS | bounds).items()]
+        rows += ["[limits]", f"memory_mb = {memory_mb}"] if memory_mb is not None else []
         self._settings.write_text("\n".join(rows) + "\n")
 
     def start(self) -> None:
@@ -170,6 +174,16 @@
                 row = json.loads(line)
                 yield row["request"], row["detail"].removeprefix("to ").partition(",")[0]
 
+    @property
+    def pid(self) -> int:
+        """The id of the current process."""
+        return self._child.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the current process has not ended."""
+        return self._child.poll() is None
+
     def signal(self, number: int) -> None:
         """Send a signal to the process, if it is running."""
         if self._child is not None and self._child.poll() is None:
