Bound what connections hold of heads, trailers and requests ahead

What callers saw: the process ran out of memory and was ended. Cause: the HTTP parser keeps a head for as long as it comes, trailers are kept like headers, and all requests in what was read at once, up to 256 KB, became objects of some ten kilobytes each, though their answers waited. The bounds that stood were of bytes, and of bodies. Class: a bound in another unit than what it is to bound.

Change: one place, where bytes enter (Connection). 32 KB are read at a time and parsed 1 KB at a time; parsing stops behind 16 requests without an answer, and goes on as they are answered. What is no body of a request may be 48 KB long, or 16 KB more than the configuration allows for header fields, and 16 bytes for each byte of its body; beyond that the answer is 431.

--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -15,6 +15,7 @@
 from peridotdock.decisions.connectivity import LinkState
 from peridotdock.deployment import Deployment
 from peridotdock.errors import failed
+from peridotdock.input_memory import make_input_memory
 from peridotdock.jobs import Jobs
 from peridotdock.loop_iterations import find_iterations
 from peridotdock.relay.adapter import Adapter
@@ -283,7 +284,16 @@
         addresses += [address for address in (listen.relay, settings.metrics) if address]
         more = [(address.ip, address.port) for address in addresses]
         bodies = make_body_memory(ctx.clock, ctx.rng.random, settings.memory_bytes)
-        self.server = Server(app, listen.callers.ip, listen.callers.port, more, bodies)
+        inputs = make_input_memory(ctx.clock, settings.memory_bytes)
+        self.server = Server(
+            app,
+            listen.callers.ip,
+            listen.callers.port,
+            more,
+            bodies,
+            inputs,
+            lambda: self.request_handler.max_header_bytes,
+        )
 
     async def start(self) -> None:
         """Listen, and begin to follow the store and the other hosts."""
--- a/peridotdock/relay/request_handler.py
+++ b/peridotdock/relay/request_handler.py
@@ -64,6 +64,11 @@
         self.deployment: Deployment | None = None
         self.closed = False
 
+    @property
+    def max_header_bytes(self) -> int:
+        """Bytes of header fields that the configuration in force allows, 0 without one."""
+        return self.deployment.limits.max_header_bytes if self.deployment is not None else 0
+
     async def handle(self, request: Request) -> Response:
         """Check and relay one request, and return the response or a refusal."""
         head = self._wire.read_request(request.headers)
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -8,6 +8,7 @@
 import random
 import socket
 import termios
+from collections import deque
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -17,11 +18,13 @@
 import uvicorn
 from blacksheep import Application, Request, Response, Router
 from blacksheep.exceptions import MessageAborted
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from peridotdock.body_memory import BodyMemory, HeldBody
 from peridotdock.clock import SystemClock
 from peridotdock.errors import Failure, Kind
+from peridotdock.input_memory import FIELD_BYTES, REQUEST_BYTES, HeldInput, InputMemory
 from peridotdock.lingering import LingeringTransport
 from peridotdock.loop_iterations import ACCEPTS_PER_ITERATION, find_iterations
 
@@ -29,7 +32,17 @@
 # dropped and retransmitted after a second.
 BACKLOG = 1024
 KEEP_ALIVE_SECONDS = 30
+# Bytes of header fields that a caller may always send, and what its request line, its trailers and
+# the framing of its body may take beside what the configuration allows for header fields.
 MAX_HEADER_BYTES = 32 * 1024
+MORE_HEAD_BYTES = 16 * 1024
+# Bytes of framing that each byte of a body may have: chunks may be of any size.
+FRAMING_PER_BYTE = 16
+# Bytes that are read of a connection at a time, so that one turn of it at the loop is short.
+READ_BYTES = 32 * 1024
+# Bytes that are parsed at a time, unless they are known to be of a body. A request may be as short
+# as 18 bytes.
+PARSED_BYTES = 1024
 # Failure guarded against: a device on the network path drops the state of a connection, no byte
 # arrives any more, and the connection stays open forever. With these options the kernel probes idle
 # connections and closes one whose probes or data stay unacknowledged.
@@ -43,8 +56,10 @@
 )
 # Iterations of the loop from the one that sets a connection up to its first read.
 FIRST_READ_ITERATIONS = 1
-# Bytes that are read behind requests without an answer, so that the end of the connection is seen.
+# Bytes that are read behind requests without an answer, so that the end of the connection is seen,
+# and the requests among them.
 AHEAD_BYTES = 65536
+AHEAD_REQUESTS = 16
 # Key of a request's scope for the earliest monotonic time at which it can have arrived.
 ARRIVAL_KEY = "came"
 # Key of a request's scope for the function that ends its connection at once.
@@ -61,6 +76,16 @@
     b"connection: close\r\n\r\n"
 )
 
+# The answers to bytes that are no request, and to a head or trailers that are too long.
+INVALID_ANSWER = (
+    b"HTTP/1.1 400 Bad Request\r\ncontent-type: text/plain; charset=utf-8\r\n"
+    b"content-length: 30\r\nconnection: close\r\n\r\nInvalid HTTP request received."
+)
+TOO_LONG_ANSWER = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\ncontent-length: 0\r\n"
+    b"connection: close\r\n\r\n"
+)
+
 # Headers that tell where a request ends.
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # Errors of accept(2) when the process or the machine can open no more connections for now.
@@ -154,12 +179,47 @@
                 self._conn.in_second_head = False
 
 
+def read_length(headers: Iterable[tuple[bytes, bytes]]) -> int:
+    """Return the length that a request names for its body, 0 if it names none."""
+    values = [value for name, value in headers if name == b"content-length"]
+    return int(values[0]) if values and values[0].isdigit() else 0
+
+
 def write_framing(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
     """Return a request's head with nothing but what tells where the request ends."""
     rows = [b"%s: %s" % row for row in headers if row[0] in FRAMING_HEADERS]
     return b"\r\n".join([b"POST / HTTP/1.1", *rows, b"", b""])
 
 
+class HeldFlow(FlowControl):
+    """Flow control of a connection whose bytes may have been read and not parsed yet.
+
+    ``paused`` is set while no more bytes may be parsed; ``parse`` is called when they may be.
+    """
+
+    def __init__(self, transport: asyncio.Transport, parse: Callable[[], None]):
+        super().__init__(transport)
+        self._parse = parse
+        self.paused = False
+
+    def pause_reading(self) -> None:
+        """Read and parse no more bytes."""
+        self.paused = True
+        super().pause_reading()
+
+    def resume_reading(self) -> None:
+        """Parse what has been read, and read on once that is done."""
+        self.paused = False
+        self._parse()
+
+    def set_reading(self, reads: bool) -> None:
+        """Read on or not; what has been read comes first."""
+        if reads and not self.paused:
+            super().resume_reading()
+        else:
+            super().pause_reading()
+
+
 class Connection(HttpToolsProtocol):
     """A connection that knows when its requests can have arrived, and what it still has to send.
 
@@ -170,20 +230,37 @@
 
     # Whether answers from now on are the last ones of their connections.
     is_closing: Callable[[], bool]
+    # The most bytes of a head, of trailers, or of framing.
+    max_head_bytes: Callable[[], int]
 
-    def __init__(self, **arguments: Any):
+    def __init__(self, inputs: InputMemory, **arguments: Any):
         super().__init__(**arguments)
         self.parser = RequestParser(self)
         # Set while the parser reads a second head for a request that has begun.
         self.in_second_head = False
         self._bytes_ahead = 0
-        # What is wrong with the bytes behind the requests that are still to be answered.
-        self._invalid: str | None = None
+        # The answer to the bytes behind the requests that are still to be answered.
+        self._invalid: bytes | None = None
+        # What is read and not parsed yet.
+        self._unparsed = b""
+        self._parsing = False
+        # Bytes of the request that is being read, those of its body among them, and those of the
+        # body that are still to come, if it names its length.
+        self._message_bytes = 0
+        self._body_bytes = 0
+        self._body_left = 0
+        self._held = HeldInput(inputs, self._abort)
+        # What the head that is being read holds, and the heads of the requests without an answer.
+        self._head_size = 0
+        self._head_sizes: deque[int] = deque()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Record the earliest arrival of the connection, which its first request may share."""
+        transport.max_size = READ_BYTES
         self._linger = LingeringTransport(transport, self._disconnect_request)
         super().connection_made(self._linger)
+        self.flow = HeldFlow(self._linger, self._parse)
+        self._read_at = 0.0
         self._answering: RequestResponseCycle | None = None
         self._ending = False
         self._iterations = find_iterations()
@@ -193,20 +270,58 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the request under way too; the server tells only the last one of a pipeline."""
         self._disconnect_request()
+        self._unparsed = b""
+        self._held.release()
         super().connection_lost(exc)
 
+    def _abort(self) -> None:
+        """End the connection, and drop at once what it holds, as many may end together."""
+        self.transport.abort()
+        self._unparsed = b""
+        self.headers.clear()
+        self.pipeline.clear()
+
     def data_received(self, data: bytes) -> None:
         """Read requests, until the connection is closed or is to end; drop what comes then.
 
-        A request of which the head was read is read to its end. Nothing can be read behind invalid
-        bytes.
+        A request of which the head was read is read to its end.
         """
-        ends_now = self._ending and self.is_busy and not self.cycle.more_body
         if self._linger.lingers:
             self._linger.drop(data)
-        elif self._invalid is None and not ends_now:
-            super().data_received(data)
-            self._read_ahead(len(data))
+            return
+        if self._ending and self.is_busy and not self.cycle.more_body:
+            return
+        if not self._unparsed:
+            self._read_at = self._iterations.earliest_arrival()
+        self._unparsed += data
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parse what has been read, as far as it may be held; nothing behind invalid bytes.
+
+        Bytes are parsed a few at a time, as a few of them may be many requests.
+        """
+        if self._parsing:
+            return
+        self._parsing = True
+        while self._unparsed and not self.flow.paused and len(self.pipeline) <= AHEAD_REQUESTS:
+            if self.transport.is_closing() or self._invalid is not None:
+                self._unparsed = b""
+                break
+            size = max(PARSED_BYTES, self._body_left)
+            part, self._unparsed = self._unparsed[:size], self._unparsed[size:]
+            self._message_bytes += len(part)
+            super().data_received(part)
+            self._read_ahead(len(part))
+            self._check_length()
+        self._parsing = False
+        self.flow.set_reading(not self._unparsed)
+
+    def _check_length(self) -> None:
+        """End a connection that sends a head, trailers or framing without end."""
+        over = self._message_bytes - self._body_bytes - FRAMING_PER_BYTE * self._body_bytes
+        if over > self.max_head_bytes() and not self.transport.is_closing():
+            self._answer_invalid(TOO_LONG_ANSWER)
 
     def _read_ahead(self, size: int) -> None:
         """Go on reading behind a request without an answer, up to a limit.
@@ -215,10 +330,15 @@
         the one before has its answer, so its endpoint works on for nobody.
         """
         self._bytes_ahead = self._bytes_ahead + size if self.pipeline else 0
-        if 0 < self._bytes_ahead <= AHEAD_BYTES:
+        few = self._bytes_ahead <= AHEAD_BYTES and len(self.pipeline) <= AHEAD_REQUESTS
+        if self._bytes_ahead and few:
             self.flow.resume_reading()
 
     def send_400_response(self, msg: str) -> None:
+        """Answer bytes that are no request."""
+        self._answer_invalid(INVALID_ANSWER)
+
+    def _answer_invalid(self, answer: bytes) -> None:
         """Answer invalid bytes, once the requests before them have their answers.
 
         Failure guarded against: a request runs, and its caller gets the answer to what follows it.
@@ -228,19 +348,24 @@
         if in_body and cycle.response_started:
             self.transport.close()
         elif in_body or cycle is None or cycle.response_complete:
-            super().send_400_response(msg)
+            self._end_invalid(answer)
         else:
-            self._invalid = msg
+            self._invalid = answer
             if self.cycle.more_body:
                 # The newest request of the pipeline is the invalid one.
                 self.pipeline.popleft()
 
+    def _end_invalid(self, answer: bytes) -> None:
+        self.transport.write(answer)
+        self.transport.close()
+
     def on_response_complete(self) -> None:
         """Answer the next request of the pipeline, or the invalid bytes behind the last one."""
+        self._held.add(-self._head_sizes.popleft())
         super().on_response_complete()
         all_answered = self._answering is not None and self._answering.response_complete
         if self._invalid is not None and all_answered and not self.transport.is_closing():
-            super().send_400_response(self._invalid)
+            self._end_invalid(self._invalid)
 
     def on_message_begin(self) -> None:
         """Record the earliest arrival of the request in its scope.
@@ -252,11 +377,30 @@
             return
         super().on_message_begin()
         with_connection = self._iterations.count < self._after_first_read
-        self.scope[ARRIVAL_KEY] = (
-            self._arrived_at if with_connection else self._iterations.earliest_arrival()
-        )
+        self.scope[ARRIVAL_KEY] = self._arrived_at if with_connection else self._read_at
         self.scope[END_KEY] = self._end_soon
 
+    def on_url(self, url: bytes) -> None:
+        """Keep a part of the request's target."""
+        super().on_url(url)
+        self._hold(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header field, or a trailer field."""
+        super().on_header(name, value)
+        self._hold(FIELD_BYTES + len(name) + len(value))
+
+    def _hold(self, size: int) -> None:
+        """Count what is kept of the head that is being read."""
+        self._head_size += size
+        self._held.add(size)
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of a body."""
+        self._body_bytes += len(body)
+        self._body_left -= len(body)
+        super().on_body(body)
+
     def on_headers_complete(self) -> None:
         """Keep the connection for a request that comes while the one before it has no answer.
 
@@ -267,6 +411,11 @@
             return
         super().on_headers_complete()
         self.headers = []
+        if self.pipeline:
+            self._hold(REQUEST_BYTES)
+        self._head_sizes.append(self._head_size)
+        self._head_size = 0
+        self._body_left = read_length(self.scope["headers"])
         cycle = self._answering
         if self.pipeline and cycle is not None and not cycle.response_started:
             cycle.keep_alive = True
@@ -278,6 +427,8 @@
         """
         if self.parser.should_upgrade():
             return
+        self._held.add(-self._head_size)
+        self._head_size = self._message_bytes = self._body_bytes = self._body_left = 0
         self.cycle.more_body = False
         super().on_message_complete()
 
@@ -309,7 +460,8 @@
         Requests that were read behind that one get their answers first.
         """
         cycle = self._answering
-        if cycle is not None and not cycle.response_started and not self.pipeline:
+        behind = self.pipeline or self._unparsed
+        if cycle is not None and not cycle.response_started and not behind:
             cycle.keep_alive = False
 
     @property
@@ -329,8 +481,9 @@
 
     @property
     def has_unread(self) -> bool:
-        """Whether the caller has sent bytes that are not read yet, and may still be answered."""
-        return not self.transport.is_closing() and self._count_unread() > 0
+        """Whether the caller has sent bytes that are not parsed yet, and may still be answered."""
+        unread = bool(self._unparsed) or self._count_unread() > 0
+        return unread and not self.transport.is_closing()
 
     def _count_unread(self) -> int:
         """Return the number of bytes that have arrived and are not read yet."""
@@ -409,7 +562,8 @@
 class Server:
     """A server for an application on bound sockets; ``address`` is IP:PORT of the first.
 
-    ``bodies`` is the memory for the bodies of its requests.
+    ``bodies`` is the memory for the bodies of its requests, ``inputs`` that for their heads.
+    ``max_header_bytes`` returns how long the configuration lets heads be.
     """
 
     def __init__(
@@ -419,9 +573,13 @@
         port: int = 0,
         more_addresses: Iterable[tuple[str, int]] = (),
         bodies: BodyMemory | None = None,
+        inputs: InputMemory | None = None,
+        max_header_bytes: Callable[[], int] = lambda: 0,
     ):
         self.app = app
         self.bodies = bodies or BodyMemory(SystemClock(), random.random)
+        self._inputs = inputs or InputMemory(SystemClock())
+        self._max_header_bytes = max_header_bytes
         self._socks = [bind_socket(*address) for address in ((ip, port), *more_addresses)]
         self.address = "{}:{}".format(*self._socks[0].getsockname())
         self.url = f"http://{self.address}"
@@ -433,10 +591,14 @@
         self._adopting: set[asyncio.Task[None]] = set()
 
     def _connect(self, **arguments: Any) -> Connection:
-        connection = Connection(**arguments)
+        connection = Connection(self._inputs, **arguments)
         connection.is_closing = lambda: self._closing
+        connection.max_head_bytes = self._max_head_bytes
         return connection
 
+    def _max_head_bytes(self) -> int:
+        return max(MAX_HEADER_BYTES, self._max_header_bytes()) + MORE_HEAD_BYTES
+
     async def start(self) -> "Server":
         """Start the server; return once it accepts connections."""
         await self.app.start()
