Let those who are no hosts send 64 KB to the listener between hosts

What callers saw: nothing yet. Cause: a link may send frames of 20 MB, also before it has proved that it belongs to a host; eight such frames at once took a host over its memory (192 MB where 150 are allowed). Evidence: the last row of tests.test_unruly_clients.HostTest.test_a_host_bears_a_crowd failed before, and passes. A host's own hello is some hundred bytes; what it sends comes after the other side's proof, so the bound never meets it.

--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -11,7 +11,7 @@
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
-from websockets.asyncio.server import Server, serve
+from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
 from peridotdock.context import Context
@@ -59,6 +59,8 @@
 # Characters of an address that are logged if it is none.
 MAX_LOGGED_ADDRESS = 64
 HANDSHAKE_SECONDS = 3.0
+# Bytes that whoever has not proved to be a host may send: the head of a request and a hello.
+MAX_HANDSHAKE_BYTES = 64 * 1024
 FLUSH_SECONDS = 0.02
 # Upper bound on the flushes of a host per second over all links: with more links, each waits longer
 # and sends more facts at once.
@@ -87,6 +89,26 @@
 }
 
 
+class AcceptedConnection(ServerConnection):
+    """A connection that another host may have dialled; ``proved`` is set once it has shown that.
+
+    Failure guarded against: clients that are no hosts send frames as long as those of hosts.
+    """
+
+    def __init__(self, *args: Any, **options: Any):
+        super().__init__(*args, **options)
+        self.proved = False
+        self._early_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes, a few of them before the handshake."""
+        self._early_bytes += 0 if self.proved else len(data)
+        if self._early_bytes > MAX_HANDSHAKE_BYTES:
+            self.transport.abort()
+        else:
+            super().data_received(data)
+
+
 class Mesh:
     """All links of this host.
 
@@ -133,7 +155,13 @@
     async def start(self) -> None:
         """Listen for links from other hosts."""
         cfg = self._ctx.cfg
-        self._server = await serve(self._accept, cfg.peer_ip, cfg.peer_port, **LINK_OPTIONS)
+        self._server = await serve(
+            self._accept,
+            cfg.peer_ip,
+            cfg.peer_port,
+            create_connection=AcceptedConnection,
+            **LINK_OPTIONS,
+        )
         ip, port = next(iter(self._server.sockets)).getsockname()[:2]
         self.address = f"{ip}:{port}"
 
@@ -237,19 +265,19 @@
         finally:
             self._dialling.discard(address)
 
-    async def _accept(self, conn: Connection) -> None:
+    async def _accept(self, conn: AcceptedConnection) -> None:
         if len(self._links) >= MAX_LINKS:
             return
         try:
-            peer = await self._greet(conn, dialled=False)
+            peer = await asyncio.wait_for(self._greet(conn), HANDSHAKE_SECONDS)
             await self._run(conn, peer, dialled=False)
         except (OSError, WebSocketException, TimeoutError):
             return
 
-    async def _greet(self, conn: Connection, dialled: bool) -> Hello | Failure:
-        return await asyncio.wait_for(
-            perform_handshake(self._ctx, conn, dialled), HANDSHAKE_SECONDS
-        )
+    async def _greet(self, conn: AcceptedConnection) -> Hello | Failure:
+        peer = await perform_handshake(self._ctx, conn, dialled=False)
+        conn.proved = not failed(peer)
+        return peer
 
     async def _run(
         self, conn: Connection, peer: Hello | Failure, dialled: bool, address: str = ""
