Ask the next engine at once where one doesn't answer a call for its report

What callers would see: a stream on a dead connection goes on half a second later for each engine that is silent too. Cause: the second send was given up until its next try at the first engine without a report. Found by reading the mend anew; a silent send that was ended could also begin a second replacement before its relay had noticed, which is ruled out as well. Evidence: the test of three engines passes; without this change the stream goes on a try later.

--- a/peridotdock/relay/replacing.py
+++ b/peridotdock/relay/replacing.py
@@ -161,7 +161,7 @@
     def try_now(self) -> None:
         """Send the request elsewhere, unless that is under way or not possible at present."""
         now = self._sends.ctx.clock.monotonic()
-        if self._task is not None or self.found is not None or now < self._next_try_at:
+        if self._task is not None or self.took_over or now < self._next_try_at:
             return
         if self._silent_since is None:
             self._silent_since = now
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -571,9 +571,11 @@
             return found
         if found:
             return None
-        # Another one is chosen the next time.
+        if state.key in progress.avoid:
+            return NOT_ANSWERING
+        # Another one is chosen now, if there is one.
         progress.avoid.add(state.key)
-        return NOT_ANSWERING
+        return Failure(Kind.ENDPOINT_UNREACHABLE, "no report")
 
     async def _check_origin(
         self, req: RelayRequest, caller: Caller, progress: Progress
--- a/tests/relay/test_overlapping_runs.py
+++ b/tests/relay/test_overlapping_runs.py
@@ -132,3 +132,16 @@
             first.delay_seconds = 0.0
             gate.set()
             self.assertLess(await self._finish(found, sent, first, other), MAX_OVERLAP_SECONDS)
+
+    @run
+    async def test_a_stream_passes_over_engines_that_are_silent_too(self):
+        """The third one is asked at once, not after the next pause."""
+        async with Deployment(engines=THREE_ENGINES) as found:
+            sent, gate, first = await begin_first(found)
+            rest = [row for row in found.engines.values() if row is not first]
+            rest[1].halfway_event = None
+            freeze = asyncio.ensure_future(rest[0].freeze(SILENCE_SECONDS + 1.0))
+            status, _, body = await sent
+            self.assertEqual((200, ALL_EVENTS), (status, ids(body) if status else body))
+            self.assertEqual([], rest[0].executed)
+            await freeze
