Show that idle connections take up all descriptors of a host

What callers saw: with as many connections open as the machine has descriptors, no further one is accepted.

--- a/extras/soak/deployment.py
+++ b/extras/soak/deployment.py
@@ -134,12 +134,15 @@
         return f"127.0.0.1:{self.ports[listener]}"
 
     def write_settings(
-        self, store: str, seeds: list[str], memory_mb: int | None = None, **bounds: float
+        self,
+        store: str,
+        seeds: list[str],
+        limits: Mapping[str, int] | None = None,
+        **bounds: float,
     ) -> None:
         """Write the settings file, which the process reads at each start.
 
-        ``memory_mb`` is the memory of the host's machine, ``bounds`` replace those of
-        :data:`BOUNDS`.
+        ``limits`` are those of the host's machine, ``bounds`` replace those of :data:`BOUNDS`.
         """
         rows = [f'node_name = "{self.name}"', 'ip = "127.0.0.1"', 'zone = "north"']
         rows += [f"inner_ports = [{self.relay_port}, {self.relay_port}]"]
@@ -147,7 +150,7 @@
         rows += [f'{listener} = "{self.address(listener)}"' for listener in self.ports]
         rows += ["[platform]", f'address = "{store}"', "[bounds]"]
         rows += [f"{name} = {value}" for name, value in (BOUNDS | bounds).items()]
-        rows += ["[limits]", f"memory_mb = {memory_mb}"] if memory_mb is not None else []
+        rows += ["[limits]", *(f"{name} = {value}" for name, value in (limits or {}).items())]
         self._settings.write_text("\n".join(rows) + "\n")
 
     def start(self) -> None:
--- a/tests/test_unruly_clients.py
+++ b/tests/test_unruly_clients.py
@@ -27,6 +27,8 @@
 MEMORY_MB = 150
 # Descriptors that a process may have open beside the crowd's connections.
 OTHER_DESCRIPTORS = 100
+# The descriptors that a host's machine has.
+MAX_DESCRIPTORS = 200
 CONNECTIONS = 8
 MANY_CONNECTIONS = 300
 MB = 1_000_000
@@ -67,7 +69,11 @@
 CROWDS = (
     ("a header line without end", "front", HEADER_LINE),
     ("header lines without end", "front", HEADER_LINES),
-    ("many heads of short lines, not ended", "front", Crowd(POST, b"a:\r\n", 16_000, 300)),
+    (
+        "many heads of short lines, not ended",
+        "front",
+        Crowd(POST, b"a:\r\n", 16_000, MANY_CONNECTIONS),
+    ),
     ("a path without end", "front", Crowd(b"GET /", b"a", 24 * MB)),
     ("a trailer line without end", "front", Crowd(CHUNKED + b"0\r\nx: ", b"a", 24 * MB)),
     ("trailer lines without end", "front", Crowd(CHUNKED + b"0\r\n", b"x: a\r\n", 6 * MB)),
@@ -76,7 +82,7 @@
     ("requests ahead with id and deadline", "front", Crowd(b"", WITH_ID, MB)),
     ("requests ahead that expect a 100", "front", Crowd(b"", EXPECTS, MB)),
     ("requests ahead with long bodies", "front", Crowd(b"", WITH_BODY, 24 * MB)),
-    ("requests ahead on many connections", "front", Crowd(b"", NO_ID, 8000, 300)),
+    ("requests ahead on many connections", "front", Crowd(b"", NO_ID, 8000, MANY_CONNECTIONS)),
     ("bodies in chunks of one byte", "front", Crowd(CHUNKED, b"1\r\nx\r\n", 6 * MB)),
     ("a header line without end", "ready", HEADER_LINE),
     ("requests ahead", "ready", Crowd(b"", b"GET /v1/ready HTTP/1.1\r\nhost: a\r\n\r\n", MB // 2)),
@@ -95,6 +101,18 @@
     ("a chunk extension", Crowd(CHUNKED + b"1;", b"a", 40 * MB)),
     ("zeros of a chunk's size", Crowd(CHUNKED, b"0", 40 * MB)),
 )
+# More connections than a host may have descriptors.
+IDLE = Crowd(b"", b"x", 0, MANY_CONNECTIONS)
+CONNECTED = (
+    ("that send nothing", "front", IDLE),
+    ("with half a head", "front", Crowd(POST, b"x", 0, MANY_CONNECTIONS)),
+    ("that are kept after an answer", "front", Crowd(WITH_ID, b"x", 0, MANY_CONNECTIONS)),
+    ("that send nothing", "ready", IDLE),
+    ("that send nothing", "directory", IDLE),
+    ("that send nothing", "relay", IDLE),
+    ("that send nothing", "control", IDLE),
+    ("without a handshake", "control", Crowd(LINK_HEAD, b"x", 0, MANY_CONNECTIONS)),
+)
 OWN_CROWDS = (
     ("a header line without end", Crowd(b"GET / HTTP/1.1\r\nx: ", b"a", 24 * MB)),
     ("trailer lines without end", Crowd(CHUNKED + b"0\r\n", b"x: a\r\n", 6 * MB)),
@@ -162,21 +180,27 @@
         clients = asyncio.run(self._play("front", crowd))
         self.assertFalse(any(client.sent_all for client in clients))
 
-    async def _play(self, listener, crowd):
+    @params(*CONNECTED)
+    def test_a_host_has_descriptors_left_under_connections(self, name, listener, crowd):
+        asyncio.run(self._play(listener, crowd, MAX_DESCRIPTORS))
+
+    async def _play(self, listener, crowd, descriptors=0):
         with tempfile.TemporaryDirectory() as folder:
             store = await TableStandin().start()
             page = await RunnerStandin("p1").start()
             store.put("servers", "p1", page.entry("pages"))
             store.put("op", "config", json.dumps(CONFIG).encode())
             host = HostProcess("h0", Path(folder))
-            host.write_settings(store.address, [], memory_mb=MEMORY_MB)
+            limits = {"memory_mb": MEMORY_MB, "max_fds": descriptors or 4100}
+            host.write_settings(store.address, [], limits)
             host.start()
             try:
                 await self._send_ordinary(host, "before")
                 address = f"127.0.0.1:{host.relay_port}"
                 address = address if listener == "relay" else host.address(listener)
                 clients = await play(crowd, address)
-                await self._check(host, crowd)
+                descriptors = descriptors or crowd.connections + OTHER_DESCRIPTORS
+                await self._check(host, descriptors)
                 for client in clients:
                     client.close()
                 await self._send_ordinary(host, "after")
@@ -188,12 +212,12 @@
                 await page.stop()
                 await store.stop()
 
-    async def _check(self, host, crowd):
+    async def _check(self, host, descriptors):
         """Check a host while the crowd keeps its connections."""
         self.assertTrue(host.is_running)
         await self._send_ordinary(host, "amid")
         self.assertLess(read_peak_mb(host.pid), MEMORY_MB)
-        self.assertLess(count_descriptors(host.pid), crowd.connections + OTHER_DESCRIPTORS)
+        self.assertLess(count_descriptors(host.pid), descriptors)
 
     async def _send_ordinary(self, host, attempt):
         """Send a request until it is answered with success."""
