End the longest idle connection where callers hold too many

What callers saw: with as many connections open as the machine has descriptors, no further one is accepted. Cause: connections were kept for as long as their callers kept them, also those that had never sent a request, and max_fds of the settings was not read. Links that have not proved to be of a host may have a tenth.

--- a/peridotdock/mesh.py
+++ b/peridotdock/mesh.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Coroutine, Iterable
+from functools import partial
 from typing import Any
 
 from websockets.asyncio.client import connect
@@ -15,6 +16,7 @@
 from websockets.exceptions import WebSocketException
 
 from peridotdock.context import Context
+from peridotdock.descriptors import count_unproved, read_descriptors
 from peridotdock.errors import Failure, failed
 from peridotdock.fact_table import TOPICS, FactTable, Slot
 from peridotdock.frames import (
@@ -92,14 +94,32 @@
 class AcceptedConnection(ServerConnection):
     """A connection that another host may have dialled; ``proved`` is set once it has shown that.
 
-    Failure guarded against: clients that are no hosts send frames as long as those of hosts.
+    ``unproved`` are the connections that have not yet, oldest first.
+    Failures guarded against: clients that are no hosts send frames as long as those of hosts, or
+    open connections until no descriptor is left.
     """
 
-    def __init__(self, *args: Any, **options: Any):
+    def __init__(self, *args: Any, unproved: "Unproved", **options: Any):
         super().__init__(*args, **options)
         self.proved = False
+        self._unproved = unproved
         self._early_bytes = 0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take a new connection; the oldest one without a proof may end for it."""
+        super().connection_made(transport)
+        self._unproved.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self._unproved.remove(self)
+        super().connection_lost(exc)
+
+    def record_proof(self) -> None:
+        """Record that another host is at the other end."""
+        self.proved = True
+        self._unproved.remove(self)
+
     def data_received(self, data: bytes) -> None:
         """Take bytes, a few of them before the handshake."""
         self._early_bytes += 0 if self.proved else len(data)
@@ -109,6 +129,26 @@
             super().data_received(data)
 
 
+class Unproved:
+    """Connections that have not proved to be links of other hosts, ``limit`` at most."""
+
+    def __init__(self, limit: float):
+        self.limit = limit
+        self._rows: dict[AcceptedConnection, None] = {}
+
+    def add(self, conn: AcceptedConnection) -> None:
+        """Add a connection; end the oldest one over the limit."""
+        self._rows[conn] = None
+        if len(self._rows) > self.limit:
+            oldest = next(iter(self._rows))
+            self.remove(oldest)
+            oldest.transport.abort()
+
+    def remove(self, conn: AcceptedConnection) -> None:
+        """Remove a connection that has ended or proved itself."""
+        self._rows.pop(conn, None)
+
+
 class Mesh:
     """All links of this host.
 
@@ -138,6 +178,7 @@
         self.on_permit: Callable[[str, PermitFrame], None] = lambda host, frame: None
         self.on_trial: Callable[[str, TrialFrame], None] = lambda host, frame: None
         self.on_stream: Callable[[str, StreamFrame], None] = lambda host, frame: None
+        self.unproved = Unproved(count_unproved(read_descriptors()))
         self._links: set[Link] = set()
         self._dialling: set[str] = set()
         self._bytes_in = ctx.metrics.peer_bytes.labels("in")
@@ -159,7 +200,7 @@
             self._accept,
             cfg.peer_ip,
             cfg.peer_port,
-            create_connection=AcceptedConnection,
+            create_connection=partial(AcceptedConnection, unproved=self.unproved),
             **LINK_OPTIONS,
         )
         ip, port = next(iter(self._server.sockets)).getsockname()[:2]
@@ -276,7 +317,8 @@
 
     async def _greet(self, conn: AcceptedConnection) -> Hello | Failure:
         peer = await perform_handshake(self._ctx, conn, dialled=False)
-        conn.proved = not failed(peer)
+        if not failed(peer):
+            conn.record_proof()
         return peer
 
     async def _run(
--- a/peridotdock/platform/settings.py
+++ b/peridotdock/platform/settings.py
@@ -48,13 +48,15 @@
 
 
 def decode_machine(raw: Mapping[str, Any]) -> dict[str, float]:
-    """Return the capacity of the machine's link, processor and memory, as far as the file has it.
+    """Return what the machine has of link, processor, memory and descriptors, as the file says.
 
     The result's ``cores`` is the file's ``cpu_share`` times its ``cores``.
     """
     found = {}
     if "memory_mb" in raw:
         found["memory_bytes"] = int(float(raw["memory_mb"]) * 1_000_000)
+    if "max_fds" in raw:
+        found["descriptors"] = int(raw["max_fds"])
     if "link_mbps" in raw:
         found["link_mbps"] = float(raw["link_mbps"])
         found["cores"] = float(raw.get("cpu_share", 1.0)) * float(raw.get("cores", 1))
--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -14,6 +14,7 @@
 from peridotdock.context import Context
 from peridotdock.decisions.connectivity import LinkState
 from peridotdock.deployment import Deployment
+from peridotdock.descriptors import count_connections, count_unproved
 from peridotdock.errors import failed
 from peridotdock.input_memory import make_input_memory
 from peridotdock.jobs import Jobs
@@ -284,6 +285,7 @@
         addresses += [address for address in (listen.relay, settings.metrics) if address]
         more = [(address.ip, address.port) for address in addresses]
         bodies = make_body_memory(ctx.clock, ctx.rng.random, settings.memory_bytes)
+        self.peers.mesh.unproved.limit = count_unproved(settings.descriptors)
         inputs = make_input_memory(ctx.clock, settings.memory_bytes)
         self.server = Server(
             app,
@@ -293,6 +295,7 @@
             bodies,
             inputs,
             lambda: self.request_handler.max_header_bytes,
+            count_connections(settings.descriptors),
         )
 
     async def start(self) -> None:
--- a/peridotdock/relay/settings.py
+++ b/peridotdock/relay/settings.py
@@ -10,8 +10,9 @@
 # Minimum link and cores of a hub; slower links are left to callers' traffic.
 HUB_MIN_LINK_MBPS = 50.0
 HUB_MIN_CORES = 1.0
-# Memory of a host whose settings name none.
+# Memory and descriptors of a host whose settings name none.
 DEFAULT_MEMORY_BYTES = 300_000_000
+DEFAULT_DESCRIPTORS = 4100
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +82,8 @@
 class HostSettings:
     """All settings of one relaying host; ``cores`` is its number of processor cores.
 
-    ``memory_bytes`` is how much memory its process may use.
+    ``memory_bytes`` is how much memory its process may use, ``descriptors`` how many it may have
+    open.
 
     ``first_start`` is true if no host of the deployment has served before.
     """
@@ -96,6 +98,7 @@
     link_mbps: float = HUB_MIN_LINK_MBPS
     cores: float = 1.0
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    descriptors: int = DEFAULT_DESCRIPTORS
     first_start: bool = True
 
     @property
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -23,6 +23,7 @@
 
 from peridotdock.body_memory import BodyMemory, HeldBody
 from peridotdock.clock import SystemClock
+from peridotdock.descriptors import count_connections, read_descriptors
 from peridotdock.errors import Failure, Kind
 from peridotdock.input_memory import FIELD_BYTES, REQUEST_BYTES, HeldInput, InputMemory
 from peridotdock.lingering import LingeringTransport
@@ -232,6 +233,8 @@
     is_closing: Callable[[], bool]
     # The most bytes of a head, of trailers, or of framing.
     max_head_bytes: Callable[[], int]
+    # The connections of the server that may be ended, this one among them while it is idle.
+    idle: "IdleConnections"
 
     def __init__(self, inputs: InputMemory, **arguments: Any):
         super().__init__(**arguments)
@@ -266,10 +269,12 @@
         self._iterations = find_iterations()
         self._arrived_at = self._iterations.count_accept()
         self._after_first_read = self._iterations.count + FIRST_READ_ITERATIONS + 1
+        self.idle.add_new(self, len(self.connections))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the request under way too; the server tells only the last one of a pipeline."""
         self._disconnect_request()
+        self.idle.remove(self)
         self._unparsed = b""
         self._held.release()
         super().connection_lost(exc)
@@ -363,6 +368,8 @@
         """Answer the next request of the pipeline, or the invalid bytes behind the last one."""
         self._held.add(-self._head_sizes.popleft())
         super().on_response_complete()
+        if not self.is_busy and not self.transport.is_closing():
+            self.idle.add(self)
         all_answered = self._answering is not None and self._answering.response_complete
         if self._invalid is not None and all_answered and not self.transport.is_closing():
             self._end_invalid(self._invalid)
@@ -410,6 +417,7 @@
         if self.in_second_head:
             return
         super().on_headers_complete()
+        self.idle.remove(self)
         self.headers = []
         if self.pipeline:
             self._hold(REQUEST_BYTES)
@@ -520,6 +528,33 @@
             self.transport.close()
 
 
+class IdleConnections:
+    """The connections of a server without a request under way, longest idle first.
+
+    One that has sent part of a head is idle. ``limit`` is the most connections, idle or not.
+    """
+
+    def __init__(self, limit: float):
+        self._limit = limit
+        self._rows: dict[Connection, None] = {}
+
+    def add_new(self, connection: Connection, count: int) -> None:
+        """Add a new connection, the last of ``count``; end the longest idle one over the limit."""
+        self.add(connection)
+        if count > self._limit:
+            longest = next(iter(self._rows))
+            self.remove(longest)
+            longest.transport.abort()
+
+    def add(self, connection: Connection) -> None:
+        """Add a connection that is idle from now on."""
+        self._rows[connection] = None
+
+    def remove(self, connection: Connection) -> None:
+        """Remove a connection that is idle no more."""
+        self._rows.pop(connection, None)
+
+
 def bind_socket(ip: str, port: int) -> socket.socket:
     """Return a bound socket whose connections detect a dead peer."""
     sock = socket.socket()
@@ -563,7 +598,8 @@
     """A server for an application on bound sockets; ``address`` is IP:PORT of the first.
 
     ``bodies`` is the memory for the bodies of its requests, ``inputs`` that for their heads.
-    ``max_header_bytes`` returns how long the configuration lets heads be.
+    ``max_header_bytes`` returns how long the configuration lets heads be. Of more connections than
+    ``max_connections`` the longest idle ones are ended.
     """
 
     def __init__(
@@ -575,11 +611,13 @@
         bodies: BodyMemory | None = None,
         inputs: InputMemory | None = None,
         max_header_bytes: Callable[[], int] = lambda: 0,
+        max_connections: float | None = None,
     ):
         self.app = app
         self.bodies = bodies or BodyMemory(SystemClock(), random.random)
         self._inputs = inputs or InputMemory(SystemClock())
         self._max_header_bytes = max_header_bytes
+        self._idle = IdleConnections(max_connections or count_connections(read_descriptors()))
         self._socks = [bind_socket(*address) for address in ((ip, port), *more_addresses)]
         self.address = "{}:{}".format(*self._socks[0].getsockname())
         self.url = f"http://{self.address}"
@@ -594,6 +632,7 @@
         connection = Connection(self._inputs, **arguments)
         connection.is_closing = lambda: self._closing
         connection.max_head_bytes = self._max_head_bytes
+        connection.idle = self._idle
         return connection
 
     def _max_head_bytes(self) -> int:
--- a/tests/test_input_limits.py
+++ b/tests/test_input_limits.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from blacksheep import Content, Request, Response
 from nose2.tools import params
 
 from peridotdock.input_memory import FREE_BYTES, HeldInput, InputMemory
+from peridotdock.mesh import Unproved
 from peridotdock.serving import (
     MAX_HEADER_BYTES,
     MORE_HEAD_BYTES,
+    IdleConnections,
     Server,
     add_route,
     make_application,
@@ -128,3 +131,33 @@
             held.add(-20_000)
             held.release()
         self.assertEqual(([], 0), (self.ended, self.memory.held_bytes))
+
+
+class ConnectionCountTest(unittest.TestCase):
+    """Guards against idle connections that leave no descriptor for others."""
+
+    @params(
+        ("room for all", 3, [], []),
+        ("the longest idle one ends", 2, [], [0]),
+        ("one with a request under way stays", 2, [0], [1]),
+        ("a new one ends if none is idle", 2, [0, 1], [2]),
+    )
+    def test_who_is_ended(self, name, limit, busy, ended):
+        idle = IdleConnections(limit)
+        rows = [mock.Mock() for _ in range(3)]
+        for number, row in enumerate(rows[:2]):
+            idle.add_new(row, number + 1)
+        for number in busy:
+            idle.remove(rows[number])
+        idle.add_new(rows[2], 3)
+        found = [number for number, row in enumerate(rows) if row.transport.abort.called]
+        self.assertEqual(ended, found, name)
+
+    def test_those_who_are_no_hosts_end_first_to_last(self):
+        unproved, rows = Unproved(2), [mock.Mock() for _ in range(4)]
+        for row in rows[:2]:
+            unproved.add(row)
+        unproved.remove(rows[0])
+        for row in rows[2:]:
+            unproved.add(row)
+        self.assertEqual([False, True, False, False], [r.transport.abort.called for r in rows])
