Let an answer end its connection though more of its body was read

What callers saw: a stopping host's early answer to a long body didn't say that its connection ends, and the caller waited for its end. Cause, of: bytes that are read and not parsed yet counted as requests behind the one that is answered; they may be its own body. What follows a head in the same read is parsed before the answer begins, so it is decided then. Mutants fit the sources again; they were not run.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -246,7 +246,7 @@
     Mutant(
         "answers of a stopping host end their connections",
         "serving.py",
-        "if cycle is not None and not cycle.response_started and not self.pipeline:",
+        "if not self.pipeline and (reads_body or not self._unparsed):",
         "if False:",
         "tests.relay.test_planned_stop.AnnouncedTest",
     ),
@@ -492,8 +492,8 @@
     Mutant(
         "a prompt part: blocked while a request connects",
         "relay/service.py",
-        "return state.accepts_requests() and not late and self.blocklist.refusal(req) is None",
-        "return state.accepts_requests() and not late",
+        "wanted = not late and state.accepts_requests() and self.blocklist.refusal(req) is None",
+        "wanted = not late and state.accepts_requests()",
         "tests.relay.test_prompt_parts.SendingTest",
     ),
     Mutant(
@@ -724,8 +724,8 @@
     Mutant(
         "a send is replaced once another one has answered",
         "relay/replacing.py",
-        "        self._end_send()\n",
-        "        self.found = None\n",
+        "            self._end_send()\n",
+        "            self.found = None\n",
         "tests.relay.test_silence.DeadConnectionTest",
     ),
     Mutant(
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -449,9 +449,10 @@
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         self._answering = cycle
-        super()._start_asgi_task(cycle, app)
         if self._ending or self.is_closing():
-            self.end_with_answer()
+            # What was read with the head is parsed by then, and the answer has not begun.
+            self.loop.call_soon(self.end_with_answer)
+        super()._start_asgi_task(cycle, app)
 
     def _end_soon(self) -> None:
         """End the connection with the last answer to what was read, and read no more requests.
@@ -468,8 +469,10 @@
         Requests that were read behind that one get their answers first.
         """
         cycle = self._answering
-        behind = self.pipeline or self._unparsed
-        if cycle is not None and not cycle.response_started and not behind:
+        if cycle is None or cycle.response_started:
+            return
+        reads_body = cycle is self.cycle and cycle.more_body
+        if not self.pipeline and (reads_body or not self._unparsed):
             cycle.keep_alive = False
 
     @property
