--- a/review/lib2/caller.py
+++ b/review/lib2/caller.py
@@ -33,13 +33,15 @@
         return [int(row[4:]) for row in rows if row.startswith(b"id: ")]
 
 
-def make_head(path: str, attempt: str, deadline_ms: int, headers: dict[str, str]) -> bytes:
-    """Return the bytes of a request without a body."""
+def make_head(
+    path: str, attempt: str, deadline_ms: int, headers: dict[str, str], length: int
+) -> bytes:
+    """Return the head of a request with a body of ``length`` bytes."""
     rows = {
         "host": "shop.example",
         "x-attempt-id": attempt,
         "x-deadline-ms": str(deadline_ms),
-        "content-length": "0",
+        "content-length": str(length),
     } | headers
     text = "".join(f"{name}: {value}\r\n" for name, value in rows.items())
     return f"POST {path} HTTP/1.1\r\n{text}\r\n".encode()
@@ -92,6 +94,7 @@
     deadline_ms: int = 15_000,
     gap_seconds: float = 15.0,
     leaves: asyncio.Event | None = None,
+    body: bytes = b"",
 ) -> Answer:
     """Send a request on a new connection and read its answer.
 
@@ -105,7 +108,7 @@
         return Answer(attempt)
     raw, how = b"", ""
     try:
-        writer.write(make_head(path, attempt, deadline_ms, headers))
+        writer.write(make_head(path, attempt, deadline_ms, headers, len(body)) + body)
         while not how and not parse(attempt, raw).whole:
             async with asyncio.timeout(gap_seconds):
                 part = await reader.read(65536)
