--- a/review/lib2/hosts.py
+++ b/review/lib2/hosts.py
@@ -111,6 +111,11 @@
                 command.split(), cwd=ROOT, env=env, stdout=log, stderr=log
             )
 
+    @property
+    def pid(self) -> int:
+        """The id of the process."""
+        return self._child.pid if self._child is not None else 0
+
     def signal(self, number: int) -> None:
         """Send a signal to the process, if it runs."""
         if self._child is not None and self._child.poll() is None:
