Tell the hub of streams while a service has one software version

Cause: a host told the hub of its streams only while a service had several versions. One that is out of touch when the second version comes can't tell any more, and the hub may not guess: a host that stands still can't be told from one that serves on behind a cut, at the new version. Ruled out: the words of callers (ids name no version), the time of an engine's entry (the host out of touch may have read it).

Change: hosts tell the hub of all streams, with one version in the periodic turn alone; the hub passes on what it is told to the host that would replace it. Nothing more is written to the store. A full table evicts its oldest streams, and the hub takes no unknown stream for an old one from then on; before, it dropped new streams and could take them for old ones.

Tests: StandingTest (a host, the hub, a host while the hub is lost) failed in 3 of 3 rows before, every stream refused; passes now, all streams at their version.

Conclusion: what the hub must know at a change of versions has to be told before it.

--- a/peridotdock/decisions/stream_versions.py
+++ b/peridotdock/decisions/stream_versions.py
@@ -22,7 +22,7 @@
 ROW_SLOTS = 150
 # Seconds by which the times of day of hosts may differ.
 CLOCK_SECONDS = 10.0
-# Most streams remembered in one table.
+# Most recent streams remembered in one table, and as many older ones.
 MAX_STREAMS = 50_000
 # Stands for the version of a stream of which it is known that nobody can know its version.
 UNKNOWN_SOFTWARE = "\0"
@@ -87,20 +87,27 @@
 
 
 class StreamTable:
-    """The bindings of streams by id, each kept for once to twice the time asked for."""
+    """The bindings of streams by id, each kept for once to twice the time asked for.
+
+    With more streams than MAX_STREAMS in that time the older ones are evicted; ``evicted_at`` is
+    when that happened last.
+    """
 
     def __init__(self, now: float):
         self._recent: dict[int, Binding] = {}
         self._older: dict[int, Binding] = {}
         self._since = now
+        self.evicted_at = -inf
 
     def record(self, stream: int, binding: Binding, now: float, seconds: float) -> None:
         """Remember a stream's binding; the first one stays until the version is found unknown."""
         known = self.find(stream, now, seconds)
         if known is None or binding.software == UNKNOWN_SOFTWARE:
             known = binding
-        if len(self._recent) < MAX_STREAMS:
-            self._recent[stream] = known
+        if len(self._recent) >= MAX_STREAMS and stream not in self._recent:
+            self._older, self._recent = self._recent, {}
+            self._since = self.evicted_at = now
+        self._recent[stream] = known
 
     def find(self, stream: int, now: float, seconds: float) -> Binding | None:
         """Return the binding of a stream, None if it is not known."""
--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -1,7 +1,7 @@
 """Finds the software version that began a stream which a caller takes up at this host.
 
-Each host remembers the streams that its callers have begun to receive. While a service has several
-versions, it tells the hub of them, and a host that does not know a stream asks the hub.
+Each host remembers the streams that its callers have begun to receive and tells the hub of them,
+which tells the host that would replace it. A host that does not know a stream asks the hub.
 """
 
 from collections.abc import Callable, Collection, Mapping
@@ -103,10 +103,9 @@
         self._observed_at = inf
         self._own = StreamTable(now)
         self._told = StreamTable(now)
-        # Streams not told to the hub yet, the link over which it was told, and of which services.
+        # Streams not told to the hub yet, and the link over which it was told of the others.
         self._untold: dict[int, Binding] = {}
         self._told_over: Link | None = None
-        self._told_services = NO_SERVICES
         self._told_at = -inf
         self._hub_since: float | None = None
         self._told_by: set[str] = set()
@@ -160,12 +159,11 @@
         binding = make_binding(progress.service, progress.software)
         self._own.record(stream, binding, self._ctx.clock.monotonic(), self.seconds)
         self._add_unwritten(stream, binding)
-        told = binding.service in self._told_services
-        if told:
-            self._untold[stream] = binding
+        self._add_untold(stream, binding)
         # Hosts that see one version let the stream go on there until the hub tells them.
         urgent = binding.software == UNKNOWN_SOFTWARE
-        if urgent or (told and self._ctx.clock.monotonic() - self._told_at >= TELL_PAUSE_SECONDS):
+        paused = self._ctx.clock.monotonic() - self._told_at >= TELL_PAUSE_SECONDS
+        if urgent or (paused and binding.service in self._mixed):
             self.publish()
 
     # Streams that callers take up
@@ -288,33 +286,46 @@
     # Telling the hub
 
     def publish(self) -> None:
-        """Tell the hub of new streams; of all of them where the hub or the link to it is new."""
+        """Tell the hub of new streams; of all of them where the hub or the link to it is new.
+
+        Failure guarded against: a host stands still while the first endpoint of a second version
+        joins. What it has not told by then can't be told from streams of the second version.
+        """
         now = self._ctx.clock.monotonic()
         mixed = self._history.mixed(now, self.seconds) | self._fleet.restarted_services()
         self._refresh_role(now, mixed)
-        target = self._find_target() if mixed else ""
+        target = self._find_target()
         link = self._peers.mesh.find_link(target) if self._takes_streams(target) else None
         if link is None:
-            self._told_over, self._told_services, self._untold = None, NO_SERVICES, {}
+            self._told_over, self._untold = None, {}
             return
-        whole = link is not self._told_over or mixed != self._told_services
-        streams = self._all_own(mixed, now) if whole else self._untold
+        whole = link is not self._told_over
+        streams = self._all_to_tell(now) if whole else self._untold
         if whole or streams:
             frame = StreamsBegun("streams_begun", whole, group_streams(streams))
             self._peers.mesh.send_to(target, frame)
             self._told_at = now
-        self._told_over, self._told_services, self._untold = link, mixed, {}
+        self._told_over, self._untold = link, {}
 
     def _find_target(self) -> str:
-        """Return the host to tell: the hub; the hub itself tells the host that would replace it."""
+        """Return the host to tell: the hub; the hub itself tells the host that would replace it.
+
+        Failure guarded against: the hub is lost while a host stands still that has told it alone.
+        """
         hub = self._peers.hub()
         if hub != self._host:
             return hub
         return next(iter(self._peers.rank(self._peers.live_hosts() - {self._host})), "")
 
-    def _all_own(self, services: frozenset[str], now: float) -> dict[int, Binding]:
-        rows = self._own.items(now, self.seconds)
-        return {stream: row for stream, row in rows if row.service in services}
+    def _all_to_tell(self, now: float) -> dict[int, Binding]:
+        """Return the streams of this host, and as the hub also those that it was told of."""
+        told = self._told.items(now, self.seconds) if self._hub_since is not None else ()
+        return dict(told) | dict(self._own.items(now, self.seconds))
+
+    def _add_untold(self, stream: int, binding: Binding) -> None:
+        """Have a stream told with the next notice; a notice over a new link names all."""
+        if self._told_over is not None:
+            self._untold[stream] = binding
 
     def _takes_streams(self, host: str) -> bool:
         """Return whether another host takes frames on streams.
@@ -353,6 +364,8 @@
         elif began:
             # What served before is read at once: callers are back as soon as this host is.
             self.needs_rows()
+            # The host that would replace this one is told of all hosts' streams from now on.
+            self._told_over = None
         if self._hub_since is not None and (began or mixed - known):
             for table in (self._told, self._own):
                 for stream, binding in table.items(now, self.seconds):
@@ -424,15 +437,28 @@
             self._peers.mesh.send_to(host, answer)
 
     def _add_told(self, host: str, frame: StreamsBegun) -> None:
+        """Remember streams of another host; the hub passes them on."""
         now = self._ctx.clock.monotonic()
+        back = self._told_over is not None and self._told_over.peer.host == host
+        pass_on = self._hub_since is not None and not back
         for group in frame.streams:
             binding = make_binding(group.service, group.software)
             for stream in group.ids:
-                self._told.record(stream, binding, now, self.seconds)
-                self._add_unwritten(stream, binding)
+                self._add_told_stream(stream, binding, now, pass_on)
         if frame.whole:
             self._told_by.add(host)
 
+    def _add_told_stream(self, stream: int, binding: Binding, now: float, pass_on: bool) -> None:
+        """Remember a stream; only a new one is passed on.
+
+        Two hosts that both take themselves for the hub would else tell each other without end.
+        """
+        known = self._told.find(stream, now, self.seconds)
+        self._told.record(stream, binding, now, self.seconds)
+        self._add_unwritten(stream, binding)
+        if pass_on and known != self._told.find(stream, now, self.seconds):
+            self._add_untold(stream, binding)
+
     def _reply(self, stream: int, service: str) -> Reply:
         """Return what this host knows of a stream as the hub."""
         self._check_awake()
@@ -470,7 +496,7 @@
         most = 2 * len(live) > self._peers.host_count()
         if self._hub_since is None or not most or not self._is_told_by(live):
             return inf
-        return max(self._hub_since, self._apart_at)
+        return max(self._hub_since, self._apart_at, self._told.evicted_at)
 
     def _check_touch(self, now: float) -> None:
         """Note if a host that may serve can't tell this one of its streams at present.
--- a/tests/relay/test_rejoined_streams.py
+++ b/tests/relay/test_rejoined_streams.py
@@ -38,6 +38,11 @@
 LATE_LIST_SECONDS = 1.2
 LATE_RETURN_SECONDS = 5.0
 RETURN_TIMES = (0.0, 0.1, 0.5, 1.5, 4.0)
+# Seconds within which the hub, and the host that would replace it, are told of streams; after which
+# a host that stands still is out of touch; and for which it does where streams are taken up then.
+TOLD_SECONDS = 0.5
+OUT_OF_TOUCH_SECONDS = 1.3
+LONG_STANDING_SECONDS = 5.0
 
 
 def ran_at(found, *attempts):
@@ -495,6 +500,56 @@
         check(self)
 
 
+class StandingTest(unittest.TestCase):
+    """Guards against refusing the streams of a host that is out of touch as a version joins."""
+
+    @params(
+        ("a host that is not the hub", False, False),
+        ("the hub", True, False),
+        ("a host, and the hub is lost", False, True),
+    )
+    def test_streams_of_a_host_that_stands_still(self, name, is_hub, lost):
+        @run
+        async def check(self):
+            async with deploy(ALL_OLD, hosts=HOSTS + 1) as found:
+                await wait_linked(found)
+                await asyncio.sleep(WRITTEN_SECONDS)
+                names = [host.settings.host for host in found.hosts]
+                hub = names.index(found.hosts[0].peers.hub())
+                late = hub if is_hub else (hub + 1) % len(names)
+                for host in found.hosts:
+                    seem_old(host)
+                for number in range(STREAMS):
+                    await begin(found, f"a{number}", late)
+                await asyncio.sleep(TOLD_SECONDS)
+                suspension = Suspension(found.hosts[late])
+                standing = asyncio.ensure_future(suspension.stand(LONG_STANDING_SECONDS))
+                await asyncio.sleep(OUT_OF_TOUCH_SECONDS)
+                if lost:
+                    await abort(found.hosts[hub])
+                set_versions(found, "v2")
+                awake = [
+                    row for row in range(len(names)) if row != late and not (lost and row == hub)
+                ]
+                await found.until(
+                    lambda: all(
+                        found.hosts[row].fleet.has_software("engines", "v2") for row in awake
+                    )
+                )
+                statuses = await take_all_up(found, hosts=awake)
+                suspension.wake()
+                await standing
+                if lost:
+                    found.hosts.pop(hub)
+                found_here = [status for rows in statuses.values() for _, status in rows]
+                self.assertEqual({200}, set(found_here), statuses)
+                for number, rows in statuses.items():
+                    ran = ran_at(found, f"a{number}", *(attempt for attempt, _ in rows))
+                    self.assertEqual({"v1"}, ran, number)
+
+        check(self)
+
+
 async def cut_links(host, silent):
     """Cut a host off from the others, whose links end or only fall silent."""
     if not silent:
