Take no answer for whole that ended before its request was received

Callers saw (MIXED, reported of other systems): an endpoint answers an upload at once with a 200 without length or chunks, sends a part and ends the connection while the upload is being written; the caller gets the part with a length or the last chunk, streams too.

Cause: such an answer counts as whole if its connection ended without an error and the endpoint still listens. The endpoint's FIN arrives before the reset for the unread upload; from then on the kernel's reads return the end and no error. If the kernel has taken the whole upload, no write fails either.

Ruled out: the order of reader and writer within one turn of the event loop (a reset without a FIN before it is always seen, 16 kinds of 40 uploads each, two processes).

Change: as a peer closes the connection within an answer, the connection notes whether the peer had received the whole request: bytes in the buffer of the loop, SO_ERROR, or bytes that the kernel holds (TIOCOUTQ). If not, the end proves nothing. One rule for all answers without a framed end, in ConnectionAwareResponse.is_complete.

The stand-in for runners plays such answers (early_end).

Conclusion: the end of a connection is evidence only if the request before it has arrived.

--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -5,9 +5,12 @@
 """
 
 import asyncio
+import fcntl
 import math
 import re
 import socket
+import struct
+import termios
 from collections import Counter, deque
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
@@ -59,6 +62,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DEAD_PEER_SECONDS * 1_000),
 )
+# Number of bytes that the kernel holds of what was sent, until the peer has received them.
+UNSENT_COUNT = struct.Struct("i")
 # Seconds for which a new connection is watched: a listener that ends resets it by then.
 WATCH_SECONDS = 0.05
 # Statuses of answers that end with their head.
@@ -139,6 +144,8 @@
         self._body: aiohttp.StreamReader | None = None
         self._endless = False
         self._watched: asyncio.Future[None] | None = None
+        # Whether the peer ended its answer with the connection before it had the whole request.
+        self.closed_early = False
         self.exchange: Exchange | None = None
         self._exchanges: deque[Exchange] = deque(maxlen=KEPT_EXCHANGES)
 
@@ -179,6 +186,12 @@
         if hasattr(transport, "max_size"):
             transport.max_size = READ_BYTES
 
+    def eof_received(self) -> None:
+        """Note whether the peer of an unfinished answer has not received the whole request."""
+        if self._body is not None and not self._body.is_eof():
+            self.closed_early = has_unsent(self.transport)
+        super().eof_received()
+
     def set_response_params(self, **params: Any) -> None:
         """Begin the next answer of the connection."""
         self._received, self._body = 0, None
@@ -247,6 +260,7 @@
     Failure guarded against: a response without a length ends when its connection closes, and
     aiohttp treats a reset as that end too. A truncated answer would be relayed as a complete one.
     A process that crashes also closes its connections cleanly; then nothing listens any more.
+    Where the request was not received whole, the end of the connection says nothing of the answer.
     """
 
     connection_closed: asyncio.Future[None] | None = None
@@ -301,11 +315,13 @@
         """
         if self.framed:
             return True
-        if self.connection_closed is None:
+        if self.connection_closed is None or self.connection_key is None:
             return False
         await asyncio.wait({self.connection_closed}, timeout=CONNECT_TIMEOUT_SECONDS)
         if not self.connection_closed.done() or self.connection_closed.exception() is not None:
             return False
+        if self.connection_key.closed_early:
+            return False
         address = f"{self.url.host}:{self.url.port}"
         return may_stop() or await still_listens(address, CONNECT_TIMEOUT_SECONDS)
 
@@ -486,6 +502,22 @@
         await asyncio.gather(*self._closing, return_exceptions=True)
 
 
+def has_unsent(transport: asyncio.Transport | None) -> bool:
+    """Return whether the peer of a connection has not received all that was sent.
+
+    Failure guarded against: a server closes its connection while a request is on its way, and the
+    kernel resets it for the rest. A reader sees the first alone: once the end of the connection has
+    arrived, its reads return no error.
+    """
+    if transport is None or transport.get_write_buffer_size():
+        return True
+    sock = transport.get_extra_info("socket")
+    if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        return True
+    raw = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(UNSENT_COUNT.size))
+    return UNSENT_COUNT.unpack(raw)[0] > 0
+
+
 async def still_listens(address: str, seconds: float) -> bool:
     """Return whether a process listens at IP:PORT, and goes on to.
 
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -25,6 +25,9 @@
 runner begins to write the answer, ``delay_seconds`` after it got the request; ``fatal_head`` tells
 what it has written by then: nothing, the ``chunked`` head, or the ``unframed`` head, with neither
 length nor chunks. ``unframed``: answers have neither length nor chunks and end with the connection.
+``early_end``: an upload is answered at its head, or once ``early_read`` bytes of its body are read,
+with a part of an ``unframed`` answer; the connection then ends as it says, by ``reset``, ``close``
+or ``half-close``, while the rest is still being written.
 ``software`` is the version of its software, which it neither compares nor tells in answers.
 ``software_by_attempt`` are the versions at which it executed attempts.
 ``source`` is the name in its events, its id unless that is set. ``page`` is the body of its plain
@@ -55,6 +58,8 @@
 import asyncio
 import json
 import math
+import socket
+import struct
 from dataclasses import dataclass
 
 EVENTS_PER_STREAM = 6
@@ -68,8 +73,12 @@
 # When the copy of a refusal is sent: in the same segment, with the body of the first, while the
 # connection is idle, or once the next request has come, or the one after that.
 COPY_TIMES = ("at once", "with the body", "idle", "next request", "request after next")
+# Seconds for which a connection stays half closed before it is reset.
+HALF_CLOSED_SECONDS = 0.3
 # Seconds between two segments of an answer.
 SEGMENT_SECONDS = 0.01
+# Value of SO_LINGER with which closing a connection resets it.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Bytes of an endless answer that are sent at once.
 BABBLE_BYTES = 65536
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -165,6 +174,8 @@
         self.fatal_parts = set()
         self.fatal_head = ""
         self.unframed = False
+        self.early_end = ""
+        self.early_read = 0
         self.fatal = []
         self.crashed = False
         self.room = math.inf
@@ -304,7 +315,10 @@
         request_line, *header_lines = raw.decode("latin-1").split("\r\n")
         method, target, _ = request_line.split(" ")
         headers = dict(row.lower().split(": ", 1) for row in header_lines if row)
-        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        length = int(headers.get("content-length", 0))
+        if self.early_end and length and not target.startswith("/v1/"):
+            return await self._break_off(reader, writer, headers)
+        body = await reader.readexactly(length)
         self.call_times.append(asyncio.get_running_loop().time())
         self.request_times.append((self.call_times[-1], headers.get("x-attempt-id", "")))
         if not target.startswith("/v1/"):
@@ -498,6 +512,26 @@
     def _frame_event(self, event):
         return event if self.unframed else b"%x\r\n%s\r\n" % (len(event), event)
 
+    async def _break_off(self, reader, writer, headers):
+        """Answer an upload before it has arrived, and end the connection within the answer."""
+        await reader.readexactly(self.early_read)
+        attempt = headers.get("x-attempt-id", "")
+        self.executed.append(attempt)
+        self.spoilt.add(attempt)
+        signed = {"x-attempt-id": attempt, "x-response-signature": f"by {self.name}"}
+        event = self.write_event(1, self.source.encode() + self.event_padding)
+        part = event if "x-model" in headers else self.page[: len(self.page) // 2]
+        writer.write(stream_head(signed, "unframed") + part)
+        if self.early_end == "half-close":
+            writer.write_eof()
+            await asyncio.sleep(HALF_CLOSED_SECONDS)
+        elif self.early_end == "reset":
+            await asyncio.sleep(SEGMENT_SECONDS)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+        return False
+
     async def _babble(self, writer, answer, signed):
         begin, unit, seconds = answer
         rows = "".join(f"{name}: {value}\r\n" for name, value in signed.items()).encode()
