--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -41,7 +41,7 @@
 PROBE_TIMEOUT_SECONDS = 1.0
 NOT_RUN_HEADER = "x-not-run"
 MAX_REFUSAL_BYTES = 64 * 1024
-MAX_REPORT_BYTES = 4 * 1024 * 1024
+MAX_REPORT_BYTES = 2 * 1024 * 1024
 # Reasons of failures for which no answer arrived in time.
 TIMEOUT_REASONS = frozenset(
     kind.__name__
--- a/tests/relay/test_endless.py
+++ b/tests/relay/test_endless.py
@@ -22,6 +22,7 @@
 from tests.relay.test_endings import HEAD, Endpoint, fetch
 from tests.relay.test_forwarding import cut_off
 from tests.relay.test_relay import ids, run
+from tests.standins.runner import ENDLESS
 
 MB = 1024 * 1024
 # A host's process may grow to 300 MB and has 60 MB without load; 32 MB are for its control.
@@ -71,6 +72,32 @@
     return TableStore(parse_address(talker.address), Metrics(), StoreTime(time.monotonic))
 
 
+async def call_control(talker):
+    """Return the answers to some orders, or calls for reports."""
+    endpoints = HttpEndpoints()
+    calls = (endpoints.control_call("GET", talker.url, "/", 10.0) for _ in range(AT_ONCE))
+    found = await asyncio.gather(*calls)
+    await endpoints.close()
+    return found
+
+
+async def call_store(store):
+    """Return what some calls of a store give."""
+    found = await asyncio.gather(*(store.get_object("a") for _ in range(AT_ONCE)))
+    await store.close()
+    return found
+
+
+# Clients of a host itself, and answers of which more than a body has no end.
+CONTROL_CLIENTS = {
+    "reports and orders": call_control,
+    "the platform's store": lambda talker: call_store(open_table_store(talker)),
+    "the product's own platform": lambda talker: call_store(HttpPlatform(talker.url)),
+}
+ENDLESS_HEADS = ("head line", "head fields", "interim heads", "chunk extension", "trailers", "body")
+GIVEN_UP_SECONDS = 5.0
+
+
 def avoid_others(found, *babblers):
     """Let the host send its next requests to some endpoints."""
     [host] = found.hosts
@@ -371,6 +398,28 @@
 
         check(self)
 
+    @params(*((client, kind) for client in CONTROL_CLIENTS for kind in ENDLESS_HEADS))
+    def test_bytes_without_end_in_an_answer_to_a_host(self, client, kind):
+        """Guards against a host that ends for want of memory while what it follows babbles."""
+        begin, unit, _ = ENDLESS[kind]
+
+        @run
+        async def check(self):
+            part = unit * (65536 // len(unit))
+            async with Talker(begin.replace(b"%s", b""), part) as talker:
+                began_at = time.monotonic()
+                tracemalloc.start()
+                try:
+                    found = await CONTROL_CLIENTS[client](talker)
+                    peak = tracemalloc.get_traced_memory()[1]
+                finally:
+                    tracemalloc.stop()
+            self.assertLessEqual(peak, CONTROL_BYTES)
+            self.assertLess(time.monotonic() - began_at, GIVEN_UP_SECONDS)
+            self.assertTrue(all(map(failed, found)), found)
+
+        check(self)
+
     @params(1000, 8 * MB)
     def test_a_long_object_is_whole(self, size):
         async def check():
@@ -390,6 +439,9 @@
     @params(
         ("a body", b"\r\n", b"x" * 65536),
         ("a chunk's extension", CHUNKED + b"4;", b"a" * 65536),
+        ("a head line", b"x: ", b"a" * 65536),
+        ("head fields", b"", b"x: a\r\n" * 10000),
+        ("trailers", CHUNKED + b"0\r\n", b"x: a\r\n" * 10000),
     )
     def test_a_request_is_answered_through_a_third_host(self, name, begin, part):
         @run
