Judge the end of an unframed answer of a draining endpoint as that of any other

Cause: such an answer counts as whole only if the endpoint still listens, but one that drains was not asked (EndpointState.may_stop_listening): that it leaves was taken for having finished.

Change: one rule for all endpoints, in ConnectionAwareResponse.is_complete. A process that listens no more lives if another connection to it, opened before, stays open for 50 ms: a process that ends closes all of them. What can't be told from a break does not look complete.

Tests: the new rows of UnframedAnswerTest failed before (both: a crash, and the last answer). test_the_last_answer_of_a_leaving_endpoint_is_whole asked for what can't be known, as the endpoint has no other connection; it is replaced: of two answers the first is whole, the last one does not look complete, whether the endpoint has answered or crashed.

How many whole answers of sound endpoints are given up was not measured apart.

Conclusion: an announcement is no evidence of an end.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -506,7 +506,7 @@
     Mutant(
         "unframed: an answer is whole if its endpoint still listens",
         "clients/http.py",
-        "return may_stop() or await still_listens(address, CONNECT_TIMEOUT_SECONDS)",
+        'return await lives_on(f"{self.url.host}:{self.url.port}", others)',
         "return True",
         "tests.relay.test_endings.UnframedAnswerTest",
     ),
--- a/peridotdock/clients/endpoint.py
+++ b/peridotdock/clients/endpoint.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator, Mapping
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from typing import Any, Protocol, TypeVar
@@ -22,6 +22,7 @@
     CONNECT_TIMEOUT_SECONDS,
     SEND_CHECK,
     TRANSFER_ERRORS,
+    BoundedProtocol,
     ConnectionAwareResponse,
     EndlessAnswer,
     Exchange,
@@ -30,7 +31,6 @@
     UnreadableAnswer,
     Withdrawn,
     always,
-    never,
     read_body,
     read_retry_after,
     send_once,
@@ -122,9 +122,7 @@
 
     ``at_most_once`` disables the HTTP library's own retry. ``connect_timeout`` is the limit for
     opening a new connection, in seconds. ``still_wanted`` is called once there is a connection; the
-    request is sent only if it returns true. ``may_stop`` tells whether the endpoint may stop
-    listening once it has answered; otherwise an answer that ends with its connection is complete
-    only if the endpoint still listens. ``exchange`` is set if the endpoint's answers name the
+    request is sent only if it returns true. ``exchange`` is set if the endpoint's answers name the
     request that they belong to.
     """
 
@@ -135,7 +133,6 @@
     at_most_once: bool
     connect_timeout: float = CONNECT_TIMEOUT_SECONDS
     still_wanted: Callable[[], bool] = always
-    may_stop: Callable[[], bool] = never
     exchange: Exchange | None = None
 
 
@@ -157,12 +154,12 @@
         self,
         resp: ConnectionAwareResponse,
         stack: AsyncExitStack,
-        may_stop: Callable[[], bool],
+        find_others: Callable[[], Iterable[BoundedProtocol]],
         memory: AnswerMemory,
     ):
         self._resp = resp
         self._stack = stack
-        self._may_stop = may_stop
+        self._find_others = find_others
         self._held = memory.begin(self.abort)
         self.framed = resp.framed
         self.status = resp.status
@@ -200,7 +197,7 @@
             if self._held.given_up:
                 raise EndlessAnswer("too many bytes are held of unfinished answers") from exc
             raise
-        if not part and not await self._resp.is_complete(self._may_stop):
+        if not part and not await self._resp.is_complete(self._find_others):
             raise aiohttp.ClientPayloadError("connection ended before the end of the answer")
         return part
 
@@ -316,7 +313,14 @@
             return Failure(
                 Kind.ENDPOINT_REFUSED, retry_after=read_retry_after(resp.headers) or None
             )
-        return OpenResponse(resp, stack, call.may_stop, self._memory)
+        return OpenResponse(resp, stack, lambda: self._connections(url), self._memory)
+
+    def _connections(self, url: str) -> Iterator[BoundedProtocol]:
+        """Yield the connections to an endpoint."""
+        for pools in (self._pools, self._control):
+            pool = pools.get(url)
+            if pool is not None:
+                yield from pool.connections()
 
     async def control_call(
         self,
--- a/peridotdock/clients/http.py
+++ b/peridotdock/clients/http.py
@@ -12,7 +12,7 @@
 import struct
 import termios
 from collections import Counter, deque
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Collection, Iterable, Iterator, Mapping
 from contextlib import asynccontextmanager
 from contextvars import Context, ContextVar
 from dataclasses import dataclass
@@ -64,7 +64,7 @@
 )
 # Number of bytes that the kernel holds of what was sent, until the peer has received them.
 UNSENT_COUNT = struct.Struct("i")
-# Seconds for which a new connection is watched: a listener that ends resets it by then.
+# Seconds for which connections are watched: those of a process that ends are closed by then.
 WATCH_SECONDS = 0.05
 # Statuses of answers that end with their head.
 BODILESS_STATUSES = frozenset({204, 304})
@@ -167,6 +167,11 @@
         self.exchange = exchange
         self._exchanges.append(exchange)
 
+    @property
+    def is_watched(self) -> bool:
+        """Whether the connection is open, and its end would be seen at once."""
+        return self.transport is not None and self.transport.is_reading()
+
     def watch_closed(self) -> asyncio.Future[None] | None:
         """Return the future that completes when the connection closes, None if it has.
 
@@ -259,8 +264,9 @@
 
     Failure guarded against: a response without a length ends when its connection closes, and
     aiohttp treats a reset as that end too. A truncated answer would be relayed as a complete one.
-    A process that crashes also closes its connections cleanly; then nothing listens any more.
-    Where the request was not received whole, the end of the connection says nothing of the answer.
+    A process that crashes also closes its connections cleanly, all of them; then nothing listens
+    any more. Where the request was not received whole, the end of the connection says nothing of
+    the answer.
     """
 
     connection_closed: asyncio.Future[None] | None = None
@@ -308,10 +314,11 @@
         named = "Content-Length" in self.headers or self._transfer_coding == "chunked"
         return named or self.method == "HEAD" or self.status in BODILESS_STATUSES
 
-    async def is_complete(self, may_stop: Callable[[], bool]) -> bool:
+    async def is_complete(self, find_others: "Callable[[], Iterable[BoundedProtocol]]") -> bool:
         """Return whether the answer is complete; call it after the end was read.
 
-        ``may_stop`` tells whether the server may stop listening once it has answered.
+        ``find_others`` returns the open connections to the same process. An end that can't be told
+        from a break counts as one.
         """
         if self.framed:
             return True
@@ -322,8 +329,8 @@
             return False
         if self.connection_key.closed_early:
             return False
-        address = f"{self.url.host}:{self.url.port}"
-        return may_stop() or await still_listens(address, CONNECT_TIMEOUT_SECONDS)
+        others = [conn for conn in find_others() if conn.is_watched]
+        return await lives_on(f"{self.url.host}:{self.url.port}", others)
 
 
 class Withdrawn(aiohttp.ClientError):
@@ -335,9 +342,9 @@
     return True
 
 
-def never() -> bool:
-    """Return False."""
-    return False
+def no_others() -> "Iterable[BoundedProtocol]":
+    """Return no connections."""
+    return ()
 
 
 class SendCheck:
@@ -419,6 +426,12 @@
             self._conns[key].extend(others)
         return conn
 
+    def connections(self) -> Iterator[BoundedProtocol]:
+        """Yield the connections in use, and the idle ones."""
+        yield from self._acquired
+        for rows in self._conns.values():
+            yield from (conn for conn, _ in rows)
+
     def limit_idle_time(self, seconds: float) -> None:
         """Stop reusing connections that have been idle for more than ``seconds``."""
         self._keepalive_timeout = min(self._keepalive_timeout, seconds)
@@ -469,6 +482,11 @@
                 if session is not self._current:
                     await session.close()
 
+    def connections(self) -> Iterator[BoundedProtocol]:
+        """Yield the connections that requests use, and the idle ones."""
+        for session in {*self._use_counts, *([self._current] if self._current else [])}:
+            yield from session.connector.connections()
+
     def apply_keep_alive(self, headers: Mapping[str, str]) -> None:
         """Limit the idle time of connections to the server's ``Keep-Alive`` timeout.
 
@@ -518,6 +536,18 @@
     return UNSENT_COUNT.unpack(raw)[0] > 0
 
 
+async def lives_on(address: str, connections: Collection[BoundedProtocol]) -> bool:
+    """Return whether a process listens at IP:PORT, or its ``connections`` stay open.
+
+    A server that stops as planned listens no more while it sends its last answers.
+    """
+    if await still_listens(address, CONNECT_TIMEOUT_SECONDS):
+        return True
+    if connections:
+        await asyncio.sleep(WATCH_SECONDS)
+    return any(conn.is_watched for conn in connections)
+
+
 async def still_listens(address: str, seconds: float) -> bool:
     """Return whether a process listens at IP:PORT, and goes on to.
 
@@ -588,7 +618,7 @@
             size += len(part)
             if size > limit or not held.set_size(size):
                 raise EndlessAnswer("the answer is too long")
-        if not await resp.is_complete(never):
+        if not await resp.is_complete(no_others):
             raise aiohttp.ClientPayloadError("connection ended before the end of the answer")
     except aiohttp.ClientError as exc:
         if held.given_up:
--- a/peridotdock/relay/endpoint.py
+++ b/peridotdock/relay/endpoint.py
@@ -154,13 +154,6 @@
         """Return whether the endpoint drains, by its entry or by its announcement in an answer."""
         return self.entry.draining or self.announced_leaving
 
-    def may_stop_listening(self) -> bool:
-        """Return whether the endpoint may stop listening after a whole answer.
-
-        One that is taken away still listens then: if it doesn't, its end has cut the answer.
-        """
-        return self.leaving and not self.entry.taken_away
-
     @property
     def superseded(self) -> bool:
         """Return whether a later start runs than the one in the entry.
--- a/peridotdock/relay/sending.py
+++ b/peridotdock/relay/sending.py
@@ -125,7 +125,6 @@
             at_most_once=True,
             connect_timeout=connect_timeout(remaining),
             still_wanted=still_wanted,
-            may_stop=state.may_stop_listening,
             exchange=exchange,
         )
         sent_at = self._clock.monotonic()
