Expect late requests of a planned stop to take longer than answers did before it

Cause: the time that an answer may take was learnt from whole answers only, and the room of 1.5 s is for silences, not for slowness.

Conclusion: what is learnt in calm is no bound for what comes once it is over.

--- a/peridotdock/relay/host.py
+++ b/peridotdock/relay/host.py
@@ -195,6 +195,7 @@
         self.service.on_repeat_not_run = self.quotas.refund
         identifier = Identifier(settings.bounds, self._config_age)
         self.responder = Responder(ctx, self.service, self.planned_stop)
+        self.planned_stop.unfinished = self.responder.unfinished
         self.stream_versions = StreamVersions(
             ctx,
             settings.host,
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -30,6 +30,10 @@
 CALM_SECONDS = 1.5
 LONG_CALM_SECONDS = 3.6
 CALLERS_PER_KIND = 3
+# Events of a stream that outlasts its host, a deadline that does, and times of late requests.
+HOLDING_EVENTS = 30
+LONG_DEADLINE_MS = 30000
+LATE_TIMES = (2.0, 2.9, 3.3, 4.0, 4.7, 5.3, 5.9, 6.4, 6.8, 7.1)
 DEADLINE_MS = 9000
 BIG_ANSWER_BYTES = 4 * 1024 * 1024
 # Slow callers read their answers within six seconds.
@@ -400,3 +404,72 @@
 
         found, _ = play(scenario)
         self.assertEqual([], found.lost())
+
+
+class LateRequestTest(unittest.TestCase):
+    """Guards against requests that come late in the grace period, and are cut after they ran.
+
+    One long answer keeps the host until its end, and answers take longer than before the signal.
+    """
+
+    @params(
+        *(
+            (way, path, model, slower)
+            for way, slower in (
+                ("body", 4.0),
+                ("body", 16.0),
+                ("pipeline", 4.0),
+                ("new connection", 4.0),
+            )
+            for path, model in (("/bind/x", ""), ("/recap/x", "m0"), ("/once/x", "m0"))
+        )
+    )
+    def test_late_requests_are_answered(self, way, path, model, slower):
+        async def scenario(found):
+            address = found.hosts[0].address("front")
+            found.slow.events = HOLDING_EVENTS
+            holder = await KeptConnection.open(address)
+            callers = found.start_callers(path, model)
+            await asyncio.sleep(CALM_SECONDS)
+            held = make_request("/long/x", "held", LONG_DEADLINE_MS, "m1")
+            late = [asyncio.ensure_future(found.call(holder, held, "held"))]
+            await asyncio.sleep(0.3)
+            stopping = asyncio.ensure_future(found.stop_first())
+            for at in LATE_TIMES:
+                late.append(asyncio.ensure_future(self.send_late(found, way, path, model, at)))
+            await asyncio.sleep(UNKNOWN_SECONDS / 2)
+            found.pages.delay_seconds *= slower
+            found.fast.delay_seconds *= slower
+            took = await stopping
+            await asyncio.gather(*callers, *late)
+            return took
+
+        found, took = play(scenario)
+        executed = found.executed()
+        self.assertEqual([], [row for row in found.lost() if row.attempt != "held"])
+        self.assertEqual([], [row for row in found.sent if row.refused and row.attempt in executed])
+        self.assertGreater(took, GRACE_SECONDS - LAST_SECONDS)
+
+    async def send_late(self, found, way, path, model, at):
+        """Send a request that arrives so many seconds after the signal."""
+        address, attempt = found.hosts[0].address("front"), f"late-{at}"
+        raw = make_request(path, attempt, LONG_DEADLINE_MS, model, body=b"x" * 2000)
+        begin, end = (raw[:-1000], raw[-1000:]) if way == "body" else (b"", raw)
+        opens_at = at if way == "new connection" else min(at, UNKNOWN_SECONDS - 0.1)
+        await asyncio.sleep(max(0.0, opens_at - found.now()))
+        try:
+            conn = await KeptConnection.open(address)
+        except OSError:
+            return
+        if way == "pipeline":
+            first = make_request("/recap/x", f"before-{at}", LONG_DEADLINE_MS, "m0")
+            before = asyncio.ensure_future(found.call(conn, first, f"before-{at}"))
+        conn.send(begin)
+        await asyncio.sleep(max(0.0, at - found.now()))
+        if way != "pipeline":
+            await found.call(conn, end, attempt)
+            return
+        conn.send(end)
+        sent_at = found.now()
+        if not (await before).closes:
+            found.sent.append(Sent(attempt, sent_at, found.now(), await conn.read_answer()))
