Count what a caller takes to read an answer in what a stopping host may take on

Cause: the time that an answer takes was learnt until its end was handed to the server, not until its last byte had left.

Change: a connection measures how long a byte of its long answers waited for its caller: the time in which the server had bytes and no room, over the bytes that were taken. The route keeps the bytes of its longest recent answer. Their product is added to what an answer may take. Time in which an endpoint sends nothing does not count, so fast callers are refused no earlier.

Tests: SlowLinkTest failed before (status 200, cut), and passes: 503 for the slow caller, which did not run, 200 for a fast one on the same host.

One more system call for each 256 KB answered.

Conclusion: an answer ends when its caller has it.

--- a/peridotdock/decisions/stopping.py
+++ b/peridotdock/decisions/stopping.py
@@ -50,43 +50,68 @@
     age: float
 
 
+@dataclass(frozen=True, slots=True)
+class Longest:
+    """The longest of the recent answers of a route.
+
+    ``begin`` is the seconds until it began, ``pace`` those for each token after that, and ``size``
+    its bytes.
+    """
+
+    begin: float = 0.0
+    pace: float = 0.0
+    size: float = 0.0
+
+
 class AnswerTimes:
     """The longest of the recent answers of each route.
 
     The time until an answer begins does not depend on its tokens, the rest is in proportion to
-    them. Failure guarded against: a long prompt with a short answer is taken for a short request,
-    as the route's other answers had many tokens, and is cut.
+    them. What a caller takes to read it is known by caller. Failure guarded against: a long prompt
+    with a short answer is taken for a short request, as the route's other answers had many tokens,
+    and is cut.
     """
 
     def __init__(self) -> None:
-        self._longest: dict[str, tuple[float, float]] = {}
+        self._longest: dict[str, Longest] = {}
 
     def __len__(self) -> int:
         return len(self._longest)
 
-    def record(self, route: str, tokens: int, begun: float, ended: float) -> None:
+    def record(self, route: str, tokens: int, begun: float, ended: float, size: int = 0) -> None:
         """Record a whole answer that had ``begun`` and ``ended`` so many seconds after its arrival.
 
-        ``tokens`` are the most that it could have, 0 if unknown.
+        ``tokens`` are the most that it could have, 0 if unknown, and ``size`` are its bytes.
         """
         if len(self._longest) >= MAX_ROUTES and route not in self._longest:
             self._longest.clear()
-        begin, pace = self._longest.get(route, (0.0, 0.0))
-        found = (ended - begun) / max(1, tokens)
-        self._longest[route] = max(begun, DECAY * begin), max(found, DECAY * pace)
-
-    def expect(self, route: str, tokens: int, under_way: Iterable[UnderWay] = ()) -> float | None:
-        """Return the seconds that an answer may take, None before the first one of its route.
+        known = self._longest.get(route, Longest())
+        found = Longest(begun, (ended - begun) / max(1, tokens), size)
+        self._longest[route] = Longest(
+            max(found.begin, DECAY * known.begin),
+            max(found.pace, DECAY * known.pace),
+            max(found.size, DECAY * known.size),
+        )
+
+    def expect(
+        self,
+        route: str,
+        tokens: int,
+        under_way: Iterable[UnderWay] = (),
+        seconds_per_byte: float = 0.0,
+    ) -> float | None:
+        """Return the seconds until an answer is sent, None before the first one of its route.
 
         Those under way on its route that have taken longer than expected show that endpoints have
-        become slower.
+        become slower. ``seconds_per_byte`` is how long its caller takes to read.
         """
         if route not in self._longest:
             return None
         rows = [row for row in under_way if row.route == route]
-        slower = max([1.0, *(row.age / self._recall(route, row.tokens) for row in rows)])
-        return slower * self._recall(route, tokens)
+        slower = max([1.0, *(row.age / self._recall(row) for row in rows)])
+        sending = self._longest[route].size * seconds_per_byte
+        return slower * self._recall(UnderWay(route, tokens, 0.0)) + sending
 
-    def _recall(self, route: str, tokens: int) -> float:
-        begin, pace = self._longest[route]
-        return max(MIN_ANSWER_SECONDS, begin + pace * max(1, tokens))
+    def _recall(self, row: UnderWay) -> float:
+        longest = self._longest[row.route]
+        return max(MIN_ANSWER_SECONDS, longest.begin + longest.pace * max(1, row.tokens))
--- a/peridotdock/lingering.py
+++ b/peridotdock/lingering.py
@@ -21,6 +21,7 @@
 
     What arrives after that is dropped. The transport ends with its peer's side, or at one of the
     limits, and is closing for its users all the while. ``on_close`` is called as it is closed.
+    ``written`` is the number of bytes that were written to it.
     """
 
     def __init__(self, transport: asyncio.Transport, on_close: Callable[[], None]):
@@ -30,6 +31,7 @@
         self._closed_at: float | None = None
         self._last_byte_at = 0.0
         self._dropped_bytes = 0
+        self.written = 0
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._transport, name)
@@ -46,6 +48,7 @@
     def write(self, data: bytes) -> None:
         """Send bytes; after a close they are dropped, as by any closed transport."""
         if self._closed_at is None:
+            self.written += len(data)
             self._transport.write(data)
 
     def close(self) -> None:
--- a/peridotdock/relay/request_handler.py
+++ b/peridotdock/relay/request_handler.py
@@ -23,7 +23,7 @@
 from peridotdock.relay.stopping import PlannedStop
 from peridotdock.relay.stream_versions import StreamVersions
 from peridotdock.relay.wire import Wire
-from peridotdock.serving import ARRIVAL_KEY, END_KEY, read_body
+from peridotdock.serving import ARRIVAL_KEY, END_KEY, PACE_KEY, read_body
 
 # Retry-after in seconds while a host has no configuration: by then it has read one, or the caller
 # has fetched other host addresses.
@@ -174,6 +174,8 @@
         route.timeout if head.timeout_seconds is None else min(route.timeout, head.timeout_seconds)
     )
     target = request.url.value.decode("latin-1")
+    deadline = received_at + seconds
+    pace = request.scope[PACE_KEY].seconds_per_byte
     return RelayRequest(
-        head, route, request.method, target, body, received_at, received_at + seconds, identity
+        head, route, request.method, target, body, received_at, deadline, identity, pace
     )
--- a/peridotdock/relay/requests.py
+++ b/peridotdock/relay/requests.py
@@ -68,7 +68,8 @@
 class RelayRequest:
     """A request to be relayed. ``deadline`` and ``received_at`` are monotonic seconds.
 
-    ``deadline`` is the earlier of the route's timeout and the caller's.
+    ``deadline`` is the earlier of the route's timeout and the caller's. ``seconds_per_byte`` is how
+    long a byte of earlier answers waited for the caller to take it.
     """
 
     head: RequestHead
@@ -79,6 +80,7 @@
     received_at: float
     deadline: float
     identity: Identity = Identity()
+    seconds_per_byte: float = 0.0
 
     @property
     def rank(self) -> int:
--- a/peridotdock/relay/responding.py
+++ b/peridotdock/relay/responding.py
@@ -83,7 +83,7 @@
             self._ctx.metrics.requests.labels("answered").inc()
             head = found.head
             if isinstance(found, CompleteAnswer):
-                self._stop.record_answer(req)
+                self._stop.record_answer(req, len(found.body))
                 if found.kept is not None:
                     found.kept.overdue = lambda: self._ctx.clock.monotonic() > req.deadline
                     found.kept.cut = request.scope[ABORT_KEY]
@@ -127,10 +127,12 @@
         source: StreamSource,
     ) -> AsyncIterator[bytes]:
         """Relay a stream; the request counts as in progress until it has ended."""
+        size = 0
         try:
             async for part in relay_stream(self._service, req, caller, progress, source):
+                size += len(part)
                 yield part
-            self._stop.record_answer(req, source.started_at)
+            self._stop.record_answer(req, size, source.started_at)
         finally:
             self._finish(req, caller)
 
--- a/peridotdock/relay/stopping.py
+++ b/peridotdock/relay/stopping.py
@@ -54,14 +54,14 @@
         """Begin the stop now."""
         self._began = self._ctx.clock.monotonic()
 
-    def record_answer(self, req: RelayRequest, begun_at: float | None = None) -> None:
-        """Learn from a whole answer, whose end was just given to the server.
+    def record_answer(self, req: RelayRequest, size: int, begun_at: float | None = None) -> None:
+        """Learn from a whole answer of ``size`` bytes, whose end was just given to the server.
 
         ``begun_at`` is the monotonic time of a stream's first events.
         """
         ended = self._ctx.clock.monotonic() - req.received_at
         begun = ended if begun_at is None else begun_at - req.received_at
-        self._times.record(req.route.name, count_tokens(req), begun, ended)
+        self._times.record(req.route.name, count_tokens(req), begun, ended, size)
 
     def refusal(self, req: RelayRequest) -> Failure | None:
         """Return why a request that has not run is not sent, or None.
@@ -77,7 +77,9 @@
             for row in self.unfinished()
             if row is not req
         )
-        expected = self._times.expect(req.route.name, count_tokens(req), under_way)
+        expected = self._times.expect(
+            req.route.name, count_tokens(req), under_way, req.seconds_per_byte
+        )
         if can_finish(left, req.deadline - now, expected, announced=now >= self.announced_at):
             return None
         return self.refuse(f"{left:.2f} s left")
--- a/peridotdock/serving.py
+++ b/peridotdock/serving.py
@@ -28,6 +28,7 @@
 from peridotdock.input_memory import FIELD_BYTES, REQUEST_BYTES, HeldInput, InputMemory
 from peridotdock.lingering import LingeringTransport
 from peridotdock.loop_iterations import ACCEPTS_PER_ITERATION, find_iterations
+from peridotdock.send_pace import SendPace
 
 # Connections that may wait in the kernel's accept queue. Beyond them a caller's SYN packet is
 # dropped and retransmitted after a second.
@@ -71,6 +72,9 @@
 # Key of a request's scope for the function that ends its connection with the requests read by then.
 END_KEY = "end"
 
+# Key of a request's scope for how fast its caller takes what is sent.
+PACE_KEY = "pace"
+
 # The answer to a request that has not arrived when the server ends.
 UNREAD_ANSWER = (
     b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 0\r\ncontent-length: 0\r\n"
@@ -196,13 +200,25 @@
     """Flow control of a connection whose bytes may have been read and not parsed yet.
 
     ``paused`` is set while no more bytes may be parsed; ``parse`` is called when they may be.
+    ``pace`` is told while no more bytes may be written.
     """
 
-    def __init__(self, transport: asyncio.Transport, parse: Callable[[], None]):
+    def __init__(self, transport: asyncio.Transport, parse: Callable[[], None], pace: SendPace):
         super().__init__(transport)
         self._parse = parse
+        self._pace = pace
         self.paused = False
 
+    def pause_writing(self) -> None:
+        """Write no more bytes until the caller has taken some."""
+        super().pause_writing()
+        self._pace.block()
+
+    def resume_writing(self) -> None:
+        """Write again."""
+        super().resume_writing()
+        self._pace.unblock()
+
     def pause_reading(self) -> None:
         """Read and parse no more bytes."""
         self.paused = True
@@ -262,7 +278,8 @@
         transport.max_size = READ_BYTES
         self._linger = LingeringTransport(transport, self._disconnect_request)
         super().connection_made(self._linger)
-        self.flow = HeldFlow(self._linger, self._parse)
+        self._pace = SendPace(self.loop.time)
+        self.flow = HeldFlow(self._linger, self._parse, self._pace)
         self._read_at = 0.0
         self._answering: RequestResponseCycle | None = None
         self._ending = False
@@ -367,6 +384,9 @@
     def on_response_complete(self) -> None:
         """Answer the next request of the pipeline, or the invalid bytes behind the last one."""
         self._held.add(-self._head_sizes.popleft())
+        written = self._linger.written
+        if self._pace.is_due(written):
+            self._pace.record(written - self.unsent_bytes - self._count_unreceived())
         super().on_response_complete()
         if not self.is_busy and not self.transport.is_closing():
             self.idle.add(self)
@@ -386,6 +406,7 @@
         with_connection = self._iterations.count < self._after_first_read
         self.scope[ARRIVAL_KEY] = self._arrived_at if with_connection else self._read_at
         self.scope[END_KEY] = self._end_soon
+        self.scope[PACE_KEY] = self._pace
 
     def on_url(self, url: bytes) -> None:
         """Keep a part of the request's target."""
@@ -498,11 +519,19 @@
 
     def _count_unread(self) -> int:
         """Return the number of bytes that have arrived and are not read yet."""
+        # If the kernel can't tell, what comes now crosses the close.
+        return self._count_bytes(termios.FIONREAD)
+
+    def _count_unreceived(self) -> int:
+        """Return the number of bytes that the kernel has taken and the caller has not received."""
+        return self._count_bytes(termios.TIOCOUTQ)
+
+    def _count_bytes(self, queue: int) -> int:
+        """Return the number of bytes in a queue of the socket, 0 if the kernel can't tell."""
         found = array.array("i", [0])
         try:
-            fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, found)
+            fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), queue, found)
         except OSError:
-            # The kernel can't tell; what comes now crosses the close.
             return 0
         return found[0]
 
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -687,6 +687,12 @@
         ):
             self.assertAlmostEqual(expected, times.expect("recap", 50, rows), 6, name)
 
+    def test_an_answer_takes_as_long_as_its_caller_reads(self):
+        times = AnswerTimes()
+        times.record("files", 0, 0.1, 0.1, 1_000_000)
+        for pace, expected in ((0.0, 0.1), (0.000_001, 1.1), (0.000_008, 8.1)):
+            self.assertAlmostEqual(expected, times.expect("files", 0, (), pace), 6)
+
     def test_routes_that_are_gone_do_not_pile_up(self):
         times = AnswerTimes()
         for number in range(3 * MAX_ROUTES):
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -38,6 +38,10 @@
 BIG_ANSWER_BYTES = 4 * 1024 * 1024
 # Slow callers read their answers within six seconds.
 SLOW_RATE = BIG_ANSWER_BYTES / 6
+# An answer that a caller's link takes eight seconds for, and when it is asked for again.
+LONG_ANSWER_BYTES = 16 * 1024 * 1024
+LINK_RATE = LONG_ANSWER_BYTES / 8
+AFTER_SIGNAL_SECONDS = 2.0
 NOT_RUN = {429, 503}
 MAYBE_RAN = 502
 FILES = {
@@ -243,6 +247,35 @@
         self.assertEqual([(200, True)] * 3, [(row.status, row.whole) for row in answers])
 
 
+class SlowLinkTest(unittest.TestCase):
+    """Guards against answers that a stopping host takes on and that their callers read too slowly.
+
+    A caller on the same host whose link is fast is served.
+    """
+
+    def test_a_caller_is_refused_that_would_read_for_too_long(self):
+        async def scenario(found):
+            found.files.page = b"x" * LONG_ANSWER_BYTES
+            address = found.hosts[0].address("front")
+            slow, fast = [await KeptConnection.open(address, rate) for rate in (LINK_RATE, 0)]
+            answers = []
+            for number in range(2):
+                raw = [make_request("/files/x", f"{n}-{number}", LONG_DEADLINE_MS) for n in "sf"]
+                calls = [found.call(slow, raw[0], f"s-{number}")]
+                calls.append(found.call(fast, raw[1], f"f-{number}"))
+                if number:
+                    stopping = asyncio.ensure_future(found.stop_first())
+                    await asyncio.sleep(AFTER_SIGNAL_SECONDS)
+                answers.append(await asyncio.gather(*calls))
+            await stopping
+            return answers
+
+        found, answers = play(scenario)
+        rows = [[(row.status, row.whole) for row in pair] for pair in answers]
+        self.assertEqual([[(200, True), (200, True)], [(503, True), (200, True)]], rows)
+        self.assertNotIn("s-1", found.executed())
+
+
 class ArrivingBodyTest(unittest.TestCase):
     """Guards against requests that a stopping host has begun to read and never answers."""
 
