Give the prefill of a prompt back that did not come to its first token

Cause: the hub books the prefill of each granted prompt by the tokens that the caller names, and never heard of its outcome.

Change: a host gives its grant back when the send ends without an answer, with the frame that withdraws a queued prompt; the rest of the prefill leaves the engine's schedule. A prompt of more tokens than any engine of its route holds is refused at once, 413, without a grant. Numbers of tokens that are none are answered 400; one of 400 digits was a 500.

Conclusion: what the hub grants ends with the send, whatever ends it.

--- a/peridotdock/decisions/choice.py
+++ b/peridotdock/decisions/choice.py
@@ -84,14 +84,16 @@
 class Prediction:
     """An endpoint and the seconds until its first token, or its whole answer, is expected.
 
-    ``granted`` is set when the hub, which knows the prompts of all hosts, made the prediction,
-    ``placed`` when the hub counts the request until it has ended.
+    ``granted`` is the number of the grant where a hub, which knows the prompts of all hosts, made
+    the prediction, else 0, and ``granted_by`` that hub. ``placed`` is set when the hub counts the
+    request until it has ended.
     """
 
     candidate: Candidate
     seconds: float
-    granted: bool = False
+    granted: int = 0
     placed: bool = False
+    granted_by: str = ""
 
 
 def predict(candidate: Candidate, work: RequestCost) -> float:
--- a/peridotdock/decisions/pacing.py
+++ b/peridotdock/decisions/pacing.py
@@ -129,10 +129,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """A prompt that may be sent now, and the endpoint that was chosen for it."""
+    """A prompt that may be sent now, and the endpoint that was chosen for it.
+
+    ``prefilled_at`` is when its prefill ends there, in monotonic seconds.
+    """
 
     prompt: QueuedPrompt
     prediction: Prediction
+    prefilled_at: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,23 +150,37 @@
 FindCandidates = Callable[[QueuedPrompt], Sequence[Candidate]]
 
 
+@dataclass(frozen=True, slots=True)
+class Booking:
+    """The prefill of a prompt at its engine, from ``begin`` to ``end`` in monotonic seconds."""
+
+    prompt: Hashable
+    begin: float
+    end: float
+    urgent: bool
+
+    def moved(self, seconds: float) -> "Booking":
+        """Return the booking so many seconds earlier."""
+        return replace(self, begin=self.begin - seconds, end=self.end - seconds)
+
+
 class PrefillSchedule:
     """The prefills of one engine, one after the other, as estimated from the prompts sent to it."""
 
     def __init__(self) -> None:
-        self._prefills: deque[tuple[float, float]] = deque()
+        self._prefills: deque[Booking] = deque()
         self._urgent = 0.0
         self._urgent_at = 0.0
 
     def _trim(self, now: float, window: float) -> None:
-        while self._prefills and self._prefills[0][1] <= now - window:
+        while self._prefills and self._prefills[0].end <= now - window:
             self._prefills.popleft()
 
     def scheduled_seconds(self, now: float, limit: PaceLimit) -> float:
         """Return the seconds of prefill, done or still to do, since the window began."""
         self._trim(now, limit.window)
         since = now - limit.window
-        return sum(end - max(begin, since) for begin, end in self._prefills)
+        return sum(row.end - max(row.begin, since) for row in self._prefills)
 
     def earliest_start(self, seconds: float, now: float, limit: PaceLimit) -> float:
         """Return the earliest time at which a prompt of so many seconds of prefill may be sent.
@@ -175,20 +193,42 @@
             return lead
         self._trim(now, limit.window)
         left = max(0.0, limit.prefill - seconds)
-        for begin, end in reversed(self._prefills):
-            if end - begin > left:
+        for row in reversed(self._prefills):
+            if row.end - row.begin > left:
                 # Prefill after this moment still fits into the window with the prompt.
-                full = end - left
+                full = row.end - left
                 return max(lead, full + limit.window - seconds)
-            left -= end - begin
+            left -= row.end - row.begin
         return lead
 
-    def schedule(self, seconds: float, now: float, urgent: bool) -> None:
-        """Add a prompt that is sent now; ``urgent`` is set when it is in time."""
+    def schedule(self, prompt: Hashable, seconds: float, now: float, urgent: bool) -> float:
+        """Add a prompt that is sent now; return when its prefill ends.
+
+        ``urgent`` is set when it is in time.
+        """
         begin = now + self.backlog(now)
-        self._prefills.append((begin, begin + seconds))
-        self._urgent = self._urgent_rate(now) + urgent * seconds / URGENT_AVERAGE_SECONDS
-        self._urgent_at = now
+        self._prefills.append(Booking(prompt, begin, begin + seconds, urgent))
+        self._count_urgent(urgent * seconds, now)
+        return begin + seconds
+
+    def cancel(self, prompt: Hashable, now: float) -> None:
+        """Give back what is left of a prompt's prefill; those behind it begin so much earlier."""
+        rows = deque[Booking]()
+        freed = 0.0
+        for row in self._prefills:
+            if row.prompt != prompt:
+                rows.append(row.moved(freed))
+                continue
+            done = min(max(row.begin, now), row.end)
+            freed += row.end - done
+            self._count_urgent(-row.urgent * (row.end - done), now)
+            if done > row.begin:
+                rows.append(replace(row, end=done))
+        self._prefills = rows
+
+    def _count_urgent(self, seconds: float, now: float) -> None:
+        rate = self._urgent_rate(now) + seconds / URGENT_AVERAGE_SECONDS
+        self._urgent, self._urgent_at = max(0.0, rate), now
 
     def _urgent_rate(self, now: float) -> float:
         return self._urgent * math.exp((self._urgent_at - now) / URGENT_AVERAGE_SECONDS)
@@ -199,11 +239,11 @@
 
     def backlog(self, now: float) -> float:
         """Return the seconds until the scheduled prefills are done."""
-        return max(0.0, self._prefills[-1][1] - now) if self._prefills else 0.0
+        return max(0.0, self._prefills[-1].end - now) if self._prefills else 0.0
 
     def started_since(self, at: float) -> int:
         """Return how many prefills have started since a time within the window."""
-        return sum(begin > at for begin, _ in self._prefills)
+        return sum(row.begin > at for row in self._prefills)
 
 
 class Pacer:
@@ -213,6 +253,8 @@
         self._rng = rng
         self._schedules: dict[str, PrefillSchedule] = {}
         self._queue: dict[Hashable, QueuedPrompt] = {}
+        # The engines of the prompts that are being prefilled, and when that ends.
+        self._booked: dict[Hashable, tuple[str, float]] = {}
         self._full_scan_at = -math.inf
 
     def __len__(self) -> int:
@@ -226,6 +268,18 @@
         """Remove a prompt that no caller waits for any more."""
         self._queue.pop(key, None)
 
+    def cancel(self, prompt: Hashable, now: float) -> bool:
+        """Give back the prefill of a prompt that was sent and ended before its first token.
+
+        Failure guarded against: an engine refuses a prompt larger than its memory. The prefill that
+        it never did keeps all other prompts from it for as long as that would have taken.
+        """
+        key, _ = self._booked.pop(prompt, ("", 0.0))
+        schedule = self._schedules.get(key)
+        if schedule is not None:
+            schedule.cancel(prompt, now)
+        return schedule is not None
+
     def scheduled_seconds(self, key: str, now: float, limit: PaceLimit) -> float:
         """Return the seconds of prefill that an engine was given in the last window."""
         schedule = self._schedules.get(key)
@@ -250,6 +304,7 @@
         full_scan = now >= self._full_scan_at
         if full_scan:
             self._full_scan_at = now + FULL_SCAN_SECONDS
+            self._booked = {key: row for key, row in self._booked.items() if row[1] > now}
         decided = []
         for prompt in sorted(self._queue.values(), key=lambda prompt: urgency(prompt, now)):
             if prompt.item in run.saturated and not full_scan:
@@ -258,6 +313,8 @@
             if found is not None:
                 decided.append(found)
                 del self._queue[prompt.id]
+            if isinstance(found, Grant):
+                self._booked[prompt.id] = found.prediction.candidate.key, found.prefilled_at
         return decided, run.next_check
 
 
@@ -294,12 +351,13 @@
         found = choose(fitting, prompt.work, self._rng)
         if found is not None:
             chosen = found.candidate
-            self._schedule(chosen.key).schedule(
-                prefill_seconds(chosen, prompt.work), self._now, not self._late(prompt)
+            seconds, urgent = prefill_seconds(chosen, prompt.work), not self._late(prompt)
+            prefilled_at = self._schedule(chosen.key).schedule(
+                prompt.id, seconds, self._now, urgent
             )
             if chosen.rate_limited:
                 self._available_at[chosen.key] = self._now + chosen.permit_interval
-            return Grant(prompt, found)
+            return Grant(prompt, found, prefilled_at)
         return self._wait_or_deny(prompt, candidates)
 
     def _late(self, prompt: QueuedPrompt) -> bool:
--- a/peridotdock/deployment.py
+++ b/peridotdock/deployment.py
@@ -4,6 +4,7 @@
 operators' configuration and is immutable.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -158,6 +159,13 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def largest_prompt(self, route: Route) -> float:
+        """Return the most tokens that an engine of a route holds, infinite if that is not known."""
+        found = [self.services.get(share.service) for share in route.shares]
+        engines = [service.engine if service is not None else None for service in found]
+        sizes = [engine.cache_tokens if engine is not None else 0 for engine in engines]
+        return max(size or math.inf for size in sizes) if sizes else math.inf
+
 
 def index_routes(routes: Iterable[Route]) -> dict[str, dict[str, Route]]:
     """Return the routes by host name and prefix."""
--- a/peridotdock/errors.py
+++ b/peridotdock/errors.py
@@ -19,6 +19,7 @@
     UNKNOWN_MODEL = "unknown_model"
     NOT_FOUND = "not_found"
     TOO_LARGE = "too_large"
+    PROMPT_TOO_LARGE = "prompt_too_large"
     TOO_MANY_STREAMS = "too_many_streams"
     CALLER_LIMIT = "caller_limit"
     OVERLOADED = "overloaded"
@@ -92,6 +93,9 @@
     Kind.TOO_LARGE: Answer(
         413, Ran.NO, "INFO", "The body is larger than this host takes.", "Send less."
     ),
+    Kind.PROMPT_TOO_LARGE: Answer(
+        413, Ran.NO, "INFO", "The prompt is larger than the memory of any engine.", "Send less."
+    ),
     Kind.TOO_MANY_STREAMS: Answer(
         429, Ran.NO, "INFO", "The caller has too many requests in work.", "Wait for some to end."
     ),
--- a/peridotdock/platform/wire.py
+++ b/peridotdock/platform/wire.py
@@ -82,6 +82,9 @@
 # Headers of an endpoint's answer that aren't relayed: those that the host's server writes itself,
 # and Retry-After, which holds for that endpoint only: another one may accept a request at once.
 SERVER_HEADERS = HOP_BY_HOP | {"date", "server", RETRY_AFTER_HEADER}
+# Digits of the largest number of tokens that is read, and of one that is none in a log line.
+MAX_COUNT_DIGITS = 9
+MAX_LOGGED_DIGITS = 20
 MISDIRECTED = 421
 UNAVAILABLE = 503
 
@@ -172,11 +175,22 @@
     """Return the tokens of prompt and answer together; 0 if the header is missing or invalid."""
     numbers = text.split(",")
     try:
-        return max(0, sum(int(number) for number in numbers)) if len(numbers) == 2 else 0
+        return sum(map(read_count, numbers)) if len(numbers) == 2 else 0
     except ValueError:
         return 0
 
 
+def read_count(text: str) -> int:
+    """Decode a number of tokens; raises ValueError for one that no prompt has.
+
+    Failure guarded against: a count of hundreds of digits is no number that can be calculated with.
+    """
+    digits = text.strip()
+    if not (digits.isascii() and digits.isdigit() and len(digits) <= MAX_COUNT_DIGITS):
+        raise ValueError(f"{digits[:MAX_LOGGED_DIGITS]!r} is no number of tokens")
+    return int(digits)
+
+
 def read_rate(text: str | None) -> float | None:
     """Return the requests a second, infinite without a header; None if it is invalid."""
     if text is None:
@@ -207,8 +221,8 @@
     return InferenceSpec(
         model=model,
         adapter=adapter,
-        prompt_tokens=int(prompt),
-        output_tokens=int(output or 0),
+        prompt_tokens=read_count(prompt),
+        output_tokens=read_count(output or "0"),
         parts=tuple(
             read_part(text) for text in named.get(PARTS_HEADER, "").split(",") if text.strip()
         ),
@@ -220,4 +234,4 @@
     name, colon, tokens = text.strip().rpartition(":")
     if not colon:
         raise ValueError(f"{PARTS_HEADER}: {text!r} is not ID:TOKENS")
-    return PromptPart(name, int(tokens))
+    return PromptPart(name, read_count(tokens))
--- a/peridotdock/relay/choosing.py
+++ b/peridotdock/relay/choosing.py
@@ -64,11 +64,17 @@
         return found
 
     def withdraw(self, found: Prediction) -> None:
-        """Give the place back of a request that is not sent after all."""
+        """Give back the place and the grant of a request that is not sent after all."""
+        self.give_back(found)
         state = self._fleet.states.get(found.candidate.key)
         if found.placed and state is not None:
             self._permits.give_back(state)
 
+    def give_back(self, found: Prediction) -> None:
+        """Give the hub's grant back of a request that did not come to its first token."""
+        if found.granted:
+            self._grants.give_back(found.granted_by, found.granted)
+
     def _candidates(self, req: RelayRequest, progress: Progress) -> list[Candidate]:
         """Return the endpoints not tried yet, or all of them if none is left.
 
@@ -101,17 +107,19 @@
         inference = req.head.inference
         state = self._fleet.states.get(grant.endpoint)
         if state is None:
+            self._grants.give_back(grant.hub, grant.number)
             return None
         now = self._ctx.clock.monotonic()
         usable = state in self._fleet.usable(progress.service, inference, progress.software)
         if not usable or state.backoff_until > now or state.key in progress.working:
             if state.brittle:
                 self._permits.give_back(state)
+            self._grants.give_back(grant.hub, grant.number)
             return None
         work = self._fleet.estimate_work(progress.service, inference)
         row = self._fleet.hub_candidates([state], inference, frozenset(), "")[0]
         row = replace(row, queued_tokens=grant.ahead / work.seconds_per_token)
-        return Prediction(row, predict(row, work), granted=True, placed=state.brittle)
+        return Prediction(row, predict(row, work), grant.number, state.brittle, grant.hub)
 
     async def _choose_locally(
         self, req: RelayRequest, caller: Caller, progress: Progress
--- a/peridotdock/relay/grants.py
+++ b/peridotdock/relay/grants.py
@@ -74,10 +74,15 @@
 
 @dataclass(frozen=True, slots=True)
 class GrantedEndpoint:
-    """The endpoint of a granted prompt, and the seconds of prefill ahead of it there."""
+    """The endpoint of a granted prompt, and the seconds of prefill ahead of it there.
+
+    ``number`` is that of the grant, and ``hub`` the host that gave it.
+    """
 
     endpoint: str
     ahead: float
+    number: int
+    hub: str
 
 
 class GrantServer:
@@ -151,10 +156,17 @@
             self._send(host, GrantFrame("grant", frame.number, "", 0))
 
     def drop(self, host: str, frame: GrantDropped) -> None:
-        """Remove a prompt that its host no longer waits for."""
-        queued = self._queued_grants.pop((host, frame.number), None)
+        """Remove a prompt that its host no longer waits for, or that did not come to its end."""
+        key = host, frame.number
+        queued = self._queued_grants.pop(key, None)
         if queued is not None:
-            self._pacers[queued.service].drop((host, frame.number))
+            self._pacers[queued.service].drop(key)
+            return
+        now = self._ctx.clock.monotonic()
+        for service, pacer in self._pacers.items():
+            if pacer.cancel(key, now):
+                self._schedule(service)
+                return
 
     def queued(self) -> dict[str, int]:
         """Return the queued prompt tokens by model, averaged over some seconds."""
@@ -327,11 +339,13 @@
             return loss_failure(RequestState.ADMITTED, Loss.CALLER_GONE)
         if reply is None:
             return None
-        return (
-            GrantedEndpoint(reply.endpoint, reply.ahead / 1000)
-            if reply.endpoint
-            else self._deny(reply.wait, frame.stays)
-        )
+        if not reply.endpoint:
+            return self._deny(reply.wait, frame.stays)
+        return GrantedEndpoint(reply.endpoint, reply.ahead / 1000, call.number, hub)
+
+    def give_back(self, hub: str, number: int) -> None:
+        """Tell the hub that a granted prompt was refused, lost or not sent."""
+        self._deliver(hub, GrantDropped("grant_dropped", number))
 
     def _deliver(self, hub: str, frame: GrantWanted | GrantDropped) -> bool:
         """Send a frame to the hub, which may be this host; false if it can't be reached."""
--- a/peridotdock/relay/request_handler.py
+++ b/peridotdock/relay/request_handler.py
@@ -86,6 +86,9 @@
         route = deployment.match(head.host, path)
         if route is None:
             return self._refuse(Failure(Kind.NOT_FOUND, "no route"), head.attempt_id)
+        too_large = check_prompt(head, deployment.largest_prompt(route))
+        if too_large is not None:
+            return self._refuse(too_large, head.attempt_id)
         identity = self._identifier.identify(deployment, route, head)
         if failed(identity):
             return self._refuse(identity, head.attempt_id)
@@ -165,6 +168,14 @@
         return Response(status, headers, Content(JSON, body))
 
 
+def check_prompt(head: RequestHead, largest: float) -> Failure | None:
+    """Return why a prompt of more than ``largest`` tokens can't be served, or None."""
+    tokens = head.inference.prompt_tokens if head.inference is not None else 0
+    if tokens <= largest:
+        return None
+    return Failure(Kind.PROMPT_TOO_LARGE, f"{tokens} tokens, {largest:.0f} at most")
+
+
 def make_request(
     request: Request, head: RequestHead, route: Route, body: bytes, identity: Identity
 ) -> RelayRequest:
--- a/peridotdock/relay/service.py
+++ b/peridotdock/relay/service.py
@@ -395,6 +395,7 @@
     ) -> CompleteAnswer | StreamSource | Failure:
         state = self.fleet.states.get(prediction.candidate.key)
         if state is None:
+            self._chooser.give_back(prediction)
             return Failure(Kind.ENDPOINT_UNREACHABLE, "gone meanwhile")
         valid_until = await self._check_software(req, caller, progress, state)
         silence = await self._check_answering(req, caller, progress, state)
@@ -424,12 +425,15 @@
         silent = SilentSend(req, caller, progress, state, state.key, streaming=False)
         first = SendCaller(caller)
         replacement = Replacement(self, silent, first.end)
-        streaming = False
+        streaming = answered = False
         try:
             found = await self._send_chosen(silent, first, prediction, replacement, valid_until)
+            answered = is_answer(found)
             streaming = isinstance(found, StreamSource) and found.caller is first
             return found
         finally:
+            if not answered:
+                self._chooser.give_back(prediction)
             await replacement.close()
             if not streaming:
                 first.close()
--- a/tests/relay/test_adapter.py
+++ b/tests/relay/test_adapter.py
@@ -269,6 +269,17 @@
         ("deadline no number", {"x_deadline_ms": "soon"}),
         ("deadline negative", {"x_deadline_ms": "-1"}),
         ("tokens no number", {"x_model": "m", "x_token_counts": "many"}),
+        ("tokens of 400 digits", {"x_model": "m", "x_token_counts": "4" * 400 + ",20"}),
+        ("output of 400 digits", {"x_model": "m", "x_token_counts": "900," + "4" * 400}),
+        ("tokens of 5,000 digits", {"x_model": "m", "x_token_counts": "9" * 5000 + ",20"}),
+        ("tokens a float", {"x_model": "m", "x_token_counts": "1e30,20"}),
+        ("tokens infinite", {"x_model": "m", "x_token_counts": "inf,20"}),
+        ("tokens negative", {"x_model": "m", "x_token_counts": "-5,20"}),
+        ("output negative", {"x_model": "m", "x_token_counts": "900,-5"}),
+        ("tokens with a line between", {"x_model": "m", "x_token_counts": "1_000,20"}),
+        ("tokens in other digits", {"x_model": "m", "x_token_counts": "\u0661\u0662,20"}),
+        ("a part of 400 digits", {"x_model": "m", "x_prompt_prefix": "aa:" + "4" * 400}),
+        ("a part of less than nothing", {"x_model": "m", "x_prompt_prefix": "aa:-600"}),
         ("part without tokens", {"x_model": "m", "x_prompt_prefix": "abc"}),
     )
     def test_a_bad_head_is_refused(self, name, headers):
--- a/tests/relay/test_pacing.py
+++ b/tests/relay/test_pacing.py
@@ -19,12 +19,13 @@
     PaceControl,
     PaceLimit,
     Pacer,
+    PrefillSchedule,
     QueuedPrompt,
     limit_pace,
 )
 from peridotdock.relay.grants import GrantServer, shortest_pauses
 from peridotdock.schema.messages import GrantDropped, GrantWanted
-from tests.relay.deployment import Deployment
+from tests.relay.deployment import ENGINE_CONFIG, Deployment
 from tests.relay.test_relay import ids, run
 
 # Seconds after a new link within which a prompt is sent whose grant the old one has lost.
@@ -253,6 +254,81 @@
         self.assertEqual([*range(20)], found)
 
 
+class GivenBackTest(unittest.TestCase):
+    """Guards against prompts that wait for a prefill which an engine has refused, or given up."""
+
+    def dispatch(self, pacer, now):
+        decided, _ = pacer.dispatch(now, LIMIT, lambda prompt: [candidate()])
+        return [(row.prompt.id, isinstance(row, Grant)) for row in decided]
+
+    def test_a_refused_prompt_makes_room_at_once(self):
+        pacer = Pacer(random.Random(1))
+        large = RequestCost(1_000_000, 0, 0.00004, 1.0)
+        pacer.add(make_prompt("large", work=large))
+        self.assertEqual([("large", True)], self.dispatch(pacer, 0.0))
+        pacer.add(make_prompt("small"))
+        self.assertEqual([("small", False)], self.dispatch(pacer, 0.01))
+        self.assertTrue(pacer.cancel("large", 0.02))
+        self.assertFalse(pacer.cancel("large", 0.02))
+        pacer.add(make_prompt("small"))
+        self.assertEqual([("small", True)], self.dispatch(pacer, 0.03))
+
+    def test_prompts_behind_one_that_was_given_back_begin_earlier(self):
+        schedule = PrefillSchedule()
+        for name, seconds in (("first", 1.0), ("second", 2.0), ("third", 1.0)):
+            schedule.schedule(name, seconds, 0.0, True)
+        schedule.cancel("second", 1.5)
+        self.assertAlmostEqual(1.0, schedule.backlog(1.5))
+        schedule.cancel("third", 1.5)
+        self.assertAlmostEqual(0.0, schedule.backlog(1.5))
+        schedule.cancel("first", 1.5)
+        self.assertAlmostEqual(1.5, schedule.scheduled_seconds(1.5, PaceLimit(10.0, 5.0)))
+
+    def test_bookings_of_prompts_that_were_prefilled_do_not_pile_up(self):
+        pacer = Pacer(random.Random(1))
+        for number in range(50):
+            pacer.add(make_prompt(number, send_by=number + 1.0, disconnect_by=number + 2.0))
+            self.assertEqual([(number, True)], self.dispatch(pacer, float(number)))
+        self.assertLessEqual(len(pacer._booked), 2)
+
+    @params(("one host", 1), ("another host than the hub", 2))
+    def test_a_prompt_that_all_engines_refuse_is_in_nobodys_way(self, name, hosts):
+        @run
+        async def check(self):
+            engines = (("e1", ("m0",)), ("e2", ("m0",)))
+            async with Deployment(hosts, engines) as found:
+                if hosts > 1:
+                    await found.until(lambda: len({row.peers.hub() for row in found.hosts}) == 1)
+                to = next(
+                    n for n, host in enumerate(found.hosts) if host.peers.is_hub() == (hosts == 1)
+                )
+                for engine in found.engines.values():
+                    engine.script = ["refuse"] * 3
+                large = {"x_token_counts": "2000000,20", "x_prompt_prefix": "aa:600,cc:1999400"}
+                status, _, _ = await found.send("/recap/", "large", "m0", to, **large)
+                self.assertEqual(503, status)
+                for engine in found.engines.values():
+                    engine.script = []
+                status, _, _ = await found.send("/recap/", "small", "m0", to)
+                self.assertEqual(200, status)
+
+        check(self)
+
+    @run
+    async def test_a_prompt_that_no_engine_can_hold_is_refused_without_a_grant(self):
+        async with Deployment() as found:
+            engine = ENGINE_CONFIG | {"kv_capacity_tokens": 232_000}
+            services = [{"name": "engines", "engine": engine}, {"name": "pages"}]
+            found.configure(version=2, services=services)
+            [host] = found.hosts
+            await found.until(lambda: host.request_handler.deployment.version == 2)
+            for tokens, expected in ((232_001, 413), (232_000, 200)):
+                more = {"x_token_counts": f"{tokens},20"}
+                status, _, _ = await found.send("/recap/", f"a{tokens}", "m0", **more)
+                self.assertEqual(expected, status)
+            self.assertEqual(["a232000"], found.engines["e1"].executed)
+
+
 class LongQueueTest(unittest.TestCase):
     """Two hundred prompts wait for the two engines of a model, and the hub's processor is full."""
 
