Play uploads that are answered early and broken off in the soak

Cause for the play: stand-ins read each request whole before they answered, so neither tests nor soak met an answer that breaks off while its upload is on its way.

Change: in seeds of 28 modulo 29 a third of the requests are uploads of 3 MB, and endpoints answer some at the head or after a tenth, unframed, and half-close, close or reset. The soak's proxies hid this: they closed a connection whose target had reset it, and acknowledged all of an upload that the target had not received. They pass a reset on and hold little now, as a network does; test_a_proxy_passes_a_reset_on failed before.

Conclusion: a proxy that acknowledges for its target makes a break undecidable.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -30,6 +30,7 @@
 from extras.soak.stop_checks import find_lost, summarise
 from extras.soak.stops import add_services, stop_in_series
 from extras.soak.updates import update_in_series
+from extras.soak.uploads import UPLOAD_SHARE, break_uploads
 from tests.standins.runner import EVENTS_PER_STREAM, FALL_SECONDS, RunnerStandin
 
 CALLER_COUNT = 8
@@ -109,6 +110,8 @@
         callers = [
             Caller(n, deployment, record, started_at, plan.seed) for n in range(CALLER_COUNT)
         ]
+        for caller in callers if plan.uploads else ():
+            caller.upload_share = UPLOAD_SHARE
         work = [caller.run(plan.seconds) for caller in callers]
         if plan.poisoned:
             work += [caller.run_poison(plan.seconds) for caller in callers[:POISON_CALLER_COUNT]]
@@ -142,6 +145,9 @@
             work.append(deployment.cut_streams(plan.seconds - MAX_FAULT_SECONDS))
         if plan.copied:
             work.append(deployment.copy_refusals(plan.seconds - MAX_FAULT_SECONDS))
+        if plan.uploads:
+            rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
+            work.append(break_uploads(deployment, seconds, rng))
         if plan.updated:
             record.allowed_mixed = MIXED_WITH_UPDATES
             rng, seconds = random.Random(plan.seed), plan.seconds - MAX_FAULT_SECONDS
--- a/extras/soak/callers.py
+++ b/extras/soak/callers.py
@@ -24,6 +24,8 @@
 # Tokens by part of a sound prompt, and tokens of an answer.
 PARTS = {"aa": 600, "bb": 300}
 OUTPUT_TOKENS = 20
+# A body that is longer than what endpoints, the proxies before them and kernels take unread.
+UPLOAD = bytes(3_000_000)
 REPEATABLE_ROUTES = {"recap": True, "once": False, "bind": False, "fetch": True}
 DEADLINE_SECONDS = 6.0
 DEADLINE_MS = str(round(1000 * DEADLINE_SECONDS))
@@ -37,7 +39,8 @@
     """One caller; ``started_at`` is the start of the run in monotonic seconds.
 
     A ``direct`` one keeps to the addresses of all hosts, whatever the directory says. One with
-    ``routes`` sends requests of these alone. ``workspace`` is the one whose key it sends.
+    ``routes`` sends requests of these alone. ``workspace`` is the one whose key it sends, and
+    ``upload_share`` the share of its requests that have a long body.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         self._address_ttl = ADDRESS_TTL_SECONDS * (3 if number % 4 == 0 else 1)
         self._addresses: list[str] = []
         self._resolved_at = float("-inf")
+        self.upload_share = 0.0
 
     def open_session(self) -> aiohttp.ClientSession:
         """Return a session that keeps connections open."""
@@ -91,8 +95,9 @@
     async def send(self, session: aiohttp.ClientSession, attempts: list[Attempt]) -> None:
         """Send one request, with one retry if it is allowed, and append the attempts to a list."""
         route, earlier = self._choose_route(), None
+        body = UPLOAD if self.upload_share and self._rng.random() < self.upload_share else b""
         for number in (1, 2):
-            attempt = await self._attempt(session, route, earlier=earlier)
+            attempt = await self._attempt(session, route, body, earlier)
             if attempt is None:
                 return
             attempts.append(replace(attempt, number=number))
--- a/extras/soak/plan.py
+++ b/extras/soak/plan.py
@@ -41,6 +41,8 @@
 # One seed in this many has endpoints that refuse often and send refusals twice, and that fail with
 # statuses of refusals.
 COPIES_EVERY = 23
+# One seed in this many has uploads, and endpoints that answer some of them early and break off.
+UPLOADS_EVERY = 29
 # One seed in this many has a store that comes back from older copies of its rows.
 RESTORED_EVERY = 3
 
@@ -149,6 +151,11 @@
         """Return whether endpoints refuse often, and send refusals twice."""
         return self._mixed and self.seed % COPIES_EVERY == COPIES_EVERY - 1
 
+    @property
+    def uploads(self) -> bool:
+        """Return whether callers send uploads, which endpoints answer early and break off."""
+        return self._mixed and self.seed % UPLOADS_EVERY == UPLOADS_EVERY - 1
+
     @property
     def updated(self) -> bool:
         """Return whether engines start again at the other software version under their ids."""
--- a/extras/soak/proxy.py
+++ b/extras/soak/proxy.py
@@ -7,6 +7,9 @@
 
 DELAY_SECONDS = 0.15
 READ_BYTES = 65536
+# Kernel buffers for what goes to the target: a device on the way acknowledges nothing, and a proxy
+# that takes much ahead would hide from a client that the target has not received it.
+BUFFER_BYTES = 65536
 # Longest time, in seconds, from the write of an answer by the target to its arrival at the proxy.
 TRANSIT_SECONDS = 0.1
 # Modes that drop bytes.
@@ -45,7 +48,10 @@
 
     async def start(self) -> "Proxy":
         """Listen on a free port and set ``address`` to it, as IP:PORT."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        sock.bind(("127.0.0.1", 0))
+        self._server = await asyncio.start_server(self._serve, sock=sock)
         self.address = "{}:{}".format(*self._server.sockets[0].getsockname())
         return self
 
@@ -61,9 +67,7 @@
         now = asyncio.get_running_loop().time()
         self.cuts.append((now, now))
         for writer in list(self._writers):
-            sock = writer.get_extra_info("socket")
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            reset_on_close(writer)
             writer.transport.abort()
 
     async def play(self, mode: str, seconds: float) -> None:
@@ -82,11 +86,17 @@
         try:
             there, back = await asyncio.open_connection(*self._target)
             ends.append(back)
+            sock = back.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
             self._writers.update(ends)
             port = back.get_extra_info("sockname")[1]
             await asyncio.gather(self._copy(reader, back), self._copy(there, writer, port))
+        except ConnectionResetError:
+            # A network passes a reset on, which a closed connection would hide from its peer.
+            for end in ends:
+                reset_on_close(end)
         except OSError:
-            # The other end was closed or reset; closing both ends below passes this on.
+            # The other end was closed; closing both ends below passes this on.
             pass
         finally:
             self._tasks.discard(task)
@@ -111,3 +121,10 @@
             await writer.drain()
         if not silent:
             writer.write_eof()
+
+
+def reset_on_close(writer: asyncio.StreamWriter) -> None:
+    """Let the close of a connection reset it."""
+    with contextlib.suppress(OSError):
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,7 +22,7 @@
 from extras import fleet_processes
 from extras.samples import HANEUL
 from extras.soak.__main__ import CALLER_COUNT, number_callers, read_endpoint_record, run_plan
-from extras.soak.callers import PARTS
+from extras.soak.callers import PARTS, UPLOAD
 from extras.soak.checks import (
     Attempt,
     Disturbance,
@@ -52,7 +52,8 @@
 from extras.soak.stop_checks import find_lost
 from extras.soak.stops import FILE_BYTES, WAYS, Stops
 from extras.soak.updates import ENTRY_LAG_SECONDS, choose_engine, update
-from peridotdock.clients.endpoint import Call, HttpEndpoints
+from peridotdock.clients.endpoint import Call, HttpEndpoints, read_all
+from peridotdock.errors import failed
 from tests.kept_connection import Answer
 from tests.standins.runner import (
     EVENTS_PER_STREAM,
@@ -818,6 +819,35 @@
             asyncio.run(play(Path(folder)))
 
 
+class UploadsTest(unittest.TestCase):
+    def test_which_seeds_have_uploads(self):
+        seeds = [seed for seed in range(120) if draw_plan(seed, 6.0).uploads]
+        self.assertEqual([57, 86], seeds)
+
+    def test_a_proxy_passes_a_reset_on(self):
+        """Guards against a soak in which answers that are reset look whole, as on no network."""
+
+        async def play():
+            runner = await RunnerStandin("e1").start()
+            runner.early_end, runner.early_read = "reset", len(UPLOAD) // 10
+            link = await Proxy(runner.address).start()
+            endpoints = HttpEndpoints()
+            headers = {"x-attempt-id": "a1", "x-target-instance": "e1"}
+            call = Call("POST", "/x", headers, UPLOAD, at_most_once=True)
+            found = await endpoints.open(f"http://{link.address}", call)
+            if not failed(found):
+                opened = found
+                found = await read_all(opened)
+                await opened.release()
+            self.assertTrue(failed(found), found)
+            self.assertEqual(["a1"], runner.executed)
+            await endpoints.close()
+            await link.stop()
+            await runner.stop()
+
+        asyncio.run(play())
+
+
 class UpdateTest(unittest.TestCase):
     @params(("goes on", True, ["v2"]), ("was replaced meanwhile", False, ["v1"]))
     def test_the_entry_tells_of_a_new_start_some_time_later(self, name, stays, expected):
