Keep the mutants in step with the code, and add one for each of three mends

Change: that mutant follows the line; three new ones take back the notice of streams with one version, the look at unreceived requests, and the return of a refused prompt's prefill. A local variable's name says what it means.

--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -822,10 +822,31 @@
     Mutant(
         "the hub takes nothing for older while a host is out of touch",
         "relay/stream_versions.py",
-        "return max(self._hub_since, self._apart_at)",
+        "return max(self._hub_since, self._apart_at, self._told.evicted_at)",
         "return self._hub_since",
         "tests.relay.test_stream_versions.UntoldTest",
     ),
+    Mutant(
+        "the hub is told of streams with one version too",
+        "relay/stream_versions.py",
+        "target = self._find_target()\n        link",
+        'target = self._find_target() if mixed else ""\n        link',
+        "tests.relay.test_rejoined_streams.StandingTest",
+    ),
+    Mutant(
+        "unframed: an answer is whole only if its request was received",
+        "clients/http.py",
+        "if self.connection_key.closed_early:",
+        "if False:",
+        "tests.relay.test_early.BrokenUploadTest",
+    ),
+    Mutant(
+        "pacing: a prompt that was refused gives its prefill back",
+        "decisions/pacing.py",
+        "            schedule.cancel(prompt, now)",
+        "            pass",
+        "tests.relay.test_pacing.GivenBackTest",
+    ),
     Mutant(
         "a wait within a stream goes by its last event",
         "relay/requests.py",
--- a/peridotdock/relay/stream_versions.py
+++ b/peridotdock/relay/stream_versions.py
@@ -162,8 +162,8 @@
         self._add_untold(stream, binding)
         # Hosts that see one version let the stream go on there until the hub tells them.
         urgent = binding.software == UNKNOWN_SOFTWARE
-        paused = self._ctx.clock.monotonic() - self._told_at >= TELL_PAUSE_SECONDS
-        if urgent or (paused and binding.service in self._mixed):
+        may_tell = self._ctx.clock.monotonic() - self._told_at >= TELL_PAUSE_SECONDS
+        if urgent or (may_tell and binding.service in self._mixed):
             self.publish()
 
     # Streams that callers take up
